Serve a request end to end through separate processes

Cause: the project had no code. The first aim is a thin whole path before any part is deepened.

Change: platform and worker stand-ins, two daemons and the command-line tool run as their own processes on loopback. A request that arrives at the instance that does not own the shard is relayed over the peer link, runs on a worker under a lease and a fencing token, and its whole answer returns. docs/design.md holds requirements, interfaces and failure handling.

Ruled out: typed hooks by class in the codec, because they also catch enums of strings and let them through undecoded (seen as an error 500); clocks alone to tell whether an id is new after a takeover, because the first 0.5 s after every first claim then answers "unknown". The entry VM now marks ids that it sends for the first time.

Conclusion: the path holds; the parts behind it are minimal and are replaced next.

--- /dev/null
+++ b/baobabhoist/cli/__init__.py
@@ -0,0 +1,1 @@
+"""Provide the command-line tool for operators and submitters."""
--- /dev/null
+++ b/baobabhoist/config/__init__.py
@@ -0,0 +1,1 @@
+"""Read and validate the daemon's settings."""
--- /dev/null
+++ b/baobabhoist/daemon/__init__.py
@@ -0,0 +1,1 @@
+"""Wire the parts into the daemon and own its tasks."""
--- /dev/null
+++ b/baobabhoist/daemon/main.py
@@ -0,0 +1,52 @@
+"""Start the daemon."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import signal
+import sys
+
+from absl import app, flags
+
+from baobabhoist.config.settings import load
+from baobabhoist.daemon.app import Daemon
+from baobabhoist.errors import SettingsError
+
+FLAGS = flags.FLAGS
+flags.DEFINE_string("config", None, "Settings file in YAML.", required=True)
+
+EXIT_BAD_SETTINGS = 2
+
+
+async def serve(daemon: Daemon) -> None:
+    """Run the daemon until it is asked to stop."""
+    running = asyncio.create_task(daemon.run())
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, running.cancel)
+    try:
+        await running
+    except asyncio.CancelledError:
+        return
+
+
+def main(argv: list[str]) -> int:
+    """Read the settings and serve."""
+    logging.basicConfig(format="%(asctime)s %(levelname)s %(name)s %(message)s", level="INFO")
+    try:
+        cfg = load(FLAGS.config)
+    except SettingsError as exc:
+        print(exc, file=sys.stderr)
+        return EXIT_BAD_SETTINGS
+    asyncio.run(serve(Daemon(cfg)))
+    return 0
+
+
+def run() -> None:
+    """Be the entry point of the command."""
+    app.run(main)
+
+
+if __name__ == "__main__":
+    run()
--- /dev/null
+++ b/baobabhoist/errors.py
@@ -0,0 +1,117 @@
+"""Define error kinds, refusals and the exceptions whose messages reach users."""
+
+from __future__ import annotations
+
+import enum
+from typing import Any, TypeGuard
+
+import attrs
+
+from baobabhoist.model import Outcome
+
+
+class ErrorKind(enum.StrEnum):
+    """Name each kind of refusal that a caller or operator can meet."""
+
+    BAD_REQUEST = "bad_request"
+    BODY_TOO_LARGE = "body_too_large"
+    KEY_MISSING = "key_missing"
+    KEY_REJECTED = "key_rejected"
+    FORBIDDEN = "forbidden"
+    NOT_FOUND = "not_found"
+    CONFLICT = "conflict"
+    DEADLINE_PASSED = "deadline_passed"
+    DEADLINE_TOO_FAR = "deadline_too_far"
+    QUEUE_FULL = "queue_full"
+    TEAM_LIMIT = "team_limit"
+    NO_CAPACITY = "no_capacity"
+    NEVER_FITS = "never_fits"
+    OUTCOME_UNKNOWN = "outcome_unknown"
+    SHARD_UNAVAILABLE = "shard_unavailable"
+    PEER_UNREACHABLE = "peer_unreachable"
+    PLATFORM_UNAVAILABLE = "platform_unavailable"
+    STALE_TOKEN = "stale_token"
+    CANCELLED = "cancelled"
+    DRAINING = "draining"
+    TASK_FAILED = "task_failed"
+    INTERNAL = "internal"
+
+
+@attrs.frozen
+class Refusal:
+    """State why work was refused, what is known of its execution, and what to do.
+
+    Functions return a refusal in place of their result; it is not raised. `retry_after_s`
+    is in seconds, or None when a retry of the same request cannot help.
+    """
+
+    kind: ErrorKind
+    message: str
+    outcome: Outcome = Outcome.NOT_RUN
+    remedy: str = ""
+    retry_after_s: float | None = None
+
+    def as_body(self) -> dict[str, Any]:
+        """Return the error body that callers receive."""
+        return {
+            "kind": self.kind.value,
+            "message": self.message,
+            "outcome": self.outcome.value,
+            "remedy": self.remedy,
+            "retry_after": self.retry_after_s,
+        }
+
+
+def is_refusal(value: object) -> TypeGuard[Refusal]:
+    """Tell whether a function returned a refusal in place of its result."""
+    return isinstance(value, Refusal)
+
+
+class BaobabhoistError(Exception):
+    """Be the base of the exceptions whose messages reach users."""
+
+
+class SettingsError(BaobabhoistError):
+    """Report every problem of a settings file at once."""
+
+
+class CodecError(BaobabhoistError):
+    """Report a message that cannot be decoded or has fields of the wrong type."""
+
+
+class LinkClosedError(BaobabhoistError):
+    """Report that a connection ended while a reply was outstanding."""
+
+
+class PlatformError(BaobabhoistError):
+    """Report that the platform gave no usable answer before the deadline."""
+
+
+class InvariantBreachError(BaobabhoistError):
+    """Report a step that would break an invariant; the step has no effect."""
+
+
+HTTP_STATUS: dict[ErrorKind, int] = {
+    ErrorKind.BAD_REQUEST: 400,
+    ErrorKind.BODY_TOO_LARGE: 413,
+    ErrorKind.KEY_MISSING: 401,
+    ErrorKind.KEY_REJECTED: 401,
+    ErrorKind.FORBIDDEN: 403,
+    ErrorKind.NOT_FOUND: 404,
+    ErrorKind.CONFLICT: 409,
+    ErrorKind.DEADLINE_PASSED: 408,
+    ErrorKind.DEADLINE_TOO_FAR: 400,
+    ErrorKind.QUEUE_FULL: 429,
+    ErrorKind.TEAM_LIMIT: 429,
+    ErrorKind.NO_CAPACITY: 503,
+    ErrorKind.NEVER_FITS: 422,
+    ErrorKind.OUTCOME_UNKNOWN: 504,
+    ErrorKind.SHARD_UNAVAILABLE: 503,
+    ErrorKind.PEER_UNREACHABLE: 503,
+    ErrorKind.PLATFORM_UNAVAILABLE: 503,
+    ErrorKind.STALE_TOKEN: 503,
+    ErrorKind.CANCELLED: 409,
+    ErrorKind.DRAINING: 503,
+    ErrorKind.TASK_FAILED: 502,
+    ErrorKind.INTERNAL: 500,
+}
--- /dev/null
+++ b/baobabhoist/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""Serve callers and operators over HTTP."""
--- /dev/null
+++ b/baobabhoist/model.py
@@ -0,0 +1,141 @@
+"""Define the data that several packages share."""
+
+from __future__ import annotations
+
+import enum
+
+import attrs
+
+
+class Outcome(enum.StrEnum):
+    """Say what is known about the execution of a piece of work."""
+
+    NOT_RUN = "not_run"
+    RAN = "ran"
+    UNKNOWN = "unknown"
+
+
+class WorkKind(enum.StrEnum):
+    """Name the kinds of work."""
+
+    REQUEST = "request"
+    BATCH = "batch"
+    GANG = "gang"
+    SERVICE = "service"
+
+
+class Urgency(enum.StrEnum):
+    """Name the classes of urgency; the urgent class may preempt."""
+
+    NORMAL = "normal"
+    URGENT = "urgent"
+
+
+@attrs.frozen
+class Resources:
+    """Hold an amount of each resource: millicores, MiB, devices and slots."""
+
+    cpu_milli: int = 0
+    memory_mb: int = 0
+    accelerators: int = 0
+    slots: int = 1
+
+    def fits_in(self, other: Resources) -> bool:
+        """Tell whether this amount is available in another."""
+        return (
+            self.cpu_milli <= other.cpu_milli
+            and self.memory_mb <= other.memory_mb
+            and self.accelerators <= other.accelerators
+            and self.slots <= other.slots
+        )
+
+    def plus(self, other: Resources) -> Resources:
+        """Return the sum of both amounts."""
+        return Resources(
+            self.cpu_milli + other.cpu_milli,
+            self.memory_mb + other.memory_mb,
+            self.accelerators + other.accelerators,
+            self.slots + other.slots,
+        )
+
+    def minus(self, other: Resources) -> Resources:
+        """Return this amount less the other; it may go below zero."""
+        return Resources(
+            self.cpu_milli - other.cpu_milli,
+            self.memory_mb - other.memory_mb,
+            self.accelerators - other.accelerators,
+            self.slots - other.slots,
+        )
+
+
+@attrs.frozen
+class WorkerSpec:
+    """Describe one worker as the shard record names it."""
+
+    name: str
+    host: str
+    port: int
+    rack: str
+    capacity: Resources
+
+
+@attrs.frozen
+class Task:
+    """Describe one task to place; times are Unix seconds."""
+
+    task_id: str
+    team: str
+    queue: str
+    kind: WorkKind
+    resources: Resources
+    deadline: float
+    submitted_at: float
+    idempotent: bool = False
+    urgency: Urgency = Urgency.NORMAL
+    job_id: str = ""
+    expected_run_s: float = 1.0
+    payload: bytes = b""
+
+
+@attrs.frozen
+class Request:
+    """Describe a caller's request on its way to the owner of its key's home shard.
+
+    `first_attempt` is true only for an id that the entry VM made and sends for the first time,
+    so that no other owner can have seen it.
+    """
+
+    request_id: str
+    shard: str
+    first_sent_at: float
+    task: Task
+    first_attempt: bool = False
+
+
+@attrs.frozen
+class Answer:
+    """Hold the whole answer to a request."""
+
+    request_id: str
+    status: int
+    body: bytes
+    content_type: str = "application/octet-stream"
+
+
+@attrs.frozen
+class RunningTask:
+    """Describe a task that a worker reports as running."""
+
+    task_id: str
+    team: str
+    resources: Resources
+
+
+@attrs.frozen
+class EndedTask:
+    """Describe a task that a worker reports as ended, with its stored answer."""
+
+    task_id: str
+    team: str
+    succeeded: bool
+    body: bytes = b""
--- /dev/null
+++ b/baobabhoist/observability/__init__.py
@@ -0,0 +1,1 @@
+"""Define log events and metrics."""
--- /dev/null
+++ b/baobabhoist/ownership/__init__.py
@@ -0,0 +1,1 @@
+"""Decide which instance owns a shard, with fencing tokens."""
--- /dev/null
+++ b/baobabhoist/ownership/tokens.py
@@ -0,0 +1,21 @@
+"""Define the fencing token of a shard's owner."""
+
+from __future__ import annotations
+
+import attrs
+
+
+@attrs.frozen(order=True)
+class Token:
+    """Order the claims on a shard; a worker obeys the highest token it has seen.
+
+    `epoch` is advanced by compare-and-set on the shard's row in the table; `round` is
+    advanced without the table while it does not answer.
+    """
+
+    epoch: int
+    round: int
+    instance_id: str
+
+
+NO_TOKEN = Token(0, 0, "")
--- /dev/null
+++ b/baobabhoist/peer/__init__.py
@@ -0,0 +1,1 @@
+"""Speak the inner protocol between instances."""
--- /dev/null
+++ b/baobabhoist/platform/table.py
@@ -0,0 +1,48 @@
+"""Define the platform's transactional table as the system uses it."""
+
+from __future__ import annotations
+
+import uuid
+from typing import Any, Protocol
+
+import attrs
+
+from baobabhoist.errors import Refusal
+
+
+@attrs.frozen
+class Row:
+    """Hold one row; revision 0 means that the row is absent."""
+
+    key: str
+    revision: int
+    value: Any
+
+
+@attrs.frozen
+class Transaction:
+    """Write several rows at once if every checked row still has its revision."""
+
+    checks: dict[str, int]
+    writes: dict[str, Any]
+    txn_id: str = attrs.Factory(lambda: uuid.uuid4().hex)
+
+
+@attrs.frozen
+class Committed:
+    """Report the new revisions of the written rows."""
+
+    revisions: dict[str, int]
+
+
+class Table(Protocol):
+    """Read and write rows; every method raises PlatformError when the table is unavailable."""
+
+    async def read(self, key: str) -> Row:
+        """Return a row, with revision 0 when it is absent."""
+
+    async def scan(self, prefix: str, after: str = "", limit: int = 1000) -> list[Row]:
+        """Return rows in key order, from the first key behind `after`."""
+
+    async def commit(self, txn: Transaction) -> Committed | Refusal:
+        """Commit a transaction, or return a conflict; a lost answer is read back by id."""
--- /dev/null
+++ b/baobabhoist/quota/__init__.py
@@ -0,0 +1,1 @@
+"""Keep each team within its upper limit."""
--- /dev/null
+++ b/baobabhoist/records/__init__.py
@@ -0,0 +1,1 @@
+"""Hold the operators' records, their schemas and their change log."""
--- /dev/null
+++ b/baobabhoist/scheduling/__init__.py
@@ -0,0 +1,1 @@
+"""Decide which task runs on which worker and when."""
--- /dev/null
+++ b/baobabhoist/testing/__init__.py
@@ -0,0 +1,1 @@
+"""Provide stand-ins for outside systems."""
--- /dev/null
+++ b/baobabhoist/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Test the packages; the modules mirror theirs."""
--- /dev/null
+++ b/baobabhoist/upstream/__init__.py
@@ -0,0 +1,1 @@
+"""Hold the links to workers."""
--- /dev/null
+++ b/baobabhoist/upstream/link.py
@@ -0,0 +1,59 @@
+"""Keep a connection to one worker and replace it when it fails."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+from websockets.asyncio.client import connect
+from websockets.exceptions import InvalidHandshake
+
+from baobabhoist.errors import LinkClosedError
+from baobabhoist.model import WorkerSpec
+from baobabhoist.peer.link import WEBSOCKET_OPTIONS, Link
+from baobabhoist.upstream.messages import CODEC
+
+log = logging.getLogger(__name__)
+
+RECONNECT_DELAY_S = 0.2
+CONNECT_TIMEOUT_S = 1.0
+
+
+async def _ignore(message: Any) -> None:
+    log.warning("unexpected message from a worker: %s", type(message).__name__)
+
+
+class WorkerLink:
+    """Own the connection to one worker."""
+
+    def __init__(
+        self, spec: WorkerSpec, on_change: Callable[[str, bool], Awaitable[None]]
+    ) -> None:
+        self.spec = spec
+        self._on_change = on_change
+        self._link: Link | None = None
+
+    async def run(self) -> None:
+        """Connect, report the connection, and connect again when it ends."""
+        uri = f"ws://{self.spec.host}:{self.spec.port}"
+        while True:
+            try:
+                async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                    conn = await connect(uri, **WEBSOCKET_OPTIONS)
+            except (OSError, TimeoutError, InvalidHandshake):
+                await asyncio.sleep(RECONNECT_DELAY_S)
+                continue
+            self._link = Link(conn, CODEC, _ignore)
+            reader = asyncio.create_task(self._link.run())
+            await self._on_change(self.spec.name, True)
+            await reader
+            self._link = None
+            await self._on_change(self.spec.name, False)
+
+    async def call(self, message: Any, deadline_s: float) -> Any:
+        """Send a call to the worker; raises LinkClosedError or TimeoutError."""
+        if self._link is None:
+            raise LinkClosedError(f"worker {self.spec.name} is not connected")
+        return await self._link.call(message, deadline_s)
