--- a/baobabhoist/errors.py
+++ b/baobabhoist/errors.py
@@ -7,7 +7,7 @@
 
 import attrs
 
-from baobabhoist.model import Outcome
+from baobabhoist.outcome import Outcome
 
 
 class ErrorKind(enum.StrEnum):
--- a/baobabhoist/model.py
+++ b/baobabhoist/model.py
@@ -6,13 +6,8 @@
 
 import attrs
 
-
-class Outcome(enum.StrEnum):
-    """Say what is known about the execution of a piece of work."""
-
-    NOT_RUN = "not_run"
-    RAN = "ran"
-    UNKNOWN = "unknown"
+from baobabhoist.errors import Refusal
+from baobabhoist.outcome import Outcome as Outcome
 
 
 class WorkKind(enum.StrEnum):
@@ -139,3 +134,80 @@
     team: str
     succeeded: bool
     body: bytes = b""
+
+
+class JobState(enum.StrEnum):
+    """Name the states of a job; the last three are final."""
+
+    QUEUED = "queued"
+    RUNNING = "running"
+    SUCCEEDED = "succeeded"
+    FAILED = "failed"
+    CANCELLED = "cancelled"
+
+
+class TaskState(enum.StrEnum):
+    """Name the states of one task of a job."""
+
+    QUEUED = "queued"
+    RUNNING = "running"
+    SUCCEEDED = "succeeded"
+    FAILED = "failed"
+    CANCELLED = "cancelled"
+    UNKNOWN = "unknown"
+
+
+FINAL_JOB_STATES = frozenset({JobState.SUCCEEDED, JobState.FAILED, JobState.CANCELLED})
+
+
+@attrs.frozen
+class TaskSpec:
+    """Describe one task, gang member or replica of a job as its submitter declares it."""
+
+    payload: bytes
+    resources: Resources
+    expected_run_s: float = 1.0
+
+
+@attrs.frozen
+class JobSpec:
+    """Describe a job as a team submits it; the deadline is in Unix seconds.
+
+    The tasks of a service are its replicas. A service has no deadline (infinity).
+    """
+
+    job_id: str
+    team: str
+    queue: str
+    kind: WorkKind
+    tasks: tuple[TaskSpec, ...]
+    idempotent: bool
+    deadline: float
+    urgency: Urgency = Urgency.NORMAL
+
+
+@attrs.frozen
+class JobStatus:
+    """Report the state of a job; `counts` holds the number of tasks in each state.
+
+    `reason` says why the job is in its state, and `refusal` why it ended without success.
+    """
+
+    job_id: str
+    state: JobState
+    counts: dict[TaskState, int] = attrs.Factory(dict)
+    reason: str = ""
+    refusal: Refusal | None = None
+    team: str = ""
+    queue: str = ""
+    kind: WorkKind = WorkKind.BATCH
+
+
+@attrs.frozen
+class JobExplanation:
+    """Explain what each group of a job's tasks waits for, by the number of tasks."""
+
+    job_id: str
+    state: JobState
+    reason: str
+    waiting: dict[str, int] = attrs.Factory(dict)
