Add the progress of jobs and their coordinator

Cause: batch, all-at-once and service jobs had no path to the shards.

Change: `jobs/state.py` is a pure machine per job; the owner of the job's home shard coordinates it and sends its tasks through the same path as requests, so the key ledger of each shard keeps a task id from running twice.

Ruled out: choosing a task's shard by load at each attempt, because a successor that lost the coordinator's memory could then start a task in one shard while it runs in another.

Not yet run against real shards.

--- /dev/null
+++ b/baobabhoist/daemon/jobs.py
@@ -0,0 +1,319 @@
+"""Accept jobs, and connect their coordinator to shards on this and other instances."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import time
+from typing import Any, Protocol
+
+from baobabhoist.errors import ErrorKind, LinkClosedError, PlatformError, Refusal
+from baobabhoist.jobs.coordinator import JobCoordinator
+from baobabhoist.jobs.messages import (
+    HoldCommit,
+    HoldDone,
+    HoldRelease,
+    HoldReply,
+    HoldRequest,
+    JobCall,
+    JobReply,
+    JobVerb,
+    TasksCancelled,
+    TasksCancelWanted,
+    TasksQuery,
+    TasksReport,
+)
+from baobabhoist.jobs.rows import active_key, job_key, job_row, team_key
+from baobabhoist.jobs.state import JobRun
+from baobabhoist.model import (
+    Answer,
+    JobExplanation,
+    JobSpec,
+    JobStatus,
+    Outcome,
+    Request,
+    Task,
+)
+from baobabhoist.ownership.rendezvous import home_shard
+from baobabhoist.platform.table import Table, Transaction
+
+log = logging.getLogger(__name__)
+
+CALL_TIMEOUT_S = 2.0
+OWNED_INTERVAL_S = 0.25
+LIST_PAGE = 500
+LIST_MAX = 2000
+
+
+class LocalShard(Protocol):
+    """Be what jobs need of a shard that this instance owns."""
+
+    def report_tasks(self, task_ids: tuple[str, ...], now: float) -> TasksReport:
+        """Return which tasks run and why the others wait."""
+
+    async def cancel_tasks(self, task_ids: tuple[str, ...]) -> None:
+        """Cancel queued tasks, stop running ones, and refuse the ids from now on."""
+
+    def hold(
+        self, job_id: str, tasks: tuple[Task, ...], deadline: float, now: float
+    ) -> tuple[str, ...]:
+        """Hold capacity and places, and return the ids that have them."""
+
+    async def commit_hold(self, job_id: str, now: float) -> bool:
+        """Start the tasks of a hold; tell whether it still stood."""
+
+    def release_hold(self, job_id: str) -> None:
+        """Give a hold back."""
+
+
+class Node(Protocol):
+    """Be what jobs need of the instance."""
+
+    table: Table
+
+    def shard_names(self) -> list[str]:
+        """Return the names of all shards in the records."""
+
+    def owned_shards(self) -> list[str]:
+        """Return the shards that this instance owns fully."""
+
+    def local_shard(self, shard: str) -> LocalShard | None:
+        """Return a shard that this instance owns fully, or None."""
+
+    async def route(self, req: Request) -> Answer | Refusal:
+        """Return the result of a request from the owner of its shard."""
+
+    async def call_owner(self, shard: str, message: Any, timeout_s: float) -> Any:
+        """Call the instance that owns a shard; raises LinkClosedError or TimeoutError."""
+
+
+def _unreachable(shard: str) -> Refusal:
+    return Refusal(
+        ErrorKind.PEER_UNREACHABLE,
+        f"the owner of shard {shard} did not answer",
+        Outcome.UNKNOWN,
+        "repeat the call; it has no effect when the first one took effect",
+        retry_after_s=1.0,
+    )
+
+
+def _not_found(job_id: str) -> Refusal:
+    return Refusal(
+        ErrorKind.NOT_FOUND, f"there is no job {job_id}", remedy="list the jobs of the team"
+    )
+
+
+class ShardDirectory:
+    """Reach shards on this instance directly and others over the peer links."""
+
+    def __init__(self, node: Node) -> None:
+        self._node = node
+
+    async def run(self, req: Request) -> Answer | Refusal:
+        """Run a task and return its result."""
+        return await self._node.route(req)
+
+    async def query(self, shard: str, task_ids: tuple[str, ...]) -> TasksReport | Refusal:
+        """Return which tasks run and why the others wait."""
+        reply = await self.call(shard, TasksQuery(shard, task_ids))
+        return reply if isinstance(reply, TasksReport) else _unreachable(shard)
+
+    async def cancel(self, shard: str, task_ids: tuple[str, ...]) -> Refusal | None:
+        """Cancel tasks; a refusal means that the shard could not be asked."""
+        reply = await self.call(shard, TasksCancelWanted(shard, task_ids))
+        return None if isinstance(reply, TasksCancelled) else _unreachable(shard)
+
+    async def hold(
+        self, shard: str, job_id: str, tasks: tuple[Task, ...], deadline: float
+    ) -> tuple[str, ...]:
+        """Hold capacity and return the ids that have it."""
+        reply = await self.call(shard, HoldRequest(shard, job_id, tasks, deadline))
+        return reply.held if isinstance(reply, HoldReply) else ()
+
+    async def commit(self, shard: str, job_id: str) -> bool:
+        """Start the tasks of a hold; tell whether the hold still stood."""
+        reply = await self.call(shard, HoldCommit(shard, job_id))
+        return isinstance(reply, HoldDone) and reply.done
+
+    async def release(self, shard: str, job_id: str) -> None:
+        """Give a hold back."""
+        await self.call(shard, HoldRelease(shard, job_id))
+
+    async def call(self, shard: str, message: Any) -> Any | None:
+        """Return the reply of a shard's owner, or None when there is none."""
+        local = self._node.local_shard(shard)
+        if local is not None:
+            return await answer_shard_call(local, message)
+        try:
+            return await self._node.call_owner(shard, message, CALL_TIMEOUT_S)
+        except (LinkClosedError, TimeoutError):
+            return None
+
+
+async def answer_shard_call(shard: LocalShard, message: Any) -> Any | None:
+    """Answer a call about the tasks of a shard that this instance owns."""
+    now = time.time()
+    match message:
+        case TasksQuery(_, task_ids):
+            return shard.report_tasks(task_ids, now)
+        case TasksCancelWanted(_, task_ids):
+            await shard.cancel_tasks(task_ids)
+            return TasksCancelled()
+        case HoldRequest(_, job_id, tasks, deadline):
+            return HoldReply(shard.hold(job_id, tasks, deadline, now))
+        case HoldCommit(_, job_id):
+            return HoldDone(await shard.commit_hold(job_id, now))
+        case HoldRelease(_, job_id):
+            shard.release_hold(job_id)
+            return HoldDone(True)
+    return None
+
+
+class Jobs:
+    """Accept jobs from callers and coordinate those whose home shards are owned here."""
+
+    def __init__(self, node: Node) -> None:
+        self._node = node
+        self._directory = ShardDirectory(node)
+        self._coordinator = JobCoordinator(node.table, self._directory)
+
+    async def run(self) -> None:
+        """Coordinate jobs until cancelled."""
+        async with asyncio.TaskGroup() as tg:
+            tg.create_task(self._coordinator.run())
+            tg.create_task(self._follow_ownership())
+
+    async def submit(self, spec: JobSpec) -> Refusal | JobStatus:
+        """Accept a job durably; a repeated job id of the same team returns its status."""
+        shards = tuple(self._node.shard_names())
+        if not shards:
+            return Refusal(
+                ErrorKind.SHARD_UNAVAILABLE,
+                "the records name no shard",
+                remedy="ask the operators to create a shard record",
+            )
+        run = JobRun(spec, home_shard(spec.job_id, shards), shards, time.time())
+        entry = {"job_id": spec.job_id}
+        txn = Transaction(
+            checks={job_key(spec.job_id): 0},
+            writes={
+                job_key(spec.job_id): job_row(run),
+                active_key(run.home, spec.job_id): entry,
+                team_key(spec.team, spec.job_id): entry,
+            },
+        )
+        try:
+            outcome = await self._node.table.commit(txn)
+        except PlatformError as exc:
+            return _platform_down(exc)
+        if isinstance(outcome, Refusal):
+            return await self.status(spec.job_id, spec.team)
+        if self._node.local_shard(run.home) is not None:
+            self._coordinator.adopt(run)
+        else:
+            # Without an answer the owner finds the job in the table at its next scan.
+            await self._directory.call(run.home, JobCall(run.home, spec.job_id, JobVerb.ADOPT))
+        return run.status()
+
+    async def status(self, job_id: str, team: str | None) -> Refusal | JobStatus:
+        """Return the state of a job."""
+        reply = await self._ask(job_id, team, JobVerb.STATUS)
+        return reply.status or reply.refusal or _not_found(job_id)
+
+    async def cancel(self, job_id: str, team: str | None) -> Refusal | JobStatus:
+        """Cancel a job and return its state after that."""
+        reply = await self._ask(job_id, team, JobVerb.CANCEL)
+        return reply.status or reply.refusal or _not_found(job_id)
+
+    async def explain(self, job_id: str, team: str | None) -> Refusal | JobExplanation:
+        """Explain why a job is in its state."""
+        reply = await self._ask(job_id, team, JobVerb.EXPLAIN)
+        return reply.explanation or reply.refusal or _not_found(job_id)
+
+    async def list(self, team: str | None) -> Refusal | tuple[JobStatus, ...]:
+        """Return the state of each job of a team, or of all teams."""
+        prefix = "team_job/" if team is None else f"team_job/{team}/"
+        found: list[JobStatus] = []
+        after = ""
+        try:
+            while len(found) < LIST_MAX:
+                rows = await self._node.table.scan(prefix, after=after, limit=LIST_PAGE)
+                for row in rows:
+                    run = await self._load(str(row.value["job_id"]))
+                    if run is not None:
+                        found.append(run.status())
+                if len(rows) < LIST_PAGE:
+                    break
+                after = rows[-1].key
+        except PlatformError as exc:
+            return _platform_down(exc)
+        return tuple(found)
+
+    async def handle(self, message: Any) -> Any | None:
+        """Answer a peer's message about jobs or about the tasks of an owned shard."""
+        if isinstance(message, JobCall):
+            return await self._answer(message)
+        shard = self._node.local_shard(message.shard)
+        if shard is None:
+            return JobReply(refusal=_unreachable(message.shard))
+        return await answer_shard_call(shard, message)
+
+    async def _load(self, job_id: str) -> JobRun | None:
+        known = self._coordinator.runs.get(job_id)
+        return known or await self._coordinator.load(job_id)
+
+    async def _ask(self, job_id: str, team: str | None, verb: JobVerb) -> JobReply:
+        try:
+            run = await self._load(job_id)
+        except PlatformError as exc:
+            return JobReply(refusal=_platform_down(exc))
+        if run is None or team not in (None, run.spec.team):
+            return JobReply(refusal=_not_found(job_id))
+        if run.finished:
+            return await self._perform(run, verb)
+        call = JobCall(run.home, job_id, verb)
+        if self._node.local_shard(run.home) is not None:
+            return await self._answer(call)
+        try:
+            reply = await self._node.call_owner(run.home, call, CALL_TIMEOUT_S)
+        except (LinkClosedError, TimeoutError):
+            return JobReply(refusal=_unreachable(run.home))
+        return reply if isinstance(reply, JobReply) else JobReply()
+
+    async def _answer(self, call: JobCall) -> JobReply:
+        run = self._coordinator.runs.get(call.job_id)
+        if run is None:
+            try:
+                run = await self._coordinator.load(call.job_id)
+            except PlatformError as exc:
+                return JobReply(refusal=_platform_down(exc))
+            if run is None:
+                return JobReply(refusal=_not_found(call.job_id))
+            if not run.finished:
+                if call.verb is not JobVerb.ADOPT or run.revision:
+                    run.resume()
+                self._coordinator.adopt(run)
+                run = self._coordinator.runs.get(call.job_id, run)
+        return await self._perform(run, call.verb)
+
+    async def _perform(self, run: JobRun, verb: JobVerb) -> JobReply:
+        if verb is JobVerb.EXPLAIN:
+            return JobReply(explanation=await self._coordinator.explain(run))
+        if verb is JobVerb.CANCEL and not run.finished:
+            return JobReply(status=await self._coordinator.cancel(run))
+        return JobReply(status=await self._coordinator.status(run))
+
+    async def _follow_ownership(self) -> None:
+        while True:
+            self._coordinator.own(self._node.owned_shards())
+            await asyncio.sleep(OWNED_INTERVAL_S)
+
+
+def _platform_down(exc: PlatformError) -> Refusal:
+    return Refusal(
+        ErrorKind.PLATFORM_UNAVAILABLE,
+        f"the platform's table gave no answer: {exc}",
+        Outcome.UNKNOWN,
+        "repeat the call with the same job id; a job that was accepted is not started twice",
+        retry_after_s=2.0,
+    )
--- /dev/null
+++ b/baobabhoist/jobs/messages.py
@@ -0,0 +1,122 @@
+"""Define the messages between instances that concern jobs."""
+
+from __future__ import annotations
+
+import enum
+
+import attrs
+
+from baobabhoist.errors import Refusal
+from baobabhoist.model import JobExplanation, JobStatus, Task
+
+
+class JobVerb(enum.StrEnum):
+    """Name what the owner of a job's home shard is asked to do."""
+
+    ADOPT = "adopt"
+    STATUS = "status"
+    CANCEL = "cancel"
+    EXPLAIN = "explain"
+
+
+@attrs.frozen
+class JobCall:
+    """Ask the owner of a job's home shard about the job."""
+
+    home: str
+    job_id: str
+    verb: JobVerb
+
+
+@attrs.frozen
+class JobReply:
+    """Answer a call about a job; exactly one field is set."""
+
+    status: JobStatus | None = None
+    explanation: JobExplanation | None = None
+    refusal: Refusal | None = None
+
+
+@attrs.frozen
+class TasksQuery:
+    """Ask a shard's owner which of these tasks run on workers now."""
+
+    shard: str
+    task_ids: tuple[str, ...]
+
+
+@attrs.frozen
+class TasksReport:
+    """Report the tasks that run on workers, and why each other one waits."""
+
+    running: tuple[str, ...]
+    waiting: dict[str, str]
+
+
+@attrs.frozen
+class TasksCancelWanted:
+    """Ask a shard's owner to cancel tasks, whether queued, running or not yet arrived."""
+
+    shard: str
+    task_ids: tuple[str, ...]
+
+
+@attrs.frozen
+class TasksCancelled:
+    """Confirm that no cancelled task starts any more."""
+
+
+@attrs.frozen
+class HoldRequest:
+    """Ask a shard to hold capacity for as many of these tasks as it can."""
+
+    shard: str
+    job_id: str
+    tasks: tuple[Task, ...]
+    deadline: float
+
+
+@attrs.frozen
+class HoldReply:
+    """Report the tasks for which capacity is held until the hold's deadline."""
+
+    held: tuple[str, ...]
+    reason: str = ""
+
+
+@attrs.frozen
+class HoldCommit:
+    """Start every task of a hold."""
+
+    shard: str
+    job_id: str
+
+
+@attrs.frozen
+class HoldRelease:
+    """Give the capacity of a hold back."""
+
+    shard: str
+    job_id: str
+
+
+@attrs.frozen
+class HoldDone:
+    """Report whether a hold still stood when it was committed or released."""
+
+    done: bool
+
+
+JOB_MESSAGES: tuple[type, ...] = (
+    JobCall,
+    JobReply,
+    TasksQuery,
+    TasksReport,
+    TasksCancelWanted,
+    TasksCancelled,
+    HoldRequest,
+    HoldReply,
+    HoldCommit,
+    HoldRelease,
+    HoldDone,
+)
--- /dev/null
+++ b/baobabhoist/jobs/rows.py
@@ -0,0 +1,88 @@
+"""Convert jobs to rows of the table and back."""
+
+from __future__ import annotations
+
+import base64
+import math
+from typing import Any
+
+import attrs
+
+from baobabhoist.jobs.state import JobRun
+from baobabhoist.model import (
+    JobSpec,
+    Resources,
+    TaskSpec,
+    Urgency,
+    WorkKind,
+)
+
+ACTIVE_PREFIX = "active/"
+
+
+def job_key(job_id: str) -> str:
+    """Return the row key of a job's specification."""
+    return f"job/{job_id}"
+
+
+def active_key(home: str, job_id: str) -> str:
+    """Return the row key that marks a job as unfinished at its home shard."""
+    return f"{ACTIVE_PREFIX}{home}/{job_id}"
+
+
+def progress_key(job_id: str) -> str:
+    """Return the row key of a job's progress."""
+    return f"progress/{job_id}"
+
+
+def team_key(team: str, job_id: str) -> str:
+    """Return the row key by which the jobs of a team are listed."""
+    return f"team_job/{team}/{job_id}"
+
+
+def job_row(run: JobRun) -> dict[str, Any]:
+    """Return the row that holds a job's specification."""
+    spec = run.spec
+    return {
+        "job_id": spec.job_id,
+        "team": spec.team,
+        "queue": spec.queue,
+        "kind": spec.kind.value,
+        "idempotent": spec.idempotent,
+        # JSON has no infinity, which stands for a service without a deadline.
+        "deadline": None if math.isinf(spec.deadline) else spec.deadline,
+        "urgency": spec.urgency.value,
+        "home": run.home,
+        "shards": list(run.shards),
+        "submitted_at": run.submitted_at,
+        "tasks": [
+            [
+                base64.b64encode(task.payload).decode(),
+                list(attrs.astuple(task.resources)),
+                task.expected_run_s,
+            ]
+            for task in spec.tasks
+        ],
+    }
+
+
+def run_of(row: dict[str, Any], progress: list[list[Any]] | None) -> JobRun:
+    """Return the job in a row, with its stored progress."""
+    tasks = tuple(
+        TaskSpec(base64.b64decode(payload), Resources(*resources), expected_run_s)
+        for payload, resources, expected_run_s in row["tasks"]
+    )
+    spec = JobSpec(
+        row["job_id"],
+        row["team"],
+        row["queue"],
+        WorkKind(row["kind"]),
+        tasks,
+        row["idempotent"],
+        math.inf if row["deadline"] is None else row["deadline"],
+        Urgency(row["urgency"]),
+    )
+    run = JobRun(spec, row["home"], tuple(row["shards"]), row["submitted_at"])
+    if progress is not None:
+        run.restore(progress)
+    return run
