Extend the scheduler's interface ahead of its implementation

Cause: the shard owner, the job coordinator and the peers need to know what the scheduler will return: verdicts on ended tasks, preemptions, holds, explanations.

Conclusion: callers can be written against the interface; no behaviour changed.

--- /dev/null
+++ b/baobabhoist/scheduling/policy.py
@@ -0,0 +1,77 @@
+"""Define what operators can choose per queue, and the objectives that order waiting work."""
+
+from __future__ import annotations
+
+import enum
+from typing import Protocol
+
+import attrs
+
+# A wait is compared with the run time plus this, so that very short work does not take
+# precedence over everything after a few milliseconds.
+RESPONSE_OFFSET_S = 1.0
+
+
+class PreemptionAction(enum.StrEnum):
+    """Name what a worker is asked to do with a task that must make room."""
+
+    CHECKPOINT = "checkpoint"
+    THROTTLE = "throttle"
+    STOP = "stop"
+    NEVER = "never"
+
+
+class Objective(Protocol):
+    """Order the heads of the queues; the lowest rank is placed first."""
+
+    def rank(self, share: float, waited_s: float, expected_run_s: float) -> float:
+        """Return the rank of a task whose team uses `share` of what it is entitled to."""
+
+
+@attrs.frozen
+class ShareObjective:
+    """Place the work of the team that is furthest below its share."""
+
+    def rank(self, share: float, waited_s: float, expected_run_s: float) -> float:
+        """Return the team's share."""
+        return share
+
+
+@attrs.frozen
+class WaitingTimeObjective:
+    """Place the work that has waited longest in relation to its run time.
+
+    The rank starts at 1, the rank of a team that has exactly its share, and only falls, so
+    that both objectives can order the queues of one owner.
+    """
+
+    def rank(self, share: float, waited_s: float, expected_run_s: float) -> float:
+        """Return the inverse of the response ratio."""
+        return 1.0 / (1.0 + waited_s / (RESPONSE_OFFSET_S + expected_run_s))
+
+
+OBJECTIVES: dict[str, Objective] = {
+    "share": ShareObjective(),
+    "waiting_time": WaitingTimeObjective(),
+}
+
+
+@attrs.frozen
+class QueuePolicy:
+    """Hold the policy of one queue; times are in seconds.
+
+    `reserve_after_s` bounds starvation: work that has waited longer for capacity gets a
+    reservation.
+    """
+
+    objective: str = attrs.field(default="share", validator=attrs.validators.in_(OBJECTIVES))
+    preemption: PreemptionAction = PreemptionAction.STOP
+    reserve_after_s: float = 30.0
+
+
+@attrs.frozen
+class TeamPolicy:
+    """Hold a team's weight when everything is full and the length its queue may reach."""
+
+    weight: float = attrs.field(default=1.0, validator=attrs.validators.gt(0))
+    queue_limit: int = 10_000
--- /dev/null
+++ b/baobabhoist/scheduling/results.py
@@ -0,0 +1,82 @@
+"""Define what the scheduler returns to the owner of a shard."""
+
+from __future__ import annotations
+
+import enum
+
+import attrs
+
+from baobabhoist.model import Task
+from baobabhoist.scheduling.policy import PreemptionAction
+
+
+@attrs.frozen
+class Placement:
+    """Bind a task to a worker; capacity and place are already taken.
+
+    The task's resources are the amounts that were granted, which may be below the declared.
+    """
+
+    task: Task
+    worker: str
+    at: float = 0.0
+
+
+class Verdict(enum.StrEnum):
+    """Say what should become of a task that ended."""
+
+    DONE = "done"
+    RETRY = "retry"
+    GIVE_UP = "give_up"
+
+
+@attrs.frozen
+class Preemption:
+    """Ask a worker to make room; the room counts as free once the end is reported.
+
+    For a throttle, `cpu_milli` is what the task may keep, and `Scheduler.throttled` reports
+    that the worker did so.
+    """
+
+    task_id: str
+    worker: str
+    action: PreemptionAction
+    for_task: str
+    cpu_milli: int = 0
+
+
+@attrs.frozen
+class Hold:
+    """Hold capacity for all tasks of a job on this owner's workers.
+
+    While `ready` is false the capacity is still being collected and is expected to be
+    complete at `start_at`; call `hold` again to ask. It ends by itself at `expires_at`.
+    """
+
+    job_id: str
+    workers: dict[str, str]
+    start_at: float
+    expires_at: float
+    ready: bool
+
+
+class WaitReason(enum.StrEnum):
+    """Name why a task is not running."""
+
+    TEAM_LIMIT = "limit"
+    SHARE = "share"
+    CAPACITY = "capacity"
+    HOLD = "hold"
+    QUARANTINE = "quarantine"
+    RUNNING = "running"
+    NOT_FOUND = "not_found"
+
+
+@attrs.frozen
+class Explanation:
+    """Tell operators and callers why a task waits."""
+
+    task_id: str
+    reason: WaitReason
+    message: str
+    waited_s: float = 0.0
