Inject faults through the stand-ins and a network relay

Cause: the stand-ins could neither fail nor be judged: no outages or lost answers, no lagging membership list, no worker resources, leases or modes, and nothing between the processes that could be cut.

The launcher kills, pauses, resumes and commands.

Ruled out: telling data centres apart by source address, because all processes dial from the same loopback address; the relay looks the socket up among the processes it was told about.

--- a/baobabhoist/testing/cluster.py
+++ b/baobabhoist/testing/cluster.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import json
 import os
+import signal
 import socket
 import subprocess
 import sys
@@ -38,14 +40,17 @@
     processes: dict[str, subprocess.Popen[bytes]] = attrs.Factory(dict)
     instances: dict[str, dict[str, Any]] = attrs.Factory(dict)
     platform_port: int = attrs.Factory(free_port)
+    control_ports: dict[str, int] = attrs.Factory(dict)
+    relay_ports: dict[str, tuple[int, int]] = attrs.Factory(dict)
 
     def __enter__(self) -> Cluster:
         """Return the cluster."""
         return self
 
     def __exit__(self, *_: object) -> None:
-        """Stop every process."""
+        """Stop every process, also those that are paused."""
         for process in self.processes.values():
+            process.send_signal(signal.SIGCONT)
             process.terminate()
         for process in self.processes.values():
             try:
@@ -61,9 +66,32 @@
             command, stdout=log, stderr=log, env=dict(os.environ, PYTHONUNBUFFERED="1")
         )
 
-    def start_platform(self) -> None:
+    def kill(self, name: str) -> None:
+        """End a process without notice, as a VM that fails."""
+        self.processes[name].kill()
+        self.processes[name].wait(STOP_TIMEOUT_S)
+
+    def pause(self, name: str) -> None:
+        """Suspend a process; its connections stay open."""
+        self.processes[name].send_signal(signal.SIGSTOP)
+
+    def resume(self, name: str) -> None:
+        """Continue a paused process."""
+        self.processes[name].send_signal(signal.SIGCONT)
+
+    def stop(self, name: str, timeout_s: float = STOP_TIMEOUT_S) -> int:
+        """Ask a process to stop and return its exit code; raises TimeoutExpired."""
+        self.processes[name].terminate()
+        return self.processes[name].wait(timeout_s)
+
+    def running(self, name: str) -> bool:
+        """Tell whether a process was started and has not ended."""
+        return name in self.processes and self.processes[name].poll() is None
+
+    def start_platform(self, *args: str) -> None:
         """Start the platform."""
-        self.start("platform", "baobabhoist.testing.platform", f"--port={self.platform_port}")
+        port = f"--port={self.platform_port}"
+        self.start("platform", "baobabhoist.testing.platform", port, *args)
         wait_for_port(self.platform_port)
 
     def start_worker(self, name: str, *args: str) -> int:
@@ -72,6 +100,50 @@
         self.start(name, "baobabhoist.testing.worker", f"--name={name}", f"--port={port}", *args)
         return port
 
+    def start_workers(self, process: str, names: list[str], *args: str) -> dict[str, int]:
+        """Start several workers in one process and return their ports."""
+        ports = {name: free_port() for name in names}
+        self.control_ports[process] = free_port()
+        listed = ",".join(f"{name}:{port}" for name, port in ports.items())
+        control = f"--control_port={self.control_ports[process]}"
+        self.start(process, "baobabhoist.testing.worker", f"--workers={listed}", control, *args)
+        for port in ports.values():
+            wait_for_port(port)
+        return ports
+
+    def plan_relay(self, name: str, target: int) -> int:
+        """Plan a relay to a port and return the relay's port; `start_relays` starts it."""
+        port = free_port()
+        self.relay_ports[name] = (port, target)
+        return port
+
+    def start_relays(self) -> None:
+        """Start all planned relays in one process."""
+        self.control_ports["relays"] = free_port()
+        listed = ",".join(
+            f"{name}={port}:{target}" for name, (port, target) in self.relay_ports.items()
+        )
+        control = f"--control_port={self.control_ports['relays']}"
+        self.start("relays", "baobabhoist.testing.network", f"--relays={listed}", control)
+        wait_for_port(self.control_ports["relays"])
+
+    def command(self, process: str, path: str, body: dict[str, Any], method: str = "POST") -> None:
+        """Send a command of tests to a stand-in; raises RuntimeError when it is refused."""
+        port = self.platform_port if process == "platform" else self.control_ports[process]
+        url = f"http://127.0.0.1:{port}{path}"
+        status, answer = fetch(url, {}, json.dumps(body).encode(), method)
+        if status != 200:
+            raise RuntimeError(f"{process} refused {path} {body}: {answer!r}")
+
+    def label_sources(self) -> None:
+        """Tell the relays which data centre each daemon process belongs to."""
+        labels = {
+            str(self.processes[name].pid): cfg["data_centre"]
+            for name, cfg in self.instances.items()
+            if self.running(name)
+        }
+        self.command("relays", "/sources", labels)
+
     def plan_instances(self, names_by_data_centre: dict[str, list[str]]) -> None:
         """Choose the ports of the daemons."""
         for data_centre, names in names_by_data_centre.items():
@@ -88,14 +160,16 @@
                 }
 
     def start_instance(self, name: str) -> None:
-        """Start one daemon and wait until it is ready."""
+        """Start one daemon; its links go through the planned relays."""
         cfg = dict(self.instances[name])
+        if f"platform:{name}" in self.relay_ports:
+            cfg["platform_url"] = f"http://127.0.0.1:{self.relay_ports[f'platform:{name}'][0]}"
         cfg["peers"] = [
             {
                 "instance_id": other["instance_id"],
                 "data_centre": other["data_centre"],
                 "host": other["host"],
-                "port": other["peer_port"],
+                "port": self._peer_port(name, other),
             }
             for other in self.instances.values()
             if other["instance_id"] != name
@@ -104,6 +178,10 @@
         path.write_text(yaml.safe_dump(cfg), encoding="utf-8")
         self.start(name, "baobabhoist.daemon.main", f"--config={path}")
 
+    def _peer_port(self, name: str, other: dict[str, Any]) -> int:
+        relay = self.relay_ports.get(f"peer:{name}>{other['instance_id']}")
+        return int(relay[0] if relay is not None else other["peer_port"])
+
     def command_line(self, *args: str, instance: str) -> str:
         """Run the command-line tool against an instance and return what it printed."""
         port = self.instances[instance]["admin_port"]
@@ -132,9 +210,11 @@
     raise RuntimeError(f"nothing listens on port {port}")
 
 
-def fetch(url: str, headers: dict[str, str], body: bytes | None = None) -> tuple[int, bytes]:
+def fetch(
+    url: str, headers: dict[str, str], body: bytes | None = None, method: str | None = None
+) -> tuple[int, bytes]:
     """Send a request and return its status and body."""
-    req = urllib.request.Request(url, body, headers)
+    req = urllib.request.Request(url, body, headers, method=method)
     try:
         with urllib.request.urlopen(req, timeout=30) as response:
             return response.status, response.read()
