Judge the guarantees from the workers' and callers' logs

Cause: a soak needs a check outside the daemons, and that check must be shown to fail.

Ruled out: reading the daemons' own records of what ran, because a fault there would hide itself.

Conclusion: a guarantee without a check is reported as not exercised, not as held.

--- /dev/null
+++ b/baobabhoist/testing/soak_judge.py
@@ -0,0 +1,406 @@
+"""Judge the guarantees from the workers' and callers' own logs."""
+
+from __future__ import annotations
+
+import itertools
+from collections import Counter, defaultdict
+from collections.abc import Iterable
+from typing import Any
+
+import attrs
+
+Entry = dict[str, Any]
+
+IN_FORCE_S = 4.0
+LEAVING_S = 3.0
+TAKEOVER_S = 5.0
+URGENT_START_S = 1.5
+# After a fault ends, its effects may last for one takeover and one record change.
+RECOVERY_S = TAKEOVER_S + IN_FORCE_S
+INF = float("inf")
+# Refusals that a graceful stop may not cause: they mean that an open request was cut.
+CUT_KINDS = frozenset(
+    {"outcome_unknown", "draining", "peer_unreachable", "shard_unavailable", "internal"}
+)
+
+
+@attrs.frozen
+class Run:
+    """Hold one execution of a task, from a worker's log."""
+
+    worker: str
+    task_id: str
+    ref: str
+    team: str
+    resources: tuple[int, ...]
+    start: float
+    end: float
+    entry: Entry
+
+
+@attrs.define
+class Verdict:
+    """Collect how often a guarantee was checked and each breach of it."""
+
+    checked: int = 0
+    breaches: list[str] = attrs.Factory(list)
+
+    def check(self, good: bool, breach: str) -> None:
+        """Count a check and note a breach."""
+        self.checked += 1
+        if not good:
+            self.breaches.append(breach)
+
+
+@attrs.define
+class Figure:
+    """Collect measured times against a target, in seconds."""
+
+    target_s: float
+    values: list[float] = attrs.Factory(list)
+
+
+@attrs.define
+class Judge:
+    """Judge one run; driver entries are the faults, changes and samples of the soak."""
+
+    workers: list[Entry]
+    callers: list[Entry]
+    driver: list[Entry]
+    verdicts: dict[str, Verdict] = attrs.field(init=False)
+    figures: dict[str, Figure] = attrs.field(init=False)
+    runs: list[Run] = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Sort the logs and derive the executions."""
+        for entries in (self.workers, self.callers, self.driver):
+            entries.sort(key=lambda entry: entry["t"])
+        self.verdicts = {f"G{number}": Verdict() for number in range(1, 11)}
+        self.figures = {
+            "records_in_force": Figure(IN_FORCE_S),
+            "key_refused": Figure(IN_FORCE_S),
+            "leaving_worker": Figure(LEAVING_S),
+            "takeover": Figure(TAKEOVER_S),
+            "urgent_start": Figure(URGENT_START_S),
+        }
+        self.runs = executions(self.workers)
+
+    def judge(self) -> None:
+        """Check every guarantee and collect the figures."""
+        self._capacity()
+        self._one_place()
+        self._limits()
+        self._requests()
+        self._keys()
+        self._leaving()
+        self._stops()
+        self._records()
+        self._takeovers()
+        self._urgent()
+
+    def calm(self, start: float, end: float, instance: str = "", own: str = "") -> bool:
+        """Tell whether no fault, or its recovery, touches the instance in a time span.
+
+        `own` names the fault that is judged itself.
+        """
+        return not any(
+            window["t"] < end and start < window["until"] + RECOVERY_S
+            for window in self._of("window")
+            if window["name"] != own and (not instance or instance in window["instances"])
+        )
+
+    def failed_targets(self) -> list[str]:
+        """Return the figures that miss their target."""
+        return [
+            name
+            for name, figure in self.figures.items()
+            if figure.values and _judged(name, figure.values) > figure.target_s
+        ]
+
+    @property
+    def passed(self) -> bool:
+        """Tell whether every guarantee and target held."""
+        return not self.failed_targets() and not any(v.breaches for v in self.verdicts.values())
+
+    def lines(self) -> list[str]:
+        """Return one line per guarantee and per figure, then the first breaches."""
+        lines = []
+        for name, verdict in self.verdicts.items():
+            state = (
+                "BREACH" if verdict.breaches else "held" if verdict.checked else "not exercised"
+            )
+            lines.append(
+                f"{name}: {state} checks={verdict.checked} breaches={len(verdict.breaches)}"
+            )
+        failed = self.failed_targets()
+        for name, figure in self.figures.items():
+            if not figure.values:
+                lines.append(f"{name}: not exercised (target {figure.target_s:g} s)")
+                continue
+            state = "MISSED" if name in failed else "met"
+            worst = f"judged={_judged(name, figure.values):.2f}s max={max(figure.values):.2f}s"
+            lines.append(f"{name}: {state} {worst} n={len(figure.values)} <= {figure.target_s:g}s")
+        for name, verdict in self.verdicts.items():
+            lines += [f"  {name} breach: {text}" for text in verdict.breaches[:10]]
+        return lines
+
+    def _of(self, event: str) -> list[Entry]:
+        return [entry for entry in self.driver if entry["event"] == event]
+
+    def _capacity(self) -> None:
+        capacity = {e["worker"]: e["capacity"] for e in self.workers if e["event"] == "up"}
+        verdict = self.verdicts["G1"]
+        used: dict[str, list[int]] = defaultdict(lambda: [0, 0, 0, 0])
+        for _, starts, run in changes(self.runs):
+            total = used[run.worker]
+            for index, amount in enumerate(run.resources):
+                total[index] += amount if starts else -amount
+            if starts:
+                fits = all(u <= c for u, c in zip(total, capacity[run.worker], strict=True))
+                verdict.check(fits, f"{run.worker} runs {total} with {run.task_id}")
+        for entry in self.workers:
+            if entry["event"] == "refused":
+                verdict.check(
+                    entry["reason"] != "full",
+                    f"{entry['worker']} was assigned {entry['id']} beyond its capacity",
+                )
+
+    def _one_place(self) -> None:
+        running: Counter[str] = Counter()
+        for _, starts, run in changes(self.runs):
+            # The reference tells two ids of the same piece of work from two pieces.
+            name = run.ref or run.task_id
+            running[name] += 1 if starts else -1
+            if starts:
+                self.verdicts["G2"].check(
+                    running[name] == 1, f"{run.task_id} runs twice, also on {run.worker}"
+                )
+
+    def _limits(self) -> None:
+        by_team: dict[str, list[tuple[float, float, int]]] = defaultdict(list)
+        for entry in self._of("limit"):
+            limits = by_team[entry["team"]]
+            if limits and not entry.get("uncertain"):
+                since, _, limit = limits[-1]
+                limits[-1] = (since, self._settled(entry["t"]), limit)
+            limits.append((entry["sent"], INF, entry["limit"]))
+        running: Counter[str] = Counter()
+        for t, starts, run in changes(self.runs):
+            running[run.team] += 1 if starts else -1
+            allowed = [limit for since, until, limit in by_team[run.team] if since <= t <= until]
+            if starts and allowed:
+                count = running[run.team]
+                self.verdicts["G4"].check(
+                    count <= max(allowed),
+                    f"team {run.team} runs {count} of {max(allowed)} with {run.task_id}",
+                )
+
+    def _settled(self, t: float) -> float:
+        """Return when a change accepted at `t` must be in force, also past running faults."""
+        settled = t + IN_FORCE_S
+        for window in self._of("window"):
+            if window["t"] <= settled and t < window["until"] + RECOVERY_S:
+                settled = max(settled, window["until"] + RECOVERY_S)
+        return settled
+
+    def _requests(self) -> None:
+        starts: dict[str, list[Run]] = defaultdict(list)
+        for run in self.runs:
+            starts[run.ref].append(run)
+        attempts: dict[str, list[Entry]] = defaultdict(list)
+        for entry in self.callers:
+            if entry["event"] == "request":
+                attempts[entry["ref"]].append(entry)
+        for ref, tries in attempts.items():
+            ran = starts.get(ref, [])
+            self._one_request(tries, ran)
+            for entry in tries:
+                self._one_attempt(entry)
+
+    def _one_request(self, tries: list[Entry], ran: list[Run]) -> None:
+        ref, first = tries[0]["ref"], tries[0]
+        for run in ran:
+            self.verdicts["G3"].check(run.team == first["team"], f"{ref} ran for {run.team}")
+        if not first["idempotent"]:
+            self.verdicts["G7"].check(
+                len(ran) <= 1, f"{ref} ran {len(ran)} times on {[r.worker for r in ran]}"
+            )
+        if all(entry.get("outcome") == "not_run" for entry in tries):
+            self.verdicts["G6"].check(
+                not ran, f"{ref} was refused as not run and ran on {[r.worker for r in ran]}"
+            )
+
+    def _one_attempt(self, entry: Entry) -> None:
+        verdict = self.verdicts["G5"]
+        if entry.get("status") == 200:
+            verdict.check(entry["whole"], f"{entry['ref']} got the wrong or half an answer")
+        elif entry.get("error") and self.calm(entry["t"], entry["end"], entry["instance"]):
+            verdict.check(False, f"{entry['ref']} got no answer: {entry['error']}")
+
+    def _keys(self) -> None:
+        figure, verdict = self.figures["key_refused"], self.verdicts["G3"]
+        for revoked in self._of("key_revoked"):
+            last = 0.0
+            for entry in self.callers:
+                late = entry["t"] - revoked["t"]
+                if entry.get("key") != revoked["key"] or late <= 0:
+                    continue
+                if not self.calm(revoked["t"], entry["t"], entry["instance"]):
+                    continue
+                accepted = entry.get("status") not in (401, 403, None)
+                last = max(last, late if accepted else 0.0)
+                if late > IN_FORCE_S:
+                    verdict.check(
+                        not accepted,
+                        f"{entry['instance']} took a key {late:.1f} s after its end",
+                    )
+            figure.values.append(last)
+
+    def _leaving(self) -> None:
+        for leaving in self._of("leaving"):
+            until = min(
+                (e["t"] for e in self._of("staying") if e["t"] > leaving["t"]), default=INF
+            )
+            last = 0.0
+            for run in self.runs:
+                late = run.start - leaving["t"]
+                if run.worker != leaving["worker"] or late <= 0 or run.start > until:
+                    continue
+                if not self.calm(leaving["t"], run.start):
+                    continue
+                last = max(last, late)
+                self.verdicts["G8"].check(
+                    late <= LEAVING_S,
+                    f"{run.worker} got {run.task_id} {late:.1f} s after its notice",
+                )
+            self.verdicts["G8"].checked += 1
+            self.figures["leaving_worker"].values.append(last)
+
+    def _stops(self) -> None:
+        verdict = self.verdicts["G9"]
+        for stop in self._of("stop"):
+            verdict.check(stop["code"] == 0, f"{stop['instance']} stopped with {stop['code']}")
+            calm = self.calm(stop["t"], stop["until"], own=stop["name"])
+            for entry in self.callers:
+                if entry["event"] != "request" or not entry["t"] < stop["t"] < entry["end"]:
+                    continue
+                cut = bool(entry.get("error")) and entry["instance"] == stop["instance"]
+                cut = cut or (calm and entry.get("kind") in CUT_KINDS)
+                verdict.check(not cut, f"{entry['ref']} was cut: {entry}")
+
+    def _records(self) -> None:
+        verdict, figure = self.verdicts["G10"], self.figures["records_in_force"]
+        for race in self._of("race"):
+            verdict.check(race["accepted"] <= 1, f"{race['accepted']} changes of one revision won")
+        samples: dict[tuple[str, int], list[Entry]] = defaultdict(list)
+        for entry in self._of("status"):
+            samples[entry["instance"], entry["boot"]].append(entry)
+        for (instance, _), seen in samples.items():
+            for before, after in itertools.pairwise(seen):
+                verdict.check(
+                    after["revision"] >= before["revision"],
+                    f"{instance} went back from {before['revision']} to {after['revision']}",
+                )
+            for change in self._of("record"):
+                self._in_force(change, instance, seen, verdict, figure)
+
+    def _in_force(
+        self, change: Entry, instance: str, seen: list[Entry], verdict: Verdict, figure: Figure
+    ) -> None:
+        if seen[0]["t"] > change["t"] or not any(e["t"] >= change["t"] for e in seen):
+            return
+        when = next((e["t"] for e in seen if e["revision"] >= change["revision"]), INF)
+        judged_until = min(when, seen[-1]["t"])
+        late = judged_until - change["t"]
+        if not self.calm(change["t"], judged_until, instance) or (
+            when == INF and late < IN_FORCE_S
+        ):
+            return
+        figure.values.append(max(0.0, late))
+        verdict.check(
+            late <= IN_FORCE_S,
+            f"{instance} had revision {change['revision']} after {late:.1f} s",
+        )
+
+    def _takeovers(self) -> None:
+        shards = {e["shard"]: e["workers"] for e in self._of("shard")}
+        for kill in self._of("killed"):
+            for workers in shards.values():
+                if self._owner(workers, kill["t"]) != kill["instance"]:
+                    continue
+                if not self.calm(kill["t"], kill["t"] + TAKEOVER_S, own=kill["name"]):
+                    continue
+                done = self._taken_over(workers, kill["instance"], kill["t"])
+                if done is None:
+                    self.figures["takeover"].values.append(INF)
+                else:
+                    self.figures["takeover"].values.append(done - kill["t"])
+
+    def _owner(self, workers: Iterable[str], t: float) -> str:
+        fenced = [
+            e["token"]
+            for e in self.workers
+            if e["event"] == "fenced" and e["worker"] in workers and e["t"] <= t
+        ]
+        return str(max(fenced)[2]) if fenced else ""
+
+    def _taken_over(self, workers: list[str], former: str, t: float) -> float | None:
+        """Return when all workers of a shard obeyed one other instance."""
+        held: dict[str, tuple[Any, ...]] = {}
+        for entry in self.workers:
+            if entry["event"] == "fenced" and entry["worker"] in workers and entry["t"] > t:
+                held[entry["worker"]] = tuple(entry["token"])
+                same = len(held) == len(workers) and len(set(held.values())) == 1
+                if same and entry["token"][2] != former:
+                    return float(entry["t"])
+        return None
+
+    def _urgent(self) -> None:
+        for run in self.runs:
+            if run.entry.get("urgency") != "urgent":
+                continue
+            since = run.entry["submitted_at"]
+            busy = sum(1 for r in self.runs if r.team == run.team and r.start < run.start < r.end)
+            limits = [e["limit"] for e in self._of("limit") if e["team"] == run.team]
+            if self.calm(since, run.start) and limits and busy < min(limits):
+                self.figures["urgent_start"].values.append(run.start - since)
+
+
+def executions(entries: list[Entry]) -> list[Run]:
+    """Return the executions in the workers' logs; a worker that starts anew runs nothing."""
+    open_runs: dict[tuple[str, str], Entry] = {}
+    runs = []
+
+    def close(key: tuple[str, str], t: float) -> None:
+        entry = open_runs.pop(key)
+        runs.append(
+            Run(
+                entry["worker"], entry["id"], entry.get("ref", ""), entry["team"],
+                tuple(entry["resources"]), entry["t"], t, entry,
+            )
+        )  # fmt: skip
+
+    for entry in entries:
+        key = entry["worker"], entry.get("id", "")
+        if entry["event"] == "started":
+            open_runs[key] = entry
+        elif entry["event"] in ("ended", "stopped") and key in open_runs:
+            close(key, entry["t"])
+        elif entry["event"] == "up":
+            for other in [other for other in open_runs if other[0] == entry["worker"]]:
+                close(other, entry["t"])
+    for key in list(open_runs):
+        close(key, INF)
+    return sorted(runs, key=lambda run: run.start)
+
+
+def changes(runs: list[Run]) -> list[tuple[float, bool, Run]]:
+    """Return the starts and ends in order of time; an end comes before a start."""
+    events = [(run.start, True, run) for run in runs] + [(run.end, False, run) for run in runs]
+    return sorted(events, key=lambda event: (event[0], event[1]))
+
+
+def _judged(name: str, values: list[float]) -> float:
+    """Return the value that is held against the target: p99 for urgent starts, else the worst."""
+    ordered = sorted(values)
+    return ordered[int(0.99 * (len(ordered) - 1))] if name == "urgent_start" else ordered[-1]
