--- /dev/null
+++ b/baobabhoist/invariants.py
@@ -0,0 +1,48 @@
+"""Check invariants in production: a step that would break one is refused."""
+
+from __future__ import annotations
+
+import enum
+import logging
+from collections import Counter
+
+from baobabhoist.errors import InvariantBreachError
+
+log = logging.getLogger(__name__)
+
+
+class Invariant(enum.IntEnum):
+    """Number the invariants; the number is the event number in the log."""
+
+    CLAIM_TRANSITION = 9101
+    CLAIM_TOKEN_RISES = 9102
+    CLAIM_OWNED_RESOLVED = 9103
+    CLAIM_FENCED_KNOWN = 9104
+    KEY_KNOWN = 9201
+    KEY_TRANSITION = 9202
+    KEY_DISPATCHED_ONCE = 9203
+    KEY_RESULT_MATCHES = 9204
+    QUOTA_TASK_NEW = 9301
+    QUOTA_TASK_KNOWN = 9302
+    QUOTA_COUNTS = 9303
+    QUOTA_WITHIN_PLACES = 9304
+    QUOTA_GIVEN_FREE = 9305
+    ESCROW_WITHIN_LIMIT = 9401
+    SCHEDULER = 9501
+
+
+breaches: Counter[int] = Counter()
+"""Count the breaches of this process by event number; read by the metrics."""
+
+
+def check(condition: bool, event: int, detail: str, *args: object) -> None:
+    """Refuse the step unless the condition holds; raises InvariantBreachError.
+
+    `detail` is a logging format for `args`, which is only formatted on a breach.
+    """
+    if condition:
+        return
+    breaches[int(event)] += 1
+    message = detail % args if args else detail
+    log.error("event %d: invariant broken: %s", int(event), message)
+    raise InvariantBreachError(f"event {int(event)}: {message}")
--- a/baobabhoist/ownership/keys.py
+++ b/baobabhoist/ownership/keys.py
@@ -3,14 +3,19 @@
 from __future__ import annotations
 
 import enum
+import heapq
+from collections.abc import Iterable
 
 import attrs
 
 from baobabhoist.errors import ErrorKind, Refusal
-from baobabhoist.model import Answer, Outcome, Request
+from baobabhoist.invariants import Invariant, check
+from baobabhoist.model import Answer, EndedTask, Outcome, Request, RunningTask
 
 Result = Answer | Refusal
 
+HTTP_OK = 200
+
 
 class KeyState(enum.StrEnum):
     """Name the states of a request key."""
@@ -19,6 +24,19 @@
     DISPATCHED = "dispatched"
     ANSWERED = "answered"
     UNKNOWN = "unknown"
+    NOT_RUN = "not_run"
+
+
+# A late report of the worker may still replace `unknown`; the other results are final.
+NEXT_STATES: dict[KeyState, frozenset[KeyState]] = {
+    KeyState.QUEUED: frozenset({KeyState.DISPATCHED, KeyState.UNKNOWN, KeyState.NOT_RUN}),
+    KeyState.DISPATCHED: frozenset(
+        {KeyState.QUEUED, KeyState.ANSWERED, KeyState.UNKNOWN, KeyState.NOT_RUN}
+    ),
+    KeyState.UNKNOWN: frozenset({KeyState.ANSWERED}),
+    KeyState.ANSWERED: frozenset(),
+    KeyState.NOT_RUN: frozenset(),
+}
 
 
 @attrs.frozen
@@ -43,57 +61,316 @@
 
 @attrs.define
 class KeyEntry:
-    """Hold the state of one key; `forget_at` is in Unix seconds."""
+    """Hold the state of one key; `forget_at` is in Unix seconds.
+
+    `sole` is true while only this owner can have seen the id, so that a queued request which
+    is given up was certainly not run. `dispatches` counts the workers it was sent to.
+    """
 
     state: KeyState
     forget_at: float
     idempotent: bool
     result: Result | None = None
+    worker: str = ""
+    dispatches: int = 0
+    sole: bool = False
+    handed_over: bool = False
+
+
+@attrs.frozen
+class QueuedKey:
+    """Describe a queued request to the successor of a planned hand-over."""
+
+    request_id: str
+    forget_at: float
+    idempotent: bool
 
 
 @attrs.define
 class KeyLedger:
-    """Decide for each arriving key whether it runs, joins or is answered at once."""
+    """Decide for each arriving key whether it runs, joins or is answered at once.
+
+    Times are Unix seconds. `taken_over_at` is when this owner became the only effective one.
+    At most `max_entries` keys are kept, and as many refused ones.
+    """
 
     clock_skew_s: float = 0.5
     taken_over_at: float = 0.0
     entries: dict[str, KeyEntry] = attrs.Factory(dict)
+    max_window_s: float = 600.0
+    max_entries: int = 1_000_000
+    expiry: list[tuple[float, str]] = attrs.Factory(list)
 
     def admit(self, req: Request, now: float) -> KeyDecision:
         """Decide what happens to an arriving request."""
         entry = self.entries.get(req.request_id)
         if entry is not None:
+            entry.sole = False
             return Reply(entry.result) if entry.result is not None else Join()
-        if req.task.deadline <= now:
-            return Reply(Refusal(ErrorKind.DEADLINE_PASSED, "the deadline has passed"))
-        after_takeover = req.first_sent_at > self.taken_over_at + self.clock_skew_s
-        if not (after_takeover or req.first_attempt or req.task.idempotent):
-            return Reply(
-                Refusal(
-                    ErrorKind.OUTCOME_UNKNOWN,
-                    "the shard changed hands after this key may first have been sent",
-                    Outcome.UNKNOWN,
-                    "check the effect of the request before sending it under a new key",
-                )
+        refusal = self._refuse_deadline(req, now) or self._refuse_after_takeover(req)
+        if refusal is None and len(self.entries) >= self.max_entries:
+            refusal = Refusal(
+                ErrorKind.QUEUE_FULL,
+                "the owner remembers too many request keys",
+                remedy="send the request again later under a new key",
+                retry_after_s=1.0,
             )
-        self.entries[req.request_id] = KeyEntry(
-            KeyState.QUEUED, req.task.deadline + self.clock_skew_s, req.task.idempotent
+        if refusal is not None:
+            return Reply(self._remember_refusal(req, refusal, now))
+        self._add(
+            req.request_id,
+            KeyEntry(
+                KeyState.QUEUED,
+                req.task.deadline + self.clock_skew_s,
+                req.task.idempotent,
+                sole=req.first_attempt,
+            ),
         )
         return Run()
 
-    def dispatched(self, request_id: str) -> None:
+    def dispatched(self, request_id: str, worker: str = "") -> None:
         """Record that the request is about to be sent to a worker."""
-        self.entries[request_id].state = KeyState.DISPATCHED
+        entry = self._entry(request_id)
+        check(
+            entry.dispatches == 0 or (entry.idempotent and entry.dispatches == 1),
+            Invariant.KEY_DISPATCHED_ONCE,
+            "request %s was dispatched %d times",
+            request_id,
+            entry.dispatches,
+        )
+        self._move(request_id, entry, KeyState.DISPATCHED)
+        entry.worker = worker
+        entry.dispatches += 1
 
-    def answered(self, request_id: str, result: Result) -> None:
-        """Store the result of a request."""
-        entry = self.entries[request_id]
-        entry.state = KeyState.ANSWERED
-        entry.result = result
+    def answered(self, request_id: str, result: Result) -> Result:
+        """Store the result of a request in the state that its outcome names.
+
+        Returns the result to give to callers, which is `unknown` in place of a `not_run` that
+        would not be certain.
+        """
+        if isinstance(result, Refusal) and result.outcome is Outcome.NOT_RUN:
+            return self.not_run(request_id, result)
+        if isinstance(result, Refusal) and result.outcome is Outcome.UNKNOWN:
+            return self.unknown(request_id, result)
+        return self._finish(request_id, KeyState.ANSWERED, result)
+
+    def not_run(self, request_id: str, refusal: Refusal) -> Result:
+        """Store that the request was not run and never will be under this id.
+
+        After a dispatch the caller must hold the worker's report under the owner's token.
+        """
+        entry = self._entry(request_id)
+        check(
+            refusal.outcome is Outcome.NOT_RUN,
+            Invariant.KEY_RESULT_MATCHES,
+            "request %s: outcome %s stored as not run",
+            request_id,
+            refusal.outcome,
+        )
+        # The successor of a hand-over may run the copy that it was sent, and a retried request
+        # may have run on its first worker.
+        if entry.handed_over or entry.dispatches > 1:
+            return self.unknown(request_id, outcome_unknown("the request may run elsewhere"))
+        return self._finish(request_id, KeyState.NOT_RUN, refusal)
+
+    def unknown(self, request_id: str, refusal: Refusal | None = None) -> Result:
+        """Store that nobody can tell whether the request ran."""
+        text = "the worker did not report what became of the task"
+        return self._finish(request_id, KeyState.UNKNOWN, refusal or outcome_unknown(text))
+
+    def may_retry(self, request_id: str, deadline: float, now: float) -> bool:
+        """Tell whether a dispatched request may be sent to another worker."""
+        entry = self.entries.get(request_id)
+        return (
+            entry is not None
+            and entry.state is KeyState.DISPATCHED
+            and entry.idempotent
+            and entry.dispatches == 1
+            and now < deadline
+        )
+
+    def retry(self, request_id: str, deadline: float, now: float) -> bool:
+        """Queue an idempotent request for its second and last dispatch; tell whether it is."""
+        if not self.may_retry(request_id, deadline, now):
+            return False
+        self._move(request_id, self._entry(request_id), KeyState.QUEUED)
+        return True
+
+    def inherit(
+        self,
+        worker: str,
+        running: Iterable[RunningTask],
+        ended: Iterable[EndedTask],
+        now: float,
+    ) -> list[tuple[str, Result]]:
+        """Take the states that a worker reports when it is fenced.
+
+        Returns the results of requests that were still open here. An id that is absent from
+        the report keeps its state: the report may be older than the dispatch.
+        """
+        for task in running:
+            self._inherit_running(worker, task.task_id, now)
+        results = []
+        for done in ended:
+            result = self._inherit_ended(worker, done, now)
+            if result is not None:
+                results.append((done.task_id, result))
+        return results
+
+    def take_over(self, at: float) -> None:
+        """Start a new ownership: keys that may have been sent earlier are `unknown`."""
+        self.taken_over_at = max(self.taken_over_at, at)
+
+    def drop(self, now: float) -> list[tuple[str, Result]]:
+        """Settle every open key because the shard is lost; returns their results."""
+        results = []
+        for request_id, entry in self.entries.items():
+            if entry.state is KeyState.QUEUED and entry.sole and entry.dispatches == 0:
+                refusal = Refusal(
+                    ErrorKind.SHARD_UNAVAILABLE,
+                    "the shard has a new owner",
+                    remedy="send the request again under a new key",
+                    retry_after_s=0.5,
+                )
+                results.append((request_id, self.not_run(request_id, refusal)))
+            elif entry.state in (KeyState.QUEUED, KeyState.DISPATCHED):
+                lost = outcome_unknown("the shard has a new owner")
+                results.append((request_id, self.unknown(request_id, lost)))
+        return results
+
+    def hand_over(self) -> list[QueuedKey]:
+        """Return the queued keys for the successor; they cannot be called not run after this."""
+        keys = []
+        for request_id, entry in self.entries.items():
+            if entry.state is KeyState.QUEUED and entry.dispatches == 0:
+                entry.handed_over = True
+                keys.append(QueuedKey(request_id, entry.forget_at, entry.idempotent))
+        return keys
+
+    def accept(self, keys: Iterable[QueuedKey], now: float) -> list[str]:
+        """Take the queued keys of a predecessor, and return the ids that may run here.
+
+        Call it after the workers were fenced, so that their inventories are known.
+        """
+        accepted = []
+        for key in keys:
+            if key.request_id in self.entries or key.forget_at <= now:
+                continue
+            entry = KeyEntry(KeyState.QUEUED, key.forget_at, key.idempotent)
+            self._add(key.request_id, entry)
+            accepted.append(key.request_id)
+        return accepted
 
     def expire(self, now: float) -> int:
         """Forget the keys whose time has passed and return their number."""
-        old = [key for key, entry in self.entries.items() if entry.forget_at <= now]
-        for key in old:
-            del self.entries[key]
-        return len(old)
+        forgotten = 0
+        while self.expiry and self.expiry[0][0] <= now:
+            _, request_id = heapq.heappop(self.expiry)
+            entry = self.entries.get(request_id)
+            if entry is not None and entry.forget_at <= now:
+                del self.entries[request_id]
+                forgotten += 1
+        return forgotten
+
+    def _refuse_deadline(self, req: Request, now: float) -> Refusal | None:
+        deadline = req.task.deadline
+        if deadline <= now:
+            # A key that may have been sent before can have run and been forgotten since.
+            certain = req.first_attempt or (
+                self._is_after_takeover(req) and now < deadline + self.clock_skew_s
+            )
+            return Refusal(
+                ErrorKind.DEADLINE_PASSED,
+                "the deadline has passed",
+                Outcome.NOT_RUN if certain else Outcome.UNKNOWN,
+                remedy="send the request under a new key with a later deadline",
+            )
+        if deadline > now + self.max_window_s + self.clock_skew_s:
+            return Refusal(
+                ErrorKind.DEADLINE_TOO_FAR,
+                f"the deadline is more than {self.max_window_s:g} s ahead",
+                remedy="send the request under a new key with an earlier deadline",
+            )
+        return None
+
+    def _is_after_takeover(self, req: Request) -> bool:
+        return req.first_sent_at > self.taken_over_at + self.clock_skew_s
+
+    def _refuse_after_takeover(self, req: Request) -> Refusal | None:
+        if self._is_after_takeover(req) or req.first_attempt or req.task.idempotent:
+            return None
+        return outcome_unknown("the shard changed hands after this key may first have been sent")
+
+    def _remember_refusal(self, req: Request, refusal: Refusal, now: float) -> Refusal:
+        """Keep the refused id, so that a copy of the request cannot run later."""
+        if refusal.outcome is not Outcome.NOT_RUN or req.task.deadline <= now:
+            return refusal
+        if len(self.entries) >= 2 * self.max_entries:
+            return outcome_unknown("the owner remembers too many request keys")
+        # A later copy with the same distant deadline is the caller's own decision.
+        forget_at = min(req.task.deadline, now + 2 * self.max_window_s) + self.clock_skew_s
+        entry = KeyEntry(KeyState.NOT_RUN, forget_at, req.task.idempotent, refusal)
+        self._add(req.request_id, entry)
+        return refusal
+
+    def _inherit_running(self, worker: str, request_id: str, now: float) -> None:
+        entry = self.entries.get(request_id)
+        if entry is None:
+            entry = KeyEntry(KeyState.QUEUED, now + self.max_window_s + self.clock_skew_s, False)
+            self._add(request_id, entry)
+        if entry.state is not KeyState.QUEUED:
+            return
+        self._move(request_id, entry, KeyState.DISPATCHED)
+        entry.worker = worker
+        entry.dispatches += 1
+
+    def _inherit_ended(self, worker: str, done: EndedTask, now: float) -> Result | None:
+        self._inherit_running(worker, done.task_id, now)
+        entry = self.entries[done.task_id]
+        if entry.state not in (KeyState.DISPATCHED, KeyState.UNKNOWN):
+            return None
+        return self._finish(done.task_id, KeyState.ANSWERED, result_of(done))
+
+    def _finish(self, request_id: str, state: KeyState, result: Result) -> Result:
+        entry = self._entry(request_id)
+        self._move(request_id, entry, state)
+        entry.result = result
+        return result
+
+    def _entry(self, request_id: str) -> KeyEntry:
+        entry = self.entries.get(request_id)
+        check(entry is not None, Invariant.KEY_KNOWN, "request %s is not known", request_id)
+        assert entry is not None
+        return entry
+
+    def _add(self, request_id: str, entry: KeyEntry) -> None:
+        self.entries[request_id] = entry
+        heapq.heappush(self.expiry, (entry.forget_at, request_id))
+
+    def _move(self, request_id: str, entry: KeyEntry, state: KeyState) -> None:
+        check(
+            state in NEXT_STATES[entry.state],
+            Invariant.KEY_TRANSITION,
+            "request %s cannot go from %s to %s",
+            request_id,
+            entry.state,
+            state,
+        )
+        entry.state = state
+
+
+def outcome_unknown(message: str) -> Refusal:
+    """Return the refusal for a request of which nobody can tell whether it ran."""
+    return Refusal(
+        ErrorKind.OUTCOME_UNKNOWN,
+        message,
+        Outcome.UNKNOWN,
+        "check the effect of the request before sending it under a new key",
+    )
+
+
+def result_of(done: EndedTask) -> Result:
+    """Return the result of a request from the worker's report of its end."""
+    if done.succeeded:
+        return Answer(done.task_id, HTTP_OK, done.body)
+    return Refusal(ErrorKind.TASK_FAILED, "the task failed on its worker", Outcome.RAN)
--- /dev/null
+++ b/specs/__init__.py
@@ -0,0 +1,1 @@
+"""Hold the model specifications of the core protocol."""
