Validate records, convert their versions and change them by revision

Cause: record bodies were stored unchecked, a change could overwrite another unseen, and a lookup of a key compared the digest of every key record. Change: typed bodies for all five kinds; strict validation that reports every problem with its path and remedy; two schema versions of team and queue, converted at the boundary into one canonical body; changes that need the revision they are based on; history by a chain of log entries; differences between revisions; references checked against the head of the log; a view with indexes by digest, kind and data centre. Ruled out: storing bodies as written, which would make every reader know every version; cattrs for the validation, because its range checks run only after all types are right. Version 1 of a team cannot express limits per kind of work; a change in version 1 keeps the ones that are set.

--- a/baobabhoist/errors.py
+++ b/baobabhoist/errors.py
@@ -20,6 +20,10 @@
     FORBIDDEN = "forbidden"
     NOT_FOUND = "not_found"
     CONFLICT = "conflict"
+    METHOD_NOT_ALLOWED = "method_not_allowed"
+    PRECONDITION_MISSING = "precondition_missing"
+    IN_USE = "in_use"
+    REQUEST_TIMEOUT = "request_timeout"
     DEADLINE_PASSED = "deadline_passed"
     DEADLINE_TOO_FAR = "deadline_too_far"
     QUEUE_FULL = "queue_full"
@@ -37,6 +41,20 @@
     INTERNAL = "internal"
 
 
+@attrs.frozen
+class Problem:
+    """Name one field that is wrong by its path, what is wrong with it and what to do."""
+
+    path: str
+    message: str
+    remedy: str = ""
+
+    def __str__(self) -> str:
+        """Return the problem on one line."""
+        remedy = f"; {self.remedy}" if self.remedy else ""
+        return f"{self.path}: {self.message}{remedy}"
+
+
 @attrs.frozen
 class Refusal:
     """State why work was refused, what is known of its execution, and what to do.
@@ -50,16 +68,20 @@
     outcome: Outcome = Outcome.NOT_RUN
     remedy: str = ""
     retry_after_s: float | None = None
+    problems: tuple[Problem, ...] = ()
 
     def as_body(self) -> dict[str, Any]:
         """Return the error body that callers receive."""
-        return {
+        body: dict[str, Any] = {
             "kind": self.kind.value,
             "message": self.message,
             "outcome": self.outcome.value,
             "remedy": self.remedy,
             "retry_after": self.retry_after_s,
         }
+        if self.problems:
+            body["problems"] = [attrs.asdict(problem) for problem in self.problems]
+        return body
 
 
 def is_refusal(value: object) -> TypeGuard[Refusal]:
@@ -99,6 +121,10 @@
     ErrorKind.FORBIDDEN: 403,
     ErrorKind.NOT_FOUND: 404,
     ErrorKind.CONFLICT: 409,
+    ErrorKind.METHOD_NOT_ALLOWED: 405,
+    ErrorKind.PRECONDITION_MISSING: 428,
+    ErrorKind.IN_USE: 409,
+    ErrorKind.REQUEST_TIMEOUT: 408,
     ErrorKind.DEADLINE_PASSED: 408,
     ErrorKind.DEADLINE_TOO_FAR: 400,
     ErrorKind.QUEUE_FULL: 429,
--- a/baobabhoist/records/changes.py
+++ b/baobabhoist/records/changes.py
@@ -4,12 +4,18 @@
 
 from typing import Any
 
+import attrs
+
+from baobabhoist.errors import ErrorKind, Refusal
 from baobabhoist.platform.table import Row, Transaction
 from baobabhoist.records.view import Record
 
 LOG_HEAD = "log_head"
 LOG_PREFIX = "log/"
+RECORD_PREFIX = "record/"
 SEQUENCE_DIGITS = 12
+# The fields of a record in a row; a later release may write more.
+_FIELDS = frozenset(field.name for field in attrs.fields(Record))
 
 
 def log_key(sequence: int) -> str:
@@ -17,6 +23,11 @@
     return f"{LOG_PREFIX}{sequence:0{SEQUENCE_DIGITS}d}"
 
 
+def record_key(kind: str, name: str) -> str:
+    """Return the row key of a record."""
+    return f"{RECORD_PREFIX}{kind}/{name}"
+
+
 def change(
     kind: str,
     name: str,
@@ -24,16 +35,19 @@
     body: dict[str, Any] | None,
     current: Row,
     head: Row,
+    changed_by: str = "",
+    changed_at: float = 0.0,
 ) -> Transaction:
-    """Return the transaction that writes a record and appends it to the change log."""
+    """Return the transaction that writes a record and appends it to the change log.
+
+    A body of None deletes the record; the row keeps the deletion, so that the history of the
+    name goes on when it is used again.
+    """
     sequence = (head.value or 0) + 1
-    entry = {
-        "kind": kind,
-        "name": name,
-        "schema_version": schema_version,
-        "revision": sequence,
-        "body": body,
-    }
+    previous = record_of(current).revision if current.value else 0
+    entry = attrs.asdict(
+        Record(kind, name, schema_version, sequence, body, previous, changed_by, changed_at)
+    )
     return Transaction(
         checks={current.key: current.revision, head.key: head.revision},
         writes={current.key: entry, LOG_HEAD: sequence, log_key(sequence): entry},
@@ -42,4 +56,29 @@
 
 def record_of(row: Row) -> Record:
     """Return the record in a row of the table or of the change log."""
-    return Record(**row.value)
+    return Record(**{name: value for name, value in row.value.items() if name in _FIELDS})
+
+
+def revision_in_force(current: Record | None) -> int:
+    """Return the revision on which a change must be based; 0 for an absent record."""
+    return current.revision if current is not None and current.body is not None else 0
+
+
+def based_on_other(kind: str, name: str, based_on: int, current: Record | None) -> Refusal | None:
+    """Return the conflict if a change is not based on the revision in force."""
+    in_force = revision_in_force(current)
+    if based_on == in_force:
+        return None
+    if in_force == 0:
+        return Refusal(
+            ErrorKind.CONFLICT,
+            f"the {kind} {name} does not exist; the change is based on revision {based_on}",
+            remedy="create it with the header If-None-Match: *",
+        )
+    basis = f"is based on revision {based_on}" if based_on else "creates it"
+    return Refusal(
+        ErrorKind.CONFLICT,
+        f"the {kind} {name} is at revision {in_force}; the change {basis}",
+        remedy="read the record again, apply the change to it and send it with the header "
+        f'If-Match: "{in_force}"',
+    )
--- /dev/null
+++ b/baobabhoist/records/kinds.py
@@ -0,0 +1,128 @@
+"""Define the typed bodies of records."""
+
+from __future__ import annotations
+
+import enum
+
+import attrs
+
+from baobabhoist.model import Resources, WorkerSpec, WorkKind
+
+# Requests without a key on a queue open to all run for this team.
+PUBLIC_TEAM = "public"
+DEFAULT_DEADLINE_S = 30.0
+DEFAULT_MAX_QUEUED = 1000
+ALL_KINDS = tuple(WorkKind)
+
+
+class RecordKind(enum.StrEnum):
+    """Name the kinds of records."""
+
+    TEAM = "team"
+    KEY = "key"
+    QUEUE = "queue"
+    POLICY = "policy"
+    SHARD = "shard"
+
+
+class Objective(enum.StrEnum):
+    """Name what the decisions of a queue weigh most."""
+
+    WAITING_TIME = "waiting_time"
+    SHARE = "share"
+
+
+class PreemptAction(enum.StrEnum):
+    """Name what happens to a task that is preempted."""
+
+    CHECKPOINT = "checkpoint"
+    THROTTLE = "throttle"
+    STOP = "stop"
+
+
+@attrs.frozen
+class Team:
+    """Hold a team's share weight and its upper limits in places (tasks running at once).
+
+    `class_limits` limits single kinds of work further; a kind without an entry is bounded by
+    `limit` alone.
+    """
+
+    limit: int
+    share: float = 1.0
+    class_limits: dict[WorkKind, int] = attrs.Factory(dict)
+
+    def limit_of(self, kind: WorkKind) -> int:
+        """Return the upper limit for a kind of work, in places."""
+        return min(self.limit, self.class_limits.get(kind, self.limit))
+
+
+@attrs.frozen
+class Key:
+    """Hold the SHA-256 digest of a team's or an operator's key.
+
+    `offline_grace_s` is how long a data centre that is cut off from the platform still accepts
+    the key, in seconds; None means without limit.
+    """
+
+    digest: str
+    team: str = ""
+    operator: bool = False
+    withdrawn: bool = False
+    offline_grace_s: float | None = None
+
+
+@attrs.frozen
+class Queue:
+    """Hold who may use a queue, for what, and where its request keys have their home.
+
+    No home data centre means all of them.
+    """
+
+    open_to_all: bool = False
+    home_data_centres: tuple[str, ...] = ()
+    kinds: tuple[WorkKind, ...] = ALL_KINDS
+    default_deadline_s: float = DEFAULT_DEADLINE_S
+    max_queued_per_team: int = DEFAULT_MAX_QUEUED
+    policy: str = ""
+
+
+@attrs.frozen
+class Policy:
+    """Hold how the decisions of the queues that name this policy are made."""
+
+    objective: Objective = Objective.WAITING_TIME
+    preemption: bool = False
+    preempt_action: PreemptAction = PreemptAction.CHECKPOINT
+    retries: int = 1
+
+
+@attrs.frozen
+class Worker:
+    """Hold one worker of a shard; a drained worker gets no new work."""
+
+    name: str
+    host: str
+    port: int
+    cpu_milli: int
+    memory_mb: int
+    slots: int
+    accelerators: int = 0
+    rack: str = ""
+    drain: bool = False
+
+    def spec(self, shard: str) -> WorkerSpec:
+        """Return the worker as the scheduler knows it; the rack defaults to the shard."""
+        capacity = Resources(self.cpu_milli, self.memory_mb, self.accelerators, self.slots)
+        return WorkerSpec(self.name, self.host, self.port, self.rack or shard, capacity)
+
+
+@attrs.frozen
+class Shard:
+    """Hold the fixed set of workers of a shard and the data centre they are in."""
+
+    data_centre: str
+    workers: tuple[Worker, ...] = ()
+
+
+Typed = Team | Key | Queue | Policy | Shard
--- /dev/null
+++ b/baobabhoist/records/schema.py
@@ -0,0 +1,376 @@
+"""Validate record bodies and convert them between schema versions.
+
+The table and the view hold canonical bodies: all fields of the typed class, under its names.
+Bodies are converted to this form when they arrive and back when they are returned.
+"""
+
+from __future__ import annotations
+
+import enum
+from collections.abc import Callable
+from typing import Any
+
+import attrs
+import cattrs
+
+from baobabhoist.errors import ErrorKind, Problem, Refusal
+from baobabhoist.model import WorkKind
+from baobabhoist.records.checks import (
+    ABSENT,
+    Check,
+    Field,
+    Problems,
+    boolean,
+    integer,
+    list_of,
+    mapping_of,
+    number,
+    object_of,
+    one_of,
+    optional,
+    shown,
+    text,
+)
+from baobabhoist.records.kinds import (
+    ALL_KINDS,
+    DEFAULT_DEADLINE_S,
+    DEFAULT_MAX_QUEUED,
+    Key,
+    Objective,
+    Policy,
+    PreemptAction,
+    Queue,
+    RecordKind,
+    Shard,
+    Team,
+    Typed,
+)
+
+NAME_PATTERN = r"[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?"
+NAME_REMEDY = "at most 63 lower-case letters, digits and inner hyphens"
+# Bounds that keep sums over a fleet of 10,000 workers well inside 64 bits.
+MAX_PLACES = 10_000_000
+MAX_SHARE = 1_000_000.0
+MAX_DEADLINE_S = 7 * 86_400.0
+MAX_GRACE_S = 30 * 86_400.0
+MAX_RETRIES = 100
+MAX_DATA_CENTRES = 64
+MAX_WORKERS_PER_SHARD = 1_000
+MAX_CPU_MILLI = 10_000_000
+MAX_MEMORY_MB = 1_000_000_000
+MAX_SLOTS = 100_000
+MAX_ACCELERATORS = 10_000
+# A refusal lists at most this many problems, so that bad input cannot inflate the answer.
+MAX_PROBLEMS = 100
+
+Body = dict[str, Any]
+
+_NAME = text(NAME_PATTERN, NAME_REMEDY)
+_NAME_OR_EMPTY = text(f"({NAME_PATTERN})?", f"{NAME_REMEDY}, or an empty string")
+_DIGEST = text(r"[0-9a-f]{64}", "the SHA-256 digest of the key as 64 lower-case hex digits")
+_HOST = text(r"[A-Za-z0-9]([A-Za-z0-9.:-]{0,252}[A-Za-z0-9])?|::1?", "an IP address")
+_KINDS = list_of(one_of(WorkKind), len(ALL_KINDS))
+_PLACES = integer(0, MAX_PLACES)
+_SHARE = number(0.001, MAX_SHARE)
+_DEADLINE = number(0.001, MAX_DEADLINE_S)
+
+_TEAM_1 = object_of({"limit": Field(_PLACES), "share": Field(_SHARE, 1.0)})
+_CLASS_LIMITS = mapping_of(one_of(WorkKind), _PLACES)
+_LIMITS = object_of({"total": Field(_PLACES), "classes": Field(_CLASS_LIMITS, {})})
+_TEAM_2 = object_of({"limits": Field(_LIMITS), "share_weight": Field(_SHARE, 1.0)})
+_KEY_1 = object_of(
+    {
+        "digest": Field(_DIGEST),
+        "team": Field(_NAME_OR_EMPTY, ""),
+        "operator": Field(boolean, False),
+        "withdrawn": Field(boolean, False),
+        "offline_grace_s": Field(optional(number(0.0, MAX_GRACE_S)), None),
+    }
+)
+_QUEUE_COMMON = {
+    "kinds": Field(_KINDS, ALL_KINDS),
+    "default_deadline_s": Field(_DEADLINE, DEFAULT_DEADLINE_S),
+    "policy": Field(_NAME_OR_EMPTY, ""),
+}
+_MAX_QUEUED = Field(integer(1, MAX_PLACES), DEFAULT_MAX_QUEUED)
+_QUEUE_1 = object_of(
+    {
+        **_QUEUE_COMMON,
+        "open": Field(boolean, False),
+        "data_centre": Field(_NAME_OR_EMPTY, ""),
+        "max_queued": _MAX_QUEUED,
+    }
+)
+_QUEUE_2 = object_of(
+    {
+        **_QUEUE_COMMON,
+        "open_to_all": Field(boolean, False),
+        "home_data_centres": Field(list_of(_NAME, MAX_DATA_CENTRES), ()),
+        "max_queued_per_team": _MAX_QUEUED,
+    }
+)
+_POLICY_1 = object_of(
+    {
+        "objective": Field(one_of(Objective), Objective.WAITING_TIME),
+        "preemption": Field(boolean, False),
+        "preempt_action": Field(one_of(PreemptAction), PreemptAction.CHECKPOINT),
+        "retries": Field(integer(0, MAX_RETRIES), 1),
+    }
+)
+_WORKER = object_of(
+    {
+        "name": Field(_NAME),
+        "host": Field(_HOST),
+        "port": Field(integer(1, 65_535)),
+        "rack": Field(_NAME_OR_EMPTY, ""),
+        "cpu_milli": Field(integer(1, MAX_CPU_MILLI)),
+        "memory_mb": Field(integer(1, MAX_MEMORY_MB)),
+        "accelerators": Field(integer(0, MAX_ACCELERATORS), 0),
+        "slots": Field(integer(1, MAX_SLOTS)),
+        "drain": Field(boolean, False),
+    }
+)
+_SHARD_1 = object_of(
+    {"data_centre": Field(_NAME), "workers": Field(list_of(_WORKER, MAX_WORKERS_PER_SHARD), ())}
+)
+
+
+def _same(body: Body) -> Body:
+    return body
+
+
+def _team_from_2(body: Body) -> Body:
+    limits = body["limits"]
+    return {
+        "limit": limits["total"],
+        "share": body["share_weight"],
+        "class_limits": limits["classes"],
+    }
+
+
+def _team_to_1(body: Body) -> Body | None:
+    # Version 1 tools see the overall limit; limits per kind of work stay in force behind it.
+    return {"limit": body["limit"], "share": body["share"]}
+
+
+def _team_to_2(body: Body) -> Body | None:
+    limits = {"total": body["limit"], "classes": body["class_limits"]}
+    return {"limits": limits, "share_weight": body["share"]}
+
+
+def _queue_from_1(body: Body) -> Body:
+    common = {name: body[name] for name in _QUEUE_COMMON}
+    home = (body["data_centre"],) if body["data_centre"] else ()
+    return {
+        **common,
+        "open_to_all": body["open"],
+        "home_data_centres": home,
+        "max_queued_per_team": body["max_queued"],
+    }
+
+
+def _queue_to_1(body: Body) -> Body | None:
+    homes = body["home_data_centres"]
+    if len(homes) > 1:
+        return None
+    return {
+        **{name: body[name] for name in _QUEUE_COMMON},
+        "open": body["open_to_all"],
+        "data_centre": homes[0] if homes else "",
+        "max_queued": body["max_queued_per_team"],
+    }
+
+
+@attrs.frozen
+class SchemaVersion:
+    """Describe one version of a kind's body.
+
+    `kept` names the canonical fields that this version cannot express; a change in this version
+    leaves them as they are. `to_version` returns None when a body cannot be expressed.
+    """
+
+    check: Check
+    to_canonical: Callable[[Body], Body] = _same
+    to_version: Callable[[Body], Body | None] = _same
+    kept: tuple[str, ...] = ()
+
+
+TYPES: dict[RecordKind, type[Any]] = {
+    RecordKind.TEAM: Team,
+    RecordKind.KEY: Key,
+    RecordKind.QUEUE: Queue,
+    RecordKind.POLICY: Policy,
+    RecordKind.SHARD: Shard,
+}
+
+SCHEMAS: dict[RecordKind, dict[int, SchemaVersion]] = {
+    RecordKind.TEAM: {
+        1: SchemaVersion(_TEAM_1, _same, _team_to_1, ("class_limits",)),
+        2: SchemaVersion(_TEAM_2, _team_from_2, _team_to_2),
+    },
+    RecordKind.KEY: {1: SchemaVersion(_KEY_1)},
+    RecordKind.QUEUE: {
+        1: SchemaVersion(_QUEUE_1, _queue_from_1, _queue_to_1),
+        2: SchemaVersion(_QUEUE_2),
+    },
+    RecordKind.POLICY: {1: SchemaVersion(_POLICY_1)},
+    RecordKind.SHARD: {1: SchemaVersion(_SHARD_1)},
+}
+
+
+# Rows written by a later release may have fields that this one does not know; they are ignored.
+_CONVERTER = cattrs.Converter(forbid_extra_keys=False, detailed_validation=False)
+
+
+def typed(kind: str, body: Body) -> Typed:
+    """Return the typed form of a canonical body; raises ValueError, TypeError or KeyError."""
+    found: Typed = _CONVERTER.structure(body, TYPES[RecordKind(kind)])
+    return found
+
+
+def canonical(record: Typed) -> Body:
+    """Return the canonical body of a typed record, made of JSON types."""
+    body: Body = _plain(attrs.asdict(record))
+    return body
+
+
+def _plain(value: Any) -> Any:
+    if isinstance(value, enum.Enum):
+        return value.value
+    if isinstance(value, dict):
+        return {_plain(key): _plain(item) for key, item in value.items()}
+    if isinstance(value, (list, tuple)):
+        return [_plain(item) for item in value]
+    return value
+
+
+def refusal_of(problems: Problems, what: str) -> Refusal:
+    """Return one refusal that lists all problems of an input."""
+    listed = tuple(problems[:MAX_PROBLEMS])
+    lines = "; ".join(f"{problem.path}: {problem.message}" for problem in listed[:3])
+    count = "1 problem" if len(problems) == 1 else f"{len(problems)} problems"
+    return Refusal(
+        ErrorKind.BAD_REQUEST,
+        f"{what} has {count}: {lines}",
+        remedy="correct every field listed under problems",
+        problems=listed,
+    )
+
+
+def bad_name(kind: str, name: str) -> Refusal | None:
+    """Return why a kind or name is not allowed, or None."""
+    problems: Problems = []
+    one_of(RecordKind)(kind, "kind", problems)
+    _NAME(name, "name", problems)
+    return refusal_of(problems, "the address of the record") if problems else None
+
+
+def parse(
+    kind: RecordKind, schema_version: Any, body: Any, current: Body | None = None
+) -> Typed | Refusal:
+    """Return the typed record of a body in some schema version, or all its problems.
+
+    `current` is the canonical body that the change replaces; what the schema version cannot
+    express is kept from it.
+    """
+    versions = SCHEMAS[kind]
+    version = versions.get(schema_version) if type(schema_version) is int else None
+    if version is None:
+        problem = Problem(
+            "schema_version",
+            f"{shown(schema_version)} is not a schema version of {kind}",
+            f"give one of {', '.join(map(str, versions))}",
+        )
+        return refusal_of([problem], f"the {kind} record")
+    problems: Problems = []
+    checked = version.check(body, "body", problems)
+    if checked is not ABSENT:
+        found = version.to_canonical(checked)
+        problems.extend(_CROSS_CHECKS.get(kind, _no_problems)(typed(kind, found)))
+        if not problems:
+            if current is not None:
+                found.update({name: current[name] for name in version.kept if name in current})
+            return typed(kind, found)
+    return refusal_of(problems, f"the {kind} record")
+
+
+def express(kind: str, schema_version: int, body: Body) -> Body | Refusal:
+    """Return a canonical body in a schema version."""
+    version = SCHEMAS[RecordKind(kind)].get(schema_version)
+    try:
+        found = version.to_version(canonical(typed(kind, body))) if version is not None else None
+    except (ValueError, TypeError, KeyError, AttributeError) as exc:
+        return Refusal(
+            ErrorKind.INTERNAL,
+            f"this {kind} record was written in a form that this release cannot read: {exc!r}",
+            remedy="read it through an instance of the release that wrote it",
+        )
+    if found is None:
+        others = ", ".join(map(str, SCHEMAS[RecordKind(kind)]))
+        return Refusal(
+            ErrorKind.BAD_REQUEST,
+            f"this {kind} record cannot be expressed in schema version {schema_version}",
+            remedy=f"ask for another schema version; {kind} has {others}",
+        )
+    return found
+
+
+def _no_problems(_: Any) -> Problems:
+    return []
+
+
+def _key_problems(key: Key) -> Problems:
+    if bool(key.team) is not key.operator:
+        return []
+    remedy = "set either team to the team's name or operator to true"
+    return [Problem("body.team", "a key belongs to one team or to an operator", remedy)]
+
+
+def _team_problems(team: Team) -> Problems:
+    return [
+        Problem(
+            f"body.limits.classes.{kind}",
+            f"{limit} is above the team's limit of {team.limit}",
+            "give at most the total limit",
+        )
+        for kind, limit in team.class_limits.items()
+        if limit > team.limit
+    ]
+
+
+def _queue_problems(queue: Queue) -> Problems:
+    problems = []
+    if not queue.kinds:
+        message = "the queue allows no kind of work"
+        problems.append(Problem("body.kinds", message, "name at least one kind"))
+    if len(set(queue.kinds)) < len(queue.kinds):
+        problems.append(Problem("body.kinds", "a kind is named twice", "name each kind once"))
+    if len(set(queue.home_data_centres)) < len(queue.home_data_centres):
+        message = "a data centre is named twice"
+        problems.append(Problem("body.home_data_centres", message, "name each one once"))
+    return problems
+
+
+def _shard_problems(shard: Shard) -> Problems:
+    problems = []
+    names: set[str] = set()
+    addresses: set[tuple[str, int]] = set()
+    for index, worker in enumerate(shard.workers):
+        path = f"body.workers[{index}]"
+        if worker.name in names:
+            message = f"the worker {worker.name} is named twice"
+            problems.append(Problem(f"{path}.name", message, "name each worker once"))
+        if (worker.host, worker.port) in addresses:
+            message = f"the address {worker.host} {worker.port} is named twice"
+            problems.append(Problem(f"{path}.port", message, "give each worker its own address"))
+        names.add(worker.name)
+        addresses.add((worker.host, worker.port))
+    return problems
+
+
+_CROSS_CHECKS: dict[RecordKind, Callable[[Any], Problems]] = {
+    RecordKind.TEAM: _team_problems,
+    RecordKind.KEY: _key_problems,
+    RecordKind.QUEUE: _queue_problems,
+    RecordKind.SHARD: _shard_problems,
+}
--- /dev/null
+++ b/baobabhoist/tests/test_records_schema.py
@@ -0,0 +1,109 @@
+"""Test the validation of record bodies and the conversion between schema versions."""
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from baobabhoist.errors import ErrorKind, Refusal
+from baobabhoist.model import WorkKind
+from baobabhoist.records.kinds import RecordKind
+from baobabhoist.records.schema import SCHEMAS, canonical, express, parse
+
+JSON = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats() | st.text(max_size=8),
+    lambda inner: st.lists(inner, max_size=4) | st.dictionaries(st.text(max_size=8), inner),
+    max_leaves=10,
+)
+FIELDS = st.sampled_from(
+    [
+        "limit",
+        "share",
+        "limits",
+        "share_weight",
+        "total",
+        "classes",
+        "team",
+        "digest",
+        "operator",
+        "open",
+        "data_centre",
+        "kinds",
+        "home_data_centres",
+        "workers",
+        "name",
+        "host",
+        "port",
+        "policy",
+        "retries",
+        "objective",
+        "default_deadline_s",
+    ]
+)
+VERSIONS = [(kind, version) for kind, versions in SCHEMAS.items() for version in versions]
+
+
+@settings(derandomize=True, deadline=None, max_examples=300)
+@given(st.sampled_from(VERSIONS), st.dictionaries(FIELDS, JSON) | JSON)
+def test_malformed_bodies_are_refused_with_typed_errors(version, body):
+    """Guard against an exception, or an accepted body that cannot be returned."""
+    kind, number = version
+    parsed = parse(kind, number, body)
+    if isinstance(parsed, Refusal):
+        assert parsed.kind is ErrorKind.BAD_REQUEST
+        assert parsed.problems
+        assert all(problem.path and problem.remedy for problem in parsed.problems)
+    else:
+        assert parse(kind, number, express(kind, number, canonical(parsed))) == parsed
+
+
+def test_all_problems_are_reported_together():
+    """Guard against operators correcting one field per attempt."""
+    worker = {"name": "UP", "host": "127.0.0.1", "port": 0, "cpu_milli": "8", "memory_mb": 10**400}
+    parsed = parse(RecordKind.SHARD, 1, {"data_centre": 5, "workers": [worker], "extra": 1})
+    paths = {problem.path for problem in parsed.problems}
+    assert paths >= {
+        "body",
+        "body.data_centre",
+        "body.workers[0].name",
+        "body.workers[0].port",
+        "body.workers[0].cpu_milli",
+        "body.workers[0].memory_mb",
+        "body.workers[0].slots",
+    }
+
+
+@pytest.mark.parametrize("share", [float("nan"), float("inf"), True, "1", -1, 10**400])
+def test_shares_that_are_no_usable_numbers_are_refused(share):
+    """Guard against a weight that would break every comparison of fairness."""
+    assert parse(RecordKind.TEAM, 1, {"limit": 1, "share": share}).problems[0].path == "body.share"
+
+
+def test_an_old_tool_keeps_the_limits_it_cannot_express():
+    """Guard against a version 1 tool lifting limits that a version 2 tool has set."""
+    new = parse(RecordKind.TEAM, 2, {"limits": {"total": 9, "classes": {"batch": 4}}})
+    old = parse(RecordKind.TEAM, 1, {"limit": 2, "share": 3}, canonical(new))
+    assert old.class_limits == {WorkKind.BATCH: 4}
+    assert old.limit_of(WorkKind.BATCH) == 2
+    assert old.limit_of(WorkKind.GANG) == 2
+
+
+def test_a_queue_with_two_homes_is_not_cut_to_one_for_an_old_tool():
+    """Guard against an old tool writing back one home data centre of several."""
+    queue = parse(RecordKind.QUEUE, 2, {"home_data_centres": ["north", "south"]})
+    assert express("queue", 1, canonical(queue)).kind is ErrorKind.BAD_REQUEST
+    one = parse(RecordKind.QUEUE, 1, {"data_centre": "north", "open": True})
+    assert express("queue", 1, canonical(one))["data_centre"] == "north"
+    assert express("queue", 2, canonical(one))["home_data_centres"] == ["north"]
+
+
+def test_values_that_contradict_each_other_are_refused():
+    """Guard against keys of nobody, limits above the total and workers with one address."""
+    digest = "a" * 64
+    assert parse(RecordKind.KEY, 1, {"digest": digest}).problems
+    assert parse(RecordKind.KEY, 1, {"digest": digest, "team": "t", "operator": True}).problems
+    limits = {"limits": {"total": 1, "classes": {"batch": 2}}}
+    assert parse(RecordKind.TEAM, 2, limits).problems[0].path == "body.limits.classes.batch"
+    worker = {"host": "127.0.0.1", "port": 1, "cpu_milli": 1, "memory_mb": 1, "slots": 1}
+    workers = [{"name": "a", **worker}, {"name": "b", **worker}]
+    shard = parse(RecordKind.SHARD, 1, {"data_centre": "north", "workers": workers})
+    assert shard.problems[0].path == "body.workers[1].port"
--- /dev/null
+++ b/baobabhoist/tests/test_records_store.py
@@ -0,0 +1,145 @@
+"""Test changes of records as transactions, their log and the view."""
+
+import asyncio
+
+from baobabhoist.errors import ErrorKind
+from baobabhoist.model import Outcome
+from baobabhoist.records.changes import record_of
+from baobabhoist.records.diff import difference
+from baobabhoist.records.keys import accept, digest
+from baobabhoist.records.store import Change, RecordStore, as_written
+from baobabhoist.records.view import Record, RecordView
+from baobabhoist.tests.tables import MemoryTable
+
+
+def new_store():
+    return RecordStore(MemoryTable(), RecordView())
+
+
+def put(store, kind, name, body, based_on=0, version=1):
+    return asyncio.run(store.put(Change(kind, name, version, body, based_on, "tess"), 5.0))
+
+
+def delete(store, kind, name, based_on):
+    return asyncio.run(store.delete(Change(kind, name, 0, None, based_on), 6.0))
+
+
+def catch_up(store):
+    for row in asyncio.run(store.table.scan("log/")):
+        store.view.apply(record_of(row))
+
+
+def test_a_change_based_on_an_old_revision_is_a_conflict():
+    """Guard against one operator undoing another's change unseen."""
+    store = new_store()
+    assert put(store, "team", "roster", {"limit": 1}).revision == 1
+    assert put(store, "team", "roster", {"limit": 2}, 1).revision == 2
+    late = put(store, "team", "roster", {"limit": 3}, 1)
+    assert late.kind is ErrorKind.CONFLICT
+    assert 'If-Match: "2"' in late.remedy
+    assert put(store, "team", "roster", {"limit": 3}).kind is ErrorKind.CONFLICT
+    assert put(store, "team", "other", {"limit": 3}, 7).kind is ErrorKind.CONFLICT
+
+
+def test_a_race_on_the_same_record_is_a_conflict_and_on_another_is_not():
+    """Guard against a lost change when two operators commit at once."""
+    store = new_store()
+    put(store, "team", "roster", {"limit": 1})
+    rival = RecordStore(store.table, RecordView())
+
+    def change(name, based_on):
+        async def run():
+            await rival.put(Change("team", name, 1, {"limit": 9}, based_on), 5.0)
+
+        return run
+
+    store.table.before_commit.append(change("other", 0))
+    assert put(store, "team", "roster", {"limit": 2}, 1).revision == 3
+    store.table.before_commit.append(change("roster", 3))
+    assert put(store, "team", "roster", {"limit": 4}, 3).kind is ErrorKind.CONFLICT
+    assert asyncio.run(store.read("team", "roster")).body["limit"] == 9
+
+
+def test_a_platform_outage_says_what_is_known_of_the_change():
+    """Guard against a change reported as not made that was made."""
+    store = new_store()
+    store.table.down = True
+    refusal = put(store, "team", "roster", {"limit": 1})
+    assert (refusal.kind, refusal.outcome) == (ErrorKind.PLATFORM_UNAVAILABLE, Outcome.NOT_RUN)
+    store.table.down, store.table.lose_answer = False, True
+    assert put(store, "team", "roster", {"limit": 1}).outcome is Outcome.UNKNOWN
+
+
+def test_records_in_use_are_not_deleted_and_references_must_lead_somewhere():
+    """Guard against keys without a team and queues without their policy, also in a stale view."""
+    store = new_store()
+    key = {"team": "roster", "digest": digest("k")}
+    assert put(store, "key", "k1", key).problems[0].path == "body.team"
+    put(store, "team", "roster", {"limit": 1})
+    put(store, "key", "k1", key)
+    assert put(store, "key", "k2", key).problems[0].path == "body.digest"
+    put(store, "policy", "fair", {"objective": "share"})
+    put(store, "queue", "entries", {"policy": "fair"})
+    assert store.view.revision == 0
+    assert "k1" in delete(store, "team", "roster", 1).message
+    assert delete(store, "policy", "fair", 3).kind is ErrorKind.IN_USE
+    assert delete(store, "key", "k1", 2).body is None
+    assert delete(store, "team", "roster", 1).revision == 6
+    assert delete(store, "team", "roster", 1).kind is ErrorKind.CONFLICT
+
+
+def test_history_survives_deletion_and_shows_the_version_as_written():
+    """Guard against a history that ends at a deletion or mixes schema versions."""
+    store = new_store()
+    put(store, "team", "roster", {"limit": 1})
+    delete(store, "team", "roster", 1)
+    put(store, "team", "roster", {"limits": {"total": 3}}, version=2)
+    history = asyncio.run(store.history("team", "roster"))
+    assert [(record.revision, record.schema_version) for record in history] == [
+        (3, 2),
+        (2, 1),
+        (1, 1),
+    ]
+    assert history[0].changed_by == "tess"
+    assert as_written(history[0])["body"]["limits"] == {"total": 3, "classes": {}}
+    assert as_written(history[0], 1)["body"] == {"limit": 3, "share": 1.0}
+    first = asyncio.run(store.version("team", "roster", 1))
+    found = difference(first.body, history[0].body)
+    assert [(item.path, item.old, item.new) for item in found] == [("body.limit", 1, 3)]
+    assert asyncio.run(store.version("team", "other", 1)).kind is ErrorKind.NOT_FOUND
+
+
+def test_the_view_applies_only_higher_revisions_and_keeps_its_indexes():
+    """Guard against a deleted or withdrawn key that still opens the door."""
+    view = RecordView()
+    key = {"team": "roster", "digest": digest("k")}
+    assert view.apply(Record("key", "k1", 1, 4, key))
+    assert not view.apply(Record("key", "k1", 1, 4, None))
+    assert view.team_of_key("k") == "roster"
+    view.apply(Record("key", "k1", 1, 5, {**key, "withdrawn": True}))
+    assert view.team_of_key("k") is None
+    assert "withdrawn" in accept(view.key_of("k"), 0.0, "H").message
+    view.apply(Record("key", "k1", 1, 6, {**key, "offline_grace_s": 2.0}))
+    assert accept(view.key_of("k"), 1.0, "H").team == "roster"
+    assert accept(view.key_of("k"), 3.0, "H").kind is ErrorKind.KEY_REJECTED
+    view.apply(Record("key", "k1", 1, 7, {**key, "digest": digest("n")}))
+    assert (view.key_of("k"), view.team_of_key("n")) == (None, "roster")
+    view.apply(Record("key", "k1", 1, 8, None))
+    assert view.key_of("n") is None
+
+
+def test_home_shards_follow_the_records_and_unreadable_records_are_isolated():
+    """Guard against a stale cache of shards and one bad row stopping all records."""
+    view = RecordView()
+    view.apply(Record("shard", "b", 1, 1, {"data_centre": "north", "workers": []}))
+    view.apply(Record("shard", "a", 1, 2, {"data_centre": "south", "workers": []}))
+    assert view.shards_in(()) == ("a", "b")
+    assert view.shards_in(("south",)) == ("a",)
+    view.apply(Record("shard", "c", 1, 3, {"data_centre": "south", "workers": []}))
+    assert view.shards_in(("south",)) == ("a", "c")
+    assert view.apply(Record("team", "odd", 9, 4, {"unit": "places"}))
+    assert view.team("odd") is None
+    other = RecordView()
+    assert other.restore(view.snapshot(), view.revision)
+    assert (other.records, other.shards_in(())) == (view.records, ("a", "b", "c"))
+    assert not other.restore((), 4)
