--- /dev/null
+++ b/baobabhoist/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Measure the decisions and the use of the platform."""
--- /dev/null
+++ b/baobabhoist/benchmarks/decisions.py
@@ -0,0 +1,157 @@
+"""Run the replay for every policy and report the figures side by side."""
+
+from __future__ import annotations
+
+import gc
+import tracemalloc
+from collections import defaultdict
+from collections.abc import Callable
+from typing import Any
+
+import attrs
+
+from baobabhoist.benchmarks.baselines import Baseline
+from baobabhoist.benchmarks.replay import Policy, Replay, quantile
+from baobabhoist.benchmarks.stream import PROFILES, Stream, make_stream
+from baobabhoist.model import Task, Urgency, WorkerSpec, WorkKind
+from baobabhoist.quota.ledger import QuotaLedger
+from baobabhoist.scheduling.policy import QueuePolicy, TeamPolicy
+from baobabhoist.scheduling.scheduler import Scheduler
+
+QUEUE_LIMIT = 10_000
+
+
+def _ours(stream: Stream, ledger: QuotaLedger) -> Policy:
+    scheduler = Scheduler.over(stream.workers, ledger)
+    policy = QueuePolicy(objective=stream.profile.objective)
+    queues = {f"{team}-{kind.value}": policy for team in stream.weights for kind in WorkKind}
+    teams = {
+        team: TeamPolicy(weight=weight, queue_limit=QUEUE_LIMIT)
+        for team, weight in stream.weights.items()
+    }
+    scheduler.set_policies(queues, teams)
+    for spec in stream.workers:
+        scheduler.worker_up(spec.name)
+    return scheduler
+
+
+POLICIES: dict[str, Callable[[Stream, QuotaLedger], Policy]] = {
+    "baobabhoist": _ours,
+    "arrival order, first fit": lambda s, q: Baseline.over(s.workers, q, best_fit=False),
+    "best fit, no shares": lambda s, q: Baseline.over(s.workers, q, best_fit=True),
+}
+
+
+def run(profile_name: str, seed: int, workers: int, duration_s: float) -> dict[str, Any]:
+    """Return the figures of each policy on the same stream; 0 keeps the profile's value."""
+    profile = PROFILES[profile_name]
+    if workers:
+        rate = profile.request_rate * workers / profile.workers
+        profile = attrs.evolve(profile, workers=workers, request_rate=rate)
+    if duration_s:
+        profile = attrs.evolve(profile, duration_s=duration_s)
+    stream = make_stream(profile, seed)
+    report: dict[str, Any] = {"profile": profile_name, "seed": seed, "workers": profile.workers}
+    report["policies"] = {name: _measure(stream, make) for name, make in POLICIES.items()}
+    report["bytes"] = _memory(stream.workers, stream.arrivals[0].works[0].task)
+    return report
+
+
+def _measure(stream: Stream, make: Callable[[Stream, QuotaLedger], Policy]) -> dict[str, Any]:
+    ledger = QuotaLedger("bench", escrow=dict(stream.limits))
+    replay = Replay(stream, make(stream, ledger), ledger)
+    gc.collect()
+    gc.freeze()
+    replay.run()
+    gc.unfreeze()
+    groups: defaultdict[str, list[float]] = defaultdict(list)
+    for task_id, (task, wait) in replay.waits().items():
+        groups[f"kind {task.kind.value}"].append(wait)
+        groups[f"team {task.team}"].append(wait)
+        if task.urgency is Urgency.URGENT:
+            groups["urgent"].append(wait)
+        if task_id in replay.with_quota:
+            groups["urgent with quota"].append(wait)
+    return {
+        "wait_s": {
+            name: {"p50": quantile(waits, 0.5), "p99": quantile(waits, 0.99), "n": len(waits)}
+            for name, waits in sorted(groups.items())
+        },
+        "packing": _mean(replay.packing),
+        "full_s": len(replay.packing),
+        "deviation_pp": _mean(replay.deviation),
+        "refusals": dict(replay.refused),
+        "preemptions": replay.preempted,
+        "placements": replay.placements,
+        "decision_ms": {
+            "p50": 1e3 * quantile(replay.call_s, 0.5),
+            "p99": 1e3 * quantile(replay.call_s, 0.99),
+        },
+        "placements_per_s": replay.placements / replay.busy_s,
+    }
+
+
+def _mean(values: list[float]) -> float:
+    return sum(values) / len(values) if values else 0.0
+
+
+def _memory(workers: list[WorkerSpec], task: Task) -> dict[str, float]:
+    """Return what the scheduler allocates per worker, per batch job and per queued task."""
+    count = 2000
+    task = attrs.evolve(task, kind=WorkKind.BATCH)
+    tracemalloc.start()
+    ledger = QuotaLedger("bench")
+    before = tracemalloc.get_traced_memory()[0]
+    scheduler = Scheduler.over(workers, ledger)
+    for spec in workers:
+        scheduler.worker_up(spec.name)
+    per_worker = (tracemalloc.get_traced_memory()[0] - before) / len(workers)
+
+    def fill(job_of: Callable[[int], str]) -> float:
+        tasks = [
+            attrs.evolve(task, task_id=f"{job_of(n)}/{n}", job_id=job_of(n)) for n in range(count)
+        ]
+        start = tracemalloc.get_traced_memory()[0]
+        for item in tasks:
+            scheduler.enqueue(item, task.submitted_at)
+        used = tracemalloc.get_traced_memory()[0] - start
+        for item in tasks:
+            scheduler.cancel(item.task_id)
+        return used / count
+
+    per_task = fill(lambda n: "job")
+    per_job = fill(lambda n: f"job{n}")
+    tracemalloc.stop()
+    return {"worker": per_worker, "job of one task": per_job, "task": per_task}
+
+
+def table(report: dict[str, Any]) -> str:
+    """Return the report as a plain table."""
+    policies = report["policies"]
+    rows: list[tuple[str, list[str]]] = []
+    for group in sorted({g for p in policies.values() for g in p["wait_s"]}):
+        waits = [p["wait_s"].get(group, {"p50": 0, "p99": 0}) for p in policies.values()]
+        rows.append((f"wait s, {group}", [f"{w['p50']:.2f} / {w['p99']:.2f}" for w in waits]))
+    for name, form in (
+        ("packing", "{:.3f}"),
+        ("full_s", "{}"),
+        ("deviation_pp", "{:.2f}"),
+        ("preemptions", "{}"),
+        ("placements", "{}"),
+        ("placements_per_s", "{:.0f}"),
+    ):
+        rows.append((name, [form.format(p[name]) for p in policies.values()]))
+    times = [p["decision_ms"] for p in policies.values()]
+    rows.append(("decision_ms", [f"{t['p50']:.3f} / {t['p99']:.3f}" for t in times]))
+    kinds = sorted({kind for p in policies.values() for kind in p["refusals"]})
+    for kind in kinds:
+        rows.append(
+            (f"refused, {kind}", [str(p["refusals"].get(kind, 0)) for p in policies.values()])
+        )
+    lines = [
+        f"{report['profile']}, seed {report['seed']}, {report['workers']} workers (p50 / p99)"
+    ]
+    lines.append(f"{'':28}" + "".join(f"{name:>26}" for name in policies))
+    lines += [f"{name:28}" + "".join(f"{cell:>26}" for cell in cells) for name, cells in rows]
+    sizes = ", ".join(f"{value:.0f} per {name}" for name, value in report["bytes"].items())
+    return "\n".join([*lines, f"bytes: {sizes}"])
--- /dev/null
+++ b/baobabhoist/benchmarks/replay.py
@@ -0,0 +1,245 @@
+"""Replay a stream of work against one policy and measure what the policy decides."""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+import time
+from collections import Counter, defaultdict
+from collections.abc import Iterable
+from typing import Any, Protocol
+
+import attrs
+
+from baobabhoist.benchmarks.stream import Arrival, Stream, Work
+from baobabhoist.errors import Refusal
+from baobabhoist.model import Outcome, Resources, Task, Urgency, WorkKind
+from baobabhoist.quota.ledger import QuotaLedger
+from baobabhoist.scheduling.policy import PreemptionAction
+from baobabhoist.scheduling.results import Placement, Preemption, Verdict
+
+TICK_S = 0.25
+SAMPLE_S = 1.0
+FAST_FAILURE_S = 0.2
+PREEMPTION_S = 0.2
+# A backlog counts as full when the oldest waiting work has waited this long.
+FULL_AFTER_S = 1.0
+
+
+class Policy(Protocol):
+    """Decide as `Scheduler` does."""
+
+    def enqueue(self, task: Task, now: float) -> Refusal | None: ...  # noqa: D102
+    def enqueue_gang(self, job_id: str, tasks: list[Task], now: float) -> Refusal | None: ...  # noqa: D102
+    def next_batch(self, now: float) -> list[Placement]: ...  # noqa: D102
+    def ended(  # noqa: D102
+        self, task_id: str, succeeded: bool, now: float, usage: Resources, preempted: bool
+    ) -> Verdict: ...
+    def expire(self, now: float) -> list[Task]: ...  # noqa: D102
+    def preemptions(self) -> list[Preemption]: ...  # noqa: D102
+    def given_up(self) -> list[tuple[Task, Refusal]]: ...  # noqa: D102
+
+
+@attrs.define(eq=False)
+class _Attempt:
+    work: Work
+    worker: str
+    useful: bool
+    ended: bool = False
+
+
+@attrs.define(eq=False)
+class Replay:
+    """Hold the state of one run."""
+
+    stream: Stream
+    policy: Policy
+    ledger: QuotaLedger
+    events: list[tuple[float, int, str, Any]] = attrs.Factory(list)
+    waiting: dict[str, Work] = attrs.Factory(dict)
+    running: dict[str, _Attempt] = attrs.Factory(dict)
+    started: dict[str, float] = attrs.Factory(dict)
+    works: dict[str, Work] = attrs.Factory(dict)
+    refused: Counter[str] = attrs.Factory(Counter)
+    with_quota: set[str] = attrs.Factory(set)
+    load: defaultdict[str, list[int]] = attrs.Factory(lambda: defaultdict(lambda: [0, 0]))
+    call_s: list[float] = attrs.Factory(list)
+    busy_s: float = 0.0
+    placements: int = 0
+    preempted: int = 0
+    packing: list[float] = attrs.Factory(list)
+    deviation: list[float] = attrs.Factory(list)
+    _seq: itertools.count[int] = attrs.Factory(itertools.count)
+
+    def run(self) -> None:
+        """Replay until the end of the stream; what still waits then counts as waiting."""
+        end = self.stream.profile.duration_s
+        for arrival in self.stream.arrivals:
+            self._at(arrival.at, "arrival", arrival)
+        for number in range(int(end / TICK_S)):
+            self._at((number + 1) * TICK_S, "tick", None)
+        for number in range(int(end / SAMPLE_S)):
+            self._at((number + 1) * SAMPLE_S, "sample", None)
+        while self.events and self.events[0][0] <= end:
+            now, _, name, item = heapq.heappop(self.events)
+            getattr(self, f"_{name}")(now, item)
+
+    def _at(self, at: float, name: str, item: Any) -> None:
+        heapq.heappush(self.events, (at, next(self._seq), name, item))
+
+    def _arrival(self, now: float, arrival: Arrival) -> None:
+        tasks = [work.task for work in arrival.works]
+        for work in arrival.works:
+            self.works[work.task.task_id] = work
+        urgent = tasks[0]
+        if urgent.urgency is Urgency.URGENT:
+            team = urgent.team
+            if self.ledger.used[team] < self.ledger.allowed(team):
+                self.with_quota.add(urgent.task_id)
+        begin = time.perf_counter()
+        if arrival.kind is WorkKind.GANG:
+            refusals = [self.policy.enqueue_gang(arrival.job_id, tasks, now)] * len(tasks)
+        else:
+            refusals = [self.policy.enqueue(task, now) for task in tasks]
+        self.busy_s += time.perf_counter() - begin
+        for work, refusal in zip(arrival.works, refusals, strict=True):
+            if refusal is None:
+                self.waiting[work.task.task_id] = work
+            else:
+                self._refuse(work.task, refusal)
+        self._tick(now, None)
+
+    def _refuse(self, task: Task, refusal: Refusal) -> None:
+        assert refusal.outcome is Outcome.NOT_RUN or task.task_id in self.started
+        self.waiting.pop(task.task_id, None)
+        self.refused[refusal.kind.value] += 1
+        del self.works[task.task_id]
+
+    def _tick(self, now: float, _: None) -> None:
+        begin = time.perf_counter()
+        late = self.policy.expire(now)
+        self.busy_s += time.perf_counter() - begin
+        for task in late:
+            self.refused["expired"] += 1
+            self.waiting.pop(task.task_id)
+            self.started[task.task_id] = now
+        while True:
+            begin = time.perf_counter()
+            batch = self.policy.next_batch(now)
+            spent = time.perf_counter() - begin
+            self.busy_s += spent
+            self.call_s.append(spent)
+            for placement in batch:
+                self._start(now, placement)
+            if not batch:
+                break
+        for task, refusal in self.policy.given_up():
+            self._refuse(task, refusal)
+        for preemption in self.policy.preemptions():
+            attempt = self.running.get(preemption.task_id)
+            if attempt and preemption.action is not PreemptionAction.THROTTLE:
+                self._at(now + PREEMPTION_S, "end", (attempt, False, True))
+
+    def _start(self, now: float, placement: Placement) -> None:
+        work = self.waiting.pop(placement.task.task_id)
+        self.placements += 1
+        self.started[work.task.task_id] = now
+        truth = self.stream.truths[placement.worker]
+        profile = self.stream.profile
+        load = self.load[placement.worker]
+        load[0] += work.cpu_milli
+        load[1] += work.memory_mb
+        slowdown = max(1.0, load[0] / profile.cpu_milli)
+        run_s = work.run_s * slowdown / truth.speed
+        succeeds = True
+        if work.fails or truth.fails_from <= now < truth.fails_until:
+            run_s, succeeds = FAST_FAILURE_S, False
+        elif load[1] > profile.memory_mb:
+            run_s, succeeds = run_s / 2, False
+        attempt = _Attempt(work, placement.worker, succeeds)
+        self.running[work.task.task_id] = attempt
+        self._at(now + run_s, "end", (attempt, succeeds, False))
+
+    def _end(self, now: float, item: tuple[_Attempt, bool, bool]) -> None:
+        attempt, succeeded, preempted = item
+        if attempt.ended:
+            return
+        attempt.ended = True
+        work = attempt.work
+        task = work.task
+        del self.running[task.task_id]
+        load = self.load[attempt.worker]
+        load[0] -= work.cpu_milli
+        load[1] -= work.memory_mb
+        self.preempted += preempted
+        usage = Resources(work.cpu_milli, work.memory_mb)
+        begin = time.perf_counter()
+        verdict = self.policy.ended(task.task_id, succeeded, now, usage, preempted)
+        again = verdict is Verdict.RETRY and (task.idempotent or preempted)
+        refusal = self.policy.enqueue(task, now) if again else None
+        self.busy_s += time.perf_counter() - begin
+        if again and refusal is None:
+            self.waiting[task.task_id] = work
+        elif not succeeded:
+            self.refused["failed"] += 1
+        self._tick(now, None)
+
+    def _sample(self, now: float, _: None) -> None:
+        if not any(now - work.task.submitted_at > FULL_AFTER_S for work in self.waiting.values()):
+            return
+        used: defaultdict[str, float] = defaultdict(float)
+        useful = 0.0
+        for attempt in self.running.values():
+            part = self._dominant(attempt.work)
+            used[attempt.work.task.team] += part
+            useful += part * attempt.useful
+        self.packing.append(useful)
+        wanted = used.copy()
+        places = {team: n - self.ledger.used[team] for team, n in self.stream.limits.items()}
+        for work in self.waiting.values():
+            if places[work.task.team] > 0:
+                places[work.task.team] -= 1
+                wanted[work.task.team] += self._dominant(work)
+        entitled = water_fill(wanted, self.stream.weights, sum(used.values()))
+        gaps = [abs(used[team] - entitled[team]) for team in self.stream.weights]
+        self.deviation.append(100 * sum(gaps) / len(gaps))
+
+    def _dominant(self, work: Work) -> float:
+        profile = self.stream.profile
+        return (
+            max(work.cpu_milli / profile.cpu_milli, work.memory_mb / profile.memory_mb)
+            / profile.workers
+        )
+
+    def waits(self) -> dict[str, tuple[Task, float]]:
+        """Return each accepted task's wait until its last start, or until the end, in seconds."""
+        end = self.stream.profile.duration_s
+        found = {}
+        for task_id, work in self.works.items():
+            started = end if task_id in self.waiting else self.started[task_id]
+            found[task_id] = (work.task, started - work.task.submitted_at)
+        return found
+
+
+def water_fill(
+    wanted: dict[str, float], weights: dict[str, float], amount: float
+) -> dict[str, float]:
+    """Divide an amount by weight, giving no team more than it wants."""
+    given = dict.fromkeys(weights, 0.0)
+    open_teams = {team for team in weights if wanted.get(team, 0.0) > 0.0}
+    while open_teams and amount > 1e-9:
+        per_weight = amount / sum(weights[team] for team in sorted(open_teams))
+        sated = {t for t in open_teams if wanted[t] <= per_weight * weights[t]}
+        for team in sorted(sated or open_teams):
+            given[team] = wanted[team] if sated else per_weight * weights[team]
+            amount -= given[team]
+        if not sated:
+            break
+        open_teams -= sated
+    return given
+
+
+def quantile(values: Iterable[float], part: float) -> float:
+    """Return a quantile, or 0 without values."""
+    ordered = sorted(values)
+    return ordered[min(len(ordered) - 1, int(part * len(ordered)))] if ordered else 0.0
