--- a/baobabhoist/testing/soak.py
+++ b/baobabhoist/testing/soak.py
@@ -51,6 +51,8 @@
     callers: list[dict[str, Any]] = attrs.Factory(list)
     driver: list[dict[str, Any]] = attrs.Factory(list)
     workers: dict[str, str] = attrs.Factory(dict)
+    jobs: dict[str, str] = attrs.Factory(dict)
+    states: dict[str, int] = attrs.Factory(dict)
     boots: dict[str, int] = attrs.Factory(dict)
     down: set[str] = attrs.Factory(set)
     cut_off: str = ""
@@ -173,7 +175,7 @@
         """Write a record and return its new revision, or 0 when that was not confirmed."""
         if base is None:
             base = await self.revision_of(kind, name)
-        headers = {"If-Match": str(base)} if base else {}
+        headers = {"If-Match": f'"{base}"'} if base else {"If-None-Match": "*"}
         data = json.dumps({"schema_version": 1, "body": body})
         path = f"/v1/records/{kind}/{name}"
         answer = await self.admin(path, method="PUT", headers=headers, body=data)
@@ -262,10 +264,54 @@
 
     async def submit_job(self, rng: random.Random, kind: str, count: int) -> str:
         """Submit a job and return its id, or nothing when it was not accepted."""
-        return ""
+        team, idempotent = rng.choice(list(TEAMS)), kind == "service" or rng.random() < 0.5
+        ref = f"j{rng.randrange(1 << 40)}"
+        payloads = [json.dumps({"ref": f"{ref}/{n}", "run_s": 0.3}) for n in range(count)]
+        resources = {"cpu_milli": 200, "memory_mb": 64}
+        body = {
+            "queue": "entries",
+            "kind": kind,
+            "idempotent": idempotent,
+            "tasks": [{"payload": payload, "resources": resources} for payload in payloads],
+        }
+        self.callers.append(
+            {"t": time.time(), "event": "job", "ref": ref, "team": team, "idempotent": idempotent}
+        )
+        answer = await self._job(team, "", method="POST", body=json.dumps(body))
+        if isinstance(answer, str) or answer.code >= 300:
+            return ""
+        job_id = str(json.loads(answer.body)["job_id"])
+        self.jobs[job_id] = team
+        return job_id
 
     async def cancel_job(self, job_id: str) -> None:
         """Cancel a job."""
+        await self._job(self.jobs[job_id], f"/{job_id}", method="DELETE")
+
+    async def _job(self, team: str, path: str, **options: Any) -> HTTPResponse | str:
+        names = [name for name in self.cluster.instances if name not in self.down]
+        port = self.cluster.instances[self.rng.choice(names)]["caller_port"]
+        url = f"http://127.0.0.1:{port}/v1/jobs{path}"
+        return await self.fetch(url, 10.0, headers={"X-Team-Key": f"key-of-{team}"}, **options)
+
+    async def submit_jobs(self) -> None:
+        """Submit a job now and then until cancelled."""
+        while True:
+            await asyncio.sleep(JOB_INTERVAL_S)
+            kind, count = self.rng.choice([("batch", 12), ("gang", 4)])
+            await self.submit_job(random.Random(self.rng.random()), kind, count)
+
+    async def job_states(self) -> dict[str, int]:
+        """Return how many accepted jobs are in each state; an unknown job is `lost`."""
+        states: dict[str, int] = {}
+        for job_id, team in self.jobs.items():
+            answer = await self._job(team, f"/{job_id}")
+            state = "unreadable"
+            if not isinstance(answer, str):
+                found = json.loads(answer.body)
+                state = "lost" if answer.code == 404 else found.get("state", "unreadable")
+            states[state] = states.get(state, 0) + 1
+        return states
 
     async def change_records(self) -> None:
         """Change a record now and then until cancelled."""
@@ -292,7 +338,7 @@
         started_at = time.time()
         background = [
             asyncio.create_task(work)
-            for work in (self.load(), self.sample(), self.change_records())
+            for work in (self.load(), self.sample(), self.change_records(), self.submit_jobs())
         ]
         faults = []
         for step in steps:
@@ -306,6 +352,7 @@
         for task in background:
             task.cancel()
         await asyncio.gather(*self.tasks, return_exceptions=True)
+        self.states = await self.job_states()
 
 
 def judge(soak: Soak) -> bool:
@@ -321,9 +368,10 @@
         text = (folder / f"{name}.log").read_text(errors="replace")
         faulty += len(re.findall(r"\[100[56]\]|Traceback", text))
     print(f"internal: invariant breaches and crashed tasks logged by daemons: {faulty}")
+    print(f"jobs: {soak.states}")
     codes = sorted(str(entry.get("status", "none")) for entry in soak.callers)
     print("answers: " + ", ".join(f"{code} x{codes.count(code)}" for code in sorted(set(codes))))
-    return verdict.passed and not faulty
+    return verdict.passed and not faulty and not soak.states.get("lost")
 
 
 def main(argv: list[str]) -> int:
--- a/baobabhoist/testing/soak_judge.py
+++ b/baobabhoist/testing/soak_judge.py
@@ -211,6 +211,9 @@
         for entry in self.callers:
             if entry["event"] == "request":
                 attempts[entry["ref"]].append(entry)
+        for job in (entry for entry in self.callers if entry["event"] == "job"):
+            for ref in [ref for ref in starts if ref.startswith(f"{job['ref']}/")]:
+                self._one_request([job | {"ref": ref}], starts[ref])
         for ref, tries in attempts.items():
             ran = starts.get(ref, [])
             self._one_request(tries, ran)
--- a/baobabhoist/tests/test_testing_soak_judge.py
+++ b/baobabhoist/tests/test_testing_soak_judge.py
@@ -81,6 +81,10 @@
     "G5 silence": {"callers": [asked("a", status=None, error="closed")]},
     "G6": {"workers": ran("a", 1, 2), "callers": [refused("a", outcome="not_run")]},
     "G7": {"workers": [*ran("a", 1, 2), *ran("a", 3, 4)], "callers": [asked("a")]},
+    "G7 in a job": {
+        "workers": [*ran("a", 1, 2, ref="j1/0"), *ran("b", 3, 4, ref="j1/0")],
+        "callers": [driver("job", 0.5, ref="j1", team="roster", idempotent=False)],
+    },
     "G8": {"workers": ran("a", 14, 15), "events": [driver("leaving", 10.0, worker="w1")]},
     "G9": {
         "callers": [asked("a", t=4.0, end=6.0, status=None, error="closed")], "events": [STOP]
