Serve callers, jobs and operators with typed errors, and extend the command line

Cause: the gateway knew one request form and answered bad input with tornado's own pages; the command line could only put records, without the revision that a change is based on. Change: handlers with bounded bodies, body and idle timeouts and typed errors on every path; request headers; jobs against the JobService protocol; records with history and differences; status with the peers' reports, drain, metrics, health; the commands for records, jobs, requests and instances with documented exit codes. Ruled out: tornado's max_body_size, whose refusal has no body; refusing before the body has arrived, after which a closed connection is reset and the answer can be lost.

--- /dev/null
+++ b/baobabhoist/cli/instances.py
@@ -0,0 +1,48 @@
+"""Watch and drain instances, and check settings."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from baobabhoist.cli.client import Client, ExitCode
+from baobabhoist.cli.output import Result, table
+from baobabhoist.config.load import load_with_warnings
+from baobabhoist.errors import SettingsError
+
+HEADINGS = ["INSTANCE", "DATA CENTRE", "LIVE", "DRAINING", "REVISION", "SHARDS"]
+
+
+def status(client: Client) -> Result:
+    """Show the instance, its peers and the revision of the records in force on each."""
+    found = client.json("GET", "/v1/status")
+    rows = [_row({**found, "live": True}), *(_row(peer) for peer in found["peers"])]
+    return Result(found, table(HEADINGS, rows))
+
+
+def _row(each: dict[str, Any]) -> list[Any]:
+    return [
+        each["instance_id"],
+        each.get("data_centre"),
+        each["live"],
+        each.get("draining"),
+        each.get("records_revision"),
+        each.get("owned_shards"),
+    ]
+
+
+def drain(client: Client) -> Result:
+    """Start the drain of the instance."""
+    found = client.json("POST", "/v1/drain")
+    return Result(found, [f"the instance drains; {found['open_requests']} requests are open"])
+
+
+def check_config(file: str) -> Result:
+    """Check a settings file without starting a daemon."""
+    try:
+        loaded = load_with_warnings(file)
+    except SettingsError as exc:
+        problems = str(exc).splitlines()
+        return Result({"valid": False, "problems": problems}, problems, ExitCode.REFUSED)
+    warnings = [str(problem) for problem in loaded.warnings]
+    lines = [f"{file} is valid", *(f"warning: {text}" for text in warnings)]
+    return Result({"valid": True, "warnings": warnings}, lines)
--- a/baobabhoist/cli/main.py
+++ b/baobabhoist/cli/main.py
@@ -3,55 +3,203 @@
 from __future__ import annotations
 
 import sys
+import time
+from collections.abc import Callable, Mapping, Sequence
+from typing import Any
 
-import orjson
-import yaml
+import attrs
 from absl import app, flags
-from tornado.httpclient import HTTPClient, HTTPClientError
+
+from baobabhoist.cli import instances, jobs, options, records
+from baobabhoist.cli.client import (
+    ExitCode,
+    RefusedError,
+    UnreachableError,
+    UsageError,
+    exit_code_of,
+)
+from baobabhoist.cli.output import Result, refusal_lines, render
 
 FLAGS = flags.FLAGS
-flags.DEFINE_string("admin_url", "http://127.0.0.1:7001", "Address of the admin API.")
-flags.DEFINE_string("operator_key", "", "Operator key.")
-
-EXIT_OK = 0
-EXIT_REFUSED = 1
-EXIT_USAGE = 2
-
-
-def put_record(path: str) -> int:
-    """Write every record in a YAML file."""
-    http = HTTPClient()
-    with open(path, encoding="utf-8") as file:
-        records = list(yaml.safe_load_all(file))
-    for record in records:
-        url = f"{FLAGS.admin_url}/v1/records/{record['kind']}/{record['name']}"
-        body = {"schema_version": record["schema_version"], "body": record["body"]}
-        try:
-            answer = http.fetch(
-                url,
-                method="PUT",
-                headers={"X-Operator-Key": FLAGS.operator_key},
-                body=orjson.dumps(body),
-            )
-        except HTTPClientError as exc:
-            print(exc.response.body.decode() if exc.response else exc, file=sys.stderr)
-            return EXIT_REFUSED
-        revision = orjson.loads(answer.body)["revision"]
-        print(f"{record['kind']} {record['name']} is at revision {revision}")
-    return EXIT_OK
+# The answer to a request may come at its deadline; it needs this long to arrive.
+ANSWER_MARGIN_S = 5.0
+
+
+@attrs.frozen
+class Command:
+    """Describe one command: its arguments as shown and how many it takes."""
+
+    arguments: str
+    least: int
+    most: int
+    run: Callable[[Sequence[str]], Result]
+
+
+def _put(args: Sequence[str]) -> Result:
+    return records.put_records(options.admin_client(), args[0])
+
+
+def _get(args: Sequence[str]) -> Result:
+    return records.get_record(options.admin_client(), args[0], args[1])
+
+
+def _list_records(args: Sequence[str]) -> Result:
+    return records.list_records(options.admin_client(), *args)
+
+
+def _delete(args: Sequence[str]) -> Result:
+    return records.delete_record(options.admin_client(), args[0], args[1], FLAGS.revision)
+
+
+def _history(args: Sequence[str]) -> Result:
+    return records.history(options.admin_client(), args[0], args[1])
+
+
+def _diff(args: Sequence[str]) -> Result:
+    try:
+        revisions = [int(arg) for arg in args[2:]]
+    except ValueError as exc:
+        raise UsageError("a revision is a whole number") from exc
+    return records.diff(options.admin_client(), args[0], args[1], *revisions)
+
+
+def _submit_job(args: Sequence[str]) -> Result:
+    return jobs.submit_job(options.caller_client(), args[0], FLAGS.idempotency_key)
+
+
+def _submit_request(args: Sequence[str]) -> Result:
+    deadline = time.time() + FLAGS.deadline_s
+    client = options.caller_client(FLAGS.deadline_s + ANSWER_MARGIN_S)
+    body = options.read_payload(args[1]) if len(args) > 1 else b""
+    return jobs.submit_request(client, args[0], body, options.request_headers(), deadline)
+
+
+def _show_job(args: Sequence[str]) -> Result:
+    return jobs.show_job(options.caller_client(), args[0])
+
+
+def _list_jobs(args: Sequence[str]) -> Result:
+    del args
+    client = options.caller_client() if options.has_team_key() else options.admin_client()
+    return jobs.list_jobs(client)
+
+
+def _cancel_job(args: Sequence[str]) -> Result:
+    return jobs.cancel_job(options.caller_client(), args[0])
+
+
+def _wait_job(args: Sequence[str]) -> Result:
+    give_up_at = None if FLAGS.wait_s is None else time.time() + FLAGS.wait_s
+    try:
+        return jobs.wait_for_job(options.caller_client(), args[0], give_up_at, jobs.progress_line)
+    finally:
+        jobs.end_progress()
+
+
+def _explain(args: Sequence[str]) -> Result:
+    client = options.caller_client() if options.has_team_key() else options.admin_client()
+    return jobs.explain_job(client, args[0])
+
+
+def _status(args: Sequence[str]) -> Result:
+    del args
+    return instances.status(options.admin_client())
+
+
+def _drain(args: Sequence[str]) -> Result:
+    del args
+    return instances.drain(options.admin_client())
+
+
+def _check_config(args: Sequence[str]) -> Result:
+    return instances.check_config(args[0])
+
+
+COMMANDS: dict[tuple[str, ...], Command] = {
+    ("put", "record"): Command("FILE", 1, 1, _put),
+    ("get", "record"): Command("KIND NAME", 2, 2, _get),
+    ("list", "records"): Command("[KIND]", 0, 1, _list_records),
+    ("delete", "record"): Command("KIND NAME", 2, 2, _delete),
+    ("history", "record"): Command("KIND NAME", 2, 2, _history),
+    ("diff", "record"): Command("KIND NAME FROM [TO]", 3, 4, _diff),
+    ("submit", "request"): Command("QUEUE [FILE]", 1, 2, _submit_request),
+    ("submit", "job"): Command("FILE", 1, 1, _submit_job),
+    ("show", "job"): Command("JOB", 1, 1, _show_job),
+    ("list", "jobs"): Command("", 0, 0, _list_jobs),
+    ("cancel", "job"): Command("JOB", 1, 1, _cancel_job),
+    ("wait", "job"): Command("JOB", 1, 1, _wait_job),
+    ("explain", "job"): Command("JOB", 1, 1, _explain),
+    ("explain",): Command("JOB", 1, 1, _explain),
+    ("status",): Command("", 0, 0, _status),
+    ("drain",): Command("", 0, 0, _drain),
+    ("check-config",): Command("FILE", 1, 1, _check_config),
+}
+
+
+def find_command(args: Sequence[str]) -> tuple[Command, Sequence[str]]:
+    """Return the command that the arguments name, and its own arguments; raises UsageError."""
+    for length in (2, 1):
+        words, rest = tuple(args[:length]), args[length:]
+        command = COMMANDS.get(words)
+        if command is None:
+            continue
+        if command.least <= len(rest) <= command.most:
+            return command, rest
+        raise UsageError(f"usage: baobabhoist {' '.join(words)} {command.arguments}".rstrip())
+    lines = [
+        f"  baobabhoist {' '.join(words)} {command.arguments}".rstrip()
+        for words, command in COMMANDS.items()
+    ]
+    raise UsageError("usage:\n" + "\n".join(lines))
+
+
+def run_command(args: Sequence[str]) -> Result:
+    """Run a command; refusals and failures become results with their exit codes."""
+    try:
+        command, rest = find_command(args)
+        return command.run(rest)
+    except UsageError as exc:
+        return _failed({"kind": "usage", "message": str(exc)}, ExitCode.USAGE, [str(exc)])
+    except RefusedError as exc:
+        return _failed(exc.body, exit_code_of(exc), refusal_lines(exc.body))
+    except UnreachableError as exc:
+        # A read has no effect, but a change that may have arrived has an unknown outcome.
+        unknown = exc.sent and args[0] in CHANGING_VERBS
+        code = ExitCode.OUTCOME_UNKNOWN if unknown else ExitCode.UNREACHABLE
+        outcome = "unknown" if unknown else "not_run"
+        body = {"kind": "unreachable", "message": str(exc), "outcome": outcome}
+        return _failed(body, code, refusal_lines(body))
+
+
+CHANGING_VERBS = frozenset({"put", "delete", "submit", "cancel", "drain"})
+
+
+def _failed(body: Mapping[str, Any], code: ExitCode, lines: Sequence[str]) -> Result:
+    return Result({"error": dict(body)}, lines, code)
 
 
 def main(argv: list[str]) -> int:
-    """Run the verb named on the command line."""
-    if argv[1:3] == ["put", "record"] and len(argv) == 4:
-        return put_record(argv[3])
-    print("usage: baobabhoist put record FILE", file=sys.stderr)
-    return EXIT_USAGE
+    """Run the command and print its result; errors go to standard error."""
+    result = run_command(argv[1:])
+    failed = isinstance(result.data, dict) and "error" in result.data
+    stream = sys.stderr if failed else sys.stdout
+    render(result, FLAGS.output, stream.buffer.write)
+    stream.flush()
+    return result.code
+
+
+def parse_flags(argv: list[str]) -> list[str]:
+    """Return the arguments that are no flags; exits on a flag that cannot be used."""
+    try:
+        return list(FLAGS(argv))
+    except flags.Error as exc:
+        print(f"{exc}; baobabhoist --help lists the flags", file=sys.stderr)
+        sys.exit(ExitCode.USAGE)
 
 
 def run() -> None:
     """Be the entry point of the command."""
-    app.run(main)
+    app.run(main, flags_parser=parse_flags)
 
 
 if __name__ == "__main__":
--- /dev/null
+++ b/baobabhoist/cli/records.py
@@ -0,0 +1,171 @@
+"""Read and change records."""
+
+from __future__ import annotations
+
+import datetime
+from pathlib import Path
+from typing import Any
+from urllib.parse import urlencode
+
+import yaml
+
+from baobabhoist.cli.client import Client, RefusedError, UnreachableError, UsageError, path
+from baobabhoist.cli.output import Result, shown, table
+
+RECORD_FIELDS = {"kind", "name", "schema_version", "body", "revision"}
+# `get record` shows these as well, so that its output can be edited and put back.
+IGNORED_FIELDS = {"previous", "changed_by", "changed_at"}
+
+
+def read_records(file: str) -> list[dict[str, Any]]:
+    """Return the records in a YAML file of one or more documents; raises UsageError."""
+    try:
+        text = Path(file).read_text(encoding="utf-8")
+        documents = [found for found in yaml.safe_load_all(text) if found is not None]
+    except (OSError, UnicodeDecodeError, yaml.YAMLError) as exc:
+        raise UsageError(f"cannot read {file}: {exc}") from exc
+    problems: list[str] = []
+    for index, record in enumerate(documents):
+        problems.extend(f"document {index + 1}: {text}" for text in _problems(record))
+    if not documents:
+        problems.append("the file holds no record")
+    if problems:
+        raise UsageError(f"{file} cannot be used:\n" + "\n".join(problems))
+    return documents
+
+
+def _problems(record: Any) -> list[str]:
+    if not isinstance(record, dict):
+        return ["a record is a mapping with kind, name, schema_version and body"]
+    found = [f"the field {name} is missing" for name in ("kind", "name") if name not in record]
+    found += [
+        f"the field {name} is missing" for name in ("schema_version", "body") if name not in record
+    ]
+    unknown = sorted(str(name) for name in record.keys() - RECORD_FIELDS - IGNORED_FIELDS)
+    found += [f"the field {name} is unknown" for name in unknown]
+    revision = record.get("revision", 0)
+    if type(revision) is not int or revision < 0:
+        found.append("the field revision is not a whole number")
+    return found
+
+
+def put_records(client: Client, file: str) -> Result:
+    """Write every record in a YAML file, in its order.
+
+    A document with a revision is written only over that one (0: only if it does not exist). A
+    document without one is written over the revision in force at that moment.
+    """
+    done: list[dict[str, Any]] = []
+    for record in read_records(file):
+        named = f"{record['kind']} {record['name']}"
+        try:
+            done.append(_put_record(client, record))
+        except RefusedError as exc:
+            message = f"{named}: {exc.body.get('message')}"
+            raise RefusedError(
+                exc.status, {**exc.body, "message": message, "written": done}
+            ) from exc
+        except UnreachableError as exc:
+            written = ", ".join(f"{each['kind']} {each['name']}" for each in done) or "none"
+            raise UnreachableError(f"{named}: {exc}; written before: {written}", exc.sent) from exc
+    lines = [f"{each['kind']} {each['name']} is at revision {each['revision']}" for each in done]
+    return Result(done, lines)
+
+
+def _put_record(client: Client, record: dict[str, Any]) -> dict[str, Any]:
+    kind, name = str(record["kind"]), str(record["name"])
+    based_on = record.get("revision")
+    if based_on is None:
+        based_on = _revision_in_force(client, kind, name)
+    body = {"schema_version": record["schema_version"], "body": record["body"]}
+    answer = client.json(
+        "PUT", path("v1", "records", kind, name), _plain(body), **_precondition(based_on)
+    )
+    return {"kind": kind, "name": name, "revision": answer["revision"]}
+
+
+def _plain(value: Any) -> Any:
+    # YAML has dates and non-string keys, which the API describes better as text.
+    if isinstance(value, dict):
+        return {str(name): _plain(item) for name, item in value.items()}
+    if isinstance(value, list):
+        return [_plain(item) for item in value]
+    if isinstance(value, (datetime.date, bytes, set)):
+        return str(value)
+    return value
+
+
+def _precondition(based_on: int) -> dict[str, str]:
+    return {"If_Match": f'"{based_on}"'} if based_on else {"If_None_Match": "*"}
+
+
+def _revision_in_force(client: Client, kind: str, name: str) -> int:
+    try:
+        return int(client.json("GET", path("v1", "records", kind, name))["revision"])
+    except RefusedError as exc:
+        if exc.body.get("kind") == "not_found":
+            return 0
+        raise
+
+
+def get_record(client: Client, kind: str, name: str) -> Result:
+    """Return a record; the printed form can be edited and put back."""
+    found = client.json("GET", path("v1", "records", kind, name))
+    kept = {key: value for key, value in found.items() if key not in IGNORED_FIELDS}
+    text = yaml.safe_dump(kept, sort_keys=False, allow_unicode=True)
+    return Result(found, text.splitlines())
+
+
+def list_records(client: Client, kind: str = "") -> Result:
+    """List the records in force on the instance."""
+    target = path("v1", "records", kind) if kind else path("v1", "records")
+    found = client.json("GET", target)
+    rows = [
+        [each["kind"], each["name"], each["schema_version"], each["revision"], each["body"]]
+        for each in found["records"]
+    ]
+    return Result(found, table(["KIND", "NAME", "VERSION", "REVISION", "BODY"], rows))
+
+
+def delete_record(client: Client, kind: str, name: str, revision: int | None = None) -> Result:
+    """Delete a record at a revision, or at the one in force."""
+    based_on = _revision_in_force(client, kind, name) if revision is None else revision
+    target = path("v1", "records", kind, name)
+    found = client.json("DELETE", target, None, If_Match=f'"{based_on}"')
+    return Result(found, [f"{kind} {name} was deleted in revision {found['revision']}"])
+
+
+def history(client: Client, kind: str, name: str) -> Result:
+    """Show the versions of a record, the newest first."""
+    found = client.json("GET", path("v1", "records", kind, name, "history"))
+    rows = [
+        [
+            each["revision"],
+            _moment(each["changed_at"]),
+            each["changed_by"],
+            each["schema_version"],
+            "deleted" if each["body"] is None else each["body"],
+        ]
+        for each in found["versions"]
+    ]
+    return Result(found, table(["REVISION", "CHANGED AT", "BY", "VERSION", "BODY"], rows))
+
+
+def diff(client: Client, kind: str, name: str, old: int, new: int = 0) -> Result:
+    """Compare two revisions of a record, or one with the latest."""
+    query = urlencode({"from": old, "to": new})
+    found = client.json("GET", f"{path('v1', 'records', kind, name, 'diff')}?{query}")
+    lines = [f"--- revision {found['from']}", f"+++ revision {found['to']}"]
+    for item in found["differences"]:
+        if item["present"] != "new":
+            lines.append(f"- {item['path']}: {shown(item['old'])}")
+        if item["present"] != "old":
+            lines.append(f"+ {item['path']}: {shown(item['new'])}")
+    return Result(found, lines)
+
+
+def _moment(seconds: float) -> str:
+    if not seconds:
+        return "-"
+    moment = datetime.datetime.fromtimestamp(seconds, datetime.UTC)
+    return moment.strftime("%Y-%m-%dT%H:%M:%SZ")
--- a/baobabhoist/gateway/admin.py
+++ b/baobabhoist/gateway/admin.py
@@ -2,89 +2,171 @@
 
 from __future__ import annotations
 
-import hmac
-from typing import TYPE_CHECKING
-
-import orjson
-from tornado.web import Application, RequestHandler
-
-from baobabhoist.errors import HTTP_STATUS, ErrorKind, PlatformError, Refusal
-from baobabhoist.records.changes import LOG_HEAD, change
-from baobabhoist.records.view import digest
-
-if TYPE_CHECKING:
-    from baobabhoist.daemon.app import Daemon
-
-OPERATOR_KEY_HEADER = "X-Operator-Key"
-
-
-class AdminHandler(RequestHandler):
-    """Share what all handlers for operators need."""
-
-    def initialize(self, daemon: Daemon) -> None:
-        """Take the daemon."""
-        self.daemon = daemon
-
-    def prepare(self) -> None:
-        """Refuse callers without the operator key."""
-        presented = digest(self.request.headers.get(OPERATOR_KEY_HEADER, ""))
-        if not hmac.compare_digest(presented, self.daemon.cfg.operator_key_digest):
-            self.refuse(
-                Refusal(
-                    ErrorKind.KEY_REJECTED,
-                    "the operator key is not valid",
-                    remedy=f"send the header {OPERATOR_KEY_HEADER}",
-                )
-            )
-
-    def refuse(self, refusal: Refusal) -> None:
-        """Answer with a refusal."""
-        self.set_status(HTTP_STATUS[refusal.kind])
-        self.finish(refusal.as_body())
-
-
-class RecordHandler(AdminHandler):
-    """Read and change a record: /v1/records/KIND/NAME."""
-
-    async def put(self, kind: str, name: str) -> None:
-        """Write a record if it still has the revision the change is based on."""
-        body = orjson.loads(self.request.body)
-        table = self.daemon.table
-        try:
-            current = await table.read(f"record/{kind}/{name}")
-            head = await table.read(LOG_HEAD)
-            txn = change(kind, name, body["schema_version"], body["body"], current, head)
-            outcome = await table.commit(txn)
-        except PlatformError as exc:
-            self.refuse(Refusal(ErrorKind.PLATFORM_UNAVAILABLE, str(exc), retry_after_s=2.0))
-            return
-        if isinstance(outcome, Refusal):
-            self.refuse(outcome)
-            return
-        self.finish({"revision": (head.value or 0) + 1})
+from typing import Any
+
+import cattrs
+from tornado.web import Application
+
+from baobabhoist.errors import Refusal
+from baobabhoist.gateway.auth import OPERATOR_KEY_HEADER as OPERATOR_KEY_HEADER
+from baobabhoist.gateway.context import NAME_IN_PATH, not_ready
+from baobabhoist.gateway.handler import NotFoundHandler
+from baobabhoist.gateway.jobs import explanation_body, no_jobs, status_body
+from baobabhoist.gateway.operators import (
+    AdminBackend,
+    AdminHandler,
+    AdminOptions,
+    OpenAdminHandler,
+)
+from baobabhoist.gateway.records import (
+    DiffHandler,
+    HistoryHandler,
+    RecordHandler,
+    RecordListHandler,
+)
+
+HTTP_ACCEPTED = 202
+_CONVERTER = cattrs.Converter()
 
 
 class StatusHandler(AdminHandler):
-    """Report the state of this instance: GET /v1/status."""
+    """Report the state of the instances: GET /v1/status."""
 
     def get(self) -> None:
-        """Return what this instance owns and which records it applies."""
-        beat = self.daemon.heartbeat()
-        self.finish(
+        """Return what this instance owns and applies, and what its peers report."""
+        if self.receive() is None:
+            return
+        own = _CONVERTER.unstructure(self.backend.heartbeat())
+        now = self.now()
+        peers = [
+            _peer_body(instance_id, peer, now)
+            for instance_id, peer in sorted(self.backend.mesh.peers.items())
+        ]
+        open_requests = self.options.open_requests
+        self.answer_json(
             {
-                "instance_id": beat.instance_id,
-                "owned_shards": list(beat.owned_shards),
-                "records_revision": beat.records_revision,
+                **own,
+                "ready": not_ready(self.backend.ready, open_requests) is None,
+                "draining": bool(own.get("draining")) or open_requests.leaving,
+                "open_requests": open_requests.count,
+                "records_unconfirmed_s": self.options.cut_off_s(),
+                "peers": peers,
             }
         )
 
 
-def admin_app(daemon: Daemon) -> Application:
+def _peer_body(instance_id: str, peer: Any, now: float) -> dict[str, Any]:
+    """Return the last report of a peer; one that is not live may have changed since."""
+    reported = _CONVERTER.unstructure(peer.heartbeat) if peer.heartbeat is not None else {}
+    return {**reported, "instance_id": instance_id, "live": peer.live_until > now}
+
+
+class DrainHandler(AdminHandler):
+    """Drain this instance: POST /v1/drain."""
+
+    async def post(self) -> None:
+        """Start the drain and answer with the number of open requests."""
+        if self.receive() is None:
+            return
+        if self.options.drain is not None:
+            await self.options.drain()
+        else:
+            self.options.open_requests.begin_drain()
+        self.set_status(HTTP_ACCEPTED)
+        self.answer_json({"draining": True, "open_requests": self.options.open_requests.count})
+
+
+class AdminJobsHandler(AdminHandler):
+    """List the jobs of all teams: GET /v1/jobs."""
+
+    async def get(self) -> None:
+        """Return the state of each job."""
+        if self.receive() is None:
+            return
+        jobs = self.options.jobs
+        found = await jobs.list(None) if jobs is not None else no_jobs()
+        if isinstance(found, Refusal):
+            self.refuse(found)
+            return
+        self.answer_json({"jobs": [status_body(status) for status in found]})
+
+
+class AdminExplainHandler(AdminHandler):
+    """Explain the state of any team's job: GET /v1/jobs/ID/explain."""
+
+    async def get(self, job_id: str) -> None:
+        """Return why a job is in its state."""
+        if self.receive() is None:
+            return
+        jobs = self.options.jobs
+        found = await jobs.explain(job_id, None) if jobs is not None else no_jobs()
+        if isinstance(found, Refusal):
+            self.refuse(found)
+            return
+        self.answer_json(explanation_body(found))
+
+
+class MetricsHandler(AdminHandler):
+    """Expose the metrics: GET /metrics."""
+
+    def get(self) -> None:
+        """Return the metrics in the form that the collector accepts."""
+        if self.receive() is None:
+            return
+        if self.options.metrics is None:
+            self.set_header("Content-Type", "text/plain; version=0.0.4")
+            self.finish(b"")
+            return
+        accept = self.request.headers.get_list("Accept")
+        content, headers = self.options.metrics.exposition(accept or None)
+        for name, value in headers.items():
+            self.set_header(name, value)
+        self.finish(content)
+
+
+class HealthHandler(OpenAdminHandler):
+    """Tell that the process answers: GET /healthz."""
+
+    def get(self) -> None:
+        """Answer 200 as long as the event loop runs."""
+        if self.receive() is not None:
+            self.answer_json({"healthy": True})
+
+
+class AdminReadyHandler(OpenAdminHandler):
+    """Tell whether callers should be sent to this instance: GET /readyz."""
+
+    def get(self) -> None:
+        """Answer 200 when ready and 503 otherwise."""
+        if self.receive() is None:
+            return
+        refusal = not_ready(self.backend.ready, self.options.open_requests)
+        if refusal is not None:
+            self.refuse(refusal)
+            return
+        self.answer_json({"ready": True})
+
+
+def admin_app(daemon: AdminBackend, options: AdminOptions | None = None) -> Application:
     """Return the HTTP application for operators."""
-    context = {"daemon": daemon}
+    options = options or AdminOptions()
+    context: dict[str, Any] = {"backend": daemon, "options": options}
+    record = rf"/v1/records/{NAME_IN_PATH}/{NAME_IN_PATH}"
     return Application(
         [
-            (r"/v1/records/([a-z]+)/([a-z0-9-]+)", RecordHandler, context),
+            (r"/v1/records", RecordListHandler, context),
+            (rf"/v1/records/{NAME_IN_PATH}", RecordListHandler, context),
+            (record, RecordHandler, context),
+            (rf"{record}/history", HistoryHandler, context),
+            (rf"{record}/diff", DiffHandler, context),
             (r"/v1/status", StatusHandler, context),
-        ]
+            (r"/v1/drain", DrainHandler, context),
+            (r"/v1/jobs", AdminJobsHandler, context),
+            (rf"/v1/jobs/{NAME_IN_PATH}/explain", AdminExplainHandler, context),
+            (r"/metrics", MetricsHandler, context),
+            (r"/healthz", HealthHandler, context),
+            (r"/readyz", AdminReadyHandler, context),
+        ],
+        default_handler_class=NotFoundHandler,
+        default_handler_args={"options": options},
     )
--- a/baobabhoist/gateway/callers.py
+++ b/baobabhoist/gateway/callers.py
@@ -2,50 +2,43 @@
 
 from __future__ import annotations
 
-import math
+import logging
 import time
 import uuid
-from typing import Protocol
-
-from tornado.web import Application, RequestHandler
-
-from baobabhoist.errors import HTTP_STATUS, ErrorKind, Refusal
-from baobabhoist.model import Request, Resources, Task, WorkKind
-from baobabhoist.ownership.keys import Result
+from typing import Any
+
+from tornado.httputil import HTTPHeaders
+from tornado.web import Application
+
+from baobabhoist.errors import ErrorKind, Refusal
+from baobabhoist.gateway.auth import KEY_HEADER as KEY_HEADER
+from baobabhoist.gateway.auth import team_of
+from baobabhoist.gateway.context import (
+    NAME_IN_PATH,
+    CallerHandler,
+    CallerOptions,
+    Router,
+    kind_refusal,
+    no_queue,
+    not_ready,
+)
+from baobabhoist.gateway.handler import NotFoundHandler, TypedHandler
+from baobabhoist.gateway.headers import (
+    FIRST_SENT,
+    RequestHeaders,
+    deadline_refusal,
+    read_headers,
+)
+from baobabhoist.gateway.jobs import ExplainHandler, JobHandler, JobsHandler
+from baobabhoist.model import Request, Task, WorkKind
+from baobabhoist.observability.events import Event, emit
 from baobabhoist.ownership.rendezvous import home_shard
+from baobabhoist.records.kinds import Queue
 from baobabhoist.records.view import RecordView
 
-KEY_HEADER = "X-Team-Key"
-DEFAULT_DEADLINE_S = 30.0
-MAX_DEADLINE_S = 600.0
-
-
-class Router(Protocol):
-    """Be what the handlers need of the daemon."""
-
-    view: RecordView
-
-    @property
-    def ready(self) -> bool:
-        """Tell whether callers can be served."""
-
-    async def route(self, req: Request) -> Result:
-        """Return the result of a request."""
-
-
-class CallerHandler(RequestHandler):
-    """Share what all handlers for callers need."""
-
-    def initialize(self, router: Router) -> None:
-        """Take the router."""
-        self.router = router
+log = logging.getLogger(__name__)
 
-    def refuse(self, refusal: Refusal) -> None:
-        """Answer with a refusal."""
-        self.set_status(HTTP_STATUS[refusal.kind])
-        if refusal.retry_after_s is not None:
-            self.set_header("Retry-After", str(math.ceil(refusal.retry_after_s)))
-        self.finish(refusal.as_body())
+REQUEST_ID_HEADER = "Request-Id"
 
 
 class RequestsHandler(CallerHandler):
@@ -53,10 +46,14 @@
 
     async def post(self, queue: str) -> None:
         """Run one request and return its whole answer."""
-        req = self._parse(queue)
+        body = self.receive()
+        if body is None:
+            return
+        req = self._parse(queue, body)
         if isinstance(req, Refusal):
             self.refuse(req)
             return
+        self.set_header(REQUEST_ID_HEADER, req.request_id)
         result = await self.router.route(req)
         if isinstance(result, Refusal):
             self.refuse(result)
@@ -65,51 +62,119 @@
         self.set_header("Content-Type", result.content_type)
         self.finish(result.body)
 
-    def _parse(self, queue: str) -> Request | Refusal:
-        key = self.request.headers.get(KEY_HEADER)
-        if key is None:
-            return Refusal(
-                ErrorKind.KEY_MISSING, "no team key", remedy=f"send the header {KEY_HEADER}"
-            )
-        team = self.router.view.team_of_key(key)
-        if team is None:
-            return Refusal(
-                ErrorKind.KEY_REJECTED, "the team key is not valid", remedy="use a valid key"
-            )
-        if self.router.view.get("queue", queue) is None:
-            return Refusal(ErrorKind.NOT_FOUND, f"there is no queue {queue}")
-        now = time.time()
-        request_id = f"{team}/{uuid.uuid4().hex}"
-        shards = [record.name for record in self.router.view.of_kind("shard")]
-        if not shards:
-            return Refusal(ErrorKind.SHARD_UNAVAILABLE, "the records name no shard")
-        task = Task(
-            task_id=request_id,
-            team=team,
-            queue=queue,
-            kind=WorkKind.REQUEST,
-            resources=Resources(),
-            deadline=now + DEFAULT_DEADLINE_S,
-            submitted_at=now,
-            payload=self.request.body,
+    def _parse(self, name: str, body: bytes) -> Request | Refusal:
+        view = self.router.view
+        queue = view.queue(name)
+        team = team_of(view, self.request.headers, self.options.cut_off_s(), queue)
+        if isinstance(team, Refusal):
+            emit(log, Event.KEY_REFUSED, queue=name[:64], kind=team.kind.value)
+            return team
+        self.team = team
+        if queue is None:
+            return no_queue(name)
+        return request_of(name, queue, team, self.request.headers, body, view, self.options)
+
+
+def request_of(
+    name: str,
+    queue: Queue,
+    team: str,
+    headers: HTTPHeaders,
+    body: bytes,
+    view: RecordView,
+    options: CallerOptions,
+) -> Request | Refusal:
+    """Return the request that a caller made on a queue, or why it is refused."""
+    now = time.time()
+    found = read_headers(headers)
+    if isinstance(found, Refusal):
+        return found
+    deadline = found.deadline
+    if deadline is None:
+        deadline = now + min(queue.default_deadline_s, options.max_deadline_s)
+    refusal = kind_refusal(name, queue, WorkKind.REQUEST)
+    refusal = refusal or deadline_refusal(deadline, now, options.max_deadline_s)
+    if refusal is None and (found.first_sent_at or 0.0) > now + options.clock_skew_s:
+        remedy = "send the time at which the key was first used, in Unix seconds"
+        message = f"the time in {FIRST_SENT} lies in the future"
+        refusal = Refusal(ErrorKind.BAD_REQUEST, message, remedy=remedy)
+    shards = _home_shards(queue, found, view, options)
+    if refusal is None and not shards:
+        refusal = Refusal(
+            ErrorKind.SHARD_UNAVAILABLE,
+            f"the records name no shard in the home data centres of the queue {name}",
+            remedy="ask an operator to correct the queue or the shards",
+            retry_after_s=5.0,
         )
-        return Request(request_id, home_shard(request_id, shards), now, task, True)
+    if refusal is not None:
+        return refusal
+    request_id = _request_id(team, found)
+    task = Task(
+        task_id=request_id,
+        team=team,
+        queue=name,
+        kind=WorkKind.REQUEST,
+        resources=found.resources,
+        deadline=deadline,
+        submitted_at=now,
+        idempotent=found.idempotent,
+        urgency=found.urgency,
+        expected_run_s=found.expected_run_s,
+        payload=body,
+    )
+    generated = found.idempotency_key is None
+    first_sent_at = now if generated else found.first_sent_at
+    if first_sent_at is None:
+        # The key cannot be older: its deadline would have been refused as too far ahead.
+        first_sent_at = deadline - options.max_deadline_s
+    return Request(request_id, home_shard(request_id, shards), first_sent_at, task, generated)
+
+
+def _request_id(team: str, found: RequestHeaders) -> str:
+    # The middle part keeps a caller's key from ever equalling a generated id.
+    if found.idempotency_key is None:
+        return f"{team}/id/{uuid.uuid4().hex}"
+    return f"{team}/key/{found.idempotency_key}"
+
+
+def _home_shards(
+    queue: Queue, found: RequestHeaders, view: RecordView, options: CallerOptions
+) -> tuple[str, ...]:
+    homes = queue.home_data_centres
+    own = options.data_centre
+    if found.idempotency_key is None and own and (not homes or own in homes):
+        return view.shards_in((own,)) or view.shards_in(homes)
+    return view.shards_in(homes)
 
 
 class ReadyHandler(CallerHandler):
     """Tell the platform's balancer whether to send callers here: GET /readyz."""
 
+    counted = False
+
     def get(self) -> None:
         """Answer 200 when ready and 503 otherwise."""
-        self.set_status(200 if self.router.ready else 503)
+        if self.receive() is None:
+            return
+        refusal = not_ready(self.router.ready, self.options.open_requests)
+        if refusal is not None:
+            TypedHandler.refuse(self, refusal)
+            return
+        self.answer_json({"ready": True})
 
 
-def caller_app(router: Router) -> Application:
+def caller_app(router: Router, options: CallerOptions | None = None) -> Application:
     """Return the HTTP application for callers."""
-    context = {"router": router}
+    options = options or CallerOptions()
+    context: dict[str, Any] = {"router": router, "options": options}
     return Application(
         [
-            (r"/v1/queues/([a-z0-9-]+)/requests", RequestsHandler, context),
+            (rf"/v1/queues/{NAME_IN_PATH}/requests", RequestsHandler, context),
+            (r"/v1/jobs", JobsHandler, context),
+            (rf"/v1/jobs/{NAME_IN_PATH}", JobHandler, context),
+            (rf"/v1/jobs/{NAME_IN_PATH}/explain", ExplainHandler, context),
             (r"/readyz", ReadyHandler, context),
-        ]
+        ],
+        default_handler_class=NotFoundHandler,
+        default_handler_args={"options": options},
     )
--- /dev/null
+++ b/baobabhoist/gateway/context.py
@@ -0,0 +1,112 @@
+"""Define what the handlers for callers need of the daemon and of their options."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import TYPE_CHECKING, Protocol
+
+import attrs
+
+from baobabhoist.errors import ErrorKind, Refusal
+from baobabhoist.gateway.drain import OpenRequests
+from baobabhoist.gateway.handler import TypedHandler
+from baobabhoist.gateway.server import HttpLimits
+from baobabhoist.model import Request, WorkKind
+from baobabhoist.observability.metrics import Metrics
+from baobabhoist.ownership.keys import Result
+from baobabhoist.records.kinds import Queue
+from baobabhoist.records.view import RecordView
+
+if TYPE_CHECKING:
+    from baobabhoist.gateway.jobs import JobService
+
+MAX_DEADLINE_S = 600.0
+CLOCK_SKEW_S = 0.5
+# Any name is routed, so that the answer can say that it does not exist.
+NAME_IN_PATH = r"([^/]{1,200})"
+
+
+class Router(Protocol):
+    """Be what the handlers need of the daemon."""
+
+    view: RecordView
+
+    @property
+    def ready(self) -> bool:
+        """Tell whether callers can be served."""
+
+    async def route(self, req: Request) -> Result:
+        """Return the result of a request."""
+
+
+def _connected() -> float:
+    return 0.0
+
+
+@attrs.define
+class CallerOptions:
+    """Hold the settings and parts that the API for callers uses.
+
+    `data_centre` is that of this instance; without it, generated ids have their home anywhere.
+    `cut_off_s` returns for how many seconds the records have not been confirmed.
+    """
+
+    jobs: JobService | None = None
+    data_centre: str = ""
+    limits: HttpLimits = attrs.Factory(HttpLimits)
+    open_requests: OpenRequests = attrs.Factory(OpenRequests)
+    max_deadline_s: float = MAX_DEADLINE_S
+    clock_skew_s: float = CLOCK_SKEW_S
+    cut_off_s: Callable[[], float] = _connected
+    metrics: Metrics | None = None
+
+
+class CallerHandler(TypedHandler):
+    """Share what all handlers for callers need."""
+
+    def initialize(self, router: Router, options: CallerOptions) -> None:
+        """Take the router and the options."""
+        self.router = router
+        self.options: CallerOptions = options
+        self.team = ""
+
+    def refuse(self, refusal: Refusal) -> None:
+        """Answer with a refusal and count it."""
+        if not self._finished and self.options.metrics is not None:
+            self.options.metrics.refused(self.team, refusal.kind.value)
+        super().refuse(refusal)
+
+
+def no_queue(name: str) -> Refusal:
+    """Return the refusal for a queue that does not exist."""
+    return Refusal(
+        ErrorKind.NOT_FOUND,
+        f"there is no queue {name[:64]}",
+        remedy="use the name of a queue that an operator has created",
+    )
+
+
+def kind_refusal(name: str, queue: Queue, kind: WorkKind) -> Refusal | None:
+    """Return why a queue does not take a kind of work, or None."""
+    if kind in queue.kinds:
+        return None
+    return Refusal(
+        ErrorKind.FORBIDDEN,
+        f"the queue {name} takes no work of the kind {kind.value}",
+        remedy=f"use a queue for {kind.value} work",
+    )
+
+
+def not_ready(loaded: bool, open_requests: OpenRequests) -> Refusal | None:
+    """Return why callers should not be sent to this instance, or None."""
+    remedy = "send callers to another instance"
+    if open_requests.leaving:
+        return Refusal(ErrorKind.DRAINING, "this instance is being drained", remedy=remedy)
+    if not loaded:
+        return Refusal(
+            ErrorKind.PLATFORM_UNAVAILABLE,
+            "this instance has not loaded the records yet",
+            remedy=remedy,
+            retry_after_s=0.5,
+        )
+    return None
