Keep the key of a task for as long as it runs

Change: the window applies to requests only; an open key is extended at its expiry and kept for one more window after it was last seen open. A non-idempotent task that is asked for again and is not in the ledger is unknown.

Ruled out: a deadline of infinity as the time to forget, because the keys of a service's earlier replicas would then stay for ever.

--- a/baobabhoist/ownership/keys.py
+++ b/baobabhoist/ownership/keys.py
@@ -38,6 +38,8 @@
     KeyState.NOT_RUN: frozenset(),
 }
 
+OPEN_STATES = frozenset({KeyState.QUEUED, KeyState.DISPATCHED})
+
 
 @attrs.frozen
 class Run:
@@ -65,6 +67,7 @@
 
     `sole` is true while only this owner can have seen the id, so that a queued request which
     is given up was certainly not run. `dispatches` counts the workers it was sent to.
+    `outlived` is true once the key was still open at `forget_at`.
     """
 
     state: KeyState
@@ -75,6 +78,7 @@
     dispatches: int = 0
     sole: bool = False
     handed_over: bool = False
+    outlived: bool = False
 
 
 @attrs.frozen
@@ -121,7 +125,7 @@
             req.request_id,
             KeyEntry(
                 KeyState.QUEUED,
-                req.task.deadline + self.clock_skew_s,
+                min(req.task.deadline, now + self.max_window_s) + self.clock_skew_s,
                 req.task.idempotent,
                 sole=req.first_attempt,
             ),
@@ -262,14 +266,25 @@
         return accepted
 
     def expire(self, now: float) -> int:
-        """Forget the keys whose time has passed and return their number."""
+        """Forget the keys whose time has passed and return their number.
+
+        An open key stays, and is kept for another window after it was last seen open: a task
+        of a job may run for days, and its coordinator may ask for it again afterwards.
+        """
         forgotten = 0
         while self.expiry and self.expiry[0][0] <= now:
             _, request_id = heapq.heappop(self.expiry)
             entry = self.entries.get(request_id)
-            if entry is not None and entry.forget_at <= now:
-                del self.entries[request_id]
-                forgotten += 1
+            if entry is None or entry.forget_at > now:
+                continue
+            is_open = entry.state in OPEN_STATES
+            if is_open or entry.outlived:
+                entry.outlived = is_open
+                entry.forget_at = now + self.max_window_s + self.clock_skew_s
+                heapq.heappush(self.expiry, (entry.forget_at, request_id))
+                continue
+            del self.entries[request_id]
+            forgotten += 1
         return forgotten
 
     def _refuse_deadline(self, req: Request, now: float) -> Refusal | None:
@@ -285,7 +300,8 @@
                 Outcome.NOT_RUN if certain else Outcome.UNKNOWN,
                 remedy="send the request under a new key with a later deadline",
             )
-        if deadline > now + self.max_window_s + self.clock_skew_s:
+        too_far = deadline > now + self.max_window_s + self.clock_skew_s
+        if too_far and not req.task.job_id:
             return Refusal(
                 ErrorKind.DEADLINE_TOO_FAR,
                 f"the deadline is more than {self.max_window_s:g} s ahead",
@@ -297,6 +313,9 @@
         return req.first_sent_at > self.taken_over_at + self.clock_skew_s
 
     def _refuse_after_takeover(self, req: Request) -> Refusal | None:
+        if req.task.job_id and not req.first_attempt and not req.task.idempotent:
+            # A job outlives the window, so that an absent id may have run and been forgotten.
+            return outcome_unknown("the owner does not remember whether the task was started")
         if self._is_after_takeover(req) or req.first_attempt or req.task.idempotent:
             return None
         return outcome_unknown("the shard changed hands after this key may first have been sent")
