Send the time of a new request key from the command line

Cause: `baobabhoist submit request` makes a key but did not send when. The owner then has to take the key for as old as its deadline allows, so for ten minutes after each takeover, also the first one after the start, every such request was answered `unknown`.

Change: the time goes along with a key that the tool makes; a key given by the user has none.

Ruled out: sending it for a given key, which may have been used before.

--- a/baobabhoist/cli/jobs.py
+++ b/baobabhoist/cli/jobs.py
@@ -134,7 +134,11 @@
     The key lets the command be repeated after a lost answer without a second run.
     """
     headers = {"Request-Deadline": f"{deadline:.3f}", **headers}
-    headers.setdefault("Idempotency-Key", uuid.uuid4().hex)
+    if "Idempotency-Key" not in headers:
+        # Without the time of a new key, the owner must assume that it is as old as its deadline
+        # allows, and answers `unknown` for ten minutes after each takeover.
+        headers["Idempotency-Key"] = uuid.uuid4().hex
+        headers["Idempotency-First-Sent"] = f"{time.time():.3f}"
     try:
         reply = client.call("POST", path("v1", "queues", queue, "requests"), body, headers)
     except UnreachableError as exc:
