Read instance names with process ids, and stop daemons before stand-ins

Cause: tokens name the process behind the instance, so the judge found no takeover; the soak's record changes used a field of a newer schema version; stand-ins ended before the daemons.

Change: the judge compares the name before the tilde; version 1 of queues has max_queued; the launcher stops daemons first.

Ruled out: nothing.

--- a/baobabhoist/testing/cluster.py
+++ b/baobabhoist/testing/cluster.py
@@ -48,15 +48,18 @@
         return self
 
     def __exit__(self, *_: object) -> None:
-        """Stop every process, also those that are paused."""
-        for process in self.processes.values():
-            process.send_signal(signal.SIGCONT)
-            process.terminate()
-        for process in self.processes.values():
-            try:
-                process.wait(STOP_TIMEOUT_S)
-            except subprocess.TimeoutExpired:
-                process.kill()
+        """Stop the daemons, then everything else, also processes that are paused."""
+        daemons = [self.processes[name] for name in self.instances if name in self.processes]
+        others = [process for process in self.processes.values() if process not in daemons]
+        for group in (daemons, others):
+            for process in group:
+                process.send_signal(signal.SIGCONT)
+                process.terminate()
+            for process in group:
+                try:
+                    process.wait(STOP_TIMEOUT_S)
+                except subprocess.TimeoutExpired:
+                    process.kill()
 
     def start(self, name: str, module: str, *args: str) -> None:
         """Start a module of the package as a process; its output goes to NAME.log."""
--- a/baobabhoist/testing/soak.py
+++ b/baobabhoist/testing/soak.py
@@ -317,7 +317,7 @@
         """Change a record now and then until cancelled."""
         while True:
             await asyncio.sleep(CHANGE_INTERVAL_S)
-            await self.put("queue", MARKER, {"max_queued_per_team": self.rng.randrange(500, 999)})
+            await self.put("queue", MARKER, {"max_queued": self.rng.randrange(500, 999)})
 
     async def sample(self) -> None:
         """Ask each daemon for its records revision until cancelled."""
--- a/baobabhoist/testing/soak_faults.py
+++ b/baobabhoist/testing/soak_faults.py
@@ -187,7 +187,7 @@
     """Let operators change one record from the same revision at the same time."""
     base = await soak.revision_of("queue", MARKER)
     if base:
-        bodies = [{"max_queued_per_team": rng.randrange(500, 999)} for _ in range(RACERS)]
+        bodies = [{"max_queued": rng.randrange(500, 999)} for _ in range(RACERS)]
         changes = (soak.put("queue", MARKER, body, base) for body in bodies)
         won = await asyncio.gather(*changes)
         soak.note("race", accepted=sum(1 for revision in won if revision))
--- a/baobabhoist/testing/soak_judge.py
+++ b/baobabhoist/testing/soak_judge.py
@@ -345,7 +345,7 @@
             for e in self.workers
             if e["event"] == "fenced" and e["worker"] in workers and e["t"] <= t
         ]
-        return str(max(fenced)[2]) if fenced else ""
+        return instance_of(max(fenced)) if fenced else ""
 
     def _taken_over(self, workers: list[str], former: str, t: float) -> float | None:
         """Return when all workers of a shard obeyed one other instance."""
@@ -354,7 +354,7 @@
             if entry["event"] == "fenced" and entry["worker"] in workers and entry["t"] > t:
                 held[entry["worker"]] = tuple(entry["token"])
                 same = len(held) == len(workers) and len(set(held.values())) == 1
-                if same and entry["token"][2] != former:
+                if same and instance_of(entry["token"]) != former:
                     return float(entry["t"])
         return None
 
@@ -397,6 +397,11 @@
     return sorted(runs, key=lambda run: run.start)
 
 
+def instance_of(token: list[Any]) -> str:
+    """Return the instance in a token; a tilde separates its name from that of its process."""
+    return str(token[2]).partition("~")[0]
+
+
 def changes(runs: list[Run]) -> list[tuple[float, bool, Run]]:
     """Return the starts and ends in order of time; an end comes before a start."""
     events = [(run.start, True, run) for run in runs] + [(run.end, False, run) for run in runs]
--- a/baobabhoist/tests/test_testing_soak_judge.py
+++ b/baobabhoist/tests/test_testing_soak_judge.py
@@ -53,7 +53,9 @@
     return judge
 
 
-FENCED = [{"t": 1.0, "event": "fenced", "worker": w, "token": [1, 0, "n1"]} for w in ("w1", "w2")]
+FENCED = [
+    {"t": 1.0, "event": "fenced", "worker": w, "token": [1, 0, "n1~0a1b"]} for w in ("w1", "w2")
+]
 SHARD = driver("shard", 0.0, shard="s1", workers=["w1", "w2"])
 STOP = driver("stop", 5.0, until=7.0, instance="n1", code=0, name="f2")
 
