Share processors and count lost work in the replay

Cause: the replay slowed only the task that oversubscribed a worker, not its neighbours, so declaring too little looked harmless.

Change: all tasks of an oversubscribed worker slow down together. Idempotent work that a sound worker could have run but that was given up waits until its deadline or the end of the stream; the table also has a line for served work alone.

The difference is the work lost on the worker that fails everything.

Conclusion: both lines are needed; a policy must be compared on the two together.

--- a/baobabhoist/benchmarks/decisions.py
+++ b/baobabhoist/benchmarks/decisions.py
@@ -11,7 +11,8 @@
 import attrs
 
 from baobabhoist.benchmarks.baselines import Baseline
-from baobabhoist.benchmarks.replay import Policy, Replay, quantile
+from baobabhoist.benchmarks.figures import quantile
+from baobabhoist.benchmarks.replay import Policy, Replay
 from baobabhoist.benchmarks.stream import PROFILES, Stream, make_stream
 from baobabhoist.model import Task, Urgency, WorkerSpec, WorkKind
 from baobabhoist.quota.ledger import QuotaLedger
@@ -70,6 +71,8 @@
         groups[f"team {task.team}"].append(wait)
         if task.urgency is Urgency.URGENT:
             groups["urgent"].append(wait)
+        if task_id not in replay.lost and task_id not in replay.waiting:
+            groups[f"kind {task.kind.value}, served"].append(wait)
         if task_id in replay.with_quota:
             groups["urgent with quota"].append(wait)
     return {
--- a/baobabhoist/benchmarks/replay.py
+++ b/baobabhoist/benchmarks/replay.py
@@ -6,11 +6,11 @@
 import itertools
 import time
 from collections import Counter, defaultdict
-from collections.abc import Iterable
 from typing import Any, Protocol
 
 import attrs
 
+from baobabhoist.benchmarks.figures import water_fill
 from baobabhoist.benchmarks.stream import Arrival, Stream, Work
 from baobabhoist.errors import Refusal
 from baobabhoist.model import Outcome, Resources, Task, Urgency, WorkKind
@@ -44,7 +44,11 @@
 class _Attempt:
     work: Work
     worker: str
-    useful: bool
+    succeeds: bool
+    remaining_s: float
+    updated_at: float
+    rate: float = 0.0
+    version: int = 0
     ended: bool = False
 
 
@@ -61,8 +65,10 @@
     started: dict[str, float] = attrs.Factory(dict)
     works: dict[str, Work] = attrs.Factory(dict)
     refused: Counter[str] = attrs.Factory(Counter)
+    lost: set[str] = attrs.Factory(set)
     with_quota: set[str] = attrs.Factory(set)
     load: defaultdict[str, list[int]] = attrs.Factory(lambda: defaultdict(lambda: [0, 0]))
+    on_worker: defaultdict[str, list[_Attempt]] = attrs.Factory(lambda: defaultdict(list))
     call_s: list[float] = attrs.Factory(list)
     busy_s: float = 0.0
     placements: int = 0
@@ -138,39 +144,52 @@
         for preemption in self.policy.preemptions():
             attempt = self.running.get(preemption.task_id)
             if attempt and preemption.action is not PreemptionAction.THROTTLE:
-                self._at(now + PREEMPTION_S, "end", (attempt, False, True))
+                self._at(now + PREEMPTION_S, "end", (attempt, 0, True))
 
     def _start(self, now: float, placement: Placement) -> None:
         work = self.waiting.pop(placement.task.task_id)
         self.placements += 1
         self.started[work.task.task_id] = now
         truth = self.stream.truths[placement.worker]
-        profile = self.stream.profile
         load = self.load[placement.worker]
         load[0] += work.cpu_milli
         load[1] += work.memory_mb
-        slowdown = max(1.0, load[0] / profile.cpu_milli)
-        run_s = work.run_s * slowdown / truth.speed
-        succeeds = True
+        run_s, succeeds = work.run_s, True
         if work.fails or truth.fails_from <= now < truth.fails_until:
             run_s, succeeds = FAST_FAILURE_S, False
-        elif load[1] > profile.memory_mb:
+        elif load[1] > self.stream.profile.memory_mb:
             run_s, succeeds = run_s / 2, False
-        attempt = _Attempt(work, placement.worker, succeeds)
+        attempt = _Attempt(work, placement.worker, succeeds, run_s, now)
         self.running[work.task.task_id] = attempt
-        self._at(now + run_s, "end", (attempt, succeeds, False))
-
-    def _end(self, now: float, item: tuple[_Attempt, bool, bool]) -> None:
-        attempt, succeeded, preempted = item
-        if attempt.ended:
+        self.on_worker[placement.worker].append(attempt)
+        self._share_processors(now, placement.worker)
+
+    def _share_processors(self, now: float, worker: str) -> None:
+        """Slow down every task of a worker whose processors are oversubscribed."""
+        overload = self.load[worker][0] / self.stream.profile.cpu_milli
+        rate = self.stream.truths[worker].speed / max(1.0, overload)
+        for attempt in self.on_worker[worker]:
+            if attempt.rate != rate:
+                attempt.remaining_s -= (now - attempt.updated_at) * attempt.rate
+                attempt.updated_at, attempt.rate = now, rate
+                attempt.version += 1
+                item = (attempt, attempt.version, False)
+                self._at(now + max(0.0, attempt.remaining_s) / rate, "end", item)
+
+    def _end(self, now: float, item: tuple[_Attempt, int, bool]) -> None:
+        attempt, version, preempted = item
+        if attempt.ended or (version != attempt.version and not preempted):
             return
         attempt.ended = True
+        succeeded = attempt.succeeds and not preempted
+        self.on_worker[attempt.worker].remove(attempt)
         work = attempt.work
         task = work.task
         del self.running[task.task_id]
         load = self.load[attempt.worker]
         load[0] -= work.cpu_milli
         load[1] -= work.memory_mb
+        self._share_processors(now, attempt.worker)
         self.preempted += preempted
         usage = Resources(work.cpu_milli, work.memory_mb)
         begin = time.perf_counter()
@@ -182,6 +201,8 @@
             self.waiting[task.task_id] = work
         elif not succeeded:
             self.refused["failed"] += 1
+            if not work.fails and task.idempotent:
+                self.lost.add(task.task_id)
         self._tick(now, None)
 
     def _sample(self, now: float, _: None) -> None:
@@ -192,7 +213,7 @@
         for attempt in self.running.values():
             part = self._dominant(attempt.work)
             used[attempt.work.task.team] += part
-            useful += part * attempt.useful
+            useful += part * attempt.succeeds
         self.packing.append(useful)
         wanted = used.copy()
         places = {team: n - self.ledger.used[team] for team, n in self.stream.limits.items()}
@@ -212,34 +233,15 @@
         )
 
     def waits(self) -> dict[str, tuple[Task, float]]:
-        """Return each accepted task's wait until its last start, or until the end, in seconds."""
-        end = self.stream.profile.duration_s
+        """Return each accepted task's wait until its last start, in seconds.
+
+        Work that was not served by the end of the stream, and idempotent work that was given
+        up although a sound worker could have run it, waits until its deadline or the end.
+        """
         found = {}
         for task_id, work in self.works.items():
-            started = end if task_id in self.waiting else self.started[task_id]
+            started = self.started.get(task_id, 0.0)
+            if task_id in self.waiting or task_id in self.lost:
+                started = min(self.stream.profile.duration_s, work.task.deadline)
             found[task_id] = (work.task, started - work.task.submitted_at)
         return found
-
-
-def water_fill(
-    wanted: dict[str, float], weights: dict[str, float], amount: float
-) -> dict[str, float]:
-    """Divide an amount by weight, giving no team more than it wants."""
-    given = dict.fromkeys(weights, 0.0)
-    open_teams = {team for team in weights if wanted.get(team, 0.0) > 0.0}
-    while open_teams and amount > 1e-9:
-        per_weight = amount / sum(weights[team] for team in sorted(open_teams))
-        sated = {t for t in open_teams if wanted[t] <= per_weight * weights[t]}
-        for team in sorted(sated or open_teams):
-            given[team] = wanted[team] if sated else per_weight * weights[team]
-            amount -= given[team]
-        if not sated:
-            break
-        open_teams -= sated
-    return given
-
-
-def quantile(values: Iterable[float], part: float) -> float:
-    """Return a quantile, or 0 without values."""
-    ordered = sorted(values)
-    return ordered[min(len(ordered) - 1, int(part * len(ordered)))] if ordered else 0.0
