--- /dev/null
+++ b/baobabhoist/scheduling/placement.py
@@ -0,0 +1,85 @@
+"""Choose a worker: filter through the index, score a few, take the best."""
+
+from __future__ import annotations
+
+from collections import Counter, defaultdict
+from collections.abc import Collection
+
+import attrs
+
+from baobabhoist.model import Task, WorkKind
+from baobabhoist.scheduling.capacity import Amount, CapacityIndex, WorkerState, fits
+
+# Scoring more workers than this improves packing little and costs time with every decision.
+CANDIDATES = 8
+# A worker at half speed scores as badly as one that is left this much emptier.
+SPEED_WEIGHT = 0.5
+SPEED_GAIN = 0.1
+
+
+@attrs.define
+class RackSpread:
+    """Count the replicas of each service per rack."""
+
+    replicas: defaultdict[str, Counter[str]] = attrs.Factory(lambda: defaultdict(Counter))
+
+    def add(self, job_id: str, rack: str) -> None:
+        """Count a replica."""
+        self.replicas[job_id][rack] += 1
+
+    def remove(self, job_id: str, rack: str) -> None:
+        """Forget a replica."""
+        racks = self.replicas[job_id]
+        racks[rack] -= 1
+        if racks[rack] <= 0:
+            del racks[rack]
+        if not racks:
+            del self.replicas[job_id]
+
+    def order(self, job_id: str, racks: Collection[str]) -> list[str]:
+        """Return the racks, those with the fewest replicas of the service first."""
+        used = self.replicas.get(job_id, Counter())
+        return sorted(racks, key=lambda rack: (used[rack], rack))
+
+
+def choose(
+    index: CapacityIndex, task: Task, need: Amount, excluded: Collection[str], spread: RackSpread
+) -> WorkerState | None:
+    """Return the best worker found for a task, or None when none has room."""
+    if not index.might_fit(need):
+        return None
+    if task.kind is WorkKind.SERVICE:
+        return _in_least_used_rack(index, task, need, excluded, spread)
+    found = index.search(need, CANDIDATES, excluded)
+    if len(found) < 2:
+        return found[0] if found else None
+    return min(found, key=lambda worker: score(worker, need))
+
+
+def score(worker: WorkerState, need: Amount) -> float:
+    """Rate a worker with room, lower is better: what stays unused, its imbalance, its speed."""
+    capacity, free = worker.capacity, worker.open()
+    cpu = (free[0] - need[0]) / (capacity[0] or 1)
+    memory = (free[1] - need[1]) / (capacity[1] or 1)
+    return cpu + memory + abs(cpu - memory) + SPEED_WEIGHT * (1.0 - worker.speed)
+
+
+def observe_speed(worker: WorkerState, expected_s: float, run_s: float) -> None:
+    """Learn a worker's speed from a run; 1 is the speed that the estimates assume."""
+    if run_s > 0.0 and expected_s > 0.0:
+        sample = min(max(expected_s / run_s, 0.25), 4.0)
+        worker.speed += SPEED_GAIN * (sample - worker.speed)
+
+
+def _in_least_used_rack(
+    index: CapacityIndex, task: Task, need: Amount, excluded: Collection[str], spread: RackSpread
+) -> WorkerState | None:
+    for rack in spread.order(task.job_id, index.racks):
+        fitting = [
+            worker
+            for worker in index.racks[rack]
+            if fits(need, worker.open()) and worker.name not in excluded
+        ]
+        if fitting:
+            return min(fitting, key=lambda worker: (score(worker, need), worker.name))
+    return None
