Chunk large messages between processes and replace silent peer links

Cause: a large body in one frame held heartbeats back, and a connection that delivered nothing was noticed only when its instance already counted as dead. Ruled out: the closing handshake for silent connections, which waits for the silent end.

--- a/baobabhoist/errors.py
+++ b/baobabhoist/errors.py
@@ -83,6 +83,14 @@
     """Report that a connection ended while a reply was outstanding."""
 
 
+class NotSentError(LinkClosedError):
+    """Report that no byte of a message was sent, because there was no connection."""
+
+
+class MessageTooLargeError(LinkClosedError):
+    """Report that a message exceeds the limit of the protocol; nothing was sent."""
+
+
 class PlatformError(BaobabhoistError):
     """Report that the platform gave no usable answer before the deadline."""
 
--- a/baobabhoist/peer/messages.py
+++ b/baobabhoist/peer/messages.py
@@ -6,15 +6,40 @@
 
 from baobabhoist.errors import Refusal
 from baobabhoist.model import Answer, Request
+from baobabhoist.ownership.tokens import Token
 from baobabhoist.peer.codec import Codec
+from baobabhoist.peer.streams import STREAM_TYPES
 
 
 @attrs.frozen
 class Hello:
-    """Introduce an instance on a new connection."""
+    """Introduce an instance on a new connection; `host` and `port` are its peer address."""
 
     instance_id: str
     data_centre: str
+    host: str = ""
+    port: int = 0
+
+
+@attrs.frozen
+class ShardDigest:
+    """Summarise one shard: its owner's token, use and spare places by team, free slots."""
+
+    shard: str
+    token: Token
+    used: dict[str, int]
+    spare: dict[str, int]
+    free_slots: int
+    queued: int
+    unmet: dict[str, int] = attrs.Factory(dict)
+
+
+@attrs.frozen
+class Heard:
+    """Tell how long ago an instance was heard, in seconds."""
+
+    instance_id: str
+    age_s: float
 
 
 @attrs.frozen
@@ -26,13 +51,18 @@
     owned_shards: tuple[str, ...]
     records_revision: int
     draining: bool
+    shards: tuple[ShardDigest, ...] = ()
+    heard: tuple[Heard, ...] = ()
+    weight: float = 1.0
+    platform_up: bool = True
 
 
 @attrs.frozen
 class RelayRequest:
-    """Pass a request to the owner of its home shard."""
+    """Pass a request to the owner of a shard; a forwarded one is not forwarded again."""
 
     request: Request
+    forwarded: bool = False
 
 
 @attrs.frozen
@@ -55,4 +85,120 @@
     """Confirm a message that has no other reply."""
 
 
-CODEC = Codec((Hello, Heartbeat, RelayRequest, RelayAnswer, RelayRefusal, Ack))
+@attrs.frozen
+class RecordEntry:
+    """Carry one entry of the change log; `body` is JSON, null for a deletion."""
+
+    kind: str
+    name: str
+    schema_version: int
+    revision: int
+    body: bytes
+
+
+@attrs.frozen
+class RecordEntries:
+    """Carry consecutive entries of the change log, in order of revision."""
+
+    sender: str
+    entries: tuple[RecordEntry, ...]
+
+
+@attrs.frozen
+class RecordPull:
+    """Ask for the entries of the change log behind a revision."""
+
+    after: int
+
+
+@attrs.frozen
+class RecordSnapshot:
+    """Carry all records in force at a revision."""
+
+    revision: int
+    records: tuple[RecordEntry, ...]
+
+
+@attrs.frozen
+class KeyResult:
+    """Carry what an owner knows of a request key; exactly one of both results is set."""
+
+    request_id: str
+    team: str
+    forget_at: float
+    answer: Answer | None
+    refusal: Refusal | None
+
+
+@attrs.frozen
+class HandOver:
+    """Hand a shard to its next owner: the queue and the results of its request keys."""
+
+    shard: str
+    token: Token
+    sender: str
+    requests: tuple[Request, ...]
+    results: tuple[KeyResult, ...]
+
+
+@attrs.frozen
+class HandOverTaken:
+    """Confirm that the receiver claims the shard and keeps what was handed over."""
+
+    shard: str
+    taken: bool
+
+
+@attrs.frozen
+class CancelTasks:
+    """Cancel work of a shard by id; the batch is bounded by the sender."""
+
+    shard: str
+    task_ids: tuple[str, ...]
+
+
+@attrs.frozen
+class TasksCancelled:
+    """Name the tasks of a `CancelTasks` that were still queued and never run."""
+
+    task_ids: tuple[str, ...]
+
+
+@attrs.frozen
+class PlacesWanted:
+    """Ask the owner of a shard to transfer places of a team to another shard."""
+
+    team: str
+    places: int
+    from_shard: str
+    to_shard: str
+
+
+@attrs.frozen
+class PlacesGiven:
+    """Report how many places were transferred; zero when there were none to give."""
+
+    team: str
+    places: int
+
+
+CODEC = Codec(
+    (
+        Hello,
+        Heartbeat,
+        RelayRequest,
+        RelayAnswer,
+        RelayRefusal,
+        Ack,
+        RecordEntries,
+        RecordPull,
+        RecordSnapshot,
+        HandOver,
+        HandOverTaken,
+        CancelTasks,
+        TasksCancelled,
+        PlacesWanted,
+        PlacesGiven,
+        *STREAM_TYPES,
+    )
+)
--- a/baobabhoist/upstream/messages.py
+++ b/baobabhoist/upstream/messages.py
@@ -7,6 +7,7 @@
 from baobabhoist.model import EndedTask, RunningTask, Task
 from baobabhoist.ownership.tokens import Token
 from baobabhoist.peer.codec import Codec
+from baobabhoist.peer.streams import STREAM_TYPES
 
 
 @attrs.frozen
@@ -19,10 +20,22 @@
 
 @attrs.frozen
 class WorkerFencedReply:
-    """Confirm the token and report the tasks that run or ended recently."""
+    """Confirm the token and report the tasks that run or ended recently.
+
+    A worker may report a large inventory in pages; `next_page` names the next one.
+    """
 
     running: tuple[RunningTask, ...]
     ended: tuple[EndedTask, ...]
+    next_page: str = ""
+
+
+@attrs.frozen
+class ReadInventory:
+    """Ask for the next page of a worker's inventory."""
+
+    token: Token
+    page: str
 
 
 @attrs.frozen
@@ -131,5 +144,7 @@
         StopTask,
         CheckpointTask,
         ThrottleTask,
+        ReadInventory,
+        *STREAM_TYPES,
     )
 )
