--- /dev/null
+++ b/baobabhoist/daemon/digests.py
@@ -0,0 +1,30 @@
+"""Summarise an owned shard for the other instances."""
+
+from __future__ import annotations
+
+from collections import Counter
+from typing import TYPE_CHECKING
+
+from baobabhoist.daemon.forwarding import is_queued
+from baobabhoist.peer.messages import ShardDigest
+
+if TYPE_CHECKING:
+    from baobabhoist.daemon.shard import ShardOwner
+
+
+def digest_of(owner: ShardOwner) -> ShardDigest:
+    """Return the use, the spare places and the unmet wishes of a shard by team."""
+    quota = owner.quota
+    waiting = [entry for entry in owner.open.values() if is_queued(owner.keys, entry)]
+    unmet = Counter(entry.req.task.team for entry in waiting)
+    teams = set(quota.escrow) | set(quota.used)
+    spare = {team: quota.allowed(team) - quota.used[team] for team in teams}
+    return ShardDigest(
+        owner.shard,
+        owner.claim.token,
+        {team: count for team, count in quota.used.items() if count},
+        {team: count for team, count in spare.items() if count > 0},
+        owner.free_slots(),
+        len(waiting),
+        dict(unmet),
+    )
--- /dev/null
+++ b/baobabhoist/daemon/forwarding.py
@@ -0,0 +1,137 @@
+"""Forward queued work to a shard that has places and capacity for it."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable, Coroutine
+from typing import Any, Protocol
+
+import attrs
+
+from baobabhoist.errors import Refusal
+from baobabhoist.model import Outcome, Request, Task
+from baobabhoist.ownership.keys import KeyLedger, KeyState, Result
+
+# Work that starts within this time is not worth a forward.
+FORWARD_AFTER_S = 0.05
+# Digests of other shards are up to 0.3 s old; a forward that was refused waits longer.
+RETRY_AFTER_S = 0.5
+FORWARDS_PER_TICK = 32
+
+Forward = Callable[[Request], Awaitable[Result] | None]
+"""Send a request to another shard, or return None when none has room for it."""
+
+
+@attrs.define(eq=False)
+class Open:
+    """Hold a request that has no result yet; `forward_at` is in Unix seconds."""
+
+    req: Request
+    fut: asyncio.Future[Result]
+    forward_at: float
+    forwarded: bool = False
+    forwarding: bool = False
+
+
+def is_queued(keys: KeyLedger, entry: Open) -> bool:
+    """Tell whether a request waits in the queue of this shard."""
+    known = keys.entries.get(entry.req.request_id)
+    return known is not None and known.state is KeyState.QUEUED and not entry.forwarding
+
+
+class Queue(Protocol):
+    """Cancel and queue tasks."""
+
+    def cancel(self, task_id: str) -> bool:
+        """Drop a queued task; tell whether it was still queued."""
+
+    def enqueue(self, task: Task, now: float) -> Refusal | None:
+        """Queue a task, or return why it can never run here."""
+
+
+class Home(Protocol):
+    """Be the shard that keeps the state of the keys of forwarded requests."""
+
+    open: dict[str, Open]
+    keys: KeyLedger
+
+    @property
+    def usable(self) -> bool:
+        """Tell whether the shard may start work."""
+
+    @property
+    def queue(self) -> Queue:
+        """Return the scheduler."""
+
+    @property
+    def now(self) -> float:
+        """Return the time in Unix seconds."""
+
+    def dispatch(self, now: float) -> None:
+        """Start what fits now."""
+
+    def finish(self, request_id: str, result: Result) -> Result:
+        """Store the result of a request."""
+
+    def spawn(self, coro: Coroutine[Any, Any, None]) -> None:
+        """Run a coroutine as a task."""
+
+
+class Forwarder:
+    """Offer waiting requests to other shards; a forwarded one is never forwarded again."""
+
+    def __init__(self, home: Home, forward: Forward) -> None:
+        self._home = home
+        self._forward = forward
+
+    def tick(self, now: float) -> None:
+        """Forward a bounded number of the requests that wait."""
+        home, sent = self._home, 0
+        if not home.usable:
+            return
+        for entry in list(home.open.values()):
+            if sent >= FORWARDS_PER_TICK:
+                return
+            due = now >= entry.forward_at and not entry.forwarded
+            if not due or not is_queued(home.keys, entry):
+                continue
+            running = self._forward(entry.req)
+            if running is not None:
+                home.queue.cancel(entry.req.request_id)
+                entry.forwarding = True
+                sent += 1
+                home.spawn(self._await(entry, running))
+
+    def is_out(self, request_id: str) -> bool:
+        """Tell whether another shard has a request now."""
+        entry = self._home.open.get(request_id)
+        return entry is not None and entry.forwarding
+
+    def out(self) -> int:
+        """Return the number of requests that other shards have now."""
+        return sum(entry.forwarding for entry in self._home.open.values())
+
+    def freeze(self) -> None:
+        """Count what other shards have as dispatched, before the queue is given up."""
+        for entry in self._home.open.values():
+            known = self._home.keys.entries.get(entry.req.request_id)
+            if entry.forwarding and known is not None and known.state is KeyState.QUEUED:
+                self._home.keys.dispatched(entry.req.request_id)
+
+    async def _await(self, entry: Open, running: Awaitable[Result]) -> None:
+        """Take the result of the other shard; what it certainly did not run waits here again."""
+        result = await running
+        home, now = self._home, self._home.now
+        entry.forwarding = False
+        not_run = isinstance(result, Refusal) and result.outcome is Outcome.NOT_RUN
+        queued = is_queued(home.keys, entry)
+        if queued and not_run and now < entry.req.task.deadline and home.usable:
+            entry.forward_at = now + RETRY_AFTER_S
+            refusal = home.queue.enqueue(entry.req.task, now)
+            if refusal is None:
+                home.dispatch(now)
+                return
+            result = refusal
+        elif queued and not not_run:
+            home.keys.dispatched(entry.req.request_id)
+        home.finish(entry.req.request_id, result)
--- /dev/null
+++ b/baobabhoist/daemon/preemption.py
@@ -0,0 +1,48 @@
+"""Carry out what the scheduler asks of running tasks."""
+
+from __future__ import annotations
+
+import logging
+from typing import Any, Protocol
+
+from baobabhoist.observability.events import Event, emit
+from baobabhoist.ownership.claim import ShardClaim
+from baobabhoist.scheduling.policy import PreemptionAction
+from baobabhoist.scheduling.results import Preemption
+from baobabhoist.scheduling.scheduler import Scheduler
+from baobabhoist.upstream.messages import CheckpointTask, StopTask, ThrottleTask
+
+log = logging.getLogger(__name__)
+
+PERCENT = 100
+
+
+class Owner(Protocol):
+    """Be the shard whose workers are told."""
+
+    claim: ShardClaim
+    scheduler: Scheduler
+
+    async def tell_worker(self, worker: str, message: Any) -> bool:
+        """Send a worker a call; tell whether it was confirmed."""
+
+
+async def preempt(owner: Owner, wanted: Preemption) -> None:
+    """Ask a worker to checkpoint, throttle or stop a task so that another one fits."""
+    token, task_id = owner.claim.token, wanted.task_id
+    emit(log, Event.TASK_PREEMPTED, task_id=task_id, for_task_id=wanted.for_task)
+    if wanted.action is PreemptionAction.THROTTLE:
+        placed = owner.scheduler.placed.get(task_id)
+        had = placed.task.resources.cpu_milli if placed is not None else 0
+        percent = wanted.cpu_milli * PERCENT // had if had else PERCENT
+        message = ThrottleTask(token, task_id, max(1, percent))
+        if await owner.tell_worker(wanted.worker, message):
+            owner.scheduler.throttled(task_id, wanted.cpu_milli)
+    elif wanted.action is not PreemptionAction.NEVER:
+        await owner.tell_worker(wanted.worker, stop_message(owner, task_id, wanted.action))
+
+
+def stop_message(owner: Owner, task_id: str, action: PreemptionAction) -> Any:
+    """Return the message that ends a task, with its progress saved if so wished."""
+    checkpoint = action is PreemptionAction.CHECKPOINT
+    return (CheckpointTask if checkpoint else StopTask)(owner.claim.token, task_id)
--- a/baobabhoist/daemon/shard.py
+++ b/baobabhoist/daemon/shard.py
@@ -1,279 +1,511 @@
-"""Own one shard: its claim, its queue, its keys and the links to its workers."""
+"""Own one shard: its queue, its request keys, its places and what runs on its workers."""
 
 from __future__ import annotations
 
 import asyncio
 import logging
-import random
 import time
-from collections.abc import Callable, Mapping
+from collections.abc import Awaitable, Callable, Coroutine, Iterable, Mapping
 from typing import Any
 
-from baobabhoist.errors import ErrorKind, LinkClosedError, PlatformError, Refusal
-from baobabhoist.model import Answer, Outcome, Request, RunningTask, Task, WorkerSpec
-from baobabhoist.ownership.claim import (
-    Action,
-    AdvanceEpoch,
-    ClaimWanted,
-    EpochGranted,
-    EpochUnavailable,
-    Event,
-    FenceRefused,
-    PresentToken,
-    ShardClaim,
-    ShardState,
-    StateChanged,
-    WorkerFenced,
+import attrs
+
+from baobabhoist.daemon.adoption import Adopted
+from baobabhoist.daemon.dispatch import (
+    CALL_TIMEOUT_S,
+    Dispatcher,
+    Ended,
+    Fate,
+    Leases,
+    Lost,
+    NeverRan,
+    Superseded,
+    never_ran,
+    not_owner,
+    outcome_unknown,
+    result_of_end,
+)
+from baobabhoist.daemon.fencing import Fencing
+from baobabhoist.daemon.forwarding import (
+    FORWARD_AFTER_S,
+    Forward,
+    Forwarder,
+    Open,
 )
-from baobabhoist.ownership.keys import Join, KeyLedger, Reply, Result
+from baobabhoist.daemon.handover import accept, pack
+from baobabhoist.daemon.places import ShardPlaces
+from baobabhoist.daemon.preemption import preempt
+from baobabhoist.errors import ErrorKind, InvariantBreachError, LinkClosedError, Refusal
+from baobabhoist.model import EndedTask, Outcome, Request, RunningTask, WorkerSpec
+from baobabhoist.observability.events import Event, emit
+from baobabhoist.ownership.claim import ShardClaim
+from baobabhoist.ownership.events import ShardState
+from baobabhoist.ownership.keys import Join, KeyLedger, KeyState, Reply, Result
 from baobabhoist.ownership.tokens import Token
-from baobabhoist.platform.table import Committed, Table, Transaction
+from baobabhoist.peer.messages import HandOver
+from baobabhoist.platform.table import Table
 from baobabhoist.quota.ledger import QuotaLedger
-from baobabhoist.scheduling.scheduler import Placement, Scheduler
+from baobabhoist.scheduling.results import Placement
+from baobabhoist.scheduling.scheduler import Scheduler
 from baobabhoist.upstream.link import WorkerLink
-from baobabhoist.upstream.messages import (
-    FenceWorker,
-    QueryOutcome,
-    RenewLeases,
-    RunTask,
-    TaskEnded,
-    TaskRefused,
-    TokenRefused,
-    WorkerFencedReply,
-)
+from baobabhoist.upstream.messages import LeasesRenewed, TokenRefused
+from baobabhoist.upstream.pool import OnChange, WorkerConnection, WorkerPool
 
 log = logging.getLogger(__name__)
 
 LEASE_S = 3.0
-RENEW_INTERVAL_S = 1.0
-CALL_TIMEOUT_S = 1.0
-OUTCOME_TIMEOUT_S = 2.0
-BACKOFF_MAX_S = 0.5
+TICK_INTERVAL_S = 0.1
+BATCH = 32
+FINAL_STATES = (KeyState.ANSWERED, KeyState.NOT_RUN)
+USABLE_STATES = (ShardState.PARTIAL, ShardState.OWNED)
+
+SendHandOver = Callable[[str, HandOver], Awaitable[bool | None]]
+
 
-HTTP_OK = 200
+@attrs.frozen
+class ShardTimes:
+    """Hold the periods that the settings give, in seconds."""
+
+    lease_s: float = LEASE_S
+    clock_skew_s: float = 0.5
+
+
+async def _send_nowhere(successor: str, message: HandOver) -> bool | None:
+    return False
 
 
 class ShardOwner:
-    """Run the decisions of one shard while this instance owns it."""
+    """Run the decisions of one shard while this instance owns it; one object per claim."""
 
     def __init__(
         self,
-        shard: str,
-        instance_id: str,
-        workers: list[WorkerSpec],
+        claim: ShardClaim,
+        workers: Iterable[WorkerSpec],
         table: Table,
         escrow: Callable[[str], Mapping[str, int]],
+        *,
+        times: ShardTimes | None = None,
+        forward: Forward = lambda _: None,
+        send_hand_over: SendHandOver = _send_nowhere,
+        inherited: HandOver | None = None,
+        make_link: Callable[[WorkerSpec, OnChange], WorkerConnection] = WorkerLink,
+        clock: Callable[[], float] = time.time,
     ) -> None:
-        names = tuple(spec.name for spec in workers)
-        self.shard = shard
-        self.claim = ShardClaim(shard, instance_id, names)
-        self.quota = QuotaLedger(shard)
-        self.keys = KeyLedger()
-        self.scheduler = Scheduler.over(workers, self.quota)
-        self._table = table
+        specs = list(workers)
+        times = times or ShardTimes()
+        self.shard = claim.shard
+        self.claim = claim
+        self.quota = QuotaLedger(claim.shard)
+        self.quota.begin_takeover()
+        self.keys = KeyLedger(clock_skew_s=times.clock_skew_s)
+        self.places = ShardPlaces(self.quota)
+        self.scheduler = Scheduler.over(specs, self.places)
+        self.leaving: set[str] = set()
+        self.barred: dict[str, float] = {}
         self._escrow = escrow
-        self._links = {spec.name: WorkerLink(spec, self._worker_changed) for spec in workers}
-        self._inherited: list[RunningTask] = []
-        self._waiting: dict[str, asyncio.Future[Result]] = {}
-        self._dispatches: set[asyncio.Task[None]] = set()
+        self._send_hand_over = send_hand_over
+        self._inherited = inherited
+        self._clock = clock
+        self.open: dict[str, Open] = {}
+        self._in_flight: dict[str, str] = {}
+        self._adopted = Adopted()
+        self._up: set[str] = set()
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._owned_before = False
+        self._moved = False
+        self.pool = WorkerPool(specs, self._connection_changed, make_link)
+        self.leases = Leases(times.lease_s, times.clock_skew_s)
+        self.fencing = Fencing(claim, table, self.pool, self.leases, self, clock)
+        self.forwarder = Forwarder(self, forward)
+        self.dispatcher = Dispatcher(
+            self.pool, self.leases, lambda: self.claim.token, self.fencing.refused, clock
+        )
 
     async def run(self) -> None:
-        """Keep the links, claim the shard and drive it until cancelled."""
-        async with asyncio.TaskGroup() as tg:
-            for link in self._links.values():
-                tg.create_task(link.run())
-            tg.create_task(self._renew())
-            await self._claim()
-
-    async def submit(self, req: Request) -> Result:
+        """Claim the shard and drive it; return when it is lost or handed over.
+
+        Calls that workers still answer are awaited first, so that no caller loses its answer.
+        """
+        self.pool.start()
+        ticking = asyncio.create_task(self._tick())
+        try:
+            await self.fencing.run()
+            self._settle_open_requests()
+            while self._tasks and (self._in_flight or self.forwarder.out()):
+                await asyncio.wait(self._tasks, return_when=asyncio.FIRST_COMPLETED)
+        finally:
+            ticking.cancel()
+            for task in self._tasks:
+                task.cancel()
+            self.pool.stop()
+
+    @property
+    def usable(self) -> bool:
+        """Tell whether work may be accepted."""
+        return self.claim.state in USABLE_STATES
+
+    @property
+    def queue(self) -> Scheduler:
+        """Return the scheduler."""
+        return self.scheduler
+
+    @property
+    def now(self) -> float:
+        """Return the time in Unix seconds."""
+        return self._clock()
+
+    async def submit(self, req: Request, forwarded: bool = False) -> Result:
         """Return the answer to a request, or the reason why there is none."""
-        if self.claim.state is not ShardState.OWNED:
-            return Refusal(
-                ErrorKind.SHARD_UNAVAILABLE,
-                f"shard {self.shard} has no owner yet",
-                remedy="send the request again",
-                retry_after_s=0.5,
-            )
-        now = time.time()
+        if not self.usable:
+            return not_owner(self.shard)
+        now = self._clock()
+        if self.claim.state is not ShardState.OWNED and not req.first_attempt:
+            # Only the inventories of all workers tell whether this key has run.
+            return not_owner(self.shard)
+        if req.request_id in self.barred:
+            return Refusal(ErrorKind.CANCELLED, "the task was cancelled")
+        return await self._submit(req, forwarded, now)
+
+    async def _submit(self, req: Request, forwarded: bool, now: float) -> Result:
         decision = self.keys.admit(req, now)
         if isinstance(decision, Reply):
             return decision.result
         if isinstance(decision, Join):
-            return await asyncio.shield(self._waiting[req.request_id])
-        fut: asyncio.Future[Result] = asyncio.get_running_loop().create_future()
-        self._waiting[req.request_id] = fut
+            return await self._wait(req, self.open_entry(req, now))
+        entry = self.open_entry(req, now)
+        entry.forwarded = forwarded
         refusal = self.scheduler.enqueue(req.task, now)
         if refusal is not None:
-            self._finish(req.request_id, refusal)
+            self.finish(req.request_id, refusal)
         else:
-            self._dispatch(now)
-        return await asyncio.shield(fut)
+            self.dispatch(now)
+        return await self._wait(req, entry)
 
-    def _dispatch(self, now: float) -> None:
-        for task in self.scheduler.expire(now):
-            refusal = Refusal(ErrorKind.DEADLINE_PASSED, "the deadline passed in the queue")
-            self._finish(task.task_id, refusal)
-        for placement in self.scheduler.next_batch(now):
-            self.keys.dispatched(placement.task.task_id)
-            running = asyncio.create_task(self._execute(placement))
-            self._dispatches.add(running)
-            running.add_done_callback(self._dispatches.discard)
+    def open_entry(self, req: Request, now: float) -> Open:
+        """Return the entry of a request without a result."""
+        entry = self.open.get(req.request_id)
+        if entry is None:
+            fut: asyncio.Future[Result] = asyncio.get_running_loop().create_future()
+            entry = Open(req, fut, now + FORWARD_AFTER_S)
+            self.open[req.request_id] = entry
+        return entry
 
-    async def _execute(self, placement: Placement) -> None:
-        task = placement.task
-        result = await self._run_on_worker(task, placement.worker)
-        self._finish(task.task_id, result)
-        now = time.time()
-        self.scheduler.ended(task.task_id, isinstance(result, Answer), now)
-        self._dispatch(now)
-
-    async def _run_on_worker(self, task: Task, worker: str) -> Result:
-        link = self._links[worker]
-        now = time.time()
-        call = RunTask(self.claim.token, task, now + LEASE_S)
+    async def _wait(self, req: Request, entry: Open) -> Result:
+        if entry.fut.done():
+            return entry.fut.result()
+        left_s = req.task.deadline - self._clock()
+        # A coroutine that waits with `shield` leaves the result to the other waiters.
         try:
-            reply = await link.call(call, task.deadline - now)
-        except (LinkClosedError, TimeoutError):
-            reply = await self._query_outcome(task, link)
-        return _result_of(task, reply)
+            async with asyncio.timeout(left_s if left_s < float("inf") else None):
+                return await asyncio.shield(entry.fut)
+        except TimeoutError:
+            return self._deadline_passed(req)
 
-    async def _query_outcome(self, task: Task, link: WorkerLink) -> Any:
-        give_up_at = time.time() + OUTCOME_TIMEOUT_S
-        while time.time() < give_up_at:
-            try:
-                report = await link.call(
-                    QueryOutcome(self.claim.token, task.task_id), CALL_TIMEOUT_S
-                )
-            except (LinkClosedError, TimeoutError):
-                await asyncio.sleep(RENEW_INTERVAL_S / 10)
-                continue
-            if report.ended is not None:
-                return TaskEnded(task.task_id, report.ended.succeeded, report.ended.body)
-            if report.state == "never":
-                return TaskRefused(task.task_id, "the worker never received it")
-            await asyncio.sleep(RENEW_INTERVAL_S / 10)
-        return None
-
-    def _finish(self, request_id: str, result: Result) -> None:
-        self.keys.answered(request_id, result)
-        fut = self._waiting.pop(request_id, None)
-        if fut is not None and not fut.done():
-            fut.set_result(result)
-
-    async def _claim(self) -> None:
-        while True:
-            await self._claim_epoch()
-            while self.claim.state is not ShardState.LOST:
-                await asyncio.sleep(RENEW_INTERVAL_S)
-                self.keys.expire(time.time())
-            await asyncio.sleep(random.uniform(0, BACKOFF_MAX_S))
+    def _deadline_passed(self, req: Request) -> Result:
+        entry = self.open.get(req.request_id)
+        if entry is not None and not entry.forwarding and self.scheduler.cancel(req.request_id):
+            late = Refusal(
+                ErrorKind.DEADLINE_PASSED,
+                "the deadline passed in the queue",
+                remedy="send the request under a new key with a later deadline",
+            )
+            return self.finish(req.request_id, late)
+        return outcome_unknown("the deadline passed while the task was with a worker")
 
-    async def _claim_epoch(self) -> None:
+    def dispatch(self, now: float) -> None:
+        """Start what fits now; bounded batches leave room for other work in between."""
+        if not self.usable:
+            return
         try:
-            row = await self._table.read(f"shard/{self.shard}")
-            epoch: int | None = row.value["epoch"] if row.value else 0
-        except PlatformError:
-            epoch = None
-        await self._apply(ClaimWanted(epoch))
-
-    async def _apply(self, event: Event) -> None:
-        for action in self.claim.step(event, time.time()):
-            await self._perform(action)
-
-    async def _perform(self, action: Action) -> None:
-        match action:
-            case AdvanceEpoch(expected):
-                await self._apply(await self._advance_epoch(expected))
-            case PresentToken(worker, token):
-                self._spawn(self._fence(worker, token))
-            case StateChanged(state):
-                self._state_changed(state)
-
-    def _spawn(self, coro: Any) -> None:
-        running = asyncio.create_task(coro)
-        self._dispatches.add(running)
-        running.add_done_callback(self._dispatches.discard)
-
-    async def _advance_epoch(self, expected: int) -> EpochGranted | EpochUnavailable:
-        key = f"shard/{self.shard}"
+            batch = self.scheduler.next_batch(now, BATCH)
+        except InvariantBreachError:
+            return
+        for placement in batch:
+            self.start(placement, now)
+        if len(batch) >= BATCH:
+            asyncio.get_running_loop().call_soon(lambda: self.dispatch(self._clock()))
+
+    def start(self, placement: Placement, now: float) -> None:
+        """Send a placed task to its worker."""
+        task, worker = placement.task, placement.worker
+        if not (self.claim.may_dispatch(worker) and self.pool.connected(worker)):
+            self.take_back(task.task_id, now)
+            self._worker_down(worker)
+            self.scheduler.enqueue(task, now)
+            return
         try:
-            row = await self._table.read(key)
-            value = {"epoch": expected + 1, "owner": self.claim.instance_id}
-            outcome = await self._table.commit(Transaction({key: row.revision}, {key: value}))
-        except PlatformError:
-            return EpochUnavailable()
-        if isinstance(outcome, Committed):
-            return EpochGranted(expected + 1)
-        return EpochUnavailable()
-
-    async def _fence(self, worker: str, token: Token) -> None:
-        while self.claim.token == token:
+            self.keys.dispatched(task.task_id, worker)
+        except InvariantBreachError:
+            self.take_back(task.task_id, now)
+            return
+        self._in_flight[task.task_id] = worker
+        self.spawn(self._execute(placement))
+
+    def take_back(self, task_id: str, now: float) -> None:
+        """Free what a placed task holds that was not sent."""
+        self.places.confirmed.add(task_id)
+        self.scheduler.ended(task_id, False, now, preempted=True)
+
+    async def _execute(self, placement: Placement) -> None:
+        task, worker = placement.task, placement.worker
+        try:
+            fate = await self.dispatcher.execute(task, worker)
+        finally:
+            self._in_flight.pop(task.task_id, None)
+        now = self._clock()
+        if isinstance(fate, Superseded):
+            self._superseded(task.task_id, fate)
+            return
+        succeeded = isinstance(fate, Ended) and fate.succeeded
+        if isinstance(fate, NeverRan):
+            # A refused start says nothing about the worker's health or the task's size.
+            self.take_back(task.task_id, now)
+        else:
+            if isinstance(fate, Ended) and fate.confirmed:
+                self.places.confirmed.add(task.task_id)
+            self.scheduler.ended(task.task_id, succeeded, now)
+        if isinstance(fate, Lost) and self.keys.retry(task.task_id, task.deadline, now):
+            self.scheduler.enqueue(task, now)
+        else:
+            self.finish(task.task_id, _result_of(task.task_id, fate))
+        self.dispatch(now)
+
+    def _superseded(self, task_id: str, fate: Superseded) -> None:
+        """Let the entry instance ask the new owner; the place is the new owner's to count."""
+        known = self.keys.entries.get(task_id)
+        once = known is not None and known.dispatches <= 1
+        outcome = Outcome.NOT_RUN if once and not fate.sent else Outcome.UNKNOWN
+        self._resolve_future(task_id, not_owner(self.shard, outcome))
+
+    def finish(self, request_id: str, result: Result) -> Result:
+        """Store the result of a request and give it to those who wait."""
+        known = self.keys.entries.get(request_id)
+        if known is not None and known.state in FINAL_STATES and known.result is not None:
+            result = known.result
+        elif known is not None:
             try:
-                reply = await self._links[worker].call(
-                    FenceWorker(self.shard, token), CALL_TIMEOUT_S
-                )
-            except (LinkClosedError, TimeoutError):
-                await asyncio.sleep(RENEW_INTERVAL_S / 10)
+                result = self.keys.answered(request_id, result)
+            except InvariantBreachError:
+                result = outcome_unknown("the owner holds no consistent state for the request")
+        self._resolve_future(request_id, result)
+        return result
+
+    def _resolve_future(self, request_id: str, result: Result) -> None:
+        entry = self.open.pop(request_id, None)
+        if entry is not None and not entry.fut.done():
+            entry.fut.set_result(result)
+
+    def _settle_open_requests(self) -> None:
+        """Answer what can no longer be decided here; open calls are answered by workers."""
+        self.forwarder.freeze()
+        for request_id, result in self.keys.drop(self._clock()):
+            if request_id in self._in_flight or self.forwarder.is_out(request_id):
                 continue
-            if isinstance(reply, WorkerFencedReply):
-                self._inherited.extend(reply.running)
-                await self._apply(WorkerFenced(worker, token, reply.running, reply.ended))
+            certain = isinstance(result, Refusal) and result.outcome is Outcome.NOT_RUN
+            outcome = Outcome.NOT_RUN if certain and not self._moved else Outcome.UNKNOWN
+            self._resolve_future(request_id, not_owner(self.shard, outcome))
+
+    # What the fencing reports.
+
+    def state_changed(self, state: ShardState) -> None:
+        """Take the new state of the claim."""
+        if state is ShardState.OWNED and not self._owned_before:
+            self._owned_before = True
+            self.keys.take_over(self._clock())
+            if self._inherited is not None:
+                self._take_queue(self._inherited)
+                self._inherited = None
+        self.refresh_places()
+
+    def inventory(self, worker: str, running: list[RunningTask], ended: list[EndedTask]) -> None:
+        """Count what a worker runs already and take the answers that it has stored."""
+        now = self._clock()
+        # A lease of the previous owner may have been renewed just before the token was taken.
+        self.leases.extend(worker, now)
+        adopted = self._adopted.add(worker, running, self._in_flight)
+        self.scheduler.adopt(worker, adopted, now)
+        self.quota.adopt(worker, adopted)
+        # Open calls report their own end; taking it twice would break the keys' states.
+        foreign = [done for done in ended if done.task_id not in self._in_flight]
+        for request_id, result in self.keys.inherit(worker, adopted, foreign, now):
+            self._resolve_future(request_id, result)
+        for task_id in self._adopted.missing(worker, [task.task_id for task in running]):
+            self._adopted_ended(worker, task_id, True)
+
+    def leases_renewed(self, worker: str, reply: LeasesRenewed, mark: int) -> None:
+        """Compare a worker's report with the tasks that were adopted."""
+        self.quota.worker_confirmed(worker, mark)
+        for task_id in self._adopted.missing(worker, reply.running):
+            self.spawn(self._end_adopted(worker, task_id))
+
+    def worker_restarted(self, worker: str) -> None:
+        """Learn that a worker may have forgotten the tasks it was sent."""
+        self.dispatcher.worker_restarted(worker)
+
+    def renewal_mark(self) -> int:
+        """Return the number of the last end that is known before a renewal is sent."""
+        return self.quota.mark()
+
+    def usable_workers_changed(self) -> None:
+        """Compare the workers that may get work with those that do."""
+        for worker in self.claim.workers:
+            usable = (
+                self.claim.may_dispatch(worker)
+                and self.pool.connected(worker)
+                and worker not in self.leaving
+            )
+            if usable and worker not in self._up:
+                self._up.add(worker)
                 self.scheduler.worker_up(worker)
-            elif isinstance(reply, TokenRefused):
-                await self._apply(FenceRefused(worker, reply.highest))
-            return
+                self.dispatch(self._clock())
+            elif not usable:
+                self._worker_down(worker)
 
-    def _state_changed(self, state: ShardState) -> None:
-        log.info("shard %s is %s under %s", self.shard, state.value, self.claim.token)
-        if state is ShardState.OWNED:
-            self.keys.taken_over_at = time.time()
+    async def send_queue(self, successor: str, token: Token) -> bool | None:
+        """Send the queue; tell whether it was taken, None when that is not known."""
+        emit(log, Event.HAND_OVER_STARTED, shard=self.shard, instance_id=successor)
+        self._moved = True
+        self.forwarder.freeze()
+        message = pack(self.shard, token, self.claim.instance_id, self.keys, self.open)
+        return await self._send_hand_over(successor, message)
+
+    # What the instance reports.
+
+    async def set_workers(self, specs: Iterable[WorkerSpec]) -> None:
+        """Take the workers that the shard's record names now."""
+        workers = list(specs)
+        gone = set(self.claim.workers) - {spec.name for spec in workers}
+        self.scheduler.set_workers(workers)
+        self.pool.set_workers(workers)
+        for worker in gone:
+            self._worker_down(worker)
+        await self.fencing.set_workers(spec.name for spec in workers)
+
+    def set_leaving(self, leaving: set[str]) -> None:
+        """Take the workers that leave or are drained; they get no new work from now on."""
+        for worker in leaving - self.leaving:
+            emit(log, Event.WORKER_LEAVING, worker=worker)
+            self.scheduler.worker_leaving(worker)
+            self._up.discard(worker)
+        self.leaving = set(leaving)
+        self.usable_workers_changed()
+
+    def refresh_places(self) -> None:
+        """Use the full escrow once the table has confirmed the epoch and all is resolved."""
+        if self.quota.cap is not None and self.claim.escrow_usable:
             self.quota.uncap(dict(self._escrow(self.shard)))
+            emit(log, Event.TAKEOVER_CAP_LIFTED, shard=self.shard)
 
-    async def _worker_changed(self, worker: str, connected: bool) -> None:
-        if not connected:
-            self.scheduler.worker_down(worker)
-        elif worker in self.claim.fenced:
-            self._spawn(self._fence(worker, self.claim.token))
+    def free_slots(self) -> int:
+        """Return the slots of usable workers that no task holds."""
+        slots = sum(self.scheduler.workers[worker].capacity.slots for worker in self._up)
+        return max(0, slots - len(self.quota.running))
 
-    async def _renew(self) -> None:
-        while True:
-            await asyncio.sleep(RENEW_INTERVAL_S)
-            for worker in list(self.claim.fenced):
-                self._spawn(self._renew_worker(worker))
+    def running_on(self, task_id: str) -> str | None:
+        """Return the worker that runs a task, or None."""
+        return self._in_flight.get(task_id) or self._adopted.worker_of(task_id)
+
+    def open_requests(self) -> int:
+        """Return the number of requests without a result."""
+        return len(self.open)
 
-    async def _renew_worker(self, worker: str) -> None:
-        call = RenewLeases(self.claim.token, time.time() + LEASE_S)
+    def cancel_queued(self, task_id: str, refusal: Refusal) -> bool:
+        """Drop a queued task; tell whether it was still queued."""
+        if not self.scheduler.cancel(task_id):
+            return False
+        self.finish(task_id, refusal)
+        return True
+
+    async def tell_worker(self, worker: str, message: Any) -> bool:
+        """Send a worker a call; tell whether it was confirmed."""
         try:
-            reply = await self._links[worker].call(call, CALL_TIMEOUT_S)
+            reply = await self.pool.call(worker, message, CALL_TIMEOUT_S)
         except (LinkClosedError, TimeoutError):
+            log.info("worker %s did not confirm %s", worker, type(message).__name__)
+            return False
+        return not isinstance(reply, TokenRefused)
+
+    def spawn(self, coro: Coroutine[Any, Any, None]) -> None:
+        """Run a coroutine as a task that ends with the shard at the latest."""
+        task = asyncio.create_task(coro)
+        self._tasks.add(task)
+        task.add_done_callback(self._task_done)
+
+    def _task_done(self, task: asyncio.Task[None]) -> None:
+        self._tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            emit(log, Event.TASK_CRASHED, detail=repr(task.exception()))
+
+    async def _connection_changed(self, worker: str, connected: bool) -> None:
+        event = Event.WORKER_CONNECTED if connected else Event.WORKER_DISCONNECTED
+        emit(log, event, worker=worker)
+        await self.fencing.connection_changed(worker, connected)
+
+    def _worker_down(self, worker: str) -> None:
+        if worker in self._up:
+            self._up.discard(worker)
+            self.scheduler.worker_down(worker)
+
+    async def _end_adopted(self, worker: str, task_id: str) -> None:
+        """Take the stored answer of an adopted task that no longer runs."""
+        if not self._adopted.remove(worker, task_id):
             return
-        if isinstance(reply, TokenRefused):
-            await self._apply(FenceRefused(worker, reply.highest))
-
-
-def _result_of(task: Task, reply: Any) -> Result:
-    match reply:
-        case TaskEnded(succeeded=True):
-            return Answer(task.task_id, HTTP_OK, reply.body)
-        case TaskEnded():
-            return Refusal(ErrorKind.TASK_FAILED, "the task failed on its worker", Outcome.RAN)
-        case TaskRefused():
-            return Refusal(
-                ErrorKind.NO_CAPACITY,
-                f"the worker refused the task: {reply.reason}",
-                remedy="send the request again under a new key",
-                retry_after_s=0.5,
-            )
-        case TokenRefused():
-            return Refusal(
-                ErrorKind.STALE_TOKEN,
-                "the shard has a new owner",
-                remedy="send the request again under a new key",
-                retry_after_s=0.5,
-            )
-    return Refusal(
-        ErrorKind.OUTCOME_UNKNOWN,
-        "the worker did not report what became of the task",
-        Outcome.UNKNOWN,
-        "check the effect of the request before sending it under a new key",
-    )
+        fate = await self.dispatcher.resolve(task_id, float("inf"), worker)
+        if isinstance(fate, Superseded):
+            return
+        self._release_adopted(task_id, isinstance(fate, Ended) and fate.succeeded)
+        # The worker reported it as running before, so `never` only means that it forgot it.
+        self.finish(task_id, _result_of(task_id, Lost() if isinstance(fate, NeverRan) else fate))
+        self.dispatch(self._clock())
+
+    def _adopted_ended(self, worker: str, task_id: str, succeeded: bool) -> None:
+        """Release an adopted task that a later inventory no longer names."""
+        if self._adopted.remove(worker, task_id):
+            self._release_adopted(task_id, succeeded)
+
+    def _release_adopted(self, task_id: str, succeeded: bool) -> None:
+        self.scheduler.ended(task_id, succeeded, self._clock())
+        self.places.ended(task_id)
+
+    def _take_queue(self, message: HandOver) -> None:
+        """Queue what the previous owner handed over, once all inventories are known."""
+        now = self._clock()
+        for req in accept(message, self.keys, now):
+            self.open_entry(req, now)
+            refusal = self.scheduler.enqueue(req.task, now)
+            if refusal is not None:
+                self.finish(req.request_id, refusal)
+        self.dispatch(now)
+
+    async def _tick(self) -> None:
+        while True:
+            await asyncio.sleep(TICK_INTERVAL_S)
+            now = self._clock()
+            try:
+                self._tick_once(now)
+            except InvariantBreachError:
+                continue
+
+    def _tick_once(self, now: float) -> None:
+        self.keys.expire(now)
+        for task_id in [name for name, until in self.barred.items() if until <= now]:
+            del self.barred[task_id]
+        for task in self.scheduler.expire(now):
+            late = Refusal(ErrorKind.DEADLINE_PASSED, "the deadline passed in the queue")
+            self.finish(task.task_id, late)
+        for task, refusal in self.scheduler.given_up():
+            self.finish(task.task_id, refusal)
+        for preemption in self.scheduler.preemptions():
+            self.spawn(preempt(self, preemption))
+        self.refresh_places()
+        self.dispatch(now)
+        self.forwarder.tick(now)
+
+
+def _result_of(task_id: str, fate: Fate) -> Result:
+    match fate:
+        case Ended(succeeded, body):
+            return result_of_end(task_id, succeeded, body)
+        case NeverRan(reason):
+            return never_ran(reason)
+    return outcome_unknown("the worker did not report what became of the task")
--- /dev/null
+++ b/baobabhoist/daemon/shard_jobs.py
@@ -0,0 +1,81 @@
+"""Give the job coordinator access to a shard that this instance owns."""
+
+from __future__ import annotations
+
+import time
+
+from baobabhoist.daemon.shard import ShardOwner
+from baobabhoist.errors import ErrorKind, Refusal
+from baobabhoist.jobs.messages import TasksReport
+from baobabhoist.model import Request, Task
+from baobabhoist.ownership.keys import Run
+from baobabhoist.upstream.messages import StopTask
+
+# A cancelled id that has not arrived yet is refused for as long as a message may take.
+BARRED_S = 600.0
+
+
+class ShardJobs:
+    """Report, cancel and hold tasks of jobs in one owned shard."""
+
+    def __init__(self, owner: ShardOwner) -> None:
+        self._owner = owner
+
+    def report_tasks(self, task_ids: tuple[str, ...], now: float) -> TasksReport:
+        """Return which tasks run and why the others wait."""
+        owner = self._owner
+        running = tuple(name for name in task_ids if owner.running_on(name) is not None)
+        waiting = {
+            name: owner.scheduler.explain(name, now).message
+            for name in task_ids
+            if owner.running_on(name) is None and name in owner.open
+        }
+        return TasksReport(running, waiting)
+
+    async def cancel_tasks(self, task_ids: tuple[str, ...]) -> None:
+        """Cancel queued tasks, stop running ones, and refuse the ids from now on."""
+        owner, until = self._owner, time.time() + BARRED_S
+        refusal = Refusal(ErrorKind.CANCELLED, "the task was cancelled")
+        for task_id in task_ids:
+            owner.barred[task_id] = until
+            if owner.cancel_queued(task_id, refusal):
+                continue
+            worker = owner.running_on(task_id)
+            if worker is not None:
+                stop = StopTask(owner.claim.token, task_id)
+                owner.spawn(self._stop(worker, stop))
+
+    async def _stop(self, worker: str, stop: StopTask) -> None:
+        await self._owner.tell_worker(worker, stop)
+
+    def hold(
+        self, job_id: str, tasks: tuple[Task, ...], deadline: float, now: float
+    ) -> tuple[str, ...]:
+        """Hold capacity and places, and return the ids that have them."""
+        hold = self._owner.scheduler.hold(job_id, list(tasks), now, deadline)
+        if isinstance(hold, Refusal) or not hold.ready:
+            return ()
+        return tuple(hold.workers)
+
+    async def commit_hold(self, job_id: str, now: float) -> bool:
+        """Start the tasks of a hold; tell whether it still stood.
+
+        The coordinator then sends each task as a request, which joins the one started here.
+        """
+        owner = self._owner
+        placements = owner.scheduler.commit(job_id, now)
+        if isinstance(placements, Refusal):
+            return False
+        for placement in placements:
+            task = placement.task
+            req = Request(task.task_id, owner.shard, task.submitted_at, task, True)
+            if isinstance(owner.keys.admit(req, now), Run):
+                owner.open_entry(req, now)
+                owner.start(placement, now)
+            else:
+                owner.take_back(task.task_id, now)
+        return True
+
+    def release_hold(self, job_id: str) -> None:
+        """Give a hold back."""
+        self._owner.scheduler.release(job_id)
--- a/baobabhoist/peer/messages.py
+++ b/baobabhoist/peer/messages.py
@@ -5,6 +5,7 @@
 import attrs
 
 from baobabhoist.errors import Refusal
+from baobabhoist.jobs.messages import JOB_MESSAGES
 from baobabhoist.model import Answer, Request
 from baobabhoist.ownership.tokens import Token
 from baobabhoist.peer.codec import Codec
@@ -124,7 +125,6 @@
     """Carry what an owner knows of a request key; exactly one of both results is set."""
 
     request_id: str
-    team: str
     forget_at: float
     answer: Answer | None
     refusal: Refusal | None
@@ -149,21 +149,6 @@
     taken: bool
 
 
-@attrs.frozen
-class CancelTasks:
-    """Cancel work of a shard by id; the batch is bounded by the sender."""
-
-    shard: str
-    task_ids: tuple[str, ...]
-
-
-@attrs.frozen
-class TasksCancelled:
-    """Name the tasks of a `CancelTasks` that were still queued and never run."""
-
-    task_ids: tuple[str, ...]
-
-
 @attrs.frozen
 class PlacesWanted:
     """Ask the owner of a shard to transfer places of a team to another shard."""
@@ -195,10 +180,9 @@
         RecordSnapshot,
         HandOver,
         HandOverTaken,
-        CancelTasks,
-        TasksCancelled,
         PlacesWanted,
         PlacesGiven,
         *STREAM_TYPES,
+        *JOB_MESSAGES,
     )
 )
--- a/baobabhoist/upstream/link.py
+++ b/baobabhoist/upstream/link.py
@@ -8,10 +8,11 @@
 from typing import Any
 
 from websockets.asyncio.client import connect
-from websockets.exceptions import InvalidHandshake
+from websockets.exceptions import ConnectionClosed, InvalidHandshake
 
-from baobabhoist.errors import LinkClosedError
+from baobabhoist.errors import NotSentError
 from baobabhoist.model import WorkerSpec
+from baobabhoist.observability.events import Event, emit
 from baobabhoist.peer.link import WEBSOCKET_OPTIONS, Link
 from baobabhoist.upstream.messages import CODEC
 
@@ -35,6 +36,11 @@
         self._on_change = on_change
         self._link: Link | None = None
 
+    @property
+    def connected(self) -> bool:
+        """Tell whether a call can be sent now."""
+        return self._link is not None and not self._link.closed
+
     async def run(self) -> None:
         """Connect, report the connection, and connect again when it ends."""
         uri = f"ws://{self.spec.host}:{self.spec.port}"
@@ -42,18 +48,31 @@
             try:
                 async with asyncio.timeout(CONNECT_TIMEOUT_S):
                     conn = await connect(uri, **WEBSOCKET_OPTIONS)
-            except (OSError, TimeoutError, InvalidHandshake):
+            except (OSError, TimeoutError, InvalidHandshake, ConnectionClosed):
                 await asyncio.sleep(RECONNECT_DELAY_S)
                 continue
-            self._link = Link(conn, CODEC, _ignore)
-            reader = asyncio.create_task(self._link.run())
-            await self._on_change(self.spec.name, True)
-            await reader
-            self._link = None
-            await self._on_change(self.spec.name, False)
+            await self._serve(Link(conn, CODEC, _ignore))
 
     async def call(self, message: Any, deadline_s: float) -> Any:
-        """Send a call to the worker; raises LinkClosedError or TimeoutError."""
+        """Send a call; raises NotSentError, LinkClosedError or TimeoutError."""
         if self._link is None:
-            raise LinkClosedError(f"worker {self.spec.name} is not connected")
+            raise NotSentError(f"worker {self.spec.name} is not connected")
         return await self._link.call(message, deadline_s)
+
+    def replace(self) -> None:
+        """Drop a connection that has gone silent, so that a new one is made."""
+        if self.connected and self._link is not None:
+            emit(log, Event.LINK_REPLACED, name=self.spec.name)
+            self._link.abort()
+
+    async def _serve(self, link: Link) -> None:
+        self._link = link
+        reader = asyncio.create_task(link.run())
+        try:
+            await self._on_change(self.spec.name, True)
+            await asyncio.shield(reader)
+        finally:
+            reader.cancel()
+            link.abort()
+            self._link = None
+        await self._on_change(self.spec.name, False)
--- a/baobabhoist/upstream/messages.py
+++ b/baobabhoist/upstream/messages.py
@@ -22,12 +22,14 @@
 class WorkerFencedReply:
     """Confirm the token and report the tasks that run or ended recently.
 
-    A worker may report a large inventory in pages; `next_page` names the next one.
+    A worker may report a large inventory in pages; `next_page` names the next one. `previous`
+    is the token that the worker held before this one.
     """
 
     running: tuple[RunningTask, ...]
     ended: tuple[EndedTask, ...]
     next_page: str = ""
+    previous: Token | None = None
 
 
 @attrs.frozen
@@ -56,11 +58,12 @@
 
 @attrs.frozen
 class TaskEnded:
-    """Report the end of a task with its whole answer."""
+    """Report the end of a task with its whole answer and the token that the worker holds."""
 
     task_id: str
     succeeded: bool
     body: bytes
+    token: Token | None = None
 
 
 @attrs.frozen
@@ -97,7 +100,10 @@
 
 @attrs.frozen
 class OutcomeReport:
-    """Report a task as running, ended or never started."""
+    """Report a task as `running`, `ended` or `never`.
+
+    After `never` the worker refuses a start under this id, also one that is still on its way.
+    """
 
     task_id: str
     state: str
