--- a/baobabhoist/peer/messages.py
+++ b/baobabhoist/peer/messages.py
@@ -55,7 +55,7 @@
     shards: tuple[ShardDigest, ...] = ()
     heard: tuple[Heard, ...] = ()
     weight: float = 1.0
-    platform_up: bool = True
+    cut_off_s: float = 0.0
 
 
 @attrs.frozen
@@ -86,23 +86,12 @@
     """Confirm a message that has no other reply."""
 
 
-@attrs.frozen
-class RecordEntry:
-    """Carry one entry of the change log; `body` is JSON, null for a deletion."""
-
-    kind: str
-    name: str
-    schema_version: int
-    revision: int
-    body: bytes
-
-
 @attrs.frozen
 class RecordEntries:
-    """Carry consecutive entries of the change log, in order of revision."""
+    """Carry consecutive entries of the change log as JSON, in order of revision."""
 
     sender: str
-    entries: tuple[RecordEntry, ...]
+    entries: tuple[bytes, ...]
 
 
 @attrs.frozen
@@ -114,10 +103,10 @@
 
 @attrs.frozen
 class RecordSnapshot:
-    """Carry all records in force at a revision."""
+    """Carry all records in force at a revision, as JSON."""
 
     revision: int
-    records: tuple[RecordEntry, ...]
+    records: tuple[bytes, ...]
 
 
 @attrs.frozen
--- /dev/null
+++ b/baobabhoist/platform/members.py
@@ -0,0 +1,99 @@
+"""Read the platform's membership list, which lags."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import time
+from collections.abc import Awaitable, Callable
+from typing import Any, Protocol
+
+import attrs
+
+from baobabhoist.errors import PlatformError
+
+log = logging.getLogger(__name__)
+
+# A leaving worker must get no new work after 3 s, list lag not included.
+POLL_INTERVAL_S = 1.0
+
+
+@attrs.frozen
+class Member:
+    """Hold one VM as the list shows it; `state` is `live`, `leaving` or `gone`."""
+
+    name: str
+    state: str
+    kind: str = ""
+    data_centre: str = ""
+    host: str = ""
+    port: int = 0
+
+    @classmethod
+    def of(cls, entry: dict[str, Any]) -> Member | None:
+        """Return the member in an entry of the list, or None if it cannot be read."""
+        try:
+            return cls(
+                str(entry["name"]),
+                str(entry["state"]),
+                str(entry.get("kind", "")),
+                str(entry.get("data_centre", "")),
+                str(entry.get("host", "")),
+                int(entry.get("port", 0)),
+            )
+        except (KeyError, TypeError, ValueError):
+            return None
+
+
+class MemberSource(Protocol):
+    """Read the list."""
+
+    async def members(self) -> list[dict[str, Any]]:
+        """Return the entries; raises PlatformError."""
+
+
+class MemberList:
+    """Poll the list and keep its last reading; without an answer that reading stays."""
+
+    def __init__(
+        self,
+        source: MemberSource,
+        on_reading: Callable[[MemberList], Awaitable[None]],
+        clock: Callable[[], float] = time.time,
+    ) -> None:
+        self.members: dict[str, Member] = {}
+        self._gone_since: dict[str, float] = {}
+        self._source = source
+        self._on_reading = on_reading
+        self._clock = clock
+
+    async def run(self) -> None:
+        """Poll until cancelled."""
+        while True:
+            try:
+                await self.read()
+            except PlatformError as exc:
+                log.info("cannot read the membership list: %s", exc)
+            await asyncio.sleep(POLL_INTERVAL_S)
+
+    async def read(self) -> None:
+        """Take one reading; raises PlatformError."""
+        found = [Member.of(entry) for entry in await self._source.members()]
+        self.members = {member.name: member for member in found if member is not None}
+        now = self._clock()
+        gone = self.gone()
+        self._gone_since = {name: self._gone_since.get(name, now) for name in gone}
+        await self._on_reading(self)
+
+    def leaving(self) -> set[str]:
+        """Return the members that must get no new work."""
+        return {name for name, member in self.members.items() if member.state != "live"}
+
+    def gone(self) -> set[str]:
+        """Return the members that the list shows as gone."""
+        return {name for name, member in self.members.items() if member.state == "gone"}
+
+    def gone_longer_than(self, seconds: float) -> set[str]:
+        """Return the members that the list has shown as gone for a time."""
+        now = self._clock()
+        return {name for name, since in self._gone_since.items() if now - since > seconds}
