Take shards over, hand them over and route requests to the owner in force

Cause: an owner that lost its token claimed again at once, kept its queue and gave freed places away too early; a lost relay ended a request; records reached other instances only by polling. Change: one ShardOwner object per claim, driven by Fencing (table row, tokens, inventories in pages, leases, confirmation of the epoch) and Dispatcher (outcome queries until the task's end or the certain end of its lease). Owners decides who claims, listens again after a pause, hands shards over and moves them to better-placed instances. RequestRouter asks the next owner under the same id and forwards work to shards with room. RecordSync loads from the table or a peer, pushes in the data centre and pulls from any peer with a higher revision. SIGTERM and the admin drain hand over all shards and finish every open request. Ruled out: an answer of never from a worker that may have restarted as proof that a task was not run; release of a place while its task may still run.

--- a/baobabhoist/daemon/app.py
+++ b/baobabhoist/daemon/app.py
@@ -4,36 +4,71 @@
 
 import asyncio
 import logging
-import time
 from typing import Any
 
-from tornado.httpserver import HTTPServer
-
 from baobabhoist.config.settings import Settings
-from baobabhoist.daemon.shard import ShardOwner
+from baobabhoist.daemon.digests import digest_of
+from baobabhoist.daemon.jobs import Jobs
+from baobabhoist.daemon.owners import BUSY_STATES, Owners, Place
+from baobabhoist.daemon.routing import RequestRouter
+from baobabhoist.daemon.shard import ShardOwner, ShardTimes
+from baobabhoist.daemon.shard_jobs import ShardJobs
+from baobabhoist.daemon.shutdown import Drain
 from baobabhoist.daemon.sync import RecordSync
-from baobabhoist.errors import ErrorKind, LinkClosedError, Refusal
+from baobabhoist.errors import NotSentError
 from baobabhoist.gateway.admin import admin_app
 from baobabhoist.gateway.callers import caller_app
-from baobabhoist.model import Outcome, Request
-from baobabhoist.ownership.claim import ShardState
+from baobabhoist.gateway.context import CallerOptions
+from baobabhoist.gateway.drain import OpenRequests
+from baobabhoist.gateway.operators import AdminOptions
+from baobabhoist.gateway.server import HttpLimits, http_server
+from baobabhoist.jobs.messages import JOB_MESSAGES
+from baobabhoist.model import Request, WorkerSpec
+from baobabhoist.observability.metrics import Metrics
+from baobabhoist.ownership.claim import ClaimTimes, ShardClaim
+from baobabhoist.ownership.events import ShardState
 from baobabhoist.ownership.keys import Result
-from baobabhoist.ownership.rendezvous import Candidate, rank
 from baobabhoist.peer.mesh import Mesh, PeerAddress
 from baobabhoist.peer.messages import (
+    Ack,
+    HandOver,
     Heartbeat,
-    RelayAnswer,
-    RelayRefusal,
+    RecordEntries,
+    RecordPull,
+    RecordSnapshot,
     RelayRequest,
 )
+from baobabhoist.peer.tls import PeerTls
 from baobabhoist.platform.client import PlatformTable
+from baobabhoist.platform.members import MemberList
+from baobabhoist.platform.table import Table, WatchedTable
+from baobabhoist.records.changes import LOG_HEAD
 from baobabhoist.records.view import RecordView
 
 log = logging.getLogger(__name__)
 
-OWNERSHIP_INTERVAL_S = 0.5
-# A claim waits this long after the start, so that peers already running are heard first.
-STARTUP_LISTEN_S = 1.0
+TLS_CHECK_INTERVAL_S = 2.0
+RECORD_MESSAGES = (RecordPull, RecordEntries, RecordSnapshot)
+
+
+class ShardRecords:
+    """Know the shards of the records."""
+
+    def __init__(self, view: RecordView) -> None:
+        self._view = view
+
+    def names(self) -> list[str]:
+        """Return the names of all shards."""
+        return sorted(self._view.shards())
+
+    def data_centre_of(self, shard: str) -> str:
+        """Return the data centre of a shard."""
+        found = self._view.shard(shard)
+        return found.data_centre if found is not None else ""
+
+    def workers_of(self, shard: str) -> list[WorkerSpec]:
+        """Return the workers of a shard."""
+        return self._view.workers_of(shard)
 
 
 class Daemon:
@@ -41,123 +76,238 @@
 
     def __init__(self, cfg: Settings) -> None:
         self.cfg = cfg
-        self.table = PlatformTable(cfg.platform_url)
+        platform = PlatformTable(cfg.platform_url)
+        self.table: Table = WatchedTable(platform, LOG_HEAD, lambda: self.sync.pull_soon())
         self.view = RecordView()
-        self.sync = RecordSync(self.view, self.table)
-        self.owners: dict[str, ShardOwner] = {}
-        peers = [
-            PeerAddress(peer.instance_id, peer.data_centre, peer.host, peer.port)
+        self.shards = ShardRecords(self.view)
+        self.metrics = Metrics()
+        self.sync = RecordSync(self.view, self.table, cfg.instance_id, cfg.data_centre)
+        self.members = MemberList(platform, self._members_read)
+        self.tls = PeerTls(cfg.peer_tls) if cfg.peer_tls is not None else None
+        self._addresses = {
+            peer.instance_id: PeerAddress(peer.instance_id, peer.data_centre, peer.host, peer.port)
             for peer in cfg.peers
-        ]
-        self.mesh = Mesh(peers, self.heartbeat, self._on_peer_message)
+        }
+        self.mesh = Mesh(
+            list(self._addresses.values()),
+            self.heartbeat,
+            self._on_peer_message,
+            on_heartbeat=self._heard,
+            tls=self.tls.contexts if self.tls is not None else None,
+        )
+        self.owners = Owners(
+            Place(cfg.instance_id, cfg.data_centre, cfg.vm_weight),
+            self.shards,
+            self.mesh,
+            self._make_owner,
+            times=ClaimTimes(
+                membership_lag_s=cfg.membership_lag_s, longest_lease_s=cfg.task_lease_s
+            ),
+        )
+        self.router = RequestRouter(self.owners.owners, self.mesh, self.shards.data_centre_of)
+        self.jobs = Jobs(self)
+        self.open_requests = OpenRequests()
+        self.drain = Drain(
+            self.open_requests,
+            self.owners,
+            lambda: self.router.open_requests,
+            self._close_callers,
+        )
+        self.sync.peers = self.mesh
+        self.sync.is_poller = self._is_poller
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._callers = http_server(
+            caller_app(
+                self,
+                CallerOptions(
+                    jobs=self.jobs,
+                    data_centre=cfg.data_centre,
+                    limits=HttpLimits(max_body_bytes=cfg.max_body_bytes),
+                    open_requests=self.open_requests,
+                    max_deadline_s=cfg.max_deadline_s,
+                    clock_skew_s=cfg.clock_skew_s,
+                    cut_off_s=self.sync.cut_off_s,
+                    metrics=self.metrics,
+                ),
+            ),
+            HttpLimits(max_body_bytes=cfg.max_body_bytes),
+        )
+        self._admin = http_server(
+            admin_app(
+                self,
+                AdminOptions(
+                    jobs=self.jobs,
+                    open_requests=self.open_requests,
+                    drain=self.drain.start,
+                    cut_off_s=self.sync.cut_off_s,
+                    metrics=self.metrics,
+                ),
+            ),
+            HttpLimits(),
+        )
 
     async def run(self) -> None:
-        """Serve until cancelled."""
-        callers = HTTPServer(caller_app(self))
-        callers.listen(self.cfg.caller_port, self.cfg.host)
-        admin = HTTPServer(admin_app(self))
-        admin.listen(self.cfg.admin_port, self.cfg.host)
+        """Serve until the drain has ended or the task is cancelled."""
+        self._callers.listen(self.cfg.caller_port, self.cfg.host)
+        self._admin.listen(self.cfg.admin_port, self.cfg.host)
+        loops = [
+            self.sync.run(),
+            self.members.run(),
+            self.mesh.run(self.cfg.host, self.cfg.peer_port),
+            self._own_shards(),
+            self._apply_records(),
+            self._reload_tls(),
+            self.jobs.run(),
+        ]
         async with asyncio.TaskGroup() as tg:
-            tg.create_task(self.sync.run())
-            tg.create_task(self.mesh.run(self.cfg.host, self.cfg.peer_port))
-            tg.create_task(self._own_shards(tg))
+            running = [tg.create_task(loop) for loop in loops]
+            await self.drain.run()
+            for task in running:
+                task.cancel()
 
     @property
     def ready(self) -> bool:
         """Tell whether the instance can serve callers."""
-        return self.sync.loaded.is_set()
+        return self.sync.loaded.is_set() and not self.drain.started.is_set()
 
     def heartbeat(self) -> Heartbeat:
         """Describe this instance to its peers."""
+        busy = self._busy()
         return Heartbeat(
             self.cfg.instance_id,
             self.cfg.data_centre,
-            tuple(self._owned()),
+            tuple(owner.shard for owner in busy),
             self.view.revision,
-            draining=False,
+            draining=self.drain.started.is_set(),
+            shards=tuple(digest_of(owner) for owner in busy),
+            heard=self.mesh.heard(),
+            weight=self.cfg.vm_weight,
+            cut_off_s=self.sync.cut_off_s(),
         )
 
     async def route(self, req: Request) -> Result:
         """Return the result of a request from the owner of its shard."""
-        owner = self.owners.get(req.shard)
-        if owner is not None and owner.claim.state is ShardState.OWNED:
-            return await owner.submit(req)
-        peer = self.mesh.owner_of(req.shard)
+        return await self.router.route(req)
+
+    # What the job coordinator needs.
+
+    def shard_names(self) -> list[str]:
+        """Return the names of all shards in the records."""
+        return self.shards.names()
+
+    def owned_shards(self) -> list[str]:
+        """Return the shards that this instance owns fully."""
+        owners = self.owners.owners.items()
+        return [name for name, owner in owners if owner.claim.state is ShardState.OWNED]
+
+    def local_shard(self, shard: str) -> ShardJobs | None:
+        """Return a shard that this instance owns fully, or None."""
+        owner = self.owners.owners.get(shard)
+        if owner is None or owner.claim.state is not ShardState.OWNED:
+            return None
+        return ShardJobs(owner)
+
+    async def call_owner(self, shard: str, message: Any, timeout_s: float) -> Any:
+        """Call the instance that owns a shard; raises LinkClosedError or TimeoutError."""
+        peer = self.mesh.owner_of(shard)
         if peer is None:
-            return Refusal(
-                ErrorKind.SHARD_UNAVAILABLE,
-                f"no live instance owns shard {req.shard}",
-                remedy="send the request again",
-                retry_after_s=0.5,
-            )
-        return await self._relay(peer, req)
-
-    async def _relay(self, peer: str, req: Request) -> Result:
-        try:
-            reply = await self.mesh.call(peer, RelayRequest(req), req.task.deadline - time.time())
-        except (LinkClosedError, TimeoutError):
-            return Refusal(
-                ErrorKind.OUTCOME_UNKNOWN,
-                "the instance that owns the shard did not answer",
-                Outcome.UNKNOWN,
-                "send the request again under the same key to learn its outcome",
-            )
-        return reply.answer if isinstance(reply, RelayAnswer) else reply.refusal
+            raise NotSentError(f"no live instance owns shard {shard}")
+        return await self.mesh.call(peer, message, timeout_s)
+
+    # What peers and the platform report.
 
     async def _on_peer_message(self, message: Any) -> Any | None:
-        if not isinstance(message, RelayRequest):
-            return None
-        req = message.request
-        owner = self.owners.get(req.shard)
-        if owner is None:
-            refusal = Refusal(ErrorKind.SHARD_UNAVAILABLE, "this instance is not the owner")
-            return RelayRefusal(req.request_id, refusal)
-        result = await owner.submit(req)
-        if isinstance(result, Refusal):
-            return RelayRefusal(req.request_id, result)
-        return RelayAnswer(result)
-
-    def _owned(self) -> list[str]:
-        return [
-            shard for shard, owner in self.owners.items() if owner.claim.state is ShardState.OWNED
+        if isinstance(message, RelayRequest):
+            return await self.router.answer(message)
+        if isinstance(message, RECORD_MESSAGES):
+            return await self.sync.receive(message)
+        if isinstance(message, HandOver):
+            return self.owners.take(message)
+        if isinstance(message, JOB_MESSAGES):
+            return await self.jobs.handle(message)
+        return Ack()
+
+    def _heard(self, beat: Heartbeat) -> None:
+        self._spawn(self.sync.heard(beat.instance_id, beat.records_revision, beat.cut_off_s))
+
+    async def _members_read(self, members: MemberList) -> None:
+        gone = members.gone()
+        for owner in list(self.owners.owners.values()):
+            owner.set_leaving(members.leaving() | self.view.drained_workers(owner.shard))
+            await owner.fencing.members_read(gone)
+        for name in members.gone_longer_than(self.cfg.membership_lag_s):
+            self.mesh.forget(name)
+        back = [self._addresses[name] for name in self._addresses if name not in gone]
+        self.mesh.consider(back)
+
+    def _is_poller(self) -> bool:
+        """Tell whether this instance polls the change log for its data centre."""
+        here = [
+            beat.instance_id
+            for beat in self.mesh.beats()
+            if beat.data_centre == self.cfg.data_centre and not beat.draining
         ]
+        return all(self.cfg.instance_id < other for other in here)
+
+    # What runs in the background.
 
-    async def _own_shards(self, tg: asyncio.TaskGroup) -> None:
+    async def _own_shards(self) -> None:
         await self.sync.loaded.wait()
-        await asyncio.sleep(STARTUP_LISTEN_S)
+        await self.owners.run()
+
+    async def _apply_records(self) -> None:
+        """Bring changed records into the running shards."""
         while True:
-            for record in self.view.of_kind("shard"):
-                if record.name not in self.owners and self._should_claim(record.name):
-                    owner = ShardOwner(
-                        record.name,
-                        self.cfg.instance_id,
-                        self.view.workers_of(record.name),
-                        self.table,
-                        self._escrow,
-                    )
-                    self.owners[record.name] = owner
-                    tg.create_task(owner.run())
-            await asyncio.sleep(OWNERSHIP_INTERVAL_S)
-
-    def _should_claim(self, shard: str) -> bool:
-        if self.mesh.owner_of(shard) is not None:
-            return False
-        record = self.view.get("shard", shard)
-        home = str((record.body or {}).get("data_centre", "")) if record else ""
-        candidates = [
-            Candidate(peer.address.instance_id, peer.address.data_centre)
-            for peer in self.mesh.live()
-        ]
-        candidates.append(
-            Candidate(self.cfg.instance_id, self.cfg.data_centre, self.cfg.vm_weight)
+            await self.sync.changed.wait()
+            self.sync.changed.clear()
+            leaving = self.members.leaving()
+            for owner in list(self.owners.owners.values()):
+                await owner.set_workers(self.view.workers_of(owner.shard))
+                owner.set_leaving(leaving | self.view.drained_workers(owner.shard))
+
+    async def _reload_tls(self) -> None:
+        while self.tls is not None:
+            self.tls.reload_if_changed()
+            await asyncio.sleep(TLS_CHECK_INTERVAL_S)
+
+    async def _close_callers(self) -> None:
+        self._callers.stop()
+        await self._callers.close_all_connections()
+
+    def _make_owner(
+        self, claim: ShardClaim, workers: list[WorkerSpec], inherited: HandOver | None
+    ) -> ShardOwner:
+        return ShardOwner(
+            claim,
+            workers,
+            self.table,
+            self._escrow,
+            times=ShardTimes(self.cfg.task_lease_s, self.cfg.clock_skew_s),
+            forward=self._forward,
+            send_hand_over=self.owners.send_hand_over,
+            inherited=inherited,
         )
-        return rank(shard, home, candidates)[0] == self.cfg.instance_id
+
+    def _forward(self, req: Request) -> Any:
+        own = [digest_of(owner) for owner in self._busy()]
+        return self.router.forward(req, own)
+
+    def _busy(self) -> list[ShardOwner]:
+        owners = self.owners.owners.values()
+        return [owner for owner in owners if owner.claim.state in BUSY_STATES]
 
     def _escrow(self, shard: str) -> dict[str, int]:
         """Split each team's limit evenly over the shards."""
-        shards = [record.name for record in self.view.of_kind("shard")]
+        shards = self.shards.names()
+        if shard not in shards:
+            return {}
         places = {}
-        for team in self.view.of_kind("team"):
-            share, rest = divmod(int((team.body or {})["limit"]), len(shards))
-            places[team.name] = share + (1 if shards.index(shard) < rest else 0)
+        for name, team in self.view.teams().items():
+            share, rest = divmod(team.limit, len(shards))
+            places[name] = share + (1 if shards.index(shard) < rest else 0)
         return places
+
+    def _spawn(self, coro: Any) -> None:
+        task = asyncio.create_task(coro)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
--- a/baobabhoist/daemon/dispatch.py
+++ b/baobabhoist/daemon/dispatch.py
@@ -230,3 +230,13 @@
         "send the request again under the same key",
         retry_after_s=0.5,
     )
+
+
+def result_of_fate(task_id: str, fate: Fate) -> Result:
+    """Return the result of a task of which this is known."""
+    match fate:
+        case Ended(succeeded, body):
+            return result_of_end(task_id, succeeded, body)
+        case NeverRan(reason):
+            return never_ran(reason)
+    return outcome_unknown("the worker did not report what became of the task")
--- a/baobabhoist/daemon/fencing.py
+++ b/baobabhoist/daemon/fencing.py
@@ -125,6 +125,7 @@
         self._presenting: dict[str, Token] = {}
         self._silent: dict[str, int] = {}
         self._began = False
+        self._settled = asyncio.Event()
 
     async def run(self) -> None:
         """Claim the shard and hold it; return when it is lost or released."""
@@ -143,9 +144,16 @@
         """Give the shard up."""
         await self.apply(ReleaseWanted())
 
-    async def hand_over(self, successor: str) -> None:
-        """Stop dispatch, send the queue to the successor and give the shard up."""
+    async def hand_over(self, successor: str) -> bool:
+        """Stop dispatch, send the queue to the successor; tell whether the shard was given up.
+
+        The claim ends a hand-over by itself when its deadline passes.
+        """
+        self._settled.clear()
         await self.apply(HandOverWanted(successor))
+        if self.claim.state is ShardState.HANDING_OVER:
+            await self._settled.wait()
+        return self.ended.is_set()
 
     async def refused(self, worker: str, highest: Token) -> None:
         """Note that a worker obeys a higher token."""
@@ -181,10 +189,10 @@
         except InvariantBreachError:
             # The step had no effect and its breach is counted; the claim goes on without it.
             return
+        self._note_end()
         for action in actions:
             await self._perform(action)
         self._holder.usable_workers_changed()
-        self._note_end()
 
     def _note_end(self) -> None:
         if self._began and self.claim.state in ENDED_STATES:
@@ -201,6 +209,8 @@
             case StateChanged(state):
                 shard, token = self.claim.shard, self.claim.token
                 emit(log, Event.SHARD_STATE, shard=shard, state=state.value, token=token)
+                if state is not ShardState.HANDING_OVER:
+                    self._settled.set()
                 self._holder.state_changed(state)
 
     async def _want(self) -> None:
--- a/baobabhoist/daemon/main.py
+++ b/baobabhoist/daemon/main.py
@@ -20,18 +20,15 @@
 flags.DEFINE_string("config", None, "Settings file in YAML.", required=True)
 
 EXIT_BAD_SETTINGS = 2
+QUIET_LOGGERS = {"tornado.access": logging.ERROR, "websockets": logging.WARNING}
 
 
 async def serve(daemon: Daemon) -> None:
-    """Run the daemon until it is asked to stop."""
-    running = asyncio.create_task(daemon.run())
+    """Run the daemon until it is drained: by SIGTERM, SIGINT or an operator."""
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, running.cancel)
-    try:
-        await running
-    except asyncio.CancelledError:
-        return
+        loop.add_signal_handler(number, daemon.drain.started.set)
+    await daemon.run()
 
 
 def main(argv: list[str]) -> int:
@@ -43,6 +40,9 @@
         return EXIT_BAD_SETTINGS
     cfg = loaded.settings
     configure_logging(cfg.log_format, cfg.log_level)
+    # One line per request or connection would cost more than the request itself.
+    for name, quiet in QUIET_LOGGERS.items():
+        logging.getLogger(name).setLevel(max(quiet, logging.getLogger().level))
     for warning in loaded.warnings:
         emit(log, Event.SETTINGS_WARNING, problem=str(warning))
     asyncio.run(serve(Daemon(cfg)))
--- a/baobabhoist/daemon/owners.py
+++ b/baobabhoist/daemon/owners.py
@@ -211,14 +211,10 @@
         return ranked[0] if ranked else None
 
     async def _hand_over(self, owner: ShardOwner, successor: str) -> None:
-        await owner.fencing.hand_over(successor)
-        try:
-            async with asyncio.timeout(self._times.hand_over_s):
-                await owner.fencing.ended.wait()
-        except TimeoutError:
-            log.warning("shard %s was not handed over to %s", owner.shard, successor)
-        else:
+        if await owner.fencing.hand_over(successor):
             emit(log, Event.HAND_OVER_FINISHED, shard=owner.shard, instance_id=successor)
+        else:
+            log.warning("instance %s did not take shard %s", successor, owner.shard)
 
     async def _drive(self, shard: str, owner: ShardOwner) -> None:
         running = asyncio.create_task(owner.run())
--- a/baobabhoist/daemon/routing.py
+++ b/baobabhoist/daemon/routing.py
@@ -18,7 +18,7 @@
     NotSentError,
     Refusal,
 )
-from baobabhoist.model import Outcome, Request
+from baobabhoist.model import Outcome, Request, WorkKind
 from baobabhoist.ownership.keys import Result
 from baobabhoist.peer.messages import RelayAnswer, RelayRefusal, RelayRequest, ShardDigest
 
@@ -82,11 +82,12 @@
 
     async def route(self, req: Request) -> Result:
         """Return the result of a request from the owner of its shard."""
-        self.open_requests += 1
+        counted = _is_counted(req)
+        self.open_requests += counted
         try:
             return await self._ask_until(req, False, PATIENCE_S)
         finally:
-            self.open_requests -= 1
+            self.open_requests -= counted
 
     async def answer(self, message: RelayRequest) -> RelayAnswer | RelayRefusal:
         """Answer a request that another instance relayed."""
@@ -94,11 +95,12 @@
         owner = self._owners.get(req.shard)
         result: Result = not_owner(req.shard)
         if owner is not None:
-            self.open_requests += 1
+            counted = _is_counted(req)
+            self.open_requests += counted
             try:
                 result = await owner.submit(req, message.forwarded)
             finally:
-                self.open_requests -= 1
+                self.open_requests -= counted
         if isinstance(result, Refusal):
             return RelayRefusal(req.request_id, result)
         return RelayAnswer(result)
@@ -167,6 +169,11 @@
         return LostRelay(sent=True)
 
 
+def _is_counted(req: Request) -> bool:
+    """Tell whether a drain waits for the request; tasks of jobs go on without this instance."""
+    return req.task.kind is WorkKind.REQUEST
+
+
 def _ask_again(result: Result | LostRelay) -> bool:
     if isinstance(result, LostRelay):
         return True
--- a/baobabhoist/daemon/shard.py
+++ b/baobabhoist/daemon/shard.py
@@ -15,15 +15,13 @@
     CALL_TIMEOUT_S,
     Dispatcher,
     Ended,
-    Fate,
     Leases,
     Lost,
     NeverRan,
     Superseded,
-    never_ran,
     not_owner,
     outcome_unknown,
-    result_of_end,
+    result_of_fate,
 )
 from baobabhoist.daemon.fencing import Fencing
 from baobabhoist.daemon.forwarding import (
@@ -267,7 +265,7 @@
         if isinstance(fate, Lost) and self.keys.retry(task.task_id, task.deadline, now):
             self.scheduler.enqueue(task, now)
         else:
-            self.finish(task.task_id, _result_of(task.task_id, fate))
+            self.finish(task.task_id, result_of_fate(task.task_id, fate))
         self.dispatch(now)
 
     def _superseded(self, task_id: str, fate: Superseded) -> None:
@@ -455,7 +453,9 @@
             return
         self._release_adopted(task_id, isinstance(fate, Ended) and fate.succeeded)
         # The worker reported it as running before, so `never` only means that it forgot it.
-        self.finish(task_id, _result_of(task_id, Lost() if isinstance(fate, NeverRan) else fate))
+        self.finish(
+            task_id, result_of_fate(task_id, Lost() if isinstance(fate, NeverRan) else fate)
+        )
         self.dispatch(self._clock())
 
     def _adopted_ended(self, worker: str, task_id: str, succeeded: bool) -> None:
@@ -500,12 +500,3 @@
         self.refresh_places()
         self.dispatch(now)
         self.forwarder.tick(now)
-
-
-def _result_of(task_id: str, fate: Fate) -> Result:
-    match fate:
-        case Ended(succeeded, body):
-            return result_of_end(task_id, succeeded, body)
-        case NeverRan(reason):
-            return never_ran(reason)
-    return outcome_unknown("the worker did not report what became of the task")
--- a/baobabhoist/daemon/shutdown.py
+++ b/baobabhoist/daemon/shutdown.py
@@ -72,7 +72,8 @@
         await asyncio.sleep(self._balancer_s)
         self._requests.begin_drain()
         while self._open_work() or self._requests.count:
-            await self._owners.release_idle()
+            # A successor may have appeared since.
+            await self._owners.hand_over_all()
             await asyncio.sleep(CHECK_INTERVAL_S)
         await self._owners.release_idle()
         await asyncio.sleep(FLUSH_S)
--- a/baobabhoist/peer/mesh.py
+++ b/baobabhoist/peer/mesh.py
@@ -136,10 +136,13 @@
                 best = max(best, found) if best is not None else found
         return best[1] if best is not None else None
 
+    def beats(self) -> list[Heartbeat]:
+        """Return the last heartbeat of each live peer."""
+        return [peer.heartbeat for peer in self.live() if peer.heartbeat is not None]
+
     def digests(self) -> list[ShardDigest]:
         """Return the digests of the shards that live peers own."""
-        beats = (peer.heartbeat for peer in self.live())
-        return [digest for beat in beats if beat is not None for digest in beat.shards]
+        return [digest for beat in self.beats() for digest in beat.shards]
 
     async def call(self, instance_id: str, message: Any, deadline_s: float) -> Any:
         """Call a peer; raises LinkClosedError or TimeoutError."""
--- a/baobabhoist/platform/table.py
+++ b/baobabhoist/platform/table.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import uuid
+from collections.abc import Callable
 from typing import Any, Protocol
 
 import attrs
@@ -46,3 +47,27 @@
 
     async def commit(self, txn: Transaction) -> Committed | Refusal:
         """Commit a transaction, or return a conflict; a lost answer is read back by id."""
+
+
+class WatchedTable:
+    """Tell when a transaction that writes a certain row has been committed through this table."""
+
+    def __init__(self, table: Table, key: str, on_commit: Callable[[], None]) -> None:
+        self._table = table
+        self._key = key
+        self._on_commit = on_commit
+
+    async def read(self, key: str) -> Row:
+        """Return a row, with revision 0 when it is absent."""
+        return await self._table.read(key)
+
+    async def scan(self, prefix: str, after: str = "", limit: int = 1000) -> list[Row]:
+        """Return rows in key order, from the first key behind `after`."""
+        return await self._table.scan(prefix, after, limit)
+
+    async def commit(self, txn: Transaction) -> Committed | Refusal:
+        """Commit a transaction, or return a conflict."""
+        outcome = await self._table.commit(txn)
+        if isinstance(outcome, Committed) and self._key in txn.writes:
+            self._on_commit()
+        return outcome
