--- /dev/null
+++ b/baobabhoist/tests/test_gateway_tls.py
@@ -0,0 +1,153 @@
+"""Test the TLS listeners and the reload of their certificates."""
+
+import asyncio
+import ssl
+
+import pytest
+from tornado.testing import bind_unused_port
+from tornado.web import Application, RequestHandler
+
+from baobabhoist.errors import SettingsError
+from baobabhoist.gateway.server import HttpLimits, http_server
+from baobabhoist.gateway.tls import ReloadingTls, TlsFiles
+from baobabhoist.tests.certificates import Authority
+
+REQUEST = b"GET / HTTP/1.1\r\nHost: here\r\n\r\n"
+
+
+class Hello(RequestHandler):
+    def get(self):
+        self.finish("hello")
+
+
+def client_context(ca, identity=None, version=ssl.TLSVersion.TLSv1_3):
+    context = ssl.create_default_context(cafile=ca)
+    context.maximum_version = version
+    if identity is not None:
+        context.load_cert_chain(*identity)
+    return context
+
+
+async def ask(reader, writer):
+    """Return the status line; an empty one if the server closed the connection."""
+    writer.write(REQUEST)
+    head = await reader.readuntil(b"\r\n\r\n")
+    await reader.readexactly(len("hello"))
+    return head.split(b"\r\n")[0].decode()
+
+
+async def connect(port, context):
+    return await asyncio.open_connection("127.0.0.1", port, ssl=context)
+
+
+def subject_of(writer):
+    return dict(pair[0] for pair in writer.get_extra_info("peercert")["subject"])["commonName"]
+
+
+@pytest.fixture
+def files(tmp_path):
+    authority = Authority("servers")
+    certificate, key = tmp_path / "server.pem", tmp_path / "server.key"
+    authority.issue("first", certificate, key)
+    return authority, certificate, key, authority.write(tmp_path / "ca.pem")
+
+
+def run_with_server(tls, body):
+    async def run():
+        sock, port = bind_unused_port()
+        server = http_server(Application([("/", Hello)]), HttpLimits(), tls.context)
+        server.add_sockets([sock])
+        try:
+            await body(port)
+        finally:
+            server.stop()
+            await server.close_all_connections()
+
+    asyncio.run(run())
+
+
+def test_a_replaced_certificate_serves_new_connections_and_keeps_old_ones(files):
+    """Guard against a reload that cuts a connection or has no effect."""
+    authority, certificate, key, ca = files
+    tls = ReloadingTls.load(TlsFiles(str(certificate), str(key)))
+    context = client_context(ca)
+
+    async def body(port):
+        old = await connect(port, context)
+        assert subject_of(old[1]) == "first"
+        authority.issue("second", certificate, key)
+        assert tls.reload_if_changed()
+        assert not tls.reload_if_changed()
+        new = await connect(port, context)
+        assert subject_of(new[1]) == "second"
+        assert await ask(*old) == await ask(*new) == "HTTP/1.1 200 OK"
+        for _, writer in (old, new):
+            writer.close()
+
+    run_with_server(tls, body)
+
+
+def test_a_half_replaced_certificate_leaves_the_old_one_in_use(files, tmp_path):
+    """Guard against a listener that stops because only one of two files was replaced."""
+    authority, certificate, key, ca = files
+    tls = ReloadingTls.load(TlsFiles(str(certificate), str(key)))
+    new_key = tmp_path / "new.key"
+    authority.issue("second", certificate, new_key)
+    assert not tls.reload_if_changed()
+
+    async def body(port):
+        _, writer = await connect(port, client_context(ca))
+        assert subject_of(writer) == "first"
+        writer.close()
+        new_key.rename(key)
+        assert tls.reload_if_changed()
+        _, writer = await connect(port, client_context(ca))
+        assert subject_of(writer) == "second"
+        writer.close()
+
+    run_with_server(tls, body)
+
+
+@pytest.mark.parametrize("version", [ssl.TLSVersion.TLSv1_2, ssl.TLSVersion.TLSv1_3])
+def test_client_certificates_are_checked_against_the_newest_authorities(files, tmp_path, version):
+    """Guard against clients without a certificate, or with one of a withdrawn authority."""
+    _, certificate, key, ca = files
+    old, new = Authority("old clients"), Authority("new clients")
+    clients = tmp_path / "clients.pem"
+    old.write(clients)
+    old_id = old.issue("old", tmp_path / "old.pem", tmp_path / "old.key")
+    new_id = new.issue("new", tmp_path / "new.pem", tmp_path / "new.key")
+    tls = ReloadingTls.load(TlsFiles(str(certificate), str(key), str(clients)))
+
+    async def accepted(port, identity):
+        try:
+            reader, writer = await connect(port, client_context(ca, identity, version))
+            status = await ask(reader, writer)
+        except (ssl.SSLError, ConnectionError, asyncio.IncompleteReadError):
+            return False
+        writer.close()
+        return status == "HTTP/1.1 200 OK"
+
+    async def body(port):
+        assert not await accepted(port, None)
+        assert await accepted(port, old_id)
+        assert not await accepted(port, new_id)
+        new.write(clients)
+        assert tls.reload_if_changed()
+        assert await accepted(port, new_id)
+        assert not await accepted(port, old_id)
+
+    run_with_server(tls, body)
+
+
+def test_unusable_files_are_named(files, tmp_path):
+    """Guard against an operator searching for the file that is wrong."""
+    _, certificate, key, _ = files
+    bad = tmp_path / "bad.pem"
+    bad.write_text("no certificate")
+    with pytest.raises(SettingsError, match=r"bad\.pem"):
+        ReloadingTls.load(TlsFiles(str(bad), str(key)))
+    with pytest.raises(SettingsError, match=r"bad\.pem"):
+        ReloadingTls.load(TlsFiles(str(certificate), str(key), str(bad)))
+    with pytest.raises(SettingsError, match=r"missing\.key"):
+        ReloadingTls.load(TlsFiles(str(certificate), str(tmp_path / "missing.key")))
