Report waiting, service and decision times and the gauges of owned shards

Cause: the metrics were defined but nothing fed them. Change: a shard tells an observer when a task starts, ends and how long its placement took; a task of the daemon reads the gauges every 2 s. A cancelled task no longer shows "failed on its worker" as its reason. `_release_adopted` asks the scheduler's index in place of building a map of all placements. Ruled out: reading gauges at each scrape, because several collectors would multiply the cost.

--- a/baobabhoist/daemon/app.py
+++ b/baobabhoist/daemon/app.py
@@ -15,6 +15,7 @@
 from baobabhoist.daemon.shard_jobs import ShardJobs
 from baobabhoist.daemon.shutdown import Drain
 from baobabhoist.daemon.sync import RecordSync
+from baobabhoist.daemon.telemetry import Gauges, MetricsObserver
 from baobabhoist.errors import NotSentError
 from baobabhoist.gateway.admin import admin_app
 from baobabhoist.gateway.callers import caller_app
@@ -158,6 +159,7 @@
             self._apply_records(),
             self._reload_tls(),
             self.jobs.run(),
+            Gauges(self.metrics, self, lambda: self.view.revision).run(),
         ]
         async with asyncio.TaskGroup() as tg:
             running = [tg.create_task(loop) for loop in loops]
@@ -172,7 +174,7 @@
 
     def heartbeat(self) -> Heartbeat:
         """Describe this instance to its peers."""
-        busy = self._busy()
+        busy = self.busy_owners()
         return Heartbeat(
             self.cfg.instance_id,
             self.cfg.data_centre,
@@ -286,13 +288,15 @@
             forward=self._forward,
             send_hand_over=self.owners.send_hand_over,
             inherited=inherited,
+            observer=MetricsObserver(self.metrics),
         )
 
     def _forward(self, req: Request) -> Any:
-        own = [digest_of(owner) for owner in self._busy()]
+        own = [digest_of(owner) for owner in self.busy_owners()]
         return self.router.forward(req, own)
 
-    def _busy(self) -> list[ShardOwner]:
+    def busy_owners(self) -> list[ShardOwner]:
+        """Return the shards that this instance works for."""
         owners = self.owners.owners.values()
         return [owner for owner in owners if owner.claim.state in BUSY_STATES]
 
--- a/baobabhoist/daemon/shard.py
+++ b/baobabhoist/daemon/shard.py
@@ -6,7 +6,7 @@
 import logging
 import time
 from collections.abc import Awaitable, Callable, Coroutine, Iterable, Mapping
-from typing import Any
+from typing import Any, Protocol
 
 import attrs
 
@@ -66,6 +66,19 @@
     clock_skew_s: float = 0.5
 
 
+class Observer(Protocol):
+    """Learn what a shard decides and how long its tasks take; times are in seconds."""
+
+    def started(self, task: Task, now: float) -> None:
+        """Learn that a task was sent to its worker."""
+
+    def ended(self, task: Task, seconds: float) -> None:
+        """Learn how long a task was with its worker."""
+
+    def decided(self, task: Task, seconds: float) -> None:
+        """Learn the processor time of one placement."""
+
+
 async def _send_nowhere(successor: str, message: HandOver) -> bool | None:
     return False
 
@@ -86,6 +99,7 @@
         inherited: HandOver | None = None,
         make_link: Callable[[WorkerSpec, OnChange], WorkerConnection] = WorkerLink,
         clock: Callable[[], float] = time.time,
+        observer: Observer | None = None,
     ) -> None:
         specs = list(workers)
         times = times or ShardTimes()
@@ -102,6 +116,7 @@
         self._send_hand_over = send_hand_over
         self._inherited = inherited
         self._clock = clock
+        self._observer = observer
         self._in_flight: dict[str, str] = {}
         self._adopted = Adopted()
         self._up: set[str] = set()
@@ -194,11 +209,15 @@
         """Start what fits now; bounded batches leave room for other work in between."""
         if not self.usable:
             return
+        begun = time.perf_counter()
         try:
             batch = self.scheduler.next_batch(now, BATCH)
         except InvariantBreachError:
             return
+        decision_s = (time.perf_counter() - begun) / max(1, len(batch))
         for placement in batch:
+            if self._observer is not None:
+                self._observer.decided(placement.task, decision_s)
             self.start(placement, now)
         if len(batch) >= BATCH:
             asyncio.get_running_loop().call_soon(lambda: self.dispatch(self._clock()))
@@ -217,6 +236,8 @@
             self.take_back(task.task_id, now)
             return
         self._in_flight[task.task_id] = worker
+        if self._observer is not None:
+            self._observer.started(task, now)
         self.spawn(self._execute(placement))
 
     def _enqueue_again(self, task: Task, now: float) -> None:
@@ -234,6 +255,7 @@
 
     async def _execute(self, placement: Placement) -> None:
         task, worker = placement.task, placement.worker
+        begun = self._clock()
         try:
             fate = await self.dispatcher.execute(task, worker)
         finally:
@@ -247,6 +269,8 @@
             # A refused start says nothing about the worker's health or the task's size.
             self.take_back(task.task_id, now)
         else:
+            if self._observer is not None:
+                self._observer.ended(task, now - begun)
             if isinstance(fate, Ended) and fate.confirmed:
                 self.places.confirmed.add(task.task_id)
             self.scheduler.ended(task.task_id, succeeded, now)
@@ -435,7 +459,7 @@
             self._release_adopted(task_id, succeeded)
 
     def _release_adopted(self, task_id: str, succeeded: bool) -> None:
-        if task_id in self.scheduler.placed:
+        if task_id in self.scheduler.running:
             self.scheduler.ended(task_id, succeeded, self._clock())
         self.places.ended(task_id)
 
--- a/baobabhoist/jobs/state.py
+++ b/baobabhoist/jobs/state.py
@@ -376,7 +376,7 @@
                 self._first_open += 1
 
     def _ended(self, task: TaskProgress, now: float, succeeded: bool, reason: str) -> None:
-        task.reason = reason
+        task.reason = "" if self.cancel_wanted else reason
         if self.cancel_wanted:
             task.state = Attempt.SUCCEEDED if succeeded else Attempt.CANCELLED
         elif self.spec.kind is WorkKind.SERVICE:
--- a/baobabhoist/observability/metrics.py
+++ b/baobabhoist/observability/metrics.py
@@ -67,6 +67,9 @@
         self._breaches = self._counter(
             "invariant_breaches_total", "Steps refused because an invariant would break."
         )
+        self._traffic = self._gauge(
+            "link_bytes", "Bytes of messages on links to peers and workers since the start."
+        )
         self._refusals = self._counter("refusals_total", "Work refused, by team and kind.")
 
     def waited(self, team: str, kind: str, seconds: float) -> None:
@@ -101,6 +104,11 @@
         """Report the revision of the records in force."""
         self._revision.set({}, revision)
 
+    def set_link_traffic(self, sent_bytes: int, received_bytes: int) -> None:
+        """Report the bytes of messages since the start of the process."""
+        self._traffic.set({"direction": "sent"}, sent_bytes)
+        self._traffic.set({"direction": "received"}, received_bytes)
+
     def invariant_breached(self, invariant: str) -> None:
         """Count a step refused by an invariant."""
         self._breaches.inc({"invariant": self._invariants.of(invariant)})
--- a/baobabhoist/peer/link.py
+++ b/baobabhoist/peer/link.py
@@ -8,6 +8,7 @@
 from collections.abc import Awaitable, Callable, Coroutine
 from typing import Any
 
+import attrs
 from websockets.asyncio.connection import Connection
 from websockets.exceptions import ConnectionClosed
 
@@ -46,6 +47,17 @@
 Handler = Callable[[Any], Awaitable[Any | None]]
 
 
+@attrs.define
+class Traffic:
+    """Count the bytes of messages on all links of this process."""
+
+    sent_bytes: int = 0
+    received_bytes: int = 0
+
+
+TRAFFIC = Traffic()
+
+
 class Link:
     """Send calls, match replies to them and pass what arrives to a handler."""
 
@@ -65,6 +77,7 @@
         """Read until the connection ends, then fail the outstanding calls."""
         try:
             async for data in self._conn:
+                TRAFFIC.received_bytes += len(data)
                 self._receive(data if isinstance(data, bytes) else data.encode())
         except ConnectionClosed:
             pass
@@ -113,6 +126,7 @@
             await self._send_frame(data)
 
     async def _send_frame(self, data: bytes) -> None:
+        TRAFFIC.sent_bytes += len(data)
         try:
             await self._conn.send(data)
         except ConnectionClosed as exc:
