Measure what control costs a daemon

Cause: docs/CAPACITY.md needs slopes for processor time, memory and bytes on control links. Ruled out: counters of the loopback device, because they include the callers and other programs.

--- a/baobabhoist/benchmarks/main.py
+++ b/baobabhoist/benchmarks/main.py
@@ -7,7 +7,7 @@
 import orjson
 from absl import app, flags
 
-from baobabhoist.benchmarks import decisions, progress
+from baobabhoist.benchmarks import control, decisions, progress
 from baobabhoist.benchmarks.stream import PROFILES
 
 FLAGS = flags.FLAGS
@@ -17,6 +17,8 @@
 flags.DEFINE_float("duration_s", 0.0, "Length of the stream in place of the profile's.")
 flags.DEFINE_bool("failing_workers", True, "Whether some workers fail everything for a time.")
 flags.DEFINE_float("measure_s", 3.0, "Length of each measurement of progress writes.")
+flags.DEFINE_list("fleets", ["24", "100", "400"], "Numbers of workers to measure control at.")
+flags.DEFINE_float("rate", 200.0, "Requests a second while control is measured under load.")
 flags.DEFINE_enum("output", "table", ["table", "json"], "Form of the report.")
 
 
@@ -31,8 +33,12 @@
         case ["progress"]:
             report = asyncio.run(progress.run(FLAGS.measure_s))
             text = progress.table(report)
+        case ["control"]:
+            sizes = [int(size) for size in FLAGS.fleets]
+            report = control.run(sizes, FLAGS.rate, FLAGS.measure_s)
+            text = control.table(report)
         case _:
-            raise app.UsageError("name one measurement: decisions or progress")
+            raise app.UsageError("name one measurement: control, decisions or progress")
     print(orjson.dumps(report).decode() if FLAGS.output == "json" else text)
 
 
