Refuse to soak into a folder with logs of another run

Cause: a trial in a reused folder reported 30 breaches, because references repeat between runs.

Change: a folder that is not empty is refused.

Ruled out: clearing it, since logs of a failed run are evidence.

--- a/baobabhoist/testing/soak.py
+++ b/baobabhoist/testing/soak.py
@@ -379,6 +379,9 @@
     AsyncHTTPClient.configure(None, max_clients=1000)
     folder = Path(FLAGS.folder or tempfile.mkdtemp(prefix="soak-"))
     folder.mkdir(parents=True, exist_ok=True)
+    if any(folder.iterdir()):
+        print(f"{folder} is not empty; logs of another run would be judged along with this one")
+        return 2
     unknown = set(FLAGS.faults) - set(FAULTS)
     if unknown:
         print(f"unknown faults {sorted(unknown)}; known are {sorted(FAULTS)}")
