Log the messages of refusals in the soak

Cause: the cause of a refusal could not be read from the callers' log. Change: the message is kept and the answers are counted by kind. Ruled out: nothing. Conclusion: no change of the verdicts.

--- a/baobabhoist/testing/soak.py
+++ b/baobabhoist/testing/soak.py
@@ -8,6 +8,7 @@
 import re
 import tempfile
 import time
+from collections import Counter
 from collections.abc import Awaitable, Callable
 from pathlib import Path
 from typing import Any
@@ -247,11 +248,8 @@
             entry |= {"status": 200, "whole": answer.body.partition(b":")[2] == body}
         else:
             refusal = json.loads(answer.body)
-            entry |= {
-                "status": answer.code,
-                "kind": refusal["kind"],
-                "outcome": refusal["outcome"],
-            }
+            entry["status"] = answer.code
+            entry |= {name: refusal[name] for name in ("kind", "outcome", "message")}
         self.callers.append(entry)
 
     async def load(self) -> None:
@@ -369,8 +367,9 @@
         faulty += len(re.findall(r"\[100[56]\]|Traceback", text))
     print(f"internal: invariant breaches and crashed tasks logged by daemons: {faulty}")
     print(f"jobs: {soak.states}")
-    codes = sorted(str(entry.get("status", "none")) for entry in soak.callers)
-    print("answers: " + ", ".join(f"{code} x{codes.count(code)}" for code in sorted(set(codes))))
+    requests = [entry for entry in soak.callers if entry["event"] == "request"]
+    answers = Counter(e.get("kind") or e.get("status") or e["error"] for e in requests)
+    print(f"answers: {dict(answers.most_common())}")
     return verdict.passed and not faulty and not soak.states.get("lost")
 
 
