Describe both APIs and hold the description and the handlers against each other

Cause: callers and operators had no description of the APIs, and nothing kept one true. Ruled out: a description generated from the handlers, which cannot disagree with them.

--- a/baobabhoist/gateway/bodies.py
+++ b/baobabhoist/gateway/bodies.py
@@ -59,7 +59,7 @@
     if type(value) is not str:
         problems.append(Problem(path, f"{shown(value)} is not a string", "give a string"))
         return ABSENT
-    return value.encode("utf-8", "surrogatepass")
+    return value.encode("utf-8")
 
 
 def _base64_payload(value: Any, path: str, problems: Problems) -> Any:
@@ -76,7 +76,7 @@
     "resources": Field(_RESOURCES, _NO_RESOURCES),
     "expected_run_s": Field(number(0.001, MAX_DEADLINE_S), 1.0),
 }
-_JOB = object_of(
+JOB = object_of(
     {
         **_TASK_FIELDS,
         "queue": Field(text(NAME_PATTERN, NAME_REMEDY)),
@@ -136,7 +136,7 @@
     if isinstance(raw, Refusal):
         return raw
     problems: Problems = []
-    found = _JOB(raw, "job", problems)
+    found = JOB(raw, "job", problems)
     if found is not ABSENT:
         problems.extend(_job_problems(raw, found))
     if problems:
--- a/baobabhoist/records/checks.py
+++ b/baobabhoist/records/checks.py
@@ -163,26 +163,33 @@
     return check
 
 
-def object_of(fields: Mapping[str, Field]) -> Check:
+@attrs.frozen
+class ObjectCheck:
     """Accept an object with exactly these fields; the result is a dict with all of them."""
-    names = ", ".join(sorted(fields))
 
-    def check(value: Any, path: str, problems: Problems) -> Any:
+    fields: Mapping[str, Field]
+
+    def __call__(self, value: Any, path: str, problems: Problems) -> Any:
+        """Return the checked fields, or ABSENT."""
+        names = ", ".join(sorted(self.fields))
         if type(value) is not dict:
             message = f"{shown(value)} is not an object"
             problems.append(Problem(path, message, f"give an object with the fields {names}"))
             return ABSENT
         before = len(problems)
         for name in value:
-            if type(name) is not str or name not in fields:
+            if type(name) is not str or name not in self.fields:
                 remedy = f"remove it; the fields are {names}"
                 problems.append(Problem(path, f"the field {shown(name)} is unknown", remedy))
         found = {}
-        for name, field in fields.items():
+        for name, field in self.fields.items():
             found[name] = _field(value, name, field, f"{path}.{name}", problems)
         return found if len(problems) == before else ABSENT
 
-    return check
+
+def object_of(fields: Mapping[str, Field]) -> ObjectCheck:
+    """Return the check of an object with exactly these fields."""
+    return ObjectCheck(fields)
 
 
 def _field(value: dict[str, Any], name: str, field: Field, path: str, problems: Problems) -> Any:
--- a/baobabhoist/records/schema.py
+++ b/baobabhoist/records/schema.py
@@ -17,8 +17,8 @@
 from baobabhoist.model import WorkKind
 from baobabhoist.records.checks import (
     ABSENT,
-    Check,
     Field,
+    ObjectCheck,
     Problems,
     boolean,
     integer,
@@ -189,7 +189,7 @@
     leaves them as they are. `to_version` returns None when a body cannot be expressed.
     """
 
-    check: Check
+    check: ObjectCheck
     to_canonical: Callable[[Body], Body] = _same
     to_version: Callable[[Body], Body | None] = _same
     kept: tuple[str, ...] = ()
--- /dev/null
+++ b/baobabhoist/tests/gateways.py
@@ -0,0 +1,197 @@
+"""Serve both HTTP applications on loopback for tests."""
+
+import asyncio
+
+import attrs
+import orjson
+from tornado.httpclient import AsyncHTTPClient
+from tornado.testing import bind_unused_port
+
+from baobabhoist.errors import ErrorKind, Refusal
+from baobabhoist.gateway.admin import admin_app
+from baobabhoist.gateway.callers import caller_app
+from baobabhoist.gateway.context import CallerOptions
+from baobabhoist.gateway.operators import AdminOptions
+from baobabhoist.gateway.server import http_server
+from baobabhoist.model import Answer, JobExplanation, JobState, JobStatus, TaskState
+from baobabhoist.observability.metrics import Metrics
+from baobabhoist.peer.mesh import PeerAddress, PeerState
+from baobabhoist.peer.messages import Heartbeat
+from baobabhoist.records.changes import record_of
+from baobabhoist.records.keys import digest
+from baobabhoist.records.view import Record, RecordView
+from baobabhoist.tests.tables import MemoryTable
+
+OPERATOR = {"X-Operator-Key": "operator"}
+ROSTER = {"X-Team-Key": "roster-key"}
+SHARD = {"data_centre": "north", "workers": []}
+RECORDS = [
+    ("team", "roster", {"limit": 4}),
+    ("team", "other", {"limit": 4}),
+    ("team", "public", {"limit": 1}),
+    ("key", "roster-1", {"team": "roster", "digest": digest("roster-key")}),
+    ("key", "other-1", {"team": "other", "digest": digest("other-key")}),
+    ("key", "tess", {"operator": True, "digest": digest("tess-key")}),
+    ("shard", "n1", SHARD),
+    ("shard", "n2", SHARD),
+    ("shard", "s1", {"data_centre": "south", "workers": []}),
+    ("queue", "entries", {}),
+    ("queue", "checks", {"open_to_all": True, "home_data_centres": ["south"]}),
+    ("queue", "reports", {"kinds": ["batch"]}),
+]
+
+
+class Jobs:
+    """Keep jobs in memory."""
+
+    def __init__(self):
+        self.specs = {}
+
+    async def submit(self, spec):
+        self.specs.setdefault(spec.job_id, spec)
+        return await self.status(spec.job_id, spec.team)
+
+    async def status(self, job_id, team, state=JobState.QUEUED):
+        spec = self.specs.get(job_id)
+        if spec is None or team not in (None, spec.team):
+            return Refusal(ErrorKind.NOT_FOUND, f"there is no job {job_id}", remedy="list them")
+        counts = {TaskState(state.value): len(spec.tasks)}
+        return JobStatus(job_id, state, counts, "", None, spec.team, spec.queue, spec.kind)
+
+    async def cancel(self, job_id, team):
+        return await self.status(job_id, team, JobState.CANCELLED)
+
+    async def explain(self, job_id, team):
+        found = await self.status(job_id, team)
+        if isinstance(found, Refusal):
+            return found
+        return JobExplanation(job_id, found.state, "no place", {"the team is at its limit": 2})
+
+    async def list(self, team):
+        return tuple(
+            [await self.status(each.job_id, None) for each in self.specs.values()]
+            if team is None
+            else [
+                await self.status(each.job_id, team)
+                for each in self.specs.values()
+                if each.team == team
+            ]
+        )
+
+
+@attrs.define
+class Settings:
+    operator_key_digest: str = digest("operator")
+
+
+class Node:
+    """Stand in for the daemon; a request is answered with its body unless `answer` is set."""
+
+    def __init__(self):
+        self.cfg = Settings()
+        self.table = MemoryTable()
+        self.view = RecordView()
+        self.ready = True
+        self.mesh = self
+        self.routed = []
+        self.answer = None
+        beat = Heartbeat("entry-2", "south", ("s1",), 3, draining=False)
+        address = PeerAddress("entry-2", "south", "127.0.0.1", 1)
+        self.peers = {"entry-2": PeerState(address, heartbeat=beat, live_until=0.0)}
+        for revision, (kind, name, body) in enumerate(RECORDS, 1):
+            version = 2 if kind == "queue" else 1
+            self.view.apply(Record(kind, name, version, revision, body))
+
+    def heartbeat(self):
+        return Heartbeat("entry-1", "north", ("n1",), self.view.revision, draining=False)
+
+    async def route(self, req):
+        self.routed.append(req)
+        if self.answer is not None:
+            return await self.answer(req)
+        return Answer(req.request_id, 200, req.task.payload, "text/plain")
+
+    async def catch_up(self):
+        for row in await self.table.scan("log/"):
+            self.view.apply(record_of(row))
+
+
+@attrs.frozen
+class Reply:
+    status: int
+    headers: dict
+    body: bytes
+
+    @property
+    def json(self):
+        return orjson.loads(self.body)
+
+
+class Gateway:
+    """Serve the applications; use it as an asynchronous context manager."""
+
+    def __init__(self, **caller_options):
+        self.node = Node()
+        self.jobs = Jobs()
+        self.callers = CallerOptions(
+            jobs=self.jobs, data_centre="north", metrics=Metrics(), **caller_options
+        )
+        self.admin = AdminOptions(
+            jobs=self.jobs, open_requests=self.callers.open_requests, metrics=self.callers.metrics
+        )
+        self.apps = {
+            "callers": caller_app(self.node, self.callers),
+            "admin": admin_app(self.node, self.admin),
+        }
+        self.ports = {}
+        self._servers = []
+
+    async def __aenter__(self):
+        for name, app in self.apps.items():
+            limits = self.callers.limits if name == "callers" else self.admin.limits
+            sock, self.ports[name] = bind_unused_port()
+            server = http_server(app, limits)
+            server.add_sockets([sock])
+            self._servers.append(server)
+        return self
+
+    async def __aexit__(self, *_):
+        for server in self._servers:
+            server.stop()
+            await server.close_all_connections()
+
+    async def call(self, listener, method, path, headers=None, body=None):
+        if body is not None and not isinstance(body, bytes):
+            body = orjson.dumps(body)
+        answer = await AsyncHTTPClient().fetch(
+            f"http://127.0.0.1:{self.ports[listener]}{path}",
+            method=method,
+            headers=headers,
+            body=body,
+            raise_error=False,
+            allow_nonstandard_methods=True,
+        )
+        return Reply(answer.code, dict(answer.headers.get_all()), answer.body)
+
+    async def post(self, path, headers=None, body=b""):
+        return await self.call("callers", "POST", path, headers, body)
+
+    async def raw(self, listener, data, *, close=False):
+        """Send bytes on a new connection and return everything that comes back."""
+        reader, writer = await asyncio.open_connection("127.0.0.1", self.ports[listener])
+        writer.write(data)
+        if close:
+            writer.write_eof()
+        received = await reader.read()
+        writer.close()
+        return received
+
+
+def with_gateway(test, **caller_options):
+    """Run an asynchronous test with a gateway."""
+
+    async def run():
+        async with Gateway(**caller_options) as gateway:
+            return await test(gateway)
+
+    return asyncio.run(run())
--- /dev/null
+++ b/baobabhoist/tests/test_gateway_jobs.py
@@ -0,0 +1,142 @@
+"""Test the API for jobs."""
+
+import math
+import time
+
+import pytest
+
+from baobabhoist.model import WorkKind
+from baobabhoist.tests.gateways import OPERATOR, ROSTER, with_gateway
+
+OTHER = {"X-Team-Key": "other-key"}
+
+
+def batch(**fields):
+    tasks = [{"payload": "a", "expected_run_s": 2}, {"payload_base64": "AP8="}]
+    return {"queue": "entries", "kind": "batch", "tasks": tasks, **fields}
+
+
+def test_a_job_is_accepted_shown_explained_and_cancelled():
+    """Guard against a job that loses a part of its specification on the way."""
+
+    async def test(gateway):
+        deadline = time.time() + 3600
+        body = batch(deadline=deadline, idempotent=True, urgency="urgent")
+        accepted = await gateway.post("/v1/jobs", ROSTER, body)
+        assert (accepted.status, accepted.json["counts"]) == (202, {"queued": 2})
+        job_id = accepted.json["job_id"]
+        spec = gateway.jobs.specs[job_id]
+        assert [task.payload for task in spec.tasks] == [b"a", b"\x00\xff"]
+        assert (spec.team, spec.deadline, spec.idempotent) == ("roster", deadline, True)
+        path = f"/v1/jobs/{job_id}"
+        assert (await gateway.call("callers", "GET", path, ROSTER)).json["state"] == "queued"
+        explained = await gateway.call("callers", "GET", f"{path}/explain", ROSTER)
+        assert explained.json["waiting"] == {"the team is at its limit": 2}
+        cancelled = await gateway.call("callers", "DELETE", path, ROSTER)
+        assert cancelled.json["state"] == "cancelled"
+        found = await gateway.call("admin", "GET", f"{path}/explain", OPERATOR)
+        assert found.json == explained.json
+
+    with_gateway(test)
+
+
+def test_jobs_of_other_teams_are_not_visible():
+    """Guard against one team reading or cancelling the work of another."""
+
+    async def test(gateway):
+        job_id = (await gateway.post("/v1/jobs", ROSTER, batch())).json["job_id"]
+        for method, path in (("GET", ""), ("DELETE", ""), ("GET", "/explain")):
+            reply = await gateway.call("callers", method, f"/v1/jobs/{job_id}{path}", OTHER)
+            assert (reply.status, reply.json["kind"]) == (404, "not_found")
+        assert (await gateway.call("callers", "GET", "/v1/jobs", OTHER)).json == {"jobs": []}
+        assert (await gateway.call("callers", "GET", "/v1/jobs")).json["kind"] == "key_missing"
+        listed = await gateway.call("admin", "GET", "/v1/jobs", OPERATOR)
+        assert [job["job_id"] for job in listed.json["jobs"]] == [job_id]
+
+    with_gateway(test)
+
+
+def test_a_repeated_submission_under_one_key_is_one_job_per_team():
+    """Guard against a second job after a lost answer."""
+
+    async def test(gateway):
+        ids = [
+            (await gateway.post("/v1/jobs", {**key, "Idempotency-Key": "week-7"}, batch())).json
+            for key in (ROSTER, ROSTER, OTHER)
+        ]
+        assert ids[0]["job_id"] == ids[1]["job_id"] != ids[2]["job_id"]
+        assert len(gateway.jobs.specs) == 2
+
+    with_gateway(test)
+
+
+def test_a_service_has_equal_replicas_and_no_deadline():
+    """Guard against a service that ends at the default deadline of its queue."""
+
+    async def test(gateway):
+        body = {
+            "queue": "checks",
+            "kind": "service",
+            "replicas": 3,
+            "payload": "serve",
+            "resources": {"cpu_milli": 500},
+        }
+        job = (await gateway.post("/v1/jobs", None, body)).json
+        spec = gateway.jobs.specs[job["job_id"]]
+        assert (spec.team, spec.kind, len(spec.tasks)) == ("public", WorkKind.SERVICE, 3)
+        assert spec.tasks[2].resources.cpu_milli == 500
+        assert math.isinf(spec.deadline)
+        found = await gateway.call("callers", "GET", f"/v1/jobs/{job['job_id']}")
+        assert found.json["team"] == "public"
+
+    with_gateway(test)
+
+
+@pytest.mark.parametrize(
+    ("change", "path"),
+    [
+        ({"kind": "request"}, "job.kind"),
+        ({"tasks": []}, "job.tasks"),
+        ({"replicas": 2}, "job.tasks"),
+        ({"tasks": None}, "job.tasks"),
+        ({"payload": "x"}, "job.payload"),
+        ({"tasks": [{"payload": "x", "payload_base64": "eA=="}]}, "job.tasks[0].payload"),
+        ({"tasks": [{"payload_base64": "!"}]}, "job.tasks[0].payload_base64"),
+        ({"tasks": [{"resources": {"slots": 0}}]}, "job.tasks[0].resources.slots"),
+        ({"tasks": [{"expected_run_s": -1}]}, "job.tasks[0].expected_run_s"),
+        ({"deadline": "soon"}, "job.deadline"),
+        ({"queue": "NO"}, "job.queue"),
+        ({"extra": 1}, "job"),
+        ({"tasks": [{}] * 10_001}, "job.tasks"),
+    ],
+)
+def test_unusable_jobs_are_refused_by_path(change, path):
+    """Guard against jobs that are accepted but can never run as meant."""
+
+    async def test(gateway):
+        reply = await gateway.post("/v1/jobs", ROSTER, batch(**change))
+        assert (reply.status, reply.json["kind"]) == (400, "bad_request")
+        assert path in [problem["path"] for problem in reply.json["problems"]]
+        assert gateway.jobs.specs == {}
+
+    with_gateway(test)
+
+
+def test_jobs_that_cannot_be_accepted_say_why():
+    """Guard against a job on a queue that does not exist or does not take its kind."""
+
+    async def test(gateway):
+        async def kind_of(body, headers=ROSTER):
+            return (await gateway.post("/v1/jobs", headers, body)).json["kind"]
+
+        assert await kind_of(batch(queue="none")) == "not_found"
+        assert await kind_of(batch(queue="reports", kind="gang")) == "forbidden"
+        assert await kind_of(batch(deadline=1.0)) == "deadline_passed"
+        assert await kind_of(batch(deadline=time.time() + 1e9)) == "deadline_too_far"
+        assert await kind_of(batch(), {}) == "key_missing"
+        assert await kind_of(b"{NaN}") == "bad_request"
+        assert await kind_of(batch(), {**ROSTER, "Idempotency-Key": " "}) == "bad_request"
+        gateway.callers.jobs = None
+        assert await kind_of(batch()) == "platform_unavailable"
+
+    with_gateway(test)
--- /dev/null
+++ b/baobabhoist/tests/test_gateway_openapi.py
@@ -0,0 +1,174 @@
+"""Hold the description of the APIs against the handlers, and feed both malformed input."""
+
+import asyncio
+import json
+import re
+from pathlib import Path
+
+import yaml
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from tornado.web import RequestHandler
+
+import baobabhoist.gateway
+from baobabhoist.errors import ErrorKind, Problem, Refusal
+from baobabhoist.gateway import bodies
+from baobabhoist.gateway.jobs import status_body
+from baobabhoist.model import JobState, JobStatus, Outcome
+from baobabhoist.records.checks import ABSENT
+from baobabhoist.records.kinds import RecordKind
+from baobabhoist.records.schema import SCHEMAS
+from baobabhoist.records.store import as_written
+from baobabhoist.records.view import Record
+from baobabhoist.tests.gateways import OPERATOR, ROSTER, Gateway
+from baobabhoist.tests.test_records_schema import JSON
+
+METHODS = ("get", "put", "post", "delete", "patch", "head", "options")
+DESCRIPTION = yaml.safe_load(
+    (Path(baobabhoist.gateway.__file__).parent / "openapi.yaml").read_text(encoding="utf-8")
+)
+SCHEMA = DESCRIPTION["components"]["schemas"]
+
+
+def handled(gateway):
+    for listener, app in gateway.apps.items():
+        for rule in app.wildcard_router.rules:
+            pattern = rule.matcher.regex.pattern.removesuffix("$")
+            path = re.sub(r"\(\[\^/\][^)]*\)", "{}", pattern)
+            for method in METHODS:
+                if getattr(rule.target, method) is not getattr(RequestHandler, method):
+                    yield listener, method, path
+
+
+def described():
+    for path, item in DESCRIPTION["paths"].items():
+        for method in METHODS:
+            for listener in item.get(method, {}).get("x-listeners", []):
+                yield listener, method, re.sub(r"{[a-z]+}", "{}", path)
+
+
+def test_every_path_and_method_is_described_and_handled():
+    """Guard against a description that promises more or less than the handlers do."""
+    assert sorted(described()) == sorted(handled(Gateway()))
+
+
+def test_every_operation_describes_its_errors():
+    """Guard against an operation whose callers do not know the error body."""
+    for item in DESCRIPTION["paths"].values():
+        for method in METHODS:
+            if method in item:
+                errors = item[method]["responses"]["default"]
+                assert errors == {"$ref": "#/components/responses/Error"}
+
+
+def test_the_error_schema_matches_the_errors():
+    """Guard against a kind or a field of errors that the description does not know."""
+    error = SCHEMA["Error"]
+    assert error["properties"]["kind"]["enum"] == [kind.value for kind in ErrorKind]
+    assert error["properties"]["outcome"]["enum"] == [outcome.value for outcome in Outcome]
+    assert list(Refusal(ErrorKind.CONFLICT, "m").as_body()) == error["required"]
+    full = Refusal(ErrorKind.CONFLICT, "m", problems=(Problem("p", "m"),)).as_body()
+    assert list(full) == list(error["properties"])
+    assert list(full["problems"][0]) == error["properties"]["problems"]["items"]["required"]
+
+
+def assert_same_fields(check, schema):
+    assert schema["additionalProperties"] is False
+    assert set(check.fields) == set(schema["properties"])
+    required = {name for name, field in check.fields.items() if field.default is ABSENT}
+    assert required == set(schema.get("required", ()))
+
+
+def test_bodies_have_the_described_fields():
+    """Guard against a described field that is refused, and the reverse."""
+    for kind, versions in SCHEMAS.items():
+        for number, version in versions.items():
+            assert_same_fields(version.check, SCHEMA[f"{kind.value.capitalize()}V{number}"])
+    assert_same_fields(bodies.JOB, SCHEMA["Job"])
+    assert SCHEMA["RecordKind"]["enum"] == [kind.value for kind in RecordKind]
+    assert set(status_body(JobStatus("j", JobState.QUEUED))) == set(
+        SCHEMA["JobStatus"]["required"]
+    )
+    record = as_written(Record("team", "a", 1, 1, {"limit": 1}))
+    assert list(record) == SCHEMA["Record"]["required"]
+
+
+def assert_typed(reply):
+    assert reply.status != 500, reply.body
+    if reply.status >= 400:
+        assert set(reply.json) >= set(SCHEMA["Error"]["required"]), reply.body
+        assert reply.json["kind"] in SCHEMA["Error"]["properties"]["kind"]["enum"]
+        assert reply.json["outcome"] == "not_run"
+
+
+PARTS = st.sampled_from(["team", "queue", "key", "entries", "roster", "job-1", "%00", "%ff", ".."])
+NAMES = PARTS | st.text("azAZ09-_~.", min_size=1, max_size=8)
+HEADER_NAMES = st.sampled_from(
+    [
+        "Idempotency-Key",
+        "Request-Deadline",
+        "Idempotency-First-Sent",
+        "X-Idempotent",
+        "X-Urgency",
+        "X-Cpu-Milli",
+        "X-Slots",
+        "If-Match",
+        "If-None-Match",
+        "Accept",
+    ]
+)
+HEADER_VALUES = st.text(
+    st.characters(min_codepoint=0x20, max_codepoint=0x7E), max_size=12
+) | st.sampled_from(["1", '"1"', "*", "nan", "-1", "true", "9" * 50])
+BODIES = (
+    JSON.map(lambda value: json.dumps({"schema_version": 1, "body": value}).encode())
+    | st.binary(max_size=20)
+    | st.sampled_from(
+        [
+            b"NaN",
+            b'{"schema_version": 1, "body": {"limit": 1e999}}',
+            b'{"schema_version": 2, "body": {"limits": {"total": 1234567890123456789012345}}}',
+            b'{"schema_version": true, "body": []}',
+            b'{"queue": "entries", "kind": "batch", "tasks": [{"resources": {"slots": 1.0}}]}',
+            b'{"queue": "entries", "kind": "batch", "replicas": 1e30}',
+            b"[" * 5000,
+            b'"\\ud800"',
+        ]
+    )
+)
+ADDRESSES = st.sampled_from(
+    [
+        (listener, method, path)
+        for path, item in DESCRIPTION["paths"].items()
+        for method in METHODS
+        for listener in item.get(method, {}).get("x-listeners", [])
+        if path != "/v1/drain"
+    ]
+)
+CALLS = st.lists(
+    st.tuples(ADDRESSES, NAMES, st.dictionaries(HEADER_NAMES, HEADER_VALUES, max_size=3), BODIES),
+    min_size=5,
+    max_size=15,
+)
+
+
+@settings(derandomize=True, deadline=None, max_examples=60)
+@given(CALLS)
+def test_malformed_input_gets_typed_errors_only(calls):
+    """Guard against input that reaches a fault, or that disturbs the requests after it."""
+
+    async def run():
+        async with Gateway() as gateway:
+            for (listener, method, path), name, headers, body in calls:
+                target = "/".join(name if "{" in part else part for part in path.split("/"))
+                key = ROSTER if listener == "callers" else OPERATOR
+                sent = body if method in ("post", "put") else None
+                reply = await gateway.call(
+                    listener, method.upper(), target, {**headers, **key}, sent
+                )
+                assert_typed(reply)
+            fine = await gateway.post("/v1/queues/entries/requests", ROSTER, b"fine")
+            assert (fine.status, fine.body) == (200, b"fine")
+            assert gateway.callers.open_requests.count == 0
+
+    asyncio.run(run())
