Start gangs that need several shards or capacity in use

Cause: a shard held all tasks of a gang or none, and only on capacity that was free at once, so a gang larger than a rack, or on a busy rack, never started. Change: a shard holds as many tasks as it can before the deadline and says whether the hold is complete; the coordinator covers the gang in shard order, waits up to 20 s for capacity to become free, then stores the placement and commits every shard, or releases them all. Ruled out: asking each shard for its free slots first, because they change before the hold.

--- a/baobabhoist/daemon/jobs.py
+++ b/baobabhoist/daemon/jobs.py
@@ -54,10 +54,8 @@
     async def cancel_tasks(self, task_ids: tuple[str, ...]) -> None:
         """Cancel queued tasks, stop running ones, and refuse the ids from now on."""
 
-    def hold(
-        self, job_id: str, tasks: tuple[Task, ...], deadline: float, now: float
-    ) -> tuple[str, ...]:
-        """Hold capacity and places, and return the ids that have them."""
+    def hold(self, job_id: str, tasks: tuple[Task, ...], deadline: float, now: float) -> HoldReply:
+        """Hold capacity and places for as many of the tasks as possible."""
 
     async def commit_hold(self, job_id: str, now: float) -> bool:
         """Start the tasks of a hold; tell whether it still stood."""
@@ -125,10 +123,10 @@
 
     async def hold(
         self, shard: str, job_id: str, tasks: tuple[Task, ...], deadline: float
-    ) -> tuple[str, ...]:
-        """Hold capacity and return the ids that have it."""
+    ) -> HoldReply:
+        """Hold capacity for as many of the tasks as the shard can."""
         reply = await self.call(shard, HoldRequest(shard, job_id, tasks, deadline))
-        return reply.held if isinstance(reply, HoldReply) else ()
+        return reply if isinstance(reply, HoldReply) else HoldReply(())
 
     async def commit(self, shard: str, job_id: str) -> bool:
         """Start the tasks of a hold; tell whether the hold still stood."""
@@ -160,7 +158,7 @@
             await shard.cancel_tasks(task_ids)
             return TasksCancelled()
         case HoldRequest(_, job_id, tasks, deadline):
-            return HoldReply(shard.hold(job_id, tasks, deadline, now))
+            return shard.hold(job_id, tasks, deadline, now)
         case HoldCommit(_, job_id):
             return HoldDone(await shard.commit_hold(job_id, now))
         case HoldRelease(_, job_id):
--- a/baobabhoist/daemon/shard_jobs.py
+++ b/baobabhoist/daemon/shard_jobs.py
@@ -6,7 +6,7 @@
 
 from baobabhoist.daemon.shard import ShardOwner
 from baobabhoist.errors import ErrorKind, Refusal
-from baobabhoist.jobs.messages import TasksReport
+from baobabhoist.jobs.messages import HoldReply, TasksReport
 from baobabhoist.model import Request, Task
 from baobabhoist.ownership.keys import Run
 from baobabhoist.upstream.messages import StopTask
@@ -48,14 +48,25 @@
     async def _stop(self, worker: str, stop: StopTask) -> None:
         await self._owner.tell_worker(worker, stop)
 
-    def hold(
-        self, job_id: str, tasks: tuple[Task, ...], deadline: float, now: float
-    ) -> tuple[str, ...]:
-        """Hold capacity and places, and return the ids that have them."""
-        hold = self._owner.scheduler.hold(job_id, list(tasks), now, deadline)
-        if isinstance(hold, Refusal) or not hold.ready:
-            return ()
-        return tuple(hold.workers)
+    def hold(self, job_id: str, tasks: tuple[Task, ...], deadline: float, now: float) -> HoldReply:
+        """Hold capacity and places for as many of the tasks as possible.
+
+        The number is found by halving, so that a large gang costs few plans.
+        """
+        scheduler = self._owner.scheduler
+        count = min(len(tasks), self._spare_places(tasks[0].team)) if tasks else 0
+        if job_id in scheduler.book.reservations:
+            count = len(tasks)
+        while count > 0:
+            hold = scheduler.hold(job_id, list(tasks[:count]), now, deadline)
+            if not isinstance(hold, Refusal):
+                return HoldReply(tuple(hold.workers), hold.ready)
+            count //= 2
+        return HoldReply(())
+
+    def _spare_places(self, team: str) -> int:
+        quota = self._owner.quota
+        return max(0, quota.allowed(team) - quota.used[team])
 
     async def commit_hold(self, job_id: str, now: float) -> bool:
         """Start the tasks of a hold; tell whether it still stood.
--- a/baobabhoist/jobs/coordinator.py
+++ b/baobabhoist/jobs/coordinator.py
@@ -9,7 +9,7 @@
 from typing import Any, Protocol
 
 from baobabhoist.errors import PlatformError, Refusal
-from baobabhoist.jobs.messages import TasksReport
+from baobabhoist.jobs.messages import HoldReply, TasksReport
 from baobabhoist.jobs.rows import (
     ACTIVE_PREFIX,
     active_key,
@@ -37,7 +37,9 @@
 # One job may not fill a shard's queue in one step.
 SEND_BATCH = 200
 CANCEL_BATCH = 500
-HOLD_S = 2.0
+# Running tasks may have to end before a hold is complete; others wait for its capacity.
+HOLD_S = 20.0
+HOLD_POLL_S = 0.25
 SCAN_PAGE = 500
 # A finished job is served from memory this long; later its rows answer.
 KEEP_FINISHED_S = 60.0
@@ -57,8 +59,8 @@
 
     async def hold(
         self, shard: str, job_id: str, tasks: tuple[Task, ...], deadline: float
-    ) -> tuple[str, ...]:
-        """Hold capacity and return the ids that have it."""
+    ) -> HoldReply:
+        """Hold capacity for as many of the tasks as the shard can."""
 
     async def commit(self, shard: str, job_id: str) -> bool:
         """Start the tasks of a hold; tell whether the hold still stood."""
@@ -206,23 +208,51 @@
 
     async def _hold_all(self, run: JobRun) -> dict[int, str] | None:
         """Hold capacity for every task, in shard order, or for none."""
-        job_id = run.spec.job_id
         deadline = time.time() + HOLD_S
-        remaining = {run.task_id(index): index for index in run.open_tasks()}
         held: dict[int, str] = {}
+        waiting: set[str] = set()
         # Every coordinator takes shards in the same order, so that two gangs which need the
         # same shards cannot each hold a part that the other waits for.
         for shard in sorted(run.shards):
-            tasks = tuple(run.request(index, time.time()).task for index in remaining.values())
-            taken = await self._shards.hold(shard, job_id, tasks, deadline)
-            for task_id in taken:
-                held[remaining.pop(task_id)] = shard
-            if not remaining:
-                return held
-        await self._release(job_id, set(held.values()))
+            missing = [index for index in run.open_tasks() if index not in held]
+            if missing and not await self._hold_some(run, shard, missing, held, deadline):
+                waiting.add(shard)
+        if len(held) == len(run.open_tasks()) and await self._ready(run, held, waiting, deadline):
+            return held
+        await self._release(run.spec.job_id, set(held.values()) | waiting)
         run.wait_for_capacity(time.time())
         return None
 
+    async def _hold_some(
+        self,
+        run: JobRun,
+        shard: str,
+        indexes: list[int],
+        held: dict[int, str],
+        deadline: float,
+    ) -> bool:
+        """Add what a shard holds; tell whether nothing there still has to become free."""
+        names = {run.task_id(index): index for index in indexes}
+        tasks = tuple(run.request(index, time.time()).task for index in indexes)
+        reply = await self._shards.hold(shard, run.spec.job_id, tasks, deadline)
+        held.update({names[task_id]: shard for task_id in reply.held if task_id in names})
+        return reply.ready or not reply.held
+
+    async def _ready(
+        self, run: JobRun, held: dict[int, str], waiting: set[str], deadline: float
+    ) -> bool:
+        """Wait until every hold is complete; tell whether that was before the deadline."""
+        while waiting and not run.cancel_wanted and time.time() < deadline:
+            await asyncio.sleep(HOLD_POLL_S)
+            for shard in sorted(waiting):
+                indexes = [index for index, where in held.items() if where == shard]
+                again: dict[int, str] = {}
+                if await self._hold_some(run, shard, indexes, again, deadline):
+                    if len(again) < len(indexes):
+                        return False
+                    waiting.discard(shard)
+        return not waiting and not run.cancel_wanted
+
     async def _commit(self, run: JobRun, shards: list[str]) -> None:
         job_id = run.spec.job_id
         committed = [await self._shards.commit(job_id=job_id, shard=shard) for shard in shards]
--- a/baobabhoist/jobs/messages.py
+++ b/baobabhoist/jobs/messages.py
@@ -68,7 +68,10 @@
 
 @attrs.frozen
 class HoldRequest:
-    """Ask a shard to hold capacity for as many of these tasks as it can."""
+    """Ask a shard to hold capacity for as many of these tasks as it can before the deadline.
+
+    A repeated request returns the state of the hold that stands.
+    """
 
     shard: str
     job_id: str
@@ -78,10 +81,13 @@
 
 @attrs.frozen
 class HoldReply:
-    """Report the tasks for which capacity is held until the hold's deadline."""
+    """Report the tasks that a hold covers until its deadline.
+
+    While `ready` is false their capacity is still in use and is collected as tasks end.
+    """
 
     held: tuple[str, ...]
-    reason: str = ""
+    ready: bool = False
 
 
 @attrs.frozen
