Check the core protocol as a model and fix what the model found

The model found three faults in the planned rules: a worker that was excused by a new owner and came back could still be used by the paused earlier owner, for a key (a second run) and for plain work (the team exceeded its limit), and a not_run by a paused earlier owner could be followed by a run under the new one. Change: specs/ holds the model with eight rules as switches.

--- /dev/null
+++ b/baobabhoist/ownership/checks.py
@@ -0,0 +1,69 @@
+"""Check the invariants of a claim after each step."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from baobabhoist.invariants import Invariant, check
+from baobabhoist.ownership.events import (
+    ACTIVE,
+    CLAIMING,
+    HANDING_OVER,
+    IDLE,
+    LOST,
+    OWNED,
+    PARTIAL,
+    ShardState,
+)
+from baobabhoist.ownership.tokens import Token
+
+if TYPE_CHECKING:
+    from baobabhoist.ownership.claim import ShardClaim
+
+TRANSITIONS: frozenset[tuple[ShardState, ShardState]] = frozenset(
+    [(state, CLAIMING) for state in (IDLE, LOST, PARTIAL)]
+    + [(CLAIMING, PARTIAL)]
+    + [(state, OWNED) for state in (IDLE, LOST, CLAIMING, PARTIAL, HANDING_OVER)]
+    + [(OWNED, HANDING_OVER)]
+    + [(state, state_after) for state in ACTIVE for state_after in (IDLE, LOST)]
+    + [(LOST, IDLE)]
+)
+"""List the transitions of a whole step; a claim on a shard without workers owns at once."""
+
+
+def check_step(claim: ShardClaim, state: ShardState, token: Token) -> None:
+    """Compare a claim with its state and token before the step; raises on a breach."""
+    check(
+        state == claim.state or (state, claim.state) in TRANSITIONS,
+        Invariant.CLAIM_TRANSITION,
+        "shard %s: no transition leads from %s to %s",
+        claim.shard,
+        state,
+        claim.state,
+    )
+    raised = claim.token > token and claim.token.instance_id == claim.instance_id
+    check(
+        claim.token == token or raised,
+        Invariant.CLAIM_TOKEN_RISES,
+        "shard %s: token %s does not follow %s",
+        claim.shard,
+        claim.token,
+        token,
+    )
+    gained = claim.state is OWNED and state not in (OWNED, HANDING_OVER)
+    check(
+        not (gained and claim.unresolved()),
+        Invariant.CLAIM_OWNED_RESOLVED,
+        "shard %s: owned while %s are unresolved",
+        claim.shard,
+        claim.unresolved(),
+    )
+    held = claim.state in ACTIVE and not claim.awaiting_epoch
+    check(
+        claim.fenced <= set(claim.workers) and (held or not claim.fenced),
+        Invariant.CLAIM_FENCED_KNOWN,
+        "shard %s: %s are fenced in state %s",
+        claim.shard,
+        claim.fenced,
+        claim.state,
+    )
--- a/baobabhoist/ownership/claim.py
+++ b/baobabhoist/ownership/claim.py
@@ -8,11 +8,18 @@
 
 import attrs
 
-from baobabhoist.errors import InvariantBreachError
-from baobabhoist.invariants import Invariant, check
+from baobabhoist.ownership.checks import check_step
 from baobabhoist.ownership.events import (
+    ACTIVE,
+    CLAIMING,
+    HANDING_OVER,
+    IDLE,
+    LOST,
+    OWNED,
+    PARTIAL,
     Action,
     AdvanceEpoch,
+    ClaimTimes,
     ClaimWanted,
     EpochConflict,
     EpochGranted,
@@ -38,62 +45,6 @@
 )
 from baobabhoist.ownership.tokens import NO_TOKEN, Token
 
-__all__ = [
-    "ACTIVE",
-    "TABLE",
-    "Action",
-    "AdvanceEpoch",
-    "ClaimTimes",
-    "ClaimWanted",
-    "EpochConflict",
-    "EpochGranted",
-    "EpochUnavailable",
-    "Event",
-    "FenceRefused",
-    "HandOverRefused",
-    "HandOverTaken",
-    "HandOverWanted",
-    "PresentToken",
-    "ReleaseWanted",
-    "SendQueue",
-    "ShardClaim",
-    "ShardState",
-    "StateChanged",
-    "Tick",
-    "WorkerConfirmed",
-    "WorkerConnected",
-    "WorkerDisconnected",
-    "WorkerFenced",
-    "WorkerReportedGone",
-    "WorkerReportedLive",
-    "WorkersChanged",
-]
-
-IDLE = ShardState.IDLE
-CLAIMING = ShardState.CLAIMING
-PARTIAL = ShardState.PARTIAL
-OWNED = ShardState.OWNED
-HANDING_OVER = ShardState.HANDING_OVER
-LOST = ShardState.LOST
-
-ACTIVE = (CLAIMING, PARTIAL, OWNED, HANDING_OVER)
-
-
-@attrs.frozen
-class ClaimTimes:
-    """Hold the periods of a claim in seconds."""
-
-    membership_lag_s: float = 3.0
-    longest_lease_s: float = 10.0
-    backoff_min_s: float = 0.05
-    backoff_max_s: float = 0.5
-    hand_over_s: float = 5.0
-
-    @property
-    def gone_s(self) -> float:
-        """Return how long a worker must be reported gone until nothing can run there."""
-        return self.membership_lag_s + self.longest_lease_s
-
 
 @attrs.define
 class ShardClaim:
@@ -123,17 +74,22 @@
     awaiting_epoch: bool = False
     # Workers whose connection ended; they hold the token but must be fenced again before use.
     disconnected: set[str] = attrs.Factory(set)
-    gone_since: dict[str, float] = attrs.Factory(dict)
+    # First and last reading of the membership list that shows a worker as gone.
+    gone: dict[str, tuple[float, float]] = attrs.Factory(dict)
     # Excused workers were gone long enough that nothing of an earlier owner can run there.
     excused: set[str] = attrs.Factory(set)
     confirmed_at: dict[str, float] = attrs.Factory(dict)
-    # Fenced workers with the time of the call; keyed work waits there until every other fenced
-    # worker has confirmed the token in a later call. Another owner may have excused a worker
-    # that came back from a long silence, and own all the others.
+    # Fenced workers with the time of the call; work waits there until every other fenced worker
+    # has confirmed the token in a later call. Another owner may have excused a worker that
+    # came back from a long silence, and own all the others.
     unverified: dict[str, float] = attrs.Factory(dict)
+    # The call time that every fenced worker is being asked to confirm; one round at a time.
+    verify_round: float | None = None
     # The token under which the shard was owned before the table confirmed the ownership.
     continued: Token | None = None
     hand_over_deadline: float = 0.0
+    # When the last of the fenced workers was fenced.
+    fenced_until: float = 0.0
 
     def step(self, event: Event, now: float) -> list[Action]:
         """Apply one event and return what the caller has to do.
@@ -147,8 +103,8 @@
         state, token = self.state, self.token
         try:
             actions = handler(self, event, now)
-            self._check(state, token)
-        except InvariantBreachError:
+            check_step(self, state, token)
+        except Exception:
             self._restore(before)
             raise
         return actions
@@ -160,9 +116,24 @@
         """
         if self.state is not OWNED and (keyed or self.state is not PARTIAL):
             return False
-        if worker not in self.fenced or worker in self.disconnected:
-            return False
-        return not (keyed and worker in self.unverified)
+        return self._is_usable(worker)
+
+    def confirmed_after(self, at: float) -> bool:
+        """Tell whether this instance was certainly the owner at a time.
+
+        A `not_run` for a key that may have a copy elsewhere is certain only if this holds for
+        the time at which the key was refused; otherwise another owner may run the copy.
+        """
+        return self.state is OWNED and any(
+            self.confirmed_at[worker] >= at for worker in self.fenced if self._is_usable(worker)
+        )
+
+    def _is_usable(self, worker: str) -> bool:
+        return (
+            worker in self.fenced
+            and worker not in self.disconnected
+            and worker not in self.unverified
+        )
 
     @property
     def owns_keys(self) -> bool:
@@ -239,48 +210,49 @@
         if seen is None or sent_at - seen > self.times.gone_s:
             self.unverified[worker] = sent_at
         self.fenced.add(worker)
+        self.fenced_until = max(self.fenced_until, now)
         self.excused.discard(worker)
         self.disconnected.discard(worker)
-        self.gone_since.pop(worker, None)
-        self._confirm(worker, sent_at)
-        actions = self._settle(now)
-        if self.state is OWNED and (actions or seen is None or worker in self.unverified):
-            actions += self._verify_again()
-        return actions
+        self.gone.pop(worker, None)
+        return self._confirm(worker, sent_at) + self._settle(now)
 
     def _was_interrupted(self, event: WorkerFenced) -> bool:
-        if self.continued is None or event.worker in self.fenced or event.worker in self.excused:
+        """Tell whether another instance may have owned the shard before the confirmation."""
+        if self.continued is None or event.worker in self.fenced:
             return False
-        own = event.previous is not None and event.previous.instance_id == self.instance_id
-        return not (own and event.previous is not None and event.previous >= self.continued)
-
-    def _verify_again(self) -> list[Action]:
-        latest = max(self.unverified.values(), default=0.0)
-        return [
-            PresentToken(worker, self.token)
-            for worker in self.workers
-            if worker in self.fenced and self.confirmed_at[worker] < latest
-        ]
+        previous = event.previous
+        if previous is None:
+            return True
+        return previous > self.continued and previous.instance_id != self.instance_id
 
     def _worker_confirmed(self, event: WorkerConfirmed, now: float) -> list[Action]:
-        if event.worker in self.fenced and event.token == self.token:
-            self._confirm(event.worker, event.sent_at)
-        return []
+        if event.worker not in self.fenced or event.token != self.token:
+            return []
+        return self._confirm(event.worker, event.sent_at)
 
-    def _confirm(self, worker: str, sent_at: float) -> None:
+    def _confirm(self, worker: str, sent_at: float) -> list[Action]:
         self.confirmed_at[worker] = max(sent_at, self.confirmed_at.get(worker, sent_at))
-        if self.unverified and not self.unresolved():
-            self._verify()
-
-    def _verify(self) -> None:
-        oldest = min((self.confirmed_at[worker] for worker in self.fenced), default=0.0)
-        for worker, fenced_at in list(self.unverified.items()):
+        if not self.unverified:
+            return []
+        oldest = min(self.confirmed_at[other] for other in self.fenced)
+        for waiting, fenced_at in list(self.unverified.items()):
             if fenced_at <= oldest:
-                del self.unverified[worker]
+                del self.unverified[waiting]
+        if self.verify_round is not None and self.verify_round <= oldest:
+            self.verify_round = None
+        if not self.unverified or self.verify_round is not None:
+            return []
+        latest = self.verify_round = max(self.unverified.values())
+        return [
+            PresentToken(other, self.token)
+            for other in self.workers
+            if other in self.fenced and self.confirmed_at[other] < latest
+        ]
 
     def _refused(self, event: FenceRefused, now: float) -> list[Action]:
         if event.highest <= self.token:
-            again = event.highest < self.token and event.worker in self.workers
+            known = event.worker in self.workers and not self.awaiting_epoch
+            again = event.highest < self.token and known
             return [PresentToken(event.worker, self.token)] if again else []
         self.highest_seen = max(self.highest_seen, event.highest)
         return self._lose(now)
@@ -302,11 +274,12 @@
 
     def _gone(self, event: WorkerReportedGone, now: float) -> list[Action]:
         if event.worker in self.workers:
-            self.gone_since.setdefault(event.worker, now)
+            since, _ = self.gone.get(event.worker, (now, now))
+            self.gone[event.worker] = (since, now)
         return self._tick(Tick(), now)
 
     def _live(self, event: WorkerReportedLive, now: float) -> list[Action]:
-        self.gone_since.pop(event.worker, None)
+        self.gone.pop(event.worker, None)
         return []
 
     def _workers_changed(self, event: WorkersChanged, now: float) -> list[Action]:
@@ -316,7 +289,7 @@
         for kept in (self.fenced, self.excused, self.disconnected):
             kept -= removed
         for worker in removed:
-            self.gone_since.pop(worker, None)
+            self.gone.pop(worker, None)
             self.confirmed_at.pop(worker, None)
             self.unverified.pop(worker, None)
         if self.state not in ACTIVE or self.awaiting_epoch:
@@ -324,10 +297,31 @@
         return [PresentToken(worker, self.token) for worker in added] + self._settle(now)
 
     def _tick(self, event: Tick, now: float) -> list[Action]:
-        for worker, since in self.gone_since.items():
-            if now - since > self.times.gone_s and worker not in self.fenced:
-                self.excused.add(worker)
-        return self._settle(now) if self.state in ACTIVE else []
+        if self.state not in ACTIVE:
+            return []
+        if self.unverified and any(self._is_gone(worker) for worker in self.fenced):
+            # A worker that is gone can confirm nothing: only a new claim can excuse it.
+            return self._lose(now, wait=False)
+        return self._settle(now)
+
+    def _is_gone(self, worker: str) -> bool:
+        since, last = self.gone.get(worker, (0.0, 0.0))
+        return last - since > self.times.gone_s
+
+    def _excuse(self) -> None:
+        """Excuse the unresolved workers if all of them are certainly gone.
+
+        A reading of the list is up to its lag old, so it counts only if it is later than the
+        fencing of all others by the lag: otherwise an earlier owner may have checked them
+        after the return of the missing worker.
+        """
+        missing = self.unresolved()
+        if self.fenced and all(
+            self._is_gone(worker)
+            and self.gone[worker][1] - self.times.membership_lag_s >= self.fenced_until
+            for worker in missing
+        ):
+            self.excused |= missing
 
     def _hand_over(self, event: HandOverWanted, now: float) -> list[Action]:
         self.hand_over_deadline = now + self.times.hand_over_s
@@ -340,7 +334,7 @@
         return actions + self._lose(now)
 
     def _hand_over_refused(self, event: HandOverRefused, now: float) -> list[Action]:
-        return self._change(PARTIAL) + self._settle(now)
+        return self._change(OWNED)
 
     def _release(self, event: Event, now: float) -> list[Action]:
         self._drop()
@@ -360,12 +354,14 @@
         self.token = token
         self.awaiting_epoch = False
         self.fenced.clear()
+        self.verify_round = None
         return [PresentToken(worker, token) for worker in self.workers]
 
     def _settle(self, now: float) -> list[Action]:
         """Move between claiming, partial and owned as the workers' state requires."""
         if self.awaiting_epoch or self.state is HANDING_OVER:
             return []
+        self._excuse()
         if self.unresolved():
             usable = self.fenced and self.state is CLAIMING
             return self._change(PARTIAL) if usable else []
@@ -387,6 +383,9 @@
         self.fenced.clear()
         self.disconnected.clear()
         self.unverified.clear()
+        self.excused.clear()
+        self.verify_round = None
+        self.fenced_until = 0.0
         self.confirmed_at.clear()
 
     def _change(self, state: ShardState) -> list[Action]:
@@ -406,42 +405,6 @@
         for name, value in before.items():
             setattr(self, name, value)
 
-    def _check(self, state: ShardState, token: Token) -> None:
-        check(
-            state == self.state or (state, self.state) in TRANSITIONS,
-            Invariant.CLAIM_TRANSITION,
-            "shard %s: no transition leads from %s to %s",
-            self.shard,
-            state,
-            self.state,
-        )
-        raised = self.token > token and self.token.instance_id == self.instance_id
-        check(
-            self.token == token or raised,
-            Invariant.CLAIM_TOKEN_RISES,
-            "shard %s: token %s does not follow %s",
-            self.shard,
-            self.token,
-            token,
-        )
-        resolved = self.continued is not None or not self.unresolved()
-        check(
-            self.state is not OWNED or resolved or state is OWNED,
-            Invariant.CLAIM_OWNED_RESOLVED,
-            "shard %s: owned while %s are unresolved",
-            self.shard,
-            self.unresolved(),
-        )
-        held = self.state in ACTIVE and not self.awaiting_epoch
-        check(
-            self.fenced <= set(self.workers) and (held or not self.fenced),
-            Invariant.CLAIM_FENCED_KNOWN,
-            "shard %s: %s are fenced in state %s",
-            self.shard,
-            self.fenced,
-            self.state,
-        )
-
 
 def _copy(value: Any) -> Any:
     if isinstance(value, set):
@@ -473,7 +436,7 @@
     (WorkersChanged, _ANY, ShardClaim._workers_changed),
     (Tick, (IDLE, CLAIMING, PARTIAL, OWNED, LOST), ShardClaim._tick),
     (Tick, (HANDING_OVER,), ShardClaim._hand_over_tick),
-    (HandOverWanted, (PARTIAL, OWNED), ShardClaim._hand_over),
+    (HandOverWanted, (OWNED,), ShardClaim._hand_over),
     (HandOverTaken, (HANDING_OVER,), ShardClaim._release),
     (HandOverRefused, (HANDING_OVER,), ShardClaim._hand_over_refused),
     (ReleaseWanted, (CLAIMING, PARTIAL, OWNED, HANDING_OVER, LOST), ShardClaim._release),
@@ -483,13 +446,3 @@
     (state, event): handler for event, states, handler in _ROWS for state in states
 }
 """Name the handler of each event in each state; a pair that is absent has no effect."""
-
-TRANSITIONS: frozenset[tuple[ShardState, ShardState]] = frozenset(
-    [(state, CLAIMING) for state in (IDLE, LOST, PARTIAL)]
-    + [(state, PARTIAL) for state in (CLAIMING, HANDING_OVER)]
-    + [(state, OWNED) for state in (IDLE, LOST, CLAIMING, PARTIAL, HANDING_OVER)]
-    + [(state, HANDING_OVER) for state in (PARTIAL, OWNED)]
-    + [(state, state_after) for state in ACTIVE for state_after in (IDLE, LOST)]
-    + [(LOST, IDLE)]
-)
-"""List the transitions of a whole step; a claim on a shard without workers owns at once."""
--- a/baobabhoist/ownership/events.py
+++ b/baobabhoist/ownership/events.py
@@ -1,4 +1,4 @@
-"""Define the states, events and actions of a claim on a shard."""
+"""Define the states, periods, events and actions of a claim on a shard."""
 
 from __future__ import annotations
 
@@ -21,6 +21,32 @@
     LOST = "lost"
 
 
+IDLE = ShardState.IDLE
+CLAIMING = ShardState.CLAIMING
+PARTIAL = ShardState.PARTIAL
+OWNED = ShardState.OWNED
+HANDING_OVER = ShardState.HANDING_OVER
+LOST = ShardState.LOST
+
+ACTIVE = (CLAIMING, PARTIAL, OWNED, HANDING_OVER)
+
+
+@attrs.frozen
+class ClaimTimes:
+    """Hold the periods of a claim in seconds."""
+
+    membership_lag_s: float = 3.0
+    longest_lease_s: float = 10.0
+    backoff_min_s: float = 0.05
+    backoff_max_s: float = 0.5
+    hand_over_s: float = 5.0
+
+    @property
+    def gone_s(self) -> float:
+        """Return how long a worker must be reported gone until nothing can run there."""
+        return self.membership_lag_s + self.longest_lease_s
+
+
 @attrs.frozen
 class ClaimWanted:
     """Ask for the shard; `epoch` is the row's epoch, or None while the table is down.
--- a/baobabhoist/quota/ledger.py
+++ b/baobabhoist/quota/ledger.py
@@ -47,22 +47,21 @@
         )
         allowed = self.allowed(team)
         bound = self.unconfirmed_on.get(worker, {}).get(team)
-        if self.used[team] >= allowed or not (
-            bound or self.used[team] + self.unconfirmed[team] < allowed
-        ):
+        if not self._has_place(team, allowed, bool(bound)):
             return self._refusal(team)
-        if bound:
-            bound.pop()
-            self._less_unconfirmed(team, 1)
-        self._take(team, task_id, worker)
+        after = self.used[team] + 1
         check(
-            self.used[team] <= allowed,
+            after <= allowed and (bool(bound) or after + self.unconfirmed[team] <= allowed),
             Invariant.QUOTA_WITHIN_PLACES,
-            "team %s uses %d of %d places",
+            "team %s would use %d of %d places",
             team,
-            self.used[team],
+            after,
             allowed,
         )
+        if bound:
+            self._less_unconfirmed(team, 1)
+            bound.pop()
+        self._take(team, task_id, worker)
         return None
 
     def ended(self, task_id: str, confirmed: bool = False) -> None:
@@ -98,8 +97,8 @@
         """
         for team, numbers in self.unconfirmed_on.get(worker, {}).items():
             while numbers and (mark is None or numbers[0] <= mark):
-                numbers.popleft()
                 self._less_unconfirmed(team, 1)
+                numbers.popleft()
 
     def worker_gone(self, worker: str) -> list[str]:
         """Release all places of a worker on which nothing can run any more.
@@ -181,6 +180,10 @@
         tasks = [task_id for task_id, (of, _) in self.running.items() if of == team]
         return tasks[: -over - 1 : -1]
 
+    def _has_place(self, team: str, allowed: int, bound: bool) -> bool:
+        used = self.used[team]
+        return used < allowed and (bound or used + self.unconfirmed[team] < allowed)
+
     def _take(self, team: str, task_id: str, worker: str) -> None:
         self.running[task_id] = (team, worker)
         self.used[team] += 1
--- /dev/null
+++ b/specs/check.py
@@ -0,0 +1,124 @@
+"""Check the model of the core protocol: `python -m specs.check` prints all results."""
+
+from __future__ import annotations
+
+import sys
+import time
+from typing import Any
+
+import attrs
+from minicheck import Protocol, check_safety
+
+from specs.core_protocol import (
+    ONCE,
+    OWNER,
+    TRUE_NOT_RUN,
+    WITHIN_LIMIT,
+    Bounds,
+    CoreProtocol,
+    Rules,
+    State,
+    Step,
+)
+
+KEYS = Bounds("keys", key=True, claims=2, worker_crashes=1)
+CRASHES = Bounds("crashes", key=True, claims=2, instance_crashes=1)
+OUTAGE = Bounds("outage", key=True, claims=2, pauses=True, confirmed=False)
+QUOTA = Bounds("quota", limit=2, running=(1, 0), claims=1, starts=2)
+QUOTA_CRASH = Bounds("quota_crash", limit=1, running=(1, 0), claims=1, starts=1, worker_crashes=1)
+BOTH = Bounds("both", key=True, limit=1, claims=1, starts=1)
+BOUNDS = (KEYS, CRASHES, OUTAGE, QUOTA, QUOTA_CRASH, BOTH)
+# Checked by `python -m specs.check` only, to keep the tests short.
+LARGER = (
+    attrs.evolve(QUOTA, name="quota_2", claims=2),
+    attrs.evolve(QUOTA_CRASH, name="quota_crash_2", claims=2),
+    attrs.evolve(CRASHES, name="crashes_2", instance_crashes=1, worker_crashes=1),
+)
+
+
+# Each rule with bounds and an invariant that is violated when the rule is off.
+COUNTEREXAMPLES = (
+    ("fencing", KEYS, OWNER),
+    ("fencing", KEYS, ONCE),
+    ("fencing", QUOTA, WITHIN_LIMIT),
+    ("wait_for_unresolved", KEYS, ONCE),
+    ("wait_for_unresolved", QUOTA, WITHIN_LIMIT),
+    ("takeover_cap", QUOTA, WITHIN_LIMIT),
+    ("confirmed_release", QUOTA, WITHIN_LIMIT),
+    ("keys_after_takeover", KEYS, ONCE),
+    ("verify_returned", KEYS, ONCE),
+    ("verify_returned", QUOTA_CRASH, WITHIN_LIMIT),
+    ("confirm_before_not_run", KEYS, TRUE_NOT_RUN),
+    ("continuity", OUTAGE, TRUE_NOT_RUN),
+)
+
+
+def run(
+    rules: Rules, bounds: Bounds, only: str = "", max_states: int = 1_000_000
+) -> dict[str, Any]:
+    """Return minicheck's result; `only` names an invariant whose violation ends the search."""
+    core = CoreProtocol(rules, bounds)
+    invariants = core.invariants()
+    if not only:
+        return _check(core, core.transitions, invariants, max_states)
+    stopped = False
+
+    def holds(d: dict[str, Any]) -> bool:
+        nonlocal stopped
+        stopped = stopped or not invariants[only](d)
+        return bool(invariants[only](d))
+
+    def transitions(state: tuple[Any, ...]) -> list[Step]:
+        return [] if stopped else core.transitions(state)
+
+    return _check(core, transitions, {only: holds}, max_states)
+
+
+def _check(
+    core: CoreProtocol, transitions: Any, invariants: dict[str, Any], max_states: int
+) -> dict[str, Any]:
+    model = Protocol(
+        name=core.bounds.name,
+        candidate=False,
+        fields=State._fields,
+        initial=core.initial(),
+        transitions=transitions,
+        invariants=invariants,
+    )
+    return dict(check_safety(model, max_states))
+
+
+def violated(result: dict[str, Any]) -> dict[str, list[str]]:
+    """Return the steps of the counterexample of each violated invariant."""
+    return {
+        name: [str(step["label"]) for step in found["counterexample"][1:]]
+        for name, found in result["properties"].items()
+        if found["holds"] is False
+    }
+
+
+def main() -> None:
+    """Print the number of states with all rules on, and the effect of each rule off."""
+    for bounds in BOUNDS + LARGER:
+        started = time.perf_counter()
+        result = run(Rules(), bounds)
+        print(bounds)
+        print(
+            f"  all rules on: {result['reachable_states']} states, exhaustive:"
+            f" {result['exhaustive']}, {time.perf_counter() - started:.1f} s"
+        )
+        for name, steps in violated(result).items():
+            print(f"  violated: {name}", *steps, sep="\n      ")
+        sys.stdout.flush()
+    for rule, bounds, name in COUNTEREXAMPLES:
+        result = run(attrs.evolve(Rules(), **{rule: False}), bounds, only=name)
+        for steps in violated(result).values():
+            states = result["reachable_states"]
+            print(f"{rule} off, {bounds.name}: {name}: {len(steps)} steps, {states} states")
+            if "-v" in sys.argv:
+                print(*steps, sep="\n      ")
+        sys.stdout.flush()
+
+
+if __name__ == "__main__":
+    main()
