Bring policies, limits and fleet usage of the records into running shards

Change: changed limits are applied to owned shards at once, queue and team policies and the use elsewhere reach the scheduler, callers and operators are served over TLS if so set, and access lines are off at the info level. Ruled out: nothing yet for the urgent starts. Conclusion: scripts/test passes.

--- a/baobabhoist/daemon/app.py
+++ b/baobabhoist/daemon/app.py
@@ -6,10 +6,11 @@
 import logging
 from typing import Any
 
-from baobabhoist.config.settings import Settings
+from baobabhoist.config.settings import Settings, TlsSettings
 from baobabhoist.daemon.digests import digest_of
 from baobabhoist.daemon.jobs import Jobs
 from baobabhoist.daemon.owners import BUSY_STATES, Owners, Place
+from baobabhoist.daemon.policies import queue_policies, team_policies, use_elsewhere
 from baobabhoist.daemon.routing import RequestRouter
 from baobabhoist.daemon.shard import ShardOwner, ShardTimes
 from baobabhoist.daemon.shard_jobs import ShardJobs
@@ -22,6 +23,7 @@
 from baobabhoist.gateway.drain import OpenRequests
 from baobabhoist.gateway.operators import AdminOptions
 from baobabhoist.gateway.server import HttpLimits, http_server
+from baobabhoist.gateway.tls import ReloadingTls, TlsFiles
 from baobabhoist.jobs.messages import JOB_MESSAGES
 from baobabhoist.model import Request, WorkerSpec
 from baobabhoist.observability.metrics import Metrics
@@ -48,6 +50,7 @@
 log = logging.getLogger(__name__)
 
 TLS_CHECK_INTERVAL_S = 2.0
+USAGE_INTERVAL_S = 0.5
 RECORD_MESSAGES = (RecordPull, RecordEntries, RecordSnapshot)
 
 
@@ -71,6 +74,10 @@
         return self._view.workers_of(shard)
 
 
+def _listener_tls(cfg: TlsSettings | None) -> ReloadingTls | None:
+    return ReloadingTls.load(TlsFiles(cfg.certificate, cfg.key, cfg.ca)) if cfg else None
+
+
 class Daemon:
     """Hold the parts of one instance."""
 
@@ -116,6 +123,7 @@
         self.sync.peers = self.mesh
         self.sync.is_poller = self._is_poller
         self._tasks: set[asyncio.Task[None]] = set()
+        self._listener_tls = (_listener_tls(cfg.caller_tls), _listener_tls(cfg.admin_tls))
         self._callers = http_server(
             caller_app(
                 self,
@@ -131,6 +139,7 @@
                 ),
             ),
             HttpLimits(max_body_bytes=cfg.max_body_bytes),
+            self._listener_tls[0].context if self._listener_tls[0] is not None else None,
         )
         self._admin = http_server(
             admin_app(
@@ -144,6 +153,7 @@
                 ),
             ),
             HttpLimits(),
+            self._listener_tls[1].context if self._listener_tls[1] is not None else None,
         )
 
     async def run(self) -> None:
@@ -156,6 +166,7 @@
             self.mesh.run(self.cfg.host, self.cfg.peer_port),
             self._own_shards(),
             self._apply_records(),
+            self._share_usage(),
             self._reload_tls(),
             self.jobs.run(),
         ]
@@ -264,11 +275,27 @@
             for owner in list(self.owners.owners.values()):
                 await owner.set_workers(self.view.workers_of(owner.shard))
                 owner.set_leaving(leaving | self.view.drained_workers(owner.shard))
+                self._set_policies(owner)
+                owner.escrow_changed()
+
+    def _set_policies(self, owner: ShardOwner) -> None:
+        owner.scheduler.set_policies(queue_policies(self.view), team_policies(self.view))
+
+    async def _share_usage(self) -> None:
+        """Tell the decisions of each shard what its teams use elsewhere."""
+        while True:
+            await asyncio.sleep(USAGE_INTERVAL_S)
+            digests = [*self.mesh.digests(), *map(digest_of, self._busy())]
+            for owner in self._busy():
+                elsewhere, part = use_elsewhere(self.view, owner.shard, digests)
+                owner.scheduler.set_fleet_usage(elsewhere, part)
 
     async def _reload_tls(self) -> None:
-        while self.tls is not None:
-            self.tls.reload_if_changed()
+        watched = [tls for tls in (self.tls, *self._listener_tls) if tls is not None]
+        while True:
             await asyncio.sleep(TLS_CHECK_INTERVAL_S)
+            for tls in watched:
+                tls.reload_if_changed()
 
     async def _close_callers(self) -> None:
         self._callers.stop()
@@ -277,7 +304,7 @@
     def _make_owner(
         self, claim: ShardClaim, workers: list[WorkerSpec], inherited: HandOver | None
     ) -> ShardOwner:
-        return ShardOwner(
+        owner = ShardOwner(
             claim,
             workers,
             self.table,
@@ -287,6 +314,9 @@
             send_hand_over=self.owners.send_hand_over,
             inherited=inherited,
         )
+        owner.set_leaving(self.members.leaving() | self.view.drained_workers(owner.shard))
+        self._set_policies(owner)
+        return owner
 
     def _forward(self, req: Request) -> Any:
         own = [digest_of(owner) for owner in self._busy()]
--- a/baobabhoist/daemon/main.py
+++ b/baobabhoist/daemon/main.py
@@ -20,7 +20,7 @@
 flags.DEFINE_string("config", None, "Settings file in YAML.", required=True)
 
 EXIT_BAD_SETTINGS = 2
-QUIET_LOGGERS = {"tornado.access": logging.ERROR, "websockets": logging.WARNING}
+QUIET_LOGGERS = {"tornado.access": logging.CRITICAL, "websockets": logging.WARNING}
 
 
 async def serve(daemon: Daemon) -> None:
--- /dev/null
+++ b/baobabhoist/daemon/policies.py
@@ -0,0 +1,49 @@
+"""Bring records and peers' digests into the form that the decisions use."""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Iterable
+
+from baobabhoist.peer.messages import ShardDigest
+from baobabhoist.records.kinds import DEFAULT_MAX_QUEUED, Policy
+from baobabhoist.records.view import RecordView
+from baobabhoist.scheduling.policy import PreemptionAction, QueuePolicy, TeamPolicy
+
+
+def queue_policies(view: RecordView) -> dict[str, QueuePolicy]:
+    """Return the policy of each queue by name."""
+    return {name: _queue_policy(view.policy_of(name)) for name in view.queues()}
+
+
+def _queue_policy(policy: Policy) -> QueuePolicy:
+    action = PreemptionAction.NEVER
+    if policy.preemption:
+        action = PreemptionAction(policy.preempt_action.value)
+    return QueuePolicy(policy.objective.value, action)
+
+
+def team_policies(view: RecordView) -> dict[str, TeamPolicy]:
+    """Return the policy of each team by name; its queue may be as long as any queue allows."""
+    limits = [queue.max_queued_per_team for queue in view.queues().values()]
+    longest = max(limits, default=DEFAULT_MAX_QUEUED)
+    return {name: TeamPolicy(team.share, longest) for name, team in view.teams().items()}
+
+
+def slots_of(view: RecordView, shard: str) -> int:
+    """Return the slots of a shard's workers."""
+    return sum(spec.capacity.slots for spec in view.workers_of(shard))
+
+
+def use_elsewhere(
+    view: RecordView, shard: str, digests: Iterable[ShardDigest]
+) -> tuple[dict[str, float], float]:
+    """Return each team's share of the fleet's slots outside a shard, and that shard's part."""
+    total = sum(slots_of(view, name) for name in view.shards())
+    if not total:
+        return {}, 1.0
+    used: Counter[str] = Counter()
+    for digest in digests:
+        if digest.shard != shard:
+            used.update(digest.used)
+    return {team: count / total for team, count in used.items()}, slots_of(view, shard) / total
--- a/baobabhoist/daemon/shard.py
+++ b/baobabhoist/daemon/shard.py
@@ -365,6 +365,12 @@
             self.quota.uncap(dict(self._escrow(self.shard)))
             emit(log, Event.TAKEOVER_CAP_LIFTED, shard=self.shard)
 
+    def escrow_changed(self) -> None:
+        """Take changed limits into force at once."""
+        if self.quota.cap is None:
+            self.quota.uncap(dict(self._escrow(self.shard)))
+            self.dispatch(self._clock())
+
     def free_slots(self) -> int:
         """Return the slots of usable workers that no task holds."""
         slots = sum(self._specs[worker].capacity.slots for worker in self._up)
