--- a/baobabhoist/daemon/app.py
+++ b/baobabhoist/daemon/app.py
@@ -100,7 +100,7 @@
             self.heartbeat,
             self._on_peer_message,
             on_heartbeat=self._heard,
-            tls=self.tls.contexts if self.tls is not None else None,
+            tls=self.tls,
         )
         self.owners = Owners(
             Place(cfg.instance_id, cfg.data_centre, cfg.vm_weight),
--- a/baobabhoist/peer/mesh.py
+++ b/baobabhoist/peer/mesh.py
@@ -7,7 +7,7 @@
 import ssl
 import time
 from collections.abc import Awaitable, Callable, Iterable
-from typing import Any
+from typing import Any, Protocol
 
 import attrs
 from websockets.asyncio.client import connect
@@ -58,11 +58,13 @@
         return None
 
 
-@attrs.frozen
-class TlsContexts:
+class TlsContexts(Protocol):
     """Hold the TLS contexts of both roles that an instance has among its peers."""
 
-    server: ssl.SSLContext
+    @property
+    def server(self) -> ssl.SSLContext:
+        """Return the context of the peer port."""
+
     client: ssl.SSLContext
 
 
