--- a/baobabhoist/testing/soak.py
+++ b/baobabhoist/testing/soak.py
@@ -8,6 +8,7 @@
 import re
 import tempfile
 import time
+from collections import Counter
 from collections.abc import Awaitable, Callable
 from pathlib import Path
 from typing import Any
@@ -247,11 +248,8 @@
             entry |= {"status": 200, "whole": answer.body.partition(b":")[2] == body}
         else:
             refusal = json.loads(answer.body)
-            entry |= {
-                "status": answer.code,
-                "kind": refusal["kind"],
-                "outcome": refusal["outcome"],
-            }
+            entry["status"] = answer.code
+            entry |= {name: refusal[name] for name in ("kind", "outcome", "message")}
         self.callers.append(entry)
 
     async def load(self) -> None:
@@ -317,7 +315,7 @@
         """Change a record now and then until cancelled."""
         while True:
             await asyncio.sleep(CHANGE_INTERVAL_S)
-            await self.put("queue", MARKER, {"max_queued_per_team": self.rng.randrange(500, 999)})
+            await self.put("queue", MARKER, {"max_queued": self.rng.randrange(500, 999)})
 
     async def sample(self) -> None:
         """Ask each daemon for its records revision until cancelled."""
@@ -369,8 +367,9 @@
         faulty += len(re.findall(r"\[100[56]\]|Traceback", text))
     print(f"internal: invariant breaches and crashed tasks logged by daemons: {faulty}")
     print(f"jobs: {soak.states}")
-    codes = sorted(str(entry.get("status", "none")) for entry in soak.callers)
-    print("answers: " + ", ".join(f"{code} x{codes.count(code)}" for code in sorted(set(codes))))
+    requests = [entry for entry in soak.callers if entry["event"] == "request"]
+    answers = Counter(e.get("kind") or e.get("status") or e["error"] for e in requests)
+    print(f"answers: {dict(answers.most_common())}")
     return verdict.passed and not faulty and not soak.states.get("lost")
 
 
@@ -379,6 +378,9 @@
     AsyncHTTPClient.configure(None, max_clients=1000)
     folder = Path(FLAGS.folder or tempfile.mkdtemp(prefix="soak-"))
     folder.mkdir(parents=True, exist_ok=True)
+    if any(folder.iterdir()):
+        print(f"{folder} is not empty; logs of another run would be judged along with this one")
+        return 2
     unknown = set(FLAGS.faults) - set(FAULTS)
     if unknown:
         print(f"unknown faults {sorted(unknown)}; known are {sorted(FAULTS)}")
