--- a/baobabhoist/daemon/app.py
+++ b/baobabhoist/daemon/app.py
@@ -287,8 +287,8 @@
         """Tell the decisions of each shard what its teams use elsewhere."""
         while True:
             await asyncio.sleep(USAGE_INTERVAL_S)
-            digests = [*self.mesh.digests(), *map(digest_of, self._busy())]
-            for owner in self._busy():
+            digests = [*self.mesh.digests(), *map(digest_of, self.busy_owners())]
+            for owner in self.busy_owners():
                 elsewhere, part = use_elsewhere(self.view, owner.shard, digests)
                 owner.scheduler.set_fleet_usage(elsewhere, part)
 
