Do not shrink failing calls of the malformed-input test

Cause: a trial with a fault in the handler of If-Match ran into a limit of 60 s while shrinking. Change: the test only generates; an example has at most 15 calls and can be read as it is. Conclusion: the checks are the same.

--- a/baobabhoist/tests/test_gateway_openapi.py
+++ b/baobabhoist/tests/test_gateway_openapi.py
@@ -6,7 +6,7 @@
 from pathlib import Path
 
 import yaml
-from hypothesis import given, settings
+from hypothesis import Phase, given, settings
 from hypothesis import strategies as st
 from tornado.web import RequestHandler
 
@@ -152,7 +152,8 @@
 )
 
 
-@settings(derandomize=True, deadline=None, max_examples=60)
+# Shrinking starts two servers for each attempt and took over a minute; the calls are few as it is.
+@settings(derandomize=True, deadline=None, max_examples=60, phases=[Phase.generate])
 @given(CALLS)
 def test_malformed_input_gets_typed_errors_only(calls):
     """Guard against input that reaches a fault, or that disturbs the requests after it."""
