--- a/baobabhoist/tests/gateways.py
+++ b/baobabhoist/tests/gateways.py
@@ -42,24 +42,28 @@
 
 
 class Jobs:
-    """Keep jobs in memory."""
+    """Keep jobs in memory; all of them are in one state."""
 
     def __init__(self):
         self.specs = {}
+        self.state = JobState.QUEUED
 
     async def submit(self, spec):
         self.specs.setdefault(spec.job_id, spec)
         return await self.status(spec.job_id, spec.team)
 
-    async def status(self, job_id, team, state=JobState.QUEUED):
+    async def status(self, job_id, team):
         spec = self.specs.get(job_id)
         if spec is None or team not in (None, spec.team):
             return Refusal(ErrorKind.NOT_FOUND, f"there is no job {job_id}", remedy="list them")
-        counts = {TaskState(state.value): len(spec.tasks)}
-        return JobStatus(job_id, state, counts, "", None, spec.team, spec.queue, spec.kind)
+        counts = {TaskState(self.state.value): len(spec.tasks)}
+        return JobStatus(job_id, self.state, counts, "", None, spec.team, spec.queue, spec.kind)
 
     async def cancel(self, job_id, team):
-        return await self.status(job_id, team, JobState.CANCELLED)
+        found = await self.status(job_id, team)
+        if isinstance(found, JobStatus):
+            self.state = JobState.CANCELLED
+        return await self.status(job_id, team)
 
     async def explain(self, job_id, team):
         found = await self.status(job_id, team)
@@ -68,15 +72,8 @@
         return JobExplanation(job_id, found.state, "no place", {"the team is at its limit": 2})
 
     async def list(self, team):
-        return tuple(
-            [await self.status(each.job_id, None) for each in self.specs.values()]
-            if team is None
-            else [
-                await self.status(each.job_id, team)
-                for each in self.specs.values()
-                if each.team == team
-            ]
-        )
+        specs = [spec for spec in self.specs.values() if team in (None, spec.team)]
+        return tuple([await self.status(spec.job_id, team) for spec in specs])
 
 
 @attrs.define
--- a/baobabhoist/tests/test_gateway_jobs.py
+++ b/baobabhoist/tests/test_gateway_jobs.py
@@ -32,10 +32,10 @@
         assert (await gateway.call("callers", "GET", path, ROSTER)).json["state"] == "queued"
         explained = await gateway.call("callers", "GET", f"{path}/explain", ROSTER)
         assert explained.json["waiting"] == {"the team is at its limit": 2}
-        cancelled = await gateway.call("callers", "DELETE", path, ROSTER)
-        assert cancelled.json["state"] == "cancelled"
         found = await gateway.call("admin", "GET", f"{path}/explain", OPERATOR)
         assert found.json == explained.json
+        cancelled = await gateway.call("callers", "DELETE", path, ROSTER)
+        assert cancelled.json["state"] == "cancelled"
 
     with_gateway(test)
 
