Choose test ports below the range of outgoing connections

Change: free ports come from 12000 to 31999, which the kernel does not hand out by itself. Ruled out: retrying the start, because the port is already in the other processes' settings.

--- a/baobabhoist/benchmarks/progress.py
+++ b/baobabhoist/benchmarks/progress.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import socket
 import subprocess
 import sys
 import time
@@ -14,6 +13,7 @@
 from baobabhoist.errors import PlatformError
 from baobabhoist.platform.client import PlatformTable
 from baobabhoist.platform.table import Transaction
+from baobabhoist.testing.cluster import free_port
 
 BATCH_SIZES = (1, 10, 100, 1000)
 CONCURRENT_WRITES = 8
@@ -23,9 +23,7 @@
 @contextmanager
 def _platform() -> Iterator[str]:
     """Launch the platform stand-in as a process and give its address."""
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        port = sock.getsockname()[1]
+    port = free_port()
     command = [sys.executable, "-m", "baobabhoist.testing.platform", f"--port={port}"]
     # The access log would count as part of each write.
     command.append("--verbosity=-1")
--- a/baobabhoist/testing/cluster.py
+++ b/baobabhoist/testing/cluster.py
@@ -4,6 +4,7 @@
 
 import json
 import os
+import random
 import signal
 import socket
 import subprocess
@@ -25,11 +26,18 @@
 POLL_INTERVAL_S = 0.05
 
 
+# Below the range from which the kernel takes the ports of outgoing connections: a port from
+# that range can be taken between its choice and the start of the process that listens on it.
+PORTS = range(12_000, 32_000)
+
+
 def free_port() -> int:
     """Return a port that is free now."""
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return int(sock.getsockname()[1])
+    while True:
+        port = random.SystemRandom().choice(PORTS)
+        with socket.socket() as sock:
+            if sock.connect_ex(("127.0.0.1", port)) != 0:
+                return port
 
 
 @attrs.define
