Drive the real ownership and quota code through faults in any order

Change: a hypothesis state machine with three instances, up to three workers with the real Fence, a table, lost, copied and reordered messages, partitions, pauses, crashes and outages asserts that no id runs twice, that a told not_run is true, that the team stays within its limit and that each worker has one effective owner. Ruled out: comparing tokens in each caller.

--- a/baobabhoist/ownership/claim.py
+++ b/baobabhoist/ownership/claim.py
@@ -34,6 +34,7 @@
     SendQueue,
     ShardState,
     StateChanged,
+    TakeInventory,
     Tick,
     WorkerConfirmed,
     WorkerConnected,
@@ -201,7 +202,7 @@
 
     def _worker_fenced(self, event: WorkerFenced, now: float) -> list[Action]:
         worker = event.worker
-        if event.token != self.token or worker not in self.workers:
+        if event.token != self.token or worker not in self.workers or self.awaiting_epoch:
             return []
         if self._was_interrupted(event):
             return self._lose(now, wait=False)
@@ -214,7 +215,8 @@
         self.excused.discard(worker)
         self.disconnected.discard(worker)
         self.gone.pop(worker, None)
-        return self._confirm(worker, sent_at) + self._settle(now)
+        inventory = TakeInventory(worker, event.running, event.ended)
+        return [inventory, *self._confirm(worker, sent_at), *self._settle(now)]
 
     def _was_interrupted(self, event: WorkerFenced) -> bool:
         """Tell whether another instance may have owned the shard before the confirmation."""
--- a/baobabhoist/ownership/events.py
+++ b/baobabhoist/ownership/events.py
@@ -223,4 +223,16 @@
     state: ShardState
 
 
-Action = AdvanceEpoch | PresentToken | SendQueue | StateChanged
+@attrs.frozen
+class TakeInventory:
+    """Take a worker's report into the keys and the quota before any later action.
+
+    A report that the claim does not accept (of an earlier token) must not be counted.
+    """
+
+    worker: str
+    running: tuple[RunningTask, ...]
+    ended: tuple[EndedTask, ...]
+
+
+Action = AdvanceEpoch | PresentToken | TakeInventory | SendQueue | StateChanged
--- a/baobabhoist/quota/ledger.py
+++ b/baobabhoist/quota/ledger.py
@@ -27,6 +27,7 @@
     running: dict[str, tuple[str, str]] = attrs.Factory(dict)
     used: Counter[str] = attrs.Factory(Counter)
     ceilings: dict[str, int] = attrs.Factory(dict)
+    adopted: set[str] = attrs.Factory(set)
     ends: int = 0
     unconfirmed: Counter[str] = attrs.Factory(Counter)
     # Numbers of the unconfirmed ends of a worker by team, oldest first.
@@ -138,6 +139,7 @@
     def begin_takeover(self) -> None:
         """Forget all places: a new claim counts only what the workers report."""
         self.cap = {}
+        self.adopted.clear()
         self.running.clear()
         self.used.clear()
         self.unconfirmed.clear()
@@ -146,12 +148,15 @@
     def adopt(self, worker: str, running: Iterable[RunningTask]) -> None:
         """Count the tasks that a worker reports when it is fenced.
 
-        Under the takeover cap each task found running adds a place to the cap.
+        Under the takeover cap each task of the worker's first report adds a place to the cap;
+        a later report may be a delayed copy of the first.
         """
+        first = worker not in self.adopted
+        self.adopted.add(worker)
         for task in running:
             if task.task_id in self.running:
                 continue
-            if self.cap is not None:
+            if self.cap is not None and first:
                 self.cap[task.team] = self.cap.get(task.team, 0) + 1
             self._take(task.team, task.task_id, worker)
 
--- /dev/null
+++ b/baobabhoist/tests/test_ownership_machine.py
@@ -0,0 +1,145 @@
+"""Drive the real claim, keys and ledger code through faults in any order."""
+
+import hypothesis.strategies as st
+from hypothesis import HealthCheck, settings
+from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
+
+from baobabhoist.tests.simulated_shard import System
+
+INSTANCES = st.integers(0, 2)
+WORKERS = st.sampled_from(["w0", "w1", "w2"])
+FENCING = ("fence", "fenced", "event")
+KINDS = st.sampled_from([(), FENCING, ("run",), ("ended",), ("renew", "renewed"), ("request",)])
+
+
+class ShardMachine(RuleBasedStateMachine):
+    """Let instances compete for a shard while messages, processes and the table fail."""
+
+    @initialize(workers=st.integers(1, 3))
+    def start(self, workers):
+        self.system = System(3, workers)
+        self.system.settle(self.system.instances[0])
+
+    def running(self, index):
+        inst = self.system.instances[index]
+        return None if inst.paused else inst
+
+    def worker(self, name):
+        return self.system.workers.get(name)
+
+    def owner(self, index):
+        """Prefer an instance that may dispatch: work for the others is refused at once."""
+        able = [inst for inst in self.system.instances if inst.claim.fenced and not inst.paused]
+        return able[index % len(able)] if able else self.running(index)
+
+    @rule(index=INSTANCES, key=st.integers(-3, 5), send=st.booleans())
+    def work(self, index, key, send):
+        """Send a generated id or a copy of a key to an owner, which dispatches it."""
+        inst = self.owner(index)
+        if inst is not None:
+            self.system.send_request(inst, f"key-{key}" if key >= 0 else None)
+            self.system.exchange(inst, ("request",))
+            self.system.dispatch(inst)
+            if send:
+                self.system.exchange(inst, ("run",))
+
+    @rule(key=st.integers(0, 5))
+    def copy_key(self, key):
+        for inst in self.system.instances:
+            self.system.send_request(inst, f"key-{key}")
+
+    @rule(name=WORKERS, index=INSTANCES)
+    def end_task(self, name, index):
+        worker = self.worker(name)
+        if worker is not None:
+            self.system.end_task(worker)
+            self.system.exchange(self.system.instances[index], ("ended",))
+
+    @rule(index=INSTANCES)
+    def take_over(self, index):
+        inst = self.running(index)
+        if inst is not None:
+            self.system.want(inst)
+            self.system.exchange(inst, FENCING)
+            self.system.time_out(inst)
+            self.system.exchange(inst, FENCING)
+            self.system.move_places(inst, 0)
+
+    @rule(index=INSTANCES, kinds=KINDS)
+    def exchange(self, index, kinds):
+        self.system.exchange(self.system.instances[index], kinds)
+
+    @rule(position=st.integers(0, 30), keep=st.booleans())
+    def deliver_out_of_order(self, position, keep):
+        if self.system.messages:
+            self.system.deliver(position % len(self.system.messages), keep)
+
+    @rule(position=st.integers(0, 30))
+    def lose(self, position):
+        if self.system.messages:
+            del self.system.messages[position % len(self.system.messages)]
+
+    @rule(index=INSTANCES, step=st.sampled_from(["renew", "refuse", "time_out", "dispatch"]))
+    def owner_step(self, index, step):
+        inst = self.owner(index)
+        if inst is not None:
+            getattr(self.system, step)(inst)
+
+    @rule(index=INSTANCES, places=st.sampled_from([-1, 0, 1]))
+    def move_places(self, index, places):
+        inst = self.owner(index)
+        if inst is not None:
+            self.system.move_places(inst, places)
+
+    @rule(seconds=st.sampled_from([0.01, 0.3, 1.0, 5.0]))
+    def pass_time(self, seconds):
+        self.system.now += seconds
+
+    @rule(index=INSTANCES, lag=st.sampled_from([0.0, 3.0]))
+    def read_members_for_a_long_time(self, index, lag):
+        inst = self.running(index)
+        if inst is not None:
+            for pause_s in (14.0, 3.0, 0.0):
+                self.system.read_members(inst, lag)
+                self.system.now += pause_s
+
+    @rule(index=INSTANCES, paused=st.booleans())
+    def pause(self, index, paused):
+        self.system.instances[index].paused = paused
+
+    @rule(index=INSTANCES, name=WORKERS, cut=st.booleans())
+    def partition(self, index, name, cut):
+        if cut:
+            self.system.cut.add((index, name))
+        else:
+            self.system.cut.clear()
+
+    @rule(index=INSTANCES)
+    def crash_instance(self, index):
+        self.system.crash_instance(index)
+
+    @rule(name=WORKERS, up=st.booleans())
+    def crash_worker(self, name, up):
+        worker = self.worker(name)
+        if worker is not None:
+            (self.system.restart_worker if up else self.system.crash_worker)(worker)
+
+    @rule()
+    def toggle_table(self):
+        self.system.table_up = not self.system.table_up
+
+    @invariant()
+    def guarantees_hold(self):
+        if hasattr(self, "system"):
+            self.system.check()
+
+
+TestShardMachine = ShardMachine.TestCase
+TestShardMachine.settings = settings(
+    max_examples=60,
+    stateful_step_count=50,
+    derandomize=True,
+    deadline=None,
+    database=None,
+    suppress_health_check=list(HealthCheck),
+)
