Order waiting work by what its kind tolerates

Cause: ordering by response ratio delayed long batch tasks, which are the 99th percentile, and let requests wait for seconds behind them.

Change: the objective waiting_time compares a wait with a tolerance per kind (requests 0.1 s, everything else 10 s); within a kind the order is that of arrival.

--- a/baobabhoist/scheduling/policy.py
+++ b/baobabhoist/scheduling/policy.py
@@ -7,9 +7,17 @@
 
 import attrs
 
-# A wait is compared with the run time plus this, so that very short work does not take
-# precedence over everything after a few milliseconds.
-RESPONSE_OFFSET_S = 1.0
+from baobabhoist.model import WorkKind
+
+# The wait that counts as much as having exactly one's share, in seconds. A caller waits for a
+# request, nobody waits for a single batch task; within one kind the order is that of arrival,
+# which keeps the longest waits shortest.
+TOLERANCE_S = {
+    WorkKind.REQUEST: 0.1,
+    WorkKind.BATCH: 10.0,
+    WorkKind.GANG: 10.0,
+    WorkKind.SERVICE: 10.0,
+}
 
 
 class PreemptionAction(enum.StrEnum):
@@ -24,7 +32,7 @@
 class Objective(Protocol):
     """Order the heads of the queues; the lowest rank is placed first."""
 
-    def rank(self, share: float, waited_s: float, expected_run_s: float) -> float:
+    def rank(self, share: float, waited_s: float, kind: WorkKind) -> float:
         """Return the rank of a task whose team uses `share` of what it is entitled to."""
 
 
@@ -32,22 +40,22 @@
 class ShareObjective:
     """Place the work of the team that is furthest below its share."""
 
-    def rank(self, share: float, waited_s: float, expected_run_s: float) -> float:
+    def rank(self, share: float, waited_s: float, kind: WorkKind) -> float:
         """Return the team's share."""
         return share
 
 
 @attrs.frozen
 class WaitingTimeObjective:
-    """Place the work that has waited longest in relation to its run time.
+    """Place the work that has waited longest in relation to what its kind tolerates.
 
     The rank starts at 1, the rank of a team that has exactly its share, and only falls, so
     that both objectives can order the queues of one owner.
     """
 
-    def rank(self, share: float, waited_s: float, expected_run_s: float) -> float:
-        """Return the inverse of the response ratio."""
-        return 1.0 / (1.0 + waited_s / (RESPONSE_OFFSET_S + expected_run_s))
+    def rank(self, share: float, waited_s: float, kind: WorkKind) -> float:
+        """Return a rank that halves when the wait reaches the tolerance."""
+        return 1.0 / (1.0 + waited_s / TOLERANCE_S[kind])
 
 
 OBJECTIVES: dict[str, Objective] = {
--- a/baobabhoist/scheduling/scheduler.py
+++ b/baobabhoist/scheduling/scheduler.py
@@ -554,9 +554,7 @@
         if lane.urgent:
             return URGENT_RANK
         objective = OBJECTIVES[self._queue(lane.queue).objective]
-        return objective.rank(
-            self.fairness.share(lane.team.name), entry.waited_s(now), entry.run_s
-        )
+        return objective.rank(self.fairness.share(lane.team.name), entry.waited_s(now), lane.kind)
 
     def _extra_room(self, now: float) -> Amount | None:
         """Return a bound on what backfill and probes may use, or None when there are none."""
