--- a/baobabhoist/daemon/main.py
+++ b/baobabhoist/daemon/main.py
@@ -9,36 +9,42 @@
 
 from absl import app, flags
 
-from baobabhoist.config.settings import load
+from baobabhoist.config.load import load_with_warnings
 from baobabhoist.daemon.app import Daemon
 from baobabhoist.errors import SettingsError
+from baobabhoist.observability.events import Event, configure_logging, emit
+
+log = logging.getLogger(__name__)
 
 FLAGS = flags.FLAGS
 flags.DEFINE_string("config", None, "Settings file in YAML.", required=True)
 
 EXIT_BAD_SETTINGS = 2
+QUIET_LOGGERS = {"tornado.access": logging.CRITICAL, "websockets": logging.WARNING}
 
 
 async def serve(daemon: Daemon) -> None:
-    """Run the daemon until it is asked to stop."""
-    running = asyncio.create_task(daemon.run())
+    """Run the daemon until it is drained: by SIGTERM, SIGINT or an operator."""
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, running.cancel)
-    try:
-        await running
-    except asyncio.CancelledError:
-        return
+        loop.add_signal_handler(number, daemon.drain.started.set)
+    await daemon.run()
 
 
 def main(argv: list[str]) -> int:
     """Read the settings and serve."""
-    logging.basicConfig(format="%(asctime)s %(levelname)s %(name)s %(message)s", level="INFO")
     try:
-        cfg = load(FLAGS.config)
+        loaded = load_with_warnings(FLAGS.config)
     except SettingsError as exc:
         print(exc, file=sys.stderr)
         return EXIT_BAD_SETTINGS
+    cfg = loaded.settings
+    configure_logging(cfg.log_format, cfg.log_level)
+    # One line per request or connection would cost more than the request itself.
+    for name, quiet in QUIET_LOGGERS.items():
+        logging.getLogger(name).setLevel(max(quiet, logging.getLogger().level))
+    for warning in loaded.warnings:
+        emit(log, Event.SETTINGS_WARNING, problem=str(warning))
     asyncio.run(serve(Daemon(cfg)))
     return 0
 
--- a/baobabhoist/upstream/messages.py
+++ b/baobabhoist/upstream/messages.py
@@ -7,6 +7,7 @@
 from baobabhoist.model import EndedTask, RunningTask, Task
 from baobabhoist.ownership.tokens import Token
 from baobabhoist.peer.codec import Codec
+from baobabhoist.peer.streams import STREAM_TYPES
 
 
 @attrs.frozen
@@ -19,10 +20,24 @@
 
 @attrs.frozen
 class WorkerFencedReply:
-    """Confirm the token and report the tasks that run or ended recently."""
+    """Confirm the token and report the tasks that run or ended recently.
+
+    A worker may report a large inventory in pages; `next_page` names the next one. `previous`
+    is the token that the worker held before this one.
+    """
 
     running: tuple[RunningTask, ...]
     ended: tuple[EndedTask, ...]
+    next_page: str = ""
+    previous: Token | None = None
+
+
+@attrs.frozen
+class ReadInventory:
+    """Ask for the next page of a worker's inventory."""
+
+    token: Token
+    page: str
 
 
 @attrs.frozen
@@ -43,11 +58,12 @@
 
 @attrs.frozen
 class TaskEnded:
-    """Report the end of a task with its whole answer."""
+    """Report the end of a task with its whole answer and the token that the worker holds."""
 
     task_id: str
     succeeded: bool
     body: bytes
+    token: Token | None = None
 
 
 @attrs.frozen
@@ -84,7 +100,10 @@
 
 @attrs.frozen
 class OutcomeReport:
-    """Report a task as running, ended or never started."""
+    """Report a task as `running`, `ended` or `never`.
+
+    After `never` the worker refuses a start under this id, also one that is still on its way.
+    """
 
     task_id: str
     state: str
@@ -131,5 +150,7 @@
         StopTask,
         CheckpointTask,
         ThrottleTask,
+        ReadInventory,
+        *STREAM_TYPES,
     )
 )
