--- a/baobabhoist/daemon/main.py
+++ b/baobabhoist/daemon/main.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import gc
 import logging
 import signal
 import sys
@@ -20,6 +21,7 @@
 flags.DEFINE_string("config", None, "Settings file in YAML.", required=True)
 
 EXIT_BAD_SETTINGS = 2
+GC_THRESHOLDS = (20_000, 20, 50)
 QUIET_LOGGERS = {"tornado.access": logging.CRITICAL, "websockets": logging.WARNING}
 
 
@@ -45,7 +47,12 @@
         logging.getLogger(name).setLevel(max(quiet, logging.getLogger().level))
     for warning in loaded.warnings:
         emit(log, Event.SETTINGS_WARNING, problem=str(warning))
-    asyncio.run(serve(Daemon(cfg)))
+    daemon = Daemon(cfg)
+    # A full collection of a large heap stops all requests for its time. What is loaded now
+    # stays, and later full collections are rare, because requests leave few cycles behind.
+    gc.freeze()
+    gc.set_threshold(*GC_THRESHOLDS)
+    asyncio.run(serve(daemon))
     return 0
 
 
--- a/baobabhoist/daemon/requests.py
+++ b/baobabhoist/daemon/requests.py
@@ -12,6 +12,8 @@
 from baobabhoist.model import Answer, Outcome, Request
 from baobabhoist.ownership.keys import KeyLedger, KeyState, Result
 
+# asyncio takes no infinite timeout; work without a deadline waits again after this time.
+LONGEST_WAIT_S = 86400.0
 FINAL_STATES = (KeyState.ANSWERED, KeyState.NOT_RUN)
 
 
@@ -40,13 +42,13 @@
         """Return the result of a request, or None when its deadline passes first."""
         if entry.fut.done():
             return entry.fut.result()
-        left_s = req.task.deadline - self._clock()
-        try:
-            # A caller that goes away leaves the result to the others that wait for it.
-            async with asyncio.timeout(left_s if left_s < float("inf") else None):
-                return await asyncio.shield(entry.fut)
-        except TimeoutError:
-            return None
+        while (left_s := req.task.deadline - self._clock()) > 0:
+            # `wait` leaves the future alone when this caller goes away, for the others that wait.
+            timeout = min(left_s, LONGEST_WAIT_S)
+            done, _ = await asyncio.wait((entry.fut,), timeout=timeout)
+            if done:
+                return entry.fut.result()
+        return None
 
     def finish(self, request_id: str, result: Result) -> Result:
         """Store the result of a request and give it to those who wait."""
--- a/baobabhoist/peer/link.py
+++ b/baobabhoist/peer/link.py
@@ -96,9 +96,24 @@
         correlation = next(self._ids)
         fut: asyncio.Future[Any] = asyncio.get_running_loop().create_future()
         self._pending[correlation] = fut
+        data = self._codec.encode(message, correlation)
+        if len(data) > CHUNK_BYTES:
+            return await self._call_large(data, correlation, fut, deadline_s)
+        # A timer on the future costs less than a timeout around the two awaits.
+        timer = asyncio.get_running_loop().call_later(max(0.0, deadline_s), _expire, fut)
+        try:
+            await self._send_frame(data)
+            return await fut
+        finally:
+            timer.cancel()
+            self._pending.pop(correlation, None)
+
+    async def _call_large(
+        self, data: bytes, correlation: int, fut: asyncio.Future[Any], deadline_s: float
+    ) -> Any:
         try:
             async with asyncio.timeout(deadline_s):
-                await self._send(self._codec.encode(message, correlation))
+                await self._send(data)
                 return await fut
         finally:
             self._pending.pop(correlation, None)
@@ -214,3 +229,8 @@
             if not fut.done():
                 fut.set_exception(LinkClosedError("the connection ended before the reply"))
         self._pending.clear()
+
+
+def _expire(fut: asyncio.Future[Any]) -> None:
+    if not fut.done():
+        fut.set_exception(TimeoutError("no reply before the deadline"))
