Judge requests that arrive anywhere during a graceful stop

Change: requests that overlap the stop count, except those sent to the stopping instance itself. Ruled out: counting refusals of the stopping instance, which has left the balancer. Conclusion: stricter.

--- a/baobabhoist/testing/soak_judge.py
+++ b/baobabhoist/testing/soak_judge.py
@@ -285,11 +285,15 @@
             verdict.check(stop["code"] == 0, f"{stop['instance']} stopped with {stop['code']}")
             calm = self.calm(stop["t"], stop["until"], own=stop["name"])
             for entry in self.callers:
-                if entry["event"] != "request" or not entry["t"] < stop["t"] < entry["end"]:
+                open_before = entry["t"] < stop["t"] < entry.get("end", 0.0)
+                here = entry.get("instance") == stop["instance"]
+                if here and not open_before:
                     continue
-                cut = bool(entry.get("error")) and entry["instance"] == stop["instance"]
-                cut = cut or (calm and entry.get("kind") in CUT_KINDS)
-                verdict.check(not cut, f"{entry['ref']} was cut: {entry}")
+                overlaps = entry["t"] < stop["until"] and stop["t"] < entry.get("end", 0.0)
+                cut = here and bool(entry.get("error"))
+                cut = cut or (calm and overlaps and entry.get("kind") in CUT_KINDS)
+                if overlaps:
+                    verdict.check(not cut, f"{entry['ref']} was cut: {entry}")
 
     def _records(self) -> None:
         verdict, figure = self.verdicts["G10"], self.figures["records_in_force"]
--- a/baobabhoist/tests/test_testing_soak_judge.py
+++ b/baobabhoist/tests/test_testing_soak_judge.py
@@ -95,6 +95,10 @@
         "callers": [refused("a", t=4.0, end=6.0, instance="n2", kind="outcome_unknown")],
         "events": [STOP],
     },
+    "G9 during the stop": {
+        "callers": [refused("a", t=5.5, end=6.0, instance="n2", kind="outcome_unknown")],
+        "events": [STOP],
+    },
     "G9 code": {"events": [STOP | {"code": 1}]},
     "G10": {"events": [status(1.0, 5), status(9.0, 5), driver("record", 2.0, revision=6)]},
     "G10 race": {"events": [driver("race", 1.0, accepted=2)]},
@@ -120,6 +124,10 @@
         "workers": ran("a", 14, 15),
         "events": [driver("leaving", 10.0, worker="w1"), driver("staying", 13.0, worker="w1")],
     },
+    "G9 refused by the instance that stops": {
+        "callers": [refused("a", t=5.5, end=6.0, kind="draining")],
+        "events": [STOP],
+    },
     "G10 cut off": {
         "events": [
             status(1.0, 5), status(9.0, 5), driver("record", 2.0, revision=6),
