Let a queue leave the default deadline to the settings

Cause: every queue had a default deadline of 30 s, so the setting default_deadline_s had no effect and a batch job without a deadline was given up after 30 s. Ruled out: a longer default for all queues, which would keep lost requests queued. The daemon still has to pass its setting in CallerOptions.

--- a/baobabhoist/gateway/callers.py
+++ b/baobabhoist/gateway/callers.py
@@ -91,7 +91,8 @@
         return found
     deadline = found.deadline
     if deadline is None:
-        deadline = now + min(queue.default_deadline_s, options.max_deadline_s)
+        default_s = queue.default_deadline_s or options.default_deadline_s
+        deadline = now + min(default_s, options.max_deadline_s)
     refusal = kind_refusal(name, queue, WorkKind.REQUEST)
     refusal = refusal or deadline_refusal(deadline, now, options.max_deadline_s)
     if refusal is None and (found.first_sent_at or 0.0) > now + options.clock_skew_s:
--- a/baobabhoist/gateway/context.py
+++ b/baobabhoist/gateway/context.py
@@ -21,6 +21,7 @@
     from baobabhoist.gateway.jobs import JobService
 
 MAX_DEADLINE_S = 600.0
+DEFAULT_DEADLINE_S = 30.0
 CLOCK_SKEW_S = 0.5
 # Any name is routed, so that the answer can say that it does not exist.
 NAME_IN_PATH = r"([^/]{1,200})"
@@ -56,6 +57,7 @@
     limits: HttpLimits = attrs.Factory(HttpLimits)
     open_requests: OpenRequests = attrs.Factory(OpenRequests)
     max_deadline_s: float = MAX_DEADLINE_S
+    default_deadline_s: float = DEFAULT_DEADLINE_S
     clock_skew_s: float = CLOCK_SKEW_S
     cut_off_s: Callable[[], float] = _connected
     metrics: Metrics | None = None
--- a/baobabhoist/gateway/jobs.py
+++ b/baobabhoist/gateway/jobs.py
@@ -15,6 +15,8 @@
 from baobabhoist.records.schema import MAX_DEADLINE_S
 
 HTTP_ACCEPTED = 202
+# A batch job or gang whose submitter and queue give no deadline is given up after a day.
+DEFAULT_JOB_DEADLINE_S = 86_400.0
 
 
 class JobService(Protocol):
@@ -152,7 +154,8 @@
         if isinstance(key, Refusal):
             return key
         now = time.time()
-        spec = job.spec(job_id_of(team, key), team, now + queue.default_deadline_s)
+        default_s = queue.default_deadline_s or DEFAULT_JOB_DEADLINE_S
+        spec = job.spec(job_id_of(team, key), team, now + default_s)
         refusal = kind_refusal(job.queue, queue, job.kind)
         if refusal is None and not math.isinf(spec.deadline):
             refusal = deadline_refusal(spec.deadline, now, MAX_DEADLINE_S)
--- a/baobabhoist/records/kinds.py
+++ b/baobabhoist/records/kinds.py
@@ -10,7 +10,6 @@
 
 # Requests without a key on a queue open to all run for this team.
 PUBLIC_TEAM = "public"
-DEFAULT_DEADLINE_S = 30.0
 DEFAULT_MAX_QUEUED = 1000
 ALL_KINDS = tuple(WorkKind)
 
@@ -76,13 +75,14 @@
 class Queue:
     """Hold who may use a queue, for what, and where its request keys have their home.
 
-    No home data centre means all of them.
+    No home data centre means all of them. `default_deadline_s` is for work whose caller sends no
+    deadline; without one, the settings decide for requests and a fixed time for jobs.
     """
 
     open_to_all: bool = False
     home_data_centres: tuple[str, ...] = ()
     kinds: tuple[WorkKind, ...] = ALL_KINDS
-    default_deadline_s: float = DEFAULT_DEADLINE_S
+    default_deadline_s: float | None = None
     max_queued_per_team: int = DEFAULT_MAX_QUEUED
     policy: str = ""
 
--- a/baobabhoist/records/schema.py
+++ b/baobabhoist/records/schema.py
@@ -33,7 +33,6 @@
 )
 from baobabhoist.records.kinds import (
     ALL_KINDS,
-    DEFAULT_DEADLINE_S,
     DEFAULT_MAX_QUEUED,
     Key,
     Objective,
@@ -89,7 +88,7 @@
 )
 _QUEUE_COMMON = {
     "kinds": Field(_KINDS, ALL_KINDS),
-    "default_deadline_s": Field(_DEADLINE, DEFAULT_DEADLINE_S),
+    "default_deadline_s": Field(optional(_DEADLINE), None),
     "policy": Field(_NAME_OR_EMPTY, ""),
 }
 _MAX_QUEUED = Field(integer(1, MAX_PLACES), DEFAULT_MAX_QUEUED)
--- a/baobabhoist/tests/test_gateway_jobs.py
+++ b/baobabhoist/tests/test_gateway_jobs.py
@@ -6,6 +6,7 @@
 import pytest
 
 from baobabhoist.model import WorkKind
+from baobabhoist.records.view import Record
 from baobabhoist.tests.gateways import OPERATOR, ROSTER, with_gateway
 
 OTHER = {"X-Team-Key": "other-key"}
@@ -140,3 +141,23 @@
         assert await kind_of(batch()) == "platform_unavailable"
 
     with_gateway(test)
+
+
+def test_default_deadlines_come_from_the_queue_and_then_from_the_settings():
+    """Guard against a batch job that is given up after the short default of requests."""
+
+    async def test(gateway):
+        path = "/v1/queues/entries/requests"
+        now = time.time()
+        job = (await gateway.post("/v1/jobs", ROSTER, batch())).json["job_id"]
+        assert gateway.jobs.specs[job].deadline >= now + 86_400.0
+        await gateway.post(path, ROSTER)
+        assert now + 20.0 <= gateway.node.routed[0].task.deadline < now + 86_400.0
+        queue = Record("queue", "entries", 2, 100, {"default_deadline_s": 400.0})
+        gateway.node.view.apply(queue)
+        await gateway.post(path, ROSTER)
+        job = (await gateway.post("/v1/jobs", ROSTER, batch())).json["job_id"]
+        found = [gateway.node.routed[1].task.deadline, gateway.jobs.specs[job].deadline]
+        assert all(now + 400.0 <= deadline < now + 86_400.0 for deadline in found)
+
+    with_gateway(test, default_deadline_s=20.0)
