Log only faults of the gateway, count conflicts, and shorten tables

Cause: at level info tornado wrote one line for each request, and a list of records printed every field of every worker. Change: only answers with status 500 are logged; a conflict between operators is a numbered event; tables count long lists and lists of objects; choices are looked up in a table. Ruled out: none. Conclusion: the tests of gateway, records and command line pass.

--- a/baobabhoist/cli/output.py
+++ b/baobabhoist/cli/output.py
@@ -10,6 +10,9 @@
 
 from baobabhoist.cli.client import ExitCode
 
+# Longer lists, and lists of objects, are counted in tables; --output=json shows them in full.
+MAX_LISTED = 8
+
 
 @attrs.frozen
 class Result:
@@ -38,12 +41,19 @@
     if isinstance(value, bool):
         return "yes" if value else "no"
     if isinstance(value, (list, tuple)):
+        if len(value) > MAX_LISTED or any(isinstance(item, (dict, list)) for item in value):
+            return "1 entry" if len(value) == 1 else f"{len(value)} entries"
         return ", ".join(shown(item) for item in value) or "-"
     if isinstance(value, dict):
-        return ", ".join(f"{name}={shown(item)}" for name, item in value.items()) or "-"
+        pairs = [f"{shown(name)}={_nested(item)}" for name, item in value.items()]
+        return ", ".join(pairs) or "-"
     return "".join(char if char.isprintable() else repr(char)[1:-1] for char in str(value))
 
 
+def _nested(value: Any) -> str:
+    return f"({shown(value)})" if isinstance(value, dict) and value else shown(value)
+
+
 def refusal_lines(body: dict[str, Any]) -> list[str]:
     """Return an error body for people."""
     lines = [f"{shown(body.get('kind'))}: {shown(body.get('message'))}"]
--- a/baobabhoist/gateway/admin.py
+++ b/baobabhoist/gateway/admin.py
@@ -10,7 +10,7 @@
 from baobabhoist.errors import Refusal
 from baobabhoist.gateway.auth import OPERATOR_KEY_HEADER as OPERATOR_KEY_HEADER
 from baobabhoist.gateway.context import NAME_IN_PATH, not_ready
-from baobabhoist.gateway.handler import NotFoundHandler
+from baobabhoist.gateway.handler import NotFoundHandler, log_faults
 from baobabhoist.gateway.jobs import explanation_body, no_jobs, status_body
 from baobabhoist.gateway.operators import (
     AdminBackend,
@@ -169,4 +169,5 @@
         ],
         default_handler_class=NotFoundHandler,
         default_handler_args={"options": options},
+        log_function=log_faults,
     )
--- a/baobabhoist/gateway/callers.py
+++ b/baobabhoist/gateway/callers.py
@@ -22,7 +22,7 @@
     no_queue,
     not_ready,
 )
-from baobabhoist.gateway.handler import NotFoundHandler, TypedHandler
+from baobabhoist.gateway.handler import NotFoundHandler, TypedHandler, log_faults
 from baobabhoist.gateway.headers import (
     FIRST_SENT,
     RequestHeaders,
@@ -178,4 +178,5 @@
         ],
         default_handler_class=NotFoundHandler,
         default_handler_args={"options": options},
+        log_function=log_faults,
     )
--- a/baobabhoist/gateway/handler.py
+++ b/baobabhoist/gateway/handler.py
@@ -24,6 +24,12 @@
 JSON_TYPE = "application/json"
 
 
+def log_faults(handler: RequestHandler) -> None:
+    """Log only answers that report a fault; a line for each request would cost too much."""
+    if handler.get_status() == http.HTTPStatus.INTERNAL_SERVER_ERROR:
+        log.error("%s %s failed", handler.request.method, handler.request.path[:200])
+
+
 class HandlerOptions(Protocol):
     """Be what every handler needs of the options of its application."""
 
--- a/baobabhoist/gateway/headers.py
+++ b/baobabhoist/gateway/headers.py
@@ -31,6 +31,7 @@
 IDEMPOTENT = "X-Idempotent"
 URGENCY = "X-Urgency"
 EXPECTED_RUN = "X-Expected-Run-S"
+_URGENCY = one_of(Urgency)
 
 
 @attrs.frozen
@@ -75,7 +76,7 @@
         return TRUTH_VALUES.get(value, False)
 
     def urgency(self) -> Urgency:
-        found = one_of(Urgency)(self.headers.get(URGENCY, "normal"), URGENCY, self.problems)
+        found = _URGENCY(self.headers.get(URGENCY, "normal"), URGENCY, self.problems)
         return Urgency.NORMAL if found is ABSENT else Urgency(found)
 
     def key(self) -> str | None:
--- a/baobabhoist/gateway/records.py
+++ b/baobabhoist/gateway/records.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 import re
 from typing import Any
 
@@ -9,6 +10,7 @@
 from baobabhoist.gateway.bodies import read_json
 from baobabhoist.gateway.operators import AdminHandler
 from baobabhoist.model import FINAL_JOB_STATES
+from baobabhoist.observability.events import Event, emit
 from baobabhoist.records.checks import ABSENT, Problems, integer
 from baobabhoist.records.diff import difference
 from baobabhoist.records.kinds import RecordKind
@@ -17,6 +19,8 @@
 from baobabhoist.records.store import DEFAULT_HISTORY, MAX_HISTORY, Change, RecordStore, as_written
 from baobabhoist.records.view import Record
 
+log = logging.getLogger(__name__)
+
 ETAG_PATTERN = re.compile(r'(W/)?"?([0-9]{1,15})"?')
 INTEGER_PATTERN = re.compile(r"[0-9]{1,15}")
 MAX_REVISION = 10**15
@@ -70,6 +74,12 @@
         self.set_header("ETag", f'"{record.revision}"')
         self.answer_json(body)
 
+    def refuse_change(self, kind: str, name: str, refusal: Refusal) -> None:
+        """Answer with the refusal of a change; conflicts between operators are logged."""
+        if refusal.kind is ErrorKind.CONFLICT:
+            emit(log, Event.RECORD_CONFLICT, kind=kind, name=name, operator=self.operator)
+        self.refuse(refusal)
+
     async def _jobs_in(self, kind: str, name: str) -> Refusal | None:
         if kind != RecordKind.QUEUE or self.options.jobs is None:
             return None
@@ -133,7 +143,7 @@
             return
         record = await self.store().put(wanted, self.now())
         if isinstance(record, Refusal):
-            self.refuse(record)
+            self.refuse_change(kind, name, record)
             return
         self.answer_record(record, status=200 if wanted.based_on else HTTP_CREATED)
 
@@ -148,7 +158,7 @@
         wanted = Change(kind, name, 0, None, based_on, self.operator)
         record = await self.store().delete(wanted, self.now())
         if isinstance(record, Refusal):
-            self.refuse(record)
+            self.refuse_change(kind, name, record)
             return
         self.answer_record(record)
 
--- a/baobabhoist/records/checks.py
+++ b/baobabhoist/records/checks.py
@@ -108,12 +108,13 @@
 def one_of(kind: type[enum.StrEnum]) -> Check:
     """Accept one of the values of an enumeration."""
     remedy = f"give one of {', '.join(kind)}"
+    members = {member.value: member for member in kind}
 
     def check(value: Any, path: str, problems: Problems) -> Any:
-        if type(value) is not str or value not in set(kind):
+        if type(value) is not str or value not in members:
             problems.append(Problem(path, f"{shown(value)} is not known", remedy))
             return ABSENT
-        return kind(value)
+        return members[value]
 
     return check
 
--- a/baobabhoist/tests/test_cli_main.py
+++ b/baobabhoist/tests/test_cli_main.py
@@ -243,6 +243,7 @@
 
 def test_what_is_printed_cannot_control_the_terminal():
     """Guard against control characters from a record or an answer."""
+    assert shown({"a": {"b": 1}, "c": [{}], "d": [1, 2]}) == "a=(b=1), c=1 entry, d=1, 2"
     assert shown("\x1b[2Ja\nb") == "\\x1b[2Ja\\nb"
     assert table(["A", "B"], [["x", None], ["long", True]]) == ["A     B", "x     -", "long  yes"]
     assert refusal_lines({"kind": "k", "message": "\x07"}) == ["k: \\x07"]
