Write the callers' and operators' guides, and bound the time to read an answer

Cause: the APIs and the command line had no pages for their users; a caller that stopped reading its answer could hold up a drain for ever. Change: two guides, with tests that hold their examples, commands and tables against the program; a connection that does not take its answer within 60 s is closed; names of data centres, racks and workers may have dots, as in the settings. Ruled out: a time limit on the drain itself, which would cut requests.

--- a/baobabhoist/gateway/handler.py
+++ b/baobabhoist/gateway/handler.py
@@ -123,7 +123,12 @@
         self._stop_timer()
         if self.options.open_requests.leaving:
             self.set_header("Connection", "close")
+        stream = self.request.connection.stream  # type: ignore[union-attr]
         written = super().finish(chunk)
+        if not written.done():
+            loop = asyncio.get_running_loop()
+            late = loop.call_later(self.options.limits.write_timeout_s, stream.close)
+            written.add_done_callback(lambda _: late.cancel())
         written.add_done_callback(self._written)
         return written
 
--- a/baobabhoist/gateway/server.py
+++ b/baobabhoist/gateway/server.py
@@ -18,6 +18,8 @@
 MAX_HEADER_BYTES = 64 << 10
 BODY_TIMEOUT_S = 30.0
 IDLE_TIMEOUT_S = 75.0
+# A caller that does not read its answer would otherwise keep an instance from draining.
+WRITE_TIMEOUT_S = 60.0
 # The handlers bound bodies themselves, because tornado answers an oversize body without a
 # typed error.
 UNBOUNDED = 1 << 62
@@ -30,13 +32,15 @@
     """Bound what a connection may send: sizes in bytes, times in seconds.
 
     `idle_timeout_s` covers a connection between two requests as well as one that sends its
-    headers slowly; it is closed without an answer, since there is no request to answer.
+    headers slowly; it is closed without an answer, since there is no request to answer. A
+    connection that does not take its answer within `write_timeout_s` is closed as well.
     """
 
     max_body_bytes: int = MAX_BODY_BYTES
     max_header_bytes: int = MAX_HEADER_BYTES
     body_timeout_s: float = BODY_TIMEOUT_S
     idle_timeout_s: float = IDLE_TIMEOUT_S
+    write_timeout_s: float = WRITE_TIMEOUT_S
 
 
 def _typed_refusal() -> bytes:
--- a/baobabhoist/records/schema.py
+++ b/baobabhoist/records/schema.py
@@ -66,6 +66,11 @@
 
 _NAME = text(NAME_PATTERN, NAME_REMEDY)
 _NAME_OR_EMPTY = text(f"({NAME_PATTERN})?", f"{NAME_REMEDY}, or an empty string")
+# Data centres, racks and workers are named as in the settings, where names may have dots.
+_DOTTED_PATTERN = r"[a-z0-9][a-z0-9.-]{0,62}"
+_DOTTED_REMEDY = "at most 63 lower-case letters, digits, dots and hyphens"
+_DOTTED = text(_DOTTED_PATTERN, _DOTTED_REMEDY)
+_DOTTED_OR_EMPTY = text(f"({_DOTTED_PATTERN})?", f"{_DOTTED_REMEDY}, or an empty string")
 _DIGEST = text(r"[0-9a-f]{64}", "the SHA-256 digest of the key as 64 lower-case hex digits")
 _HOST = text(r"[A-Za-z0-9]([A-Za-z0-9.:-]{0,252}[A-Za-z0-9])?|::1?", "an IP address")
 _KINDS = list_of(one_of(WorkKind), len(ALL_KINDS))
@@ -96,7 +101,7 @@
     {
         **_QUEUE_COMMON,
         "open": Field(boolean, False),
-        "data_centre": Field(_NAME_OR_EMPTY, ""),
+        "data_centre": Field(_DOTTED_OR_EMPTY, ""),
         "max_queued": _MAX_QUEUED,
     }
 )
@@ -104,7 +109,7 @@
     {
         **_QUEUE_COMMON,
         "open_to_all": Field(boolean, False),
-        "home_data_centres": Field(list_of(_NAME, MAX_DATA_CENTRES), ()),
+        "home_data_centres": Field(list_of(_DOTTED, MAX_DATA_CENTRES), ()),
         "max_queued_per_team": _MAX_QUEUED,
     }
 )
@@ -118,10 +123,10 @@
 )
 _WORKER = object_of(
     {
-        "name": Field(_NAME),
+        "name": Field(_DOTTED),
         "host": Field(_HOST),
         "port": Field(integer(1, 65_535)),
-        "rack": Field(_NAME_OR_EMPTY, ""),
+        "rack": Field(_DOTTED_OR_EMPTY, ""),
         "cpu_milli": Field(integer(1, MAX_CPU_MILLI)),
         "memory_mb": Field(integer(1, MAX_MEMORY_MB)),
         "accelerators": Field(integer(0, MAX_ACCELERATORS), 0),
@@ -130,7 +135,7 @@
     }
 )
 _SHARD_1 = object_of(
-    {"data_centre": Field(_NAME), "workers": Field(list_of(_WORKER, MAX_WORKERS_PER_SHARD), ())}
+    {"data_centre": Field(_DOTTED), "workers": Field(list_of(_WORKER, MAX_WORKERS_PER_SHARD), ())}
 )
 
 
--- a/baobabhoist/tests/test_gateway_callers.py
+++ b/baobabhoist/tests/test_gateway_callers.py
@@ -347,3 +347,23 @@
         await gateway.callers.open_requests.drained()
 
     with_gateway(test)
+
+
+def test_a_caller_that_does_not_read_its_answer_cannot_hold_up_a_drain():
+    """Guard against an instance that never stops because one caller has stalled."""
+
+    async def answer(req):
+        return Answer(req.request_id, 200, b"x" * (64 << 20))
+
+    async def test(gateway):
+        gateway.node.answer = answer
+        reader, writer = await asyncio.open_connection("127.0.0.1", gateway.ports["callers"])
+        head = f"POST {PATH} HTTP/1.1\r\nX-Team-Key: roster-key\r\nHost: h\r\n"
+        writer.write(head.encode() + b"Content-Length: 0\r\n\r\n")
+        await reader.readexactly(8)
+        gateway.callers.open_requests.begin_drain()
+        assert gateway.callers.open_requests.count == 1
+        await gateway.callers.open_requests.drained()
+        writer.transport.abort()
+
+    with_gateway(test, limits=HttpLimits(write_timeout_s=0.2))
--- /dev/null
+++ b/baobabhoist/tests/test_gateway_guides.py
@@ -0,0 +1,77 @@
+"""Hold the examples and tables of the guides against the program."""
+
+import re
+from pathlib import Path
+
+import pytest
+import yaml
+
+from baobabhoist.cli.client import ExitCode
+from baobabhoist.cli.main import find_command
+from baobabhoist.errors import HTTP_STATUS, ErrorKind, Refusal
+from baobabhoist.gateway.bodies import JobBody, read_job
+from baobabhoist.gateway.server import HttpLimits
+from baobabhoist.records.kinds import RecordKind
+from baobabhoist.records.schema import parse
+from baobabhoist.records.view import Record, RecordView
+
+DOCS = Path(__file__).parents[2] / "docs"
+CALLERS = (DOCS / "callers-guide.md").read_text(encoding="utf-8")
+OPERATORS = (DOCS / "operators-guide.md").read_text(encoding="utf-8")
+
+
+def blocks(text):
+    """Return the indented blocks of a page."""
+    found = re.findall(r"(?:^(?: {4}.*)?\n)+", text, re.MULTILINE)
+    lines = [re.sub(r"^ {4}", "", block, flags=re.MULTILINE).strip("\n") for block in found]
+    return [block for block in lines if block]
+
+
+def commands(text):
+    for line in text.splitlines():
+        words = line.split()
+        if line.startswith("    ") and "baobabhoist" in words[:1]:
+            line = re.sub(r"[<>] \S+", "", line.replace("[", "").replace("]", ""))
+            yield [word for word in line.split()[1:] if not word.startswith("--")]
+
+
+def test_the_records_of_the_operators_guide_are_accepted():
+    """Guard against an operator copying an example that is refused."""
+    (block,) = [block for block in blocks(OPERATORS) if block.startswith("kind:")]
+    text, _, _ = block.partition("\nbaobabhoist")
+    view = RecordView()
+    for revision, record in enumerate(yaml.safe_load_all(text), 1):
+        kind = RecordKind(record["kind"])
+        parsed = parse(kind, record["schema_version"], record["body"])
+        assert not isinstance(parsed, Refusal), parsed
+        view.apply(Record(kind, record["name"], 1, revision, {}))
+    assert {kind for kind, _ in view.records} == set(RecordKind)
+
+
+def test_the_jobs_of_the_callers_guide_are_accepted():
+    """Guard against a submitter copying an example that is refused."""
+    jobs = re.findall(
+        r'^\{\s*"queue".*?^\}$|^\{"queue".*\}$', "\n".join(blocks(CALLERS)), re.M | re.S
+    )
+    assert len(jobs) == 2
+    assert all(isinstance(read_job(job.encode()), JobBody) for job in jobs)
+
+
+@pytest.mark.parametrize("words", [*commands(CALLERS), *commands(OPERATORS)], ids=" ".join)
+def test_the_commands_of_the_guides_exist(words):
+    """Guard against a documented command that is a usage error."""
+    find_command(words)
+
+
+def test_the_tables_of_the_callers_guide_are_complete():
+    """Guard against a kind of error, an exit code or a header that callers cannot look up."""
+    statuses = {}
+    for status, kinds in re.findall(r"^\| (\d{3}) \| (.*) \|$", CALLERS, re.MULTILINE):
+        statuses.update({kind: int(status) for kind in re.findall(r"`([a-z_]+)`", kinds)})
+    assert statuses == {kind.value: HTTP_STATUS[kind] for kind in ErrorKind}
+    codes = re.findall(r"^\| (\d) \| ", CALLERS, re.MULTILINE)
+    assert [int(code) for code in codes] == [code.value for code in ExitCode]
+    limits = HttpLimits()
+    assert f"within {limits.idle_timeout_s:g} s is closed" in CALLERS
+    assert f"arrive within {limits.body_timeout_s:g} s" in CALLERS
+    assert f"be read within {limits.write_timeout_s:g} s" in CALLERS
