Run all measurements through scripts/bench

Cause: the relay measurement had its own parser and was not reachable from scripts/bench. Change: one table of measurements, one set of flags; `relay` joins control, decisions, progress.

--- a/baobabhoist/benchmarks/main.py
+++ b/baobabhoist/benchmarks/main.py
@@ -3,11 +3,14 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
+from typing import Any
 
+import attrs
 import orjson
 from absl import app, flags
 
-from baobabhoist.benchmarks import control, decisions, progress
+from baobabhoist.benchmarks import control, decisions, progress, relay
 from baobabhoist.benchmarks.stream import PROFILES
 
 FLAGS = flags.FLAGS
@@ -16,30 +19,59 @@
 flags.DEFINE_integer("workers", 0, "Number of workers in place of the profile's.", lower_bound=0)
 flags.DEFINE_float("duration_s", 0.0, "Length of the stream in place of the profile's.")
 flags.DEFINE_bool("failing_workers", True, "Whether some workers fail everything for a time.")
-flags.DEFINE_float("measure_s", 3.0, "Length of each measurement of progress writes.")
+flags.DEFINE_float("measure_s", 5.0, "Length of each part of a measurement on real processes.")
 flags.DEFINE_list("fleets", ["24", "100", "400"], "Numbers of workers to measure control at.")
-flags.DEFINE_float("rate", 200.0, "Requests a second while control is measured under load.")
+flags.DEFINE_float("control_rate", 200.0, "Requests a second while control is under load.")
+flags.DEFINE_float(
+    "relay_rate", relay.TARGET_PER_S / 2, "Requests a second at which latency is measured."
+)
+flags.DEFINE_integer("connections", 64, "Connections of callers to the relay.")
+flags.DEFINE_integer("body_bytes", 200, "Size of a relayed request's body.")
 flags.DEFINE_enum("output", "table", ["table", "json"], "Form of the report.")
 
 
+@attrs.frozen
+class Measurement:
+    """Bind a name to what measures it and what prints it."""
+
+    run: Callable[[], dict[str, Any]]
+    table: Callable[[dict[str, Any]], str]
+
+
+def _decisions() -> dict[str, Any]:
+    return decisions.run(
+        FLAGS.profile, FLAGS.seed, FLAGS.workers, FLAGS.duration_s, FLAGS.failing_workers
+    )
+
+
+def _progress() -> dict[str, Any]:
+    return asyncio.run(progress.run(FLAGS.measure_s))
+
+
+def _control() -> dict[str, Any]:
+    return control.run([int(size) for size in FLAGS.fleets], FLAGS.control_rate, FLAGS.measure_s)
+
+
+def _relay() -> dict[str, Any]:
+    return relay.measure(FLAGS.measure_s, FLAGS.connections, FLAGS.body_bytes, FLAGS.relay_rate)
+
+
+MEASUREMENTS = {
+    "control": Measurement(_control, control.table),
+    "decisions": Measurement(_decisions, decisions.table),
+    "progress": Measurement(_progress, progress.table),
+    "relay": Measurement(_relay, relay.table),
+}
+
+
 def main(argv: list[str]) -> None:
     """Run the measurement and print its report."""
-    match argv[1:]:
-        case ["decisions"]:
-            report = decisions.run(
-                FLAGS.profile, FLAGS.seed, FLAGS.workers, FLAGS.duration_s, FLAGS.failing_workers
-            )
-            text = decisions.table(report)
-        case ["progress"]:
-            report = asyncio.run(progress.run(FLAGS.measure_s))
-            text = progress.table(report)
-        case ["control"]:
-            sizes = [int(size) for size in FLAGS.fleets]
-            report = control.run(sizes, FLAGS.rate, FLAGS.measure_s)
-            text = control.table(report)
-        case _:
-            raise app.UsageError("name one measurement: control, decisions or progress")
-    print(orjson.dumps(report).decode() if FLAGS.output == "json" else text)
+    measurement = MEASUREMENTS.get(argv[1]) if len(argv) == 2 else None
+    if measurement is None:
+        raise app.UsageError(f"name one measurement: {', '.join(MEASUREMENTS)}")
+    report = measurement.run()
+    json_wanted = FLAGS.output == "json"
+    print(orjson.dumps(report).decode() if json_wanted else measurement.table(report))
 
 
 if __name__ == "__main__":
--- a/baobabhoist/benchmarks/relay.py
+++ b/baobabhoist/benchmarks/relay.py
@@ -7,7 +7,6 @@
 
 from __future__ import annotations
 
-import argparse
 import asyncio
 import json
 import os
@@ -264,20 +263,9 @@
     return found
 
 
-def run(argv: list[str]) -> dict[str, Any]:
-    """Measure and print the figures."""
-    parser = argparse.ArgumentParser(prog="relay", description=__doc__)
-    parser.add_argument("--seconds", type=float, default=5.0, help="length of each part")
-    parser.add_argument("--connections", type=int, default=64, help="connections of callers")
-    parser.add_argument("--body_bytes", type=int, default=200, help="size of a request's body")
-    parser.add_argument(
-        "--rate", type=float, default=TARGET_PER_S / 2, help="rate at which latency is measured"
-    )
-    args = parser.parse_args(argv)
-    found = measure(args.seconds, args.connections, args.body_bytes, args.rate)
-    for name, value in found.items():
-        print(f"{name:26} {value}")
-    return found
+def table(found: dict[str, Any]) -> str:
+    """Return the report as a plain table."""
+    return "\n".join(f"{name:26} {value}" for name, value in found.items())
 
 
 if __name__ == "__main__":
