Judge takeovers and requests during outages of the platform

Cause: the targets hold with the platform down, but the judge excused them then. Change: outages of the platform excuse neither a late takeover nor a stopped request; a new line, outage, counts requests that such an outage alone stopped. Ruled out: nothing.

--- a/baobabhoist/testing/soak_judge.py
+++ b/baobabhoist/testing/soak_judge.py
@@ -18,6 +18,8 @@
 # After a fault ends, its effects may last for one takeover and one record change.
 RECOVERY_S = TAKEOVER_S + IN_FORCE_S
 INF = float("inf")
+# An outage of the platform excuses neither a late takeover nor a stopped request.
+PLATFORM_FAULTS = ("platform_", "lose_answers", "cut_platform")
 # Refusals that a graceful stop may not cause: they mean that an open request was cut.
 CUT_KINDS = frozenset(
     {"outcome_unknown", "draining", "peer_unreachable", "shard_unavailable", "internal"}
@@ -76,6 +78,7 @@
         for entries in (self.workers, self.callers, self.driver):
             entries.sort(key=lambda entry: entry["t"])
         self.verdicts = {f"G{number}": Verdict() for number in range(1, 11)}
+        self.verdicts["outage"] = Verdict()
         self.figures = {
             "records_in_force": Figure(IN_FORCE_S),
             "key_refused": Figure(IN_FORCE_S),
@@ -91,6 +94,7 @@
         self._one_place()
         self._limits()
         self._requests()
+        self._outages()
         self._keys()
         self._leaving()
         self._stops()
@@ -98,15 +102,24 @@
         self._takeovers()
         self._urgent()
 
-    def calm(self, start: float, end: float, instance: str = "", own: str = "") -> bool:
+    def calm(
+        self,
+        start: float,
+        end: float,
+        instance: str = "",
+        own: str = "",
+        but: tuple[str, ...] = (),
+    ) -> bool:
         """Tell whether no fault, or its recovery, touches the instance in a time span.
 
-        `own` names the fault that is judged itself.
+        `own` names the fault that is judged itself; faults named in `but` do not count.
         """
         return not any(
             window["t"] < end and start < window["until"] + RECOVERY_S
             for window in self._of("window")
-            if window["name"] != own and (not instance or instance in window["instances"])
+            if window["name"] != own
+            and not window["name"].startswith(but)
+            and (not instance or instance in window["instances"])
         )
 
     def failed_targets(self) -> list[str]:
@@ -240,6 +253,20 @@
         elif entry.get("error") and self.calm(entry["t"], entry["end"], entry["instance"]):
             verdict.check(False, f"{entry['ref']} got no answer: {entry['error']}")
 
+    def _outages(self) -> None:
+        """Check that an outage of the platform, with nothing else, stops no request."""
+        for window in self._of("window"):
+            if not window["name"].startswith(PLATFORM_FAULTS):
+                continue
+            if not self.calm(window["t"], window["until"], but=PLATFORM_FAULTS):
+                continue
+            for entry in self.callers:
+                if window["t"] < entry["t"] < window["until"] and "instance" in entry:
+                    self.verdicts["outage"].check(
+                        not entry.get("error") and entry.get("kind") not in CUT_KINDS,
+                        f"{entry['ref']} was stopped by {window['name']}: {entry}",
+                    )
+
     def _keys(self) -> None:
         figure, verdict = self.figures["key_refused"], self.verdicts["G3"]
         for revoked in self._of("key_revoked"):
@@ -335,7 +362,8 @@
             for workers in shards.values():
                 if self._owner(workers, kill["t"]) != kill["instance"]:
                     continue
-                if not self.calm(kill["t"], kill["t"] + TAKEOVER_S, own=kill["name"]):
+                end, own = kill["t"] + TAKEOVER_S, kill["name"]
+                if not self.calm(kill["t"], end, own=own, but=PLATFORM_FAULTS):
                     continue
                 done = self._taken_over(workers, kill["instance"], kill["t"])
                 if done is None:
--- a/baobabhoist/tests/test_testing_soak_judge.py
+++ b/baobabhoist/tests/test_testing_soak_judge.py
@@ -43,8 +43,8 @@
     return driver("status", t, instance="n1", boot=boot, revision=revision)
 
 
-def window(t, until, *instances):
-    return driver("window", t, until=until, instances=list(instances), name="f1")
+def window(t, until, *instances, name="f1"):
+    return driver("window", t, until=until, instances=list(instances), name=name)
 
 
 def judged(workers=(), callers=(), events=()):
@@ -101,6 +101,10 @@
     },
     "G9 code": {"events": [STOP | {"code": 1}]},
     "G10": {"events": [status(1.0, 5), status(9.0, 5), driver("record", 2.0, revision=6)]},
+    "outage": {
+        "callers": [refused("a", t=5.0, kind="outcome_unknown")],
+        "events": [window(4.0, 6.0, name="platform_down@4.0")],
+    },
     "G10 race": {"events": [driver("race", 1.0, accepted=2)]},
     "G10 reverted": {"events": [status(1.0, 5), status(2.0, 4)]},
 }  # fmt: skip
@@ -164,6 +168,9 @@
     assert good.figures["takeover"].values == [2.0]
     missing = judged(workers=FENCED, events=[SHARD, kill])
     late = judged(workers=[*FENCED, *[e | {"t": 16.0} for e in other]], events=[SHARD, kill])
+    down = window(9.0, 12.0, "n1", "n2", name="platform_down@9.0")
+    without_platform = judged(workers=FENCED, events=[SHARD, kill, down])
+    assert without_platform.failed_targets() == ["takeover"]
     assert missing.failed_targets() == late.failed_targets() == ["takeover"]
     assert not late.passed
 
