Keep the knowledge of request keys across a planned hand-over

Cause: the next owner of a shard knew only the queue of its predecessor, so every key that was first sent before the hand-over plus the clock skew was answered `unknown`. For keys without Idempotency-First-Sent that lasted ten minutes after each stop or rebalancing.

Change: the hand-over also carries the ids of settled keys and the time since which the sender knew all keys. The receiver continues from that time if every worker held the sender's token until the receiver's, the message is at most 1.5 s old and no id was left out. Settled ids that the workers' inventories do not explain are `unknown`: the work may have run on a worker that lost its inventory, or in a shard that it was forwarded to.

Ruled out: relying on the inventories alone, because they miss forwarded work and the memory of a restarted worker; the test that clears the workers' memory fails without the ids.

Takeovers after a kill are unchanged.

--- a/baobabhoist/daemon/fencing.py
+++ b/baobabhoist/daemon/fencing.py
@@ -123,6 +123,7 @@
         self._row_key = f"shard/{claim.shard}"
         self._tasks: set[asyncio.Task[None]] = set()
         self._presenting: dict[str, Token] = {}
+        self._held_before: dict[str, Token | None] = {}
         self._silent: dict[str, int] = {}
         self._began = False
         self._settled = asyncio.Event()
@@ -155,6 +156,10 @@
             await self._settled.wait()
         return self.ended.is_set()
 
+    def follows(self, token: Token) -> bool:
+        """Tell whether every worker held this token until it took one of this claim."""
+        return all(self._held_before.get(worker) == token for worker in self.claim.workers)
+
     async def refused(self, worker: str, highest: Token) -> None:
         """Note that a worker obeys a higher token."""
         if highest > self.claim.token:
@@ -292,6 +297,7 @@
         elif self.claim.token == token:
             if reply.previous != token:
                 self._holder.worker_restarted(worker)
+            self._held_before.setdefault(worker, reply.previous)
             self._holder.inventory(worker, reply.running, reply.ended)
             running, ended = tuple(reply.running), tuple(reply.ended)
             await self.apply(WorkerFenced(worker, token, running, ended, reply.previous, sent_at))
--- a/baobabhoist/daemon/handover.py
+++ b/baobabhoist/daemon/handover.py
@@ -5,6 +5,7 @@
 import heapq
 from collections.abc import Mapping
 
+from baobabhoist.daemon.dispatch import outcome_unknown
 from baobabhoist.daemon.forwarding import Open
 from baobabhoist.errors import Refusal
 from baobabhoist.model import Answer, Request
@@ -12,13 +13,20 @@
 from baobabhoist.ownership.tokens import Token
 from baobabhoist.peer.messages import HandOver, KeyResult
 
+# About 3 MB of ids. A peer takes them well within the time that a hand-over may last.
+SETTLED_MAX = 50_000
+# The sender may resume its ownership when the receiver has not answered for 2 s; what it then
+# does is missing from the message.
+CONTINUITY_S = 1.5
+
 
 def pack(
     shard: str, token: Token, sender: str, keys: KeyLedger, open_requests: Mapping[str, Open]
 ) -> HandOver:
     """Return the message; the queued keys cannot be called not run here after this.
 
-    Answers of tasks that ran are left out: the workers' inventories hold them.
+    Answers of tasks that ran are left out: the workers' inventories hold them. Their ids go
+    along, because a worker may have lost its inventory, or belong to another shard.
     """
     queued = {key.request_id for key in keys.hand_over()}
     requests = tuple(entry.req for name, entry in open_requests.items() if name in queued)
@@ -27,11 +35,20 @@
         for name, entry in keys.entries.items()
         if isinstance(entry.result, Refusal) and entry.state is not KeyState.ANSWERED
     )
-    return HandOver(shard, token, sender, requests, results)
+    told = queued | {result.request_id for result in results}
+    settled = {n: entry.forget_at for n, entry in keys.entries.items() if n not in told}
+    if len(settled) > SETTLED_MAX:
+        return HandOver(shard, token, sender, requests, results)
+    return HandOver(shard, token, sender, requests, results, settled, keys.taken_over_at)
 
 
 def accept(message: HandOver, keys: KeyLedger, now: float) -> list[Request]:
     """Take the results into the ledger and return the requests that may run here."""
+    lost = outcome_unknown("the previous owner of the shard had the request")
+    for name, forget_at in message.settled.items():
+        if name not in keys.entries:
+            keys.entries[name] = KeyEntry(KeyState.UNKNOWN, forget_at, False, lost)
+            heapq.heappush(keys.expiry, (forget_at, name))
     for result in message.results:
         kept: Answer | Refusal | None = result.answer or result.refusal
         if kept is None or result.request_id in keys.entries:
--- a/baobabhoist/daemon/shard.py
+++ b/baobabhoist/daemon/shard.py
@@ -28,7 +28,7 @@
     Forward,
     Forwarder,
 )
-from baobabhoist.daemon.handover import accept, pack
+from baobabhoist.daemon.handover import CONTINUITY_S, accept, pack
 from baobabhoist.daemon.places import ShardPlaces
 from baobabhoist.daemon.preemption import preempt
 from baobabhoist.daemon.requests import RequestBook
@@ -115,6 +115,7 @@
         self._escrow = escrow
         self._send_hand_over = send_hand_over
         self._inherited = inherited
+        self._inherited_at = clock()
         self._clock = clock
         self._observer = observer
         self._in_flight: dict[str, str] = {}
@@ -302,7 +303,7 @@
         """Take the new state of the claim."""
         if state is ShardState.OWNED and not self._owned_before:
             self._owned_before = True
-            self.keys.take_over(self._clock())
+            self.keys.take_over(self._known_since())
             if self._inherited is not None:
                 self._take_queue(self._inherited)
                 self._inherited = None
@@ -469,6 +470,18 @@
             self.scheduler.ended(task_id, succeeded, self._clock())
         self.places.ended(task_id)
 
+    def _known_since(self) -> float:
+        """Return the time after which no key was sent that this owner cannot know of.
+
+        After a planned hand-over the previous owner's knowledge continues, if no other owner
+        came between and the sender cannot have resumed since.
+        """
+        now, message = self._clock(), self._inherited
+        if message is None or message.known_since is None:
+            return now
+        fresh = now - self._inherited_at <= CONTINUITY_S
+        return message.known_since if fresh and self.fencing.follows(message.token) else now
+
     def _take_queue(self, message: HandOver) -> None:
         """Queue what the previous owner handed over, once all inventories are known."""
         now = self._clock()
--- a/baobabhoist/peer/messages.py
+++ b/baobabhoist/peer/messages.py
@@ -121,13 +121,20 @@
 
 @attrs.frozen
 class HandOver:
-    """Hand a shard to its next owner: the queue and the results of its request keys."""
+    """Hand a shard to its next owner: the queue and the results of its request keys.
+
+    `settled` holds the ids of all other keys with the times until which they are kept. With
+    these, the sender knew every key that was first sent after `known_since`, in Unix seconds;
+    it is None when the keys are too many to send.
+    """
 
     shard: str
     token: Token
     sender: str
     requests: tuple[Request, ...]
     results: tuple[KeyResult, ...]
+    settled: dict[str, float] = attrs.Factory(dict)
+    known_since: float | None = None
 
 
 @attrs.frozen
