Copy the view cheaply, and tell untrusted certificates from wrong usage

Cause: a change on an instance whose view was behind decoded all records again, on the event loop; a server certificate that is not trusted ended the tool with the code for wrong usage, because its exception is a ValueError as well. Change: a copy of the view shares the immutable records; the tool checks for connection errors first and no longer repeats tornado's log lines; the refusal of a future Idempotency-First-Sent says how far ahead it lies. Ruled out: references checked against the view in force, which may be behind the table.

--- a/baobabhoist/cli/client.py
+++ b/baobabhoist/cli/client.py
@@ -127,11 +127,12 @@
             answer = http.fetch(request, raise_error=True)
         except HTTPClientError as exc:
             raise self._failure(exc) from exc
-        except ValueError as exc:
-            raise UsageError(f"{self.base_url} is not a usable address: {exc}") from exc
         except OSError as exc:
             refused = isinstance(exc, (ConnectionRefusedError, ssl.SSLCertVerificationError))
             raise UnreachableError(f"{self.base_url} does not answer: {exc}", not refused) from exc
+        # A certificate that is not trusted is both an OSError and a ValueError.
+        except ValueError as exc:
+            raise UsageError(f"{self.base_url} is not a usable address: {exc}") from exc
         finally:
             http.close()
         return Reply(answer.code, dict(answer.headers.get_all()), answer.body)
--- a/baobabhoist/cli/main.py
+++ b/baobabhoist/cli/main.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 import sys
 import time
 from collections.abc import Callable, Mapping, Sequence
@@ -199,6 +200,8 @@
 
 def run() -> None:
     """Be the entry point of the command."""
+    # Failures of a connection are part of the result; tornado would print them a second time.
+    logging.getLogger("tornado").setLevel(logging.CRITICAL)
     app.run(main, flags_parser=parse_flags)
 
 
--- a/baobabhoist/gateway/callers.py
+++ b/baobabhoist/gateway/callers.py
@@ -96,8 +96,9 @@
     refusal = kind_refusal(name, queue, WorkKind.REQUEST)
     refusal = refusal or deadline_refusal(deadline, now, options.max_deadline_s)
     if refusal is None and (found.first_sent_at or 0.0) > now + options.clock_skew_s:
-        remedy = "send the time at which the key was first used, in Unix seconds"
-        message = f"the time in {FIRST_SENT} lies in the future"
+        ahead_s = (found.first_sent_at or 0.0) - now
+        remedy = "send the time at which the key was first used, and check the caller's clock"
+        message = f"the time in {FIRST_SENT} lies {ahead_s:.1f} s in the future"
         refusal = Refusal(ErrorKind.BAD_REQUEST, message, remedy=remedy)
     shards = _home_shards(queue, found, view, options)
     if refusal is None and not shards:
--- a/baobabhoist/records/keys.py
+++ b/baobabhoist/records/keys.py
@@ -30,6 +30,10 @@
 
     by_digest: dict[str, dict[str, Key]] = attrs.Factory(dict)
 
+    def copy(self) -> KeyIndex:
+        """Return an independent index of the same keys."""
+        return KeyIndex({found: dict(named) for found, named in self.by_digest.items()})
+
     def add(self, name: str, key: Key) -> None:
         """Add or replace a key record."""
         self.by_digest.setdefault(key.digest, {})[name] = key
--- a/baobabhoist/records/view.py
+++ b/baobabhoist/records/view.py
@@ -73,10 +73,15 @@
         return True
 
     def copy(self) -> RecordView:
-        """Return an independent view of the same records."""
-        other = RecordView()
-        other.restore(self.records.values(), self.revision)
-        return other
+        """Return an independent view that shares the immutable records with this one."""
+        return RecordView(
+            self.revision,
+            dict(self.records),
+            {kind: dict(named) for kind, named in self._typed.items()},
+            self._keys.copy(),
+            dict(self._sorted),
+            dict(self._homes),
+        )
 
     def get(self, kind: str, name: str) -> Record | None:
         """Return a record, or None."""
--- a/baobabhoist/tests/test_gateway_tls.py
+++ b/baobabhoist/tests/test_gateway_tls.py
@@ -7,6 +7,7 @@
 from tornado.testing import bind_unused_port
 from tornado.web import Application, RequestHandler
 
+from baobabhoist.cli.client import Client, UnreachableError
 from baobabhoist.errors import SettingsError
 from baobabhoist.gateway.server import HttpLimits, http_server
 from baobabhoist.gateway.tls import ReloadingTls, TlsFiles
@@ -67,7 +68,7 @@
 
 
 def test_a_replaced_certificate_serves_new_connections_and_keeps_old_ones(files):
-    """Guard against a reload that cuts a connection or has no effect."""
+    """Guard against a reload that cuts a connection, has no effect or looks like wrong usage."""
     authority, certificate, key, ca = files
     tls = ReloadingTls.load(TlsFiles(str(certificate), str(key)))
     context = client_context(ca)
@@ -84,6 +85,11 @@
         for _, writer in (old, new):
             writer.close()
 
+        untrusting = Client(f"https://127.0.0.1:{port}", "X-Team-Key")
+        with pytest.raises(UnreachableError, match="certificate verify failed") as caught:
+            await asyncio.to_thread(untrusting.call, "GET", "/")
+        assert not caught.value.sent
+
     run_with_server(tls, body)
 
 
--- a/baobabhoist/tests/test_records_store.py
+++ b/baobabhoist/tests/test_records_store.py
@@ -143,3 +143,7 @@
     assert other.restore(view.snapshot(), view.revision)
     assert (other.records, other.shards_in(())) == (view.records, ("a", "b", "c"))
     assert not other.restore((), 4)
+    copied = view.copy()
+    copied.apply(Record("shard", "c", 1, 5, None))
+    assert (copied.shards_in(()), view.shards_in(())) == (("a", "b"), ("a", "b", "c"))
+    assert len(view.of_kind("shard")) == 3
