Measure requests at the entry

Cause: refusals were counted, but neither answered requests nor the time to the answer, which the target of 5 ms added at p99 is about. Change: a counter by team and result, a histogram of the time to the answer by team, and a gauge of the open requests that is set when the metrics are read. Ruled out: a gauge set at the end of each request, which would count that request as open.

--- a/baobabhoist/gateway/admin.py
+++ b/baobabhoist/gateway/admin.py
@@ -12,6 +12,7 @@
 from baobabhoist.gateway.context import NAME_IN_PATH, not_ready
 from baobabhoist.gateway.handler import NotFoundHandler, log_faults
 from baobabhoist.gateway.jobs import explanation_body, no_jobs, status_body
+from baobabhoist.gateway.metrics import open_requests_gauge
 from baobabhoist.gateway.operators import (
     AdminBackend,
     AdminHandler,
@@ -134,6 +135,11 @@
 class MetricsHandler(AdminHandler):
     """Expose the metrics: GET /metrics."""
 
+    def initialize(self, backend: AdminBackend, options: AdminOptions, gauge: Any = None) -> None:
+        """Take the daemon, the options and the gauge of open requests."""
+        super().initialize(backend, options)
+        self.gauge = gauge
+
     def get(self) -> None:
         """Return the metrics in the form that the collector accepts."""
         if self.receive() is None:
@@ -142,6 +148,7 @@
             self.set_header("Content-Type", "text/plain; version=0.0.4")
             self.finish(b"")
             return
+        self.gauge.set({}, self.options.open_requests.count)
         accept = self.request.headers.get_list("Accept")
         content, headers = self.options.metrics.exposition(accept or None)
         for name, value in headers.items():
@@ -176,6 +183,7 @@
     """Return the HTTP application for operators."""
     options = options or AdminOptions()
     context: dict[str, Any] = {"backend": daemon, "options": options}
+    gauge = open_requests_gauge(options.metrics) if options.metrics is not None else None
     record = rf"/v1/records/{NAME_IN_PATH}/{NAME_IN_PATH}"
     return Application(
         [
@@ -189,7 +197,7 @@
             (r"/v1/jobs", AdminJobsHandler, context),
             (rf"/v1/jobs/{NAME_IN_PATH}", AdminJobHandler, context),
             (rf"/v1/jobs/{NAME_IN_PATH}/explain", AdminExplainHandler, context),
-            (r"/metrics", MetricsHandler, context),
+            (r"/metrics", MetricsHandler, {**context, "gauge": gauge}),
             (r"/healthz", HealthHandler, context),
             (r"/readyz", AdminReadyHandler, context),
         ],
--- a/baobabhoist/gateway/callers.py
+++ b/baobabhoist/gateway/callers.py
@@ -22,7 +22,7 @@
     no_queue,
     not_ready,
 )
-from baobabhoist.gateway.handler import NotFoundHandler, TypedHandler, log_faults
+from baobabhoist.gateway.handler import NotFoundHandler, log_faults
 from baobabhoist.gateway.headers import (
     FIRST_SENT,
     RequestHeaders,
@@ -30,6 +30,7 @@
     read_headers,
 )
 from baobabhoist.gateway.jobs import ExplainHandler, JobHandler, JobsHandler
+from baobabhoist.gateway.metrics import EntryMetrics
 from baobabhoist.model import Request, Task, WorkKind
 from baobabhoist.observability.events import Event, emit
 from baobabhoist.ownership.rendezvous import home_shard
@@ -160,7 +161,7 @@
             return
         refusal = not_ready(self.router.ready, self.options.open_requests)
         if refusal is not None:
-            TypedHandler.refuse(self, refusal)
+            self.refuse(refusal)
             return
         self.answer_json({"ready": True})
 
@@ -168,7 +169,8 @@
 def caller_app(router: Router, options: CallerOptions | None = None) -> Application:
     """Return the HTTP application for callers."""
     options = options or CallerOptions()
-    context: dict[str, Any] = {"router": router, "options": options}
+    metrics = EntryMetrics(options.metrics) if options.metrics is not None else None
+    context: dict[str, Any] = {"router": router, "options": options, "metrics": metrics}
     return Application(
         [
             (rf"/v1/queues/{NAME_IN_PATH}/requests", RequestsHandler, context),
--- a/baobabhoist/gateway/context.py
+++ b/baobabhoist/gateway/context.py
@@ -10,6 +10,7 @@
 from baobabhoist.errors import ErrorKind, Refusal
 from baobabhoist.gateway.drain import OpenRequests
 from baobabhoist.gateway.handler import TypedHandler
+from baobabhoist.gateway.metrics import ANSWERED, EntryMetrics
 from baobabhoist.gateway.server import HttpLimits
 from baobabhoist.model import Request, WorkKind
 from baobabhoist.observability.metrics import Metrics
@@ -66,18 +67,28 @@
 class CallerHandler(TypedHandler):
     """Share what all handlers for callers need."""
 
-    def initialize(self, router: Router, options: CallerOptions) -> None:
-        """Take the router and the options."""
+    def initialize(
+        self, router: Router, options: CallerOptions, metrics: EntryMetrics | None
+    ) -> None:
+        """Take the router, the options and the metrics."""
         self.router = router
         self.options: CallerOptions = options
+        self.metrics = metrics
         self.team = ""
+        self.result = ANSWERED
 
     def refuse(self, refusal: Refusal) -> None:
         """Answer with a refusal and count it."""
-        if not self._finished and self.options.metrics is not None:
-            self.options.metrics.refused(self.team, refusal.kind.value)
+        self.result = refusal.kind.value
+        if not self._finished and self.metrics is not None and self.counted:
+            self.metrics.refused(self.team, self.result)
         super().refuse(refusal)
 
+    def on_finish(self) -> None:
+        """Measure the request."""
+        if self.metrics is not None and self.counted:
+            self.metrics.finished(self.team, self.result, self.request.request_time())
+
 
 def no_queue(name: str) -> Refusal:
     """Return the refusal for a queue that does not exist."""
--- a/baobabhoist/gateway/handler.py
+++ b/baobabhoist/gateway/handler.py
@@ -142,9 +142,7 @@
     def write_error(self, status_code: int, **kwargs: Any) -> None:
         """Answer an error that tornado found, or a fault of a handler, with a typed body."""
         exc = kwargs.get("exc_info", (None, None))[1]
-        refusal = _refusal_of(status_code, self.request.method or "", self.request.path, exc)
-        self.set_status(status_code)
-        self.answer_json(refusal.as_body())
+        self.refuse(_refusal_of(status_code, self.request.method or "", self.request.path, exc))
 
     def set_default_headers(self) -> None:
         """Leave out the name of the server."""
--- a/baobabhoist/tests/test_gateway_callers.py
+++ b/baobabhoist/tests/test_gateway_callers.py
@@ -242,6 +242,11 @@
         assert (reply.headers["Retry-After"], reply.json["retry_after"]) == ("2", 1.2)
         content, _ = gateway.callers.metrics.exposition()
         assert b'kind="outcome_unknown",team="roster"' in content
+        await gateway.post(PATH, {"X-Team-Key": "bad"})
+        content, _ = gateway.callers.metrics.exposition()
+        assert b'requests_total{result="outcome_unknown",team="roster"} 1' in content
+        assert b'requests_total{result="key_rejected",team="none"} 1' in content
+        assert b'answer_seconds_count{team="roster"} 1' in content
 
     with_gateway(test)
 
