Move teams' places in transactions on their escrow rows

Cause: owners split each limit evenly without a row, so a lowered limit, a takeover and an uneven load could exceed or waste a team's places; a not_run for a caller's key was given by owners that might have been superseded. Change: Escrow reads the rows after the epoch is confirmed, moves places on demand from the pool or another shard, keeps the places of a transfer without an answer out of use until the row's revision decides it, applies lowered limits at once and returns or stops the excess by policy. A not_run for a key that may have a copy waits until a worker confirmed the token. Ruled out: remote calls under the lock, by which two instances would wait for each other.

--- a/baobabhoist/daemon/app.py
+++ b/baobabhoist/daemon/app.py
@@ -8,11 +8,13 @@
 
 from baobabhoist.config.settings import Settings, TlsSettings
 from baobabhoist.daemon.digests import digest_of
+from baobabhoist.daemon.dispatch import ShardTimes
+from baobabhoist.daemon.escrow import Escrow
 from baobabhoist.daemon.jobs import Jobs
 from baobabhoist.daemon.owners import BUSY_STATES, Owners, Place
 from baobabhoist.daemon.policies import queue_policies, team_policies, use_elsewhere
 from baobabhoist.daemon.routing import RequestRouter
-from baobabhoist.daemon.shard import ShardOwner, ShardTimes
+from baobabhoist.daemon.shard import ShardOwner
 from baobabhoist.daemon.shard_jobs import ShardJobs
 from baobabhoist.daemon.shutdown import Drain
 from baobabhoist.daemon.sync import RecordSync
@@ -36,10 +38,12 @@
     Ack,
     HandOver,
     Heartbeat,
+    PlacesWanted,
     RecordEntries,
     RecordPull,
     RecordSnapshot,
     RelayRequest,
+    ShardDigest,
 )
 from baobabhoist.peer.tls import PeerTls
 from baobabhoist.platform.client import PlatformTable
@@ -114,6 +118,7 @@
         )
         self.router = RequestRouter(self.owners.owners, self.mesh, self.shards.data_centre_of)
         self.jobs = Jobs(self)
+        self.escrow = Escrow(self)
         self.open_requests = OpenRequests()
         self.drain = Drain(
             self.open_requests,
@@ -170,6 +175,7 @@
             self._share_usage(),
             self._reload_tls(),
             self.jobs.run(),
+            self.escrow.run(),
             Gauges(self.metrics, self, lambda: self.view.revision).run(),
         ]
         async with asyncio.TaskGroup() as tg:
@@ -220,6 +226,10 @@
             return None
         return ShardJobs(owner)
 
+    def peer_digests(self) -> list[ShardDigest]:
+        """Return the digests of the shards of live peers."""
+        return self.mesh.digests()
+
     async def call_owner(self, shard: str, message: Any, timeout_s: float) -> Any:
         """Call the instance that owns a shard; raises LinkClosedError or TimeoutError."""
         peer = self.mesh.owner_of(shard)
@@ -236,6 +246,8 @@
             return await self.sync.receive(message)
         if isinstance(message, HandOver):
             return self.owners.take(message)
+        if isinstance(message, PlacesWanted):
+            return await self.escrow.give(message)
         if isinstance(message, JOB_MESSAGES):
             return await self.jobs.handle(message)
         return Ack()
@@ -278,7 +290,7 @@
                 await owner.set_workers(self.view.workers_of(owner.shard))
                 owner.set_leaving(leaving | self.view.drained_workers(owner.shard))
                 self._set_policies(owner)
-                owner.escrow_changed()
+            self.escrow.limits_changed()
 
     def _set_policies(self, owner: ShardOwner) -> None:
         owner.scheduler.set_policies(queue_policies(self.view), team_policies(self.view))
@@ -310,7 +322,6 @@
             claim,
             workers,
             self.table,
-            self._escrow,
             times=ShardTimes(self.cfg.task_lease_s, self.cfg.clock_skew_s),
             forward=self._forward,
             send_hand_over=self.owners.send_hand_over,
@@ -330,17 +341,6 @@
         owners = self.owners.owners.values()
         return [owner for owner in owners if owner.claim.state in BUSY_STATES]
 
-    def _escrow(self, shard: str) -> dict[str, int]:
-        """Split each team's limit evenly over the shards."""
-        shards = self.shards.names()
-        if shard not in shards:
-            return {}
-        places = {}
-        for name, team in self.view.teams().items():
-            share, rest = divmod(team.limit, len(shards))
-            places[name] = share + (1 if shards.index(shard) < rest else 0)
-        return places
-
     def _spawn(self, coro: Any) -> None:
         task = asyncio.create_task(coro)
         self._tasks.add(task)
--- a/baobabhoist/daemon/dispatch.py
+++ b/baobabhoist/daemon/dispatch.py
@@ -27,6 +27,7 @@
 log = logging.getLogger(__name__)
 
 CALL_TIMEOUT_S = 1.0
+LEASE_S = 3.0
 QUERY_INTERVAL_S = 0.2
 # A worker that answers late still does so within this time after the deadline; then the
 # task is stopped, because nothing else would end it.
@@ -71,6 +72,27 @@
 Fate = Ended | NeverRan | Superseded | Lost
 
 
+@attrs.frozen
+class ShardTimes:
+    """Hold the periods that the settings give, in seconds."""
+
+    lease_s: float = LEASE_S
+    clock_skew_s: float = 0.5
+
+
+class Observer(Protocol):
+    """Learn what a shard decides and how long its tasks take; times are in seconds."""
+
+    def started(self, task: Task, now: float) -> None:
+        """Learn that a task was sent to its worker."""
+
+    def ended(self, task: Task, seconds: float) -> None:
+        """Learn how long a task was with its worker."""
+
+    def decided(self, task: Task, seconds: float) -> None:
+        """Learn the processor time of one placement."""
+
+
 class Calls(Protocol):
     """Send calls to workers."""
 
--- a/baobabhoist/daemon/fencing.py
+++ b/baobabhoist/daemon/fencing.py
@@ -63,6 +63,8 @@
 # Renewals in a row that time out until the connection is replaced.
 SILENT_RENEWALS = 2
 FENCE_CALL_TIMEOUT_S = 2.0
+CONFIRM_ATTEMPTS = 3
+CONFIRM_SAMPLE = 3
 
 ENDED_STATES = (ShardState.LOST, ShardState.IDLE)
 
@@ -115,6 +117,8 @@
     ) -> None:
         self.claim = claim
         self.ended = asyncio.Event()
+        # Of the shard's row when it last named this claim; transactions check it.
+        self.row_revision = 0
         self._table = table
         self._pool = pool
         self._leases = leases
@@ -125,6 +129,7 @@
         self._presenting: dict[str, Token] = {}
         self._silent: dict[str, int] = {}
         self._began = False
+        self._confirming: asyncio.Task[None] | None = None
         self._settled = asyncio.Event()
 
     async def run(self) -> None:
@@ -155,6 +160,22 @@
             await self._settled.wait()
         return self.ended.is_set()
 
+    async def confirmed(self, at: float) -> bool:
+        """Tell whether this instance certainly owned the shard at a time; may ask workers."""
+        for _ in range(CONFIRM_ATTEMPTS):
+            if self.claim.confirmed_after(at) or self.ended.is_set():
+                break
+            # Many refusals at once share one round of calls.
+            if self._confirming is None or self._confirming.done():
+                self._confirming = asyncio.create_task(self._ask_workers())
+            await asyncio.wait((self._confirming,))
+        return self.claim.confirmed_after(at)
+
+    async def _ask_workers(self) -> None:
+        workers = [name for name in self.claim.fenced if self._pool.connected(name)]
+        chosen = workers[:CONFIRM_SAMPLE]
+        await asyncio.gather(*(self._renew_worker(worker) for worker in chosen))
+
     async def refused(self, worker: str, highest: Token) -> None:
         """Note that a worker obeys a higher token."""
         if highest > self.claim.token:
@@ -232,6 +253,7 @@
                 held = _epoch_of(row.value)
                 if held == target and row.value["owner"] == owner:
                     # An earlier commit took effect and its answer was lost.
+                    self.row_revision = row.revision
                     return EpochGranted(target)
                 if held != expected:
                     return EpochConflict(held)
@@ -240,6 +262,7 @@
                     Transaction({self._row_key: row.revision}, writes)
                 )
                 if isinstance(outcome, Committed):
+                    self.row_revision = outcome.revisions[self._row_key]
                     return EpochGranted(target)
                 return EpochConflict(_epoch_of((await self._table.read(self._row_key)).value))
         except (PlatformError, TimeoutError):
--- a/baobabhoist/daemon/handover.py
+++ b/baobabhoist/daemon/handover.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import heapq
-from collections.abc import Mapping
+from collections.abc import Awaitable, Callable, Mapping
 
 from baobabhoist.daemon.forwarding import Open
 from baobabhoist.errors import Refusal
@@ -12,6 +12,13 @@
 from baobabhoist.ownership.tokens import Token
 from baobabhoist.peer.messages import HandOver, KeyResult
 
+SendHandOver = Callable[[str, HandOver], Awaitable[bool | None]]
+
+
+async def send_nowhere(successor: str, message: HandOver) -> bool | None:
+    """Refuse a hand-over, for an owner without peers."""
+    return False
+
 
 def pack(
     shard: str, token: Token, sender: str, keys: KeyLedger, open_requests: Mapping[str, Open]
--- a/baobabhoist/daemon/preemption.py
+++ b/baobabhoist/daemon/preemption.py
@@ -22,6 +22,7 @@
 
     claim: ShardClaim
     scheduler: Scheduler
+    stopping: set[str]
 
     async def tell_worker(self, worker: str, message: Any) -> bool:
         """Send a worker a call; tell whether it was confirmed."""
@@ -39,6 +40,7 @@
         if await owner.tell_worker(wanted.worker, message):
             owner.scheduler.throttled(task_id, wanted.cpu_milli)
     elif wanted.action is not PreemptionAction.NEVER:
+        owner.stopping.add(task_id)
         await owner.tell_worker(wanted.worker, stop_message(owner, task_id, wanted.action))
 
 
--- a/baobabhoist/daemon/routing.py
+++ b/baobabhoist/daemon/routing.py
@@ -143,7 +143,7 @@
             await asyncio.sleep(ASK_AGAIN_S * self._rng.uniform(0.5, 1.5))
         if maybe_ran:
             return outcome_unknown("the owner of the shard was lost after it had the request")
-        return _no_owner(req.shard)
+        return _no_owner(req)
 
     async def _ask(self, req: Request, forwarded: bool) -> Result | LostRelay:
         owner = self._owners.get(req.shard)
@@ -197,10 +197,12 @@
     return result
 
 
-def _no_owner(shard: str) -> Refusal:
+def _no_owner(req: Request) -> Refusal:
+    """Return the refusal of a request that reached no owner; an earlier copy may have."""
     return Refusal(
         ErrorKind.SHARD_UNAVAILABLE,
-        f"no live instance owns shard {shard}",
-        remedy="send the request again",
+        f"no live instance owns shard {req.shard}",
+        Outcome.NOT_RUN if req.first_attempt else Outcome.UNKNOWN,
+        "send the request again under the same key",
         retry_after_s=0.5,
     )
--- a/baobabhoist/daemon/shard.py
+++ b/baobabhoist/daemon/shard.py
@@ -5,10 +5,8 @@
 import asyncio
 import logging
 import time
-from collections.abc import Awaitable, Callable, Coroutine, Iterable, Mapping
-from typing import Any, Protocol
-
-import attrs
+from collections.abc import Callable, Coroutine, Iterable, Mapping
+from typing import Any
 
 from baobabhoist.daemon.adoption import Adopted
 from baobabhoist.daemon.dispatch import (
@@ -18,6 +16,8 @@
     Leases,
     Lost,
     NeverRan,
+    Observer,
+    ShardTimes,
     Superseded,
     not_owner,
     outcome_unknown,
@@ -28,7 +28,7 @@
     Forward,
     Forwarder,
 )
-from baobabhoist.daemon.handover import accept, pack
+from baobabhoist.daemon.handover import SendHandOver, accept, pack, send_nowhere
 from baobabhoist.daemon.places import ShardPlaces
 from baobabhoist.daemon.preemption import preempt
 from baobabhoist.daemon.requests import RequestBook
@@ -50,38 +50,10 @@
 
 log = logging.getLogger(__name__)
 
-LEASE_S = 3.0
 TICK_INTERVAL_S = 0.1
 BATCH = 32
 USABLE_STATES = (ShardState.PARTIAL, ShardState.OWNED)
 
-SendHandOver = Callable[[str, HandOver], Awaitable[bool | None]]
-
-
-@attrs.frozen
-class ShardTimes:
-    """Hold the periods that the settings give, in seconds."""
-
-    lease_s: float = LEASE_S
-    clock_skew_s: float = 0.5
-
-
-class Observer(Protocol):
-    """Learn what a shard decides and how long its tasks take; times are in seconds."""
-
-    def started(self, task: Task, now: float) -> None:
-        """Learn that a task was sent to its worker."""
-
-    def ended(self, task: Task, seconds: float) -> None:
-        """Learn how long a task was with its worker."""
-
-    def decided(self, task: Task, seconds: float) -> None:
-        """Learn the processor time of one placement."""
-
-
-async def _send_nowhere(successor: str, message: HandOver) -> bool | None:
-    return False
-
 
 class ShardOwner:
     """Run the decisions of one shard while this instance owns it; one object per claim."""
@@ -91,11 +63,11 @@
         claim: ShardClaim,
         workers: Iterable[WorkerSpec],
         table: Table,
-        escrow: Callable[[str], Mapping[str, int]],
+        escrow: Callable[[str], Mapping[str, int] | None] = lambda shard: None,
         *,
         times: ShardTimes | None = None,
         forward: Forward = lambda _: None,
-        send_hand_over: SendHandOver = _send_nowhere,
+        send_hand_over: SendHandOver = send_nowhere,
         inherited: HandOver | None = None,
         make_link: Callable[[WorkerSpec, OnChange], WorkerConnection] = WorkerLink,
         clock: Callable[[], float] = time.time,
@@ -112,6 +84,8 @@
         self.scheduler = Scheduler.over(specs, self.places)
         self.leaving: set[str] = set()
         self.barred: dict[str, float] = {}
+        # Tasks that a worker was asked to end; their end says nothing about health or size.
+        self.stopping: set[str] = set()
         self._escrow = escrow
         self._send_hand_over = send_hand_over
         self._inherited = inherited
@@ -178,7 +152,15 @@
             return not_owner(self.shard)
         if req.request_id in self.barred:
             return Refusal(ErrorKind.CANCELLED, "the task was cancelled")
-        return await self._submit(req, forwarded, now)
+        result = await self._submit(req, forwarded, now)
+        return await self._certain(req, result)
+
+    async def _certain(self, req: Request, result: Result) -> Result:
+        """Withdraw a `not_run` if another owner may run a copy of the request by now."""
+        refused = isinstance(result, Refusal) and result.outcome is Outcome.NOT_RUN
+        if not refused or req.first_attempt or await self.fencing.confirmed(self._clock()):
+            return result
+        return not_owner(self.shard, Outcome.UNKNOWN)
 
     async def _submit(self, req: Request, forwarded: bool, now: float) -> Result:
         decision = self.keys.admit(req, now)
@@ -273,7 +255,9 @@
                 self._observer.ended(task, now - begun)
             if isinstance(fate, Ended) and fate.confirmed:
                 self.places.confirmed.add(task.task_id)
-            self.scheduler.ended(task.task_id, succeeded, now)
+            stopped = task.task_id in self.stopping and not succeeded
+            self.scheduler.ended(task.task_id, succeeded, now, preempted=stopped)
+        self.stopping.discard(task.task_id)
         if isinstance(fate, Lost) and self.keys.retry(task.task_id, task.deadline, now):
             self._enqueue_again(task, now)
         else:
@@ -386,14 +370,14 @@
     def refresh_places(self) -> None:
         """Use the full escrow once the table has confirmed the epoch and all is resolved."""
         if self.quota.cap is not None and self.claim.escrow_usable:
-            self.quota.uncap(dict(self._escrow(self.shard)))
-            emit(log, Event.TAKEOVER_CAP_LIFTED, shard=self.shard)
-
-    def escrow_changed(self) -> None:
-        """Take changed limits into force at once."""
-        if self.quota.cap is None:
-            self.quota.uncap(dict(self._escrow(self.shard)))
-            self.dispatch(self._clock())
+            places = self._escrow(self.shard)
+            if places is not None:
+                self.use_escrow(places)
+
+    def use_escrow(self, places: Mapping[str, int]) -> None:
+        """End the takeover cap; the places were read after the table confirmed the epoch."""
+        self.quota.uncap(dict(places))
+        emit(log, Event.TAKEOVER_CAP_LIFTED, shard=self.shard)
 
     def free_slots(self) -> int:
         """Return the slots of usable workers that no task holds."""
--- a/baobabhoist/daemon/shard_jobs.py
+++ b/baobabhoist/daemon/shard_jobs.py
@@ -42,6 +42,7 @@
                 continue
             worker = owner.running_on(task_id)
             if worker is not None:
+                owner.stopping.add(task_id)
                 stop = StopTask(owner.claim.token, task_id)
                 owner.spawn(self._stop(worker, stop))
 
--- a/baobabhoist/tests/shards.py
+++ b/baobabhoist/tests/shards.py
@@ -4,7 +4,8 @@
 import time
 
 from baobabhoist.daemon import dispatch, fencing, shard
-from baobabhoist.daemon.shard import ShardOwner, ShardTimes
+from baobabhoist.daemon.dispatch import ShardTimes
+from baobabhoist.daemon.shard import ShardOwner
 from baobabhoist.errors import LinkClosedError, NotSentError
 from baobabhoist.model import Request, Resources, Task, WorkerSpec, WorkKind
 from baobabhoist.ownership.claim import ClaimTimes, ShardClaim
@@ -92,7 +93,8 @@
 class Rack:
     """Hold the workers of one shard and the owners that compete for it."""
 
-    def __init__(self, table, names=("w1", "w2"), run_s=0.0):
+    def __init__(self, table, names=("w1", "w2"), run_s=0.0, shard="r"):
+        self.shard = shard
         self.table = table
         self.workers = {name: Worker(name, CAPACITY, run_s) for name in names}
         self.specs = [WorkerSpec(name, "127.0.0.1", 1, "r", CAPACITY) for name in names]
@@ -108,7 +110,7 @@
             return links[spec.name]
 
         claim = ShardClaim(
-            "r", name, tuple(self.workers), times=ClaimTimes(0.05, 0.05, 0.01, 0.05)
+            self.shard, name, tuple(self.workers), times=ClaimTimes(0.05, 0.05, 0.01, 0.05)
         )
         owner = ShardOwner(
             claim,
