--- a/baobabhoist/gateway/handler.py
+++ b/baobabhoist/gateway/handler.py
@@ -24,6 +24,12 @@
 JSON_TYPE = "application/json"
 
 
+def log_faults(handler: RequestHandler) -> None:
+    """Log only answers that report a fault; a line for each request would cost too much."""
+    if handler.get_status() == http.HTTPStatus.INTERNAL_SERVER_ERROR:
+        log.error("%s %s failed", handler.request.method, handler.request.path[:200])
+
+
 class HandlerOptions(Protocol):
     """Be what every handler needs of the options of its application."""
 
@@ -117,7 +123,12 @@
         self._stop_timer()
         if self.options.open_requests.leaving:
             self.set_header("Connection", "close")
+        stream = self.request.connection.stream  # type: ignore[union-attr]
         written = super().finish(chunk)
+        if not written.done():
+            loop = asyncio.get_running_loop()
+            late = loop.call_later(self.options.limits.write_timeout_s, stream.close)
+            written.add_done_callback(lambda _: late.cancel())
         written.add_done_callback(self._written)
         return written
 
