Hand the knowledge of request keys over with the shard

Change: the hand-over carries from when on the sender knows its keys, and what it knows of those that are with workers; the successor uses it if every worker obeyed the sender until then. Ruled out: trust in the message alone, since another owner may come in between.

--- a/baobabhoist/daemon/fencing.py
+++ b/baobabhoist/daemon/fencing.py
@@ -119,6 +119,8 @@
         self.ended = asyncio.Event()
         # Of the shard's row when it last named this claim; transactions check it.
         self.row_revision = 0
+        # The token that each worker held before this claim's first one.
+        self.previous: dict[str, Token] = {}
         self._table = table
         self._pool = pool
         self._leases = leases
@@ -313,6 +315,8 @@
         if isinstance(reply, TokenRefused):
             await self.refused(worker, reply.highest)
         elif self.claim.token == token:
+            if reply.previous is not None:
+                self.previous.setdefault(worker, reply.previous)
             if reply.previous != token:
                 self._holder.worker_restarted(worker)
             self._holder.inventory(worker, reply.running, reply.ended)
--- a/baobabhoist/daemon/handover.py
+++ b/baobabhoist/daemon/handover.py
@@ -5,6 +5,7 @@
 import heapq
 from collections.abc import Awaitable, Callable, Mapping
 
+from baobabhoist.daemon.dispatch import outcome_unknown
 from baobabhoist.daemon.forwarding import Open
 from baobabhoist.errors import Refusal
 from baobabhoist.model import Answer, Request
@@ -12,6 +13,9 @@
 from baobabhoist.ownership.tokens import Token
 from baobabhoist.peer.messages import HandOver, KeyResult
 
+# Queued requests are sent as such, and the workers' inventories hold the answers.
+PACKED_STATES = (KeyState.DISPATCHED, KeyState.UNKNOWN, KeyState.NOT_RUN)
+
 SendHandOver = Callable[[str, HandOver], Awaitable[bool | None]]
 
 
@@ -30,11 +34,25 @@
     queued = {key.request_id for key in keys.hand_over()}
     requests = tuple(entry.req for name, entry in open_requests.items() if name in queued)
     results = tuple(
-        KeyResult(name, entry.forget_at, None, entry.result)
+        KeyResult(name, entry.forget_at, None, _known(entry))
         for name, entry in keys.entries.items()
-        if isinstance(entry.result, Refusal) and entry.state is not KeyState.ANSWERED
+        if entry.state in PACKED_STATES
     )
-    return HandOver(shard, token, sender, requests, results)
+    return HandOver(shard, token, sender, requests, results, keys.taken_over_at)
+
+
+def _known(entry: KeyEntry) -> Refusal:
+    """Return what the next owner may say of a key that no inventory names."""
+    if isinstance(entry.result, Refusal):
+        return entry.result
+    return outcome_unknown("the task was with a worker when the shard was handed over")
+
+
+def continues(message: HandOver | None, previous: Mapping[str, Token], workers: set[str]) -> bool:
+    """Tell whether the sender was the last owner on every worker, and none has restarted."""
+    if message is None or workers - previous.keys():
+        return False
+    return all(previous[worker] == message.token for worker in workers)
 
 
 def accept(message: HandOver, keys: KeyLedger, now: float) -> list[Request]:
--- a/baobabhoist/daemon/shard.py
+++ b/baobabhoist/daemon/shard.py
@@ -28,7 +28,7 @@
     Forward,
     Forwarder,
 )
-from baobabhoist.daemon.handover import SendHandOver, accept, pack, send_nowhere
+from baobabhoist.daemon.handover import SendHandOver, accept, continues, pack, send_nowhere
 from baobabhoist.daemon.places import ShardPlaces
 from baobabhoist.daemon.preemption import preempt
 from baobabhoist.daemon.requests import RequestBook
@@ -286,10 +286,7 @@
         """Take the new state of the claim."""
         if state is ShardState.OWNED and not self._owned_before:
             self._owned_before = True
-            self.keys.take_over(self._clock())
-            if self._inherited is not None:
-                self._take_queue(self._inherited)
-                self._inherited = None
+            self._begin_ownership()
         self.refresh_places()
 
     def inventory(self, worker: str, running: list[RunningTask], ended: list[EndedTask]) -> None:
@@ -453,6 +450,17 @@
             self.scheduler.ended(task_id, succeeded, self._clock())
         self.places.ended(task_id)
 
+    def _begin_ownership(self) -> None:
+        """Decide from when on keys are known: a planned hand-over leaves no gap."""
+        message, self._inherited = self._inherited, None
+        workers = set(self.claim.workers)
+        if message is not None and continues(message, self.fencing.previous, workers):
+            self.keys.take_over(message.taken_over_at)
+        else:
+            self.keys.take_over(self._clock())
+        if message is not None:
+            self._take_queue(message)
+
     def _take_queue(self, message: HandOver) -> None:
         """Queue what the previous owner handed over, once all inventories are known."""
         now = self._clock()
--- a/baobabhoist/peer/messages.py
+++ b/baobabhoist/peer/messages.py
@@ -121,13 +121,17 @@
 
 @attrs.frozen
 class HandOver:
-    """Hand a shard to its next owner: the queue and the results of its request keys."""
+    """Hand a shard to its next owner: the queue and what is known of its request keys.
+
+    `taken_over_at` is when the sender's knowledge of keys begins, in Unix seconds.
+    """
 
     shard: str
     token: Token
     sender: str
     requests: tuple[Request, ...]
     results: tuple[KeyResult, ...]
+    taken_over_at: float
 
 
 @attrs.frozen
--- a/baobabhoist/tests/test_daemon_shard.py
+++ b/baobabhoist/tests/test_daemon_shard.py
@@ -285,6 +285,10 @@
     new, _ = await rack.owned("b", inherited=taken[0])
     assert isinstance(await new.submit(request("queued", first_attempt=False)), Answer)
     assert isinstance(await running, Answer)
+    # A planned hand-over leaves no gap, so a key that was sent before it still runs.
+    before = time.time() - 0.1
+    early = request("early", first_attempt=False, first_sent_at=before)
+    assert isinstance(await new.submit(early), Answer)
     assert sum("queued" in worker.ended for worker in rack.workers.values()) == 1
 
 
@@ -297,3 +301,43 @@
     owner, _ = await rack.owned("a")
     again = await owner.submit(request("e1299", first_attempt=False, first_sent_at=0.0))
     assert again.body == b"z" * 2000
+
+
+@scenario()
+async def test_a_hand_over_to_an_owner_that_was_not_next_leaves_old_keys_unknown(rack):
+    """Guard against a second run of keys that an owner in between has run."""
+    taken = []
+
+    async def send(successor, message):
+        taken.append(message)
+        return True
+
+    old, _ = await rack.owned("a", send_hand_over=send)
+    assert await old.fencing.hand_over("c")
+    before = time.time()
+    await rack.owned("b")
+    new, _ = await rack.owned("c", inherited=taken[0])
+    early = request("early", first_attempt=False, first_sent_at=before)
+    assert (await new.submit(early)).outcome is Outcome.UNKNOWN
+
+
+@scenario()
+async def test_a_key_that_was_dispatched_before_a_hand_over_never_runs_again(rack):
+    """Guard against a second run when the worker of a handed-over key cannot be asked."""
+    taken = []
+
+    async def send(successor, message):
+        taken.append(message)
+        return True
+
+    old, _ = await rack.owned("a", send_hand_over=send)
+    first_sent_at = time.time() + 1.0
+    running = rack.begin(old.submit(request("once", LONG, first_sent_at=first_sent_at)))
+    await until(lambda: old.running_on("once"))
+    name = old.running_on("once")
+    assert await old.fencing.hand_over("b")
+    running.cancel()
+    rack.workers[name].running.clear()
+    new, _ = await rack.owned("b", inherited=taken[0])
+    again = request("once", LONG, first_attempt=False, first_sent_at=first_sent_at)
+    assert (await new.submit(again)).outcome is Outcome.UNKNOWN
