--- a/baobabhoist/gateway/admin.py
+++ b/baobabhoist/gateway/admin.py
@@ -12,6 +12,7 @@
 from baobabhoist.gateway.context import NAME_IN_PATH, not_ready
 from baobabhoist.gateway.handler import NotFoundHandler, log_faults
 from baobabhoist.gateway.jobs import explanation_body, no_jobs, status_body
+from baobabhoist.gateway.metrics import open_requests_gauge
 from baobabhoist.gateway.operators import (
     AdminBackend,
     AdminHandler,
@@ -24,6 +25,7 @@
     RecordHandler,
     RecordListHandler,
 )
+from baobabhoist.model import JobStatus
 
 HTTP_ACCEPTED = 202
 _CONVERTER = cattrs.Converter()
@@ -91,6 +93,30 @@
         self.answer_json({"jobs": [status_body(status) for status in found]})
 
 
+class AdminJobHandler(AdminHandler):
+    """Show and cancel any team's job: /v1/jobs/ID."""
+
+    async def get(self, job_id: str) -> None:
+        """Return the state of a job."""
+        if self.receive() is None:
+            return
+        jobs = self.options.jobs
+        self._answer(await jobs.status(job_id, None) if jobs is not None else no_jobs())
+
+    async def delete(self, job_id: str) -> None:
+        """Cancel a job."""
+        if self.receive() is None:
+            return
+        jobs = self.options.jobs
+        self._answer(await jobs.cancel(job_id, None) if jobs is not None else no_jobs())
+
+    def _answer(self, found: Refusal | JobStatus) -> None:
+        if isinstance(found, Refusal):
+            self.refuse(found)
+        else:
+            self.answer_json(status_body(found))
+
+
 class AdminExplainHandler(AdminHandler):
     """Explain the state of any team's job: GET /v1/jobs/ID/explain."""
 
@@ -109,6 +135,11 @@
 class MetricsHandler(AdminHandler):
     """Expose the metrics: GET /metrics."""
 
+    def initialize(self, backend: AdminBackend, options: AdminOptions, gauge: Any = None) -> None:
+        """Take the daemon, the options and the gauge of open requests."""
+        super().initialize(backend, options)
+        self.gauge = gauge
+
     def get(self) -> None:
         """Return the metrics in the form that the collector accepts."""
         if self.receive() is None:
@@ -117,6 +148,7 @@
             self.set_header("Content-Type", "text/plain; version=0.0.4")
             self.finish(b"")
             return
+        self.gauge.set({}, self.options.open_requests.count)
         accept = self.request.headers.get_list("Accept")
         content, headers = self.options.metrics.exposition(accept or None)
         for name, value in headers.items():
@@ -151,6 +183,7 @@
     """Return the HTTP application for operators."""
     options = options or AdminOptions()
     context: dict[str, Any] = {"backend": daemon, "options": options}
+    gauge = open_requests_gauge(options.metrics) if options.metrics is not None else None
     record = rf"/v1/records/{NAME_IN_PATH}/{NAME_IN_PATH}"
     return Application(
         [
@@ -162,8 +195,9 @@
             (r"/v1/status", StatusHandler, context),
             (r"/v1/drain", DrainHandler, context),
             (r"/v1/jobs", AdminJobsHandler, context),
+            (rf"/v1/jobs/{NAME_IN_PATH}", AdminJobHandler, context),
             (rf"/v1/jobs/{NAME_IN_PATH}/explain", AdminExplainHandler, context),
-            (r"/metrics", MetricsHandler, context),
+            (r"/metrics", MetricsHandler, {**context, "gauge": gauge}),
             (r"/healthz", HealthHandler, context),
             (r"/readyz", AdminReadyHandler, context),
         ],
