Adopt queued tasks that a worker still runs, and pause between connections

Change: adoption takes such a task out of the queue and has its own class; only a token of another claim shows a restart; reconnects wait; calls on the table end by a deadline outside.

--- a/baobabhoist/daemon/adoption.py
+++ b/baobabhoist/daemon/adoption.py
@@ -3,10 +3,15 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
+from typing import TYPE_CHECKING
 
 import attrs
 
-from baobabhoist.model import RunningTask
+from baobabhoist.daemon.dispatch import Ended, Lost, NeverRan, Superseded, result_of_fate
+from baobabhoist.model import EndedTask, RunningTask
+
+if TYPE_CHECKING:
+    from baobabhoist.daemon.shard import ShardOwner
 
 
 @attrs.define
@@ -40,3 +45,60 @@
     def remove(self, worker: str, task_id: str) -> bool:
         """Forget an ended task; tell whether it was held."""
         return self.tasks.get(worker, {}).pop(task_id, None) is not None
+
+
+class Adoption:
+    """Count adopted tasks against capacity and places until they have ended."""
+
+    def __init__(self, owner: ShardOwner) -> None:
+        self._owner = owner
+        self._adopted = Adopted()
+
+    def worker_of(self, task_id: str) -> str | None:
+        """Return the worker that runs an adopted task."""
+        return self._adopted.worker_of(task_id)
+
+    def inventory(self, worker: str, running: list[RunningTask], ended: list[EndedTask]) -> None:
+        """Count what a worker runs already and take the answers that it has stored."""
+        owner, now = self._owner, self._owner.now
+        # A lease of the previous owner may have been renewed just before the token was taken.
+        owner.leases.extend(worker, now)
+        adopted = self._adopted.add(worker, running, owner.in_flight)
+        for task in adopted:
+            # A worker that slept past a lease still names a task that was queued again here.
+            owner.scheduler.cancel(task.task_id)
+        owner.scheduler.adopt(worker, adopted, now)
+        owner.quota.adopt(worker, adopted)
+        # Open calls report their own end; taking it twice would break the keys' states.
+        foreign = [done for done in ended if done.task_id not in owner.in_flight]
+        owner.book.answers.inherit(worker, foreign)
+        for request_id, result in owner.keys.inherit(worker, adopted, foreign, now):
+            owner.spawn(owner.book.give_whole(request_id, result))
+        for task_id in self._adopted.missing(worker, [task.task_id for task in running]):
+            if self._adopted.remove(worker, task_id):
+                self._release(task_id, True)
+
+    def reported(self, worker: str, running: Iterable[str]) -> None:
+        """Take the names of the tasks that a worker runs."""
+        for task_id in self._adopted.missing(worker, running):
+            self._owner.spawn(self._end(worker, task_id))
+
+    async def _end(self, worker: str, task_id: str) -> None:
+        """Take the stored answer of an adopted task that no longer runs."""
+        if not self._adopted.remove(worker, task_id):
+            return
+        owner = self._owner
+        fate = await owner.dispatcher.resolve(task_id, float("inf"), worker)
+        if isinstance(fate, Superseded):
+            return
+        self._release(task_id, isinstance(fate, Ended) and fate.succeeded)
+        # The worker reported it as running before, so `never` only means that it forgot it.
+        known = Lost() if isinstance(fate, NeverRan) else fate
+        owner.finish(task_id, result_of_fate(task_id, known))
+        owner.dispatch(owner.now)
+
+    def _release(self, task_id: str, succeeded: bool) -> None:
+        owner = self._owner
+        if task_id in owner.scheduler.running:
+            owner.scheduler.ended(task_id, succeeded, owner.now)
+        owner.places.ended(task_id)
--- a/baobabhoist/daemon/fencing.py
+++ b/baobabhoist/daemon/fencing.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+import time
 from collections.abc import Callable, Coroutine, Iterable
 from typing import Any, Protocol
 
@@ -41,7 +42,7 @@
 )
 from baobabhoist.ownership.events import Event as ClaimEvent
 from baobabhoist.ownership.tokens import Token
-from baobabhoist.platform.table import Committed, Table, Transaction
+from baobabhoist.platform.table import Committed, Table, Transaction, within
 from baobabhoist.upstream.messages import (
     FenceWorker,
     LeasesRenewed,
@@ -242,8 +243,8 @@
 
     async def _want(self) -> None:
         try:
-            async with asyncio.timeout(CLAIM_TABLE_DEADLINE_S):
-                epoch: int | None = _epoch_of((await self._table.read(self._row_key)).value)
+            row = await within(CLAIM_TABLE_DEADLINE_S, self._table.read(self._row_key))
+            epoch: int | None = _epoch_of(row.value)
         except (PlatformError, TimeoutError):
             emit(log, Event.EPOCH_UNAVAILABLE, shard=self.claim.shard)
             epoch = None
@@ -252,25 +253,24 @@
     async def _advance(
         self, expected: int, target: int
     ) -> EpochGranted | EpochConflict | EpochUnavailable:
-        owner = self.claim.instance_id
+        owner, key = self.claim.instance_id, self._row_key
+        until = time.monotonic() + CLAIM_TABLE_DEADLINE_S
         try:
-            async with asyncio.timeout(CLAIM_TABLE_DEADLINE_S):
-                row = await self._table.read(self._row_key)
-                held = _epoch_of(row.value)
-                if held == target and row.value["owner"] == owner:
-                    # An earlier commit took effect and its answer was lost.
-                    self.row_revision = row.revision
-                    return EpochGranted(target)
-                if held != expected:
-                    return EpochConflict(held)
-                writes = {self._row_key: {"epoch": target, "owner": owner}}
-                outcome = await self._table.commit(
-                    Transaction({self._row_key: row.revision}, writes)
-                )
-                if isinstance(outcome, Committed):
-                    self.row_revision = outcome.revisions[self._row_key]
-                    return EpochGranted(target)
-                return EpochConflict(_epoch_of((await self._table.read(self._row_key)).value))
+            row = await within(until - time.monotonic(), self._table.read(key))
+            held = _epoch_of(row.value)
+            if held == target and row.value["owner"] == owner:
+                # An earlier commit took effect and its answer was lost.
+                self.row_revision = row.revision
+                return EpochGranted(target)
+            if held != expected:
+                return EpochConflict(held)
+            txn = Transaction({key: row.revision}, {key: {"epoch": target, "owner": owner}})
+            outcome = await within(until - time.monotonic(), self._table.commit(txn))
+            if isinstance(outcome, Committed):
+                self.row_revision = outcome.revisions[key]
+                return EpochGranted(target)
+            row = await within(until - time.monotonic(), self._table.read(key))
+            return EpochConflict(_epoch_of(row.value))
         except (PlatformError, TimeoutError):
             emit(log, Event.EPOCH_UNAVAILABLE, shard=self.claim.shard)
             return EpochUnavailable()
@@ -319,7 +319,9 @@
         if isinstance(reply, TokenRefused):
             await self.refused(worker, reply.highest)
         elif self.claim.token == token:
-            if reply.previous != token:
+            # An earlier token of this claim shows that the worker has not forgotten since.
+            claimant = self.claim.instance_id
+            if reply.previous is None or reply.previous.instance_id != claimant:
                 self._holder.worker_restarted(worker)
             self._held_before.setdefault(worker, reply.previous)
             self._holder.inventory(worker, reply.running, reply.ended)
--- a/baobabhoist/daemon/shard.py
+++ b/baobabhoist/daemon/shard.py
@@ -8,7 +8,7 @@
 from collections.abc import Callable, Coroutine, Iterable, Mapping
 from typing import Any
 
-from baobabhoist.daemon.adoption import Adopted
+from baobabhoist.daemon.adoption import Adoption
 from baobabhoist.daemon.dispatch import (
     CALL_TIMEOUT_S,
     Dispatcher,
@@ -98,8 +98,8 @@
         self._inherited_at = clock()
         self._clock = clock
         self._observer = observer
-        self._in_flight: dict[str, str] = {}
-        self._adopted = Adopted()
+        self.in_flight: dict[str, str] = {}
+        self.adoption = Adoption(self)
         self._up: set[str] = set()
         self._specs = {spec.name: spec for spec in specs}
         self._tasks: set[asyncio.Task[None]] = set()
@@ -125,7 +125,7 @@
         try:
             await self.fencing.run()
             self._give_up()
-            while self._tasks and (self._in_flight or self.forwarder.out()):
+            while self._tasks and (self.in_flight or self.forwarder.out()):
                 await asyncio.wait(self._tasks, return_when=asyncio.FIRST_COMPLETED)
         finally:
             ticking.cancel()
@@ -224,7 +224,7 @@
         except InvariantBreachError:
             self.take_back(task.task_id, now)
             return
-        self._in_flight[task.task_id] = worker
+        self.in_flight[task.task_id] = worker
         if self._observer is not None:
             self._observer.started(task, now)
         self.spawn(self._execute(placement))
@@ -248,7 +248,7 @@
         try:
             fate = await self.dispatcher.execute(task, worker)
         finally:
-            self._in_flight.pop(task.task_id, None)
+            self.in_flight.pop(task.task_id, None)
         now = self._clock()
         if isinstance(fate, Superseded):
             self._superseded(task.task_id, fate)
@@ -284,7 +284,7 @@
 
     def _give_up(self) -> None:
         self.forwarder.freeze()
-        elsewhere = self._in_flight.keys() | self.forwarder.out()
+        elsewhere = self.in_flight.keys() | self.forwarder.out()
         self.book.give_up(elsewhere, self._moved)
 
     # What the fencing reports.
@@ -297,26 +297,13 @@
         self.refresh_places()
 
     def inventory(self, worker: str, running: list[RunningTask], ended: list[EndedTask]) -> None:
-        """Count what a worker runs already and take the answers that it has stored."""
-        now = self._clock()
-        # A lease of the previous owner may have been renewed just before the token was taken.
-        self.leases.extend(worker, now)
-        adopted = self._adopted.add(worker, running, self._in_flight)
-        self.scheduler.adopt(worker, adopted, now)
-        self.quota.adopt(worker, adopted)
-        # Open calls report their own end; taking it twice would break the keys' states.
-        foreign = [done for done in ended if done.task_id not in self._in_flight]
-        self.book.answers.inherit(worker, foreign)
-        for request_id, result in self.keys.inherit(worker, adopted, foreign, now):
-            self.spawn(self.book.give_whole(request_id, result))
-        for task_id in self._adopted.missing(worker, [task.task_id for task in running]):
-            self._adopted_ended(worker, task_id, True)
+        """Take the inventory of a worker that holds the token, before it gets work."""
+        self.adoption.inventory(worker, running, ended)
 
     def leases_renewed(self, worker: str, reply: LeasesRenewed, mark: int) -> None:
         """Compare a worker's report with the tasks that were adopted."""
         self.quota.worker_confirmed(worker, mark)
-        for task_id in self._adopted.missing(worker, reply.running):
-            self.spawn(self._end_adopted(worker, task_id))
+        self.adoption.reported(worker, reply.running)
 
     def worker_restarted(self, worker: str) -> None:
         """Learn that a worker may have forgotten the tasks it was sent."""
@@ -390,7 +377,7 @@
 
     def running_on(self, task_id: str) -> str | None:
         """Return the worker that runs a task, or None."""
-        return self._in_flight.get(task_id) or self._adopted.worker_of(task_id)
+        return self.in_flight.get(task_id) or self.adoption.worker_of(task_id)
 
     def open_requests(self) -> int:
         """Return the number of requests without a result."""
@@ -433,30 +420,6 @@
             self._up.discard(worker)
             self.scheduler.worker_down(worker)
 
-    async def _end_adopted(self, worker: str, task_id: str) -> None:
-        """Take the stored answer of an adopted task that no longer runs."""
-        if not self._adopted.remove(worker, task_id):
-            return
-        fate = await self.dispatcher.resolve(task_id, float("inf"), worker)
-        if isinstance(fate, Superseded):
-            return
-        self._release_adopted(task_id, isinstance(fate, Ended) and fate.succeeded)
-        # The worker reported it as running before, so `never` only means that it forgot it.
-        self.finish(
-            task_id, result_of_fate(task_id, Lost() if isinstance(fate, NeverRan) else fate)
-        )
-        self.dispatch(self._clock())
-
-    def _adopted_ended(self, worker: str, task_id: str, succeeded: bool) -> None:
-        """Release an adopted task that a later inventory no longer names."""
-        if self._adopted.remove(worker, task_id):
-            self._release_adopted(task_id, succeeded)
-
-    def _release_adopted(self, task_id: str, succeeded: bool) -> None:
-        if task_id in self.scheduler.running:
-            self.scheduler.ended(task_id, succeeded, self._clock())
-        self.places.ended(task_id)
-
     def _known_since(self) -> float:
         """Return the time after which no key was sent that this owner cannot know of.
 
--- a/baobabhoist/peer/mesh.py
+++ b/baobabhoist/peer/mesh.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+import random
 import ssl
 import time
 from collections.abc import Awaitable, Callable, Iterable
@@ -200,6 +201,8 @@
             finally:
                 peer.link = None
                 link.abort()
+            # A connection that is cut as soon as it is made must not be made without a pause.
+            await asyncio.sleep(RECONNECT_DELAY_S * random.uniform(0.5, 1.0))
 
     async def _connect(self, address: PeerAddress) -> Any:
         if self._tls is None:
--- a/baobabhoist/platform/table.py
+++ b/baobabhoist/platform/table.py
@@ -2,14 +2,17 @@
 
 from __future__ import annotations
 
+import asyncio
 import uuid
-from collections.abc import Callable
-from typing import Any, Protocol
+from collections.abc import Callable, Coroutine
+from typing import Any, Protocol, TypeVar
 
 import attrs
 
 from baobabhoist.errors import Refusal
 
+T = TypeVar("T")
+
 
 @attrs.frozen
 class Row:
@@ -36,6 +39,19 @@
     revisions: dict[str, int]
 
 
+async def within(seconds: float, call: Coroutine[Any, Any, T]) -> T:
+    """Return the result of a call on the platform; raises TimeoutError when it takes longer.
+
+    The call goes on without a listener, because its effect cannot be taken back anyway.
+    """
+    task = asyncio.create_task(call)
+    done, _ = await asyncio.wait((task,), timeout=max(0.0, seconds))
+    if done:
+        return task.result()
+    task.add_done_callback(lambda late: late.cancelled() or late.exception())
+    raise TimeoutError("the platform did not answer in time")
+
+
 class Table(Protocol):
     """Read and write rows; every method raises PlatformError when the table is unavailable."""
 
--- a/baobabhoist/upstream/link.py
+++ b/baobabhoist/upstream/link.py
@@ -52,6 +52,8 @@
                 await asyncio.sleep(RECONNECT_DELAY_S)
                 continue
             await self._serve(Link(conn, CODEC, _ignore))
+            # A connection that is cut as soon as it is made must not be made without a pause.
+            await asyncio.sleep(RECONNECT_DELAY_S)
 
     async def call(self, message: Any, deadline_s: float) -> Any:
         """Send a call; raises NotSentError, LinkClosedError or TimeoutError."""
