--- a/baobabhoist/daemon/fencing.py
+++ b/baobabhoist/daemon/fencing.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+import time
 from collections.abc import Callable, Coroutine, Iterable
 from typing import Any, Protocol
 
@@ -41,7 +42,7 @@
 )
 from baobabhoist.ownership.events import Event as ClaimEvent
 from baobabhoist.ownership.tokens import Token
-from baobabhoist.platform.table import Committed, Table, Transaction
+from baobabhoist.platform.table import Committed, Table, Transaction, within
 from baobabhoist.upstream.messages import (
     FenceWorker,
     LeasesRenewed,
@@ -63,6 +64,8 @@
 # Renewals in a row that time out until the connection is replaced.
 SILENT_RENEWALS = 2
 FENCE_CALL_TIMEOUT_S = 2.0
+CONFIRM_ATTEMPTS = 3
+CONFIRM_SAMPLE = 3
 
 ENDED_STATES = (ShardState.LOST, ShardState.IDLE)
 
@@ -115,6 +118,9 @@
     ) -> None:
         self.claim = claim
         self.ended = asyncio.Event()
+        # Of the shard's row when it last named this claim; transactions check it.
+        self.row_revision = 0
+        # The token that each worker held before this claim's first one.
         self._table = table
         self._pool = pool
         self._leases = leases
@@ -123,8 +129,10 @@
         self._row_key = f"shard/{claim.shard}"
         self._tasks: set[asyncio.Task[None]] = set()
         self._presenting: dict[str, Token] = {}
+        self._held_before: dict[str, Token | None] = {}
         self._silent: dict[str, int] = {}
         self._began = False
+        self._confirming: asyncio.Task[None] | None = None
         self._settled = asyncio.Event()
 
     async def run(self) -> None:
@@ -155,6 +163,26 @@
             await self._settled.wait()
         return self.ended.is_set()
 
+    def follows(self, token: Token) -> bool:
+        """Tell whether every worker held this token until it took one of this claim."""
+        return all(self._held_before.get(worker) == token for worker in self.claim.workers)
+
+    async def confirmed(self, at: float) -> bool:
+        """Tell whether this instance certainly owned the shard at a time; may ask workers."""
+        for _ in range(CONFIRM_ATTEMPTS):
+            if self.claim.confirmed_after(at) or self.ended.is_set():
+                break
+            # Many refusals at once share one round of calls.
+            if self._confirming is None or self._confirming.done():
+                self._confirming = asyncio.create_task(self._ask_workers())
+            await asyncio.wait((self._confirming,))
+        return self.claim.confirmed_after(at)
+
+    async def _ask_workers(self) -> None:
+        workers = [name for name in self.claim.fenced if self._pool.connected(name)]
+        chosen = workers[:CONFIRM_SAMPLE]
+        await asyncio.gather(*(self._renew_worker(worker) for worker in chosen))
+
     async def refused(self, worker: str, highest: Token) -> None:
         """Note that a worker obeys a higher token."""
         if highest > self.claim.token:
@@ -215,8 +243,8 @@
 
     async def _want(self) -> None:
         try:
-            async with asyncio.timeout(CLAIM_TABLE_DEADLINE_S):
-                epoch: int | None = _epoch_of((await self._table.read(self._row_key)).value)
+            row = await within(CLAIM_TABLE_DEADLINE_S, self._table.read(self._row_key))
+            epoch: int | None = _epoch_of(row.value)
         except (PlatformError, TimeoutError):
             emit(log, Event.EPOCH_UNAVAILABLE, shard=self.claim.shard)
             epoch = None
@@ -225,23 +253,24 @@
     async def _advance(
         self, expected: int, target: int
     ) -> EpochGranted | EpochConflict | EpochUnavailable:
-        owner = self.claim.instance_id
+        owner, key = self.claim.instance_id, self._row_key
+        until = time.monotonic() + CLAIM_TABLE_DEADLINE_S
         try:
-            async with asyncio.timeout(CLAIM_TABLE_DEADLINE_S):
-                row = await self._table.read(self._row_key)
-                held = _epoch_of(row.value)
-                if held == target and row.value["owner"] == owner:
-                    # An earlier commit took effect and its answer was lost.
-                    return EpochGranted(target)
-                if held != expected:
-                    return EpochConflict(held)
-                writes = {self._row_key: {"epoch": target, "owner": owner}}
-                outcome = await self._table.commit(
-                    Transaction({self._row_key: row.revision}, writes)
-                )
-                if isinstance(outcome, Committed):
-                    return EpochGranted(target)
-                return EpochConflict(_epoch_of((await self._table.read(self._row_key)).value))
+            row = await within(until - time.monotonic(), self._table.read(key))
+            held = _epoch_of(row.value)
+            if held == target and row.value["owner"] == owner:
+                # An earlier commit took effect and its answer was lost.
+                self.row_revision = row.revision
+                return EpochGranted(target)
+            if held != expected:
+                return EpochConflict(held)
+            txn = Transaction({key: row.revision}, {key: {"epoch": target, "owner": owner}})
+            outcome = await within(until - time.monotonic(), self._table.commit(txn))
+            if isinstance(outcome, Committed):
+                self.row_revision = outcome.revisions[key]
+                return EpochGranted(target)
+            row = await within(until - time.monotonic(), self._table.read(key))
+            return EpochConflict(_epoch_of(row.value))
         except (PlatformError, TimeoutError):
             emit(log, Event.EPOCH_UNAVAILABLE, shard=self.claim.shard)
             return EpochUnavailable()
@@ -290,8 +319,11 @@
         if isinstance(reply, TokenRefused):
             await self.refused(worker, reply.highest)
         elif self.claim.token == token:
-            if reply.previous != token:
+            # An earlier token of this claim shows that the worker has not forgotten since.
+            claimant = self.claim.instance_id
+            if reply.previous is None or reply.previous.instance_id != claimant:
                 self._holder.worker_restarted(worker)
+            self._held_before.setdefault(worker, reply.previous)
             self._holder.inventory(worker, reply.running, reply.ended)
             running, ended = tuple(reply.running), tuple(reply.ended)
             await self.apply(WorkerFenced(worker, token, running, ended, reply.previous, sent_at))
