--- /dev/null
+++ b/baobabhoist/scheduling/holding.py
@@ -0,0 +1,154 @@
+"""Hold capacity for gangs and starved work, and start it when the hold is complete."""
+
+from __future__ import annotations
+
+from math import inf
+
+from baobabhoist.errors import ErrorKind, Refusal
+from baobabhoist.model import Task
+from baobabhoist.scheduling.gangs import Reservation
+from baobabhoist.scheduling.queues import Entry, Lane
+from baobabhoist.scheduling.results import Hold, Placement
+from baobabhoist.scheduling.state import SchedulerState
+
+HOLD_S = 60.0
+# Collecting capacity leaves some of it idle, so only this part of the workers may do it at once.
+MAX_COLLECTING_FRACTION = 0.125
+
+
+class Holding(SchedulerState):
+    """Keep the holds of one owner, asked for by a job coordinator or by its own queues."""
+
+    def hold(
+        self, job_id: str, tasks: list[Task], now: float, expires_at: float | None = None
+    ) -> Hold | Refusal:
+        """Hold capacity for tasks that must start together, or return the state of the hold."""
+        self._now = now
+        found = self.book.reservations.get(job_id)
+        if found is None:
+            refusal = self._never_fits(tasks)
+            if refusal is not None:
+                return refusal
+            needs = [(task, self._need(task)) for task in tasks]
+            found = self.book.plan(job_id, needs, now, expires_at or now + HOLD_S)
+            if found is None:
+                return _no_capacity("the workers cannot be free together before the hold ends")
+        if not found.ready and found.complete():
+            refusal = self._take_places(found)
+            if refusal is not None:
+                self._end_reservation(found)
+                return refusal
+            found.ready = True
+        return found.as_hold()
+
+    def commit(self, job_id: str, now: float) -> list[Placement] | Refusal:
+        """Start the tasks of a ready hold."""
+        found = self.book.reservations.get(job_id)
+        if found is None or found.entry is not None:
+            return Refusal(
+                ErrorKind.NOT_FOUND,
+                f"there is no hold for job {job_id}",
+                remedy="hold the capacity again",
+            )
+        if now >= found.expires_at:
+            self._end_reservation(found)
+            return _no_capacity(f"the hold for job {job_id} has ended")
+        if not found.ready or not found.complete():
+            return _no_capacity(f"the hold for job {job_id} is not complete")
+        return self._bind_all(found, now)
+
+    def release(self, job_id: str) -> bool:
+        """Drop a hold; tell whether there was one."""
+        found = self.book.reservations.get(job_id)
+        if found is None or found.entry is not None:
+            return False
+        self._end_reservation(found)
+        return True
+
+    def _take_places(self, reservation: Reservation) -> Refusal | None:
+        taken: list[str] = []
+        for member in reservation.members:
+            task = member.task
+            refusal = self.places.start(task.team, task.task_id, member.worker.name)
+            if refusal is not None:
+                for task_id in taken:
+                    self.places.ended(task_id)
+                return refusal
+            taken.append(task.task_id)
+        self._placed_holds.add(reservation.job_id)
+        return None
+
+    def _end_reservation(self, reservation: Reservation) -> None:
+        self.book.end(reservation)
+        if reservation.job_id in self._placed_holds:
+            self._placed_holds.remove(reservation.job_id)
+            for member in reservation.members:
+                self.places.ended(member.task.task_id)
+        entry = reservation.entry
+        if entry is not None and entry.lane is not None and entry.held:
+            self.lines.requeue(entry, self._now)
+        self.lines.unblock()
+
+    def _bind_all(self, reservation: Reservation, now: float) -> list[Placement]:
+        self.book.end(reservation)
+        self._placed_holds.discard(reservation.job_id)
+        return [self._bind(m.task, m.need, m.worker, now) for m in reservation.members]
+
+    def _commit_queued(self, found: Reservation, now: float, batch: list[Placement]) -> None:
+        entry = found.entry
+        assert entry is not None
+        if found.job_id not in self._placed_holds and self._take_places(found) is not None:
+            lane = entry.lane
+            self._end_reservation(found)
+            if lane is not None:
+                self._no_places(lane, entry, now)
+            return
+        self.lines.remove(entry)
+        batch.extend(self._bind_all(found, now))
+
+    def _no_places(self, lane: Lane, entry: Entry, now: float) -> None:
+        """Let the team's places collect for a gang that has waited long, for a limited time."""
+        if now >= entry.drain_from + 2 * HOLD_S or entry.drain_from == inf:
+            starved = entry.waited_s(now) >= self._queue(lane.queue).reserve_after_s
+            entry.drain_from = now if starved else inf
+        if entry.drain_from <= now < entry.drain_from + HOLD_S:
+            self.lines.limit(lane.team)
+        else:
+            self.lines.skip(lane)
+
+    def _commit_complete(self, now: float, batch: list[Placement]) -> None:
+        self._check_holds = False
+        for found in list(self.book.reservations.values()):
+            if now >= found.expires_at or not found.usable():
+                self._end_reservation(found)
+            elif found.entry is not None and found.complete():
+                self._commit_queued(found, now, batch)
+
+    def _reserve_for_starved(self, heads: list[tuple[Lane, Entry]], now: float) -> None:
+        allowed = max(1, int(MAX_COLLECTING_FRACTION * len(self.index.workers)))
+        if len(self.book.collecting) >= allowed:
+            return
+        starved = [
+            (entry.task.submitted_at, entry.seq, entry)
+            for lane, entry in heads
+            if entry.waited_s(now) >= self._queue(lane.queue).reserve_after_s
+            and (lane.shape.blocked is not None or len(entry.members) > 1)
+            and not lane.team.limited
+        ]
+        for _, _, entry in sorted(starved):
+            needs = [(task, self._need(task)) for task in entry.members]
+            expires_at = min(now + 2 * HOLD_S, entry.task.deadline)
+            if self.book.plan(entry.task.task_id, needs, now, expires_at, entry) is not None:
+                entry.held = True
+                self._check_holds = True
+            if len(self.book.collecting) >= allowed:
+                return
+
+
+def _no_capacity(message: str) -> Refusal:
+    return Refusal(
+        ErrorKind.NO_CAPACITY,
+        message,
+        remedy="hold the capacity again later",
+        retry_after_s=1.0,
+    )
--- a/baobabhoist/scheduling/scheduler.py
+++ b/baobabhoist/scheduling/scheduler.py
@@ -2,136 +2,58 @@
 
 from __future__ import annotations
 
-import itertools
-from collections import OrderedDict
-from collections.abc import Iterable, Mapping
-from math import inf
-from typing import Protocol
+from collections.abc import Iterable
 
-import attrs
-
-from baobabhoist.errors import ErrorKind, Refusal
+from baobabhoist.errors import Refusal
 from baobabhoist.invariants import Invariant, check
-from baobabhoist.model import Resources, RunningTask, Task, WorkerSpec, WorkKind
+from baobabhoist.model import Resources, Task, WorkerSpec, WorkKind
 from baobabhoist.scheduling import overload
 from baobabhoist.scheduling.capacity import (
     NOTHING,
     Amount,
     Availability,
-    CapacityIndex,
     WorkerState,
     amount_of,
     fits,
     larger,
     minus,
-    resources_of,
 )
-from baobabhoist.scheduling.estimates import RETRY_MARGIN, Estimator
 from baobabhoist.scheduling.explain import explain
-from baobabhoist.scheduling.fairness import Fairness
-from baobabhoist.scheduling.gangs import HoldBook, Reservation
-from baobabhoist.scheduling.health import MAX_TRACKED, HealthBook
-from baobabhoist.scheduling.placement import RackSpread, choose, observe_speed
-from baobabhoist.scheduling.policy import OBJECTIVES, PreemptionAction, QueuePolicy, TeamPolicy
+from baobabhoist.scheduling.health import MAX_TRACKED
+from baobabhoist.scheduling.holding import HOLD_S, Holding
+from baobabhoist.scheduling.placement import choose, observe_speed
+from baobabhoist.scheduling.policy import PreemptionAction
 from baobabhoist.scheduling.preemption import Running, action_for, plan_room
-from baobabhoist.scheduling.queues import Entry, Lane, WaitingLines
-from baobabhoist.scheduling.results import Explanation, Hold, Placement, Preemption, Verdict
+from baobabhoist.scheduling.queues import Entry, Lane
+from baobabhoist.scheduling.results import Explanation, Placement, Preemption, Verdict
+from baobabhoist.scheduling.state import PlaceBudget as PlaceBudget
 
 BATCH_LIMIT = 32
+# A call ends after this many tries even if little was placed; what found no room is remembered,
+# so the next call goes on with the rest.
+MAX_TRIES = 512
 # Ranks, probes and holds are renewed this often; a call in between costs only what changed.
 UPKEEP_S = 0.1
+# Tasks of a lane that are tried for backfill; its head may be the one that runs too long.
+BACKFILL_LOOK = 8
 # Estimates change the sizes of what waits, so sizes that found no room are tried again.
 UNBLOCK_S = 2.0
 # Places may arrive from other shards without notice to the scheduler.
 UNLIMIT_S = 0.5
-HOLD_S = 60.0
-# Collecting capacity leaves some of it idle, so only this part of the workers may do it at once.
-MAX_COLLECTING_FRACTION = 0.125
-URGENT_RANK = -1e9
-
-_DEFAULT_QUEUE = QueuePolicy()
-_DEFAULT_TEAM = TeamPolicy()
-
-
-class PlaceBudget(Protocol):
-    """Grant places within the teams' upper limits."""
-
-    def start(self, team: str, task_id: str, worker: str) -> Refusal | None:
-        """Take a place, or return the reason why there is none."""
 
-    def ended(self, task_id: str) -> None:
-        """Give the place of a task back."""
 
-
-class Scheduler:
+class Scheduler(Holding):
     """Queue tasks and place them on the workers of one owner.
 
     Every method takes `now` in Unix seconds and does no I/O. A step that would break an
     invariant raises InvariantBreachError and has no effect.
     """
 
-    def __init__(self, workers: Iterable[WorkerSpec], places: PlaceBudget) -> None:
-        self.places = places
-        self.index = CapacityIndex(workers)
-        self.fairness = Fairness(self.index.total)
-        self.lines = WaitingLines(self._rank)
-        self.health = HealthBook()
-        self.estimator = Estimator()
-        self.book = HoldBook(self.index, self._ends)
-        self.running: dict[str, Running] = {}
-        self.spread = RackSpread()
-        self.rates = overload.StartRates()
-        self._queues: Mapping[str, QueuePolicy] = {}
-        self._teams: Mapping[str, TeamPolicy] = {}
-        self._largest = self._largest_worker()
-        self._peaks: OrderedDict[str, Amount] = OrderedDict()
-        self._placed_holds: set[str] = set()
-        self._preemptions: list[Preemption] = []
-        self._given_up: list[tuple[Task, Refusal]] = []
-        self._seq = itertools.count(1)
-        self._now = 0.0
-        self._upkeep_at = 0.0
-        self._unblock_at = 0.0
-        self._unlimit_at = 0.0
-        self._check_holds = False
-
     @classmethod
     def over(cls, workers: Iterable[WorkerSpec], places: PlaceBudget) -> Scheduler:
         """Return a scheduler for these workers, none of which is up yet."""
         return cls(workers, places)
 
-    # Workers and settings.
-
-    @property
-    def free(self) -> dict[str, Resources]:
-        """Return the free capacity of each worker that is up."""
-        workers = self.index.workers.values()
-        return {w.name: resources_of(w.free) for w in workers if w.availability is Availability.UP}
-
-    @property
-    def queued(self) -> dict[str, Task]:
-        """Return the queued tasks by id."""
-        entries = {id(entry): entry for entry in self.lines.entries.values()}.values()
-        return {task.task_id: task for entry in entries for task in entry.members}
-
-    @property
-    def placed(self) -> dict[str, Placement]:
-        """Return the placements of the running tasks by task id."""
-        return {task_id: running.placement for task_id, running in self.running.items()}
-
-    def worker_up(self, worker: str) -> None:
-        """Offer a worker's whole capacity, less what is placed there."""
-        self._set_availability(worker, Availability.UP)
-        self.lines.unblock()
-
-    def worker_down(self, worker: str) -> None:
-        """Stop placing work on a worker."""
-        self._set_availability(worker, Availability.DOWN)
-
-    def worker_leaving(self, worker: str) -> None:
-        """Give a leaving or drained worker nothing new; what runs there goes on."""
-        self._set_availability(worker, Availability.LEAVING)
-
     def set_workers(self, workers: Iterable[WorkerSpec]) -> None:
         """Take a changed list of workers; new ones get work after `worker_up`.
 
@@ -154,47 +76,6 @@
                 self._given_up.extend((task, refusal) for task in entry.members)
         self.lines.unblock()
 
-    def adopt(self, worker: str, running: Iterable[RunningTask], now: float) -> None:
-        """Count what a worker runs already, before `worker_up`; places are not touched.
-
-        The end of an adopted task is reported with `ended`, which leaves its place to the caller.
-        """
-        state = self.index.workers[worker]
-        for item in running:
-            if item.task_id in self.running:
-                continue
-            task = Task(item.task_id, item.team, "", WorkKind.BATCH, item.resources, now, now)
-            need = amount_of(item.resources)
-            self.index.adopt(state, need, item.task_id)
-            self.fairness.take(item.team, need)
-            placement = Placement(task, worker, now)
-            self.running[item.task_id] = Running(
-                placement, task, need, state, task.expected_run_s, task.expected_run_s, True
-            )
-
-    def set_policies(
-        self, queues: Mapping[str, QueuePolicy], teams: Mapping[str, TeamPolicy]
-    ) -> None:
-        """Use these policies from now on."""
-        self._queues, self._teams = queues, teams
-        self.fairness.weights = {name: policy.weight for name, policy in teams.items()}
-        self.fairness.changed()
-        self._upkeep_at = 0.0
-
-    def set_fleet_usage(self, elsewhere: Mapping[str, float], local_fraction: float = 1.0) -> None:
-        """Count the teams' dominant shares of the fleet elsewhere.
-
-        `local_fraction` is this owner's part of the fleet's capacity.
-        """
-        self.fairness.elsewhere = elsewhere
-        self.fairness.local_fraction = local_fraction
-        self.fairness.changed()
-        self._upkeep_at = 0.0
-
-    def places_changed(self) -> None:
-        """Look again at the teams without a place, after places arrived from elsewhere."""
-        self.lines.unlimit(self._now)
-
     # Queueing.
 
     def enqueue(self, task: Task, now: float) -> Refusal | None:
@@ -255,7 +136,9 @@
         if self._check_holds:
             self._commit_complete(now, batch)
         extra = self._extra_room(now)
-        while len(batch) < limit:
+        for _ in range(MAX_TRIES):
+            if len(batch) >= limit:
+                break
             room = self.index.largest_open()
             lane = self.lines.best(larger(room, extra) if extra else room, now)
             entry = lane.head() if lane else None
@@ -272,25 +155,49 @@
         need = entry.need = self._need(task)
         excluded = self.health.excluded(task.task_id)
         worker = choose(self.index, task, need, excluded, self.spread)
-        held_for = ""
-        if worker is None and self.book.collecting and self._may_backfill(task):
-            worker = self.book.backfill(need, self.estimator.long_run_s(task), now)
-            held_for = self.book.collecting[worker.name].job_id if worker else ""
+        if worker is None and self.book.collecting and self._backfill(lane, now, batch):
+            return
         probed = worker is None and bool(self.health.quarantined) and task.idempotent
         if probed:
             worker = self._probe(need, excluded, now)
         if worker is None:
             self._no_room(lane, entry, need, now)
-        elif self.places.start(task.team, task.task_id, worker.name) is not None:
+        elif self._start(lane, entry, need, worker, now, batch) and probed:
+            self.health.probe(worker.name, task.task_id)
+
+    def _start(
+        self,
+        lane: Lane,
+        entry: Entry,
+        need: Amount,
+        worker: WorkerState,
+        now: float,
+        batch: list[Placement],
+    ) -> bool:
+        task = entry.task
+        if self.places.start(task.team, task.task_id, worker.name) is not None:
             self.lines.limit(lane.team)
-        else:
-            self.lines.remove(entry)
-            batch.append(self._bind(task, need, worker, now))
-            if held_for:
+            return False
+        self.lines.remove(entry)
+        batch.append(self._bind(task, need, worker, now))
+        self.lines.push(lane, now)
+        return True
+
+    def _backfill(self, lane: Lane, now: float, batch: list[Placement]) -> bool:
+        """Start one of the lane's first tasks where it ends before a held start."""
+        for _, _, entry in lane.heap[:BACKFILL_LOOK]:
+            task = entry.task
+            if entry.lane is not lane or entry.held or not self._may_backfill(task):
+                continue
+            need = self._need(task)
+            worker = self.book.backfill(need, self.estimator.long_run_s(task), now)
+            if worker is None or worker.name in self.health.excluded(task.task_id):
+                continue
+            held_for = self.book.collecting[worker.name].job_id
+            if self._start(lane, entry, need, worker, now, batch):
                 self.book.backfilled[task.task_id] = held_for
-            if probed:
-                self.health.probe(worker.name, task.task_id)
-            self.lines.push(lane, now)
+            return True
+        return False
 
     def _serve_gang(self, lane: Lane, entry: Entry, now: float, batch: list[Placement]) -> None:
         needs = [(task, self._need(task)) for task in entry.members]
@@ -327,22 +234,6 @@
         self._preemptions.extend(plan.preemptions)
         return True
 
-    def _bind(self, task: Task, need: Amount, worker: WorkerState, now: float) -> Placement:
-        placed = task.task_id in self.running
-        check(not placed, Invariant.SCHEDULER, "task %s is placed already", task.task_id)
-        self.index.take(worker, need, task.task_id)
-        self.fairness.take(task.team, need)
-        self.rates.started(task.team)
-        if task.kind is WorkKind.SERVICE:
-            self.spread.add(task.job_id, worker.spec.rack)
-        granted = task
-        if need != amount_of(task.resources):
-            granted = attrs.evolve(task, resources=resources_of(need))
-        placement = Placement(granted, worker.name, now)
-        run_s, long_run_s = self.estimator.run_s(task), self.estimator.long_run_s(task)
-        self.running[task.task_id] = Running(placement, task, need, worker, run_s, long_run_s)
-        return placement
-
     # Ends.
 
     def ended(
@@ -422,113 +313,6 @@
         running.need = kept
         self._check_holds = True
 
-    # Holds.
-
-    def hold(
-        self, job_id: str, tasks: list[Task], now: float, expires_at: float | None = None
-    ) -> Hold | Refusal:
-        """Hold capacity for tasks that must start together, or return the state of the hold."""
-        self._now = now
-        found = self.book.reservations.get(job_id)
-        if found is None:
-            refusal = self._never_fits(tasks)
-            if refusal is not None:
-                return refusal
-            needs = [(task, self._need(task)) for task in tasks]
-            found = self.book.plan(job_id, needs, now, expires_at or now + HOLD_S)
-            if found is None:
-                return _no_capacity("the workers cannot be free together before the hold ends")
-        if not found.ready and found.complete():
-            refusal = self._take_places(found)
-            if refusal is not None:
-                self._end_reservation(found)
-                return refusal
-            found.ready = True
-        return found.as_hold()
-
-    def commit(self, job_id: str, now: float) -> list[Placement] | Refusal:
-        """Start the tasks of a ready hold."""
-        found = self.book.reservations.get(job_id)
-        if found is None or found.entry is not None:
-            return Refusal(
-                ErrorKind.NOT_FOUND,
-                f"there is no hold for job {job_id}",
-                remedy="hold the capacity again",
-            )
-        if now >= found.expires_at:
-            self._end_reservation(found)
-            return _no_capacity(f"the hold for job {job_id} has ended")
-        if not found.ready or not found.complete():
-            return _no_capacity(f"the hold for job {job_id} is not complete")
-        return self._bind_all(found, now)
-
-    def release(self, job_id: str) -> bool:
-        """Drop a hold; tell whether there was one."""
-        found = self.book.reservations.get(job_id)
-        if found is None or found.entry is not None:
-            return False
-        self._end_reservation(found)
-        return True
-
-    def _take_places(self, reservation: Reservation) -> Refusal | None:
-        taken: list[str] = []
-        for member in reservation.members:
-            task = member.task
-            refusal = self.places.start(task.team, task.task_id, member.worker.name)
-            if refusal is not None:
-                for task_id in taken:
-                    self.places.ended(task_id)
-                return refusal
-            taken.append(task.task_id)
-        self._placed_holds.add(reservation.job_id)
-        return None
-
-    def _end_reservation(self, reservation: Reservation) -> None:
-        self.book.end(reservation)
-        if reservation.job_id in self._placed_holds:
-            self._placed_holds.remove(reservation.job_id)
-            for member in reservation.members:
-                self.places.ended(member.task.task_id)
-        entry = reservation.entry
-        if entry is not None and entry.lane is not None and entry.held:
-            self.lines.requeue(entry, self._now)
-        self.lines.unblock()
-
-    def _bind_all(self, reservation: Reservation, now: float) -> list[Placement]:
-        self.book.end(reservation)
-        self._placed_holds.discard(reservation.job_id)
-        return [self._bind(m.task, m.need, m.worker, now) for m in reservation.members]
-
-    def _commit_queued(self, found: Reservation, now: float, batch: list[Placement]) -> None:
-        entry = found.entry
-        assert entry is not None
-        if found.job_id not in self._placed_holds and self._take_places(found) is not None:
-            lane = entry.lane
-            self._end_reservation(found)
-            if lane is not None:
-                self._no_places(lane, entry, now)
-            return
-        self.lines.remove(entry)
-        batch.extend(self._bind_all(found, now))
-
-    def _no_places(self, lane: Lane, entry: Entry, now: float) -> None:
-        """Let the team's places collect for a gang that has waited long, for a limited time."""
-        if now >= entry.drain_from + 2 * HOLD_S or entry.drain_from == inf:
-            starved = entry.waited_s(now) >= self._queue(lane.queue).reserve_after_s
-            entry.drain_from = now if starved else inf
-        if entry.drain_from <= now < entry.drain_from + HOLD_S:
-            self.lines.limit(lane.team)
-        else:
-            self.lines.skip(lane)
-
-    def _commit_complete(self, now: float, batch: list[Placement]) -> None:
-        self._check_holds = False
-        for found in list(self.book.reservations.values()):
-            if now >= found.expires_at or not found.usable():
-                self._end_reservation(found)
-            elif found.entry is not None and found.complete():
-                self._commit_queued(found, now, batch)
-
     # Upkeep.
 
     def _upkeep(self, now: float) -> None:
@@ -550,34 +334,8 @@
             self.lines.unblock()
         self._reserve_for_starved(self.lines.refresh(now), now)
 
-    def _reserve_for_starved(self, heads: list[tuple[Lane, Entry]], now: float) -> None:
-        allowed = max(1, int(MAX_COLLECTING_FRACTION * len(self.index.workers)))
-        if len(self.book.collecting) >= allowed:
-            return
-        starved = [
-            (entry.task.submitted_at, entry.seq, entry)
-            for lane, entry in heads
-            if entry.waited_s(now) >= self._queue(lane.queue).reserve_after_s
-            and (lane.shape.blocked is not None or len(entry.members) > 1)
-            and not lane.team.limited
-        ]
-        for _, _, entry in sorted(starved):
-            needs = [(task, self._need(task)) for task in entry.members]
-            expires_at = min(now + 2 * HOLD_S, entry.task.deadline)
-            if self.book.plan(entry.task.task_id, needs, now, expires_at, entry) is not None:
-                entry.held = True
-                self._check_holds = True
-            if len(self.book.collecting) >= allowed:
-                return
-
     # Helpers.
 
-    def _rank(self, lane: Lane, entry: Entry, now: float) -> float:
-        if lane.urgent:
-            return URGENT_RANK
-        objective = OBJECTIVES[self._queue(lane.queue).objective]
-        return objective.rank(self.fairness.share(lane.team.name), entry.waited_s(now), lane.kind)
-
     def _extra_room(self, now: float) -> Amount | None:
         """Return a bound on what backfill and probes may use, or None when there are none."""
         if not self.book.collecting and not self.health.quarantined:
@@ -602,56 +360,8 @@
             PreemptionAction.CHECKPOINT,
         )
 
-    def _need(self, task: Task) -> Amount:
-        need, declared = self.estimator.need(task, self._largest), amount_of(task.resources)
-        peak = self._peaks.get(task.task_id)
-        if peak is not None:
-            memory = max(declared[1], round(peak[1] * RETRY_MARGIN))
-            memory = max(need[1], min(memory, self._largest[1]))
-            need = (max(need[0], declared[0]), memory, need[2], need[3])
-        return need if fits(need, declared) or self.index.could_ever_fit(need) else declared
-
-    def _never_fits(self, tasks: Iterable[Task]) -> Refusal | None:
-        for task in tasks:
-            if not self.index.could_ever_fit(amount_of(task.resources)):
-                return Refusal(
-                    ErrorKind.NEVER_FITS,
-                    f"no worker in the records has room for {task.resources}",
-                    remedy="ask for fewer processors, less memory or fewer accelerators",
-                )
-        return None
-
-    def _largest_worker(self) -> Amount:
-        capacities = [worker.capacity for worker in self.index.workers.values()]
-        return max(capacities, default=NOTHING)
-
-    def _ends(self, worker: WorkerState) -> list[tuple[float, Amount]]:
-        found = (self.running[task_id] for task_id in worker.tasks)
-        return [(running.projected_end(self._now), running.need) for running in found]
-
-    def _set_availability(self, worker: str, availability: Availability) -> None:
-        state = self.index.workers.get(worker)
-        if state is not None:
-            state.availability = availability
-            self.index.changed(state)
-
     def _drop(self, entry: Entry) -> None:
         held = self.book.reservations.get(entry.task.task_id) if entry.held else None
         self.lines.remove(entry)
         if held is not None and held.entry is entry:
             self._end_reservation(held)
-
-    def _queue(self, name: str) -> QueuePolicy:
-        return self._queues.get(name, _DEFAULT_QUEUE)
-
-    def _team(self, name: str) -> TeamPolicy:
-        return self._teams.get(name, _DEFAULT_TEAM)
-
-
-def _no_capacity(message: str) -> Refusal:
-    return Refusal(
-        ErrorKind.NO_CAPACITY,
-        message,
-        remedy="hold the capacity again later",
-        retry_after_s=1.0,
-    )
