Keep requests ahead within the objective share and reservations within shares

Change: a team's requests rank as if it used a quarter of its share; work above its team's share counts as starved only after ten times reserve_after_s, and reservations go by rank. Backfill is tried only while some held start is ahead; the end of a hold looks again only at sizes that fit the workers it held.

--- a/baobabhoist/scheduling/gangs.py
+++ b/baobabhoist/scheduling/gangs.py
@@ -124,6 +124,10 @@
             if self.collecting.get(member.worker.name) is reservation:
                 del self.collecting[member.worker.name]
 
+    def has_gap(self, now: float) -> bool:
+        """Tell whether some held start is far enough ahead for other work."""
+        return any(found.start_at > now + STOP_MARGIN_S for found in self.collecting.values())
+
     def backfill(self, need: Amount, long_run_s: float, now: float) -> WorkerState | None:
         """Return a collecting worker where a task would end before the held start."""
         for name, reservation in self.collecting.items():
--- a/baobabhoist/scheduling/holding.py
+++ b/baobabhoist/scheduling/holding.py
@@ -14,6 +14,9 @@
 HOLD_S = 60.0
 # Collecting capacity leaves some of it idle, so only this part of the workers may do it at once.
 MAX_COLLECTING_FRACTION = 0.125
+# Work of a team above its share waits for its turn; it counts as starved only after this many
+# times the bound, because a reservation before that would take capacity from teams below theirs.
+OVER_SHARE_FACTOR = 10.0
 
 
 class Holding(SchedulerState):
@@ -87,7 +90,8 @@
         entry = reservation.entry
         if entry is not None and entry.lane is not None and entry.held:
             self.lines.requeue(entry, self._now)
-        self.lines.unblock()
+        for member in reservation.members:
+            self.lines.grew(member.worker.room)
 
     def _bind_all(self, reservation: Reservation, now: float) -> list[Placement]:
         self.book.end(reservation)
@@ -128,13 +132,15 @@
         allowed = max(1, int(MAX_COLLECTING_FRACTION * len(self.index.workers)))
         if len(self.book.collecting) >= allowed:
             return
-        starved = [
-            (entry.task.submitted_at, entry.seq, entry)
-            for lane, entry in heads
-            if entry.waited_s(now) >= self._queue(lane.queue).reserve_after_s
-            and (lane.shape.blocked is not None or len(entry.members) > 1)
-            and not lane.team.limited
-        ]
+        starved = []
+        for lane, entry in heads:
+            bound, waited = self._queue(lane.queue).reserve_after_s, entry.waited_s(now)
+            stuck = lane.shape.blocked is not None or len(entry.members) > 1
+            if waited < bound or not stuck or lane.team.limited:
+                continue
+            rank = self._rank(lane, entry, now)
+            if rank <= 1.0 or waited >= OVER_SHARE_FACTOR * bound:
+                starved.append((rank, entry.seq, entry))
         for _, _, entry in sorted(starved):
             needs = [(task, self._need(task)) for task in entry.members]
             expires_at = min(now + 2 * HOLD_S, entry.task.deadline)
--- a/baobabhoist/scheduling/policy.py
+++ b/baobabhoist/scheduling/policy.py
@@ -19,6 +19,10 @@
     WorkKind.SERVICE: 10.0,
 }
 
+# Requests are a few percent of the load and somebody waits for each of them, so a team's
+# requests are ordered as if it used only this part of its share.
+REQUEST_SHARE = 0.25
+
 
 class PreemptionAction(enum.StrEnum):
     """Name what a worker is asked to do with a task that must make room."""
@@ -41,8 +45,8 @@
     """Place the work of the team that is furthest below its share."""
 
     def rank(self, share: float, waited_s: float, kind: WorkKind) -> float:
-        """Return the team's share."""
-        return share
+        """Return the team's share, reduced for requests."""
+        return share * REQUEST_SHARE if kind is WorkKind.REQUEST else share
 
 
 @attrs.frozen
--- a/baobabhoist/scheduling/scheduler.py
+++ b/baobabhoist/scheduling/scheduler.py
@@ -185,11 +185,13 @@
 
     def _backfill(self, lane: Lane, now: float, batch: list[Placement]) -> bool:
         """Start one of the lane's first tasks where it ends before a held start."""
+        if not self.book.has_gap(now):
+            return False
         for _, _, entry in lane.heap[:BACKFILL_LOOK]:
             task = entry.task
             if entry.lane is not lane or entry.held or not self._may_backfill(task):
                 continue
-            need = self._need(task)
+            need = entry.need
             worker = self.book.backfill(need, self.estimator.long_run_s(task), now)
             if worker is None or worker.name in self.health.excluded(task.task_id):
                 continue
