--- a/baobabhoist/benchmarks/decisions.py
+++ b/baobabhoist/benchmarks/decisions.py
@@ -60,7 +60,12 @@
 
 
 def run(
-    profile_name: str, seed: int, workers: int, duration_s: float, failing_workers: bool = True
+    profile_name: str,
+    seed: int,
+    workers: int,
+    duration_s: float,
+    failing_workers: bool = True,
+    baselines: bool = True,
 ) -> dict[str, Any]:
     """Return the figures of each policy on the same stream; 0 keeps the profile's value."""
     profile = attrs.evolve(PROFILES[profile_name], failing_workers=failing_workers)
@@ -71,7 +76,8 @@
         profile = attrs.evolve(profile, duration_s=duration_s)
     stream = make_stream(profile, seed)
     report: dict[str, Any] = {"profile": profile_name, "seed": seed, "workers": profile.workers}
-    report["policies"] = {name: _measure(stream, make) for name, make in POLICIES.items()}
+    chosen = POLICIES if baselines else {"baobabhoist": _ours}
+    report["policies"] = {name: _measure(stream, make) for name, make in chosen.items()}
     report["bytes"] = _memory(stream.workers, stream.arrivals[0].works[0].task)
     return report
 
--- a/baobabhoist/benchmarks/main.py
+++ b/baobabhoist/benchmarks/main.py
@@ -19,6 +19,7 @@
 flags.DEFINE_integer("workers", 0, "Number of workers in place of the profile's.", lower_bound=0)
 flags.DEFINE_float("duration_s", 0.0, "Length of the stream in place of the profile's.")
 flags.DEFINE_bool("failing_workers", True, "Whether some workers fail everything for a time.")
+flags.DEFINE_bool("baselines", True, "Whether to replay the stream for the baselines too.")
 flags.DEFINE_float("measure_s", 5.0, "Length of each part of a measurement on real processes.")
 flags.DEFINE_list("fleets", ["24", "100", "400"], "Numbers of workers to measure control at.")
 flags.DEFINE_float("control_rate", 200.0, "Requests a second while control is under load.")
@@ -40,7 +41,12 @@
 
 def _decisions() -> dict[str, Any]:
     return decisions.run(
-        FLAGS.profile, FLAGS.seed, FLAGS.workers, FLAGS.duration_s, FLAGS.failing_workers
+        FLAGS.profile,
+        FLAGS.seed,
+        FLAGS.workers,
+        FLAGS.duration_s,
+        FLAGS.failing_workers,
+        FLAGS.baselines,
     )
 
 
