--- a/baobabhoist/daemon/app.py
+++ b/baobabhoist/daemon/app.py
@@ -56,6 +56,8 @@
 
 TLS_CHECK_INTERVAL_S = 2.0
 USAGE_INTERVAL_S = 0.5
+# Members of this kind that name a port are instances, also when no settings list them.
+ENTRY_KIND = "entry"
 RECORD_MESSAGES = (RecordPull, RecordEntries, RecordSnapshot)
 
 
@@ -120,6 +122,8 @@
         self.jobs = Jobs(self)
         self.escrow = Escrow(self)
         self.open_requests = OpenRequests()
+        # As of the last heartbeat: forwarding asks often, and older figures serve it as well.
+        self._own_digests: list[ShardDigest] = []
         self.drain = Drain(
             self.open_requests,
             self.owners,
@@ -192,13 +196,14 @@
     def heartbeat(self) -> Heartbeat:
         """Describe this instance to its peers."""
         busy = self.busy_owners()
+        self._own_digests = [digest_of(owner) for owner in busy]
         return Heartbeat(
             self.cfg.instance_id,
             self.cfg.data_centre,
             tuple(owner.shard for owner in busy),
             self.view.revision,
             draining=self.drain.started.is_set(),
-            shards=tuple(digest_of(owner) for owner in busy),
+            shards=tuple(self._own_digests),
             heard=self.mesh.heard(),
             weight=self.cfg.vm_weight,
             cut_off_s=self.sync.cut_off_s(),
@@ -262,8 +267,14 @@
             await owner.fencing.members_read(gone)
         for name in members.gone_longer_than(self.cfg.membership_lag_s):
             self.mesh.forget(name)
+        listed = [
+            PeerAddress(member.name, member.data_centre, member.host, member.port)
+            for member in members.members.values()
+            if member.kind == ENTRY_KIND and member.port and member.state != "gone"
+        ]
         back = [self._addresses[name] for name in self._addresses if name not in gone]
-        self.mesh.consider(back)
+        own = self.cfg.instance_id
+        self.mesh.consider(peer for peer in (*back, *listed) if peer.instance_id != own)
 
     def _is_poller(self) -> bool:
         """Tell whether this instance polls the change log for its data centre."""
@@ -333,8 +344,7 @@
         return owner
 
     def _forward(self, req: Request) -> Any:
-        own = [digest_of(owner) for owner in self.busy_owners()]
-        return self.router.forward(req, own)
+        return self.router.forward(req, self._own_digests)
 
     def busy_owners(self) -> list[ShardOwner]:
         """Return the shards that this instance works for."""
--- a/baobabhoist/daemon/forwarding.py
+++ b/baobabhoist/daemon/forwarding.py
@@ -87,16 +87,21 @@
     def tick(self, now: float) -> None:
         """Forward a bounded number of the requests that wait."""
         home, sent = self._home, 0
+        # Where one request of a team finds no room, the others of this tick find none either.
+        without_room: set[str] = set()
         if not home.usable:
             return
         for entry in list(home.open.values()):
             if sent >= FORWARDS_PER_TICK:
                 return
+            team = entry.req.task.team
             due = now >= entry.forward_at and not entry.forwarded
-            if not due or not is_queued(home.keys, entry):
+            if not due or team in without_room or not is_queued(home.keys, entry):
                 continue
             running = self._forward(entry.req)
-            if running is not None:
+            if running is None:
+                without_room.add(team)
+            else:
                 home.queue.cancel(entry.req.request_id)
                 entry.forwarding = True
                 sent += 1
--- a/baobabhoist/peer/mesh.py
+++ b/baobabhoist/peer/mesh.py
@@ -24,7 +24,9 @@
 
 HEARTBEAT_INTERVAL_S = 0.3
 PEER_LIVE_S = 2.0
-RECONNECT_DELAY_S = 0.3
+RECONNECT_DELAY_S = 0.2
+# A peer that returns is connected again within half of the time after which it counts as dead.
+RECONNECT_DELAY_MAX_S = 1.0
 CONNECT_TIMEOUT_S = 1.0
 # Shorter than PEER_LIVE_S, so that a silent connection is replaced before the instance
 # behind it counts as dead.
@@ -187,13 +189,16 @@
                 self._keepers[name] = asyncio.create_task(self._keep_link(peer))
 
     async def _keep_link(self, peer: PeerState) -> None:
+        delay_s = RECONNECT_DELAY_S
         while True:
             try:
                 async with asyncio.timeout(CONNECT_TIMEOUT_S):
                     conn = await self._connect(peer.address)
             except (OSError, TimeoutError, InvalidHandshake, ConnectionClosed):
-                await asyncio.sleep(RECONNECT_DELAY_S)
+                await asyncio.sleep(delay_s * random.uniform(0.5, 1.0))
+                delay_s = min(2 * delay_s, RECONNECT_DELAY_MAX_S)
                 continue
+            delay_s = RECONNECT_DELAY_S
             link = Link(conn, CODEC, self._receive)
             peer.link = link
             try:
--- /dev/null
+++ b/baobabhoist/tests/test_daemon_takeover.py
@@ -0,0 +1,109 @@
+"""Test a takeover and a graceful stop over real sockets, each part in its own process."""
+
+import json
+import threading
+import time
+
+import pytest
+import yaml
+
+from baobabhoist.records.view import digest
+from baobabhoist.testing.cluster import OPERATOR_KEY, Cluster, fetch, wait_for_port
+
+TEAM_KEY = "team-key-of-the-takeover"
+PATIENCE_S = 30.0
+
+
+def records(ports):
+    worker = {"host": "127.0.0.1", "cpu_milli": 16000, "memory_mb": 65536, "slots": 8}
+    workers = [{"name": name, "port": port, **worker} for name, port in ports.items()]
+    bodies = {
+        ("shard", "rack-1"): {"data_centre": "north", "workers": workers},
+        ("team", "roster"): {"limit": 8},
+        ("key", "roster"): {"team": "roster", "digest": digest(TEAM_KEY)},
+        ("queue", "entries"): {},
+    }
+    return [
+        {"kind": kind, "name": name, "schema_version": 1, "body": body}
+        for (kind, name), body in bodies.items()
+    ]
+
+
+def owner_of(cluster, among):
+    give_up_at = time.monotonic() + PATIENCE_S
+    while time.monotonic() < give_up_at:
+        for name in among:
+            port = cluster.instances[name]["admin_port"]
+            url = f"http://127.0.0.1:{port}/v1/status"
+            _, body = fetch(url, {"X-Operator-Key": OPERATOR_KEY})
+            if "rack-1" in json.loads(body)["owned_shards"]:
+                return name
+        time.sleep(0.1)
+    raise AssertionError("no instance owns the shard")
+
+
+def wait_until_ready(cluster, name):
+    give_up_at = time.monotonic() + PATIENCE_S
+    wait_for_port(cluster.instances[name]["caller_port"])
+    url = f"http://127.0.0.1:{cluster.instances[name]['caller_port']}/readyz"
+    while fetch(url, {})[0] != 200:
+        assert time.monotonic() < give_up_at, "the instance is never ready"
+        time.sleep(0.1)
+
+
+def send(cluster, name, payload):
+    port = cluster.instances[name]["caller_port"]
+    url = f"http://127.0.0.1:{port}/v1/queues/entries/requests"
+    return fetch(url, {"X-Team-Key": TEAM_KEY}, payload)
+
+
+@pytest.fixture
+def cluster(tmp_path):
+    with Cluster(tmp_path) as found:
+        found.start_platform()
+        ports = found.start_workers("workers", ["w1", "w2"])
+        found.plan_instances({"north": ["entry-1", "entry-2"]})
+        for name in found.instances:
+            found.start_instance(name)
+        for cfg in found.instances.values():
+            wait_for_port(cfg["admin_port"])
+        path = tmp_path / "records.yaml"
+        path.write_text(yaml.safe_dump_all(records(ports)), encoding="utf-8")
+        found.command_line("put", "record", str(path), instance="entry-1")
+        yield found
+
+
+class InBackground(threading.Thread):
+    """Send a request while the test goes on."""
+
+    def __init__(self, *args):
+        super().__init__()
+        self.args, self.answer = args, None
+        self.start()
+
+    def run(self):
+        self.answer = send(*self.args)
+
+
+def test_no_request_is_lost_when_the_owner_stops_or_is_killed(cluster):
+    """Guard against a cut request at a planned stop, and a lost shard after a kill."""
+    owner = owner_of(cluster, cluster.instances)
+    (other,) = set(cluster.instances) - {owner}
+    assert send(cluster, other, b"first")[0] == 200
+    through = [InBackground(cluster, name, b'{"run_s": 2}') for name in (owner, other)]
+    time.sleep(0.5)
+    assert cluster.stop(owner, PATIENCE_S) == 0
+    for thread in through:
+        thread.join(PATIENCE_S)
+        assert thread.answer[0] == 200, thread.answer
+    assert owner_of(cluster, [other]) == other
+
+    cluster.start_instance(owner)
+    wait_until_ready(cluster, owner)
+    running = InBackground(cluster, owner, b'{"run_s": 4}')
+    time.sleep(0.5)
+    cluster.kill(other)
+    # The entry instance asks the new owner, which finds the task on its worker.
+    running.join(PATIENCE_S)
+    assert running.answer[0] == 200, running.answer
+    assert send(cluster, owner, b"last")[0] == 200
