--- a/baobabhoist/tests/test_daemon_shard.py
+++ b/baobabhoist/tests/test_daemon_shard.py
@@ -341,3 +341,50 @@
     new, _ = await rack.owned("b", inherited=taken[0])
     again = request("once", LONG, first_attempt=False, first_sent_at=first_sent_at)
     assert (await new.submit(again)).outcome is Outcome.UNKNOWN
+
+
+@scenario()
+async def test_forwarded_work_that_was_not_run_waits_at_home_again(rack):
+    """Guard against a refusal by another shard that ends a request which could still run."""
+    rack.limit = {"team": 1}
+    asked = []
+
+    def forward(req):
+        asked.append(req.request_id)
+
+        async def refuse():
+            return Refusal(ErrorKind.NO_CAPACITY, "full by now")
+
+        return refuse()
+
+    owner, _ = await rack.owned("a", forward=forward)
+    rack.begin(owner.submit(request("first", SHORT)))
+    await until(lambda: owner.running_on("first"))
+    assert isinstance(await owner.submit(request("second")), Answer)
+    assert asked == ["second"]
+
+
+@scenario()
+async def test_forwarded_work_is_not_called_not_run_when_its_home_is_lost(rack):
+    """Guard against `not_run` for a request that another shard still runs."""
+    rack.limit = {"team": 1}
+    answered = asyncio.Event()
+
+    def forward(req):
+        async def answer():
+            await answered.wait()
+            return Answer(req.request_id, 200, b"from elsewhere")
+
+        return answer()
+
+    owner, _ = await rack.owned("a", forward=forward)
+    rack.begin(owner.submit(request("first", LONG)))
+    await until(lambda: owner.running_on("first"))
+    second = rack.begin(owner.submit(request("second")))
+    await until(owner.forwarder.out)
+    await higher_token(rack)
+    await until(lambda: owner.claim.state is ShardState.LOST)
+    await asyncio.sleep(0.02)
+    assert not second.done()
+    answered.set()
+    assert (await second).body == b"from elsewhere"
