Keep the relay's command synchronous

Change: command applies to connections whose process is known; identify finds it out, and the control port calls both.

--- a/baobabhoist/testing/network.py
+++ b/baobabhoist/testing/network.py
@@ -111,7 +111,7 @@
         """Listen and relay."""
         return await asyncio.start_server(self._serve, "127.0.0.1", self.port)
 
-    async def command(self, mode: str, delay_s: float, source: str | None) -> None:
+    def command(self, mode: str, delay_s: float, source: str | None) -> None:
         """Put a fault in force; connections that were silenced never recover."""
         fault = Fault(mode, delay_s)
         if source is None:
@@ -121,7 +121,6 @@
             self.by_source.pop(source, None)
         else:
             self.by_source[source] = fault
-            await asyncio.gather(*(self._identify(conn) for conn in list(self.open)))
         for conn in list(self.open):
             if source is not None and conn.source != source:
                 continue
@@ -200,6 +199,10 @@
                 except ConnectionError:
                     return
 
+    async def identify(self) -> None:
+        """Find out which process opened each connection."""
+        await asyncio.gather(*(self._identify(conn) for conn in list(self.open)))
+
     async def _identify(self, conn: Connection) -> None:
         if not conn.source:
             client_port = conn.client.get_extra_info("peername")[1]
@@ -222,7 +225,13 @@
             return
         matching = [relay for relay in self.relays if fnmatch.fnmatch(relay.name, body["name"])]
         delay_s, source = float(body.get("delay_s", 0.0)), body.get("source")
-        await asyncio.gather(*(relay.command(body["mode"], delay_s, source) for relay in matching))
+        for relay in matching:
+            relay.command(body["mode"], delay_s, source)
+        if source is not None:
+            # Connections that were open already are identified only now.
+            await asyncio.gather(*(relay.identify() for relay in matching))
+            for relay in matching:
+                relay.command(body["mode"], delay_s, source)
         self.finish({"relays": len(matching)})
 
 
