Test that the daemon exits with 2 on bad settings

Cause: the loader was tested, the start was not. Change: a test runs the daemon on a bad file. Ruled out: nothing.

--- a/baobabhoist/tests/test_config_load.py
+++ b/baobabhoist/tests/test_config_load.py
@@ -1,6 +1,8 @@
 """Test that the loader reports every fault of a settings file at once."""
 
 import math
+import subprocess
+import sys
 
 import attrs
 import pytest
@@ -132,3 +134,14 @@
     listed = [line.split("`")[1] for line in page.splitlines() if line.startswith("| `")]
     known = [f.name for cls in (Settings, PeerSettings, TlsSettings) for f in attrs.fields(cls)]
     assert listed == known
+
+
+def test_the_daemon_does_not_start_on_bad_settings(tmp_path):
+    """Guard against a start on settings that were reported as invalid, or another exit code."""
+    path = tmp_path / "settings.yaml"
+    path.write_text("caller_port: 0\n", encoding="utf-8")
+    command = [sys.executable, "-m", "baobabhoist.daemon.main", f"--config={path}"]
+    done = subprocess.run(command, capture_output=True, text=True, check=False, timeout=60)
+    assert done.returncode == 2
+    assert "caller_port: 0 is out of range" in done.stderr
+    assert "instance_id: is missing" in done.stderr
