Apply the default deadline of the settings to requests

Cause: the daemon did not pass default_deadline_s to the API for callers, so the fixed 30 s applied whatever the settings said. Change: pass it on. Ruled out: the other settings are all read.

--- a/baobabhoist/daemon/app.py
+++ b/baobabhoist/daemon/app.py
@@ -134,6 +134,7 @@
                     limits=HttpLimits(max_body_bytes=cfg.max_body_bytes),
                     open_requests=self.open_requests,
                     max_deadline_s=cfg.max_deadline_s,
+                    default_deadline_s=cfg.default_deadline_s,
                     clock_skew_s=cfg.clock_skew_s,
                     cut_off_s=self.sync.cut_off_s,
                     metrics=self.metrics,
