Report jobs from their coordinators and shards, on every instance

Cause: the list read the rows of the table, which the coordinator writes only when a task has a result, and then up to 2 s later. A job that had just ended was therefore listed as queued, and so was a service at work, which has no result at all. Status called a job running as soon as a task was sent, even if all of them waited in the queue of a shard. Forwarded tasks were counted as queued, because the shard that forwarded them does not run them, and their cancellation did not reach the shard that did. Change: the list finds the unfinished jobs by their `active/` rows and asks the owners of their home shards for all of them in one call each (JobsQuery); finished jobs are read from the table as before. One query per shard covers all jobs asked for. A job is running when a task runs or has ended. When an owner does not answer, the reason of the job says that its state is the last stored one. Ruled out: writing progress more often, which would spend the table's write budget and still lag.

--- a/baobabhoist/daemon/forwarding.py
+++ b/baobabhoist/daemon/forwarding.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Awaitable, Callable, Coroutine
+from collections.abc import Awaitable, Callable, Coroutine, Iterable
 from typing import Any, Protocol
 
 import attrs
@@ -18,19 +18,26 @@
 RETRY_AFTER_S = 0.5
 FORWARDS_PER_TICK = 32
 
-Forward = Callable[[Request], Awaitable[Result] | None]
-"""Send a request to another shard, or return None when none has room for it."""
+Forward = Callable[[Request], tuple[str, Awaitable[Result]] | None]
+"""Send a request to another shard and return that shard with the pending result.
+
+None means that no other shard has room.
+"""
 
 
 @attrs.define(eq=False)
 class Open:
-    """Hold a request that has no result yet; `forward_at` is in Unix seconds."""
+    """Hold a request that has no result yet; `forward_at` is in Unix seconds.
+
+    `target` is the shard that has the request while `forwarding` is set.
+    """
 
     req: Request
     fut: asyncio.Future[Result]
     forward_at: float
     forwarded: bool = False
     forwarding: bool = False
+    target: str = ""
 
 
 def is_queued(keys: KeyLedger, entry: Open) -> bool:
@@ -95,8 +102,9 @@
             due = now >= entry.forward_at and not entry.forwarded
             if not due or not is_queued(home.keys, entry):
                 continue
-            running = self._forward(entry.req)
-            if running is not None:
+            sent_to = self._forward(entry.req)
+            if sent_to is not None:
+                entry.target, running = sent_to
                 home.queue.cancel(entry.req.request_id)
                 entry.forwarding = True
                 sent += 1
@@ -106,6 +114,11 @@
         """Return the requests that other shards have now."""
         return {name for name, entry in self._home.open.items() if entry.forwarding}
 
+    def targets(self, task_ids: Iterable[str]) -> dict[str, str]:
+        """Return the shards that have those of these requests that were forwarded."""
+        entries = ((name, self._home.open.get(name)) for name in task_ids)
+        return {name: entry.target for name, entry in entries if entry and entry.forwarding}
+
     def freeze(self) -> None:
         """Count what other shards have as dispatched, before the queue is given up."""
         for entry in self._home.open.values():
--- a/baobabhoist/daemon/jobs.py
+++ b/baobabhoist/daemon/jobs.py
@@ -5,8 +5,11 @@
 import asyncio
 import logging
 import time
+from collections.abc import Sequence
 from typing import Any, Protocol
 
+import attrs
+
 from baobabhoist.errors import ErrorKind, LinkClosedError, PlatformError, Refusal
 from baobabhoist.jobs.coordinator import JobCoordinator
 from baobabhoist.jobs.messages import (
@@ -17,13 +20,23 @@
     HoldRequest,
     JobCall,
     JobReply,
+    JobsQuery,
+    JobsReport,
     JobVerb,
     TasksCancelled,
     TasksCancelWanted,
     TasksQuery,
     TasksReport,
 )
-from baobabhoist.jobs.rows import active_key, job_key, job_row, team_key
+from baobabhoist.jobs.rows import (
+    ACTIVE_PREFIX,
+    active_key,
+    home_of,
+    job_id_of,
+    job_key,
+    job_row,
+    team_key,
+)
 from baobabhoist.jobs.state import JobRun
 from baobabhoist.model import (
     Answer,
@@ -35,11 +48,13 @@
     Task,
 )
 from baobabhoist.ownership.rendezvous import home_shard
-from baobabhoist.platform.table import Table, Transaction
+from baobabhoist.platform.table import Row, Table, Transaction
 
 log = logging.getLogger(__name__)
 
 CALL_TIMEOUT_S = 2.0
+# The owner of a home shard asks other owners in turn before it answers for many jobs.
+LIST_TIMEOUT_S = 2 * CALL_TIMEOUT_S
 OWNED_INTERVAL_S = 0.25
 LIST_PAGE = 500
 LIST_MAX = 2000
@@ -51,8 +66,11 @@
     def report_tasks(self, task_ids: tuple[str, ...], now: float) -> TasksReport:
         """Return which tasks run and why the others wait."""
 
-    async def cancel_tasks(self, task_ids: tuple[str, ...]) -> None:
-        """Cancel queued tasks, stop running ones, and refuse the ids from now on."""
+    async def cancel_tasks(self, task_ids: tuple[str, ...]) -> dict[str, str]:
+        """Cancel queued tasks, stop running ones, and refuse the ids from now on.
+
+        Returns the shards that have the forwarded ones.
+        """
 
     def hold(self, job_id: str, tasks: tuple[Task, ...], deadline: float, now: float) -> HoldReply:
         """Hold capacity and places for as many of the tasks as possible."""
@@ -101,6 +119,13 @@
     )
 
 
+def _by_shard(elsewhere: dict[str, str]) -> dict[str, tuple[str, ...]]:
+    names: dict[str, list[str]] = {}
+    for task_id, shard in elsewhere.items():
+        names.setdefault(shard, []).append(task_id)
+    return {shard: tuple(found) for shard, found in names.items()}
+
+
 class ShardDirectory:
     """Reach shards on this instance directly and others over the peer links."""
 
@@ -112,14 +137,31 @@
         return await self._node.route(req)
 
     async def query(self, shard: str, task_ids: tuple[str, ...]) -> TasksReport | Refusal:
-        """Return which tasks run and why the others wait."""
+        """Return which tasks run and why the others wait, also of those forwarded from here."""
         reply = await self.call(shard, TasksQuery(shard, task_ids))
-        return reply if isinstance(reply, TasksReport) else _unreachable(shard)
+        if not isinstance(reply, TasksReport):
+            return _unreachable(shard)
+        if not reply.elsewhere:
+            return reply
+        running, waiting = [*reply.running], dict(reply.waiting)
+        for target, names in _by_shard(reply.elsewhere).items():
+            found = await self.call(target, TasksQuery(target, names))
+            if not isinstance(found, TasksReport):
+                return _unreachable(target)
+            running.extend(found.running)
+            waiting.update(found.waiting)
+        return TasksReport(tuple(running), waiting)
 
     async def cancel(self, shard: str, task_ids: tuple[str, ...]) -> Refusal | None:
         """Cancel tasks; a refusal means that the shard could not be asked."""
         reply = await self.call(shard, TasksCancelWanted(shard, task_ids))
-        return None if isinstance(reply, TasksCancelled) else _unreachable(shard)
+        if not isinstance(reply, TasksCancelled):
+            return _unreachable(shard)
+        for target, names in _by_shard(reply.elsewhere).items():
+            found = await self.call(target, TasksCancelWanted(target, names))
+            if not isinstance(found, TasksCancelled):
+                return _unreachable(target)
+        return None
 
     async def hold(
         self, shard: str, job_id: str, tasks: tuple[Task, ...], deadline: float
@@ -155,8 +197,7 @@
         case TasksQuery(_, task_ids):
             return shard.report_tasks(task_ids, now)
         case TasksCancelWanted(_, task_ids):
-            await shard.cancel_tasks(task_ids)
-            return TasksCancelled()
+            return TasksCancelled(await shard.cancel_tasks(task_ids))
         case HoldRequest(_, job_id, tasks, deadline):
             return shard.hold(job_id, tasks, deadline, now)
         case HoldCommit(_, job_id):
@@ -191,7 +232,7 @@
                 remedy="ask the operators to create a shard record",
             )
         run = JobRun(spec, home_shard(spec.job_id, shards), shards, time.time())
-        entry = {"job_id": spec.job_id}
+        entry = {"job_id": spec.job_id, "queue": spec.queue}
         txn = Transaction(
             checks={job_key(spec.job_id): 0},
             writes={
@@ -229,28 +270,81 @@
         return reply.explanation or reply.refusal or _not_found(job_id)
 
     async def list(self, team: str | None) -> Refusal | tuple[JobStatus, ...]:
-        """Return the state of each job of a team, or of all teams."""
+        """Return the state of each job of a team, or of all teams.
+
+        The table lags behind the coordinators, which therefore report on unfinished jobs.
+        """
         prefix = "team_job/" if team is None else f"team_job/{team}/"
-        found: list[JobStatus] = []
-        after = ""
         try:
-            while len(found) < LIST_MAX:
-                rows = await self._node.table.scan(prefix, after=after, limit=LIST_PAGE)
-                for row in rows:
-                    run = await self._load(str(row.value["job_id"]))
+            rows = await self._scan(prefix, LIST_MAX)
+            # A job that ends between the two scans is read from the table, with its last state.
+            homes = {job_id_of(row): home_of(row) for row in await self._scan(ACTIVE_PREFIX)}
+            wanted = [job_id_of(row) for row in rows]
+            found = await self._ask_homes([name for name in wanted if name in homes], homes)
+            for job_id in wanted:
+                if job_id not in found:
+                    run = await self._load(job_id)
                     if run is not None:
-                        found.append(run.status())
-                if len(rows) < LIST_PAGE:
-                    break
-                after = rows[-1].key
+                        found[job_id] = self._stored_status(run)
         except PlatformError as exc:
             return _platform_down(exc)
-        return tuple(found)
+        return tuple(found[job_id] for job_id in wanted if job_id in found)
+
+    async def _scan(self, prefix: str, most: int | None = None) -> Sequence[Row]:
+        rows: list[Row] = []
+        while most is None or len(rows) < most:
+            after = rows[-1].key if rows else ""
+            page = await self._node.table.scan(prefix, after=after, limit=LIST_PAGE)
+            rows.extend(page)
+            if len(page) < LIST_PAGE:
+                break
+        return rows[:most]
+
+    async def _ask_homes(
+        self, job_ids: Sequence[str], homes: dict[str, str]
+    ) -> dict[str, JobStatus]:
+        """Return what the coordinators of jobs report; unreachable ones are left out."""
+        queries = [
+            JobsQuery(home, names[start : start + LIST_PAGE])
+            for home, names in _by_shard({name: homes[name] for name in job_ids}).items()
+            for start in range(0, len(names), LIST_PAGE)
+        ]
+        reports = await asyncio.gather(*[self._ask_home(query) for query in queries])
+        return {status.job_id: status for report in reports for status in report.statuses}
+
+    async def _ask_home(self, query: JobsQuery) -> JobsReport:
+        if self._node.local_shard(query.home) is not None:
+            return await self._report(query)
+        try:
+            reply = await self._node.call_owner(query.home, query, LIST_TIMEOUT_S)
+        except (LinkClosedError, TimeoutError):
+            return JobsReport(())
+        return reply if isinstance(reply, JobsReport) else JobsReport(())
+
+    async def _report(self, query: JobsQuery) -> JobsReport:
+        """Report on jobs that are coordinated here; others may be finished or not yet known."""
+        if self._node.local_shard(query.home) is None:
+            return JobsReport(())
+        found = []
+        for job_id in query.job_ids:
+            known = await self._known(job_id)
+            if isinstance(known, JobRun):
+                found.append(known)
+        return JobsReport(await self._coordinator.statuses(found))
+
+    def _stored_status(self, run: JobRun) -> JobStatus:
+        status = run.status()
+        if run.finished:
+            return status
+        reason = f"the owner of shard {run.home} did not answer; this is the last stored state"
+        return attrs.evolve(status, reason=reason)
 
     async def handle(self, message: Any) -> Any | None:
         """Answer a peer's message about jobs or about the tasks of an owned shard."""
         if isinstance(message, JobCall):
             return await self._answer(message)
+        if isinstance(message, JobsQuery):
+            return await self._report(message)
         shard = self._node.local_shard(message.shard)
         if shard is None:
             return JobReply(refusal=_unreachable(message.shard))
@@ -279,20 +373,27 @@
         return reply if isinstance(reply, JobReply) else JobReply()
 
     async def _answer(self, call: JobCall) -> JobReply:
-        run = self._coordinator.runs.get(call.job_id)
+        run = await self._known(call.job_id, new=call.verb is JobVerb.ADOPT)
+        if isinstance(run, Refusal):
+            return JobReply(refusal=run)
+        return await self._perform(run, call.verb)
+
+    async def _known(self, job_id: str, new: bool = False) -> JobRun | Refusal:
+        """Return a job of an owned home shard; one that is not coordinated yet is taken over."""
+        run = self._coordinator.runs.get(job_id)
         if run is None:
             try:
-                run = await self._coordinator.load(call.job_id)
+                run = await self._coordinator.load(job_id)
             except PlatformError as exc:
-                return JobReply(refusal=_platform_down(exc))
+                return _platform_down(exc)
             if run is None:
-                return JobReply(refusal=_not_found(call.job_id))
+                return _not_found(job_id)
             if not run.finished:
-                if call.verb is not JobVerb.ADOPT or run.revision:
+                if not new or run.revision:
                     run.resume()
                 self._coordinator.adopt(run)
-                run = self._coordinator.runs.get(call.job_id, run)
-        return await self._perform(run, call.verb)
+                run = self._coordinator.runs.get(job_id, run)
+        return run
 
     async def _perform(self, run: JobRun, verb: JobVerb) -> JobReply:
         if verb is JobVerb.EXPLAIN:
--- a/baobabhoist/daemon/routing.py
+++ b/baobabhoist/daemon/routing.py
@@ -105,8 +105,10 @@
             return RelayRefusal(req.request_id, result)
         return RelayAnswer(result)
 
-    def forward(self, req: Request, own: list[ShardDigest]) -> Awaitable[Result] | None:
-        """Send a request to another shard with room for it, or return None.
+    def forward(
+        self, req: Request, own: list[ShardDigest]
+    ) -> tuple[str, Awaitable[Result]] | None:
+        """Send a request to another shard with room for it and return both, or None.
 
         Its home shard keeps the key, so no other owner of that shard has seen the id.
         """
@@ -124,7 +126,7 @@
         # A draw in proportion to the room keeps many owners from choosing the same shard.
         (target, _), *_ = self._rng.choices(chosen, [room for _, room in chosen])
         forwarded = attrs.evolve(req, shard=target.shard, first_attempt=True)
-        return self._ask_until(forwarded, True, FORWARD_PATIENCE_S)
+        return target.shard, self._ask_until(forwarded, True, FORWARD_PATIENCE_S)
 
     async def _ask_until(self, req: Request, forwarded: bool, patience_s: float) -> Result:
         deadline = req.task.deadline
--- a/baobabhoist/daemon/shard_jobs.py
+++ b/baobabhoist/daemon/shard_jobs.py
@@ -24,16 +24,20 @@
     def report_tasks(self, task_ids: tuple[str, ...], now: float) -> TasksReport:
         """Return which tasks run and why the others wait."""
         owner = self._owner
+        elsewhere = owner.forwarder.targets(task_ids)
         running = tuple(name for name in task_ids if owner.running_on(name) is not None)
         waiting = {
             name: owner.scheduler.explain(name, now).message
             for name in task_ids
-            if owner.running_on(name) is None and name in owner.open
+            if owner.running_on(name) is None and name in owner.open and name not in elsewhere
         }
-        return TasksReport(running, waiting)
+        return TasksReport(running, waiting, elsewhere)
 
-    async def cancel_tasks(self, task_ids: tuple[str, ...]) -> None:
-        """Cancel queued tasks, stop running ones, and refuse the ids from now on."""
+    async def cancel_tasks(self, task_ids: tuple[str, ...]) -> dict[str, str]:
+        """Cancel queued tasks, stop running ones, and refuse the ids from now on.
+
+        Returns the shards that have the forwarded ones.
+        """
         owner, until = self._owner, time.time() + BARRED_S
         refusal = Refusal(ErrorKind.CANCELLED, "the task was cancelled")
         for task_id in task_ids:
@@ -44,6 +48,7 @@
             if worker is not None:
                 stop = StopTask(owner.claim.token, task_id)
                 owner.spawn(self._stop(worker, stop))
+        return owner.forwarder.targets(task_ids)
 
     async def _stop(self, worker: str, stop: StopTask) -> None:
         await self._owner.tell_worker(worker, stop)
--- a/baobabhoist/jobs/coordinator.py
+++ b/baobabhoist/jobs/coordinator.py
@@ -5,7 +5,7 @@
 import asyncio
 import logging
 import time
-from collections.abc import Awaitable, Iterable
+from collections.abc import Iterable, Sequence
 from typing import Any, Protocol
 
 from baobabhoist.errors import PlatformError, Refusal
@@ -129,12 +129,18 @@
 
     async def status(self, run: JobRun) -> JobStatus:
         """Describe a job with the tasks that run now."""
-        report = await self._report(run)
-        return run.status(frozenset(report.running))
+        (status,) = await self.statuses([run])
+        return status
+
+    async def statuses(self, runs: Sequence[JobRun]) -> tuple[JobStatus, ...]:
+        """Describe several jobs with the tasks that run now; each shard is asked once."""
+        report, silent = await self._report(runs)
+        running = frozenset(report.running)
+        return tuple(run.status(running, silent) for run in runs)
 
     async def explain(self, run: JobRun) -> JobExplanation:
         """Explain what the tasks of a job wait for."""
-        report = await self._report(run)
+        report, silent = await self._report([run])
         waiting: dict[str, int] = {}
         for index, task in enumerate(run.tasks):
             task_id = run.task_id(index)
@@ -142,8 +148,8 @@
                 continue
             reason = report.waiting.get(task_id) or task.reason or "not sent yet"
             waiting[reason] = waiting.get(reason, 0) + 1
-        status = run.status(frozenset(report.running))
-        return JobExplanation(run.spec.job_id, run.state, status.reason, waiting)
+        status = run.status(frozenset(report.running), silent)
+        return JobExplanation(run.spec.job_id, status.state, status.reason, waiting)
 
     async def cancel(self, run: JobRun) -> JobStatus:
         """Cancel a job and return its state after that."""
@@ -286,18 +292,23 @@
         finally:
             self._cancelling.discard(job_id)
 
-    async def _report(self, run: JobRun) -> TasksReport:
-        calls: list[Awaitable[TasksReport | Refusal]] = []
-        for shard, indexes in run.by_shard(run.sent_tasks()).items():
-            ids = tuple(run.task_id(index) for index in indexes)
-            calls.append(self._shards.query(shard, ids))
+    async def _report(self, runs: Sequence[JobRun]) -> tuple[TasksReport, frozenset[str]]:
+        """Return what the shards report of the jobs' tasks, and the shards without a report."""
+        asked: dict[str, list[str]] = {}
+        for run in runs:
+            for shard, indexes in run.by_shard(run.attempted_tasks()).items():
+                asked.setdefault(shard, []).extend(run.task_id(index) for index in indexes)
+        calls = [self._shards.query(shard, tuple(ids)) for shard, ids in asked.items()]
         running: list[str] = []
         waiting: dict[str, str] = {}
-        for report in await asyncio.gather(*calls):
+        silent = set()
+        for shard, report in zip(asked, await asyncio.gather(*calls), strict=True):
             if isinstance(report, TasksReport):
                 running.extend(report.running)
                 waiting.update(report.waiting)
-        return TasksReport(tuple(running), waiting)
+            else:
+                silent.add(shard)
+        return TasksReport(tuple(running), waiting), frozenset(silent)
 
     async def _scan(self, home: str) -> None:
         prefix = f"{ACTIVE_PREFIX}{home}/"
--- a/baobabhoist/jobs/messages.py
+++ b/baobabhoist/jobs/messages.py
@@ -47,10 +47,14 @@
 
 @attrs.frozen
 class TasksReport:
-    """Report the tasks that run on workers, and why each other one waits."""
+    """Report the tasks that run on workers, and why each other one waits.
+
+    `elsewhere` names the shard that each forwarded task was sent to.
+    """
 
     running: tuple[str, ...]
     waiting: dict[str, str]
+    elsewhere: dict[str, str] = attrs.Factory(dict)
 
 
 @attrs.frozen
@@ -63,7 +67,13 @@
 
 @attrs.frozen
 class TasksCancelled:
-    """Confirm that no cancelled task starts any more."""
+    """Confirm that no cancelled task starts here any more.
+
+    `elsewhere` names the shard that each forwarded task was sent to, where it has to be
+    cancelled as well.
+    """
+
+    elsewhere: dict[str, str] = attrs.Factory(dict)
 
 
 @attrs.frozen
@@ -113,6 +123,21 @@
     done: bool
 
 
+@attrs.frozen
+class JobsQuery:
+    """Ask the owner of a home shard for the states of several of its jobs."""
+
+    home: str
+    job_ids: tuple[str, ...]
+
+
+@attrs.frozen
+class JobsReport:
+    """Report the states of jobs; those without a readable state are left out."""
+
+    statuses: tuple[JobStatus, ...]
+
+
 JOB_MESSAGES: tuple[type, ...] = (
     JobCall,
     JobReply,
@@ -125,4 +150,6 @@
     HoldCommit,
     HoldRelease,
     HoldDone,
+    JobsQuery,
+    JobsReport,
 )
--- a/baobabhoist/jobs/rows.py
+++ b/baobabhoist/jobs/rows.py
@@ -16,6 +16,7 @@
     Urgency,
     WorkKind,
 )
+from baobabhoist.platform.table import Row
 
 ACTIVE_PREFIX = "active/"
 
@@ -30,6 +31,16 @@
     return f"{ACTIVE_PREFIX}{home}/{job_id}"
 
 
+def home_of(row: Row) -> str:
+    """Return the home shard in a row that marks a job as unfinished."""
+    return row.key.split("/")[1]
+
+
+def job_id_of(row: Row) -> str:
+    """Return the id in a row that marks a job as unfinished or lists it for its team."""
+    return row.key.split("/", 2)[2]
+
+
 def progress_key(job_id: str) -> str:
     """Return the row key of a job's progress."""
     return f"progress/{job_id}"
--- a/baobabhoist/jobs/state.py
+++ b/baobabhoist/jobs/state.py
@@ -273,9 +273,9 @@
         """Return the tasks that may still change."""
         return list(self._open_tasks())
 
-    def sent_tasks(self) -> list[int]:
-        """Return the tasks that were sent and have no result."""
-        return [i for i in self._open_tasks() if self.tasks[i].state is Attempt.SENT]
+    def attempted_tasks(self) -> list[int]:
+        """Return the tasks that were or may have been sent and have no result."""
+        return [i for i in self._open_tasks() if self.tasks[i].attempted]
 
     def tasks_at(self, shard: str) -> list[int]:
         """Return the tasks that belong to a shard."""
@@ -302,17 +302,31 @@
         """Tell whether no task can change any more."""
         return self.state in FINAL_JOB_STATES
 
-    def status(self, running: frozenset[str] = frozenset()) -> JobStatus:
-        """Describe the job; `running` holds the ids of tasks that run on workers now."""
+    def status(
+        self, running: frozenset[str] | None = None, silent: frozenset[str] = frozenset()
+    ) -> JobStatus:
+        """Describe the job; `running` holds the ids of tasks that run on workers now.
+
+        Shards in `silent` did not report, and None means that no shard was asked; then a task
+        that was sent counts as started.
+        """
         counts: Counter[TaskState] = Counter()
         for index, task in enumerate(self.tasks):
-            runs = task.state is Attempt.SENT and self.task_id(index) in running
+            runs = task.state in OPEN_ATTEMPTS and self.task_id(index) in (running or ())
             counts[TaskState.RUNNING if runs else _REPORTED[task.state]] += 1
+        state, reason = self.state, next((task.reason for task in self.tasks if task.reason), "")
+        mine = {self.shard_of(index) for index in self.attempted_tasks()} & silent
+        if mine:
+            reason = f"the owner of shard {min(mine)} did not report which tasks run"
+        elif running is not None and state not in FINAL_JOB_STATES:
+            # Tasks that wait in the queue of a shard were sent as well.
+            begun = set(counts) != {TaskState.QUEUED}
+            state = JobState.RUNNING if begun else JobState.QUEUED
         return JobStatus(
             self.spec.job_id,
-            self.state,
+            state,
             dict(counts),
-            next((task.reason for task in self.tasks if task.reason), ""),
+            reason,
             self._refusal(),
             self.spec.team,
             self.spec.queue,
--- /dev/null
+++ b/baobabhoist/tests/test_daemon_jobs.py
@@ -0,0 +1,159 @@
+"""Test jobs across two instances, one of which coordinates them."""
+
+import asyncio
+
+import pytest
+
+from baobabhoist.daemon.jobs import Jobs
+from baobabhoist.errors import NotSentError
+from baobabhoist.jobs.messages import HoldReply, TasksReport
+from baobabhoist.model import Answer, JobSpec, JobState, Resources, TaskSpec, TaskState, WorkKind
+from baobabhoist.tests.tables import MemoryTable
+
+GIVE_UP_S = 10.0
+
+
+class Shard:
+    """Run the tasks in `placed`; a task that was forwarded is at another shard."""
+
+    def __init__(self):
+        self.placed = set()
+        self.forwarded = {}
+        self.cancelled = set()
+
+    def report_tasks(self, task_ids, now):
+        running = tuple(name for name in task_ids if name in self.placed)
+        elsewhere = {name: self.forwarded[name] for name in task_ids if name in self.forwarded}
+        waiting = {name: "no place" for name in task_ids if name not in {*running, *elsewhere}}
+        return TasksReport(running, waiting, elsewhere)
+
+    async def cancel_tasks(self, task_ids):
+        self.cancelled.update(task_ids)
+        return {name: self.forwarded[name] for name in task_ids if name in self.forwarded}
+
+    def hold(self, job_id, tasks, deadline, now):
+        return HoldReply(())
+
+
+class Node:
+    """Own `owned` of the shards; the other instance owns the rest."""
+
+    def __init__(self, table, shards, owned):
+        self.table = table
+        self.shards = shards
+        self.owned = owned
+        self.other = None
+        self.sent = []
+        self.finish = asyncio.Event()
+
+    def shard_names(self):
+        return sorted(self.shards)
+
+    def owned_shards(self):
+        return self.owned
+
+    def local_shard(self, shard):
+        return self.shards[shard] if shard in self.owned else None
+
+    async def route(self, req):
+        self.sent.append(req)
+        await self.finish.wait()
+        return Answer(req.request_id, 200, b"")
+
+    async def call_owner(self, shard, message, timeout_s):
+        if self.other is None:
+            raise NotSentError("no link")
+        return await self.other.handle(message)
+
+
+def spec(job_id="j1", kind=WorkKind.SERVICE, tasks=2):
+    each = TaskSpec(b"x", Resources(slots=1))
+    return JobSpec(job_id, "roster", "entries", kind, (each,) * tasks, True, 9e9)
+
+
+async def until(condition):
+    async with asyncio.timeout(GIVE_UP_S):
+        while not condition():
+            await asyncio.sleep(0.01)
+
+
+@pytest.fixture
+def two():
+    """Run a scenario with the coordinator's node, its jobs, and the jobs of another instance."""
+
+    def run(scenario):
+        async def main():
+            table, shards = MemoryTable(), {"rack-1": Shard()}
+            here, there = Node(table, shards, ["rack-1"]), Node(table, shards, [])
+            jobs, others = Jobs(here), Jobs(there)
+            there.other = jobs
+            running = asyncio.create_task(jobs.run())
+            await asyncio.sleep(0)
+            try:
+                await scenario(here, jobs, there, others)
+            finally:
+                running.cancel()
+
+        asyncio.run(main())
+
+    return run
+
+
+def test_list_and_status_agree_on_every_instance(two):
+    """Guard against a running service or a finished job that is listed as queued."""
+
+    async def scenario(here, jobs, there, others):
+        await others.submit(spec())
+        await until(lambda: len(here.sent) == 2)
+
+        async def seen(state, **counts):
+            expected = {TaskState(name): count for name, count in counts.items()}
+            for each in (jobs, others):
+                (listed,) = await each.list("roster")
+                assert listed == await each.status("j1", "roster")
+                assert (listed.state, listed.counts) == (state, expected)
+
+        await seen(JobState.QUEUED, queued=2)
+        here.shards["rack-1"].placed.add(here.sent[0].request_id)
+        await seen(JobState.RUNNING, running=1, queued=1)
+        here.shards["rack-1"].placed.clear()
+        await jobs.cancel("j1", "roster")
+        here.finish.set()
+        await until(lambda: jobs._coordinator.runs["j1"].finished)
+        # The table does not know of the end yet.
+        assert (await here.table.read("active/rack-1/j1")).value is not None
+        await seen(JobState.SUCCEEDED, succeeded=2)
+
+    two(scenario)
+
+
+def test_a_list_without_the_coordinator_says_that_the_state_may_be_old(two):
+    """Guard against a stored state that looks like the present one."""
+
+    async def scenario(here, jobs, there, others):
+        await others.submit(spec())
+        there.other = None
+        (listed,) = await others.list(None)
+        assert "rack-1 did not answer" in listed.reason
+
+    two(scenario)
+
+
+def test_forwarded_tasks_are_reported_and_cancelled_where_they_run(two):
+    """Guard against a forwarded task that counts as queued and survives the cancellation."""
+
+    async def scenario(here, jobs, there, others):
+        here.shards["rack-2"] = Shard()
+        here.owned.append("rack-2")
+        await jobs.submit(spec(tasks=1))
+        await until(lambda: here.sent)
+        name = here.sent[0].request_id
+        origin = here.sent[0].shard
+        away = "rack-2" if origin == "rack-1" else "rack-1"
+        here.shards[origin].forwarded[name] = away
+        here.shards[away].placed.add(name)
+        assert (await jobs.status("j1", None)).counts == {TaskState.RUNNING: 1}
+        await jobs.cancel("j1", None)
+        assert name in here.shards[away].cancelled
+
+    two(scenario)
