Check all unfinished jobs before a queue is deleted

Cause: the check used the list of jobs, which ends after 2000 entries, finished ones included, and read two rows for each of them. Change: it reads the rows that mark unfinished jobs (`active/`), page by page to their end. Ruled out: a counter for each queue, which every submission would write, so that all submissions to a queue would conflict with each other. The new test uses pages of two rows and finds four jobs; the method is new, so it fails before.

--- a/baobabhoist/daemon/jobs.py
+++ b/baobabhoist/daemon/jobs.py
@@ -290,6 +290,22 @@
             return _platform_down(exc)
         return tuple(found[job_id] for job_id in wanted if job_id in found)
 
+    async def unfinished(self, queue: str) -> Refusal | tuple[str, ...]:
+        """Return the ids of all unfinished jobs of a queue, from the rows that mark them."""
+        found = []
+        try:
+            for row in await self._scan(ACTIVE_PREFIX):
+                name = row.value.get("queue")
+                if name is None:
+                    # Earlier releases wrote the row without the queue.
+                    run = await self._coordinator.load(job_id_of(row))
+                    name = run.spec.queue if run is not None else ""
+                if name == queue:
+                    found.append(job_id_of(row))
+        except PlatformError as exc:
+            return _platform_down(exc)
+        return tuple(found)
+
     async def _scan(self, prefix: str, most: int | None = None) -> Sequence[Row]:
         rows: list[Row] = []
         while most is None or len(rows) < most:
@@ -298,7 +314,7 @@
             rows.extend(page)
             if len(page) < LIST_PAGE:
                 break
-        return rows[:most]
+        return [row for row in rows[:most] if row.value is not None]
 
     async def _ask_homes(
         self, job_ids: Sequence[str], homes: dict[str, str]
--- a/baobabhoist/gateway/jobs.py
+++ b/baobabhoist/gateway/jobs.py
@@ -41,6 +41,9 @@
     async def list(self, team: str | None) -> Refusal | tuple[JobStatus, ...]:
         """Return the state of each job of a team."""
 
+    async def unfinished(self, queue: str) -> Refusal | tuple[str, ...]:
+        """Return the ids of all unfinished jobs of a queue."""
+
 
 def status_body(status: JobStatus) -> dict[str, Any]:
     """Return the state of a job as callers receive it."""
--- a/baobabhoist/gateway/records.py
+++ b/baobabhoist/gateway/records.py
@@ -9,7 +9,6 @@
 from baobabhoist.errors import ErrorKind, Problem, Refusal
 from baobabhoist.gateway.bodies import read_json
 from baobabhoist.gateway.operators import AdminHandler
-from baobabhoist.model import FINAL_JOB_STATES
 from baobabhoist.observability.events import Event, emit
 from baobabhoist.records.checks import ABSENT, Problems, integer
 from baobabhoist.records.diff import difference
@@ -83,14 +82,11 @@
     async def _jobs_in(self, kind: str, name: str) -> Refusal | None:
         if kind != RecordKind.QUEUE or self.options.jobs is None:
             return None
-        jobs = await self.options.jobs.list(None)
-        if isinstance(jobs, Refusal):
-            return jobs
-        users = [
-            job.job_id for job in jobs if job.queue == name and job.state not in FINAL_JOB_STATES
-        ]
+        users = await self.options.jobs.unfinished(name)
+        if isinstance(users, Refusal):
+            return users
         remedy = "cancel these jobs or wait for their end"
-        return in_use(kind, name, "jobs", users, remedy) if users else None
+        return in_use(kind, name, "jobs", list(users), remedy) if users else None
 
 
 class RecordListHandler(RecordsHandler):
--- a/baobabhoist/tests/gateways.py
+++ b/baobabhoist/tests/gateways.py
@@ -13,7 +13,14 @@
 from baobabhoist.gateway.context import CallerOptions
 from baobabhoist.gateway.operators import AdminOptions
 from baobabhoist.gateway.server import http_server
-from baobabhoist.model import Answer, JobExplanation, JobState, JobStatus, TaskState
+from baobabhoist.model import (
+    FINAL_JOB_STATES,
+    Answer,
+    JobExplanation,
+    JobState,
+    JobStatus,
+    TaskState,
+)
 from baobabhoist.observability.metrics import Metrics
 from baobabhoist.peer.mesh import PeerAddress, PeerState
 from baobabhoist.peer.messages import Heartbeat
@@ -75,6 +82,11 @@
         specs = [spec for spec in self.specs.values() if team in (None, spec.team)]
         return tuple([await self.status(spec.job_id, team) for spec in specs])
 
+    async def unfinished(self, queue):
+        if self.state in FINAL_JOB_STATES:
+            return ()
+        return tuple(spec.job_id for spec in self.specs.values() if spec.queue == queue)
+
 
 @attrs.define
 class Settings:
--- a/baobabhoist/tests/test_daemon_jobs.py
+++ b/baobabhoist/tests/test_daemon_jobs.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from baobabhoist.daemon import jobs as daemon_jobs
 from baobabhoist.daemon.jobs import Jobs
 from baobabhoist.errors import NotSentError
 from baobabhoist.jobs.messages import HoldReply, TasksReport
@@ -157,3 +158,22 @@
         assert name in here.shards[away].cancelled
 
     two(scenario)
+
+
+def test_all_unfinished_jobs_of_a_queue_are_found_however_many_there_are(two, monkeypatch):
+    """Guard against deleting a queue whose jobs are beyond the end of a bounded list."""
+    monkeypatch.setattr(daemon_jobs, "LIST_PAGE", 2)
+    monkeypatch.setattr(daemon_jobs, "LIST_MAX", 2)
+
+    async def scenario(here, jobs, there, others):
+        for name in ("j1", "j2", "j3", "j4"):
+            await others.submit(spec(name, WorkKind.BATCH, 1))
+        await until(lambda: len(here.sent) == 4)
+        del here.table.rows["active/rack-1/j2"].value["queue"]
+        assert await others.unfinished("entries") == ("j1", "j2", "j3", "j4")
+        assert await others.unfinished("reports") == ()
+        here.finish.set()
+        await until(lambda: here.table.rows["active/rack-1/j4"].value is None)
+        assert await others.unfinished("entries") == ()
+
+    two(scenario)
