--- a/baobabhoist/daemon/handover.py
+++ b/baobabhoist/daemon/handover.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import heapq
-from collections.abc import Mapping
+from collections.abc import Awaitable, Callable, Mapping
 
 from baobabhoist.daemon.dispatch import outcome_unknown
 from baobabhoist.daemon.forwarding import Open
@@ -19,6 +19,13 @@
 # does is missing from the message.
 CONTINUITY_S = 1.5
 
+SendHandOver = Callable[[str, HandOver], Awaitable[bool | None]]
+
+
+async def send_nowhere(successor: str, message: HandOver) -> bool | None:
+    """Refuse a hand-over, for an owner without peers."""
+    return False
+
 
 def pack(
     shard: str, token: Token, sender: str, keys: KeyLedger, open_requests: Mapping[str, Open]
--- a/baobabhoist/daemon/shard.py
+++ b/baobabhoist/daemon/shard.py
@@ -5,12 +5,10 @@
 import asyncio
 import logging
 import time
-from collections.abc import Awaitable, Callable, Coroutine, Iterable, Mapping
-from typing import Any, Protocol
+from collections.abc import Callable, Coroutine, Iterable, Mapping
+from typing import Any
 
-import attrs
-
-from baobabhoist.daemon.adoption import Adopted
+from baobabhoist.daemon.adoption import Adoption
 from baobabhoist.daemon.dispatch import (
     CALL_TIMEOUT_S,
     Dispatcher,
@@ -18,6 +16,8 @@
     Leases,
     Lost,
     NeverRan,
+    Observer,
+    ShardTimes,
     Superseded,
     not_owner,
     outcome_unknown,
@@ -28,7 +28,13 @@
     Forward,
     Forwarder,
 )
-from baobabhoist.daemon.handover import CONTINUITY_S, accept, pack
+from baobabhoist.daemon.handover import (
+    CONTINUITY_S,
+    SendHandOver,
+    accept,
+    pack,
+    send_nowhere,
+)
 from baobabhoist.daemon.places import ShardPlaces
 from baobabhoist.daemon.preemption import preempt
 from baobabhoist.daemon.requests import RequestBook
@@ -50,38 +56,10 @@
 
 log = logging.getLogger(__name__)
 
-LEASE_S = 3.0
 TICK_INTERVAL_S = 0.1
 BATCH = 32
 USABLE_STATES = (ShardState.PARTIAL, ShardState.OWNED)
 
-SendHandOver = Callable[[str, HandOver], Awaitable[bool | None]]
-
-
-@attrs.frozen
-class ShardTimes:
-    """Hold the periods that the settings give, in seconds."""
-
-    lease_s: float = LEASE_S
-    clock_skew_s: float = 0.5
-
-
-class Observer(Protocol):
-    """Learn what a shard decides and how long its tasks take; times are in seconds."""
-
-    def started(self, task: Task, now: float) -> None:
-        """Learn that a task was sent to its worker."""
-
-    def ended(self, task: Task, seconds: float) -> None:
-        """Learn how long a task was with its worker."""
-
-    def decided(self, task: Task, seconds: float) -> None:
-        """Learn the processor time of one placement."""
-
-
-async def _send_nowhere(successor: str, message: HandOver) -> bool | None:
-    return False
-
 
 class ShardOwner:
     """Run the decisions of one shard while this instance owns it; one object per claim."""
@@ -91,11 +69,11 @@
         claim: ShardClaim,
         workers: Iterable[WorkerSpec],
         table: Table,
-        escrow: Callable[[str], Mapping[str, int]],
+        escrow: Callable[[str], Mapping[str, int] | None] = lambda shard: None,
         *,
         times: ShardTimes | None = None,
         forward: Forward = lambda _: None,
-        send_hand_over: SendHandOver = _send_nowhere,
+        send_hand_over: SendHandOver = send_nowhere,
         inherited: HandOver | None = None,
         make_link: Callable[[WorkerSpec, OnChange], WorkerConnection] = WorkerLink,
         clock: Callable[[], float] = time.time,
@@ -112,14 +90,16 @@
         self.scheduler = Scheduler.over(specs, self.places)
         self.leaving: set[str] = set()
         self.barred: dict[str, float] = {}
+        # Tasks that a worker was asked to end; their end says nothing about health or size.
+        self.stopping: set[str] = set()
         self._escrow = escrow
         self._send_hand_over = send_hand_over
         self._inherited = inherited
         self._inherited_at = clock()
         self._clock = clock
         self._observer = observer
-        self._in_flight: dict[str, str] = {}
-        self._adopted = Adopted()
+        self.in_flight: dict[str, str] = {}
+        self.adoption = Adoption(self)
         self._up: set[str] = set()
         self._specs = {spec.name: spec for spec in specs}
         self._tasks: set[asyncio.Task[None]] = set()
@@ -145,7 +125,7 @@
         try:
             await self.fencing.run()
             self._give_up()
-            while self._tasks and (self._in_flight or self.forwarder.out()):
+            while self._tasks and (self.in_flight or self.forwarder.out()):
                 await asyncio.wait(self._tasks, return_when=asyncio.FIRST_COMPLETED)
         finally:
             ticking.cancel()
@@ -179,7 +159,15 @@
             return not_owner(self.shard)
         if req.request_id in self.barred:
             return Refusal(ErrorKind.CANCELLED, "the task was cancelled")
-        return await self._submit(req, forwarded, now)
+        result = await self._submit(req, forwarded, now)
+        return await self._certain(req, result)
+
+    async def _certain(self, req: Request, result: Result) -> Result:
+        """Withdraw a `not_run` if another owner may run a copy of the request by now."""
+        refused = isinstance(result, Refusal) and result.outcome is Outcome.NOT_RUN
+        if not refused or req.first_attempt or await self.fencing.confirmed(self._clock()):
+            return result
+        return not_owner(self.shard, Outcome.UNKNOWN)
 
     async def _submit(self, req: Request, forwarded: bool, now: float) -> Result:
         decision = self.keys.admit(req, now)
@@ -236,7 +224,7 @@
         except InvariantBreachError:
             self.take_back(task.task_id, now)
             return
-        self._in_flight[task.task_id] = worker
+        self.in_flight[task.task_id] = worker
         if self._observer is not None:
             self._observer.started(task, now)
         self.spawn(self._execute(placement))
@@ -260,7 +248,7 @@
         try:
             fate = await self.dispatcher.execute(task, worker)
         finally:
-            self._in_flight.pop(task.task_id, None)
+            self.in_flight.pop(task.task_id, None)
         now = self._clock()
         if isinstance(fate, Superseded):
             self._superseded(task.task_id, fate)
@@ -274,7 +262,9 @@
                 self._observer.ended(task, now - begun)
             if isinstance(fate, Ended) and fate.confirmed:
                 self.places.confirmed.add(task.task_id)
-            self.scheduler.ended(task.task_id, succeeded, now)
+            stopped = task.task_id in self.stopping and not succeeded
+            self.scheduler.ended(task.task_id, succeeded, now, preempted=stopped)
+        self.stopping.discard(task.task_id)
         if isinstance(fate, Lost) and self.keys.retry(task.task_id, task.deadline, now):
             self._enqueue_again(task, now)
         else:
@@ -294,7 +284,7 @@
 
     def _give_up(self) -> None:
         self.forwarder.freeze()
-        elsewhere = self._in_flight.keys() | self.forwarder.out()
+        elsewhere = self.in_flight.keys() | self.forwarder.out()
         self.book.give_up(elsewhere, self._moved)
 
     # What the fencing reports.
@@ -303,33 +293,17 @@
         """Take the new state of the claim."""
         if state is ShardState.OWNED and not self._owned_before:
             self._owned_before = True
-            self.keys.take_over(self._known_since())
-            if self._inherited is not None:
-                self._take_queue(self._inherited)
-                self._inherited = None
+            self._begin_ownership()
         self.refresh_places()
 
     def inventory(self, worker: str, running: list[RunningTask], ended: list[EndedTask]) -> None:
-        """Count what a worker runs already and take the answers that it has stored."""
-        now = self._clock()
-        # A lease of the previous owner may have been renewed just before the token was taken.
-        self.leases.extend(worker, now)
-        adopted = self._adopted.add(worker, running, self._in_flight)
-        self.scheduler.adopt(worker, adopted, now)
-        self.quota.adopt(worker, adopted)
-        # Open calls report their own end; taking it twice would break the keys' states.
-        foreign = [done for done in ended if done.task_id not in self._in_flight]
-        self.book.answers.inherit(worker, foreign)
-        for request_id, result in self.keys.inherit(worker, adopted, foreign, now):
-            self.spawn(self.book.give_whole(request_id, result))
-        for task_id in self._adopted.missing(worker, [task.task_id for task in running]):
-            self._adopted_ended(worker, task_id, True)
+        """Take the inventory of a worker that holds the token, before it gets work."""
+        self.adoption.inventory(worker, running, ended)
 
     def leases_renewed(self, worker: str, reply: LeasesRenewed, mark: int) -> None:
         """Compare a worker's report with the tasks that were adopted."""
         self.quota.worker_confirmed(worker, mark)
-        for task_id in self._adopted.missing(worker, reply.running):
-            self.spawn(self._end_adopted(worker, task_id))
+        self.adoption.reported(worker, reply.running)
 
     def worker_restarted(self, worker: str) -> None:
         """Learn that a worker may have forgotten the tasks it was sent."""
@@ -387,14 +361,14 @@
     def refresh_places(self) -> None:
         """Use the full escrow once the table has confirmed the epoch and all is resolved."""
         if self.quota.cap is not None and self.claim.escrow_usable:
-            self.quota.uncap(dict(self._escrow(self.shard)))
-            emit(log, Event.TAKEOVER_CAP_LIFTED, shard=self.shard)
+            places = self._escrow(self.shard)
+            if places is not None:
+                self.use_escrow(places)
 
-    def escrow_changed(self) -> None:
-        """Take changed limits into force at once."""
-        if self.quota.cap is None:
-            self.quota.uncap(dict(self._escrow(self.shard)))
-            self.dispatch(self._clock())
+    def use_escrow(self, places: Mapping[str, int]) -> None:
+        """End the takeover cap; the places were read after the table confirmed the epoch."""
+        self.quota.uncap(dict(places))
+        emit(log, Event.TAKEOVER_CAP_LIFTED, shard=self.shard)
 
     def free_slots(self) -> int:
         """Return the slots of usable workers that no task holds."""
@@ -403,7 +377,7 @@
 
     def running_on(self, task_id: str) -> str | None:
         """Return the worker that runs a task, or None."""
-        return self._in_flight.get(task_id) or self._adopted.worker_of(task_id)
+        return self.in_flight.get(task_id) or self.adoption.worker_of(task_id)
 
     def open_requests(self) -> int:
         """Return the number of requests without a result."""
@@ -446,30 +420,6 @@
             self._up.discard(worker)
             self.scheduler.worker_down(worker)
 
-    async def _end_adopted(self, worker: str, task_id: str) -> None:
-        """Take the stored answer of an adopted task that no longer runs."""
-        if not self._adopted.remove(worker, task_id):
-            return
-        fate = await self.dispatcher.resolve(task_id, float("inf"), worker)
-        if isinstance(fate, Superseded):
-            return
-        self._release_adopted(task_id, isinstance(fate, Ended) and fate.succeeded)
-        # The worker reported it as running before, so `never` only means that it forgot it.
-        self.finish(
-            task_id, result_of_fate(task_id, Lost() if isinstance(fate, NeverRan) else fate)
-        )
-        self.dispatch(self._clock())
-
-    def _adopted_ended(self, worker: str, task_id: str, succeeded: bool) -> None:
-        """Release an adopted task that a later inventory no longer names."""
-        if self._adopted.remove(worker, task_id):
-            self._release_adopted(task_id, succeeded)
-
-    def _release_adopted(self, task_id: str, succeeded: bool) -> None:
-        if task_id in self.scheduler.running:
-            self.scheduler.ended(task_id, succeeded, self._clock())
-        self.places.ended(task_id)
-
     def _known_since(self) -> float:
         """Return the time after which no key was sent that this owner cannot know of.
 
@@ -482,6 +432,13 @@
         fresh = now - self._inherited_at <= CONTINUITY_S
         return message.known_since if fresh and self.fencing.follows(message.token) else now
 
+    def _begin_ownership(self) -> None:
+        """Decide from when on keys are known: a planned hand-over leaves no gap."""
+        self.keys.take_over(self._known_since())
+        message, self._inherited = self._inherited, None
+        if message is not None:
+            self._take_queue(message)
+
     def _take_queue(self, message: HandOver) -> None:
         """Queue what the previous owner handed over, once all inventories are known."""
         now = self._clock()
--- a/baobabhoist/daemon/shard_jobs.py
+++ b/baobabhoist/daemon/shard_jobs.py
@@ -46,6 +46,7 @@
                 continue
             worker = owner.running_on(task_id)
             if worker is not None:
+                owner.stopping.add(task_id)
                 stop = StopTask(owner.claim.token, task_id)
                 owner.spawn(self._stop(worker, stop))
         return owner.forwarder.targets(task_ids)
