Put the retries of policies and the limits of queues into effect

Cause: jobs used a constant of three attempts whatever their policy said, and one number, the largest of all queues, bounded what a team may have waiting. Change: the coordinator takes the retries of the policy in force when a task fails. The number of waiting tasks is counted by team and queue, and each queue's max_queued_per_team applies to it at each shard. Tests: the test of bounded attempts used the constant, which is gone; it now runs with 0, 1 and 4 retries and expects exactly one attempt more. New tests run a failing job under a policy, and fill a small queue next to a large one; both fail before the change. Ruled out: a bound over all shards, which needs a shared count for every request.

--- a/baobabhoist/daemon/app.py
+++ b/baobabhoist/daemon/app.py
@@ -50,6 +50,7 @@
 from baobabhoist.platform.members import MemberList
 from baobabhoist.platform.table import Table, WatchedTable
 from baobabhoist.records.changes import LOG_HEAD
+from baobabhoist.records.kinds import Policy
 from baobabhoist.records.view import RecordView
 
 log = logging.getLogger(__name__)
@@ -215,6 +216,10 @@
         """Return the names of all shards in the records."""
         return self.shards.names()
 
+    def policy_of(self, queue: str) -> Policy:
+        """Return the policy of a queue."""
+        return self.view.policy_of(queue)
+
     def owned_shards(self) -> list[str]:
         """Return the shards that this instance owns fully."""
         owners = self.owners.owners.items()
--- a/baobabhoist/daemon/jobs.py
+++ b/baobabhoist/daemon/jobs.py
@@ -49,6 +49,7 @@
 )
 from baobabhoist.ownership.rendezvous import home_shard
 from baobabhoist.platform.table import Row, Table, Transaction
+from baobabhoist.records.kinds import Policy
 
 log = logging.getLogger(__name__)
 
@@ -90,6 +91,9 @@
     def shard_names(self) -> list[str]:
         """Return the names of all shards in the records."""
 
+    def policy_of(self, queue: str) -> Policy:
+        """Return the policy of a queue."""
+
     def owned_shards(self) -> list[str]:
         """Return the shards that this instance owns fully."""
 
@@ -214,7 +218,7 @@
     def __init__(self, node: Node) -> None:
         self._node = node
         self._directory = ShardDirectory(node)
-        self._coordinator = JobCoordinator(node.table, self._directory)
+        self._coordinator = JobCoordinator(node.table, self._directory, node.policy_of)
 
     async def run(self) -> None:
         """Coordinate jobs until cancelled."""
--- a/baobabhoist/daemon/policies.py
+++ b/baobabhoist/daemon/policies.py
@@ -6,28 +6,30 @@
 from collections.abc import Iterable
 
 from baobabhoist.peer.messages import ShardDigest
-from baobabhoist.records.kinds import DEFAULT_MAX_QUEUED, Policy
+from baobabhoist.records.kinds import Policy
 from baobabhoist.records.view import RecordView
 from baobabhoist.scheduling.policy import PreemptionAction, QueuePolicy, TeamPolicy
 
 
 def queue_policies(view: RecordView) -> dict[str, QueuePolicy]:
     """Return the policy of each queue by name."""
-    return {name: _queue_policy(view.policy_of(name)) for name in view.queues()}
+    return {
+        name: _queue_policy(view.policy_of(name), queue.max_queued_per_team)
+        for name, queue in view.queues().items()
+    }
 
 
-def _queue_policy(policy: Policy) -> QueuePolicy:
+def _queue_policy(policy: Policy, team_limit: int) -> QueuePolicy:
     action = PreemptionAction.NEVER
     if policy.preemption:
         action = PreemptionAction(policy.preempt_action.value)
-    return QueuePolicy(policy.objective.value, action)
+    return QueuePolicy(policy.objective.value, action, team_limit=team_limit)
 
 
 def team_policies(view: RecordView) -> dict[str, TeamPolicy]:
-    """Return the policy of each team by name; its queue may be as long as any queue allows."""
-    limits = [queue.max_queued_per_team for queue in view.queues().values()]
-    longest = max(limits, default=DEFAULT_MAX_QUEUED)
-    return {name: TeamPolicy(team.share, longest) for name, team in view.teams().items()}
+    """Return the policy of each team by name; only the limits of its queues bound what waits."""
+    most = sum(queue.max_queued_per_team for queue in view.queues().values())
+    return {name: TeamPolicy(team.share, most) for name, team in view.teams().items()}
 
 
 def slots_of(view: RecordView, shard: str) -> int:
--- a/baobabhoist/jobs/coordinator.py
+++ b/baobabhoist/jobs/coordinator.py
@@ -5,7 +5,7 @@
 import asyncio
 import logging
 import time
-from collections.abc import Iterable, Sequence
+from collections.abc import Callable, Iterable, Sequence
 from typing import Any, Protocol
 
 from baobabhoist.errors import PlatformError, Refusal
@@ -27,6 +27,8 @@
     WorkKind,
 )
 from baobabhoist.platform.table import Row, Table, Transaction
+from baobabhoist.records.kinds import Policy
+from baobabhoist.records.view import DEFAULT_POLICY
 
 log = logging.getLogger(__name__)
 
@@ -69,13 +71,20 @@
         """Give a hold back."""
 
 
+def _default_policy(queue: str) -> Policy:
+    return DEFAULT_POLICY
+
+
 class JobCoordinator:
     """Own the progress of the jobs of some shards."""
 
-    def __init__(self, table: Table, shards: Shards) -> None:
+    def __init__(
+        self, table: Table, shards: Shards, policy_of: Callable[[str], Policy] = _default_policy
+    ) -> None:
         self.runs: dict[str, JobRun] = {}
         self._table = table
         self._shards = shards
+        self._policy_of = policy_of
         self._homes: dict[str, float] = {}
         self._flush_at = 0.0
         self._forget_at: dict[str, float] = {}
@@ -194,6 +203,7 @@
     async def _run_task(self, run: JobRun, index: int, req: Request) -> None:
         result = await self._shards.run(req)
         if run.task_id(index) == req.request_id and run.is_open(index):
+            run.retries = self._policy_of(run.spec.queue).retries
             run.result(index, result, time.time())
 
     async def _start_gang(self, run: JobRun) -> None:
--- a/baobabhoist/jobs/state.py
+++ b/baobabhoist/jobs/state.py
@@ -23,10 +23,10 @@
     WorkKind,
 )
 from baobabhoist.ownership.rendezvous import home_shard
+from baobabhoist.records.view import DEFAULT_POLICY
 
 RETRY_DELAY_S = 0.5
 RETRY_DELAY_MAX_S = 30.0
-MAX_FAILURES = 3
 
 
 class Attempt(enum.StrEnum):
@@ -95,13 +95,17 @@
 
 @attrs.define
 class JobRun:
-    """Hold the progress of one job; `home` is the shard whose owner coordinates it."""
+    """Hold the progress of one job; `home` is the shard whose owner coordinates it.
+
+    `retries` bounds how often a failed task runs again; the policy in force may change it.
+    """
 
     spec: JobSpec
     home: str
     shards: tuple[str, ...]
     submitted_at: float
     tasks: list[TaskProgress] = attrs.field()
+    retries: int = DEFAULT_POLICY.retries
     cancel_wanted: bool = False
     revision: int = 0
     dirty: bool = False
@@ -399,7 +403,7 @@
             task.state = Attempt.SUCCEEDED
         else:
             task.failures += 1
-            if self._may_retry and task.failures < MAX_FAILURES:
+            if self._may_retry and task.failures <= self.retries:
                 self._next_generation(task, now)
             else:
                 task.state = Attempt.FAILED
--- a/baobabhoist/scheduling/overload.py
+++ b/baobabhoist/scheduling/overload.py
@@ -6,7 +6,7 @@
 
 from baobabhoist.errors import ErrorKind, Refusal
 from baobabhoist.model import Task, WorkKind
-from baobabhoist.scheduling.policy import TeamPolicy
+from baobabhoist.scheduling.policy import QueuePolicy, TeamPolicy
 from baobabhoist.scheduling.queues import TeamLine
 
 # The rate is learnt over about this long, in seconds.
@@ -49,12 +49,21 @@
 
 
 def refuse(
-    task: Task, line: TeamLine, policy: TeamPolicy, rates: StartRates, now: float
+    task: Task,
+    line: TeamLine,
+    team: TeamPolicy,
+    queue: QueuePolicy,
+    rates: StartRates,
+    now: float,
 ) -> Refusal | None:
     """Return why a task is not queued: the queue is full, or its deadline would pass in it."""
     wait_s = rates.wait_s(task.team, line.queued)
-    if line.queued >= policy.queue_limit:
+    if line.queued >= team.queue_limit:
         return _full(task, f"holds {line.queued} tasks, its limit", wait_s)
+    in_queue = line.queued_in[task.queue]
+    if in_queue >= queue.team_limit:
+        reason = f"holds {in_queue} tasks for the queue {task.queue}, the limit of that queue"
+        return _full(task, reason, wait_s)
     if task.kind is not WorkKind.REQUEST or line.queued < MIN_PREDICTED_QUEUE:
         return None
     # Only requests with an earlier or similar deadline are served before this one.
--- a/baobabhoist/scheduling/policy.py
+++ b/baobabhoist/scheduling/policy.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import enum
+from math import inf
 from typing import Protocol
 
 import attrs
@@ -68,6 +69,8 @@
 class QueuePolicy:
     """Hold the policy of one queue; times are in seconds.
 
+    `team_limit` is how many tasks a team may have waiting in the queue at this owner.
+
     `reserve_after_s` bounds starvation: work that has waited longer for capacity gets a
     reservation.
     """
@@ -75,6 +78,7 @@
     objective: str = attrs.field(default="share", validator=attrs.validators.in_(OBJECTIVES))
     preemption: PreemptionAction = PreemptionAction.STOP
     reserve_after_s: float = 30.0
+    team_limit: float = inf
 
 
 @attrs.frozen
--- a/baobabhoist/scheduling/queues.py
+++ b/baobabhoist/scheduling/queues.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import heapq
+from collections import Counter
 from collections.abc import Callable, Iterator
 from math import inf
 
@@ -76,6 +77,7 @@
     name: str
     lanes: dict[tuple[str, str, bool, tuple[int, ...]], Lane] = attrs.Factory(dict)
     queued: int = 0
+    queued_in: Counter[str] = attrs.Factory(Counter)
     limited: bool = False
 
 
@@ -137,6 +139,7 @@
         for member in entry.members:
             self.entries[member.task_id] = entry
         team.queued += len(entry.members)
+        team.queued_in[task.queue] += len(entry.members)
         if task.deadline != inf:
             heapq.heappush(self._by_deadline, (task.deadline, entry.seq, entry))
         if lane.heap[0][2] is entry:
@@ -148,7 +151,9 @@
     def remove(self, entry: Entry) -> None:
         """Take an entry out in constant time; the heaps drop it when it reaches their top."""
         if entry.lane is not None:
-            entry.lane.team.queued -= len(entry.members)
+            line = entry.lane.team
+            line.queued -= len(entry.members)
+            line.queued_in[entry.task.queue] -= len(entry.members)
             entry.lane = None
             for member in entry.members:
                 del self.entries[member.task_id]
--- a/baobabhoist/scheduling/scheduler.py
+++ b/baobabhoist/scheduling/scheduler.py
@@ -199,7 +199,12 @@
                 raise InvariantBreachError(f"task {task.task_id} is queued or placed already")
         first = tasks[0]
         refusal = self._never_fits(tasks) or overload.refuse(
-            first, self.lines.team(first.team), self._team(first.team), self.rates, now
+            first,
+            self.lines.team(first.team),
+            self._team(first.team),
+            self._queue(first.queue),
+            self.rates,
+            now,
         )
         if refusal is not None:
             return refusal
