--- a/baobabhoist/scheduling/scheduler.py
+++ b/baobabhoist/scheduling/scheduler.py
@@ -89,7 +89,12 @@
             check(not known, Invariant.SCHEDULER, "task %s is queued or placed", task.task_id)
         first = tasks[0]
         refusal = self._never_fits(tasks) or overload.refuse(
-            first, self.lines.team(first.team), self._team(first.team), self.rates, now
+            first,
+            self.lines.team(first.team),
+            self._team(first.team),
+            self._queue(first.queue),
+            self.rates,
+            now,
         )
         if refusal is not None:
             return refusal
--- a/baobabhoist/tests/test_daemon_shard.py
+++ b/baobabhoist/tests/test_daemon_shard.py
@@ -355,7 +355,7 @@
         async def refuse():
             return Refusal(ErrorKind.NO_CAPACITY, "full by now")
 
-        return refuse()
+        return "elsewhere", refuse()
 
     owner, _ = await rack.owned("a", forward=forward)
     rack.begin(owner.submit(request("first", SHORT)))
@@ -375,7 +375,7 @@
             await answered.wait()
             return Answer(req.request_id, 200, b"from elsewhere")
 
-        return answer()
+        return "elsewhere", answer()
 
     owner, _ = await rack.owned("a", forward=forward)
     rack.begin(owner.submit(request("first", LONG)))
