Forward only work whose home shard is certainly owned

Change: work is forwarded only after a worker confirmed the token at a time after the work arrived, so that the next owner answers unknown for its key; idempotent work, which the next owner may run again, is not forwarded. Ruled out: a fence at the receiving shard, which does not know the tokens of the home shard.

--- a/baobabhoist/daemon/fencing.py
+++ b/baobabhoist/daemon/fencing.py
@@ -172,12 +172,15 @@
         for _ in range(CONFIRM_ATTEMPTS):
             if self.claim.confirmed_after(at) or self.ended.is_set():
                 break
-            # Many refusals at once share one round of calls.
-            if self._confirming is None or self._confirming.done():
-                self._confirming = asyncio.create_task(self._ask_workers())
-            await asyncio.wait((self._confirming,))
+            await asyncio.wait((self.confirm_soon(),))
         return self.claim.confirmed_after(at)
 
+    def confirm_soon(self) -> asyncio.Task[None]:
+        """Ask some workers to confirm the token; calls at the same time share one round."""
+        if self._confirming is None or self._confirming.done():
+            self._confirming = asyncio.create_task(self._ask_workers())
+        return self._confirming
+
     async def _ask_workers(self) -> None:
         workers = [name for name in self.claim.fenced if self._pool.connected(name)]
         chosen = workers[:CONFIRM_SAMPLE]
--- a/baobabhoist/daemon/forwarding.py
+++ b/baobabhoist/daemon/forwarding.py
@@ -29,6 +29,7 @@
     req: Request
     fut: asyncio.Future[Result]
     forward_at: float
+    opened_at: float = 0.0
     forwarded: bool = False
     forwarding: bool = False
 
@@ -67,6 +68,12 @@
     def now(self) -> float:
         """Return the time in Unix seconds."""
 
+    def owned_at(self, at: float) -> bool:
+        """Tell whether this instance certainly owned the shard at a time; if not, find out.
+
+        No worker of this shard would refuse the forward of an owner that was superseded.
+        """
+
     def dispatch(self, now: float) -> None:
         """Start what fits now."""
 
@@ -98,6 +105,10 @@
             due = now >= entry.forward_at and not entry.forwarded
             if not due or team in without_room or not is_queued(home.keys, entry):
                 continue
+            # The next owner of this shard cannot know what was forwarded: it answers unknown for
+            # keys that are older than its takeover, but it may run idempotent work again.
+            if entry.req.task.idempotent or not home.owned_at(entry.opened_at):
+                continue
             running = self._forward(entry.req)
             if running is None:
                 without_room.add(team)
--- a/baobabhoist/daemon/requests.py
+++ b/baobabhoist/daemon/requests.py
@@ -34,7 +34,7 @@
         entry = self.open.get(req.request_id)
         if entry is None:
             fut: asyncio.Future[Result] = asyncio.get_running_loop().create_future()
-            entry = Open(req, fut, now + FORWARD_AFTER_S)
+            entry = Open(req, fut, now + FORWARD_AFTER_S, now)
             self.open[req.request_id] = entry
         return entry
 
--- a/baobabhoist/daemon/shard.py
+++ b/baobabhoist/daemon/shard.py
@@ -149,6 +149,13 @@
         """Return the time in Unix seconds."""
         return self._clock()
 
+    def owned_at(self, at: float) -> bool:
+        """Tell whether this instance certainly owned the shard at a time; if not, find out."""
+        if self.claim.confirmed_after(at):
+            return True
+        self.fencing.confirm_soon()
+        return False
+
     async def submit(self, req: Request, forwarded: bool = False) -> Result:
         """Return the answer to a request, or the reason why there is none."""
         if not self.usable:
--- a/baobabhoist/tests/test_daemon_shard.py
+++ b/baobabhoist/tests/test_daemon_shard.py
@@ -388,3 +388,31 @@
     assert not second.done()
     answered.set()
     assert (await second).body == b"from elsewhere"
+
+
+@scenario()
+async def test_a_superseded_owner_forwards_nothing(rack):
+    """Guard against a second run: no worker of the home shard refuses a stale forward."""
+    rack.limit = {"team": 1}
+    forwarded = []
+    owner, _ = await rack.owned("a", forward=lambda req: forwarded.append(req.request_id))
+    rack.begin(owner.submit(request("first", LONG)))
+    await until(lambda: owner.running_on("first"))
+    await higher_token(rack)
+    second = await owner.submit(request("second", first_attempt=False, first_sent_at=time.time()))
+    assert second.outcome is Outcome.UNKNOWN
+    assert forwarded == []
+
+
+@scenario()
+async def test_idempotent_work_is_not_forwarded(rack):
+    """Guard against a next owner that runs again what another shard still runs."""
+    rack.limit = {"team": 1}
+    forwarded = []
+    owner, _ = await rack.owned("a", forward=lambda req: forwarded.append(req.request_id))
+    rack.begin(owner.submit(request("first", SHORT)))
+    await until(lambda: owner.running_on("first"))
+    plain = rack.begin(owner.submit(request("plain")))
+    again = rack.begin(owner.submit(request("again", idempotent=True)))
+    await asyncio.gather(plain, again)
+    assert set(forwarded) == {"plain"}
