Make the relay's command asynchronous again

Change: command awaits the identification of open connections itself. Conclusion: both test modules pass.

--- a/baobabhoist/testing/network.py
+++ b/baobabhoist/testing/network.py
@@ -111,8 +111,15 @@
         """Listen and relay."""
         return await asyncio.start_server(self._serve, "127.0.0.1", self.port)
 
-    def command(self, mode: str, delay_s: float, source: str | None) -> None:
+    async def command(self, mode: str, delay_s: float, source: str | None) -> None:
         """Put a fault in force; connections that were silenced never recover."""
+        self._apply(mode, delay_s, source)
+        if source is not None and self.open:
+            # The processes behind connections that were open already are found out only now.
+            await asyncio.gather(*(self._identify(conn) for conn in list(self.open)))
+            self._apply(mode, delay_s, source)
+
+    def _apply(self, mode: str, delay_s: float, source: str | None) -> None:
         fault = Fault(mode, delay_s)
         if source is None:
             self.default = fault
@@ -199,10 +206,6 @@
                 except ConnectionError:
                     return
 
-    async def identify(self) -> None:
-        """Find out which process opened each connection."""
-        await asyncio.gather(*(self._identify(conn) for conn in list(self.open)))
-
     async def _identify(self, conn: Connection) -> None:
         if not conn.source:
             client_port = conn.client.get_extra_info("peername")[1]
@@ -225,13 +228,7 @@
             return
         matching = [relay for relay in self.relays if fnmatch.fnmatch(relay.name, body["name"])]
         delay_s, source = float(body.get("delay_s", 0.0)), body.get("source")
-        for relay in matching:
-            relay.command(body["mode"], delay_s, source)
-        if source is not None:
-            # Connections that were open already are identified only now.
-            await asyncio.gather(*(relay.identify() for relay in matching))
-            for relay in matching:
-                relay.command(body["mode"], delay_s, source)
+        await asyncio.gather(*(relay.command(body["mode"], delay_s, source) for relay in matching))
         self.finish({"relays": len(matching)})
 
 
--- a/baobabhoist/tests/test_testing_network.py
+++ b/baobabhoist/tests/test_testing_network.py
@@ -50,11 +50,11 @@
     async def scenario(relay, connect):
         first = await connect()
         assert await answers(first)
-        relay.command(mode, 0.0, None)
+        await relay.command(mode, 0.0, None)
         outcome = await answers(first), await answers(await connect())
         if mode == "silent":
             assert not first[0].at_eof()
-        relay.command("pass", 0.0, None)
+        await relay.command("pass", 0.0, None)
         assert await answers(first) == old
         assert await answers(await connect())
         return outcome
@@ -69,10 +69,9 @@
         relay.sources.labels = {os.getpid(): "north"}
         first = await connect()
         assert await answers(first)
-        await relay.identify()
-        relay.command("cut", 0.0, "south")
+        await relay.command("cut", 0.0, "south")
         there = await answers(first), await answers(await connect())
-        relay.command("cut", 0.0, "north")
+        await relay.command("cut", 0.0, "north")
         return there, (await answers(first), await answers(await connect()))
 
     assert asyncio.run(with_relay(scenario)) == ((True, True), (False, False))
