Wait for the owner to be heard before claiming across data centres

Cause: when a network partition ended, each side reached the other's workers before it heard the other's instances, and took over shards whose owners were alive.

Change: an instance of another data centre claims a shard only after its workers could be reached and no owner was heard for 1.5 s more. Inside a data centre nothing changes.

Ruled out: a longer heartbeat deadline, which would delay every takeover.

--- a/baobabhoist/daemon/owners.py
+++ b/baobabhoist/daemon/owners.py
@@ -29,6 +29,9 @@
 PAUSE_S = 1.0
 # Each lower rank waits this much longer for the instances ahead of it to claim.
 RANK_DELAY_S = 0.75
+# When a network partition ends, the workers of the other data centre can be reached before its
+# instances are heard: a peer's new link and first heartbeat take up to about 1.5 s.
+REMOTE_DELAY_S = 1.5
 REACH_TIMEOUT_S = 0.5
 REACH_SAMPLE = 3
 HAND_OVER_CALL_S = 2.0
@@ -242,12 +245,13 @@
         since = self._unowned_since.setdefault(shard, now)
         if claim is not None and now < claim.retry_at:
             return False
+        local = self._shards.data_centre_of(shard) == self._place.data_centre
         position = self._ranked(shard).index(self._place.instance_id)
-        if now - since < position * RANK_DELAY_S:
+        if not local and not await self._reach(self._shards.workers_of(shard)):
+            # A data centre that is cut off from this one serves its shards itself.
+            self._unowned_since[shard] = self._clock()
             return False
-        # A data centre that is cut off from this one serves its shards itself.
-        local = self._shards.data_centre_of(shard) == self._place.data_centre
-        return local or bool(await self._reach(self._shards.workers_of(shard)))
+        return now - since >= position * RANK_DELAY_S + (0.0 if local else REMOTE_DELAY_S)
 
     def _ranked(self, shard: str, others_only: bool = False) -> list[str]:
         candidates = [
--- /dev/null
+++ b/baobabhoist/tests/test_daemon_partition.py
@@ -0,0 +1,72 @@
+"""Test which shards an instance claims when a network partition ends."""
+
+import asyncio
+
+from baobabhoist.daemon.owners import LISTEN_S, Owners, Place
+from baobabhoist.model import Resources, WorkerSpec
+
+WORKERS = [WorkerSpec("w1", "127.0.0.1", 1, "r", Resources())]
+
+
+class Shards:
+    """Know one shard of the data centre `south`."""
+
+    def names(self):
+        return ["s"]
+
+    def data_centre_of(self, shard):
+        return "south"
+
+    def workers_of(self, shard):
+        return WORKERS
+
+
+class Peers:
+    """Hear of an owner from a certain time on."""
+
+    heard = False
+
+    def beats(self):
+        return []
+
+    def owner_of(self, shard):
+        return "other" if self.heard else None
+
+
+def claims(data_centre, reachable_at, heard_at, until=10.0):
+    """Return the times at which an instance claims the shard, in steps of 0.25 s."""
+    now, claimed, peers = [0.0], [], Peers()
+
+    async def reach(workers):
+        return now[0] >= reachable_at
+
+    async def body():
+        owners = Owners(
+            Place("n1", data_centre), Shards(), peers, None, clock=lambda: now[0], reach=reach
+        )
+        owners.claim = lambda shard: claimed.append(now[0])
+        while now[0] < until and not claimed:
+            peers.heard = now[0] >= heard_at
+            await owners.tick()
+            now[0] += 0.25
+
+    asyncio.run(body())
+    return claimed
+
+
+def test_a_shard_whose_owner_is_heard_again_is_left_to_it():
+    """Guard against each side taking the other's shards when a partition ends."""
+    assert claims("north", reachable_at=5.0, heard_at=6.25) == []
+
+
+def test_a_shard_of_a_data_centre_that_is_gone_is_claimed():
+    """Guard against shards that nobody serves, and against a wait longer than a takeover."""
+    (claimed,) = claims("north", reachable_at=0.0, heard_at=99.0)
+    assert claimed <= 2.0
+    (after_partition,) = claims("north", reachable_at=5.0, heard_at=99.0)
+    assert after_partition <= 7.0
+
+
+def test_a_local_shard_is_claimed_without_that_delay():
+    """Guard against slower takeovers inside a data centre."""
+    assert claims("south", reachable_at=99.0, heard_at=99.0)[0] <= LISTEN_S
