Leave a shard to the instance it was handed to, and reach workers by handshake

An instance that handed a shard over claimed it back 0.25 s later, because the time since when the shard had no owner dated from before its own ownership: north-1 took south-a and south-b back from south-1. And a worker counted as reachable when a TCP connection was accepted, so that claims across a partition were prepared behind a middlebox and won when it ended.

Change: that time is forgotten while the shard is owned; the probe completes the WebSocket handshake. Both tests fail without the change.

Ruled out: a longer delay for all ranks, which would slow takeovers down.

--- a/baobabhoist/daemon/owners.py
+++ b/baobabhoist/daemon/owners.py
@@ -11,6 +11,8 @@
 from typing import Any, Protocol
 
 import attrs
+from websockets.asyncio.client import connect
+from websockets.exceptions import WebSocketException
 
 from baobabhoist.daemon.shard import ShardOwner
 from baobabhoist.errors import LinkClosedError, NotSentError
@@ -19,6 +21,7 @@
 from baobabhoist.ownership.claim import ClaimTimes, ShardClaim
 from baobabhoist.ownership.events import ShardState
 from baobabhoist.ownership.rendezvous import Candidate, rank
+from baobabhoist.peer.link import WEBSOCKET_OPTIONS
 from baobabhoist.peer.messages import HandOver, HandOverTaken, Heartbeat
 
 log = logging.getLogger(__name__)
@@ -80,14 +83,17 @@
 
 
 async def reachable(workers: list[WorkerSpec]) -> bool:
-    """Tell whether one of a few workers accepts a connection."""
+    """Tell whether one of a few workers answers on a new connection."""
     for spec in random.sample(workers, min(REACH_SAMPLE, len(workers))):
         try:
-            async with asyncio.timeout(REACH_TIMEOUT_S):
-                _, writer = await asyncio.open_connection(spec.host, spec.port)
-            writer.close()
-            return True
-        except (OSError, TimeoutError):
+            # Some middleboxes accept a connection that they cannot deliver; only the worker
+            # completes the handshake.
+            async with (
+                asyncio.timeout(REACH_TIMEOUT_S),
+                connect(f"ws://{spec.host}:{spec.port}", **WEBSOCKET_OPTIONS),
+            ):
+                return True
+        except (OSError, TimeoutError, WebSocketException):
             continue
     return False
 
@@ -150,6 +156,7 @@
             return
         for shard in self._shards.names():
             if shard in self.owners:
+                self._unowned_since.pop(shard, None)
                 self._consider_moving(shard, now)
             elif await self._should_claim(shard, now):
                 self.claim(shard)
--- a/baobabhoist/tests/test_daemon_partition.py
+++ b/baobabhoist/tests/test_daemon_partition.py
@@ -1,12 +1,22 @@
 """Test which shards an instance claims when a network partition ends."""
 
 import asyncio
+from types import SimpleNamespace
 
-from baobabhoist.daemon.owners import LISTEN_S, Owners, Place
+from baobabhoist.daemon.owners import LISTEN_S, Owners, Place, reachable
 from baobabhoist.model import Resources, WorkerSpec
+from baobabhoist.ownership.rendezvous import Candidate, rank
+from baobabhoist.testing.cluster import free_port
 
 WORKERS = [WorkerSpec("w1", "127.0.0.1", 1, "r", Resources())]
 
+# An instance that ranks before `n1` for the shard.
+BETTER = next(
+    {"instance_id": name, "data_centre": "south", "weight": 1.0, "draining": False}
+    for name in ("n2", "n3", "n4", "n5", "n6", "n7", "n8", "n9")
+    if rank("s", "south", [Candidate("n1", "south"), Candidate(name, "south")])[0] == name
+)
+
 
 class Shards:
     """Know one shard of the data centre `south`."""
@@ -67,6 +77,37 @@
     assert after_partition <= 7.0
 
 
+def test_a_shard_that_was_handed_over_is_not_claimed_back_at_once():
+    """Guard against a planned move that is undone before the successor is heard."""
+    now, claimed, peers = [100.0], [], Peers()
+
+    async def body():
+        owners = Owners(Place("n1", "south"), Shards(), peers, None, clock=lambda: now[0])
+        owners.claim = lambda shard: claimed.append(now[0])
+        peers.beats = lambda: [SimpleNamespace(**BETTER)]
+        owners._unowned_since["s"] = 1.0
+        owners._last_tick = now[0]
+        owners.owners["s"] = SimpleNamespace(claim=SimpleNamespace(state=None))
+        await owners.tick()
+        del owners.owners["s"]
+        await owners.tick()
+
+    asyncio.run(body())
+    assert claimed == []
+
+
+def test_a_connection_that_delivers_nothing_is_not_a_reachable_worker():
+    """Guard against claims through a middlebox that accepts connections for a lost worker."""
+
+    async def body():
+        port = free_port()
+        spec = WorkerSpec("w1", "127.0.0.1", port, "r", Resources())
+        async with await asyncio.start_server(lambda *_: asyncio.sleep(9), "127.0.0.1", port):
+            return await reachable([spec])
+
+    assert asyncio.run(body()) is False
+
+
 def test_a_local_shard_is_claimed_without_that_delay():
     """Guard against slower takeovers inside a data centre."""
     assert claims("south", reachable_at=99.0, heard_at=99.0)[0] <= LISTEN_S
