--- a/baobabhoist/tests/test_peer_mesh.py
+++ b/baobabhoist/tests/test_peer_mesh.py
@@ -201,8 +201,8 @@
             await until(lambda: first.peers["b"].link and second.peers["a"].link)
             old = first.peers["b"].link
             for relay in relays:
-                relay.command("silent", 0.0, None)
-                relay.command("pass", 0.0, None)
+                await relay.command("silent", 0.0, None)
+                await relay.command("pass", 0.0, None)
             await until(lambda: old.closed and first.peers["b"].link not in (None, old))
             reply = await first.call("b", RelayRequest(request("r", b"again")), 5.0)
             assert reply.answer.body == b"again"
