Enforce the limits per team and kind of work at placement

Cause: limits.classes was stored and returned, but nothing read it. Workers report the kind of what they run. The scheduler skips the lanes of a class that is full, so that other work of the team goes on; digests say how many tasks of each limited class a shard can start, and work is forwarded by that. Tasks that wait for their class do not ask for more places.

--- a/baobabhoist/daemon/adoption.py
+++ b/baobabhoist/daemon/adoption.py
@@ -68,7 +68,7 @@
             # A worker that slept past a lease still names a task that was queued again here.
             owner.scheduler.cancel(task.task_id)
         owner.scheduler.adopt(worker, adopted, now)
-        owner.quota.adopt(worker, adopted)
+        owner.places.adopt(worker, adopted)
         # Open calls report their own end; taking it twice would break the keys' states.
         foreign = [done for done in ended if done.task_id not in owner.in_flight]
         owner.book.answers.inherit(worker, foreign)
--- a/baobabhoist/daemon/app.py
+++ b/baobabhoist/daemon/app.py
@@ -12,7 +12,7 @@
 from baobabhoist.daemon.escrow import Escrow
 from baobabhoist.daemon.jobs import Jobs
 from baobabhoist.daemon.owners import BUSY_STATES, Owners, Place
-from baobabhoist.daemon.policies import queue_policies, team_policies, use_elsewhere
+from baobabhoist.daemon.policies import class_limits, queue_policies, team_policies, use_elsewhere
 from baobabhoist.daemon.routing import RequestRouter
 from baobabhoist.daemon.shard import ShardOwner
 from baobabhoist.daemon.shard_jobs import ShardJobs
@@ -300,6 +300,7 @@
 
     def _set_policies(self, owner: ShardOwner) -> None:
         owner.scheduler.set_policies(queue_policies(self.view), team_policies(self.view))
+        owner.places.classes.limits = class_limits(self.view, owner.shard)
 
     async def _share_usage(self) -> None:
         """Tell the decisions of each shard what its teams use elsewhere."""
--- a/baobabhoist/daemon/digests.py
+++ b/baobabhoist/daemon/digests.py
@@ -15,7 +15,13 @@
 def digest_of(owner: ShardOwner) -> ShardDigest:
     """Return the use, the spare places and the unmet wishes of a shard by team."""
     quota = owner.quota
-    waiting = [entry for entry in owner.open.values() if is_queued(owner.keys, entry)]
+    # What a class limit keeps waiting asks neither for places nor for workers.
+    waiting = [
+        entry
+        for entry in owner.open.values()
+        if is_queued(owner.keys, entry)
+        and not owner.places.is_full(entry.req.task.team, entry.req.task.kind)
+    ]
     unmet = Counter(entry.req.task.team for entry in waiting)
     teams = set(quota.escrow) | set(quota.used)
     spare = {team: quota.allowed(team) - quota.used[team] for team in teams}
@@ -27,4 +33,5 @@
         owner.free_slots(),
         len(waiting),
         dict(unmet),
+        owner.places.class_spare(),
     )
--- a/baobabhoist/daemon/places.py
+++ b/baobabhoist/daemon/places.py
@@ -1,30 +1,91 @@
-"""Connect the scheduler to the quota ledger of a shard."""
+"""Connect the scheduler to the ledgers of a shard."""
 
 from __future__ import annotations
 
+from collections.abc import Callable, Iterable
+
 import attrs
 
-from baobabhoist.errors import Refusal
+from baobabhoist.errors import ErrorKind, Refusal
+from baobabhoist.model import RunningTask, WorkKind
+from baobabhoist.quota.classes import ClassLedger, class_key
 from baobabhoist.quota.ledger import QuotaLedger
 
 
 @attrs.define
 class ShardPlaces:
-    """Pass places between scheduler and ledger and add which ends are confirmed.
+    """Pass places between scheduler and ledgers and add which ends are confirmed.
 
     An end is confirmed when its report carries this owner's token, or nothing was sent.
+    `kind_of` returns the kind of a task that is about to start. Both ledgers see the same
+    starts and ends, so that one mark stands for the same ends in both.
     """
 
     quota: QuotaLedger
+    kind_of: Callable[[str], WorkKind]
+    classes: ClassLedger = attrs.field()
     confirmed: set[str] = attrs.Factory(set)
 
+    @classes.default
+    def _new_classes(self) -> ClassLedger:
+        ledger = ClassLedger(self.quota.shard)
+        ledger.begin_takeover()
+        return ledger
+
     def start(self, team: str, task_id: str, worker: str) -> Refusal | None:
         """Take a place, or return the reason why there is none."""
-        return self.quota.start(team, task_id, worker)
+        kind = self.kind_of(task_id)
+        if self.is_full(team, kind):
+            return Refusal(
+                ErrorKind.TEAM_LIMIT,
+                f"team {team} runs as much {kind.value} work as it may in {self.quota.shard}",
+                remedy=f"wait for {kind.value} work of the team to end",
+                retry_after_s=1.0,
+            )
+        refusal = self.quota.start(team, task_id, worker)
+        if refusal is None:
+            self.classes.start(class_key(team, kind), task_id, worker)
+        return refusal
 
     def ended(self, task_id: str) -> None:
         """Give the place of a task back, if it still holds one."""
         confirmed = task_id in self.confirmed
         self.confirmed.discard(task_id)
-        if task_id in self.quota.running:
-            self.quota.ended(task_id, confirmed)
+        for ledger in (self.quota, self.classes):
+            if task_id in ledger.running:
+                ledger.ended(task_id, confirmed)
+
+    def adopt(self, worker: str, running: Iterable[RunningTask]) -> None:
+        """Count the tasks that a worker reports when it is fenced."""
+        tasks = list(running)
+        self.quota.adopt(worker, tasks)
+        self.classes.adopt(worker, tasks)
+
+    def worker_confirmed(self, worker: str, mark: int) -> None:
+        """Release the places of ends that were known before an accepted call was sent."""
+        self.quota.worker_confirmed(worker, mark)
+        self.classes.worker_confirmed(worker, mark)
+
+    def is_full(self, team: str, kind: WorkKind) -> bool:
+        """Tell whether the class limit of a team keeps this kind of work waiting here."""
+        if not self.classes.limits:
+            return False
+        self._follow_cap()
+        return not self.classes.spare(class_key(team, kind))
+
+    def spare(self, team: str, kind: WorkKind) -> int:
+        """Return how many tasks of a team and kind may start here now."""
+        if self.is_full(team, kind):
+            return 0
+        places = max(0, self.quota.allowed(team) - self.quota.used[team])
+        return min(places, self.classes.spare(class_key(team, kind)))
+
+    def class_spare(self) -> dict[str, int]:
+        """Return how many tasks of each limited class may start here now."""
+        self._follow_cap()
+        return {key: self.classes.spare(key) for key in self.classes.limits}
+
+    def _follow_cap(self) -> None:
+        # The quota ledger ends the takeover cap when the table has confirmed the epoch.
+        if self.quota.cap is None:
+            self.classes.cap = None
--- a/baobabhoist/daemon/policies.py
+++ b/baobabhoist/daemon/policies.py
@@ -6,6 +6,8 @@
 from collections.abc import Iterable
 
 from baobabhoist.peer.messages import ShardDigest
+from baobabhoist.quota import escrow
+from baobabhoist.quota.classes import class_key
 from baobabhoist.records.kinds import Policy
 from baobabhoist.records.view import RecordView
 from baobabhoist.scheduling.policy import PreemptionAction, QueuePolicy, TeamPolicy
@@ -32,6 +34,16 @@
     return {name: TeamPolicy(team.share, most) for name, team in view.teams().items()}
 
 
+def class_limits(view: RecordView, shard: str) -> dict[str, int]:
+    """Return a shard's part of each class limit; the parts of all shards add up to the limit."""
+    shards = list(view.shards())
+    return {
+        class_key(name, kind): escrow.initial(limit, shards).held(shard)
+        for name, team in view.teams().items()
+        for kind, limit in team.class_limits.items()
+    }
+
+
 def slots_of(view: RecordView, shard: str) -> int:
     """Return the slots of a shard's workers."""
     return sum(spec.capacity.slots for spec in view.workers_of(shard))
--- a/baobabhoist/daemon/routing.py
+++ b/baobabhoist/daemon/routing.py
@@ -18,9 +18,10 @@
     NotSentError,
     Refusal,
 )
-from baobabhoist.model import Outcome, Request, WorkKind
+from baobabhoist.model import Outcome, Request, Task, WorkKind
 from baobabhoist.ownership.keys import Result
 from baobabhoist.peer.messages import RelayAnswer, RelayRefusal, RelayRequest, ShardDigest
+from baobabhoist.quota.classes import class_key
 
 # A takeover lasts up to 5 s; a request that no owner has seen waits that long for one.
 PATIENCE_S = 6.0
@@ -112,9 +113,9 @@
 
         Its home shard keeps the key, so no other owner of that shard has seen the id.
         """
-        team, home = req.task.team, self._home_of(req.shard)
+        home = self._home_of(req.shard)
         rooms = [
-            (digest, min(digest.spare.get(team, 0), digest.free_slots - digest.queued))
+            (digest, _room(digest, req.task))
             for digest in (*self._peers.digests(), *own)
             if digest.shard != req.shard
         ]
@@ -171,6 +172,13 @@
         return LostRelay(sent=True)
 
 
+def _room(digest: ShardDigest, task: Task) -> int:
+    """Return how many tasks like this one a shard could start."""
+    places = digest.spare.get(task.team, 0)
+    in_class = digest.class_spare.get(class_key(task.team, task.kind), places)
+    return min(places, in_class, digest.free_slots - digest.queued)
+
+
 def _is_counted(req: Request) -> bool:
     """Tell whether a drain waits for the request; tasks of jobs go on without this instance."""
     return req.task.kind is WorkKind.REQUEST
--- a/baobabhoist/daemon/shard.py
+++ b/baobabhoist/daemon/shard.py
@@ -39,7 +39,7 @@
 from baobabhoist.daemon.preemption import preempt
 from baobabhoist.daemon.requests import RequestBook
 from baobabhoist.errors import ErrorKind, InvariantBreachError, LinkClosedError, Refusal
-from baobabhoist.model import EndedTask, Outcome, Request, RunningTask, Task, WorkerSpec
+from baobabhoist.model import EndedTask, Outcome, Request, RunningTask, Task, WorkerSpec, WorkKind
 from baobabhoist.observability.events import Event, emit
 from baobabhoist.ownership.claim import ShardClaim
 from baobabhoist.ownership.events import ShardState
@@ -86,8 +86,9 @@
         self.quota = QuotaLedger(claim.shard)
         self.quota.begin_takeover()
         self.keys = KeyLedger(clock_skew_s=times.clock_skew_s)
-        self.places = ShardPlaces(self.quota)
+        self.places = ShardPlaces(self.quota, self._kind_of)
         self.scheduler = Scheduler.over(specs, self.places)
+        self.scheduler.lines.is_full = self.places.is_full
         self.leaving: set[str] = set()
         self.barred: dict[str, float] = {}
         # Tasks that a worker was asked to end; their end says nothing about health or size.
@@ -278,6 +279,11 @@
         outcome = Outcome.NOT_RUN if once and not fate.sent else Outcome.UNKNOWN
         self.book.give(task_id, not_owner(self.shard, outcome))
 
+    def _kind_of(self, task_id: str) -> WorkKind:
+        # Only the tasks of gangs take places before their requests arrive, for a hold.
+        entry = self.open.get(task_id)
+        return entry.req.task.kind if entry is not None else WorkKind.GANG
+
     def finish(self, request_id: str, result: Result) -> Result:
         """Store the result of a request and give it to those who wait."""
         return self.book.finish(request_id, result)
@@ -302,7 +308,7 @@
 
     def leases_renewed(self, worker: str, reply: LeasesRenewed, mark: int) -> None:
         """Compare a worker's report with the tasks that were adopted."""
-        self.quota.worker_confirmed(worker, mark)
+        self.places.worker_confirmed(worker, mark)
         self.adoption.reported(worker, reply.running)
 
     def worker_restarted(self, worker: str) -> None:
--- a/baobabhoist/daemon/shard_jobs.py
+++ b/baobabhoist/daemon/shard_jobs.py
@@ -60,7 +60,8 @@
         The number is found by halving, so that a large gang costs few plans.
         """
         scheduler = self._owner.scheduler
-        count = min(len(tasks), self._spare_places(tasks[0].team)) if tasks else 0
+        spare = self._owner.places.spare
+        count = min(len(tasks), spare(tasks[0].team, tasks[0].kind)) if tasks else 0
         if job_id in scheduler.book.reservations:
             count = len(tasks)
         while count > 0:
@@ -70,10 +71,6 @@
             count //= 2
         return HoldReply(())
 
-    def _spare_places(self, team: str) -> int:
-        quota = self._owner.quota
-        return max(0, quota.allowed(team) - quota.used[team])
-
     async def commit_hold(self, job_id: str, now: float) -> bool:
         """Start the tasks of a hold; tell whether it still stood.
 
--- a/baobabhoist/model.py
+++ b/baobabhoist/model.py
@@ -124,6 +124,7 @@
     task_id: str
     team: str
     resources: Resources
+    kind: WorkKind = WorkKind.BATCH
 
 
 @attrs.frozen
--- a/baobabhoist/peer/messages.py
+++ b/baobabhoist/peer/messages.py
@@ -24,7 +24,11 @@
 
 @attrs.frozen
 class ShardDigest:
-    """Summarise one shard: its owner's token, use and spare places by team, free slots."""
+    """Summarise one shard: its owner's token, use and spare places by team, free slots.
+
+    `queued` and `unmet` count the tasks that wait for places or workers. `class_spare` holds how
+    many tasks may start of each team and kind with a class limit.
+    """
 
     shard: str
     token: Token
@@ -33,6 +37,7 @@
     free_slots: int
     queued: int
     unmet: dict[str, int] = attrs.Factory(dict)
+    class_spare: dict[str, int] = attrs.Factory(dict)
 
 
 @attrs.frozen
--- a/baobabhoist/scheduling/explain.py
+++ b/baobabhoist/scheduling/explain.py
@@ -33,6 +33,9 @@
         return WaitReason.HOLD, f"capacity is being held for it{when}"
     if entry.lane is not None and entry.lane.team.limited:
         return WaitReason.TEAM_LIMIT, f"team {team} uses all places it has here"
+    if scheduler.lines.is_full(team, entry.task.kind):
+        kind = entry.task.kind.value
+        return WaitReason.TEAM_LIMIT, f"team {team} runs as much {kind} work as it may here"
     if scheduler.index.might_fit(need) and scheduler.index.search(
         need, 1, scheduler.health.excluded(entry.task.task_id)
     ):
--- a/baobabhoist/scheduling/queues.py
+++ b/baobabhoist/scheduling/queues.py
@@ -109,6 +109,8 @@
         self.entries: dict[str, Entry] = {}
         self.teams: dict[str, TeamLine] = {}
         self.shapes: dict[tuple[int, ...], Shape] = {}
+        # Tells whether a limit for a team's kind of work keeps its lanes waiting.
+        self.is_full: Callable[[str, WorkKind], bool] = lambda team, kind: False
         self._rank = rank
         self._by_deadline: list[tuple[float, int, Entry]] = []
         self._active: list[Ranked] = []
@@ -161,7 +163,7 @@
     def push(self, lane: Lane, now: float) -> None:
         """Rank a lane by its head."""
         entry = lane.head()
-        if entry is None or lane.team.limited:
+        if entry is None or self.waits_for_place(lane):
             return
         self._stamp += 1
         lane.stamp = self._stamp
@@ -183,7 +185,7 @@
                 heapq.heappop(active)
                 continue
             entry = lane.head()
-            if item[3] != lane.stamp or lane.team.limited or entry is None:
+            if item[3] != lane.stamp or entry is None or self.waits_for_place(lane):
                 self._replace_top(shape, None, now)
             elif entry.seq != item[2] or self._rank(lane, entry, now) > item[0] + _SAME_RANK:
                 self._replace_top(shape, lane, now)
@@ -212,6 +214,10 @@
         """Skip one lane until the next refresh."""
         lane.stamp = 0
 
+    def waits_for_place(self, lane: Lane) -> bool:
+        """Tell whether a limit of its team keeps a lane waiting."""
+        return lane.team.limited or self.is_full(lane.team.name, lane.kind)
+
     def limit(self, team: TeamLine) -> None:
         """Skip a team until a place of it is free."""
         team.limited = True
--- a/baobabhoist/scheduling/scheduler.py
+++ b/baobabhoist/scheduling/scheduler.py
@@ -542,7 +542,7 @@
             for lane, entry in self.lines.heads()
             if entry.waited_s(now) >= self._queue(lane.queue).reserve_after_s
             and (lane.shape.blocked is not None or len(entry.members) > 1)
-            and not lane.team.limited
+            and not self.lines.waits_for_place(lane)
         ]
         for _, _, entry in sorted(starved):
             needs = [(task, self._need(task)) for task in entry.members]
--- a/baobabhoist/testing/worker.py
+++ b/baobabhoist/testing/worker.py
@@ -268,7 +268,8 @@
     def _inventory(self) -> tuple[RunningTask, ...]:
         calls = [execution.call for execution in self.running.values()]
         return tuple(
-            RunningTask(call.task.task_id, call.task.team, call.task.resources) for call in calls
+            RunningTask(call.task.task_id, call.task.team, call.task.resources, call.task.kind)
+            for call in calls
         )
 
     def _report(self, task_id: str) -> OutcomeReport:
