Show operators which lowered limits are pending

Cause: a lowered limit is accepted at once and is in force only when the shards have returned the places of the excess, but nothing told operators so. Change: `get record team`, the answer to the change, and the status compare the limit of the record with the one in the team's escrow row, and name both while the row's is higher. The tool prints it as a comment that does not get in the way when the record is put back. Ruled out: `pending_limit` of the row alone, because the row follows the record later, and the copy of the rows in memory, which an instance without shards does not keep. The new test follows a limit from 9 to 4 through the states of the row; it fails before.

--- a/baobabhoist/cli/instances.py
+++ b/baobabhoist/cli/instances.py
@@ -6,6 +6,7 @@
 
 from baobabhoist.cli.client import Client, ExitCode
 from baobabhoist.cli.output import Result, table
+from baobabhoist.cli.records import pending_line
 from baobabhoist.config.load import load_with_warnings
 from baobabhoist.errors import SettingsError
 
@@ -16,7 +17,8 @@
     """Show the instance, its peers and the revision of the records in force on each."""
     found = client.json("GET", "/v1/status")
     rows = [_row({**found, "live": True}), *(_row(peer) for peer in found["peers"])]
-    return Result(found, table(HEADINGS, rows))
+    notes = [pending_line(each) for each in found.get("pending_limits") or ()]
+    return Result(found, [*table(HEADINGS, rows), *notes])
 
 
 def _row(each: dict[str, Any]) -> list[Any]:
--- a/baobabhoist/cli/records.py
+++ b/baobabhoist/cli/records.py
@@ -14,7 +14,7 @@
 
 RECORD_FIELDS = {"kind", "name", "schema_version", "body", "revision"}
 # `get record` shows these as well, so that its output can be edited and put back.
-IGNORED_FIELDS = {"previous", "changed_by", "changed_at"}
+IGNORED_FIELDS = {"previous", "changed_by", "changed_at", "pending_limit"}
 
 
 def read_records(file: str) -> list[dict[str, Any]]:
@@ -68,7 +68,11 @@
         except UnreachableError as exc:
             written = ", ".join(f"{each['kind']} {each['name']}" for each in done) or "none"
             raise UnreachableError(f"{named}: {exc}; written before: {written}", exc.sent) from exc
-    lines = [f"{each['kind']} {each['name']} is at revision {each['revision']}" for each in done]
+    lines = []
+    for each in done:
+        lines.append(f"{each['kind']} {each['name']} is at revision {each['revision']}")
+        if "pending_limit" in each:
+            lines.append(pending_line(each["pending_limit"]))
     return Result(done, lines)
 
 
@@ -81,7 +85,17 @@
     answer = client.json(
         "PUT", path("v1", "records", kind, name), _plain(body), **_precondition(based_on)
     )
-    return {"kind": kind, "name": name, "revision": answer["revision"]}
+    done = {"kind": kind, "name": name, "revision": answer["revision"]}
+    pending = answer.get("pending_limit")
+    return {**done, "pending_limit": pending} if pending else done
+
+
+def pending_line(pending: dict[str, Any]) -> str:
+    """Describe a lowered limit that is pending until the excess has ended."""
+    return (
+        f"team {pending['team']}: the limit {pending['limit']} is pending; "
+        f"{pending['in_force']} holds until the excess has ended"
+    )
 
 
 def _plain(value: Any) -> Any:
@@ -113,7 +127,9 @@
     found = client.json("GET", path("v1", "records", kind, name))
     kept = {key: value for key, value in found.items() if key not in IGNORED_FIELDS}
     text = yaml.safe_dump(kept, sort_keys=False, allow_unicode=True)
-    return Result(found, text.splitlines())
+    # As a comment, the line does not get in the way when the output is put back.
+    notes = [f"# {pending_line(found['pending_limit'])}"] if "pending_limit" in found else []
+    return Result(found, [*notes, *text.splitlines()])
 
 
 def list_records(client: Client, kind: str = "") -> Result:
--- a/baobabhoist/gateway/admin.py
+++ b/baobabhoist/gateway/admin.py
@@ -4,6 +4,7 @@
 
 from typing import Any
 
+import attrs
 import cattrs
 from tornado.web import Application
 
@@ -12,6 +13,7 @@
 from baobabhoist.gateway.context import NAME_IN_PATH, not_ready
 from baobabhoist.gateway.handler import NotFoundHandler, log_faults
 from baobabhoist.gateway.jobs import explanation_body, no_jobs, status_body
+from baobabhoist.gateway.limits import pending_limits
 from baobabhoist.gateway.metrics import open_requests_gauge
 from baobabhoist.gateway.operators import (
     AdminBackend,
@@ -34,10 +36,11 @@
 class StatusHandler(AdminHandler):
     """Report the state of the instances: GET /v1/status."""
 
-    def get(self) -> None:
+    async def get(self) -> None:
         """Return what this instance owns and applies, and what its peers report."""
         if self.receive() is None:
             return
+        pending = await pending_limits(self.backend.table, self.backend.view.teams())
         own = _CONVERTER.unstructure(self.backend.heartbeat())
         now = self.now()
         peers = [
@@ -52,6 +55,9 @@
                 "draining": bool(own.get("draining")) or open_requests.leaving,
                 "open_requests": open_requests.count,
                 "records_unconfirmed_s": self.options.cut_off_s(),
+                "pending_limits": (
+                    [attrs.asdict(each) for each in pending] if pending is not None else None
+                ),
                 "peers": peers,
             }
         )
--- a/baobabhoist/gateway/records.py
+++ b/baobabhoist/gateway/records.py
@@ -6,15 +6,18 @@
 import re
 from typing import Any
 
+import attrs
+
 from baobabhoist.errors import ErrorKind, Problem, Refusal
 from baobabhoist.gateway.bodies import read_json
+from baobabhoist.gateway.limits import PendingLimit, pending_limit
 from baobabhoist.gateway.operators import AdminHandler
 from baobabhoist.observability.events import Event, emit
 from baobabhoist.records.checks import ABSENT, Problems, integer
 from baobabhoist.records.diff import difference
-from baobabhoist.records.kinds import RecordKind
+from baobabhoist.records.kinds import RecordKind, Team
 from baobabhoist.records.references import in_use
-from baobabhoist.records.schema import bad_name, refusal_of
+from baobabhoist.records.schema import bad_name, refusal_of, typed
 from baobabhoist.records.store import DEFAULT_HISTORY, MAX_HISTORY, Change, RecordStore, as_written
 from baobabhoist.records.view import Record
 
@@ -63,14 +66,22 @@
         found = integer(low, high)(parsed, name, problems)
         return refusal_of(problems, "the query") if found is ABSENT else int(found)
 
-    def answer_record(self, record: Record, version: int = 0, status: int = 200) -> None:
-        """Answer with a record and its revision as the entity tag."""
+    def answer_record(
+        self,
+        record: Record,
+        version: int = 0,
+        status: int = 200,
+        pending: PendingLimit | None = None,
+    ) -> None:
+        """Answer with a record, its revision as the entity tag, and its pending limit."""
         body = as_written(record, version or None)
         if isinstance(body, Refusal):
             self.refuse(body)
             return
         self.set_status(status)
         self.set_header("ETag", f'"{record.revision}"')
+        if pending is not None:
+            body = {**body, "pending_limit": attrs.asdict(pending)}
         self.answer_json(body)
 
     def refuse_change(self, kind: str, name: str, refusal: Refusal) -> None:
@@ -126,7 +137,19 @@
         if isinstance(record, Refusal):
             self.refuse(record)
             return
-        self.answer_record(record, version)
+        self.answer_record(record, version, pending=await self._pending(record))
+
+    async def _pending(self, record: Record) -> PendingLimit | None:
+        if record.kind != RecordKind.TEAM or record.body is None:
+            return None
+        try:
+            team = typed(record.kind, record.body)
+        except (ValueError, TypeError, KeyError):
+            # A later release can have written it; this one cannot compare its limit.
+            return None
+        if not isinstance(team, Team):
+            return None
+        return await pending_limit(self.backend.table, record.name, team)
 
     async def put(self, kind: str, name: str) -> None:
         """Create or replace a record."""
@@ -141,7 +164,8 @@
         if isinstance(record, Refusal):
             self.refuse_change(kind, name, record)
             return
-        self.answer_record(record, status=200 if wanted.based_on else HTTP_CREATED)
+        status = 200 if wanted.based_on else HTTP_CREATED
+        self.answer_record(record, status=status, pending=await self._pending(record))
 
     async def delete(self, kind: str, name: str) -> None:
         """Delete a record."""
--- a/baobabhoist/tests/test_gateway_admin.py
+++ b/baobabhoist/tests/test_gateway_admin.py
@@ -2,6 +2,8 @@
 
 import asyncio
 
+from baobabhoist.platform.table import Row
+from baobabhoist.quota.escrow import Move, encode, initial, move, set_limit
 from baobabhoist.records.view import RecordView
 from baobabhoist.tests.gateways import OPERATOR, ROSTER, with_gateway
 
@@ -151,3 +153,43 @@
         assert (found["draining"], found["ready"]) == (True, False)
 
     with_gateway(test)
+
+
+def test_a_lowered_limit_is_pending_until_the_excess_has_ended():
+    """Guard against an operator who takes a lowered limit for one that is in force."""
+
+    async def test(gateway):
+        empty(gateway)
+        table = gateway.node.table
+        await gateway.call("admin", "PUT", TEAM, CREATE, change(9))
+        row = initial(9, ["n1", "n2"])
+        table.rows["escrow/fibre"] = Row("escrow/fibre", 1, encode(row))
+
+        async def seen():
+            await gateway.node.catch_up()
+            record = (await gateway.call("admin", "GET", TEAM, OPERATOR)).json
+            status = (await gateway.call("admin", "GET", "/v1/status", OPERATOR)).json
+            return record.get("pending_limit"), status["pending_limits"]
+
+        async def store(row):
+            table.rows["escrow/fibre"] = Row("escrow/fibre", 2, encode(row))
+
+        assert await seen() == (None, [])
+        lowered = await gateway.call("admin", "PUT", TEAM, based_on(1), change(4))
+        pending = {"team": "fibre", "limit": 4, "in_force": 9}
+        # The row follows the record later, but the limit is not in force before that either.
+        assert (lowered.status, lowered.json["pending_limit"]) == (200, pending)
+        assert await seen() == (pending, [pending])
+        row = move("fibre", set_limit("fibre", row, 4), [Move("n1", 1, -2)])
+        await store(row)
+        assert await seen() == ({**pending, "in_force": 7}, [{**pending, "in_force": 7}])
+        await store(move("fibre", row, [Move("n1", 1, -3)]))
+        assert await seen() == (None, [])
+        table.down = True
+        assert await seen_down(gateway) == (200, None)
+
+    async def seen_down(gateway):
+        status = await gateway.call("admin", "GET", "/v1/status", OPERATOR)
+        return status.status, status.json["pending_limits"]
+
+    with_gateway(test)
