--- a/baobabhoist/daemon/forwarding.py
+++ b/baobabhoist/daemon/forwarding.py
@@ -9,7 +9,7 @@
 import attrs
 
 from baobabhoist.errors import Refusal
-from baobabhoist.model import Outcome, Request, Task
+from baobabhoist.model import Outcome, Request, Task, WorkKind
 from baobabhoist.ownership.keys import KeyLedger, KeyState, Result
 
 # Work that starts within this time is not worth a forward.
@@ -94,16 +94,21 @@
     def tick(self, now: float) -> None:
         """Forward a bounded number of the requests that wait."""
         home, sent = self._home, 0
+        # Where one request of a team and kind finds no room, the others find none in this tick.
+        without_room: set[tuple[str, WorkKind]] = set()
         if not home.usable:
             return
         for entry in list(home.open.values()):
             if sent >= FORWARDS_PER_TICK:
                 return
+            work = (entry.req.task.team, entry.req.task.kind)
             due = now >= entry.forward_at and not entry.forwarded
-            if not due or not is_queued(home.keys, entry):
+            if not due or work in without_room or not is_queued(home.keys, entry):
                 continue
             sent_to = self._forward(entry.req)
-            if sent_to is not None:
+            if sent_to is None:
+                without_room.add(work)
+            else:
                 entry.target, running = sent_to
                 home.queue.cancel(entry.req.request_id)
                 entry.forwarding = True
