--- a/baobabhoist/daemon/owners.py
+++ b/baobabhoist/daemon/owners.py
@@ -11,6 +11,8 @@
 from typing import Any, Protocol
 
 import attrs
+from websockets.asyncio.client import connect
+from websockets.exceptions import WebSocketException
 
 from baobabhoist.daemon.shard import ShardOwner
 from baobabhoist.errors import LinkClosedError, NotSentError
@@ -19,6 +21,7 @@
 from baobabhoist.ownership.claim import ClaimTimes, ShardClaim
 from baobabhoist.ownership.events import ShardState
 from baobabhoist.ownership.rendezvous import Candidate, rank
+from baobabhoist.peer.link import WEBSOCKET_OPTIONS
 from baobabhoist.peer.messages import HandOver, HandOverTaken, Heartbeat
 
 log = logging.getLogger(__name__)
@@ -29,6 +32,9 @@
 PAUSE_S = 1.0
 # Each lower rank waits this much longer for the instances ahead of it to claim.
 RANK_DELAY_S = 0.75
+# When a network partition ends, the workers of the other data centre can be reached before its
+# instances are heard: a peer's new link and first heartbeat take up to about 1.5 s.
+REMOTE_DELAY_S = 1.5
 REACH_TIMEOUT_S = 0.5
 REACH_SAMPLE = 3
 HAND_OVER_CALL_S = 2.0
@@ -77,14 +83,17 @@
 
 
 async def reachable(workers: list[WorkerSpec]) -> bool:
-    """Tell whether one of a few workers accepts a connection."""
+    """Tell whether one of a few workers answers on a new connection."""
     for spec in random.sample(workers, min(REACH_SAMPLE, len(workers))):
         try:
-            async with asyncio.timeout(REACH_TIMEOUT_S):
-                _, writer = await asyncio.open_connection(spec.host, spec.port)
-            writer.close()
-            return True
-        except (OSError, TimeoutError):
+            # Some middleboxes accept a connection that they cannot deliver; only the worker
+            # completes the handshake.
+            async with (
+                asyncio.timeout(REACH_TIMEOUT_S),
+                connect(f"ws://{spec.host}:{spec.port}", **WEBSOCKET_OPTIONS),
+            ):
+                return True
+        except (OSError, TimeoutError, WebSocketException):
             continue
     return False
 
@@ -147,6 +156,7 @@
             return
         for shard in self._shards.names():
             if shard in self.owners:
+                self._unowned_since.pop(shard, None)
                 self._consider_moving(shard, now)
             elif await self._should_claim(shard, now):
                 self.claim(shard)
@@ -242,12 +252,13 @@
         since = self._unowned_since.setdefault(shard, now)
         if claim is not None and now < claim.retry_at:
             return False
+        local = self._shards.data_centre_of(shard) == self._place.data_centre
         position = self._ranked(shard).index(self._place.instance_id)
-        if now - since < position * RANK_DELAY_S:
+        if not local and not await self._reach(self._shards.workers_of(shard)):
+            # A data centre that is cut off from this one serves its shards itself.
+            self._unowned_since[shard] = self._clock()
             return False
-        # A data centre that is cut off from this one serves its shards itself.
-        local = self._shards.data_centre_of(shard) == self._place.data_centre
-        return local or bool(await self._reach(self._shards.workers_of(shard)))
+        return now - since >= position * RANK_DELAY_S + (0.0 if local else REMOTE_DELAY_S)
 
     def _ranked(self, shard: str, others_only: bool = False) -> list[str]:
         candidates = [
