Wait until the instances are ready before the takeover test writes records

The run left no log, so the cause is not known; the setup waited for open ports only. Change: the setup waits until every instance is ready.

--- a/baobabhoist/tests/test_daemon_takeover.py
+++ b/baobabhoist/tests/test_daemon_takeover.py
@@ -65,8 +65,9 @@
         found.plan_instances({"north": ["entry-1", "entry-2"]})
         for name in found.instances:
             found.start_instance(name)
-        for cfg in found.instances.values():
+        for name, cfg in found.instances.items():
             wait_for_port(cfg["admin_port"])
+            wait_until_ready(found, name)
         path = tmp_path / "records.yaml"
         path.write_text(yaml.safe_dump_all(records(ports)), encoding="utf-8")
         found.command_line("put", "record", str(path), instance="entry-1")
