Tell stopped tasks from failed ones, and refuse what a class limit keeps out

Cause: a batch task that its owner stopped, to preempt it or to keep a lowered limit, was reported as failed on its worker and used up a retry. With the retries of the policy in force (one by default) a job failed when its tasks were stopped twice. And since idempotent work is not forwarded any more, it waited without end at a shard that has no part of its class limit. Change: such a task ends with the new kind `preempted` (outcome `ran`), and an idempotent batch task then runs again without a count. Idempotent work at a shard without a part is refused with `team_limit`, so that the coordinator of a job sends it to another shard. Ruled out: at least one place for each shard, which would exceed a limit below their number. Three new checks: a job whose task is stopped five times, a stopped task at its owner, and an idempotent task at a shard without a part.

--- a/baobabhoist/daemon/places.py
+++ b/baobabhoist/daemon/places.py
@@ -7,7 +7,7 @@
 import attrs
 
 from baobabhoist.errors import ErrorKind, Refusal
-from baobabhoist.model import RunningTask, WorkKind
+from baobabhoist.model import RunningTask, Task, WorkKind
 from baobabhoist.quota.classes import ClassLedger, class_key
 from baobabhoist.quota.ledger import QuotaLedger
 
@@ -32,16 +32,19 @@
         ledger.begin_takeover()
         return ledger
 
+    def never_starts(self, task: Task) -> Refusal | None:
+        """Return why a task cannot start here whatever ends, or None.
+
+        Work that is not idempotent can be forwarded; other work would wait here for ever.
+        """
+        limit = self.classes.limits.get(class_key(task.team, task.kind))
+        return self._full(task.team, task.kind) if limit == 0 and task.idempotent else None
+
     def start(self, team: str, task_id: str, worker: str) -> Refusal | None:
         """Take a place, or return the reason why there is none."""
         kind = self.kind_of(task_id)
         if self.is_full(team, kind):
-            return Refusal(
-                ErrorKind.TEAM_LIMIT,
-                f"team {team} runs as much {kind.value} work as it may in {self.quota.shard}",
-                remedy=f"wait for {kind.value} work of the team to end",
-                retry_after_s=1.0,
-            )
+            return self._full(team, kind)
         refusal = self.quota.start(team, task_id, worker)
         if refusal is None:
             self.classes.start(class_key(team, kind), task_id, worker)
@@ -85,6 +88,14 @@
         self._follow_cap()
         return {key: self.classes.spare(key) for key in self.classes.limits}
 
+    def _full(self, team: str, kind: WorkKind) -> Refusal:
+        return Refusal(
+            ErrorKind.TEAM_LIMIT,
+            f"team {team} runs as much {kind.value} work as it may in {self.quota.shard}",
+            remedy=f"wait for {kind.value} work of the team to end, or use a new key",
+            retry_after_s=1.0,
+        )
+
     def _follow_cap(self) -> None:
         # The quota ledger ends the takeover cap when the table has confirmed the epoch.
         if self.quota.cap is None:
--- a/baobabhoist/daemon/preemption.py
+++ b/baobabhoist/daemon/preemption.py
@@ -5,6 +5,8 @@
 import logging
 from typing import Any, Protocol
 
+from baobabhoist.errors import ErrorKind, Refusal
+from baobabhoist.model import Outcome
 from baobabhoist.observability.events import Event, emit
 from baobabhoist.ownership.claim import ShardClaim
 from baobabhoist.scheduling.policy import PreemptionAction
@@ -15,6 +17,12 @@
 log = logging.getLogger(__name__)
 
 PERCENT = 100
+PREEMPTED = Refusal(
+    ErrorKind.PREEMPTED,
+    "the task was stopped to make room for other work or to keep a limit",
+    Outcome.RAN,
+    "send the work again under a new key, if it may run again",
+)
 
 
 class Owner(Protocol):
--- a/baobabhoist/daemon/shard.py
+++ b/baobabhoist/daemon/shard.py
@@ -36,7 +36,7 @@
     send_nowhere,
 )
 from baobabhoist.daemon.places import ShardPlaces
-from baobabhoist.daemon.preemption import preempt
+from baobabhoist.daemon.preemption import PREEMPTED, preempt
 from baobabhoist.daemon.requests import RequestBook
 from baobabhoist.errors import ErrorKind, InvariantBreachError, LinkClosedError, Refusal
 from baobabhoist.model import EndedTask, Outcome, Request, RunningTask, Task, WorkerSpec, WorkKind
@@ -184,7 +184,7 @@
         entry = self.book.entry(req, now)
         if not isinstance(decision, Join):
             entry.forwarded = forwarded
-            refusal = self.scheduler.enqueue(req.task, now)
+            refusal = self.places.never_starts(req.task) or self.scheduler.enqueue(req.task, now)
             if refusal is not None:
                 return self.finish(req.request_id, refusal)
             self.dispatch(now)
@@ -265,6 +265,7 @@
         if isinstance(fate, NeverRan):
             # A refused start says nothing about the worker's health or the task's size.
             self.take_back(task.task_id, now)
+            stopped = False
         else:
             if self._observer is not None:
                 self._observer.ended(task, now - begun)
@@ -276,7 +277,9 @@
         if isinstance(fate, Lost) and self.keys.retry(task.task_id, task.deadline, now):
             self._enqueue_again(task, now)
         else:
-            self.finish(task.task_id, result_of_fate(task.task_id, fate))
+            ended = isinstance(fate, Ended)
+            result = PREEMPTED if stopped and ended else result_of_fate(task.task_id, fate)
+            self.finish(task.task_id, result)
         self.dispatch(now)
 
     def _superseded(self, task_id: str, fate: Superseded) -> None:
--- a/baobabhoist/errors.py
+++ b/baobabhoist/errors.py
@@ -38,6 +38,7 @@
     CANCELLED = "cancelled"
     DRAINING = "draining"
     TASK_FAILED = "task_failed"
+    PREEMPTED = "preempted"
     INTERNAL = "internal"
 
 
@@ -147,5 +148,6 @@
     ErrorKind.CANCELLED: 409,
     ErrorKind.DRAINING: 503,
     ErrorKind.TASK_FAILED: 502,
+    ErrorKind.PREEMPTED: 503,
     ErrorKind.INTERNAL: 500,
 }
--- a/baobabhoist/jobs/state.py
+++ b/baobabhoist/jobs/state.py
@@ -224,6 +224,10 @@
         self.dirty = True
         if isinstance(result, Answer):
             self._ended(task, now, succeeded=True, reason="")
+        elif result.kind is ErrorKind.PREEMPTED and self._may_retry and not self.cancel_wanted:
+            # The owner stopped the task, which says nothing about the task itself.
+            task.reason = result.message
+            self._next_generation(task, now)
         elif result.outcome is Outcome.RAN:
             self._ended(task, now, succeeded=False, reason=result.message)
         elif result.outcome is Outcome.NOT_RUN:
--- a/baobabhoist/tests/test_daemon_shard.py
+++ b/baobabhoist/tests/test_daemon_shard.py
@@ -6,10 +6,13 @@
 import attrs
 import pytest
 
+from baobabhoist.daemon.preemption import preempt
 from baobabhoist.errors import ErrorKind, Refusal
 from baobabhoist.model import Answer, EndedTask, Outcome
 from baobabhoist.ownership.events import ShardState
 from baobabhoist.ownership.tokens import Token
+from baobabhoist.scheduling.policy import PreemptionAction
+from baobabhoist.scheduling.results import Preemption
 from baobabhoist.testing.worker import Worker
 from baobabhoist.tests.shards import CAPACITY, Rack, queried, quicken, request, until
 from baobabhoist.tests.tables import MemoryTable
@@ -416,3 +419,14 @@
     again = rack.begin(owner.submit(request("again", idempotent=True)))
     await asyncio.gather(plain, again)
     assert set(forwarded) == {"plain"}
+
+
+@scenario()
+async def test_a_task_that_its_owner_stopped_is_not_called_failed(rack):
+    """Guard against preemption and lowered limits that count as failures of the task."""
+    owner, _ = await rack.owned("a")
+    stopped = rack.begin(owner.submit(request("stopped", LONG, idempotent=True)))
+    await until(lambda: owner.running_on("stopped"))
+    worker = owner.running_on("stopped")
+    await preempt(owner, Preemption("stopped", worker, PreemptionAction.STOP, "urgent"))
+    assert (await stopped).kind is ErrorKind.PREEMPTED
--- a/baobabhoist/tests/test_jobs_state.py
+++ b/baobabhoist/tests/test_jobs_state.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from baobabhoist.daemon.preemption import PREEMPTED
 from baobabhoist.errors import ErrorKind, Refusal
 from baobabhoist.jobs.rows import job_row, run_of
 from baobabhoist.jobs.state import JobRun
@@ -150,3 +151,17 @@
     run.abandon_attempt(1.0)
     assert not run.placed
     assert not set(old) & {run.task_id(index) for index in range(2)}
+
+
+def test_a_preempted_task_runs_again_without_using_up_its_retries():
+    """Guard against a job that fails because its owner stopped its tasks too often."""
+    run = job(tasks=1)
+    run.retries = 0
+    for attempt in range(5):
+        send_all(run, attempt * 100.0)
+        run.result(0, PREEMPTED, attempt * 100.0)
+    assert run.state is JobState.QUEUED
+    run = job(tasks=1, idempotent=False)
+    send_all(run, 0.0)
+    run.result(0, PREEMPTED, 1.0)
+    assert run.state is JobState.FAILED
--- a/baobabhoist/tests/test_quota_classes.py
+++ b/baobabhoist/tests/test_quota_classes.py
@@ -8,7 +8,7 @@
 from baobabhoist.daemon.places import ShardPlaces
 from baobabhoist.daemon.policies import class_limits
 from baobabhoist.errors import ErrorKind
-from baobabhoist.model import Answer, Resources, RunningTask, WorkKind
+from baobabhoist.model import Answer, Outcome, Resources, RunningTask, WorkKind
 from baobabhoist.quota.classes import class_key
 from baobabhoist.quota.ledger import QuotaLedger
 from baobabhoist.records.view import Record, RecordView
@@ -94,6 +94,12 @@
             assert "batch work" in owner.scheduler.explain("b1", owner.now).message
             digest = digest_of(owner)
             assert (digest.unmet, digest.class_spare) == ({}, {BATCH: 0})
+            owner.places.classes.limits = {BATCH: 0}
+            req = request("never", idempotent=True)
+            req = attrs.evolve(req, task=attrs.evolve(req.task, kind=WorkKind.BATCH))
+            refused = await owner.submit(req)
+            # The coordinator of a job sends a refused task to another shard.
+            assert (refused.kind, refused.outcome) == (ErrorKind.TEAM_LIMIT, Outcome.NOT_RUN)
             owner.places.classes.limits = {BATCH: 2}
             assert all(isinstance(result, Answer) for result in await asyncio.gather(*calls[1:]))
             calls[0].cancel()
