--- a/baobabhoist/daemon/forwarding.py
+++ b/baobabhoist/daemon/forwarding.py
@@ -3,13 +3,13 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Awaitable, Callable, Coroutine
+from collections.abc import Awaitable, Callable, Coroutine, Iterable
 from typing import Any, Protocol
 
 import attrs
 
 from baobabhoist.errors import Refusal
-from baobabhoist.model import Outcome, Request, Task
+from baobabhoist.model import Outcome, Request, Task, WorkKind
 from baobabhoist.ownership.keys import KeyLedger, KeyState, Result
 
 # Work that starts within this time is not worth a forward.
@@ -18,19 +18,27 @@
 RETRY_AFTER_S = 0.5
 FORWARDS_PER_TICK = 32
 
-Forward = Callable[[Request], Awaitable[Result] | None]
-"""Send a request to another shard, or return None when none has room for it."""
+Forward = Callable[[Request], tuple[str, Awaitable[Result]] | None]
+"""Send a request to another shard and return that shard with the pending result.
+
+None means that no other shard has room.
+"""
 
 
 @attrs.define(eq=False)
 class Open:
-    """Hold a request that has no result yet; `forward_at` is in Unix seconds."""
+    """Hold a request that has no result yet; `forward_at` is in Unix seconds.
+
+    `target` is the shard that has the request while `forwarding` is set.
+    """
 
     req: Request
     fut: asyncio.Future[Result]
     forward_at: float
+    opened_at: float = 0.0
     forwarded: bool = False
     forwarding: bool = False
+    target: str = ""
 
 
 def is_queued(keys: KeyLedger, entry: Open) -> bool:
@@ -67,6 +75,12 @@
     def now(self) -> float:
         """Return the time in Unix seconds."""
 
+    def owned_at(self, at: float) -> bool:
+        """Tell whether this instance certainly owned the shard at a time; if not, find out.
+
+        No worker of this shard would refuse the forward of an owner that was superseded.
+        """
+
     def dispatch(self, now: float) -> None:
         """Start what fits now."""
 
@@ -87,21 +101,26 @@
     def tick(self, now: float) -> None:
         """Forward a bounded number of the requests that wait."""
         home, sent = self._home, 0
-        # Where one request of a team finds no room, the others of this tick find none either.
-        without_room: set[str] = set()
+        # Where one request of a team and kind finds no room, the others find none in this tick.
+        without_room: set[tuple[str, WorkKind]] = set()
         if not home.usable:
             return
         for entry in list(home.open.values()):
             if sent >= FORWARDS_PER_TICK:
                 return
-            team = entry.req.task.team
+            work = (entry.req.task.team, entry.req.task.kind)
             due = now >= entry.forward_at and not entry.forwarded
-            if not due or team in without_room or not is_queued(home.keys, entry):
+            if not due or work in without_room or not is_queued(home.keys, entry):
+                continue
+            # The next owner of this shard cannot know what was forwarded: it answers unknown for
+            # keys that are older than its takeover, but it may run idempotent work again.
+            if entry.req.task.idempotent or not home.owned_at(entry.opened_at):
                 continue
-            running = self._forward(entry.req)
-            if running is None:
-                without_room.add(team)
+            sent_to = self._forward(entry.req)
+            if sent_to is None:
+                without_room.add(work)
             else:
+                entry.target, running = sent_to
                 home.queue.cancel(entry.req.request_id)
                 entry.forwarding = True
                 sent += 1
@@ -111,6 +130,11 @@
         """Return the requests that other shards have now."""
         return {name for name, entry in self._home.open.items() if entry.forwarding}
 
+    def targets(self, task_ids: Iterable[str]) -> dict[str, str]:
+        """Return the shards that have those of these requests that were forwarded."""
+        entries = ((name, self._home.open.get(name)) for name in task_ids)
+        return {name: entry.target for name, entry in entries if entry and entry.forwarding}
+
     def freeze(self) -> None:
         """Count what other shards have as dispatched, before the queue is given up."""
         for entry in self._home.open.values():
--- a/baobabhoist/scheduling/holding.py
+++ b/baobabhoist/scheduling/holding.py
@@ -91,7 +91,7 @@
         if entry is not None and entry.lane is not None and entry.held:
             self.lines.requeue(entry, self._now)
         for member in reservation.members:
-            self.lines.grew(member.worker.room)
+            self.lines.grew(member.worker.room, member.worker)
 
     def _bind_all(self, reservation: Reservation, now: float) -> list[Placement]:
         self.book.end(reservation)
@@ -136,7 +136,7 @@
         for lane, entry in heads:
             bound, waited = self._queue(lane.queue).reserve_after_s, entry.waited_s(now)
             stuck = lane.shape.blocked is not None or len(entry.members) > 1
-            if waited < bound or not stuck or lane.team.limited:
+            if waited < bound or not stuck or self.lines.waits_for_place(lane):
                 continue
             rank = self._rank(lane, entry, now)
             if rank <= 1.0 or waited >= OVER_SHARE_FACTOR * bound:
--- a/baobabhoist/scheduling/queues.py
+++ b/baobabhoist/scheduling/queues.py
@@ -3,13 +3,14 @@
 from __future__ import annotations
 
 import heapq
+from collections import Counter
 from collections.abc import Callable, Iterator
 from math import inf
 
 import attrs
 
 from baobabhoist.model import Task, Urgency, WorkKind
-from baobabhoist.scheduling.capacity import Amount, fits
+from baobabhoist.scheduling.capacity import Amount, WorkerState, fits
 
 # Sizes within a factor of the square root of two wait in one lane; a lane whose head does not
 # fit is not searched further, so wider steps would hide smaller tasks behind larger ones.
@@ -65,11 +66,27 @@
 
 @attrs.define(eq=False)
 class Shape:
-    """Hold the lanes whose work has about the same size; `blocked` is what found no room."""
+    """Hold the lanes whose work has about the same size; `blocked` is what found no room.
+
+    `grown` holds the workers that gained room since; None means that all are to be tried.
+    """
 
     ranked: list[Ranked] = attrs.Factory(list)
     lanes: list[Lane] = attrs.Factory(list)
     blocked: Amount | None = None
+    grown: dict[str, WorkerState] | None = None
+
+    def unblock(self, worker: WorkerState | None) -> None:
+        """Try the size again, on one worker that grew or, without one, on all."""
+        if self.blocked is not None:
+            self.grown = {} if worker else None
+        self.blocked = None
+        if worker is not None and self.grown is not None:
+            self.grown[worker.spec.name] = worker
+
+    def may_fit(self, need: Amount) -> bool:
+        """Tell whether a worker that grew since the size found no room might have room now."""
+        return self.grown is None or any(fits(need, w.free) for w in self.grown.values())
 
 
 @attrs.define(eq=False)
@@ -79,6 +96,7 @@
     name: str
     lanes: dict[tuple[str, str, bool, tuple[int, ...]], Lane] = attrs.Factory(dict)
     queued: int = 0
+    queued_in: Counter[str] = attrs.Factory(Counter)
     limited: bool = False
 
 
@@ -110,6 +128,8 @@
         self.entries: dict[str, Entry] = {}
         self.teams: dict[str, TeamLine] = {}
         self.shapes: dict[tuple[int, ...], Shape] = {}
+        # Tells whether a limit for a team's kind of work keeps its lanes waiting.
+        self.is_full: Callable[[str, WorkKind], bool] = lambda team, kind: False
         self._rank = rank
         self._by_deadline: list[tuple[float, int, Entry]] = []
         self._active: list[Ranked] = []
@@ -141,18 +161,23 @@
         for member in entry.members:
             self.entries[member.task_id] = entry
         team.queued += len(entry.members)
+        team.queued_in[task.queue] += len(entry.members)
         if task.deadline != inf:
             heapq.heappush(self._by_deadline, (task.deadline, entry.seq, entry))
         if lane.heap[0][2] is entry:
             self.push(lane, now)
-        if lane.shape.blocked is not None and not fits(lane.shape.blocked, entry.need):
-            lane.shape.blocked = None
-            self._activate(lane.shape)
+        shape = lane.shape
+        first = bool(shape.ranked) and shape.ranked[0][4] is lane
+        if shape.blocked is not None and first and not fits(shape.blocked, entry.need):
+            shape.unblock(None)
+            self._activate(shape)
 
     def remove(self, entry: Entry) -> None:
         """Take an entry out in constant time; the heaps drop it when it reaches their top."""
         if entry.lane is not None:
-            entry.lane.team.queued -= len(entry.members)
+            line = entry.lane.team
+            line.queued -= len(entry.members)
+            line.queued_in[entry.task.queue] -= len(entry.members)
             entry.lane = None
             for member in entry.members:
                 del self.entries[member.task_id]
@@ -160,7 +185,7 @@
     def push(self, lane: Lane, now: float) -> None:
         """Rank a lane by its head."""
         entry = lane.head()
-        if entry is None or lane.team.limited:
+        if entry is None or self.waits_for_place(lane):
             return
         self._stamp += 1
         lane.stamp = self._stamp
@@ -182,11 +207,11 @@
                 heapq.heappop(active)
                 continue
             entry = lane.head()
-            if item[3] != lane.stamp or lane.team.limited or entry is None:
+            if item[3] != lane.stamp or entry is None or self.waits_for_place(lane):
                 self._replace_top(shape, None, now)
             elif entry.seq != item[2] or self._rank(lane, entry, now) > item[0] + _SAME_RANK:
                 self._replace_top(shape, lane, now)
-            elif not lane.urgent and not fits(entry.need, room):
+            elif not lane.urgent and not (fits(entry.need, room) and shape.may_fit(entry.need)):
                 shape.blocked = entry.need
             else:
                 return lane
@@ -211,22 +236,29 @@
         """Skip one lane until the next refresh."""
         lane.stamp = 0
 
+    def waits_for_place(self, lane: Lane) -> bool:
+        """Tell whether a limit of its team keeps a lane waiting."""
+        return lane.team.limited or self.is_full(lane.team.name, lane.kind)
+
     def limit(self, team: TeamLine) -> None:
         """Skip a team until a place of it is free."""
         team.limited = True
 
-    def grew(self, room: Amount) -> None:
+    def grew(self, room: Amount, worker: WorkerState) -> None:
         """Look again at the sizes that fit in a worker's room."""
         for shape in self.shapes.values():
-            if shape.blocked is not None and fits(shape.blocked, room):
-                shape.blocked = None
+            if shape.blocked is None:
+                shape.unblock(worker)
+            elif fits(shape.blocked, room):
+                shape.unblock(worker)
                 self._activate(shape)
 
     def unblock(self) -> None:
-        """Look again at every size."""
+        """Look again at every size on every worker."""
         for shape in self.shapes.values():
-            if shape.blocked is not None:
-                shape.blocked = None
+            was_blocked, shape.blocked = shape.blocked is not None, None
+            shape.grown = None
+            if was_blocked:
                 self._activate(shape)
 
     def team_changed(self, name: str, now: float) -> None:
--- a/baobabhoist/scheduling/scheduler.py
+++ b/baobabhoist/scheduling/scheduler.py
@@ -89,7 +89,12 @@
             check(not known, Invariant.SCHEDULER, "task %s is queued or placed", task.task_id)
         first = tasks[0]
         refusal = self._never_fits(tasks) or overload.refuse(
-            first, self.lines.team(first.team), self._team(first.team), self.rates, now
+            first,
+            self.lines.team(first.team),
+            self._team(first.team),
+            self._queue(first.queue),
+            self.rates,
+            now,
         )
         if refusal is not None:
             return refusal
@@ -272,7 +277,7 @@
             verdict = Verdict.DONE
         self._check_holds = self._check_holds or bool(self.book.reservations)
         collecting = worker.name in self.book.collecting
-        self.lines.grew(worker.free if collecting else worker.room)
+        self.lines.grew(worker.free if collecting else worker.room, worker)
         self.lines.team_changed(task.team, now)
         return verdict
 
@@ -331,7 +336,11 @@
         if now >= self._unlimit_at:
             self._unlimit_at = now + UNLIMIT_S
             self.lines.unlimit(now)
-        if now >= self._unblock_at or self.health.probe_due(now):
+            for name in self.health.probe_due(now):
+                worker = self.index.workers.get(name)
+                if worker is not None and worker.availability is Availability.UP:
+                    self.lines.grew(minus(worker.free, worker.reserved), worker)
+        if now >= self._unblock_at:
             self._unblock_at = now + UNBLOCK_S
             self.lines.unblock()
         self._reserve_for_starved(self.lines.refresh(now), now)
