--- a/baobabhoist/benchmarks/control.py
+++ b/baobabhoist/benchmarks/control.py
@@ -6,6 +6,8 @@
 import os
 import tempfile
 import time
+import tracemalloc
+from collections.abc import Callable
 from pathlib import Path
 from typing import Any
 
@@ -13,7 +15,10 @@
 import yaml
 from tornado.httpclient import AsyncHTTPClient, HTTPClientError
 
-from baobabhoist.records.view import digest
+from baobabhoist.ownership.tokens import Token
+from baobabhoist.peer.messages import CODEC as PEER_CODEC
+from baobabhoist.peer.messages import Heard, Heartbeat, ShardDigest
+from baobabhoist.records.view import Record, RecordView, digest
 from baobabhoist.testing.cluster import OPERATOR_KEY, Cluster, fetch, wait_for_port
 
 TEAM_KEY = "team-key-of-the-control-bench"
@@ -22,6 +27,9 @@
 BUSY_CONNECTIONS = 64
 TEAMS = 110
 RACK_SIZE = 100
+DESIGN_SHARDS = 100
+PEERS = 99
+HEARTBEATS = 300
 PAGE_KB = os.sysconf("SC_PAGE_SIZE") // 1024
 TICKS_PER_S = os.sysconf("SC_CLK_TCK")
 
@@ -157,6 +165,45 @@
     raise RuntimeError(f"the daemon does not own {shards} shards after {OWNED_TIMEOUT_S:g} s")
 
 
+def heartbeat_cost() -> dict[str, float]:
+    """Return the size of a heartbeat and the processor time to send and to receive it.
+
+    The sender owns one shard, every team has work there, and it hears its design-size peers.
+    """
+    teams = [f"team-{number}" for number in range(TEAMS)]
+    counts = dict.fromkeys(teams, 7)
+    digest_ = ShardDigest("rack-17", Token(1234, 0, "entry-17~abcdef"), counts, counts, 100, 50)
+    heard = tuple(Heard(f"entry-{number}", 0.25) for number in range(PEERS))
+    beat = Heartbeat(
+        "entry-17", "north", ("rack-17",), 1_000_000, False, (digest_,), heard, 1.0, 0.0
+    )
+    data = PEER_CODEC.encode(beat)
+    return {
+        "bytes": len(data),
+        "encode_us": _time_us(lambda: PEER_CODEC.encode(beat)),
+        "decode_us": _time_us(lambda: PEER_CODEC.decode(data)),
+    }
+
+
+def _time_us(step: Callable[[], object]) -> float:
+    started = time.process_time()
+    for _ in range(HEARTBEATS):
+        step()
+    return round(1e6 * (time.process_time() - started) / HEARTBEATS, 1)
+
+
+def records_cost(shards: int, rack_size: int) -> dict[str, float]:
+    """Return the memory of all records in force at a fleet's size, in MB."""
+    ports = {f"worker-{number}": 7000 for number in range(shards * rack_size)}
+    tracemalloc.start()
+    view = RecordView()
+    for revision, record in enumerate(_records(ports), start=1):
+        view.apply(Record(revision=revision, **record))
+    held, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    return {"workers": shards * rack_size, "memory_mb": round(held / 1e6, 2)}
+
+
 def run(sizes: list[int], rate: float, seconds: float) -> dict[str, Any]:
     """Measure fleets of several sizes, and the slopes between the smallest and largest."""
     found = [measure(size, rate, seconds) for size in sizes]
@@ -166,7 +213,12 @@
         name: round((last["idle"][name] - first["idle"][name]) / added, 5) if added else 0.0
         for name in first["idle"]
     }
-    return {"fleets": found, "per_worker_idle": slopes}
+    return {
+        "fleets": found,
+        "per_worker_idle": slopes,
+        "heartbeat": heartbeat_cost(),
+        "records": records_cost(DESIGN_SHARDS, RACK_SIZE),
+    }
 
 
 def table(report: dict[str, Any]) -> str:
@@ -188,4 +240,10 @@
         f"per worker, idle: {slopes['core_percent']} % of a core, {slopes['memory_mb']} MB, "
         f"{slopes['sent_kb_s']} KB/s sent, {slopes['received_kb_s']} KB/s received"
     )
+    beat, records = report["heartbeat"], report["records"]
+    lines.append(
+        f"heartbeat with one shard, {TEAMS} teams and {PEERS} peers: {beat['bytes']} bytes, "
+        f"{beat['encode_us']} us to encode, {beat['decode_us']} us to decode"
+    )
+    lines.append(f"records of {records['workers']} workers: {records['memory_mb']} MB")
     return "\n".join(lines)
