Refuse as not ready while the records are not loaded

Change: such an instance answers 503 platform_unavailable with not_run and a time to retry. Ruled out: the readiness flag alone, because it is also false while an instance drains and still finishes requests. Figures: the new test fails without the change (401) and passes with it.

--- a/baobabhoist/gateway/context.py
+++ b/baobabhoist/gateway/context.py
@@ -77,6 +77,15 @@
         self.team = ""
         self.result = ANSWERED
 
+    def admit(self) -> Refusal | None:
+        """Return why the request is refused whatever its body is, or None.
+
+        Before the records are loaded every key would look rejected, which is final for callers.
+        """
+        if self.counted and not self.router.ready and self.router.view.revision == 0:
+            return not_ready(False, self.options.open_requests)
+        return super().admit()
+
     def refuse(self, refusal: Refusal) -> None:
         """Answer with a refusal and count it."""
         self.result = refusal.kind.value
--- a/baobabhoist/tests/test_gateway_callers.py
+++ b/baobabhoist/tests/test_gateway_callers.py
@@ -8,7 +8,7 @@
 from baobabhoist.errors import ErrorKind, Refusal
 from baobabhoist.gateway.server import HttpLimits
 from baobabhoist.model import Answer, Outcome, Urgency
-from baobabhoist.records.view import Record
+from baobabhoist.records.view import Record, RecordView
 from baobabhoist.tests.gateways import ROSTER, with_gateway
 
 PATH = "/v1/queues/entries/requests"
@@ -43,6 +43,19 @@
     with_gateway(test)
 
 
+def test_an_instance_without_records_does_not_reject_keys():
+    """Guard against a final `key_rejected` for a valid key while the records are loaded."""
+
+    async def test(gateway):
+        gateway.node.ready = False
+        gateway.node.view = RecordView()
+        reply = await gateway.post(PATH, ROSTER)
+        assert_error(reply, 503, "platform_unavailable")
+        assert gateway.node.routed == []
+
+    with_gateway(test)
+
+
 def test_keys_decide_the_team():
     """Guard against work accepted for another team, or for none on a queue that needs a key."""
 
