Import the claim's periods and states from where they are defined

Cause: a newcomer found ClaimTimes and ShardState imported through ownership.claim. Change: callers import them from ownership.events.

--- a/baobabhoist/daemon/app.py
+++ b/baobabhoist/daemon/app.py
@@ -36,8 +36,8 @@
 from baobabhoist.jobs.messages import JOB_MESSAGES
 from baobabhoist.model import Request, WorkerSpec
 from baobabhoist.observability.metrics import Metrics
-from baobabhoist.ownership.claim import ClaimTimes, ShardClaim
-from baobabhoist.ownership.events import ShardState
+from baobabhoist.ownership.claim import ShardClaim
+from baobabhoist.ownership.events import ClaimTimes, ShardState
 from baobabhoist.ownership.keys import Result
 from baobabhoist.peer.mesh import Mesh, PeerAddress
 from baobabhoist.peer.messages import (
--- a/baobabhoist/daemon/owners.py
+++ b/baobabhoist/daemon/owners.py
@@ -18,8 +18,8 @@
 from baobabhoist.errors import LinkClosedError, NotSentError
 from baobabhoist.model import WorkerSpec
 from baobabhoist.observability.events import Event, emit
-from baobabhoist.ownership.claim import ClaimTimes, ShardClaim
-from baobabhoist.ownership.events import ShardState
+from baobabhoist.ownership.claim import ShardClaim
+from baobabhoist.ownership.events import ClaimTimes, ShardState
 from baobabhoist.ownership.rendezvous import Candidate, rank
 from baobabhoist.peer.link import WEBSOCKET_OPTIONS
 from baobabhoist.peer.messages import HandOver, HandOverTaken, Heartbeat
--- a/baobabhoist/tests/shards.py
+++ b/baobabhoist/tests/shards.py
@@ -8,8 +8,8 @@
 from baobabhoist.daemon.shard import ShardOwner
 from baobabhoist.errors import LinkClosedError, NotSentError
 from baobabhoist.model import Request, Resources, Task, WorkerSpec, WorkKind
-from baobabhoist.ownership.claim import ClaimTimes, ShardClaim
-from baobabhoist.ownership.events import ShardState
+from baobabhoist.ownership.claim import ShardClaim
+from baobabhoist.ownership.events import ClaimTimes, ShardState
 from baobabhoist.testing.worker import Worker
 from baobabhoist.upstream.messages import QueryOutcome, RunTask
 
--- a/baobabhoist/tests/test_ownership_claim.py
+++ b/baobabhoist/tests/test_ownership_claim.py
@@ -9,7 +9,8 @@
 from baobabhoist.errors import InvariantBreachError
 from baobabhoist.model import Resources, RunningTask
 from baobabhoist.ownership import claim as oc
-from baobabhoist.ownership.claim import ShardClaim, ShardState
+from baobabhoist.ownership.claim import ShardClaim
+from baobabhoist.ownership.events import ShardState
 from baobabhoist.ownership.tokens import Token
 
 NOW = 1000.0
