Send no task of a gang before its hold is committed

The coordinator gives the tasks their shards, then waits for the table to store the placement; in that time its tick took them for placed work and sent them as single requests, so that each could start without the others. Change: a job that is being held is left alone by the tick. Ruled out: a second hold for the same job; the breaches came at the rate of dispatches, not of holds. Figures: the new test (a table that does not answer) fails without the change and passes with it.

--- a/baobabhoist/jobs/coordinator.py
+++ b/baobabhoist/jobs/coordinator.py
@@ -172,8 +172,12 @@
             if not run.finished and run.spec.job_id not in self._cancelling:
                 self._spawn(self._cancel_open(run))
             return
+        if run.spec.job_id in self._holding:
+            # The tasks have their shards before the hold is committed; sent now, each of them
+            # would start without the others.
+            return
         if run.spec.kind is WorkKind.GANG and not run.placed:
-            if run.due(now, 1) and run.spec.job_id not in self._holding:
+            if run.due(now, 1):
                 self._spawn(self._start_gang(run))
             return
         due = run.due(now, SEND_BATCH)
--- a/baobabhoist/tests/test_jobs_coordinator.py
+++ b/baobabhoist/tests/test_jobs_coordinator.py
@@ -22,6 +22,8 @@
     def __init__(self):
         self.rows = {}
         self.down = False
+        self.answers = asyncio.Event()
+        self.answers.set()
 
     def _check_up(self):
         if self.down:
@@ -37,6 +39,7 @@
         return [Row(key, *self.rows[key]) for key in keys[:limit]]
 
     async def commit(self, txn):
+        await self.answers.wait()
         self._check_up()
         for key, revision in txn.checks.items():
             if self.rows.get(key, (0, None))[0] != revision:
@@ -129,6 +132,21 @@
     drive(scenario, monkeypatch)
 
 
+def test_gang_is_not_sent_while_the_table_is_slow_to_store_its_placement(monkeypatch):
+    """Guard against tasks of a gang that start one by one before the hold is committed."""
+
+    async def scenario(jobs, table, shards):
+        table.answers.clear()
+        jobs.adopt(job(WorkKind.GANG, 6))
+        await until(lambda: len(shards.held) == 2)
+        await asyncio.sleep(0.2)
+        assert shards.ran == []
+        table.answers.set()
+        await until(lambda: len(shards.ran) == 6)
+
+    drive(scenario, monkeypatch)
+
+
 def test_gang_without_room_for_all_runs_nothing_and_gives_all_back(monkeypatch):
     """Guard against a gang that runs in part or keeps capacity that it cannot use."""
 
