Emit every event of the catalogue, and count breaches in the soak

Cause: 23 of the events were never logged, so operators would wait for them in vain; among them 1005, by which the soak counts broken invariants. Change: 1001, 1005, 6003 and 8003 are logged where they happen; the other 19 are removed from the catalogue and the page. A test holds the catalogue against the program. Two tests of the log form use other events, with the same checks.

--- a/baobabhoist/daemon/app.py
+++ b/baobabhoist/daemon/app.py
@@ -35,6 +35,7 @@
 from baobabhoist.gateway.tls import ReloadingTls, TlsFiles
 from baobabhoist.jobs.messages import JOB_MESSAGES
 from baobabhoist.model import Request, WorkerSpec
+from baobabhoist.observability.events import Event, emit
 from baobabhoist.observability.metrics import Metrics
 from baobabhoist.ownership.claim import ShardClaim
 from baobabhoist.ownership.events import ClaimTimes, ShardState
@@ -176,6 +177,12 @@
 
     async def run(self) -> None:
         """Serve until the drain has ended or the task is cancelled."""
+        emit(
+            log,
+            Event.DAEMON_STARTED,
+            instance_id=self.cfg.instance_id,
+            data_centre=self.cfg.data_centre,
+        )
         self._callers.listen(self.cfg.caller_port, self.cfg.host)
         self._admin.listen(self.cfg.admin_port, self.cfg.host)
         loops = [
--- a/baobabhoist/invariants.py
+++ b/baobabhoist/invariants.py
@@ -7,6 +7,7 @@
 from collections import Counter
 
 from baobabhoist.errors import InvariantBreachError
+from baobabhoist.observability.events import Event, emit
 
 log = logging.getLogger(__name__)
 
@@ -44,5 +45,5 @@
         return
     breaches[int(event)] += 1
     message = detail % args if args else detail
-    log.error("event %d: invariant broken: %s", int(event), message)
+    emit(log, Event.INVARIANT_BREACH, invariant=int(event), detail=message)
     raise InvariantBreachError(f"event {int(event)}: {message}")
--- a/baobabhoist/observability/events.py
+++ b/baobabhoist/observability/events.py
@@ -30,57 +30,38 @@
     INVARIANT_BREACH = (1005, logging.ERROR, "invariant {invariant} would break: {detail}")
     TASK_CRASHED = (1006, logging.ERROR, "an internal task failed: {detail}")
     SETTINGS_WARNING = (1101, logging.WARNING, "settings: {problem}")
-    SETTINGS_REJECTED = (1102, logging.ERROR, "the settings are not valid: {problems}")
     TLS_RELOADED = (1103, logging.INFO, "the certificate {path} was loaded again")
     TLS_RELOAD_FAILED = (1104, logging.WARNING, "cannot load the certificate {path}: {detail}")
     SHARD_STATE = (2001, logging.INFO, "shard {shard} is {state} under {token}")
-    SHARD_OWNED = (2002, logging.INFO, "shard {shard} is owned under {token}")
-    SHARD_LOST = (2003, logging.WARNING, "shard {shard} was lost to {token}")
     EPOCH_UNAVAILABLE = (
         2004,
         logging.WARNING,
         "shard {shard} is claimed by round, because the table gave no epoch",
     )
-    WORKER_UNRESOLVED = (2005, logging.WARNING, "worker {worker} of {shard} is not fenced")
     HAND_OVER_STARTED = (2006, logging.INFO, "shard {shard} is handed over to {instance_id}")
     HAND_OVER_FINISHED = (2007, logging.INFO, "shard {shard} was handed over to {instance_id}")
-    TEAM_LIMIT_REACHED = (3001, logging.INFO, "team {team} uses all its places in {shard}")
     ESCROW_MOVED = (
         3002,
         logging.INFO,
         "{places} places of {team} moved from {source} to {target}",
     )
     ESCROW_MOVE_FAILED = (3003, logging.WARNING, "places of {team} were not moved: {detail}")
-    TAKEOVER_CAP_SET = (3004, logging.INFO, "shard {shard} is limited to the places in use")
     TAKEOVER_CAP_LIFTED = (3005, logging.INFO, "shard {shard} has its full escrow again")
     LIMIT_LOWERED = (3006, logging.INFO, "the limit of {team} is now {limit}; {excess} must stop")
     RECORDS_LOADED = (4001, logging.INFO, "records up to revision {revision} were loaded")
     RECORD_APPLIED = (4002, logging.INFO, "{kind} {name} is at revision {revision}")
-    RECORD_REJECTED = (4003, logging.WARNING, "{kind} {name} was not applied: {detail}")
     RECORD_CONFLICT = (4004, logging.INFO, "a change of {kind} {name} met a later revision")
-    KEY_GRACE_ENDED = (4005, logging.WARNING, "key {name} is refused until the platform answers")
     TASK_PREEMPTED = (5001, logging.INFO, "task {task_id} makes room for {for_task_id}")
-    WORKER_QUARANTINED = (5002, logging.WARNING, "worker {worker} gets no work: {detail}")
-    WORKER_RELEASED = (5003, logging.INFO, "worker {worker} gets work again")
-    JOB_FAILS_EVERYWHERE = (5004, logging.WARNING, "job {job_id} failed on {workers} workers")
-    GANG_HELD = (5005, logging.INFO, "gang {job_id} holds {workers} workers until {deadline}")
-    GANG_RELEASED = (5006, logging.INFO, "gang {job_id} released its holds: {detail}")
-    QUEUE_FULL = (5007, logging.INFO, "the queue of {team} is full; work is refused")
-    PEER_CONNECTED = (6001, logging.INFO, "instance {instance_id} is connected")
-    PEER_LOST = (6002, logging.WARNING, "instance {instance_id} was not heard for {silence_s} s")
     MESSAGE_DISCARDED = (6003, logging.WARNING, "a message was discarded: {detail}")
     LINK_REPLACED = (6004, logging.WARNING, "the silent link to {name} was replaced")
     WORKER_CONNECTED = (7001, logging.INFO, "worker {worker} is connected")
     WORKER_DISCONNECTED = (7002, logging.WARNING, "worker {worker} is not connected")
     WORKER_LEAVING = (7003, logging.INFO, "worker {worker} leaves and gets no new work")
     TOKEN_REFUSED = (7004, logging.WARNING, "worker {worker} obeys the higher token {token}")
-    OUTCOME_QUERIED = (7005, logging.INFO, "asked {worker} what became of {task_id}: {state}")
     PLATFORM_DOWN = (8001, logging.WARNING, "the platform does not answer: {detail}")
-    PLATFORM_UP = (8002, logging.INFO, "the platform answers again after {outage_s} s")
     COMMIT_READ_BACK = (8003, logging.INFO, "transaction {txn_id} was read back: {state}")
     KEY_REFUSED = (9001, logging.INFO, "a team key was refused on queue {queue}")
     OPERATOR_REFUSED = (9002, logging.WARNING, "an operator key was refused from {address}")
-    REQUEST_REFUSED = (9003, logging.INFO, "a request of {team} was refused: {kind}")
 
     def __init__(self, number: int, level: int, template: str) -> None:
         self.number = number
--- a/baobabhoist/peer/link.py
+++ b/baobabhoist/peer/link.py
@@ -13,6 +13,7 @@
 from websockets.exceptions import ConnectionClosed
 
 from baobabhoist.errors import CodecError, LinkClosedError, MessageTooLargeError, NotSentError
+from baobabhoist.observability.events import Event, emit
 from baobabhoist.peer.codec import Codec
 from baobabhoist.peer.streams import (
     CHUNK_BYTES,
@@ -173,7 +174,7 @@
         try:
             envelope = self._codec.decode(data)
         except CodecError as exc:
-            log.warning("discarded a message: %s", exc)
+            emit(log, Event.MESSAGE_DISCARDED, detail=exc)
             return
         handle = self._STREAM_HANDLERS.get(type(envelope.message))
         if handle is not None:
--- a/baobabhoist/platform/client.py
+++ b/baobabhoist/platform/client.py
@@ -10,6 +10,7 @@
 from tornado.httpclient import AsyncHTTPClient, HTTPClientError
 
 from baobabhoist.errors import ErrorKind, PlatformError, Refusal
+from baobabhoist.observability.events import Event, emit
 from baobabhoist.platform.table import Committed, Row, Transaction
 
 log = logging.getLogger(__name__)
@@ -43,6 +44,7 @@
             answer = await self._fetch("/table/commit", method="POST", body=body)
         except PlatformError:
             outcome = await self._get("/table/outcome", txn_id=txn.txn_id)
+            emit(log, Event.COMMIT_READ_BACK, txn_id=txn.txn_id, state=outcome["state"])
             if outcome["state"] != "committed":
                 raise
             return Committed(outcome["revisions"])
--- a/baobabhoist/tests/test_observability_events.py
+++ b/baobabhoist/tests/test_observability_events.py
@@ -30,13 +30,28 @@
     assert len({e.number for e in Event}) == len(list(Event))
 
 
+def test_every_event_of_the_catalogue_is_emitted(pytestconfig):
+    """Guard against operators waiting for an event that the program never logs."""
+    package = pytestconfig.rootpath / "baobabhoist"
+    modules = [path for path in package.rglob("*.py") if "tests" not in path.parts]
+    source = "".join(path.read_text(encoding="utf-8") for path in modules)
+    assert [e.name for e in Event if f"Event.{e.name}" not in source] == []
+
+
 def test_json_lines_carry_number_and_fields(root_logger):
     """Guard against lines that log collectors cannot parse or filter by number."""
     stream = io.StringIO()
     configure_logging("json", "info", stream)
-    emit(logging.getLogger("a.b"), Event.SHARD_OWNED, shard="r1", token=(1, 2), extra=b"\n")
+    emit(
+        logging.getLogger("a.b"),
+        Event.SHARD_STATE,
+        shard="r1",
+        state="owned",
+        token=(1, 2),
+        extra=b"\n",
+    )
     entry = json.loads(stream.getvalue())
-    assert (entry["event"], entry["name"], entry["level"]) == (2002, "shard_owned", "info")
+    assert (entry["event"], entry["name"], entry["level"]) == (2001, "shard_state", "info")
     assert entry["fields"]["shard"] == "r1"
     assert entry["message"] == "shard r1 is owned under (1, 2)"
 
@@ -45,10 +60,10 @@
     """Guard against forged log lines, and against a crash on a forgotten field."""
     stream = io.StringIO()
     configure_logging("text", "info", stream)
-    emit(logging.getLogger("a.b"), Event.REQUEST_REFUSED, team="x\n2026 ERROR forged")
+    emit(logging.getLogger("a.b"), Event.RECORD_APPLIED, kind="x\n2026 ERROR forged", name="y")
     line = stream.getvalue()
     assert line.count("\n") == 1
-    assert "[9003] a request of x\\n2026 ERROR forged was refused: <no kind>" in line
+    assert "[4002] x\\n2026 ERROR forged y is at revision <no revision>" in line
 
 
 def test_events_below_the_level_are_not_written(root_logger):
