Remove two methods that nothing calls

Cause: JobRun.not_sent and QuotaLedger.cap_to_running have no caller left; the takeover uses begin_takeover and adopt. Ruled out: Scheduler.places_changed, which nothing calls either: the daemon should call it.

--- a/baobabhoist/jobs/state.py
+++ b/baobabhoist/jobs/state.py
@@ -214,10 +214,6 @@
         self.tasks[index].state = Attempt.SENT
         self.tasks[index].attempted = True
 
-    def not_sent(self, index: int, now: float) -> None:
-        """Record that a task could not be sent and is tried again under the same id."""
-        self._wait(self.tasks[index], now)
-
     def result(self, index: int, result: Answer | Refusal, now: float) -> None:
         """Apply the result of an attempt."""
         task = self.tasks[index]
--- a/baobabhoist/quota/ledger.py
+++ b/baobabhoist/quota/ledger.py
@@ -160,11 +160,6 @@
                 self.cap[task.team] = self.cap.get(task.team, 0) + 1
             self._take(task.team, task.task_id, worker)
 
-    def cap_to_running(self, running: Iterable[RunningTask], worker: str = "") -> None:
-        """Limit each team to the places that the workers report in use."""
-        self.begin_takeover()
-        self.adopt(worker, running)
-
     def uncap(self, escrow: Mapping[str, int]) -> None:
         """Return to the full escrow once the table has confirmed the epoch."""
         self.cap = None
