Look again at a team's waiting work when its places arrive

Cause: a cycle on the escrow rows put places into the ledger and dispatched, but the scheduler still skipped the team until its next upkeep, up to 0.5 s later; Scheduler.places_changed had no caller. Ruled out: the transfer itself (the places were in the ledger in the failing test) and the class limit (none was set). The new test turns the periodic look off: it fails before (2 of 3 started) and passes after.

--- a/baobabhoist/daemon/escrow.py
+++ b/baobabhoist/daemon/escrow.py
@@ -255,7 +255,8 @@
         if not owner.claim.escrow_usable:
             return
         held = {team: known.row.held(owner.shard) for team, known in self.known.items()}
-        if owner.quota.cap is not None:
+        arrived = owner.quota.cap is not None
+        if arrived:
             owner.use_escrow(held)
         for team, places in held.items():
             more = places - owner.quota.escrow.get(team, 0)
@@ -263,10 +264,13 @@
                 continue
             if more > 0:
                 owner.quota.put_in(team, more)
+                arrived = True
             else:
                 log.error("shard %s holds %d places of %s too many", owner.shard, -more, team)
                 owner.quota.escrow[team] = places
         self._set_ceilings(owner)
+        if arrived:
+            owner.scheduler.places_changed()
         owner.dispatch(self._clock())
 
     def _set_ceilings(self, owner: ShardOwner) -> None:
