--- /dev/null
+++ b/baobabhoist/cell/__init__.py
@@ -0,0 +1,1 @@
+"""Decide for one cell of workers: jobs, runs, leases and limits, without any I/O."""
--- /dev/null
+++ b/baobabhoist/cell/board.py
@@ -0,0 +1,180 @@
+"""Hold the jobs, workers and runs of a cell and keep their counts consistent."""
+
+from __future__ import annotations
+
+import logging
+from collections import defaultdict
+
+import attrs
+
+from baobabhoist.cell.jobs import JobState, Run, RunPhase, StepState, TaskState
+from baobabhoist.cell.model import (
+    NO_ROOM,
+    CellRules,
+    Command,
+    JobPhase,
+    Queue,
+    Room,
+    StartTask,
+    StepKey,
+    StopTask,
+    TaskKey,
+    Team,
+)
+from baobabhoist.cell.speeds import Speeds
+from baobabhoist.cell.workers import WorkerState
+from baobabhoist.observability.events import Event, emit
+
+log = logging.getLogger(__name__)
+
+# Runs of one owner have numbers below the first number of the next owner.
+RUNS_PER_OWNER = 1000
+
+
+@attrs.define
+class Board:
+    """Own the state of a cell; all times are on the owner's clock, in ms."""
+
+    rules: CellRules
+    generation: int = 0
+    jobs: dict[str, JobState] = attrs.Factory(dict)
+    workers: dict[str, WorkerState] = attrs.Factory(dict)
+    usage: dict[str, Room] = attrs.Factory(lambda: defaultdict(lambda: NO_ROOM))
+    # Steps whose turn has come and that are not done.
+    ready: dict[StepKey, StepState] = attrs.Factory(dict)
+    speeds: Speeds = attrs.Factory(Speeds)
+    commands: list[Command] = attrs.Factory(list)
+    # Jobs whose durable progress has changed.
+    dirty: set[str] = attrs.Factory(set)
+
+    def queue_of(self, job: JobState) -> Queue | None:
+        """Return the queue of a job, or None after it left the configuration."""
+        return self.rules.queues.get(job.accepted.queue)
+
+    def team_of(self, job: JobState) -> Team | None:
+        """Return the team of a job."""
+        return self.rules.teams.get(job.accepted.team)
+
+    def service_of(self, job: JobState) -> str:
+        """Return the service that runs the job's tasks now."""
+        queue = self.queue_of(job)
+        return queue.service if queue is not None else job.accepted.service
+
+    def queue_needs_advice(self, job: JobState) -> bool:
+        """Tell whether the job's tasks start only with a ticket of the placement adviser."""
+        queue = self.queue_of(job)
+        return queue is not None and queue.advice is not None
+
+    def within_limit(self, job: JobState, need: Room) -> bool:
+        """Tell whether the team of a job may have this much more running."""
+        team = self.team_of(job)
+        if team is None:
+            return True
+        total = self.usage[job.accepted.team].plus(need)
+        limit = team.limit
+        return (
+            (not limit.cpu or total.cpu <= limit.cpu)
+            and (not limit.memory_mb or total.memory_mb <= limit.memory_mb)
+            and (not limit.gpu or total.gpu <= limit.gpu)
+        )
+
+    def refresh_ready(self, job: JobState, now: float) -> None:
+        """List the steps of a job whose turn has come, and drop the others."""
+        for step in job.steps.values():
+            if job.final or step.done:
+                self.ready.pop(step.key, None)
+            elif step.key not in self.ready and job.is_ready(step):
+                step.ready_ms = now
+                self.ready[step.key] = step
+
+    # Runs.
+
+    def start(self, task: TaskState, worker: WorkerState, number: int, now: float) -> None:
+        """Order a run and count it from now on."""
+        job = task.step.job
+        ticket = task.step.approvals.ticket(worker.worker_id, now)
+        self._count(task, worker, number, RunPhase.STARTING, now)
+        if job.phase is JobPhase.QUEUED:
+            job.phase = JobPhase.RUNNING
+        payload = job.accepted.spec.payload
+        order = StartTask(worker.worker_id, task.key, number, payload, task.checkpoint, ticket)
+        self.commands.append(order)
+        emit(
+            log,
+            Event.RUN_STARTED,
+            task=task.key.text(),
+            run=number,
+            worker=worker.worker_id,
+            waited_ms=round(now - task.step.ready_ms),
+            free_cpu=worker.free.cpu,
+            ticket=bool(ticket),
+            checkpoint=task.checkpoint,
+        )
+
+    def adopt(self, task: TaskState, worker: WorkerState, number: int, now: float) -> Run:
+        """Count a run that an earlier owner ordered."""
+        run = self._count(task, worker, number, RunPhase.RUNNING, now)
+        run.confirmed_ms = now
+        if task.step.job.phase is JobPhase.QUEUED:
+            task.step.job.phase = JobPhase.RUNNING
+        return run
+
+    def next_number(self, tasks: list[TaskState]) -> int:
+        """Return a run number above all that these tasks had under any owner."""
+        return max(self.generation * RUNS_PER_OWNER, *(task.last_run for task in tasks)) + 1
+
+    def stop(self, run: Run, now: float) -> None:
+        """Order the end of a run."""
+        if run.phase is not RunPhase.UNSURE:
+            run.phase = RunPhase.STOPPING
+        run.stop_sent_ms = now
+        self.commands.append(StopTask(run.worker_id, run.task.key, run.number))
+
+    def stop_orphan(self, worker: WorkerState, task: TaskKey, number: int) -> None:
+        """Order the end of a run that this owner does not want."""
+        if worker.orphans.get(task) != number:
+            emit(log, Event.ORPHAN_STOPPED, task=task.text(), run=number, worker=worker.worker_id)
+        worker.orphans[task] = number
+        self.commands.append(StopTask(worker.worker_id, task, number))
+
+    def close(self, run: Run) -> None:
+        """Stop counting a run that is known to have ended, or never to have begun."""
+        worker = self.workers.get(run.worker_id)
+        if worker is not None:
+            worker.release(run)
+        team = run.task.step.job.accepted.team
+        self.usage[team] = self.usage[team].minus(run.task.step.spec.need)
+        run.task.step.detach(run)
+
+    def finish(self, job: JobState, phase: JobPhase, now: float, reason: str) -> None:
+        """Bring a job to its final state and stop what still runs of it."""
+        if job.final:
+            return
+        job.phase, job.ended_ms = phase, now
+        self.dirty.add(job.job_id)
+        emit(
+            log,
+            Event.JOB_ENDED,
+            job=job.job_id,
+            queue=job.accepted.queue,
+            state=phase.value,
+            reason=reason,
+            after_ms=round(now - job.accepted_at_ms),
+            objective_ms=round(job.objective_ms - job.accepted_at_ms),
+        )
+        self.refresh_ready(job, now)
+        for step in job.steps.values():
+            for task in step.tasks:
+                if task.run is not None and task.run.phase is not RunPhase.STOPPING:
+                    self.stop(task.run, now)
+
+    def _count(
+        self, task: TaskState, worker: WorkerState, number: int, phase: RunPhase, now: float
+    ) -> Run:
+        run = Run(task, number, worker.worker_id, task.step.spec.charged, phase, now)
+        run.moved_ms = now
+        task.step.attach(run)
+        worker.take(run)
+        team = task.step.job.accepted.team
+        self.usage[team] = self.usage[team].plus(task.step.spec.need)
+        return run
--- /dev/null
+++ b/baobabhoist/cell/cell.py
@@ -0,0 +1,259 @@
+"""Own one cell: take events, decide, and hand out commands and changed progress."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Iterable, Mapping
+
+import attrs
+
+from baobabhoist.cell import progress as progress_rows
+from baobabhoist.cell.board import Board
+from baobabhoist.cell.decide import Decisions
+from baobabhoist.cell.ends import Ends
+from baobabhoist.cell.jobs import JobState, StepState, chain_ms
+from baobabhoist.cell.model import (
+    AcceptedJob,
+    CellRules,
+    Command,
+    JobPhase,
+    OrderOutcome,
+    StartTask,
+    StepKey,
+    StopTask,
+    WorkerInfo,
+    WorkerReport,
+)
+from baobabhoist.cell.progress import Progress
+from baobabhoist.cell.reports import Reports
+from baobabhoist.cell.upkeep import Upkeep
+from baobabhoist.cell.workers import WorkerState
+from baobabhoist.observability.events import Event, emit
+
+log = logging.getLogger(__name__)
+
+
+@attrs.frozen
+class Takeover:
+    """State what a new owner must wait for.
+
+    `generation` counts the owners of the cell, `claim_version` is the store's version of the
+    claim. Until `starts_from_ms` an earlier owner may still act. `unresolved` maps the workers
+    that may run something to when their leases have lapsed for certain.
+    """
+
+    generation: int
+    claim_version: int
+    starts_from_ms: float = 0.0
+    unresolved: dict[str, float] = attrs.Factory(dict)
+
+
+class Cell:
+    """Own the jobs and workers of one cell; all times are on the owner's clock, in ms."""
+
+    def __init__(self, rules: CellRules, takeover: Takeover) -> None:
+        self.board = Board(rules, takeover.generation)
+        self.fenced_off = False
+        self.decisions = Decisions(self.board)
+        self._takeover = takeover
+        self._unresolved = dict(takeover.unresolved)
+        self._ends = Ends(self.board)
+        self._reports = Reports(self.board, self._ends)
+        self._upkeep = Upkeep(self.board, self._ends)
+
+    # Jobs.
+
+    def job_accepted(
+        self, accepted: AcceptedJob, accepted_at_ms: float, now: float, unix_ms: float
+    ) -> bool:
+        """Take a job over; tell whether it is new."""
+        if accepted.job_id in self.board.jobs:
+            return False
+        job = JobState(accepted, accepted_at_ms)
+        job.inherited = accepted.version < self._takeover.claim_version
+        self._set_objective(job)
+        self.board.jobs[accepted.job_id] = job
+        spec = accepted.spec
+        if not spec.repeats:
+            job.open_occurrence()
+        while spec.repeats and job.opened < spec.occurrences:
+            if unix_ms < spec.first_due_ms + job.opened * spec.interval_ms:
+                break
+            job.open_occurrence()
+        self.board.refresh_ready(job, now)
+        emit(
+            log,
+            Event.JOB_OWNED,
+            job=accepted.job_id,
+            queue=accepted.queue,
+            team=accepted.team,
+            version=accepted.version,
+            steps=len(spec.steps),
+            tasks=sum(step.count for step in spec.steps),
+            accepted_ms_ago=round(now - accepted_at_ms),
+            inherited=job.inherited,
+        )
+        return True
+
+    def progress_loaded(self, job_id: str, progress: Progress, now: float) -> None:
+        """Apply the durable progress of a job that an earlier owner worked on."""
+        job = self.board.jobs.get(job_id)
+        if job is None:
+            return
+        progress_rows.apply(job, progress)
+        if job.final:
+            job.ended_ms = now
+        self.board.refresh_ready(job, now)
+        if not job.final and job.all_done():
+            self.board.finish(job, JobPhase.COMPLETED, now, "all tasks are done")
+
+    def job_cancelled(self, job_id: str, now: float) -> bool:
+        """Cancel a job; tell whether it is known."""
+        job = self.board.jobs.get(job_id)
+        if job is None:
+            return False
+        self.board.finish(job, JobPhase.CANCELLED, now, "its team cancelled it")
+        return True
+
+    def job_state(self, job_id: str) -> JobState | None:
+        """Return a job, or None if it is not known."""
+        return self.board.jobs.get(job_id)
+
+    def pending(self, queue: str) -> int:
+        """Return how many jobs of a queue have not begun."""
+        return sum(
+            1
+            for job in self.board.jobs.values()
+            if job.accepted.queue == queue and job.phase is JobPhase.QUEUED
+        )
+
+    def forget_job(self, job_id: str) -> None:
+        """Drop a finished job."""
+        job = self.board.jobs.pop(job_id, None)
+        if job is not None:
+            for step in job.steps.values():
+                self.board.ready.pop(step.key, None)
+
+    # Configuration and workers.
+
+    def use_rules(self, rules: CellRules) -> None:
+        """Use these queues and teams from now on."""
+        self.board.rules = rules
+
+    def workers_listed(self, listed: Iterable[WorkerInfo], now: float) -> None:
+        """Take over the whole directory."""
+        found = {info.worker_id: info for info in listed}
+        for info in found.values():
+            self.worker_listed(info, now)
+        for worker_id in set(self.board.workers) - set(found):
+            self.worker_unlisted(worker_id, now)
+
+    def worker_listed(self, info: WorkerInfo, now: float) -> None:
+        """Take over one entry of the directory."""
+        worker = self.board.workers.get(info.worker_id)
+        if worker is None:
+            worker = self.board.workers[info.worker_id] = WorkerState(info)
+            emit(
+                log,
+                Event.WORKER_LISTED,
+                worker=info.worker_id,
+                service=info.service,
+                data_centre=info.data_centre,
+            )
+        if info.draining and not worker.info.draining:
+            emit(log, Event.WORKER_DRAINS, worker=info.worker_id, leaves_in_ms=info.leaves_in_ms)
+        worker.info, worker.listed = info, True
+
+    def worker_unlisted(self, worker_id: str, now: float) -> None:
+        """Note that the directory dropped a worker; what runs there is still followed."""
+        worker = self.board.workers.get(worker_id)
+        if worker is not None and worker.listed:
+            worker.listed, worker.unlisted_ms = False, now
+            emit(log, Event.WORKER_UNLISTED, worker=worker_id, runs=len(worker.runs))
+
+    def reported(self, worker_id: str, report: WorkerReport, sent_ms: float, now: float) -> None:
+        """Take a worker's answer to a renewal of its lease."""
+        worker = self.board.workers.get(worker_id)
+        if worker is None:
+            return
+        self._reports.reported(worker, report, sent_ms, now)
+        self._unresolved.pop(worker_id, None)
+
+    def start_answered(self, order: StartTask, outcome: OrderOutcome, now: float) -> None:
+        """Take the answer to a start."""
+        self._note_fence(outcome)
+        self._reports.start_answered(order, outcome, now)
+
+    def stop_answered(self, order: StopTask, outcome: OrderOutcome, now: float) -> None:
+        """Take the answer to a stop."""
+        self._note_fence(outcome)
+        self._reports.stop_answered(order, outcome, now)
+
+    def was_fenced(self) -> None:
+        """Note that a worker obeys a later owner."""
+        self.fenced_off = True
+
+    def advice_answered(
+        self,
+        key: StepKey,
+        named: Iterable[str],
+        approved: Mapping[str, str],
+        valid_until_ms: float,
+    ) -> None:
+        """Take the adviser's answer."""
+        self.decisions.asking -= 1
+        step = self._step(key)
+        if step is not None:
+            step.approvals.answered(named, approved, valid_until_ms)
+
+    def advice_failed(self, key: StepKey, retry_ms: float) -> None:
+        """Note that a question got no answer."""
+        self.decisions.asking -= 1
+        step = self._step(key)
+        if step is not None:
+            step.approvals.failed(retry_ms)
+
+    # Time and decisions.
+
+    def resolved(self, now: float) -> bool:
+        """Tell whether every run of earlier owners is accounted for."""
+        for worker_id, free_ms in list(self._unresolved.items()):
+            if now > free_ms:
+                emit(log, Event.WORKER_WAITED_OUT, worker=worker_id)
+                del self._unresolved[worker_id]
+        return not self._unresolved
+
+    def tick(self, now: float, unix_ms: float) -> None:
+        """Do what time alone brings."""
+        self._upkeep.tick(now, unix_ms, self.resolved(now))
+
+    def decide(self, now: float, may_start: bool) -> list[Command]:
+        """Decide, and return all commands since the last call."""
+        starts = may_start and now >= self._takeover.starts_from_ms and not self.fenced_off
+        self.decisions.decide(now, starts, self.resolved(now))
+        commands, self.board.commands = self.board.commands, []
+        return commands
+
+    def take_dirty(self) -> dict[str, Progress]:
+        """Return the progress that must be stored, and count it as handed over."""
+        dirty, self.board.dirty = self.board.dirty, set()
+        jobs = self.board.jobs
+        return {i: progress_rows.progress_of(jobs[i]) for i in dirty if i in jobs}
+
+    def seen_ends(self) -> dict[str, int]:
+        """Return the number of the last end that was taken from each worker."""
+        return {w.worker_id: w.seen_end for w in self.board.workers.values()}
+
+    def _set_objective(self, job: JobState) -> None:
+        queue = self.board.queue_of(job)
+        slack = queue.slack_factor if queue is not None else 1.0
+        target = queue.target_latency_ms if queue is not None else 0
+        job.objective_ms = job.accepted_at_ms + slack * chain_ms(job.accepted) + target
+
+    def _step(self, key: StepKey) -> StepState | None:
+        job = self.board.jobs.get(key.job_id)
+        return job.step_of(key) if job is not None else None
+
+    def _note_fence(self, outcome: OrderOutcome) -> None:
+        if outcome is OrderOutcome.FENCED:
+            self.was_fenced()
--- /dev/null
+++ b/baobabhoist/cell/ends.py
@@ -0,0 +1,118 @@
+"""Apply the ends of runs to tasks, gangs and jobs."""
+
+from __future__ import annotations
+
+import logging
+
+from baobabhoist.cell.board import Board
+from baobabhoist.cell.jobs import Run, RunPhase, StepState, TaskState
+from baobabhoist.cell.model import EndKind, JobPhase
+from baobabhoist.observability.events import Event, emit
+
+log = logging.getLogger(__name__)
+
+
+class Ends:
+    """Decide what the end of a run means for its task and its job."""
+
+    def __init__(self, board: Board) -> None:
+        self._board = board
+
+    def ended(
+        self, task: TaskState, number: int, kind: EndKind, checkpoint: str, now: float
+    ) -> None:
+        """Take note of an end that a worker listed; the run itself is closed by the caller."""
+        job = task.step.job
+        if checkpoint and not task.done and task.step.spec.checkpoints:
+            self._keep_checkpoint(task, checkpoint)
+        if kind is EndKind.DONE:
+            self._done(task, now)
+            return
+        emit(
+            log,
+            Event.RUN_ENDED_EARLY,
+            task=task.key.text(),
+            run=number,
+            kind=kind.value,
+            checkpoint=checkpoint,
+        )
+        if kind is EndKind.FAILED and number not in task.failed_runs and not task.done:
+            task.failed_runs.add(number)
+            self._board.dirty.add(job.job_id)
+            self._check_attempts(task, now)
+        if task.step.spec.gang and not task.step.done:
+            self.break_gang(task.step, number, now)
+
+    def break_gang(self, step: StepState, number: int, now: float) -> None:
+        """Stop what still runs of a gang's run, so that the gang can start again whole."""
+        for member in step.tasks:
+            run = member.run
+            if run is not None and run.number == number and run.phase is not RunPhase.STOPPING:
+                self._board.stop(run, now)
+
+    def _done(self, task: TaskState, now: float) -> None:
+        step, job = task.step, task.step.job
+        if step.spec.lasting:
+            return
+        members = step.tasks if step.spec.gang else [task]
+        changed = [member for member in members if step.mark_done(member)]
+        if not changed:
+            return
+        self._board.dirty.add(job.job_id)
+        for member in members:
+            self._time(member, now)
+        if step.done:
+            self._learn(step)
+            self._board.refresh_ready(job, now)
+        if not job.final and job.all_done():
+            self._board.finish(job, JobPhase.COMPLETED, now, "all tasks are done")
+
+    def _time(self, task: TaskState, now: float) -> None:
+        run = task.run
+        if run is not None and run.confirmed_ms:
+            task.worked_ms, task.worked_on = now - run.confirmed_ms, run.worker_id
+            worker = self._board.workers.get(run.worker_id)
+            if worker is not None:
+                worker.health.succeeded()
+
+    def _learn(self, step: StepState) -> None:
+        if step.spec.gang:
+            return
+        workers = self._board.workers
+        times = [
+            (t.worked_on, workers[t.worked_on].info.kind, t.worked_ms)
+            for t in step.tasks
+            if t.worked_on in workers and not t.checkpoint and len(t.failed_runs) == 0
+        ]
+        self._board.speeds.observe(times)
+
+    def _check_attempts(self, task: TaskState, now: float) -> None:
+        job = task.step.job
+        queue = self._board.queue_of(job)
+        attempts = task.step.failures(task)
+        if queue is None or task.step.spec.lasting or attempts < queue.max_attempts:
+            return
+        self._board.finish(
+            job, JobPhase.FAILED, now, f"task {task.key.text()} failed {attempts} times"
+        )
+
+    def _keep_checkpoint(self, task: TaskState, checkpoint: str) -> None:
+        members = task.step.tasks if task.step.spec.gang else [task]
+        for member in members:
+            member.checkpoint = checkpoint
+        self._board.dirty.add(task.step.job.job_id)
+
+
+def lost(board: Board, ends: Ends, run: Run, now: float, reason: str) -> None:
+    """Close a run that is certain to be gone without an end in any list."""
+    emit(
+        log,
+        Event.RUN_LOST,
+        task=run.task.key.text(),
+        run=run.number,
+        worker=run.worker_id,
+        reason=reason,
+    )
+    board.close(run)
+    if run.task.step.spec.gang and not run.task.step.done:
+        ends.break_gang(run.task.step, run.number, now)
--- /dev/null
+++ b/baobabhoist/cell/gathering.py
@@ -0,0 +1,55 @@
+"""Keep room for a gang that waits, so that smaller work does not take it for ever."""
+
+from __future__ import annotations
+
+import attrs
+
+from baobabhoist.cell.board import Board
+from baobabhoist.cell.jobs import StepState
+from baobabhoist.cell.placing import room_for
+from baobabhoist.cell.workers import WorkerState
+
+# Gangs that gather at the same time; more would leave too many cores idle.
+GATHERING_MAX = 1
+
+
+@attrs.define
+class Holds:
+    """Hold workers for the first waiting gangs during one round of decisions."""
+
+    by_worker: dict[str, StepState] = attrs.Factory(dict)
+    gathering: int = 0
+
+    def begin(self) -> None:
+        """Start a round."""
+        self.by_worker.clear()
+        self.gathering = 0
+
+    def open_to(self, worker: WorkerState, step: StepState) -> bool:
+        """Tell whether a worker is not held for another step."""
+        holder = self.by_worker.get(worker.worker_id)
+        return holder is None or holder is step
+
+    def gather(
+        self, step: StepState, approved: list[WorkerState], board: Board, now: float
+    ) -> None:
+        """Hold the approved workers that will have the gang's room soonest."""
+        if self.gathering >= GATHERING_MAX or not approved:
+            return
+        live = [w for w in approved if w.usable(now) and self.open_to(w, step)]
+        live.sort(key=lambda w: _used_share(w))
+        chosen, places = [], 0
+        for worker in live:
+            chosen.append(worker)
+            places += room_for(worker.info.capacity, step.spec.charged, step.idle)
+            if places >= step.idle:
+                break
+        if places < step.idle:
+            return
+        self.gathering += 1
+        for worker in chosen:
+            self.by_worker[worker.worker_id] = step
+
+
+def _used_share(worker: WorkerState) -> float:
+    return worker.used.cpu / max(1, worker.info.capacity.cpu)
--- /dev/null
+++ b/baobabhoist/cell/jobs.py
@@ -0,0 +1,218 @@
+"""Hold the progress of jobs: steps, tasks and the run that each task may have."""
+
+from __future__ import annotations
+
+import enum
+from collections.abc import Iterator
+
+import attrs
+
+from baobabhoist.cell.approvals import Approvals
+from baobabhoist.cell.model import (
+    FINAL_PHASES,
+    AcceptedJob,
+    JobPhase,
+    Room,
+    Step,
+    StepKey,
+    TaskKey,
+)
+
+# A job that is late by up to this factor of its objective is still worth something.
+LATE_FACTOR = 3.0
+
+
+class RunPhase(enum.Enum):
+    """Name what the owner knows of a run."""
+
+    # Ordered; no answer has come yet.
+    STARTING = "starting"
+    RUNNING = "running"
+    # Ordered, but the answer was lost: it may run, now or later.
+    UNSURE = "unsure"
+    STOPPING = "stopping"
+
+
+@attrs.define(eq=False)
+class Run:
+    """Hold one run of a task on a worker; all times are on the owner's clock, in ms."""
+
+    task: TaskState
+    number: int
+    worker_id: str
+    charged: Room
+    phase: RunPhase
+    ordered_ms: float
+    # When the order to start was answered or the run was first listed.
+    confirmed_ms: float = 0.0
+    stop_sent_ms: float = 0.0
+    # When the worker answered the order to stop.
+    stop_answered_ms: float = 0.0
+    percent: float = 0.0
+    moved_ms: float = 0.0
+
+
+@attrs.define(eq=False)
+class TaskState:
+    """Hold one task."""
+
+    step: StepState
+    index: int
+    run: Run | None = None
+    done: bool = False
+    last_run: int = 0
+    failed_runs: set[int] = attrs.Factory(set)
+    checkpoint: str = ""
+    # How long its last run worked, in ms, and where; 0 while unknown.
+    worked_ms: float = 0.0
+    worked_on: str = ""
+
+    @property
+    def key(self) -> TaskKey:
+        """Return the name of the task."""
+        step = self.step.key
+        return TaskKey(step.job_id, step.occurrence, step.step, self.index)
+
+
+@attrs.define(eq=False)
+class StepState:
+    """Hold one step of one occurrence."""
+
+    job: JobState
+    key: StepKey
+    spec: Step
+    tasks: list[TaskState] = attrs.Factory(list)
+    idle: int = 0
+    pending: int = 0
+    approvals: Approvals = attrs.Factory(Approvals)
+    # When the step could first run, on the owner's clock in ms.
+    ready_ms: float = 0.0
+
+    def __attrs_post_init__(self) -> None:
+        """Make the tasks."""
+        self.tasks = [TaskState(self, index) for index in range(self.spec.count)]
+        self.idle = self.pending = self.spec.count
+
+    @property
+    def done(self) -> bool:
+        """Tell whether all tasks have ended as done."""
+        return self.pending == 0
+
+    def idle_tasks(self) -> Iterator[TaskState]:
+        """Yield the tasks that are neither done nor running."""
+        return (task for task in self.tasks if task.run is None and not task.done)
+
+    def mark_done(self, task: TaskState) -> bool:
+        """Note that a task is done; tell whether that is new."""
+        if task.done:
+            return False
+        task.done = True
+        self.pending -= 1
+        if task.run is None:
+            self.idle -= 1
+        return True
+
+    def attach(self, run: Run) -> None:
+        """Give a task its run."""
+        if run.task.run is None and not run.task.done:
+            self.idle -= 1
+        run.task.run = run
+        run.task.last_run = max(run.task.last_run, run.number)
+
+    def detach(self, run: Run) -> None:
+        """Take the ended run from its task."""
+        if run.task.run is run:
+            run.task.run = None
+            if not run.task.done:
+                self.idle += 1
+
+    def failures(self, task: TaskState) -> int:
+        """Return the failed attempts that count against a task: those of a gang are shared."""
+        if not self.spec.gang:
+            return len(task.failed_runs)
+        return len(set().union(*(member.failed_runs for member in self.tasks)))
+
+
+@attrs.define(eq=False)
+class JobState:
+    """Hold one job; `objective_ms` is on the owner's clock."""
+
+    accepted: AcceptedJob
+    accepted_at_ms: float
+    objective_ms: float = 0.0
+    phase: JobPhase = JobPhase.QUEUED
+    steps: dict[tuple[int, int], StepState] = attrs.Factory(dict)
+    # An earlier owner may have started tasks of this job.
+    inherited: bool = False
+    ended_ms: float = 0.0
+    opened: int = 0
+
+    @property
+    def job_id(self) -> str:
+        """Return the id that the caller chose."""
+        return self.accepted.job_id
+
+    @property
+    def final(self) -> bool:
+        """Tell whether nothing of the job will run any more."""
+        return self.phase in FINAL_PHASES
+
+    @property
+    def late_limit_ms(self) -> float:
+        """Return when the job stops being worth anything."""
+        return self.accepted_at_ms + LATE_FACTOR * (self.objective_ms - self.accepted_at_ms)
+
+    def open_occurrence(self) -> list[StepState]:
+        """Make the steps of the next occurrence and return them."""
+        occurrence = self.opened
+        self.opened += 1
+        made = []
+        for number, spec in enumerate(self.accepted.spec.steps):
+            step = StepState(self, StepKey(self.job_id, occurrence, number), spec)
+            self.steps[(occurrence, number)] = step
+            made.append(step)
+        return made
+
+    def step_of(self, key: StepKey | TaskKey) -> StepState | None:
+        """Return the state of a step, or None if it is not open."""
+        return self.steps.get((key.occurrence, key.step))
+
+    def task_of(self, key: TaskKey) -> TaskState | None:
+        """Return the state of a task, or None if it is not open."""
+        step = self.step_of(key)
+        if step is None or not 0 <= key.index < len(step.tasks):
+            return None
+        return step.tasks[key.index]
+
+    def is_ready(self, step: StepState) -> bool:
+        """Tell whether all steps before a step are done."""
+        occurrence = step.key.occurrence
+        return all(self.steps[(occurrence, number)].done for number in step.spec.after)
+
+    def all_done(self) -> bool:
+        """Tell whether every task of every occurrence is done."""
+        if self.opened < self.accepted.spec.occurrences:
+            return False
+        return all(step.done for step in self.steps.values())
+
+    def remaining_ms(self) -> float:
+        """Return the longest chain of declared work that is left, in ms."""
+        steps = self.accepted.spec.steps
+        longest = [0.0] * len(steps)
+        for number, spec in enumerate(steps):
+            state = self.steps.get((max(0, self.opened - 1), number))
+            own = 0.0 if state is not None and state.done else float(spec.expected_ms)
+            before = max((longest[other] for other in spec.after), default=0.0)
+            longest[number] = before + own
+        return max(longest, default=0.0)
+
+
+def total_core_ms(accepted: AcceptedJob) -> float:
+    """Return the declared work of a job in core-milliseconds, at least 1."""
+    steps = accepted.spec.steps
+    return max(1.0, sum(s.count * s.need.cpu / 1000.0 * max(1, s.expected_ms) for s in steps))
+
+
+def chain_ms(accepted: AcceptedJob) -> float:
+    """Return the longest chain of declared work of one occurrence, in ms."""
+    return JobState(accepted, 0.0).remaining_ms()
--- /dev/null
+++ b/baobabhoist/cell/reports.py
@@ -0,0 +1,203 @@
+"""Merge the answers of workers into what the owner knows of its runs."""
+
+from __future__ import annotations
+
+import logging
+
+from baobabhoist.cell.board import Board
+from baobabhoist.cell.ends import Ends, lost
+from baobabhoist.cell.jobs import Run, RunPhase
+from baobabhoist.cell.model import (
+    NOT_STARTED,
+    EndKind,
+    EndRow,
+    OrderOutcome,
+    RunningRow,
+    StartTask,
+    StopTask,
+    WorkerReport,
+)
+from baobabhoist.cell.workers import WorkerState
+from baobabhoist.observability.events import Event, emit
+
+log = logging.getLogger(__name__)
+
+# A worker that refused a start gets no other for this long.
+PAUSE_AFTER_REFUSAL_MS = 150.0
+
+
+class Reports:
+    """Take reports and answers to orders; all times are on the owner's clock, in ms."""
+
+    def __init__(self, board: Board, ends: Ends) -> None:
+        self._board = board
+        self._ends = ends
+
+    def reported(
+        self, worker: WorkerState, report: WorkerReport, sent_ms: float, now: float
+    ) -> None:
+        """Merge a report; `sent_ms` is when it was asked for."""
+        if worker.born_ms and report.born_ms and report.born_ms != worker.born_ms:
+            self._new_lifetime(worker, sent_ms, now)
+        worker.born_ms = report.born_ms or worker.born_ms
+        worker.lease.heard(report.clock_ms, now)
+        worker.heard_ms = now
+        if not worker.fenced:
+            worker.fenced = True
+            emit(
+                log,
+                Event.WORKER_FENCED,
+                worker=worker.worker_id,
+                running=len(report.running),
+                ended=len(report.ended),
+            )
+        for end in report.ended:
+            if end.number > worker.seen_end:
+                worker.seen_end = end.number
+                self._take_end(worker, end, now)
+        for row in report.running:
+            self._take_running(worker, row, now)
+        self._compare(worker, report, sent_ms, now)
+
+    def start_answered(self, order: StartTask, outcome: OrderOutcome, now: float) -> None:
+        """Take the answer to a start."""
+        run = self._find(order)
+        worker = self._board.workers.get(order.worker_id)
+        if run is None or worker is None:
+            return
+        if outcome is OrderOutcome.OK:
+            run.confirmed_ms = run.confirmed_ms or now
+            if run.phase in (RunPhase.STARTING, RunPhase.UNSURE) and not run.stop_sent_ms:
+                run.phase = RunPhase.RUNNING
+            return
+        if outcome is OrderOutcome.UNKNOWN:
+            if run.phase is RunPhase.STARTING:
+                run.phase = RunPhase.UNSURE
+                worker.paused_until_ms = now + PAUSE_AFTER_REFUSAL_MS
+                emit(
+                    log,
+                    Event.START_UNANSWERED,
+                    task=order.task.text(),
+                    run=order.run,
+                    worker=order.worker_id,
+                )
+                self._board.stop(run, now)
+                if run.task.step.spec.gang:
+                    self._ends.break_gang(run.task.step, run.number, now)
+            return
+        if outcome in NOT_STARTED:
+            self._refused(run, worker, order, outcome, now)
+
+    def stop_answered(self, order: StopTask, outcome: OrderOutcome, now: float) -> None:
+        """Take the answer to a stop."""
+        run = self._find(order)
+        if run is None:
+            return
+        if outcome is OrderOutcome.OK:
+            run.stop_answered_ms = run.stop_answered_ms or now
+            run.phase = RunPhase.STOPPING
+
+    def _refused(
+        self,
+        run: Run,
+        worker: WorkerState,
+        order: StartTask,
+        outcome: OrderOutcome,
+        now: float,
+    ) -> None:
+        emit(
+            log,
+            Event.START_REFUSED,
+            task=order.task.text(),
+            run=order.run,
+            worker=order.worker_id,
+            reason=outcome.value,
+        )
+        step = run.task.step
+        if outcome is OrderOutcome.NO_TICKET:
+            step.approvals.drop(worker.worker_id)
+        else:
+            worker.paused_until_ms = now + PAUSE_AFTER_REFUSAL_MS
+        if outcome is OrderOutcome.UNHEALTHY:
+            worker.health.failed(step.job.job_id, now)
+        self._board.close(run)
+        if step.spec.gang and not step.done:
+            self._ends.break_gang(step, run.number, now)
+
+    def _take_end(self, worker: WorkerState, end: EndRow, now: float) -> None:
+        worker.orphans.pop(end.task, None)
+        job = self._board.jobs.get(end.task.job_id)
+        task = job.task_of(end.task) if job is not None else None
+        if job is None or task is None:
+            return
+        run = worker.runs.get(end.task)
+        mine = run is not None and run.number <= end.run
+        if mine and run is not None:
+            # Keep the run while its end is applied, so that its time is learned.
+            self._ends.ended(task, end.run, end.kind, end.checkpoint, now)
+            if end.kind is EndKind.FAILED and worker.health.failed(job.job_id, now):
+                emit(log, Event.WORKER_SET_ASIDE, worker=worker.worker_id, reason="failures")
+            self._board.close(run)
+            return
+        if not job.final:
+            self._ends.ended(task, end.run, end.kind, end.checkpoint, now)
+            other = task.run
+            if task.done and other is not None and other.phase is not RunPhase.STOPPING:
+                self._board.stop(other, now)
+
+    def _take_running(self, worker: WorkerState, row: RunningRow, now: float) -> None:
+        run = worker.runs.get(row.task)
+        if run is not None and run.number == row.run:
+            self._progressed(run, row, now)
+            return
+        if run is not None and run.number > row.run:
+            # The list was made before a later run replaced this one.
+            return
+        job = self._board.jobs.get(row.task.job_id)
+        task = job.task_of(row.task) if job is not None else None
+        if job is None or task is None or job.final or task.done or task.run is not None:
+            self._board.stop_orphan(worker, row.task, row.run)
+            return
+        adopted = self._board.adopt(task, worker, row.run, now)
+        self._progressed(adopted, row, now)
+
+    def _progressed(self, run: Run, row: RunningRow, now: float) -> None:
+        run.confirmed_ms = run.confirmed_ms or now
+        if run.phase is RunPhase.STARTING:
+            run.phase = RunPhase.RUNNING
+        if row.percent != run.percent:
+            run.percent, run.moved_ms = row.percent, now
+        if row.checkpoint and run.task.step.spec.checkpoints:
+            run.task.checkpoint = row.checkpoint
+
+    def _compare(
+        self, worker: WorkerState, report: WorkerReport, sent_ms: float, now: float
+    ) -> None:
+        """Close the runs and orphans that the report shows to be gone."""
+        listed = {(row.task, row.run) for row in report.running}
+        for key, number in list(worker.orphans.items()):
+            if (key, number) not in listed:
+                del worker.orphans[key]
+        for run in list(worker.runs.values()):
+            if (run.task.key, run.number) in listed:
+                continue
+            if run.phase is RunPhase.STOPPING and 0 < run.stop_answered_ms < sent_ms:
+                self._board.close(run)
+            elif run.phase is RunPhase.RUNNING and 0 < run.confirmed_ms < sent_ms:
+                lost(self._board, self._ends, run, now, "its worker does not list it")
+
+    def _new_lifetime(self, worker: WorkerState, sent_ms: float, now: float) -> None:
+        emit(log, Event.WORKER_RESTARTED, worker=worker.worker_id, runs=len(worker.runs))
+        worker.seen_end = worker.acked_end = 0
+        worker.orphans.clear()
+        worker.lease.restarted()
+        for step in self._board.ready.values():
+            step.approvals.forget(worker.worker_id)
+        for run in list(worker.runs.values()):
+            if run.phase in (RunPhase.RUNNING, RunPhase.STOPPING) and run.confirmed_ms < sent_ms:
+                lost(self._board, self._ends, run, now, "its worker started again")
+
+    def _find(self, order: StartTask | StopTask) -> Run | None:
+        worker = self._board.workers.get(order.worker_id)
+        run = worker.runs.get(order.task) if worker is not None else None
+        return run if run is not None and run.number == order.run else None
--- /dev/null
+++ b/baobabhoist/cell/upkeep.py
@@ -0,0 +1,94 @@
+"""Find what no message reports: lapsed leases, stalled runs, lost stops, broken gangs."""
+
+from __future__ import annotations
+
+import logging
+
+from baobabhoist.cell.board import Board
+from baobabhoist.cell.ends import Ends, lost
+from baobabhoist.cell.jobs import Run, RunPhase, StepState
+from baobabhoist.cell.workers import WorkerState
+from baobabhoist.observability.events import Event, emit
+
+log = logging.getLogger(__name__)
+
+STOP_AGAIN_MS = 400.0
+# A run whose progress stands still for this long is started elsewhere.
+STALLED_MS = 3_000.0
+# Entries of live workers are back this long after the store's return.
+ENTRY_RETURN_MS = 2_500.0
+
+
+class Upkeep:
+    """Look over the board every now and then; all times are on the owner's clock, in ms."""
+
+    def __init__(self, board: Board, ends: Ends) -> None:
+        self._board = board
+        self._ends = ends
+
+    def tick(self, now: float, unix_ms: float, resolved: bool) -> None:
+        """Do what is due."""
+        for worker in list(self._board.workers.values()):
+            self._check_lease(worker, now)
+            for run in list(worker.runs.values()):
+                self._check_run(worker, run, now)
+        if resolved:
+            self._repair_gangs(now)
+        self._open_occurrences(now, unix_ms)
+
+    def _check_lease(self, worker: WorkerState, now: float) -> None:
+        if worker.lease.known and now > worker.lease.lapsed_ms():
+            for run in list(worker.runs.values()):
+                lost(self._board, self._ends, run, now, "the lease of its worker has lapsed")
+        gone = not worker.listed and now > worker.unlisted_ms + ENTRY_RETURN_MS
+        if gone and not worker.runs:
+            emit(log, Event.WORKER_GONE, worker=worker.worker_id)
+            del self._board.workers[worker.worker_id]
+
+    def _check_run(self, worker: WorkerState, run: Run, now: float) -> None:
+        stopping = run.phase in (RunPhase.STOPPING, RunPhase.UNSURE)
+        if stopping and not run.stop_answered_ms and now - run.stop_sent_ms > STOP_AGAIN_MS:
+            self._board.stop(run, now)
+        stalled = (
+            run.phase is RunPhase.RUNNING
+            and not run.task.step.spec.lasting
+            and now - run.moved_ms > STALLED_MS
+            and worker.heard_ms > run.moved_ms + STALLED_MS
+            and run.percent < 100
+        )
+        if stalled:
+            if worker.health.stalled(now):
+                emit(log, Event.WORKER_SET_ASIDE, worker=worker.worker_id, reason="stalled")
+            emit(
+                log,
+                Event.RUN_STALLED,
+                task=run.task.key.text(),
+                run=run.number,
+                worker=run.worker_id,
+                percent=run.percent,
+            )
+            self._board.stop(run, now)
+
+    def _repair_gangs(self, now: float) -> None:
+        """Stop the rest of a gang that lost members under an earlier owner."""
+        for step in list(self._board.ready.values()):
+            if step.spec.gang and 0 < step.idle < step.pending:
+                self._stop_members(step, now)
+
+    def _stop_members(self, step: StepState, now: float) -> None:
+        for task in step.tasks:
+            run = task.run
+            if run is not None and run.phase in (RunPhase.RUNNING, RunPhase.STARTING):
+                self._board.stop(run, now)
+
+    def _open_occurrences(self, now: float, unix_ms: float) -> None:
+        for job in list(self._board.jobs.values()):
+            spec = job.accepted.spec
+            if not spec.repeats or job.final:
+                continue
+            while (
+                job.opened < spec.occurrences
+                and unix_ms >= spec.first_due_ms + job.opened * spec.interval_ms
+            ):
+                job.open_occurrence()
+                self._board.refresh_ready(job, now)
--- /dev/null
+++ b/baobabhoist/cell/workers.py
@@ -0,0 +1,110 @@
+"""Hold what the owner knows of a worker: its room, its lease and the runs on it."""
+
+from __future__ import annotations
+
+import attrs
+
+from baobabhoist.cell.health import Health
+from baobabhoist.cell.jobs import Run
+from baobabhoist.cell.model import NO_ROOM, Room, TaskKey, WorkerInfo
+
+# A worker's steady clock may run this much slower than real time.
+CLOCK_DRIFT = 0.02
+# Extra wait before the tasks of an unreachable worker count as gone.
+LEASE_MARGIN_MS = 150.0
+# A worker that answered nothing for this long gets no new tasks.
+SILENT_MS = 2600.0
+
+
+@attrs.define
+class Lease:
+    """Follow the lease of one worker over its own clock and the owner's.
+
+    `deadline_ms` is the latest deadline that was ever sent, on the worker's clock.
+    """
+
+    clock_ms: float = 0.0
+    read_ms: float = 0.0
+    deadline_ms: int = 0
+    known: bool = False
+
+    def heard(self, clock_ms: float, now: float) -> None:
+        """Take over a reading of the worker's clock."""
+        if not self.known or clock_ms >= self.clock_at(now):
+            self.clock_ms, self.read_ms, self.known = clock_ms, now, True
+
+    def restarted(self) -> None:
+        """Forget the clock of an ended lifetime."""
+        self.clock_ms = self.read_ms = 0.0
+        self.deadline_ms, self.known = 0, False
+
+    def clock_at(self, now: float) -> float:
+        """Return the reading that the worker's clock has reached at least, but for drift."""
+        return self.clock_ms + (now - self.read_ms) * (1.0 - CLOCK_DRIFT)
+
+    def next_deadline(self, now: float, lease_ms: float) -> int | None:
+        """Return the deadline to send with an order, or None while the clock is unknown."""
+        if not self.known:
+            return None
+        self.deadline_ms = max(self.deadline_ms, int(self.clock_at(now) + lease_ms))
+        return self.deadline_ms
+
+    def lapsed_ms(self) -> float:
+        """Return from when on nothing runs under this lease for certain."""
+        left = self.deadline_ms - self.clock_ms
+        return self.read_ms + left / (1.0 - CLOCK_DRIFT) + LEASE_MARGIN_MS
+
+
+@attrs.define(eq=False)
+class WorkerState:
+    """Hold one worker."""
+
+    info: WorkerInfo
+    lease: Lease = attrs.Factory(Lease)
+    health: Health = attrs.Factory(Health)
+    used: Room = NO_ROOM
+    runs: dict[TaskKey, Run] = attrs.Factory(dict)
+    # Runs that this owner does not want, by the number of the run.
+    orphans: dict[TaskKey, int] = attrs.Factory(dict)
+    # The worker obeys this owner's fencing token.
+    fenced: bool = False
+    listed: bool = True
+    # When the directory dropped the worker, on the owner's clock in ms.
+    unlisted_ms: float = 0.0
+    heard_ms: float = -1e12
+    paused_until_ms: float = 0.0
+    born_ms: int = 0
+    seen_end: int = 0
+    acked_end: int = 0
+
+    @property
+    def worker_id(self) -> str:
+        """Return the id of the worker."""
+        return self.info.worker_id
+
+    @property
+    def free(self) -> Room:
+        """Return the room that no run takes."""
+        return self.info.capacity.minus(self.used)
+
+    def usable(self, now: float) -> bool:
+        """Tell whether new tasks may start here."""
+        return (
+            self.fenced
+            and self.listed
+            and not self.info.draining
+            and not self.orphans
+            and now - self.heard_ms < SILENT_MS
+            and now >= self.paused_until_ms
+            and self.health.open(now, len(self.runs))
+        )
+
+    def take(self, run: Run) -> None:
+        """Count a run."""
+        self.runs[run.task.key] = run
+        self.used = self.used.plus(run.charged)
+
+    def release(self, run: Run) -> None:
+        """Stop counting a run."""
+        if self.runs.pop(run.task.key, None) is not None:
+            self.used = self.used.minus(run.charged)
--- a/baobabhoist/config/load.py
+++ b/baobabhoist/config/load.py
@@ -5,7 +5,7 @@
 import difflib
 from collections.abc import Hashable
 from pathlib import Path
-from typing import Any
+from typing import Any, TypeVar, cast
 
 import attrs
 import yaml
@@ -21,6 +21,8 @@
 from baobabhoist.config.settings import Settings
 from baobabhoist.errors import SettingsError
 
+T = TypeVar("T")
+
 
 @attrs.frozen
 class Loaded:
@@ -65,13 +67,19 @@
 
 def validate(raw: Any) -> Loaded:
     """Return settings made from parsed YAML; raises SettingsError with one line a problem."""
+    settings = read_settings(Settings, raw)
+    return Loaded(settings, tuple(settings.warnings()))
+
+
+def read_settings(cls: type[T], raw: Any) -> T:
+    """Return a class of options made from parsed YAML; raises SettingsError."""
     problems: list[Problem] = []
-    settings: Settings | None = _read_section(Settings, raw, "", problems)
+    settings: Any = _read_section(cls, raw, "", problems)
     if settings is not None:
         problems.extend(settings.problems())
-    if problems or settings is None:
+    if problems:
         raise SettingsError("\n".join(str(problem) for problem in problems))
-    return Loaded(settings, tuple(settings.warnings()))
+    return cast("T", settings)
 
 
 def _read_section(cls: type, raw: Any, path: str, problems: list[Problem]) -> Any:
--- /dev/null
+++ b/baobabhoist/control/claim.py
@@ -0,0 +1,92 @@
+"""Decide when an instance claims the cell; the store's conditional writes settle races."""
+
+from __future__ import annotations
+
+import enum
+
+import attrs
+import cattrs
+import orjson
+
+# The owner rewrites its beat this often while the store answers.
+BEAT_INTERVAL_MS = 700.0
+# A beat that has not changed for this long shows an owner that the store no longer hears.
+BEAT_STALE_MS = 2_200.0
+# An owner that the store has not confirmed for this long orders nothing more.
+CONFIRMED_MS = 3_500.0
+
+
+@attrs.frozen
+class ClaimRow:
+    """Hold the claim: `boot` names the owner's process, empty after it was released."""
+
+    node: str
+    boot: str
+    address: str
+    generation: int
+
+    @property
+    def released(self) -> bool:
+        """Tell whether the owner gave the cell up."""
+        return not self.boot
+
+
+def encode_claim(claim: ClaimRow) -> bytes:
+    """Return the value of the claim's row."""
+    return orjson.dumps(attrs.asdict(claim))
+
+
+def decode_claim(value: bytes) -> ClaimRow:
+    """Return the claim in a row; raises ValueError if it cannot be read."""
+    try:
+        return cattrs.structure(orjson.loads(value), ClaimRow)
+    except Exception as exc:
+        raise ValueError(f"not a claim: {exc}") from exc
+
+
+class OwnerSeen(enum.Enum):
+    """Name what an instance sees of the owner over its link."""
+
+    # The link has not been tried or is being made.
+    UNKNOWN = "unknown"
+    CONNECTED = "connected"
+    # Nothing answers at the owner's address.
+    SILENT = "silent"
+    # The port is closed or another process answers there: the owner's process has ended.
+    ENDED = "ended"
+
+
+class ClaimReason(enum.Enum):
+    """Name why an instance claims the cell."""
+
+    NONE = "none"
+    UNCLAIMED = "unclaimed"
+    RELEASED = "released"
+    OWNER_ENDED = "owner_ended"
+    BEAT_STALE = "beat_stale"
+
+
+# After these the earlier owner can order nothing more.
+EARLIER_OWNER_STOPPED = frozenset(
+    {ClaimReason.UNCLAIMED, ClaimReason.RELEASED, ClaimReason.OWNER_ENDED}
+)
+
+
+def claim_reason(
+    claim: ClaimRow | None, seen: OwnerSeen, beat_age_ms: float, boot: str
+) -> ClaimReason:
+    """Return why an instance should claim the cell now, or NONE."""
+    if claim is None:
+        return ClaimReason.UNCLAIMED
+    if claim.released:
+        return ClaimReason.RELEASED
+    if claim.boot == boot:
+        return ClaimReason.NONE
+    if seen is OwnerSeen.ENDED:
+        return ClaimReason.OWNER_ENDED
+    if beat_age_ms > BEAT_STALE_MS and seen is not OwnerSeen.CONNECTED:
+        return ClaimReason.BEAT_STALE
+    # The owner lives but the store hears nothing of it: it cannot take new jobs over.
+    if beat_age_ms > 2 * BEAT_STALE_MS:
+        return ClaimReason.BEAT_STALE
+    return ClaimReason.NONE
--- /dev/null
+++ b/baobabhoist/control/owner.py
@@ -0,0 +1,383 @@
+"""Run the cell while this instance owns it."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections.abc import Callable, Coroutine, Sequence
+from typing import Any
+
+import attrs
+
+from baobabhoist.cell import progress as progress_rows
+from baobabhoist.cell.cell import Cell, Takeover
+from baobabhoist.cell.model import AskAdvice, CellRules, Command, StartTask, StopTask
+from baobabhoist.cell.workers import CLOCK_DRIFT, LEASE_MARGIN_MS
+from baobabhoist.control.advice import AdviceDesk
+from baobabhoist.control.clock import SharedClock, boot_ms, unix_ms
+from baobabhoist.control.follow import TableFollower
+from baobabhoist.control.interfaces import Decoder, WorkerDriver
+from baobabhoist.control.messages import PendingReply, StateReply
+from baobabhoist.control.progress import ProgressWriter
+from baobabhoist.control.rowmap import (
+    CANCEL_SUFFIX,
+    CELL_TABLE,
+    DIRECTORY_TABLE,
+    JOB_PARTS,
+    JOBS_TABLE,
+    PROGRESS_TABLE,
+    ROSTER_ROW,
+    decode_job,
+    decode_roster,
+)
+from baobabhoist.control.workers import WorkerLoop
+from baobabhoist.observability.events import Event, emit
+from baobabhoist.store.rows import RowStore, StoredRow, StoreError
+
+log = logging.getLogger(__name__)
+
+TICK_S = 0.1
+DIRECTORY_PAUSE_S = 0.2
+LOAD_RETRY_S = 0.15
+FORGET_EVERY_TICKS = 100
+
+
+@attrs.frozen
+class Ownership:
+    """Hold a won claim.
+
+    `token` fences the workers; `began_ms` is when the claim was won and `earlier_until_ms`
+    until when an earlier owner may still order runs, on the local clock.
+    """
+
+    token: int
+    generation: int
+    began_ms: float
+    earlier_until_ms: float
+
+
+@attrs.define
+class OwnerParts:
+    """Hold what an owner works with."""
+
+    store: RowStore
+    driver: WorkerDriver
+    decoder: Decoder
+    clock: SharedClock
+    advice: AdviceDesk
+    lease_ms: float
+    job_kept_ms: float
+    # Tell whether the claim was confirmed recently enough to order starts.
+    may_start: Callable[[], bool]
+    # Called once when another owner has the cell.
+    on_deposed: Callable[[str], None]
+
+
+class CellOwner:
+    """Own the tasks that drive one cell; made anew for each claim."""
+
+    def __init__(self, parts: OwnerParts, ownership: Ownership, rules: CellRules) -> None:
+        self.cell: Cell | None = None
+        self.ownership = ownership
+        self.progress = ProgressWriter(parts.store, ownership.token, self._deposed)
+        self.progress.on_acked = self._acked
+        self._parts = parts
+        self._rules = rules
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._loops: dict[str, WorkerLoop] = {}
+        self._kicked = False
+        self._roster: set[str] = set()
+        self._deposed_told = False
+        self._ticks = 0
+
+    async def run(self) -> None:
+        """Load what lasts, then work until cancelled."""
+        try:
+            await self._load()
+            self.spawn(self._follower(JOBS_TABLE, self._jobs_changed, JOB_PARTS).run())
+            self.spawn(
+                self._follower(
+                    DIRECTORY_TABLE, self._directory_changed, ("",), DIRECTORY_PAUSE_S
+                ).run()
+            )
+            self.spawn(self.progress.run(self._require_cell()))
+            await self._tick_forever()
+        finally:
+            self.stop()
+
+    def stop(self) -> None:
+        """Stop all tasks; nothing is ordered any more."""
+        for loop in self._loops.values():
+            loop.cancel()
+        self._loops.clear()
+        for task in self._tasks:
+            task.cancel()
+
+    def use_rules(self, rules: CellRules) -> None:
+        """Use these queues and teams from now on."""
+        self._rules = rules
+        if self.cell is not None:
+            self.cell.use_rules(rules)
+            self.kick()
+
+    def may_renew(self) -> bool:
+        """Tell whether leases may be renewed: not once a later owner may count on their end."""
+        return self._parts.may_start()
+
+    # Questions and notices of the other instances.
+
+    def job_stored(self, job_id: str, value: bytes, version: int) -> None:
+        """Take a job over that was just stored."""
+        if self.cell is None:
+            return
+        try:
+            accepted = decode_job(job_id, value, version)
+        except ValueError as exc:
+            emit(log, Event.ROW_UNREADABLE, table=JOBS_TABLE, row=job_id, detail=exc)
+            return
+        accepted_at = self._parts.clock.local_ms(accepted.accepted_ms)
+        if self.cell.job_accepted(accepted, accepted_at, boot_ms(), unix_ms()):
+            self.kick()
+
+    def job_cancelled(self, job_id: str) -> None:
+        """Cancel a job whose cancellation was just stored."""
+        if self.cell is not None and self.cell.job_cancelled(job_id, boot_ms()):
+            self.kick()
+            self.progress.wake()
+
+    def state_of(self, job_id: str) -> StateReply:
+        """Return the state of a job."""
+        job = self.cell.job_state(job_id) if self.cell is not None else None
+        if job is None:
+            return StateReply()
+        return StateReply(job.phase.value, job.accepted.queue, job.accepted.team)
+
+    def pending_in(self, queue: str) -> PendingReply | None:
+        """Return how many jobs of a queue have not begun, or None while loading."""
+        return PendingReply(self.cell.pending(queue)) if self.cell is not None else None
+
+    # Loading.
+
+    async def _load(self) -> None:
+        while True:
+            try:
+                await self._load_once()
+                return
+            except StoreError as exc:
+                emit(log, Event.LOAD_FAILED, detail=exc)
+                await asyncio.sleep(LOAD_RETRY_S)
+
+    async def _load_once(self) -> None:
+        store = self._parts.store
+        jobs = [store.read(JOBS_TABLE, part) for part in JOB_PARTS]
+        progress, own, directory, *parts = await asyncio.gather(
+            store.read(PROGRESS_TABLE),
+            store.read(CELL_TABLE),
+            store.read(DIRECTORY_TABLE),
+            *jobs,
+        )
+        roster = next((r.value for r in own.rows if r.key == ROSTER_ROW), None)
+        earlier = set(decode_roster(roster)) if roster is not None else set()
+        self._roster = set(earlier)
+        free_ms = self._leases_lapsed_ms()
+        takeover = Takeover(
+            self.ownership.generation,
+            self.ownership.token,
+            self.ownership.earlier_until_ms,
+            dict.fromkeys(earlier, free_ms) if self.ownership.generation else {},
+        )
+        self.progress.loaded({row.key: row.version for row in (*progress.rows, *own.rows)})
+        cell = Cell(self._rules, takeover)
+        cell.decisions.advisers = self._parts.advice.capacity
+        self.cell = cell
+        self._jobs_changed([row for part in parts for row in part.rows], True)
+        now = boot_ms()
+        for row in progress.rows:
+            self._apply_progress(cell, row, now)
+        self._directory_changed(directory.rows, True)
+        emit(
+            log,
+            Event.CELL_LOADED,
+            jobs=len(cell.board.jobs),
+            workers=len(cell.board.workers),
+            unresolved=len(takeover.unresolved),
+            token=self.ownership.token,
+            took_ms=round(now - self.ownership.began_ms),
+        )
+
+    def _leases_lapsed_ms(self) -> float:
+        """Return when every lease that earlier owners gave has lapsed for certain."""
+        last_ms = max(self.ownership.began_ms, self.ownership.earlier_until_ms)
+        return last_ms + self._parts.lease_ms / (1.0 - CLOCK_DRIFT) + LEASE_MARGIN_MS
+
+    def _apply_progress(self, cell: Cell, row: StoredRow, now: float) -> None:
+        try:
+            if row.value is not None:
+                cell.progress_loaded(row.key.key, progress_rows.decode(row.value), now)
+        except (ValueError, IndexError) as exc:
+            emit(log, Event.ROW_UNREADABLE, table=PROGRESS_TABLE, row=row.key.key, detail=exc)
+
+    # Tables.
+
+    def _follower(
+        self,
+        table: str,
+        on_rows: Callable[[Sequence[StoredRow], bool], None],
+        parts: Sequence[str],
+        pause_s: float = 0.0,
+    ) -> TableFollower:
+        return TableFollower(
+            self._parts.store, table, on_rows, self._parts.clock, parts=parts, pause_s=pause_s
+        )
+
+    def _jobs_changed(self, rows: Sequence[StoredRow], whole: bool) -> None:
+        for row in sorted(rows, key=lambda r: r.key.key.endswith(CANCEL_SUFFIX)):
+            if row.value is None:
+                continue
+            if row.key.key.endswith(CANCEL_SUFFIX):
+                self.job_cancelled(row.key.key.removesuffix(CANCEL_SUFFIX))
+            else:
+                self.job_stored(row.key.key, row.value, row.version)
+
+    def _directory_changed(self, rows: Sequence[StoredRow], whole: bool) -> None:
+        cell, now = self._require_cell(), boot_ms()
+        found = []
+        for row in rows:
+            if row.value is None:
+                cell.worker_unlisted(row.key.key, now)
+                continue
+            info = self._parts.decoder.worker(row.key.key, row.value)
+            if info is not None:
+                found.append(info)
+        if whole:
+            cell.workers_listed(found, now)
+        for info in found:
+            cell.worker_listed(info, now)
+        self._sync_workers()
+
+    def _sync_workers(self) -> None:
+        """Keep a loop for each worker, and the roster in step with them."""
+        workers = self._require_cell().board.workers
+        for worker_id in list(self._loops):
+            if worker_id not in workers:
+                self._loops.pop(worker_id).cancel()
+        missing = set(workers) - self._roster
+        if missing or (self._roster - set(workers)):
+            self.progress.want_roster(set(workers), self._rostered)
+        for worker_id in self._roster & set(workers):
+            self._open_loop(worker_id)
+        self.kick()
+
+    def _rostered(self, workers: set[str]) -> None:
+        """Use the workers that the stored roster names."""
+        self._roster = workers
+        for worker_id in workers & set(self._require_cell().board.workers):
+            self._open_loop(worker_id)
+
+    def _open_loop(self, worker_id: str) -> None:
+        if worker_id in self._loops:
+            return
+        state = self._require_cell().board.workers[worker_id]
+        loop = WorkerLoop(self, self._parts.driver, state, self._parts.lease_ms)
+        self._loops[worker_id] = loop
+        loop.start()
+
+    def _acked(self, worker_id: str) -> None:
+        loop = self._loops.get(worker_id)
+        if loop is not None:
+            loop.acked.set()
+
+    # Decisions and orders.
+
+    def kick(self) -> None:
+        """Decide in this turn of the event loop, once for all events that came in it."""
+        if not self._kicked:
+            self._kicked = True
+            asyncio.get_running_loop().call_soon(self._decide)
+
+    def _decide(self) -> None:
+        self._kicked = False
+        cell = self.cell
+        if cell is None:
+            return
+        if cell.fenced_off:
+            self._deposed("a worker obeys a higher fencing token")
+            return
+        for command in cell.decide(boot_ms(), self._parts.may_start()):
+            self.spawn(self._ORDERS[type(command)](self, command))
+        if cell.board.dirty:
+            self.progress.wake()
+
+    async def _start(self, order: StartTask) -> None:
+        loop = self._loops.get(order.worker_id)
+        if loop is not None:
+            outcome = await loop.start_task(order)
+            self._require_cell().start_answered(order, outcome, boot_ms())
+            self.kick()
+
+    async def _stop(self, order: StopTask) -> None:
+        loop = self._loops.get(order.worker_id)
+        if loop is not None:
+            outcome = await loop.stop_task(order)
+            self._require_cell().stop_answered(order, outcome, boot_ms())
+            self.kick()
+
+    async def _ask(self, question: AskAdvice) -> None:
+        advice = await self._parts.advice.ask(question)
+        cell, now = self._require_cell(), boot_ms()
+        if advice is None:
+            cell.advice_failed(question.step, now + LOAD_RETRY_S * 1000)
+        else:
+            cell.advice_answered(
+                question.step, question.workers, advice.tickets, now + advice.valid_ms
+            )
+        self.kick()
+
+    _ORDERS: dict[type[Command], Callable[[Any, Any], Coroutine[Any, Any, None]]] = {
+        StartTask: _start,
+        StopTask: _stop,
+        AskAdvice: _ask,
+    }
+
+    async def _tick_forever(self) -> None:
+        while True:
+            cell = self._require_cell()
+            cell.decisions.advisers = self._parts.advice.capacity
+            cell.tick(boot_ms(), unix_ms())
+            self._ticks += 1
+            if self._ticks % FORGET_EVERY_TICKS == 0:
+                self._forget_old(cell)
+            if set(self._loops) - set(cell.board.workers):
+                self._sync_workers()
+            self.kick()
+            await asyncio.sleep(TICK_S)
+
+    def _forget_old(self, cell: Cell) -> None:
+        """Remove jobs that finished long enough ago."""
+        limit = boot_ms() - 2 * self._parts.job_kept_ms
+        old = [j.job_id for j in cell.board.jobs.values() if j.final and j.ended_ms < limit]
+        for job_id in old:
+            cell.forget_job(job_id)
+            self.spawn(self.progress.remove_job(job_id))
+
+    def spawn(self, coro: Coroutine[Any, Any, None]) -> None:
+        """Run a task as long as this owner."""
+        task = asyncio.create_task(coro)
+        self._tasks.add(task)
+        task.add_done_callback(self._ended)
+
+    def _ended(self, task: asyncio.Task[None]) -> None:
+        self._tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            emit(log, Event.TASK_CRASHED, detail=repr(task.exception()))
+            log.error("task crashed", exc_info=task.exception())
+
+    def _deposed(self, reason: str) -> None:
+        if not self._deposed_told:
+            self._deposed_told = True
+            self._parts.on_deposed(reason)
+
+    def _require_cell(self) -> Cell:
+        if self.cell is None:
+            raise RuntimeError("the cell is not loaded")
+        return self.cell
--- /dev/null
+++ b/baobabhoist/control/owners.py
@@ -0,0 +1,91 @@
+"""Reach the cell's owner: this process itself or another over its link."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from typing import Any
+
+from baobabhoist.cell.model import StepKey
+from baobabhoist.control.interfaces import Adviser
+from baobabhoist.control.links import OwnerLink
+from baobabhoist.control.messages import (
+    AdviceQuery,
+    AdviceReply,
+    CancelNotice,
+    JobNotice,
+    NotOwner,
+    PendingQuery,
+    StateQuery,
+)
+from baobabhoist.control.owner import CellOwner
+from baobabhoist.errors import LinkClosedError
+
+log = logging.getLogger(__name__)
+
+
+class OwnerCalls:
+    """Pass questions and notices to the owner, wherever it is."""
+
+    def __init__(self, node: str, adviser: Adviser) -> None:
+        self.local: CellOwner | None = None
+        self.link: OwnerLink | None = None
+        self._node = node
+        self._adviser = adviser
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    @property
+    def reachable(self) -> bool:
+        """Tell whether the owner is known and can be asked."""
+        if self.local is not None:
+            return self.local.cell is not None
+        return self.link is not None and self.link.link is not None
+
+    async def call(self, question: Any, timeout_s: float) -> Any:
+        """Return the owner's answer; raises LinkClosedError or TimeoutError."""
+        if self.local is not None:
+            return await self.handle(question)
+        if self.link is None:
+            raise LinkClosedError("the owner is not known")
+        return await self.link.call(question, timeout_s)
+
+    def notify(self, notice: Any) -> None:
+        """Tell the owner; a notice that gets lost comes with the store's changes."""
+        task = asyncio.create_task(self._notify(notice))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def handle(self, message: Any) -> Any:
+        """Answer a message of another instance, or of this one."""
+        if isinstance(message, AdviceQuery):
+            return await self._advise(message)
+        owner = self.local
+        if owner is None:
+            return NotOwner(self._node)
+        if isinstance(message, StateQuery):
+            return owner.state_of(message.job_id)
+        if isinstance(message, PendingQuery):
+            return owner.pending_in(message.queue) or NotOwner(self._node)
+        if isinstance(message, JobNotice):
+            owner.job_stored(message.job_id, message.value, message.version)
+        elif isinstance(message, CancelNotice):
+            owner.job_cancelled(message.job_id)
+        return None
+
+    async def _advise(self, query: AdviceQuery) -> AdviceReply:
+        step = StepKey(query.job_id, query.occurrence, query.step)
+        advice = await self._adviser.ask(step, query.workers, query.cost_ms)
+        if advice is None:
+            return AdviceReply(False)
+        return AdviceReply(True, advice.tickets, advice.valid_ms)
+
+    async def _notify(self, notice: Any) -> None:
+        if self.local is not None:
+            await self.handle(notice)
+            return
+        link = self.link.link if self.link is not None else None
+        try:
+            if link is not None:
+                await link.notify(notice)
+        except LinkClosedError as exc:
+            log.debug("a notice to the owner was lost: %s", exc)
--- /dev/null
+++ b/baobabhoist/control/progress.py
@@ -0,0 +1,159 @@
+"""Store progress before workers may forget the ends that it is made of."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections.abc import Callable
+
+from baobabhoist.cell import progress as progress_rows
+from baobabhoist.cell.cell import Cell
+from baobabhoist.control.clock import boot_ms
+from baobabhoist.control.rowmap import (
+    BEAT_ROW,
+    OWNER_ROW,
+    ROSTER_ROW,
+    cancel_row,
+    encode_roster,
+    job_row,
+    progress_row,
+)
+from baobabhoist.observability.events import Event, emit
+from baobabhoist.store.rows import (
+    RowKey,
+    RowsCommitted,
+    RowsConflict,
+    RowStore,
+    RowsTxn,
+    StoreError,
+)
+
+log = logging.getLogger(__name__)
+
+# Ends of this time go into one write.
+BATCH_S = 0.03
+RETRY_S = 0.15
+# The store takes at most 100 entries a call: the claim, and two for each row.
+ROWS_MAX = 45
+
+
+class ProgressWriter:
+    """Own all writes under one claim; each one fails once another owner has the cell."""
+
+    def __init__(self, store: RowStore, token: int, on_deposed: Callable[[str], None]) -> None:
+        # When the last write that the store confirmed was sent, on the local clock.
+        self.confirmed_ms = boot_ms()
+        self.on_acked: Callable[[str], None] = lambda worker_id: None
+        self._store = store
+        self._token = token
+        self._on_deposed = on_deposed
+        self._wake = asyncio.Event()
+        self._roster: set[str] | None = None
+        self._on_roster: Callable[[set[str]], None] = lambda workers: None
+        self._beats = 0
+        # A write that the store carries out late must not undo a newer one, so each write
+        # expects the version of every row that it replaces.
+        self._versions: dict[RowKey, int] = {}
+
+    def loaded(self, versions: dict[RowKey, int]) -> None:
+        """Take over the versions of the rows as they were loaded."""
+        self._versions = versions
+
+    def wake(self) -> None:
+        """Write soon."""
+        self._wake.set()
+
+    def want_roster(self, workers: set[str], on_stored: Callable[[set[str]], None]) -> None:
+        """Store which workers may run something, then call back."""
+        self._roster, self._on_roster = workers, on_stored
+        self._wake.set()
+
+    async def run(self, cell: Cell) -> None:
+        """Write what changed until cancelled."""
+        while True:
+            await self._wake.wait()
+            self._wake.clear()
+            if not await self._flush(cell):
+                self._wake.set()
+                await asyncio.sleep(RETRY_S)
+            await asyncio.sleep(BATCH_S)
+
+    async def beat(self) -> bool:
+        """Show that the owner lives; tell whether the store confirmed it."""
+        self._beats += 1
+        value = str(self._beats).encode()
+        return await self._commit({BEAT_ROW: value}, {}) is not None
+
+    async def release(self, value: bytes) -> bool:
+        """Give the claim up; tell whether that is stored."""
+        return await self._commit({OWNER_ROW: value}, {}) is not None
+
+    async def remove_job(self, job_id: str) -> None:
+        """Remove the rows of a job that nobody asks for any more."""
+        try:
+            removed = (job_row(job_id), cancel_row(job_id))
+            await self._store.commit(RowsTxn(removes=removed))
+            await self._store.commit(RowsTxn(removes=(progress_row(job_id),)))
+        except StoreError as exc:
+            emit(log, Event.WRITE_REFUSED, row=job_id, detail=exc)
+
+    async def _flush(self, cell: Cell) -> bool:
+        seen = cell.seen_ends()
+        lifetimes = {w.worker_id: w.born_ms for w in cell.board.workers.values()}
+        dirty = cell.take_dirty()
+        roster, on_roster, self._roster = self._roster, self._on_roster, None
+        puts = {progress_row(i): progress_rows.encode(p) for i, p in dirty.items()}
+        if roster is not None:
+            puts[ROSTER_ROW] = encode_roster(dict.fromkeys(roster, 0.0))
+        if not await self._write(puts):
+            cell.board.dirty.update(dirty)
+            self._roster = self._roster if self._roster is not None else roster
+            return False
+        if roster is not None:
+            on_roster(roster)
+        self._acknowledge(cell, seen, lifetimes)
+        return True
+
+    async def _write(self, puts: dict[RowKey, bytes]) -> bool:
+        items = list(puts.items())
+        for first in range(0, len(items), ROWS_MAX):
+            chunk = dict(items[first : first + ROWS_MAX])
+            expected = {key: self._versions.get(key, 0) for key in chunk}
+            committed = await self._commit(chunk, expected)
+            if committed is None:
+                return False
+            self._versions.update(dict.fromkeys(chunk, committed.version))
+        return True
+
+    def _acknowledge(self, cell: Cell, seen: dict[str, int], lifetimes: dict[str, int]) -> None:
+        for worker_id, number in seen.items():
+            worker = cell.board.workers.get(worker_id)
+            if worker is None or worker.born_ms != lifetimes[worker_id]:
+                continue
+            if number > worker.acked_end:
+                worker.acked_end = number
+                self.on_acked(worker_id)
+
+    async def _commit(
+        self, puts: dict[RowKey, bytes], expected: dict[RowKey, int]
+    ) -> RowsCommitted | None:
+        sent_ms = boot_ms()
+        txn = RowsTxn({OWNER_ROW: self._token, **expected}, puts)
+        try:
+            outcome = await self._store.commit(txn)
+        except StoreError as exc:
+            emit(log, Event.WRITE_REFUSED, row=f"{len(puts)} rows of progress", detail=exc)
+            return None
+        if isinstance(outcome, RowsConflict):
+            self._conflicted(outcome, expected)
+            return None
+        self.confirmed_ms = max(self.confirmed_ms, sent_ms)
+        return outcome
+
+    def _conflicted(self, conflict: RowsConflict, expected: dict[RowKey, int]) -> None:
+        """Tell a lost claim from an own earlier write whose answer was lost."""
+        if conflict.version_of(OWNER_ROW) != self._token:
+            self._on_deposed("the claim in the store has another version")
+            return
+        for key in expected:
+            self._versions[key] = conflict.version_of(key)
--- /dev/null
+++ b/baobabhoist/control/settings.py
@@ -0,0 +1,88 @@
+"""Define the settings of an instance that runs on a platform."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+
+import attrs
+
+from baobabhoist.config.options import (
+    Choice,
+    Number,
+    Problem,
+    Section,
+    Text,
+    Whole,
+    name,
+    port,
+    setting,
+)
+
+ADDRESS = Text(r"[^\s:]+:[0-9]{1,5}", "an address such as 10.1.2.3:8080")
+OPTIONAL_ADDRESS = Text(r"([^\s:]+:[0-9]{1,5})?", "an address such as 10.1.2.3:8080, or nothing")
+LONGEST_MS = 600_000
+
+
+def _ms(low: int = 1) -> Number:
+    return Number(low, LONGEST_MS, "ms")
+
+
+def _seconds() -> Number:
+    return Number(0.0, LONGEST_MS / 1000, "s")
+
+
+@attrs.frozen
+class BoundSettings:
+    """Hold the platform's bounds that the control code keeps."""
+
+    lease_max_ms: float = setting(_ms(), "Longest lease that a worker grants.")
+    stop_ms: float = setting(_ms(0), "Longest time that a stop takes.")
+    gang_timeout_ms: float = setting(_ms(), "How long the first member of a gang waits.")
+    revoke_ms: float = setting(_ms(), "A withdrawn key stops working within this time.")
+    config_ms: float = setting(_ms(), "An accepted configuration is in force within this time.")
+    grace_s: float = setting(_seconds(), "Time from SIGTERM to SIGKILL.")
+    drain_ms: float = setting(_ms(0), "A draining worker gets no new task after this time.")
+    job_kept_s: float = setting(_seconds(), "A finished job is shown for at least this time.")
+
+
+@attrs.frozen
+class StoreSettings:
+    """Name the platform's store and what it allows."""
+
+    address: str = setting(ADDRESS, "Address of the store.")
+    row_max_bytes: int = setting(Whole(1, 1 << 30, "bytes"), "Largest value of a row.")
+
+
+@attrs.frozen
+class NodeSettings:
+    """Hold the validated settings of one instance on a platform."""
+
+    instance_id: str = setting(name(), "Name of this instance, unique among all instances.")
+    data_centre: str = setting(name(), "Data centre that this instance runs in.")
+    host: str = setting(Text(), "IP address that this instance listens on.")
+    caller_address: str = setting(ADDRESS, "Address for callers.")
+    ready_address: str = setting(ADDRESS, "Address of the readiness check and the metrics.")
+    peer_port: int = setting(port(), "Port for the other instances.")
+    metrics_port: int = setting(port(), "Port of the metrics.")
+    store: StoreSettings = setting(Section(StoreSettings), "The platform's store.")
+    adviser_address: str = setting(
+        OPTIONAL_ADDRESS, "Address of the placement adviser, or nothing.", default=""
+    )
+    bounds: BoundSettings = setting(Section(BoundSettings), "Bounds that the platform states.")
+    cores: float = setting(
+        Number(0.001, 4096.0, "cores"), "Processor share; larger machines own the cell first."
+    )
+    log_level: str = setting(
+        Choice(("debug", "info", "warning", "error")),
+        "Least level that is logged.",
+        default="info",
+    )
+
+    def problems(self) -> Iterator[Problem]:
+        """Yield what is wrong across options."""
+        if self.peer_port == self.metrics_port:
+            yield Problem("metrics_port", "is the peer port too", "give another port")
+
+    def warnings(self) -> Iterator[Problem]:
+        """Yield what is allowed but unwise."""
+        yield from ()
--- a/baobabhoist/daemon/app.py
+++ b/baobabhoist/daemon/app.py
@@ -53,12 +53,12 @@
     ShardDigest,
 )
 from baobabhoist.peer.tls import PeerTls
-from baobabhoist.platform.client import PlatformTable
-from baobabhoist.platform.members import MemberList
-from baobabhoist.platform.table import Table, WatchedTable
 from baobabhoist.records.changes import LOG_HEAD
 from baobabhoist.records.kinds import Policy
 from baobabhoist.records.view import RecordView
+from baobabhoist.store.client import PlatformTable
+from baobabhoist.store.members import MemberList
+from baobabhoist.store.table import Table, WatchedTable
 
 log = logging.getLogger(__name__)
 
--- a/baobabhoist/daemon/escrow.py
+++ b/baobabhoist/daemon/escrow.py
@@ -18,12 +18,12 @@
 from baobabhoist.model import WorkKind
 from baobabhoist.observability.events import Event, emit
 from baobabhoist.peer.messages import PlacesGiven, PlacesWanted, ShardDigest
-from baobabhoist.platform.table import Committed, Row, Table, Transaction
 from baobabhoist.quota import escrow
 from baobabhoist.quota.escrow import EscrowRow, Move
 from baobabhoist.quota.transfer import POOL, ShardNeeds, TeamNeeds, Transfer, TransferPlanner
 from baobabhoist.records.view import RecordView
 from baobabhoist.scheduling.policy import PreemptionAction
+from baobabhoist.store.table import Committed, Row, Table, Transaction
 
 log = logging.getLogger(__name__)
 
--- a/baobabhoist/daemon/fencing.py
+++ b/baobabhoist/daemon/fencing.py
@@ -42,7 +42,7 @@
 )
 from baobabhoist.ownership.events import Event as ClaimEvent
 from baobabhoist.ownership.tokens import Token
-from baobabhoist.platform.table import Committed, Table, Transaction, within
+from baobabhoist.store.table import Committed, Table, Transaction, within
 from baobabhoist.upstream.messages import (
     FenceWorker,
     LeasesRenewed,
--- a/baobabhoist/daemon/jobs.py
+++ b/baobabhoist/daemon/jobs.py
@@ -48,8 +48,8 @@
     Task,
 )
 from baobabhoist.ownership.rendezvous import home_shard
-from baobabhoist.platform.table import Row, Table, Transaction
 from baobabhoist.records.kinds import Policy
+from baobabhoist.store.table import Row, Table, Transaction
 
 log = logging.getLogger(__name__)
 
--- a/baobabhoist/daemon/shard.py
+++ b/baobabhoist/daemon/shard.py
@@ -46,10 +46,10 @@
 from baobabhoist.ownership.keys import Join, KeyLedger, Reply, Result
 from baobabhoist.ownership.tokens import Token
 from baobabhoist.peer.messages import HandOver
-from baobabhoist.platform.table import Table
 from baobabhoist.quota.ledger import QuotaLedger
 from baobabhoist.scheduling.results import Placement
 from baobabhoist.scheduling.scheduler import Scheduler
+from baobabhoist.store.table import Table
 from baobabhoist.upstream.link import WorkerLink
 from baobabhoist.upstream.messages import LeasesRenewed, TokenRefused
 from baobabhoist.upstream.pool import OnChange, WorkerConnection, WorkerPool
--- a/baobabhoist/daemon/sync.py
+++ b/baobabhoist/daemon/sync.py
@@ -15,7 +15,6 @@
 from baobabhoist.errors import LinkClosedError, PlatformError
 from baobabhoist.observability.events import Event, emit
 from baobabhoist.peer.messages import RecordEntries, RecordPull, RecordSnapshot
-from baobabhoist.platform.table import Table
 from baobabhoist.records.changes import (
     LOG_HEAD,
     LOG_PREFIX,
@@ -24,6 +23,7 @@
     record_of,
 )
 from baobabhoist.records.view import Record, RecordView
+from baobabhoist.store.table import Table
 
 log = logging.getLogger(__name__)
 
--- a/baobabhoist/gateway/limits.py
+++ b/baobabhoist/gateway/limits.py
@@ -8,9 +8,9 @@
 import attrs
 
 from baobabhoist.errors import InvariantBreachError, PlatformError
-from baobabhoist.platform.table import Row, Table
 from baobabhoist.quota.escrow import decode, row_key
 from baobabhoist.records.kinds import Team
+from baobabhoist.store.table import Row, Table
 
 ESCROW_PREFIX = row_key("")
 PAGE = 1000
--- a/baobabhoist/gateway/operators.py
+++ b/baobabhoist/gateway/operators.py
@@ -16,8 +16,8 @@
 from baobabhoist.gateway.server import HttpLimits
 from baobabhoist.observability.events import Event, emit
 from baobabhoist.observability.metrics import Metrics
-from baobabhoist.platform.table import Table
 from baobabhoist.records.view import RecordView
+from baobabhoist.store.table import Table
 
 if TYPE_CHECKING:
     from baobabhoist.gateway.jobs import JobService
--- a/baobabhoist/jobs/coordinator.py
+++ b/baobabhoist/jobs/coordinator.py
@@ -26,9 +26,9 @@
     Task,
     WorkKind,
 )
-from baobabhoist.platform.table import Row, Table, Transaction
 from baobabhoist.records.kinds import Policy
 from baobabhoist.records.view import DEFAULT_POLICY
+from baobabhoist.store.table import Row, Table, Transaction
 
 log = logging.getLogger(__name__)
 
--- a/baobabhoist/jobs/rows.py
+++ b/baobabhoist/jobs/rows.py
@@ -16,7 +16,7 @@
     Urgency,
     WorkKind,
 )
-from baobabhoist.platform.table import Row
+from baobabhoist.store.table import Row
 
 ACTIVE_PREFIX = "active/"
 
--- a/baobabhoist/observability/events.py
+++ b/baobabhoist/observability/events.py
@@ -20,7 +20,7 @@
 
     A number is never used again for another event. Hundreds group them by package: 10 daemon,
     11 config, 20 ownership, 30 quota, 40 records, 50 scheduling, 60 peer, 70 upstream,
-    80 platform, 90 gateway.
+    80 store and platform, 90 gateway, 15 cell, 16 control.
     """
 
     DAEMON_STARTED = (1001, logging.INFO, "instance {instance_id} started in {data_centre}")
@@ -61,6 +61,52 @@
     PLATFORM_DOWN = (8001, logging.WARNING, "the platform does not answer: {detail}")
     COMMIT_READ_BACK = (8003, logging.INFO, "transaction {txn_id} was read back: {state}")
     KEY_REFUSED = (9001, logging.INFO, "a team key was refused on queue {queue}")
+    SETTINGS_RELOADED = (1105, logging.INFO, "the settings of {instance_id} were read again")
+    JOB_OWNED = (1501, logging.INFO, "job {job} of {team} on {queue} is owned here")
+    JOB_ENDED = (1502, logging.INFO, "job {job} is {state}: {reason}")
+    RUN_STARTED = (1503, logging.INFO, "run {run} of {task} starts on {worker}")
+    RUN_ENDED_EARLY = (1504, logging.INFO, "run {run} of {task} ended as {kind}")
+    RUN_LOST = (1505, logging.WARNING, "run {run} of {task} on {worker} is gone: {reason}")
+    RUN_STALLED = (1506, logging.WARNING, "run {run} of {task} on {worker} makes no progress")
+    START_REFUSED = (1507, logging.INFO, "{worker} refused run {run} of {task}: {reason}")
+    START_UNANSWERED = (1508, logging.WARNING, "{worker} did not answer run {run} of {task}")
+    ORPHAN_STOPPED = (1509, logging.INFO, "run {run} of {task} on {worker} is not wanted")
+    WORKER_LISTED = (1510, logging.INFO, "worker {worker} of {service} is listed")
+    WORKER_UNLISTED = (1511, logging.INFO, "worker {worker} is no longer listed")
+    WORKER_DRAINS = (1512, logging.INFO, "worker {worker} leaves and gets no new tasks")
+    WORKER_GONE = (1513, logging.INFO, "worker {worker} is gone")
+    WORKER_FENCED = (1514, logging.INFO, "worker {worker} obeys this owner")
+    WORKER_RESTARTED = (1515, logging.WARNING, "worker {worker} started again")
+    WORKER_SET_ASIDE = (1516, logging.WARNING, "worker {worker} gets no tasks: {reason}")
+    WORKER_WAITED_OUT = (
+        1517,
+        logging.WARNING,
+        "the lease of unreached worker {worker} has lapsed",
+    )
+    WORKER_ANSWERS = (1518, logging.INFO, "worker {worker} answers again")
+    WORKER_SILENT = (1519, logging.WARNING, "worker {worker} does not answer: {reason}")
+    CLAIM_SEEN = (1601, logging.INFO, "{owner} has the claim of version {version}")
+    CLAIM_WON = (1602, logging.INFO, "the claim is won with token {token}: {reason}")
+    CLAIM_LOST = (1603, logging.WARNING, "the claim of token {token} is lost: {reason}")
+    CLAIM_FAILED = (1604, logging.WARNING, "the claim failed: {detail}")
+    CLAIM_RELEASED = (1605, logging.INFO, "the claim of token {token} is released")
+    CELL_LOADED = (1606, logging.INFO, "{jobs} jobs and {workers} workers are loaded")
+    LOAD_FAILED = (1607, logging.WARNING, "the cell cannot be loaded yet: {detail}")
+    OWNER_SEEN = (1608, logging.INFO, "the owner {owner} is {state}")
+    CONFIG_IN_FORCE = (1609, logging.INFO, "configuration {version} is in force")
+    READINESS = (1610, logging.INFO, "ready for callers: {ready}")
+    JOB_STORED = (1611, logging.INFO, "storing job {job} of {team} on {queue}: {outcome}")
+    CANCEL_STORED = (1612, logging.INFO, "storing the cancellation of job {job}: {outcome}")
+    CALL_REFUSED = (1613, logging.INFO, "{method} {path} is answered {status}: {reason}")
+    CALL_FAILED = (1614, logging.ERROR, "a call to {path} failed with {status}")
+    STATE_UNKNOWN = (1615, logging.WARNING, "the state of job {job} cannot be found: {detail}")
+    ADVICE_FAILED = (1616, logging.WARNING, "no advice on step {step} of {job}: {detail}")
+    TABLE_FOLLOWED = (8004, logging.INFO, "table {table} is followed from version {version}")
+    TABLE_LOST = (8005, logging.WARNING, "table {table} cannot be followed: {detail}")
+    HISTORY_LOST = (8006, logging.INFO, "table {table} is read again after version {version}")
+    WRITE_REFUSED = (8007, logging.WARNING, "the store refused {row}: {detail}")
+    WRITE_UNANSWERED = (8008, logging.WARNING, "the store did not answer for {row}: {detail}")
+    ROW_UNREADABLE = (8009, logging.WARNING, "row {row} of {table} cannot be read: {detail}")
     OPERATOR_REFUSED = (9002, logging.WARNING, "an operator key was refused from {address}")
 
     def __init__(self, number: int, level: int, template: str) -> None:
--- a/baobabhoist/platform/__init__.py
+++ b/baobabhoist/platform/__init__.py
@@ -1,1 +1,1 @@
-"""Talk to the platform's table, object store and membership list."""
+"""Adapt the users' platform: the only package that knows the names on its wire."""
--- /dev/null
+++ b/baobabhoist/platform/main.py
@@ -0,0 +1,108 @@
+"""Start an instance on the users' platform."""
+
+from __future__ import annotations
+
+import asyncio
+import gc
+import logging
+import os
+import signal
+import sys
+from pathlib import Path
+
+import yaml
+
+from baobabhoist.config.load import read_settings
+from baobabhoist.control.node import Adapter, Node
+from baobabhoist.control.settings import NodeSettings
+from baobabhoist.errors import SettingsError
+from baobabhoist.observability.events import Event, configure_logging, emit
+from baobabhoist.platform.advice import PlatformAdviser
+from baobabhoist.platform.decode import PlatformDecoder
+from baobabhoist.platform.front import Servers
+from baobabhoist.platform.http import HttpCaller
+from baobabhoist.platform.store import PlatformRows
+from baobabhoist.platform.workers import PlatformWorkers
+
+log = logging.getLogger(__name__)
+
+SETTINGS_VARIABLE = "BAOBABHOIST_SETTINGS"
+EXIT_BAD_SETTINGS = 2
+GC_THRESHOLDS = (20_000, 20, 50)
+QUIET_LOGGERS = ("tornado.access", "tornado.general", "websockets")
+# Of the grace time, this is kept for the end of the process.
+EXIT_RESERVE_S = 0.8
+
+
+def load_settings() -> NodeSettings:
+    """Return the settings in the file that the platform names; raises SettingsError."""
+    path = os.environ.get(SETTINGS_VARIABLE, "")
+    try:
+        raw = yaml.safe_load(Path(path).read_text(encoding="utf-8"))
+    except (OSError, yaml.YAMLError) as exc:
+        raise SettingsError(f"cannot read the settings file {path!r}: {exc}") from exc
+    return read_settings(NodeSettings, raw)
+
+
+def make_node(cfg: NodeSettings) -> Node:
+    """Return an instance on the platform's interfaces."""
+    http = HttpCaller()
+    adapter = Adapter(
+        PlatformRows(http, cfg.store.address),
+        PlatformWorkers(http),
+        PlatformAdviser(http, cfg.adviser_address),
+        PlatformDecoder(),
+    )
+    return Node(cfg, adapter)
+
+
+async def serve(cfg: NodeSettings) -> None:
+    """Run until SIGTERM and then until the work in hand is done."""
+    stopping = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stopping.set)
+    loop.add_signal_handler(signal.SIGHUP, _reloaded)
+    node = make_node(cfg)
+    servers = Servers(node)
+    servers.start()
+    running = asyncio.create_task(node.run())
+    stopped = asyncio.create_task(stopping.wait())
+    await asyncio.wait((running, stopped), return_when=asyncio.FIRST_COMPLETED)
+    if not stopping.is_set():
+        await running
+    emit(log, Event.DRAIN_STARTED, open_requests=0)
+    await node.drain()
+    await asyncio.sleep(cfg.bounds.grace_s - EXIT_RESERVE_S)
+    await servers.stop()
+    running.cancel()
+    emit(log, Event.DRAIN_FINISHED)
+
+
+def _reloaded() -> None:
+    try:
+        cfg = load_settings()
+        emit(log, Event.SETTINGS_RELOADED, instance_id=cfg.instance_id)
+    except SettingsError as exc:
+        emit(log, Event.SETTINGS_WARNING, problem=exc)
+
+
+def main() -> int:
+    """Read the settings and serve."""
+    try:
+        cfg = load_settings()
+    except SettingsError as exc:
+        print(exc, file=sys.stderr)
+        return EXIT_BAD_SETTINGS
+    configure_logging("json", cfg.log_level, sys.stdout)
+    for name in QUIET_LOGGERS:
+        logging.getLogger(name).setLevel(logging.ERROR)
+    emit(log, Event.DAEMON_STARTED, instance_id=cfg.instance_id, data_centre=cfg.data_centre)
+    gc.freeze()
+    gc.set_threshold(*GC_THRESHOLDS)
+    asyncio.run(serve(cfg))
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/baobabhoist/platform/store.py
@@ -0,0 +1,126 @@
+"""Read, follow and change the rows of the platform's store."""
+
+from __future__ import annotations
+
+import base64
+import binascii
+from typing import Any
+from urllib.parse import urlencode
+
+from baobabhoist.platform.http import Answer, HttpCaller
+from baobabhoist.store.rows import (
+    HistoryLostError,
+    RowKey,
+    Rows,
+    RowsCommitted,
+    RowsConflict,
+    RowsTxn,
+    StoredRow,
+    StoreError,
+    StoreRefusedError,
+    StoreUnansweredError,
+)
+
+CALL_TIMEOUT_S = 1.2
+PAGE_ROWS = 500
+OK, GONE, CONFLICT, TOO_MANY, UNAVAILABLE = 200, 410, 412, 429, 503
+REFUSED = frozenset({TOO_MANY, UNAVAILABLE})
+
+
+class PlatformRows:
+    """Be the row store that the platform runs."""
+
+    def __init__(self, http: HttpCaller, address: str) -> None:
+        self._http = http
+        self._address = address
+
+    async def read(self, table: str, part: str = "", *, first: str = "", last: str = "") -> Rows:
+        """Return the rows of a part, all pages; raises StoreError."""
+        query = {"table": table, "part": part, "limit": PAGE_ROWS}
+        if last:
+            query["to"] = last
+        rows: list[StoredRow] = []
+        oldest: int | None = None
+        while True:
+            if first:
+                query["from"] = first
+            page = await self._get("/-/rows-get", query, CALL_TIMEOUT_S)
+            found = _rows(page)
+            rows += found
+            # Later pages may be newer; changes are followed from the first one.
+            oldest = _number(page, "schemaVer") if oldest is None else oldest
+            if not page.field("hasMore") or not found:
+                return Rows(tuple(rows), oldest, _number(page, "nowMs"))
+            first = found[-1].key.key + "\0"
+
+    async def follow(self, table: str, after_version: int, wait_ms: int) -> Rows:
+        """Return what changed after a version; raises StoreError."""
+        query = {"table": table, "after": after_version, "waitMs": wait_ms}
+        timeout_s = wait_ms / 1000 + CALL_TIMEOUT_S
+        page = await self._get("/-/rows-feed", query, timeout_s)
+        return Rows(tuple(_rows(page)), _number(page, "schemaVer"), _number(page, "nowMs"))
+
+    async def commit(self, txn: RowsTxn) -> RowsCommitted | RowsConflict:
+        """Apply a transaction; raises StoreError."""
+        body = {
+            "expectedRev": [
+                {**_name(key), "schemaVer": version} for key, version in txn.expected.items()
+            ],
+            "puts": [
+                {**_name(key), "value": base64.b64encode(value).decode()}
+                for key, value in txn.puts.items()
+            ],
+            "remove": [_name(key) for key in txn.removes],
+        }
+        answer = await self._http.call(
+            "POST", self._address, "/-/rows-tx", body, timeout_s=CALL_TIMEOUT_S
+        )
+        if answer.status == CONFLICT:
+            return RowsConflict(tuple(_rows(answer)))
+        _check(answer)
+        return RowsCommitted(_number(answer, "schemaVer"), _number(answer, "nowMs"))
+
+    async def _get(self, path: str, query: dict[str, Any], timeout_s: float) -> Answer:
+        answer = await self._http.call(
+            "GET", self._address, f"{path}?{urlencode(query)}", timeout_s=timeout_s
+        )
+        if answer.status == GONE:
+            raise HistoryLostError("the store dropped this part of its history")
+        _check(answer)
+        return answer
+
+
+def _check(answer: Answer) -> None:
+    if answer.status == OK:
+        return
+    if answer.status == 0:
+        raise StoreUnansweredError(f"the store did not answer: {answer.reason}")
+    if answer.status in REFUSED:
+        raise StoreRefusedError(f"the store answered {answer.status}")
+    raise StoreError(f"the store answered {answer.status}: {answer.body}")
+
+
+def _name(key: RowKey) -> dict[str, str]:
+    return {"table": key.table, "part": key.part, "key": key.key}
+
+
+def _rows(answer: Answer) -> list[StoredRow]:
+    return [row for row in map(_row, answer.field("rows") or ()) if row is not None]
+
+
+def _row(entry: dict[str, Any]) -> StoredRow | None:
+    key = RowKey(str(entry.get("table", "")), str(entry.get("part", "")), str(entry.get("key")))
+    version = int(entry.get("schemaVer") or 0)
+    if entry.get("deleted") or not version:
+        return StoredRow(key, None, version)
+    try:
+        return StoredRow(key, base64.b64decode(entry.get("value") or ""), version)
+    except (binascii.Error, TypeError):
+        return StoredRow(key, b"", version)
+
+
+def _number(answer: Answer, name: str) -> int:
+    value = answer.field(name)
+    if not isinstance(value, int):
+        raise StoreUnansweredError(f"the store's answer has no {name}")
+    return value
--- a/baobabhoist/quota/escrow.py
+++ b/baobabhoist/quota/escrow.py
@@ -9,7 +9,7 @@
 
 from baobabhoist.errors import ErrorKind, PlatformError, Refusal
 from baobabhoist.invariants import Invariant, check
-from baobabhoist.platform.table import Transaction
+from baobabhoist.store.table import Transaction
 
 
 @attrs.frozen
--- a/baobabhoist/records/changes.py
+++ b/baobabhoist/records/changes.py
@@ -7,8 +7,8 @@
 import attrs
 
 from baobabhoist.errors import ErrorKind, Refusal
-from baobabhoist.platform.table import Row, Transaction
 from baobabhoist.records.view import Record
+from baobabhoist.store.table import Row, Transaction
 
 LOG_HEAD = "log_head"
 LOG_PREFIX = "log/"
--- a/baobabhoist/records/store.py
+++ b/baobabhoist/records/store.py
@@ -9,7 +9,6 @@
 
 from baobabhoist.errors import ErrorKind, PlatformError, Refusal
 from baobabhoist.model import Outcome
-from baobabhoist.platform.table import Committed, Row, Table
 from baobabhoist.records.changes import (
     LOG_HEAD,
     LOG_PREFIX,
@@ -23,6 +22,7 @@
 from baobabhoist.records.references import missing_references, still_used
 from baobabhoist.records.schema import bad_name, canonical, express, parse
 from baobabhoist.records.view import Record, RecordView
+from baobabhoist.store.table import Committed, Row, Table
 
 # All changes meet on the head of the log, so a change of another record can win the race. Each
 # attempt means that at least one other change was accepted meanwhile.
--- /dev/null
+++ b/baobabhoist/store/__init__.py
@@ -0,0 +1,1 @@
+"""Talk to the platform's table, object store and membership list."""
--- a/baobabhoist/platform/client.py
+++ b/baobabhoist/store/client.py
@@ -11,7 +11,7 @@
 
 from baobabhoist.errors import ErrorKind, PlatformError, Refusal
 from baobabhoist.observability.events import Event, emit
-from baobabhoist.platform.table import Committed, Row, Transaction
+from baobabhoist.store.table import Committed, Row, Transaction
 
 log = logging.getLogger(__name__)
 
--- a/baobabhoist/tests/tables.py
+++ b/baobabhoist/tests/tables.py
@@ -1,7 +1,7 @@
 """Provide an in-memory table for tests."""
 
 from baobabhoist.errors import ErrorKind, PlatformError, Refusal
-from baobabhoist.platform.table import Committed, Row
+from baobabhoist.store.table import Committed, Row
 
 
 class MemoryTable:
--- a/baobabhoist/tests/test_gateway_admin.py
+++ b/baobabhoist/tests/test_gateway_admin.py
@@ -2,9 +2,9 @@
 
 import asyncio
 
-from baobabhoist.platform.table import Row
 from baobabhoist.quota.escrow import Move, encode, initial, move, set_limit
 from baobabhoist.records.view import RecordView
+from baobabhoist.store.table import Row
 from baobabhoist.tests.gateways import OPERATOR, ROSTER, with_gateway
 
 TEAM = "/v1/records/team/fibre"
--- a/baobabhoist/tests/test_jobs_coordinator.py
+++ b/baobabhoist/tests/test_jobs_coordinator.py
@@ -12,7 +12,7 @@
 from baobabhoist.jobs.rows import active_key, job_key, job_row, progress_key
 from baobabhoist.jobs.state import JobRun
 from baobabhoist.model import Answer, JobSpec, JobState, Resources, TaskSpec, WorkKind
-from baobabhoist.platform.table import Committed, Row
+from baobabhoist.store.table import Committed, Row
 
 SHARDS = ("rack-1", "rack-2")
 GIVE_UP_S = 10.0
--- a/baobabhoist/tests/test_platform_members.py
+++ b/baobabhoist/tests/test_store_members.py
@@ -5,8 +5,8 @@
 import pytest
 
 from baobabhoist.errors import PlatformError
-from baobabhoist.platform.members import MemberList
-from baobabhoist.platform.table import within
+from baobabhoist.store.members import MemberList
+from baobabhoist.store.table import within
 
 
 class Source:
