--- a/baobabhoist/control/settings.py
+++ b/baobabhoist/control/settings.py
@@ -65,13 +65,13 @@
     peer_port: int = setting(port(), "Port for the other instances.")
     metrics_port: int = setting(port(), "Port of the metrics.")
     store: StoreSettings = setting(Section(StoreSettings), "The platform's store.")
-    adviser_address: str = setting(
-        OPTIONAL_ADDRESS, "Address of the placement adviser, or nothing.", default=""
-    )
     bounds: BoundSettings = setting(Section(BoundSettings), "Bounds that the platform states.")
     cores: float = setting(
         Number(0.001, 4096.0, "cores"), "Processor share; larger machines own the cell first."
     )
+    adviser_address: str = setting(
+        OPTIONAL_ADDRESS, "Address of the placement adviser, or nothing.", default=""
+    )
     log_level: str = setting(
         Choice(("debug", "info", "warning", "error")),
         "Least level that is logged.",
