Hand the cell over with its open runs; treat refused connections as no proof

Now only another process at the owner's address proves its end; a refused connection with a missed beat starts a takeover that waits for all workers or for the owner's own limit. A planned stop, and an owner that the store does not hear, give the list of open runs to the next owner, which then need not wait for workers that it cannot reach. Tests: test_control_claim.py, and the hand-over in test_cell_cell.py and test_cell_machine.py.

--- a/baobabhoist/cell/cell.py
+++ b/baobabhoist/cell/cell.py
@@ -21,6 +21,7 @@
     StartTask,
     StepKey,
     StopTask,
+    TaskKey,
     WorkerInfo,
     WorkerReport,
 )
@@ -33,19 +34,31 @@
 log = logging.getLogger(__name__)
 
 
+@attrs.frozen
+class KnownRun:
+    """Name a run that an earlier owner had not seen the end of."""
+
+    worker_id: str
+    task: TaskKey
+    run: int
+
+
 @attrs.frozen
 class Takeover:
     """State what a new owner must wait for.
 
     `generation` counts the owners of the cell, `claim_version` is the store's version of the
-    claim. Until `starts_from_ms` an earlier owner may still act. `unresolved` maps the workers
-    that may run something to when their leases have lapsed for certain.
+    claim. Until `starts_from_ms` an earlier owner may still order runs on workers that do not
+    obey the new one yet. `unresolved` maps the workers that may run something to when their
+    leases have lapsed for certain. `known_runs` is complete if the earlier owner handed the
+    cell over, and None if it did not.
     """
 
     generation: int
     claim_version: int
     starts_from_ms: float = 0.0
     unresolved: dict[str, float] = attrs.Factory(dict)
+    known_runs: tuple[KnownRun, ...] | None = None
 
 
 class Cell:
@@ -57,7 +70,8 @@
         self.decisions = Decisions(self.board)
         self._takeover = takeover
         self._lease_ms = lease_ms
-        self._unresolved = dict(takeover.unresolved)
+        # With a complete list of runs nothing else can run anywhere.
+        self._unresolved = dict(takeover.unresolved) if takeover.known_runs is None else {}
         self._ends = Ends(self.board)
         self._reports = Reports(self.board, self._ends)
         self._upkeep = Upkeep(self.board, self._ends)
@@ -128,6 +142,25 @@
             if job.accepted.queue == queue and job.phase is JobPhase.QUEUED
         )
 
+    def adopt_known_runs(self, now: float) -> None:
+        """Count the runs that an earlier owner handed over, before any worker has reported."""
+        for known in self._takeover.known_runs or ():
+            worker = self.board.workers.get(known.worker_id)
+            job = self.board.jobs.get(known.task.job_id)
+            task = job.task_of(known.task) if job is not None else None
+            if worker is None or task is None or task.run is not None:
+                continue
+            self.board.adopt(task, worker, known.run, now)
+            worker.unheard_lapse_ms = self._takeover.unresolved.get(known.worker_id, now)
+
+    def open_runs(self) -> tuple[KnownRun, ...]:
+        """Return every run whose end this owner has not seen."""
+        return tuple(
+            KnownRun(worker.worker_id, run.task.key, run.number)
+            for worker in self.board.workers.values()
+            for run in worker.runs.values()
+        )
+
     def forget_job(self, job_id: str) -> None:
         """Drop a finished job."""
         job = self.board.jobs.pop(job_id, None)
@@ -230,8 +263,9 @@
 
     def decide(self, now: float, may_start: bool) -> list[Command]:
         """Decide, and return all commands since the last call."""
-        starts = may_start and now >= self._takeover.starts_from_ms and not self.fenced_off
-        self.decisions.decide(now, starts, self.resolved(now))
+        resolved = self.resolved(now)
+        alone = resolved or now >= self._takeover.starts_from_ms
+        self.decisions.decide(now, may_start and alone and not self.fenced_off, resolved)
         commands, self.board.commands = self.board.commands, []
         return commands
 
--- a/baobabhoist/cell/upkeep.py
+++ b/baobabhoist/cell/upkeep.py
@@ -37,7 +37,8 @@
         self._open_occurrences(now, unix_ms)
 
     def _check_lease(self, worker: WorkerState, now: float) -> None:
-        if worker.lease.known and now > worker.lease.lapsed_ms():
+        lapsed_ms = worker.lease.lapsed_ms() if worker.lease.known else worker.unheard_lapse_ms
+        if now > lapsed_ms:
             for run in list(worker.runs.values()):
                 lost(self._board, self._ends, run, now, "the lease of its worker has lapsed")
         gone = not worker.listed and now > worker.unlisted_ms + ENTRY_RETURN_MS
--- a/baobabhoist/cell/workers.py
+++ b/baobabhoist/cell/workers.py
@@ -76,6 +76,8 @@
     # When the directory dropped the worker, on the owner's clock in ms.
     unlisted_ms: float = 0.0
     heard_ms: float = -1e12
+    # When runs taken over from an earlier owner have lapsed, if the worker is never heard.
+    unheard_lapse_ms: float = float("inf")
     paused_until_ms: float = 0.0
     born_ms: int = 0
     seen_end: int = 0
--- a/baobabhoist/control/claim.py
+++ b/baobabhoist/control/claim.py
@@ -9,11 +9,13 @@
 import orjson
 
 # The owner rewrites its beat this often while the store answers.
-BEAT_INTERVAL_MS = 700.0
+BEAT_INTERVAL_MS = 500.0
 # A beat that has not changed for this long shows an owner that the store no longer hears.
-BEAT_STALE_MS = 2_200.0
+BEAT_STALE_MS = 2_000.0
+# After this time a live owner's next beat is overdue.
+BEAT_MISSED_MS = 1_100.0
 # An owner that the store has not confirmed for this long orders nothing more.
-CONFIRMED_MS = 3_500.0
+CONFIRMED_MS = 3_000.0
 
 
 @attrs.frozen
@@ -52,7 +54,9 @@
     CONNECTED = "connected"
     # Nothing answers at the owner's address.
     SILENT = "silent"
-    # The port is closed or another process answers there: the owner's process has ended.
+    # Connections are refused: the process has ended, or something between resets them.
+    REFUSED = "refused"
+    # Another process answers at the owner's address, so that the owner's has ended.
     ENDED = "ended"
 
 
@@ -63,6 +67,7 @@
     UNCLAIMED = "unclaimed"
     RELEASED = "released"
     OWNER_ENDED = "owner_ended"
+    OWNER_REFUSES = "owner_refuses"
     BEAT_STALE = "beat_stale"
 
 
@@ -81,9 +86,12 @@
     if claim.released:
         return ClaimReason.RELEASED
     if claim.boot == boot:
-        return ClaimReason.NONE
+        # This process gave the cell away, and the other one did not take it.
+        return ClaimReason.RELEASED if beat_age_ms > BEAT_STALE_MS else ClaimReason.NONE
     if seen is OwnerSeen.ENDED:
         return ClaimReason.OWNER_ENDED
+    if seen is OwnerSeen.REFUSED and beat_age_ms > BEAT_MISSED_MS:
+        return ClaimReason.OWNER_REFUSES
     if beat_age_ms > BEAT_STALE_MS and seen is not OwnerSeen.CONNECTED:
         return ClaimReason.BEAT_STALE
     # The owner lives but the store hears nothing of it: it cannot take new jobs over.
--- a/baobabhoist/control/links.py
+++ b/baobabhoist/control/links.py
@@ -109,7 +109,7 @@
             try:
                 await self._connect(claim)
             except ConnectionRefusedError:
-                self._saw(OwnerSeen.ENDED, claim)
+                self._saw(OwnerSeen.REFUSED, claim)
             except (OSError, TimeoutError, WebSocketException, LinkClosedError) as exc:
                 log.debug("no link to %s: %s", claim.node, exc)
                 if self.seen is not OwnerSeen.ENDED:
--- a/baobabhoist/control/messages.py
+++ b/baobabhoist/control/messages.py
@@ -91,6 +91,32 @@
     valid_ms: int = 0
 
 
+@attrs.frozen
+class HandOverOffer:
+    """Ask another instance whether it reaches the store and would take the cell."""
+
+    node: str
+
+
+@attrs.frozen
+class HandOverReply:
+    """Say whether the cell would be taken."""
+
+    willing: bool
+
+
+@attrs.frozen
+class HandOver:
+    """Give the cell up: nothing is ordered any more under the claim of this version.
+
+    `runs` is the list of open runs and `progress` what is not stored yet, by job.
+    """
+
+    claim_version: int
+    runs: bytes
+    progress: dict[str, bytes]
+
+
 @attrs.frozen
 class NotOwner:
     """Answer a question for the owner at an instance that does not own the cell."""
@@ -113,5 +139,8 @@
         AdviceQuery,
         AdviceReply,
         NotOwner,
+        HandOverOffer,
+        HandOverReply,
+        HandOver,
     )
 )
--- a/baobabhoist/control/node.py
+++ b/baobabhoist/control/node.py
@@ -6,7 +6,8 @@
 import logging
 import random
 import secrets
-from collections.abc import Sequence
+from collections.abc import Coroutine, Sequence
+from typing import Any
 
 import attrs
 
@@ -29,6 +30,7 @@
 from baobabhoist.control.frontdesk import FrontDesk
 from baobabhoist.control.interfaces import Adviser, Decoder, WorkerDriver
 from baobabhoist.control.links import Identity, LinkServer, OwnerLink
+from baobabhoist.control.messages import HandOver, HandOverOffer, HandOverReply
 from baobabhoist.control.owner import CellOwner, OwnerParts, Ownership
 from baobabhoist.control.owners import OwnerCalls
 from baobabhoist.control.rowmap import (
@@ -39,6 +41,7 @@
     OWNER_ROW,
 )
 from baobabhoist.control.settings import NodeSettings
+from baobabhoist.errors import LinkClosedError
 from baobabhoist.observability.events import Event, emit
 from baobabhoist.store.rows import (
     RowsConflict,
@@ -58,6 +61,9 @@
 LARGEST_CORES = 4.0
 # Without a reading of the claim for this long its age says nothing about the owner.
 CLAIM_GAP_MS = 1_800.0
+# An owner that the store has not heard for this long looks for one that it hears.
+HAND_OVER_AFTER_MS = 1_000.0
+HAND_OVER_TIMEOUT_S = 0.5
 # An instance whose configuration is older than this is not ready.
 READY_CONFIG_MS = 2_800.0
 LEASE_MS = 5_000.0
@@ -86,6 +92,7 @@
         self.server = LinkServer(self.identity, self.calls.handle)
         self.link = OwnerLink(self.identity, self.calls.handle, self._link_changed)
         self.calls.link = self.link
+        self.calls.on_claim_message = self._claim_message
         self.draining = False
         self.front = FrontDesk(
             self.config,
@@ -107,6 +114,7 @@
         self._claim_wake = asyncio.Event()
         self._claim_loaded = False
         self._was_ready = False
+        self._tasks: set[asyncio.Task[None]] = set()
 
     async def run(self) -> None:
         """Work until cancelled."""
@@ -155,7 +163,8 @@
         if owner is None:
             return
         claim = ClaimRow("", "", "", owner.ownership.generation)
-        if await owner.progress.release(encode_claim(claim)):
+        owner.stop()
+        if await owner.progress.release(encode_claim(claim), owner.cell):
             emit(log, Event.CLAIM_RELEASED, token=owner.ownership.token)
         self._step_down("this instance drains")
 
@@ -251,25 +260,31 @@
             size = 0.0
         return min(size, 0.3) + random.random() * CLAIM_SPREAD_S
 
-    async def _take(self, reason: ClaimReason) -> None:
+    async def _take(self, reason: ClaimReason, handed_over: HandOver | None = None) -> None:
         generation = self._claim.generation + 1 if self._claim is not None else 0
         address = f"{self.cfg.host}:{self.cfg.peer_port}"
         claim = ClaimRow(self.identity.node, self.identity.boot, address, generation)
-        txn = RowsTxn({OWNER_ROW: self._claim_version}, {OWNER_ROW: encode_claim(claim)})
+        expected = {OWNER_ROW: self._claim_version}
+        if reason not in EARLIER_OWNER_STOPPED and self._beat_version:
+            expected[BEAT_ROW] = self._beat_version
+        before = self._claim_version
+        txn = RowsTxn(expected, {OWNER_ROW: encode_claim(claim)})
         try:
             outcome = await self._adapter.store.commit(txn)
         except StoreError as exc:
             # If the claim was written, the table's changes bring it.
             emit(log, Event.CLAIM_FAILED, reason=reason.value, detail=exc)
-            await self._adopt_own_claim(claim, reason)
+            await self._adopt_own_claim(claim, reason, before, handed_over)
             return
         if isinstance(outcome, RowsConflict):
             for row in outcome.rows:
                 self._cell_changed([row], False)
             return
-        self._won(claim, outcome.version, reason)
+        self._won(claim, outcome.version, reason, before, handed_over)
 
-    async def _adopt_own_claim(self, claim: ClaimRow, reason: ClaimReason) -> None:
+    async def _adopt_own_claim(
+        self, claim: ClaimRow, reason: ClaimReason, before: int, handed_over: HandOver | None
+    ) -> None:
         """Find out whether a claim without an answer was written."""
         try:
             rows = await self._adapter.store.read(OWNER_ROW.table)
@@ -278,14 +293,25 @@
             return
         for row in rows.rows:
             if row.key == OWNER_ROW and row.value == encode_claim(claim):
-                self._won(claim, row.version, reason)
+                self._won(claim, row.version, reason, before, handed_over)
 
-    def _won(self, claim: ClaimRow, version: int, reason: ClaimReason) -> None:
+    def _won(
+        self,
+        claim: ClaimRow,
+        version: int,
+        reason: ClaimReason,
+        before: int,
+        handed_over: HandOver | None,
+    ) -> None:
+        if self.calls.local is not None:
+            return
         now = boot_ms()
         self._claim, self._claim_version = claim, version
         self.link.follow(None)
-        until = now if reason in EARLIER_OWNER_STOPPED else now + CONFIRMED_MS
-        ownership = Ownership(version, claim.generation, now, until)
+        until = now
+        if reason not in EARLIER_OWNER_STOPPED:
+            until = max(now, self._beat_changed_ms + CONFIRMED_MS)
+        ownership = Ownership(version, claim.generation, now, until, before, handed_over)
         emit(
             log,
             Event.CLAIM_WON,
@@ -334,4 +360,49 @@
             owner = self.calls.local
             if owner is not None:
                 await owner.progress.beat()
+                if boot_ms() - owner.progress.confirmed_ms > HAND_OVER_AFTER_MS:
+                    await self._hand_over(owner)
             await asyncio.sleep(BEAT_INTERVAL_MS / 1000)
+
+    # Handing the cell over while the store cannot be reached from here.
+
+    async def _hand_over(self, owner: CellOwner) -> None:
+        """Give the cell to an instance that still reaches the store, if there is one."""
+        if owner.cell is None:
+            return
+        for node, link in list(self.server.links.items()):
+            try:
+                offer = HandOverOffer(self.identity.node)
+                reply = await link.call(offer, HAND_OVER_TIMEOUT_S)
+                if not isinstance(reply, HandOverReply) or not reply.willing:
+                    continue
+                if self.calls.local is not owner:
+                    return
+                message = owner.hand_over()
+                emit(log, Event.CLAIM_HANDED_OVER, token=owner.ownership.token, to=node)
+                self._step_down(f"the store cannot be reached; {node} takes over")
+                await link.notify(message)
+                return
+            except (LinkClosedError, TimeoutError) as exc:
+                log.debug("%s does not take the cell: %s", node, exc)
+
+    async def _claim_message(self, message: Any) -> Any:
+        if isinstance(message, HandOverOffer):
+            return HandOverReply(await self._reaches_store())
+        if isinstance(message, HandOver) and message.claim_version == self._claim_version:
+            self._spawn(self._take(ClaimReason.RELEASED, message))
+        return None
+
+    async def _reaches_store(self) -> bool:
+        if self.draining or self.calls.local is not None or self.config.current is None:
+            return False
+        try:
+            await self._adapter.store.read(CELL_TABLE)
+        except StoreError:
+            return False
+        return True
+
+    def _spawn(self, coro: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.create_task(coro)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
--- a/baobabhoist/control/owner.py
+++ b/baobabhoist/control/owner.py
@@ -10,25 +10,28 @@
 import attrs
 
 from baobabhoist.cell import progress as progress_rows
-from baobabhoist.cell.cell import Cell, Takeover
+from baobabhoist.cell.cell import Cell, KnownRun, Takeover
 from baobabhoist.cell.model import AskAdvice, CellRules, Command, StartTask, StopTask
 from baobabhoist.cell.workers import CLOCK_DRIFT, LEASE_MARGIN_MS
 from baobabhoist.control.advice import AdviceDesk
 from baobabhoist.control.clock import SharedClock, boot_ms, unix_ms
 from baobabhoist.control.follow import TableFollower
 from baobabhoist.control.interfaces import Decoder, WorkerDriver
-from baobabhoist.control.messages import PendingReply, StateReply
+from baobabhoist.control.messages import HandOver, PendingReply, StateReply
 from baobabhoist.control.progress import ProgressWriter
 from baobabhoist.control.rowmap import (
     CANCEL_SUFFIX,
     CELL_TABLE,
     DIRECTORY_TABLE,
+    HANDOVER_ROW,
     JOB_PARTS,
     JOBS_TABLE,
     PROGRESS_TABLE,
     ROSTER_ROW,
     decode_job,
     decode_roster,
+    decode_runs,
+    encode_runs,
 )
 from baobabhoist.control.workers import WorkerLoop
 from baobabhoist.observability.events import Event, emit
@@ -49,13 +52,16 @@
     """Hold a won claim.
 
     `token` fences the workers; `began_ms` is when the claim was won and `earlier_until_ms`
-    until when an earlier owner may still order runs, on the local clock.
+    until when an earlier owner may still order runs, on the local clock. `claim_before` is the
+    version of the claim before this one, and `handed_over` what its owner sent, if it did.
     """
 
     token: int
     generation: int
     began_ms: float
     earlier_until_ms: float
+    claim_before: int = 0
+    handed_over: HandOver | None = None
 
 
 @attrs.define
@@ -117,6 +123,13 @@
         for task in self._tasks:
             task.cancel()
 
+    def hand_over(self) -> HandOver:
+        """Stop ordering, and return what the next owner needs to go on at once."""
+        self.stop()
+        cell = self._require_cell()
+        progress = {i: progress_rows.encode(p) for i, p in cell.take_dirty().items()}
+        return HandOver(self.ownership.token, encode_runs(cell.open_runs()), progress)
+
     def use_rules(self, rules: CellRules) -> None:
         """Use these queues and teams from now on."""
         self._rules = rules
@@ -189,6 +202,7 @@
             self.ownership.token,
             self.ownership.earlier_until_ms,
             dict.fromkeys(earlier, free_ms) if self.ownership.generation else {},
+            self._handed_over_runs(own.rows),
         )
         self.progress.loaded({row.key: row.version for row in (*progress.rows, *own.rows)})
         cell = Cell(self._rules, takeover, self._parts.lease_ms)
@@ -198,17 +212,37 @@
         now = boot_ms()
         for row in progress.rows:
             self._apply_progress(cell, row, now)
+        if self.ownership.handed_over is not None:
+            for job_id, value in self.ownership.handed_over.progress.items():
+                cell.progress_loaded(job_id, progress_rows.decode(value), now)
+                cell.board.dirty.add(job_id)
         self._directory_changed(directory.rows, True)
+        cell.adopt_known_runs(now)
         emit(
             log,
             Event.CELL_LOADED,
             jobs=len(cell.board.jobs),
             workers=len(cell.board.workers),
             unresolved=len(takeover.unresolved),
+            known_runs=-1 if takeover.known_runs is None else len(takeover.known_runs),
             token=self.ownership.token,
             took_ms=round(now - self.ownership.began_ms),
         )
 
+    def _handed_over_runs(self, rows: Sequence[StoredRow]) -> tuple[KnownRun, ...] | None:
+        """Return the complete list of open runs if the earlier owner gave one."""
+        if self.ownership.handed_over is not None:
+            return decode_runs(self.ownership.handed_over.runs)
+        for row in rows:
+            # The list was written together with the release of the claim before this one.
+            if (
+                row.key == HANDOVER_ROW
+                and row.value
+                and row.version == self.ownership.claim_before
+            ):
+                return decode_runs(row.value)
+        return None
+
     def _leases_lapsed_ms(self) -> float:
         """Return when every lease that earlier owners gave has lapsed for certain."""
         last_ms = max(self.ownership.began_ms, self.ownership.earlier_until_ms)
--- a/baobabhoist/control/owners.py
+++ b/baobabhoist/control/owners.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+from collections.abc import Awaitable, Callable
 from typing import Any
 
 from baobabhoist.cell.model import StepKey
@@ -13,6 +14,8 @@
     AdviceQuery,
     AdviceReply,
     CancelNotice,
+    HandOver,
+    HandOverOffer,
     JobNotice,
     NotOwner,
     PendingQuery,
@@ -30,6 +33,8 @@
     def __init__(self, node: str, adviser: Adviser) -> None:
         self.local: CellOwner | None = None
         self.link: OwnerLink | None = None
+        # Answers what concerns the claim itself.
+        self.on_claim_message: Callable[[Any], Awaitable[Any]] | None = None
         self._node = node
         self._adviser = adviser
         self._tasks: set[asyncio.Task[None]] = set()
@@ -59,6 +64,8 @@
         """Answer a message of another instance, or of this one."""
         if isinstance(message, AdviceQuery):
             return await self._advise(message)
+        if isinstance(message, HandOverOffer | HandOver):
+            return await self.on_claim_message(message) if self.on_claim_message else None
         owner = self.local
         if owner is None:
             return NotOwner(self._node)
--- a/baobabhoist/control/progress.py
+++ b/baobabhoist/control/progress.py
@@ -11,10 +11,12 @@
 from baobabhoist.control.clock import boot_ms
 from baobabhoist.control.rowmap import (
     BEAT_ROW,
+    HANDOVER_ROW,
     OWNER_ROW,
     ROSTER_ROW,
     cancel_row,
     encode_roster,
+    encode_runs,
     job_row,
     progress_row,
 )
@@ -35,13 +37,15 @@
 RETRY_S = 0.15
 # The store takes at most 100 entries a call: the claim, and two for each row.
 ROWS_MAX = 45
+FLUSH_TRIES = 3
+HANDOVER_MAX_BYTES = 60_000
 
 
 class ProgressWriter:
     """Own all writes under one claim; each one fails once another owner has the cell."""
 
     def __init__(self, store: RowStore, token: int, on_deposed: Callable[[str], None]) -> None:
-        # When the last write that the store confirmed was sent, on the local clock.
+        # When the last beat that the store confirmed was sent, on the local clock.
         self.confirmed_ms = boot_ms()
         self.on_acked: Callable[[str], None] = lambda worker_id: None
         self._store = store
@@ -84,9 +88,15 @@
         value = str(self._beats).encode()
         return await self._commit({BEAT_ROW: value}, {}) is not None
 
-    async def release(self, value: bytes) -> bool:
-        """Give the claim up; tell whether that is stored."""
-        return await self._commit({OWNER_ROW: value}, {}) is not None
+    async def release(self, claim: bytes, cell: Cell | None) -> bool:
+        """Give the claim up, with the runs that go on; tell whether that is stored."""
+        puts = {OWNER_ROW: claim}
+        if cell is not None and await self._flush_all(cell):
+            runs = encode_runs(cell.open_runs())
+            # Without the list the next owner waits until all leases have lapsed.
+            if len(runs) <= HANDOVER_MAX_BYTES:
+                puts[HANDOVER_ROW] = runs
+        return await self._commit(puts, {}) is not None
 
     async def remove_job(self, job_id: str) -> None:
         """Remove the rows of a job that nobody asks for any more."""
@@ -97,6 +107,13 @@
         except StoreError as exc:
             emit(log, Event.WRITE_REFUSED, row=job_id, detail=exc)
 
+    async def _flush_all(self, cell: Cell) -> bool:
+        """Store all progress; a try may fail because an earlier write was cut short."""
+        for _ in range(FLUSH_TRIES):
+            if await self._flush(cell):
+                return True
+        return False
+
     async def _flush(self, cell: Cell) -> bool:
         seen = cell.seen_ends()
         lifetimes = {w.worker_id: w.born_ms for w in cell.board.workers.values()}
@@ -105,9 +122,15 @@
         puts = {progress_row(i): progress_rows.encode(p) for i, p in dirty.items()}
         if roster is not None:
             puts[ROSTER_ROW] = encode_roster(dict.fromkeys(roster, 0.0))
-        if not await self._write(puts):
-            cell.board.dirty.update(dirty)
-            self._roster = self._roster if self._roster is not None else roster
+        written = False
+        try:
+            written = await self._write(puts)
+        finally:
+            # Also when this task is cancelled, because another one then writes the rest.
+            if not written:
+                cell.board.dirty.update(dirty)
+                self._roster = self._roster if self._roster is not None else roster
+        if not written:
             return False
         if roster is not None:
             on_roster(roster)
@@ -147,7 +170,8 @@
         if isinstance(outcome, RowsConflict):
             self._conflicted(outcome, expected)
             return None
-        self.confirmed_ms = max(self.confirmed_ms, sent_ms)
+        if BEAT_ROW in puts:
+            self.confirmed_ms = max(self.confirmed_ms, sent_ms)
         return outcome
 
     def _conflicted(self, conflict: RowsConflict, expected: dict[RowKey, int]) -> None:
--- a/baobabhoist/control/rowmap.py
+++ b/baobabhoist/control/rowmap.py
@@ -2,13 +2,15 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
 from typing import Any
 
 import attrs
 import cattrs
 import orjson
 
-from baobabhoist.cell.model import AcceptedJob, JobSpec
+from baobabhoist.cell.cell import KnownRun
+from baobabhoist.cell.model import AcceptedJob, JobSpec, TaskKey
 from baobabhoist.store.rows import RowKey
 
 CELL_TABLE = "cell"
@@ -22,6 +24,7 @@
 OWNER_ROW = RowKey(CELL_TABLE, "", "owner")
 BEAT_ROW = RowKey(CELL_TABLE, "", "beat")
 ROSTER_ROW = RowKey(CELL_TABLE, "", "roster")
+HANDOVER_ROW = RowKey(CELL_TABLE, "", "handover")
 
 # Jobs are spread over parts by the first hex digit of their ids.
 JOB_PARTS = tuple("0123456789abcdef")
@@ -87,6 +90,22 @@
     return [str(item) for item in body]
 
 
+def encode_runs(runs: Iterable[KnownRun]) -> bytes:
+    """Return a list of runs as the value of a row."""
+    return orjson.dumps([[run.worker_id, run.task.text(), run.run] for run in runs])
+
+
+def decode_runs(value: bytes) -> tuple[KnownRun, ...]:
+    """Return the runs in a row; raises ValueError if one cannot be read."""
+    found = []
+    for worker_id, text, number in orjson.loads(value):
+        task = TaskKey.parse(text)
+        if task is None:
+            raise ValueError(f"{text!r} names no task")
+        found.append(KnownRun(worker_id, task, int(number)))
+    return tuple(found)
+
+
 def _without_defaults(step: Any) -> dict[str, Any]:
     fields = attrs.fields(type(step))
     body = _converter.unstructure(step)
--- a/baobabhoist/tests/test_cell_cell.py
+++ b/baobabhoist/tests/test_cell_cell.py
@@ -183,6 +183,25 @@
     assert len(rig.running()) == 1
 
 
+def test_a_hand_over_lets_waiting_tasks_start_at_once_and_guards_running_ones():
+    """Guard against a planned stop that makes all work wait for unreached workers."""
+    rig = Rig.with_workers(2)
+    accepted = job("0" * 16, Step(9, SMALL, 100), version=1)
+    rig.accept(accepted)
+    rig.settle()
+    (ended, _) = next(item for item in rig.running() if item[1] == "w0")
+    known = rig.cell.open_runs()
+    assert len(known) == 8
+    rig.workers["w0"].end(ended, EndKind.DONE)
+    rig.take_over([accepted], known_runs=known)
+    rig.renew("w0")
+    starts = [c for c in rig.decide() if isinstance(c, StartTask)]
+    assert [(s.worker_id, s.task.index) for s in starts] == [("w0", 8)]
+    rig.now += LEASE_MS * 1.2
+    rig.cell.tick(rig.now, rig.now)
+    assert not rig.cell.board.workers["w1"].runs
+
+
 def test_a_new_owner_starts_later_jobs_at_once():
     """Guard against a takeover that stops new work until the last lease has lapsed."""
     rig = Rig.with_workers(2)
@@ -193,6 +212,18 @@
     assert [s.task.job_id for s in starts] == ["1" * 16]
 
 
+def test_an_owner_that_may_not_be_alone_starts_nothing_before_all_workers_obey_it():
+    """Guard against a job that a cut-off earlier owner starts beside its successor."""
+    rig = Rig.with_workers(2)
+    rig.token += 10
+    rig.own({"w0": rig.now + 9000, "w1": rig.now + 9000}, rig.now + 3000)
+    rig.renew("w0")
+    rig.accept(job("1" * 16, version=rig.token + 1))
+    assert rig.decide() == []
+    rig.renew("w1")
+    assert len(rig.decide()) == 1
+
+
 def test_a_fenced_owner_starts_nothing():
     """Guard against two owners that both start tasks."""
     rig = Rig.with_workers(1)
--- a/baobabhoist/tests/test_cell_machine.py
+++ b/baobabhoist/tests/test_cell_machine.py
@@ -62,8 +62,8 @@
         self.cell = None
         self._own({})
 
-    def _own(self, unresolved):
-        takeover = Takeover(self.generation, self.token, 0.0, unresolved)
+    def _own(self, unresolved, known_runs=None):
+        takeover = Takeover(self.generation, self.token, 0.0, unresolved, known_runs)
         self.cell = Cell(self.rules, takeover, LEASE_MS)
         self.cell.workers_listed([w.info() for w in self.workers.values()], self.now)
         for accepted in self.jobs.values():
@@ -72,6 +72,7 @@
             self.cell.job_cancelled(job_id, self.now)
         for job_id, saved in self.stored.items():
             self.cell.progress_loaded(job_id, saved, self.now)
+        self.cell.adopt_known_runs(self.now)
 
     # What happens outside the owner.
 
@@ -209,12 +210,16 @@
         elif end.kind is EndKind.FAILED:
             self.noted_failures.setdefault(end.task, set()).add(end.run)
 
-    @rule()
-    def take_over(self):
+    @rule(hands_over=st.booleans())
+    def take_over(self, hands_over):
+        known_runs = None
+        if hands_over:
+            self.stored.update(self.cell.take_dirty())
+            known_runs = self.cell.open_runs()
         self.token += 1000
         self.generation += 1
         free = self.now + LEASE_MS / (1.0 - CLOCK_DRIFT) + LEASE_MARGIN_MS
-        self._own(dict.fromkeys(self.workers, free))
+        self._own(dict.fromkeys(self.workers, free), known_runs)
 
     # What must always hold.
 
--- /dev/null
+++ b/baobabhoist/tests/test_control_claim.py
@@ -0,0 +1,68 @@
+"""Test when an instance claims the cell."""
+
+import pytest
+
+from baobabhoist.control.claim import (
+    BEAT_MISSED_MS,
+    BEAT_STALE_MS,
+    CONFIRMED_MS,
+    EARLIER_OWNER_STOPPED,
+    ClaimReason,
+    ClaimRow,
+    OwnerSeen,
+    claim_reason,
+    decode_claim,
+    encode_claim,
+)
+
+CLAIM = ClaimRow("n1", "boot1", "10.0.0.1:7000", 3)
+RELEASED = ClaimRow("", "", "", 3)
+
+
+def test_a_connected_owner_keeps_the_cell_through_a_missed_beat():
+    """Guard against a takeover from a live owner because one write was slow."""
+    reason = claim_reason(CLAIM, OwnerSeen.CONNECTED, BEAT_STALE_MS + 100, "me")
+    assert reason is ClaimReason.NONE
+
+
+def test_a_refused_connection_alone_does_not_show_that_the_owner_ended():
+    """Guard against two owners when a cut zone resets connections (wm trouble-2, TWICE)."""
+    assert claim_reason(CLAIM, OwnerSeen.REFUSED, 100.0, "me") is ClaimReason.NONE
+    late = claim_reason(CLAIM, OwnerSeen.REFUSED, BEAT_MISSED_MS + 1, "me")
+    assert late not in EARLIER_OWNER_STOPPED
+    assert late is ClaimReason.OWNER_REFUSES
+
+
+def test_another_process_at_the_address_shows_that_the_owner_ended():
+    """Guard against a takeover that waits for a process that is certain to be gone."""
+    reason = claim_reason(CLAIM, OwnerSeen.ENDED, 0.0, "me")
+    assert reason in EARLIER_OWNER_STOPPED
+
+
+def test_a_silent_owner_is_replaced_once_its_beat_is_stale():
+    """Guard against a cell without an owner after a loss of power."""
+    assert claim_reason(CLAIM, OwnerSeen.SILENT, BEAT_STALE_MS - 1, "me") is ClaimReason.NONE
+    reason = claim_reason(CLAIM, OwnerSeen.SILENT, BEAT_STALE_MS + 1, "me")
+    assert reason is ClaimReason.BEAT_STALE
+    assert BEAT_STALE_MS < CONFIRMED_MS
+
+
+def test_a_released_or_missing_claim_is_taken():
+    """Guard against a planned stop that leaves the cell without an owner."""
+    assert claim_reason(RELEASED, OwnerSeen.UNKNOWN, 0.0, "me") is ClaimReason.RELEASED
+    assert claim_reason(None, OwnerSeen.UNKNOWN, 0.0, "me") is ClaimReason.UNCLAIMED
+
+
+def test_a_cell_that_nobody_took_over_comes_back():
+    """Guard against a cell that its giver never claims again after a failed hand-over."""
+    assert claim_reason(CLAIM, OwnerSeen.UNKNOWN, 0.0, "boot1") is ClaimReason.NONE
+    reason = claim_reason(CLAIM, OwnerSeen.UNKNOWN, BEAT_STALE_MS + 1, "boot1")
+    assert reason is ClaimReason.RELEASED
+
+
+@pytest.mark.parametrize("value", [b"", b"[]", b"{}", b'{"node": 1}', b"\xff"])
+def test_a_foreign_claim_row_is_an_error_and_nothing_else(value):
+    """Guard against a row of another writer that stops the watch of the claim."""
+    with pytest.raises(ValueError, match="not a claim"):
+        decode_claim(value)
+    assert decode_claim(encode_claim(CLAIM)) == CLAIM
