--- a/baobabhoist/platform/decode.py
+++ b/baobabhoist/platform/decode.py
@@ -105,7 +105,9 @@
 
 
 def _items(body: dict[str, Any], name: str) -> list[Any]:
-    value = body.get(name) or []
+    value = body.get(name, [])
+    if value is None:
+        return []
     if not isinstance(value, list):
         raise FieldError(f"{name} is not a list")
     return value
@@ -119,7 +121,9 @@
 
 
 def _part(body: dict[str, Any], name: str) -> dict[str, Any]:
-    value = body.get(name) or {}
+    value = body.get(name, {})
+    if value is None:
+        return {}
     if not isinstance(value, dict):
         raise FieldError(f"{name} is not an object")
     return value
@@ -181,6 +185,8 @@
     address = _text(body, "address")
     if ":" not in address or not _text(body, "service"):
         raise FieldError("address or service is missing")
+    if "capacity" not in body or "zone" not in body:
+        raise FieldError("capacity or zone is missing")
     labels = _items(body, "labels")
     return WorkerInfo(
         worker_id,
--- /dev/null
+++ b/baobabhoist/tests/test_control_accept.py
@@ -0,0 +1,60 @@
+"""Test that accepted jobs are stored once, and that refusals are true."""
+
+import asyncio
+
+import pytest
+
+from baobabhoist.control import accept
+from baobabhoist.control.accept import Acceptor, Stored
+from baobabhoist.control.clock import boot_ms
+from baobabhoist.control.rowmap import job_row
+from baobabhoist.testing.rows import MemoryRows
+
+ID = "0123456789abcdef"
+
+
+def failing(*ways):
+    left = list(ways)
+    return lambda txn: left.pop(0) if left else ""
+
+
+def store(rows, budget_ms=2000.0):
+    return asyncio.run(Acceptor(rows).store_job(ID, b"{}", boot_ms() + budget_ms))
+
+
+@pytest.fixture(autouse=True)
+def quick(monkeypatch):
+    monkeypatch.setattr(accept, "RETRY_S", 0.001)
+
+
+def test_a_lost_answer_is_read_back_by_the_same_write():
+    """Guard against an accepted job that its caller takes for refused."""
+    rows = MemoryRows(fail=failing("lost"))
+    assert store(rows).stored is Stored.NEW
+    assert len(rows.rows) == 1
+
+
+def test_a_job_that_came_before_is_known_with_its_version():
+    """Guard against one job that is stored and run twice."""
+    rows = MemoryRows()
+    first = store(rows)
+    again = store(rows)
+    assert (again.stored, again.version) == (Stored.KNOWN, first.version)
+
+
+def test_a_refused_write_is_refused_only_while_nothing_may_come_late(monkeypatch):
+    """Guard against "not run" for a job that the store carries out a moment later."""
+    monkeypatch.setattr(accept, "REFUSED_MAX_MS", 0.0)
+    rows = MemoryRows(fail=lambda txn: "refused")
+    assert store(rows, 50.0).stored is Stored.REFUSED
+    doubtful = MemoryRows(fail=failing("late", *["refused"] * 10_000))
+    assert store(doubtful, 50.0).stored is Stored.UNKNOWN
+    doubtful.deliver_late()
+    assert job_row(ID) in doubtful.rows
+
+
+def test_a_store_that_stays_silent_leaves_the_outcome_unknown():
+    """Guard against a refusal after a write whose fate is not known."""
+    rows = MemoryRows()
+    rows.down = True
+    assert store(rows, 30.0).stored is Stored.UNKNOWN
--- /dev/null
+++ b/baobabhoist/tests/test_platform_decode.py
@@ -0,0 +1,124 @@
+"""Test that what others write on the platform is decoded, or set aside with a reason."""
+
+import base64
+
+import orjson
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from baobabhoist.cell.model import JobSpec, Room, WorkerInfo
+from baobabhoist.control.config import CellConfig
+from baobabhoist.control.rowmap import JobRow, decode_job, encode_job
+from baobabhoist.errors import ErrorKind, Refusal
+from baobabhoist.platform.decode import PlatformDecoder
+
+DECODER = PlatformDecoder()
+JOB = {
+    "taskSpec": "(text)",
+    "steps": [
+        {"count": 4, "cpu": 500, "memMb": 256, "estimatedMs": 900, "affinity": "r1-3"},
+        {"count": 20, "cpu": 2000, "gang": True, "after": [0], "checkpointing": True},
+    ],
+}
+WORKER = {
+    "service": "svc",
+    "address": "10.0.0.9:8080",
+    "zone": "z",
+    "state": "ready",
+    "capacity": {"cpu": 16000, "memMb": 32768, "gpu": 0},
+    "labels": ["a", "r1-3"],
+    "born": 17,
+}
+CONFIG = {
+    "version": 7,
+    "routes": [
+        {
+            "name": "q",
+            "hostname": "h.example",
+            "prefix": "/a/",
+            "service": "svc",
+            "priority": 2,
+            "maxAttempts": 4,
+            "slackFactor": 4.0,
+            "advice": {"decisionMs": 84.8, "perItemMs": 0.75, "validityMs": 2500},
+        },
+        {"name": "deep", "hostname": "h.example", "prefix": "/a/b/", "service": "svc"},
+    ],
+    "limits": {"maxBodyBytes": 1000},
+    "tenants": [{"name": "t", "apiKeys": ["k1", 5], "weight": 14, "maximum": {"cpu": 9}}],
+}
+ANYTHING = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats() | st.text(max_size=5),
+    lambda inner: st.lists(inner, max_size=3) | st.dictionaries(st.text(max_size=9), inner),
+    max_leaves=8,
+)
+
+
+def test_a_job_keeps_its_meaning_through_its_row():
+    """Guard against a step that loses a demand between the caller and the worker."""
+    spec = DECODER.job(orjson.dumps(JOB))
+    assert isinstance(spec, JobSpec)
+    assert spec.steps[0].data_rack == "r1-3"
+    assert spec.steps[1].gang and spec.steps[1].checkpoints and spec.steps[1].after == (0,)
+    row = JobRow("q", "svc", "t", 5, spec)
+    assert decode_job("f" * 16, encode_job(row), 9).spec == spec
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"steps": []},
+        {"steps": [{"count": 0}]},
+        {"steps": [{"count": 1, "after": [0]}]},
+        {"steps": [{"count": 1, "cpu": -1}]},
+        {"steps": [{"count": 1, "gang": "yes"}]},
+        {"steps": [{"count": 10**9}]},
+        {"taskSpec": 5},
+        {"taskSpec": "x" * 5000},
+        {"repeatCount": 1.5},
+    ],
+)
+def test_a_malformed_job_is_refused_with_a_reason(change):
+    """Guard against a job that is accepted although it can't be understood."""
+    refusal = DECODER.job(orjson.dumps({**JOB, **change}))
+    assert isinstance(refusal, Refusal)
+    assert refusal.kind is ErrorKind.BAD_REQUEST
+    assert refusal.message and refusal.remedy
+
+
+def test_a_worker_is_read_and_a_foreign_entry_set_aside():
+    """Guard against work sent to an entry of another writer."""
+    worker = DECODER.worker("w", orjson.dumps(WORKER))
+    assert worker.capacity == Room(16000, 32768, 0)
+    assert (worker.rack, worker.kind, worker.born_ms) == ("r1-3", "a", 17)
+    for change in ({"state": "odd"}, {"address": 7}, {"capacity": []}, {"labels": "a"}):
+        assert DECODER.worker("w", orjson.dumps({**WORKER, **change})) is None
+
+
+def test_a_configuration_is_read():
+    """Guard against a key, limit or route that is lost on the way."""
+    cfg = DECODER.config(orjson.dumps(CONFIG))
+    assert cfg.keys == {"k1": "t"}
+    assert cfg.rules.teams["t"].limit == Room(cpu=9)
+    assert cfg.route_for("h.example", "/a/b/0").queue.name == "deep"
+    assert cfg.route_for("h.example", "/a/c").queue.advice.valid_ms == 2500
+    assert cfg.route_for("other", "/a/c") is None
+
+
+@settings(max_examples=300, deadline=None, derandomize=True)
+@given(ANYTHING, st.binary(max_size=40))
+def test_no_content_breaks_a_decoder(value, raw):
+    """Guard against bytes of another writer that stop a watch or a call."""
+    bodies = [raw, base64.b64encode(raw)]
+    try:
+        bodies.append(orjson.dumps(value))
+        bodies.append(orjson.dumps({**JOB, "steps": value}))
+        bodies.append(orjson.dumps({**WORKER, "capacity": value, "born": value}))
+        bodies.append(orjson.dumps({**CONFIG, "routes": value, "tenants": value}))
+    except TypeError:
+        pass
+    for body in bodies:
+        assert isinstance(DECODER.job(body), JobSpec | Refusal)
+        assert isinstance(DECODER.worker("w", body), WorkerInfo | None)
+        assert isinstance(DECODER.config(body), CellConfig | None)
