--- a/baobabhoist/cell/board.py
+++ b/baobabhoist/cell/board.py
@@ -93,7 +93,8 @@
         """Order a run and count it from now on."""
         job = task.step.job
         ticket = task.step.approvals.ticket(worker.worker_id, now)
-        self._count(task, worker, number, RunPhase.STARTING, now)
+        run = self._count(task, worker, number, RunPhase.STARTING, now)
+        run.whole = not task.checkpoint
         if job.phase is JobPhase.QUEUED:
             job.phase = JobPhase.RUNNING
         payload = job.accepted.spec.payload
--- a/baobabhoist/cell/decide.py
+++ b/baobabhoist/cell/decide.py
@@ -24,6 +24,8 @@
 # Tickets are renewed when they are valid for less than the cost of a question and this.
 RENEW_MARGIN_MS = 100.0
 REMOTE_RACK_COST = 0.5
+# A task that failed on a worker is tried elsewhere, where there is a choice.
+FAILED_HERE_COST = 2.0
 
 
 @attrs.define
@@ -84,9 +86,11 @@
 
     def _cost(self, worker: WorkerState, step: StepState) -> float:
         """Return how little a worker suits a step: slow and remote ones come last."""
-        cost = self.board.speeds.factor(worker.worker_id, worker.info.kind)
+        cost = self.board.speeds.factor(worker.worker_id)
         if step.spec.data_rack and worker.info.rack != step.spec.data_rack:
             cost += REMOTE_RACK_COST
+        if worker.worker_id in step.failed_on:
+            cost += FAILED_HERE_COST
         # Among equals the fuller worker comes first, so that wide room stays whole.
         capacity = max(1, worker.info.capacity.cpu)
         return cost + 0.1 * worker.free.cpu / capacity
--- a/baobabhoist/cell/ends.py
+++ b/baobabhoist/cell/ends.py
@@ -38,6 +38,8 @@
         )
         if kind is EndKind.FAILED and number not in task.failed_runs and not task.done:
             task.failed_runs.add(number)
+            if task.run is not None and task.run.number == number:
+                task.step.failed_on.add(task.run.worker_id)
             self._board.dirty.add(job.job_id)
             self._check_attempts(task, now)
         if task.step.spec.gang and not task.step.done:
@@ -62,29 +64,22 @@
         for member in members:
             self._time(member, now)
         if step.done:
-            self._learn(step)
             self._board.refresh_ready(job, now)
         if not job.final and job.all_done():
             self._board.finish(job, JobPhase.COMPLETED, now, "all tasks are done")
 
     def _time(self, task: TaskState, now: float) -> None:
         run = task.run
-        if run is not None and run.confirmed_ms:
-            task.worked_ms, task.worked_on = now - run.confirmed_ms, run.worker_id
-            worker = self._board.workers.get(run.worker_id)
-            if worker is not None:
-                worker.health.succeeded()
-
-    def _learn(self, step: StepState) -> None:
-        if step.spec.gang:
+        worker = self._board.workers.get(run.worker_id) if run is not None else None
+        if run is None or worker is None:
             return
-        workers = self._board.workers
-        times = [
-            (t.worked_on, workers[t.worked_on].info.kind, t.worked_ms)
-            for t in step.tasks
-            if t.worked_on in workers and not t.checkpoint and len(t.failed_runs) == 0
-        ]
-        self._board.speeds.observe(times)
+        worker.health.succeeded()
+        spec = task.step.spec
+        # A gang runs at the pace of its slowest member, and a resumed run not from the start.
+        if run.whole and not spec.gang and run.confirmed_ms:
+            queue = task.step.job.accepted.queue
+            took_ms = now - run.confirmed_ms
+            self._board.speeds.observe(run.worker_id, queue, took_ms, spec.expected_ms)
 
     def _check_attempts(self, task: TaskState, now: float) -> None:
         job = task.step.job
--- a/baobabhoist/cell/jobs.py
+++ b/baobabhoist/cell/jobs.py
@@ -50,6 +50,8 @@
     stop_answered_ms: float = 0.0
     percent: float = 0.0
     moved_ms: float = 0.0
+    # It began at the start of the task under this owner, not from a checkpoint.
+    whole: bool = False
 
 
 @attrs.define(eq=False)
@@ -63,9 +65,6 @@
     last_run: int = 0
     failed_runs: set[int] = attrs.Factory(set)
     checkpoint: str = ""
-    # How long its last run worked, in ms, and where; 0 while unknown.
-    worked_ms: float = 0.0
-    worked_on: str = ""
 
     @property
     def key(self) -> TaskKey:
@@ -85,6 +84,8 @@
     idle: int = 0
     pending: int = 0
     approvals: Approvals = attrs.Factory(Approvals)
+    # Workers on which a task of the step failed.
+    failed_on: set[str] = attrs.Factory(set)
     # When the step could first run, on the owner's clock in ms.
     ready_ms: float = 0.0
 
--- a/baobabhoist/cell/speeds.py
+++ b/baobabhoist/cell/speeds.py
@@ -1,42 +1,98 @@
-"""Learn how fast workers are from tasks of one step that ran on several of them."""
+"""Learn how fast workers are from how long tasks take against their declared time.
+
+Each finished task gives log(time / declared time) = bias of its queue + slowness of its worker +
+noise. Queues differ in how far their declared times are off, so the noise of each queue is learned
+too, and a queue with exact times counts for more.
+"""
 
 from __future__ import annotations
 
 import math
-from collections.abc import Iterable
 
 import attrs
 
-LEARNING_RATE = 0.25
-# Bounds of one observation, so that one odd run does not spoil a worker's figure.
-LOWEST, HIGHEST = -2.5, 2.5
+# Before any task has run on it a worker differs from the mean by about this much.
+PRIOR_SPREAD = 0.45
+FIRST_NOISE = 0.6
+LEAST_NOISE = 0.15
+# A worker's speed may change, so old observations fade: this many count at most.
+MEMORY = 24.0
+QUEUE_MEMORY = 60.0
+# An observation this many deviations away is a surprise; so many in a row show a change.
+SURPRISE = 2.0
+SURPRISES_MAX = 2
+CLIPPED_VARIANCE = 4.0
+# Bounds of one observation, so that one odd run does not spoil a figure.
+FARTHEST = 2.5
+
+
+@attrs.define
+class Slowness:
+    """Hold the logarithm of a worker's slowness and how much is known of it."""
+
+    mean: float = 0.0
+    precision: float = 1.0 / PRIOR_SPREAD**2
+    # Observations in a row that were far from the mean, all on one side.
+    surprises: int = 0
+
+
+@attrs.define
+class QueueTimes:
+    """Hold how far declared times of a queue are off: their mean error and their noise."""
+
+    bias: float = 0.0
+    noise: float = FIRST_NOISE**2
+    seen: float = 0.0
 
 
 @attrs.define
 class Speeds:
-    """Hold the logarithm of each worker's slowness; 0 is the mean worker."""
+    """Hold what is known of workers and queues."""
 
-    slowness: dict[str, float] = attrs.Factory(dict)
-    by_kind: dict[str, float] = attrs.Factory(dict)
+    workers: dict[str, Slowness] = attrs.Factory(dict)
+    queues: dict[str, QueueTimes] = attrs.Factory(dict)
 
-    def factor(self, worker_id: str, kind: str = "") -> float:
-        """Return how many times longer than the mean a task takes on a worker."""
-        known = self.slowness.get(worker_id)
-        return math.exp(known if known is not None else self.by_kind.get(kind, 0.0))
+    def factor(self, worker_id: str) -> float:
+        """Return how many times longer than on the mean worker a task takes."""
+        known = self.workers.get(worker_id)
+        return math.exp(known.mean) if known is not None else 1.0
 
-    def observe(self, times: Iterable[tuple[str, str, float]]) -> None:
-        """Learn from the worker, kind and time of equal tasks, at least two of them."""
-        logs = [(w, k, math.log(max(1.0, ms))) for w, k, ms in times]
-        if len(logs) < 2:
+    def stretch(self, queue: str) -> float:
+        """Return how many times longer than declared a queue's tasks take on the mean worker."""
+        known = self.queues.get(queue)
+        return math.exp(known.bias) if known is not None else 1.0
+
+    def observe(self, worker_id: str, queue: str, took_ms: float, declared_ms: float) -> None:
+        """Learn from a task that ran whole on a worker."""
+        if took_ms <= 0 or declared_ms <= 0:
             return
-        base = sum(ms - self._of(w, k) for w, k, ms in logs) / len(logs)
-        for worker_id, kind, ms in logs:
-            seen = min(HIGHEST, max(LOWEST, ms - base))
-            before = self._of(worker_id, kind)
-            self.slowness[worker_id] = before + LEARNING_RATE * (seen - before)
-            old = self.by_kind.get(kind, 0.0)
-            self.by_kind[kind] = old + 0.1 * LEARNING_RATE * (seen - old)
-
-    def _of(self, worker_id: str, kind: str) -> float:
-        known = self.slowness.get(worker_id)
-        return known if known is not None else self.by_kind.get(kind, 0.0)
+        ratio = max(-FARTHEST, min(FARTHEST, math.log(took_ms / declared_ms)))
+        worker = self.workers.setdefault(worker_id, Slowness())
+        times = self.queues.setdefault(queue, QueueTimes())
+        self._learn_queue(times, ratio - worker.mean)
+        self._learn_worker(worker, ratio - times.bias, times.noise)
+
+    def _learn_queue(self, times: QueueTimes, seen: float) -> None:
+        times.seen = min(QUEUE_MEMORY, times.seen + 1.0)
+        rate = 1.0 / times.seen
+        error = seen - times.bias
+        times.bias += rate * error
+        if times.seen > 1.0:
+            # A worker that turned slow must not make the queue's times look worthless.
+            squared = min(error * error, CLIPPED_VARIANCE * times.noise)
+            times.noise += rate * (squared - times.noise)
+            times.noise = max(LEAST_NOISE**2, times.noise)
+
+    def _learn_worker(self, worker: Slowness, seen: float, noise: float) -> None:
+        precision = 1.0 / noise
+        error = seen - worker.mean
+        if abs(error) < SURPRISE * math.sqrt(noise):
+            worker.surprises = 0
+        else:
+            same_side = worker.surprises * error > 0
+            worker.surprises = (worker.surprises if same_side else 0) + (1 if error > 0 else -1)
+        if abs(worker.surprises) >= SURPRISES_MAX:
+            # The worker has changed: what was learned before counts no more than a guess.
+            worker.precision, worker.surprises = 1.0 / PRIOR_SPREAD**2, 0
+        worker.precision = min(worker.precision + precision, MEMORY * precision)
+        worker.mean += precision / worker.precision * error
--- /dev/null
+++ b/baobabhoist/tests/test_cell_speeds.py
@@ -0,0 +1,57 @@
+"""Test the load of unlike workers: fast ones are found although declared times are off."""
+
+import random
+
+from baobabhoist.cell.model import Step
+from baobabhoist.cell.speeds import Speeds
+from baobabhoist.tests.cells import SMALL, Rig, job
+
+SPEEDS = {"fast": 0.7, "mean": 1.0, "slow": 1.7}
+
+
+def learn(off, tasks, seed=1):
+    rng = random.Random(seed)
+    speeds = Speeds()
+    for number in range(tasks):
+        worker = sorted(SPEEDS)[number % 3]
+        declared = 1000.0 * rng.lognormvariate(0.0, 0.5)
+        took = declared * 1.4 * SPEEDS[worker] * rng.lognormvariate(0.0, off)
+        speeds.observe(worker, "q", took, declared)
+    return speeds
+
+
+def test_slow_workers_are_known_after_a_few_tasks():
+    """Guard against short jobs that miss their objective on a slow worker for long."""
+    speeds = learn(0.3, 18)
+    assert speeds.factor("fast") < speeds.factor("mean") < speeds.factor("slow")
+    assert speeds.factor("slow") / speeds.factor("fast") > 1.7
+
+
+def test_times_that_are_far_off_move_the_figures_less():
+    """Guard against one misdeclared job that makes a good worker look slow."""
+    speeds = learn(0.2, 60)
+    before = speeds.factor("fast")
+    for _ in range(20):
+        speeds.observe("mean", "wild", 30_000.0, 1000.0)
+        speeds.observe("mean", "wild", 100.0, 1000.0)
+    speeds.observe("fast", "wild", 9_000.0, 1000.0)
+    assert speeds.factor("fast") < 1.15 * before
+
+
+def test_a_worker_that_turns_slow_is_seen():
+    """Guard against a figure that never changes again."""
+    speeds = learn(0.2, 200)
+    for _ in range(12):
+        speeds.observe("fast", "q", 1400.0 * 5.0, 1000.0)
+    assert speeds.factor("fast") > speeds.factor("slow")
+
+
+def test_the_fastest_free_worker_comes_first():
+    """Guard against speeds that are learned and not used."""
+    rig = Rig.with_workers(3)
+    for _ in range(10):
+        for worker, took in (("w0", 1700.0), ("w1", 700.0), ("w2", 1000.0)):
+            rig.cell.board.speeds.observe(worker, "q", took, 1000.0)
+    rig.accept(job("0" * 16, Step(1, SMALL, 100)))
+    rig.settle()
+    assert rig.running()[0][1] == "w1"
