--- a/baobabhoist/cell/cell.py
+++ b/baobabhoist/cell/cell.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+from collections import Counter
 from collections.abc import Iterable, Mapping
 
 import attrs
@@ -247,6 +248,20 @@
         if step is not None:
             step.approvals.failed(retry_ms)
 
+    # What the metrics show.
+
+    def queued_tasks(self) -> dict[str, int]:
+        """Return how many tasks wait for a start, by queue."""
+        counts: Counter[str] = Counter()
+        for step in self.board.ready.values():
+            counts[step.job.accepted.queue] += step.idle
+        return dict(counts)
+
+    def lease_margin_ms(self, now: float) -> float:
+        """Return the time until the first known lease of a busy worker would lapse."""
+        busy = [w for w in self.board.workers.values() if w.runs and w.lease.known]
+        return min((w.lease.lapsed_ms() - now for w in busy), default=0.0)
+
     # Time and decisions.
 
     def resolved(self, now: float) -> bool:
--- a/baobabhoist/control/frontdesk.py
+++ b/baobabhoist/control/frontdesk.py
@@ -126,11 +126,8 @@
         job_id = call.path[len(route.prefix) :].partition("?")[0]
         return Admitted(cfg, route, team, job_id)
 
-    async def submit(self, call: Call, body: bytes) -> Refusal | None:
+    async def submit(self, call: Call, admitted: Admitted, body: bytes) -> Refusal | None:
         """Store a job; returns None once it is accepted."""
-        admitted = self.admit(call)
-        if isinstance(admitted, Refusal):
-            return admitted
         if JOB_ID.fullmatch(admitted.job_id) is None:
             message = f"{admitted.job_id!r} is not a job id"
             return Refusal(ErrorKind.BAD_REQUEST, message, remedy="give 16 hex digits")
@@ -170,12 +167,9 @@
             self.owner.notify(JobNotice(admitted.job_id, value, outcome.version))
         return None
 
-    async def state(self, call: Call) -> str | Refusal:
+    async def state(self, admitted: Admitted) -> str | Refusal:
         """Return the state of a job."""
-        admitted = self.admit(call)
-        if isinstance(admitted, Refusal):
-            return admitted
-        found = await self._find(admitted.job_id, call)
+        found = await self._find(admitted.job_id)
         if isinstance(found, Refusal):
             return found
         if not found.state:
@@ -186,12 +180,9 @@
             )
         return found.state
 
-    async def cancel(self, call: Call) -> Refusal | None:
+    async def cancel(self, call: Call, admitted: Admitted) -> Refusal | None:
         """Cancel a job; returns None once that is stored."""
-        admitted = self.admit(call)
-        if isinstance(admitted, Refusal):
-            return admitted
-        found = await self._find(admitted.job_id, call)
+        found = await self._find(admitted.job_id)
         if isinstance(found, Refusal):
             return found
         if not found.state:
@@ -209,18 +200,15 @@
         self.owner.notify(CancelNotice(admitted.job_id))
         return None
 
-    async def pending(self, call: Call) -> int | Refusal:
+    async def pending(self, admitted: Admitted) -> int | Refusal:
         """Return how many jobs of a queue have not begun."""
-        admitted = self.admit(call)
-        if isinstance(admitted, Refusal):
-            return admitted
         queue = admitted.route.queue.name
         reply = await self._ask_owner(PendingQuery(queue))
         if isinstance(reply, PendingReply):
             return reply.jobs
         return not_ready("the owner of the queue cannot be reached")
 
-    async def _find(self, job_id: str, call: Call) -> StateReply | Refusal:
+    async def _find(self, job_id: str) -> StateReply | Refusal:
         if JOB_ID.fullmatch(job_id) is None:
             return StateReply()
         reply = await self._ask_owner(StateQuery(job_id))
--- /dev/null
+++ b/baobabhoist/control/metrics.py
@@ -0,0 +1,122 @@
+"""Measure one instance: calls, decisions, waiting, the store, workers and takeovers."""
+
+from __future__ import annotations
+
+from aioprometheus import Counter, Gauge, Histogram, Registry
+from aioprometheus.renderer import render
+
+from baobabhoist.observability.metrics import (
+    CLASS_LABELS_MAX,
+    DECISION_BUCKETS_S,
+    INF,
+    TEAM_LABELS_MAX,
+    WAITING_BUCKETS_S,
+    LabelBound,
+)
+
+CALL_BUCKETS_S = (0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.25, 0.5, 1.0, 2.0, INF)
+TAKEOVER_BUCKETS_S = (0.05, 0.1, 0.25, 0.5, 1.0, 2.0, 5.0, 10.0, INF)
+REASON_LABELS_MAX = 32
+NO_TEAM = "none"
+
+
+class NodeMetrics:
+    """Own the registry of one instance; all times are in seconds."""
+
+    def __init__(self) -> None:
+        self.registry = Registry()
+        self._teams = LabelBound(TEAM_LABELS_MAX)
+        self._queues = LabelBound(CLASS_LABELS_MAX)
+        self._reasons = LabelBound(REASON_LABELS_MAX)
+        self._calls = self._histogram(
+            "call_seconds", "Time to answer a caller, by team, queue and status.", CALL_BUCKETS_S
+        )
+        self._waiting = self._histogram(
+            "waiting_seconds", "Time from a step's turn to a start.", WAITING_BUCKETS_S
+        )
+        self._decision = self._histogram(
+            "decision_seconds", "Processor time of one round of decisions.", DECISION_BUCKETS_S
+        )
+        self._store = self._histogram(
+            "store_seconds", "Time of a call to the platform's store.", CALL_BUCKETS_S
+        )
+        self._worker = self._histogram(
+            "worker_seconds", "Time of an order to a worker.", CALL_BUCKETS_S
+        )
+        self._takeover = self._histogram(
+            "takeover_seconds", "Time from a won claim to the loaded cell.", TAKEOVER_BUCKETS_S
+        )
+        self._refusals = self._counter("refusals_total", "Calls refused, by reason.")
+        self._ends = self._counter("runs_ended_total", "Ends of runs, by queue and kind.")
+        self._dropped = self._gauge("log_lines_dropped", "Log lines that a full pipe refused.")
+        self._config = self._gauge("config_version", "Version of the configuration in force.")
+        self._config_age = self._gauge("config_age_seconds", "Age of its last confirmation.")
+        self._owns = self._gauge("owns_cell", "1 while this instance owns the cell.")
+        self._queued = self._gauge("queued_tasks", "Tasks that wait, by queue.")
+        self._lease_margin = self._gauge(
+            "lease_margin_seconds", "Time to the first lease of a worker that would lapse."
+        )
+
+    def call_answered(self, team: str, queue: str, status: int, seconds: float) -> None:
+        """Observe an answer to a caller."""
+        labels = {"team": self._teams.of(team or NO_TEAM), "queue": self._queues.of(queue)}
+        self._calls.observe({**labels, "status": str(status)}, seconds)
+
+    def call_refused(self, reason: str) -> None:
+        """Count a refusal."""
+        self._refusals.inc({"reason": self._reasons.of(reason)})
+
+    def started(self, team: str, queue: str, waited_s: float) -> None:
+        """Observe how long a task waited."""
+        labels = {"team": self._teams.of(team or NO_TEAM), "class": self._queues.of(queue)}
+        self._waiting.observe(labels, waited_s)
+
+    def ended(self, queue: str, kind: str) -> None:
+        """Count the end of a run."""
+        self._ends.inc({"class": self._queues.of(queue), "kind": kind})
+
+    def decided(self, seconds: float) -> None:
+        """Observe a round of decisions."""
+        self._decision.observe({}, seconds)
+
+    def store_called(self, call: str, outcome: str, seconds: float) -> None:
+        """Observe a call to the store."""
+        self._store.observe({"call": call, "outcome": outcome}, seconds)
+
+    def worker_called(self, call: str, outcome: str, seconds: float) -> None:
+        """Observe an order to a worker."""
+        self._worker.observe({"call": call, "outcome": outcome}, seconds)
+
+    def took_over(self, seconds: float) -> None:
+        """Observe a takeover."""
+        self._takeover.observe({}, seconds)
+
+    def set_config(self, version: int, age_s: float) -> None:
+        """Report the configuration in force."""
+        self._config.set({}, version)
+        self._config_age.set({}, age_s)
+
+    def set_owner(self, owns: bool, queued: dict[str, int], lease_margin_s: float) -> None:
+        """Report what the owner of the cell sees."""
+        self._owns.set({}, int(owns))
+        self._lease_margin.set({}, lease_margin_s)
+        for queue, tasks in queued.items():
+            self._queued.set({"class": self._queues.of(queue)}, tasks)
+
+    def set_dropped_lines(self, count: int) -> None:
+        """Report how many log lines were dropped."""
+        self._dropped.set({}, count)
+
+    def exposition(self) -> tuple[bytes, dict[str, str]]:
+        """Return the metrics as text and the headers that go with them."""
+        content, headers = render(self.registry, ["text/plain"])
+        return content, dict(headers)
+
+    def _histogram(self, name: str, text: str, buckets: tuple[float, ...]) -> Histogram:
+        return Histogram(f"baobabhoist_{name}", text, registry=self.registry, buckets=buckets)
+
+    def _gauge(self, name: str, text: str) -> Gauge:
+        return Gauge(f"baobabhoist_{name}", text, registry=self.registry)
+
+    def _counter(self, name: str, text: str) -> Counter:
+        return Counter(f"baobabhoist_{name}", text, registry=self.registry)
--- a/baobabhoist/control/node.py
+++ b/baobabhoist/control/node.py
@@ -31,6 +31,7 @@
 from baobabhoist.control.interfaces import Adviser, Decoder, WorkerDriver
 from baobabhoist.control.links import Identity, LinkServer, OwnerLink
 from baobabhoist.control.messages import HandOver, HandOverOffer, HandOverReply
+from baobabhoist.control.metrics import NodeMetrics
 from baobabhoist.control.owner import CellOwner, OwnerParts, Ownership
 from baobabhoist.control.owners import OwnerCalls
 from baobabhoist.control.rowmap import (
@@ -94,6 +95,7 @@
         self.calls.link = self.link
         self.calls.on_claim_message = self._claim_message
         self.draining = False
+        self.metrics = NodeMetrics()
         self.front = FrontDesk(
             self.config,
             adapter.store,
@@ -156,6 +158,16 @@
             )
         return is_ready
 
+    def refresh_metrics(self) -> None:
+        """Set the gauges that are read, not counted."""
+        cfg, now = self.config.current, boot_ms()
+        self.metrics.set_config(cfg.version if cfg else 0, self.config.age_ms(now) / 1000)
+        owner = self.calls.local
+        cell = owner.cell if owner is not None else None
+        queued = cell.queued_tasks() if cell is not None else {}
+        margin = cell.lease_margin_ms(now) if cell is not None else 0.0
+        self.metrics.set_owner(owner is not None, queued, margin / 1000)
+
     async def drain(self) -> None:
         """Give the cell up, so that another instance takes it over at once."""
         self.draining = True
@@ -331,6 +343,7 @@
             self.cfg.bounds.job_kept_s * 1000,
             self._may_start,
             self._step_down,
+            self.metrics,
         )
         owner = CellOwner(parts, ownership, rules)
         self.calls.local = owner
--- a/baobabhoist/control/owner.py
+++ b/baobabhoist/control/owner.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+import time
 from collections.abc import Callable, Coroutine, Sequence
 from typing import Any
 
@@ -18,6 +19,7 @@
 from baobabhoist.control.follow import TableFollower
 from baobabhoist.control.interfaces import Decoder, WorkerDriver
 from baobabhoist.control.messages import HandOver, PendingReply, StateReply
+from baobabhoist.control.metrics import NodeMetrics
 from baobabhoist.control.progress import ProgressWriter
 from baobabhoist.control.rowmap import (
     CANCEL_SUFFIX,
@@ -79,6 +81,7 @@
     may_start: Callable[[], bool]
     # Called once when another owner has the cell.
     on_deposed: Callable[[str], None]
+    metrics: NodeMetrics
 
 
 class CellOwner:
@@ -228,6 +231,7 @@
             token=self.ownership.token,
             took_ms=round(now - self.ownership.began_ms),
         )
+        self._parts.metrics.took_over((now - self.ownership.began_ms) / 1000)
 
     def _handed_over_runs(self, rows: Sequence[StoredRow]) -> tuple[KnownRun, ...] | None:
         """Return the complete list of open runs if the earlier owner gave one."""
@@ -341,7 +345,10 @@
         if cell.fenced_off:
             self._deposed("a worker obeys a higher fencing token")
             return
-        for command in cell.decide(boot_ms(), self._parts.may_start()):
+        began_s = time.perf_counter()
+        commands = cell.decide(boot_ms(), self._parts.may_start())
+        self._parts.metrics.decided(time.perf_counter() - began_s)
+        for command in commands:
             self.spawn(self._ORDERS[type(command)](self, command))
         if cell.board.dirty:
             self.progress.wake()
@@ -349,10 +356,21 @@
     async def _start(self, order: StartTask) -> None:
         loop = self._loops.get(order.worker_id)
         if loop is not None:
+            self._observe_start(order)
+            sent_ms = boot_ms()
             outcome = await loop.start_task(order)
+            seconds = (boot_ms() - sent_ms) / 1000
+            self._parts.metrics.worker_called("start", outcome.value, seconds)
             self._require_cell().start_answered(order, outcome, boot_ms())
             self.kick()
 
+    def _observe_start(self, order: StartTask) -> None:
+        job = self._require_cell().job_state(order.task.job_id)
+        step = job.step_of(order.task) if job is not None else None
+        if job is not None and step is not None:
+            waited_s = (boot_ms() - step.ready_ms) / 1000
+            self._parts.metrics.started(job.accepted.team, job.accepted.queue, waited_s)
+
     async def _stop(self, order: StopTask) -> None:
         loop = self._loops.get(order.worker_id)
         if loop is not None:
--- a/baobabhoist/observability/events.py
+++ b/baobabhoist/observability/events.py
@@ -175,9 +175,17 @@
         return orjson.dumps(entry, default=str, option=orjson.OPT_NON_STR_KEYS).decode()
 
 
-def configure_logging(form: str, level: str, stream: TextIO | None = None) -> None:
-    """Send all log records to a stream, standard error by default, as text or JSON."""
-    handler = logging.StreamHandler(stream or sys.stderr)
+def configure_logging(
+    form: str,
+    level: str,
+    stream: TextIO | None = None,
+    handler: logging.Handler | None = None,
+) -> None:
+    """Send all log records to a stream, standard error by default, as text or JSON.
+
+    A `handler` of one's own takes the place of the stream.
+    """
+    handler = handler or logging.StreamHandler(stream or sys.stderr)
     handler.setFormatter(JsonFormatter() if form == "json" else TextFormatter())
     root = logging.getLogger()
     root.handlers[:] = [handler]
--- a/baobabhoist/platform/front.py
+++ b/baobabhoist/platform/front.py
@@ -12,7 +12,8 @@
 from tornado.web import Application, RequestHandler
 
 from baobabhoist.control.clock import boot_ms
-from baobabhoist.control.frontdesk import Call, FrontDesk, unknown_outcome
+from baobabhoist.control.frontdesk import Admitted, Call, FrontDesk, unknown_outcome
+from baobabhoist.control.metrics import NodeMetrics
 from baobabhoist.control.node import Node
 from baobabhoist.errors import ErrorKind, Refusal
 from baobabhoist.observability.events import Event, emit
@@ -41,47 +42,54 @@
 class CallHandler(RequestHandler):
     """Translate one call of a caller."""
 
-    def initialize(self, desk: FrontDesk) -> None:
+    def initialize(self, desk: FrontDesk, metrics: NodeMetrics) -> None:
         """Take the desk that answers."""
         self._desk = desk
+        self._metrics = metrics
+        self._admitted: Admitted | None = None
 
     async def post(self) -> None:
         """Submit a job."""
-        refusal = await self._desk.submit(self._call(), self.request.body)
-        self._answer(refusal if refusal is not None else {})
+        admitted = self._admit()
+        if admitted is not None:
+            refusal = await self._desk.submit(self._call, admitted, self.request.body)
+            self._answer(refusal if refusal is not None else {})
 
     async def get(self) -> None:
         """Show a job, or how many jobs of a queue have not begun."""
-        call = self._call()
-        admitted = self._desk.admit(call)
-        if isinstance(admitted, Refusal):
-            self._answer(admitted)
-        elif admitted.job_id:
-            found = await self._desk.state(call)
+        admitted = self._admit()
+        if admitted is None:
+            return
+        if admitted.job_id:
+            found = await self._desk.state(admitted)
             self._answer(found if isinstance(found, Refusal) else {"state": found}, JOB_GONE)
         else:
-            waiting = await self._desk.pending(call)
+            waiting = await self._desk.pending(admitted)
             self._answer(waiting if isinstance(waiting, Refusal) else {"pending": waiting})
 
     async def delete(self) -> None:
         """Cancel a job."""
-        call = self._call()
-        admitted = self._desk.admit(call)
-        if isinstance(admitted, Refusal):
-            self._answer(admitted)
-            return
-        refusal = await self._desk.cancel(call)
-        self._answer(refusal if refusal is not None else {}, JOB_GONE)
+        admitted = self._admit()
+        if admitted is not None:
+            refusal = await self._desk.cancel(self._call, admitted)
+            self._answer(refusal if refusal is not None else {}, JOB_GONE)
 
     def write_error(self, status_code: int, **kwargs: Any) -> None:
         """Answer an unexpected error in the usual form."""
         emit(log, Event.CALL_FAILED, path=self.request.path, status=status_code)
         self._answer(unknown_outcome("an internal error ended the call"))
 
-    def _call(self) -> Call:
+    def _admit(self) -> Admitted | None:
+        """Return what route and key allow, or refuse the call."""
         host = self.request.host.partition(":")[0]
         key = self.request.headers.get(KEY_HEADER, "")
-        return Call(host, self.request.path, key, boot_ms() + self._wait_ms())
+        self._call = Call(host, self.request.path, key, boot_ms() + self._wait_ms())
+        admitted = self._desk.admit(self._call)
+        if isinstance(admitted, Refusal):
+            self._answer(admitted)
+            return None
+        self._admitted = admitted
+        return admitted
 
     def _wait_ms(self) -> float:
         text = self.request.headers.get(WAIT_HEADER, "")
@@ -95,6 +103,7 @@
         status = not_found if content.kind is ErrorKind.NOT_FOUND else status
         if content.retry_after_s is not None:
             self.set_header("Retry-After", str(round(content.retry_after_s)))
+        self._metrics.call_refused(content.kind.value)
         emit(
             log,
             Event.CALL_REFUSED,
@@ -106,6 +115,9 @@
         self._finish(status, content.as_body())
 
     def _finish(self, status: int, body: dict[str, Any]) -> None:
+        admitted = self._admitted
+        team, queue = (admitted.team, admitted.route.queue.name) if admitted else ("", "")
+        self._metrics.call_answered(team, queue, status, self.request.request_time())
         self.set_status(status)
         self.set_header("Content-Type", "application/json")
         self.finish(orjson.dumps(body))
@@ -123,20 +135,40 @@
         self.set_status(200 if self._node.ready() else 503)
 
 
+class MetricsHandler(RequestHandler):
+    """Show the metrics of this instance."""
+
+    def initialize(self, node: Node) -> None:
+        """Take the instance."""
+        self._node = node
+
+    def get(self) -> None:
+        """Answer with the metrics as text."""
+        self._node.refresh_metrics()
+        content, headers = self._node.metrics.exposition()
+        for name, value in headers.items():
+            self.set_header(name, value)
+        self.finish(content)
+
+
 class Servers:
     """Own the listening sockets of one instance."""
 
     def __init__(self, node: Node) -> None:
-        calls = Application([(r".*", CallHandler, {"desk": node.front})])
+        desk = {"desk": node.front, "metrics": node.metrics}
+        calls = Application([(r".*", CallHandler, desk)])
         ready = Application([(r"/-/ready", ReadyHandler, {"node": node})])
+        metrics = Application([(r"/metrics", MetricsHandler, {"node": node})])
         self._calls = HTTPServer(calls, idle_connection_timeout=60, no_keep_alive=False)
         self._ready = HTTPServer(ready)
+        self._metrics = HTTPServer(metrics)
         self._cfg = node.cfg
 
     def start(self) -> None:
         """Listen."""
         _listen(self._calls, self._cfg.caller_address)
         _listen(self._ready, self._cfg.ready_address)
+        _listen(self._metrics, f"{self._cfg.host}:{self._cfg.metrics_port}")
 
     async def stop(self) -> None:
         """Take no new connections and end the idle ones."""
--- a/baobabhoist/platform/main.py
+++ b/baobabhoist/platform/main.py
@@ -16,7 +16,8 @@
 from baobabhoist.control.node import Adapter, Node
 from baobabhoist.control.settings import NodeSettings
 from baobabhoist.errors import SettingsError
-from baobabhoist.observability.events import Event, configure_logging, emit
+from baobabhoist.observability.events import EVENT_ATTRIBUTE, Event, configure_logging, emit
+from baobabhoist.observability.stream import DroppingHandler, RateFilter
 from baobabhoist.platform.advice import PlatformAdviser
 from baobabhoist.platform.decode import PlatformDecoder
 from baobabhoist.platform.front import Servers
@@ -94,7 +95,9 @@
     except SettingsError as exc:
         print(exc, file=sys.stderr)
         return EXIT_BAD_SETTINGS
-    configure_logging("json", cfg.log_level, sys.stdout)
+    handler = DroppingHandler(sys.stdout)
+    handler.addFilter(RateFilter(EVENT_ATTRIBUTE))
+    configure_logging("json", cfg.log_level, handler=handler)
     for name in QUIET_LOGGERS:
         logging.getLogger(name).setLevel(logging.ERROR)
     emit(log, Event.DAEMON_STARTED, instance_id=cfg.instance_id, data_centre=cfg.data_centre)
