Store jobs through another instance while the store is out of reach; keep learned speeds

A store that did not answer last is not tried by callers; the owner or a linked instance stores the row, or the call is refused at once with the time to come back.

--- a/baobabhoist/cell/cell.py
+++ b/baobabhoist/cell/cell.py
@@ -97,19 +97,31 @@
                 break
             job.open_occurrence()
         self.board.refresh_ready(job, now)
+        if not job.inherited:
+            self._announce(job, now)
+        return True
+
+    def announce_inherited(self, now: float) -> None:
+        """Log the unfinished jobs that were taken over, once their progress is known."""
+        for job in self.board.jobs.values():
+            if job.inherited and not job.final:
+                self._announce(job, now)
+
+    def _announce(self, job: JobState, now: float) -> None:
+        steps = job.accepted.spec.steps
         emit(
             log,
             Event.JOB_OWNED,
-            job=accepted.job_id,
-            queue=accepted.queue,
-            team=accepted.team,
-            version=accepted.version,
-            steps=len(spec.steps),
-            tasks=sum(step.count for step in spec.steps),
-            accepted_ms_ago=round(now - accepted_at_ms),
+            job=job.job_id,
+            queue=job.accepted.queue,
+            team=job.accepted.team,
+            version=job.accepted.version,
+            steps=len(steps),
+            tasks=sum(step.count for step in steps),
+            accepted_ms_ago=round(now - job.accepted_at_ms),
+            objective_ms=round(job.objective_ms - job.accepted_at_ms),
             inherited=job.inherited,
         )
-        return True
 
     def progress_loaded(self, job_id: str, progress: Progress, now: float) -> None:
         """Apply the durable progress of a job that an earlier owner worked on."""
--- a/baobabhoist/control/accept.py
+++ b/baobabhoist/control/accept.py
@@ -1,14 +1,16 @@
-"""Store accepted jobs and cancellations, and find out what became of lost answers."""
+"""Store accepted jobs and cancellations, here or through another instance."""
 
 from __future__ import annotations
 
 import asyncio
 import enum
 import logging
+from collections.abc import Awaitable, Callable
 
 import attrs
 
 from baobabhoist.control.clock import boot_ms
+from baobabhoist.control.contact import Contact
 from baobabhoist.control.rowmap import cancel_row, job_row
 from baobabhoist.observability.events import Event, emit
 from baobabhoist.store.rows import (
@@ -25,8 +27,10 @@
 log = logging.getLogger(__name__)
 
 RETRY_S = 0.06
-# A write that the store refuses is tried again for this long before its caller is told.
-REFUSED_MAX_MS = 900.0
+# A write that the store refuses is tried here for this long before another instance is asked.
+REFUSED_MAX_MS = 150.0
+# A write without an answer is tried again for this long while the store answers nothing else.
+SILENT_MAX_MS = 700.0
 
 
 class Stored(enum.Enum):
@@ -49,21 +53,38 @@
     version: int = 0
 
 
+Elsewhere = Callable[[RowKey, bytes, float], Awaitable[StoreOutcome]]
+
+
 class Acceptor:
     """Write rows that must not exist yet; a repeated write reads back a lost answer."""
 
-    def __init__(self, store: RowStore) -> None:
+    def __init__(
+        self, store: RowStore, contact: Contact, elsewhere: Elsewhere | None = None
+    ) -> None:
         self._store = store
+        self._contact = contact
+        self._elsewhere = elsewhere
 
     async def store_job(self, job_id: str, value: bytes, give_up_ms: float) -> StoreOutcome:
         """Store a job unless it is there already."""
-        return await self._put_new(job_row(job_id), value, give_up_ms)
+        return await self._put_anywhere(job_row(job_id), value, give_up_ms)
 
     async def store_cancel(self, job_id: str, give_up_ms: float) -> StoreOutcome:
         """Store that a job is cancelled."""
-        return await self._put_new(cancel_row(job_id), b"{}", give_up_ms)
-
-    async def _put_new(self, key: RowKey, value: bytes, give_up_ms: float) -> StoreOutcome:
+        return await self._put_anywhere(cancel_row(job_id), b"{}", give_up_ms)
+
+    async def _put_anywhere(self, key: RowKey, value: bytes, give_up_ms: float) -> StoreOutcome:
+        outcome = StoreOutcome(Stored.REFUSED)
+        # Nothing is sent to a store that did not answer last, so this refusal is true.
+        if not self._contact.lost():
+            outcome = await self.put_here(key, value, give_up_ms)
+        if outcome.stored is Stored.REFUSED and self._elsewhere is not None:
+            outcome = await self._elsewhere(key, value, give_up_ms)
+        return outcome
+
+    async def put_here(self, key: RowKey, value: bytes, give_up_ms: float) -> StoreOutcome:
+        """Store a row through this instance's own connection."""
         txn = RowsTxn({key: 0}, {key: value})
         begun_ms = boot_ms()
         doubtful = False
@@ -78,6 +99,8 @@
                 # The same write again tells what became of this one.
                 doubtful = True
                 emit(log, Event.WRITE_UNANSWERED, row=key.key, detail=exc)
+                if self._silent_since(begun_ms):
+                    return StoreOutcome(Stored.UNKNOWN)
             except StoreError as exc:
                 emit(log, Event.WRITE_REFUSED, row=key.key, detail=exc)
                 return StoreOutcome(Stored.UNKNOWN if doubtful else Stored.REFUSED)
@@ -87,6 +110,11 @@
                 return StoreOutcome(Stored.UNKNOWN if doubtful else Stored.REFUSED)
             await asyncio.sleep(RETRY_S)
 
+    def _silent_since(self, begun_ms: float) -> bool:
+        """Tell whether the store has answered nothing since a write, for long enough."""
+        silent = self._contact.answered_ms < begun_ms
+        return silent and boot_ms() - begun_ms > SILENT_MAX_MS
+
 
 def _outcome(outcome: RowsCommitted | RowsConflict, key: RowKey, doubtful: bool) -> StoreOutcome:
     if isinstance(outcome, RowsCommitted):
--- a/baobabhoist/control/frontdesk.py
+++ b/baobabhoist/control/frontdesk.py
@@ -41,6 +41,8 @@
 
 JOB_ID = re.compile(r"[0-9a-f]{16}")
 RETRY_AFTER_S = 1.0
+# Another instance can most likely take the call now.
+ELSEWHERE_S = 0.0
 QUERY_TIMEOUT_S = 0.5
 # Time kept back from a caller's deadline for the way of the answer.
 ANSWER_RESERVE_MS = 150.0
@@ -68,13 +70,13 @@
     job_id: str
 
 
-def not_ready(message: str) -> Refusal:
+def not_ready(message: str, retry_after_s: float = RETRY_AFTER_S) -> Refusal:
     """Return the refusal of work that this instance cannot take now."""
     return Refusal(
         ErrorKind.PLATFORM_UNAVAILABLE,
         message,
         remedy="send it again after the time given",
-        retry_after_s=RETRY_AFTER_S,
+        retry_after_s=retry_after_s,
     )
 
 
@@ -117,7 +119,7 @@
         team = ""
         if not route.queue.open_to_all:
             if self.config.age_ms(boot_ms()) > KEY_AGE_PART * self.revoke_ms:
-                return not_ready("the keys in force are not known to be current")
+                return not_ready("the keys in force are not known to be current", ELSEWHERE_S)
             if call.key not in cfg.keys:
                 kind = ErrorKind.KEY_REJECTED if call.key else ErrorKind.KEY_MISSING
                 emit(log, Event.KEY_REFUSED, queue=route.queue.name, version=cfg.version)
@@ -160,7 +162,7 @@
             took_ms=round(boot_ms() - began_ms),
         )
         if outcome.stored is Stored.REFUSED:
-            return not_ready("the store takes no jobs now")
+            return self._no_store("the store takes no jobs now")
         if outcome.stored is Stored.UNKNOWN:
             return unknown_outcome("the store did not say whether the job was stored")
         if outcome.stored is Stored.NEW:
@@ -194,7 +196,7 @@
         )
         emit(log, Event.CANCEL_STORED, job=admitted.job_id, outcome=outcome.stored.value)
         if outcome.stored is Stored.REFUSED:
-            return not_ready("the store takes no cancellations now")
+            return self._no_store("the store takes no cancellations now")
         if outcome.stored is Stored.UNKNOWN:
             return unknown_outcome("the store did not say whether the job was cancelled")
         self.owner.notify(CancelNotice(admitted.job_id))
@@ -208,6 +210,10 @@
             return reply.jobs
         return not_ready("the owner of the queue cannot be reached")
 
+    def _no_store(self, message: str) -> Refusal:
+        """Refuse a write; an instance that is cut off sends its callers elsewhere at once."""
+        return not_ready(message, RETRY_AFTER_S if self.owner.reachable else ELSEWHERE_S)
+
     async def _find(self, job_id: str) -> StateReply | Refusal:
         if JOB_ID.fullmatch(job_id) is None:
             return StateReply()
--- a/baobabhoist/control/messages.py
+++ b/baobabhoist/control/messages.py
@@ -117,6 +117,25 @@
     progress: dict[str, bytes]
 
 
+@attrs.frozen
+class StoreRow:
+    """Ask another instance to store a row that must not exist yet."""
+
+    table: str
+    part: str
+    key: str
+    value: bytes
+    within_ms: float
+
+
+@attrs.frozen
+class StoreRowReply:
+    """Give what became of the row."""
+
+    stored: str
+    version: int
+
+
 @attrs.frozen
 class NotOwner:
     """Answer a question for the owner at an instance that does not own the cell."""
@@ -142,5 +161,7 @@
         HandOverOffer,
         HandOverReply,
         HandOver,
+        StoreRow,
+        StoreRowReply,
     )
 )
--- a/baobabhoist/control/node.py
+++ b/baobabhoist/control/node.py
@@ -26,6 +26,7 @@
 )
 from baobabhoist.control.clock import SharedClock, boot_ms
 from baobabhoist.control.config import ConfigInForce
+from baobabhoist.control.contact import WatchedStore
 from baobabhoist.control.follow import TableFollower
 from baobabhoist.control.frontdesk import FrontDesk
 from baobabhoist.control.interfaces import Adviser, Decoder, WorkerDriver
@@ -96,10 +97,16 @@
         self.calls.on_claim_message = self._claim_message
         self.draining = False
         self.metrics = NodeMetrics()
+        store = WatchedStore(adapter.store, self.metrics)
+        self._contact = store.contact
+        adapter = attrs.evolve(adapter, store=store)
+        acceptor = Acceptor(store, store.contact, self.calls.store_elsewhere)
+        self.calls.acceptor = acceptor
+        self.calls.peers = lambda: list(self.server.links.values())
         self.front = FrontDesk(
             self.config,
             adapter.store,
-            Acceptor(adapter.store),
+            acceptor,
             adapter.decoder,
             self.clock,
             self.calls,
@@ -146,6 +153,7 @@
             and self.config.current is not None
             and current
             and self.calls.reachable
+            and not (self._contact.lost() and self.calls.local is not None)
         )
         if is_ready is not self._was_ready:
             self._was_ready = is_ready
--- a/baobabhoist/control/owner.py
+++ b/baobabhoist/control/owner.py
@@ -28,11 +28,13 @@
     HANDOVER_ROW,
     JOB_PARTS,
     JOBS_TABLE,
+    LEARNED_ROW,
     PROGRESS_TABLE,
     ROSTER_ROW,
     decode_job,
     decode_roster,
     decode_runs,
+    decode_speeds,
     encode_runs,
 )
 from baobabhoist.control.workers import WorkerLoop
@@ -190,9 +192,10 @@
     async def _load_once(self) -> None:
         store = self._parts.store
         jobs = [store.read(JOBS_TABLE, part) for part in JOB_PARTS]
-        progress, own, directory, *parts = await asyncio.gather(
+        progress, own, learned, directory, *parts = await asyncio.gather(
             store.read(PROGRESS_TABLE),
             store.read(CELL_TABLE),
+            store.read(LEARNED_ROW.table),
             store.read(DIRECTORY_TABLE),
             *jobs,
         )
@@ -207,9 +210,11 @@
             dict.fromkeys(earlier, free_ms) if self.ownership.generation else {},
             self._handed_over_runs(own.rows),
         )
-        self.progress.loaded({row.key: row.version for row in (*progress.rows, *own.rows)})
+        known = (*progress.rows, *own.rows, *learned.rows)
+        self.progress.loaded({row.key: row.version for row in known})
         cell = Cell(self._rules, takeover, self._parts.lease_ms)
         cell.decisions.advisers = self._parts.advice.capacity
+        self._use_learned(cell, learned.rows)
         self.cell = cell
         self._jobs_changed([row for part in parts for row in part.rows], True)
         now = boot_ms()
@@ -221,6 +226,7 @@
                 cell.board.dirty.add(job_id)
         self._directory_changed(directory.rows, True)
         cell.adopt_known_runs(now)
+        cell.announce_inherited(now)
         emit(
             log,
             Event.CELL_LOADED,
@@ -252,6 +258,14 @@
         last_ms = max(self.ownership.began_ms, self.ownership.earlier_until_ms)
         return last_ms + self._parts.lease_ms / (1.0 - CLOCK_DRIFT) + LEASE_MARGIN_MS
 
+    def _use_learned(self, cell: Cell, rows: Sequence[StoredRow]) -> None:
+        for row in rows:
+            try:
+                if row.value is not None:
+                    cell.board.speeds = decode_speeds(row.value)
+            except ValueError as exc:
+                emit(log, Event.ROW_UNREADABLE, table=row.key.table, row=row.key.key, detail=exc)
+
     def _apply_progress(self, cell: Cell, row: StoredRow, now: float) -> None:
         try:
             if row.value is not None:
--- a/baobabhoist/control/progress.py
+++ b/baobabhoist/control/progress.py
@@ -12,11 +12,13 @@
 from baobabhoist.control.rowmap import (
     BEAT_ROW,
     HANDOVER_ROW,
+    LEARNED_ROW,
     OWNER_ROW,
     ROSTER_ROW,
     cancel_row,
     encode_roster,
     encode_runs,
+    encode_speeds,
     job_row,
     progress_row,
 )
@@ -38,6 +40,8 @@
 # The store takes at most 100 entries a call: the claim, and two for each row.
 ROWS_MAX = 45
 FLUSH_TRIES = 3
+# What was learned of workers is stored with other progress, at most this often.
+LEARNED_INTERVAL_MS = 2_000.0
 HANDOVER_MAX_BYTES = 60_000
 
 
@@ -55,6 +59,7 @@
         self._roster: set[str] | None = None
         self._on_roster: Callable[[set[str]], None] = lambda workers: None
         self._beats = 0
+        self._learned_due_ms = boot_ms()
         # A write that the store carries out late must not undo a newer one, so each write
         # expects the version of every row that it replaces.
         self._versions: dict[RowKey, int] = {}
@@ -122,6 +127,9 @@
         puts = {progress_row(i): progress_rows.encode(p) for i, p in dirty.items()}
         if roster is not None:
             puts[ROSTER_ROW] = encode_roster(dict.fromkeys(roster, 0.0))
+        if boot_ms() > self._learned_due_ms and cell.board.speeds.workers:
+            self._learned_due_ms = boot_ms() + LEARNED_INTERVAL_MS
+            puts[LEARNED_ROW] = encode_speeds(cell.board.speeds)
         written = False
         try:
             written = await self._write(puts)
--- a/baobabhoist/control/rowmap.py
+++ b/baobabhoist/control/rowmap.py
@@ -11,6 +11,7 @@
 
 from baobabhoist.cell.cell import KnownRun
 from baobabhoist.cell.model import AcceptedJob, JobSpec, TaskKey
+from baobabhoist.cell.speeds import Speeds
 from baobabhoist.store.rows import RowKey
 
 CELL_TABLE = "cell"
@@ -24,6 +25,8 @@
 OWNER_ROW = RowKey(CELL_TABLE, "", "owner")
 BEAT_ROW = RowKey(CELL_TABLE, "", "beat")
 ROSTER_ROW = RowKey(CELL_TABLE, "", "roster")
+# Not in the cell's table, which every instance follows.
+LEARNED_ROW = RowKey("learned", "", "speeds")
 HANDOVER_ROW = RowKey(CELL_TABLE, "", "handover")
 
 # Jobs are spread over parts by the first hex digit of their ids.
@@ -90,6 +93,19 @@
     return [str(item) for item in body]
 
 
+def encode_speeds(speeds: Speeds) -> bytes:
+    """Return what was learned of workers and queues as the value of a row."""
+    return orjson.dumps(_converter.unstructure(speeds))
+
+
+def decode_speeds(value: bytes) -> Speeds:
+    """Return what an earlier owner learned; raises ValueError if it cannot be read."""
+    try:
+        return _converter.structure(orjson.loads(value), Speeds)
+    except Exception as exc:
+        raise ValueError(f"learned speeds: {exc}") from exc
+
+
 def encode_runs(runs: Iterable[KnownRun]) -> bytes:
     """Return a list of runs as the value of a row."""
     return orjson.dumps([[run.worker_id, run.task.text(), run.run] for run in runs])
--- a/baobabhoist/peer/link.py
+++ b/baobabhoist/peer/link.py
@@ -229,6 +229,8 @@
         for fut in self._pending.values():
             if not fut.done():
                 fut.set_exception(LinkClosedError("the connection ended before the reply"))
+                # Whoever waited may have been cancelled, and then nobody reads this.
+                fut.exception()
         self._pending.clear()
 
 
--- a/baobabhoist/platform/main.py
+++ b/baobabhoist/platform/main.py
@@ -30,6 +30,7 @@
 SETTINGS_VARIABLE = "BAOBABHOIST_SETTINGS"
 EXIT_BAD_SETTINGS = 2
 GC_THRESHOLDS = (20_000, 20, 50)
+# Refused calls are logged by the front; these would say the same again.
 QUIET_LOGGERS = ("tornado.access", "tornado.general", "websockets")
 # Of the grace time, this is kept for the end of the process.
 EXIT_RESERVE_S = 0.8
@@ -99,7 +100,7 @@
     handler.addFilter(RateFilter(EVENT_ATTRIBUTE))
     configure_logging("json", cfg.log_level, handler=handler)
     for name in QUIET_LOGGERS:
-        logging.getLogger(name).setLevel(logging.ERROR)
+        logging.getLogger(name).setLevel(logging.CRITICAL)
     emit(log, Event.DAEMON_STARTED, instance_id=cfg.instance_id, data_centre=cfg.data_centre)
     gc.freeze()
     gc.set_threshold(*GC_THRESHOLDS)
--- a/baobabhoist/platform/store.py
+++ b/baobabhoist/platform/store.py
@@ -4,10 +4,12 @@
 
 import base64
 import binascii
+import time
 from typing import Any
 from urllib.parse import urlencode
 
 from baobabhoist.platform.http import Answer, HttpCaller
+from baobabhoist.platform.patience import Patience
 from baobabhoist.store.rows import (
     HistoryLostError,
     RowKey,
@@ -33,6 +35,7 @@
     def __init__(self, http: HttpCaller, address: str) -> None:
         self._http = http
         self._address = address
+        self._patience = Patience()
 
     async def read(self, table: str, part: str = "", *, first: str = "", last: str = "") -> Rows:
         """Return the rows of a part, all pages; raises StoreError."""
@@ -73,9 +76,14 @@
             ],
             "remove": [_name(key) for key in txn.removes],
         }
+        began_s = time.monotonic()
         answer = await self._http.call(
-            "POST", self._address, "/-/rows-tx", body, timeout_s=CALL_TIMEOUT_S
+            "POST", self._address, "/-/rows-tx", body, timeout_s=self._patience.timeout_s()
         )
+        if answer.status:
+            self._patience.answered(time.monotonic() - began_s)
+        else:
+            self._patience.timed_out()
         if answer.status == CONFLICT:
             return RowsConflict(tuple(_rows(answer)))
         _check(answer)
--- a/baobabhoist/tests/test_cell_speeds.py
+++ b/baobabhoist/tests/test_cell_speeds.py
@@ -4,6 +4,7 @@
 
 from baobabhoist.cell.model import Step
 from baobabhoist.cell.speeds import Speeds
+from baobabhoist.control.rowmap import decode_speeds, encode_speeds
 from baobabhoist.tests.cells import SMALL, Rig, job
 
 SPEEDS = {"fast": 0.7, "mean": 1.0, "slow": 1.7}
@@ -55,3 +56,9 @@
     rig.accept(job("0" * 16, Step(1, SMALL, 100)))
     rig.settle()
     assert rig.running()[0][1] == "w1"
+
+
+def test_what_was_learned_outlasts_its_owner():
+    """Guard against a takeover after which short jobs meet slow workers again."""
+    speeds = learn(0.2, 30)
+    assert decode_speeds(encode_speeds(speeds)) == speeds
