Store each run before it is ordered, instead of waiting for unreached workers

Now a run is in its job's progress row before its start is sent, under the claim's version, so a new owner knows all runs and a deposed one can't order any. The roster, the hand-over list and the wait for unresolved workers are gone.

--- a/baobabhoist/cell/board.py
+++ b/baobabhoist/cell/board.py
@@ -95,6 +95,8 @@
         ticket = task.step.approvals.ticket(worker.worker_id, now)
         run = self._count(task, worker, number, RunPhase.STARTING, now)
         run.whole = not task.checkpoint
+        # The run must be stored before it is ordered, so that the next owner knows of it.
+        self.dirty.add(job.job_id)
         if job.phase is JobPhase.QUEUED:
             job.phase = JobPhase.RUNNING
         payload = job.accepted.spec.payload
--- a/baobabhoist/cell/cell.py
+++ b/baobabhoist/cell/cell.py
@@ -14,6 +14,7 @@
 from baobabhoist.cell.ends import Ends
 from baobabhoist.cell.jobs import JobState, StepState, chain_ms
 from baobabhoist.cell.model import (
+    NO_ROOM,
     AcceptedJob,
     CellRules,
     Command,
@@ -22,7 +23,6 @@
     StartTask,
     StepKey,
     StopTask,
-    TaskKey,
     WorkerInfo,
     WorkerReport,
 )
@@ -35,31 +35,17 @@
 log = logging.getLogger(__name__)
 
 
-@attrs.frozen
-class KnownRun:
-    """Name a run that an earlier owner had not seen the end of."""
-
-    worker_id: str
-    task: TaskKey
-    run: int
-
-
 @attrs.frozen
 class Takeover:
-    """State what a new owner must wait for.
+    """State what a new owner knows of the earlier ones.
 
-    `generation` counts the owners of the cell, `claim_version` is the store's version of the
-    claim. Until `starts_from_ms` an earlier owner may still order runs on workers that do not
-    obey the new one yet. `unresolved` maps the workers that may run something to when their
-    leases have lapsed for certain. `known_runs` is complete if the earlier owner handed the
-    cell over, and None if it did not.
+    `generation` counts the owners of the cell and `claim_version` is the store's version of the
+    claim. From `lapsed_ms` on, nothing runs any more on a worker that was never heard.
     """
 
     generation: int
     claim_version: int
-    starts_from_ms: float = 0.0
-    unresolved: dict[str, float] = attrs.Factory(dict)
-    known_runs: tuple[KnownRun, ...] | None = None
+    lapsed_ms: float = 0.0
 
 
 class Cell:
@@ -71,8 +57,6 @@
         self.decisions = Decisions(self.board)
         self._takeover = takeover
         self._lease_ms = lease_ms
-        # With a complete list of runs nothing else can run anywhere.
-        self._unresolved = dict(takeover.unresolved) if takeover.known_runs is None else {}
         self._ends = Ends(self.board)
         self._reports = Reports(self.board, self._ends)
         self._upkeep = Upkeep(self.board, self._ends)
@@ -101,6 +85,29 @@
             self._announce(job, now)
         return True
 
+    def _adopt_stored_runs(self, job: JobState, progress: Progress, now: float) -> None:
+        """Count the runs that an earlier owner ordered, before any worker has reported."""
+        for saved in progress.steps:
+            step = job.steps.get((saved.occurrence, saved.step))
+            for index, stored in saved.runs.items():
+                task = step.tasks[index] if step is not None else None
+                if task is None or task.run is not None:
+                    continue
+                worker = self._worker_for(stored.worker_id, now)
+                run = self.board.adopt(task, worker, stored.number, now)
+                if job.final:
+                    self.board.stop(run, now)
+
+    def _worker_for(self, worker_id: str, now: float) -> WorkerState:
+        """Return a worker, or a placeholder for one that the directory does not list."""
+        worker = self.board.workers.get(worker_id)
+        if worker is None:
+            info = WorkerInfo(worker_id, "", "", "", NO_ROOM, ())
+            worker = WorkerState(info, Lease(self._lease_ms), listed=False, unlisted_ms=now)
+            self.board.workers[worker_id] = worker
+        worker.unheard_lapse_ms = self._takeover.lapsed_ms
+        return worker
+
     def announce_inherited(self, now: float) -> None:
         """Log the unfinished jobs that were taken over, once their progress is known."""
         for job in self.board.jobs.values():
@@ -128,9 +135,14 @@
         job = self.board.jobs.get(job_id)
         if job is None:
             return
+        cancelled = job.phase is JobPhase.CANCELLED
         progress_rows.apply(job, progress)
+        if cancelled:
+            # The cancellation has a row of its own, which may be newer than the progress.
+            job.phase = JobPhase.CANCELLED
         if job.final:
             job.ended_ms = now
+        self._adopt_stored_runs(job, progress, now)
         self.board.refresh_ready(job, now)
         if not job.final and job.all_done():
             self.board.finish(job, JobPhase.COMPLETED, now, "all tasks are done")
@@ -155,25 +167,6 @@
             if job.accepted.queue == queue and job.phase is JobPhase.QUEUED
         )
 
-    def adopt_known_runs(self, now: float) -> None:
-        """Count the runs that an earlier owner handed over, before any worker has reported."""
-        for known in self._takeover.known_runs or ():
-            worker = self.board.workers.get(known.worker_id)
-            job = self.board.jobs.get(known.task.job_id)
-            task = job.task_of(known.task) if job is not None else None
-            if worker is None or task is None or task.run is not None:
-                continue
-            self.board.adopt(task, worker, known.run, now)
-            worker.unheard_lapse_ms = self._takeover.unresolved.get(known.worker_id, now)
-
-    def open_runs(self) -> tuple[KnownRun, ...]:
-        """Return every run whose end this owner has not seen."""
-        return tuple(
-            KnownRun(worker.worker_id, run.task.key, run.number)
-            for worker in self.board.workers.values()
-            for run in worker.runs.values()
-        )
-
     def forget_job(self, job_id: str) -> None:
         """Drop a finished job."""
         job = self.board.jobs.pop(job_id, None)
@@ -224,13 +217,18 @@
         if worker is None:
             return
         self._reports.reported(worker, report, sent_ms, now)
-        self._unresolved.pop(worker_id, None)
 
     def start_answered(self, order: StartTask, outcome: OrderOutcome, now: float) -> None:
         """Take the answer to a start."""
         self._note_fence(outcome)
         self._reports.start_answered(order, outcome, now)
 
+    def still_wanted(self, order: StartTask) -> bool:
+        """Tell whether a start that waited to be stored should still be sent."""
+        worker = self.board.workers.get(order.worker_id)
+        run = worker.runs.get(order.task) if worker is not None else None
+        return run is not None and run.number == order.run and not run.stop_sent_ms
+
     def stop_answered(self, order: StopTask, outcome: OrderOutcome, now: float) -> None:
         """Take the answer to a stop."""
         self._note_fence(outcome)
@@ -276,23 +274,13 @@
 
     # Time and decisions.
 
-    def resolved(self, now: float) -> bool:
-        """Tell whether every run of earlier owners is accounted for."""
-        for worker_id, free_ms in list(self._unresolved.items()):
-            if now > free_ms:
-                emit(log, Event.WORKER_WAITED_OUT, worker=worker_id)
-                del self._unresolved[worker_id]
-        return not self._unresolved
-
     def tick(self, now: float, unix_ms: float) -> None:
         """Do what time alone brings."""
-        self._upkeep.tick(now, unix_ms, self.resolved(now))
+        self._upkeep.tick(now, unix_ms)
 
     def decide(self, now: float, may_start: bool) -> list[Command]:
         """Decide, and return all commands since the last call."""
-        resolved = self.resolved(now)
-        alone = resolved or now >= self._takeover.starts_from_ms
-        self.decisions.decide(now, may_start and alone and not self.fenced_off, resolved)
+        self.decisions.decide(now, may_start and not self.fenced_off)
         commands, self.board.commands = self.board.commands, []
         return commands
 
--- a/baobabhoist/cell/decide.py
+++ b/baobabhoist/cell/decide.py
@@ -38,14 +38,14 @@
     asking: int = 0
     holds: Holds = attrs.Factory(Holds)
 
-    def decide(self, now: float, may_start: bool, resolved: bool) -> None:
-        """Start what fits; inherited jobs wait until every earlier run is accounted for."""
+    def decide(self, now: float, may_start: bool) -> None:
+        """Start what fits, and ask for advice on what waits."""
         waiting = [step for step in self.board.ready.values() if step.idle]
         ranked = sorted(waiting, key=lambda s: rank_of(s, self._queue(s), now))
         usable = [w for w in self.board.workers.values() if w.usable(now)]
         self.holds.begin()
         for position, step in enumerate(ranked):
-            if may_start and (resolved or not step.job.inherited):
+            if may_start:
                 self._place(step, usable, now)
             if step.idle:
                 self._ask(step, position, now)
--- a/baobabhoist/cell/progress.py
+++ b/baobabhoist/cell/progress.py
@@ -11,15 +11,24 @@
 from baobabhoist.cell.model import JobPhase
 
 
+@attrs.frozen
+class StoredRun:
+    """Name a run that was ordered, or is about to be, and whose end is not known."""
+
+    number: int
+    worker_id: str
+
+
 @attrs.frozen
 class StepProgress:
-    """Hold what lasts of one step: tasks done, failed runs and checkpoints by index."""
+    """Hold what lasts of one step: tasks done, failed runs, checkpoints and runs by index."""
 
     occurrence: int
     step: int
     done: tuple[int, ...] = ()
     failed: dict[int, tuple[int, ...]] = attrs.Factory(dict)
     checkpoints: dict[int, str] = attrs.Factory(dict)
+    runs: dict[int, StoredRun] = attrs.Factory(dict)
 
 
 @attrs.frozen
@@ -39,15 +48,27 @@
         done = tuple(task.index for task in step.tasks if task.done)
         failed = {t.index: tuple(sorted(t.failed_runs)) for t in step.tasks if t.failed_runs}
         saved = {t.index: t.checkpoint for t in step.tasks if t.checkpoint and not t.done}
-        if done or failed or saved:
-            found.append(StepProgress(occurrence, number, done, failed, saved))
+        runs = {
+            task.index: StoredRun(task.run.number, task.run.worker_id)
+            for task in step.tasks
+            if task.run is not None
+        }
+        if done or failed or saved or runs:
+            found.append(StepProgress(occurrence, number, done, failed, saved, runs))
     return Progress(job.phase, tuple(found))
 
 
 def encode(progress: Progress) -> bytes:
     """Return a progress as the value of a row."""
     steps = [
-        [s.occurrence, s.step, s.done, _by_text(s.failed), _by_text(s.checkpoints)]
+        [
+            s.occurrence,
+            s.step,
+            s.done,
+            _by_text(s.failed),
+            _by_text(s.checkpoints),
+            {str(index): [run.number, run.worker_id] for index, run in s.runs.items()},
+        ]
         for s in progress.steps
     ]
     return orjson.dumps({"phase": progress.phase.value, "steps": steps})
@@ -64,8 +85,9 @@
                 tuple(int(index) for index in done),
                 {int(k): tuple(int(run) for run in v) for k, v in failed.items()},
                 {int(k): str(v) for k, v in saved.items()},
+                {int(k): StoredRun(int(run), str(worker)) for k, (run, worker) in runs.items()},
             )
-            for occurrence, step, done, failed, saved in body["steps"]
+            for occurrence, step, done, failed, saved, runs in body["steps"]
         )
         return Progress(JobPhase(body["phase"]), steps)
     except (KeyError, TypeError, AttributeError, orjson.JSONDecodeError) as exc:
--- a/baobabhoist/cell/upkeep.py
+++ b/baobabhoist/cell/upkeep.py
@@ -26,14 +26,13 @@
         self._board = board
         self._ends = ends
 
-    def tick(self, now: float, unix_ms: float, resolved: bool) -> None:
+    def tick(self, now: float, unix_ms: float) -> None:
         """Do what is due."""
         for worker in list(self._board.workers.values()):
             self._check_lease(worker, now)
             for run in list(worker.runs.values()):
                 self._check_run(worker, run, now)
-        if resolved:
-            self._repair_gangs(now)
+        self._repair_gangs(now)
         self._open_occurrences(now, unix_ms)
 
     def _check_lease(self, worker: WorkerState, now: float) -> None:
--- a/baobabhoist/control/messages.py
+++ b/baobabhoist/control/messages.py
@@ -109,11 +109,10 @@
 class HandOver:
     """Give the cell up: nothing is ordered any more under the claim of this version.
 
-    `runs` is the list of open runs and `progress` what is not stored yet, by job.
+    `progress` is what is not stored yet, by job.
     """
 
     claim_version: int
-    runs: bytes
     progress: dict[str, bytes]
 
 
--- a/baobabhoist/control/node.py
+++ b/baobabhoist/control/node.py
@@ -57,10 +57,10 @@
 
 CLAIM_CHECK_S = 0.1
 # Instances that would claim at the same moment are spread over this time.
-CLAIM_SPREAD_S = 0.08
+CLAIM_SPREAD_S = 0.06
 # A smaller machine waits this much longer for each core that it lacks.
-CLAIM_SIZE_STEP_S = 0.1
-LARGEST_CORES = 4.0
+CLAIM_SIZE_STEP_S = 0.05
+LARGEST_CORES = 2.0
 # Without a reading of the claim for this long its age says nothing about the owner.
 CLAIM_GAP_MS = 1_800.0
 # An owner that the store has not heard for this long looks for one that it hears.
@@ -276,9 +276,7 @@
 
     def _claim_delay_s(self) -> float:
         size = max(0.0, LARGEST_CORES - self.cfg.cores) * CLAIM_SIZE_STEP_S
-        if self.cfg.cores >= LARGEST_CORES:
-            size = 0.0
-        return min(size, 0.3) + random.random() * CLAIM_SPREAD_S
+        return size + random.random() * CLAIM_SPREAD_S
 
     async def _take(self, reason: ClaimReason, handed_over: HandOver | None = None) -> None:
         generation = self._claim.generation + 1 if self._claim is not None else 0
@@ -287,23 +285,22 @@
         expected = {OWNER_ROW: self._claim_version}
         if reason not in EARLIER_OWNER_STOPPED and self._beat_version:
             expected[BEAT_ROW] = self._beat_version
-        before = self._claim_version
         txn = RowsTxn(expected, {OWNER_ROW: encode_claim(claim)})
         try:
             outcome = await self._adapter.store.commit(txn)
         except StoreError as exc:
             # If the claim was written, the table's changes bring it.
             emit(log, Event.CLAIM_FAILED, reason=reason.value, detail=exc)
-            await self._adopt_own_claim(claim, reason, before, handed_over)
+            await self._adopt_own_claim(claim, reason, handed_over)
             return
         if isinstance(outcome, RowsConflict):
             for row in outcome.rows:
                 self._cell_changed([row], False)
             return
-        self._won(claim, outcome.version, reason, before, handed_over)
+        self._won(claim, outcome.version, reason, handed_over)
 
     async def _adopt_own_claim(
-        self, claim: ClaimRow, reason: ClaimReason, before: int, handed_over: HandOver | None
+        self, claim: ClaimRow, reason: ClaimReason, handed_over: HandOver | None
     ) -> None:
         """Find out whether a claim without an answer was written."""
         try:
@@ -313,14 +310,13 @@
             return
         for row in rows.rows:
             if row.key == OWNER_ROW and row.value == encode_claim(claim):
-                self._won(claim, row.version, reason, before, handed_over)
+                self._won(claim, row.version, reason, handed_over)
 
     def _won(
         self,
         claim: ClaimRow,
         version: int,
         reason: ClaimReason,
-        before: int,
         handed_over: HandOver | None,
     ) -> None:
         if self.calls.local is not None:
@@ -331,7 +327,7 @@
         until = now
         if reason not in EARLIER_OWNER_STOPPED:
             until = max(now, self._beat_changed_ms + CONFIRMED_MS)
-        ownership = Ownership(version, claim.generation, now, until, before, handed_over)
+        ownership = Ownership(version, claim.generation, now, until, handed_over)
         emit(
             log,
             Event.CLAIM_WON,
--- a/baobabhoist/control/owner.py
+++ b/baobabhoist/control/owner.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import functools
 import logging
 import time
 from collections.abc import Callable, Coroutine, Sequence
@@ -11,7 +12,7 @@
 import attrs
 
 from baobabhoist.cell import progress as progress_rows
-from baobabhoist.cell.cell import Cell, KnownRun, Takeover
+from baobabhoist.cell.cell import Cell, Takeover
 from baobabhoist.cell.model import AskAdvice, CellRules, Command, StartTask, StopTask
 from baobabhoist.cell.workers import CLOCK_DRIFT, LEASE_MARGIN_MS
 from baobabhoist.control.advice import AdviceDesk
@@ -25,17 +26,12 @@
     CANCEL_SUFFIX,
     CELL_TABLE,
     DIRECTORY_TABLE,
-    HANDOVER_ROW,
     JOB_PARTS,
     JOBS_TABLE,
     LEARNED_ROW,
     PROGRESS_TABLE,
-    ROSTER_ROW,
     decode_job,
-    decode_roster,
-    decode_runs,
     decode_speeds,
-    encode_runs,
 )
 from baobabhoist.control.workers import WorkerLoop
 from baobabhoist.observability.events import Event, emit
@@ -56,15 +52,14 @@
     """Hold a won claim.
 
     `token` fences the workers; `began_ms` is when the claim was won and `earlier_until_ms`
-    until when an earlier owner may still order runs, on the local clock. `claim_before` is the
-    version of the claim before this one, and `handed_over` what its owner sent, if it did.
+    until when an earlier owner may still renew leases, on the local clock. `handed_over` is what
+    the earlier owner sent, if it did.
     """
 
     token: int
     generation: int
     began_ms: float
     earlier_until_ms: float
-    claim_before: int = 0
     handed_over: HandOver | None = None
 
 
@@ -99,7 +94,6 @@
         self._tasks: set[asyncio.Task[None]] = set()
         self._loops: dict[str, WorkerLoop] = {}
         self._kicked = False
-        self._roster: set[str] = set()
         self._deposed_told = False
         self._ticks = 0
 
@@ -133,7 +127,7 @@
         self.stop()
         cell = self._require_cell()
         progress = {i: progress_rows.encode(p) for i, p in cell.take_dirty().items()}
-        return HandOver(self.ownership.token, encode_runs(cell.open_runs()), progress)
+        return HandOver(self.ownership.token, progress)
 
     def use_rules(self, rules: CellRules) -> None:
         """Use these queues and teams from now on."""
@@ -199,16 +193,8 @@
             store.read(DIRECTORY_TABLE),
             *jobs,
         )
-        roster = next((r.value for r in own.rows if r.key == ROSTER_ROW), None)
-        earlier = set(decode_roster(roster)) if roster is not None else set()
-        self._roster = set(earlier)
-        free_ms = self._leases_lapsed_ms()
         takeover = Takeover(
-            self.ownership.generation,
-            self.ownership.token,
-            self.ownership.earlier_until_ms,
-            dict.fromkeys(earlier, free_ms) if self.ownership.generation else {},
-            self._handed_over_runs(own.rows),
+            self.ownership.generation, self.ownership.token, self._leases_lapsed_ms()
         )
         known = (*progress.rows, *own.rows, *learned.rows)
         self.progress.loaded({row.key: row.version for row in known})
@@ -216,6 +202,7 @@
         cell.decisions.advisers = self._parts.advice.capacity
         self._use_learned(cell, learned.rows)
         self.cell = cell
+        self._directory_changed(directory.rows, True)
         self._jobs_changed([row for part in parts for row in part.rows], True)
         now = boot_ms()
         for row in progress.rows:
@@ -224,35 +211,18 @@
             for job_id, value in self.ownership.handed_over.progress.items():
                 cell.progress_loaded(job_id, progress_rows.decode(value), now)
                 cell.board.dirty.add(job_id)
-        self._directory_changed(directory.rows, True)
-        cell.adopt_known_runs(now)
         cell.announce_inherited(now)
         emit(
             log,
             Event.CELL_LOADED,
             jobs=len(cell.board.jobs),
             workers=len(cell.board.workers),
-            unresolved=len(takeover.unresolved),
-            known_runs=-1 if takeover.known_runs is None else len(takeover.known_runs),
+            runs=sum(len(worker.runs) for worker in cell.board.workers.values()),
             token=self.ownership.token,
             took_ms=round(now - self.ownership.began_ms),
         )
         self._parts.metrics.took_over((now - self.ownership.began_ms) / 1000)
 
-    def _handed_over_runs(self, rows: Sequence[StoredRow]) -> tuple[KnownRun, ...] | None:
-        """Return the complete list of open runs if the earlier owner gave one."""
-        if self.ownership.handed_over is not None:
-            return decode_runs(self.ownership.handed_over.runs)
-        for row in rows:
-            # The list was written together with the release of the claim before this one.
-            if (
-                row.key == HANDOVER_ROW
-                and row.value
-                and row.version == self.ownership.claim_before
-            ):
-                return decode_runs(row.value)
-        return None
-
     def _leases_lapsed_ms(self) -> float:
         """Return when every lease that earlier owners gave has lapsed for certain."""
         last_ms = max(self.ownership.began_ms, self.ownership.earlier_until_ms)
@@ -317,19 +287,11 @@
         for worker_id in list(self._loops):
             if worker_id not in workers:
                 self._loops.pop(worker_id).cancel()
-        missing = set(workers) - self._roster
-        if missing or (self._roster - set(workers)):
-            self.progress.want_roster(set(workers), self._rostered)
-        for worker_id in self._roster & set(workers):
-            self._open_loop(worker_id)
+        for worker_id, worker in workers.items():
+            if worker.info.address:
+                self._open_loop(worker_id)
         self.kick()
 
-    def _rostered(self, workers: set[str]) -> None:
-        """Use the workers that the stored roster names."""
-        self._roster = workers
-        for worker_id in workers & set(self._require_cell().board.workers):
-            self._open_loop(worker_id)
-
     def _open_loop(self, worker_id: str) -> None:
         if worker_id in self._loops:
             return
@@ -363,19 +325,26 @@
         commands = cell.decide(boot_ms(), self._parts.may_start())
         self._parts.metrics.decided(time.perf_counter() - began_s)
         for command in commands:
-            self.spawn(self._ORDERS[type(command)](self, command))
+            if isinstance(command, StartTask):
+                self.progress.when_stored(functools.partial(self._send, command))
+            else:
+                self._send(command)
         if cell.board.dirty:
             self.progress.wake()
 
+    def _send(self, command: Command) -> None:
+        self.spawn(self._ORDERS[type(command)](self, command))
+
     async def _start(self, order: StartTask) -> None:
         loop = self._loops.get(order.worker_id)
-        if loop is not None:
+        cell = self._require_cell()
+        if loop is not None and cell.still_wanted(order):
             self._observe_start(order)
             sent_ms = boot_ms()
             outcome = await loop.start_task(order)
             seconds = (boot_ms() - sent_ms) / 1000
             self._parts.metrics.worker_called("start", outcome.value, seconds)
-            self._require_cell().start_answered(order, outcome, boot_ms())
+            cell.start_answered(order, outcome, boot_ms())
             self.kick()
 
     def _observe_start(self, order: StartTask) -> None:
--- a/baobabhoist/control/progress.py
+++ b/baobabhoist/control/progress.py
@@ -1,4 +1,4 @@
-"""Store progress before workers may forget the ends that it is made of."""
+"""Store runs before they are ordered, and ends before their workers may forget them."""
 
 from __future__ import annotations
 
@@ -11,13 +11,9 @@
 from baobabhoist.control.clock import boot_ms
 from baobabhoist.control.rowmap import (
     BEAT_ROW,
-    HANDOVER_ROW,
     LEARNED_ROW,
     OWNER_ROW,
-    ROSTER_ROW,
     cancel_row,
-    encode_roster,
-    encode_runs,
     encode_speeds,
     job_row,
     progress_row,
@@ -34,15 +30,14 @@
 
 log = logging.getLogger(__name__)
 
-# Ends of this time go into one write.
-BATCH_S = 0.03
+# Starts and ends of this time go into one write.
+BATCH_S = 0.015
 RETRY_S = 0.15
 # The store takes at most 100 entries a call: the claim, and two for each row.
 ROWS_MAX = 45
 FLUSH_TRIES = 3
 # What was learned of workers is stored with other progress, at most this often.
 LEARNED_INTERVAL_MS = 2_000.0
-HANDOVER_MAX_BYTES = 60_000
 
 
 class ProgressWriter:
@@ -56,8 +51,8 @@
         self._token = token
         self._on_deposed = on_deposed
         self._wake = asyncio.Event()
-        self._roster: set[str] | None = None
-        self._on_roster: Callable[[set[str]], None] = lambda workers: None
+        # What may be sent once the progress that it belongs to is stored.
+        self._unsent: list[Callable[[], None]] = []
         self._beats = 0
         self._learned_due_ms = boot_ms()
         # A write that the store carries out late must not undo a newer one, so each write
@@ -72,9 +67,9 @@
         """Write soon."""
         self._wake.set()
 
-    def want_roster(self, workers: set[str], on_stored: Callable[[set[str]], None]) -> None:
-        """Store which workers may run something, then call back."""
-        self._roster, self._on_roster = workers, on_stored
+    def when_stored(self, send: Callable[[], None]) -> None:
+        """Call back once the progress of this moment is stored."""
+        self._unsent.append(send)
         self._wake.set()
 
     async def run(self, cell: Cell) -> None:
@@ -94,14 +89,10 @@
         return await self._commit({BEAT_ROW: value}, {}) is not None
 
     async def release(self, claim: bytes, cell: Cell | None) -> bool:
-        """Give the claim up, with the runs that go on; tell whether that is stored."""
-        puts = {OWNER_ROW: claim}
-        if cell is not None and await self._flush_all(cell):
-            runs = encode_runs(cell.open_runs())
-            # Without the list the next owner waits until all leases have lapsed.
-            if len(runs) <= HANDOVER_MAX_BYTES:
-                puts[HANDOVER_ROW] = runs
-        return await self._commit(puts, {}) is not None
+        """Give the claim up after storing all progress; tell whether that is stored."""
+        if cell is not None:
+            await self._flush_all(cell)
+        return await self._commit({OWNER_ROW: claim}, {}) is not None
 
     async def remove_job(self, job_id: str) -> None:
         """Remove the rows of a job that nobody asks for any more."""
@@ -123,10 +114,8 @@
         seen = cell.seen_ends()
         lifetimes = {w.worker_id: w.born_ms for w in cell.board.workers.values()}
         dirty = cell.take_dirty()
-        roster, on_roster, self._roster = self._roster, self._on_roster, None
+        unsent, self._unsent = self._unsent, []
         puts = {progress_row(i): progress_rows.encode(p) for i, p in dirty.items()}
-        if roster is not None:
-            puts[ROSTER_ROW] = encode_roster(dict.fromkeys(roster, 0.0))
         if boot_ms() > self._learned_due_ms and cell.board.speeds.workers:
             self._learned_due_ms = boot_ms() + LEARNED_INTERVAL_MS
             puts[LEARNED_ROW] = encode_speeds(cell.board.speeds)
@@ -137,11 +126,11 @@
             # Also when this task is cancelled, because another one then writes the rest.
             if not written:
                 cell.board.dirty.update(dirty)
-                self._roster = self._roster if self._roster is not None else roster
+                self._unsent = unsent + self._unsent
         if not written:
             return False
-        if roster is not None:
-            on_roster(roster)
+        for send in unsent:
+            send()
         self._acknowledge(cell, seen, lifetimes)
         return True
 
--- a/baobabhoist/control/rowmap.py
+++ b/baobabhoist/control/rowmap.py
@@ -2,15 +2,13 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
 from typing import Any
 
 import attrs
 import cattrs
 import orjson
 
-from baobabhoist.cell.cell import KnownRun
-from baobabhoist.cell.model import AcceptedJob, JobSpec, TaskKey
+from baobabhoist.cell.model import AcceptedJob, JobSpec
 from baobabhoist.cell.speeds import Speeds
 from baobabhoist.store.rows import RowKey
 
@@ -24,10 +22,8 @@
 
 OWNER_ROW = RowKey(CELL_TABLE, "", "owner")
 BEAT_ROW = RowKey(CELL_TABLE, "", "beat")
-ROSTER_ROW = RowKey(CELL_TABLE, "", "roster")
 # Not in the cell's table, which every instance follows.
 LEARNED_ROW = RowKey("learned", "", "speeds")
-HANDOVER_ROW = RowKey(CELL_TABLE, "", "handover")
 
 # Jobs are spread over parts by the first hex digit of their ids.
 JOB_PARTS = tuple("0123456789abcdef")
@@ -80,19 +76,6 @@
     )
 
 
-def encode_roster(workers: dict[str, float]) -> bytes:
-    """Return the value of the roster: the workers that may run something."""
-    return orjson.dumps(sorted(workers))
-
-
-def decode_roster(value: bytes) -> list[str]:
-    """Return the workers of a roster; an unreadable one raises ValueError."""
-    body = orjson.loads(value)
-    if not isinstance(body, list):
-        raise ValueError("the roster is not a list")
-    return [str(item) for item in body]
-
-
 def encode_speeds(speeds: Speeds) -> bytes:
     """Return what was learned of workers and queues as the value of a row."""
     return orjson.dumps(_converter.unstructure(speeds))
@@ -106,22 +89,6 @@
         raise ValueError(f"learned speeds: {exc}") from exc
 
 
-def encode_runs(runs: Iterable[KnownRun]) -> bytes:
-    """Return a list of runs as the value of a row."""
-    return orjson.dumps([[run.worker_id, run.task.text(), run.run] for run in runs])
-
-
-def decode_runs(value: bytes) -> tuple[KnownRun, ...]:
-    """Return the runs in a row; raises ValueError if one cannot be read."""
-    found = []
-    for worker_id, text, number in orjson.loads(value):
-        task = TaskKey.parse(text)
-        if task is None:
-            raise ValueError(f"{text!r} names no task")
-        found.append(KnownRun(worker_id, task, int(number)))
-    return tuple(found)
-
-
 def _without_defaults(step: Any) -> dict[str, Any]:
     fields = attrs.fields(type(step))
     body = _converter.unstructure(step)
