Offer a silent worker no longer lease

Ruled out: gang repair (the other members had ended as broken). Test: test_a_silent_worker_is_not_offered_a_longer_lease failed before.

--- a/baobabhoist/control/workers.py
+++ b/baobabhoist/control/workers.py
@@ -87,8 +87,9 @@
             return False
         behind = state.seen_end > state.acked_end
         wait_ms = WAIT_MS if state.fenced and self._answering and not behind else 0
-        # Until the first answer the worker's clock is unknown, and so is any deadline.
-        deadline = self._deadline() if self._may_extend() else None
+        # A silent worker is offered no longer lease: its tasks wait for the end of the last one.
+        may_extend = self._answering and self._owner.may_renew()
+        deadline = self._deadline() if may_extend else None
         sent_ms = boot_ms()
         token = self._owner.ownership.token
         answer = await self._driver.renew(state.info, token, state.acked_end, deadline, wait_ms)
@@ -102,9 +103,6 @@
             await self._wait_for_ack()
         return True
 
-    def _may_extend(self) -> bool:
-        return self._owner.may_renew()
-
     async def _wait_for_ack(self) -> None:
         self._owner.progress.wake()
         self.acked.clear()
