Reach the store through a peer while only this instance has lost it

A relayed write without an answer counts as unknown; a silent link rests; a peer that has lost the store too refuses.

--- a/baobabhoist/control/accept.py
+++ b/baobabhoist/control/accept.py
@@ -1,11 +1,10 @@
-"""Store accepted jobs and cancellations, here or through another instance."""
+"""Store accepted jobs and cancellations, and find out what became of lost answers."""
 
 from __future__ import annotations
 
 import asyncio
 import enum
 import logging
-from collections.abc import Awaitable, Callable
 
 import attrs
 
@@ -27,7 +26,7 @@
 log = logging.getLogger(__name__)
 
 RETRY_S = 0.06
-# A write that the store refuses is tried here for this long before another instance is asked.
+# A write that is refused is tried again for this long before its caller is told.
 REFUSED_MAX_MS = 150.0
 # A write without an answer is tried again for this long while the store answers nothing else.
 SILENT_MAX_MS = 700.0
@@ -53,38 +52,23 @@
     version: int = 0
 
 
-Elsewhere = Callable[[RowKey, bytes, float], Awaitable[StoreOutcome]]
-
-
 class Acceptor:
     """Write rows that must not exist yet; a repeated write reads back a lost answer."""
 
-    def __init__(
-        self, store: RowStore, contact: Contact, elsewhere: Elsewhere | None = None
-    ) -> None:
+    def __init__(self, store: RowStore, contact: Contact) -> None:
         self._store = store
         self._contact = contact
-        self._elsewhere = elsewhere
 
     async def store_job(self, job_id: str, value: bytes, give_up_ms: float) -> StoreOutcome:
         """Store a job unless it is there already."""
-        return await self._put_anywhere(job_row(job_id), value, give_up_ms)
+        return await self._put_new(job_row(job_id), value, give_up_ms)
 
     async def store_cancel(self, job_id: str, give_up_ms: float) -> StoreOutcome:
         """Store that a job is cancelled."""
-        return await self._put_anywhere(cancel_row(job_id), b"{}", give_up_ms)
-
-    async def _put_anywhere(self, key: RowKey, value: bytes, give_up_ms: float) -> StoreOutcome:
-        outcome = StoreOutcome(Stored.REFUSED)
-        # Nothing is sent to a store that did not answer last, so this refusal is true.
-        if not self._contact.lost():
-            outcome = await self.put_here(key, value, give_up_ms)
-        if outcome.stored is Stored.REFUSED and self._elsewhere is not None:
-            outcome = await self._elsewhere(key, value, give_up_ms)
-        return outcome
-
-    async def put_here(self, key: RowKey, value: bytes, give_up_ms: float) -> StoreOutcome:
-        """Store a row through this instance's own connection."""
+        return await self._put_new(cancel_row(job_id), b"{}", give_up_ms)
+
+    async def _put_new(self, key: RowKey, value: bytes, give_up_ms: float) -> StoreOutcome:
+        """Store a row that must not be there yet."""
         txn = RowsTxn({key: 0}, {key: value})
         begun_ms = boot_ms()
         doubtful = False
--- a/baobabhoist/control/contact.py
+++ b/baobabhoist/control/contact.py
@@ -34,6 +34,10 @@
         """Tell whether the last call had no use: the next one would most likely fail too."""
         return self.failed_ms > self.answered_ms
 
+    def lost_for(self, ms: float) -> bool:
+        """Tell whether the store has been out of reach for a time."""
+        return self.lost() and boot_ms() - self.answered_ms > ms
+
 
 class WatchedStore:
     """Pass calls to a store, and note how each one went."""
--- a/baobabhoist/control/messages.py
+++ b/baobabhoist/control/messages.py
@@ -92,47 +92,72 @@
 
 
 @attrs.frozen
-class HandOverOffer:
-    """Ask another instance whether it reaches the store and would take the cell."""
+class WireRow:
+    """Carry a row; `version` is the expected or the present one, 0 for an absent row."""
 
-    node: str
+    table: str
+    part: str
+    key: str
+    value: bytes | None
+    version: int
 
 
 @attrs.frozen
-class HandOverReply:
-    """Say whether the cell would be taken."""
+class RelayCommit:
+    """Ask another instance to apply a transaction to the store."""
 
-    willing: bool
+    expected: tuple[WireRow, ...]
+    puts: tuple[WireRow, ...]
+    removes: tuple[WireRow, ...]
+    hops: int = 0
 
 
 @attrs.frozen
-class HandOver:
-    """Give the cell up: nothing is ordered any more under the claim of this version.
+class RelayRead:
+    """Ask another instance to read rows of the store."""
 
-    `progress` is what is not stored yet, by job.
-    """
-
-    claim_version: int
-    progress: dict[str, bytes]
+    table: str
+    part: str
+    first: str
+    last: str
+    hops: int = 0
 
 
 @attrs.frozen
-class StoreRow:
-    """Ask another instance to store a row that must not exist yet."""
+class RelayFollow:
+    """Ask another instance for the changes of a table."""
 
     table: str
-    part: str
-    key: str
-    value: bytes
-    within_ms: float
+    after: int
+    wait_ms: int
+    hops: int = 0
+
+
+@attrs.frozen
+class RelayedCommit:
+    """Give what became of a relayed transaction; `rows` are those in conflict."""
+
+    committed: bool
+    version: int
+    now_ms: int
+    rows: tuple[WireRow, ...]
 
 
 @attrs.frozen
-class StoreRowReply:
-    """Give what became of the row."""
+class RelayedRows:
+    """Give rows of the store as of one moment."""
 
-    stored: str
+    rows: tuple[WireRow, ...]
     version: int
+    now_ms: int
+
+
+@attrs.frozen
+class RelayFailed:
+    """Say how a relayed call failed: `refused`, `unanswered` or `history_lost`."""
+
+    kind: str
+    detail: str
 
 
 @attrs.frozen
@@ -157,10 +182,11 @@
         AdviceQuery,
         AdviceReply,
         NotOwner,
-        HandOverOffer,
-        HandOverReply,
-        HandOver,
-        StoreRow,
-        StoreRowReply,
+        RelayCommit,
+        RelayRead,
+        RelayFollow,
+        RelayedCommit,
+        RelayedRows,
+        RelayFailed,
     )
 )
--- a/baobabhoist/control/node.py
+++ b/baobabhoist/control/node.py
@@ -6,8 +6,7 @@
 import logging
 import random
 import secrets
-from collections.abc import Coroutine, Sequence
-from typing import Any
+from collections.abc import Sequence
 
 import attrs
 
@@ -31,10 +30,10 @@
 from baobabhoist.control.frontdesk import FrontDesk
 from baobabhoist.control.interfaces import Adviser, Decoder, WorkerDriver
 from baobabhoist.control.links import Identity, LinkServer, OwnerLink
-from baobabhoist.control.messages import HandOver, HandOverOffer, HandOverReply
 from baobabhoist.control.metrics import NodeMetrics
 from baobabhoist.control.owner import CellOwner, OwnerParts, Ownership
 from baobabhoist.control.owners import OwnerCalls
+from baobabhoist.control.relay import Peers, RelayedStore
 from baobabhoist.control.rowmap import (
     BEAT_ROW,
     CELL_TABLE,
@@ -43,8 +42,8 @@
     OWNER_ROW,
 )
 from baobabhoist.control.settings import NodeSettings
-from baobabhoist.errors import LinkClosedError
 from baobabhoist.observability.events import Event, emit
+from baobabhoist.peer.link import Link
 from baobabhoist.store.rows import (
     RowsConflict,
     RowStore,
@@ -63,11 +62,10 @@
 LARGEST_CORES = 2.0
 # Without a reading of the claim for this long its age says nothing about the owner.
 CLAIM_GAP_MS = 1_800.0
-# An owner that the store has not heard for this long looks for one that it hears.
-HAND_OVER_AFTER_MS = 1_000.0
-HAND_OVER_TIMEOUT_S = 0.5
 # An instance whose configuration is older than this is not ready.
 READY_CONFIG_MS = 2_800.0
+# An instance that has no way of its own to the store for this long takes no new callers.
+READY_CONTACT_MS = 800.0
 LEASE_MS = 5_000.0
 NO_RULES = CellRules(0, {}, {})
 
@@ -94,19 +92,17 @@
         self.server = LinkServer(self.identity, self.calls.handle)
         self.link = OwnerLink(self.identity, self.calls.handle, self._link_changed)
         self.calls.link = self.link
-        self.calls.on_claim_message = self._claim_message
         self.draining = False
         self.metrics = NodeMetrics()
-        store = WatchedStore(adapter.store, self.metrics)
-        self._contact = store.contact
+        direct = WatchedStore(adapter.store, self.metrics)
+        self._contact = direct.contact
+        store = RelayedStore(direct, Peers(self._links))
+        self.calls.relay = store
         adapter = attrs.evolve(adapter, store=store)
-        acceptor = Acceptor(store, store.contact, self.calls.store_elsewhere)
-        self.calls.acceptor = acceptor
-        self.calls.peers = lambda: list(self.server.links.values())
         self.front = FrontDesk(
             self.config,
             adapter.store,
-            acceptor,
+            Acceptor(store, direct.contact),
             adapter.decoder,
             self.clock,
             self.calls,
@@ -123,7 +119,6 @@
         self._claim_wake = asyncio.Event()
         self._claim_loaded = False
         self._was_ready = False
-        self._tasks: set[asyncio.Task[None]] = set()
 
     async def run(self) -> None:
         """Work until cancelled."""
@@ -153,7 +148,7 @@
             and self.config.current is not None
             and current
             and self.calls.reachable
-            and not (self._contact.lost() and self.calls.local is not None)
+            and not self._contact.lost_for(READY_CONTACT_MS)
         )
         if is_ready is not self._was_ready:
             self._was_ready = is_ready
@@ -166,6 +161,12 @@
             )
         return is_ready
 
+    def _links(self) -> list[Link]:
+        """Return the links to instances through which the store may be reached."""
+        if self.calls.local is not None:
+            return list(self.server.links.values())
+        return [self.link.link] if self.link.link is not None else []
+
     def refresh_metrics(self) -> None:
         """Set the gauges that are read, not counted."""
         cfg, now = self.config.current, boot_ms()
@@ -278,7 +279,7 @@
         size = max(0.0, LARGEST_CORES - self.cfg.cores) * CLAIM_SIZE_STEP_S
         return size + random.random() * CLAIM_SPREAD_S
 
-    async def _take(self, reason: ClaimReason, handed_over: HandOver | None = None) -> None:
+    async def _take(self, reason: ClaimReason) -> None:
         generation = self._claim.generation + 1 if self._claim is not None else 0
         address = f"{self.cfg.host}:{self.cfg.peer_port}"
         claim = ClaimRow(self.identity.node, self.identity.boot, address, generation)
@@ -291,17 +292,15 @@
         except StoreError as exc:
             # If the claim was written, the table's changes bring it.
             emit(log, Event.CLAIM_FAILED, reason=reason.value, detail=exc)
-            await self._adopt_own_claim(claim, reason, handed_over)
+            await self._adopt_own_claim(claim, reason)
             return
         if isinstance(outcome, RowsConflict):
             for row in outcome.rows:
                 self._cell_changed([row], False)
             return
-        self._won(claim, outcome.version, reason, handed_over)
+        self._won(claim, outcome.version, reason)
 
-    async def _adopt_own_claim(
-        self, claim: ClaimRow, reason: ClaimReason, handed_over: HandOver | None
-    ) -> None:
+    async def _adopt_own_claim(self, claim: ClaimRow, reason: ClaimReason) -> None:
         """Find out whether a claim without an answer was written."""
         try:
             rows = await self._adapter.store.read(OWNER_ROW.table)
@@ -310,14 +309,13 @@
             return
         for row in rows.rows:
             if row.key == OWNER_ROW and row.value == encode_claim(claim):
-                self._won(claim, row.version, reason, handed_over)
+                self._won(claim, row.version, reason)
 
     def _won(
         self,
         claim: ClaimRow,
         version: int,
         reason: ClaimReason,
-        handed_over: HandOver | None,
     ) -> None:
         if self.calls.local is not None:
             return
@@ -327,7 +325,7 @@
         until = now
         if reason not in EARLIER_OWNER_STOPPED:
             until = max(now, self._beat_changed_ms + CONFIRMED_MS)
-        ownership = Ownership(version, claim.generation, now, until, handed_over)
+        ownership = Ownership(version, claim.generation, now, until)
         emit(
             log,
             Event.CLAIM_WON,
@@ -377,49 +375,4 @@
             owner = self.calls.local
             if owner is not None:
                 await owner.progress.beat()
-                if boot_ms() - owner.progress.confirmed_ms > HAND_OVER_AFTER_MS:
-                    await self._hand_over(owner)
             await asyncio.sleep(BEAT_INTERVAL_MS / 1000)
-
-    # Handing the cell over while the store cannot be reached from here.
-
-    async def _hand_over(self, owner: CellOwner) -> None:
-        """Give the cell to an instance that still reaches the store, if there is one."""
-        if owner.cell is None:
-            return
-        for node, link in list(self.server.links.items()):
-            try:
-                offer = HandOverOffer(self.identity.node)
-                reply = await link.call(offer, HAND_OVER_TIMEOUT_S)
-                if not isinstance(reply, HandOverReply) or not reply.willing:
-                    continue
-                if self.calls.local is not owner:
-                    return
-                message = owner.hand_over()
-                emit(log, Event.CLAIM_HANDED_OVER, token=owner.ownership.token, to=node)
-                self._step_down(f"the store cannot be reached; {node} takes over")
-                await link.notify(message)
-                return
-            except (LinkClosedError, TimeoutError) as exc:
-                log.debug("%s does not take the cell: %s", node, exc)
-
-    async def _claim_message(self, message: Any) -> Any:
-        if isinstance(message, HandOverOffer):
-            return HandOverReply(await self._reaches_store())
-        if isinstance(message, HandOver) and message.claim_version == self._claim_version:
-            self._spawn(self._take(ClaimReason.RELEASED, message))
-        return None
-
-    async def _reaches_store(self) -> bool:
-        if self.draining or self.calls.local is not None or self.config.current is None:
-            return False
-        try:
-            await self._adapter.store.read(CELL_TABLE)
-        except StoreError:
-            return False
-        return True
-
-    def _spawn(self, coro: Coroutine[Any, Any, None]) -> None:
-        task = asyncio.create_task(coro)
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
--- a/baobabhoist/control/owner.py
+++ b/baobabhoist/control/owner.py
@@ -19,7 +19,7 @@
 from baobabhoist.control.clock import SharedClock, boot_ms, unix_ms
 from baobabhoist.control.follow import TableFollower
 from baobabhoist.control.interfaces import Decoder, WorkerDriver
-from baobabhoist.control.messages import HandOver, PendingReply, StateReply
+from baobabhoist.control.messages import PendingReply, StateReply
 from baobabhoist.control.metrics import NodeMetrics
 from baobabhoist.control.progress import ProgressWriter
 from baobabhoist.control.rowmap import (
@@ -52,15 +52,13 @@
     """Hold a won claim.
 
     `token` fences the workers; `began_ms` is when the claim was won and `earlier_until_ms`
-    until when an earlier owner may still renew leases, on the local clock. `handed_over` is what
-    the earlier owner sent, if it did.
+    until when an earlier owner may still renew leases, on the local clock.
     """
 
     token: int
     generation: int
     began_ms: float
     earlier_until_ms: float
-    handed_over: HandOver | None = None
 
 
 @attrs.define
@@ -122,13 +120,6 @@
         for task in self._tasks:
             task.cancel()
 
-    def hand_over(self) -> HandOver:
-        """Stop ordering, and return what the next owner needs to go on at once."""
-        self.stop()
-        cell = self._require_cell()
-        progress = {i: progress_rows.encode(p) for i, p in cell.take_dirty().items()}
-        return HandOver(self.ownership.token, progress)
-
     def use_rules(self, rules: CellRules) -> None:
         """Use these queues and teams from now on."""
         self._rules = rules
@@ -207,10 +198,6 @@
         now = boot_ms()
         for row in progress.rows:
             self._apply_progress(cell, row, now)
-        if self.ownership.handed_over is not None:
-            for job_id, value in self.ownership.handed_over.progress.items():
-                cell.progress_loaded(job_id, progress_rows.decode(value), now)
-                cell.board.dirty.add(job_id)
         cell.announce_inherited(now)
         emit(
             log,
--- a/baobabhoist/control/owners.py
+++ b/baobabhoist/control/owners.py
@@ -4,39 +4,29 @@
 
 import asyncio
 import logging
-from collections.abc import Awaitable, Callable
 from typing import Any
 
 from baobabhoist.cell.model import StepKey
-from baobabhoist.control.accept import Acceptor, Stored, StoreOutcome
-from baobabhoist.control.clock import boot_ms
 from baobabhoist.control.interfaces import Adviser
 from baobabhoist.control.links import OwnerLink
 from baobabhoist.control.messages import (
     AdviceQuery,
     AdviceReply,
     CancelNotice,
-    HandOver,
-    HandOverOffer,
     JobNotice,
     NotOwner,
     PendingQuery,
+    RelayCommit,
+    RelayFollow,
+    RelayRead,
     StateQuery,
-    StoreRow,
-    StoreRowReply,
 )
 from baobabhoist.control.owner import CellOwner
-from baobabhoist.control.rowmap import JOBS_TABLE
-from baobabhoist.errors import LinkClosedError, NotSentError
-from baobabhoist.observability.events import Event, emit
-from baobabhoist.peer.link import Link
-from baobabhoist.store.rows import RowKey
+from baobabhoist.control.relay import RelayedStore
+from baobabhoist.errors import LinkClosedError
 
 log = logging.getLogger(__name__)
 
-# Instances that are asked to store a row before its caller is refused.
-ELSEWHERE_TRIES = 2
-
 
 class OwnerCalls:
     """Pass questions and notices to the owner, wherever it is."""
@@ -44,12 +34,8 @@
     def __init__(self, node: str, adviser: Adviser) -> None:
         self.local: CellOwner | None = None
         self.link: OwnerLink | None = None
-        # Stores a row for another instance.
-        self.acceptor: Acceptor | None = None
-        # Returns the links of the instances that are connected to this one.
-        self.peers: Callable[[], list[Link]] = list
-        # Answers what concerns the claim itself.
-        self.on_claim_message: Callable[[Any], Awaitable[Any]] | None = None
+        # Carries out what another instance asks of the store.
+        self.relay: RelayedStore | None = None
         self._node = node
         self._adviser = adviser
         self._tasks: set[asyncio.Task[None]] = set()
@@ -69,39 +55,6 @@
             raise LinkClosedError("the owner is not known")
         return await self.link.call(question, timeout_s)
 
-    async def store_elsewhere(self, key: RowKey, value: bytes, give_up_ms: float) -> StoreOutcome:
-        """Store a row through another instance, while the store can't be used from here."""
-        for link in self._other_links():
-            within_ms = give_up_ms - boot_ms()
-            if within_ms <= 0:
-                break
-            message = StoreRow(key.table, key.part, key.key, value, within_ms)
-            try:
-                reply = await link.call(message, within_ms / 1000)
-            except NotSentError:
-                continue
-            except (LinkClosedError, TimeoutError) as exc:
-                emit(log, Event.WRITE_UNANSWERED, row=key.key, detail=exc)
-                return StoreOutcome(Stored.UNKNOWN)
-            outcome = StoreOutcome(Stored(reply.stored), reply.version)
-            if outcome.stored is not Stored.REFUSED:
-                return outcome
-        return StoreOutcome(Stored.REFUSED)
-
-    def _other_links(self) -> list[Link]:
-        if self.local is not None:
-            return self.peers()[:ELSEWHERE_TRIES]
-        link = self.link.link if self.link is not None else None
-        return [link] if link is not None else []
-
-    async def _store_row(self, message: StoreRow) -> StoreRowReply:
-        key = RowKey(message.table, message.part, message.key)
-        if self.acceptor is None or key.table != JOBS_TABLE:
-            return StoreRowReply(Stored.REFUSED.value, 0)
-        give_up_ms = boot_ms() + message.within_ms
-        outcome = await self.acceptor.put_here(key, message.value, give_up_ms)
-        return StoreRowReply(outcome.stored.value, outcome.version)
-
     def notify(self, notice: Any) -> None:
         """Tell the owner; a notice that gets lost comes with the store's changes."""
         task = asyncio.create_task(self._notify(notice))
@@ -112,10 +65,8 @@
         """Answer a message of another instance, or of this one."""
         if isinstance(message, AdviceQuery):
             return await self._advise(message)
-        if isinstance(message, StoreRow):
-            return await self._store_row(message)
-        if isinstance(message, HandOverOffer | HandOver):
-            return await self.on_claim_message(message) if self.on_claim_message else None
+        if isinstance(message, RelayCommit | RelayRead | RelayFollow):
+            return await self.relay.serve(message) if self.relay is not None else None
         owner = self.local
         if owner is None:
             return NotOwner(self._node)
--- /dev/null
+++ b/baobabhoist/control/relay.py
@@ -0,0 +1,201 @@
+"""Use the store through another instance while it can't be reached from this one."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Callable
+from typing import Any
+
+import attrs
+
+from baobabhoist.control.clock import boot_ms
+from baobabhoist.control.contact import WatchedStore
+from baobabhoist.control.messages import (
+    RelayCommit,
+    RelayedCommit,
+    RelayedRows,
+    RelayFailed,
+    RelayFollow,
+    RelayRead,
+    WireRow,
+)
+from baobabhoist.errors import LinkClosedError, NotSentError
+from baobabhoist.observability.events import Event, emit
+from baobabhoist.peer.link import Link
+from baobabhoist.store.rows import (
+    HistoryLostError,
+    RowKey,
+    Rows,
+    RowsCommitted,
+    RowsConflict,
+    RowsTxn,
+    StoredRow,
+    StoreError,
+    StoreRefusedError,
+    StoreUnansweredError,
+)
+
+log = logging.getLogger(__name__)
+
+# Instances that are asked before a call is given up.
+PEERS_ASKED = 3
+CALL_TIMEOUT_S = 0.6
+# While the store is out of reach it is tried again this often.
+PROBE_INTERVAL_MS = 400.0
+# A link on which a call got no answer is not used for this long.
+LINK_REST_MS = 2_000.0
+# A relayed call may pass one more instance: the owner, if it is cut off from the store too.
+HOPS_MAX = 1
+
+_ERRORS: dict[str, type[StoreError]] = {
+    "refused": StoreRefusedError,
+    "unanswered": StoreUnansweredError,
+    "history_lost": HistoryLostError,
+}
+
+
+@attrs.define
+class Peers:
+    """Choose links for relayed calls; links that were silent lately rest."""
+
+    links: Callable[[], list[Link]]
+    resting_until: dict[int, float] = attrs.Factory(dict)
+
+    def usable(self) -> list[Link]:
+        """Return the links to try, best first."""
+        now = boot_ms()
+        found = [k for k in self.links() if self.resting_until.get(id(k), 0.0) < now]
+        return found[:PEERS_ASKED]
+
+    def silent(self, link: Link) -> None:
+        """Let a link rest."""
+        now = boot_ms()
+        self.resting_until = {k: v for k, v in self.resting_until.items() if v > now}
+        self.resting_until[id(link)] = now + LINK_REST_MS
+
+
+class RelayedStore:
+    """Be the store directly while it answers, else through a peer that reaches it."""
+
+    def __init__(self, direct: WatchedStore, peers: Peers) -> None:
+        self.direct = direct
+        self._peers = peers
+        self._probe_due_ms = 0.0
+
+    async def read(self, table: str, part: str = "", *, first: str = "", last: str = "") -> Rows:
+        """Return the rows of a part in a range of keys."""
+        if self._use_direct():
+            return await self.direct.read(table, part, first=first, last=last)
+        return _rows(await self._relay(RelayRead(table, part, first, last), CALL_TIMEOUT_S))
+
+    async def follow(self, table: str, after_version: int, wait_ms: int) -> Rows:
+        """Return what changed after a version."""
+        if self._use_direct():
+            return await self.direct.follow(table, after_version, wait_ms)
+        timeout_s = wait_ms / 1000 + CALL_TIMEOUT_S
+        return _rows(await self._relay(RelayFollow(table, after_version, wait_ms), timeout_s))
+
+    async def commit(self, txn: RowsTxn) -> RowsCommitted | RowsConflict:
+        """Apply a transaction."""
+        if not self.direct.contact.lost():
+            try:
+                return await self.direct.commit(txn)
+            except StoreRefusedError:
+                if not self.direct.contact.lost():
+                    raise
+        return _committed(await self._relay(_wire_txn(txn), CALL_TIMEOUT_S))
+
+    async def serve(self, message: Any) -> Any:
+        """Carry a relayed call out for another instance."""
+        try:
+            if self.direct.contact.lost() and message.hops < HOPS_MAX:
+                onward = attrs.evolve(message, hops=message.hops + 1)
+                return await self._relay(onward, CALL_TIMEOUT_S)
+            return await self._serve_directly(message)
+        except StoreError as exc:
+            kind = next((k for k, v in _ERRORS.items() if isinstance(exc, v)), "refused")
+            return RelayFailed(kind, str(exc))
+
+    async def _serve_directly(self, message: Any) -> Any:
+        if isinstance(message, RelayCommit):
+            return _wire_outcome(await self.direct.commit(_txn(message)))
+        if isinstance(message, RelayRead):
+            rows = await self.direct.read(
+                message.table, message.part, first=message.first, last=message.last
+            )
+        else:
+            rows = await self.direct.follow(message.table, message.after, message.wait_ms)
+        return RelayedRows(tuple(map(_wire_row, rows.rows)), rows.version, rows.now_ms)
+
+    def _use_direct(self) -> bool:
+        """Tell whether to ask the store itself, which is probed now and then when lost."""
+        if not self.direct.contact.lost():
+            return True
+        now = boot_ms()
+        if now < self._probe_due_ms and self._peers.usable():
+            return False
+        self._probe_due_ms = now + PROBE_INTERVAL_MS
+        return True
+
+    async def _relay(self, message: Any, timeout_s: float) -> Any:
+        """Return a peer's answer; raises StoreError."""
+        for link in self._peers.usable():
+            try:
+                reply = await link.call(message, timeout_s)
+            except NotSentError:
+                continue
+            except (LinkClosedError, TimeoutError) as exc:
+                self._peers.silent(link)
+                if isinstance(message, RelayCommit):
+                    raise StoreUnansweredError(f"a peer did not answer: {exc}") from exc
+                continue
+            if not isinstance(reply, RelayFailed):
+                return reply
+            if reply.kind != "refused":
+                raise _ERRORS[reply.kind](reply.detail)
+            emit(log, Event.RELAY_REFUSED, detail=reply.detail)
+        raise StoreRefusedError("neither the store nor a peer that reaches it answers")
+
+
+def _wire_row(row: StoredRow) -> WireRow:
+    return WireRow(row.key.table, row.key.part, row.key.key, row.value, row.version)
+
+
+def _stored_row(row: WireRow) -> StoredRow:
+    return StoredRow(RowKey(row.table, row.part, row.key), row.value, row.version)
+
+
+def _wire_txn(txn: RowsTxn) -> RelayCommit:
+    return RelayCommit(
+        tuple(WireRow(k.table, k.part, k.key, None, v) for k, v in txn.expected.items()),
+        tuple(WireRow(k.table, k.part, k.key, v, 0) for k, v in txn.puts.items()),
+        tuple(WireRow(k.table, k.part, k.key, None, 0) for k in txn.removes),
+    )
+
+
+def _txn(message: RelayCommit) -> RowsTxn:
+    return RowsTxn(
+        {_stored_row(row).key: row.version for row in message.expected},
+        {_stored_row(row).key: row.value or b"" for row in message.puts},
+        tuple(_stored_row(row).key for row in message.removes),
+    )
+
+
+def _wire_outcome(outcome: RowsCommitted | RowsConflict) -> RelayedCommit:
+    if isinstance(outcome, RowsConflict):
+        return RelayedCommit(False, 0, 0, tuple(map(_wire_row, outcome.rows)))
+    return RelayedCommit(True, outcome.version, outcome.now_ms, ())
+
+
+def _committed(reply: Any) -> RowsCommitted | RowsConflict:
+    if not isinstance(reply, RelayedCommit):
+        raise StoreUnansweredError("a peer answered something else")
+    if reply.committed:
+        return RowsCommitted(reply.version, reply.now_ms)
+    return RowsConflict(tuple(map(_stored_row, reply.rows)))
+
+
+def _rows(reply: Any) -> Rows:
+    if not isinstance(reply, RelayedRows):
+        raise StoreUnansweredError("a peer answered something else")
+    return Rows(tuple(map(_stored_row, reply.rows)), reply.version, reply.now_ms)
--- a/baobabhoist/observability/events.py
+++ b/baobabhoist/observability/events.py
@@ -90,7 +90,7 @@
     CLAIM_LOST = (1603, logging.WARNING, "the claim of token {token} is lost: {reason}")
     CLAIM_FAILED = (1604, logging.WARNING, "the claim failed: {detail}")
     CLAIM_RELEASED = (1605, logging.INFO, "the claim of token {token} is released")
-    CLAIM_HANDED_OVER = (1617, logging.INFO, "the claim of token {token} is handed to {to}")
+    RELAY_REFUSED = (8010, logging.INFO, "a peer does not reach the store either: {detail}")
     CELL_LOADED = (1606, logging.INFO, "{jobs} jobs and {workers} workers are loaded")
     LOAD_FAILED = (1607, logging.WARNING, "the cell cannot be loaded yet: {detail}")
     OWNER_SEEN = (1608, logging.INFO, "the owner {owner} is {state}")
