--- a/baobabhoist/control/claim.py
+++ b/baobabhoist/control/claim.py
@@ -11,9 +11,9 @@
 # The owner rewrites its beat this often while the store answers.
 BEAT_INTERVAL_MS = 500.0
 # A beat that has not changed for this long shows an owner that the store no longer hears.
-BEAT_STALE_MS = 2_000.0
+BEAT_STALE_MS = 2_400.0
 # After this time a live owner's next beat is overdue.
-BEAT_MISSED_MS = 1_100.0
+BEAT_MISSED_MS = 1_200.0
 # An owner that the store has not confirmed for this long orders nothing more.
 CONFIRMED_MS = 3_000.0
 
@@ -68,6 +68,7 @@
     RELEASED = "released"
     OWNER_ENDED = "owner_ended"
     OWNER_REFUSES = "owner_refuses"
+    OWNER_SILENT = "owner_silent"
     BEAT_STALE = "beat_stale"
 
 
@@ -92,9 +93,9 @@
         return ClaimReason.OWNER_ENDED
     if seen is OwnerSeen.REFUSED and beat_age_ms > BEAT_MISSED_MS:
         return ClaimReason.OWNER_REFUSES
-    if beat_age_ms > BEAT_STALE_MS and seen is not OwnerSeen.CONNECTED:
-        return ClaimReason.BEAT_STALE
-    # The owner lives but the store hears nothing of it: it cannot take new jobs over.
-    if beat_age_ms > 2 * BEAT_STALE_MS:
+    if seen is OwnerSeen.SILENT and beat_age_ms > BEAT_MISSED_MS:
+        return ClaimReason.OWNER_SILENT
+    # The owner lives but the store hears nothing of it, so that it can order nothing.
+    if beat_age_ms > BEAT_STALE_MS:
         return ClaimReason.BEAT_STALE
     return ClaimReason.NONE
--- a/baobabhoist/control/links.py
+++ b/baobabhoist/control/links.py
@@ -14,7 +14,8 @@
 from websockets.exceptions import WebSocketException
 
 from baobabhoist.control.claim import ClaimRow, OwnerSeen
-from baobabhoist.control.messages import CODEC, Greeting, Welcome
+from baobabhoist.control.clock import boot_ms
+from baobabhoist.control.messages import CODEC, Greeting, OwnerBeat, Welcome
 from baobabhoist.errors import LinkClosedError
 from baobabhoist.observability.events import Event, emit
 from baobabhoist.peer.link import WEBSOCKET_OPTIONS, Link
@@ -24,6 +25,11 @@
 CONNECT_TIMEOUT_S = 0.8
 GREETING_TIMEOUT_S = 1.0
 RECONNECT_S = 0.1
+# The owner sends something over each link this often.
+OWNER_BEAT_S = 0.25
+# A link on which the owner was not heard for this long is replaced.
+SILENT_LINK_MS = 900.0
+SILENCE_CHECK_S = 0.2
 
 Handler = Callable[[Any], Awaitable[Any]]
 
@@ -83,6 +89,7 @@
         self._identity = identity
         self._handler = handler
         self._on_change = on_change
+        self._heard_ms = 0.0
         self._claim: ClaimRow | None = None
         self._task: asyncio.Task[None] | None = None
 
@@ -121,7 +128,7 @@
             conn: Connection = await connect(
                 f"ws://{claim.address}", proxy=None, **WEBSOCKET_OPTIONS
             )
-        link = Link(conn, CODEC, self._handler)
+        link = Link(conn, CODEC, self._handle)
         running = asyncio.create_task(link.run())
         try:
             greeting = Greeting(self._identity.node, self._identity.boot)
@@ -131,13 +138,25 @@
                 return
             self.link = link
             self._saw(OwnerSeen.CONNECTED, claim)
-            await running
+            await self._while_heard(running)
         finally:
             self.link = None
             link.abort()
             running.cancel()
         self._saw(OwnerSeen.SILENT, claim)
 
+    async def _while_heard(self, running: asyncio.Task[None]) -> None:
+        """Return when the connection ends or the owner falls silent."""
+        self._heard_ms = boot_ms()
+        while boot_ms() - self._heard_ms < SILENT_LINK_MS:
+            done, _ = await asyncio.wait((running,), timeout=SILENCE_CHECK_S)
+            if done:
+                return
+
+    async def _handle(self, message: Any) -> Any:
+        self._heard_ms = boot_ms()
+        return None if isinstance(message, OwnerBeat) else await self._handler(message)
+
     def _saw(self, seen: OwnerSeen, claim: ClaimRow) -> None:
         if seen is self.seen:
             return
--- a/baobabhoist/control/messages.py
+++ b/baobabhoist/control/messages.py
@@ -91,6 +91,11 @@
     valid_ms: int = 0
 
 
+@attrs.frozen
+class OwnerBeat:
+    """Show over a link that the owner lives."""
+
+
 @attrs.frozen
 class WireRow:
     """Carry a row; `version` is the expected or the present one, 0 for an absent row."""
@@ -188,5 +193,6 @@
         RelayedCommit,
         RelayedRows,
         RelayFailed,
+        OwnerBeat,
     )
 )
--- a/baobabhoist/control/node.py
+++ b/baobabhoist/control/node.py
@@ -7,6 +7,7 @@
 import random
 import secrets
 from collections.abc import Sequence
+from typing import Any
 
 import attrs
 
@@ -29,7 +30,8 @@
 from baobabhoist.control.follow import TableFollower
 from baobabhoist.control.frontdesk import FrontDesk
 from baobabhoist.control.interfaces import Adviser, Decoder, WorkerDriver
-from baobabhoist.control.links import Identity, LinkServer, OwnerLink
+from baobabhoist.control.links import OWNER_BEAT_S, Identity, LinkServer, OwnerLink
+from baobabhoist.control.messages import OwnerBeat
 from baobabhoist.control.metrics import NodeMetrics
 from baobabhoist.control.owner import CellOwner, OwnerParts, Ownership
 from baobabhoist.control.owners import OwnerCalls
@@ -42,6 +44,7 @@
     OWNER_ROW,
 )
 from baobabhoist.control.settings import NodeSettings
+from baobabhoist.errors import LinkClosedError
 from baobabhoist.observability.events import Event, emit
 from baobabhoist.peer.link import Link
 from baobabhoist.store.rows import (
@@ -119,6 +122,7 @@
         self._claim_wake = asyncio.Event()
         self._claim_loaded = False
         self._was_ready = False
+        self._tasks: set[asyncio.Task[None]] = set()
 
     async def run(self) -> None:
         """Work until cancelled."""
@@ -139,6 +143,7 @@
             group.create_task(cell.run())
             group.create_task(self._claim_forever())
             group.create_task(self._beat_forever())
+            group.create_task(self._beat_links_forever())
 
     def ready(self) -> bool:
         """Tell whether this instance should get new callers."""
@@ -370,9 +375,29 @@
         if self._claim is not None:
             self.link.follow(self._claim)
 
+    async def _beat_links_forever(self) -> None:
+        """Show the linked instances that the owner lives, also while the store is away."""
+        while True:
+            if self.calls.local is not None:
+                for link in list(self.server.links.values()):
+                    self._notify(link, OwnerBeat())
+            await asyncio.sleep(OWNER_BEAT_S)
+
+    def _notify(self, link: Link, message: Any) -> None:
+        task = asyncio.create_task(_notify_quietly(link, message))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
     async def _beat_forever(self) -> None:
         while True:
             owner = self.calls.local
             if owner is not None:
                 await owner.progress.beat()
             await asyncio.sleep(BEAT_INTERVAL_MS / 1000)
+
+
+async def _notify_quietly(link: Link, message: Any) -> None:
+    try:
+        await link.notify(message)
+    except LinkClosedError as exc:
+        log.debug("a link ended: %s", exc)
--- a/baobabhoist/control/owners.py
+++ b/baobabhoist/control/owners.py
@@ -7,6 +7,7 @@
 from typing import Any
 
 from baobabhoist.cell.model import StepKey
+from baobabhoist.control.clock import boot_ms
 from baobabhoist.control.interfaces import Adviser
 from baobabhoist.control.links import OwnerLink
 from baobabhoist.control.messages import (
@@ -27,6 +28,8 @@
 
 log = logging.getLogger(__name__)
 
+QUIET_LINK_MS = 1_000.0
+
 
 class OwnerCalls:
     """Pass questions and notices to the owner, wherever it is."""
@@ -39,21 +42,28 @@
         self._node = node
         self._adviser = adviser
         self._tasks: set[asyncio.Task[None]] = set()
+        # Until then a question to the owner would most likely find the same silent link.
+        self._quiet_until_ms = 0.0
 
     @property
     def reachable(self) -> bool:
         """Tell whether the owner is known and can be asked."""
         if self.local is not None:
             return self.local.cell is not None
-        return self.link is not None and self.link.link is not None
+        quiet = boot_ms() < self._quiet_until_ms
+        return self.link is not None and self.link.link is not None and not quiet
 
     async def call(self, question: Any, timeout_s: float) -> Any:
         """Return the owner's answer; raises LinkClosedError or TimeoutError."""
         if self.local is not None:
             return await self.handle(question)
-        if self.link is None:
-            raise LinkClosedError("the owner is not known")
-        return await self.link.call(question, timeout_s)
+        if self.link is None or boot_ms() < self._quiet_until_ms:
+            raise LinkClosedError("the owner is not known or does not answer")
+        try:
+            return await self.link.call(question, timeout_s)
+        except TimeoutError:
+            self._quiet_until_ms = boot_ms() + QUIET_LINK_MS
+            raise
 
     def notify(self, notice: Any) -> None:
         """Tell the owner; a notice that gets lost comes with the store's changes."""
--- a/baobabhoist/observability/events.py
+++ b/baobabhoist/observability/events.py
@@ -78,11 +78,6 @@
     WORKER_FENCED = (1514, logging.INFO, "worker {worker} obeys this owner")
     WORKER_RESTARTED = (1515, logging.WARNING, "worker {worker} started again")
     WORKER_SET_ASIDE = (1516, logging.WARNING, "worker {worker} gets no tasks: {reason}")
-    WORKER_WAITED_OUT = (
-        1517,
-        logging.WARNING,
-        "the lease of unreached worker {worker} has lapsed",
-    )
     WORKER_ANSWERS = (1518, logging.INFO, "worker {worker} answers again")
     WORKER_SILENT = (1519, logging.WARNING, "worker {worker} does not answer: {reason}")
     CLAIM_SEEN = (1601, logging.INFO, "{owner} has the claim of version {version}")
