--- a/baobabhoist/cli/main.py
+++ b/baobabhoist/cli/main.py
@@ -11,7 +11,7 @@
 import attrs
 from absl import app, flags
 
-from baobabhoist.cli import instances, jobs, options, records
+from baobabhoist.cli import instances, jobs, logs, options, records
 from baobabhoist.cli.client import (
     ExitCode,
     RefusedError,
@@ -24,6 +24,8 @@
 FLAGS = flags.FLAGS
 # The answer to a request may come at its deadline; it needs this long to arrive.
 ANSWER_MARGIN_S = 5.0
+# Log files that one command merges.
+FILES_MAX = 1_000
 
 
 @attrs.frozen
@@ -110,6 +112,10 @@
     return instances.drain(options.admin_client())
 
 
+def _logs(args: Sequence[str]) -> Result:
+    return logs.merge(args[0], args[1:])
+
+
 def _check_config(args: Sequence[str]) -> Result:
     return instances.check_config(args[0])
 
@@ -131,6 +137,7 @@
     ("explain",): Command("JOB", 1, 1, _explain),
     ("status",): Command("", 0, 0, _status),
     ("drain",): Command("", 0, 0, _drain),
+    ("logs",): Command("JOB FILE [FILE ...]", 2, FILES_MAX, _logs),
     ("check-config",): Command("FILE", 1, 1, _check_config),
 }
 
--- a/baobabhoist/control/accept.py
+++ b/baobabhoist/control/accept.py
@@ -76,7 +76,9 @@
             try:
                 outcome = await self._store.commit(txn)
             except StoreRefusedError as exc:
-                if not doubtful and boot_ms() - begun_ms > REFUSED_MAX_MS:
+                out_of_reach = self._contact.lost()
+                tried_long = boot_ms() - begun_ms > REFUSED_MAX_MS
+                if not doubtful and (out_of_reach or tried_long):
                     emit(log, Event.WRITE_REFUSED, row=key.key, detail=exc)
                     return StoreOutcome(Stored.REFUSED)
             except StoreUnansweredError as exc:
