--- a/baobabhoist/cell/decide.py
+++ b/baobabhoist/cell/decide.py
@@ -10,6 +10,7 @@
 from baobabhoist.cell.board import Board
 from baobabhoist.cell.gathering import Holds
 from baobabhoist.cell.jobs import StepState
+from baobabhoist.cell.matching import speed_cost, tolerance
 from baobabhoist.cell.model import AskAdvice, Queue
 from baobabhoist.cell.order import rank_of
 from baobabhoist.cell.placing import Slots, gather_gang, slots_on, spread_singles
@@ -60,7 +61,11 @@
         open_to = [w for w in self._eligible(step, usable) if self._has_ticket(step, w, now)]
         open_to = [w for w in open_to if self.holds.open_to(w, step)]
         running = Counter(t.run.worker_id for t in step.tasks if t.run is not None)
-        slots = slots_on(open_to, spec, step.idle, running, lambda w: self._cost(w, step))
+        stretch = self.board.speeds.stretch(step.job.accepted.queue)
+        tolerated = tolerance(step.job, stretch, now)
+        slots = slots_on(
+            open_to, spec, step.idle, running, lambda w: self._cost(w, step, tolerated)
+        )
         if spec.gang:
             self._place_gang(step, slots, now)
             return
@@ -84,9 +89,9 @@
             task.checkpoint = checkpoint
             self.board.start(task, worker, number, now)
 
-    def _cost(self, worker: WorkerState, step: StepState) -> float:
-        """Return how little a worker suits a step: slow and remote ones come last."""
-        cost = self.board.speeds.factor(worker.worker_id)
+    def _cost(self, worker: WorkerState, step: StepState, tolerated: float) -> float:
+        """Return how little a worker suits a step: unfit and remote ones come last."""
+        cost = speed_cost(self.board.speeds.factor(worker.worker_id), tolerated)
         if step.spec.data_rack and worker.info.rack != step.spec.data_rack:
             cost += REMOTE_RACK_COST
         if worker.worker_id in step.failed_on:
