--- a/baobabhoist/cell/matching.py
+++ b/baobabhoist/cell/matching.py
@@ -9,9 +9,9 @@
 from baobabhoist.cell.jobs import JobState
 
 # Of the time that a job has left, this part may be planned for: declared times are far off.
-PLANNED_PART = 0.6
+PLANNED_PART = 0.5
 # A job with less than this many times its work left takes the fastest worker.
-PATIENT_FROM = 2.0
+PATIENT_FROM = 3.0
 # Keeps every worker that is too slow behind every one that is fast enough.
 TOO_SLOW_COST = 10.0
 
--- a/baobabhoist/tests/test_cell_matching.py
+++ b/baobabhoist/tests/test_cell_matching.py
@@ -17,6 +17,7 @@
     assert best(1.2) == 0.7
     assert best(4.0) == 1.7
     assert best(2.5) == 0.7
+    assert best(3.2) == 0.7
 
 
 def test_patient_work_leaves_the_fast_workers_free():
