--- a/baobabhoist/control/node.py
+++ b/baobabhoist/control/node.py
@@ -60,9 +60,10 @@
 CLAIM_CHECK_S = 0.1
 # Instances that would claim at the same moment are spread over this time.
 CLAIM_SPREAD_S = 0.06
-# A smaller machine waits this much longer for each core that it lacks.
-CLAIM_SIZE_STEP_S = 0.05
-LARGEST_CORES = 2.0
+# An owner needs about this much; a smaller machine waits longer before it claims.
+OWNER_CORES = 2.0
+OWNER_LINK_MBPS = 100.0
+CLAIM_SIZE_SPREAD_S = 0.15
 # Without a reading of the claim for this long its age says nothing about the owner.
 CLAIM_GAP_MS = 1_800.0
 # An instance whose configuration is older than this is not ready.
@@ -281,8 +282,10 @@
         return claim_reason(self._claim, self.link.seen, age, self.identity.boot)
 
     def _claim_delay_s(self) -> float:
-        size = max(0.0, LARGEST_CORES - self.cfg.cores) * CLAIM_SIZE_STEP_S
-        return size + random.random() * CLAIM_SPREAD_S
+        cores = min(1.0, self.cfg.cores / OWNER_CORES)
+        link = min(1.0, self.cfg.link_mbps / OWNER_LINK_MBPS)
+        lacking = 1.0 - min(cores, link)
+        return lacking * CLAIM_SIZE_SPREAD_S + random.random() * CLAIM_SPREAD_S
 
     async def _take(self, reason: ClaimReason) -> None:
         generation = self._claim.generation + 1 if self._claim is not None else 0
--- a/baobabhoist/control/settings.py
+++ b/baobabhoist/control/settings.py
@@ -66,9 +66,11 @@
     metrics_port: int = setting(port(), "Port of the metrics.")
     store: StoreSettings = setting(Section(StoreSettings), "The platform's store.")
     bounds: BoundSettings = setting(Section(BoundSettings), "Bounds that the platform states.")
-    cores: float = setting(
-        Number(0.001, 4096.0, "cores"), "Processor share; larger machines own the cell first."
+    cpu_share: float = setting(
+        Number(0.001, 4096.0), "Part of a core that this instance has, in units of cpu_speed."
     )
+    cpu_speed: float = setting(Number(0.001, 4096.0), "Speed of that core against a common one.")
+    link_mbps: float = setting(Number(0.001, 1e6, "Mbit/s"), "Bandwidth of this machine's link.")
     adviser_address: str = setting(
         OPTIONAL_ADDRESS, "Address of the placement adviser, or nothing.", default=""
     )
@@ -78,6 +80,11 @@
         default="info",
     )
 
+    @property
+    def cores(self) -> float:
+        """Return the processor power in common cores."""
+        return self.cpu_share * self.cpu_speed
+
     def problems(self) -> Iterator[Problem]:
         """Yield what is wrong across options."""
         if self.peer_port == self.metrics_port:
