--- a/baobabhoist/cell/decide.py
+++ b/baobabhoist/cell/decide.py
@@ -45,8 +45,9 @@
         ranked = sorted(waiting, key=lambda s: rank_of(s, self._queue(s), now))
         usable = [w for w in self.board.workers.values() if w.usable(now)]
         self.holds.begin()
+        widest = max((worker.free.cpu for worker in usable), default=-1)
         for position, step in enumerate(ranked):
-            if may_start:
+            if may_start and step.spec.charged.cpu <= widest:
                 self._place(step, usable, now)
             if step.idle:
                 self._ask(step, position, now)
--- a/baobabhoist/control/claim.py
+++ b/baobabhoist/control/claim.py
@@ -14,6 +14,9 @@
 BEAT_STALE_MS = 2_400.0
 # After this time a live owner's next beat is overdue.
 BEAT_MISSED_MS = 1_200.0
+# Takeovers from silent owners within this time make the next one slower.
+TAKEOVERS_WITHIN_MS = 20_000.0
+TAKEOVERS_COUNTED = 3
 # An owner that the store has not confirmed for this long orders nothing more.
 CONFIRMED_MS = 3_000.0
 
@@ -78,8 +81,21 @@
 )
 
 
+def patience_factor(recent_takeovers: int) -> float:
+    """Return how many times longer a silent owner is borne after takeovers in a row.
+
+    An owner that loads a large cell on a slow machine may be silent for seconds. Without this,
+    owners would replace each other before any of them has begun.
+    """
+    return 2.0 ** min(recent_takeovers, TAKEOVERS_COUNTED)
+
+
 def claim_reason(
-    claim: ClaimRow | None, seen: OwnerSeen, beat_age_ms: float, boot: str
+    claim: ClaimRow | None,
+    seen: OwnerSeen,
+    beat_age_ms: float,
+    boot: str,
+    recent_takeovers: int = 0,
 ) -> ClaimReason:
     """Return why an instance should claim the cell now, or NONE."""
     if claim is None:
@@ -91,6 +107,7 @@
         return ClaimReason.RELEASED if beat_age_ms > BEAT_STALE_MS else ClaimReason.NONE
     if seen is OwnerSeen.ENDED:
         return ClaimReason.OWNER_ENDED
+    beat_age_ms /= patience_factor(recent_takeovers)
     if seen is OwnerSeen.REFUSED and beat_age_ms > BEAT_MISSED_MS:
         return ClaimReason.OWNER_REFUSES
     if seen is OwnerSeen.SILENT and beat_age_ms > BEAT_MISSED_MS:
--- a/baobabhoist/control/node.py
+++ b/baobabhoist/control/node.py
@@ -18,6 +18,7 @@
     BEAT_INTERVAL_MS,
     CONFIRMED_MS,
     EARLIER_OWNER_STOPPED,
+    TAKEOVERS_WITHIN_MS,
     ClaimReason,
     ClaimRow,
     claim_reason,
@@ -61,9 +62,9 @@
 # Instances that would claim at the same moment are spread over this time.
 CLAIM_SPREAD_S = 0.06
 # An owner needs about this much; a smaller machine waits longer before it claims.
-OWNER_CORES = 2.0
-OWNER_LINK_MBPS = 100.0
-CLAIM_SIZE_SPREAD_S = 0.15
+OWNER_CORES = 1.0
+OWNER_LINK_MBPS = 50.0
+CLAIM_SIZE_SPREAD_S = 0.5
 # Without a reading of the claim for this long its age says nothing about the owner.
 CLAIM_GAP_MS = 1_800.0
 # An instance whose configuration is older than this is not ready.
@@ -123,6 +124,7 @@
         self._claim_wake = asyncio.Event()
         self._claim_loaded = False
         self._was_ready = False
+        self._takeovers_ms: list[float] = []
         self._tasks: set[asyncio.Task[None]] = set()
 
     async def run(self) -> None:
@@ -231,6 +233,7 @@
         except ValueError as exc:
             emit(log, Event.ROW_UNREADABLE, table=CELL_TABLE, row=row.key.key, detail=exc)
             return
+        self._note_takeover(claim)
         self._claim, self._claim_version = claim, row.version
         self._beat_changed_ms = boot_ms()
         emit(
@@ -245,6 +248,17 @@
         self.link.follow(claim)
         self._claim_wake.set()
 
+    def _note_takeover(self, claim: ClaimRow) -> None:
+        """Count takeovers from owners that did not release the cell."""
+        before = self._claim
+        if before is not None and not before.released and not claim.released:
+            self._takeovers_ms.append(boot_ms())
+
+    def _recent_takeovers(self) -> int:
+        since = boot_ms() - TAKEOVERS_WITHIN_MS
+        self._takeovers_ms = [moment for moment in self._takeovers_ms if moment > since]
+        return len(self._takeovers_ms)
+
     def _claim_confirmed(self, asked_ms: float) -> None:
         now = boot_ms()
         if now - self._claim_read_ms > CLAIM_GAP_MS:
@@ -279,7 +293,9 @@
         if self.config.current is None:
             return ClaimReason.NONE
         age = boot_ms() - self._beat_changed_ms
-        return claim_reason(self._claim, self.link.seen, age, self.identity.boot)
+        return claim_reason(
+            self._claim, self.link.seen, age, self.identity.boot, self._recent_takeovers()
+        )
 
     def _claim_delay_s(self) -> float:
         cores = min(1.0, self.cfg.cores / OWNER_CORES)
@@ -359,6 +375,14 @@
         self.calls.local = owner
         self.identity.owns = True
         self._owner_task = asyncio.create_task(owner.run())
+        self._owner_task.add_done_callback(self._owner_ended)
+
+    def _owner_ended(self, task: asyncio.Task[None]) -> None:
+        """Let another instance try after a fault here; beats alone must not keep the cell."""
+        if not task.cancelled() and task.exception() is not None:
+            emit(log, Event.TASK_CRASHED, detail=repr(task.exception()))
+            log.error("the cell's owner failed", exc_info=task.exception())
+            self._step_down("the owner's task failed")
 
     def _may_start(self) -> bool:
         owner = self.calls.local
--- a/baobabhoist/control/owner.py
+++ b/baobabhoist/control/owner.py
@@ -45,6 +45,10 @@
 JOBS_PAUSE_S = 0.2
 LOAD_RETRY_S = 0.15
 FORGET_EVERY_TICKS = 100
+# The pause after a round of decisions is this many times as long as the round.
+DECISION_PAUSE_FACTOR = 3.0
+# While a cell is loaded, the loop turns after this many rows, so that beats go out.
+ROWS_A_TURN = 40
 
 
 @attrs.frozen
@@ -83,7 +87,8 @@
     """Own the tasks that drive one cell; made anew for each claim."""
 
     def __init__(self, parts: OwnerParts, ownership: Ownership, rules: CellRules) -> None:
-        self.cell: Cell | None = None
+        self.loaded = False
+        self._cell: Cell | None = None
         self.ownership = ownership
         self.progress = ProgressWriter(parts.store, ownership.token, self._deposed)
         self.progress.on_acked = self._acked
@@ -92,6 +97,7 @@
         self._tasks: set[asyncio.Task[None]] = set()
         self._loops: dict[str, WorkerLoop] = {}
         self._kicked = False
+        self._decide_from_ms = 0.0
         self._deposed_told = False
         self._ticks = 0
 
@@ -120,11 +126,16 @@
         for task in self._tasks:
             task.cancel()
 
+    @property
+    def cell(self) -> Cell | None:
+        """Return the cell once it is loaded: before, its jobs look as if nothing had run."""
+        return self._cell if self.loaded else None
+
     def use_rules(self, rules: CellRules) -> None:
         """Use these queues and teams from now on."""
         self._rules = rules
-        if self.cell is not None:
-            self.cell.use_rules(rules)
+        if self._cell is not None:
+            self._cell.use_rules(rules)
             self.kick()
 
     def may_renew(self) -> bool:
@@ -135,7 +146,8 @@
 
     def job_stored(self, job_id: str, value: bytes, version: int) -> None:
         """Take a job over that was just stored."""
-        if self.cell is None:
+        cell = self._cell
+        if cell is None:
             return
         try:
             accepted = decode_job(job_id, value, version)
@@ -143,12 +155,12 @@
             emit(log, Event.ROW_UNREADABLE, table=JOBS_TABLE, row=job_id, detail=exc)
             return
         accepted_at = self._parts.clock.local_ms(accepted.accepted_ms)
-        if self.cell.job_accepted(accepted, accepted_at, boot_ms(), unix_ms()):
+        if cell.job_accepted(accepted, accepted_at, boot_ms(), unix_ms()):
             self.kick()
 
     def job_cancelled(self, job_id: str) -> None:
         """Cancel a job whose cancellation was just stored."""
-        if self.cell is not None and self.cell.job_cancelled(job_id, boot_ms()):
+        if self._cell is not None and self._cell.job_cancelled(job_id, boot_ms()):
             self.kick()
             self.progress.wake()
 
@@ -192,12 +204,16 @@
         cell = Cell(self._rules, takeover, self._parts.lease_ms)
         cell.decisions.advisers = self._parts.advice.capacity
         self._use_learned(cell, learned.rows)
-        self.cell = cell
+        self._cell = cell
         self._directory_changed(directory.rows, True)
-        self._jobs_changed([row for part in parts for row in part.rows], True)
+        await self._load_jobs([row for part in parts for row in part.rows])
         now = boot_ms()
-        for row in progress.rows:
+        for number, row in enumerate(progress.rows):
             self._apply_progress(cell, row, now)
+            if number % ROWS_A_TURN == 0:
+                await asyncio.sleep(0)
+        self.loaded = True
+        self._sync_workers()
         cell.announce_inherited(now)
         emit(
             log,
@@ -215,6 +231,13 @@
         last_ms = max(self.ownership.began_ms, self.ownership.earlier_until_ms)
         return last_ms + self._parts.lease_ms / (1.0 - CLOCK_DRIFT) + LEASE_MARGIN_MS
 
+    async def _load_jobs(self, rows: Sequence[StoredRow]) -> None:
+        # Cancellations come last, because they need their jobs.
+        ordered = sorted(rows, key=lambda r: r.key.key.endswith(CANCEL_SUFFIX))
+        for first in range(0, len(ordered), ROWS_A_TURN):
+            self._jobs_changed(ordered[first : first + ROWS_A_TURN], False)
+            await asyncio.sleep(0)
+
     def _use_learned(self, cell: Cell, rows: Sequence[StoredRow]) -> None:
         for row in rows:
             try:
@@ -269,7 +292,9 @@
         self._sync_workers()
 
     def _sync_workers(self) -> None:
-        """Keep a loop for each worker, and the roster in step with them."""
+        """Keep a loop for each worker."""
+        if not self.loaded:
+            return
         workers = self._require_cell().board.workers
         for worker_id in list(self._loops):
             if worker_id not in workers:
@@ -298,7 +323,8 @@
         """Decide in this turn of the event loop, once for all events that came in it."""
         if not self._kicked:
             self._kicked = True
-            asyncio.get_running_loop().call_soon(self._decide)
+            delay_s = (self._decide_from_ms - boot_ms()) / 1000
+            asyncio.get_running_loop().call_later(max(0.0, delay_s), self._decide)
 
     def _decide(self) -> None:
         self._kicked = False
@@ -310,7 +336,10 @@
             return
         began_s = time.perf_counter()
         commands = cell.decide(boot_ms(), self._parts.may_start())
-        self._parts.metrics.decided(time.perf_counter() - began_s)
+        took_s = time.perf_counter() - began_s
+        # Under a flood of events decisions take at most a part of the processor.
+        self._decide_from_ms = boot_ms() + took_s * 1000 * DECISION_PAUSE_FACTOR
+        self._parts.metrics.decided(took_s)
         for command in commands:
             if isinstance(command, StartTask):
                 self.progress.when_stored(functools.partial(self._send, command))
@@ -404,6 +433,6 @@
             self._parts.on_deposed(reason)
 
     def _require_cell(self) -> Cell:
-        if self.cell is None:
+        if self._cell is None:
             raise RuntimeError("the cell is not loaded")
-        return self.cell
+        return self._cell
--- a/baobabhoist/tests/test_control_claim.py
+++ b/baobabhoist/tests/test_control_claim.py
@@ -54,6 +54,15 @@
     assert BEAT_STALE_MS < CONFIRMED_MS
 
 
+def test_owners_do_not_replace_each_other_before_they_have_begun():
+    """Guard against takeovers in a row among slow machines (wm grown trouble-2, small)."""
+    age = BEAT_MISSED_MS + 1
+    assert claim_reason(CLAIM, OwnerSeen.SILENT, age, "me", 1) is ClaimReason.NONE
+    assert claim_reason(CLAIM, OwnerSeen.SILENT, 2 * age, "me", 1) is ClaimReason.OWNER_SILENT
+    assert claim_reason(CLAIM, OwnerSeen.SILENT, 7 * age, "me", 9) is ClaimReason.NONE
+    assert claim_reason(CLAIM, OwnerSeen.SILENT, 8 * age, "me", 9) is ClaimReason.OWNER_SILENT
+
+
 def test_a_released_or_missing_claim_is_taken():
     """Guard against a planned stop that leaves the cell without an owner."""
     assert claim_reason(RELEASED, OwnerSeen.UNKNOWN, 0.0, "me") is ClaimReason.RELEASED
