--- a/baobabhoist/control/claim.py
+++ b/baobabhoist/control/claim.py
@@ -14,6 +14,12 @@
 BEAT_STALE_MS = 2_400.0
 # After this time a live owner's next beat is overdue.
 BEAT_MISSED_MS = 1_200.0
+# An owner with less than one in so many of its links for this long gives the cell up.
+FEW_LINKS_PART = 4
+LINKS_JUDGED = 3
+ALONE_MS = 1_500.0
+# An instance that gave the cell up for this does not claim it again at once.
+ALONE_PAUSE_MS = 6_000.0
 # Takeovers from silent owners within this time make the next one slower.
 TAKEOVERS_WITHIN_MS = 20_000.0
 TAKEOVERS_COUNTED = 3
@@ -81,6 +87,24 @@
 )
 
 
+@attrs.define
+class Company:
+    """Judge whether an owner still reaches the other instances.
+
+    An owner that reaches the store but no instance gets no notices and no advice through others.
+    """
+
+    most_links: int = 0
+    enough_ms: float = 0.0
+
+    def lost(self, links: int, now: float) -> bool:
+        """Take a count of links; tell whether most have been gone for too long."""
+        self.most_links = max(self.most_links, links)
+        if links * FEW_LINKS_PART >= self.most_links or self.most_links < LINKS_JUDGED:
+            self.enough_ms = now
+        return now - self.enough_ms > ALONE_MS
+
+
 def patience_factor(recent_takeovers: int) -> float:
     """Return how many times longer a silent owner is borne after takeovers in a row.
 
--- a/baobabhoist/control/node.py
+++ b/baobabhoist/control/node.py
@@ -15,12 +15,14 @@
 from baobabhoist.control.accept import Acceptor
 from baobabhoist.control.advice import AdviceDesk
 from baobabhoist.control.claim import (
+    ALONE_PAUSE_MS,
     BEAT_INTERVAL_MS,
     CONFIRMED_MS,
     EARLIER_OWNER_STOPPED,
     TAKEOVERS_WITHIN_MS,
     ClaimReason,
     ClaimRow,
+    Company,
     claim_reason,
     decode_claim,
     encode_claim,
@@ -125,6 +127,9 @@
         self._claim_loaded = False
         self._was_ready = False
         self._takeovers_ms: list[float] = []
+        self._company = Company()
+        # This instance does not claim the cell before, on the local clock.
+        self._claim_from_ms = 0.0
         self._tasks: set[asyncio.Task[None]] = set()
 
     async def run(self) -> None:
@@ -188,14 +193,15 @@
     async def drain(self) -> None:
         """Give the cell up, so that another instance takes it over at once."""
         self.draining = True
-        owner = self.calls.local
-        if owner is None:
-            return
+        if self.calls.local is not None:
+            await self._release(self.calls.local, "this instance drains")
+
+    async def _release(self, owner: CellOwner, reason: str) -> None:
         claim = ClaimRow("", "", "", owner.ownership.generation)
         owner.stop()
         if await owner.progress.release(encode_claim(claim), owner.cell):
             emit(log, Event.CLAIM_RELEASED, token=owner.ownership.token)
-        self._step_down("this instance drains")
+        self._step_down(reason)
 
     # What the followed tables bring.
 
@@ -290,7 +296,7 @@
         fresh = boot_ms() - self._claim_read_ms < CLAIM_GAP_MS
         if not (self._claim_loaded and fresh) or self.draining or self.calls.local is not None:
             return ClaimReason.NONE
-        if self.config.current is None:
+        if self.config.current is None or boot_ms() < self._claim_from_ms:
             return ClaimReason.NONE
         age = boot_ms() - self._beat_changed_ms
         return claim_reason(
@@ -372,6 +378,7 @@
             self.metrics,
         )
         owner = CellOwner(parts, ownership, rules)
+        self._company = Company(enough_ms=now)
         self.calls.local = owner
         self.identity.owns = True
         self._owner_task = asyncio.create_task(owner.run())
@@ -405,9 +412,13 @@
     async def _beat_links_forever(self) -> None:
         """Show the linked instances that the owner lives, also while the store is away."""
         while True:
-            if self.calls.local is not None:
+            owner = self.calls.local
+            if owner is not None:
                 for link in list(self.server.links.values()):
                     self._notify(link, OwnerBeat())
+                if self._company.lost(len(self.server.links), boot_ms()):
+                    self._claim_from_ms = boot_ms() + ALONE_PAUSE_MS
+                    await self._release(owner, "no instance is linked to this one")
             await asyncio.sleep(OWNER_BEAT_S)
 
     def _notify(self, link: Link, message: Any) -> None:
--- a/baobabhoist/control/relay.py
+++ b/baobabhoist/control/relay.py
@@ -38,12 +38,12 @@
 log = logging.getLogger(__name__)
 
 # Instances that are asked before a call is given up.
-PEERS_ASKED = 3
+PEERS_ASKED = 5
 CALL_TIMEOUT_S = 0.6
 # While the store is out of reach it is tried again this often.
 PROBE_INTERVAL_MS = 400.0
-# A link on which a call got no answer is not used for this long.
-LINK_REST_MS = 2_000.0
+# A peer that gave no answer, or has no way to the store either, is not asked for this long.
+PEER_REST_MS = 1_500.0
 # A relayed call may pass one more instance: the owner, if it is cut off from the store too.
 HOPS_MAX = 1
 
@@ -56,22 +56,28 @@
 
 @attrs.define
 class Peers:
-    """Choose links for relayed calls; links that were silent lately rest."""
+    """Choose links for relayed calls: the one that served last first, useless ones rest."""
 
     links: Callable[[], list[Link]]
     resting_until: dict[int, float] = attrs.Factory(dict)
+    served_last: int = 0
 
     def usable(self) -> list[Link]:
         """Return the links to try, best first."""
         now = boot_ms()
         found = [k for k in self.links() if self.resting_until.get(id(k), 0.0) < now]
+        found.sort(key=lambda link: id(link) != self.served_last)
         return found[:PEERS_ASKED]
 
-    def silent(self, link: Link) -> None:
-        """Let a link rest."""
+    def served(self, link: Link) -> None:
+        """Ask this peer first from now on."""
+        self.served_last = id(link)
+
+    def rest(self, link: Link) -> None:
+        """Do not ask a peer for a while."""
         now = boot_ms()
         self.resting_until = {k: v for k, v in self.resting_until.items() if v > now}
-        self.resting_until[id(link)] = now + LINK_REST_MS
+        self.resting_until[id(link)] = now + PEER_REST_MS
 
 
 class RelayedStore:
@@ -145,14 +151,16 @@
             except NotSentError:
                 continue
             except (LinkClosedError, TimeoutError) as exc:
-                self._peers.silent(link)
+                self._peers.rest(link)
                 if isinstance(message, RelayCommit):
                     raise StoreUnansweredError(f"a peer did not answer: {exc}") from exc
                 continue
             if not isinstance(reply, RelayFailed):
+                self._peers.served(link)
                 return reply
             if reply.kind != "refused":
                 raise _ERRORS[reply.kind](reply.detail)
+            self._peers.rest(link)
             emit(log, Event.RELAY_REFUSED, detail=reply.detail)
         raise StoreRefusedError("neither the store nor a peer that reaches it answers")
 
--- a/baobabhoist/tests/test_control_claim.py
+++ b/baobabhoist/tests/test_control_claim.py
@@ -3,12 +3,14 @@
 import pytest
 
 from baobabhoist.control.claim import (
+    ALONE_MS,
     BEAT_MISSED_MS,
     BEAT_STALE_MS,
     CONFIRMED_MS,
     EARLIER_OWNER_STOPPED,
     ClaimReason,
     ClaimRow,
+    Company,
     OwnerSeen,
     claim_reason,
     decode_claim,
@@ -63,6 +65,22 @@
     assert claim_reason(CLAIM, OwnerSeen.SILENT, 8 * age, "me", 9) is ClaimReason.OWNER_SILENT
 
 
+def test_an_owner_that_no_instance_reaches_gives_the_cell_up():
+    """Guard against an owner that is cut off from all others for long (grown scale-2)."""
+    company = Company()
+    assert not company.lost(8, 0.0)
+    assert not company.lost(0, 1000.0)
+    assert company.lost(1, ALONE_MS + 1.0)
+    assert not company.lost(4, ALONE_MS + 100.0)
+
+
+def test_a_small_site_needs_no_company():
+    """Guard against a single instance that gives its cell up for want of others."""
+    company = Company()
+    assert not company.lost(0, 0.0)
+    assert not company.lost(0, 10 * ALONE_MS)
+
+
 def test_a_released_or_missing_claim_is_taken():
     """Guard against a planned stop that leaves the cell without an owner."""
     assert claim_reason(RELEASED, OwnerSeen.UNKNOWN, 0.0, "me") is ClaimReason.RELEASED
--- a/baobabhoist/tests/test_control_relay.py
+++ b/baobabhoist/tests/test_control_relay.py
@@ -127,6 +127,29 @@
     asyncio.run(run())
 
 
+def test_peers_that_are_cut_off_too_are_passed_over():
+    """Guard against an owner that always asks the same cut-off peers (pulunadi grown scale-2)."""
+
+    async def run():
+        shared = MemoryRows()
+        cut = []
+        for _ in range(7):
+            peer_view, peer = instance(shared)
+            await lose(peer_view, peer)
+            cut.append(DirectLink(peer))
+        _, good = instance(shared)
+        view, store = instance(shared, *cut, DirectLink(good))
+        await lose(view, store)
+        with pytest.raises(StoreRefusedError):
+            await store.commit(TXN)
+        assert isinstance(await store.commit(TXN), RowsCommitted)
+        asked = sum(link.calls for link in cut)
+        assert isinstance(await store.commit(TXN), RowsConflict)
+        assert sum(link.calls for link in cut) == asked
+
+    asyncio.run(run())
+
+
 def test_the_store_is_used_directly_again_once_it_answers():
     """Guard against an instance that burdens its peers for ever after one lost answer."""
 
