--- a/baobabhoist/cell/board.py
+++ b/baobabhoist/cell/board.py
@@ -174,7 +174,7 @@
     def _count(
         self, task: TaskState, worker: WorkerState, number: int, phase: RunPhase, now: float
     ) -> Run:
-        run = Run(task, number, worker.worker_id, task.step.spec.charged, phase, now)
+        run = Run(task, number, worker.worker_id, task.step.spec.charged, phase)
         run.moved_ms = now
         task.step.attach(run)
         worker.take(run)
--- a/baobabhoist/cell/jobs.py
+++ b/baobabhoist/cell/jobs.py
@@ -42,7 +42,6 @@
     worker_id: str
     charged: Room
     phase: RunPhase
-    ordered_ms: float
     # When the order to start was answered or the run was first listed.
     confirmed_ms: float = 0.0
     stop_sent_ms: float = 0.0
@@ -208,12 +207,6 @@
         return max(longest, default=0.0)
 
 
-def total_core_ms(accepted: AcceptedJob) -> float:
-    """Return the declared work of a job in core-milliseconds, at least 1."""
-    steps = accepted.spec.steps
-    return max(1.0, sum(s.count * s.need.cpu / 1000.0 * max(1, s.expected_ms) for s in steps))
-
-
 def chain_ms(accepted: AcceptedJob) -> float:
     """Return the longest chain of declared work of one occurrence, in ms."""
     return JobState(accepted, 0.0).remaining_ms()
--- a/baobabhoist/cell/model.py
+++ b/baobabhoist/cell/model.py
@@ -143,7 +143,6 @@
     max_attempts: int = 1
     slack_factor: float = 1.0
     target_latency_ms: int = 0
-    timeout_ms: int = 3000
     open_to_all: bool = False
     advice: AdviceTerms | None = None
 
--- a/baobabhoist/cell/order.py
+++ b/baobabhoist/cell/order.py
@@ -6,14 +6,9 @@
 
 import attrs
 
-from baobabhoist.cell.jobs import JobState, StepState, total_core_ms
+from baobabhoist.cell.jobs import JobState, StepState
 from baobabhoist.cell.model import Queue
 
-# A job's worth grows with its size from this fixed part, so small jobs give more per core.
-FIXED_WORTH = 0.3
-# Share of the declared work that a job is given as allowance for slow workers.
-WORK_ALLOWANCE = 1.0
-
 
 class Band(enum.IntEnum):
     """Name how much of a job's worth can still be had."""
@@ -29,13 +24,13 @@
 
     band: Band
     priority: int
-    cost: float
+    slack_ms: float
     accepted_ms: float
 
 
 def band_of(job: JobState, now: float) -> Band:
     """Return what can still be had of a job if it started now."""
-    done_at = now + job.remaining_ms() * WORK_ALLOWANCE
+    done_at = now + job.remaining_ms()
     if done_at <= job.objective_ms:
         return Band.IN_TIME
     return Band.LATE if done_at <= job.late_limit_ms else Band.HOPELESS
@@ -51,9 +46,3 @@
 def _slack_ms(job: JobState, now: float) -> float:
     """Return how long the job can still wait and meet its objective; the least comes first."""
     return job.objective_ms - now - job.remaining_ms()
-
-
-def worth_per_core_ms(job: JobState, mean_core_ms: float) -> float:
-    """Return the relative worth of a job per core-millisecond."""
-    size = total_core_ms(job.accepted)
-    return (FIXED_WORTH + (1.0 - FIXED_WORTH) * size / max(1.0, mean_core_ms)) / size
--- a/baobabhoist/control/frontdesk.py
+++ b/baobabhoist/control/frontdesk.py
@@ -105,6 +105,7 @@
     clock: SharedClock
     owner: OwnerCalls
     revoke_ms: float
+    row_max_bytes: int
 
     def admit(self, call: Call) -> Admitted | Refusal:
         """Return the route and team of a call, or why it is refused."""
@@ -145,6 +146,10 @@
         queue = admitted.route.queue
         row = JobRow(queue.name, queue.service, admitted.team, self.clock.now_ms(), spec)
         value = encode_job(row)
+        if len(value) > self.row_max_bytes:
+            message = f"the job takes {len(value)} bytes as it is stored"
+            remedy = f"send a job of at most {self.row_max_bytes} bytes"
+            return Refusal(ErrorKind.BODY_TOO_LARGE, message, remedy=remedy)
         began_ms = boot_ms()
         outcome = await self.acceptor.store_job(
             admitted.job_id, value, call.give_up_ms - ANSWER_RESERVE_MS
--- a/baobabhoist/control/metrics.py
+++ b/baobabhoist/control/metrics.py
@@ -47,7 +47,6 @@
             "takeover_seconds", "Time from a won claim to the loaded cell.", TAKEOVER_BUCKETS_S
         )
         self._refusals = self._counter("refusals_total", "Calls refused, by reason.")
-        self._ends = self._counter("runs_ended_total", "Ends of runs, by queue and kind.")
         self._dropped = self._gauge("log_lines_dropped", "Log lines that a full pipe refused.")
         self._config = self._gauge("config_version", "Version of the configuration in force.")
         self._config_age = self._gauge("config_age_seconds", "Age of its last confirmation.")
@@ -71,10 +70,6 @@
         labels = {"team": self._teams.of(team or NO_TEAM), "class": self._queues.of(queue)}
         self._waiting.observe(labels, waited_s)
 
-    def ended(self, queue: str, kind: str) -> None:
-        """Count the end of a run."""
-        self._ends.inc({"class": self._queues.of(queue), "kind": kind})
-
     def decided(self, seconds: float) -> None:
         """Observe a round of decisions."""
         self._decision.observe({}, seconds)
--- a/baobabhoist/control/settings.py
+++ b/baobabhoist/control/settings.py
@@ -36,12 +36,8 @@
     """Hold the platform's bounds that the control code keeps."""
 
     lease_max_ms: float = setting(_ms(), "Longest lease that a worker grants.")
-    stop_ms: float = setting(_ms(0), "Longest time that a stop takes.")
-    gang_timeout_ms: float = setting(_ms(), "How long the first member of a gang waits.")
     revoke_ms: float = setting(_ms(), "A withdrawn key stops working within this time.")
-    config_ms: float = setting(_ms(), "An accepted configuration is in force within this time.")
     grace_s: float = setting(_seconds(), "Time from SIGTERM to SIGKILL.")
-    drain_ms: float = setting(_ms(0), "A draining worker gets no new task after this time.")
     job_kept_s: float = setting(_seconds(), "A finished job is shown for at least this time.")
 
 
--- a/baobabhoist/platform/decode.py
+++ b/baobabhoist/platform/decode.py
@@ -24,7 +24,8 @@
 log = logging.getLogger(__name__)
 
 PAYLOAD_MAX_BYTES = 4_000
-TASKS_MAX = 10_000
+# The progress of all tasks of a job must fit into one row of the store.
+TASKS_MAX = 1_000
 STEPS_MAX = 1_000
 BODY_MAX_BYTES = 1 << 20
 LARGEST_NUMBER = 1 << 53
@@ -157,7 +158,6 @@
         _whole(entry, "maxAttempts") or 1,
         _number(entry, "slackFactor", 1.0),
         _whole(entry, "targetLatencyMs"),
-        _whole(entry, "timeoutMs"),
         _flag(entry, "public"),
         _advice(_part(entry, "advice")),
     )
@@ -209,6 +209,9 @@
     if not 0 < len(entries) <= STEPS_MAX:
         raise FieldError(f"steps holds {len(entries)} entries, give 1 to {STEPS_MAX}")
     steps = tuple(_step(entry, number) for number, entry in enumerate(entries))
+    tasks = sum(step.count for step in steps)
+    if tasks > TASKS_MAX:
+        raise FieldError(f"the steps have {tasks} tasks, give at most {TASKS_MAX}")
     return JobSpec(
         payload,
         steps,
--- a/baobabhoist/platform/main.py
+++ b/baobabhoist/platform/main.py
@@ -8,6 +8,7 @@
 import os
 import signal
 import sys
+from collections.abc import Callable
 from pathlib import Path
 
 import yaml
@@ -58,7 +59,7 @@
     return Node(cfg, adapter)
 
 
-async def serve(cfg: NodeSettings) -> None:
+async def serve(cfg: NodeSettings, dropped_lines: Callable[[], int]) -> None:
     """Run until SIGTERM and then until the work in hand is done."""
     stopping = asyncio.Event()
     loop = asyncio.get_running_loop()
@@ -66,6 +67,7 @@
         loop.add_signal_handler(number, stopping.set)
     loop.add_signal_handler(signal.SIGHUP, _reloaded)
     node = make_node(cfg)
+    node.dropped_lines = dropped_lines
     servers = Servers(node)
     servers.start()
     running = asyncio.create_task(node.run())
@@ -97,14 +99,15 @@
         print(exc, file=sys.stderr)
         return EXIT_BAD_SETTINGS
     handler = DroppingHandler(sys.stdout)
-    handler.addFilter(RateFilter(EVENT_ATTRIBUTE))
+    limit = RateFilter(EVENT_ATTRIBUTE)
+    handler.addFilter(limit)
     configure_logging("json", cfg.log_level, handler=handler)
     for name in QUIET_LOGGERS:
         logging.getLogger(name).setLevel(logging.CRITICAL)
     emit(log, Event.DAEMON_STARTED, instance_id=cfg.instance_id, data_centre=cfg.data_centre)
     gc.freeze()
     gc.set_threshold(*GC_THRESHOLDS)
-    asyncio.run(serve(cfg))
+    asyncio.run(serve(cfg, lambda: handler.dropped + limit.left_out))
     return 0
 
 
