--- a/baobabhoist/control/relay.py
+++ b/baobabhoist/control/relay.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import logging
 from collections.abc import Callable
 from typing import Any
@@ -42,6 +43,8 @@
 CALL_TIMEOUT_S = 0.6
 # While the store is out of reach it is tried again this often.
 PROBE_INTERVAL_MS = 400.0
+# A table of few rows.
+PROBED_TABLE = "cell"
 # A peer that gave no answer, or has no way to the store either, is not asked for this long.
 PEER_REST_MS = 1_500.0
 # A relayed call may pass one more instance: the owner, if it is cut off from the store too.
@@ -87,6 +90,7 @@
         self.direct = direct
         self._peers = peers
         self._probe_due_ms = 0.0
+        self._probing: asyncio.Task[None] | None = None
 
     async def read(self, table: str, part: str = "", *, first: str = "", last: str = "") -> Rows:
         """Return the rows of a part in a range of keys."""
@@ -134,14 +138,27 @@
         return RelayedRows(tuple(map(_wire_row, rows.rows)), rows.version, rows.now_ms)
 
     def _use_direct(self) -> bool:
-        """Tell whether to ask the store itself, which is probed now and then when lost."""
+        """Tell whether to ask the store itself: while it answers, or without any peer."""
         if not self.direct.contact.lost():
             return True
+        self._probe()
+        return not self._peers.usable()
+
+    def _probe(self) -> None:
+        """Find out beside the calls whether a lost store answers again."""
         now = boot_ms()
-        if now < self._probe_due_ms and self._peers.usable():
-            return False
+        if now < self._probe_due_ms or self._probing is not None:
+            return
         self._probe_due_ms = now + PROBE_INTERVAL_MS
-        return True
+        self._probing = asyncio.create_task(self._probe_once())
+
+    async def _probe_once(self) -> None:
+        try:
+            await self.direct.read(PROBED_TABLE)
+        except StoreError as exc:
+            log.debug("the store is still out of reach: %s", exc)
+        finally:
+            self._probing = None
 
     async def _relay(self, message: Any, timeout_s: float) -> Any:
         """Return a peer's answer; raises StoreError."""
--- a/baobabhoist/tests/test_control_relay.py
+++ b/baobabhoist/tests/test_control_relay.py
@@ -87,7 +87,6 @@
         again = await store.commit(TXN)
         assert isinstance(again, RowsConflict)
         assert again.version_of(KEY) == shared.rows[KEY].version
-        store._probe_due_ms = float("inf")
         changes = await store.follow("jobs", 0, 10)
         assert [row.value for row in changes.rows] == [b"value"]
 
@@ -157,10 +156,11 @@
         _, view, store, link = pair()
         await lose(view, store)
         view.down = False
-        store._probe_due_ms = 0.0
         await store.read("jobs", "0")
+        assert link.calls == 1
+        await asyncio.sleep(0)
         assert not store.direct.contact.lost()
         await store.commit(TXN)
-        assert link.calls == 0
+        assert link.calls == 1
 
     asyncio.run(run())
