--- a/baobabhoist/cell/decide.py
+++ b/baobabhoist/cell/decide.py
@@ -61,6 +61,8 @@
             return
         open_to = [w for w in self._eligible(step, usable) if self._has_ticket(step, w, now)]
         open_to = [w for w in open_to if self.holds.open_to(w, step)]
+        if not open_to and not spec.gang:
+            return
         running = Counter(t.run.worker_id for t in step.tasks if t.run is not None)
         stretch = self.board.speeds.stretch(step.job.accepted.queue)
         tolerated = tolerance(step.job, stretch, now)
--- a/baobabhoist/control/claimant.py
+++ b/baobabhoist/control/claimant.py
@@ -17,6 +17,7 @@
     ClaimReason,
     ClaimRow,
     Company,
+    OwnerSeen,
     claim_reason,
     decode_claim,
     encode_claim,
@@ -43,8 +44,12 @@
 OWNER_CORES = 1.0
 OWNER_LINK_MBPS = 50.0
 CLAIM_SIZE_SPREAD_S = 0.5
-# Without a reading of the claim for this long its age says nothing about the owner.
-CLAIM_GAP_MS = 1_800.0
+# While the link shows that the owner lives, the claim is read this rarely.
+CLAIM_PAUSE_S = 1.5
+# Between two readings lies the pause, unless a question in between got no answer.
+ANSWERED_GAP_MS = 1_700.0
+# A reading that is older than a pause and a poll shows nothing.
+CLAIM_FRESH_MS = 3_200.0
 
 MakeOwner = Callable[[Ownership, Callable[[], bool], Callable[[str], None]], CellOwner]
 
@@ -64,6 +69,8 @@
         make_owner: MakeOwner,
     ) -> None:
         self.draining = False
+        # Reads the cell's table at once.
+        self.hurry: Callable[[], None] = lambda: None
         self._cfg = cfg
         self._store = store
         self._config = config
@@ -88,8 +95,14 @@
 
     def wake(self) -> None:
         """Look at the claim now, because the link to its owner changed."""
+        self.hurry()
         self._wake.set()
 
+    def pause_s(self) -> float:
+        """Return how long the cell's table need not be read, in seconds."""
+        owns = self._calls.local is not None
+        return CLAIM_PAUSE_S if owns or self._link.seen is OwnerSeen.CONNECTED else 0.0
+
     async def release(self, reason: str) -> None:
         """Give the cell up, so that another instance takes it over at once."""
         owner = self._calls.local
@@ -99,6 +112,7 @@
         owner.stop()
         if await owner.progress.release(encode_claim(claim), owner.cell):
             emit(log, Event.CLAIM_RELEASED, token=owner.ownership.token)
+            self._tell_links(OwnerBeat(owns=False))
         self._step_down(reason)
 
     # What the cell's table says.
@@ -149,7 +163,7 @@
     def confirmed(self, asked_ms: float) -> None:
         """Note that the rows were read just now."""
         now = boot_ms()
-        if now - self._read_ms > CLAIM_GAP_MS:
+        if asked_ms - self._read_ms > ANSWERED_GAP_MS:
             # While the store was away, the owner could not show that it lives either.
             self._beat_changed_ms = now
         self._read_ms = now
@@ -173,7 +187,7 @@
                     await self._take(reason)
 
     def _claim_reason(self) -> ClaimReason:
-        fresh = boot_ms() - self._read_ms < CLAIM_GAP_MS
+        fresh = boot_ms() - self._read_ms < CLAIM_FRESH_MS
         if not (self._loaded and fresh) or self.draining or self._calls.local is not None:
             return ClaimReason.NONE
         if self._config.current is None or boot_ms() < self._claims_from_ms:
@@ -281,13 +295,16 @@
         while True:
             owner = self._calls.local
             if owner is not None:
-                for link in list(self._server.links.values()):
-                    self._notify(link, OwnerBeat())
+                self._tell_links(OwnerBeat())
                 if self._company.lost(len(self._server.links), boot_ms()):
                     self._claims_from_ms = boot_ms() + ALONE_PAUSE_MS
                     await self.release("no instance is linked to this one")
             await asyncio.sleep(OWNER_BEAT_S)
 
+    def _tell_links(self, message: Any) -> None:
+        for link in list(self._server.links.values()):
+            self._notify(link, message)
+
     def _notify(self, link: Link, message: Any) -> None:
         task = asyncio.create_task(_notify_quietly(link, message))
         self._tasks.add(task)
--- a/baobabhoist/control/follow.py
+++ b/baobabhoist/control/follow.py
@@ -34,7 +34,7 @@
         clock: SharedClock,
         *,
         parts: Iterable[str] = ("",),
-        pause_s: float = 0.0,
+        pause_s: Callable[[], float] = lambda: 0.0,
         on_confirmed: Callable[[float], None] | None = None,
     ) -> None:
         self.confirmed_ms = -1e12
@@ -47,6 +47,7 @@
         self._pause_s = pause_s
         self._on_confirmed = on_confirmed
         self._connected = False
+        self._hurry = asyncio.Event()
 
     async def run(self) -> None:
         """Follow until cancelled."""
@@ -81,8 +82,23 @@
         if changes.rows:
             self._on_rows(changes.rows, False)
         self._confirm(changes, asked_ms)
-        if self._pause_s:
-            await asyncio.sleep(self._pause_s)
+        await self._pause()
+
+    async def _pause(self) -> None:
+        """Wait between two polls, unless somebody is in a hurry."""
+        pause_s = self._pause_s()
+        if pause_s <= 0.0:
+            return
+        try:
+            async with asyncio.timeout(pause_s):
+                await self._hurry.wait()
+        except TimeoutError:
+            return
+        self._hurry.clear()
+
+    def hurry(self) -> None:
+        """Ask again now instead of after the pause."""
+        self._hurry.set()
 
     def _confirm(self, rows: Rows, asked_ms: float) -> None:
         self._clock.heard(rows.now_ms)
--- a/baobabhoist/control/links.py
+++ b/baobabhoist/control/links.py
@@ -155,7 +155,11 @@
 
     async def _handle(self, message: Any) -> Any:
         self._heard_ms = boot_ms()
-        return None if isinstance(message, OwnerBeat) else await self._handler(message)
+        if not isinstance(message, OwnerBeat):
+            return await self._handler(message)
+        if not message.owns:
+            self._on_change()
+        return None
 
     def _saw(self, seen: OwnerSeen, claim: ClaimRow) -> None:
         if seen is self.seen:
--- a/baobabhoist/control/messages.py
+++ b/baobabhoist/control/messages.py
@@ -93,7 +93,9 @@
 
 @attrs.frozen
 class OwnerBeat:
-    """Show over a link that the owner lives."""
+    """Show over a link that the owner lives, or that it has given the cell up."""
+
+    owns: bool = True
 
 
 @attrs.frozen
--- a/baobabhoist/control/node.py
+++ b/baobabhoist/control/node.py
@@ -118,7 +118,9 @@
             self._claimant.rows_changed,
             self.clock,
             on_confirmed=self._claimant.confirmed,
+            pause_s=self._claimant.pause_s,
         )
+        self._claimant.hurry = cell.hurry
         async with asyncio.TaskGroup() as group:
             group.create_task(operator.run())
             group.create_task(cell.run())
--- a/baobabhoist/control/owner.py
+++ b/baobabhoist/control/owner.py
@@ -105,9 +105,8 @@
         """Load what lasts, then work until cancelled."""
         try:
             await self._load()
-            self.spawn(
-                self._follower(JOBS_TABLE, self._jobs_changed, JOB_PARTS, JOBS_PAUSE_S).run()
-            )
+            jobs = self._follower(JOBS_TABLE, self._jobs_changed, JOB_PARTS, JOBS_PAUSE_S)
+            self.spawn(jobs.run())
             self.spawn(
                 self._follower(
                     DIRECTORY_TABLE, self._directory_changed, ("",), DIRECTORY_PAUSE_S
@@ -260,10 +259,15 @@
         table: str,
         on_rows: Callable[[Sequence[StoredRow], bool], None],
         parts: Sequence[str],
-        pause_s: float = 0.0,
+        pause_s: float,
     ) -> TableFollower:
         return TableFollower(
-            self._parts.store, table, on_rows, self._parts.clock, parts=parts, pause_s=pause_s
+            self._parts.store,
+            table,
+            on_rows,
+            self._parts.clock,
+            parts=parts,
+            pause_s=lambda: pause_s,
         )
 
     def _jobs_changed(self, rows: Sequence[StoredRow], whole: bool) -> None:
--- a/baobabhoist/control/owners.py
+++ b/baobabhoist/control/owners.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+from collections.abc import Awaitable, Callable
 from typing import Any
 
 from baobabhoist.cell.model import StepKey
@@ -17,10 +18,12 @@
     JobNotice,
     NotOwner,
     PendingQuery,
+    PendingReply,
     RelayCommit,
     RelayFollow,
     RelayRead,
     StateQuery,
+    StateReply,
 )
 from baobabhoist.control.owner import CellOwner
 from baobabhoist.control.relay import RelayedStore
@@ -73,22 +76,28 @@
 
     async def handle(self, message: Any) -> Any:
         """Answer a message of another instance, or of this one."""
-        if isinstance(message, AdviceQuery):
-            return await self._advise(message)
-        if isinstance(message, RelayCommit | RelayRead | RelayFollow):
-            return await self.relay.serve(message) if self.relay is not None else None
-        owner = self.local
-        if owner is None:
+        anywhere = self._ANYWHERE.get(type(message))
+        if anywhere is not None:
+            return await anywhere(self, message)
+        if self.local is None:
             return NotOwner(self._node)
-        if isinstance(message, StateQuery):
-            return owner.state_of(message.job_id)
-        if isinstance(message, PendingQuery):
-            return owner.pending_in(message.queue) or NotOwner(self._node)
-        if isinstance(message, JobNotice):
-            owner.job_stored(message.job_id, message.value, message.version)
-        elif isinstance(message, CancelNotice):
-            owner.job_cancelled(message.job_id)
-        return None
+        at_owner = self._AT_OWNER.get(type(message))
+        return at_owner(self, self.local, message) if at_owner is not None else None
+
+    def _state(self, owner: CellOwner, query: StateQuery) -> StateReply:
+        return owner.state_of(query.job_id)
+
+    def _pending(self, owner: CellOwner, query: PendingQuery) -> PendingReply | NotOwner:
+        return owner.pending_in(query.queue) or NotOwner(self._node)
+
+    def _job(self, owner: CellOwner, notice: JobNotice) -> None:
+        owner.job_stored(notice.job_id, notice.value, notice.version)
+
+    def _cancel(self, owner: CellOwner, notice: CancelNotice) -> None:
+        owner.job_cancelled(notice.job_id)
+
+    async def _serve_store(self, message: Any) -> Any:
+        return await self.relay.serve(message) if self.relay is not None else None
 
     async def _advise(self, query: AdviceQuery) -> AdviceReply:
         step = StepKey(query.job_id, query.occurrence, query.step)
@@ -97,6 +106,20 @@
             return AdviceReply(False)
         return AdviceReply(True, advice.tickets, advice.valid_ms)
 
+    # What every instance answers, and what only the owner can.
+    _ANYWHERE: dict[type, Callable[[Any, Any], Awaitable[Any]]] = {
+        AdviceQuery: _advise,
+        RelayCommit: _serve_store,
+        RelayRead: _serve_store,
+        RelayFollow: _serve_store,
+    }
+    _AT_OWNER: dict[type, Callable[[Any, CellOwner, Any], Any]] = {
+        StateQuery: _state,
+        PendingQuery: _pending,
+        JobNotice: _job,
+        CancelNotice: _cancel,
+    }
+
     async def _notify(self, notice: Any) -> None:
         if self.local is not None:
             await self.handle(notice)
