--- a/baobabhoist/control/interfaces.py
+++ b/baobabhoist/control/interfaces.py
@@ -36,6 +36,15 @@
     valid_ms: int
 
 
+@attrs.frozen
+class OutsideTables:
+    """Name the rows that others write: the operator's configuration, the workers' directory."""
+
+    operator: str
+    config_key: str
+    directory: str
+
+
 class WorkerDriver(Protocol):
     """Give orders to workers under a fencing token."""
 
@@ -63,6 +72,8 @@
 class Decoder(Protocol):
     """Read what operators, workers and callers write; each method tolerates foreign content."""
 
+    tables: OutsideTables
+
     def config(self, value: bytes) -> CellConfig | None:
         """Return a configuration, or None if it cannot be read."""
 
--- a/baobabhoist/control/node.py
+++ b/baobabhoist/control/node.py
@@ -26,8 +26,6 @@
 from baobabhoist.control.relay import Peers, RelayedStore
 from baobabhoist.control.rowmap import (
     CELL_TABLE,
-    CONFIG_KEY,
-    OPERATOR_TABLE,
 )
 from baobabhoist.control.settings import NodeSettings
 from baobabhoist.observability.events import Event, emit
@@ -107,7 +105,7 @@
         store = self._adapter.store
         operator = TableFollower(
             store,
-            OPERATOR_TABLE,
+            self._adapter.decoder.tables.operator,
             self._operator_changed,
             self.clock,
             on_confirmed=self.config.confirm,
@@ -173,7 +171,8 @@
 
     def _operator_changed(self, rows: Sequence[StoredRow], whole: bool) -> None:
         for row in rows:
-            if row.key.key != CONFIG_KEY or row.value is None:
+            is_config = row.key.key == self._adapter.decoder.tables.config_key
+            if not is_config or row.value is None:
                 continue
             cfg = self._adapter.decoder.config(row.value)
             if cfg is None or not self.config.accept(cfg):
--- a/baobabhoist/control/owner.py
+++ b/baobabhoist/control/owner.py
@@ -25,7 +25,6 @@
 from baobabhoist.control.rowmap import (
     CANCEL_SUFFIX,
     CELL_TABLE,
-    DIRECTORY_TABLE,
     JOB_PARTS,
     JOBS_TABLE,
     LEARNED_ROW,
@@ -107,11 +106,9 @@
             await self._load()
             jobs = self._follower(JOBS_TABLE, self._jobs_changed, JOB_PARTS, JOBS_PAUSE_S)
             self.spawn(jobs.run())
-            self.spawn(
-                self._follower(
-                    DIRECTORY_TABLE, self._directory_changed, ("",), DIRECTORY_PAUSE_S
-                ).run()
-            )
+            table = self._parts.decoder.tables.directory
+            directory = self._follower(table, self._directory_changed, ("",), DIRECTORY_PAUSE_S)
+            self.spawn(directory.run())
             self.spawn(self.progress.run(self._require_cell()))
             await self._tick_forever()
         finally:
@@ -192,7 +189,7 @@
             store.read(PROGRESS_TABLE),
             store.read(CELL_TABLE),
             store.read(LEARNED_ROW.table),
-            store.read(DIRECTORY_TABLE),
+            store.read(self._parts.decoder.tables.directory),
             *jobs,
         )
         takeover = Takeover(
--- a/baobabhoist/control/rowmap.py
+++ b/baobabhoist/control/rowmap.py
@@ -15,10 +15,6 @@
 CELL_TABLE = "cell"
 JOBS_TABLE = "jobs"
 PROGRESS_TABLE = "progress"
-# The operator's and the workers' tables, which instances only read.
-OPERATOR_TABLE = "op"
-DIRECTORY_TABLE = "servers"
-CONFIG_KEY = "config"
 
 OWNER_ROW = RowKey(CELL_TABLE, "", "owner")
 BEAT_ROW = RowKey(CELL_TABLE, "", "beat")
--- a/baobabhoist/platform/decode.py
+++ b/baobabhoist/platform/decode.py
@@ -18,6 +18,7 @@
     WorkerInfo,
 )
 from baobabhoist.control.config import CellConfig, Route
+from baobabhoist.control.interfaces import OutsideTables
 from baobabhoist.errors import ErrorKind, Refusal
 from baobabhoist.observability.events import Event, emit
 
@@ -38,12 +39,20 @@
 class PlatformDecoder:
     """Read the platform's JSON."""
 
+    tables = OutsideTables(operator="op", config_key="config", directory="servers")
+
     def config(self, value: bytes) -> CellConfig | None:
         """Return a configuration, or None if it cannot be read."""
         try:
             return _config(_object(value))
         except FieldError as exc:
-            emit(log, Event.ROW_UNREADABLE, table="op", row="config", detail=exc)
+            emit(
+                log,
+                Event.ROW_UNREADABLE,
+                table=self.tables.operator,
+                row=self.tables.config_key,
+                detail=exc,
+            )
             return None
 
     def worker(self, worker_id: str, value: bytes) -> WorkerInfo | None:
@@ -51,7 +60,7 @@
         try:
             return _worker(worker_id, _object(value))
         except FieldError as exc:
-            emit(log, Event.ROW_UNREADABLE, table="servers", row=worker_id, detail=exc)
+            emit(log, Event.ROW_UNREADABLE, table=self.tables.directory, row=worker_id, detail=exc)
             return None
 
     def job(self, body: bytes) -> JobSpec | Refusal:
