--- /dev/null
+++ b/baobabhoist/tests/test_cell_gathering.py
@@ -0,0 +1,33 @@
+"""Test the load of a gang among small work: it gets its room although small tasks keep coming."""
+
+from baobabhoist.cell.model import EndKind, Step
+from baobabhoist.tests.cells import SMALL, Rig, job, task
+
+
+def fill(rig, first, count):
+    for number in range(first, first + count):
+        rig.accept(job(f"{number:016x}", Step(1, SMALL, 4000)))
+    rig.settle()
+
+
+def test_a_gang_gathers_room_while_small_tasks_keep_coming():
+    """Guard against a gang that never finds all its places free at once."""
+    rig = Rig.with_workers(2)
+    fill(rig, 0, 8)
+    gang = "a" * 16
+    rig.accept(job(gang, Step(4, SMALL, 100, gang=True)))
+    rig.settle()
+    fill(rig, 100, 20)
+    for number in range(8):
+        if any(key.job_id == gang for key, _ in rig.running()):
+            break
+        rig.end(task(f"{number:016x}"), EndKind.DONE)
+    assert sum(key.job_id == gang for key, _ in rig.running()) == 4
+
+
+def test_room_that_no_gang_waits_for_is_used():
+    """Guard against cores that stay idle for a gang which could never fit."""
+    rig = Rig.with_workers(2)
+    rig.accept(job("a" * 16, Step(50, SMALL, 100, gang=True)))
+    fill(rig, 0, 8)
+    assert len(rig.running()) == 8
