Load a cell piece by piece over a slow link

Ruled out: the claim's patience (doubled twice, no change), the store (it answered the others). Change: few readings at once, those that came are kept, pages shrink after a timeout; the jobs are followed from the version that was loaded instead of being read a second time.

--- a/baobabhoist/control/follow.py
+++ b/baobabhoist/control/follow.py
@@ -23,7 +23,8 @@
     """Own the reading of one table.
 
     `on_rows` gets rows and whether they are the whole table. `confirmed_ms` is when the last
-    answered question was asked, on the local clock.
+    answered question was asked, on the local clock. The table is not read where its rows up to
+    `known_version` are known already.
     """
 
     def __init__(
@@ -36,9 +37,10 @@
         parts: Iterable[str] = ("",),
         pause_s: Callable[[], float] = lambda: 0.0,
         on_confirmed: Callable[[float], None] | None = None,
+        known_version: int = 0,
     ) -> None:
         self.confirmed_ms = -1e12
-        self.version = 0
+        self.version = known_version
         self._store = store
         self._table = table
         self._on_rows = on_rows
@@ -51,7 +53,7 @@
 
     async def run(self) -> None:
         """Follow until cancelled."""
-        loaded = False
+        loaded = self.version > 0
         while True:
             try:
                 if not loaded:
--- a/baobabhoist/control/owner.py
+++ b/baobabhoist/control/owner.py
@@ -19,15 +19,14 @@
 from baobabhoist.control.clock import SharedClock, boot_ms, unix_ms
 from baobabhoist.control.follow import TableFollower
 from baobabhoist.control.interfaces import Decoder, WorkerDriver
+from baobabhoist.control.loading import CellLoading, CellTables
 from baobabhoist.control.messages import PendingReply, StateReply
 from baobabhoist.control.metrics import NodeMetrics
 from baobabhoist.control.progress import ProgressWriter
 from baobabhoist.control.rowmap import (
     CANCEL_SUFFIX,
-    CELL_TABLE,
     JOB_PARTS,
     JOBS_TABLE,
-    LEARNED_ROW,
     PROGRESS_TABLE,
     decode_job,
     decode_speeds,
@@ -93,6 +92,7 @@
         self.progress.on_acked = self._acked
         self._parts = parts
         self._rules = rules
+        self._loading = CellLoading(parts.store, parts.decoder.tables.directory)
         self._tasks: set[asyncio.Task[None]] = set()
         self._loops: dict[str, WorkerLoop] = {}
         self._kicked = False
@@ -104,11 +104,8 @@
         """Load what lasts, then work until cancelled."""
         try:
             await self._load()
-            jobs = self._follower(JOBS_TABLE, self._jobs_changed, JOB_PARTS, JOBS_PAUSE_S)
-            self.spawn(jobs.run())
-            table = self._parts.decoder.tables.directory
-            directory = self._follower(table, self._directory_changed, ("",), DIRECTORY_PAUSE_S)
-            self.spawn(directory.run())
+            self.spawn(self._jobs_follower().run())
+            self.spawn(self._directory_follower().run())
             self.spawn(self.progress.run(self._require_cell()))
             await self._tick_forever()
         finally:
@@ -174,37 +171,28 @@
     # Loading.
 
     async def _load(self) -> None:
-        while True:
+        while not self._loading.complete:
             try:
-                await self._load_once()
-                return
+                await self._loading.read_missing()
             except StoreError as exc:
-                emit(log, Event.LOAD_FAILED, detail=exc)
+                emit(log, Event.LOAD_FAILED, missing=len(self._loading.missing), detail=exc)
                 await asyncio.sleep(LOAD_RETRY_S)
+        await self._use_loaded(self._loading.tables())
 
-    async def _load_once(self) -> None:
-        store = self._parts.store
-        jobs = [store.read(JOBS_TABLE, part) for part in JOB_PARTS]
-        progress, own, learned, directory, *parts = await asyncio.gather(
-            store.read(PROGRESS_TABLE),
-            store.read(CELL_TABLE),
-            store.read(LEARNED_ROW.table),
-            store.read(self._parts.decoder.tables.directory),
-            *jobs,
-        )
+    async def _use_loaded(self, tables: CellTables) -> None:
         takeover = Takeover(
             self.ownership.generation, self.ownership.token, self._leases_lapsed_ms()
         )
-        known = (*progress.rows, *own.rows, *learned.rows)
+        known = (*tables.progress, *tables.own, *tables.learned)
         self.progress.loaded({row.key: row.version for row in known})
         cell = Cell(self._rules, takeover, self._parts.lease_ms)
         cell.decisions.advisers = self._parts.advice.capacity
-        self._use_learned(cell, learned.rows)
+        self._use_learned(cell, tables.learned)
         self._cell = cell
-        self._directory_changed(directory.rows, True)
-        await self._load_jobs([row for part in parts for row in part.rows])
+        self._directory_changed(tables.directory, True)
+        await self._load_jobs(tables.jobs)
         now = boot_ms()
-        for number, row in enumerate(progress.rows):
+        for number, row in enumerate(tables.progress):
             self._apply_progress(cell, row, now)
             if number % ROWS_A_TURN == 0:
                 await asyncio.sleep(0)
@@ -251,20 +239,25 @@
 
     # Tables.
 
-    def _follower(
-        self,
-        table: str,
-        on_rows: Callable[[Sequence[StoredRow], bool], None],
-        parts: Sequence[str],
-        pause_s: float,
-    ) -> TableFollower:
+    def _jobs_follower(self) -> TableFollower:
+        """Follow the jobs from where they were read, because that was the largest reading."""
+        return TableFollower(
+            self._parts.store,
+            JOBS_TABLE,
+            self._jobs_changed,
+            self._parts.clock,
+            parts=JOB_PARTS,
+            pause_s=lambda: JOBS_PAUSE_S,
+            known_version=self._loading.tables().jobs_version,
+        )
+
+    def _directory_follower(self) -> TableFollower:
         return TableFollower(
             self._parts.store,
-            table,
-            on_rows,
+            self._parts.decoder.tables.directory,
+            self._directory_changed,
             self._parts.clock,
-            parts=parts,
-            pause_s=lambda: pause_s,
+            pause_s=lambda: DIRECTORY_PAUSE_S,
         )
 
     def _jobs_changed(self, rows: Sequence[StoredRow], whole: bool) -> None:
--- a/baobabhoist/observability/events.py
+++ b/baobabhoist/observability/events.py
@@ -87,7 +87,7 @@
     CLAIM_RELEASED = (1605, logging.INFO, "the claim of token {token} is released")
     RELAY_REFUSED = (8010, logging.INFO, "a peer does not reach the store either: {detail}")
     CELL_LOADED = (1606, logging.INFO, "{jobs} jobs and {workers} workers are loaded")
-    LOAD_FAILED = (1607, logging.WARNING, "the cell cannot be loaded yet: {detail}")
+    LOAD_FAILED = (1607, logging.WARNING, "{missing} readings of the cell are missing: {detail}")
     OWNER_SEEN = (1608, logging.INFO, "the owner {owner} is {state}")
     CONFIG_IN_FORCE = (1609, logging.INFO, "configuration {version} is in force")
     READINESS = (1610, logging.INFO, "ready for callers: {ready}")
--- a/baobabhoist/platform/store.py
+++ b/baobabhoist/platform/store.py
@@ -9,6 +9,7 @@
 from urllib.parse import urlencode
 
 from baobabhoist.platform.http import Answer, HttpCaller
+from baobabhoist.platform.pages import PageSize
 from baobabhoist.platform.patience import Patience
 from baobabhoist.store.rows import (
     HistoryLostError,
@@ -24,7 +25,6 @@
 )
 
 CALL_TIMEOUT_S = 1.2
-PAGE_ROWS = 500
 OK, GONE, CONFLICT, TOO_MANY, UNAVAILABLE = 200, 410, 412, 429, 503
 REFUSED = frozenset({TOO_MANY, UNAVAILABLE})
 
@@ -36,10 +36,11 @@
         self._http = http
         self._address = address
         self._patience = Patience()
+        self._page_size = PageSize()
 
     async def read(self, table: str, part: str = "", *, first: str = "", last: str = "") -> Rows:
         """Return the rows of a part, all pages; raises StoreError."""
-        query = {"table": table, "part": part, "limit": PAGE_ROWS}
+        query: dict[str, Any] = {"table": table, "part": part}
         if last:
             query["to"] = last
         rows: list[StoredRow] = []
@@ -47,7 +48,7 @@
         while True:
             if first:
                 query["from"] = first
-            page = await self._get("/-/rows-get", query, CALL_TIMEOUT_S)
+            page = await self._page(query)
             found = [row for row in _rows(page) if not rows or row.key != rows[-1].key]
             rows += found
             # Later pages may be newer; changes are followed from the first one.
@@ -57,6 +58,16 @@
             # A page begins with the key that it is asked from, which is known already.
             first = found[-1].key.key
 
+    async def _page(self, query: dict[str, Any]) -> Answer:
+        sized = {**query, "limit": self._page_size.rows}
+        try:
+            page = await self._get("/-/rows-get", sized, CALL_TIMEOUT_S)
+        except StoreUnansweredError:
+            self._page_size.timed_out()
+            raise
+        self._page_size.answered()
+        return page
+
     async def follow(self, table: str, after_version: int, wait_ms: int) -> Rows:
         """Return what changed after a version; raises StoreError."""
         query = {"table": table, "after": after_version, "waitMs": wait_ms}
