--- a/baobabhoist/control/claimant.py
+++ b/baobabhoist/control/claimant.py
@@ -205,7 +205,7 @@
 
     async def _take(self, reason: ClaimReason) -> None:
         generation = self._claim.generation + 1 if self._claim is not None else 0
-        address = f"{self._cfg.host}:{self._cfg.peer_port}"
+        address = self._cfg.advertised_peer_address
         claim = ClaimRow(self._identity.node, self._identity.boot, address, generation)
         expected = {OWNER_ROW: self._claim_version}
         if reason not in EARLIER_OWNER_STOPPED and self._beat_version:
--- a/baobabhoist/control/settings.py
+++ b/baobabhoist/control/settings.py
@@ -70,12 +70,22 @@
     adviser_address: str = setting(
         OPTIONAL_ADDRESS, "Address of the placement adviser, or nothing.", default=""
     )
+    peer_address: str = setting(
+        OPTIONAL_ADDRESS,
+        "Address that other instances use; host and peer_port if it is left out.",
+        default="",
+    )
     log_level: str = setting(
         Choice(("debug", "info", "warning", "error")),
         "Least level that is logged.",
         default="info",
     )
 
+    @property
+    def advertised_peer_address(self) -> str:
+        """Return the address under which the other instances reach this one."""
+        return self.peer_address or f"{self.host}:{self.peer_port}"
+
     @property
     def cores(self) -> float:
         """Return the processor power in common cores."""
--- /dev/null
+++ b/baobabhoist/platform/testing/__init__.py
@@ -0,0 +1,1 @@
+"""Stand in for what the platform runs, and soak the instances against it."""
--- a/baobabhoist/testing/cluster.py
+++ b/baobabhoist/testing/cluster.py
@@ -71,12 +71,15 @@
                 except subprocess.TimeoutExpired:
                     process.kill()
 
-    def start(self, name: str, module: str, *args: str) -> None:
+    def start(self, name: str, module: str, *args: str, env: dict[str, str] | None = None) -> None:
         """Start a module of the package as a process; its output goes to NAME.log."""
         log = (self.folder / f"{name}.log").open("ab")
         command = [sys.executable, "-m", module, *args]
         self.processes[name] = subprocess.Popen(
-            command, stdout=log, stderr=log, env=dict(os.environ, PYTHONUNBUFFERED="1")
+            command,
+            stdout=log,
+            stderr=log,
+            env=dict(os.environ, PYTHONUNBUFFERED="1", **(env or {})),
         )
 
     def kill(self, name: str) -> None:
--- a/baobabhoist/testing/network.py
+++ b/baobabhoist/testing/network.py
@@ -21,7 +21,8 @@
 LOOK_UP_INTERVAL_S = 0.1
 # pass: forward. cut: end connections and refuse new ones. silent: open connections deliver
 # nothing from now on, new ones work. blackhole: as silent, and new ones deliver nothing either.
-MODES = ("pass", "cut", "silent", "blackhole")
+# mute: what is sent arrives, but no answers come back; answers held up are lost.
+MODES = ("pass", "cut", "silent", "blackhole", "mute")
 
 
 @attrs.define(eq=False)
@@ -157,7 +158,7 @@
         self.open.add(conn)
         pumps = [
             asyncio.create_task(self._pump(conn, reader, back_writer)),
-            asyncio.create_task(self._pump(conn, back_reader, writer)),
+            asyncio.create_task(self._pump(conn, back_reader, writer, answers=True)),
         ]
         try:
             await asyncio.wait(pumps, return_when=asyncio.FIRST_COMPLETED)
@@ -172,10 +173,14 @@
             back_writer.close()
 
     async def _pump(
-        self, conn: Connection, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        self,
+        conn: Connection,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        answers: bool = False,
     ) -> None:
         queue: asyncio.Queue[tuple[float, bytes]] = asyncio.Queue(maxsize=1024)
-        delivery = asyncio.create_task(self._deliver(conn, queue, writer))
+        delivery = asyncio.create_task(self._deliver(conn, queue, writer, answers))
         loop = asyncio.get_running_loop()
         try:
             while data := await reader.read(CHUNK_BYTES):
@@ -192,6 +197,7 @@
         conn: Connection,
         queue: asyncio.Queue[tuple[float, bytes]],
         writer: asyncio.StreamWriter,
+        answers: bool,
     ) -> None:
         loop = asyncio.get_running_loop()
         while True:
@@ -199,6 +205,9 @@
             await asyncio.sleep(max(0.0, due - loop.time()))
             if not data:
                 return
+            muted = answers and self.fault(conn.source).mode == "mute"
+            # A connection that lost a part of an answer cannot be used any more.
+            conn.dead = conn.dead or muted
             if not conn.dead:
                 writer.write(data)
                 try:
