--- a/baobabhoist/platform/testing/soak.py
+++ b/baobabhoist/platform/testing/soak.py
@@ -253,7 +253,7 @@
             await asyncio.sleep(RETRY_S)
 
     async def live(self, job: JobNote) -> None:
-        """Hand one job in, and ask for its state until it has ended."""
+        """Hand one job in, perhaps twice, with a wrong key or to cancel it, and follow it."""
         rng = random.Random(job.job_id)
         if rng.random() < STRANGER_PROBABILITY:
             await self.submit(job, "key-of-nobody")
@@ -265,6 +265,10 @@
         if rng.random() < CANCEL_PROBABILITY:
             await asyncio.sleep(rng.uniform(0, 1.5))
             await self.cancel(job)
+        await self.follow(job)
+
+    async def follow(self, job: JobNote) -> None:
+        """Ask for a job's state until it has ended."""
         while True:
             await asyncio.sleep(ASK_INTERVAL_S)
             entry = await self._call("state", job, "GET", self._choose())
--- a/baobabhoist/platform/testing/soak_faults.py
+++ b/baobabhoist/platform/testing/soak_faults.py
@@ -228,8 +228,10 @@
     jobs = [soak.new_job(rng, "batch") for _ in range(WAVE_JOBS)]
     accepted = await asyncio.gather(*(soak.submit(job) for job in jobs))
     await asyncio.sleep(rng.uniform(0.0, step.duration_s / 4))
-    waves = (soak.cancel(job) for job, good in zip(jobs, accepted, strict=True) if good)
-    await asyncio.gather(*waves)
+    taken = [job for job, good in zip(jobs, accepted, strict=True) if good]
+    for job in taken:
+        soak.spawn(soak.follow(job))
+    await asyncio.gather(*map(soak.cancel, taken))
 
 
 async def _burst(soak: Soak, step: Step, rng: random.Random) -> None:
