--- a/baobabhoist/platform/testing/soak.py
+++ b/baobabhoist/platform/testing/soak.py
@@ -333,6 +333,9 @@
         outcomes = await asyncio.gather(*faults, return_exceptions=True)
         load.cancel()
         self.note("calm", failed=[repr(o) for o in outcomes if o is not None])
+        # A gang wider than a lowered limit would wait for ever.
+        self.limits = dict(LIMITS)
+        await self.configure()
         if self.tasks:
             await asyncio.wait(self.tasks, timeout=FINISH_S)
         for task in (checks, judging, *self.tasks):
