--- a/baobabhoist/platform/testing/soak.py
+++ b/baobabhoist/platform/testing/soak.py
@@ -333,8 +333,8 @@
         outcomes = await asyncio.gather(*faults, return_exceptions=True)
         load.cancel()
         self.note("calm", failed=[repr(o) for o in outcomes if o is not None])
-        # A gang wider than a lowered limit would wait for ever.
-        self.limits = dict(LIMITS)
+        # A team's backlog, or a gang wider than its lowered limit, would outlast the run.
+        self.limits = dict.fromkeys(LIMITS, 0)
         await self.configure()
         if self.tasks:
             await asyncio.wait(self.tasks, timeout=FINISH_S)
--- a/baobabhoist/platform/testing/workers.py
+++ b/baobabhoist/platform/testing/workers.py
@@ -82,6 +82,7 @@
     began_s: float = attrs.Factory(time.monotonic)
     token: int = 0
     lease_until_ms: float = 0.0
+    leased: bool = False
     runs: dict[str, Run] = attrs.Factory(dict)
     ends: list[list[Any]] = attrs.Factory(list)
     highest: dict[str, int] = attrs.Factory(dict)
@@ -126,6 +127,7 @@
         """Extend the lease, at most to the longest one."""
         longest = self.clock_ms() + LEASE_MAX_MS
         self.lease_until_ms = max(self.lease_until_ms, min(deadline_ms, longest))
+        self.leased = True
 
     def start(self, body: dict[str, Any]) -> tuple[int, str]:
         """Carry a start out; return the status and the reason of a refusal."""
@@ -182,7 +184,9 @@
     def advance(self, passed_ms: float) -> None:
         """Let runs work, save, end and lapse."""
         now = self.clock_ms()
-        if self.runs and now >= self.lease_until_ms:
+        if self.leased and now >= self.lease_until_ms:
+            # Also without a run: ends from before the lapse count as known no more.
+            self.leased = False
             self.hub.log("lapsed", worker=self.worker_id)
             for run in list(self.runs.values()):
                 self.end(run, "lapsed")
