--- a/baobabhoist/platform/testing/soak.py
+++ b/baobabhoist/platform/testing/soak.py
@@ -25,6 +25,9 @@
 
 FLAGS = flags.FLAGS
 
+# Callers keep their connections open until the instance is gone.
+HTTP_CLIENT = "tornado.curl_httpclient.CurlAsyncHTTPClient"
+CLIENTS_MAX = 400
 INSTANCES = 4
 WORKERS = 12
 JOBS_PER_S = 10.0
@@ -380,7 +383,7 @@
 
 def main(argv: list[str]) -> int:
     """Run one soak."""
-    AsyncHTTPClient.configure("tornado.curl_httpclient.CurlAsyncHTTPClient", max_clients=400)
+    AsyncHTTPClient.configure(HTTP_CLIENT, max_clients=CLIENTS_MAX)
     folder = Path(FLAGS.folder or tempfile.mkdtemp(prefix="soak-"))
     folder.mkdir(parents=True, exist_ok=True)
     if any(folder.iterdir()):
