Forget payloads and tickets of finished jobs

An owner kept the payload (up to 4 KB) and the tickets (up to 100 a step) of each job for the 240 s in which its state is shown. The test failed before.

--- a/baobabhoist/cell/board.py
+++ b/baobabhoist/cell/board.py
@@ -83,6 +83,7 @@
         for step in job.steps.values():
             if job.final or step.done:
                 self.ready.pop(step.key, None)
+                step.drop_advice()
             elif step.key not in self.ready and job.is_ready(step):
                 step.ready_ms = now
                 self.ready[step.key] = step
@@ -166,6 +167,7 @@
             objective_ms=round(job.objective_ms - job.accepted_at_ms),
         )
         self.refresh_ready(job, now)
+        job.drop_payload()
         for step in job.steps.values():
             for task in step.tasks:
                 if task.run is not None and task.run.phase is not RunPhase.STOPPING:
--- a/baobabhoist/cell/cell.py
+++ b/baobabhoist/cell/cell.py
@@ -142,6 +142,7 @@
             job.phase = JobPhase.CANCELLED
         if job.final:
             job.ended_ms = now
+            job.drop_payload()
         self._adopt_stored_runs(job, progress, now)
         self.board.refresh_ready(job, now)
         if not job.final and job.all_done():
--- a/baobabhoist/cell/jobs.py
+++ b/baobabhoist/cell/jobs.py
@@ -98,6 +98,10 @@
         """Tell whether all tasks have ended as done."""
         return self.pending == 0
 
+    def drop_advice(self) -> None:
+        """Forget the tickets, once no task will start any more."""
+        self.approvals = Approvals()
+
     def idle_tasks(self) -> Iterator[TaskState]:
         """Yield the tasks that are neither done nor running."""
         return (task for task in self.tasks if task.run is None and not task.done)
@@ -166,6 +170,11 @@
         """Return when the job stops being worth anything."""
         return self.accepted_at_ms + LATE_FACTOR * (self.objective_ms - self.accepted_at_ms)
 
+    def drop_payload(self) -> None:
+        """Forget what the tasks are given, once none will start any more; it may be large."""
+        spec = attrs.evolve(self.accepted.spec, payload="")
+        self.accepted = attrs.evolve(self.accepted, spec=spec)
+
     def open_occurrence(self) -> list[StepState]:
         """Make the steps of the next occurrence and return them."""
         occurrence = self.opened
--- a/baobabhoist/tests/test_cell_cell.py
+++ b/baobabhoist/tests/test_cell_cell.py
@@ -347,3 +347,19 @@
     rig.advance(1000)
     rig.end(task(occurrence=1))
     assert rig.phase() is JobPhase.COMPLETED
+
+
+def test_a_finished_job_keeps_neither_payload_nor_tickets():
+    """Guard against an owner whose memory grows with the payloads of finished jobs."""
+    rig = Rig.with_workers(1, rules(advice=AdviceTerms(10, 1, 2_000)))
+    rig.accept(job())
+    rig.settle()
+    question = rig.asked[-1]
+    rig.cell.advice_answered(question.step, question.workers, {"w0": "t"}, rig.now + 2_000)
+    rig.settle()
+    state = rig.cell.job_state("0" * 16)
+    assert state.accepted.spec.payload
+    rig.end(task())
+    assert state.phase is JobPhase.COMPLETED
+    assert not state.accepted.spec.payload
+    assert not state.steps[(0, 0)].approvals.tickets
