Keep a team's limit for its first waiting gang

Ruled out: room on workers and tickets (the cell was half empty). Change: the first gang, in rank order, that its team's limit can hold keeps what the limit has left from later steps of the team, while it is still worth something.

--- a/baobabhoist/cell/board.py
+++ b/baobabhoist/cell/board.py
@@ -70,13 +70,7 @@
         team = self.team_of(job)
         if team is None:
             return True
-        total = self.usage[job.accepted.team].plus(need)
-        limit = team.limit
-        return (
-            (not limit.cpu or total.cpu <= limit.cpu)
-            and (not limit.memory_mb or total.memory_mb <= limit.memory_mb)
-            and (not limit.gpu or total.gpu <= limit.gpu)
-        )
+        return team.allows(self.usage[job.accepted.team].plus(need))
 
     def refresh_ready(self, job: JobState, now: float) -> None:
         """List the steps of a job whose turn has come, and drop the others."""
--- a/baobabhoist/cell/decide.py
+++ b/baobabhoist/cell/decide.py
@@ -10,8 +10,8 @@
 from baobabhoist.cell.gathering import Holds
 from baobabhoist.cell.jobs import StepState
 from baobabhoist.cell.matching import speed_cost, tolerance
-from baobabhoist.cell.model import AdviceTerms, AskAdvice, Queue
-from baobabhoist.cell.order import Rank, rank_of
+from baobabhoist.cell.model import AdviceTerms, AskAdvice, Queue, Room
+from baobabhoist.cell.order import Band, Rank, band_of, rank_of
 from baobabhoist.cell.placing import Slots, gather_gang, slots_on, spread_singles
 from baobabhoist.cell.pools import Pools
 from baobabhoist.cell.workers import WorkerState
@@ -64,7 +64,13 @@
         spec = step.spec
         if spec.gang and step.idle < step.pending:
             return
-        if not self.board.within_limit(step.job, spec.need.times(step.idle if spec.gang else 1)):
+        team = step.job.accepted.team
+        if not self.holds.limit_open_to(team, step):
+            return
+        need = spec.need.times(step.idle if spec.gang else 1)
+        if not self.board.within_limit(step.job, need):
+            if spec.gang and self._may_wait_for_limit(step, need, now):
+                self.holds.wait_for_limit(team, step)
             return
         open_to = [w for w in self._open_to(step, pools) if self.holds.open_to(w, step)]
         if not open_to and not spec.gang:
@@ -82,6 +88,12 @@
                 return
             self.board.start(task, worker, self.board.next_number([task]), now)
 
+    def _may_wait_for_limit(self, step: StepState, need: Room, now: float) -> bool:
+        """Tell whether a gang may keep its team's limit: it fits, and is worth something."""
+        team = self.board.team_of(step.job)
+        fits = team is not None and team.allows(need)
+        return fits and band_of(step.job, now) is not Band.HOPELESS
+
     def _place_gang(self, step: StepState, slots: list[Slots], pools: Pools, now: float) -> None:
         members = list(step.idle_tasks())
         chosen = gather_gang(slots, len(members), step.spec.same_rack)
--- a/baobabhoist/cell/gathering.py
+++ b/baobabhoist/cell/gathering.py
@@ -17,11 +17,14 @@
     """Hold workers for the first waiting gangs during one round of decisions."""
 
     by_worker: dict[str, StepState] = attrs.Factory(dict)
+    # The first gang of each team that waits until its team's limit has room for all of it.
+    by_team: dict[str, StepState] = attrs.Factory(dict)
     gathering: int = 0
 
     def begin(self) -> None:
         """Start a round."""
         self.by_worker.clear()
+        self.by_team.clear()
         self.gathering = 0
 
     def open_to(self, worker: WorkerState, step: StepState) -> bool:
@@ -31,6 +34,14 @@
         holder = self.by_worker.get(worker.worker_id)
         return holder is None or holder is step
 
+    def limit_open_to(self, team: str, step: StepState) -> bool:
+        """Tell whether what is left of a team's limit is not kept for another step."""
+        return self.by_team.get(team, step) is step
+
+    def wait_for_limit(self, team: str, step: StepState) -> None:
+        """Keep what is left of a team's limit for a gang, from later steps of the round."""
+        self.by_team.setdefault(team, step)
+
     @property
     def full(self) -> bool:
         """Tell whether no further gang may gather in this round."""
--- a/baobabhoist/cell/model.py
+++ b/baobabhoist/cell/model.py
@@ -155,6 +155,14 @@
     weight: float = 1.0
     limit: Room = NO_ROOM
 
+    def allows(self, total: Room) -> bool:
+        """Tell whether the team may have this much running."""
+        return (
+            (not self.limit.cpu or total.cpu <= self.limit.cpu)
+            and (not self.limit.memory_mb or total.memory_mb <= self.limit.memory_mb)
+            and (not self.limit.gpu or total.gpu <= self.limit.gpu)
+        )
+
 
 @attrs.frozen
 class CellRules:
--- a/baobabhoist/tests/test_cell_gathering.py
+++ b/baobabhoist/tests/test_cell_gathering.py
@@ -1,7 +1,7 @@
 """Test the load of a gang among small work: it gets its room although small tasks keep coming."""
 
 from baobabhoist.cell.model import EndKind, Step
-from baobabhoist.tests.cells import SMALL, Rig, job, task
+from baobabhoist.tests.cells import SMALL, Rig, job, rules, task
 
 
 def fill(rig, first, count):
@@ -31,3 +31,23 @@
     rig.accept(job("a" * 16, Step(50, SMALL, 100, gang=True)))
     fill(rig, 0, 8)
     assert len(rig.running()) == 8
+
+
+def test_a_gang_gets_its_teams_limit_although_small_tasks_keep_coming():
+    """Guard against a gang that waits for ever while its team's small work takes the limit."""
+    rig = Rig.with_workers(4, rules(limit=SMALL.times(4)))
+    fill(rig, 0, 4)
+    gang = "a" * 16
+    rig.accept(job(gang, Step(4, SMALL, 100, gang=True)))
+    fill(rig, 100, 20)
+    for number in range(4):
+        rig.end(task(f"{number:016x}"), EndKind.DONE)
+    assert sum(key.job_id == gang for key, _ in rig.running()) == 4
+
+
+def test_a_gang_wider_than_its_teams_limit_holds_nothing_up():
+    """Guard against a team that stands still for a gang which its limit can never hold."""
+    rig = Rig.with_workers(4, rules(limit=SMALL.times(4)))
+    rig.accept(job("a" * 16, Step(5, SMALL, 100, gang=True)))
+    fill(rig, 0, 4)
+    assert len(rig.running()) == 4
