Check the platform's settings with check-config, and take a new log level on SIGHUP

One loader reads both kinds of settings files, so that a key given twice is now reported on the platform too.

--- a/baobabhoist/cli/instances.py
+++ b/baobabhoist/cli/instances.py
@@ -4,10 +4,12 @@
 
 from typing import Any
 
-from baobabhoist.cli.client import Client, ExitCode
+from baobabhoist.cli.client import Client, ExitCode, UsageError
 from baobabhoist.cli.output import Result, table
 from baobabhoist.cli.records import pending_line
 from baobabhoist.config.load import load_with_warnings
+from baobabhoist.config.settings import Settings
+from baobabhoist.control.settings import NodeSettings
 from baobabhoist.errors import SettingsError
 
 HEADINGS = ["INSTANCE", "DATA CENTRE", "LIVE", "DRAINING", "REVISION", "SHARDS"]
@@ -38,10 +40,19 @@
     return Result(found, [f"the instance drains; {found['open_requests']} requests are open"])
 
 
-def check_config(file: str) -> Result:
-    """Check a settings file without starting a daemon."""
+# The kinds of settings files; an instance on the users' platform has its own.
+SETTINGS_KINDS: dict[str, type[Settings] | type[NodeSettings]] = {
+    "daemon": Settings,
+    "platform": NodeSettings,
+}
+
+
+def check_config(file: str, kind: str) -> Result:
+    """Check a settings file of a kind without starting a process."""
+    if kind not in SETTINGS_KINDS:
+        raise UsageError(f"give one of {', '.join(SETTINGS_KINDS)}, not {kind}")
     try:
-        loaded = load_with_warnings(file)
+        loaded = load_with_warnings(file, SETTINGS_KINDS[kind])
     except SettingsError as exc:
         problems = str(exc).splitlines()
         return Result({"valid": False, "problems": problems}, problems, ExitCode.REFUSED)
--- a/baobabhoist/cli/main.py
+++ b/baobabhoist/cli/main.py
@@ -117,7 +117,7 @@
 
 
 def _check_config(args: Sequence[str]) -> Result:
-    return instances.check_config(args[0])
+    return instances.check_config(args[0], args[1] if len(args) > 1 else "daemon")
 
 
 COMMANDS: dict[tuple[str, ...], Command] = {
@@ -138,7 +138,7 @@
     ("status",): Command("", 0, 0, _status),
     ("drain",): Command("", 0, 0, _drain),
     ("logs",): Command("JOB FILE [FILE ...]", 2, FILES_MAX, _logs),
-    ("check-config",): Command("FILE", 1, 1, _check_config),
+    ("check-config",): Command("FILE [daemon|platform]", 1, 2, _check_config),
 }
 
 
--- a/baobabhoist/config/load.py
+++ b/baobabhoist/config/load.py
@@ -3,9 +3,9 @@
 from __future__ import annotations
 
 import difflib
-from collections.abc import Hashable
+from collections.abc import Hashable, Iterator
 from pathlib import Path
-from typing import Any, TypeVar, cast
+from typing import Any, Generic, Protocol, TypeVar, cast
 
 import attrs
 import yaml
@@ -21,14 +21,25 @@
 from baobabhoist.config.settings import Settings
 from baobabhoist.errors import SettingsError
 
-T = TypeVar("T")
+
+class Checked(Protocol):
+    """Be a class of options that checks itself as a whole."""
+
+    def problems(self) -> Iterator[Problem]:
+        """Yield what is wrong across options."""
+
+    def warnings(self) -> Iterator[Problem]:
+        """Yield what is allowed but unwise."""
+
+
+T = TypeVar("T", bound=Checked)
 
 
 @attrs.frozen
-class Loaded:
+class Loaded(Generic[T]):
     """Hold valid settings and the warnings about them."""
 
-    settings: Settings
+    settings: T
     warnings: tuple[Problem, ...]
 
 
@@ -50,22 +61,23 @@
 
 def load(path: str) -> Settings:
     """Return the settings in a file; raises SettingsError listing every problem."""
-    return load_with_warnings(path).settings
+    return load_with_warnings(path, Settings).settings
 
 
-def load_with_warnings(path: str) -> Loaded:
-    """Return the settings in a file and the warnings; raises SettingsError."""
+def load_with_warnings(path: str, cls: type[T]) -> Loaded[T]:
+    """Return the settings of a class in a file and the warnings; raises SettingsError."""
     try:
         raw: Any = yaml.load(Path(path).read_text(encoding="utf-8"), _UniqueKeyLoader)
     except (OSError, UnicodeDecodeError, yaml.YAMLError) as exc:
         raise SettingsError(f"cannot read the settings file {path}: {exc}") from exc
     try:
-        return validate(raw)
+        settings = read_settings(cls, raw)
     except SettingsError as exc:
         raise SettingsError(f"the settings file {path} is not valid:\n{exc}") from None
+    return Loaded(settings, tuple(settings.warnings()))
 
 
-def validate(raw: Any) -> Loaded:
+def validate(raw: Any) -> Loaded[Settings]:
     """Return settings made from parsed YAML; raises SettingsError with one line a problem."""
     settings = read_settings(Settings, raw)
     return Loaded(settings, tuple(settings.warnings()))
--- a/baobabhoist/daemon/main.py
+++ b/baobabhoist/daemon/main.py
@@ -11,6 +11,7 @@
 from absl import app, flags
 
 from baobabhoist.config.load import load_with_warnings
+from baobabhoist.config.settings import Settings
 from baobabhoist.daemon.app import Daemon
 from baobabhoist.errors import SettingsError
 from baobabhoist.observability.events import Event, configure_logging, emit
@@ -36,7 +37,7 @@
 def main(argv: list[str]) -> int:
     """Read the settings and serve."""
     try:
-        loaded = load_with_warnings(FLAGS.config)
+        loaded = load_with_warnings(FLAGS.config, Settings)
     except SettingsError as exc:
         print(exc, file=sys.stderr)
         return EXIT_BAD_SETTINGS
--- a/baobabhoist/platform/main.py
+++ b/baobabhoist/platform/main.py
@@ -9,11 +9,8 @@
 import signal
 import sys
 from collections.abc import Callable
-from pathlib import Path
 
-import yaml
-
-from baobabhoist.config.load import read_settings
+from baobabhoist.config.load import load_with_warnings
 from baobabhoist.control.node import Adapter, Node
 from baobabhoist.control.settings import NodeSettings
 from baobabhoist.errors import SettingsError
@@ -39,12 +36,7 @@
 
 def load_settings() -> NodeSettings:
     """Return the settings in the file that the platform names; raises SettingsError."""
-    path = os.environ.get(SETTINGS_VARIABLE, "")
-    try:
-        raw = yaml.safe_load(Path(path).read_text(encoding="utf-8"))
-    except (OSError, yaml.YAMLError) as exc:
-        raise SettingsError(f"cannot read the settings file {path!r}: {exc}") from exc
-    return read_settings(NodeSettings, raw)
+    return load_with_warnings(os.environ.get(SETTINGS_VARIABLE, ""), NodeSettings).settings
 
 
 def make_node(cfg: NodeSettings) -> Node:
@@ -84,8 +76,10 @@
 
 
 def _reloaded() -> None:
+    """Check the settings again; the log level changes now, all else at the next start."""
     try:
         cfg = load_settings()
+        logging.getLogger("baobabhoist").setLevel(cfg.log_level.upper())
         emit(log, Event.SETTINGS_RELOADED, instance_id=cfg.instance_id)
     except SettingsError as exc:
         emit(log, Event.SETTINGS_WARNING, problem=exc)
--- a/baobabhoist/tests/test_cli_main.py
+++ b/baobabhoist/tests/test_cli_main.py
@@ -227,6 +227,9 @@
         assert gateway.callers.open_requests.draining
         code, out, _ = await tool("check-config", str(path))
         assert (code, "data_centre: is missing" in out) == (ExitCode.REFUSED, True)
+        code, out, _ = await tool("check-config", str(path), "platform")
+        assert (code, "store: is missing" in out) == (ExitCode.REFUSED, True)
+        assert (await tool("check-config", str(path), "fleet"))[0] == ExitCode.USAGE
 
     with_tool(test)
 
--- a/baobabhoist/tests/test_config_load.py
+++ b/baobabhoist/tests/test_config_load.py
@@ -98,7 +98,7 @@
     path = tmp_path / "settings.yaml"
     path.write_text(yaml.safe_dump(GOOD) + "caller_port: 9\n", encoding="utf-8")
     with pytest.raises(SettingsError, match="given twice"):
-        load_with_warnings(str(path))
+        load_with_warnings(str(path), Settings)
 
 
 @settings(derandomize=True, deadline=None, max_examples=60)
