--- /dev/null
+++ b/baobabhoist/tests/test_platform_main.py
@@ -0,0 +1,82 @@
+"""Test how an instance on the platform reads its settings, at the start and on SIGHUP."""
+
+from __future__ import annotations
+
+import logging
+from pathlib import Path
+from typing import Any
+
+import pytest
+import yaml
+
+from baobabhoist.errors import SettingsError
+from baobabhoist.platform import main
+
+SETTINGS: dict[str, Any] = {
+    "instance_id": "edge-1",
+    "data_centre": "z1",
+    "host": "10.0.0.1",
+    "caller_address": "10.0.0.1:8183",
+    "ready_address": "10.0.0.1:8184",
+    "peer_port": 7420,
+    "metrics_port": 9464,
+    "cpu_share": 0.5,
+    "cpu_speed": 2,
+    "link_mbps": 1000.0,
+    "store": {"address": "10.200.0.1:8182", "row_max_bytes": 65536},
+    "bounds": {"lease_max_ms": 6000, "revoke_ms": 5000, "grace_s": 6, "job_kept_s": 120},
+}
+
+
+@pytest.fixture
+def settings(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> Any:
+    """Return a function that writes the settings file; restores the log level afterwards."""
+    path = tmp_path / "settings.yaml"
+    monkeypatch.setenv(main.SETTINGS_VARIABLE, str(path))
+
+    def write(text: str = "", **changes: Any) -> None:
+        path.write_text(text or yaml.safe_dump({**SETTINGS, **changes}), encoding="utf-8")
+
+    level = logging.getLogger("baobabhoist").level
+    yield write
+    logging.getLogger("baobabhoist").setLevel(level)
+
+
+def test_all_faults_are_reported_at_once(settings: Any) -> None:
+    """Guard against an operator who mends one fault a start."""
+    settings(peer_port=0, cpu_share="much")
+    with pytest.raises(SettingsError) as caught:
+        main.load_settings()
+    assert "peer_port" in str(caught.value)
+    assert "cpu_share" in str(caught.value)
+
+
+def test_a_key_given_twice_is_a_fault(settings: Any) -> None:
+    """Guard against a setting that is overwritten further down in the file."""
+    settings(yaml.safe_dump(SETTINGS) + "host: 10.0.0.2\n")
+    with pytest.raises(SettingsError, match="given twice"):
+        main.load_settings()
+
+
+def test_peers_use_the_advertised_address(settings: Any) -> None:
+    """Guard against an instance behind a relay that nobody can link to."""
+    settings()
+    assert main.load_settings().advertised_peer_address == "10.0.0.1:7420"
+    settings(peer_address="192.0.2.1:99")
+    assert main.load_settings().advertised_peer_address == "192.0.2.1:99"
+
+
+def test_a_reload_changes_the_log_level(settings: Any) -> None:
+    """Guard against a restart that is needed to see more of a running fault."""
+    settings(log_level="debug")
+    main._reloaded()
+    assert logging.getLogger("baobabhoist").level == logging.DEBUG
+
+
+def test_a_broken_file_changes_nothing(settings: Any) -> None:
+    """Guard against an instance that ends because its settings were saved half-way."""
+    settings(log_level="debug")
+    main._reloaded()
+    settings("instance_id: [")
+    main._reloaded()
+    assert logging.getLogger("baobabhoist").level == logging.DEBUG
