--- a/baobabhoist/platform/testing/soak.py
+++ b/baobabhoist/platform/testing/soak.py
@@ -71,7 +71,6 @@
 
     fleet: Fleet
     rng: random.Random
-    seed: int
     callers: list[dict[str, Any]] = attrs.Factory(list)
     driver: list[dict[str, Any]] = attrs.Factory(list)
     jobs: dict[str, JobNote] = attrs.Factory(dict)
@@ -176,16 +175,8 @@
         if queue == "batch":
             steps[0] |= {"checkpointing": True, "maxPerServer": 3}
         spec = json.dumps({"plan": plan, "pad": "x" * rng.choice([0, 500])})
-        attempts = QUEUES[queue]["maxAttempts"]
-        note = JobNote(
-            job_id,
-            queue,
-            team,
-            steps,
-            zlib.crc32(spec.encode()),
-            int(attempts),
-            failures >= attempts,
-        )
+        attempts = int(QUEUES[queue]["maxAttempts"])
+        note = JobNote(job_id, queue, team, steps, zlib.crc32(spec.encode()), attempts)
         self.jobs[job_id] = note
         note.body = json.dumps({"taskSpec": spec, "steps": steps})
         return note
@@ -312,8 +303,7 @@
         return judge
 
     async def judge_now(self) -> None:
-        """Stop the run at the first broken promise, while its traces are fresh."""
-        await asyncio.sleep(JUDGE_INTERVAL_S)
+        """Print the first broken promise while the run goes on."""
         judge = await asyncio.to_thread(self.judge, False)
         if judge.breaches:
             print(f"broken already: {judge.breaches[0]}", flush=True)
@@ -325,7 +315,7 @@
         checks = asyncio.create_task(repeat(READY_INTERVAL_S, self.check_ready))
         await self._until_ready()
         began = time.time()
-        judging = asyncio.create_task(repeat(0.0, self.judge_now))
+        judging = asyncio.create_task(repeat(JUDGE_INTERVAL_S, self.judge_now))
         load = asyncio.create_task(self.load())
         faults = []
         for step in steps:
@@ -396,7 +386,7 @@
     steps = soak_faults.schedule(FLAGS.seed, FLAGS.seconds, FLAGS.faults)
 
     async def body(cluster: Cluster) -> Soak:
-        soak = Soak(Fleet(cluster), random.Random(FLAGS.seed), FLAGS.seed)
+        soak = Soak(Fleet(cluster), random.Random(FLAGS.seed))
         await soak.run(FLAGS.seconds, steps)
         return soak
 
--- a/baobabhoist/platform/testing/soak_judge.py
+++ b/baobabhoist/platform/testing/soak_judge.py
@@ -42,7 +42,6 @@
     steps: list[Entry]
     spec: int
     attempts: int
-    hopeless: bool
     cancel_sent: float = 0.0
     body: str = ""
 
--- a/baobabhoist/tests/test_platform_soak.py
+++ b/baobabhoist/tests/test_platform_soak.py
@@ -53,7 +53,7 @@
     """Guard against instances that break a promise under a few common faults."""
 
     async def run(cluster: Cluster) -> soak.Soak:
-        running = soak.Soak(Fleet(cluster), random.Random(SEED), SEED)
+        running = soak.Soak(Fleet(cluster), random.Random(SEED))
         await running.run(SECONDS, soak_faults.schedule(SEED, SECONDS, FAULTS))
         return running
 
--- a/baobabhoist/tests/test_platform_soak_judge.py
+++ b/baobabhoist/tests/test_platform_soak_judge.py
@@ -42,7 +42,7 @@
     """Return the rules that a job of two steps broke."""
     first = {"count": 1, "cpu": 600, "memMb": 100}
     steps = [{**first, **changes}, {**first, "after": [0]}]
-    job = JobNote(JOB, "batch", "alpha", steps, SPEC, attempts=2, hopeless=False)
+    job = JobNote(JOB, "batch", "alpha", steps, SPEC, attempts=2)
     judge = Judge(runs, callers, [BEGAN, *driver], {JOB: job}, {"alpha": Team("alpha", 1_000)})
     judge.judge()
     judge.judge_end({})
