Let one piece of code serve where two did the same

Which occurrences of a job are due was decided in two loops (acceptance, upkeep): now JobState.open_due. Both soaks had their own notes, tasks, calls and folder checks: now testing/soak_run.py; the fault step, the refused codes, the capacity and the grace time stand once, and a set of faults and a parameter that nothing read are gone. The store's stand-in reads and follows through MemoryRows instead of filtering again; its answer to a slow feed no longer names a newer version than its rows. Settings are checked in one place. Ranking a worker no longer makes a Room for its free processors. No behaviour of the product changes, no test lost an assertion.

--- a/baobabhoist/benchmarks/cell_replay.py
+++ b/baobabhoist/benchmarks/cell_replay.py
@@ -41,7 +41,7 @@
 )
 from baobabhoist.cell.order import Band, Rank
 from baobabhoist.cell.workers import WorkerState
-from baobabhoist.testing.cell_worker import StandInWorker
+from baobabhoist.testing.cell_worker import StandInWorker, end_gang
 
 LEASE_MS = 5_000.0
 TICK_MS = 100.0
@@ -74,7 +74,7 @@
     """Take steps in the order of their arrival and the fullest workers with room."""
 
     def _cost(self, worker: WorkerState, step: StepState, tolerated: float) -> float:
-        return float(worker.free.cpu)
+        return float(worker.free_cpu)
 
 
 POLICIES: dict[str, type[Decisions]] = {
@@ -212,16 +212,10 @@
         fails = fails or order.run <= arrival.failures
         worker.end(order.task, EndKind.FAILED if fails else EndKind.DONE)
         if fails and arrival.job.spec.steps[order.task.step].gang:
-            self._break_gang(order.task, order.run)
+            for name in end_gang(self.workers, order.task, order.run, EndKind.BROKEN):
+                self._report_soon(name)
         self._report_soon(order.worker_id)
 
-    def _break_gang(self, task: TaskKey, number: int) -> None:
-        for name, worker in self.workers.items():
-            for key, run in list(worker.runs.items()):
-                if key.step_key == task.step_key and run.number == number:
-                    worker.end(key, EndKind.BROKEN)
-                    self._report_soon(name)
-
     def _stop(self, order: StopTask) -> None:
         def stop() -> None:
             worker = self._worker(order.worker_id)
--- a/baobabhoist/cell/board.py
+++ b/baobabhoist/cell/board.py
@@ -104,7 +104,7 @@
             run=number,
             worker=worker.worker_id,
             waited_ms=round(now - task.step.ready_ms),
-            free_cpu=worker.free.cpu,
+            free_cpu=worker.free_cpu,
             ticket=bool(ticket),
             checkpoint=task.checkpoint,
         )
--- a/baobabhoist/cell/cell.py
+++ b/baobabhoist/cell/cell.py
@@ -73,13 +73,7 @@
         job.inherited = accepted.version < self._takeover.claim_version
         self._set_objective(job)
         self.board.jobs[accepted.job_id] = job
-        spec = accepted.spec
-        if not spec.repeats:
-            job.open_occurrence()
-        while spec.repeats and job.opened < spec.occurrences:
-            if unix_ms < spec.first_due_ms + job.opened * spec.interval_ms:
-                break
-            job.open_occurrence()
+        job.open_due(unix_ms)
         self.board.refresh_ready(job, now)
         if not job.inherited:
             self._announce(job, now)
--- a/baobabhoist/cell/decide.py
+++ b/baobabhoist/cell/decide.py
@@ -116,7 +116,7 @@
             cost += FAILED_HERE_COST
         # Among equals the fuller worker comes first, so that wide room stays whole.
         capacity = max(1, worker.info.capacity.cpu)
-        return cost + 0.1 * worker.free.cpu / capacity
+        return cost + 0.1 * worker.free_cpu / capacity
 
     # Who may run a step.
 
--- a/baobabhoist/cell/jobs.py
+++ b/baobabhoist/cell/jobs.py
@@ -187,6 +187,13 @@
             made.append(step)
         return made
 
+    def open_due(self, unix_ms: float) -> bool:
+        """Open the occurrences whose time has come; tell whether there was one."""
+        spec, before = self.accepted.spec, self.opened
+        while self.opened < spec.occurrences and unix_ms >= spec.due_ms(self.opened):
+            self.open_occurrence()
+        return self.opened > before
+
     def step_of(self, key: StepKey | TaskKey) -> StepState | None:
         """Return the state of a step, or None if it is not open."""
         return self.steps.get((key.occurrence, key.step))
--- a/baobabhoist/cell/model.py
+++ b/baobabhoist/cell/model.py
@@ -86,6 +86,12 @@
         """Return how often the steps run."""
         return max(1, self.repeats)
 
+    def due_ms(self, occurrence: int) -> float:
+        """Return the Unix time from which an occurrence may run; a plain job runs at once."""
+        if not self.repeats:
+            return float("-inf")
+        return self.first_due_ms + occurrence * self.interval_ms
+
 
 @attrs.frozen
 class AcceptedJob:
--- a/baobabhoist/cell/upkeep.py
+++ b/baobabhoist/cell/upkeep.py
@@ -83,12 +83,5 @@
 
     def _open_occurrences(self, now: float, unix_ms: float) -> None:
         for job in list(self._board.jobs.values()):
-            spec = job.accepted.spec
-            if not spec.repeats or job.final:
-                continue
-            while (
-                job.opened < spec.occurrences
-                and unix_ms >= spec.first_due_ms + job.opened * spec.interval_ms
-            ):
-                job.open_occurrence()
+            if not job.final and job.open_due(unix_ms):
                 self._board.refresh_ready(job, now)
--- a/baobabhoist/config/load.py
+++ b/baobabhoist/config/load.py
@@ -71,15 +71,18 @@
     except (OSError, UnicodeDecodeError, yaml.YAMLError) as exc:
         raise SettingsError(f"cannot read the settings file {path}: {exc}") from exc
     try:
-        settings = read_settings(cls, raw)
+        return _checked(cls, raw)
     except SettingsError as exc:
         raise SettingsError(f"the settings file {path} is not valid:\n{exc}") from None
-    return Loaded(settings, tuple(settings.warnings()))
 
 
 def validate(raw: Any) -> Loaded[Settings]:
     """Return settings made from parsed YAML; raises SettingsError with one line a problem."""
-    settings = read_settings(Settings, raw)
+    return _checked(Settings, raw)
+
+
+def _checked(cls: type[T], raw: Any) -> Loaded[T]:
+    settings = read_settings(cls, raw)
     return Loaded(settings, tuple(settings.warnings()))
 
 
--- a/baobabhoist/platform/testing/fleet.py
+++ b/baobabhoist/platform/testing/fleet.py
@@ -13,11 +13,12 @@
 import attrs
 import orjson
 import yaml
-from tornado.httpclient import AsyncHTTPClient, HTTPClientError, HTTPResponse
+from tornado.httpclient import AsyncHTTPClient, HTTPResponse
 
 from baobabhoist.platform.main import SETTINGS_VARIABLE
 from baobabhoist.platform.testing.store import OUTSIDE_HEADER
 from baobabhoist.testing.cluster import Cluster, free_port, wait_for_port
+from baobabhoist.testing.soak_run import fetch
 
 HOST = "127.0.0.1"
 BOUNDS = {"lease_max_ms": 6_000, "revoke_ms": 5_000, "grace_s": 6, "job_kept_s": 120}
@@ -177,17 +178,8 @@
         self, port: int, method: str, path: str, timeout_s: float, **options: Any
     ) -> HTTPResponse | str:
         """Return the answer of an instance, or why there is none."""
-        try:
-            return await self.http.fetch(
-                f"http://{HOST}:{port}{path}",
-                method=method,
-                raise_error=False,
-                request_timeout=timeout_s,
-                connect_timeout=1.0,
-                **options,
-            )
-        except (OSError, HTTPClientError) as exc:
-            return str(exc) or type(exc).__name__
+        url = f"http://{HOST}:{port}{path}"
+        return await fetch(self.http, url, timeout_s, method=method, **options)
 
     async def ready(self, name: str) -> bool:
         """Ask an instance whether it takes callers."""
--- a/baobabhoist/platform/testing/soak.py
+++ b/baobabhoist/platform/testing/soak.py
@@ -6,11 +6,9 @@
 import itertools
 import json
 import random
-import tempfile
 import time
 import zlib
 from collections import Counter
-from pathlib import Path
 from typing import Any
 
 import attrs
@@ -20,8 +18,10 @@
 from baobabhoist.platform.testing import soak_faults
 from baobabhoist.platform.testing.fleet import Fleet, repeat
 from baobabhoist.platform.testing.soak_faults import FAULTS
-from baobabhoist.platform.testing.soak_judge import JobNote, Judge, Team
+from baobabhoist.platform.testing.soak_judge import REFUSED, JobNote, Judge, Team
+from baobabhoist.testing import soak_run
 from baobabhoist.testing.cluster import Cluster
+from baobabhoist.testing.soak_run import Driver
 
 FLAGS = flags.FLAGS
 
@@ -48,7 +48,6 @@
 FAILING_PROBABILITY = 0.05
 # The HTTP client gives this code to a call without an answer.
 NO_ANSWER = 599
-SURE_REFUSALS = frozenset({400, 401, 403, 404, 413, 429, 503})
 
 QUEUES: dict[str, dict[str, Any]] = {
     "quick": {"priority": 0, "maxAttempts": 3, "slackFactor": 1.5, "targetLatencyMs": 300},
@@ -66,13 +65,12 @@
 
 
 @attrs.define
-class Soak:
+class Soak(Driver):
     """Hold one run: its processes, its load and the logs of callers and driver."""
 
     fleet: Fleet
     rng: random.Random
     callers: list[dict[str, Any]] = attrs.Factory(list)
-    driver: list[dict[str, Any]] = attrs.Factory(list)
     jobs: dict[str, JobNote] = attrs.Factory(dict)
     finals: dict[str, str] = attrs.Factory(dict)
     down: set[str] = attrs.Factory(set)
@@ -81,19 +79,6 @@
     keys: dict[str, list[str]] = attrs.Factory(lambda: {n: [f"key-{n}"] for n in LIMITS})
     rate_factor: float = 1.0
     numbers: itertools.count[int] = attrs.Factory(lambda: itertools.count(1))
-    tasks: set[asyncio.Task[Any]] = attrs.Factory(set)
-
-    def note(self, event: str, **fields: Any) -> dict[str, Any]:
-        """Add an entry to the driver's log."""
-        entry = {"t": time.time(), "event": event, **fields}
-        self.driver.append(entry)
-        return entry
-
-    def spawn(self, work: Any) -> None:
-        """Run a coroutine beside the others."""
-        task = asyncio.ensure_future(work)
-        self.tasks.add(task)
-        task.add_done_callback(self.tasks.discard)
 
     def restart(self, name: str) -> None:
         """Start an instance again."""
@@ -230,7 +215,7 @@
             entry = await self._call("submit", job, "POST", instance, key)
             if entry["status"] == 200:
                 return True
-            if entry["status"] in SURE_REFUSALS and entry["status"] not in (429, 503):
+            if entry["status"] in REFUSED and entry["status"] not in (429, 503):
                 return False
             pause_s = float(entry.get("retry_after") or RETRY_S)
             await asyncio.sleep(pause_s + self.rng.random() * RETRY_S)
@@ -374,14 +359,8 @@
 def main(argv: list[str]) -> int:
     """Run one soak."""
     AsyncHTTPClient.configure(HTTP_CLIENT, max_clients=CLIENTS_MAX)
-    folder = Path(FLAGS.folder or tempfile.mkdtemp(prefix="soak-"))
-    folder.mkdir(parents=True, exist_ok=True)
-    if any(folder.iterdir()):
-        print(f"{folder} is not empty; logs of another run would be judged along with this one")
-        return 2
-    unknown = set(FLAGS.faults) - set(FAULTS)
-    if unknown:
-        print(f"unknown faults {sorted(unknown)}; known are {sorted(FAULTS)}")
+    folder = soak_run.prepare(FLAGS.folder, FLAGS.faults, FAULTS)
+    if folder is None:
         return 2
     steps = soak_faults.schedule(FLAGS.seed, FLAGS.seconds, FLAGS.faults)
 
--- a/baobabhoist/platform/testing/soak_faults.py
+++ b/baobabhoist/platform/testing/soak_faults.py
@@ -11,7 +11,8 @@
 from collections.abc import Awaitable, Callable
 from typing import TYPE_CHECKING, Any
 
-import attrs
+from baobabhoist.platform.testing.soak_judge import GRACE_S
+from baobabhoist.testing.soak_faults import Step
 
 if TYPE_CHECKING:
     from baobabhoist.platform.testing.soak import Soak
@@ -20,8 +21,6 @@
 GAP_MAX_S = 3.0
 FAULT_MIN_S, FAULT_MAX_S = 1.0, 6.0
 PAIR_PROBABILITY = 0.35
-# The platform ends a process that is still there after this.
-GRACE_S = 6.0
 DRAIN_S = 2.5
 CUTS = ("cut", "blackhole", "mute")
 DELAY_MIN_S, DELAY_MAX_S = 0.05, 0.6
@@ -31,16 +30,6 @@
 Fault = Callable[["Soak", "Step", random.Random], Awaitable[None]]
 
 
-@attrs.frozen
-class Step:
-    """Hold one planned fault; `at` is in seconds after the start, `seed` chooses its target."""
-
-    at: float
-    fault: str
-    duration_s: float
-    seed: int
-
-
 def schedule(seed: int, seconds: float, faults: list[str]) -> list[Step]:
     """Return the faults of a run in order of time; they come in series and overlap."""
     rng = random.Random(seed)
@@ -270,5 +259,3 @@
     "cancel_wave": _cancel_wave,
     "burst": _burst,
 }
-# These change what is asked for; they harm no process and no connection.
-HARMLESS = frozenset({"config", "revoke", "cancel_wave", "burst", "hup", "worker_drain"})
--- a/baobabhoist/platform/testing/soak_judge.py
+++ b/baobabhoist/platform/testing/soak_judge.py
@@ -160,11 +160,9 @@
         for runs in self.by_task.values():
             yield from runs
 
-    def _windows(self, harmless: bool = False) -> list[Entry]:
+    def _windows(self) -> list[Entry]:
         return [
-            e
-            for e in self.driver
-            if e["event"] == "window" and (harmless or e["fault"] not in HARMLESS_FAULTS)
+            e for e in self.driver if e["event"] == "window" and e["fault"] not in HARMLESS_FAULTS
         ]
 
     def _calm(self, begin: float, end: float) -> bool:
--- a/baobabhoist/platform/testing/store.py
+++ b/baobabhoist/platform/testing/store.py
@@ -14,7 +14,7 @@
 from absl import app, flags
 from tornado.web import Application, HTTPError, RequestHandler
 
-from baobabhoist.store.rows import RowKey, RowsConflict, RowsTxn, StoredRow
+from baobabhoist.store.rows import HistoryLostError, RowKey, RowsConflict, RowsTxn, StoredRow
 from baobabhoist.testing.rows import MemoryRows
 
 FLAGS = flags.FLAGS
@@ -42,11 +42,6 @@
         """Return the store's steady clock, which has its own beginning."""
         return int((time.monotonic() - self.began_s) * 1000) + 7_000_000
 
-    def tables(self, table: str, part: str) -> list[StoredRow]:
-        """Return the rows of a part in the order of their keys."""
-        found = [r for k, r in self.rows.rows.items() if (k.table, k.part) == (table, part)]
-        return sorted(found, key=lambda row: row.key.key)
-
     async def disturb(self) -> None:
         """Apply the fault in force to a call; raises HTTPError."""
         if self.mode == "refuse":
@@ -91,17 +86,16 @@
 class GetHandler(StoreHandler):
     """Answer rows-get."""
 
-    def get(self) -> None:
+    async def get(self) -> None:
         """Return rows of a part in a range of keys."""
-        first, last = self.get_argument("from", ""), self.get_argument("to", "")
         limit = int(self.get_argument("limit", "500"))
-        rows = [
-            row
-            for row in self.state.tables(self.get_argument("table"), self.get_argument("part", ""))
-            if row.key.key >= first and (not last or row.key.key < last)
-        ]
-        version = self.state.rows.version
-        self.write_rows(rows[:limit], version, hasMore=len(rows) > limit)
+        found = await self.state.rows.read(
+            self.get_argument("table"),
+            self.get_argument("part", ""),
+            first=self.get_argument("from", ""),
+            last=self.get_argument("to", ""),
+        )
+        self.write_rows(found.rows[:limit], found.version, hasMore=len(found.rows) > limit)
 
 
 class FeedHandler(StoreHandler):
@@ -111,16 +105,16 @@
         """Return what changed in a table, as soon as something has."""
         table, after = self.get_argument("table"), int(self.get_argument("after"))
         until = time.monotonic() + int(self.get_argument("waitMs", "0")) / 1000
-        rows = self.state.rows
         while True:
-            if after < rows.history_from:
-                raise HTTPError(410)
-            changed = [r for r in rows.log if r.key.table == table and r.version > after]
-            if changed or time.monotonic() >= until:
+            try:
+                changes = await self.state.rows.follow(table, after, 0)
+            except HistoryLostError as exc:
+                raise HTTPError(410) from exc
+            if changes.rows or time.monotonic() >= until:
                 break
             await asyncio.sleep(FEED_CHECK_S)
         await self.state.disturb()
-        self.write_rows(changed, rows.version)
+        self.write_rows(changes.rows, changes.version)
 
 
 class CommitHandler(StoreHandler):
--- a/baobabhoist/platform/testing/workers.py
+++ b/baobabhoist/platform/testing/workers.py
@@ -19,6 +19,7 @@
 from tornado.httpclient import AsyncHTTPClient, HTTPClientError
 from tornado.web import Application, RequestHandler
 
+from baobabhoist.platform.testing.soak_judge import CAPACITY
 from baobabhoist.platform.testing.store import OUTSIDE_HEADER, drop_connection
 
 FLAGS = flags.FLAGS
@@ -428,7 +429,7 @@
             int(listed),
             "svc",
             ("a" if number % 2 else "b", rack),
-            {"cpu": 4_000, "memMb": 8_192, "gpu": 0},
+            {**CAPACITY, "gpu": 0},
             hub,
             rate=1.0 - hub.rng.uniform(0, CLOCK_DRIFT_MAX),
             born_ms=int(time.time() * 1000),
--- a/baobabhoist/testing/cell_worker.py
+++ b/baobabhoist/testing/cell_worker.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
 from typing import Any
 
 import attrs
@@ -131,3 +132,16 @@
         self.runs.clear()
         self.ends.clear()
         self.ended_runs.clear()
+
+
+def end_gang(
+    workers: Mapping[str, StandInWorker], task: TaskKey, number: int, kind: EndKind
+) -> list[str]:
+    """End what is left of a gang's run; return the worker of each member that ended."""
+    ended = []
+    for name, worker in workers.items():
+        for member, run in list(worker.runs.items()):
+            if member.step_key == task.step_key and run.number == number:
+                worker.end(member, kind)
+                ended.append(name)
+    return ended
--- a/baobabhoist/testing/rows.py
+++ b/baobabhoist/testing/rows.py
@@ -44,11 +44,12 @@
         self._check_up()
         found = [
             row
-            for key, row in sorted(self.rows.items(), key=lambda item: item[0].key)
+            for key, row in self.rows.items()
             if (key.table, key.part) == (table, part)
             and key.key >= first
             and (not last or key.key < last)
         ]
+        found.sort(key=lambda row: row.key.key)
         return Rows(tuple(found), self.version, self._clock())
 
     async def follow(self, table: str, after_version: int, wait_ms: int) -> Rows:
--- a/baobabhoist/testing/soak.py
+++ b/baobabhoist/testing/soak.py
@@ -6,22 +6,21 @@
 import json
 import random
 import re
-import tempfile
 import time
 from collections import Counter
 from collections.abc import Awaitable, Callable
-from pathlib import Path
 from typing import Any
 
 import attrs
 from absl import app, flags
-from tornado.httpclient import AsyncHTTPClient, HTTPClientError, HTTPResponse
+from tornado.httpclient import AsyncHTTPClient, HTTPResponse
 
 from baobabhoist.records.view import digest
-from baobabhoist.testing import soak_faults
+from baobabhoist.testing import soak_faults, soak_run
 from baobabhoist.testing.cluster import OPERATOR_KEY, Cluster
 from baobabhoist.testing.soak_faults import DATA_CENTRES, FAULTS, MARKER, MEMBERS_LAG_S, TEAMS
 from baobabhoist.testing.soak_judge import Judge
+from baobabhoist.testing.soak_run import Driver
 
 FLAGS = flags.FLAGS
 
@@ -44,13 +43,12 @@
 
 
 @attrs.define
-class Soak:
+class Soak(Driver):
     """Hold one run: its cluster, its load and the logs of callers and driver."""
 
     cluster: Cluster
     rng: random.Random
     callers: list[dict[str, Any]] = attrs.Factory(list)
-    driver: list[dict[str, Any]] = attrs.Factory(list)
     workers: dict[str, str] = attrs.Factory(dict)
     jobs: dict[str, str] = attrs.Factory(dict)
     states: dict[str, int] = attrs.Factory(dict)
@@ -60,17 +58,6 @@
     size_factor: float = 1.0
     short_key: str = "short-key"
     http: AsyncHTTPClient = attrs.Factory(AsyncHTTPClient)
-    tasks: set[asyncio.Task[Any]] = attrs.Factory(set)
-
-    def note(self, event: str, **fields: Any) -> None:
-        """Add an entry to the driver's log."""
-        self.driver.append({"t": time.time(), "event": event, **fields})
-
-    def spawn(self, work: Any) -> None:
-        """Run a coroutine beside the others."""
-        task = asyncio.ensure_future(work)
-        self.tasks.add(task)
-        task.add_done_callback(self.tasks.discard)
 
     async def command(self, process: str, path: str, body: dict[str, Any]) -> None:
         """Send a command to a stand-in."""
@@ -136,12 +123,7 @@
 
     async def fetch(self, url: str, timeout_s: float, **options: Any) -> HTTPResponse | str:
         """Return the response, or why there is none."""
-        try:
-            return await self.http.fetch(
-                url, raise_error=False, request_timeout=timeout_s, connect_timeout=1.0, **options
-            )
-        except (OSError, HTTPClientError) as exc:
-            return str(exc) or type(exc).__name__
+        return await soak_run.fetch(self.http, url, timeout_s, **options)
 
     async def until_done(self, work: Callable[..., Awaitable[Any]], *args: Any) -> Any:
         """Repeat a change until it is accepted."""
@@ -378,14 +360,8 @@
 def main(argv: list[str]) -> int:
     """Run one soak."""
     AsyncHTTPClient.configure(None, max_clients=1000)
-    folder = Path(FLAGS.folder or tempfile.mkdtemp(prefix="soak-"))
-    folder.mkdir(parents=True, exist_ok=True)
-    if any(folder.iterdir()):
-        print(f"{folder} is not empty; logs of another run would be judged along with this one")
-        return 2
-    unknown = set(FLAGS.faults) - set(FAULTS)
-    if unknown:
-        print(f"unknown faults {sorted(unknown)}; known are {sorted(FAULTS)}")
+    folder = soak_run.prepare(FLAGS.folder, FLAGS.faults, FAULTS)
+    if folder is None:
         return 2
     steps = soak_faults.schedule(FLAGS.seed, FLAGS.seconds, FLAGS.faults, FLAGS.longest_s)
 
--- /dev/null
+++ b/baobabhoist/testing/soak_run.py
@@ -0,0 +1,65 @@
+"""Share what every soak needs: notes of its driver, tasks beside it, calls and its folder."""
+
+from __future__ import annotations
+
+import asyncio
+import tempfile
+import time
+from collections.abc import Collection, Iterable
+from pathlib import Path
+from typing import Any
+
+import attrs
+from tornado.httpclient import AsyncHTTPClient, HTTPClientError, HTTPResponse
+
+CONNECT_TIMEOUT_S = 1.0
+
+
+@attrs.define
+class Driver:
+    """Hold the driver's log and the tasks that run beside it."""
+
+    driver: list[dict[str, Any]] = attrs.field(factory=list, kw_only=True)
+    tasks: set[asyncio.Task[Any]] = attrs.field(factory=set, kw_only=True)
+
+    def note(self, event: str, **fields: Any) -> dict[str, Any]:
+        """Add an entry to the driver's log and return it."""
+        entry = {"t": time.time(), "event": event, **fields}
+        self.driver.append(entry)
+        return entry
+
+    def spawn(self, work: Any) -> None:
+        """Run a coroutine beside the others."""
+        task = asyncio.ensure_future(work)
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
+
+async def fetch(
+    http: AsyncHTTPClient, url: str, timeout_s: float, **options: Any
+) -> HTTPResponse | str:
+    """Return the response, or why there is none."""
+    try:
+        return await http.fetch(
+            url,
+            raise_error=False,
+            request_timeout=timeout_s,
+            connect_timeout=CONNECT_TIMEOUT_S,
+            **options,
+        )
+    except (OSError, HTTPClientError) as exc:
+        return str(exc) or type(exc).__name__
+
+
+def prepare(folder_name: str, faults: Iterable[str], known: Collection[str]) -> Path | None:
+    """Return an empty folder for a run's logs, or print why the run cannot start."""
+    folder = Path(folder_name or tempfile.mkdtemp(prefix="soak-"))
+    folder.mkdir(parents=True, exist_ok=True)
+    if any(folder.iterdir()):
+        print(f"{folder} is not empty; logs of another run would be judged along with this one")
+        return None
+    unknown = sorted(fault for fault in faults if fault not in known)
+    if unknown:
+        print(f"unknown faults {unknown}; known are {sorted(known)}")
+        return None
+    return folder
--- a/baobabhoist/tests/test_cell_machine.py
+++ b/baobabhoist/tests/test_cell_machine.py
@@ -19,7 +19,7 @@
     Step,
 )
 from baobabhoist.cell.workers import CLOCK_DRIFT, LEASE_MARGIN_MS
-from baobabhoist.testing.cell_worker import StandInWorker
+from baobabhoist.testing.cell_worker import StandInWorker, end_gang
 from baobabhoist.tests.cells import LEASE_MS, SMALL, job, rules
 
 MAX_ATTEMPTS = 2
@@ -105,10 +105,7 @@
         if not step.gang:
             return
         other_kind = EndKind.DONE if kind is EndKind.DONE else EndKind.BROKEN
-        for other in self.workers.values():
-            for member, run in list(other.runs.items()):
-                if member.step_key == key.step_key and run.number == number:
-                    other.end(member, other_kind)
+        end_gang(self.workers, key, number, other_kind)
 
     @rule(worker=WORKERS)
     def restart_worker(self, worker):
