Limit the starts in progress by how quickly workers answer

What callers saw: accepted jobs that never ran although most of the workers were free (LOST), for as long as a machine of 0.39 cores owned the cell.

Cause: the owner decided every start that fitted, however many it had not sent yet. Once it was short of processor time, a start reached its worker 1.5 to 3 s after the decision, when its ticket (2.5 s) had expired; the worker refused it, the next round decided it again, and an answer that took over 0.7 s counted as lost and was followed by a stop. Nothing but refused starts was left (congestion collapse).

Why this works: the limit falls while answers are slow, so a start waits before its decision, where it costs nothing and keeps its ticket fresh, and not behind others. A silent worker does not lower it.

--- a/baobabhoist/cell/placer.py
+++ b/baobabhoist/cell/placer.py
@@ -47,9 +47,11 @@
         ranked_steps = sorted(waiting_steps, key=lambda step: self._rank(step, now))
         worker_index = WorkerIndex(self.state.workers.values(), now)
         self.reservations.clear()
+        self.state.start_window.refresh()
         for position, step in enumerate(ranked_steps):
             service = self.state.service_of(step.job)
-            if may_start and step.spec.allocation.cpu <= worker_index.max_free_cpu(service):
+            has_room = step.spec.allocation.cpu <= worker_index.max_free_cpu(service)
+            if may_start and has_room and self.state.start_window.remaining:
                 self._place_step(step, worker_index, now)
             if step.waiting_count:
                 self._request_advice(step, position, worker_index, now)
@@ -92,7 +94,8 @@
         if spec.gang:
             self._place_gang(step, slots, worker_index, now)
             return
-        chosen = assign_tasks(slots, step.waiting_count)
+        task_count = min(step.waiting_count, self.state.start_window.remaining)
+        chosen = assign_tasks(slots, task_count)
         for task, worker in zip(list(step.waiting_tasks()), chosen, strict=False):
             if not self.state.is_within_team_limit(step.job, spec.need):
                 return
--- a/baobabhoist/cell/scheduler.py
+++ b/baobabhoist/cell/scheduler.py
@@ -223,6 +223,14 @@
         self._check_fenced(outcome)
         self._reports.handle_start_result(command, outcome, now)
 
+    def record_start_answer(self, outcome: CommandOutcome, answer_ms: float, now: float) -> None:
+        """Record how long a worker's answer to a start took, which limits further starts."""
+        window = self.state.start_window
+        record = (
+            window.record_timeout if outcome is CommandOutcome.UNKNOWN else window.record_answer
+        )
+        record(answer_ms, now)
+
     def should_send_start(self, command: StartTask) -> bool:
         """Return whether a start command is still valid after its run has been stored."""
         worker = self.state.workers.get(command.worker_id)
--- a/baobabhoist/cell/state.py
+++ b/baobabhoist/cell/state.py
@@ -22,6 +22,7 @@
     Team,
 )
 from baobabhoist.cell.speed_estimates import SpeedEstimates
+from baobabhoist.cell.start_window import StartWindow
 from baobabhoist.cell.workers import WorkerState
 from baobabhoist.observability.events import Event, emit
 
@@ -43,6 +44,7 @@
     # Unfinished steps whose dependencies are done.
     ready_steps: dict[StepKey, StepState] = attrs.Factory(dict)
     speeds: SpeedEstimates = attrs.Factory(SpeedEstimates)
+    start_window: StartWindow = attrs.Factory(StartWindow)
     commands: list[Command] = attrs.Factory(list)
     # Ids of jobs whose progress must be written to the store.
     dirty: set[str] = attrs.Factory(set)
@@ -90,6 +92,7 @@
         ticket = task.step.approvals.valid_ticket(worker.worker_id, now)
         run = self._add_run(task, worker, run_number, RunPhase.STARTING, now)
         run.is_fresh_start = not task.checkpoint
+        self.start_window.add(run)
         # The run must be stored before the command is sent, so that the next owner knows of it.
         self.dirty.add(job.job_id)
         if job.phase is JobPhase.QUEUED:
--- a/baobabhoist/control/owner.py
+++ b/baobabhoist/control/owner.py
@@ -358,8 +358,9 @@
             self._observe_wait(command)
             sent_ms = monotonic_ms()
             outcome = await session.start_task(command)
-            duration_s = (monotonic_ms() - sent_ms) / 1000
-            self._deps.metrics.observe_worker_call("start", outcome.value, duration_s)
+            duration_ms = monotonic_ms() - sent_ms
+            self._deps.metrics.observe_worker_call("start", outcome.value, duration_ms / 1000)
+            cell.record_start_answer(outcome, duration_ms, monotonic_ms())
             cell.handle_start_result(command, outcome, monotonic_ms())
             self.request_scheduling_round()
 
