Let the owner step down when one of its tasks fails

Its beats are written elsewhere, so it kept the claim for good. A scheduling round that raised was worse: it is a timer's callback, so that only asyncio logged it, ten times a second.

Cause: nothing tied these tasks to the owner's own. They now run under a TaskSupervisor: a task that raises, or a service task that ends at all, makes CellOwner.run raise, and the election steps down with the exception as the reason. A call to a worker or to the adviser that raises is contained instead: it counts as unanswered, which the cell handles already, so that one odd command does not cost the cell its owner.

Crash loop: the process that failed claims again after 4.8 s (2.4 s doubled by the backoff for takeovers, in which its own failures now count); others claim after 2.4 s times the same backoff, as for any owner whose beat is stale. The claim is not released, because a release has no backoff.

Evidence: on the old code four of the five cases of test_owner_ends_when_one_of_its_tasks_crashes fail (the periodic checks were the owner's own task and ended it before), and so do test_crashed_start_counts_as_unanswered and test_failed_owner_steps_down_and_leaves_the_first_claim_to_others, where the failed process claimed again after 2.4 s each time.

Ruled out: asyncio.TaskGroup in run(). A planned release stops the tasks while run() goes on until the release is stored.

--- a/baobabhoist/control/election.py
+++ b/baobabhoist/control/election.py
@@ -11,6 +11,7 @@
 from baobabhoist.control.claim import (
     CONFIRMATION_VALID_MS,
     HEARTBEAT_INTERVAL_MS,
+    HEARTBEAT_STALE_MS,
     ISOLATION_BACKOFF_MS,
     REASONS_PREVIOUS_OWNER_STOPPED,
     TAKEOVER_WINDOW_MS,
@@ -21,6 +22,7 @@
     decode_claim,
     encode_claim,
     find_claim_reason,
+    takeover_backoff_factor,
 )
 from baobabhoist.control.clock import monotonic_ms
 from baobabhoist.control.config import ActiveConfig
@@ -284,11 +286,15 @@
         self._owner_task.add_done_callback(self._handle_owner_end)
 
     def _handle_owner_end(self, task: asyncio.Task[None]) -> None:
-        """Step down if the owner's task crashed: heartbeats alone must not keep the cell."""
-        if not task.cancelled() and task.exception() is not None:
-            emit(log, Event.TASK_CRASHED, detail=repr(task.exception()))
-            log.error("the task of the cell's owner crashed", exc_info=task.exception())
-            self._step_down("the owner's task failed")
+        """Step down if the owner's task ended: heartbeats alone must not keep the cell."""
+        if task is not self._owner_task or self._owner_router.local_owner is None:
+            return
+        exc = None if task.cancelled() else task.exception()
+        log.error("the task of the cell's owner ended", exc_info=exc)
+        self._takeover_times_ms.append(monotonic_ms())
+        backoff_factor = takeover_backoff_factor(self._count_recent_takeovers())
+        self._next_claim_ms = monotonic_ms() + HEARTBEAT_STALE_MS * backoff_factor
+        self._step_down(f"the owner's task failed: {exc!r}")
 
     def _may_start(self) -> bool:
         owner = self._owner_router.local_owner
--- a/baobabhoist/control/owner.py
+++ b/baobabhoist/control/owner.py
@@ -12,7 +12,14 @@
 import attrs
 
 from baobabhoist.cell import progress_rows
-from baobabhoist.cell.model import CellRules, Command, RequestAdvice, StartTask, StopTask
+from baobabhoist.cell.model import (
+    CellRules,
+    Command,
+    CommandOutcome,
+    RequestAdvice,
+    StartTask,
+    StopTask,
+)
 from baobabhoist.cell.scheduler import CellScheduler, Takeover
 from baobabhoist.cell.workers import LEASE_MARGIN_MS, MAX_CLOCK_DRIFT
 from baobabhoist.control.advice import AdviceDispatcher
@@ -31,6 +38,7 @@
     decode_speeds,
 )
 from baobabhoist.control.table_follower import TableFollower
+from baobabhoist.control.task_supervisor import TaskSupervisor, result_or
 from baobabhoist.control.worker_session import WorkerSession
 from baobabhoist.observability.events import Event, emit
 from baobabhoist.store.row_store import RowStore, StoredRow, StoreError
@@ -97,7 +105,7 @@
         self._deps = deps
         self._rules = rules
         self._loader = CellLoader(deps.store, deps.decoder.tables.directory)
-        self._tasks: set[asyncio.Task[None]] = set()
+        self._tasks = TaskSupervisor()
         self._sessions: dict[str, WorkerSession] = {}
         self._round_requested = False
         self._next_round_ms = 0.0
@@ -105,13 +113,14 @@
         self._ticks = 0
 
     async def run(self) -> None:
-        """Load the stored state, then run the cell until cancelled."""
+        """Load the stored state, then run the cell until cancelled; raises if a task failed."""
         try:
             await self._load()
-            self.spawn(self._jobs_follower().run())
-            self.spawn(self._directory_follower().run())
-            self.spawn(self.progress_writer.run(self._require_cell()))
-            await self._run_ticks()
+            self._tasks.spawn_service(self._jobs_follower().run())
+            self._tasks.spawn_service(self._directory_follower().run())
+            self._tasks.spawn_service(self.progress_writer.run(self._require_cell()))
+            self._tasks.spawn_service(self._run_ticks())
+            await self._tasks.wait_for_failure()
         finally:
             self.stop()
 
@@ -120,8 +129,7 @@
         for session in self._sessions.values():
             session.cancel()
         self._sessions.clear()
-        for task in self._tasks:
-            task.cancel()
+        self._tasks.stop()
 
     @property
     def cell(self) -> CellScheduler | None:
@@ -332,6 +340,12 @@
         if cell.is_fenced:
             self._report_ownership_lost("a worker obeys a higher fencing token")
             return
+        try:
+            self._schedule(cell)
+        except Exception as exc:
+            self._tasks.fail(exc)
+
+    def _schedule(self, cell: CellScheduler) -> None:
         start_s = time.perf_counter()
         commands = cell.schedule(monotonic_ms(), self._deps.may_start())
         duration_s = time.perf_counter() - start_s
@@ -349,7 +363,7 @@
             self.progress_writer.request_flush()
 
     def _send_command(self, command: Command) -> None:
-        self.spawn(self._SENDERS[type(command)](self, command))
+        self._tasks.spawn(self._SENDERS[type(command)](self, command))
 
     async def _send_start(self, command: StartTask) -> None:
         session = self._sessions.get(command.worker_id)
@@ -357,7 +371,7 @@
         if session is not None and cell.should_send_start(command):
             self._observe_wait(command)
             sent_ms = monotonic_ms()
-            outcome = await session.start_task(command)
+            outcome = await result_or(session.start_task(command), CommandOutcome.UNKNOWN)
             duration_s = (monotonic_ms() - sent_ms) / 1000
             self._deps.metrics.observe_worker_call("start", outcome.value, duration_s)
             cell.handle_start_result(command, outcome, monotonic_ms())
@@ -373,12 +387,12 @@
     async def _send_stop(self, command: StopTask) -> None:
         session = self._sessions.get(command.worker_id)
         if session is not None:
-            outcome = await session.stop_task(command)
+            outcome = await result_or(session.stop_task(command), CommandOutcome.UNKNOWN)
             self._require_cell().handle_stop_result(command, outcome, monotonic_ms())
             self.request_scheduling_round()
 
     async def _ask_adviser(self, query: RequestAdvice) -> None:
-        advice = await self._deps.advice_dispatcher.ask(query)
+        advice = await result_or(self._deps.advice_dispatcher.ask(query), None)
         cell, now = self._require_cell(), monotonic_ms()
         if advice is None:
             cell.handle_advice_failure(query.step, now + LOAD_RETRY_INTERVAL_S * 1000)
@@ -413,19 +427,7 @@
         ]
         for job_id in expired:
             cell.remove_job(job_id)
-            self.spawn(self.progress_writer.remove_job(job_id))
-
-    def spawn(self, coro: Coroutine[Any, Any, None]) -> None:
-        """Start a background task that is cancelled when this owner stops."""
-        task = asyncio.create_task(coro)
-        self._tasks.add(task)
-        task.add_done_callback(self._handle_task_end)
-
-    def _handle_task_end(self, task: asyncio.Task[None]) -> None:
-        self._tasks.discard(task)
-        if not task.cancelled() and task.exception() is not None:
-            emit(log, Event.TASK_CRASHED, detail=repr(task.exception()))
-            log.error("a background task of the owner crashed", exc_info=task.exception())
+            self._tasks.spawn(self.progress_writer.remove_job(job_id))
 
     def _report_ownership_lost(self, reason: str) -> None:
         if not self._ownership_lost_reported:
--- a/baobabhoist/errors.py
+++ b/baobabhoist/errors.py
@@ -118,6 +118,10 @@
     """Report that the platform gave no valid response before the deadline."""
 
 
+class OwnerFailedError(BaobabhoistError):
+    """Report that the owner of a cell cannot go on, because one of its tasks failed."""
+
+
 class InvariantViolationError(BaobabhoistError):
     """Report a step that would violate an invariant; the step has no effect."""
 
--- a/baobabhoist/tests/test_control_election.py
+++ b/baobabhoist/tests/test_control_election.py
@@ -6,13 +6,20 @@
 import pytest
 
 from baobabhoist.control import election as election_module
-from baobabhoist.control.claim import ClaimRow, OwnerLinkState, decode_claim, encode_claim
+from baobabhoist.control.claim import (
+    HEARTBEAT_STALE_MS,
+    ClaimRow,
+    OwnerLinkState,
+    decode_claim,
+    encode_claim,
+)
 from baobabhoist.control.election import MAX_READ_GAP_MS, OwnerElection
 from baobabhoist.control.links import Identity
 from baobabhoist.control.row_schema import HEARTBEAT_ROW_KEY, OWNER_ROW_KEY
 from baobabhoist.store.row_store import RowTransaction
 from baobabhoist.testing.memory_row_store import MemoryRowStore
 
+POLL_INTERVAL_MS = 100.0
 OTHER = ClaimRow("other", "boot-other", "10.0.0.9:7000", 0)
 
 
@@ -152,3 +159,33 @@
         assert harness.owner_router.local_owner is None
 
     asyncio.run(run())
+
+
+def test_failed_owner_steps_down_and_leaves_the_first_claim_to_others(harness):
+    """Guard against an owner that keeps its claim after a failure, or that reclaims in a loop."""
+
+    async def crash(self):
+        raise RuntimeError("a background task failed")
+
+    async def claim_after(ms):
+        for _ in range(round(ms / POLL_INTERVAL_MS)):
+            harness.now += POLL_INTERVAL_MS
+            harness.read()
+        await harness.settle()
+        return harness.owner_router.local_owner is not None
+
+    async def run():
+        harness.read()
+        with pytest.MonkeyPatch.context() as patch:
+            patch.setattr(FakeOwner, "run", crash)
+            await harness.settle()
+            assert harness.owner_router.local_owner is None
+            assert not await claim_after(HEARTBEAT_STALE_MS + POLL_INTERVAL_MS)
+            first_token = harness.store.rows[OWNER_ROW_KEY].version
+            await claim_after(HEARTBEAT_STALE_MS)
+            assert harness.store.rows[OWNER_ROW_KEY].version > first_token
+            assert harness.owner_router.local_owner is None
+        assert not await claim_after(2 * HEARTBEAT_STALE_MS + POLL_INTERVAL_MS)
+        assert await claim_after(2 * HEARTBEAT_STALE_MS)
+
+    asyncio.run(run())
--- /dev/null
+++ b/baobabhoist/tests/test_control_owner.py
@@ -0,0 +1,178 @@
+"""Test that the cell's owner does not go on without one of its tasks, with an in-memory store."""
+
+import asyncio
+from types import SimpleNamespace
+
+import pytest
+
+from baobabhoist.cell.model import CommandOutcome, JobSpec, Step, WorkerInfo
+from baobabhoist.control import owner as owner_module
+from baobabhoist.control.clock import StoreClock, monotonic_ms
+from baobabhoist.control.interfaces import CommandResponse, ExternalTables
+from baobabhoist.control.metrics import NodeMetrics
+from baobabhoist.control.owner import CellOwner, OwnerDependencies, OwnershipTerm
+from baobabhoist.control.row_schema import OWNER_ROW_KEY, JobRow, encode_job, job_row_key
+from baobabhoist.store.row_store import RowKey, RowTransaction
+from baobabhoist.testing.memory_row_store import MemoryRowStore
+from baobabhoist.tests.cell_harness import LEASE_MS, SMALL, CellHarness, make_rules
+
+JOB_ID = "a" + 15 * "0"
+JOB = encode_job(JobRow("q", "svc", "team", 0, JobSpec("(payload)", (Step(1, SMALL, 100),))))
+DIRECTORY = "servers"
+WORKER_ROW_KEY = RowKey(DIRECTORY, "", "w0")
+# Only a test that fails waits for this long.
+FAILURE_TIMEOUT_S = 5.0
+
+
+class FakeDecoder:
+    """Decode each directory entry as the same worker, or crash."""
+
+    tables = ExternalTables("operator", "config", DIRECTORY)
+
+    def __init__(self):
+        self.crashes = False
+
+    def decode_worker(self, worker_id, value):
+        if self.crashes:
+            raise RuntimeError("a fault in the decoder")
+        return WorkerInfo(worker_id, "svc", "10.0.1.1:80", "z1", SMALL, ())
+
+
+class FakeDriver:
+    """Pass commands on to a fake worker; each start crashes if `crashes` is set."""
+
+    def __init__(self):
+        self.workers = CellHarness.with_workers(1).workers
+        self.crashes = False
+        self.stops = []
+
+    async def renew(self, worker, token, acked_end, deadline_ms, wait_ms):
+        await asyncio.sleep(0.01)
+        return self.workers[worker.worker_id].renew(token, acked_end, deadline_ms)
+
+    async def start(self, worker, token, command, deadline_ms):
+        if self.crashes:
+            raise RuntimeError("a fault in the driver")
+        return CommandResponse(CommandOutcome.OK)
+
+    async def stop(self, worker, token, command):
+        self.stops.append(command)
+        return CommandResponse(CommandOutcome.OK)
+
+
+class OwnerHarness:
+    """Run an owner of one worker."""
+
+    def __init__(self):
+        # The fake worker has already seen the token of an earlier owner.
+        self.store = MemoryRowStore(version=CellHarness().token)
+        token = self.store.apply(RowTransaction(puts={OWNER_ROW_KEY: b"me"})).version
+        self.store.apply(RowTransaction(puts={WORKER_ROW_KEY: b"worker"}))
+        self.decoder = FakeDecoder()
+        self.driver = FakeDriver()
+        deps = OwnerDependencies(
+            self.store,
+            self.driver,
+            self.decoder,
+            StoreClock(),
+            SimpleNamespace(capacity=1),
+            LEASE_MS,
+            60_000.0,
+            lambda: True,
+            lambda reason: None,
+            NodeMetrics(),
+        )
+        now = monotonic_ms()
+        self.owner = CellOwner(deps, OwnershipTerm(token, 0, now, now), make_rules())
+        self.task = None
+
+    async def start(self):
+        self.task = asyncio.create_task(self.owner.run())
+        await self.wait_until(lambda: self.owner.is_loaded)
+
+    async def wait_until(self, condition):
+        async with asyncio.timeout(FAILURE_TIMEOUT_S):
+            while not condition():
+                await asyncio.sleep(0.01)
+
+    async def fails(self):
+        """Return whether the owner ends with an error."""
+        await asyncio.wait({self.task}, timeout=FAILURE_TIMEOUT_S)
+        if not self.task.done():
+            self.task.cancel()
+            return False
+        return self.task.exception() is not None
+
+    def store_job(self):
+        self.store.apply(RowTransaction(puts={job_row_key(JOB_ID): JOB}))
+
+
+@pytest.fixture(autouse=True)
+def short_polls(monkeypatch):
+    monkeypatch.setattr(owner_module, "JOBS_POLL_PAUSE_S", 0.01)
+    monkeypatch.setattr(owner_module, "DIRECTORY_POLL_PAUSE_S", 0.01)
+
+
+def crash(*args):
+    raise RuntimeError("a fault in this process")
+
+
+def break_jobs_follower(harness):
+    harness.owner.handle_stored_job = crash
+    harness.store_job()
+
+
+def break_directory_follower(harness):
+    harness.decoder.crashes = True
+    harness.store.apply(RowTransaction(puts={WORKER_ROW_KEY: b"worker 2"}))
+
+
+def break_progress_writer(harness):
+    harness.owner.cell.take_unsaved_progress = crash
+    harness.owner.progress_writer.request_flush()
+
+
+def break_periodic_checks(harness):
+    harness.owner.cell.tick = crash
+
+
+def break_scheduling(harness):
+    harness.owner.cell.schedule = crash
+    harness.owner.request_scheduling_round()
+
+
+@pytest.mark.parametrize(
+    "break_task",
+    [
+        break_jobs_follower,
+        break_directory_follower,
+        break_progress_writer,
+        break_periodic_checks,
+        break_scheduling,
+    ],
+)
+def test_owner_ends_when_one_of_its_tasks_crashes(break_task):
+    """Guard against an owner that holds its claim while jobs are accepted and never run."""
+
+    async def run():
+        harness = OwnerHarness()
+        await harness.start()
+        break_task(harness)
+        assert await harness.fails()
+
+    asyncio.run(run())
+
+
+def test_crashed_start_counts_as_unanswered():
+    """Guard against a run that is never started again because sending its start crashed."""
+
+    async def run():
+        harness = OwnerHarness()
+        harness.driver.crashes = True
+        await harness.start()
+        harness.store_job()
+        await harness.wait_until(lambda: harness.driver.stops)
+        assert not harness.task.done()
+        harness.task.cancel()
+
+    asyncio.run(run())
