Go on renewing after a worker's session has crashed

A renewal that raises is now logged, counts as unanswered and is tried again after the usual backoff. While it keeps raising, the worker counts as silent and its lease is not extended, so its tasks start elsewhere once the lease has lapsed.

Evidence: test_crashed_renewal_is_tried_again and test_lease_is_not_extended_while_renewals_crash fail on the old code: the first waits for ever, the second has no method to call.

--- a/baobabhoist/control/worker_session.py
+++ b/baobabhoist/control/worker_session.py
@@ -10,6 +10,7 @@
 from baobabhoist.cell.workers import WorkerState
 from baobabhoist.control.clock import monotonic_ms
 from baobabhoist.control.interfaces import WorkerDriver
+from baobabhoist.control.task_supervisor import log_crash
 from baobabhoist.observability.events import Event, emit
 
 if TYPE_CHECKING:
@@ -73,7 +74,7 @@
         delay_s = RETRY_INITIAL_S
         try:
             while True:
-                if await self._renew():
+                if await self._try_renew():
                     delay_s = RETRY_INITIAL_S
                     continue
                 await asyncio.sleep(delay_s)
@@ -81,6 +82,15 @@
         finally:
             self._task = None
 
+    async def _try_renew(self) -> bool:
+        """Renew the lease once; a crash counts as a missing answer."""
+        try:
+            return await self._renew()
+        except Exception as exc:
+            log_crash(exc)
+            self._set_answering(False, "the renewal failed")
+            return False
+
     async def _renew(self) -> bool:
         """Renew the lease once; return whether the worker answered."""
         state, cell = self._state, self._owner.cell
--- a/baobabhoist/tests/test_control_worker_session.py
+++ b/baobabhoist/tests/test_control_worker_session.py
@@ -73,3 +73,58 @@
     """Guard against a lease that expires although its worker answers."""
     _, driver = run_renewals(4, silent_from=4)
     assert all(driver.deadlines)
+
+
+def test_crashed_renewal_is_tried_again():
+    """Guard against a worker whose tasks never end because its session has crashed."""
+    harness = CellHarness.with_workers(1)
+    driver = FakeDriver(harness.workers["w0"])
+    crashes = [RuntimeError("a fault in the driver")]
+
+    async def run():
+        owner = SimpleNamespace(
+            cell=harness.cell,
+            ownership=SimpleNamespace(token=harness.token),
+            may_renew=lambda: True,
+            request_scheduling_round=answered.set,
+        )
+        session = WorkerSession(owner, driver, harness.cell.state.workers["w0"], LEASE_MS)
+        renew = driver.renew
+
+        async def crash_once(*args):
+            if crashes:
+                raise crashes.pop()
+            return await renew(*args)
+
+        driver.renew = crash_once
+        session.start()
+        await asyncio.wait_for(answered.wait(), 5.0)
+        session.cancel()
+
+    answered = asyncio.Event()
+    asyncio.run(run())
+    assert driver.deadlines
+
+
+def test_lease_is_not_extended_while_renewals_crash():
+    """Guard against runs that neither end nor restart because each report crashes the owner."""
+    harness = CellHarness.with_workers(1)
+    driver = FakeDriver(harness.workers["w0"])
+    owner = SimpleNamespace(
+        cell=harness.cell,
+        ownership=SimpleNamespace(token=harness.token),
+        may_renew=lambda: True,
+    )
+    session = WorkerSession(owner, driver, harness.cell.state.workers["w0"], LEASE_MS)
+
+    def crash(*args):
+        raise RuntimeError("a fault in the scheduler")
+
+    harness.cell.handle_report = crash
+
+    async def run():
+        for _ in range(3):
+            assert not await session._try_renew()
+
+    asyncio.run(run())
+    assert driver.deadlines[1:] == [None, None]
