Place no tasks once the owner is stopped

A planned release stops the owner and then stores all progress. Scheduling rounds went on meanwhile: a round stored runs whose starts were not sent any more, since the sessions were closed, and the next owner had to find out from the workers that they had never begun.

A stopped owner now runs no round. test_stopped_owner_places_no_further_tasks fails on the old code: a job that arrives after the stop gets a run. Found while the tasks of the owner were put under supervision.

--- a/baobabhoist/control/owner.py
+++ b/baobabhoist/control/owner.py
@@ -335,7 +335,7 @@
     def _run_scheduling_round(self) -> None:
         self._round_requested = False
         cell = self.cell
-        if cell is None:
+        if cell is None or self._tasks.is_stopped:
             return
         if cell.is_fenced:
             self._report_ownership_lost("a worker obeys a higher fencing token")
--- a/baobabhoist/tests/test_control_owner.py
+++ b/baobabhoist/tests/test_control_owner.py
@@ -176,3 +176,19 @@
         harness.task.cancel()
 
     asyncio.run(run())
+
+
+def test_stopped_owner_places_no_further_tasks():
+    """Guard against runs that are stored at a release although their starts are never sent."""
+
+    async def run():
+        harness = OwnerHarness()
+        await harness.start()
+        await harness.wait_until(lambda: harness.owner.cell.state.workers["w0"].has_accepted_token)
+        harness.owner.stop()
+        harness.owner.handle_stored_job(JOB_ID, JOB, 100)
+        await asyncio.sleep(0.05)
+        assert not harness.owner.cell.state.dirty
+        harness.task.cancel()
+
+    asyncio.run(run())
