Hand the cell over from a small owner to a larger instance

Cause: size counts only as a delay of at most half a second before a claim. A small machine wins whenever no larger one can claim in that half second: it starts first, hears of a release first, read the last beat earlier, or is on the right side of a cut. Nothing moves the cell afterwards. Besides, the delay looked at the scarcer of processor and link alone, so machines of 1.29 and of 0.387 cores, all with 10 Mbit/s, waited 0.4 s alike.

Change: instances say their size in the link's greeting. An owner asks the linked instances that suit the cell 1.5 times better each second whether they could take it over; such an instance answers yes if it would claim (not draining, has a configuration, has read the claim lately), hears the owner, and no call of its own to the store failed for 3 s. After 2.5 s of yes without a break, and 5 s after its own claim, the owner stores all progress and releases the cell, as in a drain, and names the successor in the released claim. The successor claims without delay, all others 0.6 s later than otherwise.

Against flapping: only to a markedly larger machine, once in 15 s by each instance, never while loading or draining, nor within 3 s of a failed store call, nor if a heartbeat takes over 0.5 s to store. Safety still rests on the conditional writes: the release and the claim are the same writes as before.

An instance that sends no size is never asked.

Ruled out: a longer delay by size, because it makes each failover among small machines slower and still loses to an instance that hears nothing for seconds.

--- a/baobabhoist/control/claim.py
+++ b/baobabhoist/control/claim.py
@@ -32,12 +32,16 @@
 
 @attrs.frozen
 class ClaimRow:
-    """Hold the claim to the cell; `boot` identifies the owner's process, empty once released."""
+    """Hold the claim to the cell; `boot` identifies the owner's process, empty once released.
+
+    A released claim may name the `successor` that the owner released the cell to.
+    """
 
     node: str
     boot: str
     address: str
     generation: int
+    successor: str = ""
 
     @property
     def is_released(self) -> bool:
--- a/baobabhoist/control/election.py
+++ b/baobabhoist/control/election.py
@@ -32,6 +32,7 @@
 from baobabhoist.control.owner_router import OwnerRouter
 from baobabhoist.control.row_schema import CELL_TABLE, HEARTBEAT_ROW_KEY, OWNER_ROW_KEY
 from baobabhoist.control.settings import NodeSettings
+from baobabhoist.control.store_health import StoreHealth
 from baobabhoist.errors import LinkClosedError
 from baobabhoist.observability.events import Event, emit
 from baobabhoist.peer.link import Link
@@ -48,10 +49,12 @@
 CLAIM_CHECK_INTERVAL_S = 0.1
 # Random delay before a claim, so that instances do not all claim at the same moment.
 CLAIM_JITTER_S = 0.06
-# What an owner needs approximately; a smaller machine delays its claim, so that larger ones win.
-RECOMMENDED_CORES = 1.0
-RECOMMENDED_LINK_MBPS = 50.0
+# A smaller machine delays its claim by up to this, so that larger ones win.
 MAX_SMALL_MACHINE_DELAY_S = 0.5
+# A released cell is left to the successor that its owner named for this long.
+SUCCESSOR_HEAD_START_S = 0.6
+# An instance that handed the cell over does not claim it for this long.
+HANDOVER_BACKOFF_MS = 2_000.0
 # Pause between polls of the claim while the link shows that the owner is alive.
 CLAIM_POLL_PAUSE_S = 1.5
 # Successful polls are further apart than this only if a poll between them failed.
@@ -75,6 +78,7 @@
         link_server: LinkServer,
         owner_link: OwnerLink,
         make_owner: OwnerFactory,
+        store_health: StoreHealth,
     ) -> None:
         self.is_draining = False
         # Polls the cell's table without waiting for the pause to end.
@@ -87,6 +91,7 @@
         self._link_server = link_server
         self._owner_link = owner_link
         self._make_owner = make_owner
+        self._store_health = store_health
         self._claim: ClaimRow | None = None
         self._claim_version = 0
         self._heartbeat_version = 0
@@ -115,12 +120,25 @@
             else 0.0
         )
 
-    async def release(self, reason: str) -> None:
+    async def hand_over(self, successor: str) -> None:
+        """Release the cell, so that a larger instance takes it over."""
+        self._next_claim_ms = monotonic_ms() + HANDOVER_BACKOFF_MS
+        await self.release(f"handed over to {successor}", successor)
+
+    def is_ready_to_own(self) -> bool:
+        """Return whether this instance would claim the cell if it were released now."""
+        return (
+            self._can_claim()
+            and self._owner_link.state is OwnerLinkState.CONNECTED
+            and self._store_health.is_stable()
+        )
+
+    async def release(self, reason: str, successor: str = "") -> None:
         """Release the cell, so that another instance can take it over immediately."""
         owner = self._owner_router.local_owner
         if owner is None:
             return
-        claim = ClaimRow("", "", "", owner.ownership.generation)
+        claim = ClaimRow("", "", "", owner.ownership.generation, successor)
         owner.stop()
         if await owner.progress_writer.release(encode_claim(claim), owner.cell):
             emit(log, Event.CLAIM_RELEASED, token=owner.ownership.token)
@@ -199,14 +217,7 @@
                     await self._try_claim(reason)
 
     def _find_reason(self) -> ClaimReason:
-        is_fresh = monotonic_ms() - self._read_ms < MAX_READ_AGE_MS
-        if (
-            not (self._has_read and is_fresh)
-            or self.is_draining
-            or self._owner_router.local_owner is not None
-        ):
-            return ClaimReason.NONE
-        if self._config.current is None or monotonic_ms() < self._next_claim_ms:
+        if not self._can_claim():
             return ClaimReason.NONE
         heartbeat_age_ms = monotonic_ms() - self._heartbeat_changed_ms
         return find_claim_reason(
@@ -217,11 +228,24 @@
             self._count_recent_takeovers(),
         )
 
+    def _can_claim(self) -> bool:
+        now = monotonic_ms()
+        return (
+            self._has_read
+            and now - self._read_ms < MAX_READ_AGE_MS
+            and not self.is_draining
+            and self._owner_router.local_owner is None
+            and self._config.current is not None
+            and now >= self._next_claim_ms
+        )
+
     def _claim_delay_s(self) -> float:
-        cores = min(1.0, self._cfg.cores / RECOMMENDED_CORES)
-        link = min(1.0, self._cfg.link_mbps / RECOMMENDED_LINK_MBPS)
-        shortfall = 1.0 - min(cores, link)
-        return shortfall * MAX_SMALL_MACHINE_DELAY_S + random.random() * CLAIM_JITTER_S
+        successor = self._claim.successor if self._claim is not None else ""
+        if successor == self._identity.node:
+            return 0.0
+        shortfall = 1.0 - self._identity.size.suitability
+        delay_s = shortfall * MAX_SMALL_MACHINE_DELAY_S + random.random() * CLAIM_JITTER_S
+        return delay_s + SUCCESSOR_HEAD_START_S if successor else delay_s
 
     async def _try_claim(self, reason: ClaimReason) -> None:
         generation = self._claim.generation + 1 if self._claim is not None else 0
@@ -294,7 +318,7 @@
         self._takeover_times_ms.append(monotonic_ms())
         backoff_factor = takeover_backoff_factor(self._count_recent_takeovers())
         self._next_claim_ms = monotonic_ms() + HEARTBEAT_STALE_MS * backoff_factor
-        self._step_down(f"the owner's task failed: {exc!r}")
+        self._step_down(f"the owner's task ended: {exc!r}")
 
     def _may_start(self) -> bool:
         owner = self._owner_router.local_owner
--- a/baobabhoist/control/links.py
+++ b/baobabhoist/control/links.py
@@ -15,6 +15,7 @@
 
 from baobabhoist.control.claim import ClaimRow, OwnerLinkState
 from baobabhoist.control.clock import monotonic_ms
+from baobabhoist.control.machine_size import MachineSize
 from baobabhoist.control.messages import CODEC, Greeting, OwnerHeartbeat, Welcome
 from baobabhoist.errors import LinkClosedError
 from baobabhoist.observability.events import Event, emit
@@ -40,6 +41,7 @@
 
     node: str
     boot_id: str
+    size: MachineSize = attrs.Factory(MachineSize)
     is_owner: bool = False
 
 
@@ -48,6 +50,8 @@
 
     def __init__(self, identity: Identity, handler: Handler) -> None:
         self.links: dict[str, Link] = {}
+        # The sizes of the linked instances' machines, by node name.
+        self.sizes: dict[str, MachineSize] = {}
         self._identity = identity
         self._handler = handler
         self._server: Server | None = None
@@ -69,6 +73,7 @@
             if isinstance(message, Greeting):
                 node = message.node
                 self.links[node] = link
+                self.sizes[node] = MachineSize(message.cores, message.link_mbps)
                 return Welcome(
                     self._identity.node, self._identity.boot_id, self._identity.is_owner
                 )
@@ -78,6 +83,7 @@
         await link.run()
         if self.links.get(node) is link:
             del self.links[node]
+            del self.sizes[node]
 
 
 class OwnerLink:
@@ -133,7 +139,10 @@
         link = Link(conn, CODEC, self._handle)
         reader = asyncio.create_task(link.run())
         try:
-            greeting = Greeting(self._identity.node, self._identity.boot_id)
+            size = self._identity.size
+            greeting = Greeting(
+                self._identity.node, self._identity.boot_id, size.cores, size.link_mbps
+            )
             welcome = await link.call(greeting, GREETING_TIMEOUT_S)
             if not isinstance(welcome, Welcome) or welcome.boot != claim.boot:
                 self._set_state(OwnerLinkState.ENDED, claim)
--- a/baobabhoist/control/messages.py
+++ b/baobabhoist/control/messages.py
@@ -10,10 +10,15 @@
 
 @attrs.frozen
 class Greeting:
-    """Identify the connecting process; `boot` is a new id at each process start."""
+    """Identify the connecting process; `boot` is a new id at each process start.
+
+    The size of its machine is 0 if the process is of a version that does not send it.
+    """
 
     node: str
     boot: str
+    cores: float = 0.0
+    link_mbps: float = 0.0
 
 
 @attrs.frozen
@@ -167,6 +172,18 @@
     detail: str
 
 
+@attrs.frozen
+class ReadinessQuery:
+    """Ask an instance whether it could take over the cell now."""
+
+
+@attrs.frozen
+class ReadinessReply:
+    """Return whether an instance could take over the cell now."""
+
+    ready: bool
+
+
 @attrs.frozen
 class NotOwner:
     """Report that the queried instance does not own the cell."""
@@ -196,5 +213,7 @@
         RelayedRows,
         RelayFailed,
         OwnerHeartbeat,
+        ReadinessQuery,
+        ReadinessReply,
     )
 )
--- a/baobabhoist/control/node.py
+++ b/baobabhoist/control/node.py
@@ -14,10 +14,12 @@
 from baobabhoist.control.clock import StoreClock, monotonic_ms
 from baobabhoist.control.config import ActiveConfig
 from baobabhoist.control.election import OwnerElection
+from baobabhoist.control.handover import HandoverMonitor
 from baobabhoist.control.interfaces import Adviser, Decoder, WorkerDriver
 from baobabhoist.control.job_api import JobApi
 from baobabhoist.control.job_writer import JobWriter
 from baobabhoist.control.links import Identity, LinkServer, OwnerLink
+from baobabhoist.control.machine_size import MachineSize
 from baobabhoist.control.metrics import NodeMetrics
 from baobabhoist.control.owner import CellOwner, OwnerDependencies, OwnershipTerm
 from baobabhoist.control.owner_router import OwnerRouter
@@ -62,7 +64,8 @@
         self.cfg = cfg
         self.config = ActiveConfig()
         self.clock = StoreClock()
-        self.identity = Identity(cfg.instance_id, secrets.token_hex(8))
+        size = MachineSize(cfg.cores, cfg.link_mbps)
+        self.identity = Identity(cfg.instance_id, secrets.token_hex(8), size)
         self.owner_router = OwnerRouter(cfg.instance_id, adapter.adviser)
         self.link_server = LinkServer(self.identity, self.owner_router.handle)
         self.owner_link = OwnerLink(
@@ -99,6 +102,11 @@
             self.link_server,
             self.owner_link,
             self._make_owner,
+            direct.health,
+        )
+        self.owner_router.is_ready_to_own = self._election.is_ready_to_own
+        self._handover_monitor = HandoverMonitor(
+            size, self.owner_router, self.link_server, direct.health, self._election
         )
 
     async def run(self) -> None:
@@ -127,6 +135,7 @@
             group.create_task(self._election.run_claims())
             group.create_task(self._election.run_store_heartbeats())
             group.create_task(self._election.run_link_heartbeats())
+            group.create_task(self._handover_monitor.run())
 
     def is_ready(self) -> bool:
         """Return whether this instance should receive new calls."""
--- a/baobabhoist/control/owner_router.py
+++ b/baobabhoist/control/owner_router.py
@@ -19,6 +19,8 @@
     NotOwner,
     PendingQuery,
     PendingReply,
+    ReadinessQuery,
+    ReadinessReply,
     RelayCommit,
     RelayFollow,
     RelayRead,
@@ -43,6 +45,8 @@
         self.owner_link: OwnerLink | None = None
         # Executes store calls that other instances relay through this one.
         self.relay_store: FailoverStore | None = None
+        # Returns whether this instance could take over the cell now.
+        self.is_ready_to_own: Callable[[], bool] = lambda: False
         self._node = node
         self._adviser = adviser
         self._tasks: set[asyncio.Task[None]] = set()
@@ -111,12 +115,16 @@
             return AdviceReply(False)
         return AdviceReply(True, advice.tickets, advice.valid_ms)
 
+    async def _answer_readiness(self, query: ReadinessQuery) -> ReadinessReply:
+        return ReadinessReply(self.is_ready_to_own())
+
     # Messages that every instance answers, and messages that only the owner answers.
     _INSTANCE_HANDLERS: dict[type, Callable[[Any, Any], Awaitable[Any]]] = {
         AdviceQuery: _ask_adviser,
         RelayCommit: _serve_store_call,
         RelayRead: _serve_store_call,
         RelayFollow: _serve_store_call,
+        ReadinessQuery: _answer_readiness,
     }
     _OWNER_HANDLERS: dict[type, Callable[[Any, CellOwner, Any], Any]] = {
         StateQuery: _answer_state,
--- a/baobabhoist/control/store_health.py
+++ b/baobabhoist/control/store_health.py
@@ -22,6 +22,9 @@
 
 T = TypeVar("T")
 
+# The store counts as stable if no call failed for this long.
+STABLE_AFTER_MS = 3_000.0
+
 
 @attrs.define
 class StoreHealth:
@@ -38,6 +41,11 @@
         """Return whether the store has been unreachable for more than a number of ms."""
         return self.is_unreachable() and monotonic_ms() - self.last_answer_ms > ms
 
+    def is_stable(self) -> bool:
+        """Return whether calls were answered lately and none has failed for some time."""
+        since_ms = monotonic_ms() - STABLE_AFTER_MS
+        return self.last_answer_ms > since_ms and self.last_failure_ms < since_ms
+
 
 class MonitoredStore:
     """Forward calls to a store, and record the outcome and duration of each."""
--- a/baobabhoist/tests/test_control_election.py
+++ b/baobabhoist/tests/test_control_election.py
@@ -3,9 +3,11 @@
 import asyncio
 from types import SimpleNamespace
 
+import attrs
 import pytest
 
 from baobabhoist.control import election as election_module
+from baobabhoist.control import store_health
 from baobabhoist.control.claim import (
     HEARTBEAT_STALE_MS,
     ClaimRow,
@@ -13,22 +15,28 @@
     decode_claim,
     encode_claim,
 )
-from baobabhoist.control.election import MAX_READ_GAP_MS, OwnerElection
+from baobabhoist.control.election import MAX_READ_AGE_MS, MAX_READ_GAP_MS, OwnerElection
 from baobabhoist.control.links import Identity
+from baobabhoist.control.machine_size import MachineSize
+from baobabhoist.control.progress_writer import ProgressWriter
 from baobabhoist.control.row_schema import HEARTBEAT_ROW_KEY, OWNER_ROW_KEY
+from baobabhoist.control.store_health import StoreHealth
 from baobabhoist.store.row_store import RowTransaction
 from baobabhoist.testing.memory_row_store import MemoryRowStore
 
 POLL_INTERVAL_MS = 100.0
+LARGE = MachineSize(4.0, 1000.0)
+RELEASED = ClaimRow("", "", "", 3)
 OTHER = ClaimRow("other", "boot-other", "10.0.0.9:7000", 0)
 
 
 class FakeOwner:
     """Replace the cell's owner, which needs workers and a network."""
 
-    def __init__(self, ownership):
+    def __init__(self, store, ownership):
         self.ownership = ownership
         self.cell = None
+        self.progress_writer = ProgressWriter(store, ownership.token, lambda reason: None)
 
     async def run(self):
         await asyncio.sleep(3600)
@@ -40,7 +48,7 @@
 class ElectionHarness:
     """Run one instance's election with an in-memory store and a clock set by the test."""
 
-    def __init__(self, monkeypatch):
+    def __init__(self, monkeypatch, size=LARGE):
         self.now = 100_000.0
         monkeypatch.setattr(election_module, "monotonic_ms", lambda: self.now)
         monkeypatch.setattr(election_module, "CLAIM_JITTER_S", 0.0)
@@ -50,16 +58,19 @@
             state=OwnerLinkState.CONNECTED, connect_to=lambda claim: None
         )
         address = "10.0.0.1:7000"
-        cfg = SimpleNamespace(cores=4.0, link_mbps=1000.0, advertised_peer_address=address)
+        cfg = SimpleNamespace(advertised_peer_address=address)
+        self.health = StoreHealth(last_answer_ms=self.now)
+        monkeypatch.setattr(store_health, "monotonic_ms", lambda: self.now)
         self.election = OwnerElection(
             cfg,
             self.store,
             SimpleNamespace(current=object()),
-            Identity("me", "boot-me"),
+            Identity("me", "boot-me", size),
             self.owner_router,
             SimpleNamespace(links={}),
             self.owner_link,
-            lambda ownership, may_start, on_ownership_lost: FakeOwner(ownership),
+            lambda ownership, may_start, on_ownership_lost: FakeOwner(self.store, ownership),
+            self.health,
         )
 
     def write(self, **rows):
@@ -189,3 +200,88 @@
         assert await claim_after(2 * HEARTBEAT_STALE_MS)
 
     asyncio.run(run())
+
+
+def test_released_cell_is_left_to_the_named_successor(harness):
+    """Guard against a small instance that claims the cell before the successor has."""
+
+    async def run():
+        harness.write(owner=encode_claim(attrs.evolve(RELEASED, successor="other")))
+        harness.read()
+        await harness.settle()
+        assert harness.owner_router.local_owner is None
+
+    asyncio.run(run())
+
+
+def test_named_successor_claims_without_delay(monkeypatch):
+    """Guard against a handover that leaves the cell without an owner for long."""
+    harness = ElectionHarness(monkeypatch, MachineSize(0.1, 1.0))
+
+    async def run():
+        harness.write(owner=encode_claim(attrs.evolve(RELEASED, successor="me")))
+        harness.read()
+        await harness.settle()
+        assert harness.owner_router.local_owner is not None
+
+    asyncio.run(run())
+
+
+def test_absent_successor_only_delays_the_claim_of_others(monkeypatch):
+    """Guard against a cell without an owner because its successor has ended."""
+    monkeypatch.setattr(election_module, "SUCCESSOR_HEAD_START_S", 0.0)
+    harness = ElectionHarness(monkeypatch)
+
+    async def run():
+        harness.write(owner=encode_claim(attrs.evolve(RELEASED, successor="other")))
+        harness.read()
+        await harness.settle()
+        assert harness.owner_router.local_owner is not None
+
+    asyncio.run(run())
+
+
+def test_owner_that_hands_over_names_the_successor_and_claims_no_more(harness):
+    """Guard against a handover after which the same instance owns the cell again."""
+
+    async def run():
+        harness.read()
+        await harness.settle()
+        await harness.election.hand_over("other")
+        claim = decode_claim(harness.store.rows[OWNER_ROW_KEY].value)
+        assert claim.is_released
+        assert claim.successor == "other"
+        harness.read()
+        await harness.settle()
+        assert harness.owner_router.local_owner is None
+
+    asyncio.run(run())
+
+
+def start_to_drain(harness):
+    harness.election.is_draining = True
+
+
+def lose_the_store(harness):
+    harness.health.last_failure_ms = harness.now
+
+
+def lose_the_owner(harness):
+    harness.owner_link.state = OwnerLinkState.SILENT
+
+
+def read_no_longer(harness):
+    harness.now += MAX_READ_AGE_MS + 1
+    harness.health.last_answer_ms = harness.now
+
+
+@pytest.mark.parametrize(
+    "impair", [start_to_drain, lose_the_store, lose_the_owner, read_no_longer]
+)
+def test_impaired_instance_is_not_ready_to_own_the_cell(harness, impair):
+    """Guard against a handover to an instance that would not claim or could not load the cell."""
+    harness.write(owner=encode_claim(OTHER), heartbeat=b"1")
+    harness.read()
+    assert harness.election.is_ready_to_own()
+    impair(harness)
+    assert not harness.election.is_ready_to_own()
