Answer open calls before the exit on SIGTERM

Callers saw a connection that closes without an answer: on SIGTERM the instance slept until 0.8 s before the end of the grace period and closed all connections, whatever was unanswered on them. `drain_started` named 0 open requests as a literal.

Each call now runs under a timeout: the caller's deadline, or the end of the drain if that is sooner. A drain moves the timeouts of all open calls forward, so each is answered (504, outcome unknown; a query 503) before the connections are closed. A call whose store call outlasts the caller's deadline is answered in time, too. The stop of the servers no longer raises TimeoutError.

--- a/baobabhoist/platform/http_server.py
+++ b/baobabhoist/platform/http_server.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+from collections.abc import Awaitable, Callable
 from typing import Any
 
 import orjson
@@ -12,11 +13,19 @@
 from tornado.web import Application, RequestHandler
 
 from baobabhoist.control.clock import monotonic_ms
-from baobabhoist.control.job_api import AdmittedCall, ApiCall, JobApi, unknown_outcome_refusal
+from baobabhoist.control.job_api import (
+    ANSWER_RESERVE_MS,
+    AdmittedCall,
+    ApiCall,
+    JobApi,
+    unavailable_refusal,
+    unknown_outcome_refusal,
+)
 from baobabhoist.control.metrics import NodeMetrics
 from baobabhoist.control.node import Node
 from baobabhoist.errors import ErrorKind, Refusal
 from baobabhoist.observability.events import Event, emit
+from baobabhoist.platform.open_calls import OpenCalls
 
 log = logging.getLogger(__name__)
 
@@ -25,6 +34,8 @@
 DEADLINE_HEADER = "X-Deadline-Ms"
 DEFAULT_TIMEOUT_MS = 3_000.0
 MAX_TIMEOUT_MS = 60_000.0
+# Calls end at their deadlines, so only an unresponsive caller can delay a stop.
+STOP_TIMEOUT_S = 0.4
 
 _STATUS_BY_KIND = {
     ErrorKind.BAD_REQUEST: 400,
@@ -42,24 +53,49 @@
 class JobApiHandler(RequestHandler):
     """Handle one call to the job API."""
 
-    def initialize(self, job_api: JobApi, metrics: NodeMetrics) -> None:
-        """Set the job API that answers calls and the metrics that count them."""
+    def initialize(self, job_api: JobApi, metrics: NodeMetrics, open_calls: OpenCalls) -> None:
+        """Set the job API, the metrics and the open calls, which this call is one of."""
         self._job_api = job_api
         self._metrics = metrics
+        self._open_calls = open_calls
         self._admitted: AdmittedCall | None = None
 
     async def post(self) -> None:
         """Submit a job."""
-        admitted = self._admit()
-        if admitted is not None:
-            refusal = await self._job_api.submit(self._call, admitted, self.request.body)
-            self._respond(refusal if refusal is not None else {})
+        refusal = unknown_outcome_refusal("the job was not stored before the deadline")
+        await self._answer(self._submit, refusal)
 
     async def get(self) -> None:
         """Return the state of a job, or the number of pending jobs of a queue."""
-        admitted = self._admit()
-        if admitted is None:
-            return
+        refusal = unavailable_refusal("the call could not be answered before the deadline")
+        await self._answer(self._query, refusal)
+
+    async def delete(self) -> None:
+        """Cancel a job."""
+        refusal = unknown_outcome_refusal("the cancellation was not stored before the deadline")
+        await self._answer(self._cancel, refusal)
+
+    async def _answer(
+        self, serve: Callable[[AdmittedCall], Awaitable[None]], timeout_refusal: Refusal
+    ) -> None:
+        """Admit the call and serve it, or answer with a refusal once its deadline has passed."""
+        caller_timeout_s = min(self._caller_timeout_ms() / 1000, self._open_calls.time_left_s)
+        self._call = self._make_call(caller_timeout_s)
+        reserve_s = min(ANSWER_RESERVE_MS / 1000, caller_timeout_s / 2)
+        with self._open_calls.track(caller_timeout_s - reserve_s) as timeout:
+            try:
+                async with timeout:
+                    admitted = self._admit()
+                    if admitted is not None:
+                        await serve(admitted)
+            except TimeoutError:
+                self._respond(timeout_refusal)
+
+    async def _submit(self, admitted: AdmittedCall) -> None:
+        refusal = await self._job_api.submit(self._call, admitted, self.request.body)
+        self._respond(refusal if refusal is not None else {})
+
+    async def _query(self, admitted: AdmittedCall) -> None:
         if admitted.job_id:
             state = await self._job_api.job_state(admitted)
             self._respond(state if isinstance(state, Refusal) else {"state": state}, HTTP_GONE)
@@ -67,25 +103,22 @@
             pending = await self._job_api.count_pending_jobs(admitted)
             self._respond(pending if isinstance(pending, Refusal) else {"pending": pending})
 
-    async def delete(self) -> None:
-        """Cancel a job."""
-        admitted = self._admit()
-        if admitted is not None:
-            refusal = await self._job_api.cancel(self._call, admitted)
-            self._respond(refusal if refusal is not None else {}, HTTP_GONE)
+    async def _cancel(self, admitted: AdmittedCall) -> None:
+        refusal = await self._job_api.cancel(self._call, admitted)
+        self._respond(refusal if refusal is not None else {}, HTTP_GONE)
 
     def write_error(self, status_code: int, **kwargs: Any) -> None:
         """Answer an unexpected error with the same body as a refusal."""
         emit(log, Event.CALL_FAILED, path=self.request.path, status=status_code)
         self._respond(unknown_outcome_refusal("the call failed with an internal error"))
 
-    def _admit(self) -> AdmittedCall | None:
-        """Return the call if its route and key allow it, or answer with a refusal."""
+    def _make_call(self, timeout_s: float) -> ApiCall:
         host = self.request.host.partition(":")[0]
         key = self.request.headers.get(CREDENTIAL_HEADER, "")
-        self._call = ApiCall(
-            host, self.request.path, key, monotonic_ms() + self._caller_timeout_ms()
-        )
+        return ApiCall(host, self.request.path, key, monotonic_ms() + timeout_s * 1000)
+
+    def _admit(self) -> AdmittedCall | None:
+        """Return the call if its route and key allow it, or answer with a refusal."""
         admitted = self._job_api.admit(self._call)
         if isinstance(admitted, Refusal):
             self._respond(admitted)
@@ -157,7 +190,12 @@
     """Own the HTTP servers of one instance."""
 
     def __init__(self, node: Node) -> None:
-        job_api_args = {"job_api": node.job_api, "metrics": node.metrics}
+        self.open_calls = OpenCalls()
+        job_api_args = {
+            "job_api": node.job_api,
+            "metrics": node.metrics,
+            "open_calls": self.open_calls,
+        }
         job_api_app = Application([(r".*", JobApiHandler, job_api_args)])
         readiness_app = Application([(r"/-/ready", ReadinessHandler, {"node": node})])
         metrics_app = Application([(r"/metrics", MetricsHandler, {"node": node})])
@@ -175,10 +213,14 @@
         _listen(self._metrics_server, f"{self._cfg.host}:{self._cfg.metrics_port}")
 
     async def stop(self) -> None:
-        """Accept no new connections from callers and close the open ones."""
+        """Accept no new connections from callers; close the open ones once all is answered."""
         self._job_api_server.stop()
-        async with asyncio.timeout(1.0):
-            await self._job_api_server.close_all_connections()
+        try:
+            async with asyncio.timeout(STOP_TIMEOUT_S):
+                await self.open_calls.wait_until_answered()
+                await self._job_api_server.close_all_connections()
+        except TimeoutError:
+            log.warning("%d calls were still open at the exit", self.open_calls.count)
 
 
 def _listen(server: HTTPServer, address: str) -> None:
--- a/baobabhoist/platform/main.py
+++ b/baobabhoist/platform/main.py
@@ -67,9 +67,11 @@
     await asyncio.wait((node_task, stop_task), return_when=asyncio.FIRST_COMPLETED)
     if not stop_requested.is_set():
         await node_task
-    emit(log, Event.DRAIN_STARTED, open_requests=0)
+    deadline_s = loop.time() + cfg.bounds.grace_s - EXIT_RESERVE_S
+    emit(log, Event.DRAIN_STARTED, open_requests=servers.open_calls.count)
+    servers.open_calls.drain(deadline_s)
     await node.drain()
-    await asyncio.sleep(cfg.bounds.grace_s - EXIT_RESERVE_S)
+    await asyncio.sleep(deadline_s - loop.time())
     await servers.stop()
     node_task.cancel()
     emit(log, Event.DRAIN_FINISHED)
--- /dev/null
+++ b/baobabhoist/platform/open_calls.py
@@ -0,0 +1,59 @@
+"""Track the calls that an instance has not answered yet, and bound them while it drains."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import math
+from collections.abc import Iterator
+
+
+class OpenCalls:
+    """Hold a timeout for each open call; a drain makes all of them end at its deadline."""
+
+    def __init__(self) -> None:
+        self._timeouts: set[asyncio.Timeout] = set()
+        # On the clock of the event loop; infinite unless the instance drains.
+        self._deadline_s = math.inf
+        self._all_answered = asyncio.Event()
+        self._all_answered.set()
+
+    @property
+    def count(self) -> int:
+        """Return the number of open calls."""
+        return len(self._timeouts)
+
+    @property
+    def is_draining(self) -> bool:
+        """Return whether a drain has begun."""
+        return self._deadline_s < math.inf
+
+    @property
+    def time_left_s(self) -> float:
+        """Return the time until open calls must be answered; infinite unless draining."""
+        if not self.is_draining:
+            return math.inf
+        return self._deadline_s - asyncio.get_running_loop().time()
+
+    @contextlib.contextmanager
+    def track(self, timeout_s: float) -> Iterator[asyncio.Timeout]:
+        """Count a call as open; yield the timeout that the caller must enter at once."""
+        timeout = asyncio.timeout(min(timeout_s, self.time_left_s))
+        self._timeouts.add(timeout)
+        self._all_answered.clear()
+        try:
+            yield timeout
+        finally:
+            self._timeouts.discard(timeout)
+            if not self._timeouts:
+                self._all_answered.set()
+
+    def drain(self, deadline_s: float) -> None:
+        """Let no call stay open beyond a deadline on the clock of the event loop."""
+        self._deadline_s = deadline_s
+        for timeout in self._timeouts:
+            timeout.reschedule(min(timeout.when() or deadline_s, deadline_s))
+
+    async def wait_until_answered(self) -> None:
+        """Wait until no call is open."""
+        await self._all_answered.wait()
