--- a/baobabhoist/platform/main.py
+++ b/baobabhoist/platform/main.py
@@ -70,9 +70,11 @@
     deadline_s = loop.time() + cfg.bounds.grace_s - EXIT_RESERVE_S
     emit(log, Event.DRAIN_STARTED, open_requests=servers.open_calls.count)
     servers.open_calls.drain(deadline_s)
-    await node.drain()
+    # In the background, because the store may be slow to answer.
+    release_task = asyncio.create_task(node.drain())
     await asyncio.sleep(deadline_s - loop.time())
     await servers.stop()
+    release_task.cancel()
     node_task.cancel()
     emit(log, Event.DRAIN_FINISHED)
 
--- a/baobabhoist/tests/test_platform_drain.py
+++ b/baobabhoist/tests/test_platform_drain.py
@@ -26,3 +26,20 @@
             assert (response.status, response.body["outcome"]) == (504, "unknown")
 
     asyncio.run(run())
+
+
+def test_release_that_hangs_does_not_delay_the_exit(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guard against calls cut by SIGKILL because the store is slow to release the cell."""
+
+    async def run() -> None:
+        async with run_instance(monkeypatch, SHORT_GRACE_S) as instance:
+            instance.store.job_commits_hang = True
+            instance.store.release_hangs = True
+            caller = await instance.connect()
+            caller.send()
+            await instance.store.job_commit_started.wait()
+            instance.terminate()
+            assert (await caller.receive()).status == 504
+            assert await caller.reader.read() == b""
+
+    asyncio.run(run())
