Send callers elsewhere during a drain

Callers with an open keep-alive connection went on using an instance that drains until its connections were closed under them, so that a call sent at that moment met a closed connection: the readiness check moves only new connections, and nothing told the callers of open ones.

Each answer of a draining instance carries `Connection: close`, and the connection is closed once the answer is sent. Idle connections stay open until the exit, so that a call that is on its way when the drain begins is still answered; only connections that were idle for the whole drain are closed then.

--- a/baobabhoist/platform/http_server.py
+++ b/baobabhoist/platform/http_server.py
@@ -5,9 +5,10 @@
 import asyncio
 import logging
 from collections.abc import Awaitable, Callable
-from typing import Any
+from typing import Any, cast
 
 import orjson
+from tornado.http1connection import HTTP1Connection
 from tornado.httpserver import HTTPServer
 from tornado.netutil import bind_sockets
 from tornado.web import Application, RequestHandler
@@ -155,7 +156,17 @@
         self._metrics.observe_call(team, queue, status, self.request.request_time())
         self.set_status(status)
         self.set_header("Content-Type", "application/json")
-        self.finish(orjson.dumps(body))
+        if self._open_calls.is_draining:
+            self._finish_and_close(body)
+        else:
+            self.finish(orjson.dumps(body))
+
+    def _finish_and_close(self, body: dict[str, Any]) -> None:
+        """Send the answer, then close the connection, so that the caller opens one elsewhere."""
+        self.set_header("Connection", "close")
+        conn = cast(HTTP1Connection, self.request.connection)
+        sent = self.finish(orjson.dumps(body))
+        sent.add_done_callback(lambda _: conn.close())
 
 
 class ReadinessHandler(RequestHandler):
