Refuse calls that a draining instance can no longer finish

Callers whose call arrived in the last second before the exit would have got 504, outcome unknown, whenever the store did not answer at once: the call was started although its time was cut short.

With less than a second left, an admitted call is answered 503, not run, `Retry-After: 0`, without any call to the store or the owner. One second covers a write that is answered after the longest timeout of an ordinary store call but for its retries.

--- a/baobabhoist/platform/http_server.py
+++ b/baobabhoist/platform/http_server.py
@@ -16,6 +16,7 @@
 from baobabhoist.control.clock import monotonic_ms
 from baobabhoist.control.job_api import (
     ANSWER_RESERVE_MS,
+    RETRY_ELSEWHERE_S,
     AdmittedCall,
     ApiCall,
     JobApi,
@@ -124,6 +125,9 @@
         if isinstance(admitted, Refusal):
             self._respond(admitted)
             return None
+        if not self._open_calls.can_finish_new_calls:
+            self._respond(unavailable_refusal("this instance stops", RETRY_ELSEWHERE_S))
+            return None
         self._admitted = admitted
         return admitted
 
--- a/baobabhoist/platform/open_calls.py
+++ b/baobabhoist/platform/open_calls.py
@@ -7,6 +7,9 @@
 import math
 from collections.abc import Iterator
 
+# A call that arrives with less time left before the end of the drain is refused.
+MIN_CALL_TIME_S = 1.0
+
 
 class OpenCalls:
     """Hold a timeout for each open call; a drain makes all of them end at its deadline."""
@@ -35,6 +38,11 @@
             return math.inf
         return self._deadline_s - asyncio.get_running_loop().time()
 
+    @property
+    def can_finish_new_calls(self) -> bool:
+        """Return whether enough time is left to carry out a call that arrives now."""
+        return self.time_left_s >= MIN_CALL_TIME_S
+
     @contextlib.contextmanager
     def track(self, timeout_s: float) -> Iterator[asyncio.Timeout]:
         """Count a call as open; yield the timeout that the caller must enter at once."""
--- a/baobabhoist/tests/test_platform_drain.py
+++ b/baobabhoist/tests/test_platform_drain.py
@@ -67,6 +67,25 @@
     asyncio.run(run())
 
 
+def test_call_that_arrives_too_late_is_refused_unsent(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guard against an unknown outcome of a call that arrives just before the exit."""
+
+    async def run() -> None:
+        async with run_instance(monkeypatch, SHORT_GRACE_S) as instance:
+            caller = await instance.connect()
+            instance.terminate()
+            while not instance.node._election.is_draining:
+                await asyncio.sleep(0)
+            caller.send()
+            response = await caller.receive()
+            assert (response.status, response.body["outcome"]) == (503, "not_run")
+            assert response.headers["retry-after"] == "0"
+            assert response.headers["connection"] == "close"
+            assert not instance.store.job_commit_started.is_set()
+
+    asyncio.run(run())
+
+
 def test_idle_connection_stays_open_for_a_call_until_the_exit(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
