Refuse jobs unsent while no instance reaches the store

Cause: an instance that cannot reach the store relays the write to the owner; the owner cannot either and passes it on; the next instance, at the last hop, sent it to the silent store all the same. The write then stayed unanswered, and its outcome unknown.

Ruled out: a relay without any link refuses already, and so does a peer without further links.

At the last hop an instance that cannot reach the store itself now refuses without sending, so the refusal that reaches the caller is a true "not run", and comes at once instead of after a timeout.

--- a/baobabhoist/control/relay.py
+++ b/baobabhoist/control/relay.py
@@ -113,15 +113,19 @@
             except StoreRefusedError:
                 if not self.direct.health.is_unreachable():
                     raise
+        self._probe()
         return _to_commit_outcome(await self._relay(_to_relay_commit(txn), CALL_TIMEOUT_S))
 
     async def serve(self, message: Any) -> Any:
         """Execute a call that another instance relayed."""
         try:
-            if self.direct.health.is_unreachable() and message.hops < MAX_HOPS:
-                forwarded = attrs.evolve(message, hops=message.hops + 1)
-                return await self._relay(forwarded, CALL_TIMEOUT_S)
-            return await self._serve_directly(message)
+            if not self.direct.health.is_unreachable():
+                return await self._serve_directly(message)
+            self._probe()
+            if message.hops >= MAX_HOPS:
+                raise StoreRefusedError("this instance cannot reach the store")
+            forwarded = attrs.evolve(message, hops=message.hops + 1)
+            return await self._relay(forwarded, CALL_TIMEOUT_S)
         except StoreError as exc:
             kind = next((k for k, v in _ERROR_TYPES.items() if isinstance(exc, v)), "refused")
             return RelayFailed(kind, str(exc))
--- a/baobabhoist/tests/test_control_relay.py
+++ b/baobabhoist/tests/test_control_relay.py
@@ -4,9 +4,9 @@
 
 import pytest
 
-from baobabhoist.control.messages import CODEC
+from baobabhoist.control.messages import CODEC, RelayCommit, RelayedCommit, RelayFailed
 from baobabhoist.control.metrics import NodeMetrics
-from baobabhoist.control.relay import FailoverStore, RelayPeers
+from baobabhoist.control.relay import MAX_HOPS, FailoverStore, RelayPeers
 from baobabhoist.control.store_health import MonitoredStore
 from baobabhoist.errors import MessageNotSentError
 from baobabhoist.store.row_store import (
@@ -29,8 +29,10 @@
     def __init__(self, shared):
         super().__init__(rows=shared.rows, history=shared.history)
         self.shared = shared
+        self.attempts = 0
 
     async def commit(self, txn):
+        self.attempts += 1
         self._raise_if_down()
         return await self.shared.commit(txn)
 
@@ -128,6 +130,41 @@
     asyncio.run(run())
 
 
+def test_commit_is_refused_unsent_while_no_instance_reaches_the_store():
+    """Guard against jobs whose outcome is unknown although nobody could reach the store."""
+
+    async def run():
+        shared = MemoryRowStore()
+        links = [FakeLink(None), FakeLink(None)]
+        owner_view, owner = make_instance(shared, links[0])
+        view, store = make_instance(shared, links[1])
+        links[0].peer, links[1].peer = store, owner
+        await cut_off(view, store)
+        await cut_off(owner_view, owner)
+        attempts_before = view.attempts + owner_view.attempts
+        with pytest.raises(StoreRefusedError):
+            await store.commit(TXN)
+        assert view.attempts + owner_view.attempts == attempts_before
+
+    asyncio.run(run())
+
+
+def test_refusing_instance_notices_that_the_store_answers_again():
+    """Guard against instances that keep refusing each other's calls after an outage."""
+
+    async def run():
+        shared = MemoryRowStore()
+        peer_view, peer = make_instance(shared)
+        await cut_off(peer_view, peer)
+        peer_view.is_down = False
+        relayed = RelayCommit((), (), (), hops=MAX_HOPS)
+        assert isinstance(await peer.serve(relayed), RelayFailed)
+        await asyncio.sleep(0)
+        assert isinstance(await peer.serve(relayed), RelayedCommit)
+
+    asyncio.run(run())
+
+
 def test_cut_off_peers_are_skipped():
     """Guard against an owner that keeps trying the same cut-off peers.
 
