Test that planned work and callers that leave cost no answer

A reload (SIGHUP) with a missing settings file while a call is open, a caller that disconnects before its answer, and two pipelined calls. All three held on the code as it was: no fault was found here.

--- a/baobabhoist/tests/platform_harness.py
+++ b/baobabhoist/tests/platform_harness.py
@@ -95,7 +95,7 @@
             f"Content-Length: {len(body)}",
             *(f"{name.replace('_', '-')}: {value}" for name, value in headers.items()),
         ]
-        self.writer.write("\r\n".join(lines).encode() + b"\r\n\r\n" + body)
+        self.writer.write("\r\n".join(lines).encode("latin1") + b"\r\n\r\n" + body)
 
     async def receive(self) -> Response:
         """Return the next response; raises IncompleteReadError if the connection ends first."""
--- /dev/null
+++ b/baobabhoist/tests/test_platform_http_server.py
@@ -0,0 +1,90 @@
+"""Test that an instance answers every request completely, over real sockets."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import signal
+from collections.abc import Awaitable, Callable
+
+import pytest
+
+from baobabhoist.control.row_schema import job_row_key
+from baobabhoist.platform import main
+from baobabhoist.tests.platform_harness import (
+    JOB_ID,
+    POLL_PAUSE_S,
+    CallerConnection,
+    Instance,
+    run_instance,
+)
+
+SHORT_GRACE_S = 0.9
+
+
+def run_test(
+    monkeypatch: pytest.MonkeyPatch, test: Callable[[Instance, CallerConnection], Awaitable[None]]
+) -> None:
+    """Run a test with an instance and a connection to it."""
+
+    async def run() -> None:
+        async with run_instance(monkeypatch, SHORT_GRACE_S) as instance:
+            await test(instance, await instance.connect())
+            instance.terminate()
+
+    asyncio.run(run())
+
+
+def test_job_is_stored_although_its_caller_left(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guard against a job that is half submitted, or a crash, because its caller disconnects."""
+
+    async def test(instance: Instance, caller: CallerConnection) -> None:
+        instance.store.job_commits_hang = True
+        caller.send()
+        await instance.store.job_commit_started.wait()
+        caller.writer.transport.abort()
+        instance.store.job_commits_resume.set()
+        while job_row_key(JOB_ID) not in instance.store.rows:
+            await asyncio.sleep(POLL_PAUSE_S)
+        caller = await instance.connect()
+        caller.send("GET", body=b"")
+        assert (await caller.receive()).body == {"state": "queued"}
+
+    run_test(monkeypatch, test)
+
+
+def test_pipelined_calls_are_all_answered(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guard against a second request that is dropped when it arrives before the first answer."""
+
+    async def test(instance: Instance, caller: CallerConnection) -> None:
+        caller.send()
+        caller.send("GET", body=b"")
+        assert (await caller.receive()).body == {}
+        assert (await caller.receive()).body == {"state": "queued"}
+
+    run_test(monkeypatch, test)
+
+
+def test_reload_leaves_open_calls_alone(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guard against a call that SIGHUP cuts, with a settings file that is missing at that time."""
+    reloaded = asyncio.Event()
+    reload_settings = main._reload_settings
+
+    def reload_and_tell() -> None:
+        reload_settings()
+        reloaded.set()
+
+    monkeypatch.setattr(main, "_reload_settings", reload_and_tell)
+    monkeypatch.setenv(main.SETTINGS_ENV_VAR, "/nonexistent/settings.yaml")
+
+    async def test(instance: Instance, caller: CallerConnection) -> None:
+        instance.store.job_commits_hang = True
+        caller.send()
+        await instance.store.job_commit_started.wait()
+        os.kill(os.getpid(), signal.SIGHUP)
+        await reloaded.wait()
+        instance.store.job_commits_resume.set()
+        response = await caller.receive()
+        assert (response.status, response.headers.get("connection")) == (200, None)
+
+    run_test(monkeypatch, test)
