Answer invalid requests with a client error

Callers got 504, outcome unknown, with the advice to repeat the call, for a method that is not offered (PUT) and for a body that does not match its content type (multipart/form-data without a boundary, a form with a content encoding). Such a call can never succeed and did nothing.

Cause: every error that the HTTP server finds before a handler runs ended in write_error, which took each for an internal error of unknown outcome.

These two statuses are now mapped to refusals (405 and 400, not run).

--- a/baobabhoist/platform/http_server.py
+++ b/baobabhoist/platform/http_server.py
@@ -45,10 +45,13 @@
     ErrorKind.KEY_REJECTED: 401,
     ErrorKind.FORBIDDEN: 403,
     ErrorKind.NOT_FOUND: 404,
+    ErrorKind.METHOD_NOT_ALLOWED: 405,
     ErrorKind.BODY_TOO_LARGE: 413,
     ErrorKind.PLATFORM_UNAVAILABLE: 503,
     ErrorKind.OUTCOME_UNKNOWN: 504,
 }
+# Errors that the HTTP server finds in a request before the call is served.
+_KIND_BY_CLIENT_ERROR = {400: ErrorKind.BAD_REQUEST, 405: ErrorKind.METHOD_NOT_ALLOWED}
 HTTP_GONE = 410
 
 
@@ -110,7 +113,11 @@
         self._respond(refusal if refusal is not None else {}, HTTP_GONE)
 
     def write_error(self, status_code: int, **kwargs: Any) -> None:
-        """Answer an unexpected error with the same body as a refusal."""
+        """Answer an invalid request or an unexpected error with the same body as a refusal."""
+        kind = _KIND_BY_CLIENT_ERROR.get(status_code)
+        if kind is not None:
+            self._respond(Refusal(kind, self._reason, remedy="correct the request"))
+            return
         emit(log, Event.CALL_FAILED, path=self.request.path, status=status_code)
         self._respond(unknown_outcome_refusal("the call failed with an internal error"))
 
--- a/baobabhoist/tests/test_platform_http_server.py
+++ b/baobabhoist/tests/test_platform_http_server.py
@@ -35,6 +35,32 @@
     asyncio.run(run())
 
 
+@pytest.mark.parametrize(
+    ("method", "headers", "status"),
+    [
+        ("PUT", {}, 405),
+        ("POST", {"Content_Type": "multipart/form-data; boundary=x"}, 400),
+        (
+            "POST",
+            {"Content_Type": "application/x-www-form-urlencoded", "Content_Encoding": "x"},
+            400,
+        ),
+    ],
+)
+def test_invalid_request_is_refused_and_not_run(
+    monkeypatch: pytest.MonkeyPatch, method: str, headers: dict[str, str], status: int
+) -> None:
+    """Guard against an unknown outcome, which callers repeat, of a request that is never valid."""
+
+    async def test(instance: Instance, caller: CallerConnection) -> None:
+        caller.send(method, **headers)
+        response = await caller.receive()
+        assert (response.status, response.body["outcome"]) == (status, "not_run")
+        assert job_row_key(JOB_ID) not in instance.store.rows
+
+    run_test(monkeypatch, test)
+
+
 def test_job_is_stored_although_its_caller_left(monkeypatch: pytest.MonkeyPatch) -> None:
     """Guard against a job that is half submitted, or a crash, because its caller disconnects."""
 
