Ignore a malformed deadline of a call

A caller whose X-Deadline-Ms holds a digit other than 0 to 9, such as a superscript two, got 504, outcome unknown: str.isdigit() accepts it and float() raises ValueError. Evidence: test_malformed_deadline_is_ignored failed on the parent commit with 504. str.isdecimal() is false for all such characters of Latin-1, in which headers are decoded, so the default deadline applies.

--- a/baobabhoist/platform/http_server.py
+++ b/baobabhoist/platform/http_server.py
@@ -140,7 +140,7 @@
 
     def _caller_timeout_ms(self) -> float:
         header = self.request.headers.get(DEADLINE_HEADER, "")
-        return min(float(header), MAX_TIMEOUT_MS) if header.isdigit() else DEFAULT_TIMEOUT_MS
+        return min(float(header), MAX_TIMEOUT_MS) if header.isdecimal() else DEFAULT_TIMEOUT_MS
 
     def _respond(self, result: dict[str, Any] | Refusal, not_found_status: int = 404) -> None:
         if not isinstance(result, Refusal):
--- a/baobabhoist/tests/test_platform_http_server.py
+++ b/baobabhoist/tests/test_platform_http_server.py
@@ -61,6 +61,16 @@
     run_test(monkeypatch, test)
 
 
+def test_malformed_deadline_is_ignored(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guard against an internal error for a deadline with digits other than 0 to 9."""
+
+    async def test(instance: Instance, caller: CallerConnection) -> None:
+        caller.send(X_Deadline_Ms="\N{SUPERSCRIPT TWO}")
+        assert (await caller.receive()).status == 200
+
+    run_test(monkeypatch, test)
+
+
 def test_job_is_stored_although_its_caller_left(monkeypatch: pytest.MonkeyPatch) -> None:
     """Guard against a job that is half submitted, or a crash, because its caller disconnects."""
 
