Log why a call failed with an internal error

Callers always got a complete answer (504) from a handler that raised, but the event call_failed held the path and the status alone; the reason stood only in a line of the HTTP library without event number. Evidence: test_internal_error_is_answered_and_logged failed on the parent commit for want of the reason; its part about the answer passed. The event now carries the exception in the field `detail`.

--- a/baobabhoist/platform/http_server.py
+++ b/baobabhoist/platform/http_server.py
@@ -118,7 +118,8 @@
         if kind is not None:
             self._respond(Refusal(kind, self._reason, remedy="correct the request"))
             return
-        emit(log, Event.CALL_FAILED, path=self.request.path, status=status_code)
+        _, exc, _ = kwargs.get("exc_info", (None, None, None))
+        emit(log, Event.CALL_FAILED, path=self.request.path, status=status_code, detail=repr(exc))
         self._respond(unknown_outcome_refusal("the call failed with an internal error"))
 
     def _make_call(self, timeout_s: float) -> ApiCall:
--- a/baobabhoist/tests/test_platform_http_server.py
+++ b/baobabhoist/tests/test_platform_http_server.py
@@ -71,6 +71,25 @@
     run_test(monkeypatch, test)
 
 
+def test_internal_error_is_answered_and_logged(
+    monkeypatch: pytest.MonkeyPatch, caplog: pytest.LogCaptureFixture
+) -> None:
+    """Guard against a call that fails without an answer or without a reason in the log."""
+
+    async def fail(*args: object) -> None:
+        raise LookupError("the reason")
+
+    async def test(instance: Instance, caller: CallerConnection) -> None:
+        monkeypatch.setattr(instance.node.job_api.job_writer, "store_job", fail)
+        caller.send()
+        response = await caller.receive()
+        assert (response.status, response.body["outcome"]) == (504, "unknown")
+
+    run_test(monkeypatch, test)
+    fields = [getattr(record, "baobabhoist_fields", {}) for record in caplog.records]
+    assert any("the reason" in str(entry.get("detail")) for entry in fields)
+
+
 def test_job_is_stored_although_its_caller_left(monkeypatch: pytest.MonkeyPatch) -> None:
     """Guard against a job that is half submitted, or a crash, because its caller disconnects."""
 
