Refuse a cancellation with the key of another team

A caller with any valid key could cancel the jobs of every team: the team of the job was checked for queries of its state, but not for cancellations, so an accepted job could be lost to its team.

Evidence: test_job_of_another_team_is_not_cancelled failed on the parent commit; the cancellation was stored. Both calls now look the job up through one function that checks the team.

--- a/baobabhoist/control/job_api.py
+++ b/baobabhoist/control/job_api.py
@@ -179,24 +179,14 @@
 
     async def job_state(self, admitted: AdmittedCall) -> str | Refusal:
         """Return the state of a job."""
-        reply = await self._find_state(admitted.job_id)
-        if isinstance(reply, Refusal):
-            return reply
-        if not reply.state:
-            return _unknown_job_refusal(admitted.job_id)
-        if reply.team and reply.team != admitted.team:
-            return Refusal(
-                ErrorKind.FORBIDDEN, "the job belongs to another team", remedy="use its key"
-            )
-        return reply.state
+        reply = await self._find_job(admitted)
+        return reply if isinstance(reply, Refusal) else reply.state
 
     async def cancel(self, call: ApiCall, admitted: AdmittedCall) -> Refusal | None:
         """Cancel a job; return None once the cancellation is stored."""
-        reply = await self._find_state(admitted.job_id)
+        reply = await self._find_job(admitted)
         if isinstance(reply, Refusal):
             return reply
-        if not reply.state:
-            return _unknown_job_refusal(admitted.job_id)
         if reply.state in FINAL_PHASES:
             return None
         result = await self.job_writer.store_cancellation(
@@ -226,6 +216,19 @@
             message, RETRY_AFTER_S if self.owner_router.is_owner_reachable else RETRY_ELSEWHERE_S
         )
 
+    async def _find_job(self, admitted: AdmittedCall) -> StateReply | Refusal:
+        """Return the state of an existing job of the caller's team, or the refusal."""
+        reply = await self._find_state(admitted.job_id)
+        if isinstance(reply, Refusal):
+            return reply
+        if not reply.state:
+            return _unknown_job_refusal(admitted.job_id)
+        if reply.team and reply.team != admitted.team:
+            return Refusal(
+                ErrorKind.FORBIDDEN, "the job belongs to another team", remedy="use its key"
+            )
+        return reply
+
     async def _find_state(self, job_id: str) -> StateReply | Refusal:
         if JOB_ID.fullmatch(job_id) is None:
             return StateReply()
--- a/baobabhoist/tests/test_control_job_api.py
+++ b/baobabhoist/tests/test_control_job_api.py
@@ -177,3 +177,12 @@
     call = harness.call()
     assert asyncio.run(harness.job_api.cancel(call, harness.admit())) is None
     assert any(key.key == f"{ID}/cancel" for key in harness.store.rows)
+
+
+def test_job_of_another_team_is_not_cancelled(harness):
+    """Guard against an accepted job that the key of another team cancels."""
+    harness.submit()
+    harness.owner_router.answer = StateReply("running", "q", "other")
+    refusal = asyncio.run(harness.job_api.cancel(harness.call(), harness.admit()))
+    assert refusal.kind is ErrorKind.FORBIDDEN
+    assert not any(key.key == f"{ID}/cancel" for key in harness.store.rows)
