Deliver answers that come after the caller's deadline

Answers that are ready are to be delivered, also when late.

The timeout of an open call is now set by a drain alone. A TimeoutError from elsewhere is no longer taken for the end of the drain.

--- a/baobabhoist/platform/http_server.py
+++ b/baobabhoist/platform/http_server.py
@@ -15,7 +15,6 @@
 
 from baobabhoist.control.clock import monotonic_ms
 from baobabhoist.control.job_api import (
-    ANSWER_RESERVE_MS,
     RETRY_ELSEWHERE_S,
     AdmittedCall,
     ApiCall,
@@ -67,33 +66,34 @@
 
     async def post(self) -> None:
         """Submit a job."""
-        refusal = unknown_outcome_refusal("the job was not stored before the deadline")
+        refusal = unknown_outcome_refusal("this instance stops; the job may be stored")
         await self._answer(self._submit, refusal)
 
     async def get(self) -> None:
         """Return the state of a job, or the number of pending jobs of a queue."""
-        refusal = unavailable_refusal("the call could not be answered before the deadline")
+        refusal = unavailable_refusal("this instance stops")
         await self._answer(self._query, refusal)
 
     async def delete(self) -> None:
         """Cancel a job."""
-        refusal = unknown_outcome_refusal("the cancellation was not stored before the deadline")
+        refusal = unknown_outcome_refusal("this instance stops; the job may be cancelled")
         await self._answer(self._cancel, refusal)
 
     async def _answer(
         self, serve: Callable[[AdmittedCall], Awaitable[None]], timeout_refusal: Refusal
     ) -> None:
-        """Admit the call and serve it, or answer with a refusal once its deadline has passed."""
+        """Admit the call and serve it, or answer with a refusal when the drain ends first."""
         caller_timeout_s = min(self._caller_timeout_ms() / 1000, self._open_calls.time_left_s)
         self._call = self._make_call(caller_timeout_s)
-        reserve_s = min(ANSWER_RESERVE_MS / 1000, caller_timeout_s / 2)
-        with self._open_calls.track(caller_timeout_s - reserve_s) as timeout:
+        with self._open_calls.track() as timeout:
             try:
                 async with timeout:
                     admitted = self._admit()
                     if admitted is not None:
                         await serve(admitted)
             except TimeoutError:
+                if not timeout.expired():
+                    raise
                 self._respond(timeout_refusal)
 
     async def _submit(self, admitted: AdmittedCall) -> None:
--- a/baobabhoist/platform/open_calls.py
+++ b/baobabhoist/platform/open_calls.py
@@ -12,12 +12,12 @@
 
 
 class OpenCalls:
-    """Hold a timeout for each open call; a drain makes all of them end at its deadline."""
+    """Hold a timeout for each open call, which expires at the deadline of a drain."""
 
     def __init__(self) -> None:
         self._timeouts: set[asyncio.Timeout] = set()
-        # On the clock of the event loop; infinite unless the instance drains.
-        self._deadline_s = math.inf
+        # On the clock of the event loop; None unless the instance drains.
+        self._deadline_s: float | None = None
         self._all_answered = asyncio.Event()
         self._all_answered.set()
 
@@ -29,12 +29,12 @@
     @property
     def is_draining(self) -> bool:
         """Return whether a drain has begun."""
-        return self._deadline_s < math.inf
+        return self._deadline_s is not None
 
     @property
     def time_left_s(self) -> float:
         """Return the time until open calls must be answered; infinite unless draining."""
-        if not self.is_draining:
+        if self._deadline_s is None:
             return math.inf
         return self._deadline_s - asyncio.get_running_loop().time()
 
@@ -44,9 +44,9 @@
         return self.time_left_s >= MIN_CALL_TIME_S
 
     @contextlib.contextmanager
-    def track(self, timeout_s: float) -> Iterator[asyncio.Timeout]:
-        """Count a call as open; yield the timeout that the caller must enter at once."""
-        timeout = asyncio.timeout(min(timeout_s, self.time_left_s))
+    def track(self) -> Iterator[asyncio.Timeout]:
+        """Count a call as open; yield a timeout, which must be entered at once."""
+        timeout = asyncio.timeout_at(self._deadline_s)
         self._timeouts.add(timeout)
         self._all_answered.clear()
         try:
@@ -60,7 +60,7 @@
         """Let no call stay open beyond a deadline on the clock of the event loop."""
         self._deadline_s = deadline_s
         for timeout in self._timeouts:
-            timeout.reschedule(min(timeout.when() or deadline_s, deadline_s))
+            timeout.reschedule(deadline_s)
 
     async def wait_until_answered(self) -> None:
         """Wait until no call is open."""
--- a/baobabhoist/tests/test_platform_http_server.py
+++ b/baobabhoist/tests/test_platform_http_server.py
@@ -71,6 +71,20 @@
     run_test(monkeypatch, test)
 
 
+def test_answer_is_sent_after_the_deadline(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guard against an unknown outcome of a job that the store accepts late."""
+
+    async def test(instance: Instance, caller: CallerConnection) -> None:
+        instance.store.job_commits_hang = True
+        caller.send(X_Deadline_Ms="1")
+        await instance.store.job_commit_started.wait()
+        await asyncio.sleep(POLL_PAUSE_S)
+        instance.store.job_commits_resume.set()
+        assert (await caller.receive()).status == 200
+
+    run_test(monkeypatch, test)
+
+
 def test_internal_error_is_answered_and_logged(
     monkeypatch: pytest.MonkeyPatch, caplog: pytest.LogCaptureFixture
 ) -> None:
