--- a/baobabhoist/platform/main.py
+++ b/baobabhoist/platform/main.py
@@ -67,10 +67,14 @@
     await asyncio.wait((node_task, stop_task), return_when=asyncio.FIRST_COMPLETED)
     if not stop_requested.is_set():
         await node_task
-    emit(log, Event.DRAIN_STARTED, open_requests=0)
-    await node.drain()
-    await asyncio.sleep(cfg.bounds.grace_s - EXIT_RESERVE_S)
+    deadline_s = loop.time() + cfg.bounds.grace_s - EXIT_RESERVE_S
+    emit(log, Event.DRAIN_STARTED, open_requests=servers.open_calls.count)
+    servers.open_calls.drain(deadline_s)
+    # In the background, because the store may be slow to answer.
+    release_task = asyncio.create_task(node.drain())
+    await asyncio.sleep(deadline_s - loop.time())
     await servers.stop()
+    release_task.cancel()
     node_task.cancel()
     emit(log, Event.DRAIN_FINISHED)
 
--- /dev/null
+++ b/baobabhoist/tests/test_platform_http_server.py
@@ -0,0 +1,159 @@
+"""Test that an instance answers every request completely, over real sockets."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import signal
+from collections.abc import Awaitable, Callable
+
+import pytest
+
+from baobabhoist.control.row_schema import job_row_key
+from baobabhoist.platform import main
+from baobabhoist.tests.platform_harness import (
+    JOB_ID,
+    POLL_PAUSE_S,
+    CallerConnection,
+    Instance,
+    run_instance,
+)
+
+SHORT_GRACE_S = 0.9
+
+
+def run_test(
+    monkeypatch: pytest.MonkeyPatch, test: Callable[[Instance, CallerConnection], Awaitable[None]]
+) -> None:
+    """Run a test with an instance and a connection to it."""
+
+    async def run() -> None:
+        async with run_instance(monkeypatch, SHORT_GRACE_S) as instance:
+            await test(instance, await instance.connect())
+            instance.terminate()
+
+    asyncio.run(run())
+
+
+@pytest.mark.parametrize(
+    ("method", "headers", "status"),
+    [
+        ("PUT", {}, 405),
+        ("POST", {"Content_Type": "multipart/form-data; boundary=x"}, 400),
+        (
+            "POST",
+            {"Content_Type": "application/x-www-form-urlencoded", "Content_Encoding": "x"},
+            400,
+        ),
+    ],
+)
+def test_invalid_request_is_refused_and_not_run(
+    monkeypatch: pytest.MonkeyPatch, method: str, headers: dict[str, str], status: int
+) -> None:
+    """Guard against an unknown outcome, which callers repeat, of a request that is never valid."""
+
+    async def test(instance: Instance, caller: CallerConnection) -> None:
+        caller.send(method, **headers)
+        response = await caller.receive()
+        assert (response.status, response.body["outcome"]) == (status, "not_run")
+        assert job_row_key(JOB_ID) not in instance.store.rows
+
+    run_test(monkeypatch, test)
+
+
+def test_malformed_deadline_is_ignored(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guard against an internal error for a deadline with digits other than 0 to 9."""
+
+    async def test(instance: Instance, caller: CallerConnection) -> None:
+        caller.send(X_Deadline_Ms="\N{SUPERSCRIPT TWO}")
+        assert (await caller.receive()).status == 200
+
+    run_test(monkeypatch, test)
+
+
+def test_answer_is_sent_after_the_deadline(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guard against an unknown outcome of a job that the store accepts late."""
+
+    async def test(instance: Instance, caller: CallerConnection) -> None:
+        instance.store.job_commits_hang = True
+        caller.send(X_Deadline_Ms="1")
+        await instance.store.job_commit_started.wait()
+        await asyncio.sleep(POLL_PAUSE_S)
+        instance.store.job_commits_resume.set()
+        assert (await caller.receive()).status == 200
+
+    run_test(monkeypatch, test)
+
+
+def test_internal_error_is_answered_and_logged(
+    monkeypatch: pytest.MonkeyPatch, caplog: pytest.LogCaptureFixture
+) -> None:
+    """Guard against a call that fails without an answer or without a reason in the log."""
+
+    async def fail(*args: object) -> None:
+        raise LookupError("the reason")
+
+    async def test(instance: Instance, caller: CallerConnection) -> None:
+        monkeypatch.setattr(instance.node.job_api.job_writer, "store_job", fail)
+        caller.send()
+        response = await caller.receive()
+        assert (response.status, response.body["outcome"]) == (504, "unknown")
+
+    run_test(monkeypatch, test)
+    fields = [getattr(record, "baobabhoist_fields", {}) for record in caplog.records]
+    assert any("the reason" in str(entry.get("detail")) for entry in fields)
+
+
+def test_job_is_stored_although_its_caller_left(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guard against a job that is half submitted, or a crash, because its caller disconnects."""
+
+    async def test(instance: Instance, caller: CallerConnection) -> None:
+        instance.store.job_commits_hang = True
+        caller.send()
+        await instance.store.job_commit_started.wait()
+        caller.writer.transport.abort()
+        instance.store.job_commits_resume.set()
+        while job_row_key(JOB_ID) not in instance.store.rows:
+            await asyncio.sleep(POLL_PAUSE_S)
+        caller = await instance.connect()
+        caller.send("GET", body=b"")
+        assert (await caller.receive()).body == {"state": "queued"}
+
+    run_test(monkeypatch, test)
+
+
+def test_pipelined_calls_are_all_answered(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guard against a second request that is dropped when it arrives before the first answer."""
+
+    async def test(instance: Instance, caller: CallerConnection) -> None:
+        caller.send()
+        caller.send("GET", body=b"")
+        assert (await caller.receive()).body == {}
+        assert (await caller.receive()).body == {"state": "queued"}
+
+    run_test(monkeypatch, test)
+
+
+def test_reload_leaves_open_calls_alone(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guard against a call that SIGHUP cuts, with a settings file that is missing at that time."""
+    reloaded = asyncio.Event()
+    reload_settings = main._reload_settings
+
+    def reload_and_tell() -> None:
+        reload_settings()
+        reloaded.set()
+
+    monkeypatch.setattr(main, "_reload_settings", reload_and_tell)
+    monkeypatch.setenv(main.SETTINGS_ENV_VAR, "/nonexistent/settings.yaml")
+
+    async def test(instance: Instance, caller: CallerConnection) -> None:
+        instance.store.job_commits_hang = True
+        caller.send()
+        await instance.store.job_commit_started.wait()
+        os.kill(os.getpid(), signal.SIGHUP)
+        await reloaded.wait()
+        instance.store.job_commits_resume.set()
+        response = await caller.receive()
+        assert (response.status, response.headers.get("connection")) == (200, None)
+
+    run_test(monkeypatch, test)
