Count abandoned store calls as cancelled

The metrics counted a store call that was cancelled (a call cut by the end of a drain, a follower that stops) as answered, with the time until then, so that a silent store looked slow but healthy.

Evidence: test_cancelled_call_is_not_counted_as_answered failed on the parent commit. The outcome is now `cancelled` unless the call returned or raised an error of the store.

--- a/baobabhoist/control/store_health.py
+++ b/baobabhoist/control/store_health.py
@@ -63,7 +63,7 @@
 
     async def _measure(self, call: str, answer: Awaitable[T]) -> T:
         start_ms = monotonic_ms()
-        outcome = "ok"
+        outcome = "cancelled"
         try:
             result = await answer
         except HistoryLostError:
@@ -77,6 +77,7 @@
                 self.health.last_failure_ms = monotonic_ms()
             raise
         else:
+            outcome = "ok"
             self.health.last_answer_ms = monotonic_ms()
             return result
         finally:
