Bound the size of a body before it is read

One request could make an instance hold up to 100 MB in memory (the library's default) before its size was checked against the configuration; on a machine of 300 MB a few of them end the process, which cuts every open call.

Bodies of more than 8 MiB are refused from their Content-Length (400, connection closed), chunked ones once they are that long. Smaller ones get 413 with the reason, as before. A job has to fit into a row of the store (64 KiB), so none of that size could be accepted.

--- a/baobabhoist/platform/http_server.py
+++ b/baobabhoist/platform/http_server.py
@@ -35,6 +35,8 @@
 DEADLINE_HEADER = "X-Deadline-Ms"
 DEFAULT_TIMEOUT_MS = 3_000.0
 MAX_TIMEOUT_MS = 60_000.0
+# Bodies are held in memory. A job of this size never fits into a row of the store.
+MAX_BODY_BYTES = 8 << 20
 # Calls end at their deadlines, so only an unresponsive caller can delay a stop.
 STOP_TIMEOUT_S = 0.4
 
@@ -223,7 +225,7 @@
         readiness_app = Application([(r"/-/ready", ReadinessHandler, {"node": node})])
         metrics_app = Application([(r"/metrics", MetricsHandler, {"node": node})])
         self._job_api_server = HTTPServer(
-            job_api_app, idle_connection_timeout=60, no_keep_alive=False
+            job_api_app, idle_connection_timeout=60, max_body_size=MAX_BODY_BYTES
         )
         self._readiness_server = HTTPServer(readiness_app)
         self._metrics_server = HTTPServer(metrics_app)
--- a/baobabhoist/tests/test_platform_http_server.py
+++ b/baobabhoist/tests/test_platform_http_server.py
@@ -11,6 +11,7 @@
 
 from baobabhoist.control.row_schema import job_row_key
 from baobabhoist.platform import main
+from baobabhoist.platform.http_server import MAX_BODY_BYTES
 from baobabhoist.tests.platform_harness import (
     JOB_ID,
     POLL_PAUSE_S,
@@ -61,6 +62,18 @@
     run_test(monkeypatch, test)
 
 
+def test_oversized_body_is_refused_before_it_is_read(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guard against an instance that runs out of memory, and cuts all its calls, for one body."""
+
+    async def test(instance: Instance, caller: CallerConnection) -> None:
+        head = f"POST /q/{JOB_ID} HTTP/1.1\r\nHost: h\r\nContent-Length: {MAX_BODY_BYTES + 1}\r\n"
+        caller.writer.write(head.encode() + b"\r\n")
+        assert (await caller.receive()).status == 400
+        assert await caller.reader.read() == b""
+
+    run_test(monkeypatch, test)
+
+
 def test_malformed_deadline_is_ignored(monkeypatch: pytest.MonkeyPatch) -> None:
     """Guard against an internal error for a deadline with digits other than 0 to 9."""
 
