Notify the owner of the job as it is stored

When a write got no answer and its repetition found the row, the owner was notified of the content of the call at hand. If the row came from an earlier call with the same id and other content, the owner would run what no row holds, until the next owner runs what is stored.

Evidence: test_owner_is_notified_of_the_stored_job failed on the parent commit (seen in no run of the bench, whose callers repeat the same content). The result of a write now holds the value of the stored row, and the notice carries that.

--- a/baobabhoist/control/job_api.py
+++ b/baobabhoist/control/job_api.py
@@ -174,7 +174,7 @@
         if result.status is WriteStatus.UNKNOWN:
             return unknown_outcome_refusal("the store did not confirm whether the job was stored")
         if result.status is WriteStatus.NEW:
-            self.owner_router.notify(JobNotice(admitted.job_id, value, result.version))
+            self.owner_router.notify(JobNotice(admitted.job_id, result.value, result.version))
         return None
 
     async def job_state(self, admitted: AdmittedCall) -> str | Refusal:
--- a/baobabhoist/control/job_writer.py
+++ b/baobabhoist/control/job_writer.py
@@ -46,10 +46,11 @@
 
 @attrs.frozen
 class WriteResult:
-    """Hold the outcome of a write, and the version of the row if it is stored."""
+    """Hold the outcome of a write, and the row's version and value if it is stored."""
 
     status: WriteStatus
     version: int = 0
+    value: bytes = b""
 
 
 class JobWriter:
@@ -91,7 +92,7 @@
                 emit(log, Event.WRITE_REFUSED, row=key.key, detail=exc)
                 return WriteResult(WriteStatus.UNKNOWN if may_be_written else WriteStatus.REFUSED)
             else:
-                return _write_result(outcome, key, may_be_written)
+                return _write_result(outcome, key, value, may_be_written)
             if monotonic_ms() + RETRY_INTERVAL_S * 1000 >= deadline_ms:
                 return WriteResult(WriteStatus.UNKNOWN if may_be_written else WriteStatus.REFUSED)
             await asyncio.sleep(RETRY_INTERVAL_S)
@@ -103,10 +104,9 @@
 
 
 def _write_result(
-    outcome: RowsCommitted | RowsConflict, key: RowKey, may_be_written: bool
+    outcome: RowsCommitted | RowsConflict, key: RowKey, value: bytes, may_be_written: bool
 ) -> WriteResult:
     if isinstance(outcome, RowsCommitted):
-        return WriteResult(WriteStatus.NEW, outcome.version)
-    return WriteResult(
-        WriteStatus.NEW if may_be_written else WriteStatus.ALREADY_STORED, outcome.version_of(key)
-    )
+        return WriteResult(WriteStatus.NEW, outcome.version, value)
+    status = WriteStatus.NEW if may_be_written else WriteStatus.ALREADY_STORED
+    return WriteResult(status, outcome.version_of(key), outcome.value_of(key))
--- a/baobabhoist/store/row_store.py
+++ b/baobabhoist/store/row_store.py
@@ -77,7 +77,16 @@
 
     def version_of(self, key: RowKey) -> int:
         """Return the version of a row, or 0 if it is absent."""
-        return next((row.version for row in self.rows if row.key == key), 0)
+        row = self._find(key)
+        return row.version if row is not None else 0
+
+    def value_of(self, key: RowKey) -> bytes:
+        """Return the value of a row, or an empty one if it is absent."""
+        row = self._find(key)
+        return (row.value if row is not None else None) or b""
+
+    def _find(self, key: RowKey) -> StoredRow | None:
+        return next((row for row in self.rows if row.key == key), None)
 
 
 class RowStore(Protocol):
--- a/baobabhoist/tests/test_control_job_api.py
+++ b/baobabhoist/tests/test_control_job_api.py
@@ -8,12 +8,17 @@
 from baobabhoist.cell.model import CellRules, JobPhase, Queue
 from baobabhoist.cell.progress_rows import JobProgress, encode
 from baobabhoist.control import job_api as job_api_module
-from baobabhoist.control.clock import StoreClock
+from baobabhoist.control.clock import StoreClock, monotonic_ms
 from baobabhoist.control.config import ActiveConfig, CellConfig, Route
 from baobabhoist.control.job_api import AdmittedCall, ApiCall, JobApi
 from baobabhoist.control.job_writer import JobWriter
 from baobabhoist.control.messages import JobNotice, NotOwner, PendingReply, StateReply
-from baobabhoist.control.row_schema import job_row_key, progress_row_key
+from baobabhoist.control.row_schema import (
+    JobRow,
+    encode_job,
+    job_row_key,
+    progress_row_key,
+)
 from baobabhoist.control.store_health import StoreHealth
 from baobabhoist.errors import ErrorKind, LinkClosedError
 from baobabhoist.platform.decode import PlatformDecoder
@@ -186,3 +191,16 @@
     refusal = asyncio.run(harness.job_api.cancel(harness.call(), harness.admit()))
     assert refusal.kind is ErrorKind.FORBIDDEN
     assert not any(key.key == f"{ID}/cancel" for key in harness.store.rows)
+
+
+def test_owner_is_notified_of_the_stored_job(harness):
+    """Guard against an owner that runs another job than the one that is stored."""
+    harness.now = monotonic_ms()
+    harness.configure(version=2)
+    outcomes = ["late"]
+    harness.store.choose_failure = lambda txn: outcomes.pop(0) if outcomes else ""
+    other = orjson.dumps({"taskSpec": "y", "steps": [{"count": 1, "cpu": 10}]})
+    stored = encode_job(JobRow("q", "svc", "team", 0, PlatformDecoder().decode_job(other)))
+    harness.store.apply(RowTransaction({}, {job_row_key(ID): stored}))
+    assert harness.submit() is None
+    assert harness.owner_router.notices[0].value == stored
