Refuse a job whose id another team uses

A caller whose job has the id of another team's job got 200 although its own job was not stored and never ran; its queries were then answered 403. Evidence: test_id_of_another_teams_job_is_refused failed on the parent commit (no refusal). The stored row, which the store returns with the conflict, names the team; the call is now refused (409, not run). Calls on public routes have no team and are not compared.

--- a/baobabhoist/control/job_api.py
+++ b/baobabhoist/control/job_api.py
@@ -13,7 +13,7 @@
 from baobabhoist.control.clock import StoreClock, monotonic_ms
 from baobabhoist.control.config import ActiveConfig, CellConfig, Route
 from baobabhoist.control.interfaces import Decoder
-from baobabhoist.control.job_writer import JobWriter, WriteStatus
+from baobabhoist.control.job_writer import JobWriter, WriteResult, WriteStatus
 from baobabhoist.control.messages import (
     CancelNotice,
     JobNotice,
@@ -95,6 +95,15 @@
     return Refusal(ErrorKind.NOT_FOUND, f"there is no job {job_id}", remedy="check the id")
 
 
+def _is_of_another_team(admitted: AdmittedCall, result: WriteResult) -> bool:
+    """Return whether the stored job belongs to a team other than the caller's."""
+    try:
+        stored = decode_job(admitted.job_id, result.value, result.version)
+    except ValueError:
+        return False
+    return bool(stored.team) and bool(admitted.team) and stored.team != admitted.team
+
+
 @attrs.define
 class JobApi:
     """Answer calls using the configuration, the owner and the store; keeps no state of its own."""
@@ -173,6 +182,8 @@
             return self._store_refusal("the store cannot accept jobs now")
         if result.status is WriteStatus.UNKNOWN:
             return unknown_outcome_refusal("the store did not confirm whether the job was stored")
+        if _is_of_another_team(admitted, result):
+            return Refusal(ErrorKind.CONFLICT, "the id is in use", remedy="choose another id")
         if result.status is WriteStatus.NEW:
             self.owner_router.notify(JobNotice(admitted.job_id, result.value, result.version))
         return None
--- a/baobabhoist/platform/http_server.py
+++ b/baobabhoist/platform/http_server.py
@@ -47,6 +47,7 @@
     ErrorKind.FORBIDDEN: 403,
     ErrorKind.NOT_FOUND: 404,
     ErrorKind.METHOD_NOT_ALLOWED: 405,
+    ErrorKind.CONFLICT: 409,
     ErrorKind.BODY_TOO_LARGE: 413,
     ErrorKind.PLATFORM_UNAVAILABLE: 503,
     ErrorKind.OUTCOME_UNKNOWN: 504,
--- a/baobabhoist/tests/test_control_job_api.py
+++ b/baobabhoist/tests/test_control_job_api.py
@@ -193,6 +193,13 @@
     assert not any(key.key == f"{ID}/cancel" for key in harness.store.rows)
 
 
+def test_id_of_another_teams_job_is_refused(harness):
+    """Guard against a job that is acknowledged but never runs, because its id is in use."""
+    harness.submit()
+    harness.configure(version=2, keys={"k": "other"})
+    assert harness.submit().kind is ErrorKind.CONFLICT
+
+
 def test_owner_is_notified_of_the_stored_job(harness):
     """Guard against an owner that runs another job than the one that is stored."""
     harness.now = monotonic_ms()
