Set the log level in the test of internal errors

test_internal_error_is_answered_and_logged failed in the whole suite and passed alone: the replay of the cell, which runs as a test before it, sets the level of the package's loggers to CRITICAL for the rest of the process. Shown by running the two files together. The test now sets the level that it needs.

--- a/baobabhoist/tests/test_platform_http_server.py
+++ b/baobabhoist/tests/test_platform_http_server.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 import os
 import signal
 from collections.abc import Awaitable, Callable
@@ -103,6 +104,9 @@
 ) -> None:
     """Guard against a call that fails without an answer or without a reason in the log."""
 
+    # A benchmark that runs as a test silences the package.
+    caplog.set_level(logging.INFO, logger="baobabhoist")
+
     async def fail(*args: object) -> None:
         raise LookupError("the reason")
 
