Say on which size of machine the owner runs

CLAIM_WON and CELL_LOADED now carry the cores and the link's Mbit/s of the machine. The test of CLAIM_WON failed before with a missing field (KeyError).

--- a/baobabhoist/control/election.py
+++ b/baobabhoist/control/election.py
@@ -275,6 +275,8 @@
             generation=claim.generation,
             reason=reason.value,
             wait_ms=round(previous_owner_until_ms - now),
+            cores=round(self._cfg.cores, 2),
+            link_mbps=self._cfg.link_mbps,
         )
         owner = self._make_owner(ownership, self._may_start, self._step_down)
         self._isolation_detector = IsolationDetector(last_sufficient_ms=now)
--- a/baobabhoist/control/node.py
+++ b/baobabhoist/control/node.py
@@ -208,5 +208,7 @@
             may_start,
             on_ownership_lost,
             self.metrics,
+            self.cfg.cores,
+            self.cfg.link_mbps,
         )
         return CellOwner(deps, ownership, rules)
--- a/baobabhoist/control/owner.py
+++ b/baobabhoist/control/owner.py
@@ -79,6 +79,9 @@
     # Called once, with the reason, when another instance owns the cell.
     on_ownership_lost: Callable[[str], None]
     metrics: NodeMetrics
+    # Size of this machine, in reference cores and as the bandwidth of its link.
+    cores: float
+    link_mbps: float
 
 
 class CellOwner:
@@ -211,6 +214,8 @@
             runs=sum(len(worker.runs) for worker in cell.state.workers.values()),
             token=self.ownership.token,
             took_ms=round(now - self.ownership.won_ms),
+            cores=round(self._deps.cores, 2),
+            link_mbps=self._deps.link_mbps,
         )
         self._deps.metrics.observe_takeover((now - self.ownership.won_ms) / 1000)
 
--- a/baobabhoist/tests/test_control_election.py
+++ b/baobabhoist/tests/test_control_election.py
@@ -1,6 +1,7 @@
 """Test how an instance tracks the claim and takes over the cell, with an in-memory store."""
 
 import asyncio
+import logging
 from types import SimpleNamespace
 
 import pytest
@@ -10,6 +11,7 @@
 from baobabhoist.control.election import MAX_READ_GAP_MS, OwnerElection
 from baobabhoist.control.links import Identity
 from baobabhoist.control.row_schema import HEARTBEAT_ROW_KEY, OWNER_ROW_KEY
+from baobabhoist.observability.events import EVENT_ATTRIBUTE, FIELDS_ATTRIBUTE, Event
 from baobabhoist.store.row_store import RowTransaction
 from baobabhoist.testing.memory_row_store import MemoryRowStore
 
@@ -152,3 +154,17 @@
         assert harness.owner_router.local_owner is None
 
     asyncio.run(run())
+
+
+def test_won_claim_says_the_size_of_the_machine(harness, caplog):
+    """Guard against an owner too small for the cell that can't be told from a large one."""
+    caplog.set_level(logging.INFO, logger="baobabhoist")
+
+    async def run():
+        harness.read()
+        await harness.settle()
+
+    asyncio.run(run())
+    won = [r for r in caplog.records if r.__dict__.get(EVENT_ATTRIBUTE) is Event.CLAIM_WON]
+    fields = won[0].__dict__[FIELDS_ATTRIBUTE]
+    assert (fields["cores"], fields["link_mbps"]) == (4.0, 1000.0)
