Name the background task that crashed, and log its traceback

What the log said then: for the owner's tasks an event without the task's name, with the traceback in a second line; for a worker session only asyncio's own "Task exception was never retrieved" for Task-8, without an event or a worker, when the task was garbage collected (seen by running the new test of the session on, which fails there); for the election's notifications the same.

What the owner does about a crash is unchanged.

--- a/baobabhoist/control/election.py
+++ b/baobabhoist/control/election.py
@@ -32,6 +32,7 @@
 from baobabhoist.control.settings import NodeSettings
 from baobabhoist.errors import LinkClosedError
 from baobabhoist.observability.events import Event, emit
+from baobabhoist.observability.tasks import create_logged_task
 from baobabhoist.peer.link import Link
 from baobabhoist.store.row_store import (
     RowsConflict,
@@ -282,14 +283,12 @@
         self._isolation_detector = IsolationDetector(last_sufficient_ms=now)
         self._owner_router.local_owner = owner
         self._identity.is_owner = True
-        self._owner_task = asyncio.create_task(owner.run())
+        self._owner_task = create_logged_task(owner.run(), "owner of the cell")
         self._owner_task.add_done_callback(self._handle_owner_end)
 
     def _handle_owner_end(self, task: asyncio.Task[None]) -> None:
         """Step down if the owner's task crashed: heartbeats alone must not keep the cell."""
         if not task.cancelled() and task.exception() is not None:
-            emit(log, Event.TASK_CRASHED, detail=repr(task.exception()))
-            log.error("the task of the cell's owner crashed", exc_info=task.exception())
             self._step_down("the owner's task failed")
 
     def _may_start(self) -> bool:
@@ -332,7 +331,7 @@
             self._notify(link, message)
 
     def _notify(self, link: Link, message: Any) -> None:
-        task = asyncio.create_task(_notify_unless_closed(link, message))
+        task = create_logged_task(_notify_unless_closed(link, message))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
--- a/baobabhoist/control/node.py
+++ b/baobabhoist/control/node.py
@@ -29,6 +29,7 @@
 from baobabhoist.control.store_health import MonitoredStore
 from baobabhoist.control.table_follower import TableFollower
 from baobabhoist.observability.events import Event, emit
+from baobabhoist.observability.tasks import log_task_crash
 from baobabhoist.peer.link import Link
 from baobabhoist.store.row_store import (
     RowStore,
@@ -121,12 +122,16 @@
             pause_s=self._election.poll_pause_s,
         )
         self._election.poll_now = cell_follower.poll_now
+        coros = {
+            "follower of the operator table": operator_follower.run(),
+            "follower of the cell table": cell_follower.run(),
+            "claims": self._election.run_claims(),
+            "store heartbeats": self._election.run_store_heartbeats(),
+            "link heartbeats": self._election.run_link_heartbeats(),
+        }
         async with asyncio.TaskGroup() as group:
-            group.create_task(operator_follower.run())
-            group.create_task(cell_follower.run())
-            group.create_task(self._election.run_claims())
-            group.create_task(self._election.run_store_heartbeats())
-            group.create_task(self._election.run_link_heartbeats())
+            for name, coro in coros.items():
+                group.create_task(coro, name=name).add_done_callback(log_task_crash)
 
     def is_ready(self) -> bool:
         """Return whether this instance should receive new calls."""
--- a/baobabhoist/control/owner.py
+++ b/baobabhoist/control/owner.py
@@ -33,6 +33,7 @@
 from baobabhoist.control.table_follower import TableFollower
 from baobabhoist.control.worker_session import WorkerSession
 from baobabhoist.observability.events import Event, emit
+from baobabhoist.observability.tasks import create_logged_task
 from baobabhoist.store.row_store import RowStore, StoredRow, StoreError
 
 log = logging.getLogger(__name__)
@@ -422,15 +423,9 @@
 
     def spawn(self, coro: Coroutine[Any, Any, None]) -> None:
         """Start a background task that is cancelled when this owner stops."""
-        task = asyncio.create_task(coro)
+        task = create_logged_task(coro)
         self._tasks.add(task)
-        task.add_done_callback(self._handle_task_end)
-
-    def _handle_task_end(self, task: asyncio.Task[None]) -> None:
-        self._tasks.discard(task)
-        if not task.cancelled() and task.exception() is not None:
-            emit(log, Event.TASK_CRASHED, detail=repr(task.exception()))
-            log.error("a background task of the owner crashed", exc_info=task.exception())
+        task.add_done_callback(self._tasks.discard)
 
     def _report_ownership_lost(self, reason: str) -> None:
         if not self._ownership_lost_reported:
--- a/baobabhoist/control/worker_session.py
+++ b/baobabhoist/control/worker_session.py
@@ -11,6 +11,7 @@
 from baobabhoist.control.clock import monotonic_ms
 from baobabhoist.control.interfaces import WorkerDriver
 from baobabhoist.observability.events import Event, emit
+from baobabhoist.observability.tasks import create_logged_task
 
 if TYPE_CHECKING:
     from baobabhoist.control.owner import CellOwner
@@ -42,7 +43,8 @@
 
     def start(self) -> None:
         """Start to renew the lease in the background."""
-        self._task = asyncio.create_task(self._run())
+        name = f"session of worker {self._state.worker_id}"
+        self._task = create_logged_task(self._run(), name)
 
     def cancel(self) -> None:
         """Stop renewing the lease."""
--- a/baobabhoist/daemon/owners.py
+++ b/baobabhoist/daemon/owners.py
@@ -238,8 +238,8 @@
             # The owner still delivers the answers of calls that were in flight when it ended.
             await run_task
         except Exception as exc:
-            log.exception("the owner of shard %s failed", shard)
-            emit(log, Event.TASK_CRASHED, detail=repr(exc))
+            name = f"the owner of shard {shard}"
+            emit(log, Event.TASK_CRASHED, task=name, detail=repr(exc), exc_info=exc)
         finally:
             run_task.cancel()
             ended_task.cancel()
--- a/baobabhoist/daemon/shard_owner.py
+++ b/baobabhoist/daemon/shard_owner.py
@@ -38,6 +38,7 @@
 from baobabhoist.errors import ErrorKind, InvariantViolationError, LinkClosedError, Refusal
 from baobabhoist.model import EndedTask, Outcome, Request, RunningTask, Task, WorkerSpec, WorkKind
 from baobabhoist.observability.events import Event, emit
+from baobabhoist.observability.tasks import create_logged_task
 from baobabhoist.ownership.claim import ShardClaim
 from baobabhoist.ownership.events import ClaimState
 from baobabhoist.ownership.request_keys import JoinExisting, ReplyNow, RequestKeyLedger, Result
@@ -424,14 +425,9 @@
 
     def spawn(self, coro: Coroutine[Any, Any, None]) -> None:
         """Run a coroutine as a task that is cancelled at the latest when this owner ends."""
-        task = asyncio.create_task(coro)
+        task = create_logged_task(coro)
         self._tasks.add(task)
-        task.add_done_callback(self._on_task_done)
-
-    def _on_task_done(self, task: asyncio.Task[None]) -> None:
-        self._tasks.discard(task)
-        if not task.cancelled() and task.exception() is not None:
-            emit(log, Event.TASK_CRASHED, detail=repr(task.exception()))
+        task.add_done_callback(self._tasks.discard)
 
     async def _connection_changed(self, worker: str, connected: bool) -> None:
         event = Event.WORKER_CONNECTED if connected else Event.WORKER_DISCONNECTED
--- a/baobabhoist/observability/events.py
+++ b/baobabhoist/observability/events.py
@@ -36,7 +36,7 @@
         logging.ERROR,
         "refused a step that would violate invariant {invariant}: {detail}",
     )
-    TASK_CRASHED = (1006, logging.ERROR, "background task failed: {detail}")
+    TASK_CRASHED = (1006, logging.ERROR, "background task {task} failed: {detail}")
     SETTINGS_WARNING = (1101, logging.WARNING, "problem in the settings: {problem}")
     TLS_RELOADED = (1103, logging.INFO, "reloaded the TLS certificate {path}")
     TLS_RELOAD_FAILED = (
@@ -199,11 +199,23 @@
     return event.template.format_map(_FieldsWithPlaceholders(fields))
 
 
-def emit(log: logging.Logger, event: Event, /, **fields: Any) -> None:
-    """Log an event; fields that its template does not mention are attached to the record too."""
+def emit(
+    log: logging.Logger, event: Event, /, *, exc_info: BaseException | None = None, **fields: Any
+) -> None:
+    """Log an event, with the traceback of `exc_info` if it is given.
+
+    Fields that the event's template does not mention are attached to the record too.
+    """
     if log.isEnabledFor(event.level):
         extra = {EVENT_ATTRIBUTE: event, FIELDS_ATTRIBUTE: fields}
-        log.log(event.level, "%s", render_message(event, fields), extra=extra, stacklevel=2)
+        log.log(
+            event.level,
+            "%s",
+            render_message(event, fields),
+            exc_info=exc_info,
+            extra=extra,
+            stacklevel=2,
+        )
 
 
 def _timestamp(record: logging.LogRecord) -> str:
--- a/baobabhoist/tests/test_control_worker_session.py
+++ b/baobabhoist/tests/test_control_worker_session.py
@@ -29,11 +29,7 @@
         return self.worker.renew(token, acked_end, deadline_ms)
 
 
-def run_renewals(rounds, silent_from):
-    harness = CellHarness.with_workers(1)
-    harness.submit(make_job())
-    harness.settle()
-    driver = FakeDriver(harness.workers["w0"])
+def make_session(harness, driver):
     owner = SimpleNamespace(
         cell=harness.cell,
         ownership=SimpleNamespace(token=harness.token),
@@ -41,7 +37,15 @@
         request_scheduling_round=lambda: None,
         progress_writer=SimpleNamespace(request_flush=lambda: None),
     )
-    session = WorkerSession(owner, driver, harness.cell.state.workers["w0"], LEASE_MS)
+    return WorkerSession(owner, driver, harness.cell.state.workers["w0"], LEASE_MS)
+
+
+def run_renewals(rounds, silent_from):
+    harness = CellHarness.with_workers(1)
+    harness.submit(make_job())
+    harness.settle()
+    driver = FakeDriver(harness.workers["w0"])
+    session = make_session(harness, driver)
 
     async def run():
         for number in range(rounds):
@@ -73,3 +77,23 @@
     """Guard against a lease that expires although its worker answers."""
     _, driver = run_renewals(4, silent_from=4)
     assert all(driver.deadlines)
+
+
+def test_crashed_session_leaves_a_line_with_its_worker(caplog):
+    """Guard against a worker that is never heard again because its session ended unnoticed."""
+
+    class BrokenDriver:
+        async def renew(self, *args):
+            raise ValueError("unexpected report")
+
+    async def run():
+        session = make_session(CellHarness.with_workers(1), BrokenDriver())
+        session.start()
+        for _ in range(5):
+            await asyncio.sleep(0)
+
+    asyncio.run(run())
+    crashes = [r for r in caplog.records if "unexpected report" in r.getMessage()]
+    assert [r.levelname for r in crashes] == ["ERROR"]
+    assert "session of worker w0" in crashes[0].getMessage()
+    assert crashes[0].exc_info
