Log once a second why steps wait

Each round of the placer now keeps its reason for each step that it leaves behind (WaitReason). The owner sums them up at most once a second and writes STEPS_WAITING (1617) while a step, or the answer to a start, has been awaited for more than 2 s: steps and tasks by reason with the oldest step of each, the tickets and the next query of the oldest step of all, workers by condition, free cores, open advice queries, starts and what became of them, runs whose start was not answered, rounds, lag of the event loop, and whether starts are allowed. A wait lasts until a worker confirms a start, so that rejected starts don't hide it.

--- a/baobabhoist/cell/approvals.py
+++ b/baobabhoist/cell/approvals.py
@@ -6,6 +6,8 @@
 
 import attrs
 
+from baobabhoist.cell.wait_reasons import WaitReason
+
 # Time for a start command to reach its worker before the ticket expires.
 TICKET_MARGIN_MS = 60.0
 
@@ -74,3 +76,11 @@
     def count_valid_tickets(self, now: float, until: float) -> int:
         """Return the number of tickets that are valid at both times."""
         return sum(1 for t in self.tickets.values() if t.expires_ms > max(now, until))
+
+    def reason_without_ticket(self, now: float) -> WaitReason:
+        """Return why no usable worker has a valid ticket."""
+        if not self.tickets:
+            return WaitReason.NOT_APPROVED if self.refused_workers else WaitReason.NO_ADVICE
+        if any(ticket.expires_ms > now for ticket in self.tickets.values()):
+            return WaitReason.TICKET_WORKERS_UNUSABLE
+        return WaitReason.TICKETS_EXPIRED
--- a/baobabhoist/cell/jobs.py
+++ b/baobabhoist/cell/jobs.py
@@ -17,6 +17,7 @@
     StepKey,
     TaskKey,
 )
+from baobabhoist.cell.wait_reasons import WaitReason
 
 # A job that ends within this multiple of its objective still earns part of its value.
 LATE_LIMIT_FACTOR = 3.0
@@ -89,6 +90,9 @@
     failed_worker_ids: set[str] = attrs.Factory(set)
     # When the step became ready to run, on the owner's clock.
     ready_since_ms: float = 0.0
+    # Since when tasks have waited without a break that a worker confirmed.
+    waiting_since_ms: float | None = None
+    wait_reason: WaitReason | None = None
 
     def __attrs_post_init__(self) -> None:
         """Create the tasks."""
@@ -104,6 +108,11 @@
         """Free the tickets of a step that will start no more tasks."""
         self.approvals = Approvals()
 
+    def mark_start_confirmed(self) -> None:
+        """Record that a worker confirmed a start, which ends the wait if no other task waits."""
+        if not self.waiting_count:
+            self.waiting_since_ms = None
+
     def waiting_tasks(self) -> Iterator[TaskState]:
         """Yield the tasks that are neither done nor running."""
         return (task for task in self.tasks if task.run is None and not task.is_done)
--- a/baobabhoist/cell/placer.py
+++ b/baobabhoist/cell/placer.py
@@ -12,6 +12,7 @@
 from baobabhoist.cell.reservations import Reservations
 from baobabhoist.cell.speed_matching import slowdown_tolerance, speed_cost
 from baobabhoist.cell.state import CellState
+from baobabhoist.cell.wait_reasons import WaitReason
 from baobabhoist.cell.worker_index import WorkerIndex
 from baobabhoist.cell.worker_selection import WorkerSlots, assign_gang, assign_tasks, find_slots
 from baobabhoist.cell.workers import WorkerState
@@ -48,10 +49,14 @@
         worker_index = WorkerIndex(self.state.workers.values(), now)
         self.reservations.clear()
         for position, step in enumerate(ranked_steps):
-            service = self.state.service_of(step.job)
-            if may_start and step.spec.allocation.cpu <= worker_index.max_free_cpu(service):
-                self._place_step(step, worker_index, now)
+            max_free_cpu = worker_index.max_free_cpu(self.state.service_of(step.job))
+            if may_start and step.spec.allocation.cpu <= max_free_cpu:
+                step.wait_reason = self._place_step(step, worker_index, now)
+            else:
+                step.wait_reason = _reason_without_cpu(max_free_cpu, may_start)
             if step.waiting_count:
+                if step.waiting_since_ms is None:
+                    step.waiting_since_ms = now
                 self._request_advice(step, position, worker_index, now)
 
     def _rank(self, step: StepState, now: float) -> Rank:
@@ -60,25 +65,25 @@
     def _queue_of(self, step: StepState) -> Queue | None:
         return self.state.queue_of(step.job)
 
-    def _place_step(self, step: StepState, worker_index: WorkerIndex, now: float) -> None:
+    def _place_step(
+        self, step: StepState, worker_index: WorkerIndex, now: float
+    ) -> WaitReason | None:
+        """Start the tasks of a step that fit; return why others wait, or None if none does."""
         spec = step.spec
         if spec.gang and step.waiting_count < step.unfinished_count:
-            return
+            return WaitReason.GANG_RUN_ENDING
         team = step.job.accepted.team
         if not self.reservations.is_team_limit_available(team, step):
-            return
+            return WaitReason.TEAM_LIMIT_RESERVED
         need = spec.need.times(step.waiting_count if spec.gang else 1)
         if not self.state.is_within_team_limit(step.job, need):
             if spec.gang and self._may_reserve_team_limit(step, need, now):
                 self.reservations.reserve_team_limit(team, step)
-            return
-        candidates = [
-            w
-            for w in self._startable_workers(step, worker_index)
-            if self.reservations.is_worker_available(w, step)
-        ]
+            return WaitReason.TEAM_LIMIT
+        startable = self._startable_workers(step, worker_index)
+        candidates = [w for w in startable if self.reservations.is_worker_available(w, step)]
         if not candidates and not spec.gang:
-            return
+            return WaitReason.WORKERS_RESERVED if startable else WaitReason.NO_STARTABLE_WORKER
         tolerance = slowdown_tolerance(
             step.job, self.state.speeds.duration_ratio(step.job.accepted.queue), now
         )
@@ -91,12 +96,15 @@
         )
         if spec.gang:
             self._place_gang(step, slots, worker_index, now)
-            return
-        chosen = assign_tasks(slots, step.waiting_count)
-        for task, worker in zip(list(step.waiting_tasks()), chosen, strict=False):
-            if not self.state.is_within_team_limit(step.job, spec.need):
-                return
-            self.state.start_run(task, worker, self.state.next_run_number([task]), now)
+        else:
+            chosen = assign_tasks(slots, step.waiting_count)
+            for task, worker in zip(list(step.waiting_tasks()), chosen, strict=False):
+                if not self.state.is_within_team_limit(step.job, spec.need):
+                    return WaitReason.TEAM_LIMIT
+                self.state.start_run(task, worker, self.state.next_run_number([task]), now)
+        if not step.waiting_count:
+            return None
+        return self._reason_without_slots(step, startable)
 
     def _may_reserve_team_limit(self, step: StepState, need: Resources, now: float) -> bool:
         """Return whether a gang could fit into its team's limit and still has value."""
@@ -146,6 +154,18 @@
             return worker_index.approved_workers(step, service, label)
         return worker_index.usable_workers(service, label)
 
+    def _reason_without_slots(self, step: StepState, startable: list[WorkerState]) -> WaitReason:
+        """Return why no worker could take the waiting tasks of a step."""
+        if not startable:
+            return WaitReason.NO_STARTABLE_WORKER
+        if self.reservations.holds_capacity_from(step, startable):
+            return WaitReason.WORKERS_RESERVED
+        if step.spec.gang:
+            return WaitReason.NO_ROOM_FOR_GANG
+        if self.state.requires_advice(step.job):
+            return WaitReason.NO_ROOM_WITH_TICKET
+        return WaitReason.NO_ROOM
+
     # Advice.
 
     def _request_advice(
@@ -173,6 +193,12 @@
         self.state.commands.append(RequestAdvice(step.key, tuple(requested), cost_ms))
 
 
+def _reason_without_cpu(max_free_cpu: int, may_start: bool) -> WaitReason:
+    if not may_start:
+        return WaitReason.STARTS_PAUSED
+    return WaitReason.NO_USABLE_WORKER if max_free_cpu < 0 else WaitReason.NO_ROOM
+
+
 def _workers_to_renew(
     step: StepState, capable_ids: list[str], terms: AdviceTerms, now: float
 ) -> list[str]:
--- a/baobabhoist/cell/reservations.py
+++ b/baobabhoist/cell/reservations.py
@@ -34,6 +34,14 @@
         holder = self.gang_by_worker.get(worker.worker_id)
         return holder is None or holder is step
 
+    def holds_capacity_from(self, step: StepState, workers: list[WorkerState]) -> bool:
+        """Return whether a worker reserved for another step has a processor for this one."""
+        return bool(self.gang_by_worker) and any(
+            worker.free_cpu >= step.spec.allocation.cpu
+            and not self.is_worker_available(worker, step)
+            for worker in workers
+        )
+
     def is_team_limit_available(self, team: str, step: StepState) -> bool:
         """Return whether the rest of a team's limit is not reserved for another step."""
         return self.gang_by_team.get(team, step) is step
--- /dev/null
+++ b/baobabhoist/cell/waiting_summary.py
@@ -0,0 +1,128 @@
+"""Summarize the waiting steps and the state of the workers, for logs and metrics."""
+
+from __future__ import annotations
+
+from collections import Counter
+
+import attrs
+
+from baobabhoist.cell.jobs import Run, RunPhase, StepState
+from baobabhoist.cell.model import StepKey
+from baobabhoist.cell.state import CellState
+from baobabhoist.cell.wait_reasons import WaitReason
+from baobabhoist.cell.worker_conditions import WorkerCondition, worker_condition
+from baobabhoist.cell.worker_index import WorkerIndex
+
+CPU_UNITS_PER_CORE = 1000
+
+
+@attrs.define
+class ReasonSummary:
+    """Count the steps and tasks that wait for one reason and name the oldest step."""
+
+    steps: int = 0
+    tasks: int = 0
+    oldest: StepState | None = None
+    oldest_ms: float = 0.0
+
+    def add(self, step: StepState, waited_ms: float) -> None:
+        """Add a waiting step."""
+        self.steps += 1
+        self.tasks += step.waiting_count
+        if self.oldest is None or waited_ms > self.oldest_ms:
+            self.oldest, self.oldest_ms = step, waited_ms
+
+
+@attrs.frozen
+class TicketCounts:
+    """Count the workers that the adviser approved or refused for one step."""
+
+    valid: int
+    approved: int
+    refused: int
+
+
+@attrs.define
+class WaitingSummary:
+    """Summarize what waits and on which workers, at one moment."""
+
+    by_reason: dict[WaitReason, ReasonSummary] = attrs.Factory(dict)
+    workers: Counter[WorkerCondition] = attrs.Factory(Counter)
+    free_cores: float = 0.0
+    # Runs whose start command was not answered yet, and the time since the oldest was issued.
+    starting_runs: int = 0
+    oldest_starting_ms: float = 0.0
+    oldest_starting: Run | None = None
+
+    @property
+    def steps(self) -> int:
+        """Return the number of waiting steps."""
+        return sum(entry.steps for entry in self.by_reason.values())
+
+    @property
+    def tasks(self) -> int:
+        """Return the number of waiting tasks."""
+        return sum(entry.tasks for entry in self.by_reason.values())
+
+    @property
+    def oldest(self) -> tuple[WaitReason, ReasonSummary] | None:
+        """Return the reason of the step that has waited longest, or None if no step waits."""
+        return max(self.by_reason.items(), key=lambda item: item[1].oldest_ms, default=None)
+
+
+def step_id(key: StepKey) -> str:
+    """Return the name of a step in log lines, which begins with the job's id."""
+    return f"{key.job_id}.{key.occurrence}.{key.step}"
+
+
+def waited_ms(step: StepState, now: float) -> float:
+    """Return for how long tasks of a step have waited."""
+    since_ms = step.waiting_since_ms if step.waiting_since_ms is not None else step.ready_since_ms
+    return now - since_ms
+
+
+def count_tickets(step: StepState, now: float) -> TicketCounts:
+    """Return how many workers the adviser approved for a step, and how many tickets are valid."""
+    approvals = step.approvals
+    valid = approvals.count_valid_tickets(now, now)
+    return TicketCounts(valid, len(approvals.tickets), len(approvals.refused_workers))
+
+
+def find_wait_reason(
+    step: StepState, state: CellState, worker_index: WorkerIndex, now: float
+) -> WaitReason:
+    """Return why tasks of a step wait, as of the last scheduling round."""
+    if step.wait_reason is not WaitReason.NO_STARTABLE_WORKER:
+        return step.wait_reason or WaitReason.NOT_CONSIDERED
+    if not worker_index.has_usable_worker(state.service_of(step.job), step.spec.label):
+        return WaitReason.NO_USABLE_WORKER
+    return step.approvals.reason_without_ticket(now)
+
+
+def summarize_waiting(state: CellState, now: float) -> WaitingSummary:
+    """Return what waits now; takes time in proportion to the ready steps, workers and runs."""
+    summary = WaitingSummary()
+    worker_index = WorkerIndex(state.workers.values(), now)
+    for step in state.ready_steps.values():
+        if step.waiting_count:
+            reason = find_wait_reason(step, state, worker_index, now)
+            summary.by_reason.setdefault(reason, ReasonSummary()).add(step, waited_ms(step, now))
+    free_cpu = 0
+    for worker in state.workers.values():
+        condition = worker_condition(worker, now)
+        summary.workers[condition] += 1
+        if condition is WorkerCondition.USABLE:
+            free_cpu += worker.free_cpu
+        for run in worker.runs.values():
+            if run.phase is RunPhase.STARTING:
+                _add_starting_run(summary, run, now)
+    summary.free_cores = free_cpu / CPU_UNITS_PER_CORE
+    return summary
+
+
+def _add_starting_run(summary: WaitingSummary, run: Run, now: float) -> None:
+    # A run that was not confirmed has made no progress, so this is when it was issued.
+    age_ms = now - run.last_progress_ms
+    summary.starting_runs += 1
+    if summary.oldest_starting is None or age_ms > summary.oldest_starting_ms:
+        summary.oldest_starting, summary.oldest_starting_ms = run, age_ms
--- a/baobabhoist/cell/worker_index.py
+++ b/baobabhoist/cell/worker_index.py
@@ -30,6 +30,7 @@
         self._groups: dict[str, list[WorkerGroup]] | None = None
         self._ids_by_groups: dict[tuple[int, ...], list[str]] = {}
         self._max_free_cpu: dict[str, int] = {}
+        self._has_usable: dict[tuple[str, str], bool] = {}
         for worker in self._workers:
             if worker.can_start_tasks(now):
                 service = worker.info.service
@@ -47,6 +48,13 @@
         found = self._usable.get(service, {}).values()
         return [worker for worker in found if not label or label in worker.info.labels]
 
+    def has_usable_worker(self, service: str, label: str) -> bool:
+        """Return whether any worker of a service with the label accepts tasks now."""
+        key = (service, label)
+        if key not in self._has_usable:
+            self._has_usable[key] = bool(self.usable_workers(service, label))
+        return self._has_usable[key]
+
     def approved_workers(self, step: StepState, service: str, label: str) -> list[WorkerState]:
         """Return the usable workers that the adviser approved for a step."""
         return self._filter_usable(step.approvals.tickets, service, label)
--- a/baobabhoist/cell/worker_reports.py
+++ b/baobabhoist/cell/worker_reports.py
@@ -71,6 +71,7 @@
             return
         if outcome is CommandOutcome.OK:
             run.confirmed_ms = run.confirmed_ms or now
+            run.task.step.mark_start_confirmed()
             if run.phase in (RunPhase.STARTING, RunPhase.UNSURE) and not run.stop_sent_ms:
                 run.phase = RunPhase.RUNNING
             return
@@ -175,6 +176,7 @@
         run.confirmed_ms = run.confirmed_ms or now
         if run.phase is RunPhase.STARTING:
             run.phase = RunPhase.RUNNING
+            run.task.step.mark_start_confirmed()
         if active_run.progress_percent != run.progress_percent:
             run.progress_percent, run.last_progress_ms = active_run.progress_percent, now
         if active_run.checkpoint and run.task.step.spec.checkpoints:
--- a/baobabhoist/control/owner.py
+++ b/baobabhoist/control/owner.py
@@ -31,6 +31,7 @@
     decode_speeds,
 )
 from baobabhoist.control.table_follower import TableFollower
+from baobabhoist.control.waiting_report import WaitingReporter
 from baobabhoist.control.worker_session import WorkerSession
 from baobabhoist.observability.events import Event, emit
 from baobabhoist.observability.tasks import create_logged_task
@@ -107,6 +108,7 @@
         self._next_round_ms = 0.0
         self._ownership_lost_reported = False
         self._ticks = 0
+        self._waiting_reporter = WaitingReporter()
 
     async def run(self) -> None:
         """Load the stored state, then run the cell until cancelled."""
@@ -344,6 +346,7 @@
         # Limits the share of the processor that rounds take under a flood of events.
         self._next_round_ms = monotonic_ms() + duration_s * 1000 * ROUND_PAUSE_FACTOR
         self._deps.metrics.observe_decision(duration_s)
+        self._waiting_reporter.rounds.add(duration_s * 1000)
         for command in commands:
             if isinstance(command, StartTask):
                 self.progress_writer.call_when_stored(
@@ -364,6 +367,7 @@
             self._observe_wait(command)
             sent_ms = monotonic_ms()
             outcome = await session.start_task(command)
+            self._waiting_reporter.starts[outcome] += 1
             duration_s = (monotonic_ms() - sent_ms) / 1000
             self._deps.metrics.observe_worker_call("start", outcome.value, duration_s)
             cell.handle_start_result(command, outcome, monotonic_ms())
@@ -409,7 +413,14 @@
             if set(self._sessions) - set(cell.state.workers):
                 self._sync_sessions()
             self.request_scheduling_round()
-            await asyncio.sleep(TICK_INTERVAL_S)
+            self._waiting_reporter.report(cell, self._deps.may_start(), monotonic_ms())
+            await self._sleep_until_next_tick()
+
+    async def _sleep_until_next_tick(self) -> None:
+        """Sleep for one tick, and record by how much the event loop woke this task late."""
+        due_ms = monotonic_ms() + TICK_INTERVAL_S * 1000
+        await asyncio.sleep(TICK_INTERVAL_S)
+        self._waiting_reporter.loop_lag.add(max(0.0, monotonic_ms() - due_ms))
 
     def _remove_expired_jobs(self, cell: CellScheduler) -> None:
         """Remove jobs whose retention period has passed."""
--- /dev/null
+++ b/baobabhoist/control/waiting_report.py
@@ -0,0 +1,146 @@
+"""Log why accepted jobs wait: reasons, workers, starts, rounds and the event loop."""
+
+from __future__ import annotations
+
+import logging
+from collections import Counter
+from typing import Any
+
+import attrs
+
+from baobabhoist.cell.model import CommandOutcome
+from baobabhoist.cell.scheduler import CellScheduler
+from baobabhoist.cell.waiting_summary import (
+    ReasonSummary,
+    WaitingSummary,
+    count_tickets,
+    step_id,
+    summarize_waiting,
+)
+from baobabhoist.observability.events import Event, emit
+
+log = logging.getLogger(__name__)
+
+REPORT_INTERVAL_MS = 1_000.0
+# A line is written while a step, or the answer to a start, has been awaited for longer than this.
+LONG_WAIT_MS = 2_000.0
+
+
+@attrs.define
+class DurationStats:
+    """Collect durations in ms since the last line."""
+
+    count: int = 0
+    total_ms: float = 0.0
+    longest_ms: float = 0.0
+
+    def add(self, duration_ms: float) -> None:
+        """Add one duration."""
+        self.count += 1
+        self.total_ms += duration_ms
+        self.longest_ms = max(self.longest_ms, duration_ms)
+
+    @property
+    def mean_ms(self) -> float:
+        """Return the mean duration, or 0 if there is none."""
+        return self.total_ms / self.count if self.count else 0.0
+
+
+@attrs.define
+class WaitingReporter:
+    """Collect what happened since the last line, and write at most one line per interval."""
+
+    rounds: DurationStats = attrs.Factory(DurationStats)
+    loop_lag: DurationStats = attrs.Factory(DurationStats)
+    starts: Counter[CommandOutcome] = attrs.Factory(Counter)
+    _next_report_ms: float = 0.0
+    _reset_ms: float | None = None
+
+    def report(self, cell: CellScheduler, may_start: bool, now: float) -> None:
+        """Write a line if the interval has passed and something has waited for long."""
+        if now < self._next_report_ms:
+            return
+        self._next_report_ms = now + REPORT_INTERVAL_MS
+        summary = summarize_waiting(cell.state, now)
+        if _longest_wait_ms(summary) > LONG_WAIT_MS:
+            self._write(summary, cell, may_start, now)
+        self._reset(now)
+
+    def _reset(self, now: float) -> None:
+        self.rounds = DurationStats()
+        self.loop_lag = DurationStats()
+        self.starts = Counter()
+        self._reset_ms = now
+
+    def _write(
+        self, summary: WaitingSummary, cell: CellScheduler, may_start: bool, now: float
+    ) -> None:
+        sent = self.starts.total()
+        rejected = {
+            outcome.value: count
+            for outcome, count in self.starts.items()
+            if outcome is not CommandOutcome.OK
+        }
+        emit(
+            log,
+            Event.STEPS_WAITING,
+            steps=summary.steps,
+            tasks=summary.tasks,
+            **_oldest_step_fields(summary, now),
+            by_reason={r.value: _reason_fields(e) for r, e in summary.by_reason.items()},
+            workers={condition.value: n for condition, n in summary.workers.items()},
+            free_cores=round(summary.free_cores, 1),
+            may_start=may_start,
+            advice_open=cell.placer.open_advice_requests,
+            advice_max=cell.placer.max_advice_requests,
+            starts_sent=sent,
+            starts_not_ok=rejected,
+            starting_runs=summary.starting_runs,
+            oldest_start=_oldest_start_id(summary),
+            oldest_start_ms=round(summary.oldest_starting_ms),
+            rounds=self.rounds.count,
+            round_mean_ms=round(self.rounds.mean_ms, 2),
+            round_longest_ms=round(self.rounds.longest_ms, 2),
+            loop_lag_ms=round(self.loop_lag.longest_ms, 1),
+            since_ms=round(now - self._reset_ms) if self._reset_ms is not None else 0,
+        )
+
+
+def _longest_wait_ms(summary: WaitingSummary) -> float:
+    oldest = summary.oldest
+    step_ms = oldest[1].oldest_ms if oldest is not None else 0.0
+    return max(step_ms, summary.oldest_starting_ms)
+
+
+def _oldest_step_fields(summary: WaitingSummary, now: float) -> dict[str, Any]:
+    """Return the step that has waited longest, its reason and its tickets."""
+    if summary.oldest is None:
+        return {"oldest": "none", "waited_ms": 0, "reason": "none"}
+    reason, entry = summary.oldest
+    fields = {"waited_ms": round(entry.oldest_ms), "reason": reason.value}
+    if entry.oldest is None:
+        return fields
+    tickets = count_tickets(entry.oldest, now)
+    return fields | {
+        "oldest": step_id(entry.oldest.key),
+        "oldest_queue": entry.oldest.job.accepted.queue,
+        "oldest_tasks": entry.oldest.waiting_count,
+        "oldest_is_gang": entry.oldest.spec.gang,
+        "oldest_tickets": attrs.asdict(tickets),
+        "oldest_next_query_in_ms": max(0, round(entry.oldest.approvals.next_request_ms - now)),
+    }
+
+
+def _reason_fields(entry: ReasonSummary) -> dict[str, Any]:
+    oldest = step_id(entry.oldest.key) if entry.oldest is not None else ""
+    return {
+        "steps": entry.steps,
+        "tasks": entry.tasks,
+        "oldest": oldest,
+        "waited_ms": round(entry.oldest_ms),
+    }
+
+
+def _oldest_start_id(summary: WaitingSummary) -> str:
+    run = summary.oldest_starting
+    return f"{run.task.key.to_text()} on {run.worker_id}" if run is not None else ""
--- a/baobabhoist/observability/events.py
+++ b/baobabhoist/observability/events.py
@@ -169,6 +169,11 @@
     CALL_FAILED = (1614, logging.ERROR, "call to {path} failed with status {status}")
     STATE_UNKNOWN = (1615, logging.WARNING, "state of job {job} is unavailable: {detail}")
     ADVICE_FAILED = (1616, logging.WARNING, "no advice on step {step} of job {job}: {detail}")
+    STEPS_WAITING = (
+        1617,
+        logging.INFO,
+        "{steps} steps with {tasks} tasks wait, step {oldest} for {waited_ms} ms: {reason}",
+    )
     TABLE_FOLLOWED = (8004, logging.INFO, "following table {table} from version {version}")
     TABLE_LOST = (8005, logging.WARNING, "cannot follow table {table}: {detail}")
     HISTORY_LOST = (
