--- a/baobabhoist/cell/worker_reports.py
+++ b/baobabhoist/cell/worker_reports.py
@@ -4,7 +4,7 @@
 
 import logging
 
-from baobabhoist.cell.jobs import Run, RunPhase
+from baobabhoist.cell.jobs import Run, RunPhase, StepState
 from baobabhoist.cell.model import (
     REJECTED_OUTCOMES,
     ActiveRun,
@@ -110,6 +110,7 @@
         outcome: CommandOutcome,
         now: float,
     ) -> None:
+        step = run.task.step
         emit(
             log,
             Event.START_REFUSED,
@@ -117,8 +118,9 @@
             run=command.run,
             worker=command.worker_id,
             reason=outcome.value,
+            ticket_left_ms=_ticket_left_ms(step, command, now),
+            decided_ms_ago=round(now - run.last_progress_ms),
         )
-        step = run.task.step
         if outcome is CommandOutcome.NO_TICKET:
             step.approvals.invalidate_ticket(worker.worker_id)
         else:
@@ -218,3 +220,11 @@
         worker = self._state.workers.get(command.worker_id)
         run = worker.runs.get(command.task) if worker is not None else None
         return run if run is not None and run.number == command.run else None
+
+
+def _ticket_left_ms(step: StepState, command: StartTask, now: float) -> int | None:
+    """Return for how long the ticket of a command is still valid, or None if it was replaced."""
+    ticket = step.approvals.tickets.get(command.worker_id)
+    if ticket is None or ticket.text != command.ticket:
+        return None
+    return round(ticket.expires_ms - now)
