--- a/baobabhoist/control/election.py
+++ b/baobabhoist/control/election.py
@@ -35,6 +35,7 @@
 from baobabhoist.control.store_health import StoreHealth
 from baobabhoist.errors import LinkClosedError
 from baobabhoist.observability.events import Event, emit
+from baobabhoist.observability.tasks import create_logged_task
 from baobabhoist.peer.link import Link
 from baobabhoist.store.row_store import (
     RowsConflict,
@@ -301,12 +302,14 @@
             generation=claim.generation,
             reason=reason.value,
             wait_ms=round(previous_owner_until_ms - now),
+            cores=round(self._identity.size.cores, 2),
+            link_mbps=self._identity.size.link_mbps,
         )
         owner = self._make_owner(ownership, self._may_start, self._step_down)
         self._isolation_detector = IsolationDetector(last_sufficient_ms=now)
         self._owner_router.local_owner = owner
         self._identity.is_owner = True
-        self._owner_task = asyncio.create_task(owner.run())
+        self._owner_task = create_logged_task(owner.run(), "owner of the cell")
         self._owner_task.add_done_callback(self._handle_owner_end)
 
     def _handle_owner_end(self, task: asyncio.Task[None]) -> None:
@@ -314,7 +317,6 @@
         if task is not self._owner_task or self._owner_router.local_owner is None:
             return
         exc = None if task.cancelled() else task.exception()
-        log.error("the task of the cell's owner ended", exc_info=exc)
         self._takeover_times_ms.append(monotonic_ms())
         backoff_factor = takeover_backoff_factor(self._count_recent_takeovers())
         self._next_claim_ms = monotonic_ms() + HEARTBEAT_STALE_MS * backoff_factor
@@ -360,7 +362,7 @@
             self._notify(link, message)
 
     def _notify(self, link: Link, message: Any) -> None:
-        task = asyncio.create_task(_notify_unless_closed(link, message))
+        task = create_logged_task(_notify_unless_closed(link, message))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
--- a/baobabhoist/control/owner.py
+++ b/baobabhoist/control/owner.py
@@ -26,6 +26,7 @@
 from baobabhoist.control.cell_loader import CellLoader, CellTables
 from baobabhoist.control.clock import StoreClock, monotonic_ms, unix_ms
 from baobabhoist.control.interfaces import Decoder, WorkerDriver
+from baobabhoist.control.machine_size import MachineSize
 from baobabhoist.control.messages import PendingReply, StateReply
 from baobabhoist.control.metrics import NodeMetrics
 from baobabhoist.control.progress_writer import ProgressWriter
@@ -39,6 +40,7 @@
 )
 from baobabhoist.control.table_follower import TableFollower
 from baobabhoist.control.task_supervisor import TaskSupervisor, result_or
+from baobabhoist.control.waiting_report import WaitingReporter
 from baobabhoist.control.worker_session import WorkerSession
 from baobabhoist.observability.events import Event, emit
 from baobabhoist.store.row_store import RowStore, StoredRow, StoreError
@@ -87,6 +89,8 @@
     # Called once, with the reason, when another instance owns the cell.
     on_ownership_lost: Callable[[str], None]
     metrics: NodeMetrics
+    # Size of this machine.
+    size: MachineSize
 
 
 class CellOwner:
@@ -111,6 +115,7 @@
         self._next_round_ms = 0.0
         self._ownership_lost_reported = False
         self._ticks = 0
+        self._waiting_reporter = WaitingReporter()
 
     async def run(self) -> None:
         """Load the stored state, then run the cell until cancelled; raises if a task failed."""
@@ -219,6 +224,8 @@
             runs=sum(len(worker.runs) for worker in cell.state.workers.values()),
             token=self.ownership.token,
             took_ms=round(now - self.ownership.won_ms),
+            cores=round(self._deps.size.cores, 2),
+            link_mbps=self._deps.size.link_mbps,
         )
         self._deps.metrics.observe_takeover((now - self.ownership.won_ms) / 1000)
 
@@ -343,7 +350,7 @@
         try:
             self._schedule(cell)
         except Exception as exc:
-            self._tasks.fail(exc)
+            self._tasks.fail("scheduling round", exc)
 
     def _schedule(self, cell: CellScheduler) -> None:
         start_s = time.perf_counter()
@@ -352,6 +359,7 @@
         # Limits the share of the processor that rounds take under a flood of events.
         self._next_round_ms = monotonic_ms() + duration_s * 1000 * ROUND_PAUSE_FACTOR
         self._deps.metrics.observe_decision(duration_s)
+        self._waiting_reporter.rounds.add(duration_s * 1000)
         for command in commands:
             if isinstance(command, StartTask):
                 self.progress_writer.call_when_stored(
@@ -372,6 +380,7 @@
             self._observe_wait(command)
             sent_ms = monotonic_ms()
             outcome = await result_or(session.start_task(command), CommandOutcome.UNKNOWN)
+            self._waiting_reporter.starts[outcome] += 1
             duration_ms = monotonic_ms() - sent_ms
             self._deps.metrics.observe_worker_call("start", outcome.value, duration_ms / 1000)
             cell.record_start_answer(outcome, duration_ms, monotonic_ms())
@@ -418,7 +427,14 @@
             if set(self._sessions) - set(cell.state.workers):
                 self._sync_sessions()
             self.request_scheduling_round()
-            await asyncio.sleep(TICK_INTERVAL_S)
+            self._waiting_reporter.report(cell, self._deps.may_start(), monotonic_ms())
+            await self._sleep_until_next_tick()
+
+    async def _sleep_until_next_tick(self) -> None:
+        """Sleep for one tick, and record by how much the event loop woke this task late."""
+        due_ms = monotonic_ms() + TICK_INTERVAL_S * 1000
+        await asyncio.sleep(TICK_INTERVAL_S)
+        self._waiting_reporter.loop_lag.add(max(0.0, monotonic_ms() - due_ms))
 
     def _remove_expired_jobs(self, cell: CellScheduler) -> None:
         """Remove jobs whose retention period has passed."""
--- a/baobabhoist/control/task_supervisor.py
+++ b/baobabhoist/control/task_supervisor.py
@@ -3,14 +3,11 @@
 from __future__ import annotations
 
 import asyncio
-import logging
 from collections.abc import Awaitable, Coroutine
 from typing import Any, TypeVar
 
 from baobabhoist.errors import OwnerFailedError
-from baobabhoist.observability.events import Event, emit
-
-log = logging.getLogger(__name__)
+from baobabhoist.observability.tasks import coro_name, log_crash
 
 T = TypeVar("T")
 
@@ -26,7 +23,7 @@
 
     def spawn(self, coro: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
         """Start a task that may end, but must not raise."""
-        task = asyncio.create_task(coro)
+        task = asyncio.create_task(coro, name=coro_name(coro))
         self._tasks.add(task)
         task.add_done_callback(self._handle_task_end)
         return task
@@ -41,11 +38,11 @@
         for task in self._tasks:
             task.cancel()
 
-    def fail(self, exc: BaseException) -> None:
+    def fail(self, task_name: str, exc: BaseException) -> None:
         """Report the failure of a part that the tasks depend on."""
         if self.is_stopped or self._failed.is_set():
             return
-        log_crash(exc)
+        log_crash(task_name, exc)
         self._failure = exc
         self._failed.set()
 
@@ -58,10 +55,10 @@
         self._tasks.discard(task)
         exc = None if task.cancelled() else task.exception()
         if exc is not None:
-            self.fail(exc)
+            self.fail(task.get_name(), exc)
 
     def _handle_service_end(self, task: asyncio.Task[None]) -> None:
-        self.fail(RuntimeError("a task that must not end has ended"))
+        self.fail(task.get_name(), RuntimeError("a task that must not end has ended"))
 
 
 async def result_or(call: Awaitable[T], default: T) -> T:
@@ -69,11 +66,5 @@
     try:
         return await call
     except Exception as exc:
-        log_crash(exc)
+        log_crash(coro_name(call), exc)
         return default
-
-
-def log_crash(exc: BaseException) -> None:
-    """Log an exception that should not have been raised, with its traceback."""
-    emit(log, Event.TASK_CRASHED, detail=repr(exc))
-    log.error("a background task crashed", exc_info=exc)
--- a/baobabhoist/control/worker_session.py
+++ b/baobabhoist/control/worker_session.py
@@ -10,8 +10,8 @@
 from baobabhoist.cell.workers import WorkerState
 from baobabhoist.control.clock import monotonic_ms
 from baobabhoist.control.interfaces import WorkerDriver
-from baobabhoist.control.task_supervisor import log_crash
 from baobabhoist.observability.events import Event, emit
+from baobabhoist.observability.tasks import log_crash
 
 if TYPE_CHECKING:
     from baobabhoist.control.owner import CellOwner
@@ -87,7 +87,7 @@
         try:
             return await self._renew()
         except Exception as exc:
-            log_crash(exc)
+            log_crash(f"session of worker {self._state.worker_id}", exc)
             self._set_answering(False, "the renewal failed")
             return False
 
--- a/baobabhoist/tests/test_control_election.py
+++ b/baobabhoist/tests/test_control_election.py
@@ -1,6 +1,7 @@
 """Test how an instance tracks the claim and takes over the cell, with an in-memory store."""
 
 import asyncio
+import logging
 from types import SimpleNamespace
 
 import attrs
@@ -21,6 +22,7 @@
 from baobabhoist.control.progress_writer import ProgressWriter
 from baobabhoist.control.row_schema import HEARTBEAT_ROW_KEY, OWNER_ROW_KEY
 from baobabhoist.control.store_health import StoreHealth
+from baobabhoist.observability.events import EVENT_ATTRIBUTE, FIELDS_ATTRIBUTE, Event
 from baobabhoist.store.row_store import RowTransaction
 from baobabhoist.testing.memory_row_store import MemoryRowStore
 
@@ -285,3 +287,17 @@
     assert harness.election.is_ready_to_own()
     impair(harness)
     assert not harness.election.is_ready_to_own()
+
+
+def test_won_claim_says_the_size_of_the_machine(harness, caplog):
+    """Guard against an owner too small for the cell that can't be told from a large one."""
+    caplog.set_level(logging.INFO, logger="baobabhoist")
+
+    async def run():
+        harness.read()
+        await harness.settle()
+
+    asyncio.run(run())
+    won = [r for r in caplog.records if r.__dict__.get(EVENT_ATTRIBUTE) is Event.CLAIM_WON]
+    fields = won[0].__dict__[FIELDS_ATTRIBUTE]
+    assert (fields["cores"], fields["link_mbps"]) == (4.0, 1000.0)
--- a/baobabhoist/tests/test_control_owner.py
+++ b/baobabhoist/tests/test_control_owner.py
@@ -9,6 +9,7 @@
 from baobabhoist.control import owner as owner_module
 from baobabhoist.control.clock import StoreClock, monotonic_ms
 from baobabhoist.control.interfaces import CommandResponse, ExternalTables
+from baobabhoist.control.machine_size import MachineSize
 from baobabhoist.control.metrics import NodeMetrics
 from baobabhoist.control.owner import CellOwner, OwnerDependencies, OwnershipTerm
 from baobabhoist.control.row_schema import OWNER_ROW_KEY, JobRow, encode_job, job_row_key
@@ -81,6 +82,7 @@
             lambda: True,
             lambda reason: None,
             NodeMetrics(),
+            MachineSize(1.0, 1_000.0),
         )
         now = monotonic_ms()
         self.owner = CellOwner(deps, OwnershipTerm(token, 0, now, now), make_rules())
