Give the store, the workers and the adviser connections of their own

What callers would see: a takeover, and jobs that wait for it, whenever many workers are cut off.

Cause: one HTTP client with 250 requests at a time served all. With 176 workers 176 of them are always renewals that wait at their worker; starts and stops to workers that do not answer occupy the rest for 0.7 s each, and the heartbeats and progress writes to the store queue behind them.

--- a/baobabhoist/platform/main.py
+++ b/baobabhoist/platform/main.py
@@ -39,16 +39,23 @@
     return load_with_warnings(os.environ.get(SETTINGS_ENV_VAR, ""), NodeSettings).settings
 
 
-def make_node(cfg: NodeSettings) -> Node:
-    """Return an instance that uses the platform's services."""
-    http = HttpClient()
-    adapter = PlatformAdapter(
-        PlatformRowStore(http, cfg.store.address),
-        PlatformWorkerDriver(http),
-        PlatformAdviser(http, cfg.adviser_address),
+def make_adapter(cfg: NodeSettings) -> PlatformAdapter:
+    """Return clients for the platform's services.
+
+    Each has connections of its own: workers that do not answer would otherwise occupy all of them
+    and hold up the owner's heartbeats to the store.
+    """
+    return PlatformAdapter(
+        PlatformRowStore(HttpClient(), cfg.store.address),
+        PlatformWorkerDriver(HttpClient()),
+        PlatformAdviser(HttpClient(), cfg.adviser_address),
         PlatformDecoder(),
     )
-    return Node(cfg, adapter)
+
+
+def make_node(cfg: NodeSettings) -> Node:
+    """Return an instance that uses the platform's services."""
+    return Node(cfg, make_adapter(cfg))
 
 
 async def serve(cfg: NodeSettings, count_dropped_lines: Callable[[], int]) -> None:
--- /dev/null
+++ b/baobabhoist/tests/test_platform_http_client.py
@@ -0,0 +1,73 @@
+"""Test that the clients of the platform's services do not hold each other up."""
+
+from __future__ import annotations
+
+import asyncio
+
+from baobabhoist.cell.model import NO_RESOURCES, WorkerInfo
+from baobabhoist.control.settings import BoundSettings, NodeSettings, StoreSettings
+from baobabhoist.platform.http_client import MAX_CONCURRENT_REQUESTS
+from baobabhoist.platform.main import make_adapter
+
+HOST = "127.0.0.1"
+# Longer than the test may take.
+WORKER_WAIT_MS = 60_000
+TEST_TIMEOUT_S = 10.0
+EMPTY_PAGE = b'{"rows":[],"hasMore":false,"schemaVer":7,"nowMs":5}'
+
+
+async def _answer_with_empty_page(
+    reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+) -> None:
+    await reader.readuntil(b"\r\n\r\n")
+    head = f"HTTP/1.1 200 OK\r\nContent-Length: {len(EMPTY_PAGE)}\r\n\r\n"
+    writer.write(head.encode() + EMPTY_PAGE)
+    await writer.drain()
+
+
+async def _never_answer(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    await reader.read()
+
+
+async def _listen(serve: object) -> str:
+    server = await asyncio.start_server(serve, HOST, 0, backlog=2 * MAX_CONCURRENT_REQUESTS)
+    return f"{HOST}:{server.sockets[0].getsockname()[1]}"
+
+
+def _settings(store_address: str) -> NodeSettings:
+    return NodeSettings(
+        instance_id="edge-1",
+        data_centre="z1",
+        host=HOST,
+        caller_address=f"{HOST}:1",
+        ready_address=f"{HOST}:1",
+        peer_port=1,
+        metrics_port=1,
+        store=StoreSettings(store_address, 65_536),
+        bounds=BoundSettings(6_000, 5_000, 6, 120),
+        cpu_share=1.0,
+        cpu_speed=1.0,
+        link_mbps=1_000.0,
+    )
+
+
+# Guards against an owner whose heartbeats wait behind the calls to workers that are cut off, so
+# that it loses the cell and accepted jobs wait for a takeover.
+def test_silent_workers_do_not_hold_up_the_store() -> None:
+    async def run() -> int:
+        adapter = make_adapter(_settings(await _listen(_answer_with_empty_page)))
+        worker = WorkerInfo("w", "svc", await _listen(_never_answer), "z1", NO_RESOURCES, ())
+        renewals = [
+            asyncio.ensure_future(adapter.driver.renew(worker, 1, 0, None, WORKER_WAIT_MS))
+            for _ in range(MAX_CONCURRENT_REQUESTS)
+        ]
+        await asyncio.sleep(0)
+        try:
+            async with asyncio.timeout(TEST_TIMEOUT_S):
+                rows = await adapter.store.read("cell")
+        finally:
+            for renewal in renewals:
+                renewal.cancel()
+        return rows.version
+
+    assert asyncio.run(run()) == 7
