Load the cell in pieces that fit the new owner's link

A new owner now reads one partition at a time for each 10 Mbit/s of its link, six at most, and a partition whose read is not answered is asked for in quarters, by the next digit of the job ids. What has arrived is kept, as before.

Evidence: test_large_cell_is_loaded_over_a_slow_link (a store whose reads time out if they are large or share the link) fails on the parent commit, where the second try is like the first.

test_completed_reads_are_not_repeated counted the missing reads; as a failed one is now four, it checks the table and the partitions that are missing instead, and it tells reads of one partition apart by their start.

--- a/baobabhoist/control/node.py
+++ b/baobabhoist/control/node.py
@@ -217,5 +217,6 @@
             may_start,
             on_ownership_lost,
             self.metrics,
+            self.cfg.link_mbps,
         )
         return CellOwner(deps, ownership, rules)
--- a/baobabhoist/control/owner.py
+++ b/baobabhoist/control/owner.py
@@ -87,6 +87,7 @@
     # Called once, with the reason, when another instance owns the cell.
     on_ownership_lost: Callable[[str], None]
     metrics: NodeMetrics
+    link_mbps: float
 
 
 class CellOwner:
@@ -104,7 +105,7 @@
         self.progress_writer.on_end_acked = self._handle_end_acked
         self._deps = deps
         self._rules = rules
-        self._loader = CellLoader(deps.store, deps.decoder.tables.directory)
+        self._loader = CellLoader(deps.store, deps.decoder.tables.directory, deps.link_mbps)
         self._tasks = TaskSupervisor()
         self._sessions: dict[str, WorkerSession] = {}
         self._round_requested = False
--- a/baobabhoist/tests/test_control_cell_loader.py
+++ b/baobabhoist/tests/test_control_cell_loader.py
@@ -3,13 +3,17 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 
 import pytest
 
-from baobabhoist.control.cell_loader import CellLoader
+from baobabhoist.control.cell_loader import CellLoader, TableRange
 from baobabhoist.control.row_schema import (
+    CANCEL_SUFFIX,
     JOB_PARTITIONS,
+    JOBS_TABLE,
     OWNER_ROW_KEY,
+    cancel_row_key,
     job_row_key,
     progress_row_key,
 )
@@ -17,6 +21,8 @@
 from baobabhoist.testing.memory_row_store import MemoryRowStore
 
 DIRECTORY = "servers"
+FAST_LINK_MBPS = 200.0
+SLOW_LINK_MBPS = 2.0
 JOB_ID = "a" + 15 * "0"
 
 
@@ -26,14 +32,14 @@
     def __init__(self) -> None:
         super().__init__()
         self.failed: set[tuple[str, str]] = set()
-        self.answered: list[tuple[str, str]] = []
+        self.answered: list[tuple[str, str, str]] = []
 
     async def read(self, table: str, part: str = "", *, start: str = "", end: str = "") -> RowSet:
         """Fail if this is the first read of a jobs partition."""
         if part and (table, part) not in self.failed:
             self.failed.add((table, part))
             raise StoreUnansweredError("no answer")
-        self.answered.append((table, part))
+        self.answered.append((table, part, start))
         return await super().read(table, part, start=start, end=end)
 
 
@@ -49,10 +55,11 @@
     """Guard against takeovers that restart for ever on a slow link."""
     store = FlakyRowStore()
     store_job_and_progress(store)
-    loader = CellLoader(store, DIRECTORY)
+    loader = CellLoader(store, DIRECTORY, FAST_LINK_MBPS)
     with pytest.raises(StoreUnansweredError):
         asyncio.run(loader.read_missing())
-    assert len(loader.missing) == len(JOB_PARTITIONS)
+    assert {missing.table for missing in loader.missing} == {JOBS_TABLE}
+    assert {missing.partition for missing in loader.missing} == set(JOB_PARTITIONS)
     asyncio.run(loader.read_missing())
     assert loader.is_complete
     assert len(store.answered) == len(set(store.answered))
@@ -62,7 +69,7 @@
     """Guard against a cell that lacks rows, or that follows the jobs from too late a version."""
     store = MemoryRowStore()
     store_job_and_progress(store)
-    loader = CellLoader(store, DIRECTORY)
+    loader = CellLoader(store, DIRECTORY, FAST_LINK_MBPS)
     asyncio.run(loader.read_missing())
     tables = loader.tables()
     assert [row.key for row in tables.jobs] == [job_row_key(JOB_ID)]
@@ -87,5 +94,59 @@
             in_flight -= 1
             return await super().read(table, part, start=start, end=end)
 
-    asyncio.run(CellLoader(CountingRowStore(), DIRECTORY).read_missing())
+    asyncio.run(CellLoader(CountingRowStore(), DIRECTORY, FAST_LINK_MBPS).read_missing())
     assert 1 < max_in_flight <= 6
+
+
+class SlowRowStore(MemoryRowStore):
+    """Answer a read only if it returns few rows and shares the link with few other reads."""
+
+    max_rows = 10
+    max_in_flight = 1
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.in_flight = 0
+
+    async def read(self, table: str, part: str = "", *, start: str = "", end: str = "") -> RowSet:
+        """Fail if the link does not carry the rows in time."""
+        self.in_flight += 1
+        await asyncio.sleep(0)
+        is_shared = self.in_flight > self.max_in_flight
+        self.in_flight -= 1
+        rows = await super().read(table, part, start=start, end=end)
+        if is_shared or len(rows.rows) > self.max_rows:
+            raise StoreUnansweredError("no answer within the timeout")
+        return rows
+
+
+def test_large_cell_is_loaded_over_a_slow_link() -> None:
+    """Guard against owners that replace each other because none finishes loading the cell."""
+    store = SlowRowStore()
+    ids = [
+        f"{partition}{digit:x}{14 * '0'}" for partition in JOB_PARTITIONS for digit in range(16)
+    ]
+    for job_id in ids:
+        store.apply(RowTransaction(puts={job_row_key(job_id): b"job"}))
+        store.apply(RowTransaction(puts={cancel_row_key(job_id): b"{}"}))
+    for job_id in ids[::8]:
+        store.apply(RowTransaction(puts={progress_row_key(job_id): b"progress"}))
+    loader = CellLoader(store, DIRECTORY, SLOW_LINK_MBPS)
+    for _ in range(2):
+        with contextlib.suppress(StoreUnansweredError):
+            asyncio.run(loader.read_missing())
+    assert loader.is_complete
+    tables = loader.tables()
+    expected = sorted(key.key for key in store.rows if key.table == JOBS_TABLE)
+    assert sorted(row.key.key for row in tables.jobs) == expected
+    assert sorted(row.key.key for row in tables.progress) == ids[::8]
+
+
+def test_split_range_covers_all_job_ids() -> None:
+    """Guard against jobs that no owner loads because they lie between two ranges."""
+    for partition in JOB_PARTITIONS:
+        ranges = TableRange(JOBS_TABLE, partition).split()
+        assert ranges[0].start == partition + "0"
+        assert [r.end for r in ranges[:-1]] == [r.start for r in ranges[1:]]
+        assert ranges[-1].end > partition + 15 * "f" + CANCEL_SUFFIX
+        assert [part for r in ranges for part in r.split()] == ranges
--- a/baobabhoist/tests/test_control_owner.py
+++ b/baobabhoist/tests/test_control_owner.py
@@ -81,6 +81,7 @@
             lambda: True,
             lambda reason: None,
             NodeMetrics(),
+            1000.0,
         )
         now = monotonic_ms()
         self.owner = CellOwner(deps, OwnershipTerm(token, 0, now, now), make_rules())
