--- a/baobabhoist/control/owner.py
+++ b/baobabhoist/control/owner.py
@@ -108,7 +108,7 @@
         self.progress_writer.on_end_acked = self._handle_end_acked
         self._deps = deps
         self._rules = rules
-        self._loader = CellLoader(deps.store, deps.decoder.tables.directory)
+        self._loader = CellLoader(deps.store, deps.decoder.tables.directory, deps.size.link_mbps)
         self._tasks = TaskSupervisor()
         self._sessions: dict[str, WorkerSession] = {}
         self._round_requested = False
