Renew a step's tickets together before the first one expires

Callers saw (would see) a job that waits for seconds with free workers: a gang with approved workers and room, without an advice query under way.

Cause: tickets were renewed only if none of the step's tickets was about to be valid any more. A worker that restarted or was added is asked about on its own, so its newer ticket kept all others from being renewed. Besides, only the first 100 approved workers were ever renewed, in the order of the directory.

Evidence: two tests with a simulated adviser (350 ms + 5 ms a worker, tickets of 2.5 s) failed before: 24 workers, one of which restarts each 1.4 s, and a gang of 16; and a gang of 110 on 120 workers. In both the gang had not started 2 s after all workers became free.

Fix: all approved workers are renewed, soonest expiry first, when the first of their tickets is about to expire, so the tickets return to a common expiry. A query about new workers names the approved ones too if their renewal would otherwise have to wait for its answer. A worker that a renewal does not approve is asked about again with the next renewal; otherwise it would cause one query after the other. The queries of a step move to a module of their own.

The number of queries does not grow: at most 8 in 10 s for one step (a test).

--- a/baobabhoist/cell/approvals.py
+++ b/baobabhoist/cell/approvals.py
@@ -12,7 +12,10 @@
 
 @attrs.frozen
 class Ticket:
-    """Hold a ticket that expires at `expires_ms` on the owner's clock."""
+    """Hold a ticket that expires at `expires_ms` on the owner's clock.
+
+    The text is empty if the worker is approved but no valid ticket for it is known.
+    """
 
     text: str
     expires_ms: float
@@ -45,12 +48,15 @@
     ) -> None:
         """Store the tickets and refusals of an answer."""
         self.next_request_ms = 0.0
+        expires_ms = valid_until_ms - TICKET_MARGIN_MS
         for worker_id in requested:
             if worker_id in approved:
-                expires_ms = valid_until_ms - TICKET_MARGIN_MS
                 self.tickets[worker_id] = Ticket(approved[worker_id], expires_ms)
                 self.refused_workers.discard(worker_id)
-            elif worker_id not in self.tickets:
+            elif worker_id in self.tickets:
+                # Ask again with the next renewal of the other tickets, not at once.
+                self.tickets[worker_id] = Ticket("", expires_ms)
+            else:
                 self.refused_workers.add(worker_id)
 
     def schedule_retry(self, retry_ms: float) -> None:
@@ -71,6 +77,12 @@
         """Return the workers that the adviser has neither approved nor refused."""
         return [w for w in workers if w not in self.tickets and w not in self.refused_workers]
 
-    def count_valid_tickets(self, now: float, until: float) -> int:
-        """Return the number of tickets that are valid at both times."""
-        return sum(1 for t in self.tickets.values() if t.expires_ms > max(now, until))
+    def first_expiry_ms(self) -> float:
+        """Return when the first ticket expires, or infinity without an approved worker."""
+        return min((t.expires_ms for t in self.tickets.values()), default=float("inf"))
+
+    def approved_workers(self, workers: Iterable[str]) -> list[str]:
+        """Return the approved ones of these workers, by ascending expiry of their tickets."""
+        approved = [w for w in workers if w in self.tickets]
+        approved.sort(key=lambda w: self.tickets[w].expires_ms)
+        return approved
--- a/baobabhoist/cell/placer.py
+++ b/baobabhoist/cell/placer.py
@@ -6,8 +6,9 @@
 
 import attrs
 
+from baobabhoist.cell.advice_requests import AdviceRequester
 from baobabhoist.cell.jobs import StepState
-from baobabhoist.cell.model import AdviceTerms, Queue, RequestAdvice, Resources
+from baobabhoist.cell.model import Resources
 from baobabhoist.cell.ranking import Rank, Timeliness, rank_step, timeliness_of
 from baobabhoist.cell.reservations import Reservations
 from baobabhoist.cell.speed_matching import slowdown_tolerance, speed_cost
@@ -16,14 +17,6 @@
 from baobabhoist.cell.worker_selection import WorkerSlots, assign_gang, assign_tasks, find_slots
 from baobabhoist.cell.workers import WorkerState
 
-# Most workers that one advice request may name.
-MAX_WORKERS_PER_REQUEST = 100
-# Tickets are renewed only for this many steps at the head of the ranking.
-MAX_RENEWING_STEPS = 16
-# An advice request times out after its expected duration plus this margin.
-ANSWER_TIMEOUT_MARGIN_MS = 4_000.0
-# Tickets are renewed when they expire within the duration of a request plus this margin.
-TICKET_RENEWAL_MARGIN_MS = 100.0
 REMOTE_RACK_COST = 0.5
 # Makes tasks avoid a worker on which a task of their step failed, if there is another.
 PREVIOUS_FAILURE_COST = 2.0
@@ -36,7 +29,9 @@
     state: CellState
     # Advice requests that may be open at the same time.
     max_advice_requests: int = 1
-    open_advice_requests: int = 0
+    advice: AdviceRequester = attrs.Factory(
+        lambda self: AdviceRequester(self.state), takes_self=True
+    )
     reservations: Reservations = attrs.Factory(Reservations)
 
     def place_waiting_steps(self, now: float, may_start: bool) -> None:
@@ -52,13 +47,10 @@
             if may_start and step.spec.allocation.cpu <= worker_index.max_free_cpu(service):
                 self._place_step(step, worker_index, now)
             if step.waiting_count:
-                self._request_advice(step, position, worker_index, now)
+                self.advice.request(step, position, worker_index, self.max_advice_requests, now)
 
     def _rank(self, step: StepState, now: float) -> Rank:
-        return rank_step(step, self._queue_of(step), now)
-
-    def _queue_of(self, step: StepState) -> Queue | None:
-        return self.state.queue_of(step.job)
+        return rank_step(step, self.state.queue_of(step.job), now)
 
     def _place_step(self, step: StepState, worker_index: WorkerIndex, now: float) -> None:
         spec = step.spec
@@ -146,44 +138,6 @@
             return worker_index.approved_workers(step, service, label)
         return worker_index.usable_workers(service, label)
 
-    # Advice.
-
-    def _request_advice(
-        self, step: StepState, position: int, worker_index: WorkerIndex, now: float
-    ) -> None:
-        queue = self._queue_of(step)
-        if queue is None or queue.advice is None or step.approvals.is_request_blocked(now):
-            return
-        if self.open_advice_requests >= self.max_advice_requests or (
-            step.spec.gang and step.waiting_count < step.unfinished_count
-        ):
-            return
-        service = self.state.service_of(step.job)
-        capable_ids = worker_index.capable_worker_ids(
-            service, step.spec.label, step.spec.allocation
-        )
-        requested = step.approvals.unassessed_workers(capable_ids)[:MAX_WORKERS_PER_REQUEST]
-        if not requested and position < MAX_RENEWING_STEPS:
-            requested = _workers_to_renew(step, capable_ids, queue.advice, now)
-        if not requested:
-            return
-        cost_ms = queue.advice.cost_ms(len(requested))
-        step.approvals.mark_requested(now + cost_ms + ANSWER_TIMEOUT_MARGIN_MS)
-        self.open_advice_requests += 1
-        self.state.commands.append(RequestAdvice(step.key, tuple(requested), cost_ms))
-
-
-def _workers_to_renew(
-    step: StepState, capable_ids: list[str], terms: AdviceTerms, now: float
-) -> list[str]:
-    """Return the approved workers if all of their tickets are about to expire."""
-    approved = [worker_id for worker_id in capable_ids if worker_id in step.approvals.tickets]
-    if step.approvals.count_valid_tickets(
-        now, now + terms.cost_ms(len(approved)) + TICKET_RENEWAL_MARGIN_MS
-    ):
-        return []
-    return approved[:MAX_WORKERS_PER_REQUEST]
-
 
 def _tasks_by_worker(step: StepState) -> Counter[str]:
     """Return how many tasks of a step each worker runs, if the step limits this number."""
--- /dev/null
+++ b/baobabhoist/tests/test_cell_advice.py
@@ -0,0 +1,119 @@
+"""Test that waiting steps keep valid tickets, with a simulated adviser that takes its time."""
+
+from __future__ import annotations
+
+import attrs
+
+from baobabhoist.cell.model import AdviceTerms, RequestAdvice, Resources, Step
+from baobabhoist.tests.cell_harness import CellHarness, make_job, make_rules
+
+WHOLE_WORKER = Resources(4000, 512, 0)
+# The terms of the slowest adviser among the platform's sites.
+TERMS = AdviceTerms(350.0, 5.0, 2_500)
+ROUND_MS = 10.0
+RESTART_INTERVAL_MS = 1_400.0
+# Time for a first query, a renewal and the start itself.
+START_BOUND_MS = 2_000.0
+
+
+@attrs.frozen
+class PendingAnswer:
+    """Hold a query and the time of its answer."""
+
+    at_ms: float
+    query: RequestAdvice
+
+
+@attrs.define
+class AdvisedHarness(CellHarness):
+    """Answer advice queries after their cost; a ticket's text is the time of its expiry."""
+
+    pending_answers: list = attrs.Factory(list)
+    query_count: int = 0
+    is_adviser_up: bool = True
+
+    def schedule(self, may_start=True):
+        """Run a round and queue the answers of its queries."""
+        commands = CellHarness.schedule(self, may_start)
+        for command in commands:
+            if isinstance(command, RequestAdvice):
+                self.query_count += 1
+                self.pending_answers.append(PendingAnswer(self.now + command.cost_ms, command))
+        return commands
+
+    def run_for(self, ms, until=lambda: False):
+        """Run rounds for a time or until a condition holds; return whether it does."""
+        end_ms = self.now + ms
+        while self.now < end_ms and not until():
+            self.now += ROUND_MS
+            for worker in self.workers.values():
+                worker.advance(ROUND_MS)
+            self._deliver_answers()
+            self.renew_all()
+            self.cell.tick(self.now, self.now)
+            self.schedule()
+        return until()
+
+    def _deliver_answers(self):
+        due = [answer for answer in self.pending_answers if answer.at_ms <= self.now]
+        self.pending_answers = [a for a in self.pending_answers if a.at_ms > self.now]
+        for answer in due:
+            if self.is_adviser_up:
+                valid_until_ms = self.now + TERMS.ticket_valid_ms
+                tickets = dict.fromkeys(answer.query.workers, str(valid_until_ms))
+                self.cell.handle_advice(
+                    answer.query.step, answer.query.workers, tickets, valid_until_ms
+                )
+
+    def occupy_all(self):
+        """Reserve the capacity of every worker, so that no task fits."""
+        for worker in self.cell.state.workers.values():
+            worker.used = worker.info.capacity
+
+    def free_all(self):
+        """Release the capacity of every worker."""
+        for worker in self.cell.state.workers.values():
+            worker.used = Resources()
+
+    def is_running(self, job_id):
+        return any(key.job_id == job_id for key, _ in self.running_tasks())
+
+
+def advised_harness(worker_count, max_requests=40):
+    harness = AdvisedHarness.with_workers(worker_count, make_rules(advice=TERMS))
+    harness.cell.placer.max_advice_requests = max_requests
+    return harness
+
+
+def test_a_waiting_gang_keeps_its_tickets_while_workers_restart():
+    """Guard against a gang that never starts because restarted workers have newer tickets.
+
+    Its other tickets were renewed only when none was valid, and each restart added a valid one.
+    """
+    harness = advised_harness(24)
+    harness.submit(make_job("a" * 16, Step(16, WHOLE_WORKER, 4000, gang=True)))
+    harness.occupy_all()
+    for number in range(8):
+        harness.run_for(RESTART_INTERVAL_MS)
+        harness.workers[f"w{number}"].restart()
+    harness.free_all()
+    assert harness.run_for(START_BOUND_MS, lambda: harness.is_running("a" * 16))
+
+
+def test_all_approved_workers_keep_their_tickets_if_one_query_cannot_name_them():
+    """Guard against a gang that never starts because only 100 of its workers are renewed."""
+    harness = advised_harness(120)
+    harness.submit(make_job("a" * 16, Step(110, WHOLE_WORKER, 4000, gang=True)))
+    harness.occupy_all()
+    harness.run_for(6_000.0)
+    harness.free_all()
+    assert harness.run_for(START_BOUND_MS, lambda: harness.is_running("a" * 16))
+
+
+def test_a_waiting_step_asks_about_once_per_ticket_lifetime():
+    """Guard against an adviser that is kept busy by renewals of one waiting step."""
+    harness = advised_harness(24)
+    harness.submit(make_job("a" * 16, Step(16, WHOLE_WORKER, 4000, gang=True)))
+    harness.occupy_all()
+    harness.run_for(10_000.0)
+    assert harness.query_count <= 8
