--- a/baobabhoist/cell/waiting_summary.py
+++ b/baobabhoist/cell/waiting_summary.py
@@ -84,7 +84,7 @@
 def count_tickets(step: StepState, now: float) -> TicketCounts:
     """Return how many workers the adviser approved for a step, and how many tickets are valid."""
     approvals = step.approvals
-    valid = approvals.count_valid_tickets(now, now)
+    valid = approvals.count_valid_tickets(now)
     return TicketCounts(valid, len(approvals.tickets), len(approvals.refused_workers))
 
 
--- a/baobabhoist/control/waiting_report.py
+++ b/baobabhoist/control/waiting_report.py
@@ -91,7 +91,7 @@
             workers={condition.value: n for condition, n in summary.workers.items()},
             free_cores=round(summary.free_cores, 1),
             may_start=may_start,
-            advice_open=cell.placer.open_advice_requests,
+            advice_open=cell.placer.advice.open_count,
             advice_max=cell.placer.max_advice_requests,
             starts_sent=sent,
             starts_not_ok=rejected,
