Restore the log level after a replay of a cell

cell_replay.run set the level of all our loggers to critical and left it there. In scripts/test the tests that run later saw no log lines: those of that expect an error line failed in the full run (test_observability_tasks, test_control_worker_session) while they passed alone. Seen by running test_benchmarks_cell_replay.py before them, which repeats it. The level is now restored; the new test fails without that.

--- a/baobabhoist/benchmarks/cell_replay.py
+++ b/baobabhoist/benchmarks/cell_replay.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import functools
 import gc
 import heapq
@@ -10,7 +11,7 @@
 import time
 import zlib
 from collections import defaultdict
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from typing import Any
 
 import attrs
@@ -302,20 +303,31 @@
 
 def run(load: str, workers: int, seconds: float, seed: int, baselines: bool) -> dict[str, Any]:
     """Return the results of each policy; an empty `load` means all load scenarios."""
-    # Logging the simulated runs would take longer than the decisions.
-    logging.getLogger("baobabhoist").setLevel(logging.CRITICAL)
     names = [load] if load else list(SCENARIOS)
     policies = POLICIES if baselines else {"baobabhoist": TaskPlacer}
     report: dict[str, Any] = {"workers": workers, "seed": seed, "loads": {}}
-    for name in names:
-        workload = generate_workload(SCENARIOS[name], workers, seconds, seed)
-        report["loads"][name] = {
-            policy_name: _measure_policy(workload, policy, seconds)
-            for policy_name, policy in policies.items()
-        }
+    with _quiet_logs():
+        for name in names:
+            workload = generate_workload(SCENARIOS[name], workers, seconds, seed)
+            report["loads"][name] = {
+                policy_name: _measure_policy(workload, policy, seconds)
+                for policy_name, policy in policies.items()
+            }
     return report
 
 
+@contextlib.contextmanager
+def _quiet_logs() -> Iterator[None]:
+    """Log no simulated runs, which would take longer than the decisions."""
+    logger = logging.getLogger("baobabhoist")
+    level = logger.level
+    logger.setLevel(logging.CRITICAL)
+    try:
+        yield
+    finally:
+        logger.setLevel(level)
+
+
 def _measure_policy(
     workload: CellWorkload, policy: type[TaskPlacer], seconds: float
 ) -> dict[str, Any]:
--- a/baobabhoist/tests/test_benchmarks_cell_replay.py
+++ b/baobabhoist/tests/test_benchmarks_cell_replay.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import logging
+
 import pytest
 
 from baobabhoist.benchmarks import cell_replay
@@ -29,3 +31,10 @@
     assert all(0.0 <= value <= 1.0 for values in earned[0].values() for value in values.values())
     text = cell_replay.format_table(reports[0])
     assert all(policy in text for policy in cell_replay.POLICIES)
+
+
+def test_replay_restores_the_log_level(caplog: pytest.LogCaptureFixture) -> None:
+    """Guard against a replay after which the process logs no more errors, such as in tests."""
+    caplog.set_level(logging.INFO, logger="baobabhoist")
+    cell_replay.run("hot_team", WORKERS, SECONDS, SEED, False)
+    assert logging.getLogger("baobabhoist").level == logging.INFO
