Show why a job waited in its merged log lines

baobabhoist logs JOB now selects, between the first and the last line of a job, the lines on waiting steps, on a late event loop and on crashed background tasks of the processes that the job met. The test fails without the new events.

--- a/baobabhoist/cli/logs.py
+++ b/baobabhoist/cli/logs.py
@@ -28,6 +28,9 @@
         "table_followed",
         "config_in_force",
         "drain_started",
+        "steps_waiting",
+        "loop_stalled",
+        "task_crashed",
     }
 )
 WORKER_EVENTS = frozenset(
--- a/baobabhoist/tests/test_cli_logs.py
+++ b/baobabhoist/tests/test_cli_logs.py
@@ -39,6 +39,29 @@
     assert " owner run_lost" in result.lines[-1]
 
 
+def test_lines_about_waiting_steps_show_the_reason_of_the_job(tmp_path):
+    """Guard against a job that waits although workers are free, without a line that says why."""
+    owner_log = tmp_path / "edge-1.log"
+    named = {f"{JOB_ID}.0.1": "tickets_expired 2300 ms"}
+    owner_log.write_text(
+        log_line(1, "job_owned", job=JOB_ID)
+        + log_line(3, "steps_waiting", oldest="f" * 16 + ".0.0", named=named)
+        + log_line(4, "steps_waiting", oldest="f" * 16 + ".0.0", named={})
+        + log_line(5, "loop_stalled", lag_ms=700)
+        + log_line(6, "run_started", task=f"{JOB_ID}.0.1.0", worker="w1")
+        + log_line(7, "steps_waiting", oldest="f" * 16 + ".0.0", named={})
+    )
+    lines = merge_logs(JOB_ID, [str(owner_log)]).lines
+    assert [line.split()[2] for line in lines] == [
+        "job_owned:",
+        "steps_waiting:",
+        "steps_waiting:",
+        "loop_stalled:",
+        "run_started:",
+    ]
+    assert f"{JOB_ID}.0.1': 'tickets_expired 2300 ms" in lines[1]
+
+
 def test_unknown_job_and_missing_file_are_reported(tmp_path):
     """Guard against empty output, which looks like a job without problems."""
     path = tmp_path / "edge.log"
