Show the same in metrics, and name each waiting step

The line on waiting steps named only the oldest step of each reason, so that most jobs of a large backlog were in no line. It now names up to 20 steps a second that wait for long and that no line named yet with their present reason; a line stays below 4 KiB, one atomic write to a pipe.

Metrics, all with bounded labels: waiting tasks by reason, workers by condition (both zero on an instance that doesn't own the cell), failed starts by reason, advice queries by outcome, lag of the event loop. The duration of rounds already is baobabhoist_decision_seconds.

An answer of the adviser that comes 250 ms later than expected leaves a line, too, and an adviser that does not answer the instance through which it was asked now leaves one on the owner; before, only that instance knew.

--- a/baobabhoist/cell/waiting_summary.py
+++ b/baobabhoist/cell/waiting_summary.py
@@ -42,11 +42,21 @@
     refused: int
 
 
+@attrs.frozen
+class LongWait:
+    """Describe a step that has waited longer than a threshold."""
+
+    step: StepKey
+    reason: WaitReason
+    waited_ms: float
+
+
 @attrs.define
 class WaitingSummary:
     """Summarize what waits and on which workers, at one moment."""
 
     by_reason: dict[WaitReason, ReasonSummary] = attrs.Factory(dict)
+    long_waits: list[LongWait] = attrs.Factory(list)
     workers: Counter[WorkerCondition] = attrs.Factory(Counter)
     free_cores: float = 0.0
     # Runs whose start command was not answered yet, and the time since the oldest was issued.
@@ -99,14 +109,19 @@
     return step.approvals.reason_without_ticket(now)
 
 
-def summarize_waiting(state: CellState, now: float) -> WaitingSummary:
+def summarize_waiting(
+    state: CellState, now: float, long_wait_ms: float = float("inf")
+) -> WaitingSummary:
     """Return what waits now; takes time in proportion to the ready steps, workers and runs."""
     summary = WaitingSummary()
     worker_index = WorkerIndex(state.workers.values(), now)
     for step in state.ready_steps.values():
         if step.waiting_count:
             reason = find_wait_reason(step, state, worker_index, now)
-            summary.by_reason.setdefault(reason, ReasonSummary()).add(step, waited_ms(step, now))
+            duration_ms = waited_ms(step, now)
+            summary.by_reason.setdefault(reason, ReasonSummary()).add(step, duration_ms)
+            if duration_ms > long_wait_ms:
+                summary.long_waits.append(LongWait(step.key, reason, duration_ms))
     free_cpu = 0
     for worker in state.workers.values():
         condition = worker_condition(worker, now)
--- a/baobabhoist/control/advice.py
+++ b/baobabhoist/control/advice.py
@@ -13,7 +13,7 @@
 
 from baobabhoist.cell.model import RequestAdvice
 from baobabhoist.control.clock import monotonic_ms
-from baobabhoist.control.interfaces import Advice, Adviser
+from baobabhoist.control.interfaces import Advice, AdviceOutcome, Adviser
 from baobabhoist.control.messages import AdviceQuery, AdviceReply
 from baobabhoist.errors import LinkClosedError
 from baobabhoist.observability.events import Event, emit
@@ -28,6 +28,8 @@
 # Queries that may be in flight beyond one per instance.
 MAX_QUEUED_QUERIES = 6
 ANSWER_SLACK_S = 1.0
+# An answer counts as late if it comes this long after its expected time.
+LATE_ANSWER_MS = 250.0
 LOCAL_NODE = ""
 
 
@@ -37,6 +39,8 @@
 
     adviser: Adviser
     links: Callable[[], dict[str, Link]]
+    # Called with the outcome of each query.
+    on_outcome: Callable[[AdviceOutcome], None] = lambda outcome: None
     # When the queries in flight through each node should be answered, on the local clock.
     busy_until_ms: dict[str, float] = attrs.Factory(dict)
 
@@ -52,8 +56,11 @@
         done_ms = max(self.busy_until_ms.get(node, 0.0), monotonic_ms()) + query.cost_ms
         self.busy_until_ms[node] = done_ms
         if node == LOCAL_NODE:
-            return await self.adviser.ask(query.step, query.workers, query.cost_ms)
-        return await self._ask_through(links[node], node, query, done_ms)
+            advice = await self.adviser.ask(query.step, query.workers, query.cost_ms)
+        else:
+            advice = await self._ask_through(links[node], node, query, done_ms)
+        self.on_outcome(_outcome_of(query, node, advice, monotonic_ms() - done_ms))
+        return advice
 
     def _choose(self, nodes: list[str], cost_ms: float) -> str:
         now = monotonic_ms()
@@ -72,8 +79,36 @@
         try:
             reply = await link.call(message, timeout_s)
         except (LinkClosedError, TimeoutError) as exc:
-            emit(log, Event.ADVICE_FAILED, job=step.job_id, step=step.step, node=node, detail=exc)
+            _log_failure(query, node, repr(exc))
             return None
         if not isinstance(reply, AdviceReply) or not reply.answered:
+            _log_failure(query, node, "the adviser did not answer that instance")
             return None
         return Advice(reply.tickets, reply.valid_ms)
+
+
+def _outcome_of(
+    query: RequestAdvice, node: str, advice: Advice | None, late_ms: float
+) -> AdviceOutcome:
+    """Return the outcome of a query, and log an answer that came late."""
+    if advice is None:
+        return AdviceOutcome.FAILED
+    if late_ms <= LATE_ANSWER_MS:
+        return AdviceOutcome.ANSWERED
+    emit(
+        log,
+        Event.ADVICE_LATE,
+        job=query.step.job_id,
+        step=query.step.step,
+        node=node,
+        late_ms=round(late_ms),
+        cost_ms=round(query.cost_ms),
+        workers=len(query.workers),
+        approved=len(advice.tickets),
+    )
+    return AdviceOutcome.LATE
+
+
+def _log_failure(query: RequestAdvice, node: str, detail: str) -> None:
+    step = query.step
+    emit(log, Event.ADVICE_FAILED, job=step.job_id, step=step.step, node=node, detail=detail)
--- a/baobabhoist/control/interfaces.py
+++ b/baobabhoist/control/interfaces.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import enum
 from collections.abc import Sequence
 from typing import Protocol
 
@@ -36,6 +37,16 @@
     valid_ms: int
 
 
+class AdviceOutcome(enum.StrEnum):
+    """List what may become of a query to the adviser."""
+
+    ANSWERED = "answered"
+    # The answer came later than expected; its tickets may expire before they are used.
+    LATE = "late"
+    # The adviser, or the instance through which it was asked, did not answer.
+    FAILED = "failed"
+
+
 @attrs.frozen
 class ExternalTables:
     """Name the tables written outside this system: operator configuration, worker directory."""
--- a/baobabhoist/control/metrics.py
+++ b/baobabhoist/control/metrics.py
@@ -5,6 +5,11 @@
 from aioprometheus import Counter, Gauge, Histogram, Registry
 from aioprometheus.renderer import render
 
+from baobabhoist.cell.model import CommandOutcome
+from baobabhoist.cell.wait_reasons import WaitReason
+from baobabhoist.cell.waiting_summary import WaitingSummary
+from baobabhoist.cell.worker_conditions import WorkerCondition
+from baobabhoist.control.interfaces import AdviceOutcome
 from baobabhoist.observability.metrics import (
     CLASS_LABELS_MAX,
     DECISION_BUCKETS_S,
@@ -46,6 +51,15 @@
         self._takeover = self._histogram(
             "takeover_seconds", "Time from a won claim to the loaded cell.", TAKEOVER_BUCKETS_S
         )
+        self._loop_lag = self._histogram(
+            "loop_lag_seconds", "Time by which the event loop ran late.", CALL_BUCKETS_S
+        )
+        self._waiting_tasks = self._gauge("waiting_tasks", "Tasks that wait, by reason.")
+        self._workers = self._gauge("workers", "Workers of the cell, by condition.")
+        self._failed_starts = self._counter(
+            "failed_starts_total", "Start commands that a worker rejected or did not answer."
+        )
+        self._advice = self._counter("advice_queries_total", "Queries to the adviser, by outcome.")
         self._refusals = self._counter("refusals_total", "Calls refused, by reason.")
         self._dropped = self._gauge("log_lines_dropped", "Log lines that a full pipe refused.")
         self._config = self._gauge("config_version", "Version of the configuration in force.")
@@ -104,6 +118,26 @@
         for queue, tasks in queued.items():
             self._queued.set({"class": self._queues.label_for(queue)}, tasks)
 
+    def set_waiting(self, summary: WaitingSummary) -> None:
+        """Set the number of waiting tasks by reason and of workers by condition."""
+        for reason in WaitReason:
+            entry = summary.by_reason.get(reason)
+            self._waiting_tasks.set({"reason": reason.value}, entry.tasks if entry else 0)
+        for condition in WorkerCondition:
+            self._workers.set({"condition": condition.value}, summary.workers[condition])
+
+    def count_failed_start(self, outcome: CommandOutcome) -> None:
+        """Count a start command that was rejected or not answered."""
+        self._failed_starts.inc({"reason": outcome.value})
+
+    def count_advice(self, outcome: AdviceOutcome) -> None:
+        """Count a query to the adviser."""
+        self._advice.inc({"outcome": outcome.value})
+
+    def observe_loop_lag(self, seconds: float) -> None:
+        """Record by how much the event loop ran late."""
+        self._loop_lag.observe({}, seconds)
+
     def set_dropped_log_lines(self, count: int) -> None:
         """Set the number of dropped log lines."""
         self._dropped.set({}, count)
--- a/baobabhoist/control/node.py
+++ b/baobabhoist/control/node.py
@@ -10,6 +10,7 @@
 import attrs
 
 from baobabhoist.cell.model import CellRules
+from baobabhoist.cell.waiting_summary import WaitingSummary, summarize_waiting
 from baobabhoist.control.advice import AdviceDispatcher
 from baobabhoist.control.clock import StoreClock, monotonic_ms
 from baobabhoist.control.config import ActiveConfig
@@ -18,6 +19,7 @@
 from baobabhoist.control.job_api import JobApi
 from baobabhoist.control.job_writer import JobWriter
 from baobabhoist.control.links import Identity, LinkServer, OwnerLink
+from baobabhoist.control.loop_lag import LoopLagMonitor
 from baobabhoist.control.metrics import NodeMetrics
 from baobabhoist.control.owner import CellOwner, OwnerDependencies, OwnershipTerm
 from baobabhoist.control.owner_router import OwnerRouter
@@ -89,7 +91,10 @@
             cfg.store.row_max_bytes,
         )
         self._adapter = adapter
-        self._advice_dispatcher = AdviceDispatcher(adapter.adviser, lambda: self.link_server.links)
+        self._advice_dispatcher = AdviceDispatcher(
+            adapter.adviser, lambda: self.link_server.links, self.metrics.count_advice
+        )
+        self._loop_lag = LoopLagMonitor(self.metrics)
         self._was_ready = False
         self._election = OwnerElection(
             cfg,
@@ -128,6 +133,7 @@
             "claims": self._election.run_claims(),
             "store heartbeats": self._election.run_store_heartbeats(),
             "link heartbeats": self._election.run_link_heartbeats(),
+            "loop lag monitor": self._loop_lag.run(),
         }
         async with asyncio.TaskGroup() as group:
             for name, coro in coros.items():
@@ -170,6 +176,8 @@
         queued = cell.count_queued_tasks() if cell is not None else {}
         margin = cell.min_lease_margin_ms(now) if cell is not None else 0.0
         self.metrics.set_owner_gauges(owner is not None, queued, margin / 1000)
+        summary = summarize_waiting(cell.state, now) if cell is not None else WaitingSummary()
+        self.metrics.set_waiting(summary)
 
     async def drain(self) -> None:
         """Stop claiming the cell, and release it so that another instance takes over at once."""
@@ -215,5 +223,6 @@
             self.metrics,
             self.cfg.cores,
             self.cfg.link_mbps,
+            self._loop_lag,
         )
         return CellOwner(deps, ownership, rules)
--- a/baobabhoist/control/owner.py
+++ b/baobabhoist/control/owner.py
@@ -12,13 +12,21 @@
 import attrs
 
 from baobabhoist.cell import progress_rows
-from baobabhoist.cell.model import CellRules, Command, RequestAdvice, StartTask, StopTask
+from baobabhoist.cell.model import (
+    CellRules,
+    Command,
+    CommandOutcome,
+    RequestAdvice,
+    StartTask,
+    StopTask,
+)
 from baobabhoist.cell.scheduler import CellScheduler, Takeover
 from baobabhoist.cell.workers import LEASE_MARGIN_MS, MAX_CLOCK_DRIFT
 from baobabhoist.control.advice import AdviceDispatcher
 from baobabhoist.control.cell_loader import CellLoader, CellTables
 from baobabhoist.control.clock import StoreClock, monotonic_ms, unix_ms
 from baobabhoist.control.interfaces import Decoder, WorkerDriver
+from baobabhoist.control.loop_lag import LoopLagMonitor
 from baobabhoist.control.messages import PendingReply, StateReply
 from baobabhoist.control.metrics import NodeMetrics
 from baobabhoist.control.progress_writer import ProgressWriter
@@ -84,6 +92,7 @@
     # Size of this machine, in reference cores and as the bandwidth of its link.
     cores: float
     link_mbps: float
+    loop_lag: LoopLagMonitor
 
 
 class CellOwner:
@@ -108,7 +117,7 @@
         self._next_round_ms = 0.0
         self._ownership_lost_reported = False
         self._ticks = 0
-        self._waiting_reporter = WaitingReporter()
+        self._waiting_reporter = WaitingReporter(deps.loop_lag)
 
     async def run(self) -> None:
         """Load the stored state, then run the cell until cancelled."""
@@ -370,6 +379,8 @@
             self._waiting_reporter.starts[outcome] += 1
             duration_s = (monotonic_ms() - sent_ms) / 1000
             self._deps.metrics.observe_worker_call("start", outcome.value, duration_s)
+            if outcome is not CommandOutcome.OK:
+                self._deps.metrics.count_failed_start(outcome)
             cell.handle_start_result(command, outcome, monotonic_ms())
             self.request_scheduling_round()
 
@@ -414,13 +425,7 @@
                 self._sync_sessions()
             self.request_scheduling_round()
             self._waiting_reporter.report(cell, self._deps.may_start(), monotonic_ms())
-            await self._sleep_until_next_tick()
-
-    async def _sleep_until_next_tick(self) -> None:
-        """Sleep for one tick, and record by how much the event loop woke this task late."""
-        due_ms = monotonic_ms() + TICK_INTERVAL_S * 1000
-        await asyncio.sleep(TICK_INTERVAL_S)
-        self._waiting_reporter.loop_lag.add(max(0.0, monotonic_ms() - due_ms))
+            await asyncio.sleep(TICK_INTERVAL_S)
 
     def _remove_expired_jobs(self, cell: CellScheduler) -> None:
         """Remove jobs whose retention period has passed."""
--- a/baobabhoist/control/waiting_report.py
+++ b/baobabhoist/control/waiting_report.py
@@ -8,15 +8,18 @@
 
 import attrs
 
-from baobabhoist.cell.model import CommandOutcome
+from baobabhoist.cell.model import CommandOutcome, StepKey
 from baobabhoist.cell.scheduler import CellScheduler
+from baobabhoist.cell.wait_reasons import WaitReason
 from baobabhoist.cell.waiting_summary import (
+    LongWait,
     ReasonSummary,
     WaitingSummary,
     count_tickets,
     step_id,
     summarize_waiting,
 )
+from baobabhoist.control.loop_lag import LoopLagMonitor
 from baobabhoist.observability.events import Event, emit
 
 log = logging.getLogger(__name__)
@@ -24,6 +27,8 @@
 REPORT_INTERVAL_MS = 1_000.0
 # A line is written while a step, or the answer to a start, has been awaited for longer than this.
 LONG_WAIT_MS = 2_000.0
+# Steps that one line names because they wait for long or their reason has changed.
+MAX_NAMED_STEPS = 20
 
 
 @attrs.define
@@ -50,30 +55,47 @@
 class WaitingReporter:
     """Collect what happened since the last line, and write at most one line per interval."""
 
+    loop_lag: LoopLagMonitor
     rounds: DurationStats = attrs.Factory(DurationStats)
-    loop_lag: DurationStats = attrs.Factory(DurationStats)
     starts: Counter[CommandOutcome] = attrs.Factory(Counter)
     _next_report_ms: float = 0.0
     _reset_ms: float | None = None
+    # The reason that the last line on each waiting step gave.
+    _named_steps: dict[StepKey, WaitReason] = attrs.Factory(dict)
 
     def report(self, cell: CellScheduler, may_start: bool, now: float) -> None:
         """Write a line if the interval has passed and something has waited for long."""
         if now < self._next_report_ms:
             return
         self._next_report_ms = now + REPORT_INTERVAL_MS
-        summary = summarize_waiting(cell.state, now)
+        loop_lag_ms = self.loop_lag.take_longest_ms()
+        summary = summarize_waiting(cell.state, now, LONG_WAIT_MS)
         if _longest_wait_ms(summary) > LONG_WAIT_MS:
-            self._write(summary, cell, may_start, now)
+            self._write(summary, cell, may_start, loop_lag_ms, now)
         self._reset(now)
 
     def _reset(self, now: float) -> None:
         self.rounds = DurationStats()
-        self.loop_lag = DurationStats()
         self.starts = Counter()
         self._reset_ms = now
 
+    def _name_steps(self, long_waits: list[LongWait]) -> dict[str, str]:
+        """Return the steps to name in a line: those not named yet first, then the oldest."""
+        waiting = {wait.step for wait in long_waits}
+        named = {step: r for step, r in self._named_steps.items() if step in waiting}
+        changed = [wait for wait in long_waits if named.get(wait.step) is not wait.reason]
+        changed.sort(key=lambda wait: (wait.step in named, -wait.waited_ms))
+        chosen = changed[:MAX_NAMED_STEPS]
+        self._named_steps = named | {wait.step: wait.reason for wait in chosen}
+        return {step_id(w.step): f"{w.reason.value} {round(w.waited_ms)} ms" for w in chosen}
+
     def _write(
-        self, summary: WaitingSummary, cell: CellScheduler, may_start: bool, now: float
+        self,
+        summary: WaitingSummary,
+        cell: CellScheduler,
+        may_start: bool,
+        loop_lag_ms: float,
+        now: float,
     ) -> None:
         sent = self.starts.total()
         rejected = {
@@ -101,8 +123,9 @@
             rounds=self.rounds.count,
             round_mean_ms=round(self.rounds.mean_ms, 2),
             round_longest_ms=round(self.rounds.longest_ms, 2),
-            loop_lag_ms=round(self.loop_lag.longest_ms, 1),
+            loop_lag_ms=round(loop_lag_ms, 1),
             since_ms=round(now - self._reset_ms) if self._reset_ms is not None else 0,
+            named=self._name_steps(summary.long_waits),
         )
 
 
--- a/baobabhoist/observability/events.py
+++ b/baobabhoist/observability/events.py
@@ -174,6 +174,12 @@
         logging.INFO,
         "{steps} steps with {tasks} tasks wait, step {oldest} for {waited_ms} ms: {reason}",
     )
+    LOOP_STALLED = (1618, logging.WARNING, "event loop ran {lag_ms} ms late")
+    ADVICE_LATE = (
+        1619,
+        logging.INFO,
+        "advice on step {step} of job {job} came {late_ms} ms later than expected",
+    )
     TABLE_FOLLOWED = (8004, logging.INFO, "following table {table} from version {version}")
     TABLE_LOST = (8005, logging.WARNING, "cannot follow table {table}: {detail}")
     HISTORY_LOST = (
--- a/baobabhoist/tests/test_control_advice.py
+++ b/baobabhoist/tests/test_control_advice.py
@@ -1,13 +1,15 @@
 """Test how queries are distributed, given that the adviser serves each instance in turn."""
 
 import asyncio
+import logging
 
 from baobabhoist.cell.model import RequestAdvice, StepKey
 from baobabhoist.control import advice as advice_module
-from baobabhoist.control.advice import LOCAL_NODE, AdviceDispatcher
-from baobabhoist.control.interfaces import Advice
+from baobabhoist.control.advice import LATE_ANSWER_MS, LOCAL_NODE, AdviceDispatcher
+from baobabhoist.control.interfaces import Advice, AdviceOutcome
 from baobabhoist.control.messages import AdviceReply
 from baobabhoist.errors import LinkClosedError
+from baobabhoist.observability.events import EVENT_ATTRIBUTE, FIELDS_ATTRIBUTE, Event
 
 LONG_COST_MS, SHORT_COST_MS = 800.0, 20.0
 
@@ -34,6 +36,19 @@
     return AdviceDispatcher(FakeAdviser(), lambda: links)
 
 
+class ClockAdviser(FakeAdviser):
+    """Answer after the clock of the test has advanced."""
+
+    def __init__(self, clock, duration_ms, answers=True):
+        self.clock = clock
+        self.duration_ms = duration_ms
+        self.answers = answers
+
+    async def ask(self, step, workers, cost_ms):
+        self.clock["now"] += self.duration_ms
+        return await super().ask(step, workers, cost_ms) if self.answers else None
+
+
 def query(cost_ms):
     return RequestAdvice(StepKey("0" * 16, 0, 0), ("w",), cost_ms)
 
@@ -75,3 +90,41 @@
     dispatcher.busy_until_ms = {"n1": 9_000.0}
     answer = asyncio.run(dispatcher.ask(query(SHORT_COST_MS)))
     assert answer.tickets == {"w": "local"}
+
+
+def ask_and_read_log(monkeypatch, caplog, adviser, clock):
+    caplog.set_level(logging.INFO, logger="baobabhoist")
+    outcomes = []
+    dispatcher = AdviceDispatcher(adviser, dict, outcomes.append)
+    monkeypatch.setattr(advice_module, "monotonic_ms", lambda: clock["now"])
+    asyncio.run(dispatcher.ask(query(SHORT_COST_MS)))
+    return outcomes, [r.__dict__[EVENT_ATTRIBUTE] for r in caplog.records]
+
+
+def test_late_answer_is_logged_and_counted(monkeypatch, caplog):
+    """Guard against steps that wait for a slow adviser without a sign of it."""
+    clock = {"now": 1_000.0}
+    in_time = ClockAdviser(clock, SHORT_COST_MS + LATE_ANSWER_MS)
+    assert ask_and_read_log(monkeypatch, caplog, in_time, clock) == ([AdviceOutcome.ANSWERED], [])
+    late = ClockAdviser(clock, SHORT_COST_MS + LATE_ANSWER_MS + 1.0)
+    expected = ([AdviceOutcome.LATE], [Event.ADVICE_LATE])
+    assert ask_and_read_log(monkeypatch, caplog, late, clock) == expected
+    fields = caplog.records[0].__dict__[FIELDS_ATTRIBUTE]
+    assert (fields["late_ms"], fields["workers"], fields["approved"]) == (251, 1, 1)
+
+
+def test_failed_query_is_counted(monkeypatch, caplog):
+    """Guard against an adviser that is away and looks like one that refuses all workers."""
+    clock = {"now": 1_000.0}
+    adviser = ClockAdviser(clock, 0.0, answers=False)
+    assert ask_and_read_log(monkeypatch, caplog, adviser, clock)[0] == [AdviceOutcome.FAILED]
+
+
+def test_instance_whose_adviser_does_not_answer_leaves_a_line(monkeypatch, caplog):
+    """Guard against a step without tickets and without a line on the owner that says why."""
+    dispatcher = make_dispatcher(monkeypatch, n1=FakeLink(AdviceReply(False)))
+    dispatcher.busy_until_ms[LOCAL_NODE] = 5_000.0
+    assert asyncio.run(dispatcher.ask(query(SHORT_COST_MS))) is None
+    events = [r.__dict__[EVENT_ATTRIBUTE] for r in caplog.records]
+    assert events == [Event.ADVICE_FAILED]
+    assert caplog.records[0].__dict__[FIELDS_ATTRIBUTE]["node"] == "n1"
--- a/baobabhoist/tests/test_control_waiting_report.py
+++ b/baobabhoist/tests/test_control_waiting_report.py
@@ -7,7 +7,14 @@
 
 from baobabhoist.cell.model import AdviceTerms, CommandOutcome, Step
 from baobabhoist.cell.wait_reasons import WaitReason
-from baobabhoist.control.waiting_report import LONG_WAIT_MS, REPORT_INTERVAL_MS, WaitingReporter
+from baobabhoist.control.loop_lag import LoopLagMonitor
+from baobabhoist.control.metrics import NodeMetrics
+from baobabhoist.control.waiting_report import (
+    LONG_WAIT_MS,
+    MAX_NAMED_STEPS,
+    REPORT_INTERVAL_MS,
+    WaitingReporter,
+)
 from baobabhoist.observability.events import EVENT_ATTRIBUTE, Event, JsonFormatter
 from baobabhoist.tests.cell_harness import SMALL, CellHarness, make_job, make_rules
 
@@ -35,6 +42,10 @@
     return read
 
 
+def make_reporter():
+    return WaitingReporter(LoopLagMonitor(NodeMetrics()))
+
+
 def run_ticks(harness, reporter, duration_ms, may_start=True):
     for _ in range(int(duration_ms / TICK_MS)):
         harness.now += TICK_MS
@@ -50,7 +61,7 @@
     """
     harness = CellHarness.with_workers(3, ADVICE_RULES)
     harness.submit(make_job("0" * 16, Step(13, SMALL, 60_000)))
-    run_ticks(harness, WaitingReporter(), LONG_WAIT_MS + REPORT_INTERVAL_MS + TICK_MS)
+    run_ticks(harness, make_reporter(), LONG_WAIT_MS + REPORT_INTERVAL_MS + TICK_MS)
     line = lines()[-1]
     assert (line["oldest"], line["reason"]) == ("0" * 16 + ".0.0", "no_advice")
     assert line["waited_ms"] > LONG_WAIT_MS
@@ -66,7 +77,7 @@
     harness = CellHarness.with_workers(1)
     harness.submit(make_job())
     run_ticks(
-        harness, WaitingReporter(), LONG_WAIT_MS + REPORT_INTERVAL_MS + TICK_MS, may_start=False
+        harness, make_reporter(), LONG_WAIT_MS + REPORT_INTERVAL_MS + TICK_MS, may_start=False
     )
     line = lines()[-1]
     assert (line["reason"], line["may_start"]) == ("starts_paused", False)
@@ -76,12 +87,12 @@
     """Guard against a slow owner whose late starts are rejected without a sign of it."""
     harness = CellHarness.with_workers(1)
     harness.submit(make_job("0" * 16, Step(9, SMALL, 60_000)))
-    reporter = WaitingReporter()
+    reporter = make_reporter()
     run_ticks(harness, reporter, LONG_WAIT_MS + 500.0)
     reporter.starts.update({CommandOutcome.OK: 2, CommandOutcome.NO_TICKET: 3})
     for duration_ms in (10.0, 30.0):
         reporter.rounds.add(duration_ms)
-    reporter.loop_lag.add(250.0)
+    reporter.loop_lag.record(250.0)
     run_ticks(harness, reporter, 1_000.0)
     line = lines()[-1]
     assert (line["starts_sent"], line["starts_not_ok"]) == (5, {"no_ticket": 3})
@@ -96,27 +107,45 @@
     harness = CellHarness.with_workers(1)
     harness.delivers_commands = False
     harness.submit(make_job())
-    run_ticks(harness, WaitingReporter(), LONG_WAIT_MS + REPORT_INTERVAL_MS + TICK_MS)
+    run_ticks(harness, make_reporter(), LONG_WAIT_MS + REPORT_INTERVAL_MS + TICK_MS)
     line = lines()[-1]
     assert (line["steps"], line["starting_runs"]) == (0, 1)
     assert line["oldest_start"] == "0" * 16 + ".0.0.0 on w0"
     assert line["oldest_start_ms"] > LONG_WAIT_MS
 
 
+def test_lines_name_each_waiting_step_once_per_reason(lines):
+    """Guard against a waiting job whose own reason is in no line, because others are older."""
+    harness = CellHarness.with_workers(1)
+    reporter = make_reporter()
+    harness.submit(make_job("0" * 16, Step(4, SMALL, 600_000)))
+    harness.settle()
+    job_ids = [f"{number:016x}" for number in range(1, 2 * MAX_NAMED_STEPS)]
+    for job_id in job_ids:
+        harness.submit(make_job(job_id))
+    run_ticks(harness, reporter, LONG_WAIT_MS + 4 * REPORT_INTERVAL_MS)
+    named = [step for line in lines() for step in line["named"]]
+    assert sorted(named) == [f"{job_id}.0.0" for job_id in job_ids]
+    assert lines()[0]["named"][f"{job_ids[0]}.0.0"].startswith("no_room ")
+    run_ticks(harness, reporter, 2 * REPORT_INTERVAL_MS, may_start=False)
+    assert len(lines()[-1]["named"]) == len(job_ids) - MAX_NAMED_STEPS
+    assert all(text.startswith("starts_paused") for text in lines()[-1]["named"].values())
+
+
 def test_no_line_without_a_long_wait(lines):
     """Guard against a line each second on a healthy cell."""
     harness = CellHarness.with_workers(1)
     harness.submit(make_job())
-    run_ticks(harness, WaitingReporter(), 10_000.0)
+    run_ticks(harness, make_reporter(), 10_000.0)
     harness.submit(make_job("f" * 16, Step(9, SMALL, 60_000)))
-    run_ticks(harness, WaitingReporter(), LONG_WAIT_MS)
+    run_ticks(harness, make_reporter(), LONG_WAIT_MS)
     assert lines() == []
 
 
 def test_volume_is_at_most_one_short_line_a_second_for_any_number_of_steps(lines):
     """Guard against a flood of log lines when hundreds of steps wait for every reason."""
     harness = CellHarness.with_workers(1)
-    reporter = WaitingReporter()
+    reporter = make_reporter()
     reasons = [r for r in WaitReason if r is not WaitReason.NO_STARTABLE_WORKER]
     for number in range(500):
         harness.submit(make_job(f"{number:016x}", Step(5, SMALL, 60_000)))
