Show all fields of a log line in baobabhoist logs

A field was left out if its value stood anywhere in the message, so that advice_open=0 was missing beside a message with "0 ms" (seen in the log of a soak). Left out now are exactly the fields that the event's message contains; the test failed before. The line on waiting steps also says how many cores the emptiest worker has and what a task of the oldest step needs, because 5 free cores on 12 workers are no room for a large task.

--- a/baobabhoist/cell/waiting_summary.py
+++ b/baobabhoist/cell/waiting_summary.py
@@ -58,7 +58,9 @@
     by_reason: dict[WaitReason, ReasonSummary] = attrs.Factory(dict)
     long_waits: list[LongWait] = attrs.Factory(list)
     workers: Counter[WorkerCondition] = attrs.Factory(Counter)
+    # Of the usable workers, in total and of the one that has the most.
     free_cores: float = 0.0
+    largest_free_cores: float = 0.0
     # Runs whose start command was not answered yet, and the time since the oldest was issued.
     starting_runs: int = 0
     oldest_starting_ms: float = 0.0
@@ -122,16 +124,17 @@
             summary.by_reason.setdefault(reason, ReasonSummary()).add(step, duration_ms)
             if duration_ms > long_wait_ms:
                 summary.long_waits.append(LongWait(step.key, reason, duration_ms))
-    free_cpu = 0
+    free_cpu = [0]
     for worker in state.workers.values():
         condition = worker_condition(worker, now)
         summary.workers[condition] += 1
         if condition is WorkerCondition.USABLE:
-            free_cpu += worker.free_cpu
+            free_cpu.append(worker.free_cpu)
         for run in worker.runs.values():
             if run.phase is RunPhase.STARTING:
                 _add_starting_run(summary, run, now)
-    summary.free_cores = free_cpu / CPU_UNITS_PER_CORE
+    summary.free_cores = sum(free_cpu) / CPU_UNITS_PER_CORE
+    summary.largest_free_cores = max(free_cpu) / CPU_UNITS_PER_CORE
     return summary
 
 
--- a/baobabhoist/cli/logs.py
+++ b/baobabhoist/cli/logs.py
@@ -4,6 +4,7 @@
 
 import json
 import re
+import string
 from collections.abc import Iterable, Iterator, Sequence
 from pathlib import Path
 from typing import Any
@@ -12,6 +13,7 @@
 
 from baobabhoist.cli.client import ExitCode, UsageError
 from baobabhoist.cli.output import CommandResult
+from baobabhoist.observability.events import Event
 
 # Log collectors may prefix a line with a time and the name of its process.
 _LINE_PATTERN = re.compile(
@@ -58,11 +60,21 @@
 
     def text(self) -> str:
         """Return the event as a line of text, without fields that the message contains."""
-        extra_fields = {k: v for k, v in self.fields.items() if f"{v}" not in self.message}
+        in_message = _template_fields(self.name)
+        extra_fields = {k: v for k, v in self.fields.items() if k not in in_message}
         details = " ".join(f"{key}={value}" for key, value in extra_fields.items())
         return f"{self.time} {self.node} {self.name}: {self.message} {details}".rstrip()
 
 
+def _template_fields(name: str) -> frozenset[str]:
+    """Return the fields that the message of an event contains; none if the event is unknown."""
+    try:
+        template = Event[name.upper()].template
+    except KeyError:
+        return frozenset()
+    return frozenset(field for _, field, _, _ in string.Formatter().parse(template) if field)
+
+
 def merge_logs(job_id: str, paths: Sequence[str]) -> CommandResult:
     """Show the log lines of a job, with the events of its processes and workers meanwhile."""
     lines = sorted(_read_lines(paths))
--- a/baobabhoist/control/waiting_report.py
+++ b/baobabhoist/control/waiting_report.py
@@ -12,6 +12,7 @@
 from baobabhoist.cell.scheduler import CellScheduler
 from baobabhoist.cell.wait_reasons import WaitReason
 from baobabhoist.cell.waiting_summary import (
+    CPU_UNITS_PER_CORE,
     LongWait,
     ReasonSummary,
     WaitingSummary,
@@ -112,6 +113,7 @@
             by_reason={r.value: _reason_fields(e) for r, e in summary.by_reason.items()},
             workers={condition.value: n for condition, n in summary.workers.items()},
             free_cores=round(summary.free_cores, 1),
+            largest_free_cores=round(summary.largest_free_cores, 1),
             may_start=may_start,
             advice_open=cell.placer.open_advice_requests,
             advice_max=cell.placer.max_advice_requests,
@@ -148,6 +150,7 @@
         "oldest": step_id(entry.oldest.key),
         "oldest_queue": entry.oldest.job.accepted.queue,
         "oldest_tasks": entry.oldest.waiting_count,
+        "oldest_task_cores": entry.oldest.spec.allocation.cpu / CPU_UNITS_PER_CORE,
         "oldest_is_gang": entry.oldest.spec.gang,
         "oldest_tickets": attrs.asdict(tickets),
         "oldest_next_query_in_ms": max(0, round(entry.oldest.approvals.next_request_ms - now)),
--- a/baobabhoist/tests/test_cli_logs.py
+++ b/baobabhoist/tests/test_cli_logs.py
@@ -62,6 +62,16 @@
     assert f"{JOB_ID}.0.1': 'tickets_expired 2300 ms" in lines[1]
 
 
+def test_line_shows_all_fields_that_its_message_lacks(tmp_path):
+    """Guard against fields that are hidden because another one in the message has their value."""
+    path = tmp_path / "edge.log"
+    message = f"storing job {JOB_ID} of team t on queue q: new"
+    fields = {"job": JOB_ID, "team": "t", "queue": "q", "outcome": "new", "took_ms": 4, "by": "t"}
+    path.write_text(log_line(1, "job_stored", message, **fields))
+    line = merge_logs(JOB_ID, [str(path)]).lines[0]
+    assert line.endswith(f"job_stored: {message} took_ms=4 by=t")
+
+
 def test_unknown_job_and_missing_file_are_reported(tmp_path):
     """Guard against empty output, which looks like a job without problems."""
     path = tmp_path / "edge.log"
--- a/baobabhoist/tests/test_control_waiting_report.py
+++ b/baobabhoist/tests/test_control_waiting_report.py
@@ -68,6 +68,7 @@
     assert (line["steps"], line["tasks"], line["oldest_tasks"]) == (1, 13, 13)
     assert line["by_reason"]["no_advice"]["tasks"] == 13
     assert (line["free_cores"], line["workers"]) == (12.0, {"usable": 3})
+    assert (line["largest_free_cores"], line["oldest_task_cores"]) == (4.0, 1.0)
     assert (line["advice_open"], line["may_start"]) == (1, True)
     assert line["oldest_tickets"] == {"valid": 0, "approved": 0, "refused": 0}
 
