Leave event 1618 to the hand-over of the cell

A worker that accepts no tasks for a cause without a condition of its own now counts as other, not as one that stops orphans.

--- a/baobabhoist/cell/worker_conditions.py
+++ b/baobabhoist/cell/worker_conditions.py
@@ -22,6 +22,7 @@
     BACKED_OFF = "backed_off"
     # The worker has runs to stop that this owner does not track.
     STOPPING_ORPHANS = "stopping_orphans"
+    OTHER = "other"
 
 
 def worker_condition(worker: WorkerState, now: float) -> WorkerCondition:
@@ -36,6 +37,7 @@
         (now < health.quarantined_until_ms, WorkerCondition.QUARANTINED),
         (not health.accepts_task(now, len(worker.runs)), WorkerCondition.ON_PROBATION),
         (now < worker.backoff_until_ms, WorkerCondition.BACKED_OFF),
+        (bool(worker.orphan_runs), WorkerCondition.STOPPING_ORPHANS),
     )
     found = (condition for applies, condition in checks if applies)
-    return next(found, WorkerCondition.STOPPING_ORPHANS)
+    return next(found, WorkerCondition.OTHER)
--- a/baobabhoist/observability/events.py
+++ b/baobabhoist/observability/events.py
@@ -174,9 +174,9 @@
         logging.INFO,
         "{steps} steps with {tasks} tasks wait, step {oldest} for {waited_ms} ms: {reason}",
     )
-    LOOP_STALLED = (1618, logging.WARNING, "event loop ran {lag_ms} ms late")
+    LOOP_STALLED = (1619, logging.WARNING, "event loop ran {lag_ms} ms late")
     ADVICE_LATE = (
-        1619,
+        1620,
         logging.INFO,
         "advice on step {step} of job {job} came {late_ms} ms later than expected",
     )
