--- a/baobabhoist/tests/test_cell_wait_reasons.py
+++ b/baobabhoist/tests/test_cell_wait_reasons.py
@@ -135,7 +135,7 @@
     harness.submit(make_job())
     harness.schedule()
     answer_advice(harness, {"w0": "t"})
-    harness.cell.state.workers["w0"].health.record_stall(harness.now)
+    harness.cell.state.workers["w0"].health.quarantined_until_ms = harness.now + 1.0
     assert reason_of(harness) is WaitReason.TICKET_WORKERS_UNUSABLE
 
 
--- a/baobabhoist/tests/test_cell_worker_conditions.py
+++ b/baobabhoist/tests/test_cell_worker_conditions.py
@@ -33,12 +33,12 @@
     worker.has_accepted_token = False
 
 
-def stall(harness, worker):
-    worker.health.record_stall(harness.now)
+def quarantine(harness, worker):
+    worker.health.quarantined_until_ms = harness.now + 1.0
 
 
 def end_quarantine(harness, worker):
-    worker.health.record_stall(harness.now)
+    worker.health.is_on_probation = True
     worker.health.quarantined_until_ms = harness.now
 
 
@@ -58,7 +58,7 @@
         (unlist, WorkerCondition.UNLISTED),
         (fall_silent, WorkerCondition.SILENT),
         (lose_token, WorkerCondition.SILENT),
-        (stall, WorkerCondition.QUARANTINED),
+        (quarantine, WorkerCondition.QUARANTINED),
         (end_quarantine, WorkerCondition.ON_PROBATION),
         (back_off, WorkerCondition.BACKED_OFF),
         (add_orphan, WorkerCondition.STOPPING_ORPHANS),
