--- a/baobabhoist/observability/events.py
+++ b/baobabhoist/observability/events.py
@@ -179,6 +179,12 @@
         logging.INFO,
         "handing the cell over to the larger instance {successor}",
     )
+    LOOP_STALLED = (1619, logging.WARNING, "event loop ran {lag_ms} ms late")
+    ADVICE_LATE = (
+        1620,
+        logging.INFO,
+        "advice on step {step} of job {job} came {late_ms} ms later than expected",
+    )
     TABLE_FOLLOWED = (8004, logging.INFO, "following table {table} from version {version}")
     TABLE_LOST = (8005, logging.WARNING, "cannot follow table {table}: {detail}")
     HISTORY_LOST = (
--- a/baobabhoist/tests/test_control_owner.py
+++ b/baobabhoist/tests/test_control_owner.py
@@ -9,6 +9,7 @@
 from baobabhoist.control import owner as owner_module
 from baobabhoist.control.clock import StoreClock, monotonic_ms
 from baobabhoist.control.interfaces import CommandResponse, ExternalTables
+from baobabhoist.control.loop_lag import LoopLagMonitor
 from baobabhoist.control.machine_size import MachineSize
 from baobabhoist.control.metrics import NodeMetrics
 from baobabhoist.control.owner import CellOwner, OwnerDependencies, OwnershipTerm
@@ -71,6 +72,7 @@
         self.store.apply(RowTransaction(puts={WORKER_ROW_KEY: b"worker"}))
         self.decoder = FakeDecoder()
         self.driver = FakeDriver()
+        metrics = NodeMetrics()
         deps = OwnerDependencies(
             self.store,
             self.driver,
@@ -81,8 +83,9 @@
             60_000.0,
             lambda: True,
             lambda reason: None,
-            NodeMetrics(),
+            metrics,
             MachineSize(1.0, 1_000.0),
+            LoopLagMonitor(metrics),
         )
         now = monotonic_ms()
         self.owner = CellOwner(deps, OwnershipTerm(token, 0, now, now), make_rules())
