Check that an accepted job that could run does run

No test judged that: the replay of a cell measured value only, its adviser had no limit, its workers took any ticket and its faults were two.

--- /dev/null
+++ b/baobabhoist/benchmarks/cell_liveness.py
@@ -0,0 +1,418 @@
+"""Check that an accepted job which could run does run, under load and faults.
+
+A job is starved if for STARVATION_MS on end it has nothing running although a task of it is ready,
+sound workers have free capacity for that task (for a gang, for all its members) twice over, and
+both its team and the cell use less than half of what they have. The check looks at the fake
+workers and never at the state of the scheduler.
+"""
+
+from __future__ import annotations
+
+import functools
+import logging
+from collections.abc import Iterable, Iterator
+from typing import Any
+
+import attrs
+
+from baobabhoist.benchmarks.cell_faults import FaultPlan, FaultyCellReplay
+from baobabhoist.benchmarks.cell_workload import (
+    JOB_PROFILES,
+    WORKER_CAPACITY,
+    Arrival,
+    JobProfile,
+    LoadScenario,
+    SiteProfile,
+    generate_workload,
+)
+from baobabhoist.cell.model import NO_RESOURCES, JobPhase, Resources, RunOutcome, StepKey, TaskKey
+from baobabhoist.cell.placer import TaskPlacer
+from baobabhoist.cell.worker_selection import count_fitting_tasks
+
+SAMPLE_INTERVAL_MS = 250.0
+STARVATION_MS = 3_000.0
+# A job must run if there is capacity for this many times what it needs.
+SPARE_CAPACITY_FACTOR = 2
+# Time after the last arrival in which jobs are still judged.
+DRAIN_S = 14.0
+
+
+def _large_site_profile(
+    profile: JobProfile,
+    arrivals_per_s: float,
+    mean_tasks: int,
+    max_tasks: int,
+    approval_percent: int,
+) -> JobProfile:
+    return attrs.evolve(
+        profile,
+        arrivals_per_s=arrivals_per_s,
+        mean_tasks=mean_tasks,
+        max_tasks=max_tasks,
+        approval_percent=approval_percent,
+    )
+
+
+_BUNDLE, _RECON, _ENTRY = JOB_PROFILES
+LARGE_SITE = SiteProfile(
+    (
+        _large_site_profile(_BUNDLE, 0.37, 20, 120, 35),
+        _large_site_profile(_RECON, 0.76, 25, 150, 45),
+        _large_site_profile(_ENTRY, 5.5, 3, 19, 70),
+    ),
+    team_weights=tuple(1.0 / (number + 1) for number in range(20)),
+    limits_gangs_to_team=True,
+)
+LARGE_SITE_WORKERS = 176
+LARGE_SITE_LENGTH_S = 34.0
+# Keeps under half of the cell in use most of the time, so that starvation can be seen.
+ARRIVAL_FACTOR = 0.45
+
+
+@attrs.frozen
+class LivenessScenario:
+    """Combine a load with faults."""
+
+    load: LoadScenario
+    faults: FaultPlan = attrs.Factory(FaultPlan)
+
+
+def _scenario(name: str, faults: FaultPlan, **load: Any) -> LivenessScenario:
+    load.setdefault("arrival_factor", ARRIVAL_FACTOR)
+    return LivenessScenario(LoadScenario(name, **load), faults)
+
+
+SCENARIOS = {
+    scenario.load.name: scenario
+    for scenario in (
+        _scenario("calm", FaultPlan()),
+        _scenario("full_load", FaultPlan(), arrival_factor=1.0),
+        _scenario("restarting_workers", FaultPlan(restarting_fraction=0.1)),
+        _scenario("leaving_workers", FaultPlan(leaving_fraction=0.14)),
+        _scenario("failing_workers", FaultPlan(failing_fraction=0.085)),
+        _scenario("stalling_workers", FaultPlan(stalling_fraction=0.14)),
+        _scenario("always_failing_jobs", FaultPlan(), always_failing_job_fraction=0.3),
+        _scenario("burst_of_gangs", FaultPlan(), burst_queue="bundle", burst_factor=4.0),
+        _scenario("cancel_wave", FaultPlan(), cancelled_fraction=0.4),
+        _scenario("late_starts", FaultPlan(late_start_fraction=0.05)),
+        _scenario("slow_owner", FaultPlan(has_slow_starts=True)),
+        _scenario("takeover", FaultPlan(has_takeover=True)),
+        _scenario(
+            "restarting_workers_and_gangs",
+            FaultPlan(restarting_fraction=0.1),
+            burst_queue="bundle",
+            burst_factor=4.0,
+        ),
+        _scenario(
+            "restarting_workers_and_slow_owner",
+            FaultPlan(restarting_fraction=0.1, has_slow_starts=True),
+        ),
+        _scenario(
+            "failing_workers_and_jobs",
+            FaultPlan(failing_fraction=0.085),
+            always_failing_job_fraction=0.3,
+        ),
+        _scenario(
+            "stalling_workers_and_takeover", FaultPlan(stalling_fraction=0.14, has_takeover=True)
+        ),
+        _scenario(
+            "leaving_workers_and_late_starts",
+            FaultPlan(leaving_fraction=0.14, late_start_fraction=0.05),
+        ),
+    )
+}
+
+
+@attrs.frozen
+class Starvation:
+    """Describe a job that did not run although it could."""
+
+    step: StepKey
+    queue: str
+    team: str
+    task_count: int
+    is_gang: bool
+    since_ms: float
+    detected_ms: float
+
+
+@attrs.frozen
+class Usage:
+    """Hold what the runs on the workers use at one moment.
+
+    `running_jobs` includes those with a run that its owner can't know to have ended yet.
+    """
+
+    running_jobs: frozenset[str]
+    by_team: dict[str, Resources]
+    by_worker: dict[str, Resources]
+
+    @property
+    def total(self) -> Resources:
+        """Return what all runs use together."""
+        return _sum_resources(self.by_worker.values())
+
+
+@attrs.define
+class LivenessOracle:
+    """Find the starved jobs of a replay by sampling its workers."""
+
+    replay: FaultyCellReplay
+    starvations: list[Starvation] = attrs.Factory(list)
+    _open_jobs: dict[str, Arrival] = attrs.Factory(dict)
+    _starving_since_ms: dict[str, float] = attrs.Factory(dict)
+    _approved: dict[StepKey, frozenset[str]] = attrs.Factory(dict)
+
+    def attach(self) -> None:
+        """Sample the replay from now on."""
+        self._open_jobs = dict(self.replay.arrivals)
+        self.replay.schedule_event(0.0, self._sample)
+
+    def _sample(self) -> None:
+        self._check_open_jobs(self.replay.now)
+        self.replay.schedule_event(self.replay.now + SAMPLE_INTERVAL_MS, self._sample)
+
+    def _check_open_jobs(self, now: float) -> None:
+        done = self._done_tasks()
+        self._open_jobs = {
+            job_id: arrival
+            for job_id, arrival in self._open_jobs.items()
+            if not self._has_ended(arrival, done)
+        }
+        usage = self._usage()
+        starving = {} if self._is_half_used(usage) else self._starving_steps(usage, done)
+        self._starving_since_ms = {
+            job_id: self._starving_since_ms.get(job_id, now) for job_id in starving
+        }
+        for job_id, since_ms in list(self._starving_since_ms.items()):
+            if now - since_ms >= STARVATION_MS:
+                self._report(starving[job_id], since_ms, now)
+                del self._open_jobs[job_id]
+
+    def _report(self, step: StepKey, since_ms: float, now: float) -> None:
+        arrival = self.replay.arrivals[step.job_id]
+        spec = arrival.job.spec.steps[step.step]
+        self.starvations.append(
+            Starvation(
+                step,
+                arrival.job.queue,
+                arrival.job.team,
+                spec.count,
+                spec.gang,
+                since_ms,
+                now,
+            )
+        )
+
+    # Ends of tasks and jobs.
+
+    def _done_tasks(self) -> set[TaskKey]:
+        """Return the tasks that are done, reported or not."""
+        unreported = {
+            ended_run.task
+            for worker in self.replay.workers.values()
+            for ended_run in worker.unacked_ends
+            if worker.is_up and ended_run.outcome is RunOutcome.DONE
+        }
+        return self.replay.reported_ends.done | unreported
+
+    def _has_ended(self, arrival: Arrival, done: set[TaskKey]) -> bool:
+        if arrival.at_ms > self.replay.now:
+            return False
+        if arrival.cancel_ms is not None and arrival.cancel_ms <= self.replay.now:
+            return True
+        steps = range(len(arrival.job.spec.steps))
+        return self.has_failed(arrival) or all(
+            self._is_step_done(arrival, step, done) for step in steps
+        )
+
+    def has_failed(self, arrival: Arrival) -> bool:
+        """Return whether a task has used up its attempts."""
+        ends, max_attempts = self.replay.reported_ends, arrival.profile.queue.max_attempts
+        return any(
+            ends.count_failed_attempts(task, spec.gang) >= max_attempts
+            for step, spec in enumerate(arrival.job.spec.steps)
+            for task in _tasks_of_step(arrival, step)
+        )
+
+    def _is_step_done(self, arrival: Arrival, step: int, done: set[TaskKey]) -> bool:
+        is_done = any if arrival.job.spec.steps[step].gang else all
+        return is_done(task in done for task in _tasks_of_step(arrival, step))
+
+    # Usage and capacity.
+
+    def _usage(self) -> Usage:
+        now = self.replay.now
+        # No task may start again before the lease of its last run has expired.
+        running = {
+            job_id
+            for lost in self.replay.lost_runs.values()
+            for job_id in lost.job_ids
+            if now < lost.lease_expiry_ms
+        }
+        by_team: dict[str, Resources] = {}
+        by_worker: dict[str, Resources] = {}
+        for name, worker in self.replay.workers.items():
+            by_worker[name] = NO_RESOURCES
+            for task in worker.runs if worker.is_up else ():
+                job = self.replay.arrivals[task.job_id].job
+                need = job.spec.steps[task.step].need
+                running.add(task.job_id)
+                by_worker[name] = by_worker[name].plus(need)
+                by_team[job.team] = by_team.get(job.team, NO_RESOURCES).plus(need)
+        return Usage(frozenset(running), by_team, by_worker)
+
+    def _is_half_used(self, usage: Usage) -> bool:
+        capacity = WORKER_CAPACITY.times(len(self.replay.directory))
+        return _is_half_used(usage.total, capacity)
+
+    def _starving_steps(self, usage: Usage, done: set[TaskKey]) -> dict[str, StepKey]:
+        """Return a step that could run of each job that has nothing running."""
+        free = {
+            name: WORKER_CAPACITY.minus(usage.by_worker[name])
+            for name in self.replay.workers
+            if self.replay.is_sound(name)
+        }
+        starving = {}
+        for job_id, arrival in self._open_jobs.items():
+            if arrival.at_ms > self.replay.now or job_id in usage.running_jobs:
+                continue
+            team = self.replay.workload.rules.teams[arrival.job.team]
+            if _is_half_used(usage.by_team.get(team.name, NO_RESOURCES), team.limit):
+                continue
+            for step in self._ready_steps(arrival, done):
+                if self._has_spare_capacity(arrival, step, free):
+                    starving[job_id] = step
+                    break
+        return starving
+
+    def _ready_steps(self, arrival: Arrival, done: set[TaskKey]) -> Iterator[StepKey]:
+        for step, spec in enumerate(arrival.job.spec.steps):
+            if not self._is_step_done(arrival, step, done) and all(
+                self._is_step_done(arrival, other, done) for other in spec.after
+            ):
+                yield StepKey(arrival.job.job_id, 0, step)
+
+    def _has_spare_capacity(
+        self, arrival: Arrival, step: StepKey, free: dict[str, Resources]
+    ) -> bool:
+        spec = arrival.job.spec.steps[step.step]
+        required = SPARE_CAPACITY_FACTOR * (spec.count if spec.gang else 1)
+        approved = self._approved_workers(step)
+        for name, resources in free.items():
+            if name in approved:
+                required -= count_fitting_tasks(resources, spec.need, required)
+            if required <= 0:
+                return True
+        return False
+
+    def _approved_workers(self, step: StepKey) -> frozenset[str]:
+        if step not in self._approved:
+            self._approved[step] = frozenset(
+                name for name in self.replay.workers if self.replay.is_approved(step, name)
+            )
+        return self._approved[step]
+
+
+def _tasks_of_step(arrival: Arrival, step: int) -> list[TaskKey]:
+    count = arrival.job.spec.steps[step].count
+    return [TaskKey(arrival.job.job_id, 0, step, index) for index in range(count)]
+
+
+def _is_half_used(used: Resources, limit: Resources) -> bool:
+    return any(
+        amount and 2 * in_use >= amount
+        for in_use, amount in zip(
+            attrs.astuple(used, recurse=False), attrs.astuple(limit, recurse=False), strict=True
+        )
+    )
+
+
+def _sum_resources(amounts: Iterable[Resources]) -> Resources:
+    return functools.reduce(Resources.plus, amounts, NO_RESOURCES)
+
+
+@attrs.frozen
+class LivenessResult:
+    """Hold what a replay of a scenario showed."""
+
+    scenario: str
+    seed: int
+    jobs: int
+    starvations: tuple[Starvation, ...]
+    # Jobs that the scheduler shows as failed although a task has attempts left.
+    wrongly_failed: tuple[str, ...]
+    earned_value: float
+
+
+def check_liveness(name: str, workers: int, seconds: float, seed: int) -> LivenessResult:
+    """Replay a scenario and judge all its jobs."""
+    scenario = SCENARIOS[name]
+    workload = generate_workload(scenario.load, workers, seconds, seed, LARGE_SITE)
+    replay = FaultyCellReplay(
+        workload, TaskPlacer, drain_s=DRAIN_S, plan=scenario.faults, seed=seed
+    )
+    oracle = LivenessOracle(replay)
+    oracle.attach()
+    replay.run(seconds)
+    return LivenessResult(
+        name,
+        seed,
+        len(workload.arrivals),
+        tuple(oracle.starvations),
+        tuple(_wrongly_failed_jobs(replay, oracle)),
+        replay.earned_value()["all"],
+    )
+
+
+def _wrongly_failed_jobs(replay: FaultyCellReplay, oracle: LivenessOracle) -> Iterator[str]:
+    for job_id, arrival in replay.arrivals.items():
+        is_failed = replay.cell.state.jobs[job_id].phase is JobPhase.FAILED
+        if is_failed and not oracle.has_failed(arrival):
+            yield job_id
+
+
+def run(name: str, workers: int, seconds: float, seeds: Iterable[int]) -> dict[str, Any]:
+    """Return the results of each seed; an empty `name` means all scenarios."""
+    # Logging the simulated runs would take longer than the decisions.
+    logging.getLogger("baobabhoist").setLevel(logging.CRITICAL)
+    names = [name] if name else list(SCENARIOS)
+    results = [check_liveness(name, workers, seconds, seed) for name in names for seed in seeds]
+    return {
+        "workers": workers,
+        "duration_s": seconds,
+        "results": [attrs.asdict(result) for result in results],
+    }
+
+
+def format_table(report: dict[str, Any]) -> str:
+    """Format the report as a plain-text table that lists each starved job."""
+    lines = [f"{report['workers']} workers, arrivals for {report['duration_s']} s"]
+    row_format = "{:36}{:>6}{:>7}{:>9}{:>15}{:>8}"
+    lines.append(
+        row_format.format("scenario", "seed", "jobs", "starved", "wrongly failed", "worth")
+    )
+    for result in report["results"]:
+        starvations = result["starvations"]
+        lines.append(
+            row_format.format(
+                result["scenario"],
+                result["seed"],
+                result["jobs"],
+                len(starvations),
+                len(result["wrongly_failed"]),
+                f"{result['earned_value']:.3f}",
+            )
+        )
+        lines += [_format_starvation(starvation) for starvation in starvations]
+    return "\n".join(lines)
+
+
+def _format_starvation(starvation: dict[str, Any]) -> str:
+    step = starvation["step"]
+    kind = "gang" if starvation["is_gang"] else "step"
+    return (
+        f"    job {step['job_id']} {starvation['queue']} of {starvation['team']}: {kind}"
+        f" {step['step']} of {starvation['task_count']} tasks, waits from"
+        f" {starvation['since_ms'] / 1000:.2f} s"
+    )
--- a/baobabhoist/benchmarks/main.py
+++ b/baobabhoist/benchmarks/main.py
@@ -10,7 +10,14 @@
 import orjson
 from absl import app, flags
 
-from baobabhoist.benchmarks import cell_replay, control_overhead, decisions, progress_writes, relay
+from baobabhoist.benchmarks import (
+    cell_liveness,
+    cell_replay,
+    control_overhead,
+    decisions,
+    progress_writes,
+    relay,
+)
 from baobabhoist.benchmarks.cell_workload import SCENARIOS
 from baobabhoist.benchmarks.workload import PROFILES
 
@@ -29,6 +36,13 @@
     "duration_s", 0.0, "Length of the workload; 0 keeps the default of the benchmark or profile."
 )
 flags.DEFINE_enum("load", "", ["", *SCENARIOS], "Load scenario of a cell; by default all of them.")
+flags.DEFINE_enum(
+    "scenario",
+    "",
+    ["", *cell_liveness.SCENARIOS],
+    "Load and faults of the liveness check; by default all of them.",
+)
+flags.DEFINE_integer("seeds", 1, "Seeds of the liveness check, from --seed on.", lower_bound=1)
 flags.DEFINE_bool("failing_workers", True, "Whether some workers fail all tasks for some time.")
 flags.DEFINE_bool(
     "baselines", True, "Whether to replay the workload with the baseline policies too."
@@ -76,6 +90,13 @@
     return cell_replay.run(FLAGS.load, workers, seconds, FLAGS.seed, FLAGS.baselines)
 
 
+def _run_liveness() -> dict[str, Any]:
+    workers = FLAGS.workers or cell_liveness.LARGE_SITE_WORKERS
+    seconds = FLAGS.duration_s or cell_liveness.LARGE_SITE_LENGTH_S
+    seeds = range(FLAGS.seed, FLAGS.seed + FLAGS.seeds)
+    return cell_liveness.run(FLAGS.scenario, workers, seconds, seeds)
+
+
 def _run_progress() -> dict[str, Any]:
     return asyncio.run(progress_writes.run(FLAGS.measure_s))
 
@@ -94,6 +115,7 @@
     "cell": Benchmark(_run_cell, cell_replay.format_table),
     "control": Benchmark(_run_control, control_overhead.format_table),
     "decisions": Benchmark(_run_decisions, decisions.format_table),
+    "liveness": Benchmark(_run_liveness, cell_liveness.format_table),
     "progress": Benchmark(_run_progress, progress_writes.format_table),
     "relay": Benchmark(_run_relay, relay.format_table),
 }
--- a/baobabhoist/testing/cell_worker.py
+++ b/baobabhoist/testing/cell_worker.py
@@ -14,6 +14,7 @@
     Resources,
     RunOutcome,
     StartTask,
+    StepKey,
     StopTask,
     TaskKey,
     WorkerInfo,
@@ -49,6 +50,10 @@
     last_sequence_number: int = 0
     # Every start that took effect.
     started_runs: list[tuple[TaskKey, int]] = attrs.Factory(list)
+    is_up: bool = True
+    requires_tickets: bool = False
+    # When each ticket for a step expires, on the worker's clock.
+    ticket_expiries_ms: dict[tuple[StepKey, str], float] = attrs.Factory(dict)
 
     def info(self, **changes: Any) -> WorkerInfo:
         """Return the worker's entry in the directory."""
@@ -67,6 +72,8 @@
         self, token: int, acked_end: int, deadline_ms: int | None
     ) -> WorkerReport | CommandOutcome:
         """Handle a lease renewal; acknowledged ends are dropped from the reports."""
+        if not self.is_up:
+            return CommandOutcome.UNKNOWN
         if token < self.token:
             return CommandOutcome.FENCED
         self.token = token
@@ -87,9 +94,13 @@
 
     def start(self, token: int, command: StartTask, deadline_ms: int) -> CommandOutcome:
         """Handle a start command."""
+        if not self.is_up:
+            return CommandOutcome.UNKNOWN
         if token < self.token:
             return CommandOutcome.FENCED
         self.token = token
+        if self.requires_tickets and not self._has_valid_ticket(command):
+            return CommandOutcome.NO_TICKET
         if deadline_ms <= self.now_ms:
             return CommandOutcome.LATE
         self.lease_expires_ms = max(self.lease_expires_ms, deadline_ms)
@@ -104,6 +115,8 @@
 
     def stop(self, token: int, command: StopTask) -> CommandOutcome:
         """Handle a stop command; a run that was never started is recorded as ended."""
+        if not self.is_up:
+            return CommandOutcome.UNKNOWN
         if token < self.token:
             return CommandOutcome.FENCED
         self.token = token
@@ -132,8 +145,26 @@
             for task in list(self.runs):
                 self.end_run(task, RunOutcome.LAPSED)
 
+    def issue_ticket(self, step: StepKey, valid_ms: float) -> str:
+        """Return a ticket for the tasks of a step, which a restart invalidates."""
+        expires_ms = self.now_ms + valid_ms
+        ticket = f"{self.started_unix_ms}-{expires_ms}"
+        self.ticket_expiries_ms[step, ticket] = expires_ms
+        return ticket
+
+    def _has_valid_ticket(self, command: StartTask) -> bool:
+        expires_ms = self.ticket_expiries_ms.get((command.task.step_key, command.ticket), 0.0)
+        return expires_ms > self.now_ms
+
+    def crash(self) -> None:
+        """End all runs without a report; no command is answered until the worker restarts."""
+        self.is_up = False
+        self.runs.clear()
+
     def restart(self) -> None:
         """Restart under the same id, without state of the previous incarnation."""
+        self.is_up = True
+        self.ticket_expiries_ms.clear()
         self.started_unix_ms += 1
         self.now_ms, self.token, self.lease_expires_ms, self.last_sequence_number = 0.0, 0, 0.0, 0
         self.runs.clear()
