Set no sound workers aside for jobs that fail everywhere

Failures of a task that also failed on two other workers which are not set aside, or on one if its job has used up its attempts, no longer count against a worker. That is the rule of scheduling/health.py; a step without any success counts as a whole. A quarantine that rests on such failures is revoked as soon as they show. At most a quarter of the listed workers of a service is quarantined or on probation, whatever the reason, and never the only one. Refused starts of an unhealthy worker count as before.

--- a/baobabhoist/benchmarks/cell_liveness.py
+++ b/baobabhoist/benchmarks/cell_liveness.py
@@ -92,6 +92,12 @@
         _scenario("failing_workers", FaultPlan(failing_fraction=0.085)),
         _scenario("stalling_workers", FaultPlan(stalling_fraction=0.14)),
         _scenario("always_failing_jobs", FaultPlan(), always_failing_job_fraction=0.3),
+        _scenario(
+            "mostly_failing_jobs",
+            FaultPlan(),
+            arrival_factor=1.0,
+            always_failing_job_fraction=0.9,
+        ),
         _scenario("burst_of_gangs", FaultPlan(), burst_queue="bundle", burst_factor=4.0),
         _scenario("cancel_wave", FaultPlan(), cancelled_fraction=0.4),
         _scenario("late_starts", FaultPlan(late_start_fraction=0.05)),
--- a/baobabhoist/cell/jobs.py
+++ b/baobabhoist/cell/jobs.py
@@ -63,6 +63,8 @@
     is_done: bool = False
     last_run_number: int = 0
     failed_runs: set[int] = attrs.Factory(set)
+    # Workers on which the task failed.
+    failed_worker_ids: set[str] = attrs.Factory(set)
     checkpoint: str = ""
 
     @property
--- a/baobabhoist/cell/periodic_checks.py
+++ b/baobabhoist/cell/periodic_checks.py
@@ -8,6 +8,7 @@
 
 import logging
 
+from baobabhoist.cell import quarantine
 from baobabhoist.cell.jobs import Run, RunPhase, StepState
 from baobabhoist.cell.run_ends import RunEndHandler, close_lost_run
 from baobabhoist.cell.state import CellState
@@ -71,8 +72,7 @@
             and run.progress_percent < 100
         )
         if is_stalled:
-            if worker.health.record_stall(now):
-                emit(log, Event.WORKER_SET_ASIDE, worker=worker.worker_id, reason="stalled")
+            quarantine.record_stall(self._state, worker, now)
             emit(
                 log,
                 Event.RUN_STALLED,
--- a/baobabhoist/cell/run_ends.py
+++ b/baobabhoist/cell/run_ends.py
@@ -43,6 +43,7 @@
         ):
             task.failed_runs.add(run_number)
             if task.run is not None and task.run.number == run_number:
+                task.failed_worker_ids.add(task.run.worker_id)
                 task.step.failed_worker_ids.add(task.run.worker_id)
             self._state.dirty.add(job.job_id)
             self._fail_job_after_max_attempts(task, now)
--- a/baobabhoist/cell/worker_reports.py
+++ b/baobabhoist/cell/worker_reports.py
@@ -4,6 +4,7 @@
 
 import logging
 
+from baobabhoist.cell import quarantine
 from baobabhoist.cell.jobs import Run, RunPhase
 from baobabhoist.cell.model import (
     REJECTED_OUTCOMES,
@@ -123,7 +124,7 @@
         else:
             worker.backoff_until_ms = now + FAILED_START_BACKOFF_MS
         if outcome is CommandOutcome.UNHEALTHY:
-            worker.health.record_failure(step.job.job_id, now)
+            quarantine.record_refusal(self._state, worker, step.job.job_id, now)
         self._state.close_run(run)
         if step.spec.gang and not step.is_done:
             self._run_ends.stop_gang_run(step, run.number, now)
@@ -141,10 +142,8 @@
             self._run_ends.record_end(
                 task, ended_run.run, ended_run.outcome, ended_run.checkpoint, now
             )
-            if ended_run.outcome is RunOutcome.FAILED and worker.health.record_failure(
-                job.job_id, now
-            ):
-                emit(log, Event.WORKER_SET_ASIDE, worker=worker.worker_id, reason="failures")
+            if ended_run.outcome is RunOutcome.FAILED:
+                quarantine.record_failure(self._state, worker, task, now)
             self._state.close_run(run)
             return
         if not job.is_final:
