Read a lost table again in pieces that fit the link

Cause: TableFollower.load sent all reads together, threw all away when one failed, and began again with the same reads. A table that the link does not carry within the timeout of one read was never read, and the link stayed full.

The follower now uses the reader of the loading owner, moved to range_reader.py: as many reads at once as the link carries, answers are kept, unanswered ranges of jobs are split. The poll starts from the oldest of the versions, so a change that falls between two reads is repeated.

--- a/baobabhoist/control/owner.py
+++ b/baobabhoist/control/owner.py
@@ -29,6 +29,7 @@
 from baobabhoist.control.messages import PendingReply, StateReply
 from baobabhoist.control.metrics import NodeMetrics
 from baobabhoist.control.progress_writer import ProgressWriter
+from baobabhoist.control.range_reader import max_concurrent_reads
 from baobabhoist.control.row_schema import (
     CANCEL_SUFFIX,
     JOB_PARTITIONS,
@@ -106,7 +107,8 @@
         self.progress_writer.on_end_acked = self._handle_end_acked
         self._deps = deps
         self._rules = rules
-        self._loader = CellLoader(deps.store, deps.decoder.tables.directory, deps.link_mbps)
+        self._max_reads = max_concurrent_reads(deps.link_mbps)
+        self._loader = CellLoader(deps.store, deps.decoder.tables.directory, self._max_reads)
         self._tasks = TaskSupervisor()
         self._start_pacer = StartPacer(deps.link_mbps)
         self._sessions: dict[str, WorkerSession] = {}
@@ -264,6 +266,7 @@
             partitions=JOB_PARTITIONS,
             pause_s=lambda: JOBS_POLL_PAUSE_S,
             known_version=self._loader.tables().jobs_version,
+            max_reads=self._max_reads,
         )
 
     def _directory_follower(self) -> TableFollower:
--- a/baobabhoist/control/table_follower.py
+++ b/baobabhoist/control/table_follower.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable, Iterable, Sequence
 
 from baobabhoist.control.clock import StoreClock, monotonic_ms
+from baobabhoist.control.range_reader import MAX_CONCURRENT_READS, RangeReader, TableRange
 from baobabhoist.observability.events import Event, emit
 from baobabhoist.store.row_store import HistoryLostError, RowSet, RowStore, StoredRow, StoreError
 
@@ -38,6 +39,7 @@
         pause_s: Callable[[], float] = lambda: 0.0,
         on_confirmed: Callable[[float], None] | None = None,
         known_version: int = 0,
+        max_reads: int = MAX_CONCURRENT_READS,
     ) -> None:
         self.confirmed_ms = -1e12
         self.version = known_version
@@ -48,6 +50,10 @@
         self._partitions = tuple(partitions)
         self._pause_s = pause_s
         self._on_confirmed = on_confirmed
+        self._max_reads = max_reads
+        # The snapshot that is being read, and when its first read was sent.
+        self._snapshot: RangeReader | None = None
+        self._snapshot_sent_ms = 0.0
         self._is_connected = False
         self._poll_requested = asyncio.Event()
 
@@ -68,14 +74,17 @@
                 await asyncio.sleep(RETRY_INTERVAL_S)
 
     async def load(self) -> None:
-        """Read a snapshot of the table; raises StoreError."""
-        sent_ms = monotonic_ms()
-        reads = (self._store.read(self._table, partition) for partition in self._partitions)
-        snapshots: list[RowSet] = await asyncio.gather(*reads)
-        # Partitions may differ in version; the first poll repeats the changes after the oldest.
-        self.version = min(rows.version for rows in snapshots)
-        self._on_rows([row for rows in snapshots for row in rows.rows], True)
-        self._confirm(snapshots[-1], sent_ms)
+        """Read a snapshot of the table; raises StoreError, after which it may be continued."""
+        if self._snapshot is None:
+            ranges = (TableRange(self._table, partition) for partition in self._partitions)
+            self._snapshot = RangeReader(self._store, ranges, self._max_reads)
+            self._snapshot_sent_ms = monotonic_ms()
+        await self._snapshot.read_missing()
+        snapshot, self._snapshot = self._snapshot, None
+        # Ranges may differ in version; the first poll repeats the changes after the oldest.
+        self.version = snapshot.version(self._table)
+        self._on_rows(snapshot.rows(self._table), True)
+        self._confirm(snapshot.row_sets(self._table)[-1], self._snapshot_sent_ms)
 
     async def _poll(self) -> None:
         sent_ms = monotonic_ms()
--- a/baobabhoist/tests/test_control_cell_loader.py
+++ b/baobabhoist/tests/test_control_cell_loader.py
@@ -7,7 +7,8 @@
 
 import pytest
 
-from baobabhoist.control.cell_loader import CellLoader, TableRange
+from baobabhoist.control.cell_loader import CellLoader
+from baobabhoist.control.range_reader import TableRange, max_concurrent_reads
 from baobabhoist.control.row_schema import (
     CANCEL_SUFFIX,
     JOB_PARTITIONS,
@@ -55,7 +56,7 @@
     """Guard against takeovers that restart for ever on a slow link."""
     store = FlakyRowStore()
     store_job_and_progress(store)
-    loader = CellLoader(store, DIRECTORY, FAST_LINK_MBPS)
+    loader = CellLoader(store, DIRECTORY, max_concurrent_reads(FAST_LINK_MBPS))
     with pytest.raises(StoreUnansweredError):
         asyncio.run(loader.read_missing())
     assert {missing.table for missing in loader.missing} == {JOBS_TABLE}
@@ -69,7 +70,7 @@
     """Guard against a cell that lacks rows, or that follows the jobs from too late a version."""
     store = MemoryRowStore()
     store_job_and_progress(store)
-    loader = CellLoader(store, DIRECTORY, FAST_LINK_MBPS)
+    loader = CellLoader(store, DIRECTORY, max_concurrent_reads(FAST_LINK_MBPS))
     asyncio.run(loader.read_missing())
     tables = loader.tables()
     assert [row.key for row in tables.jobs] == [job_row_key(JOB_ID)]
@@ -94,7 +95,11 @@
             in_flight -= 1
             return await super().read(table, part, start=start, end=end)
 
-    asyncio.run(CellLoader(CountingRowStore(), DIRECTORY, FAST_LINK_MBPS).read_missing())
+    asyncio.run(
+        CellLoader(
+            CountingRowStore(), DIRECTORY, max_concurrent_reads(FAST_LINK_MBPS)
+        ).read_missing()
+    )
     assert 1 < max_in_flight <= 6
 
 
@@ -131,7 +136,7 @@
         store.apply(RowTransaction(puts={cancel_row_key(job_id): b"{}"}))
     for job_id in ids[::8]:
         store.apply(RowTransaction(puts={progress_row_key(job_id): b"progress"}))
-    loader = CellLoader(store, DIRECTORY, SLOW_LINK_MBPS)
+    loader = CellLoader(store, DIRECTORY, max_concurrent_reads(SLOW_LINK_MBPS))
     for _ in range(2):
         with contextlib.suppress(StoreUnansweredError):
             asyncio.run(loader.read_missing())
--- a/baobabhoist/tests/test_control_table_follower.py
+++ b/baobabhoist/tests/test_control_table_follower.py
@@ -7,7 +7,7 @@
 from baobabhoist.control import table_follower as table_follower_module
 from baobabhoist.control.clock import StoreClock
 from baobabhoist.control.table_follower import TableFollower
-from baobabhoist.store.row_store import RowKey, RowTransaction
+from baobabhoist.store.row_store import RowKey, RowTransaction, StoreUnansweredError
 from baobabhoist.testing.memory_row_store import MemoryRowStore
 
 KEY = RowKey("t", "", "k")
@@ -56,6 +56,80 @@
     run_with_follower(test)
 
 
+class SlowLinkStore(MemoryRowStore):
+    """Answer only one read at a time, and fail the others."""
+
+    in_flight = 0
+
+    async def read(self, table, part="", *, start="", end=""):
+        self.in_flight += 1
+        is_shared = self.in_flight > 1
+        await asyncio.sleep(0)
+        self.in_flight -= 1
+        if is_shared:
+            raise StoreUnansweredError("no answer within the timeout")
+        return await super().read(table, part, start=start, end=end)
+
+
+def test_snapshot_of_many_partitions_is_read_over_a_slow_link():
+    """Guard against a follower that reads a large table again and again and blocks the link."""
+
+    async def run():
+        store, seen = SlowLinkStore(), []
+        keys = [RowKey("t", part, "k") for part in "abcd"]
+        store.apply(RowTransaction({}, dict.fromkeys(keys, b"1")))
+        follower = TableFollower(
+            store,
+            "t",
+            lambda rows, is_snapshot: seen.extend(row.key for row in rows),
+            StoreClock(),
+            partitions="abcd",
+            max_reads=1,
+        )
+        task = asyncio.create_task(follower.run())
+        await run_event_loop()
+        task.cancel()
+        assert seen == keys
+
+    asyncio.run(run())
+
+
+@pytest.mark.parametrize("failed_part", "ab")
+def test_interrupted_snapshot_is_continued(failed_part):
+    """Guard against a snapshot that never completes, or that misses a change while it is read."""
+
+    class FlakyStore(MemoryRowStore):
+        reads = []
+
+        async def read(self, table, part="", *, start="", end=""):
+            self.reads.append(part)
+            if self.reads.count(part) == 1 and part == failed_part:
+                raise StoreUnansweredError("no answer")
+            return await super().read(table, part, start=start, end=end)
+
+    async def run():
+        store, seen = FlakyStore(), []
+        keys = [RowKey("t", part, "k") for part in "ab"]
+        store.apply(RowTransaction({}, dict.fromkeys(keys, b"1")))
+        follower = TableFollower(
+            store,
+            "t",
+            lambda rows, is_snapshot: seen.extend(row.value for row in rows),
+            StoreClock(),
+            partitions="ab",
+        )
+        with pytest.raises(StoreUnansweredError):
+            await follower.load()
+        store.apply(RowTransaction({}, dict.fromkeys(keys, b"2")))
+        task = asyncio.create_task(follower.run())
+        await run_event_loop()
+        task.cancel()
+        assert sorted(store.reads) == sorted("ab" + failed_part)
+        assert seen.count(b"2") >= 2
+
+    asyncio.run(run())
+
+
 def test_lost_history_leads_to_a_new_snapshot():
     """Guard against missing a change whose history the store has dropped."""
 
