--- a/baobabhoist/cell/placer.py
+++ b/baobabhoist/cell/placer.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import math
 from collections import Counter
 
 import attrs
@@ -25,8 +24,6 @@
 ANSWER_TIMEOUT_MARGIN_MS = 4_000.0
 # Tickets are renewed when they expire within the duration of a request plus this margin.
 TICKET_RENEWAL_MARGIN_MS = 100.0
-# Bytes of a start command besides its payload.
-COMMAND_OVERHEAD_BYTES = 600
 REMOTE_RACK_COST = 0.5
 # Makes tasks avoid a worker on which a task of their step failed, if there is another.
 PREVIOUS_FAILURE_COST = 2.0
@@ -41,8 +38,6 @@
     max_advice_requests: int = 1
     open_advice_requests: int = 0
     reservations: Reservations = attrs.Factory(Reservations)
-    # Payload bytes that may still be started; a step that began to start may exceed them.
-    start_budget_bytes: float = math.inf
 
     def place_waiting_steps(self, now: float, may_start: bool) -> None:
         """Start the tasks that fit and request advice for those that still wait."""
@@ -54,11 +49,7 @@
         self.reservations.clear()
         for position, step in enumerate(ranked_steps):
             service = self.state.service_of(step.job)
-            if (
-                may_start
-                and self.start_budget_bytes > 0
-                and step.spec.allocation.cpu <= worker_index.max_free_cpu(service)
-            ):
+            if may_start and step.spec.allocation.cpu <= worker_index.max_free_cpu(service):
                 self._place_step(step, worker_index, now)
             if step.waiting_count:
                 self._request_advice(step, position, worker_index, now)
@@ -105,9 +96,6 @@
         for task, worker in zip(list(step.waiting_tasks()), chosen, strict=False):
             if not self.state.is_within_team_limit(step.job, spec.need):
                 return
-            if self.start_budget_bytes <= 0:
-                return
-            self.start_budget_bytes -= command_size(step)
             self.state.start_run(task, worker, self.state.next_run_number([task]), now)
 
     def _may_reserve_team_limit(self, step: StepState, need: Resources, now: float) -> bool:
@@ -127,7 +115,6 @@
             return
         run_number = self.state.next_run_number(members)
         checkpoint = next((m.checkpoint for m in members if m.checkpoint), "")
-        self.start_budget_bytes -= command_size(step) * len(members)
         for task, worker in zip(members, chosen, strict=True):
             task.checkpoint = checkpoint
             self.state.start_run(task, worker, run_number, now)
@@ -186,11 +173,6 @@
         self.state.commands.append(RequestAdvice(step.key, tuple(requested), cost_ms))
 
 
-def command_size(step: StepState) -> int:
-    """Return the approximate size of a start command for a task of the step, in bytes."""
-    return len(step.job.accepted.spec.payload) + COMMAND_OVERHEAD_BYTES
-
-
 def _workers_to_renew(
     step: StepState, capable_ids: list[str], terms: AdviceTerms, now: float
 ) -> list[str]:
--- a/baobabhoist/control/owner.py
+++ b/baobabhoist/control/owner.py
@@ -38,7 +38,6 @@
     decode_job,
     decode_speeds,
 )
-from baobabhoist.control.start_pacer import StartPacer
 from baobabhoist.control.table_follower import TableFollower
 from baobabhoist.control.task_supervisor import TaskSupervisor, result_or
 from baobabhoist.control.worker_session import WorkerSession
@@ -110,7 +109,6 @@
         self._max_reads = max_concurrent_reads(deps.link_mbps)
         self._loader = CellLoader(deps.store, deps.decoder.tables.directory, self._max_reads)
         self._tasks = TaskSupervisor()
-        self._start_pacer = StartPacer(deps.link_mbps)
         self._sessions: dict[str, WorkerSession] = {}
         self._round_requested = False
         self._next_round_ms = 0.0
@@ -353,10 +351,7 @@
 
     def _schedule(self, cell: CellScheduler) -> None:
         start_s = time.perf_counter()
-        now = monotonic_ms()
-        cell.placer.start_budget_bytes = self._start_pacer.refill(now)
-        commands = cell.schedule(now, self._deps.may_start())
-        self._start_pacer.available_bytes = cell.placer.start_budget_bytes
+        commands = cell.schedule(monotonic_ms(), self._deps.may_start())
         duration_s = time.perf_counter() - start_s
         # Limits the share of the processor that rounds take under a flood of events.
         self._next_round_ms = monotonic_ms() + duration_s * 1000 * ROUND_PAUSE_FACTOR
