--- a/baobabhoist/control/owner.py
+++ b/baobabhoist/control/owner.py
@@ -31,6 +31,7 @@
 from baobabhoist.control.messages import PendingReply, StateReply
 from baobabhoist.control.metrics import NodeMetrics
 from baobabhoist.control.progress_writer import ProgressWriter
+from baobabhoist.control.range_reader import max_concurrent_reads
 from baobabhoist.control.row_schema import (
     CANCEL_SUFFIX,
     JOB_PARTITIONS,
@@ -58,6 +59,8 @@
 ROUND_PAUSE_FACTOR = 3.0
 # While loading a cell, yield to the event loop after this many rows, so that heartbeats are sent.
 ROWS_PER_YIELD = 40
+# Likewise after the first calls to this many workers.
+SESSIONS_PER_YIELD = 10
 
 
 @attrs.frozen
@@ -110,7 +113,8 @@
         self.progress_writer.on_end_acked = self._handle_end_acked
         self._deps = deps
         self._rules = rules
-        self._loader = CellLoader(deps.store, deps.decoder.tables.directory, deps.size.link_mbps)
+        self._max_reads = max_concurrent_reads(deps.size.link_mbps)
+        self._loader = CellLoader(deps.store, deps.decoder.tables.directory, self._max_reads)
         self._tasks = TaskSupervisor()
         self._sessions: dict[str, WorkerSession] = {}
         self._round_requested = False
@@ -216,8 +220,11 @@
             if index % ROWS_PER_YIELD == 0:
                 await asyncio.sleep(0)
         self.is_loaded = True
-        self._sync_sessions()
-        cell.log_inherited_jobs(now)
+        await self._open_sessions()
+        for index, job in enumerate(cell.unfinished_inherited_jobs()):
+            cell.log_ownership(job, now)
+            if index % ROWS_PER_YIELD == 0:
+                await asyncio.sleep(0)
         emit(
             log,
             Event.CELL_LOADED,
@@ -270,6 +277,7 @@
             partitions=JOB_PARTITIONS,
             pause_s=lambda: JOBS_POLL_PAUSE_S,
             known_version=self._loader.tables().jobs_version,
+            max_reads=self._max_reads,
         )
 
     def _directory_follower(self) -> TableFollower:
@@ -319,6 +327,16 @@
                 self._open_session(worker_id)
         self.request_scheduling_round()
 
+    async def _open_sessions(self) -> None:
+        """Open the sessions with all workers, not all in one turn of the event loop."""
+        workers = self._require_cell().state.workers
+        for index, worker_id in enumerate(list(workers)):
+            if worker_id in workers and workers[worker_id].info.address:
+                self._open_session(worker_id)
+            if index % SESSIONS_PER_YIELD == 0:
+                await asyncio.sleep(0)
+        self.request_scheduling_round()
+
     def _open_session(self, worker_id: str) -> None:
         if worker_id in self._sessions:
             return
--- a/baobabhoist/tests/test_control_owner_logs.py
+++ b/baobabhoist/tests/test_control_owner_logs.py
@@ -13,6 +13,7 @@
 from baobabhoist.control.clock import StoreClock, monotonic_ms
 from baobabhoist.control.interfaces import CommandResponse, ExternalTables
 from baobabhoist.control.loop_lag import LoopLagMonitor
+from baobabhoist.control.machine_size import MachineSize
 from baobabhoist.control.metrics import NodeMetrics
 from baobabhoist.control.owner import CellOwner, OwnerDependencies, OwnershipTerm
 from baobabhoist.control.row_schema import OWNER_ROW_KEY, JobRow, encode_job, job_row_key
@@ -72,8 +73,7 @@
             may_start=lambda: True,
             on_ownership_lost=lambda reason: None,
             metrics=self.metrics,
-            cores=0.39,
-            link_mbps=10.0,
+            size=MachineSize(0.39, 10.0),
             loop_lag=LoopLagMonitor(self.metrics),
         )
         now = monotonic_ms()
--- a/baobabhoist/tests/test_platform_http_client.py
+++ b/baobabhoist/tests/test_platform_http_client.py
@@ -23,10 +23,12 @@
     head = f"HTTP/1.1 200 OK\r\nContent-Length: {len(EMPTY_PAGE)}\r\n\r\n"
     writer.write(head.encode() + EMPTY_PAGE)
     await writer.drain()
+    writer.close()
 
 
 async def _never_answer(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
     await reader.read()
+    writer.close()
 
 
 async def _listen(serve: object) -> str:
