Survive SIGHUP during the start

An instance that got SIGHUP in the first second after its start ended without a log line, and callers found its address closed until something started it again: until its event loop runs, the default action of SIGHUP ends the process, and importing the libraries takes half a second and more.

A reload in that time needs no action, because the settings are read after the imports; one in the milliseconds between that and the event loop is missed, which concerns the log level alone. The time in which the interpreter itself starts, some tens of ms, can't be covered from inside the process.

--- a/baobabhoist/platform/testing/deployment.py
+++ b/baobabhoist/platform/testing/deployment.py
@@ -15,7 +15,7 @@
 import yaml
 from tornado.httpclient import AsyncHTTPClient, HTTPResponse
 
-from baobabhoist.platform.main import SETTINGS_ENV_VAR
+from baobabhoist.platform.instance import SETTINGS_ENV_VAR
 from baobabhoist.platform.testing.store import EXTERNAL_WRITER_HEADER
 from baobabhoist.testing.cluster import Cluster, free_port, wait_for_port
 from baobabhoist.testing.soak_driver import try_fetch
--- a/baobabhoist/tests/platform_harness.py
+++ b/baobabhoist/tests/platform_harness.py
@@ -16,7 +16,7 @@
 from baobabhoist.control.node import Node, PlatformAdapter
 from baobabhoist.control.row_schema import JOBS_TABLE, OWNER_ROW_KEY
 from baobabhoist.control.settings import BoundSettings, NodeSettings, StoreSettings
-from baobabhoist.platform import main
+from baobabhoist.platform import instance
 from baobabhoist.platform.decode import PlatformDecoder
 from baobabhoist.store.row_store import (
     RowKey,
@@ -149,9 +149,9 @@
     store.apply(RowTransaction({}, {config_key: orjson.dumps(CONFIG)}))
     adapter = PlatformAdapter(store, NoWorkers(), NoWorkers(), PlatformDecoder())
     node = Node(_settings(grace_s), adapter)
-    monkeypatch.setattr(main, "make_node", lambda cfg: node)
+    monkeypatch.setattr(instance, "make_node", lambda cfg: node)
     async with asyncio.timeout(TEST_TIMEOUT_S):
-        serving = asyncio.create_task(main.serve(node.cfg, lambda: 0))
+        serving = asyncio.create_task(instance.serve(node.cfg, lambda: 0))
         while not node.is_ready():
             await asyncio.sleep(POLL_PAUSE_S)
         yield Instance(node, store, serving)
--- a/baobabhoist/tests/test_platform_http_server.py
+++ b/baobabhoist/tests/test_platform_http_server.py
@@ -11,7 +11,7 @@
 import pytest
 
 from baobabhoist.control.row_schema import job_row_key
-from baobabhoist.platform import main
+from baobabhoist.platform import instance as instance_module
 from baobabhoist.platform.http_server import MAX_BODY_BYTES
 from baobabhoist.tests.platform_harness import (
     JOB_ID,
@@ -154,14 +154,14 @@
 def test_reload_leaves_open_calls_alone(monkeypatch: pytest.MonkeyPatch) -> None:
     """Guard against a call that SIGHUP cuts, with a settings file that is missing at that time."""
     reloaded = asyncio.Event()
-    reload_settings = main._reload_settings
+    reload_settings = instance_module._reload_settings
 
     def reload_and_tell() -> None:
         reload_settings()
         reloaded.set()
 
-    monkeypatch.setattr(main, "_reload_settings", reload_and_tell)
-    monkeypatch.setenv(main.SETTINGS_ENV_VAR, "/nonexistent/settings.yaml")
+    monkeypatch.setattr(instance_module, "_reload_settings", reload_and_tell)
+    monkeypatch.setenv(instance_module.SETTINGS_ENV_VAR, "/nonexistent/settings.yaml")
 
     async def test(instance: Instance, caller: CallerConnection) -> None:
         instance.store.job_commits_hang = True
--- a/baobabhoist/tests/test_platform_main.py
+++ b/baobabhoist/tests/test_platform_main.py
@@ -3,6 +3,9 @@
 from __future__ import annotations
 
 import logging
+import os
+import subprocess
+import sys
 from pathlib import Path
 from typing import Any
 
@@ -10,7 +13,7 @@
 import yaml
 
 from baobabhoist.errors import SettingsError
-from baobabhoist.platform import main
+from baobabhoist.platform import instance
 
 SETTINGS: dict[str, Any] = {
     "instance_id": "edge-1",
@@ -28,11 +31,25 @@
 }
 
 
+# Starts an instance that gets SIGHUP while it imports the first of its libraries.
+START_AND_RELOAD = """
+import importlib.abc, os, runpy, signal, sys
+
+class SignalFinder(importlib.abc.MetaPathFinder):
+    def find_spec(self, name, path, target=None):
+        if name in ("asyncio", "attrs"):
+            os.kill(os.getpid(), signal.SIGHUP)
+
+sys.meta_path.insert(0, SignalFinder())
+runpy.run_module("baobabhoist.platform.main", run_name="__main__")
+"""
+
+
 @pytest.fixture
 def settings(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> Any:
     """Return a function that writes the settings file; restore the log level afterwards."""
     path = tmp_path / "settings.yaml"
-    monkeypatch.setenv(main.SETTINGS_ENV_VAR, str(path))
+    monkeypatch.setenv(instance.SETTINGS_ENV_VAR, str(path))
 
     def write(text: str = "", **changes: Any) -> None:
         path.write_text(text or yaml.safe_dump({**SETTINGS, **changes}), encoding="utf-8")
@@ -46,7 +63,7 @@
     """Guard against operators who can correct only one problem per start."""
     settings(peer_port=0, cpu_share="much")
     with pytest.raises(SettingsError) as error:
-        main.load_settings()
+        instance.load_settings()
     assert "peer_port" in str(error.value)
     assert "cpu_share" in str(error.value)
 
@@ -55,28 +72,40 @@
     """Guard against a setting that is silently overridden further down in the file."""
     settings(yaml.safe_dump(SETTINGS) + "host: 10.0.0.2\n")
     with pytest.raises(SettingsError, match="given twice"):
-        main.load_settings()
+        instance.load_settings()
 
 
 def test_peers_use_the_advertised_address(settings: Any) -> None:
     """Guard against an instance behind a relay that its peers cannot connect to."""
     settings()
-    assert main.load_settings().advertised_peer_address == "10.0.0.1:7420"
+    assert instance.load_settings().advertised_peer_address == "10.0.0.1:7420"
     settings(peer_address="192.0.2.1:99")
-    assert main.load_settings().advertised_peer_address == "192.0.2.1:99"
+    assert instance.load_settings().advertised_peer_address == "192.0.2.1:99"
 
 
 def test_a_reload_changes_the_log_level(settings: Any) -> None:
     """Guard against a restart that is needed to get more detailed logs of a running instance."""
     settings(log_level="debug")
-    main._reload_settings()
+    instance._reload_settings()
     assert logging.getLogger("baobabhoist").level == logging.DEBUG
 
 
 def test_a_malformed_file_changes_nothing(settings: Any) -> None:
     """Guard against an instance that exits because its settings file is only half written."""
     settings(log_level="debug")
-    main._reload_settings()
+    instance._reload_settings()
     settings("instance_id: [")
-    main._reload_settings()
+    instance._reload_settings()
     assert logging.getLogger("baobabhoist").level == logging.DEBUG
+
+
+def test_reload_during_the_start_does_not_end_the_process(tmp_path: Path) -> None:
+    """Guard against SIGHUP ending an instance that is still importing its modules."""
+    settings_path = str(tmp_path / "missing.yaml")
+    result = subprocess.run(
+        [sys.executable, "-c", START_AND_RELOAD],
+        env={**os.environ, instance.SETTINGS_ENV_VAR: settings_path},
+        capture_output=True,
+        check=False,
+    )
+    assert result.returncode == instance.EXIT_BAD_SETTINGS
