--- a/baobabhoist/tests/test_platform_http_client.py
+++ b/baobabhoist/tests/test_platform_http_client.py
@@ -7,7 +7,7 @@
 from baobabhoist.cell.model import NO_RESOURCES, WorkerInfo
 from baobabhoist.control.settings import BoundSettings, NodeSettings, StoreSettings
 from baobabhoist.platform.http_client import MAX_CONCURRENT_REQUESTS
-from baobabhoist.platform.main import make_adapter
+from baobabhoist.platform.instance import make_adapter
 
 HOST = "127.0.0.1"
 # Longer than the test may take.
