--- a/baobabhoist/platform/http_client.py
+++ b/baobabhoist/platform/http_client.py
@@ -87,6 +87,10 @@
         self._suspect_addresses.discard(address)
         return HttpResponse(response.code, _parse_json(response.body))
 
+    def close(self) -> None:
+        """Close all connections; open requests end without a response."""
+        self._client.close()
+
     def _no_response(self, address: str, reason: str) -> HttpResponse:
         self._suspect_addresses.add(address)
         return HttpResponse(0, None, reason)
--- a/baobabhoist/tests/test_platform_http_client.py
+++ b/baobabhoist/tests/test_platform_http_client.py
@@ -70,6 +70,8 @@
         finally:
             for renewal in renewals:
                 renewal.cancel()
+            for client in (adapter.store, adapter.driver, adapter.adviser):
+                client._http.close()
         return rows.version
 
     assert asyncio.run(run()) == 7
