Let the event loop turn while a new owner begins to work

Callers of the small twin saw accepted jobs that never ran under an owner that had just loaded. In play the links from 15 instances became silent within 0.06 s of each other, 0.5 s after the owner had loaded 1,005 jobs: it sent no heartbeat for 0.9 s, lost its links and then gave the cell up.

Cause: after loading, the owner logged each unfinished job and called each worker for the first time, all in one turn of the event loop. On a whole core 1,000 log lines take 42 ms and the first checks 23 ms (measured on a loaded scheduler with 1,000 jobs, 136 workers and 300 runs); with 0.12 cores that is half a second, and the 136 first calls come on top.

Both now go in pieces, as the loading before them does. test_new_owner_does_not_block_the_event_loop fails on the parent commit: all 400 jobs are logged in one turn, and all 100 workers are called in one.

--- a/baobabhoist/cell/scheduler.py
+++ b/baobabhoist/cell/scheduler.py
@@ -77,7 +77,7 @@
         job.open_due_occurrences(unix_ms)
         self.state.update_ready_steps(job, now)
         if not job.is_inherited:
-            self._log_ownership(job, now)
+            self.log_ownership(job, now)
         return True
 
     def _adopt_stored_runs(self, job: JobState, progress: JobProgress, now: float) -> None:
@@ -105,13 +105,12 @@
         worker.inherited_lease_expiry_ms = self._takeover.inherited_leases_expire_ms
         return worker
 
-    def log_inherited_jobs(self, now: float) -> None:
-        """Log the unfinished jobs of earlier owners once their progress has been restored."""
-        for job in self.state.jobs.values():
-            if job.is_inherited and not job.is_final:
-                self._log_ownership(job, now)
+    def unfinished_inherited_jobs(self) -> list[JobState]:
+        """Return the unfinished jobs of earlier owners; call this once progress is restored."""
+        return [job for job in self.state.jobs.values() if job.is_inherited and not job.is_final]
 
-    def _log_ownership(self, job: JobState, now: float) -> None:
+    def log_ownership(self, job: JobState, now: float) -> None:
+        """Log that this owner is responsible for a job."""
         steps = job.accepted.spec.steps
         emit(
             log,
--- a/baobabhoist/control/owner.py
+++ b/baobabhoist/control/owner.py
@@ -56,6 +56,8 @@
 ROUND_PAUSE_FACTOR = 3.0
 # While loading a cell, yield to the event loop after this many rows, so that heartbeats are sent.
 ROWS_PER_YIELD = 40
+# Likewise after the first calls to this many workers.
+SESSIONS_PER_YIELD = 10
 
 
 @attrs.frozen
@@ -212,8 +214,11 @@
             if index % ROWS_PER_YIELD == 0:
                 await asyncio.sleep(0)
         self.is_loaded = True
-        self._sync_sessions()
-        cell.log_inherited_jobs(now)
+        await self._open_sessions()
+        for index, job in enumerate(cell.unfinished_inherited_jobs()):
+            cell.log_ownership(job, now)
+            if index % ROWS_PER_YIELD == 0:
+                await asyncio.sleep(0)
         emit(
             log,
             Event.CELL_LOADED,
@@ -314,6 +319,16 @@
                 self._open_session(worker_id)
         self.request_scheduling_round()
 
+    async def _open_sessions(self) -> None:
+        """Open the sessions with all workers, not all in one turn of the event loop."""
+        workers = self._require_cell().state.workers
+        for index, worker_id in enumerate(list(workers)):
+            if worker_id in workers and workers[worker_id].info.address:
+                self._open_session(worker_id)
+            if index % SESSIONS_PER_YIELD == 0:
+                await asyncio.sleep(0)
+        self.request_scheduling_round()
+
     def _open_session(self, worker_id: str) -> None:
         if worker_id in self._sessions:
             return
--- a/baobabhoist/tests/test_control_owner.py
+++ b/baobabhoist/tests/test_control_owner.py
@@ -1,18 +1,20 @@
 """Test that the cell's owner does not go on without one of its tasks, with an in-memory store."""
 
 import asyncio
+from collections import Counter
 from types import SimpleNamespace
 
 import pytest
 
 from baobabhoist.cell.model import CommandOutcome, JobSpec, Step, WorkerInfo
+from baobabhoist.cell.scheduler import CellScheduler
 from baobabhoist.control import owner as owner_module
 from baobabhoist.control.clock import StoreClock, monotonic_ms
 from baobabhoist.control.interfaces import CommandResponse, ExternalTables
 from baobabhoist.control.metrics import NodeMetrics
 from baobabhoist.control.owner import CellOwner, OwnerDependencies, OwnershipTerm
 from baobabhoist.control.row_schema import OWNER_ROW_KEY, JobRow, encode_job, job_row_key
-from baobabhoist.store.row_store import RowKey, RowTransaction
+from baobabhoist.store.row_store import RowKey, RowTransaction, StoredRow
 from baobabhoist.testing.memory_row_store import MemoryRowStore
 from baobabhoist.tests.cell_harness import LEASE_MS, SMALL, CellHarness, make_rules
 
@@ -164,6 +166,61 @@
     asyncio.run(run())
 
 
+class TurnCounter:
+    """Count the turns of the event loop, and the events of each kind in each turn."""
+
+    def __init__(self):
+        self.turn = 0
+        self.events = Counter()
+
+    async def run(self):
+        while True:
+            self.turn += 1
+            await asyncio.sleep(0)
+
+    def record(self, kind):
+        self.events[kind, self.turn] += 1
+
+    def most_in_one_turn(self, kind):
+        return max(n for (k, _), n in self.events.items() if k == kind)
+
+
+def test_new_owner_does_not_block_the_event_loop(monkeypatch):
+    """Guard against an owner that counts as silent because it has just loaded a large cell."""
+    worker_count, job_count = 100, 400
+    counter = TurnCounter()
+    log_ownership = CellScheduler.log_ownership
+
+    def count_job(cell, job, now):
+        counter.record("job")
+        log_ownership(cell, job, now)
+
+    async def renew(*args):
+        counter.record("renewal")
+        await asyncio.Event().wait()
+
+    async def run():
+        harness = OwnerHarness()
+        harness.driver.renew = renew
+        for number in range(worker_count):
+            key = RowKey(DIRECTORY, "", f"w{number}")
+            harness.store.apply(RowTransaction(puts={key: b"worker"}))
+        # Jobs of an earlier owner are older than the claim.
+        for number in range(job_count):
+            row = StoredRow(job_row_key(f"a{number:015x}"), JOB, 1)
+            harness.store.rows[row.key] = row
+        counting = asyncio.create_task(counter.run())
+        await harness.start()
+        await harness.wait_until(lambda: sum(counter.events.values()) >= worker_count + job_count)
+        counting.cancel()
+        harness.task.cancel()
+
+    monkeypatch.setattr(CellScheduler, "log_ownership", count_job)
+    asyncio.run(run())
+    assert counter.most_in_one_turn("job") <= owner_module.ROWS_PER_YIELD
+    assert counter.most_in_one_turn("renewal") <= owner_module.SESSIONS_PER_YIELD
+
+
 def test_crashed_start_counts_as_unanswered():
     """Guard against a run that is never started again because sending its start crashed."""
 
