--- a/baobabhoist/tests/test_control_claim.py
+++ b/baobabhoist/tests/test_control_claim.py
@@ -118,3 +118,11 @@
     with pytest.raises(ValueError, match="malformed claim row"):
         decode_claim(value)
     assert decode_claim(encode_claim(CLAIM)) == CLAIM
+
+
+def test_claim_row_of_an_older_version_is_read():
+    """Guard against instances that cannot follow the claim while they are upgraded."""
+    row = b'{"node": "n1", "boot": "boot1", "address": "10.0.0.1:7000", "generation": 3}'
+    assert decode_claim(row) == CLAIM
+    unknown_field = row.replace(b"}", b', "later": 1}')
+    assert decode_claim(unknown_field) == CLAIM
