Probe an unreachable store at fixed intervals

After an outage an instance went on refusing jobs until a probe that was sent during the outage had timed out (1.2 s), because the next probe waited for it, and probes were started only by other calls. Since instances at the last hop refuse unsent, such calls no longer find out by themselves.

While the store is unreachable a probe is sent every 250 ms, whatever became of the earlier ones.

--- a/baobabhoist/control/relay.py
+++ b/baobabhoist/control/relay.py
@@ -41,8 +41,8 @@
 # Number of instances that are tried before a call fails.
 MAX_PEERS_TRIED = 5
 CALL_TIMEOUT_S = 0.6
-# Least time between direct probes of an unreachable store.
-PROBE_INTERVAL_MS = 400.0
+# Interval of the direct probes of an unreachable store.
+PROBE_INTERVAL_S = 0.25
 # A table with few rows, so that a probe is cheap.
 PROBE_TABLE = "cell"
 # A peer that did not answer, or cannot reach the store either, is not tried for this long.
@@ -89,8 +89,8 @@
     def __init__(self, direct: MonitoredStore, peers: RelayPeers) -> None:
         self.direct = direct
         self._peers = peers
-        self._next_probe_ms = 0.0
-        self._probe_task: asyncio.Task[None] | None = None
+        self._is_probing = False
+        self._probe_tasks: set[asyncio.Task[None]] = set()
 
     async def read(self, table: str, part: str = "", *, start: str = "", end: str = "") -> RowSet:
         """Return the rows of a partition in a range of keys."""
@@ -149,20 +149,26 @@
         return not self._peers.usable_links()
 
     def _probe(self) -> None:
-        """Probe in the background whether an unreachable store answers again."""
-        now = monotonic_ms()
-        if now < self._next_probe_ms or self._probe_task is not None:
+        """Probe in the background, now and at intervals, until the store answers again."""
+        if self._is_probing:
             return
-        self._next_probe_ms = now + PROBE_INTERVAL_MS
-        self._probe_task = asyncio.create_task(self._probe_once())
+        self._is_probing = True
+        # A new probe does not wait for earlier ones, whose connections may be dead.
+        task = asyncio.create_task(self._probe_once())
+        self._probe_tasks.add(task)
+        task.add_done_callback(self._probe_tasks.discard)
+        asyncio.get_running_loop().call_later(PROBE_INTERVAL_S, self._probe_again)
+
+    def _probe_again(self) -> None:
+        self._is_probing = False
+        if self.direct.health.is_unreachable():
+            self._probe()
 
     async def _probe_once(self) -> None:
         try:
             await self.direct.read(PROBE_TABLE)
         except StoreError as exc:
             log.debug("the store is still unreachable: %s", exc)
-        finally:
-            self._probe_task = None
 
     async def _relay(self, message: Any, timeout_s: float) -> Any:
         """Return the answer of the first peer that serves a call; raises StoreError."""
--- a/baobabhoist/tests/test_control_relay.py
+++ b/baobabhoist/tests/test_control_relay.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from baobabhoist.control import relay
 from baobabhoist.control.messages import CODEC, RelayCommit, RelayedCommit, RelayFailed
 from baobabhoist.control.metrics import NodeMetrics
 from baobabhoist.control.relay import MAX_HOPS, FailoverStore, RelayPeers
@@ -20,6 +21,8 @@
 from baobabhoist.testing.memory_row_store import MemoryRowStore
 
 KEY = RowKey("jobs", "0", "0123")
+# Fails a test whose instance never reaches the store again.
+TEST_TIMEOUT_S = 3.0
 TXN = RowTransaction({KEY: 0}, {KEY: b"value"})
 
 
@@ -30,6 +33,13 @@
         super().__init__(rows=shared.rows, history=shared.history)
         self.shared = shared
         self.attempts = 0
+        self.hanging_reads = 0
+
+    async def read(self, table, part="", *, start="", end=""):
+        if self.hanging_reads:
+            self.hanging_reads -= 1
+            await asyncio.Event().wait()
+        return await super().read(table, part, start=start, end=end)
 
     async def commit(self, txn):
         self.attempts += 1
@@ -165,6 +175,24 @@
     asyncio.run(run())
 
 
+def test_probe_without_an_answer_does_not_delay_the_next(monkeypatch):
+    """Guard against refusals that go on after an outage because one probe still hangs."""
+    monkeypatch.setattr(relay, "PROBE_INTERVAL_S", 0.001)
+
+    async def run():
+        view, store = make_instance(MemoryRowStore())
+        await cut_off(view, store)
+        view.is_down = False
+        view.hanging_reads = 1
+        with pytest.raises(StoreRefusedError):
+            await store.commit(TXN)
+        async with asyncio.timeout(TEST_TIMEOUT_S):
+            while store.direct.health.is_unreachable():
+                await asyncio.sleep(0.001)
+
+    asyncio.run(run())
+
+
 def test_cut_off_peers_are_skipped():
     """Guard against an owner that keeps trying the same cut-off peers.
 
