Answer in time when a repeated write hangs

Callers of a job whose first write got no answer could wait past their deadline and get none: the writer stopped repeating at the deadline, but the repetition under way went on for up to 1.2 s.

A repetition now ends at the deadline with outcome unknown, which it is until then.

--- a/baobabhoist/control/job_writer.py
+++ b/baobabhoist/control/job_writer.py
@@ -74,8 +74,13 @@
         start_ms = monotonic_ms()
         may_be_written = False
         while True:
+            # The first attempt may end late: its answer is of use even then.
+            timeout_s = (deadline_ms - monotonic_ms()) / 1000 if may_be_written else None
             try:
-                outcome = await self._store.commit(txn)
+                async with asyncio.timeout(timeout_s):
+                    outcome = await self._store.commit(txn)
+            except TimeoutError:
+                return WriteResult(WriteStatus.UNKNOWN)
             except StoreRefusedError as exc:
                 is_unreachable = self._store_health.is_unreachable()
                 retried_too_long = monotonic_ms() - start_ms > REFUSED_RETRY_MS
--- a/baobabhoist/tests/test_control_job_writer.py
+++ b/baobabhoist/tests/test_control_job_writer.py
@@ -12,6 +12,8 @@
 from baobabhoist.testing.memory_row_store import MemoryRowStore
 
 ID = "0123456789abcdef"
+# Fails a test whose write never ends.
+TEST_TIMEOUT_S = 3.0
 
 
 def fail_in_turn(*failures):
@@ -63,3 +65,20 @@
     store = MemoryRowStore()
     store.is_down = True
     assert store_job(store, 30.0).status is WriteStatus.UNKNOWN
+
+
+def test_retry_without_an_answer_ends_at_the_deadline():
+    """Guard against a caller that gets no answer in time because a repeated write hangs."""
+
+    class HangingStore(MemoryRowStore):
+        async def commit(self, txn):
+            self.commits_hang = self.commit_count > 0
+            return await super().commit(txn)
+
+    async def run():
+        store = HangingStore(choose_failure=lambda txn: "late")
+        async with asyncio.timeout(TEST_TIMEOUT_S):
+            result = await make_writer(store).store_job(ID, b"{}", monotonic_ms() + 30.0)
+        assert result.status is WriteStatus.UNKNOWN
+
+    asyncio.run(run())
