Refuse a job whose due tasks would fill the owner's memory

One submission could end every owner in turn, and with them all accepted jobs: a job with a large repeatCount and no interval (or a first run long ago) opens all occurrences that are due at once, in the owner's event loop.

Schedules that reach into the future are accepted as before, whatever their length; occurrences that pile up later (an interval of a few ms) are not covered by this.

--- a/baobabhoist/cell/model.py
+++ b/baobabhoist/cell/model.py
@@ -97,6 +97,18 @@
             return float("-inf")
         return self.first_due_ms + occurrence * self.interval_ms
 
+    def count_due_tasks(self, unix_ms: float) -> int:
+        """Return how many tasks belong to the occurrences that are due at a Unix time."""
+        return self._count_due_occurrences(unix_ms) * sum(step.count for step in self.steps)
+
+    def _count_due_occurrences(self, unix_ms: float) -> int:
+        waited_ms = unix_ms - self.due_unix_ms(0)
+        if waited_ms < 0:
+            return 0
+        if not self.repeats or not self.interval_ms:
+            return self.occurrence_count
+        return min(self.occurrence_count, int(waited_ms // self.interval_ms) + 1)
+
 
 @attrs.frozen
 class AcceptedJob:
--- a/baobabhoist/control/job_api.py
+++ b/baobabhoist/control/job_api.py
@@ -10,7 +10,7 @@
 
 from baobabhoist.cell import progress_rows
 from baobabhoist.cell.model import FINAL_PHASES, JobPhase, JobSpec
-from baobabhoist.control.clock import StoreClock, monotonic_ms
+from baobabhoist.control.clock import StoreClock, monotonic_ms, unix_ms
 from baobabhoist.control.config import ActiveConfig, CellConfig, Route
 from baobabhoist.control.interfaces import Decoder
 from baobabhoist.control.job_writer import JobWriter, WriteResult, WriteStatus
@@ -40,6 +40,7 @@
 log = logging.getLogger(__name__)
 
 JOB_ID = re.compile(r"[0-9a-f]{16}")
+MAX_DUE_TASKS = 10_000
 RETRY_AFTER_S = 1.0
 # Sent when another instance can probably serve the call now.
 RETRY_ELSEWHERE_S = 0.0
@@ -150,6 +151,11 @@
         spec = self.decoder.decode_job(body)
         if isinstance(spec, Refusal):
             return spec
+        # Tasks that are due are held in memory by every owner of the cell.
+        due_tasks = spec.count_due_tasks(max(unix_ms(), spec.first_due_ms))
+        if due_tasks > MAX_DUE_TASKS:
+            message = f"{due_tasks} tasks would be due at once; at most {MAX_DUE_TASKS} may be"
+            return Refusal(ErrorKind.BAD_REQUEST, message, remedy="repeat the steps less often")
         return await self._store_job(call, admitted, spec)
 
     async def _store_job(
--- a/baobabhoist/tests/test_control_job_api.py
+++ b/baobabhoist/tests/test_control_job_api.py
@@ -211,3 +211,19 @@
     harness.store.apply(RowTransaction({}, {job_row_key(ID): stored}))
     assert harness.submit() is None
     assert harness.owner_router.notices[0].value == stored
+
+
+@pytest.mark.parametrize(
+    ("schedule", "is_accepted"),
+    [
+        ({"repeatCount": 400_000}, False),
+        ({"repeatCount": 400_000, "intervalMs": 1_000}, False),
+        ({"repeatCount": 400_000, "intervalMs": 3_600_000, "firstRunMs": 4_000_000_000_000}, True),
+        ({"repeatCount": 10_000}, True),
+    ],
+)
+def test_job_with_too_many_due_tasks_is_refused(harness, schedule, is_accepted):
+    """Guard against one job that exhausts the memory of each owner in turn."""
+    refusal = harness.submit(orjson.dumps({**orjson.loads(JOB), **schedule}))
+    assert (refusal is None) is is_accepted
+    assert (job_row_key(ID) in harness.store.rows) is is_accepted
