--- a/baobabhoist/cell/waiting_summary.py
+++ b/baobabhoist/cell/waiting_summary.py
@@ -61,8 +61,8 @@
     # Of the usable workers, in total and of the one that has the most.
     free_cores: float = 0.0
     largest_free_cores: float = 0.0
-    # Runs whose start command was not answered yet, and the time since the oldest was issued.
-    starting_runs: int = 0
+    runs: Counter[RunPhase] = attrs.Factory(Counter)
+    # The oldest run whose start command was not answered, and the time since it was issued.
     oldest_starting_ms: float = 0.0
     oldest_starting: Run | None = None
 
@@ -131,16 +131,17 @@
         if condition is WorkerCondition.USABLE:
             free_cpu.append(worker.free_cpu)
         for run in worker.runs.values():
-            if run.phase is RunPhase.STARTING:
-                _add_starting_run(summary, run, now)
+            _add_run(summary, run, now)
     summary.free_cores = sum(free_cpu) / CPU_UNITS_PER_CORE
     summary.largest_free_cores = max(free_cpu) / CPU_UNITS_PER_CORE
     return summary
 
 
-def _add_starting_run(summary: WaitingSummary, run: Run, now: float) -> None:
+def _add_run(summary: WaitingSummary, run: Run, now: float) -> None:
+    summary.runs[run.phase] += 1
+    if run.phase is not RunPhase.STARTING:
+        return
     # A run that was not confirmed has made no progress, so this is when it was issued.
     age_ms = now - run.last_progress_ms
-    summary.starting_runs += 1
     if summary.oldest_starting is None or age_ms > summary.oldest_starting_ms:
         summary.oldest_starting, summary.oldest_starting_ms = run, age_ms
--- a/baobabhoist/control/waiting_report.py
+++ b/baobabhoist/control/waiting_report.py
@@ -119,7 +119,7 @@
             advice_max=cell.placer.max_advice_requests,
             starts_sent=sent,
             starts_not_ok=rejected,
-            starting_runs=summary.starting_runs,
+            runs={phase.value: n for phase, n in summary.runs.items()},
             oldest_start=_oldest_start_id(summary),
             oldest_start_ms=round(summary.oldest_starting_ms),
             rounds=self.rounds.count,
--- a/baobabhoist/tests/test_control_waiting_report.py
+++ b/baobabhoist/tests/test_control_waiting_report.py
@@ -110,7 +110,7 @@
     harness.submit(make_job())
     run_ticks(harness, make_reporter(), LONG_WAIT_MS + REPORT_INTERVAL_MS + TICK_MS)
     line = lines()[-1]
-    assert (line["steps"], line["starting_runs"]) == (0, 1)
+    assert (line["steps"], line["runs"]) == (0, {"starting": 1})
     assert line["oldest_start"] == "0" * 16 + ".0.0.0 on w0"
     assert line["oldest_start_ms"] > LONG_WAIT_MS
 
