Log crashed tasks of the links, too

A crash while an instance handles a message left its caller without an answer, and the log only had asyncio's line on a task without a name, if that task was garbage collected. The tasks of a link, of the link to the owner, of notifications and of the store probe now leave TASK_CRASHED as those of the owner do. The test fails without the change of peer/link.py.

--- a/baobabhoist/control/links.py
+++ b/baobabhoist/control/links.py
@@ -18,6 +18,7 @@
 from baobabhoist.control.messages import CODEC, Greeting, OwnerHeartbeat, Welcome
 from baobabhoist.errors import LinkClosedError
 from baobabhoist.observability.events import Event, emit
+from baobabhoist.observability.tasks import create_logged_task
 from baobabhoist.peer.link import WEBSOCKET_OPTIONS, Link
 
 log = logging.getLogger(__name__)
@@ -105,7 +106,7 @@
             self._task = None
         self.link, self.state = None, OwnerLinkState.UNKNOWN
         if claim is not None and not claim.is_released and claim.boot != self._identity.boot_id:
-            self._task = asyncio.create_task(self._maintain(claim))
+            self._task = create_logged_task(self._maintain(claim))
 
     async def call(self, message: Any, timeout_s: float) -> Any:
         """Call the owner; raises LinkClosedError or TimeoutError."""
@@ -131,7 +132,7 @@
                 f"ws://{claim.address}", proxy=None, **WEBSOCKET_OPTIONS
             )
         link = Link(conn, CODEC, self._handle)
-        reader = asyncio.create_task(link.run())
+        reader = create_logged_task(link.run())
         try:
             greeting = Greeting(self._identity.node, self._identity.boot_id)
             welcome = await link.call(greeting, GREETING_TIMEOUT_S)
--- a/baobabhoist/control/owner_router.py
+++ b/baobabhoist/control/owner_router.py
@@ -28,6 +28,7 @@
 from baobabhoist.control.owner import CellOwner
 from baobabhoist.control.relay import FailoverStore
 from baobabhoist.errors import LinkClosedError
+from baobabhoist.observability.tasks import create_logged_task
 
 log = logging.getLogger(__name__)
 
@@ -73,7 +74,7 @@
 
     def notify(self, notice: Any) -> None:
         """Notify the owner in the background; it reads missed changes from the store."""
-        task = asyncio.create_task(self._notify(notice))
+        task = create_logged_task(self._notify(notice))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
--- a/baobabhoist/control/relay.py
+++ b/baobabhoist/control/relay.py
@@ -22,6 +22,7 @@
 from baobabhoist.control.store_health import MonitoredStore
 from baobabhoist.errors import LinkClosedError, MessageNotSentError
 from baobabhoist.observability.events import Event, emit
+from baobabhoist.observability.tasks import create_logged_task
 from baobabhoist.peer.link import Link
 from baobabhoist.store.row_store import (
     HistoryLostError,
@@ -150,7 +151,7 @@
         if now < self._next_probe_ms or self._probe_task is not None:
             return
         self._next_probe_ms = now + PROBE_INTERVAL_MS
-        self._probe_task = asyncio.create_task(self._probe_once())
+        self._probe_task = create_logged_task(self._probe_once())
 
     async def _probe_once(self) -> None:
         try:
--- a/baobabhoist/peer/link.py
+++ b/baobabhoist/peer/link.py
@@ -19,6 +19,7 @@
     MessageTooLargeError,
 )
 from baobabhoist.observability.events import Event, emit
+from baobabhoist.observability.tasks import create_logged_task
 from baobabhoist.peer.codec import Codec
 from baobabhoist.peer.streams import (
     CHUNK_BYTES,
@@ -222,7 +223,7 @@
     }
 
     def _spawn(self, coro: Coroutine[Any, Any, None]) -> None:
-        task = asyncio.create_task(coro)
+        task = create_logged_task(coro)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
--- a/baobabhoist/tests/test_peer_mesh.py
+++ b/baobabhoist/tests/test_peer_mesh.py
@@ -247,3 +247,19 @@
     fields = CODEC.converter.unstructure(old)
     del fields["cut_off_s"], fields["weight"]
     assert CODEC.converter.structure(fields | {"later": 1}, Heartbeat) == old
+
+
+def test_message_whose_handler_crashes_leaves_a_line(caplog):
+    """Guard against a caller that waits for an answer which a crash has prevented, unnoticed."""
+
+    async def fail(message):
+        raise ValueError("broken handler")
+
+    async def scenario():
+        async with connected_link(fail) as link:
+            with pytest.raises(TimeoutError):
+                await link.call(RelayRequest(request("small", b"y")), 0.2)
+
+    asyncio.run(scenario())
+    lines = [r.getMessage() for r in caplog.records]
+    assert lines == ["background task Link._handle failed: ValueError('broken handler')"]
