--- a/baobabhoist/control/relay.py
+++ b/baobabhoist/control/relay.py
@@ -22,6 +22,7 @@
 from baobabhoist.control.store_health import MonitoredStore
 from baobabhoist.errors import LinkClosedError, MessageNotSentError
 from baobabhoist.observability.events import Event, emit
+from baobabhoist.observability.tasks import create_logged_task
 from baobabhoist.peer.link import Link
 from baobabhoist.store.row_store import (
     HistoryLostError,
@@ -154,7 +155,7 @@
             return
         self._is_probing = True
         # A new probe does not wait for earlier ones, whose connections may be dead.
-        task = asyncio.create_task(self._probe_once())
+        task = create_logged_task(self._probe_once())
         self._probe_tasks.add(task)
         task.add_done_callback(self._probe_tasks.discard)
         asyncio.get_running_loop().call_later(PROBE_INTERVAL_S, self._probe_again)
