Renew tickets for steps that have room behind the head of the ranking

Callers saw (would see) a job that waits for as long as 16 others rank before it, with workers free and its team far from its limit.

Cause: only the first 16 steps of the ranking renewed tickets, among them gangs larger than the cell and steps of a team at its limit, which can't start. A step behind them got one set of tickets, which lapsed after 2.5 s, and never another.

Evidence: a test with 20 gangs larger than the cell before a step of one task failed before: 2 s after all 8 workers became free it had no ticket.

Fix: a step behind the head renews expiring tickets if it could start now with valid ones (room on approved workers, reservations, team limit). At most half of the open requests may be taken that way, so new steps and the head keep the rest.

--- a/baobabhoist/cell/approvals.py
+++ b/baobabhoist/cell/approvals.py
@@ -27,8 +27,11 @@
 
     tickets: dict[str, Ticket] = attrs.Factory(dict)
     refused_workers: set[str] = attrs.Factory(set)
-    # No further request is sent before this time: an answer is awaited or the last one failed.
+    # No further request is sent before this time: an answer is awaited, the last one
+    # failed, or the step had no room.
     next_request_ms: float = 0.0
+    # When the first ticket expires; infinity without an approved worker.
+    first_expiry_ms: float = float("inf")
 
     def valid_ticket(self, worker_id: str, now: float) -> str:
         """Return a ticket that is valid for a start sent now, or an empty string."""
@@ -58,31 +61,34 @@
                 self.tickets[worker_id] = Ticket("", expires_ms)
             else:
                 self.refused_workers.add(worker_id)
+        self._update_first_expiry()
 
-    def schedule_retry(self, retry_ms: float) -> None:
-        """Allow the next request at `retry_ms`, because the last one failed."""
-        self.next_request_ms = retry_ms
+    def block_requests_until(self, until_ms: float) -> None:
+        """Allow no request before `until_ms`."""
+        self.next_request_ms = until_ms
 
     def invalidate_ticket(self, worker_id: str) -> None:
         """Discard a ticket that a worker rejected; the approval is kept."""
         if worker_id in self.tickets:
             self.tickets[worker_id] = Ticket("", 0.0)
+            self._update_first_expiry()
 
     def remove_worker(self, worker_id: str) -> None:
         """Discard the answers about a worker that has restarted."""
-        self.tickets.pop(worker_id, None)
         self.refused_workers.discard(worker_id)
+        if self.tickets.pop(worker_id, None) is not None:
+            self._update_first_expiry()
 
     def unassessed_workers(self, workers: Iterable[str]) -> list[str]:
         """Return the workers that the adviser has neither approved nor refused."""
         return [w for w in workers if w not in self.tickets and w not in self.refused_workers]
 
-    def first_expiry_ms(self) -> float:
-        """Return when the first ticket expires, or infinity without an approved worker."""
-        return min((t.expires_ms for t in self.tickets.values()), default=float("inf"))
-
     def approved_workers(self, workers: Iterable[str]) -> list[str]:
         """Return the approved ones of these workers, by ascending expiry of their tickets."""
         approved = [w for w in workers if w in self.tickets]
         approved.sort(key=lambda w: self.tickets[w].expires_ms)
         return approved
+
+    def _update_first_expiry(self) -> None:
+        expiries = (ticket.expires_ms for ticket in self.tickets.values())
+        self.first_expiry_ms = min(expiries, default=float("inf"))
--- a/baobabhoist/cell/placer.py
+++ b/baobabhoist/cell/placer.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import functools
 from collections import Counter
 
 import attrs
@@ -17,6 +18,8 @@
 from baobabhoist.cell.worker_selection import WorkerSlots, assign_gang, assign_tasks, find_slots
 from baobabhoist.cell.workers import WorkerState
 
+# This many steps at the head of the ranking renew their tickets even while there is no room.
+MAX_HEAD_STEPS = 16
 REMOTE_RACK_COST = 0.5
 # Makes tasks avoid a worker on which a task of their step failed, if there is another.
 PREVIOUS_FAILURE_COST = 2.0
@@ -47,7 +50,8 @@
             if may_start and step.spec.allocation.cpu <= worker_index.max_free_cpu(service):
                 self._place_step(step, worker_index, now)
             if step.waiting_count:
-                self.advice.request(step, position, worker_index, self.max_advice_requests, now)
+                may_renew = functools.partial(self._may_renew, step, position, worker_index)
+                self.advice.request(step, worker_index, self.max_advice_requests, may_renew, now)
 
     def _rank(self, step: StepState, now: float) -> Rank:
         return rank_step(step, self.state.queue_of(step.job), now)
@@ -59,16 +63,12 @@
         team = step.job.accepted.team
         if not self.reservations.is_team_limit_available(team, step):
             return
-        need = spec.need.times(step.waiting_count if spec.gang else 1)
+        need = _min_need(step)
         if not self.state.is_within_team_limit(step.job, need):
             if spec.gang and self._may_reserve_team_limit(step, need, now):
                 self.reservations.reserve_team_limit(team, step)
             return
-        candidates = [
-            w
-            for w in self._startable_workers(step, worker_index)
-            if self.reservations.is_worker_available(w, step)
-        ]
+        candidates = self._without_reserved(self._startable_workers(step, worker_index), step)
         if not candidates and not spec.gang:
             return
         tolerance = slowdown_tolerance(
@@ -138,6 +138,42 @@
             return worker_index.approved_workers(step, service, label)
         return worker_index.usable_workers(service, label)
 
+    def _without_reserved(self, workers: list[WorkerState], step: StepState) -> list[WorkerState]:
+        return [w for w in workers if self.reservations.is_worker_available(w, step)]
+
+    # Tickets.
+
+    def _may_renew(self, step: StepState, position: int, worker_index: WorkerIndex) -> bool:
+        """Return whether the expiring tickets of a step may be renewed."""
+        if position < MAX_HEAD_STEPS:
+            return True
+        # The rest is left to the steps at the head and to new ones.
+        has_spare_requests = self.advice.open_count * 2 < self.max_advice_requests
+        return has_spare_requests and self._has_room(step, worker_index)
+
+    def _has_room(self, step: StepState, worker_index: WorkerIndex) -> bool:
+        """Return whether a step could start now if all its tickets were valid."""
+        spec, team = step.spec, step.job.accepted.team
+        service = self.state.service_of(step.job)
+        if spec.allocation.cpu > worker_index.max_free_cpu(service):
+            return False
+        if not (
+            self.reservations.is_team_limit_available(team, step)
+            and self.state.is_within_team_limit(step.job, _min_need(step))
+        ):
+            return False
+        approved = self._without_reserved(self._approved_workers(step, worker_index), step)
+        slots = find_slots(
+            approved, spec, step.waiting_count, _tasks_by_worker(step), lambda _: 0.0
+        )
+        slot_count = sum(slot.task_count for slot in slots)
+        return slot_count >= (step.waiting_count if spec.gang else 1)
+
+
+def _min_need(step: StepState) -> Resources:
+    """Return the resources of the fewest tasks of a step that may start at once."""
+    return step.spec.need.times(step.waiting_count if step.spec.gang else 1)
+
 
 def _tasks_by_worker(step: StepState) -> Counter[str]:
     """Return how many tasks of a step each worker runs, if the step limits this number."""
--- a/baobabhoist/cell/scheduler.py
+++ b/baobabhoist/cell/scheduler.py
@@ -256,7 +256,7 @@
         self.placer.advice.close_request()
         step = self._find_step(step_key)
         if step is not None:
-            step.approvals.schedule_retry(retry_ms)
+            step.approvals.block_requests_until(retry_ms)
 
     # Metrics.
 
--- a/baobabhoist/tests/test_cell_advice.py
+++ b/baobabhoist/tests/test_cell_advice.py
@@ -110,6 +110,21 @@
     assert harness.run_for(START_BOUND_MS, lambda: harness.is_running("a" * 16))
 
 
+def test_a_step_that_fits_gets_tickets_behind_steps_that_never_start():
+    """Guard against a step that waits with free workers while steps that can't start renew."""
+    harness = advised_harness(8)
+    for number in range(20):
+        step = Step(50, WHOLE_WORKER, 20_000, gang=True)
+        harness.submit(make_job(f"{number:016x}", step))
+    harness.now += 1.0
+    harness.submit(make_job("a" * 16, Step(1, WHOLE_WORKER, 400)))
+    harness.cell.find_job("a" * 16).objective_ms += 60_000.0
+    harness.occupy_all()
+    harness.run_for(6_000.0)
+    harness.free_all()
+    assert harness.run_for(START_BOUND_MS, lambda: harness.is_running("a" * 16))
+
+
 def test_a_waiting_step_asks_about_once_per_ticket_lifetime():
     """Guard against an adviser that is kept busy by renewals of one waiting step."""
     harness = advised_harness(24)
