Stop counting an advice request as open when it has timed out

Callers saw (would see) no new job start in the cell until its owner changes, although the adviser works: a queue of jobs without advice queries.

Cause: the placer counted open requests up and only an answer or a reported failure counted them down. If the task that asks ended with an exception (a row of the answer that can't be read, a message too large), its slot was lost, and with all slots lost the cell asked nothing for the rest of the owner's term. That is possible by the code; no log of it is known.

Evidence: a test with two slots and two lost answers failed before: a third job had not started after 8 s.

Fix: the open requests are kept by step with the time-out that already blocks the step from asking again; a timed-out one no longer counts.

--- a/baobabhoist/cell/advice_requests.py
+++ b/baobabhoist/cell/advice_requests.py
@@ -7,7 +7,7 @@
 import attrs
 
 from baobabhoist.cell.jobs import StepState
-from baobabhoist.cell.model import AdviceTerms, RequestAdvice
+from baobabhoist.cell.model import AdviceTerms, RequestAdvice, StepKey
 from baobabhoist.cell.state import CellState
 from baobabhoist.cell.worker_index import WorkerIndex
 
@@ -23,10 +23,22 @@
 
 @attrs.define
 class AdviceRequester:
-    """Issue the advice requests of one cell and count those without an answer."""
+    """Issue the advice requests of one cell and track those without an answer."""
 
     state: CellState
-    open_count: int = 0
+    # When the open request of each step times out.
+    timeout_ms_by_step: dict[StepKey, float] = attrs.Factory(dict)
+
+    @property
+    def open_count(self) -> int:
+        """Return how many requests have neither been answered nor timed out."""
+        return len(self.timeout_ms_by_step)
+
+    def drop_timed_out(self, now: float) -> None:
+        """Stop waiting for the answers to requests that have timed out."""
+        timed_out = [key for key, at_ms in self.timeout_ms_by_step.items() if at_ms <= now]
+        for step_key in timed_out:
+            del self.timeout_ms_by_step[step_key]
 
     def request(
         self,
@@ -61,13 +73,14 @@
         if not requested:
             return
         cost_ms = queue.advice.cost_ms(len(requested))
-        approvals.mark_requested(now + cost_ms + ANSWER_TIMEOUT_MARGIN_MS)
-        self.open_count += 1
+        timeout_ms = now + cost_ms + ANSWER_TIMEOUT_MARGIN_MS
+        approvals.block_requests_until(timeout_ms)
+        self.timeout_ms_by_step[step.key] = timeout_ms
         self.state.commands.append(RequestAdvice(step.key, tuple(requested), cost_ms))
 
-    def close_request(self) -> None:
-        """Record that a request was answered or has failed."""
-        self.open_count -= 1
+    def close_request(self, step_key: StepKey) -> None:
+        """Record that the request of a step was answered or has failed."""
+        self.timeout_ms_by_step.pop(step_key, None)
 
 
 def _find_expiring(
--- a/baobabhoist/cell/approvals.py
+++ b/baobabhoist/cell/approvals.py
@@ -38,10 +38,6 @@
         ticket = self.tickets.get(worker_id)
         return ticket.text if ticket is not None and ticket.expires_ms > now else ""
 
-    def mark_requested(self, answer_timeout_ms: float) -> None:
-        """Record that a request was sent and when it times out."""
-        self.next_request_ms = answer_timeout_ms
-
     def is_request_blocked(self, now: float) -> bool:
         """Return whether it is too early for the next request."""
         return now < self.next_request_ms
--- a/baobabhoist/cell/placer.py
+++ b/baobabhoist/cell/placer.py
@@ -45,6 +45,7 @@
         ranked_steps = sorted(waiting_steps, key=lambda step: self._rank(step, now))
         worker_index = WorkerIndex(self.state.workers.values(), now)
         self.reservations.clear()
+        self.advice.drop_timed_out(now)
         for position, step in enumerate(ranked_steps):
             service = self.state.service_of(step.job)
             if may_start and step.spec.allocation.cpu <= worker_index.max_free_cpu(service):
--- a/baobabhoist/cell/scheduler.py
+++ b/baobabhoist/cell/scheduler.py
@@ -246,14 +246,14 @@
         valid_until_ms: float,
     ) -> None:
         """Apply the answer of the placement adviser."""
-        self.placer.advice.close_request()
+        self.placer.advice.close_request(step_key)
         step = self._find_step(step_key)
         if step is not None:
             step.approvals.record_answer(requested, approved, valid_until_ms)
 
     def handle_advice_failure(self, step_key: StepKey, retry_ms: float) -> None:
         """Allow a failed advice request to be repeated from `retry_ms` on."""
-        self.placer.advice.close_request()
+        self.placer.advice.close_request(step_key)
         step = self._find_step(step_key)
         if step is not None:
             step.approvals.block_requests_until(retry_ms)
--- a/baobabhoist/tests/test_cell_advice.py
+++ b/baobabhoist/tests/test_cell_advice.py
@@ -125,6 +125,20 @@
     assert harness.run_for(START_BOUND_MS, lambda: harness.is_running("a" * 16))
 
 
+def test_queries_without_an_answer_do_not_block_later_ones_for_ever():
+    """Guard against a cell that asks for no more advice after some answers were lost."""
+    harness = advised_harness(2, max_requests=2)
+    harness.is_adviser_up = False
+    for number in range(2):
+        harness.submit(make_job(f"{number:016x}", Step(1, WHOLE_WORKER, 400)))
+    harness.run_for(1_000.0)
+    for number in range(2):
+        harness.cell.cancel_job(f"{number:016x}", harness.now)
+    harness.is_adviser_up = True
+    harness.submit(make_job("a" * 16, Step(1, WHOLE_WORKER, 400)))
+    assert harness.run_for(8_000.0, lambda: harness.is_running("a" * 16))
+
+
 def test_a_waiting_step_asks_about_once_per_ticket_lifetime():
     """Guard against an adviser that is kept busy by renewals of one waiting step."""
     harness = advised_harness(24)
