Send no start whose ticket expired while its run was being stored

Cause: a start is sent once its run is stored. While the store did not answer, or the owner's link was full, starts waited for seconds and were then sent with tickets that had long expired; each was rejected, with all members of its gang.

Fix: a start command carries the expiry of its ticket, and the check before the sending closes the run of an expired one. It was never sent, so it has certainly not run; its gang stops and waits for new tickets, as after a rejection.

Changed in existing tests: should_send_start takes the time as an argument.

--- a/baobabhoist/benchmarks/cell_replay.py
+++ b/baobabhoist/benchmarks/cell_replay.py
@@ -181,7 +181,7 @@
     def _start_task(self, command: StartTask) -> None:
         def start_task() -> None:
             worker = self._worker_at_now(command.worker_id)
-            if not self.cell.should_send_start(command):
+            if not self.cell.should_send_start(command, self.now):
                 return
             outcome = worker.start(1, command, self._extend_lease(command.worker_id) or 0)
             self.cell.handle_start_result(command, outcome, self.now)
--- a/baobabhoist/cell/approvals.py
+++ b/baobabhoist/cell/approvals.py
@@ -20,6 +20,10 @@
     text: str
     expires_ms: float
 
+    def is_valid(self, now: float) -> bool:
+        """Return whether a start that is sent now reaches its worker before the expiry."""
+        return bool(self.text) and self.expires_ms > now
+
 
 @attrs.define
 class Approvals:
@@ -33,10 +37,10 @@
     # When the first ticket expires; infinity without an approved worker.
     first_expiry_ms: float = float("inf")
 
-    def valid_ticket(self, worker_id: str, now: float) -> str:
-        """Return a ticket that is valid for a start sent now, or an empty string."""
+    def valid_ticket(self, worker_id: str, now: float) -> Ticket | None:
+        """Return a ticket that is valid for a start sent now, or None."""
         ticket = self.tickets.get(worker_id)
-        return ticket.text if ticket is not None and ticket.expires_ms > now else ""
+        return ticket if ticket is not None and ticket.is_valid(now) else None
 
     def is_request_blocked(self, now: float) -> bool:
         """Return whether it is too early for the next request."""
--- a/baobabhoist/cell/model.py
+++ b/baobabhoist/cell/model.py
@@ -326,7 +326,7 @@
 
 @attrs.frozen
 class StartTask:
-    """Command a worker to start a run."""
+    """Command a worker to start a run; the ticket expires on the owner's clock."""
 
     worker_id: str
     task: TaskKey
@@ -334,6 +334,7 @@
     payload: str
     checkpoint: str = ""
     ticket: str = ""
+    ticket_expires_ms: float = float("inf")
 
 
 @attrs.frozen
--- a/baobabhoist/cell/scheduler.py
+++ b/baobabhoist/cell/scheduler.py
@@ -26,7 +26,7 @@
 from baobabhoist.cell.periodic_checks import PeriodicChecks
 from baobabhoist.cell.placer import TaskPlacer
 from baobabhoist.cell.progress_rows import JobProgress
-from baobabhoist.cell.run_ends import RunEndHandler
+from baobabhoist.cell.run_ends import RunEndHandler, close_lost_run
 from baobabhoist.cell.state import CellState
 from baobabhoist.cell.worker_reports import WorkerReportHandler
 from baobabhoist.cell.workers import Lease, WorkerState
@@ -223,11 +223,19 @@
         self._check_fenced(outcome)
         self._reports.handle_start_result(command, outcome, now)
 
-    def should_send_start(self, command: StartTask) -> bool:
-        """Return whether a start command is still valid after its run has been stored."""
+    def should_send_start(self, command: StartTask, now: float) -> bool:
+        """Return whether a start command is still valid after its run has been stored.
+
+        If its ticket has expired meanwhile, the run is closed, because its worker would reject it.
+        """
         worker = self.state.workers.get(command.worker_id)
         run = worker.runs.get(command.task) if worker is not None else None
-        return run is not None and run.number == command.run and not run.stop_sent_ms
+        if run is None or run.number != command.run or run.stop_sent_ms:
+            return False
+        if now < command.ticket_expires_ms:
+            return True
+        close_lost_run(self.state, self._run_ends, run, now, "its ticket expired before the start")
+        return False
 
     def handle_stop_result(self, command: StopTask, outcome: CommandOutcome, now: float) -> None:
         """Apply the outcome of a stop command."""
--- a/baobabhoist/cell/state.py
+++ b/baobabhoist/cell/state.py
@@ -96,7 +96,13 @@
             job.phase = JobPhase.RUNNING
         payload = job.accepted.spec.payload
         command = StartTask(
-            worker.worker_id, task.key, run_number, payload, task.checkpoint, ticket
+            worker.worker_id,
+            task.key,
+            run_number,
+            payload,
+            task.checkpoint,
+            ticket.text if ticket is not None else "",
+            ticket.expires_ms if ticket is not None else float("inf"),
         )
         self.commands.append(command)
         emit(
@@ -107,7 +113,7 @@
             worker=worker.worker_id,
             waited_ms=round(now - task.step.ready_since_ms),
             free_cpu=worker.free_cpu,
-            ticket=bool(ticket),
+            ticket=ticket is not None,
             checkpoint=task.checkpoint,
         )
 
--- a/baobabhoist/cell/worker_index.py
+++ b/baobabhoist/cell/worker_index.py
@@ -54,7 +54,7 @@
     def workers_with_ticket(self, step: StepState, service: str, label: str) -> list[WorkerState]:
         """Return the usable workers for which a step has a valid ticket."""
         now = self._now
-        valid = [w for w, t in step.approvals.tickets.items() if t.expires_ms > now and t.text]
+        valid = [w for w, t in step.approvals.tickets.items() if t.is_valid(now)]
         return self._filter_usable(valid, service, label)
 
     def _filter_usable(self, ids: Iterable[str], service: str, label: str) -> list[WorkerState]:
--- a/baobabhoist/control/owner.py
+++ b/baobabhoist/control/owner.py
@@ -354,7 +354,7 @@
     async def _send_start(self, command: StartTask) -> None:
         session = self._sessions.get(command.worker_id)
         cell = self._require_cell()
-        if session is not None and cell.should_send_start(command):
+        if session is not None and cell.should_send_start(command, monotonic_ms()):
             self._observe_wait(command)
             sent_ms = monotonic_ms()
             outcome = await session.start_task(command)
--- a/baobabhoist/tests/test_cell_advice.py
+++ b/baobabhoist/tests/test_cell_advice.py
@@ -146,3 +146,18 @@
     harness.occupy_all()
     harness.run_for(10_000.0)
     assert harness.query_count <= 8
+
+
+def test_a_start_that_waits_for_the_store_is_not_sent_with_an_expired_ticket():
+    """Guard against starts that workers reject after the store did not answer for seconds."""
+    harness = advised_harness(4)
+    harness.delivers_commands = False
+    harness.submit(make_job("a" * 16, Step(3, WHOLE_WORKER, 4000, gang=True)))
+    harness.run_for(1_000.0, lambda: len(harness.undelivered) == 3)
+    starts = list(harness.undelivered)
+    assert all(harness.cell.should_send_start(start, harness.now) for start in starts)
+    harness.run_for(TERMS.ticket_valid_ms)
+    assert not any(harness.cell.should_send_start(start, harness.now) for start in starts)
+    harness.delivers_commands = True
+    harness.undelivered.clear()
+    assert harness.run_for(START_BOUND_MS, lambda: harness.is_running("a" * 16))
--- a/baobabhoist/tests/test_cell_stateful.py
+++ b/baobabhoist/tests/test_cell_stateful.py
@@ -200,7 +200,7 @@
         for job_id, saved in self.cell.take_unsaved_progress().items():
             self.stored[job_id] = saved
         self.in_transit += [
-            s for s in self.unstored_starts if self.cell.should_send_start(s.command)
+            s for s in self.unstored_starts if self.cell.should_send_start(s.command, self.now)
         ]
         self.unstored_starts.clear()
         for worker, number in last_seen_ends.items():
