--- a/baobabhoist/benchmarks/cell_replay.py
+++ b/baobabhoist/benchmarks/cell_replay.py
@@ -212,7 +212,7 @@
         cell, token = self.cell, self.token
 
         def send() -> None:
-            if cell.should_send_start(command):
+            if cell.should_send_start(command, self.now):
                 deadline_ms = self._extend_lease(cell, command.worker_id) or 0
                 self._deliver_start(cell, command, token, deadline_ms)
 
--- a/baobabhoist/cell/model.py
+++ b/baobabhoist/cell/model.py
@@ -338,7 +338,7 @@
 
 @attrs.frozen
 class StartTask:
-    """Command a worker to start a run."""
+    """Command a worker to start a run; the ticket expires on the owner's clock."""
 
     worker_id: str
     task: TaskKey
@@ -346,6 +346,7 @@
     payload: str
     checkpoint: str = ""
     ticket: str = ""
+    ticket_expires_ms: float = float("inf")
 
 
 @attrs.frozen
--- a/baobabhoist/tests/test_cell_advice.py
+++ b/baobabhoist/tests/test_cell_advice.py
@@ -110,6 +110,35 @@
     assert harness.run_for(START_BOUND_MS, lambda: harness.is_running("a" * 16))
 
 
+def test_a_step_that_fits_gets_tickets_behind_steps_that_never_start():
+    """Guard against a step that waits with free workers while steps that can't start renew."""
+    harness = advised_harness(8)
+    for number in range(20):
+        step = Step(50, WHOLE_WORKER, 20_000, gang=True)
+        harness.submit(make_job(f"{number:016x}", step))
+    harness.now += 1.0
+    harness.submit(make_job("a" * 16, Step(1, WHOLE_WORKER, 400)))
+    harness.cell.find_job("a" * 16).objective_ms += 60_000.0
+    harness.occupy_all()
+    harness.run_for(6_000.0)
+    harness.free_all()
+    assert harness.run_for(START_BOUND_MS, lambda: harness.is_running("a" * 16))
+
+
+def test_queries_without_an_answer_do_not_block_later_ones_for_ever():
+    """Guard against a cell that asks for no more advice after some answers were lost."""
+    harness = advised_harness(2, max_requests=2)
+    harness.is_adviser_up = False
+    for number in range(2):
+        harness.submit(make_job(f"{number:016x}", Step(1, WHOLE_WORKER, 400)))
+    harness.run_for(1_000.0)
+    for number in range(2):
+        harness.cell.cancel_job(f"{number:016x}", harness.now)
+    harness.is_adviser_up = True
+    harness.submit(make_job("a" * 16, Step(1, WHOLE_WORKER, 400)))
+    assert harness.run_for(8_000.0, lambda: harness.is_running("a" * 16))
+
+
 def test_a_waiting_step_asks_about_once_per_ticket_lifetime():
     """Guard against an adviser that is kept busy by renewals of one waiting step."""
     harness = advised_harness(24)
@@ -117,3 +146,18 @@
     harness.occupy_all()
     harness.run_for(10_000.0)
     assert harness.query_count <= 8
+
+
+def test_a_start_that_waits_for_the_store_is_not_sent_with_an_expired_ticket():
+    """Guard against starts that workers reject after the store did not answer for seconds."""
+    harness = advised_harness(4)
+    harness.delivers_commands = False
+    harness.submit(make_job("a" * 16, Step(3, WHOLE_WORKER, 4000, gang=True)))
+    harness.run_for(1_000.0, lambda: len(harness.undelivered) == 3)
+    starts = list(harness.undelivered)
+    assert all(harness.cell.should_send_start(start, harness.now) for start in starts)
+    harness.run_for(TERMS.ticket_valid_ms)
+    assert not any(harness.cell.should_send_start(start, harness.now) for start in starts)
+    harness.delivers_commands = True
+    harness.undelivered.clear()
+    assert harness.run_for(START_BOUND_MS, lambda: harness.is_running("a" * 16))
--- a/baobabhoist/tests/test_cell_start_window.py
+++ b/baobabhoist/tests/test_cell_start_window.py
@@ -100,7 +100,7 @@
             decided_ms, command = self.backlog.popleft()
             if isinstance(command, StopTask):
                 self.harness.deliver_command(command)
-            elif self.harness.cell.should_send_start(command):
+            elif self.harness.cell.should_send_start(command, self.harness.now):
                 self._send_start(decided_ms, command)
 
     def _send_start(self, decided_ms, command):
