Close a run at once if its start was never sent

The first start was rejected because its ticket had expired; the other members, whose starts still waited in the owner, were stopped on their workers: a command, its answer, and a report that was requested after the answer, more than a second, for runs that no worker had seen. Only then could the gang ask for new tickets and start again.

A run now knows whether its start was sent (should_send_start is the last check before it is). Stopping one that was not closes it, and the owner never sends its start. Its job's progress is stored again, so that the next owner doesn't wait for it. Starts that were sent are stopped on their workers as before.

--- a/baobabhoist/cell/scheduler.py
+++ b/baobabhoist/cell/scheduler.py
@@ -224,10 +224,16 @@
         self._reports.handle_start_result(command, outcome, now)
 
     def should_send_start(self, command: StartTask) -> bool:
-        """Return whether a start command is still valid after its run has been stored."""
+        """Return whether a start command is still valid after its run has been stored.
+
+        The caller must send a valid one: from now on its run has to be stopped on the worker.
+        """
         worker = self.state.workers.get(command.worker_id)
         run = worker.runs.get(command.task) if worker is not None else None
-        return run is not None and run.number == command.run and not run.stop_sent_ms
+        if run is None or run.number != command.run or run.stop_sent_ms:
+            return False
+        run.is_sent = True
+        return True
 
     def handle_stop_result(self, command: StopTask, outcome: CommandOutcome, now: float) -> None:
         """Apply the outcome of a stop command."""
--- a/baobabhoist/cell/state.py
+++ b/baobabhoist/cell/state.py
@@ -115,6 +115,7 @@
         """Track a run that an earlier owner started and allocate its resources."""
         run = self._add_run(task, worker, run_number, RunPhase.RUNNING, now)
         run.confirmed_ms = now
+        run.is_sent = True
         if task.step.job.phase is JobPhase.QUEUED:
             task.step.job.phase = JobPhase.RUNNING
         return run
@@ -127,7 +128,11 @@
         )
 
     def stop_run(self, run: Run, now: float) -> None:
-        """Issue a stop command for a run."""
+        """Issue a stop command for a run, or close it if its start has not been sent."""
+        if run.phase is RunPhase.STARTING and not run.is_sent:
+            self.dirty.add(run.task.step.job.job_id)
+            self.close_run(run)
+            return
         if run.phase is not RunPhase.UNSURE:
             run.phase = RunPhase.STOPPING
         run.stop_sent_ms = now
--- /dev/null
+++ b/baobabhoist/tests/test_cell_run_stops.py
@@ -0,0 +1,46 @@
+"""Test how soon the runs of a broken gang are closed, so that it can start again."""
+
+from baobabhoist.cell.model import CommandOutcome, StartTask, Step, StopTask
+from baobabhoist.tests.cell_harness import SMALL, CellHarness, make_job
+
+GANG = (Step(2, SMALL.times(4), 100, gang=True),)
+
+
+def test_a_gang_whose_start_was_rejected_does_not_stop_the_members_that_were_never_sent():
+    """Guard against a gang that waits for the stops of runs which no worker has seen."""
+    harness = CellHarness.with_workers(2)
+    harness.delivers_commands = False
+    harness.submit(make_job("0" * 16, *GANG))
+    first, second = harness.schedule()
+    assert harness.cell.should_send_start(first)
+    harness.cell.handle_start_result(first, CommandOutcome.NO_ROOM, harness.now)
+    assert not harness.cell.should_send_start(second)
+    assert harness.schedule() == []
+    harness.now += 200
+    restarts = harness.schedule()
+    assert [(type(c), c.run) for c in restarts] == [(StartTask, 2), (StartTask, 2)]
+
+
+def test_a_start_that_was_sent_is_stopped_on_its_worker():
+    """Guard against a task that runs twice because its first start is still on its way."""
+    harness = CellHarness.with_workers(2)
+    harness.delivers_commands = False
+    harness.submit(make_job("0" * 16, *GANG))
+    first, second = harness.schedule()
+    assert harness.cell.should_send_start(first) and harness.cell.should_send_start(second)
+    harness.cell.handle_start_result(first, CommandOutcome.NO_ROOM, harness.now)
+    (stop,) = harness.schedule()
+    assert (type(stop), stop.worker_id, stop.run) == (StopTask, second.worker_id, 1)
+
+
+def test_a_cancelled_job_forgets_the_starts_that_were_never_sent():
+    """Guard against a new owner that waits for a run which was never started."""
+    harness = CellHarness.with_workers(2)
+    harness.delivers_commands = False
+    harness.submit(make_job("0" * 16, *GANG))
+    harness.schedule()
+    harness.save_progress()
+    harness.cell.cancel_job("0" * 16, harness.now)
+    assert harness.schedule() == []
+    assert harness.cell.state.team_usage["team"].cpu == 0
+    assert "0" * 16 in harness.save_progress()
