--- a/baobabhoist/cell/scheduler.py
+++ b/baobabhoist/cell/scheduler.py
@@ -234,15 +234,18 @@
         """Return whether a start command is still valid after its run has been stored.
 
         If its ticket has expired meanwhile, the run is closed, because its worker would reject it.
+        The caller must send a valid one: from now on its run has to be stopped on the worker.
         """
         worker = self.state.workers.get(command.worker_id)
         run = worker.runs.get(command.task) if worker is not None else None
         if run is None or run.number != command.run or run.stop_sent_ms:
             return False
-        if now < command.ticket_expires_ms:
-            return True
-        close_lost_run(self.state, self._run_ends, run, now, "its ticket expired before the start")
-        return False
+        if now >= command.ticket_expires_ms:
+            reason = "its ticket expired before the start"
+            close_lost_run(self.state, self._run_ends, run, now, reason)
+            return False
+        run.is_sent = True
+        return True
 
     def handle_stop_result(self, command: StopTask, outcome: CommandOutcome, now: float) -> None:
         """Apply the outcome of a stop command."""
