Judge a new link to a peer by itself

An instance that relays its store calls refused jobs for up to 1.5 s although its new link to the owner worked, when that link got the address in memory of a failed one: links were remembered by id(), and the pause of the failed link outlives it. Evidence: test_new_link_is_usable_whatever_became_of_closed_ones failed on the parent commit on its second link; how often it happens in a running instance was not measured. Links are now remembered by weak references.

--- a/baobabhoist/control/relay.py
+++ b/baobabhoist/control/relay.py
@@ -6,6 +6,7 @@
 import logging
 from collections.abc import Callable
 from typing import Any
+from weakref import ReferenceType, WeakKeyDictionary, ref
 
 import attrs
 
@@ -57,30 +58,29 @@
 }
 
 
-@attrs.define
 class RelayPeers:
     """Choose links for relayed calls: the last successful one first, failed ones after a pause."""
 
-    links: Callable[[], list[Link]]
-    unusable_until_ms: dict[int, float] = attrs.Factory(dict)
-    last_served_id: int = 0
+    def __init__(self, links: Callable[[], list[Link]]) -> None:
+        self._links = links
+        self._unusable_until_ms: WeakKeyDictionary[Link, float] = WeakKeyDictionary()
+        self._last_served: ReferenceType[Link] | None = None
 
     def usable_links(self) -> list[Link]:
         """Return the links to try, in order."""
         now = monotonic_ms()
-        usable = [k for k in self.links() if self.unusable_until_ms.get(id(k), 0.0) < now]
-        usable.sort(key=lambda link: id(link) != self.last_served_id)
+        usable = [k for k in self._links() if self._unusable_until_ms.get(k, 0.0) < now]
+        last_served = self._last_served() if self._last_served is not None else None
+        usable.sort(key=lambda link: link is not last_served)
         return usable[:MAX_PEERS_TRIED]
 
     def mark_served(self, link: Link) -> None:
         """Prefer this peer from now on."""
-        self.last_served_id = id(link)
+        self._last_served = ref(link)
 
     def mark_unusable(self, link: Link) -> None:
         """Skip this peer for PEER_BACKOFF_MS."""
-        now = monotonic_ms()
-        self.unusable_until_ms = {k: v for k, v in self.unusable_until_ms.items() if v > now}
-        self.unusable_until_ms[id(link)] = now + PEER_BACKOFF_MS
+        self._unusable_until_ms[link] = monotonic_ms() + PEER_BACKOFF_MS
 
 
 class FailoverStore:
--- a/baobabhoist/tests/test_control_relay.py
+++ b/baobabhoist/tests/test_control_relay.py
@@ -219,6 +219,17 @@
     asyncio.run(run())
 
 
+def test_new_link_is_usable_whatever_became_of_closed_ones():
+    """Guard against refusals because a new link has the address in memory of a failed one."""
+    links = []
+    peers = RelayPeers(lambda: links)
+    for _ in range(100):
+        links[:] = [FakeLink(None)]
+        assert peers.usable_links() == links
+        peers.mark_unusable(links[0])
+        assert peers.usable_links() == []
+
+
 def test_store_is_called_directly_again_once_it_answers():
     """Guard against an instance that keeps relaying through its peers after one lost answer."""
 
