Decide no start on a ticket that expires before it can be sent

Callers saw (would see) gangs that start later: a start decided in the last moments of its ticket is stored, dropped before it is sent, and its gang waits for all of its members to be stopped and for new tickets.

Cause: a ticket counted as valid for a start decided up to 60 ms before its expiry, which is the time for the command to reach the worker. Storing the run first takes a batch of 15 ms, the write and the owner's own delay.

Evidence: a test with a gang decided 139 ms before the expiry of its tickets and a write of 80 ms passes, and fails with a start delay of 0.

Fix: a ticket counts as valid only if it also outlasts the time for storing the run, 100 ms, and renewals begin as much earlier. A start that takes longer is still caught before it is sent.

--- a/baobabhoist/cell/advice_requests.py
+++ b/baobabhoist/cell/advice_requests.py
@@ -6,6 +6,7 @@
 
 import attrs
 
+from baobabhoist.cell.approvals import START_DELAY_MS
 from baobabhoist.cell.jobs import StepState
 from baobabhoist.cell.model import AdviceTerms, RequestAdvice, StepKey
 from baobabhoist.cell.state import CellState
@@ -18,7 +19,7 @@
 # An advice request times out after its expected duration plus this margin.
 ANSWER_TIMEOUT_MARGIN_MS = 4_000.0
 # Tickets are renewed when one expires within the duration of a request plus this margin.
-TICKET_RENEWAL_MARGIN_MS = 100.0
+TICKET_RENEWAL_MARGIN_MS = START_DELAY_MS + 100.0
 
 
 @attrs.define
--- a/baobabhoist/cell/approvals.py
+++ b/baobabhoist/cell/approvals.py
@@ -8,6 +8,8 @@
 
 # Time for a start command to reach its worker before the ticket expires.
 TICKET_MARGIN_MS = 60.0
+# Time from the decision to start a task until its run is stored and the command is sent.
+START_DELAY_MS = 100.0
 
 
 @attrs.frozen
@@ -21,8 +23,8 @@
     expires_ms: float
 
     def is_valid(self, now: float) -> bool:
-        """Return whether a start that is sent now reaches its worker before the expiry."""
-        return bool(self.text) and self.expires_ms > now
+        """Return whether a start that is decided now can be sent before the expiry."""
+        return bool(self.text) and self.expires_ms > now + START_DELAY_MS
 
 
 @attrs.define
@@ -38,7 +40,7 @@
     first_expiry_ms: float = float("inf")
 
     def valid_ticket(self, worker_id: str, now: float) -> Ticket | None:
-        """Return a ticket that is valid for a start sent now, or None."""
+        """Return a ticket that is valid for a start decided now, or None."""
         ticket = self.tickets.get(worker_id)
         return ticket if ticket is not None and ticket.is_valid(now) else None
 
--- a/baobabhoist/tests/test_cell_advice.py
+++ b/baobabhoist/tests/test_cell_advice.py
@@ -4,13 +4,16 @@
 
 import attrs
 
-from baobabhoist.cell.model import AdviceTerms, RequestAdvice, Resources, Step
+from baobabhoist.cell.approvals import TICKET_MARGIN_MS
+from baobabhoist.cell.model import AdviceTerms, RequestAdvice, Resources, StartTask, Step
 from baobabhoist.tests.cell_harness import CellHarness, make_job, make_rules
 
 WHOLE_WORKER = Resources(4000, 512, 0)
 # The terms of the slowest adviser among the platform's sites.
 TERMS = AdviceTerms(350.0, 5.0, 2_500)
 ROUND_MS = 10.0
+# Time for a batch of starts to be written to the store by a busy owner.
+STORE_WRITE_MS = 80.0
 RESTART_INTERVAL_MS = 1_400.0
 # Time for a first query, a renewal and the start itself.
 START_BOUND_MS = 2_000.0
@@ -161,3 +164,18 @@
     harness.delivers_commands = True
     harness.undelivered.clear()
     assert harness.run_for(START_BOUND_MS, lambda: harness.is_running("a" * 16))
+
+
+def test_no_start_is_decided_on_a_ticket_that_expires_before_it_is_sent():
+    """Guard against starts that are stored and then dropped, with the rest of their gang."""
+    harness = advised_harness(2)
+    harness.submit(make_job("a" * 16, Step(2, WHOLE_WORKER, 4000, gang=True)))
+    (query,) = harness.schedule()
+    valid_until_ms = harness.now + 300.0
+    tickets = dict.fromkeys(query.workers, "t")
+    harness.cell.handle_advice(query.step, query.workers, tickets, valid_until_ms)
+    harness.now = valid_until_ms - TICKET_MARGIN_MS - STORE_WRITE_MS + 1.0
+    harness.renew_all()
+    starts = [command for command in harness.schedule() if isinstance(command, StartTask)]
+    harness.now += STORE_WRITE_MS
+    assert all(harness.cell.should_send_start(start, harness.now) for start in starts)
