Count a gang's limit per worker when it reserves workers

Callers saw (would see) small jobs that wait with free workers, for as long as a gang waits that no set of workers admits.

Cause: a gang reserved workers as if as many of its tasks as fit could share one. With a limit of tasks per worker, it reserved too few to ever start on, and reserved some even if it could not start on all workers together.

Evidence: a test with 2 workers, a gang of 4 with at most one task a worker and 8 small jobs failed before: some of the small jobs never started.

Fix: the reservation counts at most that many tasks a worker.

--- a/baobabhoist/cell/reservations.py
+++ b/baobabhoist/cell/reservations.py
@@ -5,7 +5,7 @@
 import attrs
 
 from baobabhoist.cell.jobs import StepState
-from baobabhoist.cell.worker_selection import count_fitting_tasks
+from baobabhoist.cell.worker_selection import count_fitting_tasks, max_tasks_per_worker
 from baobabhoist.cell.workers import WorkerState
 
 # Gangs that reserve workers at the same time; more would leave too many cores idle.
@@ -57,11 +57,12 @@
             return
         available = [w for w in approved if self.is_worker_available(w, step)]
         available.sort(key=_cpu_utilization)
+        max_per_worker = max_tasks_per_worker(step.spec, step.waiting_count)
         chosen, slot_count = [], 0
         for worker in available:
             chosen.append(worker)
             slot_count += count_fitting_tasks(
-                worker.info.capacity, step.spec.allocation, step.waiting_count
+                worker.info.capacity, step.spec.allocation, max_per_worker
             )
             if slot_count >= step.waiting_count:
                 break
--- a/baobabhoist/cell/worker_selection.py
+++ b/baobabhoist/cell/worker_selection.py
@@ -32,6 +32,11 @@
     return max(0, max_count)
 
 
+def max_tasks_per_worker(step: Step, task_count: int) -> int:
+    """Return how many of these tasks of a step its own limit allows on one worker."""
+    return min(task_count, step.most_per_worker) if step.most_per_worker else task_count
+
+
 def find_slots(
     workers: Iterable[WorkerState],
     step: Step,
--- a/baobabhoist/tests/test_cell_reservations.py
+++ b/baobabhoist/tests/test_cell_reservations.py
@@ -51,3 +51,11 @@
     harness.submit(make_job("a" * 16, Step(5, SMALL, 100, gang=True)))
     submit_small_jobs(harness, 0, 4)
     assert len(harness.running_tasks()) == 4
+
+
+def test_no_more_workers_are_reserved_than_the_limit_per_worker_allows():
+    """Guard against workers that stay idle for a gang which its limit per worker never admits."""
+    harness = CellHarness.with_workers(2)
+    harness.submit(make_job("a" * 16, Step(4, SMALL, 100, gang=True, most_per_worker=1)))
+    submit_small_jobs(harness, 0, 8)
+    assert len(harness.running_tasks()) == 8
