Close a stopped run that its worker has listed and lists no more

The new owner adopts the stored runs of a gang, of which all have ended. The first report that lacks one closes it and stops the others; these were closed only by a report requested after the stop was answered, although a report that was already on its way lacks them as well.

A run whose start was confirmed, or that was adopted, and that a later report doesn't list has ended for certain, whether a stop is on its way or not: workers that have reported to this owner reject the starts of earlier ones. It is now closed by that report. A run whose start is unanswered still needs the answered stop.

--- a/baobabhoist/cell/worker_reports.py
+++ b/baobabhoist/cell/worker_reports.py
@@ -190,9 +190,11 @@
         for run in list(worker.runs.values()):
             if (run.task.key, run.number) in listed:
                 continue
-            if run.phase is RunPhase.STOPPING and 0 < run.stop_answered_ms < requested_ms:
+            was_confirmed = 0 < run.confirmed_ms < requested_ms
+            was_stopped = 0 < run.stop_answered_ms < requested_ms
+            if run.phase is RunPhase.STOPPING and (was_stopped or was_confirmed):
                 self._state.close_run(run)
-            elif run.phase is RunPhase.RUNNING and 0 < run.confirmed_ms < requested_ms:
+            elif run.phase is RunPhase.RUNNING and was_confirmed:
                 close_lost_run(
                     self._state, self._run_ends, run, now, "its worker does not list it"
                 )
--- a/baobabhoist/tests/test_cell_run_stops.py
+++ b/baobabhoist/tests/test_cell_run_stops.py
@@ -1,7 +1,7 @@
 """Test how soon the runs of a broken gang are closed, so that it can start again."""
 
-from baobabhoist.cell.model import CommandOutcome, StartTask, Step, StopTask
-from baobabhoist.tests.cell_harness import SMALL, CellHarness, make_job
+from baobabhoist.cell.model import CommandOutcome, RunOutcome, StartTask, Step, StopTask
+from baobabhoist.tests.cell_harness import SMALL, CellHarness, make_job, make_task_key
 
 GANG = (Step(2, SMALL.times(4), 100, gang=True),)
 
@@ -44,3 +44,26 @@
     assert harness.schedule() == []
     assert harness.cell.state.team_usage["team"].cpu == 0
     assert "0" * 16 in harness.save_progress()
+
+
+def test_members_that_ended_before_a_takeover_need_no_answered_stop():
+    """Guard against a gang that waits a second longer after a takeover than its reports need."""
+    harness = CellHarness.with_workers(2)
+    accepted = make_job("0" * 16, *GANG, version=1)
+    harness.submit(accepted)
+    harness.settle()
+    stored = harness.save_progress()
+    for index in range(2):
+        key = make_task_key(index=index)
+        harness.worker_running(key).end_run(key, RunOutcome.STOPPED)
+    harness.renew_all()
+    harness.save_progress()
+    harness.renew_all()
+    harness.take_over([accepted], stored)
+    harness.delivers_commands = False
+    harness.now += 1.0
+    harness.renew("w0")
+    harness.now += 1.0
+    harness.renew("w1")
+    starts = [c for c in harness.schedule() if isinstance(c, StartTask)]
+    assert len(starts) == 2
