Report a closed connection when sending over an aborted link

Cause: Link.abort() closes the transport at once; websockets' send aborts it a second time, which asyncio does not bear. Link.call checked for it, the other ways of sending did not.

--- a/baobabhoist/peer/link.py
+++ b/baobabhoist/peer/link.py
@@ -150,6 +150,8 @@
             await self._send_frame(data)
 
     async def _send_frame(self, data: bytes) -> None:
+        if self.closed:
+            raise LinkClosedError("the connection is closed")
         LINK_TRAFFIC.sent_bytes += len(data)
         try:
             await self._conn.send(data)
--- a/baobabhoist/tests/test_peer_mesh.py
+++ b/baobabhoist/tests/test_peer_mesh.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+from types import SimpleNamespace
 
 import attrs
 import pytest
@@ -263,3 +264,22 @@
     asyncio.run(scenario())
     lines = [r.getMessage() for r in caplog.records]
     assert lines == ["background task Link._handle failed: ValueError('broken handler')"]
+
+
+def test_sending_over_an_aborted_link_is_reported_as_closed():
+    """Guard against a sender that crashes because its link was replaced meanwhile."""
+
+    class AbortedConnection:
+        transport = SimpleNamespace(abort=lambda: None)
+
+        async def send(self, data):
+            # websockets 17 aborts the transport again, which has no event loop any more.
+            raise AttributeError("'NoneType' object has no attribute 'call_soon'")
+
+    async def scenario():
+        link = Link(AbortedConnection(), CODEC, echo)
+        link.abort()
+        with pytest.raises(LinkClosedError):
+            await link.notify(RelayRequest(request("small", b"y")))
+
+    asyncio.run(scenario())
