Give up a start that is never sent

Cause: a run in state starting leaves that state by an answer, a report or the end of its worker's lease. If nothing sends its command, as with a missing session or a sender that failed, none of these comes while the worker's lease is renewed. Since a run knows whether its start was sent, one that was not after 5 s is closed, as when its job is cancelled, and the owner never sends it.

The new test failed before (no second start).

--- a/baobabhoist/cell/periodic_checks.py
+++ b/baobabhoist/cell/periodic_checks.py
@@ -20,6 +20,8 @@
 STOP_RETRY_INTERVAL_MS = 400.0
 # A run without progress for this long is stopped and started on another worker.
 STALL_TIMEOUT_MS = 3_000.0
+# A start that was not sent for this long is given up: the task that should send it is gone.
+UNSENT_START_TIMEOUT_MS = 5_000.0
 # Live workers are listed in the directory again within this time after a store outage.
 DIRECTORY_RECOVERY_MS = 2_500.0
 
@@ -64,6 +66,14 @@
             and now - run.stop_sent_ms > STOP_RETRY_INTERVAL_MS
         ):
             self._state.stop_run(run, now)
+        is_forgotten = (
+            run.phase is RunPhase.STARTING
+            and not run.is_sent
+            and now - run.last_progress_ms > UNSENT_START_TIMEOUT_MS
+        )
+        if is_forgotten:
+            self._state.stop_run(run, now)
+            return
         is_stalled = (
             run.phase is RunPhase.RUNNING
             and not run.task.step.spec.lasting
--- a/baobabhoist/tests/test_cell_run_stops.py
+++ b/baobabhoist/tests/test_cell_run_stops.py
@@ -1,6 +1,7 @@
 """Test how soon the runs of a broken gang are closed, so that it can start again."""
 
 from baobabhoist.cell.model import CommandOutcome, RunOutcome, StartTask, Step, StopTask
+from baobabhoist.cell.periodic_checks import UNSENT_START_TIMEOUT_MS
 from baobabhoist.tests.cell_harness import SMALL, CellHarness, make_job, make_task_key
 
 GANG = (Step(2, SMALL.times(4), 100, gang=True),)
@@ -27,9 +28,8 @@
     harness.delivers_commands = False
     harness.submit(make_job("0" * 16, *GANG))
     first, second = harness.schedule()
-    assert harness.cell.should_send_start(first, harness.now) and harness.cell.should_send_start(
-        second, harness.now
-    )
+    assert harness.cell.should_send_start(first, harness.now)
+    assert harness.cell.should_send_start(second, harness.now)
     harness.cell.handle_start_result(first, CommandOutcome.NO_ROOM, harness.now)
     (stop,) = harness.schedule()
     assert (type(stop), stop.worker_id, stop.run) == (StopTask, second.worker_id, 1)
@@ -48,6 +48,19 @@
     assert "0" * 16 in harness.save_progress()
 
 
+def test_a_task_whose_start_is_never_sent_starts_again():
+    """Guard against an accepted job that never runs because its start command was lost."""
+    harness = CellHarness.with_workers(1)
+    harness.delivers_commands = False
+    harness.submit(make_job())
+    (lost,) = harness.schedule()
+    harness.undelivered.clear()
+    harness.advance(UNSENT_START_TIMEOUT_MS + 200.0)
+    (again,) = [command for command in harness.undelivered if isinstance(command, StartTask)]
+    assert (again.task, again.run) == (lost.task, 2)
+    assert not harness.cell.should_send_start(lost, harness.now)
+
+
 def test_members_that_ended_before_a_takeover_need_no_answered_stop():
     """Guard against a gang that waits a second longer after a takeover than its reports need."""
     harness = CellHarness.with_workers(2)
