Do not log failures of requests that nobody waits for

Cause: Tornado logs an error of a request whose future was cancelled; ours are, when an owner stops its sessions or a deadline passes. The request's own future is now left alone and its error retrieved.

--- a/baobabhoist/platform/http_client.py
+++ b/baobabhoist/platform/http_client.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import logging
 from typing import Any
 
@@ -78,8 +79,11 @@
             allow_ipv6=False,
             prepare_curl_callback=_force_new_connection if needs_new_connection else None,
         )
+        fetch = asyncio.ensure_future(self._client.fetch(req, raise_error=False))
+        # Observed, because Tornado logs each failure of a request whose caller was cancelled.
+        fetch.add_done_callback(_retrieve_exception)
         try:
-            response = await self._client.fetch(req, raise_error=False)
+            response = await asyncio.shield(fetch)
         except (HTTPClientError, OSError) as exc:
             return self._no_response(address, str(exc))
         if response.code == NO_RESPONSE_CODE:
@@ -96,6 +100,11 @@
         return HttpResponse(0, None, reason)
 
 
+def _retrieve_exception(fetch: asyncio.Future[Any]) -> None:
+    if not fetch.cancelled():
+        fetch.exception()
+
+
 def _force_new_connection(curl: Any) -> None:
     curl.setopt(pycurl.FRESH_CONNECT, 1)
 
--- a/baobabhoist/tests/test_platform_http_client.py
+++ b/baobabhoist/tests/test_platform_http_client.py
@@ -4,9 +4,11 @@
 
 import asyncio
 
+import pytest
+
 from baobabhoist.cell.model import NO_RESOURCES, WorkerInfo
 from baobabhoist.control.settings import BoundSettings, NodeSettings, StoreSettings
-from baobabhoist.platform.http_client import MAX_CONCURRENT_REQUESTS
+from baobabhoist.platform.http_client import MAX_CONCURRENT_REQUESTS, HttpClient
 from baobabhoist.platform.instance import make_adapter
 
 HOST = "127.0.0.1"
@@ -53,9 +55,9 @@
     )
 
 
-# Guards against an owner whose heartbeats wait behind the calls to workers that are cut off, so
-# that it loses the cell and accepted jobs wait for a takeover.
 def test_silent_workers_do_not_hold_up_the_store() -> None:
+    """Guard against an owner that loses the cell while its heartbeats wait for silent workers."""
+
     async def run() -> int:
         adapter = make_adapter(_settings(await _listen(_answer_with_empty_page)))
         worker = WorkerInfo("w", "svc", await _listen(_never_answer), "z1", NO_RESOURCES, ())
@@ -75,3 +77,33 @@
         return rows.version
 
     assert asyncio.run(run()) == 7
+
+
+def test_failure_of_an_abandoned_request_is_not_logged(caplog: pytest.LogCaptureFixture) -> None:
+    """Guard against a log that fills with errors of requests which nobody waits for any more."""
+
+    async def run() -> None:
+        received, hang_up = asyncio.Event(), asyncio.Event()
+
+        async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            await reader.readuntil(b"\r\n\r\n")
+            received.set()
+            await hang_up.wait()
+            writer.close()
+
+        client = HttpClient()
+        address = await _listen(serve)
+        request = asyncio.ensure_future(client.request("GET", address, "/", timeout_s=60.0))
+        await received.wait()
+        request.cancel()
+        hang_up.set()
+        following = await client.request("GET", await _listen(_hang_up), "/", timeout_s=60.0)
+        assert following.status == 0
+        client.close()
+
+    asyncio.run(run())
+    assert not caplog.records
+
+
+async def _hang_up(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    writer.close()
