Let a release wait for the owner's tasks, and a stopped owner begin nothing

A release dropped the progress write under way: the cancelled write puts its rows back only when it has ended, after the release had looked for unsaved progress. The next owner would show a completed job as running, or run a task again. The release now waits for the cancelled tasks first.

An owner stopped while it loads went on when the load had ended: it opened its sessions and renewed leases with the old token, on which the next owner does not count.

--- a/baobabhoist/control/election.py
+++ b/baobabhoist/control/election.py
@@ -141,6 +141,7 @@
             return
         claim = ClaimRow("", "", "", owner.ownership.generation, successor)
         owner.stop()
+        await owner.wait_until_stopped()
         if await owner.progress_writer.release(encode_claim(claim), owner.cell):
             emit(log, Event.CLAIM_RELEASED, token=owner.ownership.token)
             self._notify_links(OwnerHeartbeat(owns=False))
--- a/baobabhoist/control/owner.py
+++ b/baobabhoist/control/owner.py
@@ -127,6 +127,8 @@
         """Load the stored state, then run the cell until cancelled; raises if a task failed."""
         try:
             await self._load()
+            if self._tasks.is_stopped:
+                return
             self._tasks.spawn_service(self._jobs_follower().run())
             self._tasks.spawn_service(self._directory_follower().run())
             self._tasks.spawn_service(self.progress_writer.run(self._require_cell()))
@@ -142,6 +144,10 @@
         self._sessions.clear()
         self._tasks.stop()
 
+    async def wait_until_stopped(self) -> None:
+        """Wait, after `stop`, until the progress of an interrupted write is marked as unsaved."""
+        await self._tasks.wait_until_stopped()
+
     @property
     def cell(self) -> CellScheduler | None:
         """Return the cell, or None while loading, when its jobs look as if they had never run."""
@@ -338,7 +344,7 @@
         self.request_scheduling_round()
 
     def _open_session(self, worker_id: str) -> None:
-        if worker_id in self._sessions:
+        if worker_id in self._sessions or self._tasks.is_stopped:
             return
         state = self._require_cell().state.workers[worker_id]
         session = WorkerSession(self, self._deps.driver, state, self._deps.lease_ms)
@@ -391,6 +397,8 @@
             self.progress_writer.request_flush()
 
     def _send_command(self, command: Command) -> None:
+        if self._tasks.is_stopped:
+            return
         self._tasks.spawn(self._SENDERS[type(command)](self, command))
 
     async def _send_start(self, command: StartTask) -> None:
--- a/baobabhoist/control/task_supervisor.py
+++ b/baobabhoist/control/task_supervisor.py
@@ -38,6 +38,11 @@
         for task in self._tasks:
             task.cancel()
 
+    async def wait_until_stopped(self) -> None:
+        """Wait until the cancelled tasks have ended."""
+        if self._tasks:
+            await asyncio.wait(self._tasks)
+
     def fail(self, task_name: str, exc: BaseException) -> None:
         """Report the failure of a part that the tasks depend on."""
         if self.is_stopped or self._failed.is_set():
--- a/baobabhoist/tests/test_control_election.py
+++ b/baobabhoist/tests/test_control_election.py
@@ -43,6 +43,9 @@
     async def run(self):
         await asyncio.sleep(3600)
 
+    async def wait_until_stopped(self):
+        pass
+
     def stop(self):
         pass
 
--- a/baobabhoist/tests/test_control_owner.py
+++ b/baobabhoist/tests/test_control_owner.py
@@ -254,3 +254,49 @@
         harness.task.cancel()
 
     asyncio.run(run())
+
+
+def test_owner_stopped_while_it_loads_calls_no_worker(monkeypatch):
+    """Guard against leases that a released owner grants after the next one has begun."""
+
+    async def run():
+        harness = OwnerHarness()
+        read, resume = MemoryRowStore.read, asyncio.Event()
+
+        async def read_late(*args, **kwargs):
+            await resume.wait()
+            return await read(*args, **kwargs)
+
+        monkeypatch.setattr(MemoryRowStore, "read", read_late)
+        harness.task = asyncio.create_task(harness.owner.run())
+        await asyncio.sleep(0)
+        harness.owner.stop()
+        resume.set()
+        await asyncio.wait_for(harness.task, FAILURE_TIMEOUT_S)
+        assert harness.driver.workers["w0"].token < harness.owner.ownership.token
+
+    asyncio.run(run())
+
+
+def test_interrupted_progress_is_unsaved_once_the_owner_has_stopped(monkeypatch):
+    """Guard against a release that leaves out the progress which was being written."""
+
+    async def run():
+        harness = OwnerHarness()
+        await harness.start()
+        writing = asyncio.Event()
+
+        async def hang(*args):
+            writing.set()
+            await asyncio.Event().wait()
+
+        await harness.wait_until(lambda: harness.owner.cell.state.workers["w0"].has_accepted_token)
+        monkeypatch.setattr(MemoryRowStore, "commit", hang)
+        harness.store_job()
+        await asyncio.wait_for(writing.wait(), FAILURE_TIMEOUT_S)
+        harness.owner.stop()
+        await harness.owner.wait_until_stopped()
+        assert JOB_ID in harness.owner.cell.state.dirty
+        harness.task.cancel()
+
+    asyncio.run(run())
