Forget a slow write of long ago when judging the store

Found by the review: an instance whose last write took over 0.5 s and that has written nothing since counted as unfit to own the cell for ever, so that a small owner could keep it after the end of traffic. The new test failed before.

--- a/baobabhoist/control/store_health.py
+++ b/baobabhoist/control/store_health.py
@@ -32,11 +32,12 @@
 class StoreHealth:
     """Hold when the store last answered and when a call last failed, on the local clock.
 
-    `last_commit_took_ms` is the duration of the last write that was answered.
+    `last_commit_took_ms` is the duration of the last write that was answered, at `last_commit_ms`.
     """
 
     last_answer_ms: float = -1e12
     last_failure_ms: float = -1e12
+    last_commit_ms: float = -1e12
     last_commit_took_ms: float = 0.0
 
     def is_unreachable(self) -> bool:
@@ -51,7 +52,8 @@
         """Return whether the store answers quickly and no call has failed for some time."""
         since_ms = monotonic_ms() - STABLE_AFTER_MS
         is_answering = self.last_answer_ms > since_ms and self.last_failure_ms < since_ms
-        return is_answering and self.last_commit_took_ms < MAX_STABLE_COMMIT_MS
+        is_slow = self.last_commit_took_ms >= MAX_STABLE_COMMIT_MS
+        return is_answering and not (is_slow and self.last_commit_ms > since_ms)
 
 
 class MonitoredStore:
@@ -76,7 +78,8 @@
         """Apply a transaction."""
         start_ms = monotonic_ms()
         outcome = await self._measure("commit", self._store.commit(txn))
-        self.health.last_commit_took_ms = monotonic_ms() - start_ms
+        self.health.last_commit_ms = monotonic_ms()
+        self.health.last_commit_took_ms = self.health.last_commit_ms - start_ms
         return outcome
 
     async def _measure(self, call: str, answer: Awaitable[T]) -> T:
--- a/baobabhoist/tests/test_control_election.py
+++ b/baobabhoist/tests/test_control_election.py
@@ -21,7 +21,7 @@
 from baobabhoist.control.machine_size import MachineSize
 from baobabhoist.control.progress_writer import ProgressWriter
 from baobabhoist.control.row_schema import HEARTBEAT_ROW_KEY, OWNER_ROW_KEY
-from baobabhoist.control.store_health import MAX_STABLE_COMMIT_MS, StoreHealth
+from baobabhoist.control.store_health import MAX_STABLE_COMMIT_MS, STABLE_AFTER_MS, StoreHealth
 from baobabhoist.observability.events import EVENT_ATTRIBUTE, FIELDS_ATTRIBUTE, Event
 from baobabhoist.store.row_store import RowTransaction
 from baobabhoist.testing.memory_row_store import MemoryRowStore
@@ -272,9 +272,20 @@
 
 
 def slow_the_store_down(harness):
+    harness.health.last_commit_ms = harness.now
     harness.health.last_commit_took_ms = MAX_STABLE_COMMIT_MS
 
 
+def test_slow_write_of_long_ago_does_not_matter(harness):
+    """Guard against a small owner that keeps the cell because a larger instance writes rarely."""
+    harness.write(owner=encode_claim(OTHER), heartbeat=b"1")
+    slow_the_store_down(harness)
+    harness.now += STABLE_AFTER_MS
+    harness.health.last_answer_ms = harness.now
+    harness.read()
+    assert harness.election.is_ready_to_own()
+
+
 def lose_the_owner(harness):
     harness.owner_link.state = OwnerLinkState.SILENT
 
