--- a/baobabhoist/cell/approvals.py
+++ b/baobabhoist/cell/approvals.py
@@ -91,13 +91,13 @@
         """Return why no usable worker has a valid ticket."""
         if not self.tickets:
             return WaitReason.NOT_APPROVED if self.refused_workers else WaitReason.NO_ADVICE
-        if any(ticket.expires_ms > now for ticket in self.tickets.values()):
+        if self.count_valid_tickets(now):
             return WaitReason.TICKET_WORKERS_UNUSABLE
         return WaitReason.TICKETS_EXPIRED
 
     def count_valid_tickets(self, now: float) -> int:
         """Return the number of valid tickets."""
-        return sum(1 for ticket in self.tickets.values() if ticket.expires_ms > now)
+        return sum(ticket.is_valid(now) for ticket in self.tickets.values())
 
     def approved_workers(self, workers: Iterable[str]) -> list[str]:
         """Return the approved ones of these workers, by ascending expiry of their tickets."""
--- a/baobabhoist/cell/scheduler.py
+++ b/baobabhoist/cell/scheduler.py
@@ -243,6 +243,7 @@
         if now >= command.ticket_expires_ms:
             reason = "its ticket expired before the start"
             close_lost_run(self.state, self._run_ends, run, now, reason)
+            self.state.dirty.add(command.task.job_id)
             return False
         run.is_sent = True
         return True
--- a/baobabhoist/tests/test_cell_run_stops.py
+++ b/baobabhoist/tests/test_cell_run_stops.py
@@ -1,5 +1,7 @@
 """Test how soon the runs of a broken gang are closed, so that it can start again."""
 
+import attrs
+
 from baobabhoist.cell.model import CommandOutcome, RunOutcome, StartTask, Step, StopTask
 from baobabhoist.cell.periodic_checks import UNSENT_START_TIMEOUT_MS
 from baobabhoist.tests.cell_harness import SMALL, CellHarness, make_job, make_task_key
@@ -82,3 +84,15 @@
     harness.renew("w1")
     starts = [c for c in harness.schedule() if isinstance(c, StartTask)]
     assert len(starts) == 2
+
+
+def test_a_start_whose_ticket_expired_is_forgotten_in_the_store_too():
+    """Guard against a new owner that waits for a run which was never started."""
+    harness = CellHarness.with_workers(1)
+    harness.delivers_commands = False
+    harness.submit(make_job())
+    (start,) = harness.schedule()
+    harness.save_progress()
+    expired = attrs.evolve(start, ticket_expires_ms=harness.now)
+    assert not harness.cell.should_send_start(expired, harness.now)
+    assert "0" * 16 in harness.save_progress()
