Count the validity of a ticket from the adviser's answer

Found by the review: a relayed answer counted as valid for its full time from its arrival at the owner. With 0.8 s of queue on a link the owner held a ticket for valid 0.8 s too long, against a margin of 60 ms, and its starts were rejected (no_ticket); that is when links are slow, as under a small owner. The relaying instance now says how long the adviser took (a new field with a default; peers without it are treated as before). The new test failed before (2,500 ms).

--- a/baobabhoist/control/advice.py
+++ b/baobabhoist/control/advice.py
@@ -75,7 +75,8 @@
         message = AdviceQuery(
             step.job_id, step.occurrence, step.step, query.workers, query.cost_ms
         )
-        timeout_s = max(0.0, done_ms - monotonic_ms()) / 1000 + ANSWER_SLACK_S
+        sent_ms = monotonic_ms()
+        timeout_s = max(0.0, done_ms - sent_ms) / 1000 + ANSWER_SLACK_S
         try:
             reply = await link.call(message, timeout_s)
         except (LinkClosedError, TimeoutError) as exc:
@@ -84,7 +85,9 @@
         if not isinstance(reply, AdviceReply) or not reply.answered:
             _log_failure(query, node, "the adviser did not answer that instance")
             return None
-        return Advice(reply.tickets, reply.valid_ms)
+        # Tickets are valid from the adviser's answer; the links may have been slow since.
+        transit_ms = monotonic_ms() - sent_ms - reply.took_ms if reply.took_ms else 0.0
+        return Advice(reply.tickets, round(max(0.0, reply.valid_ms - transit_ms)))
 
 
 def _outcome_of(
--- a/baobabhoist/control/messages.py
+++ b/baobabhoist/control/messages.py
@@ -89,11 +89,15 @@
 
 @attrs.frozen
 class AdviceReply:
-    """Return the adviser's answer; `answered` is false if the adviser did not answer."""
+    """Return the adviser's answer; `answered` is false if the adviser did not answer.
+
+    `took_ms` is how long the adviser took, and 0 from an instance of a version without it.
+    """
 
     answered: bool
     tickets: dict[str, str] = attrs.Factory(dict)
     valid_ms: int = 0
+    took_ms: float = 0.0
 
 
 @attrs.frozen
--- a/baobabhoist/control/owner_router.py
+++ b/baobabhoist/control/owner_router.py
@@ -111,10 +111,11 @@
 
     async def _ask_adviser(self, query: AdviceQuery) -> AdviceReply:
         step = StepKey(query.job_id, query.occurrence, query.step)
+        sent_ms = monotonic_ms()
         advice = await self._adviser.ask(step, query.workers, query.cost_ms)
         if advice is None:
             return AdviceReply(False)
-        return AdviceReply(True, advice.tickets, advice.valid_ms)
+        return AdviceReply(True, advice.tickets, advice.valid_ms, monotonic_ms() - sent_ms)
 
     async def _answer_readiness(self, query: ReadinessQuery) -> ReadinessReply:
         return ReadinessReply(self.is_ready_to_own())
--- a/baobabhoist/tests/test_control_advice.py
+++ b/baobabhoist/tests/test_control_advice.py
@@ -128,3 +128,19 @@
     events = [r.__dict__[EVENT_ATTRIBUTE] for r in caplog.records]
     assert events == [Event.ADVICE_FAILED]
     assert caplog.records[0].__dict__[FIELDS_ATTRIBUTE]["node"] == "n1"
+
+
+def test_validity_of_tickets_is_reduced_by_the_time_on_the_links(monkeypatch):
+    """Guard against starts with tickets that expired while the answer was on a slow link."""
+    clock = {"now": 1_000.0}
+
+    class SlowLink(FakeLink):
+        async def call(self, query, timeout_s):
+            clock["now"] += 1_300.0
+            return AdviceReply(True, {"w": "t"}, 2_500, took_ms=300.0)
+
+    dispatcher = AdviceDispatcher(FakeAdviser(), lambda: {"n1": SlowLink()})
+    monkeypatch.setattr(advice_module, "monotonic_ms", lambda: clock["now"])
+    dispatcher.busy_until_ms[LOCAL_NODE] = 10_000.0
+    advice = asyncio.run(dispatcher.ask(query(SHORT_COST_MS)))
+    assert advice.valid_ms == 1_500
