Keep commands to workers off the connections of waiting renewals

Commands and renewals now have a client each. The test hangs as many renewals as a client allows and sends a stop: it was never sent before.

--- a/baobabhoist/platform/instance.py
+++ b/baobabhoist/platform/instance.py
@@ -47,7 +47,7 @@
     """
     return PlatformAdapter(
         PlatformRowStore(HttpClient(), cfg.store.address),
-        PlatformWorkerDriver(HttpClient()),
+        PlatformWorkerDriver(HttpClient(), HttpClient()),
         PlatformAdviser(HttpClient(), cfg.adviser_address),
         PlatformDecoder(),
     )
--- a/baobabhoist/platform/workers.py
+++ b/baobabhoist/platform/workers.py
@@ -46,8 +46,10 @@
 class PlatformWorkerDriver:
     """Control workers over their HTTP interface."""
 
-    def __init__(self, http: HttpClient) -> None:
-        self._http = http
+    def __init__(self, command_http: HttpClient, renewal_http: HttpClient) -> None:
+        self._command_http = command_http
+        # Renewals wait at the workers and would leave few connections for commands.
+        self._renewal_http = renewal_http
 
     async def renew(
         self, worker: WorkerInfo, token: int, acked_end: int, deadline_ms: int | None, wait_ms: int
@@ -58,9 +60,8 @@
             body["deadlineMs"] = deadline_ms
         if wait_ms:
             body["waitMs"] = wait_ms
-        response = await self._send(
-            worker, "/-/hold", body, wait_ms / 1000 + RENEW_TIMEOUT_MARGIN_S
-        )
+        timeout_s = wait_ms / 1000 + RENEW_TIMEOUT_MARGIN_S
+        response = await self._send(worker, "/-/hold", body, timeout_s, self._renewal_http)
         if response.status != 200:
             return _command_outcome(response)
         report = _parse_report(response)
@@ -81,18 +82,29 @@
             body["checkpoint"] = command.checkpoint
         if command.ticket:
             body["ticket"] = command.ticket
-        return _command_response(await self._send(worker, "/-/run-start", body, COMMAND_TIMEOUT_S))
+        return await self._send_command(worker, "/-/run-start", body)
 
     async def stop(self, worker: WorkerInfo, token: int, command: StopTask) -> CommandResponse:
         """Stop a run."""
         body = {"task": command.task.to_text(), "runId": command.run, "fencingToken": token}
-        return _command_response(await self._send(worker, "/-/run-stop", body, COMMAND_TIMEOUT_S))
+        return await self._send_command(worker, "/-/run-stop", body)
+
+    async def _send_command(
+        self, worker: WorkerInfo, path: str, body: dict[str, Any]
+    ) -> CommandResponse:
+        response = await self._send(worker, path, body, COMMAND_TIMEOUT_S, self._command_http)
+        return _command_response(response)
 
     async def _send(
-        self, worker: WorkerInfo, path: str, body: dict[str, Any], timeout_s: float
+        self,
+        worker: WorkerInfo,
+        path: str,
+        body: dict[str, Any],
+        timeout_s: float,
+        http: HttpClient,
     ) -> HttpResponse:
         headers = {TARGET_INSTANCE_HEADER: worker.worker_id}
-        return await self._http.request(
+        return await http.request(
             "POST", worker.address, path, body, timeout_s=timeout_s, headers=headers
         )
 
--- a/baobabhoist/tests/test_platform_http_client.py
+++ b/baobabhoist/tests/test_platform_http_client.py
@@ -3,13 +3,16 @@
 from __future__ import annotations
 
 import asyncio
+from typing import cast
 
+import attrs
 import pytest
 
-from baobabhoist.cell.model import NO_RESOURCES, WorkerInfo
+from baobabhoist.cell.model import NO_RESOURCES, CommandOutcome, StopTask, TaskKey, WorkerInfo
 from baobabhoist.control.settings import BoundSettings, NodeSettings, StoreSettings
 from baobabhoist.platform.http_client import MAX_CONCURRENT_REQUESTS, HttpClient
 from baobabhoist.platform.instance import make_adapter
+from baobabhoist.platform.workers import PlatformWorkerDriver
 
 HOST = "127.0.0.1"
 # Longer than the test may take.
@@ -55,8 +58,8 @@
     )
 
 
-def test_silent_workers_do_not_hold_up_the_store() -> None:
-    """Guard against an owner that loses the cell while its heartbeats wait for silent workers."""
+def test_silent_workers_hold_up_neither_the_store_nor_commands() -> None:
+    """Guard against heartbeats and starts that wait until workers answer their renewals."""
 
     async def run() -> int:
         adapter = make_adapter(_settings(await _listen(_answer_with_empty_page)))
@@ -66,14 +69,19 @@
             for _ in range(MAX_CONCURRENT_REQUESTS)
         ]
         await asyncio.sleep(0)
+        stop = StopTask("w", TaskKey("0" * 16, 0, 0, 0), 1)
+        reachable = attrs.evolve(worker, address=await _listen(_answer_with_empty_page))
         try:
             async with asyncio.timeout(TEST_TIMEOUT_S):
                 rows = await adapter.store.read("cell")
+                response = await adapter.driver.stop(reachable, 1, stop)
         finally:
             for renewal in renewals:
                 renewal.cancel()
-            for client in (adapter.store, adapter.driver, adapter.adviser):
-                client._http.close()
+            driver = cast(PlatformWorkerDriver, adapter.driver)
+            driver._renewal_http.close()
+            driver._command_http.close()
+        assert response.outcome is CommandOutcome.OK
         return rows.version
 
     assert asyncio.run(run()) == 7
