--- a/baobabhoist/cell/jobs.py
+++ b/baobabhoist/cell/jobs.py
@@ -48,6 +48,8 @@
     # When the start command was answered or a report first listed the run.
     confirmed_ms: float = 0.0
     stop_sent_ms: float = 0.0
+    # The last stop command has neither been answered nor timed out.
+    is_stop_open: bool = False
     # When the worker answered the stop command.
     stop_answered_ms: float = 0.0
     progress_percent: float = 0.0
--- a/baobabhoist/cell/periodic_checks.py
+++ b/baobabhoist/cell/periodic_checks.py
@@ -18,6 +18,8 @@
 log = logging.getLogger(__name__)
 
 STOP_RETRY_INTERVAL_MS = 400.0
+# A stop whose call is still open is repeated later: the repetition would only queue behind it.
+OPEN_STOP_RETRY_INTERVAL_MS = 2_000.0
 # A run without progress for this long is stopped and started on another worker.
 STALL_TIMEOUT_MS = 3_000.0
 # A start that was not sent for this long is given up: the task that should send it is gone.
@@ -63,7 +65,8 @@
         if (
             is_stopping
             and not run.stop_answered_ms
-            and now - run.stop_sent_ms > STOP_RETRY_INTERVAL_MS
+            and now - run.stop_sent_ms
+            > (OPEN_STOP_RETRY_INTERVAL_MS if run.is_stop_open else STOP_RETRY_INTERVAL_MS)
         ):
             self._state.stop_run(run, now)
         is_forgotten = (
--- a/baobabhoist/cell/state.py
+++ b/baobabhoist/cell/state.py
@@ -144,7 +144,7 @@
             return
         if run.phase is not RunPhase.UNSURE:
             run.phase = RunPhase.STOPPING
-        run.stop_sent_ms = now
+        run.stop_sent_ms, run.is_stop_open = now, True
         self.commands.append(StopTask(run.worker_id, run.task.key, run.number))
 
     def stop_orphan_run(self, worker: WorkerState, task: TaskKey, run_number: int) -> None:
--- a/baobabhoist/cell/worker_reports.py
+++ b/baobabhoist/cell/worker_reports.py
@@ -99,6 +99,7 @@
         run = self._find_run(command)
         if run is None:
             return
+        run.is_stop_open = False
         if outcome is CommandOutcome.OK:
             run.stop_answered_ms = run.stop_answered_ms or now
             run.phase = RunPhase.STOPPING
--- a/baobabhoist/tests/test_cell_run_stops.py
+++ b/baobabhoist/tests/test_cell_run_stops.py
@@ -96,3 +96,18 @@
     expired = attrs.evolve(start, ticket_expires_ms=harness.now)
     assert not harness.cell.should_send_start(expired, harness.now)
     assert "0" * 16 in harness.save_progress()
+
+
+def test_a_stop_is_not_repeated_while_its_call_is_open():
+    """Guard against an overloaded owner whose repeated stops hold up all other calls."""
+    harness = CellHarness.with_workers(1)
+    harness.submit(make_job())
+    harness.settle()
+    harness.delivers_commands = False
+    harness.cell.cancel_job("0" * 16, harness.now)
+    (stop,) = harness.schedule()
+    harness.advance(1_000.0)
+    assert harness.undelivered == [stop]
+    harness.lose_command(stop)
+    harness.advance(100.0)
+    assert harness.undelivered == [stop, stop]
