Split ranges also when relayed reads time out

Found by the review: a relayed read that no peer answered in time counted as refused, and a new owner splits only ranges that were not answered, so it would ask for the same range again. The new test failed before.

--- a/baobabhoist/control/relay.py
+++ b/baobabhoist/control/relay.py
@@ -173,12 +173,14 @@
 
     async def _relay(self, message: Any, timeout_s: float) -> Any:
         """Return the answer of the first peer that serves a call; raises StoreError."""
+        timed_out = False
         for link in self._peers.usable_links():
             try:
                 reply = await link.call(message, timeout_s)
             except MessageNotSentError:
                 continue
             except (LinkClosedError, TimeoutError) as exc:
+                timed_out = timed_out or isinstance(exc, TimeoutError)
                 self._peers.mark_unusable(link)
                 if isinstance(message, RelayCommit):
                     raise StoreUnansweredError(f"the relaying peer did not answer: {exc}") from exc
@@ -190,6 +192,8 @@
                 raise _ERROR_TYPES[reply.kind](reply.detail)
             self._peers.mark_unusable(link)
             emit(log, Event.RELAY_REFUSED, detail=reply.detail)
+        if timed_out:
+            raise StoreUnansweredError("no relaying peer answered in time")
         raise StoreRefusedError("neither the store nor any peer that can reach it answered")
 
 
--- a/baobabhoist/tests/test_control_relay.py
+++ b/baobabhoist/tests/test_control_relay.py
@@ -245,3 +245,16 @@
         assert link.calls == 1
 
     asyncio.run(run())
+
+
+def test_read_that_no_peer_answers_in_time_is_unanswered():
+    """Guard against a range that is never split although it is too large for the links."""
+
+    async def run():
+        _, view, store, link = make_pair()
+        await cut_off(view, store)
+        link.is_silent = True
+        with pytest.raises(StoreUnansweredError):
+            await store.read("jobs")
+
+    asyncio.run(run())
