Time a call out also while its link carries nothing

Found by the review (a call with a timeout of 1 s ended after 5): the timer ended the wait for the reply only, not the sending. A choked link could so hold up the query that prepares a handover, relayed writes and advice, which is when they are needed. The new test failed before: the call did not end.

--- a/baobabhoist/peer/link.py
+++ b/baobabhoist/peer/link.py
@@ -104,24 +104,13 @@
         fut: asyncio.Future[Any] = asyncio.get_running_loop().create_future()
         self._pending_calls[correlation_id] = fut
         data = self._codec.encode(message, correlation_id)
-        if len(data) > CHUNK_BYTES:
-            return await self._call_chunked(data, correlation_id, fut, timeout_s)
-        # A timer on the future is cheaper than asyncio.timeout around the two awaits.
-        timer = asyncio.get_running_loop().call_later(max(0.0, timeout_s), _time_out, fut)
-        try:
-            await self._send_frame(data)
-            return await fut
-        finally:
-            timer.cancel()
-            self._pending_calls.pop(correlation_id, None)
-
-    async def _call_chunked(
-        self, data: bytes, correlation_id: int, fut: asyncio.Future[Any], timeout_s: float
-    ) -> Any:
         try:
+            # Sending may wait as well, while the connection carries nothing.
             async with asyncio.timeout(timeout_s):
                 await self._send(data)
                 return await fut
+        except TimeoutError:
+            raise TimeoutError("no reply within the timeout") from None
         finally:
             self._pending_calls.pop(correlation_id, None)
 
@@ -244,8 +233,3 @@
                 # would then log.
                 fut.exception()
         self._pending_calls.clear()
-
-
-def _time_out(fut: asyncio.Future[Any]) -> None:
-    if not fut.done():
-        fut.set_exception(TimeoutError("no reply within the timeout"))
--- a/baobabhoist/tests/test_peer_mesh.py
+++ b/baobabhoist/tests/test_peer_mesh.py
@@ -283,3 +283,19 @@
             await link.notify(RelayRequest(request("small", b"y")))
 
     asyncio.run(scenario())
+
+
+def test_call_times_out_while_the_connection_carries_nothing():
+    """Guard against callers that wait for a choked link longer than their timeout."""
+
+    class ChokedConnection:
+        async def send(self, data):
+            await asyncio.Event().wait()
+
+    async def scenario():
+        link = Link(ChokedConnection(), CODEC, echo)
+        async with asyncio.timeout(5.0):
+            with pytest.raises(TimeoutError, match="no reply"):
+                await link.call(RelayRequest(request("small", b"y")), 0.01)
+
+    asyncio.run(scenario())
