--- a/baobabhoist/cell/jobs.py
+++ b/baobabhoist/cell/jobs.py
@@ -54,6 +54,8 @@
     stop_answered_ms: float = 0.0
     progress_percent: float = 0.0
     last_progress_ms: float = 0.0
+    # When this owner decided to start or adopt the run.
+    decided_ms: float = 0.0
     # This owner started the run, and not from a checkpoint.
     is_fresh_start: bool = False
 
--- a/baobabhoist/cell/periodic_checks.py
+++ b/baobabhoist/cell/periodic_checks.py
@@ -72,7 +72,7 @@
         is_forgotten = (
             run.phase is RunPhase.STARTING
             and not run.is_sent
-            and now - run.last_progress_ms > UNSENT_START_TIMEOUT_MS
+            and now - run.decided_ms > UNSENT_START_TIMEOUT_MS
         )
         if is_forgotten:
             self._state.stop_run(run, now)
--- a/baobabhoist/cell/state.py
+++ b/baobabhoist/cell/state.py
@@ -196,7 +196,7 @@
         self, task: TaskState, worker: WorkerState, run_number: int, phase: RunPhase, now: float
     ) -> Run:
         run = Run(task, run_number, worker.worker_id, task.step.spec.allocation, phase)
-        run.last_progress_ms = now
+        run.decided_ms = run.last_progress_ms = now
         task.step.attach_run(run)
         worker.add_run(run)
         team = task.step.job.accepted.team
--- a/baobabhoist/cell/waiting_summary.py
+++ b/baobabhoist/cell/waiting_summary.py
@@ -142,6 +142,6 @@
     if run.phase is not RunPhase.STARTING:
         return
     # A run that was not confirmed has made no progress, so this is when it was issued.
-    age_ms = now - run.last_progress_ms
+    age_ms = now - run.decided_ms
     if summary.oldest_starting is None or age_ms > summary.oldest_starting_ms:
         summary.oldest_starting, summary.oldest_starting_ms = run, age_ms
--- a/baobabhoist/cell/worker_reports.py
+++ b/baobabhoist/cell/worker_reports.py
@@ -121,7 +121,7 @@
             worker=command.worker_id,
             reason=outcome.value,
             ticket_left_ms=_ticket_left_ms(step, command, now),
-            decided_ms_ago=round(now - run.last_progress_ms),
+            decided_ms_ago=round(now - run.decided_ms),
         )
         if outcome is CommandOutcome.NO_TICKET:
             step.approvals.invalidate_ticket(worker.worker_id)
--- a/baobabhoist/control/handover.py
+++ b/baobabhoist/control/handover.py
@@ -61,7 +61,7 @@
     return max(nodes, key=lambda node: (sizes[node].suitability, node), default=None)
 
 
-def larger_nodes(own_size: MachineSize, sizes: dict[str, MachineSize]) -> list[str]:
+def more_suitable_nodes(own_size: MachineSize, sizes: dict[str, MachineSize]) -> list[str]:
     """Return the instances whose machines are so much larger that a handover pays off."""
     least = own_size.suitability * MIN_SUITABILITY_RATIO
     return [node for node, size in sizes.items() if size.suitability > least]
@@ -99,7 +99,7 @@
         if owner is None or self._releaser.is_draining:
             self._tracker.update((), monotonic_ms())
             return
-        await self._ask_larger_nodes()
+        await self._ask_more_suitable_nodes()
         now = monotonic_ms()
         sizes = self._link_server.sizes
         nodes = [n for n in self._tracker.long_ready_nodes(now) if n in sizes]
@@ -107,8 +107,8 @@
         if successor is not None and await self._may_hand_over(owner):
             await self._hand_over(owner, successor)
 
-    async def _ask_larger_nodes(self) -> None:
-        nodes = larger_nodes(self._size, self._link_server.sizes)
+    async def _ask_more_suitable_nodes(self) -> None:
+        nodes = more_suitable_nodes(self._size, self._link_server.sizes)
         replies = await asyncio.gather(*(self._is_ready(node) for node in nodes))
         ready_nodes = [n for n, is_ready in zip(nodes, replies, strict=True) if is_ready]
         self._tracker.update(ready_nodes, monotonic_ms())
--- a/baobabhoist/control/owner.py
+++ b/baobabhoist/control/owner.py
@@ -54,6 +54,7 @@
 # Most jobs arrive by notification; polling the table finds those whose notification was lost.
 JOBS_POLL_PAUSE_S = 0.2
 LOAD_RETRY_INTERVAL_S = 0.15
+ADVICE_RETRY_INTERVAL_S = 0.15
 RETENTION_CHECK_TICKS = 100
 # Least pause after a scheduling round, as a multiple of the round's duration.
 ROUND_PAUSE_FACTOR = 3.0
@@ -435,7 +436,7 @@
         advice = await result_or(self._deps.advice_dispatcher.ask(query), None)
         cell, now = self._require_cell(), monotonic_ms()
         if advice is None:
-            cell.handle_advice_failure(query.step, now + LOAD_RETRY_INTERVAL_S * 1000)
+            cell.handle_advice_failure(query.step, now + ADVICE_RETRY_INTERVAL_S * 1000)
         else:
             cell.handle_advice(query.step, query.workers, advice.tickets, now + advice.valid_ms)
         self.request_scheduling_round()
--- a/baobabhoist/tests/platform_harness.py
+++ b/baobabhoist/tests/platform_harness.py
@@ -124,7 +124,8 @@
         os.kill(os.getpid(), signal.SIGTERM)
 
 
-def _settings(grace_s: float) -> NodeSettings:
+def make_settings(grace_s: float, store_address: str = "") -> NodeSettings:
+    """Return the settings of an instance on loopback."""
     return NodeSettings(
         instance_id="edge-1",
         data_centre="z1",
@@ -133,7 +134,7 @@
         ready_address=f"{HOST}:{free_port()}",
         peer_port=free_port(),
         metrics_port=free_port(),
-        store=StoreSettings(f"{HOST}:{free_port()}", 65_536),
+        store=StoreSettings(store_address or f"{HOST}:{free_port()}", 65_536),
         bounds=BoundSettings(6_000, 5_000, grace_s, 120),
         cpu_share=1.0,
         cpu_speed=1.0,
@@ -148,7 +149,7 @@
     config_key = RowKey(PlatformDecoder.tables.operator, "", PlatformDecoder.tables.config_key)
     store.apply(RowTransaction({}, {config_key: orjson.dumps(CONFIG)}))
     adapter = PlatformAdapter(store, NoWorkers(), NoWorkers(), PlatformDecoder())
-    node = Node(_settings(grace_s), adapter)
+    node = Node(make_settings(grace_s), adapter)
     monkeypatch.setattr(instance, "make_node", lambda cfg: node)
     async with asyncio.timeout(TEST_TIMEOUT_S):
         serving = asyncio.create_task(instance.serve(node.cfg, lambda: 0))
--- a/baobabhoist/tests/test_platform_http_client.py
+++ b/baobabhoist/tests/test_platform_http_client.py
@@ -9,12 +9,11 @@
 import pytest
 
 from baobabhoist.cell.model import NO_RESOURCES, CommandOutcome, StopTask, TaskKey, WorkerInfo
-from baobabhoist.control.settings import BoundSettings, NodeSettings, StoreSettings
 from baobabhoist.platform.http_client import MAX_CONCURRENT_REQUESTS, HttpClient
 from baobabhoist.platform.instance import make_adapter
 from baobabhoist.platform.workers import PlatformWorkerDriver
+from baobabhoist.tests.platform_harness import HOST, make_settings
 
-HOST = "127.0.0.1"
 # Longer than the test may take.
 WORKER_WAIT_MS = 60_000
 TEST_TIMEOUT_S = 10.0
@@ -41,28 +40,11 @@
     return f"{HOST}:{server.sockets[0].getsockname()[1]}"
 
 
-def _settings(store_address: str) -> NodeSettings:
-    return NodeSettings(
-        instance_id="edge-1",
-        data_centre="z1",
-        host=HOST,
-        caller_address=f"{HOST}:1",
-        ready_address=f"{HOST}:1",
-        peer_port=1,
-        metrics_port=1,
-        store=StoreSettings(store_address, 65_536),
-        bounds=BoundSettings(6_000, 5_000, 6, 120),
-        cpu_share=1.0,
-        cpu_speed=1.0,
-        link_mbps=1_000.0,
-    )
-
-
 def test_silent_workers_hold_up_neither_the_store_nor_commands() -> None:
     """Guard against heartbeats and starts that wait until workers answer their renewals."""
 
     async def run() -> int:
-        adapter = make_adapter(_settings(await _listen(_answer_with_empty_page)))
+        adapter = make_adapter(make_settings(6.0, await _listen(_answer_with_empty_page)))
         worker = WorkerInfo("w", "svc", await _listen(_never_answer), "z1", NO_RESOURCES, ())
         renewals = [
             asyncio.ensure_future(adapter.driver.renew(worker, 1, 0, None, WORKER_WAIT_MS))
