--- a/baobabhoist/cell/worker_reports.py
+++ b/baobabhoist/cell/worker_reports.py
@@ -71,7 +71,8 @@
         if run is None or worker is None:
             return
         if outcome is CommandOutcome.OK:
-            run.confirmed_ms = run.confirmed_ms or now
+            if not run.confirmed_ms:
+                run.confirmed_ms = run.last_progress_ms = now
             run.task.step.mark_start_confirmed()
             if run.phase in (RunPhase.STARTING, RunPhase.UNSURE) and not run.stop_sent_ms:
                 run.phase = RunPhase.RUNNING
--- a/baobabhoist/tests/test_cell_run_stops.py
+++ b/baobabhoist/tests/test_cell_run_stops.py
@@ -3,7 +3,7 @@
 import attrs
 
 from baobabhoist.cell.model import CommandOutcome, RunOutcome, StartTask, Step, StopTask
-from baobabhoist.cell.periodic_checks import UNSENT_START_TIMEOUT_MS
+from baobabhoist.cell.periodic_checks import STALL_TIMEOUT_MS, UNSENT_START_TIMEOUT_MS
 from baobabhoist.tests.cell_harness import SMALL, CellHarness, make_job, make_task_key
 
 GANG = (Step(2, SMALL.times(4), 100, gang=True),)
@@ -111,3 +111,17 @@
     harness.lose_command(stop)
     harness.advance(100.0)
     assert harness.undelivered == [stop, stop]
+
+
+def test_a_run_that_started_late_is_not_stalled():
+    """Guard against runs stopped for want of progress that a slow owner has only just started."""
+    harness = CellHarness.with_workers(1)
+    harness.delivers_commands = False
+    harness.submit(make_job())
+    (start,) = harness.schedule()
+    harness.undelivered.clear()
+    assert harness.cell.should_send_start(start, harness.now)
+    harness.advance(STALL_TIMEOUT_MS + 500.0)
+    harness.deliver_command(start)
+    harness.advance(200.0)
+    assert harness.undelivered == []
