Begin with few starts in progress, and double them with quick answers

The same burst follows every takeover by a slow machine.

The limit now begins at 32 and doubles with each round of quick answers (slow start): an owner that answers in 20 ms reaches 256 after three rounds.

--- a/baobabhoist/benchmarks/cell_replay.py
+++ b/baobabhoist/benchmarks/cell_replay.py
@@ -225,6 +225,12 @@
         self, cell: CellScheduler, command: StartTask, token: int, deadline_ms: int
     ) -> None:
         outcome = self._execute_start(command, token, deadline_ms)
+        self._answer_start(cell, command, outcome, 0.0)
+
+    def _answer_start(
+        self, cell: CellScheduler, command: StartTask, outcome: CommandOutcome, answer_ms: float
+    ) -> None:
+        cell.record_start_answer(outcome, answer_ms, self.now)
         cell.handle_start_result(command, outcome, self.now)
 
     def _execute_start(self, command: StartTask, token: int, deadline_ms: int) -> CommandOutcome:
--- a/baobabhoist/cell/start_window.py
+++ b/baobabhoist/cell/start_window.py
@@ -2,8 +2,8 @@
 
 A start that waits behind many others reaches its worker after its ticket has expired, and an
 answer that waits as long counts as lost. Both waste work, which delays the next starts even more.
-The limit follows the usual rule for congestion windows: additive increase while answers are quick,
-multiplicative decrease when they are slow.
+The limit follows the usual rules for congestion windows: a small limit doubles while answers are
+quick (slow start); after the first slow answer it grows additively and shrinks multiplicatively.
 """
 
 from __future__ import annotations
@@ -12,7 +12,7 @@
 
 from baobabhoist.cell.jobs import Run, RunPhase
 
-INITIAL_LIMIT = 256.0
+INITIAL_LIMIT = 32.0
 MIN_LIMIT = 16.0
 MAX_LIMIT = 4_096.0
 # Time from sending a start to its answer above which the owner or its link is overloaded.
