Log which worker ended, by its successor at the same address, and what it ran

worker_silent has the same reason for a crash, a cut network and a slow answer, so the log could not tell a task that crashes workers from a worker that is cut off. A worker answers only commands that name it, so the first report of another worker at an address shows that the process that held it before has ended. worker_replaced names both, the ages of the runs when the worker was last heard, and whether it drained. worker_listed gains the address and the start of the worker, worker_restarted the ages of its runs.

No decision depends on this yet.

--- a/baobabhoist/cell/jobs.py
+++ b/baobabhoist/cell/jobs.py
@@ -46,6 +46,8 @@
     phase: RunPhase
     # The start command has left the owner, or may have left an earlier one.
     is_sent: bool = False
+    # When this owner sent the start command.
+    sent_ms: float | None = None
     # When the start command was answered or a report first listed the run.
     confirmed_ms: float = 0.0
     stop_sent_ms: float = 0.0
--- a/baobabhoist/cell/scheduler.py
+++ b/baobabhoist/cell/scheduler.py
@@ -189,13 +189,16 @@
         """Add or update a worker from its entry in the directory."""
         worker = self.state.workers.get(info.worker_id)
         if worker is None:
-            worker = self.state.workers[info.worker_id] = WorkerState(info, Lease(self._lease_ms))
+            worker = WorkerState(info, Lease(self._lease_ms), known_since_ms=now)
+            self.state.workers[info.worker_id] = worker
             emit(
                 log,
                 Event.WORKER_LISTED,
                 worker=info.worker_id,
                 service=info.service,
                 data_centre=info.data_centre,
+                address=info.address,
+                started_unix_ms=info.started_unix_ms,
             )
         if info.is_draining and not worker.info.is_draining:
             emit(log, Event.WORKER_DRAINS, worker=info.worker_id, leaves_in_ms=info.leaves_in_ms)
@@ -246,7 +249,7 @@
             close_lost_run(self.state, self._run_ends, run, now, reason)
             self.state.dirty.add(command.task.job_id)
             return False
-        run.is_sent = True
+        run.is_sent, run.sent_ms = True, now
         return True
 
     def handle_stop_result(self, command: StopTask, outcome: CommandOutcome, now: float) -> None:
--- a/baobabhoist/cell/worker_reports.py
+++ b/baobabhoist/cell/worker_reports.py
@@ -5,6 +5,7 @@
 import logging
 
 from baobabhoist.cell import quarantine
+from baobabhoist.cell.crashes import CrashHandler, describe_runs
 from baobabhoist.cell.jobs import FINAL_PERCENT, Run, RunPhase, StepState
 from baobabhoist.cell.model import (
     REJECTED_OUTCOMES,
@@ -33,6 +34,7 @@
     def __init__(self, state: CellState, run_ends: RunEndHandler) -> None:
         self._state = state
         self._run_ends = run_ends
+        self._crashes = CrashHandler(state)
 
     def handle_report(
         self, worker: WorkerState, report: WorkerReport, requested_ms: float, now: float
@@ -46,7 +48,7 @@
             self._handle_restart(worker, requested_ms, now)
         worker.started_unix_ms = report.started_unix_ms or worker.started_unix_ms
         worker.lease.update_clock(report.clock_ms, now)
-        worker.last_report_ms = now
+        worker.last_report_ms = worker.last_heard_ms = now
         if not worker.has_accepted_token:
             worker.has_accepted_token = True
             emit(
@@ -56,6 +58,7 @@
                 running=len(report.running),
                 ended=len(report.ended),
             )
+            self._crashes.handle_successor(worker, requested_ms)
         for ended_run in report.ended:
             if ended_run.sequence_number > worker.last_seen_end:
                 worker.last_seen_end = ended_run.sequence_number
@@ -71,6 +74,7 @@
         if run is None or worker is None:
             return
         if outcome is CommandOutcome.OK:
+            worker.last_heard_ms = now
             if not run.confirmed_ms:
                 run.confirmed_ms = run.last_progress_ms = now
             run.task.step.mark_start_confirmed()
@@ -207,7 +211,14 @@
                 )
 
     def _handle_restart(self, worker: WorkerState, requested_ms: float, now: float) -> None:
-        emit(log, Event.WORKER_RESTARTED, worker=worker.worker_id, runs=len(worker.runs))
+        emit(
+            log,
+            Event.WORKER_RESTARTED,
+            worker=worker.worker_id,
+            runs=len(worker.runs),
+            drained=worker.info.is_draining,
+            ages_ms=describe_runs(worker),
+        )
         worker.last_seen_end = worker.last_acked_end = 0
         worker.orphan_runs.clear()
         worker.lease.reset()
--- a/baobabhoist/cell/workers.py
+++ b/baobabhoist/cell/workers.py
@@ -87,6 +87,10 @@
     # When the worker was last removed from the directory.
     unlisted_since_ms: float = 0.0
     last_report_ms: float = -1e12
+    # When the worker last answered to this owner, with a report or to a command.
+    last_heard_ms: float = float("-inf")
+    # When this owner learned of the worker.
+    known_since_ms: float = float("-inf")
     # When the leases of earlier owners have expired, for a worker that has never reported.
     inherited_lease_expiry_ms: float = float("inf")
     backoff_until_ms: float = 0.0
--- a/baobabhoist/observability/events.py
+++ b/baobabhoist/observability/events.py
@@ -144,6 +144,11 @@
     )
     WORKER_ANSWERS = (1518, logging.INFO, "worker {worker} responds again")
     WORKER_SILENT = (1519, logging.WARNING, "worker {worker} is not responding: {reason}")
+    WORKER_REPLACED = (
+        1520,
+        logging.WARNING,
+        "worker {worker} has ended: {successor} answers at its address",
+    )
     CLAIM_SEEN = (1601, logging.INFO, "instance {owner} holds the claim of version {version}")
     CLAIM_WON = (1602, logging.INFO, "won the claim with token {token}: {reason}")
     CLAIM_LOST = (1603, logging.WARNING, "lost the claim with token {token}: {reason}")
--- a/baobabhoist/tests/cell_harness.py
+++ b/baobabhoist/tests/cell_harness.py
@@ -116,6 +116,7 @@
         worker = self.workers[command.worker_id]
         if isinstance(command, StartTask):
             state = self.cell.state.workers[command.worker_id]
+            self.cell.should_send_start(command, self.now)
             deadline = state.lease.extend_deadline(self.now, LEASE_MS)
             outcome = worker.start(self.token, command, deadline or 0)
             self.cell.handle_start_result(
