Give up tasks that crash their workers

Cause: a run that ended with its worker counted for nothing. close_lost_run freed the task, the next round started it, and nothing was stored with it.

Change: when another worker answers at the address of one that fell silent, or a worker has restarted under its id, it crashed. Every task on it is blamed, twice as much if its run was not 250 ms old when the worker was last heard. A task is given up at two crashes right after its start, or at four of any kind; the blame is stored with the progress of the job, in a member that the last release ignores. A suspect starts on a worker without other young runs, and nothing else starts there until it has outlived its start, so that neighbours are not blamed twice by chance; a crash that is explained by a task that was given up no longer counts against others. Workers that were only silent, cut off or drained blame nobody.

--- a/baobabhoist/cell/jobs.py
+++ b/baobabhoist/cell/jobs.py
@@ -8,6 +8,7 @@
 import attrs
 
 from baobabhoist.cell.approvals import Approvals
+from baobabhoist.cell.crash_blame import NO_BLAME, CrashBlame
 from baobabhoist.cell.model import (
     FINAL_PHASES,
     AcceptedJob,
@@ -77,6 +78,7 @@
     failed_runs: set[int] = attrs.Factory(set)
     # Workers on which the task failed.
     failed_worker_ids: set[str] = attrs.Factory(set)
+    crash_blame: CrashBlame = NO_BLAME
     checkpoint: str = ""
 
     @property
--- a/baobabhoist/cell/periodic_checks.py
+++ b/baobabhoist/cell/periodic_checks.py
@@ -9,6 +9,7 @@
 import logging
 
 from baobabhoist.cell import quarantine
+from baobabhoist.cell.crashes import CrashHandler
 from baobabhoist.cell.jobs import FINAL_PERCENT, Run, RunPhase, StepState
 from baobabhoist.cell.run_ends import RunEndHandler, close_lost_run
 from baobabhoist.cell.state import CellState
@@ -31,9 +32,10 @@
 class PeriodicChecks:
     """Run the checks that depend on time; all times are on the owner's clock, in ms."""
 
-    def __init__(self, state: CellState, run_ends: RunEndHandler) -> None:
+    def __init__(self, state: CellState, run_ends: RunEndHandler, crashes: CrashHandler) -> None:
         self._state = state
         self._run_ends = run_ends
+        self._crashes = crashes
 
     def tick(self, now: float, unix_ms: float) -> None:
         """Run all checks once."""
@@ -41,11 +43,13 @@
             self._check_lease(worker, now)
             for run in list(worker.runs.values()):
                 self._check_run(worker, run, now)
+        self._crashes.forget_old(now)
         self._repair_gangs(now)
         self._open_occurrences(now, unix_ms)
 
     def _check_lease(self, worker: WorkerState, now: float) -> None:
         if now > worker.lease_expiry_ms():
+            self._crashes.record_lapse(worker, now)
             for run in list(worker.runs.values()):
                 close_lost_run(
                     self._state, self._run_ends, run, now, "the lease of its worker has lapsed"
--- a/baobabhoist/cell/placer.py
+++ b/baobabhoist/cell/placer.py
@@ -7,7 +7,7 @@
 import attrs
 
 from baobabhoist.cell.advice_requests import AdviceRequester
-from baobabhoist.cell.jobs import StepState
+from baobabhoist.cell.jobs import StepState, TaskState
 from baobabhoist.cell.model import Resources
 from baobabhoist.cell.ranking import Rank, Timeliness, rank_step, timeliness_of
 from baobabhoist.cell.reservations import Reservations
@@ -88,31 +88,69 @@
         candidates = self._without_reserved(startable, step)
         if not candidates and not spec.gang:
             return WaitReason.WORKERS_RESERVED if startable else WaitReason.NO_STARTABLE_WORKER
-        tolerance = slowdown_tolerance(
-            step.job, self.state.speeds.duration_ratio(step.job.accepted.queue), now
-        )
-        slots = find_slots(
-            candidates,
-            spec,
-            step.waiting_count,
-            _tasks_by_worker(step),
-            lambda w: self._placement_cost(w, step, tolerance),
-        )
         if spec.gang:
-            self._place_gang(step, slots, worker_index, now)
+            self._place_gang(step, self._find_slots(step, candidates, now), worker_index, now)
         else:
-            task_count = min(step.waiting_count, self.state.start_window.remaining)
-            chosen = assign_tasks(slots, task_count)
-            for task, worker in zip(list(step.waiting_tasks()), chosen, strict=False):
-                if not self.state.is_within_team_limit(step.job, spec.need):
-                    return WaitReason.TEAM_LIMIT
-                self.state.start_run(task, worker, self.state.next_run_number([task]), now)
+            suspects = [t for t in step.waiting_tasks() if t.crash_blame.is_suspect]
+            if suspects:
+                self._place_suspects(step, suspects, candidates, worker_index, now)
+                candidates = [worker for worker in candidates if not worker.is_isolated]
+            self._place_tasks(step, candidates, now)
+            if suspects and all(t.crash_blame.is_suspect for t in step.waiting_tasks()):
+                return WaitReason.NO_QUIET_WORKER if step.waiting_count else None
         if not step.waiting_count:
             return None
         if not self.state.start_window.remaining:
             return WaitReason.START_WINDOW_FULL
+        if not self.state.is_within_team_limit(step.job, need):
+            return WaitReason.TEAM_LIMIT
         return self._reason_without_slots(step, startable)
 
+    def _find_slots(
+        self, step: StepState, candidates: list[WorkerState], now: float
+    ) -> list[WorkerSlots]:
+        ratio = self.state.speeds.duration_ratio(step.job.accepted.queue)
+        tolerance = slowdown_tolerance(step.job, ratio, now)
+        return find_slots(
+            candidates,
+            step.spec,
+            step.waiting_count,
+            _tasks_by_worker(step),
+            lambda w: self._placement_cost(w, step, tolerance),
+        )
+
+    def _place_tasks(self, step: StepState, candidates: list[WorkerState], now: float) -> None:
+        """Start the tasks that fit, except those that are suspected to crash their worker."""
+        tasks = [t for t in step.waiting_tasks() if not t.crash_blame.is_suspect]
+        task_count = min(len(tasks), self.state.start_window.remaining)
+        chosen = assign_tasks(self._find_slots(step, candidates, now), task_count)
+        for task, worker in zip(tasks, chosen, strict=False):
+            self._start(task, worker, now)
+
+    def _place_suspects(
+        self,
+        step: StepState,
+        suspects: list[TaskState],
+        candidates: list[WorkerState],
+        worker_index: WorkerIndex,
+        now: float,
+    ) -> None:
+        """Start tasks that may crash their worker, each alone: another crash then tells more."""
+        quiet = [worker for worker in candidates if not worker.has_young_run()]
+        chosen = [slot.worker for slot in self._find_slots(step, quiet, now)]
+        count = min(len(suspects), self.state.start_window.remaining)
+        for task, worker in zip(suspects[:count], chosen, strict=False):
+            if self._start(task, worker, now):
+                worker.isolated_run = task.run
+                worker_index.withdraw(worker)
+
+    def _start(self, task: TaskState, worker: WorkerState, now: float) -> bool:
+        """Start a task on a worker if the limit of its team allows it."""
+        if not self.state.is_within_team_limit(task.step.job, task.step.spec.need):
+            return False
+        self.state.start_run(task, worker, self.state.next_run_number([task]), now)
+        return True
+
     def _may_reserve_team_limit(self, step: StepState, need: Resources, now: float) -> bool:
         """Return whether a gang could fit into its team's limit and still has value."""
         team = self.state.team_of(step.job)
--- a/baobabhoist/cell/progress_rows.py
+++ b/baobabhoist/cell/progress_rows.py
@@ -7,6 +7,7 @@
 import attrs
 import orjson
 
+from baobabhoist.cell.crash_blame import NO_BLAME, CrashBlame
 from baobabhoist.cell.jobs import JobState
 from baobabhoist.cell.model import JobPhase
 
@@ -29,6 +30,7 @@
     failed: dict[int, tuple[int, ...]] = attrs.Factory(dict)
     checkpoints: dict[int, str] = attrs.Factory(dict)
     runs: dict[int, StoredRun] = attrs.Factory(dict)
+    crash_blame: dict[int, CrashBlame] = attrs.Factory(dict)
 
 
 @attrs.frozen
@@ -53,9 +55,10 @@
             for task in step.tasks
             if task.run is not None
         }
-        if done or failed_runs or checkpoints or runs:
+        blame = {t.index: t.crash_blame for t in step.tasks if t.crash_blame.by_crash}
+        if done or failed_runs or checkpoints or runs or blame:
             steps.append(
-                StepProgress(occurrence, step_number, done, failed_runs, checkpoints, runs)
+                StepProgress(occurrence, step_number, done, failed_runs, checkpoints, runs, blame)
             )
     return JobProgress(job.phase, tuple(steps))
 
@@ -73,13 +76,24 @@
         ]
         for s in progress.steps
     ]
-    return orjson.dumps({"phase": progress.phase.value, "steps": steps})
+    body: dict[str, Any] = {"phase": progress.phase.value, "steps": steps}
+    # A member of its own, which earlier releases ignore: they read exactly six fields of a step.
+    crashes = [
+        [s.occurrence, s.step, index, crash, blame]
+        for s in progress.steps
+        for index, crash_blame in s.crash_blame.items()
+        for crash, blame in crash_blame.by_crash.items()
+    ]
+    if crashes:
+        body["crashes"] = crashes
+    return orjson.dumps(body)
 
 
 def decode(value: bytes) -> JobProgress:
     """Return the progress in a row value; raises ValueError if it is malformed."""
     try:
         body = orjson.loads(value)
+        blame_by_step = _decode_crashes(body.get("crashes", ()))
         steps = tuple(
             StepProgress(
                 int(occurrence),
@@ -88,6 +102,7 @@
                 {int(k): tuple(int(run) for run in v) for k, v in failed_runs.items()},
                 {int(k): str(v) for k, v in checkpoints.items()},
                 {int(k): StoredRun(int(run), str(worker)) for k, (run, worker) in runs.items()},
+                blame_by_step.get((int(occurrence), int(step)), {}),
             )
             for occurrence, step, done, failed_runs, checkpoints, runs in body["steps"]
         )
@@ -109,6 +124,18 @@
             step.tasks[index].failed_runs.update(runs)
         for index, checkpoint in step_progress.checkpoints.items():
             step.tasks[index].checkpoint = checkpoint
+        for index, blame in step_progress.crash_blame.items():
+            step.tasks[index].crash_blame = blame
+
+
+def _decode_crashes(entries: list[list[Any]]) -> dict[tuple[int, int], dict[int, CrashBlame]]:
+    """Return the blame of tasks by occurrence and step, then by task index."""
+    by_step: dict[tuple[int, int], dict[int, CrashBlame]] = {}
+    for occurrence, step, index, crash, blame in entries:
+        by_index = by_step.setdefault((int(occurrence), int(step)), {})
+        earlier = by_index.get(int(index), NO_BLAME)
+        by_index[int(index)] = earlier.plus(str(crash), int(blame))
+    return by_step
 
 
 def _with_text_keys(values: dict[int, Any]) -> dict[str, Any]:
--- a/baobabhoist/cell/scheduler.py
+++ b/baobabhoist/cell/scheduler.py
@@ -9,6 +9,7 @@
 import attrs
 
 from baobabhoist.cell import progress_rows
+from baobabhoist.cell.crashes import CrashHandler
 from baobabhoist.cell.jobs import JobState, StepState, critical_path_ms
 from baobabhoist.cell.model import (
     NO_RESOURCES,
@@ -59,8 +60,9 @@
         self._takeover = takeover
         self._lease_ms = lease_ms
         self._run_ends = RunEndHandler(self.state)
-        self._reports = WorkerReportHandler(self.state, self._run_ends)
-        self._periodic_checks = PeriodicChecks(self.state, self._run_ends)
+        crashes = CrashHandler(self.state, self._run_ends)
+        self._reports = WorkerReportHandler(self.state, self._run_ends, crashes)
+        self._periodic_checks = PeriodicChecks(self.state, self._run_ends, crashes)
 
     # Jobs.
 
@@ -202,13 +204,13 @@
             )
         if info.is_draining and not worker.info.is_draining:
             emit(log, Event.WORKER_DRAINS, worker=info.worker_id, leaves_in_ms=info.leaves_in_ms)
-        worker.info, worker.is_listed = info, True
+        worker.apply_entry(info)
 
     def unlist_worker(self, worker_id: str, now: float) -> None:
         """Mark a worker as gone from the directory; its runs are still tracked."""
         worker = self.state.workers.get(worker_id)
         if worker is not None and worker.is_listed:
-            worker.is_listed, worker.unlisted_since_ms = False, now
+            worker.unlist(now)
             emit(log, Event.WORKER_UNLISTED, worker=worker_id, runs=len(worker.runs))
 
     def handle_report(
--- a/baobabhoist/cell/worker_conditions.py
+++ b/baobabhoist/cell/worker_conditions.py
@@ -22,6 +22,8 @@
     BACKED_OFF = "backed_off"
     # The worker has runs to stop that this owner does not track.
     STOPPING_ORPHANS = "stopping_orphans"
+    # A task that may crash its worker has just started there, alone.
+    ISOLATED = "isolated"
     OTHER = "other"
 
 
@@ -38,6 +40,7 @@
         (not health.accepts_task(now, len(worker.runs)), WorkerCondition.ON_PROBATION),
         (now < worker.backoff_until_ms, WorkerCondition.BACKED_OFF),
         (bool(worker.orphan_runs), WorkerCondition.STOPPING_ORPHANS),
+        (worker.is_isolated, WorkerCondition.ISOLATED),
     )
     found = (condition for applies, condition in checks if applies)
     return next(found, WorkerCondition.OTHER)
--- a/baobabhoist/cell/worker_index.py
+++ b/baobabhoist/cell/worker_index.py
@@ -53,6 +53,10 @@
         found = self._usable.get(service, {}).values()
         return [worker for worker in found if not label or label in worker.info.labels]
 
+    def withdraw(self, worker: WorkerState) -> None:
+        """Treat a worker as not usable for the rest of the round."""
+        self._usable.get(worker.info.service, {}).pop(worker.worker_id, None)
+
     def has_usable_worker(self, service: str, label: str) -> bool:
         """Return whether any worker of a service with the label accepts tasks now."""
         key = (service, label)
--- a/baobabhoist/cell/worker_reports.py
+++ b/baobabhoist/cell/worker_reports.py
@@ -31,21 +31,21 @@
 class WorkerReportHandler:
     """Apply reports and command outcomes; all times are on the owner's clock, in ms."""
 
-    def __init__(self, state: CellState, run_ends: RunEndHandler) -> None:
+    def __init__(self, state: CellState, run_ends: RunEndHandler, crashes: CrashHandler) -> None:
         self._state = state
         self._run_ends = run_ends
-        self._crashes = CrashHandler(state)
+        self._crashes = crashes
 
     def handle_report(
         self, worker: WorkerState, report: WorkerReport, requested_ms: float, now: float
     ) -> None:
         """Apply a report; `requested_ms` is when it was requested."""
-        if (
-            worker.started_unix_ms
-            and report.started_unix_ms
-            and report.started_unix_ms != worker.started_unix_ms
-        ):
-            self._handle_restart(worker, requested_ms, now)
+        is_restarted = (
+            0 < worker.started_unix_ms != report.started_unix_ms and report.started_unix_ms > 0
+        )
+        self._crashes.handle_report(worker, is_restarted, now)
+        if is_restarted:
+            self._handle_restart(worker, report, requested_ms, now)
         worker.started_unix_ms = report.started_unix_ms or worker.started_unix_ms
         worker.lease.update_clock(report.clock_ms, now)
         worker.last_report_ms = worker.last_heard_ms = now
@@ -58,7 +58,7 @@
                 running=len(report.running),
                 ended=len(report.ended),
             )
-            self._crashes.handle_successor(worker, requested_ms)
+            self._crashes.handle_successor(worker, requested_ms, now)
         for ended_run in report.ended:
             if ended_run.sequence_number > worker.last_seen_end:
                 worker.last_seen_end = ended_run.sequence_number
@@ -167,6 +167,8 @@
         run = worker.runs.get(active_run.task)
         if run is not None and run.number == active_run.run:
             self._update_progress(run, active_run, now)
+            if run.task.crash_blame.by_crash:
+                self._crashes.note_alive(worker, run, now)
             return
         if run is not None and run.number > active_run.run:
             # The report was made before a later run replaced this one.
@@ -210,7 +212,9 @@
                     self._state, self._run_ends, run, now, "its worker does not list it"
                 )
 
-    def _handle_restart(self, worker: WorkerState, requested_ms: float, now: float) -> None:
+    def _handle_restart(
+        self, worker: WorkerState, report: WorkerReport, requested_ms: float, now: float
+    ) -> None:
         emit(
             log,
             Event.WORKER_RESTARTED,
@@ -219,6 +223,7 @@
             drained=worker.info.is_draining,
             ages_ms=describe_runs(worker),
         )
+        self._crashes.handle_restart(worker, report, now)
         worker.last_seen_end = worker.last_acked_end = 0
         worker.orphan_runs.clear()
         worker.lease.reset()
--- a/baobabhoist/cell/workers.py
+++ b/baobabhoist/cell/workers.py
@@ -14,6 +14,8 @@
 LEASE_MARGIN_MS = 150.0
 # A worker that has not reported for this long gets no new tasks.
 REPORT_TIMEOUT_MS = 2600.0
+# A run is young until its worker has answered this long after the start was sent.
+YOUNG_RUN_MS = 250.0
 
 
 @attrs.define
@@ -84,6 +86,8 @@
     # The worker rejects commands of earlier owners.
     has_accepted_token: bool = False
     is_listed: bool = True
+    # Another worker answers at its address.
+    has_ended: bool = False
     # When the worker was last removed from the directory.
     unlisted_since_ms: float = 0.0
     last_report_ms: float = -1e12
@@ -94,6 +98,8 @@
     # When the leases of earlier owners have expired, for a worker that has never reported.
     inherited_lease_expiry_ms: float = float("inf")
     backoff_until_ms: float = 0.0
+    # A run whose task may crash the worker: while it is young, nothing else starts there.
+    isolated_run: Run | None = None
     # When the worker process started; identifies its incarnation.
     started_unix_ms: int = 0
     # Sequence numbers of the last end applied, and of the last one that is also stored.
@@ -129,6 +135,31 @@
             return self.lease.expiry_ms()
         return max(self.inherited_lease_expiry_ms, self.lease.extended_expiry_ms())
 
+    def apply_entry(self, info: WorkerInfo) -> None:
+        """Apply an entry of the directory, which may outlast the worker by some seconds."""
+        self.info, self.is_listed = info, not self.has_ended
+
+    def unlist(self, now: float) -> None:
+        """Record that the worker is gone from the directory."""
+        if self.is_listed:
+            self.is_listed, self.unlisted_since_ms = False, now
+
+    @property
+    def is_isolated(self) -> bool:
+        """Return whether nothing else may start because of a suspected run."""
+        run = self.isolated_run
+        return run is not None and self.runs.get(run.task.key) is run and self.is_young(run)
+
+    def is_young(self, run: Run) -> bool:
+        """Return whether a run was sent so lately that it may not have outlived its start."""
+        if not run.is_sent:
+            return True
+        return run.sent_ms is not None and self.last_heard_ms < run.sent_ms + YOUNG_RUN_MS
+
+    def has_young_run(self) -> bool:
+        """Return whether any run is young."""
+        return any(self.is_young(run) for run in self.runs.values())
+
     def can_start_tasks(self, now: float) -> bool:
         """Return whether new tasks may be started on the worker."""
         return (
@@ -136,6 +167,7 @@
             and self.is_listed
             and not self.info.is_draining
             and not self.orphan_runs
+            and not self.is_isolated
             and now - self.last_report_ms < REPORT_TIMEOUT_MS
             and now >= self.backoff_until_ms
             and self.health.accepts_task(now, len(self.runs))
--- a/baobabhoist/observability/events.py
+++ b/baobabhoist/observability/events.py
@@ -149,6 +149,11 @@
         logging.WARNING,
         "worker {worker} has ended: {successor} answers at its address",
     )
+    CRASH_BLAMED = (
+        1521,
+        logging.WARNING,
+        "worker {worker} crashed with {count} tasks: {blame}",
+    )
     CLAIM_SEEN = (1601, logging.INFO, "instance {owner} holds the claim of version {version}")
     CLAIM_WON = (1602, logging.INFO, "won the claim with token {token}: {reason}")
     CLAIM_LOST = (1603, logging.WARNING, "lost the claim with token {token}: {reason}")
--- a/baobabhoist/tests/cell_harness.py
+++ b/baobabhoist/tests/cell_harness.py
@@ -88,7 +88,8 @@
 
     def renew(self, worker_id, report_arrives=True):
         worker, state = self.workers[worker_id], self.cell.state.workers[worker_id]
-        deadline = state.lease.extend_deadline(self.now, LEASE_MS)
+        # The lease of a silent worker is not extended.
+        deadline = state.lease.extend_deadline(self.now, LEASE_MS) if worker.is_up else None
         reply = worker.renew(self.token, state.last_acked_end, deadline)
         if reply is CommandOutcome.FENCED:
             self.cell.mark_fenced()
--- a/baobabhoist/tests/test_cell_crashes.py
+++ b/baobabhoist/tests/test_cell_crashes.py
@@ -3,9 +3,14 @@
 import logging
 
 import attrs
+import orjson
 import pytest
 
+from baobabhoist.cell import progress_rows
+from baobabhoist.cell.crash_blame import OLD_RUN_BLAME, YOUNG_RUN_BLAME
+from baobabhoist.cell.crashes import HARMLESS_AGE_MS
 from baobabhoist.cell.model import JobPhase, Step
+from baobabhoist.cell.workers import YOUNG_RUN_MS
 from baobabhoist.observability.events import FIELDS_ATTRIBUTE
 from baobabhoist.testing.cell_worker import FakeCellWorker
 from baobabhoist.tests.cell_harness import LEASE_MS, SMALL, CellHarness, make_job, make_task_key
@@ -24,7 +29,7 @@
 
     harness: CellHarness
     deadly: set
-    down_ms: float
+    down_ms: float = DOWN_MS[0]
     # How long after its start a task crashes its worker.
     delay_ms: float = 0.0
     starts: dict = attrs.Factory(dict)
@@ -70,7 +75,17 @@
     harness.cell.update_worker(successor.info(address=address), harness.now)
     harness.settle()
     harness.cell.unlist_worker(worker_id, harness.now)
-    return successor
+
+
+def crash_once(harness, worker_id):
+    """Let a worker crash that no task has crashed, and come back."""
+    fleet = CrashingFleet(harness, set())
+    fleet.crash(worker_id)
+    fleet.run(fleet.down_ms + 200.0)
+
+
+def blame_of(harness, key):
+    return harness.cell.find_job(key.job_id).find_task(key).crash_blame
 
 
 def logged_fields(caplog, name):
@@ -92,9 +107,7 @@
     worker_id = harness.worker_running(key).worker_id
     silent = next(name for name in harness.workers if name != worker_id)
     harness.workers[silent].is_up = False
-    fleet = CrashingFleet(harness, set(), DOWN_MS[0])
-    fleet.crash(worker_id)
-    fleet.run(DOWN_MS[0] + 100.0)
+    crash_once(harness, worker_id)
     (fields,) = logged_fields(caplog, "WORKER_REPLACED")
     assert (fields["worker"], fields["successor"]) == (worker_id, f"{worker_id}+")
     assert fields["ages_ms"] == {key.to_text(): 0}
@@ -117,3 +130,152 @@
     for neighbour in neighbours:
         harness.end_run(make_task_key(neighbour.job_id))
         assert harness.job_phase(neighbour.job_id) is JobPhase.COMPLETED
+
+
+@pytest.mark.parametrize("delay_ms", [600.0, 2_000.0])
+def test_a_task_that_crashes_its_worker_some_time_after_the_start_is_given_up(delay_ms):
+    """Guard against a bound that holds only for tasks which crash their worker at once."""
+    harness = CellHarness.with_workers(6)
+    harness.submit(make_job())
+    fleet = CrashingFleet(harness, {make_task_key()}, delay_ms=delay_ms)
+    fleet.run(12 * LEASE_MS)
+    assert harness.job_phase() is JobPhase.FAILED
+    assert fleet.starts[make_task_key()] <= MAX_STARTS
+
+
+def test_a_gang_with_a_task_that_crashes_each_worker_is_given_up():
+    """Guard against a gang that takes down one worker after the other as a whole."""
+    harness = CellHarness.with_workers(6)
+    harness.submit(make_job(JOB_ID, Step(3, SMALL.times(3), 1000, gang=True)))
+    fleet = CrashingFleet(harness, {make_task_key(index=1)})
+    fleet.run(12 * LEASE_MS)
+    assert harness.job_phase() is JobPhase.FAILED
+    assert fleet.starts[make_task_key(index=1)] <= MAX_STARTS
+
+
+def test_the_bound_on_crashes_holds_across_changes_of_the_owner():
+    """Guard against owners that each allow a task the same number of crashes."""
+    harness = CellHarness.with_workers(6)
+    job, stored = make_job(version=1), {}
+    harness.submit(job)
+    fleet = CrashingFleet(harness, {make_task_key()})
+    for _ in range(8):
+        fleet.run(DOWN_MS[0] + 500.0)
+        saved = harness.save_progress()
+        stored |= {i: progress_rows.decode(progress_rows.encode(p)) for i, p in saved.items()}
+        harness.take_over([job], stored)
+    assert harness.job_phase() is JobPhase.FAILED
+    assert fleet.starts[make_task_key()] <= MAX_STARTS
+
+
+def test_a_task_that_crashes_workers_which_restart_under_their_id_is_given_up():
+    """Guard against a bound that misses the workers that keep their id."""
+    harness = CellHarness.with_workers(6)
+    harness.submit(make_job())
+    starts = 0
+    for _ in range(12):
+        harness.advance(LEASE_MS)
+        for worker in harness.workers.values():
+            if make_task_key() in worker.runs:
+                starts += 1
+                worker.restart()
+    assert harness.job_phase() is JobPhase.FAILED
+    assert starts <= MAX_STARTS
+
+
+def test_workers_that_were_only_silent_are_no_evidence_against_their_tasks():
+    """Guard against a sound job that is given up because the network to its workers was cut."""
+    harness = CellHarness.with_workers(1)
+    harness.submit(make_job())
+    harness.schedule()
+    for _ in range(5):
+        harness.advance(2 * LEASE_MS, renew=False)
+        harness.settle()
+    assert not blame_of(harness, make_task_key()).by_crash
+    harness.end_run(make_task_key())
+    assert harness.job_phase() is JobPhase.COMPLETED
+
+
+def test_a_worker_that_drained_and_left_is_no_evidence_against_its_tasks():
+    """Guard against a sound job that is given up because its workers were replaced as planned."""
+    harness = CellHarness.with_workers(1)
+    harness.submit(make_job())
+    harness.schedule()
+    draining = harness.workers["w0"].info(is_draining=True)
+    harness.cell.update_worker(draining, harness.now)
+    crash_once(harness, "w0")
+    assert harness.worker_running(make_task_key()).worker_id == "w0+"
+    assert not blame_of(harness, make_task_key()).by_crash
+
+
+def test_a_run_restarts_as_soon_as_another_worker_answers_at_the_address():
+    """Guard against tasks that wait for the lease of a worker that is known to have crashed."""
+    harness = CellHarness.with_workers(1)
+    harness.submit(make_job())
+    harness.schedule()
+    fleet = CrashingFleet(harness, set(), down_ms=500.0)
+    fleet.crash("w0")
+    fleet.run(600.0)
+    assert harness.worker_running(make_task_key()).worker_id == "w0+"
+
+
+def test_a_suspect_starts_alone_and_is_cleared_by_outliving_its_start():
+    """Guard against a neighbour that is given up because it shares a second crash by chance."""
+    harness = CellHarness.with_workers(2)
+    harness.submit(make_job(JOB_ID, Step(2, SMALL, 1000)))
+    harness.schedule()
+    keys = [make_task_key(index=0), make_task_key(index=1)]
+    worker_id = harness.worker_running(keys[0]).worker_id
+    assert harness.worker_running(keys[1]).worker_id == worker_id
+    crash_once(harness, worker_id)
+    assert harness.worker_running(keys[0]) is not harness.worker_running(keys[1])
+    assert all(blame_of(harness, key).total == YOUNG_RUN_BLAME for key in keys)
+    harness.submit(make_job("1" * 16))
+    harness.schedule()
+    assert not any(make_task_key("1" * 16) in w.runs for w in harness.workers.values())
+    harness.advance(YOUNG_RUN_MS + 100.0)
+    assert harness.worker_running(make_task_key("1" * 16))
+    assert all(blame_of(harness, key).total == OLD_RUN_BLAME for key in keys)
+
+
+def test_crashes_that_a_task_has_caused_do_not_count_against_others():
+    """Guard against jobs that add up the crashes of several neighbours and are given up."""
+    harness = CellHarness.with_workers(6)
+    long_key = make_task_key("f" * 16)
+    harness.submit(make_job("f" * 16))
+    harness.schedule()
+    for number in range(4):
+        key = make_task_key(f"{number:016x}")
+        harness.advance(YOUNG_RUN_MS + 100.0)
+        harness.submit(make_job(key.job_id))
+        CrashingFleet(harness, {key}).run(4 * LEASE_MS)
+        assert harness.job_phase(key.job_id) is JobPhase.FAILED
+    assert not blame_of(harness, long_key).by_crash
+    harness.end_run(long_key)
+    assert harness.job_phase("f" * 16) is JobPhase.COMPLETED
+
+
+def test_a_run_of_many_seconds_clears_its_task():
+    """Guard against a service that is given up after years because of a crash now and then."""
+    harness = CellHarness.with_workers(2)
+    harness.submit(make_job(JOB_ID, Step(1, SMALL, 1000, lasting=True)))
+    harness.schedule()
+    for _ in range(6):
+        harness.advance(HARMLESS_AGE_MS + 500.0)
+        assert not blame_of(harness, make_task_key()).by_crash
+        crash_once(harness, harness.worker_running(make_task_key()).worker_id)
+    assert harness.job_phase() is JobPhase.RUNNING
+
+
+def test_the_release_before_reads_the_rows_that_name_crashes():
+    """Guard against rows that an instance of the last release takes for damaged."""
+    harness = CellHarness.with_workers(2)
+    harness.submit(make_job())
+    harness.schedule()
+    crash_once(harness, harness.worker_running(make_task_key()).worker_id)
+    (progress,) = harness.save_progress().values()
+    body = orjson.loads(progress_rows.encode(progress))
+    assert all(len(step) == 6 for step in body["steps"])
+    assert progress_rows.decode(progress_rows.encode(progress)) == progress
+    del body["crashes"]
+    assert progress_rows.decode(orjson.dumps(body)).steps[0].crash_blame == {}
