--- a/baobabhoist/cell/jobs.py
+++ b/baobabhoist/cell/jobs.py
@@ -125,6 +125,7 @@
 
     def mark_start_confirmed(self) -> None:
         """Record that a worker confirmed a start, which ends the wait if no other task waits."""
+        self.job.mark_running()
         if not self.waiting_count:
             self.waiting_since_ms = None
 
@@ -202,6 +203,11 @@
             self.objective_ms - self.accepted_local_ms
         )
 
+    def mark_running(self) -> None:
+        """Record that a task has started."""
+        if self.phase is JobPhase.QUEUED:
+            self.phase = JobPhase.RUNNING
+
     def drop_payload(self) -> None:
         """Free the payload of an ended job, which may be large."""
         spec = attrs.evolve(self.accepted.spec, payload="")
--- a/baobabhoist/cell/run_ends.py
+++ b/baobabhoist/cell/run_ends.py
@@ -23,6 +23,7 @@
     ) -> None:
         """Apply the reported outcome of a run to its task; the caller closes the run itself."""
         job = task.step.job
+        job.mark_running()
         if checkpoint and not task.is_done and task.step.spec.checkpoints:
             self._save_checkpoint(task, checkpoint)
         if outcome is RunOutcome.DONE:
--- a/baobabhoist/cell/state.py
+++ b/baobabhoist/cell/state.py
@@ -101,8 +101,6 @@
         self.start_window.add(run)
         # The run must be stored before the command is sent, so that the next owner knows of it.
         self.dirty.add(job.job_id)
-        if job.phase is JobPhase.QUEUED:
-            job.phase = JobPhase.RUNNING
         payload = job.accepted.spec.payload
         command = StartTask(
             worker.worker_id,
@@ -131,8 +129,7 @@
         run = self._add_run(task, worker, run_number, RunPhase.RUNNING, now)
         run.confirmed_ms = now
         run.is_sent = True
-        if task.step.job.phase is JobPhase.QUEUED:
-            task.step.job.phase = JobPhase.RUNNING
+        task.step.job.mark_running()
         return run
 
     def next_run_number(self, tasks: list[TaskState]) -> int:
--- a/baobabhoist/cell/worker_reports.py
+++ b/baobabhoist/cell/worker_reports.py
@@ -183,6 +183,7 @@
 
     def _update_progress(self, run: Run, active_run: ActiveRun, now: float) -> None:
         run.confirmed_ms = run.confirmed_ms or now
+        run.task.step.job.mark_running()
         if run.phase is RunPhase.STARTING:
             run.phase = RunPhase.RUNNING
             run.task.step.mark_start_confirmed()
--- a/baobabhoist/tests/test_cell_crashes.py
+++ b/baobabhoist/tests/test_cell_crashes.py
@@ -279,3 +279,16 @@
     assert progress_rows.decode(progress_rows.encode(progress)) == progress
     del body["crashes"]
     assert progress_rows.decode(orjson.dumps(body)).steps[0].crash_blame == {}
+
+
+def test_a_job_whose_start_was_lost_with_its_worker_still_counts_as_queued():
+    """Guard against a count of waiting jobs that leaves out those that never began (MIXED)."""
+    harness = CellHarness.with_workers(2)
+    harness.delivers_commands = False
+    harness.submit(make_job())
+    (start,) = harness.schedule()
+    harness.cell.should_send_start(start, harness.now)
+    harness.workers[start.worker_id].crash()
+    harness.lose_command(start)
+    assert harness.job_phase() is JobPhase.QUEUED
+    assert harness.cell.count_queued_jobs("q") == 1
