Count a crash under a task only if the worker had confirmed its start

The owner counted each run that it had sent. The logs show the difference: a task that crashes its worker is answered 4 to 9 ms after its start is sent and crashes it at 10 ms; the starts of the jobs in question had no answer.

A run that no worker has confirmed now counts as a third kind of evidence.

--- a/baobabhoist/cell/crashes.py
+++ b/baobabhoist/cell/crashes.py
@@ -13,7 +13,7 @@
 
 import attrs
 
-from baobabhoist.cell.crash_blame import NO_BLAME, OLD_RUN_BLAME, YOUNG_RUN_BLAME, CrashBlame
+from baobabhoist.cell.crash_blame import NO_BLAME, CrashBlame, Evidence
 from baobabhoist.cell.jobs import Run, TaskState
 from baobabhoist.cell.model import JobPhase, WorkerReport
 from baobabhoist.cell.run_ends import RunEndHandler, close_lost_run
@@ -33,10 +33,10 @@
 
 @attrs.frozen
 class LostRuns:
-    """Hold the tasks that ran on a worker when its lease lapsed, with the blame for a crash."""
+    """Hold what a crash would tell about the tasks on a worker whose lease has lapsed."""
 
     worker: WorkerState
-    blame: dict[TaskState, int]
+    blame: dict[TaskState, Evidence]
     forget_ms: float
 
 
@@ -105,7 +105,7 @@
             if now >= lost.forget_ms:
                 del self._lost_runs[worker_id]
 
-    def _blame(self, worker: WorkerState, blame: dict[TaskState, int], now: float) -> None:
+    def _blame(self, worker: WorkerState, blame: dict[TaskState, Evidence], now: float) -> None:
         crash = f"{worker.worker_id}/{worker.started_unix_ms}"
         tasks = [task for task in blame if not task.is_done and not task.step.job.is_final]
         for task in tasks:
@@ -148,15 +148,17 @@
     )
 
 
-def _blame_of_runs(worker: WorkerState, runs: Iterable[Run]) -> dict[TaskState, int]:
-    """Return the blame of each task that may have run on a worker that ended without notice."""
+def _blame_of_runs(worker: WorkerState, runs: Iterable[Run]) -> dict[TaskState, Evidence]:
+    """Return what the end of a worker tells about its tasks: nothing if it was leaving."""
     if worker.info.is_draining:
         return {}
-    return {
-        run.task: YOUNG_RUN_BLAME if worker.is_young(run) else OLD_RUN_BLAME
-        for run in runs
-        if run.is_sent
-    }
+    return {run.task: _evidence(worker, run) for run in runs if run.is_sent}
+
+
+def _evidence(worker: WorkerState, run: Run) -> Evidence:
+    if not run.has_begun:
+        return Evidence.UNCONFIRMED_RUN
+    return Evidence.YOUNG_RUN if worker.is_young(run) else Evidence.OLD_RUN
 
 
 def _log_replaced(worker: WorkerState, successor: WorkerState, now: float) -> None:
--- a/baobabhoist/cell/jobs.py
+++ b/baobabhoist/cell/jobs.py
@@ -49,6 +49,8 @@
     is_sent: bool = False
     # When this owner sent the start command.
     sent_ms: float | None = None
+    # A worker has confirmed to this owner that it began the run.
+    has_begun: bool = False
     # When the start command was answered or a report first listed the run.
     confirmed_ms: float = 0.0
     stop_sent_ms: float = 0.0
--- a/baobabhoist/cell/worker_reports.py
+++ b/baobabhoist/cell/worker_reports.py
@@ -74,7 +74,7 @@
         if run is None or worker is None:
             return
         if outcome is CommandOutcome.OK:
-            worker.last_heard_ms = now
+            worker.last_heard_ms, run.has_begun = now, True
             if not run.confirmed_ms:
                 run.confirmed_ms = run.last_progress_ms = now
             run.task.step.mark_start_confirmed()
@@ -182,7 +182,7 @@
         self._update_progress(adopted_run, active_run, now)
 
     def _update_progress(self, run: Run, active_run: ActiveRun, now: float) -> None:
-        run.confirmed_ms = run.confirmed_ms or now
+        run.confirmed_ms, run.has_begun = run.confirmed_ms or now, True
         run.task.step.job.mark_running()
         if run.phase is RunPhase.STARTING:
             run.phase = RunPhase.RUNNING
