--- a/baobabhoist/cell/scheduler.py
+++ b/baobabhoist/cell/scheduler.py
@@ -238,16 +238,16 @@
     def should_send_start(self, command: StartTask, now: float) -> bool:
         """Return whether a start command is still valid after its run has been stored.
 
-        If its ticket has expired meanwhile, the run is closed, because its worker would reject it.
-        The caller must send a valid one: from now on its run has to be stopped on the worker.
+        If its worker would reject it or may not take it any more, the run is closed. The caller
+        must send a valid one: from now on its run has to be stopped on the worker.
         """
         worker = self.state.workers.get(command.worker_id)
         run = worker.runs.get(command.task) if worker is not None else None
-        if run is None or run.number != command.run or run.stop_sent_ms:
+        if worker is None or run is None or run.number != command.run or run.stop_sent_ms:
             return False
         self.state.start_delay.record(now - run.decided_ms)
-        if now >= command.ticket_expires_ms:
-            reason = "its ticket expired before the start"
+        reason = _reason_not_to_send(command, worker, now)
+        if reason:
             close_lost_run(self.state, self._run_ends, run, now, reason)
             self.state.dirty.add(command.task.job_id)
             return False
@@ -337,3 +337,17 @@
     def _check_fenced(self, outcome: CommandOutcome) -> None:
         if outcome is CommandOutcome.FENCED:
             self.mark_fenced()
+
+
+def _reason_not_to_send(command: StartTask, worker: WorkerState, now: float) -> str:
+    """Return what has changed since a start was decided, or an empty text if it is still valid."""
+    checks = (
+        (now >= command.ticket_expires_ms, "its ticket expired before the start"),
+        (not worker.is_listed, "its worker left before the start"),
+        (worker.info.is_draining, "its worker began to drain before the start"),
+        (
+            not worker.used.fits_into(worker.info.capacity),
+            "the capacity of its worker shrank before the start",
+        ),
+    )
+    return next((reason for applies, reason in checks if applies), "")
