Start nothing under a new owner before it has read the directory again

Until its follower had read the directory again, it could start tasks on a worker that had left, drained or shrunk in the meantime (DRAIN, LIMIT). Starts now wait for that read, one call to the store.

--- a/baobabhoist/control/owner.py
+++ b/baobabhoist/control/owner.py
@@ -104,6 +104,7 @@
         self._rules = rules
         self._max_reads = max_concurrent_reads(deps.size.link_mbps)
         self._loader = CellLoader(deps.store, deps.decoder.tables.directory, self._max_reads)
+        self._directory = self._directory_follower()
         self._tasks = TaskSupervisor()
         self.sessions = SessionPool(
             PoolDependencies(
@@ -123,7 +124,7 @@
             if self._tasks.is_stopped:
                 return
             self._tasks.spawn_service(self._jobs_follower().run())
-            self._tasks.spawn_service(self._directory_follower().run())
+            self._tasks.spawn_service(self._directory.run())
             self._tasks.spawn_service(self.progress_writer.run(self._require_cell()))
             self._tasks.spawn_service(self._run_ticks())
             await self._tasks.wait_for_failure()
@@ -360,7 +361,9 @@
     def _schedule(self, cell: CellScheduler) -> None:
         start_s = time.perf_counter()
         self._update_advice_slots(cell)
-        commands = cell.schedule(monotonic_ms(), self.may_renew())
+        # The directory that was loaded may be some seconds old: workers may have left since.
+        may_start = self.may_renew() and self._directory.is_confirmed
+        commands = cell.schedule(monotonic_ms(), may_start)
         duration_s = time.perf_counter() - start_s
         # Limits the share of the processor that rounds take under a flood of events.
         self._next_round_ms = monotonic_ms() + duration_s * 1000 * ROUND_PAUSE_FACTOR
--- a/baobabhoist/control/table_follower.py
+++ b/baobabhoist/control/table_follower.py
@@ -16,6 +16,7 @@
 RETRY_INTERVAL_S = 0.15
 # Long polls are short because each answer also confirms that the known rows are current.
 POLL_WAIT_MS = 1_000
+NEVER_MS = float("-inf")
 
 RowsCallback = Callable[[Sequence[StoredRow], bool], None]
 
@@ -41,7 +42,7 @@
         known_version: int = 0,
         max_reads: int = MAX_CONCURRENT_READS,
     ) -> None:
-        self.confirmed_ms = -1e12
+        self.confirmed_ms = NEVER_MS
         self.version = known_version
         self._store = store
         self._table = table
@@ -57,6 +58,11 @@
         self._is_connected = False
         self._poll_requested = asyncio.Event()
 
+    @property
+    def is_confirmed(self) -> bool:
+        """Return whether the table has been read since following began."""
+        return self.confirmed_ms > NEVER_MS
+
     async def run(self) -> None:
         """Follow until cancelled."""
         is_loaded = self.version > 0
--- a/baobabhoist/tests/test_control_owner.py
+++ b/baobabhoist/tests/test_control_owner.py
@@ -69,9 +69,9 @@
 class OwnerHarness:
     """Run an owner of one worker."""
 
-    def __init__(self):
+    def __init__(self, store_class=MemoryRowStore):
         # The fake worker has already seen the token of an earlier owner.
-        self.store = MemoryRowStore(version=CellHarness().token)
+        self.store = store_class(version=CellHarness().token)
         token = self.store.apply(RowTransaction(puts={OWNER_ROW_KEY: b"me"})).version
         self.store.apply(RowTransaction(puts={WORKER_ROW_KEY: b"worker"}))
         self.decoder = FakeDecoder()
@@ -173,6 +173,48 @@
     asyncio.run(run())
 
 
+class LateDirectoryStore(MemoryRowStore):
+    """Answer the second read of the directory, which a new owner makes to follow it, late."""
+
+    def __init__(self, version):
+        super().__init__(version=version)
+        self.directory_reads = 0
+        self.may_answer = asyncio.Event()
+
+    async def read(self, table, part="", *, start="", end=""):
+        if table == DIRECTORY:
+            self.directory_reads += 1
+            if self.directory_reads > 1:
+                await self.may_answer.wait()
+        return await super().read(table, part, start=start, end=end)
+
+
+def test_new_owner_starts_nothing_on_a_worker_that_left_while_it_was_loading():
+    """Guard against a restart that brings back a server that had left."""
+
+    async def run():
+        harness = OwnerHarness(LateDirectoryStore)
+        harness.store_job()
+        starts = []
+        harness.driver.start = lambda worker, *args: starts.append(worker.worker_id) or sleep()
+        await harness.start()
+        harness.store.apply(RowTransaction(removes=(WORKER_ROW_KEY,)))
+        worker = harness.owner.cell.state.workers["w0"]
+        await harness.wait_until(lambda: worker.has_accepted_token)
+        for _ in range(20):
+            harness.owner.request_scheduling_round()
+            await asyncio.sleep(0.01)
+        harness.store.may_answer.set()
+        await harness.wait_until(lambda: not worker.is_listed)
+        harness.task.cancel()
+        assert starts == []
+
+    async def sleep():
+        return CommandResponse(CommandOutcome.OK)
+
+    asyncio.run(run())
+
+
 class TurnCounter:
     """Count the turns of the event loop, and the events of each kind in each turn."""
 
