Treat malformed answers of workers, the store and the adviser as missing

An answer whose fields have the wrong type raised in the task that had asked: the follower of a table, the request for advice, or a session. Other operators saw a whole process go down in this way. Each answer is now checked where it is decoded and counts as a missing one; a damaged value hides only its own row.

--- a/baobabhoist/platform/advice.py
+++ b/baobabhoist/platform/advice.py
@@ -4,6 +4,7 @@
 
 import logging
 from collections.abc import Sequence
+from typing import Any
 
 from baobabhoist.cell.model import StepKey
 from baobabhoist.control.interfaces import Advice
@@ -13,6 +14,8 @@
 log = logging.getLogger(__name__)
 
 DEFAULT_TICKET_VALID_MS = 1_500
+# An approved worker is a row of its id and its ticket.
+TICKET_FIELDS = 2
 
 
 class PlatformAdviser:
@@ -46,7 +49,15 @@
             )
             return None
         valid_ms = response.field("validityMs")
-        tickets = {str(row[0]): str(row[1]) for row in approved}
-        return Advice(
-            tickets, int(valid_ms) if isinstance(valid_ms, int) else DEFAULT_TICKET_VALID_MS
-        )
+        if not isinstance(valid_ms, int):
+            valid_ms = DEFAULT_TICKET_VALID_MS
+        return Advice(_parse_tickets(approved), valid_ms)
+
+
+def _parse_tickets(rows: list[Any]) -> dict[str, str]:
+    """Return the tickets by worker id; rows that hold no id and ticket name no worker."""
+    return {
+        row[0]: str(row[1])
+        for row in rows
+        if isinstance(row, list) and len(row) >= TICKET_FIELDS and isinstance(row[0], str)
+    }
--- a/baobabhoist/platform/store.py
+++ b/baobabhoist/platform/store.py
@@ -130,17 +130,25 @@
 
 
 def _parse_rows(response: HttpResponse) -> list[StoredRow]:
-    return [row for row in map(_parse_row, response.field("rows") or ()) if row is not None]
+    """Return the rows of an answer; raises StoreUnansweredError if it is malformed."""
+    entries = response.field("rows") or []
+    if not isinstance(entries, list):
+        raise StoreUnansweredError("the rows of the store's answer are not a list")
+    return [_parse_row(entry) for entry in entries]
 
 
-def _parse_row(entry: dict[str, Any]) -> StoredRow | None:
+def _parse_row(entry: Any) -> StoredRow:
+    if not isinstance(entry, dict):
+        raise StoreUnansweredError("a row of the store's answer is not an object")
     key = RowKey(str(entry.get("table", "")), str(entry.get("part", "")), str(entry.get("key")))
-    version = int(entry.get("schemaVer") or 0)
+    version = entry.get("schemaVer") or 0
+    if not isinstance(version, int):
+        raise StoreUnansweredError("the version of a row of the store's answer is not a number")
     if entry.get("deleted") or not version:
         return StoredRow(key, None, version)
     try:
         return StoredRow(key, base64.b64decode(entry.get("value") or ""), version)
-    except (binascii.Error, TypeError):
+    except (binascii.Error, TypeError, ValueError):
         return StoredRow(key, b"", version)
 
 
--- a/baobabhoist/platform/workers.py
+++ b/baobabhoist/platform/workers.py
@@ -127,11 +127,11 @@
     try:
         return WorkerReport(
             int(response.field("clockMs")),
-            int(response.field("born") or 0),
+            int(response.field("born", 0)),
             tuple(filter(None, map(_parse_active_run, response.field("running") or ()))),
             tuple(filter(None, map(_parse_ended_run, response.field("finished") or ()))),
         )
-    except (TypeError, ValueError, IndexError) as exc:
+    except (TypeError, ValueError, IndexError, KeyError, AttributeError, OverflowError) as exc:
         log.warning("cannot parse the report of a worker: %s", exc)
         return None
 
--- /dev/null
+++ b/baobabhoist/tests/test_platform_malformed_answers.py
@@ -0,0 +1,74 @@
+"""Test that malformed answers of workers, the store and the adviser end no process."""
+
+import asyncio
+
+import pytest
+
+from baobabhoist.cell.model import CommandOutcome, Resources, StepKey, WorkerInfo, WorkerReport
+from baobabhoist.platform.advice import DEFAULT_TICKET_VALID_MS, PlatformAdviser
+from baobabhoist.platform.http_client import HttpResponse
+from baobabhoist.platform.store import PlatformRowStore
+from baobabhoist.platform.workers import PlatformWorkerDriver
+from baobabhoist.store.row_store import StoreUnansweredError
+
+WORKER = WorkerInfo("w0", "svc", "127.0.0.1:1", "z1", Resources(1000, 512, 0), ())
+REPORT = {"clockMs": 1, "born": 2, "running": [], "finished": []}
+ROW = {"table": "t", "part": "", "key": "k", "value": "", "schemaVer": 3}
+
+
+class FakeHttp:
+    """Give the same answer to each request."""
+
+    def __init__(self, body, status=200):
+        self.answer = HttpResponse(status, body)
+
+    async def request(self, *args, **options):
+        return self.answer
+
+
+def renew(body):
+    driver = PlatformWorkerDriver(FakeHttp(body), FakeHttp(body))
+    return asyncio.run(driver.renew(WORKER, 1, 0, None, 0))
+
+
+@pytest.mark.parametrize(
+    "fields",
+    [
+        {"clockMs": None},
+        {"clockMs": "soon"},
+        {"born": []},
+        {"running": 7},
+        {"running": [[]]},
+        {"running": [{"task": "x"}]},
+        {"running": [None]},
+        {"running": [["0" * 16 + ".0.0.0", 1e999, "", 0]]},
+        {"finished": [[1, "0" * 16 + ".0.0.0", 1, "vanished", ""]]},
+        {"finished": [[None, "0" * 16 + ".0.0.0", 1, "done", ""]]},
+    ],
+)
+def test_a_malformed_report_counts_as_a_missing_one(fields):
+    """Guard against a worker whose report takes the owner or a session down."""
+    assert isinstance(renew(REPORT), WorkerReport)
+    assert renew({**REPORT, **fields}) is CommandOutcome.UNKNOWN
+
+
+@pytest.mark.parametrize("rows", [7, {"k": 1}, [None], ["row"], [{**ROW, "schemaVer": "new"}]])
+def test_malformed_rows_count_as_a_missing_answer(rows):
+    """Guard against an answer of the store that ends the task which follows a table."""
+    store = PlatformRowStore(FakeHttp({"rows": rows, "schemaVer": 3, "nowMs": 1}), "store:1")
+    with pytest.raises(StoreUnansweredError):
+        asyncio.run(store.read("t"))
+
+
+def test_a_row_whose_value_is_malformed_is_read_as_empty():
+    """Guard against one damaged row that hides all others of its table."""
+    rows = [{**ROW, "value": "%"}, {**ROW, "key": "l", "value": 7}]
+    store = PlatformRowStore(FakeHttp({"rows": rows, "schemaVer": 3, "nowMs": 1}), "store:1")
+    assert [row.value for row in asyncio.run(store.read("t")).rows] == [b"", b""]
+
+
+def test_malformed_tickets_approve_no_worker():
+    """Guard against an answer of the adviser that ends the owner's request for advice."""
+    body = {"approved": [["w0", "ticket"], ["w1"], None, [7, "x"], "w2"], "validityMs": "long"}
+    advice = asyncio.run(PlatformAdviser(FakeHttp(body), "a:1").ask(StepKey("j", 0, 0), [], 1.0))
+    assert (advice.tickets, advice.valid_ms) == ({"w0": "ticket"}, DEFAULT_TICKET_VALID_MS)
