Stop a long run as stalled only after the time of several percents

Progress is reported in whole percents, so a run of more than 300 s showed none for 3 s and was stopped and started again. The limit now follows what a percent of the run takes. The test fails without the change.

--- a/baobabhoist/cell/jobs.py
+++ b/baobabhoist/cell/jobs.py
@@ -60,6 +60,8 @@
     stop_answered_ms: float = 0.0
     progress_percent: float = 0.0
     last_progress_ms: float = 0.0
+    # How long the run takes for one percent, as far as is known.
+    ms_per_percent: float = 0.0
     # When this owner decided to start or adopt the run.
     decided_ms: float = 0.0
     # When the run will probably end; infinity if nothing tells.
--- a/baobabhoist/cell/periodic_checks.py
+++ b/baobabhoist/cell/periodic_checks.py
@@ -23,6 +23,8 @@
 OPEN_STOP_RETRY_INTERVAL_MS = 2_000.0
 # A run without progress for this long is stopped and started on another worker.
 STALL_TIMEOUT_MS = 3_000.0
+# A long run is stopped only after the time that it usually takes for this many percents.
+STALLED_PERCENTS = 5.0
 # A start that was not sent for this long is given up: the task that should send it is gone.
 UNSENT_START_TIMEOUT_MS = 5_000.0
 # Live workers are listed in the directory again within this time after a store outage.
@@ -110,11 +112,16 @@
 
 
 def _is_stalled(worker: WorkerState, run: Run, now: float) -> bool:
-    """Return whether reports have shown no progress of a run for too long."""
+    """Return whether reports have shown no progress of a run for too long.
+
+    Progress is reported in whole percents, so a long run shows none for some time.
+    """
+    if run.phase is not RunPhase.RUNNING or run.task.step.spec.lasting:
+        return False
+    timeout_ms = max(STALL_TIMEOUT_MS, STALLED_PERCENTS * run.ms_per_percent)
+    last_ms = run.last_progress_ms
     return (
-        run.phase is RunPhase.RUNNING
-        and not run.task.step.spec.lasting
-        and now - run.last_progress_ms > STALL_TIMEOUT_MS
-        and worker.last_report_ms > run.last_progress_ms + STALL_TIMEOUT_MS
+        now - last_ms > timeout_ms
+        and worker.last_report_ms > last_ms + timeout_ms
         and run.progress_percent < FINAL_PERCENT
     )
--- a/baobabhoist/cell/state.py
+++ b/baobabhoist/cell/state.py
@@ -7,7 +7,14 @@
 
 import attrs
 
-from baobabhoist.cell.jobs import JobState, Run, RunPhase, StepState, TaskState
+from baobabhoist.cell.jobs import (
+    FINAL_PERCENT,
+    JobState,
+    Run,
+    RunPhase,
+    StepState,
+    TaskState,
+)
 from baobabhoist.cell.model import (
     NO_RESOURCES,
     CellRules,
@@ -97,7 +104,9 @@
         ticket = task.step.approvals.valid_ticket(worker.worker_id, sent_ms)
         run = self._add_run(task, worker, run_number, RunPhase.STARTING, now)
         run.is_fresh_start = not task.checkpoint
-        run.expected_end_ms = now + self._expected_run_ms(run)
+        expected_ms = self._expected_run_ms(run)
+        run.expected_end_ms = now + expected_ms
+        run.ms_per_percent = expected_ms / FINAL_PERCENT
         self.start_window.add(run)
         # The run must be stored before the command is sent, so that the next owner knows of it.
         self.dirty.add(job.job_id)
--- a/baobabhoist/cell/worker_reports.py
+++ b/baobabhoist/cell/worker_reports.py
@@ -248,8 +248,8 @@
     gained_percent = progress_percent - run.progress_percent
     if run.task.step.spec.lasting or gained_percent <= 0.0:
         return
-    ms_per_percent = (now - run.last_progress_ms) / gained_percent
-    run.expected_end_ms = now + (FINAL_PERCENT - progress_percent) * ms_per_percent
+    run.ms_per_percent = (now - run.last_progress_ms) / gained_percent
+    run.expected_end_ms = now + (FINAL_PERCENT - progress_percent) * run.ms_per_percent
 
 
 def _ticket_left_ms(step: StepState, command: StartTask, now: float) -> int | None:
--- a/baobabhoist/tests/test_cell_run_stops.py
+++ b/baobabhoist/tests/test_cell_run_stops.py
@@ -125,3 +125,14 @@
     harness.deliver_command(start)
     harness.advance(200.0)
     assert harness.undelivered == []
+
+
+def test_a_long_run_that_gains_a_percent_in_many_seconds_is_not_stopped():
+    """Guard against slow work that is stopped and begun again for want of visible progress."""
+    long_ms = 100 * 2 * STALL_TIMEOUT_MS
+    harness = CellHarness.with_workers(1)
+    harness.submit(make_job("0" * 16, Step(1, SMALL, int(long_ms))))
+    harness.schedule()
+    harness.advance(2 * STALL_TIMEOUT_MS)
+    assert harness.running_tasks() == [(make_task_key(), "w0")]
+    assert harness.workers["w0"].started_runs == [(make_task_key(), 1)]
