Give up a job that makes the scheduler raise, and go on with the others

The class of the incident BUDGET on our own side: a stored job that makes a round raise ended the owner, and then each next one that loaded it. The job is failed with an error line (1626). The tests fail without the change.

--- a/baobabhoist/cell/placer.py
+++ b/baobabhoist/cell/placer.py
@@ -2,13 +2,14 @@
 
 from __future__ import annotations
 
+import logging
 from collections import Counter
 
 import attrs
 
 from baobabhoist.cell.advice_requests import AdviceRequester
 from baobabhoist.cell.jobs import StepState, TaskState
-from baobabhoist.cell.model import Resources
+from baobabhoist.cell.model import JobPhase, Resources
 from baobabhoist.cell.ranking import Rank, Timeliness, rank_step, timeliness_of
 from baobabhoist.cell.reservations import Reservations
 from baobabhoist.cell.speed_matching import slowdown_tolerance, speed_cost
@@ -17,6 +18,10 @@
 from baobabhoist.cell.worker_index import WorkerIndex
 from baobabhoist.cell.worker_selection import WorkerSlots, assign_gang, assign_tasks, find_slots
 from baobabhoist.cell.workers import WorkerState
+from baobabhoist.observability.events import Event, emit
+from baobabhoist.observability.tasks import log_crash
+
+log = logging.getLogger(__name__)
 
 REMOTE_RACK_COST = 0.5
 # Makes tasks avoid a worker on which a task of their step failed, if there is another.
@@ -42,7 +47,6 @@
             self.state.start_backlog.record_round(0, 0, now)
 
     def _place_ranked(self, waiting_steps: list[StepState], now: float, may_start: bool) -> None:
-        ranked_steps = sorted(waiting_steps, key=lambda step: self._rank(step, now))
         start_delay_ms = self.state.start_delay.expected_ms
         worker_index = WorkerIndex(self.state.workers.values(), now, start_delay_ms)
         self.reservations.clear()
@@ -50,22 +54,56 @@
         starting_before = self.state.start_window.starting_count
         held_back_tasks = 0
         self.advice.begin_round(now)
-        for position, step in enumerate(ranked_steps):
-            max_free_cpu = worker_index.max_free_cpu(self.state.service_of(step.job))
-            if not may_start or step.spec.allocation.cpu > max_free_cpu:
-                step.wait_reason = _reason_without_cpu(max_free_cpu, may_start)
-            elif not self.state.start_window.remaining:
-                step.wait_reason = WaitReason.START_WINDOW_FULL
+        for position, step in enumerate(self._sort(waiting_steps, now)):
+            try:
+                self._place_or_wait(step, position, worker_index, now, may_start)
+            except Exception as exc:
+                self._give_up(step, exc, now)
+            if step.wait_reason is WaitReason.START_WINDOW_FULL:
                 held_back_tasks += step.waiting_count
-            else:
-                step.wait_reason = self._place_step(step, worker_index, now)
-            if step.waiting_count:
-                if step.waiting_since_ms is None:
-                    step.waiting_since_ms = now
-                self.advice.request(step, position, worker_index, self.reservations, now)
         starts = self.state.start_window.starting_count - starting_before
         self.state.start_backlog.record_round(starts, held_back_tasks, now)
 
+    def _sort(self, waiting_steps: list[StepState], now: float) -> list[StepState]:
+        """Return the steps by rank; a job that can't be ranked is given up."""
+        ranked: list[tuple[Rank, int, StepState]] = []
+        for number, step in enumerate(waiting_steps):
+            try:
+                ranked.append((self._rank(step, now), number, step))
+            except Exception as exc:
+                self._give_up(step, exc, now)
+        ranked.sort(key=lambda entry: entry[:2])
+        return [step for _, _, step in ranked]
+
+    def _place_or_wait(
+        self,
+        step: StepState,
+        position: int,
+        worker_index: WorkerIndex,
+        now: float,
+        may_start: bool,
+    ) -> None:
+        """Start the tasks of a step that fit, and request advice for those that still wait."""
+        max_free_cpu = worker_index.max_free_cpu(self.state.service_of(step.job))
+        if not may_start or step.spec.allocation.cpu > max_free_cpu:
+            step.wait_reason = _reason_without_cpu(max_free_cpu, may_start)
+        elif not self.state.start_window.remaining:
+            step.wait_reason = WaitReason.START_WINDOW_FULL
+        else:
+            step.wait_reason = self._place_step(step, worker_index, now)
+        if step.waiting_count:
+            if step.waiting_since_ms is None:
+                step.waiting_since_ms = now
+            self.advice.request(step, position, worker_index, self.reservations, now)
+
+    def _give_up(self, step: StepState, exc: Exception, now: float) -> None:
+        """Fail a job that makes the scheduler raise: it would end each owner in turn."""
+        job = step.job
+        emit(log, Event.JOB_GIVEN_UP, job=job.job_id, step=step.key.step, detail=repr(exc))
+        log_crash(f"placing job {job.job_id}", exc)
+        self.state.ready_steps.pop(step.key, None)
+        self.state.finish_job(job, JobPhase.FAILED, now, "it makes the scheduler fail")
+
     def _rank(self, step: StepState, now: float) -> Rank:
         return rank_step(step, self.state.queue_of(step.job), now)
 
--- a/baobabhoist/observability/events.py
+++ b/baobabhoist/observability/events.py
@@ -212,6 +212,11 @@
         logging.INFO,
         "did not send the order for run {run} of task {task}: it is no longer permitted",
     )
+    JOB_GIVEN_UP = (
+        1626,
+        logging.ERROR,
+        "gave up job {job}, whose step {step} makes the scheduler fail: {detail}",
+    )
     TABLE_FOLLOWED = (8004, logging.INFO, "following table {table} from version {version}")
     TABLE_LOST = (8005, logging.WARNING, "cannot follow table {table}: {detail}")
     HISTORY_LOST = (
