Keep an owner running when one stored row makes the cell raise, and recheck its authority

Two faults of the owner. A row of a job or of its progress that made the cell raise while it was loaded or followed ended this owner and each next one. And an owner that was suspended between the decision of a start and its store write sent the start although its claim had run out meanwhile. The tests fail without the change.

--- a/baobabhoist/control/owner.py
+++ b/baobabhoist/control/owner.py
@@ -177,7 +177,14 @@
             emit(log, Event.ROW_UNREADABLE, table=JOBS_TABLE, row=job_id, detail=exc)
             return
         accepted_local_ms = self._deps.clock.to_local_ms(accepted.accepted_ms)
-        if cell.add_job(accepted, accepted_local_ms, monotonic_ms(), unix_ms()):
+        try:
+            is_new = cell.add_job(accepted, accepted_local_ms, monotonic_ms(), unix_ms())
+        except Exception as exc:
+            # One job must not end this owner, and the next ones after it.
+            emit(log, Event.ROW_UNREADABLE, table=JOBS_TABLE, row=job_id, detail=repr(exc))
+            cell.remove_job(job_id)
+            return
+        if is_new:
             self.request_scheduling_round()
 
     def handle_cancelled_job(self, job_id: str) -> None:
@@ -273,7 +280,8 @@
         try:
             if row.value is not None:
                 cell.restore_job(row.key.key, progress_rows.decode(row.value), now)
-        except (ValueError, IndexError) as exc:
+        except Exception as exc:
+            # One row must not end this owner, and the next ones after it.
             emit(log, Event.ROW_UNREADABLE, table=PROGRESS_TABLE, row=row.key.key, detail=exc)
 
     # Changes of tables.
@@ -391,7 +399,8 @@
 
     async def _send_start(self, command: StartTask) -> None:
         cell = self._require_cell()
-        if not cell.should_send_start(command, monotonic_ms()):
+        # This process may have been suspended since the run was stored.
+        if not self.may_renew() or not cell.should_send_start(command, monotonic_ms()):
             return
         self._observe_wait(command)
         sent_ms = monotonic_ms()
--- a/baobabhoist/tests/test_control_owner.py
+++ b/baobabhoist/tests/test_control_owner.py
@@ -16,7 +16,13 @@
 from baobabhoist.control.metrics import NodeMetrics
 from baobabhoist.control.owner import CellOwner, OwnerDependencies
 from baobabhoist.control.ownership_term import OwnershipTerm
-from baobabhoist.control.row_schema import OWNER_ROW_KEY, JobRow, encode_job, job_row_key
+from baobabhoist.control.row_schema import (
+    OWNER_ROW_KEY,
+    PROGRESS_TABLE,
+    JobRow,
+    encode_job,
+    job_row_key,
+)
 from baobabhoist.control.sessions import pool
 from baobabhoist.store.row_store import RowKey, RowTransaction, StoredRow
 from baobabhoist.testing.memory_row_store import MemoryRowStore
@@ -74,6 +80,7 @@
         self.store = store_class(version=CellHarness().token)
         token = self.store.apply(RowTransaction(puts={OWNER_ROW_KEY: b"me"})).version
         self.store.apply(RowTransaction(puts={WORKER_ROW_KEY: b"worker"}))
+        self.authority_ends_ms = float("inf")
         self.decoder = FakeDecoder()
         self.driver = FakeDriver()
         metrics = NodeMetrics()
@@ -85,7 +92,7 @@
             SimpleNamespace(slot_count=1, count_unavailable=lambda: 0),
             LEASE_MS,
             60_000.0,
-            lambda: float("inf"),
+            lambda: self.authority_ends_ms,
             lambda reason: None,
             metrics,
             MachineSize(1.0, 1_000.0),
@@ -215,6 +222,59 @@
     asyncio.run(run())
 
 
+@pytest.mark.parametrize("crashing", ["add_job", "restore_job"])
+def test_a_row_that_crashes_the_cell_does_not_end_the_owner(crashing, monkeypatch):
+    """Guard against one stored job that takes down each owner that loads it."""
+
+    async def run():
+        harness = OwnerHarness()
+        harness.store_job()
+        progress = {RowKey(PROGRESS_TABLE, "", JOB_ID): b'{"phase":"queued","steps":[]}'}
+        harness.store.apply(RowTransaction(puts=progress))
+        monkeypatch.setattr(CellScheduler, crashing, crash)
+        await harness.start()
+        harness.store.apply(RowTransaction(puts={job_row_key("b" + 15 * "0"): JOB}))
+        for _ in range(10):
+            await asyncio.sleep(0.01)
+        assert not harness.task.done()
+        harness.task.cancel()
+
+    asyncio.run(run())
+
+
+def test_an_owner_whose_authority_ended_while_a_run_was_stored_sends_no_start():
+    """Guard against a paused process that acts on a permission which has run out."""
+
+    async def run():
+        harness = OwnerHarness()
+        starts = []
+        harness.driver.start = lambda *args: starts.append(args) or wait()
+        await harness.start()
+        cell = harness.owner.cell
+        stored = asyncio.Event()
+        harness.owner.progress_writer.call_when_stored = lambda send: stored.set() or send()
+        harness.store_job()
+        schedule = cell.schedule
+
+        def schedule_and_suspend(now, may_start):
+            commands = schedule(now, may_start)
+            if commands:
+                harness.authority_ends_ms = float("-inf")
+            return commands
+
+        cell.schedule = schedule_and_suspend
+        async with asyncio.timeout(FAILURE_TIMEOUT_S):
+            await stored.wait()
+        await asyncio.sleep(0.05)
+        harness.task.cancel()
+        assert starts == []
+
+    async def wait():
+        return CommandResponse(CommandOutcome.OK)
+
+    asyncio.run(run())
+
+
 class TurnCounter:
     """Count the turns of the event loop, and the events of each kind in each turn."""
 
