Test that only the successor at its own address ends a silent worker's runs

The state machine of the cell gains workers that crash and are replaced at their address while their entry is still listed.

--- a/baobabhoist/tests/test_cell_crashes.py
+++ b/baobabhoist/tests/test_cell_crashes.py
@@ -310,3 +310,33 @@
         fleet.run(fleet.down_ms + 200.0)
     assert evidence_against(harness, make_task_key()) == [Evidence.UNCONFIRMED_RUN] * 3
     assert harness.job_phase() is JobPhase.QUEUED
+
+
+def test_a_silent_worker_keeps_its_run_when_another_worker_appears_at_another_address():
+    """Guard against work that is started again elsewhere while a silent worker goes on (TWICE)."""
+    harness = CellHarness.with_workers(1)
+    harness.submit(make_job())
+    harness.schedule()
+    silent = harness.workers.pop("w0")
+    harness.workers["w1"] = FakeCellWorker("w1")
+    harness.cell.update_worker(harness.workers["w1"].info(), harness.now)
+    harness.advance(DOWN_MS[0])
+    assert make_task_key() in silent.runs
+    assert not harness.workers["w1"].runs
+
+
+def test_a_report_that_was_requested_before_a_worker_was_listed_does_not_end_it():
+    """Guard against a late report of a predecessor that ends the runs of its successor (TWICE)."""
+    harness = CellHarness.with_workers(0)
+    old, new = FakeCellWorker("old"), FakeCellWorker("new")
+    harness.cell.update_worker(old.info(address="a:80"), harness.now)
+    requested_ms = harness.now
+    harness.advance(1_000.0)
+    harness.workers["new"] = new
+    harness.cell.update_worker(new.info(address="a:80"), harness.now)
+    late_report = old.renew(harness.token, 0, None)
+    harness.cell.handle_report("old", late_report, requested_ms, harness.now)
+    harness.settle()
+    harness.submit(make_job())
+    harness.settle()
+    assert make_task_key() in new.runs
--- a/baobabhoist/tests/test_cell_stateful.py
+++ b/baobabhoist/tests/test_cell_stateful.py
@@ -24,7 +24,9 @@
 
 MAX_ATTEMPTS = 2
 OUTCOMES = st.sampled_from([RunOutcome.DONE, RunOutcome.FAILED])
-WORKERS = st.sampled_from(["w0", "w1", "w2"])
+CAPACITY = Resources(2000, 4096, 0)
+SLOTS = ("w0", "w1", "w2")
+WORKERS = st.sampled_from(SLOTS)
 STEP_LISTS = st.sampled_from(
     [
         (Step(1, SMALL, 100),),
@@ -47,9 +49,7 @@
 class CellMachine(RuleBasedStateMachine):
     def __init__(self):
         super().__init__()
-        self.workers = {
-            f"w{n}": FakeCellWorker(f"w{n}", Resources(2000, 4096, 0)) for n in range(3)
-        }
+        self.workers = {slot: FakeCellWorker(slot, CAPACITY) for slot in SLOTS}
         self.now = 10_000.0
         self.token = 10
         self.generation = 0
@@ -63,13 +63,22 @@
         self.stored_done = set()
         self.stored_failures = {}
         self.unreachable = set()
+        # The worker that is at the address of each slot, and entries of workers that are not.
+        self.ids = {slot: slot for slot in SLOTS}
+        self.outdated_entries = {}
+        self.replacements = 0
         self.cell = None
         self._start_ownership(0.0)
 
     def _start_ownership(self, inherited_leases_expire_ms):
         takeover = Takeover(self.generation, self.token, inherited_leases_expire_ms)
         self.cell = CellScheduler(self.rules, takeover, LEASE_MS)
-        self.cell.sync_directory([w.info() for w in self.workers.values()], self.now)
+        listing = [self._info(slot) for slot in SLOTS]
+        self.cell.sync_directory([*listing, *self.outdated_entries.values()], self.now)
+
+    def _info(self, slot):
+        """Return the directory entry of the worker that is at the address of a slot now."""
+        return self.workers[self.ids[slot]].info(address=f"{slot}:80")
         for accepted in self.jobs.values():
             self.cell.add_job(accepted, self.now, self.now, self.now)
         for job_id in self.cancelled:
@@ -95,10 +104,11 @@
 
     @rule(outcome=OUTCOMES, worker=WORKERS, data=st.data())
     def end_run(self, outcome, worker, data):
-        runs = self.workers[worker].runs
+        worker_id = self.ids[worker]
+        runs = self.workers[worker_id].runs
         if runs:
             key = data.draw(st.sampled_from(sorted(runs)))
-            self._end(worker, key, outcome)
+            self._end(worker_id, key, outcome)
 
     def _end(self, worker, key, outcome):
         number = self.workers[worker].runs[key].number
@@ -111,7 +121,25 @@
 
     @rule(worker=WORKERS)
     def restart_worker(self, worker):
-        self.workers[worker].restart()
+        self.workers[self.ids[worker]].restart()
+
+    @rule(worker=WORKERS)
+    def replace_worker(self, worker):
+        """Let a worker crash, and another one come up at its address before its entry goes."""
+        crashed_id = self.ids[worker]
+        self.outdated_entries[crashed_id] = self._info(worker)
+        del self.workers[crashed_id]
+        self.replacements += 1
+        self.ids[worker] = f"{worker}.{self.replacements}"
+        self.workers[self.ids[worker]] = FakeCellWorker(self.ids[worker], CAPACITY)
+        self.cell.update_worker(self._info(worker), self.now)
+
+    @precondition(lambda self: self.outdated_entries)
+    @rule()
+    def drop_outdated_entries(self):
+        for worker_id in self.outdated_entries:
+            self.cell.unlist_worker(worker_id, self.now)
+        self.outdated_entries.clear()
 
     @rule(worker=WORKERS)
     def cut_off_or_reconnect(self, worker):
@@ -140,7 +168,9 @@
     @rule(data=st.data(), reply_arrives=st.booleans())
     def deliver(self, data, reply_arrives):
         sent = self.in_transit.pop(data.draw(st.integers(0, len(self.in_transit) - 1)))
-        if sent.command.worker_id in self.unreachable:
+        worker_id = sent.command.worker_id
+        # Commands name their worker, so the one that now is at its address does nothing.
+        if worker_id not in self.workers or worker_id.split(".")[0] in self.unreachable:
             self._return_outcome(sent, CommandOutcome.UNKNOWN)
             return
         worker = self.workers[sent.command.worker_id]
@@ -181,6 +211,7 @@
     def renew(self, worker):
         if worker in self.unreachable:
             return
+        worker = self.ids[worker]
         state = self.cell.state.workers[worker]
         deadline = state.lease.extend_deadline(self.now, LEASE_MS)
         fake_worker = self.workers[worker]
@@ -208,7 +239,9 @@
             self.cell.state.workers[worker].last_acked_end = number
 
     def _record_stored_ends(self, worker, number):
-        state, fake_worker = self.cell.state.workers[worker], self.workers[worker]
+        state, fake_worker = self.cell.state.workers[worker], self.workers.get(worker)
+        if fake_worker is None:
+            return
         if state.started_unix_ms != fake_worker.started_unix_ms:
             return
         for ended_run in fake_worker.unacked_ends:
