--- a/baobabhoist/cell/crash_blame.py
+++ b/baobabhoist/cell/crash_blame.py
@@ -13,7 +13,7 @@
 
     # The worker crashed right after it had started the run.
     YOUNG_RUN = "young"
-    # The worker had run it for some time, or crashes lately whatever it runs.
+    # The worker had run it for some time.
     OLD_RUN = "old"
     # The worker never confirmed the start: it may have crashed before.
     UNCONFIRMED_RUN = "unconfirmed"
@@ -27,19 +27,11 @@
 MAX_CRASHES = 4
 
 
-@attrs.frozen(order=True)
-class Crash:
-    """Identify a crash by the address and the start of the worker process."""
-
-    address: str
-    started_unix_ms: int
-
-
 @attrs.frozen
 class CrashBlame:
-    """Hold the evidence against one task by crash."""
+    """Hold the evidence against one task by crash, which is named after the worker process."""
 
-    by_crash: Mapping[Crash, Evidence] = attrs.Factory(dict)
+    by_crash: Mapping[str, Evidence] = attrs.Factory(dict)
 
     @property
     def total(self) -> int:
@@ -60,16 +52,16 @@
         return is_certain and self.total >= BLAME_LIMIT
 
     @property
-    def explained_crashes(self) -> frozenset[Crash]:
+    def explained_crashes(self) -> frozenset[str]:
         """Return the crashes that this task has caused, if it is the one that crashes workers."""
         kinds = self.by_crash.items()
         return frozenset(crash for crash, kind in kinds if kind is Evidence.YOUNG_RUN)
 
-    def plus(self, crash: Crash, evidence: Evidence) -> CrashBlame:
+    def plus(self, crash: str, evidence: Evidence) -> CrashBlame:
         """Return the blame after one more crash."""
         return CrashBlame({**self.by_crash, crash: evidence})
 
-    def without(self, crashes: Iterable[Crash]) -> CrashBlame:
+    def without(self, crashes: Iterable[str]) -> CrashBlame:
         """Return the blame without the crashes that another task has caused."""
         explained = frozenset(crashes)
         return CrashBlame({c: kind for c, kind in self.by_crash.items() if c not in explained})
--- a/baobabhoist/cell/crashes.py
+++ b/baobabhoist/cell/crashes.py
@@ -13,7 +13,7 @@
 
 import attrs
 
-from baobabhoist.cell.crash_blame import NO_BLAME, Crash, CrashBlame, Evidence
+from baobabhoist.cell.crash_blame import NO_BLAME, CrashBlame, Evidence
 from baobabhoist.cell.jobs import Run, TaskState
 from baobabhoist.cell.model import JobPhase, WorkerReport
 from baobabhoist.cell.run_ends import RunEndHandler, close_lost_run
@@ -60,15 +60,13 @@
         for worker in (*at_address.values(), *lost_workers):
             if _is_succeeded_by(worker, successor, requested_ms):
                 _log_replaced(worker, successor, requested_ms)
-                if not worker.info.is_draining:
-                    successor.last_crash, successor.last_crash_ms = _crash_of(worker), now
                 self._end_worker(worker, now)
 
     def _end_worker(self, worker: WorkerState, now: float) -> None:
         """Close the runs of a worker that has ended, and blame them."""
         lost = self._lost_runs.pop(worker.worker_id, None)
         blame = {} if lost is None else lost.blame
-        blame |= _blame_of_runs(worker, worker.runs.values(), now)
+        blame |= _blame_of_runs(worker, worker.runs.values())
         worker.has_ended = True
         worker.unlist(now)
         self._close_runs(worker, now)
@@ -78,13 +76,11 @@
         """Blame what ran on a worker before it restarted under its id."""
         survivors = {active_run.task for active_run in report.running}
         ended = [run for task, run in worker.runs.items() if task not in survivors]
-        blame = _blame_of_runs(worker, ended, now)
-        worker.last_crash, worker.last_crash_ms = _crash_of(worker), now
-        self._blame(worker, blame, now)
+        self._blame(worker, _blame_of_runs(worker, ended), now)
 
     def record_lapse(self, worker: WorkerState, now: float) -> None:
         """Remember what runs on a worker whose lease lapses: whether it crashed is not known."""
-        blame = _blame_of_runs(worker, worker.runs.values(), now)
+        blame = _blame_of_runs(worker, worker.runs.values())
         if blame:
             lost = LostRuns(worker, blame, now + LOST_RUN_KEPT_MS)
             self._lost_runs[worker.worker_id] = lost
@@ -111,7 +107,7 @@
                 del self._lost_runs[worker_id]
 
     def _blame(self, worker: WorkerState, blame: dict[TaskState, Evidence], now: float) -> None:
-        crash = _crash_of(worker)
+        crash = f"{worker.worker_id}/{worker.started_unix_ms}"
         tasks = [task for task in blame if not task.is_done and not task.step.job.is_final]
         for task in tasks:
             self._set_blame(task, task.crash_blame.plus(crash, blame[task]))
@@ -132,19 +128,11 @@
         reason = f"{len(blame.by_crash)} workers crashed under task {task.key.to_text()}"
         self._state.finish_job(task.step.job, JobPhase.FAILED, now, reason)
         explained = blame.explained_crashes
-        self._clear_machines(explained)
         for step in self._state.ready_steps.values():
             for other in step.tasks:
                 if explained & other.crash_blame.by_crash.keys():
                     self._set_blame(other, other.crash_blame.without(explained))
 
-    def _clear_machines(self, explained: frozenset[Crash]) -> None:
-        """Hold the crashes that a task has caused no longer against the machines."""
-        for crash in explained:
-            for worker in self._state.workers_by_address.get(crash.address, {}).values():
-                if worker.last_crash == crash:
-                    worker.last_crash = None
-
     def _close_runs(self, worker: WorkerState, now: float) -> None:
         for run in list(worker.runs.values()):
             if run.is_sent:
@@ -161,25 +149,17 @@
     )
 
 
-def _crash_of(worker: WorkerState) -> Crash:
-    return Crash(worker.info.address, worker.started_unix_ms)
-
-
-def _blame_of_runs(
-    worker: WorkerState, runs: Iterable[Run], now: float
-) -> dict[TaskState, Evidence]:
+def _blame_of_runs(worker: WorkerState, runs: Iterable[Run]) -> dict[TaskState, Evidence]:
     """Return what the end of a worker tells about its tasks: nothing if it was leaving."""
     if worker.info.is_draining:
         return {}
-    return {run.task: _evidence(worker, run, now) for run in runs if run.is_sent}
+    return {run.task: _evidence(worker, run) for run in runs if run.is_sent}
 
 
-def _evidence(worker: WorkerState, run: Run, now: float) -> Evidence:
+def _evidence(worker: WorkerState, run: Run) -> Evidence:
     if not run.has_begun:
         return Evidence.UNCONFIRMED_RUN
-    if worker.is_young(run) and not worker.has_crashed_lately(now):
-        return Evidence.YOUNG_RUN
-    return Evidence.OLD_RUN
+    return Evidence.YOUNG_RUN if worker.is_young(run) else Evidence.OLD_RUN
 
 
 def _log_replaced(worker: WorkerState, successor: WorkerState, now: float) -> None:
--- a/baobabhoist/cell/placer.py
+++ b/baobabhoist/cell/placer.py
@@ -176,8 +176,6 @@
         """Start tasks that may crash their worker, each alone: another crash then tells more."""
         quiet = [worker for worker in candidates if not worker.has_young_run()]
         chosen = [slot.worker for slot in self._find_slots(step, quiet, now)]
-        # A crash tells more on a worker that has not crashed without the task.
-        chosen.sort(key=lambda worker: worker.has_crashed_lately(now))
         count = min(len(suspects), self.state.start_window.remaining)
         for task, worker in zip(suspects[:count], chosen, strict=False):
             if self._start(task, worker, now):
--- a/baobabhoist/cell/progress_rows.py
+++ b/baobabhoist/cell/progress_rows.py
@@ -7,7 +7,7 @@
 import attrs
 import orjson
 
-from baobabhoist.cell.crash_blame import NO_BLAME, Crash, CrashBlame, Evidence
+from baobabhoist.cell.crash_blame import NO_BLAME, CrashBlame, Evidence
 from baobabhoist.cell.jobs import JobState
 from baobabhoist.cell.model import JobPhase
 
@@ -79,7 +79,7 @@
     body: dict[str, Any] = {"phase": progress.phase.value, "steps": steps}
     # A member of its own, which earlier releases ignore: they read exactly six fields of a step.
     crashes = [
-        [s.occurrence, s.step, index, crash.address, crash.started_unix_ms, evidence.value]
+        [s.occurrence, s.step, index, crash, evidence.value]
         for s in progress.steps
         for index, crash_blame in s.crash_blame.items()
         for crash, evidence in crash_blame.by_crash.items()
@@ -131,11 +131,10 @@
 def _decode_crashes(entries: list[list[Any]]) -> dict[tuple[int, int], dict[int, CrashBlame]]:
     """Return the blame of tasks by occurrence and step, then by task index."""
     by_step: dict[tuple[int, int], dict[int, CrashBlame]] = {}
-    for occurrence, step, index, address, started_unix_ms, evidence in entries:
+    for occurrence, step, index, crash, evidence in entries:
         by_index = by_step.setdefault((int(occurrence), int(step)), {})
-        earlier = by_index.get(int(index), NO_BLAME).by_crash
-        crash = Crash(str(address), int(started_unix_ms))
-        by_index[int(index)] = CrashBlame({**earlier, crash: Evidence(evidence)})
+        earlier = by_index.get(int(index), NO_BLAME)
+        by_index[int(index)] = earlier.plus(str(crash), Evidence(evidence))
     return by_step
 
 
--- a/baobabhoist/cell/workers.py
+++ b/baobabhoist/cell/workers.py
@@ -4,7 +4,6 @@
 
 import attrs
 
-from baobabhoist.cell.crash_blame import Crash
 from baobabhoist.cell.health import WorkerHealth
 from baobabhoist.cell.jobs import Run
 from baobabhoist.cell.model import NO_RESOURCES, Resources, TaskKey, WorkerInfo
@@ -17,8 +16,6 @@
 REPORT_TIMEOUT_MS = 2600.0
 # A run is young until its worker has answered this long after the start was sent.
 YOUNG_RUN_MS = 250.0
-# A worker that has crashed may do so again, with or without a task to blame.
-CRASH_REMEMBERED_MS = 30_000.0
 
 
 @attrs.define
@@ -96,9 +93,6 @@
     last_report_ms: float = -1e12
     # When the worker last answered to this owner, with a report or to a command.
     last_heard_ms: float = float("-inf")
-    # The last crash at the worker's address that no task explains, and when it was learned of.
-    last_crash: Crash | None = None
-    last_crash_ms: float = float("-inf")
     # When this owner learned of the worker.
     known_since_ms: float = float("-inf")
     # When the leases of earlier owners have expired, for a worker that has never reported.
@@ -162,10 +156,6 @@
             return True
         return run.sent_ms is not None and self.last_heard_ms < run.sent_ms + YOUNG_RUN_MS
 
-    def has_crashed_lately(self, now: float) -> bool:
-        """Return whether the machine crashed shortly before the worker started."""
-        return self.last_crash is not None and now - self.last_crash_ms < CRASH_REMEMBERED_MS
-
     def has_young_run(self) -> bool:
         """Return whether any run is young."""
         return any(self.is_young(run) for run in self.runs.values())
