--- a/baobabhoist/cell/crash_blame.py
+++ b/baobabhoist/cell/crash_blame.py
@@ -19,12 +19,12 @@
     UNCONFIRMED_RUN = "unconfirmed"
 
 
-# A task is given up after two crashes right after its start, or after four of any kind.
+# A task is given up after two crashes right after its start, or after four during older runs.
 BLAME_LIMIT = 4
 WEIGHTS = {Evidence.YOUNG_RUN: 2, Evidence.OLD_RUN: 1, Evidence.UNCONFIRMED_RUN: 1}
 # With fewer crashes while it certainly ran, a task is given up only after this many in all.
 MIN_CERTAIN_CRASHES = 2
-MAX_CRASHES = 4
+MAX_CRASHES = 5
 
 
 @attrs.frozen
--- a/baobabhoist/tests/test_cell_crashes.py
+++ b/baobabhoist/tests/test_cell_crashes.py
@@ -297,10 +297,10 @@
 
 def test_a_task_that_its_crashed_workers_never_began_is_not_given_up():
     """Guard against a job that fails because its starts reached workers that were already down."""
-    harness = CellHarness.with_workers(4)
+    harness = CellHarness.with_workers(6)
     harness.delivers_commands = False
     harness.submit(make_job())
-    for _ in range(3):
+    for _ in range(4):
         fleet = CrashingFleet(harness, set())
         harness.schedule()
         start = [c for c in harness.undelivered if isinstance(c, StartTask)][-1]
@@ -308,7 +308,7 @@
         fleet.crash(start.worker_id)
         harness.lose_command(start)
         fleet.run(fleet.down_ms + 200.0)
-    assert evidence_against(harness, make_task_key()) == [Evidence.UNCONFIRMED_RUN] * 3
+    assert evidence_against(harness, make_task_key()) == [Evidence.UNCONFIRMED_RUN] * 4
     assert harness.job_phase() is JobPhase.QUEUED
 
 
