Split the waiting tasks of a step once, and stop placing at the team's limit

An isolated run is recognised as elsewhere, by being its task's current run, instead of by building its key for each worker in each round.

--- a/baobabhoist/cell/placer.py
+++ b/baobabhoist/cell/placer.py
@@ -129,15 +129,11 @@
         if spec.gang:
             self._place_gang(step, self._find_slots(step, candidates, now), worker_index, now)
         else:
-            suspects = [t for t in step.waiting_tasks() if t.crash_blame.is_suspect]
-            if suspects:
-                self._place_suspects(step, suspects, candidates, worker_index, now)
-                candidates = [worker for worker in candidates if not worker.is_isolated]
-            self._place_tasks(step, candidates, now)
-            if suspects and all(t.crash_blame.is_suspect for t in step.waiting_tasks()):
-                return WaitReason.NO_QUIET_WORKER if step.waiting_count else None
+            self._place_tasks(step, candidates, worker_index, now)
         if not step.waiting_count:
             return None
+        if not spec.gang and all(t.crash_blame.is_suspect for t in step.waiting_tasks()):
+            return WaitReason.NO_QUIET_WORKER
         if not self.state.start_window.remaining:
             return WaitReason.START_WINDOW_FULL
         if not self.state.is_within_team_limit(step.job, need):
@@ -157,13 +153,25 @@
             lambda w: self._placement_cost(w, step, tolerance),
         )
 
-    def _place_tasks(self, step: StepState, candidates: list[WorkerState], now: float) -> None:
-        """Start the tasks that fit, except those that are suspected to crash their worker."""
-        tasks = [t for t in step.waiting_tasks() if not t.crash_blame.is_suspect]
+    def _place_tasks(
+        self,
+        step: StepState,
+        candidates: list[WorkerState],
+        worker_index: WorkerIndex,
+        now: float,
+    ) -> None:
+        """Start the tasks that fit, those that are suspected to crash their worker first."""
+        tasks = list(step.waiting_tasks())
+        suspects = [task for task in tasks if task.crash_blame.is_suspect]
+        if suspects:
+            self._place_suspects(step, suspects, candidates, worker_index, now)
+            tasks = [task for task in tasks if not task.crash_blame.is_suspect]
+            candidates = [worker for worker in candidates if not worker.is_isolated]
         task_count = min(len(tasks), self.state.start_window.remaining)
         chosen = assign_tasks(self._find_slots(step, candidates, now), task_count)
         for task, worker in zip(tasks, chosen, strict=False):
-            self._start(task, worker, now)
+            if not self._start(task, worker, now):
+                return
 
     def _place_suspects(
         self,
@@ -178,9 +186,10 @@
         chosen = [slot.worker for slot in self._find_slots(step, quiet, now)]
         count = min(len(suspects), self.state.start_window.remaining)
         for task, worker in zip(suspects[:count], chosen, strict=False):
-            if self._start(task, worker, now):
-                worker.isolated_run = task.run
-                worker_index.withdraw(worker)
+            if not self._start(task, worker, now):
+                return
+            worker.isolated_run = task.run
+            worker_index.withdraw(worker)
 
     def _start(self, task: TaskState, worker: WorkerState, now: float) -> bool:
         """Start a task on a worker if the limit of its team allows it."""
--- a/baobabhoist/cell/workers.py
+++ b/baobabhoist/cell/workers.py
@@ -148,7 +148,7 @@
     def is_isolated(self) -> bool:
         """Return whether nothing else may start because of a suspected run."""
         run = self.isolated_run
-        return run is not None and self.runs.get(run.task.key) is run and self.is_young(run)
+        return run is not None and run.task.run is run and self.is_young(run)
 
     def is_young(self, run: Run) -> bool:
         """Return whether a run was sent so lately that it may not have outlived its start."""
