Confirm a run in one place, and simplify the book-keeping of crashes

The answer to a start and the first report of a run each set the same three marks, and the end of a step's wait moved the job's phase on the side; Run.confirm does it for both. The index of workers by address creates no empty entries when it is read, the remembered blame of a lapsed lease is not changed in place, and the check for a restart is a function with a name. binascii.Error is a ValueError.

--- a/baobabhoist/cell/crash_blame.py
+++ b/baobabhoist/cell/crash_blame.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import enum
-from collections.abc import Iterable, Mapping
+from collections.abc import Mapping
 
 import attrs
 
@@ -61,9 +61,8 @@
         """Return the blame after one more crash."""
         return CrashBlame({**self.by_crash, crash: evidence})
 
-    def without(self, crashes: Iterable[str]) -> CrashBlame:
+    def without(self, explained: frozenset[str]) -> CrashBlame:
         """Return the blame without the crashes that another task has caused."""
-        explained = frozenset(crashes)
         return CrashBlame({c: kind for c, kind in self.by_crash.items() if c not in explained})
 
     def lowered(self) -> CrashBlame:
--- a/baobabhoist/cell/crashes.py
+++ b/baobabhoist/cell/crashes.py
@@ -55,7 +55,7 @@
         Commands name the worker that they are meant for, so only the process that holds an
         address now answers there.
         """
-        at_address = self._state.workers_by_address[successor.info.address]
+        at_address = self._state.workers_by_address.get(successor.info.address, {})
         lost_workers = [lost.worker for lost in self._lost_runs.values()]
         for worker in (*at_address.values(), *lost_workers):
             if _is_succeeded_by(worker, successor, requested_ms):
@@ -65,8 +65,8 @@
     def _end_worker(self, worker: WorkerState, now: float) -> None:
         """Close the runs of a worker that has ended, and blame them."""
         lost = self._lost_runs.pop(worker.worker_id, None)
-        blame = {} if lost is None else lost.blame
-        blame |= _blame_of_runs(worker, worker.runs.values())
+        earlier_blame = lost.blame if lost is not None else {}
+        blame = earlier_blame | _blame_of_runs(worker, worker.runs.values())
         worker.has_ended = True
         worker.unlist(now)
         self._close_runs(worker, now)
--- a/baobabhoist/cell/jobs.py
+++ b/baobabhoist/cell/jobs.py
@@ -69,6 +69,12 @@
     # This owner started the run, and not from a checkpoint.
     is_fresh_start: bool = False
 
+    def confirm(self, now: float) -> None:
+        """Record that a worker has confirmed that it began the run."""
+        self.has_begun = True
+        self.confirmed_ms = self.confirmed_ms or now
+        self.task.step.job.mark_running()
+
 
 @attrs.define(eq=False)
 class TaskState:
@@ -129,7 +135,6 @@
 
     def mark_start_confirmed(self) -> None:
         """Record that a worker confirmed a start, which ends the wait if no other task waits."""
-        self.job.mark_running()
         if not self.waiting_count:
             self.waiting_since_ms = None
 
--- a/baobabhoist/cell/state.py
+++ b/baobabhoist/cell/state.py
@@ -51,9 +51,7 @@
     jobs: dict[str, JobState] = attrs.Factory(dict)
     workers: dict[str, WorkerState] = attrs.Factory(dict)
     # Workers that the directory lists or has listed at each address, by worker id.
-    workers_by_address: dict[str, dict[str, WorkerState]] = attrs.Factory(
-        lambda: defaultdict(dict)
-    )
+    workers_by_address: dict[str, dict[str, WorkerState]] = attrs.Factory(dict)
     team_usage: dict[str, Resources] = attrs.Factory(lambda: defaultdict(lambda: NO_RESOURCES))
     # Unfinished steps whose dependencies are done.
     ready_steps: dict[StepKey, StepState] = attrs.Factory(dict)
@@ -107,7 +105,7 @@
         if info.address != worker.info.address:
             self._forget_address(worker)
         worker.apply_entry(info)
-        self.workers_by_address[info.address][worker.worker_id] = worker
+        self.workers_by_address.setdefault(info.address, {})[worker.worker_id] = worker
 
     def remove_worker(self, worker: WorkerState) -> None:
         """Remove a worker that has no runs left."""
@@ -115,10 +113,10 @@
         self._forget_address(worker)
 
     def _forget_address(self, worker: WorkerState) -> None:
-        at_address = self.workers_by_address[worker.info.address]
+        at_address = self.workers_by_address.get(worker.info.address, {})
         at_address.pop(worker.worker_id, None)
         if not at_address:
-            del self.workers_by_address[worker.info.address]
+            self.workers_by_address.pop(worker.info.address, None)
 
     # Runs.
 
--- a/baobabhoist/cell/worker_reports.py
+++ b/baobabhoist/cell/worker_reports.py
@@ -40,9 +40,7 @@
         self, worker: WorkerState, report: WorkerReport, requested_ms: float, now: float
     ) -> None:
         """Apply a report; `requested_ms` is when it was requested."""
-        is_restarted = (
-            0 < worker.started_unix_ms != report.started_unix_ms and report.started_unix_ms > 0
-        )
+        is_restarted = _has_restarted(worker, report)
         self._crashes.handle_report(worker, is_restarted, now)
         if is_restarted:
             self._handle_restart(worker, report, requested_ms, now)
@@ -74,9 +72,10 @@
         if run is None or worker is None:
             return
         if outcome is CommandOutcome.OK:
-            worker.last_heard_ms, run.has_begun = now, True
+            worker.last_heard_ms = now
             if not run.confirmed_ms:
-                run.confirmed_ms = run.last_progress_ms = now
+                run.last_progress_ms = now
+            run.confirm(now)
             run.task.step.mark_start_confirmed()
             if run.phase in (RunPhase.STARTING, RunPhase.UNSURE) and not run.stop_sent_ms:
                 run.phase = RunPhase.RUNNING
@@ -182,8 +181,7 @@
         self._update_progress(adopted_run, active_run, now)
 
     def _update_progress(self, run: Run, active_run: ActiveRun, now: float) -> None:
-        run.confirmed_ms, run.has_begun = run.confirmed_ms or now, True
-        run.task.step.job.mark_running()
+        run.confirm(now)
         if run.phase is RunPhase.STARTING:
             run.phase = RunPhase.RUNNING
             run.task.step.mark_start_confirmed()
@@ -243,6 +241,12 @@
         return run if run is not None and run.number == command.run else None
 
 
+def _has_restarted(worker: WorkerState, report: WorkerReport) -> bool:
+    """Return whether a report comes from a later process than the last one."""
+    known_start, start = worker.started_unix_ms, report.started_unix_ms
+    return bool(known_start and start and start != known_start)
+
+
 def _forecast_end(run: Run, progress_percent: float, now: float) -> None:
     """Derive when a run will end from its progress since the last report."""
     gained_percent = progress_percent - run.progress_percent
--- a/baobabhoist/platform/store.py
+++ b/baobabhoist/platform/store.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import base64
-import binascii
 import time
 from typing import Any
 from urllib.parse import urlencode
@@ -148,7 +147,7 @@
         return StoredRow(key, None, version)
     try:
         return StoredRow(key, base64.b64decode(entry.get("value") or ""), version)
-    except (binascii.Error, TypeError, ValueError):
+    except (TypeError, ValueError):
         return StoredRow(key, b"", version)
 
 
