Share the fixture that reads log lines, and let the fake driver record its starts

test_cell_crashes.py had written again what test_control_owner_logs.py had as fixture fields_of; it moves to conftest.py and also serves two tests that read records by hand. Two tests of the owner replaced the driver's start in the same way.

--- a/baobabhoist/tests/conftest.py
+++ b/baobabhoist/tests/conftest.py
@@ -1,9 +1,12 @@
-"""Mark the tests that are listed in KNOWN-RED.txt as expected to fail."""
+"""Mark the tests that are listed in KNOWN-RED.txt as expected to fail, and share fixtures."""
 
+import logging
 import pathlib
 
 import pytest
 
+from baobabhoist.observability.events import EVENT_ATTRIBUTE, FIELDS_ATTRIBUTE
+
 KNOWN_RED = pathlib.Path(__file__).parents[2] / "KNOWN-RED.txt"
 TEST_PREFIX = "test: "
 
@@ -20,3 +23,15 @@
     for item in items:
         if item.nodeid in listed:
             item.add_marker(mark)
+
+
+@pytest.fixture
+def fields_of(caplog):
+    """Return a function that returns the fields of the lines of an event so far."""
+    caplog.set_level(logging.INFO, logger="baobabhoist")
+
+    def read(event):
+        records = [r for r in caplog.records if r.__dict__.get(EVENT_ATTRIBUTE) is event]
+        return [r.__dict__[FIELDS_ATTRIBUTE] for r in records]
+
+    return read
--- a/baobabhoist/tests/test_cell_crashes.py
+++ b/baobabhoist/tests/test_cell_crashes.py
@@ -1,7 +1,5 @@
 """Test what the scheduler concludes from the crashes of workers."""
 
-import logging
-
 import attrs
 import orjson
 import pytest
@@ -11,7 +9,7 @@
 from baobabhoist.cell.crashes import HARMLESS_AGE_MS
 from baobabhoist.cell.model import JobPhase, StartTask, Step
 from baobabhoist.cell.workers import YOUNG_RUN_MS
-from baobabhoist.observability.events import FIELDS_ATTRIBUTE
+from baobabhoist.observability.events import Event
 from baobabhoist.testing.cell_worker import FakeCellWorker
 from baobabhoist.tests.cell_harness import LEASE_MS, SMALL, CellHarness, make_job, make_task_key
 
@@ -89,18 +87,8 @@
     return list(task.crash_blame.by_crash.values())
 
 
-def logged_fields(caplog, name):
-    return [
-        getattr(record, FIELDS_ATTRIBUTE)
-        for record in caplog.records
-        if getattr(record, "baobabhoist_event", None) is not None
-        and record.baobabhoist_event.name == name
-    ]
-
-
-def test_the_log_tells_a_crashed_worker_from_a_silent_one_and_names_its_runs(caplog):
+def test_the_log_tells_a_crashed_worker_from_a_silent_one_and_names_its_runs(fields_of):
     """Guard against logs that can't separate a task that crashes workers from a cut network."""
-    caplog.set_level(logging.INFO)
     harness = CellHarness.with_workers(2)
     harness.submit(make_job())
     harness.schedule()
@@ -109,7 +97,7 @@
     silent = next(name for name in harness.workers if name != worker_id)
     harness.workers[silent].is_up = False
     crash_once(harness, worker_id)
-    (fields,) = logged_fields(caplog, "WORKER_REPLACED")
+    (fields,) = fields_of(Event.WORKER_REPLACED)
     assert (fields["worker"], fields["successor"]) == (worker_id, f"{worker_id}+")
     assert fields["ages_ms"] == {key.to_text(): 0}
     assert fields["silent_ms"] >= DOWN_MS[0]
--- a/baobabhoist/tests/test_cell_worker_reports.py
+++ b/baobabhoist/tests/test_cell_worker_reports.py
@@ -1,15 +1,12 @@
 """Test the log lines about start commands that workers reject."""
 
-import logging
-
 from baobabhoist.cell.model import AdviceTerms, CommandOutcome
-from baobabhoist.observability.events import EVENT_ATTRIBUTE, FIELDS_ATTRIBUTE, Event
+from baobabhoist.observability.events import Event
 from baobabhoist.tests.cell_harness import CellHarness, make_job, make_rules
 
 
-def test_rejected_start_says_how_old_its_ticket_and_decision_are(caplog):
+def test_rejected_start_says_how_old_its_ticket_and_decision_are(fields_of):
     """Guard against rejected tickets that can't be told from expired ones and late commands."""
-    caplog.set_level(logging.INFO, logger="baobabhoist")
     harness = CellHarness.with_workers(1, make_rules(advice=AdviceTerms(10.0, 1.0, 2_000)))
     harness.submit(make_job())
     harness.schedule()
@@ -19,8 +16,7 @@
     harness.schedule()
     command = harness.undelivered.pop()
     harness.cell.handle_start_result(command, CommandOutcome.NO_TICKET, harness.now + 1_300.0)
-    refused = [r for r in caplog.records if r.__dict__[EVENT_ATTRIBUTE] is Event.START_REFUSED]
-    assert refused[0].__dict__[FIELDS_ATTRIBUTE] == {
+    assert fields_of(Event.START_REFUSED)[0] == {
         "task": "0" * 16 + ".0.0.0",
         "run": 1,
         "worker": "w0",
--- a/baobabhoist/tests/test_control_election.py
+++ b/baobabhoist/tests/test_control_election.py
@@ -1,7 +1,6 @@
 """Test how an instance tracks the claim and takes over the cell, with an in-memory store."""
 
 import asyncio
-import logging
 from types import SimpleNamespace
 
 import attrs
@@ -22,7 +21,7 @@
 from baobabhoist.control.progress_writer import ProgressWriter
 from baobabhoist.control.row_schema import HEARTBEAT_ROW_KEY, OWNER_ROW_KEY
 from baobabhoist.control.store_health import MAX_STABLE_COMMIT_MS, STABLE_AFTER_MS, StoreHealth
-from baobabhoist.observability.events import EVENT_ATTRIBUTE, FIELDS_ATTRIBUTE, Event
+from baobabhoist.observability.events import Event
 from baobabhoist.store.row_store import RowTransaction
 from baobabhoist.testing.memory_row_store import MemoryRowStore
 
@@ -310,15 +309,13 @@
     assert not harness.election.is_ready_to_own()
 
 
-def test_won_claim_says_the_size_of_the_machine(harness, caplog):
+def test_won_claim_says_the_size_of_the_machine(harness, fields_of):
     """Guard against an owner too small for the cell that can't be told from a large one."""
-    caplog.set_level(logging.INFO, logger="baobabhoist")
 
     async def run():
         harness.read()
         await harness.settle()
 
     asyncio.run(run())
-    won = [r for r in caplog.records if r.__dict__.get(EVENT_ATTRIBUTE) is Event.CLAIM_WON]
-    fields = won[0].__dict__[FIELDS_ATTRIBUTE]
+    fields = fields_of(Event.CLAIM_WON)[0]
     assert (fields["cores"], fields["link_mbps"]) == (4.0, 1000.0)
--- a/baobabhoist/tests/test_control_owner.py
+++ b/baobabhoist/tests/test_control_owner.py
@@ -56,6 +56,7 @@
     def __init__(self):
         self.workers = CellHarness.with_workers(1).workers
         self.crashes = False
+        self.starts = []
         self.stops = []
 
     async def renew(self, worker, token, acked_end, deadline_ms, wait_ms):
@@ -65,6 +66,7 @@
     async def start(self, worker, token, command, deadline_ms):
         if self.crashes:
             raise RuntimeError("a fault in the driver")
+        self.starts.append(command)
         return CommandResponse(CommandOutcome.OK)
 
     async def stop(self, worker, token, command):
@@ -202,8 +204,6 @@
     async def run():
         harness = OwnerHarness(LateDirectoryStore)
         harness.store_job()
-        starts = []
-        harness.driver.start = lambda worker, *args: starts.append(worker.worker_id) or sleep()
         await harness.start()
         harness.store.apply(RowTransaction(removes=(WORKER_ROW_KEY,)))
         worker = harness.owner.cell.state.workers["w0"]
@@ -214,10 +214,7 @@
         harness.store.may_answer.set()
         await harness.wait_until(lambda: not worker.is_listed)
         harness.task.cancel()
-        assert starts == []
-
-    async def sleep():
-        return CommandResponse(CommandOutcome.OK)
+        assert harness.driver.starts == []
 
     asyncio.run(run())
 
@@ -247,8 +244,6 @@
 
     async def run():
         harness = OwnerHarness()
-        starts = []
-        harness.driver.start = lambda *args: starts.append(args) or wait()
         await harness.start()
         cell = harness.owner.cell
         stored = asyncio.Event()
@@ -267,10 +262,7 @@
             await stored.wait()
         await asyncio.sleep(0.05)
         harness.task.cancel()
-        assert starts == []
-
-    async def wait():
-        return CommandResponse(CommandOutcome.OK)
+        assert harness.driver.starts == []
 
     asyncio.run(run())
 
--- a/baobabhoist/tests/test_control_owner_logs.py
+++ b/baobabhoist/tests/test_control_owner_logs.py
@@ -1,10 +1,8 @@
 """Test what the owner of a cell logs, with an in-memory store and fake workers."""
 
 import asyncio
-import logging
 
 import attrs
-import pytest
 
 from baobabhoist.cell.model import CommandOutcome, Step
 from baobabhoist.control import waiting_report
@@ -19,7 +17,7 @@
 from baobabhoist.control.owner import CellOwner, OwnerDependencies
 from baobabhoist.control.ownership_term import OwnershipTerm
 from baobabhoist.control.row_schema import OWNER_ROW_KEY, JobRow, encode_job, job_row_key
-from baobabhoist.observability.events import EVENT_ATTRIBUTE, FIELDS_ATTRIBUTE, Event
+from baobabhoist.observability.events import Event
 from baobabhoist.store.row_store import RowKey, RowTransaction
 from baobabhoist.testing.cell_worker import FakeCellWorker
 from baobabhoist.testing.memory_row_store import MemoryRowStore
@@ -98,18 +96,6 @@
             await asyncio.wait([task])
 
 
-@pytest.fixture
-def fields_of(caplog):
-    """Return a function that returns the fields of the lines of an event so far."""
-    caplog.set_level(logging.INFO, logger="baobabhoist")
-
-    def read(event):
-        records = [r for r in caplog.records if r.__dict__.get(EVENT_ATTRIBUTE) is event]
-        return [r.__dict__[FIELDS_ATTRIBUTE] for r in records]
-
-    return read
-
-
 def test_loaded_cell_says_the_size_of_the_machine(fields_of):
     """Guard against an owner too small for the cell that can't be told from a large one."""
     harness = OwnerHarness()
