Let settings switch on the optional parts of scheduling

Cause: the parts that the two new customers ask for must take effect only where a deployment's settings call for them, and several of them are built side by side on one interface.

No behaviour changes.

Ruled out: a switch for each deployment in the template, because no field of the platform's settings tells which parts a customer asks for.

--- a/baobabhoist/cell/scheduler.py
+++ b/baobabhoist/cell/scheduler.py
@@ -26,6 +26,7 @@
 )
 from baobabhoist.cell.periodic_checks import PeriodicChecks
 from baobabhoist.cell.placer import TaskPlacer
+from baobabhoist.cell.policy import DEFAULT_POLICY, SchedulingPolicy
 from baobabhoist.cell.progress_rows import JobProgress
 from baobabhoist.cell.run_ends import RunEndHandler, close_lost_run
 from baobabhoist.cell.state import CellState
@@ -53,8 +54,14 @@
 class CellScheduler:
     """Schedule the jobs of one cell on its workers; all times are on the owner's clock, in ms."""
 
-    def __init__(self, rules: CellRules, takeover: Takeover, lease_ms: float) -> None:
-        self.state = CellState(rules, takeover.generation)
+    def __init__(
+        self,
+        rules: CellRules,
+        takeover: Takeover,
+        lease_ms: float,
+        policy: SchedulingPolicy = DEFAULT_POLICY,
+    ) -> None:
+        self.state = CellState(rules, takeover.generation, policy)
         self.is_fenced = False
         self.placer = TaskPlacer(self.state)
         self._takeover = takeover
--- a/baobabhoist/cell/state.py
+++ b/baobabhoist/cell/state.py
@@ -29,6 +29,7 @@
     Team,
     WorkerInfo,
 )
+from baobabhoist.cell.policy import DEFAULT_POLICY, SchedulingPolicy
 from baobabhoist.cell.speed_estimates import SpeedEstimates
 from baobabhoist.cell.start_backlog import StartBacklog
 from baobabhoist.cell.start_delay import StartDelay
@@ -48,6 +49,7 @@
 
     rules: CellRules
     generation: int = 0
+    policy: SchedulingPolicy = DEFAULT_POLICY
     jobs: dict[str, JobState] = attrs.Factory(dict)
     workers: dict[str, WorkerState] = attrs.Factory(dict)
     # Workers that the directory lists or has listed at each address, by worker id.
--- a/baobabhoist/config/options.py
+++ b/baobabhoist/config/options.py
@@ -156,6 +156,21 @@
         return "one of " + ", ".join(self.choices)
 
 
+@attrs.frozen
+class Switch:
+    """Accept true or false."""
+
+    def parse(self, value: Any) -> bool:
+        """Return the value if it is a boolean."""
+        if not isinstance(value, bool):
+            raise _wrong_type(self, value)
+        return value
+
+    def describe(self) -> str:
+        """Return a description of the accepted values."""
+        return "true or false"
+
+
 @attrs.frozen
 class IpAddress:
     """Accept an IP address; host names are rejected, because VMs are addressed by IP address."""
--- a/baobabhoist/control/node.py
+++ b/baobabhoist/control/node.py
@@ -258,5 +258,6 @@
             self.identity.size,
             self._loop_lag,
             lambda: self.link_server.session_hosts,
+            self.cfg.scheduling.policy(),
         )
         return CellOwner(deps, ownership, rules)
--- a/baobabhoist/control/owner.py
+++ b/baobabhoist/control/owner.py
@@ -20,6 +20,7 @@
     StartTask,
     StopTask,
 )
+from baobabhoist.cell.policy import DEFAULT_POLICY, SchedulingPolicy
 from baobabhoist.cell.scheduler import CellScheduler, Takeover
 from baobabhoist.cell.workers import LEASE_MARGIN_MS, MAX_CLOCK_DRIFT
 from baobabhoist.control.advice import AdviceDispatcher
@@ -85,6 +86,7 @@
     loop_lag: LoopLagMonitor
     # Returns the instances that can hold sessions with workers, by node name.
     session_hosts: Callable[[], Mapping[str, LinkedInstance]]
+    policy: SchedulingPolicy = DEFAULT_POLICY
 
 
 class CellOwner:
@@ -227,7 +229,7 @@
         )
         loaded_rows = (*tables.progress, *tables.cell, *tables.speeds)
         self.progress_writer.set_versions({row.key: row.version for row in loaded_rows})
-        cell = CellScheduler(self._rules, takeover, self._deps.lease_ms)
+        cell = CellScheduler(self._rules, takeover, self._deps.lease_ms, self._deps.policy)
         self._apply_speeds(cell, tables.speeds)
         self._cell = cell
         self._apply_directory_rows(tables.directory, True)
--- a/baobabhoist/control/settings.py
+++ b/baobabhoist/control/settings.py
@@ -6,12 +6,14 @@
 
 import attrs
 
+from baobabhoist.cell.policy import SchedulingPolicy
 from baobabhoist.config.options import (
     Choice,
     Integer,
     Number,
     Problem,
     Section,
+    Switch,
     Text,
     identifier,
     setting,
@@ -21,6 +23,7 @@
 ADDRESS = Text(r"[^\s:]+:[0-9]{1,5}", "an address such as 10.1.2.3:8080")
 OPTIONAL_ADDRESS = Text(r"([^\s:]+:[0-9]{1,5})?", "an address such as 10.1.2.3:8080, or empty")
 MAX_DURATION_MS = 600_000
+MAX_HALF_LIFE_S = 30 * 24 * 3600.0
 
 
 def _milliseconds(low: int = 1) -> Number:
@@ -49,6 +52,40 @@
     row_max_bytes: int = setting(Integer(1, 1 << 30, "bytes"), "Largest value of a row.")
 
 
+def _switch(description: str) -> bool:
+    switch: bool = setting(Switch(), description, default=False)
+    return switch
+
+
+@attrs.frozen
+class SchedulingSettings:
+    """Hold which optional parts of scheduling are in use."""
+
+    shares: bool = _switch("Serve teams by their weights when the cell is full.")
+    usage_half_life_s: float = setting(
+        Number(0.0, MAX_HALF_LIFE_S, "s"),
+        "Time after which past use of a team counts half; 0 if it does not count.",
+        default=0.0,
+    )
+    admission: bool = _switch("Refuse jobs that cannot end in time.")
+    backfill: bool = _switch("Let small tasks use workers reserved for a gang until it starts.")
+    preemption: bool = _switch("Let urgent tasks stop less urgent ones.")
+    advice_forecast: bool = _switch("Ask for advice only for starts expected before it expires.")
+    copies: bool = _switch("Start second copies of the slowest tasks of steps that allow it.")
+
+    def policy(self) -> SchedulingPolicy:
+        """Return the parts of scheduling that are switched on."""
+        return SchedulingPolicy(
+            weighs_shares=self.shares,
+            usage_half_life_s=self.usage_half_life_s,
+            refuses_hopeless_jobs=self.admission,
+            backfills=self.backfill,
+            preempts=self.preemption,
+            forecasts_advice=self.advice_forecast,
+            copies_slow_tasks=self.copies,
+        )
+
+
 @attrs.frozen
 class NodeSettings:
     """Hold the validated settings of one instance on a platform."""
@@ -77,6 +114,9 @@
         "Address that other instances use; defaults to host and peer_port.",
         default="",
     )
+    scheduling: SchedulingSettings = setting(
+        Section(SchedulingSettings), "Optional parts of scheduling.", default=SchedulingSettings()
+    )
     log_level: str = setting(
         Choice(("debug", "info", "warning", "error")),
         "Lowest level that is logged.",
