Start nothing in a data centre that the operator asks to empty

Cause: the rows `evacuate/NAME` of the operator's table were decoded nowhere, so tasks kept starting on workers that were to get nothing.

The owner takes the workers there out of placement, reservations, the room forecast and requests for advice in its next round, closes starts that were decided but not sent, and checks again before it sends. Runs that were sent go on. A new owner has the requests from its instance before it loads the cell, and starts nothing until that instance's table was confirmed shortly before the claim or since. A malformed value counts as a request and is logged. New wait reason, worker condition and two events; no setting: the row switches it on.

--- a/baobabhoist/cell/model.py
+++ b/baobabhoist/cell/model.py
@@ -211,6 +211,10 @@
     started_unix_ms: int = 0
     leaves_in_ms: int = 0
 
+    def has_label(self, label: str) -> bool:
+        """Return whether the worker has a label; every worker has the empty one."""
+        return not label or label in self.labels
+
     @property
     def rack(self) -> str:
         """Return the rack, which is the last label."""
--- a/baobabhoist/cell/room_forecast.py
+++ b/baobabhoist/cell/room_forecast.py
@@ -104,8 +104,7 @@
     health = worker.health
     is_silent = worker.has_accepted_token and now - worker.last_report_ms >= REPORT_TIMEOUT_MS
     return (
-        worker.is_listed
-        and not worker.info.is_draining
+        worker.is_staying
         and not is_silent
         and by_ms >= worker.backoff_until_ms
         and health.accepts_task(by_ms, len(worker.runs))
--- a/baobabhoist/cell/scheduler.py
+++ b/baobabhoist/cell/scheduler.py
@@ -10,6 +10,7 @@
 
 from baobabhoist.cell import progress_rows
 from baobabhoist.cell.crashes import CrashHandler
+from baobabhoist.cell.evacuations import Evacuations
 from baobabhoist.cell.jobs import JobState, StepState, critical_path_ms
 from baobabhoist.cell.model import (
     NO_RESOURCES,
@@ -36,6 +37,8 @@
 
 log = logging.getLogger(__name__)
 
+REASON_EVACUATED = "its data centre was to be emptied before the start"
+
 
 @attrs.frozen
 class Takeover:
@@ -186,6 +189,32 @@
         """Replace the configured queues and teams."""
         self.state.rules = rules
 
+    def set_evacuations(self, evacuations: Evacuations, now: float) -> None:
+        """Replace the operator's requests to empty data centres; runs that were sent go on."""
+        before, after = self.state.evacuations.data_centres, evacuations.data_centres
+        self.state.set_evacuations(evacuations)
+        for event, data_centres in (
+            (Event.EVACUATION_BEGUN, after - before),
+            (Event.EVACUATION_ENDED, before - after),
+        ):
+            for data_centre in sorted(data_centres):
+                self._log_evacuation(event, data_centre)
+        self._close_unsent_starts(now)
+
+    def _close_unsent_starts(self, now: float) -> None:
+        """Release the room of starts in emptied data centres that were decided but not sent."""
+        evacuated = [worker for worker in self.state.workers.values() if worker.is_evacuated]
+        runs = [run for worker in evacuated for run in worker.runs.values() if not run.is_sent]
+        for run in runs:
+            self.state.dirty.add(run.task.step.job.job_id)
+            if run.task.run is run:
+                close_lost_run(self.state, self._run_ends, run, now, REASON_EVACUATED)
+
+    def _log_evacuation(self, event: Event, data_centre: str) -> None:
+        workers = [w for w in self.state.workers.values() if w.info.data_centre == data_centre]
+        runs = sum(len(worker.runs) for worker in workers)
+        emit(log, event, data_centre=data_centre, workers=len(workers), runs=runs)
+
     def sync_directory(self, listing: Iterable[WorkerInfo], now: float) -> None:
         """Apply a full listing of the worker directory."""
         info_by_id = {info.worker_id: info for info in listing}
@@ -352,6 +381,7 @@
         (now >= command.ticket_expires_ms, "its ticket expired before the start"),
         (not worker.is_listed, "its worker left before the start"),
         (worker.info.is_draining, "its worker began to drain before the start"),
+        (worker.is_evacuated, REASON_EVACUATED),
         (
             not worker.used.fits_into(worker.info.capacity),
             "the capacity of its worker shrank before the start",
--- a/baobabhoist/cell/state.py
+++ b/baobabhoist/cell/state.py
@@ -7,6 +7,7 @@
 
 import attrs
 
+from baobabhoist.cell.evacuations import NO_EVACUATIONS, Evacuations
 from baobabhoist.cell.jobs import (
     FINAL_PERCENT,
     JobState,
@@ -54,6 +55,7 @@
     workers: dict[str, WorkerState] = attrs.Factory(dict)
     # Workers that the directory lists or has listed at each address, by worker id.
     workers_by_address: dict[str, dict[str, WorkerState]] = attrs.Factory(dict)
+    evacuations: Evacuations = NO_EVACUATIONS
     team_usage: dict[str, Resources] = attrs.Factory(lambda: defaultdict(lambda: NO_RESOURCES))
     # Unfinished steps whose dependencies are done.
     ready_steps: dict[StepKey, StepState] = attrs.Factory(dict)
@@ -107,8 +109,15 @@
         if info.address != worker.info.address:
             self._forget_address(worker)
         worker.apply_entry(info)
+        worker.is_evacuated = self.evacuations.cover(info)
         self.workers_by_address.setdefault(info.address, {})[worker.worker_id] = worker
 
+    def set_evacuations(self, evacuations: Evacuations) -> None:
+        """Replace the requests to empty data centres."""
+        self.evacuations = evacuations
+        for worker in self.workers.values():
+            worker.is_evacuated = evacuations.cover(worker.info)
+
     def remove_worker(self, worker: WorkerState) -> None:
         """Remove a worker that has no runs left."""
         del self.workers[worker.worker_id]
--- a/baobabhoist/cell/wait_reasons.py
+++ b/baobabhoist/cell/wait_reasons.py
@@ -18,6 +18,8 @@
     NO_STARTABLE_WORKER = "no_startable_worker"
     # No worker of the service, or none with the step's label, accepts tasks.
     NO_USABLE_WORKER = "no_usable_worker"
+    # All workers that the step could use are in data centres that are being emptied.
+    DATA_CENTRE_EMPTIED = "data_centre_emptied"
     # The adviser has not answered for any worker.
     NO_ADVICE = "no_advice"
     # The adviser refused every worker that it was asked about.
--- a/baobabhoist/cell/waiting_summary.py
+++ b/baobabhoist/cell/waiting_summary.py
@@ -104,6 +104,8 @@
     step: StepState, state: CellState, worker_index: WorkerIndex, now: float
 ) -> WaitReason:
     """Return why tasks of a step wait, as of the last scheduling round."""
+    if _waits_for_evacuated(step, state, worker_index):
+        return WaitReason.DATA_CENTRE_EMPTIED
     if step.wait_reason is not WaitReason.NO_STARTABLE_WORKER:
         return step.wait_reason or WaitReason.NOT_CONSIDERED
     if not worker_index.has_usable_worker(state.service_of(step.job), step.spec.label):
@@ -111,6 +113,27 @@
     return step.approvals.reason_without_ticket(now + state.start_delay.expected_ms)
 
 
+REASONS_WITHOUT_USABLE_WORKER = (WaitReason.NO_USABLE_WORKER, WaitReason.NO_STARTABLE_WORKER)
+
+
+def _waits_for_evacuated(step: StepState, state: CellState, worker_index: WorkerIndex) -> bool:
+    """Return whether a step has no usable worker because data centres are being emptied."""
+    if not state.evacuations.data_centres:
+        return False
+    if step.wait_reason not in REASONS_WITHOUT_USABLE_WORKER:
+        return False
+    service, label = state.service_of(step.job), step.spec.label
+    approved = [state.workers[w] for w in step.approvals.tickets if w in state.workers]
+    if approved:
+        return all(worker.is_evacuated for worker in approved)
+    if worker_index.has_usable_worker(service, label):
+        return False
+    return any(
+        worker.is_evacuated and worker.info.service == service and worker.info.has_label(label)
+        for worker in state.workers.values()
+    )
+
+
 def summarize_waiting(
     state: CellState, now: float, long_wait_ms: float = float("inf")
 ) -> WaitingSummary:
--- a/baobabhoist/cell/worker_conditions.py
+++ b/baobabhoist/cell/worker_conditions.py
@@ -13,6 +13,8 @@
     USABLE = "usable"
     UNLISTED = "unlisted"
     DRAINING = "draining"
+    # The worker's data centre is being emptied.
+    EVACUATED = "evacuated"
     # The worker has never reported to this owner, or not for the report timeout.
     SILENT = "silent"
     # A worker on probation that already runs its one task.
@@ -34,6 +36,7 @@
         (worker.can_start_tasks(now), WorkerCondition.USABLE),
         (not worker.is_listed, WorkerCondition.UNLISTED),
         (worker.info.is_draining, WorkerCondition.DRAINING),
+        (worker.is_evacuated, WorkerCondition.EVACUATED),
         (not worker.has_accepted_token, WorkerCondition.SILENT),
         (now - worker.last_report_ms >= REPORT_TIMEOUT_MS, WorkerCondition.SILENT),
         (now < health.quarantined_until_ms, WorkerCondition.QUARANTINED),
--- a/baobabhoist/cell/worker_index.py
+++ b/baobabhoist/cell/worker_index.py
@@ -14,7 +14,7 @@
 
 @attrs.define
 class WorkerGroup:
-    """Hold the listed, not draining workers of one service with equal capacity and labels."""
+    """Hold the staying workers of one service with equal capacity and labels."""
 
     capacity: Resources
     labels: tuple[str, ...]
@@ -80,7 +80,7 @@
         return [worker for worker in found if not label or label in worker.info.labels]
 
     def capable_worker_ids(self, service: str, label: str, need: Resources) -> list[str]:
-        """Return the ids of the listed workers that could run a task once they are free."""
+        """Return the ids of the staying workers that could run a task once they are free."""
         groups = self._capable_groups(service, label, need)
         key = tuple(map(id, groups))
         if key not in self._ids_by_groups:
@@ -102,7 +102,7 @@
         groups: dict[tuple[str, Resources, tuple[str, ...]], WorkerGroup] = {}
         for worker in self._workers:
             info = worker.info
-            if worker.is_listed and not info.is_draining:
+            if worker.is_staying:
                 key = (info.service, info.capacity, info.labels)
                 if key not in groups:
                     groups[key] = WorkerGroup(info.capacity, info.labels)
--- a/baobabhoist/cell/workers.py
+++ b/baobabhoist/cell/workers.py
@@ -86,6 +86,8 @@
     # The worker rejects commands of earlier owners.
     has_accepted_token: bool = False
     is_listed: bool = True
+    # Its data centre is being emptied.
+    is_evacuated: bool = False
     # Another worker answers at its address.
     has_ended: bool = False
     # When the worker was last removed from the directory.
@@ -144,6 +146,11 @@
         if self.is_listed:
             self.is_listed, self.unlisted_since_ms = False, now
 
+    @property
+    def is_staying(self) -> bool:
+        """Return whether neither the worker nor the operator has announced that it goes."""
+        return self.is_listed and not self.info.is_draining and not self.is_evacuated
+
     @property
     def is_isolated(self) -> bool:
         """Return whether nothing else may start because of a suspected run."""
@@ -164,8 +171,7 @@
         """Return whether new tasks may be started on the worker."""
         return (
             self.has_accepted_token
-            and self.is_listed
-            and not self.info.is_draining
+            and self.is_staying
             and not self.orphan_runs
             and not self.is_isolated
             and now - self.last_report_ms < REPORT_TIMEOUT_MS
--- a/baobabhoist/control/config.py
+++ b/baobabhoist/control/config.py
@@ -4,6 +4,7 @@
 
 import attrs
 
+from baobabhoist.cell.evacuations import NO_EVACUATIONS, Evacuations
 from baobabhoist.cell.model import CellRules, Queue
 
 
@@ -34,13 +35,14 @@
 
 @attrs.define
 class ActiveConfig:
-    """Hold the newest known configuration; its version never decreases.
+    """Hold what the operator's table says; the configuration's version never decreases.
 
-    `confirmed_ms` is the last time, on the local clock, at which the store had no newer version.
+    `confirmed_ms` is the last time, on the local clock, at which the store had nothing newer.
     """
 
     current: CellConfig | None = None
     confirmed_ms: float = -1e12
+    evacuations: Evacuations = NO_EVACUATIONS
 
     def accept(self, cfg: CellConfig) -> bool:
         """Activate a version if it is newer than the current one; return whether it was."""
--- a/baobabhoist/control/interfaces.py
+++ b/baobabhoist/control/interfaces.py
@@ -8,6 +8,7 @@
 
 import attrs
 
+from baobabhoist.cell.evacuations import EvacuationChange
 from baobabhoist.cell.model import (
     CommandOutcome,
     JobSpec,
@@ -90,6 +91,12 @@
     def decode_config(self, value: bytes) -> CellConfig | None:
         """Return the decoded configuration, or None if it is malformed."""
 
+    def decode_evacuation(self, key: str, value: bytes | None) -> EvacuationChange | None:
+        """Return what an operator's row says on emptying a data centre, or None if nothing.
+
+        A malformed value counts as a request.
+        """
+
     def decode_worker(self, worker_id: str, value: bytes) -> WorkerInfo | None:
         """Return a worker of the directory, or None if the entry is malformed or incomplete."""
 
--- a/baobabhoist/control/node.py
+++ b/baobabhoist/control/node.py
@@ -202,23 +202,37 @@
         await self._election.release("this instance drains")
 
     def _apply_operator_rows(self, rows: Sequence[StoredRow], is_snapshot: bool) -> None:
+        # Without a configuration this instance claims no cell, so a new owner knows what follows.
+        self._apply_evacuations(rows, is_snapshot)
         for row in rows:
-            is_config = row.key.key == self._adapter.decoder.tables.config_key
-            if not is_config or row.value is None:
-                continue
-            cfg = self._adapter.decoder.decode_config(row.value)
-            if cfg is None or not self.config.accept(cfg):
-                continue
-            emit(
-                log,
-                Event.CONFIG_IN_FORCE,
-                version=cfg.version,
-                queues=len(cfg.rules.queues),
-                teams=len(cfg.rules.teams),
-                keys=len(cfg.team_by_key),
-            )
-            if self.owner_router.local_owner is not None:
-                self.owner_router.local_owner.apply_rules(cfg.rules)
+            if row.key.key == self._adapter.decoder.tables.config_key and row.value is not None:
+                self._apply_config(row.value)
+
+    def _apply_evacuations(self, rows: Sequence[StoredRow], is_snapshot: bool) -> None:
+        decoder = self._adapter.decoder
+        decoded = (decoder.decode_evacuation(row.key.key, row.value) for row in rows)
+        changes = [change for change in decoded if change is not None]
+        evacuations = self.config.evacuations.with_changes(changes, is_snapshot=is_snapshot)
+        if evacuations == self.config.evacuations:
+            return
+        self.config.evacuations = evacuations
+        if self.owner_router.local_owner is not None:
+            self.owner_router.local_owner.apply_evacuations(evacuations)
+
+    def _apply_config(self, value: bytes) -> None:
+        cfg = self._adapter.decoder.decode_config(value)
+        if cfg is None or not self.config.accept(cfg):
+            return
+        emit(
+            log,
+            Event.CONFIG_IN_FORCE,
+            version=cfg.version,
+            queues=len(cfg.rules.queues),
+            teams=len(cfg.rules.teams),
+            keys=len(cfg.team_by_key),
+        )
+        if self.owner_router.local_owner is not None:
+            self.owner_router.local_owner.apply_rules(cfg.rules)
 
     def _make_session_holder(self) -> SessionHolder:
         from baobabhoist.control.sessions.holder import SessionHolder
@@ -259,5 +273,6 @@
             self._loop_lag,
             lambda: self.link_server.session_hosts,
             self.cfg.scheduling.policy(),
+            lambda: self.config.confirmed_ms,
         )
-        return CellOwner(deps, ownership, rules)
+        return CellOwner(deps, ownership, rules, self.config.evacuations)
--- a/baobabhoist/control/owner.py
+++ b/baobabhoist/control/owner.py
@@ -12,6 +12,7 @@
 import attrs
 
 from baobabhoist.cell import progress_rows
+from baobabhoist.cell.evacuations import NO_EVACUATIONS, Evacuations
 from baobabhoist.cell.model import (
     CellRules,
     Command,
@@ -59,6 +60,8 @@
 LOAD_RETRY_INTERVAL_S = 0.15
 ADVICE_RETRY_INTERVAL_S = 0.15
 RETENTION_CHECK_TICKS = 100
+# A new owner starts nothing while what it knows of the operator's requests is older than this.
+MAX_OPERATOR_TABLE_AGE_MS = 2_500.0
 # Least pause after a scheduling round, as a multiple of the round's duration.
 ROUND_PAUSE_FACTOR = 3.0
 # While loading a cell, yield to the event loop after this many rows, so that heartbeats are sent.
@@ -87,13 +90,19 @@
     # Returns the instances that can hold sessions with workers, by node name.
     session_hosts: Callable[[], Mapping[str, LinkedInstance]]
     policy: SchedulingPolicy = DEFAULT_POLICY
+    # Returns when the operator's table was last known to hold nothing newer.
+    operator_confirmed_ms: Callable[[], float] = lambda: float("inf")
 
 
 class CellOwner:
     """Run the tasks that drive one cell; each won claim gets a new instance."""
 
     def __init__(
-        self, deps: OwnerDependencies, ownership: OwnershipTerm, rules: CellRules
+        self,
+        deps: OwnerDependencies,
+        ownership: OwnershipTerm,
+        rules: CellRules,
+        evacuations: Evacuations = NO_EVACUATIONS,
     ) -> None:
         self.is_loaded = False
         self._cell: CellScheduler | None = None
@@ -104,6 +113,7 @@
         self.progress_writer.on_end_acked = self._handle_end_acked
         self._deps = deps
         self._rules = rules
+        self._evacuations = evacuations
         self._max_reads = max_concurrent_reads(deps.size.link_mbps)
         self._loader = CellLoader(deps.store, deps.decoder.tables.directory, self._max_reads)
         self._directory = self._directory_follower()
@@ -154,6 +164,13 @@
             self._cell.set_rules(rules)
             self.request_scheduling_round()
 
+    def apply_evacuations(self, evacuations: Evacuations) -> None:
+        """Apply the operator's requests to empty data centres."""
+        self._evacuations = evacuations
+        if self._cell is not None:
+            self._cell.set_evacuations(evacuations, monotonic_ms())
+            self.request_scheduling_round()
+
     def may_renew(self) -> bool:
         """Return whether leases may be renewed: not if a later owner may rely on their expiry."""
         return monotonic_ms() < self._deps.authority_ends_ms()
@@ -233,6 +250,7 @@
         self._apply_speeds(cell, tables.speeds)
         self._cell = cell
         self._apply_directory_rows(tables.directory, True)
+        cell.set_evacuations(self._evacuations, monotonic_ms())
         await self._load_jobs(tables.jobs)
         now = monotonic_ms()
         for index, row in enumerate(tables.progress):
@@ -372,7 +390,9 @@
         start_s = time.perf_counter()
         self._update_advice_slots(cell)
         # The directory that was loaded may be some seconds old: workers may have left since.
-        may_start = self.may_renew() and self._directory.is_confirmed
+        may_start = (
+            self.may_renew() and self._directory.is_confirmed and self._knows_operator_requests()
+        )
         commands = cell.schedule(monotonic_ms(), may_start)
         duration_s = time.perf_counter() - start_s
         # Limits the share of the processor that rounds take under a flood of events.
@@ -389,6 +409,11 @@
         if cell.state.dirty:
             self.progress_writer.request_flush()
 
+    def _knows_operator_requests(self) -> bool:
+        """Return whether the operator's table was read shortly before the claim, or since."""
+        oldest_ms = self.ownership.won_ms - MAX_OPERATOR_TABLE_AGE_MS
+        return self._deps.operator_confirmed_ms() >= oldest_ms
+
     def _update_advice_slots(self, cell: CellScheduler) -> None:
         advice, dispatcher = cell.placer.advice, self._deps.advice_dispatcher
         advice.slot_count = dispatcher.slot_count
--- a/baobabhoist/observability/events.py
+++ b/baobabhoist/observability/events.py
@@ -154,6 +154,16 @@
         logging.WARNING,
         "worker {worker} crashed with {count} tasks: {blame}",
     )
+    EVACUATION_BEGUN = (
+        1531,
+        logging.WARNING,
+        "data centre {data_centre} is being emptied: no task starts on its {workers} workers",
+    )
+    EVACUATION_ENDED = (
+        1532,
+        logging.INFO,
+        "data centre {data_centre} is in use again, with {workers} workers",
+    )
     CLAIM_SEEN = (1601, logging.INFO, "instance {owner} holds the claim of version {version}")
     CLAIM_WON = (1602, logging.INFO, "won the claim with token {token}: {reason}")
     CLAIM_LOST = (1603, logging.WARNING, "lost the claim with token {token}: {reason}")
--- a/baobabhoist/platform/decode.py
+++ b/baobabhoist/platform/decode.py
@@ -7,6 +7,7 @@
 
 import orjson
 
+from baobabhoist.cell.evacuations import EvacuationChange
 from baobabhoist.cell.model import (
     AdviceTerms,
     CellRules,
@@ -31,6 +32,7 @@
 DEFAULT_MAX_BODY_BYTES = 1 << 20
 # Integers up to this value are exact in the doubles that many JSON libraries use.
 MAX_INTEGER = 1 << 53
+EVACUATION_KEY_PREFIX = "evacuate/"
 
 
 class FieldError(ValueError):
@@ -56,6 +58,20 @@
             )
             return None
 
+    def decode_evacuation(self, key: str, value: bytes | None) -> EvacuationChange | None:
+        """Return whether a data centre is to be emptied, or None for a row on something else."""
+        if not key.startswith(EVACUATION_KEY_PREFIX):
+            return None
+        data_centre = key.removeprefix(EVACUATION_KEY_PREFIX)
+        try:
+            if not data_centre:
+                raise FieldError("the row names no data centre")
+            if value is not None:
+                _parse_object(value)
+        except FieldError as exc:
+            emit(log, Event.ROW_UNREADABLE, table=self.tables.operator, row=key, detail=exc)
+        return EvacuationChange(data_centre, value is not None) if data_centre else None
+
     def decode_worker(self, worker_id: str, value: bytes) -> WorkerInfo | None:
         """Return a worker of the directory, or None if its entry cannot be decoded."""
         try:
--- a/baobabhoist/tests/test_cell_worker_conditions.py
+++ b/baobabhoist/tests/test_cell_worker_conditions.py
@@ -3,6 +3,7 @@
 import attrs
 import pytest
 
+from baobabhoist.cell.evacuations import Evacuations
 from baobabhoist.cell.model import Step
 from baobabhoist.cell.worker_conditions import WorkerCondition, worker_condition
 from baobabhoist.cell.workers import REPORT_TIMEOUT_MS
@@ -21,6 +22,11 @@
     worker.info = attrs.evolve(worker.info, is_draining=True)
 
 
+def evacuate(harness, worker):
+    evacuations = Evacuations(frozenset({worker.info.data_centre}))
+    harness.cell.set_evacuations(evacuations, harness.now)
+
+
 def unlist(harness, worker):
     harness.cell.unlist_worker(worker.worker_id, harness.now)
 
@@ -55,6 +61,7 @@
     [
         (lambda *_: None, WorkerCondition.USABLE),
         (drain, WorkerCondition.DRAINING),
+        (evacuate, WorkerCondition.EVACUATED),
         (unlist, WorkerCondition.UNLISTED),
         (fall_silent, WorkerCondition.SILENT),
         (lose_token, WorkerCondition.SILENT),
--- a/baobabhoist/tests/test_control_handover.py
+++ b/baobabhoist/tests/test_control_handover.py
@@ -199,6 +199,9 @@
     def decode_config(self, value):
         return CellConfig(1, make_rules(), (), {}, 1000)
 
+    def decode_evacuation(self, key, value):
+        return None
+
 
 def make_node(store, name, size):
     cfg = NodeSettings(
--- a/baobabhoist/tests/test_platform_decode.py
+++ b/baobabhoist/tests/test_platform_decode.py
@@ -7,6 +7,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from baobabhoist.cell.evacuations import EvacuationChange
 from baobabhoist.cell.model import JobSpec, Resources, WorkerInfo
 from baobabhoist.control.config import CellConfig
 from baobabhoist.control.row_schema import JobRow, decode_job, encode_job
@@ -122,3 +123,10 @@
         assert isinstance(DECODER.decode_job(body), JobSpec | Refusal)
         assert isinstance(DECODER.decode_worker("w", body), WorkerInfo | None)
         assert isinstance(DECODER.decode_config(body), CellConfig | None)
+
+
+def test_only_rows_under_the_prefix_are_requests_to_empty_a_data_centre():
+    """Guard against a configuration, or another request, that empties a data centre."""
+    assert DECODER.decode_evacuation("config", b"{}") is None
+    assert DECODER.decode_evacuation("evacuated/z", b"{}") is None
+    assert DECODER.decode_evacuation("evacuate/z", None) == EvacuationChange("z", False)
