Use cold workers last, fill them one start at a time

Cause: the time for which a worker says that it is slow after its start (`coldRemainingMs`) was decoded nowhere: a data centre that came back was the most free one, so it got the next tasks at once, and their slow runs counted as observations of the workers' speed for long after.

Change: the time becomes a deadline when the entry is applied; an entry that is read again doesn't move it. Until then the worker ranks behind all warm ones for tasks and for requests for advice, has at most one start in progress, and its runs are no observations of its speed. A malformed value is logged and counts as warm. Where no entry names such a time nothing differs.

--- a/baobabhoist/cell/advice_candidates.py
+++ b/baobabhoist/cell/advice_candidates.py
@@ -194,10 +194,11 @@
         """Add workers whose approval is not known, as many as a request for the step may need."""
         approvals, need = self.step.approvals, self.step.spec.allocation
         extra_count = self._count_extra_workers(0)
-        for room in self._rooms_near_data_first(rooms.most_free_first):
+        preferred = self._preferred_rooms_first(rooms.most_free_first)
+        for room in preferred:
             worker_id = room.worker.worker_id
             if room.free.cpu < need.cpu:
-                if not self.step.spec.data_rack:
+                if preferred is rooms.most_free_first:
                     return
                 continue
             if worker_id in approvals.tickets or worker_id in approvals.refused_workers:
@@ -231,11 +232,17 @@
             all_refused = 0.0
         return 1.0 - all_refused >= MIN_USEFUL_PROBABILITY
 
-    def _rooms_near_data_first(self, rooms: list[Room]) -> list[Room]:
-        rack = self.step.spec.data_rack
-        if not rack:
+    def _preferred_rooms_first(self, rooms: list[Room]) -> list[Room]:
+        """Return warm workers before cold ones, and of each those near the data first."""
+        rack, at_ms = self.step.spec.data_rack, self._answer_ms
+        if not rack and not self.worker_index.has_cold_workers:
             return rooms
-        return sorted(rooms, key=lambda room: room.worker.info.rack != rack)
+
+        def rank(room: Room) -> tuple[bool, bool]:
+            is_far = bool(rack) and room.worker.info.rack != rack
+            return room.worker.is_cold(at_ms), is_far
+
+        return sorted(rooms, key=rank)
 
     def _count_places(self, room: Room, claims: RoomClaims) -> int:
         """Return how many tasks of the step a worker could take."""
--- a/baobabhoist/cell/model.py
+++ b/baobabhoist/cell/model.py
@@ -210,6 +210,8 @@
     is_draining: bool = False
     started_unix_ms: int = 0
     leaves_in_ms: int = 0
+    # For how much longer the worker runs tasks more slowly, as of its entry.
+    cold_for_ms: int = 0
 
     def has_label(self, label: str) -> bool:
         """Return whether the worker has a label; every worker has the empty one."""
--- a/baobabhoist/cell/placer.py
+++ b/baobabhoist/cell/placer.py
@@ -8,6 +8,7 @@
 import attrs
 
 from baobabhoist.cell.advice_requests import AdviceRequester
+from baobabhoist.cell.cold_workers import cold_cost, limit_cold_slots
 from baobabhoist.cell.jobs import StepState, TaskState
 from baobabhoist.cell.model import JobPhase, Resources
 from baobabhoist.cell.ranking import Rank, Timeliness, rank_step, timeliness_of
@@ -145,13 +146,14 @@
     ) -> list[WorkerSlots]:
         ratio = self.state.speeds.duration_ratio(step.job.accepted.queue)
         tolerance = slowdown_tolerance(step.job, ratio, now)
-        return find_slots(
+        slots = find_slots(
             candidates,
             step.spec,
             step.waiting_count,
             _tasks_by_worker(step),
-            lambda w: self._placement_cost(w, step, tolerance),
+            lambda w: self._placement_cost(w, step, tolerance) + cold_cost(w, now),
         )
+        return limit_cold_slots(slots, now)
 
     def _place_tasks(
         self,
--- a/baobabhoist/cell/run_ends.py
+++ b/baobabhoist/cell/run_ends.py
@@ -82,8 +82,9 @@
         worker.health.record_success()
         spec = task.step.spec
         # Gangs run at the pace of their slowest member and resumed runs skip part of the work,
-        # so neither tells the speed of this worker.
-        if run.is_fresh_start and not spec.gang and run.confirmed_ms:
+        # so neither tells the speed of this worker; nor does a run that began while it was cold.
+        is_warm = not worker.is_cold(run.confirmed_ms)
+        if run.is_fresh_start and not spec.gang and run.confirmed_ms and is_warm:
             queue = task.step.job.accepted.queue
             took_ms = now - run.confirmed_ms
             self._state.speeds.observe(run.worker_id, queue, took_ms, spec.expected_ms)
--- a/baobabhoist/cell/scheduler.py
+++ b/baobabhoist/cell/scheduler.py
@@ -240,7 +240,7 @@
             )
         if info.is_draining and not worker.info.is_draining:
             emit(log, Event.WORKER_DRAINS, worker=info.worker_id, leaves_in_ms=info.leaves_in_ms)
-        self.state.apply_entry(worker, info)
+        self.state.apply_entry(worker, info, now)
 
     def unlist_worker(self, worker_id: str, now: float) -> None:
         """Mark a worker as gone from the directory; its runs are still tracked."""
--- a/baobabhoist/cell/state.py
+++ b/baobabhoist/cell/state.py
@@ -104,11 +104,11 @@
 
     # Workers.
 
-    def apply_entry(self, worker: WorkerState, info: WorkerInfo) -> None:
+    def apply_entry(self, worker: WorkerState, info: WorkerInfo, now: float) -> None:
         """Apply a directory entry to a worker."""
         if info.address != worker.info.address:
             self._forget_address(worker)
-        worker.apply_entry(info)
+        worker.apply_entry(info, now)
         worker.is_evacuated = self.evacuations.cover(info)
         self.workers_by_address.setdefault(info.address, {})[worker.worker_id] = worker
 
--- a/baobabhoist/cell/workers.py
+++ b/baobabhoist/cell/workers.py
@@ -90,6 +90,8 @@
     is_evacuated: bool = False
     # Another worker answers at its address.
     has_ended: bool = False
+    # Until when the worker runs tasks more slowly, as its entry says.
+    cold_until_ms: float = float("-inf")
     # When the worker was last removed from the directory.
     unlisted_since_ms: float = 0.0
     last_report_ms: float = -1e12
@@ -137,10 +139,17 @@
             return self.lease.expiry_ms()
         return max(self.inherited_lease_expiry_ms, self.lease.extended_expiry_ms())
 
-    def apply_entry(self, info: WorkerInfo) -> None:
+    def apply_entry(self, info: WorkerInfo, now: float) -> None:
         """Apply an entry of the directory, which may outlast the worker by some seconds."""
+        # An entry that is read again is older than it was the first time.
+        if info != self.info or self.cold_until_ms == float("-inf"):
+            self.cold_until_ms = now + info.cold_for_ms
         self.info, self.is_listed = info, not self.has_ended
 
+    def is_cold(self, now: float) -> bool:
+        """Return whether the worker still runs tasks more slowly after its start."""
+        return now < self.cold_until_ms
+
     def unlist(self, now: float) -> None:
         """Record that the worker is gone from the directory."""
         if self.is_listed:
--- a/baobabhoist/platform/decode.py
+++ b/baobabhoist/platform/decode.py
@@ -32,6 +32,7 @@
 DEFAULT_MAX_BODY_BYTES = 1 << 20
 # Integers up to this value are exact in the doubles that many JSON libraries use.
 MAX_INTEGER = 1 << 53
+MAX_COLD_MS = 600_000
 EVACUATION_KEY_PREFIX = "evacuate/"
 
 
@@ -230,9 +231,20 @@
         state == "draining",
         _int_field(body, "born"),
         _int_field(body, "remainingMs"),
+        _cold_for_ms(worker_id, body),
     )
 
 
+def _cold_for_ms(worker_id: str, body: dict[str, Any]) -> int:
+    """Return how long a worker stays cold; a malformed value does not make it unusable."""
+    try:
+        return min(_int_field(body, "coldRemainingMs"), MAX_COLD_MS)
+    except FieldError as exc:
+        table = PlatformDecoder.tables.directory
+        emit(log, Event.ROW_UNREADABLE, table=table, row=worker_id, detail=exc)
+        return 0
+
+
 def _parse_job(body: dict[str, Any]) -> JobSpec:
     payload = _string_field(body, "taskSpec")
     if len(payload.encode()) > MAX_PAYLOAD_BYTES:
--- a/baobabhoist/tests/test_platform_decode.py
+++ b/baobabhoist/tests/test_platform_decode.py
@@ -125,6 +125,15 @@
         assert isinstance(DECODER.decode_config(body), CellConfig | None)
 
 
+@pytest.mark.parametrize(
+    ("value", "expected"), [(4_500, 4_500), (1e15, 600_000), ("x", 0), (-1, 0)]
+)
+def test_malformed_cold_time_leaves_the_worker_usable(value, expected):
+    """Guard against a healthy worker that is lost because of a field that is only a hint."""
+    entry = orjson.dumps(WORKER | {"coldRemainingMs": value})
+    assert DECODER.decode_worker("w", entry).cold_for_ms == expected
+
+
 def test_only_rows_under_the_prefix_are_requests_to_empty_a_data_centre():
     """Guard against a configuration, or another request, that empties a data centre."""
     assert DECODER.decode_evacuation("config", b"{}") is None
