Ask callers to wait while no instance can check their keys

From 21.0 s on, when the keys were older than 0.85 of revoke_ms everywhere, calls were refused with `Retry-After: 0` and came back at once, elsewhere, to be refused again: 350 to 750 refusals a second, against 150 a second of those that were asked to wait 1 s. Callers have few retries, and lost them before the store was back.

Cause: the refusal assumed that another instance could check the key. It can't while the store is away for all.

Change: if the instance's own calls to the store fail and the owner is linked (so the owner could not relay the table either), the refusal asks for 1 s, as that of a write does. An instance that is cut off from the owner, or was suspended, still sends callers elsewhere at once. The bound on the age of keys is unchanged.

Ruled out: learning the age from a peer (the relay of reads does that already; nobody had a newer one), longer validity (revoke_ms).

The test fails before the change for the case "store away for all".

--- a/baobabhoist/control/job_api.py
+++ b/baobabhoist/control/job_api.py
@@ -133,7 +133,7 @@
         team = ""
         if not route.queue.is_public:
             if self.config.age_ms(monotonic_ms()) > MAX_KEY_AGE_FRACTION * self.revoke_ms:
-                return unavailable_refusal("the active keys may be out of date", RETRY_ELSEWHERE_S)
+                return self._stale_keys_refusal()
             if call.key not in cfg.team_by_key:
                 kind = ErrorKind.KEY_REJECTED if call.key else ErrorKind.KEY_MISSING
                 emit(log, Event.KEY_REFUSED, queue=route.queue.name, version=cfg.version)
@@ -243,6 +243,16 @@
             return reply.jobs
         return unavailable_refusal("the owner of the queue cannot be reached")
 
+    def _stale_keys_refusal(self) -> Refusal:
+        """Return the refusal of a call whose key can't be checked.
+
+        If the linked owner could not relay the table either, no other instance can check it.
+        """
+        message = "the active keys may be out of date"
+        if self.job_writer.is_store_unreachable:
+            return self._store_refusal(message)
+        return unavailable_refusal(message, RETRY_ELSEWHERE_S)
+
     def _store_refusal(self, message: str) -> Refusal:
         """Return the refusal of a write; callers of a cut-off instance retry elsewhere at once."""
         return unavailable_refusal(
--- a/baobabhoist/control/job_writer.py
+++ b/baobabhoist/control/job_writer.py
@@ -60,6 +60,11 @@
         self._store = store
         self._store_health = store_health
 
+    @property
+    def is_store_unreachable(self) -> bool:
+        """Return whether the last direct call to the store failed."""
+        return self._store_health.is_unreachable()
+
     async def store_job(self, job_id: str, value: bytes, deadline_ms: float) -> WriteResult:
         """Store a job unless it is already stored."""
         return await self._insert(job_row_key(job_id), value, deadline_ms)
--- a/baobabhoist/tests/test_control_job_api.py
+++ b/baobabhoist/tests/test_control_job_api.py
@@ -61,10 +61,11 @@
         self.store = MemoryRowStore()
         self.owner_router = FakeOwnerRouter()
         self.config = ActiveConfig()
+        self.store_health = StoreHealth()
         self.job_api = JobApi(
             self.config,
             self.store,
-            JobWriter(self.store, StoreHealth()),
+            JobWriter(self.store, self.store_health),
             PlatformDecoder(),
             StoreClock(),
             self.owner_router,
@@ -101,6 +102,29 @@
     return harness
 
 
+@pytest.mark.parametrize(
+    ("store_fails", "owner_reachable", "retry_after_s"),
+    [
+        pytest.param(True, True, 1.0, id="store away for all"),
+        pytest.param(True, False, 0.0, id="this instance cut off"),
+        pytest.param(False, True, 0.0, id="this instance was suspended"),
+    ],
+)
+def test_call_whose_key_cannot_be_checked_is_sent_elsewhere_only_if_that_helps(
+    harness, store_fails, owner_reachable, retry_after_s
+):
+    """Guard against callers that use up their retries at once while the store is away for all."""
+    harness.now += REVOKE_MS
+    harness.owner_router.is_owner_reachable = owner_reachable
+    if store_fails:
+        harness.store_health.last_failure_ms = harness.now
+    refusal = harness.admit()
+    assert (refusal.kind, refusal.retry_after_s) == (
+        ErrorKind.PLATFORM_UNAVAILABLE,
+        retry_after_s,
+    )
+
+
 def test_call_without_a_configuration_is_refused_with_a_retry_time(monkeypatch):
     """Guard against a 404 or 401 from an instance that has just started."""
     refusal = JobApiHarness(monkeypatch).admit()
