Close the sockets that tests of the relay and of silent servers leave open

Cause: 'Event loop is closed' in the warnings of the test run (4 listed, 5 seen on arm64). A StreamWriter that is still open when its loop has closed fails in its destructor, in whichever test runs then. With a collection after each test the warnings fall on test_testing_network.py (connections opened through the relay are never closed) and test_daemon_partition.py (a server whose handler sleeps until it is cancelled).

Ruled out: the HTTP servers of the platform's tests; a collection after each of their tests gives no warning.

Change: the tests close what they open; no assertion changes.

--- a/baobabhoist/tests/test_daemon_partition.py
+++ b/baobabhoist/tests/test_daemon_partition.py
@@ -1,6 +1,7 @@
 """Test which shards an instance claims when a network partition ends."""
 
 import asyncio
+import contextlib
 from types import SimpleNamespace
 
 from baobabhoist.daemon.owners import (
@@ -115,7 +116,12 @@
     async def body():
         port = free_port()
         spec = WorkerSpec("w1", "127.0.0.1", port, "r", Resources())
-        async with await asyncio.start_server(lambda *_: asyncio.sleep(9), "127.0.0.1", port):
+
+        async def never_answer(reader, writer):
+            with contextlib.closing(writer):
+                await asyncio.sleep(9)
+
+        async with await asyncio.start_server(never_answer, "127.0.0.1", port):
             return await is_any_reachable([spec])
 
     assert asyncio.run(body()) is False
--- a/baobabhoist/tests/test_platform_http_client.py
+++ b/baobabhoist/tests/test_platform_http_client.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 from typing import cast
 
 import attrs
@@ -31,8 +32,8 @@
 
 
 async def _never_answer(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-    await reader.read()
-    writer.close()
+    with contextlib.closing(writer):
+        await reader.read()
 
 
 async def _listen(serve: object) -> str:
--- a/baobabhoist/tests/test_testing_network.py
+++ b/baobabhoist/tests/test_testing_network.py
@@ -1,6 +1,7 @@
 """Test that the relay injects exactly the faults that the soak requests."""
 
 import asyncio
+import contextlib
 import os
 
 import pytest
@@ -12,9 +13,9 @@
 
 
 async def echo(reader, writer):
-    while data := await reader.read(100):
-        writer.write(data)
-    writer.close()
+    with contextlib.closing(writer):
+        while data := await reader.read(100):
+            writer.write(data)
 
 
 async def is_echoed(conn):
@@ -31,12 +32,18 @@
 async def run_with_relay(scenario):
     target = free_port()
     relay = Relay("r", free_port(), target)
+    opened = []
+
+    async def connect():
+        opened.append(await asyncio.open_connection("127.0.0.1", relay.listen_port))
+        return opened[-1]
+
     async with await asyncio.start_server(echo, "127.0.0.1", target), await relay.start():
-        outcome = await scenario(
-            relay, lambda: asyncio.open_connection("127.0.0.1", relay.listen_port)
-        )
+        outcome = await scenario(relay, connect)
         for conn in list(relay.connections):
             conn.client.transport.abort()
+        for _, writer in opened:
+            writer.transport.abort()
         await asyncio.sleep(0)
     return outcome
 
