Rank work beyond a team's weight behind the rest, and remember past use

Cause: the configuration gives each team a weight, its share when all is full, and no decision read it. A team that sent several times its usual number of jobs was ranked like the others, which paid for it.

Change, behind the settings `scheduling.shares` and `scheduling.usage_half_life_s`: jobs beyond `weight` jobs a second are marked once, in order of acceptance on the store's clock, and ranked behind all others that can still earn something. While more is wanted than the cell has, teams stand lower in coarse steps of their dominant share against their part of the cell, then of their past use. Past use is stored in one row along with progress and read by the next owner. A team without a weight has none, instead of 1.0 that nothing read.

--- a/baobabhoist/benchmarks/cell_replay.py
+++ b/baobabhoist/benchmarks/cell_replay.py
@@ -39,7 +39,7 @@
     TaskKey,
 )
 from baobabhoist.cell.placer import TaskPlacer
-from baobabhoist.cell.ranking import Rank, Timeliness
+from baobabhoist.cell.ranking import Rank, Tier
 from baobabhoist.cell.scheduler import CellScheduler, Takeover
 from baobabhoist.cell.workers import WorkerState
 from baobabhoist.testing.cell_worker import FakeCellWorker, FakeRun, end_gang_run
@@ -65,7 +65,8 @@
     """Place steps in order of arrival on the first workers with room."""
 
     def _rank(self, step: StepState, now: float) -> Rank:
-        return Rank(Timeliness.ON_TIME, 0, step.job.accepted_local_ms, step.job.accepted_local_ms)
+        accepted_ms = step.job.accepted_local_ms
+        return Rank(Tier.ON_TIME, 0, 0, accepted_ms, accepted_ms)
 
     def _placement_cost(self, worker: WorkerState, step: StepState, tolerated: float) -> float:
         return 0.0
--- a/baobabhoist/cell/jobs.py
+++ b/baobabhoist/cell/jobs.py
@@ -188,6 +188,8 @@
     objective_ms: float = 0.0
     phase: JobPhase = JobPhase.QUEUED
     steps: dict[tuple[int, int], StepState] = attrs.Factory(dict)
+    # Its team had sent more jobs a second than it is entitled to.
+    is_beyond_entitlement: bool = False
     # An earlier owner may have started tasks of this job.
     is_inherited: bool = False
     ended_ms: float = 0.0
--- a/baobabhoist/cell/model.py
+++ b/baobabhoist/cell/model.py
@@ -173,10 +173,14 @@
 
 @attrs.frozen
 class Team:
-    """Describe a team; a resource whose limit is 0 is not limited."""
+    """Describe a team; a resource whose limit is 0 is not limited.
+
+    The weight is how many jobs a second the team may send when the cell is full, and its part of
+    the cell among those of the others. It is 0 if none is configured.
+    """
 
     name: str
-    weight: float = 1.0
+    weight: float = 0.0
     limit: Resources = NO_RESOURCES
 
     def allows(self, total: Resources) -> bool:
--- a/baobabhoist/cell/placer.py
+++ b/baobabhoist/cell/placer.py
@@ -10,7 +10,14 @@
 from baobabhoist.cell.advice_requests import AdviceRequester
 from baobabhoist.cell.jobs import StepState, TaskState
 from baobabhoist.cell.model import JobPhase, Resources
-from baobabhoist.cell.ranking import Rank, Timeliness, rank_step, timeliness_of
+from baobabhoist.cell.ranking import (
+    Rank,
+    RankedStep,
+    Timeliness,
+    rank_step,
+    sort_by_rank,
+    timeliness_of,
+)
 from baobabhoist.cell.reservations import Reservations
 from baobabhoist.cell.speed_matching import slowdown_tolerance, speed_cost
 from baobabhoist.cell.state import CellState
@@ -66,14 +73,14 @@
 
     def _sort(self, waiting_steps: list[StepState], now: float) -> list[StepState]:
         """Return the steps by rank; a job that can't be ranked is given up."""
-        ranked: list[tuple[Rank, int, StepState]] = []
+        shares = self.state.shares.begin_round(waiting_steps, self.state.team_usage)
+        ranked: list[RankedStep] = []
         for number, step in enumerate(waiting_steps):
             try:
-                ranked.append((self._rank(step, now), number, step))
+                ranked.append(RankedStep(self._rank(step, now), number, step))
             except Exception as exc:
                 self._give_up(step, exc, now)
-        ranked.sort(key=lambda entry: entry[:2])
-        return [step for _, _, step in ranked]
+        return sort_by_rank(ranked, shares)
 
     def _place_or_wait(
         self,
@@ -105,7 +112,8 @@
         self.state.finish_job(job, JobPhase.FAILED, now, "it makes the scheduler fail")
 
     def _rank(self, step: StepState, now: float) -> Rank:
-        return rank_step(step, self.state.queue_of(step.job), now)
+        is_beyond = self.state.shares.is_beyond_entitlement(step.job)
+        return rank_step(step, self.state.queue_of(step.job), is_beyond, now)
 
     def _place_step(
         self, step: StepState, worker_index: WorkerIndex, now: float
--- a/baobabhoist/cell/ranking.py
+++ b/baobabhoist/cell/ranking.py
@@ -1,12 +1,14 @@
-"""Rank waiting steps for a full cell: steps that can still meet their objective come first."""
+"""Rank waiting steps for a full cell: what can still be in time and is entitled comes first."""
 
 from __future__ import annotations
 
 import enum
+from collections.abc import Iterable
 from typing import NamedTuple
 
 from baobabhoist.cell.jobs import JobState, StepState
 from baobabhoist.cell.model import Queue
+from baobabhoist.cell.shares import ShareRound
 
 # Before that of all queues.
 FIRST_PRIORITY = -1
@@ -20,15 +22,46 @@
     EXPIRED = 2
 
 
+class Tier(enum.IntEnum):
+    """List the classes of waiting work that are served one after another."""
+
+    ON_TIME = 0
+    LATE = 1
+    # Sent beyond the entitlement of the team.
+    ON_TIME_BEYOND = 2
+    LATE_BEYOND = 3
+    EXPIRED = 4
+
+
+_TIERS = {
+    (Timeliness.ON_TIME, False): Tier.ON_TIME,
+    (Timeliness.LATE, False): Tier.LATE,
+    (Timeliness.ON_TIME, True): Tier.ON_TIME_BEYOND,
+    (Timeliness.LATE, True): Tier.LATE_BEYOND,
+    (Timeliness.EXPIRED, False): Tier.EXPIRED,
+    (Timeliness.EXPIRED, True): Tier.EXPIRED,
+}
+
+
 class Rank(NamedTuple):
     """Hold the sort key of a waiting step; the lowest comes first."""
 
-    timeliness: Timeliness
+    tier: Tier
     priority: int
+    # How far the team exceeds its part of the cell, in coarse steps.
+    standing: int
     slack_ms: float
     accepted_ms: float
 
 
+class RankedStep(NamedTuple):
+    """Hold a waiting step and its rank; `number` decides between equal ranks."""
+
+    rank: Rank
+    number: int
+    step: StepState
+
+
 def timeliness_of(job: JobState, now: float) -> Timeliness:
     """Return how timely a job would end if the rest of it started now."""
     done_ms = now + job.remaining_critical_path_ms()
@@ -37,12 +70,32 @@
     return Timeliness.LATE if done_ms <= job.late_limit_ms else Timeliness.EXPIRED
 
 
-def rank_step(step: StepState, queue: Queue | None, now: float) -> Rank:
+def rank_step(step: StepState, queue: Queue | None, is_beyond: bool, now: float) -> Rank:
     """Return the rank of a waiting step; tasks that last come first, as they earn all the time."""
     job = step.job
     if step.spec.lasting:
-        return Rank(Timeliness.ON_TIME, FIRST_PRIORITY, 0.0, job.accepted_local_ms)
+        return Rank(Tier.ON_TIME, FIRST_PRIORITY, 0, 0.0, job.accepted_local_ms)
     priority = queue.priority if queue is not None else 0
     # How long the job can still wait without missing its objective.
     slack_ms = job.objective_ms - now - job.remaining_critical_path_ms()
-    return Rank(timeliness_of(job, now), priority, slack_ms, job.accepted_local_ms)
+    tier = _TIERS[timeliness_of(job, now), is_beyond]
+    return Rank(tier, priority, 0, slack_ms, job.accepted_local_ms)
+
+
+def sort_by_rank(ranked: Iterable[RankedStep], shares: ShareRound | None) -> list[StepState]:
+    """Return the steps by rank; with `shares`, the standing of their teams counts too."""
+    in_order = sorted(ranked, key=_sort_key)
+    if shares is not None:
+        in_order = sorted((_with_standing(entry, shares) for entry in in_order), key=_sort_key)
+    return [entry.step for entry in in_order]
+
+
+def _with_standing(entry: RankedStep, shares: ShareRound) -> RankedStep:
+    standing = shares.rank_next(entry.step)
+    if entry.rank.priority == FIRST_PRIORITY:
+        return entry
+    return entry._replace(rank=entry.rank._replace(standing=standing))
+
+
+def _sort_key(entry: RankedStep) -> tuple[Rank, int]:
+    return entry.rank, entry.number
--- a/baobabhoist/cell/scheduler.py
+++ b/baobabhoist/cell/scheduler.py
@@ -83,6 +83,7 @@
         job.is_inherited = accepted.version < self._takeover.claim_version
         self._set_objective(job)
         self.state.jobs[accepted.job_id] = job
+        self.state.shares.add_job(job)
         job.open_due_occurrences(unix_ms)
         self.state.update_ready_steps(job, now)
         if not job.is_inherited:
@@ -184,7 +185,7 @@
 
     def set_rules(self, rules: CellRules) -> None:
         """Replace the configured queues and teams."""
-        self.state.rules = rules
+        self.state.set_rules(rules)
 
     def sync_directory(self, listing: Iterable[WorkerInfo], now: float) -> None:
         """Apply a full listing of the worker directory."""
@@ -312,6 +313,7 @@
     def tick(self, now: float, unix_ms: float) -> None:
         """Run the checks that depend only on time."""
         self._periodic_checks.tick(now, unix_ms)
+        self.state.shares.tick(self.state.workers.values(), self.state.team_usage, now)
 
     def schedule(self, now: float, may_start: bool) -> list[Command]:
         """Place waiting tasks and return all commands issued since the last call."""
--- /dev/null
+++ b/baobabhoist/cell/shares.py
@@ -0,0 +1,312 @@
+"""Track what each team is entitled to and what it has, to share a full cell by weight.
+
+A team is entitled to `weight` jobs a second. Jobs beyond that are marked once, in order of
+acceptance, so that each owner marks the same ones. While more is wanted than the cell has, teams
+also stand the lower the more they exceed their part of the capacity.
+"""
+
+from __future__ import annotations
+
+import logging
+import math
+from collections.abc import Iterable, Mapping
+
+import attrs
+
+from baobabhoist.cell.jobs import JobState, StepState
+from baobabhoist.cell.model import NO_RESOURCES, Resources, Team
+from baobabhoist.cell.past_use import USE_STEPS, PastUse
+from baobabhoist.cell.policy import DEFAULT_POLICY, SchedulingPolicy
+from baobabhoist.cell.workers import WorkerState
+from baobabhoist.fair_shares import (
+    DEFAULT_WEIGHT,
+    Amounts,
+    dominant_share,
+    entitlement_ratio,
+)
+from baobabhoist.observability.events import Event, emit
+
+log = logging.getLogger(__name__)
+
+MS_PER_S = 1000.0
+# A team may send what it is entitled to in this time at once, but at least some jobs.
+BURST_S = 2.0
+MIN_BURST_JOBS = 4.0
+MAX_WEIGHT = 1e6
+# Multiples of a team's part of the capacity at which it stands one step lower.
+SHARE_STEPS = (1.0, 2.0, 4.0)
+# A team's excess is over once it has sent nothing beyond its entitlement for this long.
+EXCESS_GAP_MS = 5_000.0
+CAPACITY_INTERVAL_MS = 1_000.0
+NO_CAPACITY: Amounts = (0, 0, 0, 0)
+
+
+@attrs.define
+class TokenBucket:
+    """Count the jobs that a team may still send; times are on the store's clock, in ms."""
+
+    rate_per_ms: float
+    burst: float
+    tokens: float
+    refilled_ms: float = float("-inf")
+
+    @classmethod
+    def for_weight(cls, weight: float) -> TokenBucket:
+        """Return a full bucket for a number of jobs a second."""
+        burst = max(MIN_BURST_JOBS, weight * BURST_S)
+        return cls(weight / MS_PER_S, burst, burst)
+
+    def available_at(self, at_ms: float) -> float:
+        """Return the tokens at a time; one that lies before the last refill adds none."""
+        elapsed_ms = max(0.0, at_ms - self.refilled_ms)
+        return min(self.burst, self.tokens + elapsed_ms * self.rate_per_ms)
+
+    def take(self, at_ms: float) -> bool:
+        """Take a token; return whether there was one."""
+        self.tokens = self.available_at(at_ms)
+        self.refilled_ms = max(self.refilled_ms, at_ms)
+        if self.tokens < 1.0:
+            return False
+        self.tokens -= 1.0
+        return True
+
+
+@attrs.define
+class TeamAccount:
+    """Hold the entitlement of a team; a team without a bucket may send any number of jobs."""
+
+    weight: float = DEFAULT_WEIGHT
+    bucket: TokenBucket | None = None
+    jobs_beyond: int = 0
+    # When the last job beyond the entitlement was accepted, on the owner's clock.
+    last_beyond_ms: float = float("-inf")
+    has_excess: bool = False
+
+
+@attrs.frozen
+class TeamFigures:
+    """Describe a team's share for the metrics; `share_ratio` is 1 at its part of the cell."""
+
+    team: str
+    share_ratio: float
+    past_use_s: float
+    jobs_beyond: int
+
+
+@attrs.define
+class TeamShares:
+    """Track the entitlement, the running share and the past use of each team."""
+
+    policy: SchedulingPolicy = DEFAULT_POLICY
+    past_use: PastUse = attrs.Factory(
+        lambda self: PastUse(self.policy.usage_half_life_s), takes_self=True
+    )
+    capacity: Amounts = NO_CAPACITY
+    _accounts: dict[str, TeamAccount] = attrs.Factory(dict)
+    _weight_sum: float = 0.0
+    _use_steps: dict[str, int] = attrs.Factory(dict)
+    _invalid_weights: dict[str, float] = attrs.Factory(dict)
+    # Jobs whose team has not been charged; after a takeover they come in no order.
+    _uncharged: list[JobState] = attrs.Factory(list)
+    _capacity_read_ms: float = float("-inf")
+
+    @property
+    def is_on(self) -> bool:
+        """Return whether teams are served by weight: it takes a setting and a team with one."""
+        return self.policy.weighs_shares and self._weight_sum > 0.0
+
+    # Entitlement to jobs a second.
+
+    def set_teams(self, teams: Mapping[str, Team]) -> None:
+        """Apply the configured weights; accounts of teams that stay go on."""
+        if not self.policy.weighs_shares:
+            return
+        self._charge_added_jobs()
+        weights = {name: self._valid_weight(team) for name, team in teams.items()}
+        self._accounts = {name: self._account(name, w) for name, w in weights.items()}
+        is_weighted = any(weights.values())
+        self._weight_sum = sum(a.weight for a in self._accounts.values()) if is_weighted else 0.0
+
+    def add_job(self, job: JobState) -> None:
+        """Note a job, whose team is charged before the next decision."""
+        if self.policy.weighs_shares:
+            self._uncharged.append(job)
+
+    def is_beyond_entitlement(self, job: JobState) -> bool:
+        """Return whether a job is one of those that its team sent beyond its entitlement."""
+        self._charge_added_jobs()
+        return self.is_on and job.is_beyond_entitlement
+
+    def has_entitlement_left(self, team: str, accepted_ms: float) -> bool:
+        """Return whether a job accepted at a time of the store's clock would be within it."""
+        self._charge_added_jobs()
+        account = self._accounts.get(team)
+        if account is None or account.bucket is None:
+            return True
+        return account.bucket.available_at(accepted_ms) >= 1.0
+
+    def _account(self, name: str, weight: float) -> TeamAccount:
+        """Return the account of a team, the one that it has if the weight is the same."""
+        account = self._accounts.get(name, TeamAccount())
+        if not weight:
+            account.weight, account.bucket = DEFAULT_WEIGHT, None
+        elif account.bucket is None or account.weight != weight:
+            account.weight, account.bucket = weight, TokenBucket.for_weight(weight)
+        return account
+
+    def _valid_weight(self, team: Team) -> float:
+        """Return the weight of a team, or 0 if it has none that makes sense."""
+        weight = team.weight
+        if math.isfinite(weight) and 0.0 <= weight <= MAX_WEIGHT:
+            self._invalid_weights.pop(team.name, None)
+            return weight
+        if self._invalid_weights.get(team.name) != weight:
+            self._invalid_weights[team.name] = weight
+            emit(log, Event.TEAM_WEIGHT_INVALID, team=team.name, weight=weight)
+        return 0.0
+
+    def _charge_added_jobs(self) -> None:
+        if not self._uncharged:
+            return
+        jobs, self._uncharged = self._uncharged, []
+        jobs.sort(key=lambda job: (job.accepted.accepted_ms, job.job_id))
+        for job in jobs:
+            self._charge(job)
+
+    def _charge(self, job: JobState) -> None:
+        account = self._accounts.get(job.accepted.team)
+        if account is None or account.bucket is None:
+            return
+        if account.bucket.take(job.accepted.accepted_ms):
+            return
+        job.is_beyond_entitlement = True
+        account.jobs_beyond += 1
+        account.last_beyond_ms = max(account.last_beyond_ms, job.accepted_local_ms)
+
+    # Shares of the capacity.
+
+    def tick(
+        self,
+        workers: Iterable[WorkerState],
+        team_usage: Mapping[str, Resources],
+        now: float,
+    ) -> None:
+        """Update the capacity, past use and the teams with excess; call this regularly."""
+        if not self.is_on:
+            return
+        self._charge_added_jobs()
+        shares = {
+            team: dominant_share(_vector(used), self.capacity)
+            for team, used in team_usage.items()
+            if used.cpu or used.memory_mb or used.gpu
+        }
+        self.past_use.advance(shares, now)
+        if now - self._capacity_read_ms >= CAPACITY_INTERVAL_MS:
+            self._capacity_read_ms = now
+            self.capacity = _usable_capacity(workers)
+            self.past_use.forget_teams_except(self._accounts)
+            weights = {name: account.weight for name, account in self._accounts.items()}
+            self._use_steps = self.past_use.steps(weights)
+            self._log_excess(now)
+
+    def begin_round(
+        self, steps: Iterable[StepState], team_usage: Mapping[str, Resources]
+    ) -> ShareRound | None:
+        """Return what tells the standing of teams, or None if the cell has room for all."""
+        if not self.is_on:
+            return None
+        self._charge_added_jobs()
+        if not self._is_demand_above_capacity(steps, team_usage):
+            return None
+        return ShareRound(self, {team: _vector(used) for team, used in team_usage.items()})
+
+    def ratio(self, team: str, used: Amounts) -> float:
+        """Return an amount divided by the team's part of the capacity."""
+        account = self._accounts.get(team)
+        weight = account.weight if account is not None else DEFAULT_WEIGHT
+        return entitlement_ratio(dominant_share(used, self.capacity), weight, self._weight_sum)
+
+    def use_step(self, team: str) -> int:
+        """Return how many steps lower a team stands because of its past use."""
+        return self._use_steps.get(team, 0)
+
+    def figures(self, team_usage: Mapping[str, Resources]) -> list[TeamFigures]:
+        """Return the figures of all configured teams for the metrics."""
+        if not self.is_on:
+            return []
+        return [
+            TeamFigures(
+                team,
+                self.ratio(team, _vector(team_usage.get(team, NO_RESOURCES))),
+                self.past_use.use_s.get(team, 0.0),
+                account.jobs_beyond,
+            )
+            for team, account in self._accounts.items()
+        ]
+
+    def _is_demand_above_capacity(
+        self, steps: Iterable[StepState], team_usage: Mapping[str, Resources]
+    ) -> bool:
+        cpu = sum(used.cpu for used in team_usage.values())
+        memory_mb = sum(used.memory_mb for used in team_usage.values())
+        gpu = sum(used.gpu for used in team_usage.values())
+        for step in steps:
+            need, count = step.spec.need, step.waiting_count
+            cpu += need.cpu * count
+            memory_mb += need.memory_mb * count
+            gpu += need.gpu * count
+        capacity = self.capacity
+        return any(capacity) and (
+            cpu > capacity[0] or memory_mb > capacity[1] or gpu > capacity[2]
+        )
+
+    def _log_excess(self, now: float) -> None:
+        for team, account in self._accounts.items():
+            has_excess = now - account.last_beyond_ms < EXCESS_GAP_MS
+            if has_excess is account.has_excess:
+                continue
+            account.has_excess = has_excess
+            event = Event.TEAM_EXCESS_BEGAN if has_excess else Event.TEAM_EXCESS_ENDED
+            emit(log, event, team=team, weight=account.weight, jobs=account.jobs_beyond)
+
+
+@attrs.define
+class ShareRound:
+    """Tell the standing of teams in one round, as their steps are ranked one after another.
+
+    A step counts as taken once it is ranked, so that one team does not get all that is free.
+    """
+
+    shares: TeamShares
+    taken: dict[str, Amounts]
+
+    def rank_next(self, step: StepState) -> int:
+        """Return the standing of a step's team, 0 if it is within its part of the capacity."""
+        team = step.job.accepted.team
+        taken = self.taken.get(team, NO_CAPACITY)
+        need, count = step.spec.need, step.waiting_count
+        self.taken[team] = (
+            taken[0] + need.cpu * count,
+            taken[1] + need.memory_mb * count,
+            taken[2] + need.gpu * count,
+            0,
+        )
+        ratio = self.shares.ratio(team, taken)
+        share_step = sum(ratio > limit for limit in SHARE_STEPS)
+        # Past use decides only between teams whose running shares are similar.
+        return share_step * (len(USE_STEPS) + 1) + self.shares.use_step(team)
+
+
+def _usable_capacity(workers: Iterable[WorkerState]) -> Amounts:
+    cpu = memory_mb = gpu = 0
+    for worker in workers:
+        if worker.is_listed and not worker.info.is_draining:
+            capacity = worker.info.capacity
+            cpu += capacity.cpu
+            memory_mb += capacity.memory_mb
+            gpu += capacity.gpu
+    return (cpu, memory_mb, gpu, 0)
+
+
+def _vector(amount: Resources) -> Amounts:
+    return (amount.cpu, amount.memory_mb, amount.gpu, 0)
--- a/baobabhoist/cell/state.py
+++ b/baobabhoist/cell/state.py
@@ -30,6 +30,7 @@
     WorkerInfo,
 )
 from baobabhoist.cell.policy import DEFAULT_POLICY, SchedulingPolicy
+from baobabhoist.cell.shares import TeamShares
 from baobabhoist.cell.speed_estimates import SpeedEstimates
 from baobabhoist.cell.start_backlog import StartBacklog
 from baobabhoist.cell.start_delay import StartDelay
@@ -61,10 +62,20 @@
     start_window: StartWindow = attrs.Factory(StartWindow)
     start_delay: StartDelay = attrs.Factory(StartDelay)
     start_backlog: StartBacklog = attrs.Factory(StartBacklog)
+    shares: TeamShares = attrs.Factory(lambda self: TeamShares(self.policy), takes_self=True)
     commands: list[Command] = attrs.Factory(list)
     # Ids of jobs whose progress must be written to the store.
     dirty: set[str] = attrs.Factory(set)
 
+    def __attrs_post_init__(self) -> None:
+        """Apply the configured weights of the teams."""
+        self.shares.set_teams(self.rules.teams)
+
+    def set_rules(self, rules: CellRules) -> None:
+        """Replace the configured queues and teams."""
+        self.rules = rules
+        self.shares.set_teams(rules.teams)
+
     def queue_of(self, job: JobState) -> Queue | None:
         """Return the queue of a job, or None if it is no longer configured."""
         return self.rules.queues.get(job.accepted.queue)
--- a/baobabhoist/control/metrics.py
+++ b/baobabhoist/control/metrics.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
 from typing import TYPE_CHECKING
 
 from aioprometheus import Counter, Gauge, Histogram, Registry
@@ -21,6 +22,7 @@
 )
 
 if TYPE_CHECKING:
+    from baobabhoist.cell.shares import TeamFigures
     from baobabhoist.cell.waiting_summary import WaitingSummary
 
 CALL_BUCKETS_S = (0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.25, 0.5, 1.0, 2.0, INF)
@@ -70,6 +72,15 @@
         self._config_age = self._gauge("config_age_seconds", "Age of its last confirmation.")
         self._owns = self._gauge("owns_cell", "1 while this instance owns the cell.")
         self._queued = self._gauge("queued_tasks", "Tasks that wait, by queue.")
+        self._team_share = self._gauge(
+            "team_share_ratio", "What a team has running, divided by its part of the cell."
+        )
+        self._team_use = self._gauge(
+            "team_past_use_seconds", "Past use of a team, in seconds of the whole cell."
+        )
+        self._team_excess = self._gauge(
+            "team_jobs_beyond", "Jobs that a team sent beyond its entitlement to this owner."
+        )
         self._lease_margin = self._gauge(
             "lease_margin_seconds", "Time to the first lease of a worker that would lapse."
         )
@@ -130,6 +141,14 @@
         for condition in WorkerCondition:
             self._workers.set({"condition": condition.value}, summary.workers[condition])
 
+    def set_team_shares(self, figures: Iterable[TeamFigures]) -> None:
+        """Set what each team has and is entitled to."""
+        for entry in figures:
+            labels = {"team": self._teams.label_for(entry.team)}
+            self._team_share.set(labels, entry.share_ratio)
+            self._team_use.set(labels, entry.past_use_s)
+            self._team_excess.set(labels, entry.jobs_beyond)
+
     def count_failed_start(self, outcome: CommandOutcome) -> None:
         """Count a start command that was rejected or not answered."""
         self._failed_starts.inc({"reason": outcome.value})
--- a/baobabhoist/control/owner.py
+++ b/baobabhoist/control/owner.py
@@ -46,6 +46,7 @@
 from baobabhoist.control.sessions.pool import PoolDependencies, SessionPool
 from baobabhoist.control.table_follower import TableFollower
 from baobabhoist.control.task_supervisor import TaskSupervisor, result_or
+from baobabhoist.control.usage_row import decode_usage
 from baobabhoist.control.waiting_report import WaitingReporter
 from baobabhoist.observability.events import Event, emit
 from baobabhoist.store.row_store import RowStore, StoredRow, StoreError
@@ -102,6 +103,7 @@
             deps.store, ownership.token, self._report_ownership_lost
         )
         self.progress_writer.on_end_acked = self._handle_end_acked
+        self.progress_writer.store_now_ms = deps.clock.now_ms
         self._deps = deps
         self._rules = rules
         self._max_reads = max_concurrent_reads(deps.size.link_mbps)
@@ -227,10 +229,11 @@
         takeover = Takeover(
             self.ownership.generation, self.ownership.token, self._inherited_leases_expire_ms()
         )
-        loaded_rows = (*tables.progress, *tables.cell, *tables.speeds)
+        loaded_rows = (*tables.progress, *tables.cell, *tables.speeds, *tables.usage)
         self.progress_writer.set_versions({row.key: row.version for row in loaded_rows})
         cell = CellScheduler(self._rules, takeover, self._deps.lease_ms, self._deps.policy)
         self._apply_speeds(cell, tables.speeds)
+        self._apply_usage(cell, tables.usage)
         self._cell = cell
         self._apply_directory_rows(tables.directory, True)
         await self._load_jobs(tables.jobs)
@@ -278,6 +281,18 @@
             except ValueError as exc:
                 emit(log, Event.ROW_UNREADABLE, table=row.key.table, row=row.key.key, detail=exc)
 
+    def _apply_usage(self, cell: CellScheduler, rows: Sequence[StoredRow]) -> None:
+        """Continue from the past use that an earlier owner stored; without it, from none."""
+        for row in rows:
+            try:
+                usage = decode_usage(row.value or b"")
+            except ValueError as exc:
+                emit(log, Event.ROW_UNREADABLE, table=row.key.table, row=row.key.key, detail=exc)
+                continue
+            age_ms = self._deps.clock.now_ms() - usage.stored_ms
+            cell.state.shares.past_use.restore(usage.use_s, age_ms)
+            emit(log, Event.PAST_USE_RESTORED, teams=len(usage.use_s), age_ms=age_ms)
+
     def _apply_progress(self, cell: CellScheduler, row: StoredRow, now: float) -> None:
         try:
             if row.value is not None:
@@ -451,6 +466,7 @@
             if self._ticks % RETENTION_CHECK_TICKS == 0:
                 self._remove_expired_jobs(cell)
             self._sync_sessions()
+            self.progress_writer.request_usage_flush(cell)
             self._waiting_reporter.report(cell, self.may_renew(), monotonic_ms())
             await asyncio.sleep(TICK_INTERVAL_S)
 
--- a/baobabhoist/control/progress_writer.py
+++ b/baobabhoist/control/progress_writer.py
@@ -17,6 +17,7 @@
     job_row_key,
     progress_row_key,
 )
+from baobabhoist.control.usage_row import USAGE_ROW_KEY, UsageRow, encode_usage
 from baobabhoist.observability.events import Event, emit
 from baobabhoist.store.row_store import (
     RowKey,
@@ -39,6 +40,8 @@
 RELEASE_ATTEMPTS = 3
 # The speed estimates are stored along with progress, at most once per interval.
 SPEEDS_INTERVAL_MS = 4_000.0
+# So is the past use of teams.
+USAGE_INTERVAL_MS = 5_000.0
 
 
 class ProgressWriter:
@@ -50,6 +53,8 @@
         # When the last confirmed heartbeat was sent, on the local clock.
         self.heartbeat_confirmed_ms = monotonic_ms()
         self.on_end_acked: Callable[[str], None] = lambda worker_id: None
+        # Returns the time on the store's clock, in ms.
+        self.store_now_ms: Callable[[], int] = lambda: int(monotonic_ms())
         self._store = store
         self._token = token
         self._on_ownership_lost = on_ownership_lost
@@ -58,6 +63,7 @@
         self._deferred_sends: list[Callable[[], None]] = []
         self._heartbeat_count = 0
         self._next_speeds_write_ms = monotonic_ms()
+        self._next_usage_write_ms = monotonic_ms() + USAGE_INTERVAL_MS
         # A write that the store applies late must not undo a newer one, so each write is
         # conditional on the version of every row that it replaces.
         self._versions: dict[RowKey, int] = {}
@@ -70,6 +76,11 @@
         """Request a write of the changed progress in the background."""
         self._flush_requested.set()
 
+    def request_usage_flush(self, cell: CellScheduler) -> None:
+        """Request a write if the past use of teams has not been stored lately."""
+        if self._is_usage_due(cell):
+            self._flush_requested.set()
+
     def call_when_stored(self, send: Callable[[], None]) -> None:
         """Call `send` once all progress made so far is stored."""
         self._deferred_sends.append(send)
@@ -94,6 +105,7 @@
     async def release(self, claim: bytes, cell: CellScheduler | None) -> bool:
         """Store all progress and release the claim; return whether the release is stored."""
         if cell is not None:
+            self._next_usage_write_ms = monotonic_ms()
             await self._flush_all(cell)
         for _ in range(RELEASE_ATTEMPTS):
             if await self._commit({OWNER_ROW_KEY: claim}, {}) is not None:
@@ -126,6 +138,10 @@
             self._next_speeds_write_ms = monotonic_ms() + SPEEDS_INTERVAL_MS
             cell.state.speeds.forget_workers_except(cell.state.workers)
             puts |= encode_speeds(cell.state.speeds)
+        if self._is_usage_due(cell):
+            self._next_usage_write_ms = monotonic_ms() + USAGE_INTERVAL_MS
+            use_s = cell.state.shares.past_use.take_changed()
+            puts[USAGE_ROW_KEY] = encode_usage(UsageRow(self.store_now_ms(), use_s))
         is_written = False
         try:
             is_written = await self._write(puts)
@@ -133,6 +149,8 @@
             # This also runs on cancellation, because another task then writes the rest.
             if not is_written:
                 cell.state.dirty.update(dirty)
+                if USAGE_ROW_KEY in puts:
+                    cell.state.shares.past_use.has_changed = True
                 self._deferred_sends = deferred_sends + self._deferred_sends
         if not is_written:
             return False
@@ -141,6 +159,10 @@
         self._acknowledge(cell, seen_ends, incarnations)
         return True
 
+    def _is_usage_due(self, cell: CellScheduler) -> bool:
+        past_use = cell.state.shares.past_use
+        return past_use.has_changed and monotonic_ms() >= self._next_usage_write_ms
+
     async def _write(self, puts: dict[RowKey, bytes]) -> bool:
         items = list(puts.items())
         for first in range(0, len(items), MAX_ROWS_PER_WRITE):
--- a/baobabhoist/observability/events.py
+++ b/baobabhoist/observability/events.py
@@ -154,6 +154,26 @@
         logging.WARNING,
         "worker {worker} crashed with {count} tasks: {blame}",
     )
+    TEAM_EXCESS_BEGAN = (
+        1531,
+        logging.INFO,
+        "team {team} sends more than the {weight} jobs a second that it is entitled to",
+    )
+    TEAM_EXCESS_ENDED = (
+        1532,
+        logging.INFO,
+        "team {team} sends no more than the {weight} jobs a second that it is entitled to",
+    )
+    TEAM_WEIGHT_INVALID = (
+        1533,
+        logging.WARNING,
+        "weight {weight} of team {team} is not used, it must be a finite number from 0 to 1e6",
+    )
+    PAST_USE_RESTORED = (
+        1534,
+        logging.INFO,
+        "restored the past use of {teams} teams, stored {age_ms} ms ago",
+    )
     CLAIM_SEEN = (1601, logging.INFO, "instance {owner} holds the claim of version {version}")
     CLAIM_WON = (1602, logging.INFO, "won the claim with token {token}: {reason}")
     CLAIM_LOST = (1603, logging.WARNING, "lost the claim with token {token}: {reason}")
--- a/baobabhoist/platform/decode.py
+++ b/baobabhoist/platform/decode.py
@@ -189,7 +189,7 @@
 def _parse_team(entry: dict[str, Any]) -> Team:
     return Team(
         _string_field(entry, "name"),
-        _float_field(entry, "weight", 1.0),
+        _float_field(entry, "weight"),
         _resources(_object_field(entry, "maximum")),
     )
 
--- a/baobabhoist/scheduling/fairness.py
+++ b/baobabhoist/scheduling/fairness.py
@@ -6,6 +6,7 @@
 
 import attrs
 
+from baobabhoist.fair_shares import DEFAULT_WEIGHT, dominant_share, entitlement_ratio
 from baobabhoist.invariants import Invariant, check
 from baobabhoist.scheduling.capacity import ZERO, ResourceVector, add, subtract
 
@@ -42,13 +43,7 @@
 
     def dominant_share(self, team: str) -> float:
         """Return the largest fraction of any resource in this shard that the team uses."""
-        used, capacity = self.used.get(team, ZERO), self.capacity
-        return max(
-            used[0] / (capacity[0] or 1),
-            used[1] / (capacity[1] or 1),
-            used[2] / (capacity[2] or 1),
-            used[3] / (capacity[3] or 1),
-        )
+        return dominant_share(self.used.get(team, ZERO), self.capacity)
 
     def entitlement_ratio(self, team: str) -> float:
         """Return the team's share of the fleet divided by its entitlement.
@@ -60,7 +55,8 @@
             share = self.dominant_share(team) * self.local_fraction + self.remote_shares.get(
                 team, 0.0
             )
-            ratio = share * self._weight_sum() / self.weights.get(team, 1.0)
+            weight = self.weights.get(team, DEFAULT_WEIGHT)
+            ratio = entitlement_ratio(share, weight, self._weight_sum())
             self._ratios[team] = ratio
         return ratio
 
