--- a/baobabhoist/tests/cell_harness.py
+++ b/baobabhoist/tests/cell_harness.py
@@ -19,6 +19,7 @@
     Team,
     WorkerReport,
 )
+from baobabhoist.cell.policy import DEFAULT_POLICY, SchedulingPolicy
 from baobabhoist.cell.scheduler import CellScheduler, Takeover
 from baobabhoist.testing.cell_worker import FakeCellWorker
 
@@ -46,6 +47,7 @@
 
     workers: dict = attrs.Factory(dict)
     cell_rules: CellRules = attrs.Factory(make_rules)
+    policy: SchedulingPolicy = DEFAULT_POLICY
     now: float = 10_000.0
     token: int = 50
     generation: int = 0
@@ -60,16 +62,16 @@
         self.start_ownership()
 
     @classmethod
-    def with_workers(cls, count=2, cell_rules=None, **options):
+    def with_workers(cls, count=2, cell_rules=None, policy=DEFAULT_POLICY, **options):
         workers = {f"w{n}": FakeCellWorker(f"w{n}", **options) for n in range(count)}
-        harness = cls(workers, cell_rules or make_rules())
+        harness = cls(workers, cell_rules or make_rules(), policy)
         harness.renew_all()
         return harness
 
     def start_ownership(self, inherited_leases_expire_ms=0.0):
         """Replace the scheduler by that of a new owner."""
         takeover = Takeover(self.generation, self.token, inherited_leases_expire_ms)
-        self.cell = CellScheduler(self.cell_rules, takeover, LEASE_MS)
+        self.cell = CellScheduler(self.cell_rules, takeover, LEASE_MS, self.policy)
         self.cell.sync_directory([w.info() for w in self.workers.values()], self.now)
 
     def take_over(self, jobs=(), progress=None, inherited_lease_ms=LEASE_MS * 1.1):
