--- a/baobabhoist/benchmarks/cell_replay.py
+++ b/baobabhoist/benchmarks/cell_replay.py
@@ -19,10 +19,12 @@
 from baobabhoist.benchmarks.cell_workload import (
     SCENARIOS,
     SERVICE,
+    SMALL_SITE,
     WORKER_CAPACITY,
     WORKERS_PER_RACK,
     Arrival,
     CellWorkload,
+    SiteProfile,
     generate_workload,
 )
 from baobabhoist.benchmarks.stats import quantile
@@ -39,6 +41,7 @@
     TaskKey,
 )
 from baobabhoist.cell.placer import TaskPlacer
+from baobabhoist.cell.policy import DEFAULT_POLICY, SchedulingPolicy
 from baobabhoist.cell.ranking import Rank, Tier
 from baobabhoist.cell.scheduler import CellScheduler, Takeover
 from baobabhoist.cell.workers import WorkerState
@@ -104,6 +107,7 @@
     workers: dict[str, FakeCellWorker] = attrs.field(init=False)
     arrivals: dict[str, Arrival] = attrs.field(init=False)
     drain_s: float = DRAIN_PERIOD_S
+    scheduling: SchedulingPolicy = DEFAULT_POLICY
     # The fencing token of the current owner.
     token: int = 1
     now: float = 0.0
@@ -131,7 +135,7 @@
         self.cell.sync_directory([worker.info() for worker in self.workers.values()], 0.0)
 
     def _create_cell(self, takeover: Takeover) -> CellScheduler:
-        cell = CellScheduler(self.workload.rules, takeover, LEASE_MS)
+        cell = CellScheduler(self.workload.rules, takeover, LEASE_MS, self.scheduling)
         cell.placer = self.policy(cell.state)
         cell.placer.advice.slot_count = ADVICE_SLOTS
         return cell
@@ -370,16 +374,25 @@
 }
 
 
-def run(load: str, workers: int, seconds: float, seed: int, baselines: bool) -> dict[str, Any]:
+def run(
+    load: str,
+    workers: int,
+    seconds: float,
+    seed: int,
+    baselines: bool,
+    teams: int = 0,
+    scheduling: SchedulingPolicy = DEFAULT_POLICY,
+) -> dict[str, Any]:
     """Return the results of each policy; an empty `load` means all load scenarios."""
+    site = SiteProfile(team_weights=(1.0,) * teams) if teams else SMALL_SITE
     names = [load] if load else list(SCENARIOS)
     policies = POLICIES if baselines else {"baobabhoist": TaskPlacer}
     report: dict[str, Any] = {"workers": workers, "seed": seed, "loads": {}}
     with quiet_logs():
         for name in names:
-            workload = generate_workload(SCENARIOS[name], workers, seconds, seed)
+            workload = generate_workload(SCENARIOS[name], workers, seconds, seed, site)
             report["loads"][name] = {
-                policy_name: _measure_policy(workload, policy, seconds)
+                policy_name: _measure_policy(workload, policy, seconds, scheduling)
                 for policy_name, policy in policies.items()
             }
     return report
@@ -398,9 +411,12 @@
 
 
 def _measure_policy(
-    workload: CellWorkload, policy: type[TaskPlacer], seconds: float
+    workload: CellWorkload,
+    policy: type[TaskPlacer],
+    seconds: float,
+    scheduling: SchedulingPolicy,
 ) -> dict[str, Any]:
-    replay = CellReplay(workload, policy)
+    replay = CellReplay(workload, policy, scheduling=scheduling)
     gc.collect()
     gc.freeze()
     replay.run(seconds)
--- a/baobabhoist/benchmarks/cell_workload.py
+++ b/baobabhoist/benchmarks/cell_workload.py
@@ -149,6 +149,12 @@
         shares = [total_cpu * weight / sum(self.team_weights) for weight in self.team_weights]
         return [Resources(int(TEAM_LIMIT_FACTOR * share)) for share in shares]
 
+    def job_rates(self, workers: int) -> list[float]:
+        """Return the jobs a second that each team is entitled to."""
+        usual = sum(profile.arrivals_per_s for profile in self.job_profiles)
+        total = TEAM_LIMIT_FACTOR * usual * workers / REFERENCE_WORKERS
+        return [total * weight / sum(self.team_weights) for weight in self.team_weights]
+
 
 SMALL_SITE = SiteProfile()
 
@@ -202,8 +208,11 @@
     """Return the workload of a scenario; the same seed gives the same workload."""
     rng = random.Random(seed)
     slowness_factors = {f"w{n}": rng.choice(SLOWNESS_FACTORS) for n in range(workers)}
-    limits = site.team_limits(workers)
-    teams = {f"t{n}": Team(f"t{n}", 1.0, limit) for n, limit in enumerate(limits)}
+    limits, rates = site.team_limits(workers), site.job_rates(workers)
+    teams = {
+        f"t{n}": Team(f"t{n}", rate, limit)
+        for n, (rate, limit) in enumerate(zip(rates, limits, strict=True))
+    }
     queues = {profile.queue.name: profile.queue for profile in site.job_profiles}
     arrivals = [
         arrival
--- a/baobabhoist/benchmarks/main.py
+++ b/baobabhoist/benchmarks/main.py
@@ -20,6 +20,9 @@
 )
 from baobabhoist.benchmarks.cell_workload import SCENARIOS
 from baobabhoist.benchmarks.workload import PROFILES
+from baobabhoist.cell.policy import SchedulingPolicy
+
+PAST_USE_HALF_LIFE_S = 4 * 3600.0
 
 FLAGS = flags.FLAGS
 flags.DEFINE_integer("seed", 1, "Seed of the generated workload.")
@@ -36,6 +39,8 @@
     "duration_s", 0.0, "Length of the workload; 0 keeps the default of the benchmark or profile."
 )
 flags.DEFINE_enum("load", "", ["", *SCENARIOS], "Load scenario of a cell; by default all of them.")
+flags.DEFINE_integer("teams", 0, "Number of teams of a cell; 0 keeps the default.", lower_bound=0)
+flags.DEFINE_bool("shares", False, "Whether a cell serves teams by their weights and past use.")
 flags.DEFINE_enum(
     "scenario",
     "",
@@ -87,7 +92,10 @@
 
 def _run_cell() -> dict[str, Any]:
     workers, seconds = FLAGS.workers or 24, FLAGS.duration_s or 14.0
-    return cell_replay.run(FLAGS.load, workers, seconds, FLAGS.seed, FLAGS.baselines)
+    scheduling = SchedulingPolicy(FLAGS.shares, PAST_USE_HALF_LIFE_S if FLAGS.shares else 0.0)
+    return cell_replay.run(
+        FLAGS.load, workers, seconds, FLAGS.seed, FLAGS.baselines, FLAGS.teams, scheduling
+    )
 
 
 def _run_liveness() -> dict[str, Any]:
