Look for cold workers only while one has said that it is cold

Each scheduling round asked all workers whether they were cold, also in cells where no entry ever says so. The state now holds when the last one will be warm, and the placer limits places only until then. Decisions are the same; the tests of both parts pass unchanged. A constant moves to the top of its module, and a condition says why it is there.

--- a/baobabhoist/cell/advice_candidates.py
+++ b/baobabhoist/cell/advice_candidates.py
@@ -235,7 +235,7 @@
     def _preferred_rooms_first(self, rooms: list[Room]) -> list[Room]:
         """Return warm workers before cold ones, and of each those near the data first."""
         rack, at_ms = self.step.spec.data_rack, self._answer_ms
-        if not rack and not self.worker_index.has_cold_workers:
+        if not rack and not self.state.has_cold_workers(self.now):
             return rooms
 
         def rank(room: Room) -> tuple[bool, bool]:
--- a/baobabhoist/cell/placer.py
+++ b/baobabhoist/cell/placer.py
@@ -161,7 +161,7 @@
             _tasks_by_worker(step),
             lambda w: self._placement_cost(w, step, tolerance) + cold_cost(w, now),
         )
-        return limit_cold_slots(slots, now)
+        return limit_cold_slots(slots, now) if self.state.has_cold_workers(now) else slots
 
     def _place_tasks(
         self,
--- a/baobabhoist/cell/scheduler.py
+++ b/baobabhoist/cell/scheduler.py
@@ -208,6 +208,7 @@
         runs = [run for worker in evacuated for run in worker.runs.values() if not run.is_sent]
         for run in runs:
             self.state.dirty.add(run.task.step.job.job_id)
+            # Closing a member of a gang closes the other unsent ones too.
             if run.task.run is run:
                 close_lost_run(self.state, self._run_ends, run, now, REASON_EVACUATED)
 
--- a/baobabhoist/cell/state.py
+++ b/baobabhoist/cell/state.py
@@ -57,6 +57,8 @@
     # Workers that the directory lists or has listed at each address, by worker id.
     workers_by_address: dict[str, dict[str, WorkerState]] = attrs.Factory(dict)
     evacuations: Evacuations = NO_EVACUATIONS
+    # When the last worker that has said so will be warm.
+    all_warm_ms: float = float("-inf")
     team_usage: dict[str, Resources] = attrs.Factory(lambda: defaultdict(lambda: NO_RESOURCES))
     # Unfinished steps whose dependencies are done.
     ready_steps: dict[StepKey, StepState] = attrs.Factory(dict)
@@ -120,9 +122,14 @@
         if info.address != worker.info.address:
             self._forget_address(worker)
         worker.apply_entry(info, now)
+        self.all_warm_ms = max(self.all_warm_ms, worker.cold_until_ms)
         worker.is_evacuated = self.evacuations.cover(info)
         self.workers_by_address.setdefault(info.address, {})[worker.worker_id] = worker
 
+    def has_cold_workers(self, now: float) -> bool:
+        """Return whether any worker may be cold."""
+        return now < self.all_warm_ms
+
     def set_evacuations(self, evacuations: Evacuations) -> None:
         """Replace the requests to empty data centres."""
         self.evacuations = evacuations
--- a/baobabhoist/cell/waiting_summary.py
+++ b/baobabhoist/cell/waiting_summary.py
@@ -14,6 +14,9 @@
 from baobabhoist.cell.worker_index import WorkerIndex
 
 CPU_UNITS_PER_CORE = 1000
+REASONS_WITHOUT_USABLE_WORKER = frozenset(
+    {WaitReason.NO_USABLE_WORKER, WaitReason.NO_STARTABLE_WORKER}
+)
 
 
 @attrs.define
@@ -113,9 +116,6 @@
     return step.approvals.reason_without_ticket(now + state.start_delay.expected_ms)
 
 
-REASONS_WITHOUT_USABLE_WORKER = (WaitReason.NO_USABLE_WORKER, WaitReason.NO_STARTABLE_WORKER)
-
-
 def _waits_for_evacuated(step: StepState, state: CellState, worker_index: WorkerIndex) -> bool:
     """Return whether a step has no usable worker because data centres are being emptied."""
     if not state.evacuations.data_centres:
--- a/baobabhoist/cell/worker_index.py
+++ b/baobabhoist/cell/worker_index.py
@@ -31,7 +31,6 @@
         self._sent_ms = now + start_delay_ms
         self._workers = list(workers)
         self.forecast = RoomForecast(self._workers, now)
-        self.has_cold_workers = any(worker.is_cold(now) for worker in self._workers)
         self._usable: dict[str, dict[str, WorkerState]] = {}
         self._groups: dict[str, list[WorkerGroup]] | None = None
         self._ids_by_groups: dict[tuple[int, ...], list[str]] = {}
