Give up a poll sooner that was lost while the store was away

Cause: each instance confirms the keys by its poll of the operator's table. A long poll that was sent in the last seconds of the outage was lost, and was given up only after its wait and its time-out, 2.2 s.

Change: after a failure a poll waits for no change, so that it is given up after 1.2 s. The next one after an answer is a long poll again.

The test fails before the change.

--- a/baobabhoist/control/table_follower.py
+++ b/baobabhoist/control/table_follower.py
@@ -16,6 +16,8 @@
 RETRY_INTERVAL_S = 0.15
 # Long polls are short because each answer also confirms that the known rows are current.
 POLL_WAIT_MS = 1_000
+# After a failure, so that a poll which is lost in an outage holds up the next one for less long.
+RETRY_WAIT_MS = 0
 NEVER_MS = float("-inf")
 
 RowsCallback = Callable[[Sequence[StoredRow], bool], None]
@@ -66,17 +68,20 @@
     async def run(self) -> None:
         """Follow until cancelled."""
         is_loaded = self.version > 0
+        wait_ms = POLL_WAIT_MS
         while True:
             try:
                 if not is_loaded:
                     await self.load()
                     is_loaded = True
-                await self._poll()
+                await self._poll(wait_ms)
+                wait_ms = POLL_WAIT_MS
             except HistoryLostError:
                 emit(log, Event.HISTORY_LOST, table=self._table, version=self.version)
                 is_loaded = False
             except StoreError as exc:
                 self._log_disconnected(exc)
+                wait_ms = RETRY_WAIT_MS
                 await asyncio.sleep(RETRY_INTERVAL_S)
 
     async def load(self) -> None:
@@ -92,9 +97,9 @@
         self._on_rows(snapshot.rows(self._table), True)
         self._confirm(snapshot.row_sets(self._table)[-1], self._snapshot_sent_ms)
 
-    async def _poll(self) -> None:
+    async def _poll(self, wait_ms: int) -> None:
         sent_ms = monotonic_ms()
-        changes = await self._store.poll_changes(self._table, self.version, POLL_WAIT_MS)
+        changes = await self._store.poll_changes(self._table, self.version, wait_ms)
         self.version = max(self.version, changes.version)
         if changes.rows:
             self._on_rows(changes.rows, False)
--- a/baobabhoist/tests/test_control_table_follower.py
+++ b/baobabhoist/tests/test_control_table_follower.py
@@ -159,3 +159,28 @@
         assert seen == [(b"2", False)]
 
     run_with_follower(test)
+
+
+def test_poll_after_a_failure_waits_for_no_change(monkeypatch):
+    """Guard against a poll lost in an outage that delays the news by a long poll's timeout."""
+    waits, poll_changes = [], MemoryRowStore.poll_changes
+
+    async def record_wait(store, table, after_version, wait_ms):
+        await asyncio.sleep(0)
+        waits.append((store.is_down, wait_ms))
+        return await poll_changes(store, table, after_version, wait_ms)
+
+    monkeypatch.setattr(MemoryRowStore, "poll_changes", record_wait)
+    long_wait_ms = table_follower_module.POLL_WAIT_MS
+
+    async def test(store, seen, follower):
+        waits.clear()
+        store.is_down = True
+        await run_event_loop()
+        store.is_down = False
+        await run_event_loop()
+        assert (True, long_wait_ms) not in waits[1:]
+        recovered = waits.index((False, 0))
+        assert waits[recovered + 1] == (False, long_wait_ms)
+
+    run_with_follower(test)
