--- a/baobabhoist/cell/ranking.py
+++ b/baobabhoist/cell/ranking.py
@@ -92,7 +92,7 @@
 
 def _with_standing(entry: RankedStep, shares: ShareRound) -> RankedStep:
     standing = shares.rank_next(entry.step)
-    if entry.rank.priority == FIRST_PRIORITY:
+    if not standing or entry.rank.priority == FIRST_PRIORITY:
         return entry
     return entry._replace(rank=entry.rank._replace(standing=standing))
 
