Keep past use sound while no worker is listed

The last known capacity stays, and a share counts at most as the whole cell. Marks are no longer charged when the configuration changes while a cell is loading, which made them depend on the order of loading.

The state machine takes the cell over too.

--- a/baobabhoist/cell/shares.py
+++ b/baobabhoist/cell/shares.py
@@ -121,7 +121,6 @@
         """Apply the configured weights; accounts of teams that stay go on."""
         if not self.policy.weighs_shares:
             return
-        self._charge_added_jobs()
         weights = {name: self._valid_weight(team) for name, team in teams.items()}
         self._accounts = {name: self._account(name, w) for name, w in weights.items()}
         is_weighted = any(weights.values())
@@ -196,14 +195,15 @@
             return
         self._charge_added_jobs()
         shares = {
-            team: dominant_share(_vector(used), self.capacity)
+            team: min(1.0, dominant_share(_vector(used), self.capacity))
             for team, used in team_usage.items()
             if used.cpu or used.memory_mb or used.gpu
         }
         self.past_use.advance(shares, now)
         if now - self._capacity_read_ms >= CAPACITY_INTERVAL_MS:
             self._capacity_read_ms = now
-            self.capacity = _usable_capacity(workers)
+            # While no worker is listed, runs still go on in the last known capacity.
+            self.capacity = _usable_capacity(workers) or self.capacity
             self.past_use.forget_teams_except(self._accounts)
             weights = {name: account.weight for name, account in self._accounts.items()}
             self._use_steps = self.past_use.steps(weights)
@@ -221,7 +221,9 @@
         return ShareRound(self, {team: _vector(used) for team, used in team_usage.items()})
 
     def ratio(self, team: str, used: Amounts) -> float:
-        """Return an amount divided by the team's part of the capacity."""
+        """Return an amount divided by the team's part of the capacity, 0 if that is unknown."""
+        if self.capacity is NO_CAPACITY:
+            return 0.0
         account = self._accounts.get(team)
         weight = account.weight if account is not None else DEFAULT_WEIGHT
         return entitlement_ratio(dominant_share(used, self.capacity), weight, self._weight_sum)
@@ -297,7 +299,8 @@
         return share_step * (len(USE_STEPS) + 1) + self.shares.use_step(team)
 
 
-def _usable_capacity(workers: Iterable[WorkerState]) -> Amounts:
+def _usable_capacity(workers: Iterable[WorkerState]) -> Amounts | None:
+    """Return what the usable workers have, or None if there is none."""
     cpu = memory_mb = gpu = 0
     for worker in workers:
         if worker.is_listed and not worker.info.is_draining:
@@ -305,7 +308,7 @@
             cpu += capacity.cpu
             memory_mb += capacity.memory_mb
             gpu += capacity.gpu
-    return (cpu, memory_mb, gpu, 0)
+    return (cpu, memory_mb, gpu, 0) if cpu or memory_mb or gpu else None
 
 
 def _vector(amount: Resources) -> Amounts:
--- a/baobabhoist/tests/test_cell_past_use.py
+++ b/baobabhoist/tests/test_cell_past_use.py
@@ -53,6 +53,17 @@
     assert past_use.use_s["a"] == pytest.approx(1.0, rel=0.01)
 
 
+def test_directory_that_is_empty_for_a_while_adds_no_absurd_use():
+    """Guard against runs without listed workers that count as use of far more than the cell."""
+    harness = make_cell(a=1.0, b=1.0)
+    Submitter(harness).submit("a", 4)
+    harness.advance(1_500.0)
+    for worker_id in harness.workers:
+        harness.cell.unlist_worker(worker_id, harness.now)
+    harness.advance(2_000.0)
+    assert 0.0 < harness.cell.state.shares.past_use.use_s["a"] < 4.0
+
+
 def test_store_that_is_away_means_an_older_figure():
     """Guard against past use that is lost, or counts as stored, when its write fails."""
     store, writer, _ = make_writer()
--- a/baobabhoist/tests/test_cell_shares.py
+++ b/baobabhoist/tests/test_cell_shares.py
@@ -169,6 +169,7 @@
         super().__init__()
         self.harness = make_cell(small=1.0, large=3.0)
         self.jobs = Submitter(self.harness)
+        self.stored = {}
 
     @rule(team=TEAMS, count=st.integers(1, 12))
     def submit(self, team, count):
@@ -191,6 +192,16 @@
         self.harness.now += 1.0
         self.harness.renew_all()
 
+    @rule()
+    def take_over(self):
+        before = marked_jobs(self.harness)
+        self.stored |= self.harness.save_progress()
+        accepted = [job.accepted for job in self.harness.cell.state.jobs.values()]
+        self.harness.take_over(reversed(accepted), self.stored)
+        self.harness.renew_all()
+        self.harness.cell.tick(self.harness.now, self.harness.now)
+        assert marked_jobs(self.harness) == before
+
     @rule()
     def schedule(self):
         """Check that no team is passed over by one that is entitled to less."""
