Sort by standing without a second comparison of ranks

The standing is no part of the rank any more: steps of one tier and priority are sorted by it afterwards, and a team's part of the capacity is worked out once a round. The state machine of the shares passes as before.

--- a/baobabhoist/benchmarks/cell_replay.py
+++ b/baobabhoist/benchmarks/cell_replay.py
@@ -69,7 +69,7 @@
 
     def _rank(self, step: StepState, now: float) -> Rank:
         accepted_ms = step.job.accepted_local_ms
-        return Rank(Tier.ON_TIME, 0, 0, accepted_ms, accepted_ms)
+        return Rank(Tier.ON_TIME, 0, accepted_ms, accepted_ms)
 
     def _placement_cost(self, worker: WorkerState, step: StepState, tolerated: float) -> float:
         return 0.0
--- a/baobabhoist/cell/ranking.py
+++ b/baobabhoist/cell/ranking.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import enum
+import itertools
 from collections.abc import Iterable
 from typing import NamedTuple
 
@@ -48,14 +49,12 @@
 
     tier: Tier
     priority: int
-    # How far the team exceeds its part of the cell, in coarse steps.
-    standing: int
     slack_ms: float
     accepted_ms: float
 
 
 class RankedStep(NamedTuple):
-    """Hold a waiting step and its rank; `number` decides between equal ranks."""
+    """Hold a waiting step and its rank; `number`, which differs, decides between equal ranks."""
 
     rank: Rank
     number: int
@@ -74,28 +73,31 @@
     """Return the rank of a waiting step; tasks that last come first, as they earn all the time."""
     job = step.job
     if step.spec.lasting:
-        return Rank(Tier.ON_TIME, FIRST_PRIORITY, 0, 0.0, job.accepted_local_ms)
+        return Rank(Tier.ON_TIME, FIRST_PRIORITY, 0.0, job.accepted_local_ms)
     priority = queue.priority if queue is not None else 0
     # How long the job can still wait without missing its objective.
     slack_ms = job.objective_ms - now - job.remaining_critical_path_ms()
     tier = _TIERS[timeliness_of(job, now), is_beyond]
-    return Rank(tier, priority, 0, slack_ms, job.accepted_local_ms)
+    return Rank(tier, priority, slack_ms, job.accepted_local_ms)
 
 
 def sort_by_rank(ranked: Iterable[RankedStep], shares: ShareRound | None) -> list[StepState]:
-    """Return the steps by rank; with `shares`, the standing of their teams counts too."""
-    in_order = sorted(ranked, key=_sort_key)
+    """Return the steps by rank.
+
+    With `shares`, steps of one tier and priority are sorted by the standing of their teams first.
+    """
+    in_order = sorted(ranked)
     if shares is not None:
-        in_order = sorted((_with_standing(entry, shares) for entry in in_order), key=_sort_key)
+        groups = itertools.groupby(in_order, key=lambda entry: entry.rank[:2])
+        in_order = [entry for _, group in groups for entry in _sort_by_standing(group, shares)]
     return [entry.step for entry in in_order]
 
 
-def _with_standing(entry: RankedStep, shares: ShareRound) -> RankedStep:
-    standing = shares.rank_next(entry.step)
-    if not standing or entry.rank.priority == FIRST_PRIORITY:
-        return entry
-    return entry._replace(rank=entry.rank._replace(standing=standing))
-
-
-def _sort_key(entry: RankedStep) -> tuple[Rank, int]:
-    return entry.rank, entry.number
+def _sort_by_standing(group: Iterable[RankedStep], shares: ShareRound) -> list[RankedStep]:
+    """Return steps of one tier and priority by standing, those of equal standing as they were."""
+    entries = list(group)
+    standings = [shares.rank_next(entry.step) for entry in entries]
+    if entries[0].rank.priority == FIRST_PRIORITY or not any(standings):
+        return entries
+    numbers = sorted(range(len(entries)), key=standings.__getitem__)
+    return [entries[number] for number in numbers]
--- a/baobabhoist/cell/shares.py
+++ b/baobabhoist/cell/shares.py
@@ -9,7 +9,8 @@
 
 import logging
 import math
-from collections.abc import Iterable, Mapping
+from bisect import bisect_left
+from collections.abc import Iterable, Mapping, Sequence
 
 import attrs
 
@@ -39,6 +40,9 @@
 EXCESS_GAP_MS = 5_000.0
 CAPACITY_INTERVAL_MS = 1_000.0
 NO_CAPACITY: Amounts = (0, 0, 0, 0)
+# One unit of the processor, of memory and of GPUs.
+UNITS: tuple[Amounts, ...] = ((1, 0, 0, 0), (0, 1, 0, 0), (0, 0, 1, 0))
+USE_STEP_COUNT = len(USE_STEPS) + 1
 
 
 @attrs.define
@@ -133,8 +137,9 @@
 
     def is_beyond_entitlement(self, job: JobState) -> bool:
         """Return whether a job is one of those that its team sent beyond its entitlement."""
-        self._charge_added_jobs()
-        return self.is_on and job.is_beyond_entitlement
+        if self._uncharged:
+            self._charge_added_jobs()
+        return job.is_beyond_entitlement and self.is_on
 
     def has_entitlement_left(self, team: str, accepted_ms: float) -> bool:
         """Return whether a job accepted at a time of the store's clock would be within it."""
@@ -218,15 +223,20 @@
         self._charge_added_jobs()
         if not self._is_demand_above_capacity(steps, team_usage):
             return None
-        return ShareRound(self, {team: _vector(used) for team, used in team_usage.items()})
+        unit_shares = [dominant_share(unit, self.capacity) for unit in UNITS]
+        return ShareRound(self, team_usage, unit_shares)
 
     def ratio(self, team: str, used: Amounts) -> float:
         """Return an amount divided by the team's part of the capacity, 0 if that is unknown."""
         if self.capacity is NO_CAPACITY:
             return 0.0
+        return self.share_ratio(team, dominant_share(used, self.capacity))
+
+    def share_ratio(self, team: str, share: float) -> float:
+        """Return a share of the cell divided by the team's part of it."""
         account = self._accounts.get(team)
         weight = account.weight if account is not None else DEFAULT_WEIGHT
-        return entitlement_ratio(dominant_share(used, self.capacity), weight, self._weight_sum)
+        return entitlement_ratio(share, weight, self._weight_sum)
 
     def use_step(self, team: str) -> int:
         """Return how many steps lower a team stands because of its past use."""
@@ -272,6 +282,20 @@
             emit(log, event, team=team, weight=account.weight, jobs=account.jobs_beyond)
 
 
+@attrs.define
+class TeamLoad:
+    """Hold a team's load by resource, each divided by its part of the capacity."""
+
+    cpu: float
+    memory: float
+    gpu: float
+    # The load that one unit of each resource adds.
+    cpu_unit: float
+    memory_unit: float
+    gpu_unit: float
+    use_step: int
+
+
 @attrs.define
 class ShareRound:
     """Tell the standing of teams in one round, as their steps are ranked one after another.
@@ -280,23 +304,38 @@
     """
 
     shares: TeamShares
-    taken: dict[str, Amounts]
+    team_usage: Mapping[str, Resources]
+    # The share of the cell that one unit of each resource is.
+    unit_shares: Sequence[float]
+    _loads: dict[str, TeamLoad] = attrs.Factory(dict)
 
     def rank_next(self, step: StepState) -> int:
         """Return the standing of a step's team, 0 if it is within its part of the capacity."""
         team = step.job.accepted.team
-        taken = self.taken.get(team, NO_CAPACITY)
+        load = self._loads.get(team)
+        if load is None:
+            load = self._loads[team] = self._running_load(team)
+        ratio = max(load.cpu, load.memory, load.gpu)
         need, count = step.spec.need, step.waiting_count
-        self.taken[team] = (
-            taken[0] + need.cpu * count,
-            taken[1] + need.memory_mb * count,
-            taken[2] + need.gpu * count,
-            0,
-        )
-        ratio = self.shares.ratio(team, taken)
-        share_step = sum(ratio > limit for limit in SHARE_STEPS)
+        load.cpu += need.cpu * count * load.cpu_unit
+        load.memory += need.memory_mb * count * load.memory_unit
+        load.gpu += need.gpu * count * load.gpu_unit
         # Past use decides only between teams whose running shares are similar.
-        return share_step * (len(USE_STEPS) + 1) + self.shares.use_step(team)
+        return bisect_left(SHARE_STEPS, ratio) * USE_STEP_COUNT + load.use_step
+
+    def _running_load(self, team: str) -> TeamLoad:
+        used = self.team_usage.get(team, NO_RESOURCES)
+        factor = self.shares.share_ratio(team, 1.0)
+        cpu_unit, memory_unit, gpu_unit = (share * factor for share in self.unit_shares)
+        return TeamLoad(
+            used.cpu * cpu_unit,
+            used.memory_mb * memory_unit,
+            used.gpu * gpu_unit,
+            cpu_unit,
+            memory_unit,
+            gpu_unit,
+            self.shares.use_step(team),
+        )
 
 
 def _usable_capacity(workers: Iterable[WorkerState]) -> Amounts | None:
