--- /dev/null
+++ b/baobabhoist/cell/admission.py
@@ -0,0 +1,298 @@
+"""Estimate for how long new jobs would wait while a team is at its limit or a service is full.
+
+Waiting work competes for a pool: the limit of its team, or the workers of its service. The
+expected wait is the work that ranks before a new job, divided by the rate at which the pool
+ends work. Every figure is a lower bound, so that a job is refused only if it is hopeless.
+"""
+
+from __future__ import annotations
+
+import enum
+import logging
+from collections.abc import Iterable
+
+import attrs
+
+from baobabhoist.cell.jobs import StepState
+from baobabhoist.cell.model import NO_RESOURCES, Queue, Resources
+from baobabhoist.cell.ranking import Timeliness, timeliness_of
+from baobabhoist.cell.state import CellState
+from baobabhoist.cell.wait_reasons import WaitReason
+from baobabhoist.observability.events import Event, emit
+
+log = logging.getLogger(__name__)
+
+UPDATE_INTERVAL_MS = 500.0
+# A pool counts as congested once it has been full for this long on end.
+SUSTAINED_MS = 1_500.0
+# Updates that find room do not end the congestion before this time has passed.
+GAP_MS = 1_000.0
+# A congestion begins with the first wait and lasts until all waits are below the second.
+BEGIN_WAIT_MS = 2_000.0
+END_WAIT_MS = 1_000.0
+# Weight of the last update in the used part of a pool.
+USE_WEIGHT = 0.3
+# A pool is expected to have at least this part in use: gangs leave some of it idle.
+MIN_USED_PART = 0.5
+# The workers of a service are full when this part of a resource is in use.
+FULL_PART = 0.85
+# Only the longest waits are published.
+MAX_ROWS = 32
+# Stands for all teams in a row on a full service.
+ANY_TEAM = ""
+
+TEAM_LIMIT_REASONS = frozenset({WaitReason.TEAM_LIMIT, WaitReason.TEAM_LIMIT_RESERVED})
+NO_ROOM_REASONS = frozenset(
+    {
+        WaitReason.NO_ROOM,
+        WaitReason.NO_ROOM_WITH_TICKET,
+        WaitReason.NO_ROOM_FOR_GANG,
+        WaitReason.WORKERS_RESERVED,
+    }
+)
+
+
+class Shortage(enum.StrEnum):
+    """List what new jobs would wait for."""
+
+    TEAM_LIMIT = "team_limit"
+    SERVICE_FULL = "service_full"
+
+
+@attrs.frozen
+class ExpectedWait:
+    """Hold for how long a new job would wait for its start, in ms.
+
+    The wait is `on_time_ms` while the job can still meet its objective, and `late_ms` once it
+    cannot. `cpu_rate` is the rate at which work ends, in thousandths of a core. `shortage` is a
+    text, so that an instance of an earlier version can read later values.
+    """
+
+    team: str
+    queue: str
+    shortage: str
+    on_time_ms: float
+    late_ms: float
+    cpu_rate: float
+
+
+@attrs.frozen
+class WaitTable:
+    """Hold the expected waits that are worth telling, and when they were computed."""
+
+    rows: tuple[ExpectedWait, ...] = ()
+    computed_ms: float = float("-inf")
+
+
+@attrs.define
+class PoolLoad:
+    """Collect the work that waits for a pool; work is an amount of each resource times ms."""
+
+    capacity: Resources
+    used: Resources = NO_RESOURCES
+    # Work waits for the pool itself, not for something else.
+    has_shortage: bool = False
+    work: dict[tuple[Timeliness, int], Resources] = attrs.Factory(dict)
+
+    @property
+    def used_part(self) -> float:
+        """Return the used part of the resource that is used most."""
+        return _largest_ratio(self.used, self.capacity)
+
+    def add(self, rank: tuple[Timeliness, int], work: Resources) -> None:
+        """Add waiting work of a timeliness and priority."""
+        self.work[rank] = self.work.get(rank, NO_RESOURCES).plus(work)
+
+    def on_time_wait_ms(self, priority: int, used_part: float) -> float:
+        """Return how long the work takes that ranks before a new job of this priority."""
+        ahead = _sum(
+            work
+            for (timeliness, other), work in self.work.items()
+            if timeliness is Timeliness.ON_TIME and other <= priority
+        )
+        return _largest_ratio(ahead, self.capacity) / used_part
+
+    def late_wait_ms(self, priority: int, used_part: float) -> float:
+        """Return how long the work takes that ranks before a late job of this priority."""
+        ahead = _sum(
+            work
+            for (timeliness, other), work in self.work.items()
+            if timeliness is Timeliness.ON_TIME or other <= priority
+        )
+        return _largest_ratio(ahead, self.capacity) / used_part
+
+
+@attrs.define
+class Congestion:
+    """Decide with hysteresis whether waits for one pool are published; all times are in ms."""
+
+    is_on: bool = False
+    used_part: float = 0.0
+    _full_since_ms: float | None = None
+    _last_full_ms: float = float("-inf")
+
+    def update(self, load: PoolLoad, now: float) -> None:
+        """Record whether the pool is full now, and how much of it is in use."""
+        self.used_part += USE_WEIGHT * (load.used_part - self.used_part)
+        if load.has_shortage:
+            self._last_full_ms = now
+            if self._full_since_ms is None:
+                self._full_since_ms, self.used_part = now, load.used_part
+        elif now - self._last_full_ms > GAP_MS:
+            self._full_since_ms, self.is_on = None, False
+
+    def judge(self, longest_wait_ms: float, now: float) -> bool:
+        """Return whether the waits are published, given the longest of them."""
+        is_sustained = (
+            self._full_since_ms is not None and now - self._full_since_ms >= SUSTAINED_MS
+        )
+        threshold_ms = END_WAIT_MS if self.is_on else BEGIN_WAIT_MS
+        self.is_on = is_sustained and longest_wait_ms >= threshold_ms
+        return self.is_on
+
+    @property
+    def expected_used_part(self) -> float:
+        """Return the part of the pool that is expected to stay in use."""
+        return min(1.0, max(MIN_USED_PART, self.used_part))
+
+
+PoolKey = tuple[Shortage, str]
+
+
+@attrs.define
+class AdmissionControl:
+    """Keep the table of expected waits; call `update` at each tick."""
+
+    state: CellState
+    table: WaitTable = WaitTable()
+    _congestions: dict[PoolKey, Congestion] = attrs.Factory(dict)
+    _announced: dict[tuple[str, str, str], ExpectedWait] = attrs.Factory(dict)
+
+    def update(self, now: float) -> None:
+        """Compute the table anew if the interval has passed."""
+        if now - self.table.computed_ms < UPDATE_INTERVAL_MS:
+            return
+        loads = self._measure_loads(now)
+        for key in self._congestions.keys() - loads.keys():
+            del self._congestions[key]
+        rows: list[ExpectedWait] = []
+        for key, load in loads.items():
+            rows += self._judge_pool(key, load, now)
+        rows.sort(key=lambda row: -row.late_ms)
+        self.table = WaitTable(tuple(rows[:MAX_ROWS]), now)
+        self._announce(self.table.rows)
+
+    def _measure_loads(self, now: float) -> dict[PoolKey, PoolLoad]:
+        """Return the loads of all pools that work waits for."""
+        loads: dict[PoolKey, PoolLoad] = {}
+        for step in self.state.ready_steps.values():
+            if step.waiting_count and not step.spec.lasting:
+                self._add_step(loads, step, now)
+        self._measure_services(loads, now)
+        return loads
+
+    def _add_step(self, loads: dict[PoolKey, PoolLoad], step: StepState, now: float) -> None:
+        job = step.job
+        team = self.state.team_of(job)
+        if team is not None and team.is_limited:
+            if not team.allows(step.spec.least_need):
+                return
+            key = (Shortage.TEAM_LIMIT, team.name)
+            if key not in loads:
+                loads[key] = PoolLoad(team.limit, self.state.team_usage[team.name])
+            self._add_work(loads[key], step, TEAM_LIMIT_REASONS, now)
+        if step.wait_reason not in TEAM_LIMIT_REASONS:
+            key = (Shortage.SERVICE_FULL, self.state.service_of(job))
+            load = loads.setdefault(key, PoolLoad(NO_RESOURCES))
+            self._add_work(load, step, NO_ROOM_REASONS, now)
+
+    def _add_work(
+        self, load: PoolLoad, step: StepState, reasons: frozenset[WaitReason], now: float
+    ) -> None:
+        load.has_shortage |= step.wait_reason in reasons
+        queue = self.state.queue_of(step.job)
+        timeliness = timeliness_of(step.job, now)
+        if queue is None or timeliness is Timeliness.EXPIRED:
+            return
+        ratio = self.state.speeds.duration_ratio(queue.name)
+        duration_ms = round(step.spec.expected_ms * ratio)
+        work = step.spec.need.times(step.waiting_count * duration_ms)
+        load.add((timeliness, queue.priority), work)
+
+    def _measure_services(self, loads: dict[PoolKey, PoolLoad], now: float) -> None:
+        """Add up the workers of the services that work waits for."""
+        for worker in self.state.workers.values():
+            load = loads.get((Shortage.SERVICE_FULL, worker.info.service))
+            if load is not None and worker.can_start_tasks(now):
+                load.capacity = load.capacity.plus(worker.info.capacity)
+                load.used = load.used.plus(worker.used)
+        for (shortage, _), load in loads.items():
+            if shortage is Shortage.SERVICE_FULL:
+                load.has_shortage = load.has_shortage and load.used_part >= FULL_PART
+
+    def _judge_pool(self, key: PoolKey, load: PoolLoad, now: float) -> list[ExpectedWait]:
+        """Return the rows of a pool, none if it is not congested."""
+        congestion = self._congestions.setdefault(key, Congestion())
+        congestion.update(load, now)
+        rows = [
+            _expected_wait(key, queue, load, congestion.expected_used_part)
+            for queue in self.state.rules.queues.values()
+            if key[0] is Shortage.TEAM_LIMIT or queue.service == key[1]
+        ]
+        longest_ms = max((row.late_ms for row in rows), default=0.0)
+        if not congestion.judge(longest_ms, now):
+            return []
+        return [row for row in rows if row.late_ms >= END_WAIT_MS]
+
+    def _announce(self, rows: tuple[ExpectedWait, ...]) -> None:
+        """Log which waits began and which ended."""
+        current = {(row.team, row.queue, row.shortage): row for row in rows}
+        for key, row in current.items():
+            if key not in self._announced:
+                _log_row(Event.LONG_WAIT_BEGAN, row)
+        for key, row in self._announced.items():
+            if key not in current:
+                _log_row(Event.LONG_WAIT_ENDED, row)
+        self._announced = current
+
+
+def _sum(amounts: Iterable[Resources]) -> Resources:
+    total = NO_RESOURCES
+    for amount in amounts:
+        total = total.plus(amount)
+    return total
+
+
+def _expected_wait(key: PoolKey, queue: Queue, load: PoolLoad, used_part: float) -> ExpectedWait:
+    shortage, name = key
+    return ExpectedWait(
+        name if shortage is Shortage.TEAM_LIMIT else ANY_TEAM,
+        queue.name,
+        shortage.value,
+        load.on_time_wait_ms(queue.priority, used_part),
+        load.late_wait_ms(queue.priority, used_part),
+        float(load.used.cpu),
+    )
+
+
+def _largest_ratio(amount: Resources, capacity: Resources) -> float:
+    """Return the largest ratio over the resources; one without capacity does not count."""
+    pairs = (
+        (amount.cpu, capacity.cpu),
+        (amount.memory_mb, capacity.memory_mb),
+        (amount.gpu, capacity.gpu),
+    )
+    return max((part / whole for part, whole in pairs if whole > 0), default=0.0)
+
+
+def _log_row(event: Event, row: ExpectedWait) -> None:
+    emit(
+        log,
+        event,
+        team=row.team or "any",
+        queue=row.queue,
+        shortage=row.shortage,
+        on_time_ms=round(row.on_time_ms),
+        late_ms=round(row.late_ms),
+        cpu_rate=round(row.cpu_rate),
+    )
--- /dev/null
+++ b/baobabhoist/cell/job_prospects.py
@@ -0,0 +1,62 @@
+"""Decide whether a new job could still be worth something, given the expected waits."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+import attrs
+
+from baobabhoist.cell.admission import ANY_TEAM, ExpectedWait
+from baobabhoist.cell.jobs import LATE_LIMIT_FACTOR, critical_path_ms, objective_after_ms
+from baobabhoist.cell.model import AcceptedJob, JobSpec, Queue, Team
+
+# Declared durations are rough: a job counts as hopeless only if the wait is longer by this factor.
+WAIT_MARGIN = 1.25
+
+
+@attrs.frozen
+class JobSlack:
+    """Hold how long a new job can wait and still end by its objective or its late limit, in ms."""
+
+    on_time_ms: float
+    late_ms: float
+
+    def allows(self, wait: ExpectedWait) -> bool:
+        """Return whether the job may still end before its late limit."""
+        if wait.on_time_ms <= self.on_time_ms:
+            return True
+        return wait.late_ms <= self.late_ms * WAIT_MARGIN
+
+    def excess_ms(self, wait: ExpectedWait) -> float:
+        """Return by how much the wait has to fall before the job is accepted."""
+        on_time_excess_ms = wait.on_time_ms - self.on_time_ms
+        late_excess_ms = wait.late_ms - self.late_ms * WAIT_MARGIN
+        return max(0.0, min(on_time_excess_ms, late_excess_ms))
+
+
+def slack_of(spec: JobSpec, queue: Queue) -> JobSlack | None:
+    """Return the slack of a new job, or None if it earns by other terms."""
+    if spec.repeats or any(step.lasting for step in spec.steps):
+        return None
+    accepted = AcceptedJob("", queue.name, queue.service, "", 0, spec)
+    critical_ms, objective_ms = critical_path_ms(accepted), objective_after_ms(accepted, queue)
+    return JobSlack(objective_ms - critical_ms, LATE_LIMIT_FACTOR * objective_ms - critical_ms)
+
+
+def find_hopeless_wait(
+    slack: JobSlack, team: str, queue: str, waits: Iterable[ExpectedWait]
+) -> ExpectedWait | None:
+    """Return the wait that makes a new job hopeless, or None if it may end in time."""
+    own_waits = [w for w in waits if w.team in (team, ANY_TEAM) and w.queue == queue]
+    hopeless = [wait for wait in own_waits if not slack.allows(wait)]
+    return max(hopeless, key=slack.excess_ms, default=None)
+
+
+def exceeds_limit(spec: JobSpec, team: Team) -> bool:
+    """Return whether the limit of a team keeps a step of a job from ever starting."""
+    return any(not team.allows(step.least_need) for step in spec.steps)
+
+
+def total_cpu_ms(spec: JobSpec) -> float:
+    """Return the declared processor time of one occurrence, in thousandths of a core times ms."""
+    return sum(float(step.need.cpu) * step.count * step.expected_ms for step in spec.steps)
--- a/baobabhoist/cell/jobs.py
+++ b/baobabhoist/cell/jobs.py
@@ -13,6 +13,7 @@
     FINAL_PHASES,
     AcceptedJob,
     JobPhase,
+    Queue,
     Resources,
     Step,
     StepKey,
@@ -293,3 +294,10 @@
 def critical_path_ms(accepted: AcceptedJob) -> float:
     """Return the declared duration of the longest chain of steps of one occurrence, in ms."""
     return JobState(accepted, 0.0).remaining_critical_path_ms()
+
+
+def objective_after_ms(accepted: AcceptedJob, queue: Queue | None) -> float:
+    """Return the time from the acceptance of a job to its latency objective."""
+    slack_factor = queue.slack_factor if queue is not None else 1.0
+    target_ms = queue.target_latency_ms if queue is not None else 0
+    return slack_factor * critical_path_ms(accepted) + target_ms
--- a/baobabhoist/cell/model.py
+++ b/baobabhoist/cell/model.py
@@ -72,6 +72,11 @@
         """Return what a task reserves on its worker; fill-in tasks only use spare cores."""
         return attrs.evolve(self.need, cpu=0) if self.fills else self.need
 
+    @property
+    def least_need(self) -> Resources:
+        """Return the need of the fewest tasks that start at once: one, or a whole gang."""
+        return self.need.times(self.count if self.gang else 1)
+
 
 @attrs.frozen
 class JobSpec:
@@ -183,6 +188,11 @@
     weight: float = 0.0
     limit: Resources = NO_RESOURCES
 
+    @property
+    def is_limited(self) -> bool:
+        """Return whether any resource is limited."""
+        return self.limit != NO_RESOURCES
+
     def allows(self, total: Resources) -> bool:
         """Return whether a total allocation stays within the limit."""
         return (
--- a/baobabhoist/cell/scheduler.py
+++ b/baobabhoist/cell/scheduler.py
@@ -9,9 +9,10 @@
 import attrs
 
 from baobabhoist.cell import progress_rows
+from baobabhoist.cell.admission import AdmissionControl
 from baobabhoist.cell.crashes import CrashHandler
 from baobabhoist.cell.evacuations import Evacuations
-from baobabhoist.cell.jobs import JobState, StepState, critical_path_ms
+from baobabhoist.cell.jobs import JobState, StepState, objective_after_ms
 from baobabhoist.cell.model import (
     NO_RESOURCES,
     AcceptedJob,
@@ -67,6 +68,7 @@
         self.state = CellState(rules, takeover.generation, policy)
         self.is_fenced = False
         self.placer = TaskPlacer(self.state)
+        self.admission = AdmissionControl(self.state)
         self._takeover = takeover
         self._lease_ms = lease_ms
         self._run_ends = RunEndHandler(self.state)
@@ -343,6 +345,8 @@
         """Run the checks that depend only on time."""
         self._periodic_checks.tick(now, unix_ms)
         self.state.shares.tick(self.state.workers.values(), self.state.team_usage, now)
+        if self.state.policy.refuses_hopeless_jobs:
+            self.admission.update(now)
 
     def schedule(self, now: float, may_start: bool) -> list[Command]:
         """Place waiting tasks and return all commands issued since the last call."""
@@ -361,12 +365,8 @@
         return {w.worker_id: w.last_seen_end for w in self.state.workers.values()}
 
     def _set_objective(self, job: JobState) -> None:
-        queue = self.state.queue_of(job)
-        slack_factor = queue.slack_factor if queue is not None else 1.0
-        target_ms = queue.target_latency_ms if queue is not None else 0
-        job.objective_ms = (
-            job.accepted_local_ms + slack_factor * critical_path_ms(job.accepted) + target_ms
-        )
+        objective_after = objective_after_ms(job.accepted, self.state.queue_of(job))
+        job.objective_ms = job.accepted_local_ms + objective_after
 
     def _find_step(self, step_key: StepKey) -> StepState | None:
         job = self.state.jobs.get(step_key.job_id)
--- a/baobabhoist/control/election.py
+++ b/baobabhoist/control/election.py
@@ -8,6 +8,8 @@
 from collections.abc import Callable, Sequence
 from typing import TYPE_CHECKING, Any
 
+import attrs
+
 from baobabhoist.control.claim import (
     CONFIRMATION_VALID_MS,
     HEARTBEAT_INTERVAL_MS,
@@ -111,6 +113,8 @@
         self._isolation_detector = IsolationDetector()
         # Earliest time of the next claim, on the local clock.
         self._next_claim_ms = 0.0
+        # When the expected waits that were sent last were computed.
+        self._sent_waits_ms = float("-inf")
         self._owner_task: asyncio.Task[None] | None = None
         self._tasks: set[asyncio.Task[None]] = set()
 
@@ -362,13 +366,21 @@
             await self._is_owning.wait()
             owner = self._owner_router.local_owner
             if owner is not None:
-                self._notify_links(OwnerHeartbeat(refuse_jobs_ms=owner.refuse_jobs_ms()))
+                self._notify_links(self._make_heartbeat(owner))
             link_count = len(self._link_server.links)
             if self._isolation_detector.is_isolated(link_count, monotonic_ms()):
                 self._next_claim_ms = monotonic_ms() + ISOLATION_BACKOFF_MS
                 await self.release("no instance is linked to this one")
             await asyncio.sleep(heartbeat_interval_s(link_count))
 
+    def _make_heartbeat(self, owner: CellOwner) -> OwnerHeartbeat:
+        """Return a heartbeat, with the expected waits if they are new."""
+        known, waits = owner.job_waits(), None
+        if known is not None and known.computed_ms != self._sent_waits_ms:
+            self._sent_waits_ms = known.computed_ms
+            waits = attrs.evolve(known.waits, age_ms=monotonic_ms() - known.computed_ms)
+        return OwnerHeartbeat(refuse_jobs_ms=owner.refuse_jobs_ms(), waits=waits)
+
     def _notify_links(self, message: Any) -> None:
         for link in list(self._link_server.links.values()):
             self._notify(link, message)
--- a/baobabhoist/control/job_api.py
+++ b/baobabhoist/control/job_api.py
@@ -14,6 +14,7 @@
 from baobabhoist.control.clock import StoreClock, monotonic_ms, unix_ms
 from baobabhoist.control.config import ActiveConfig, CellConfig, Route
 from baobabhoist.control.interfaces import Decoder
+from baobabhoist.control.job_admission import JobAdmission, never_starts_refusal
 from baobabhoist.control.job_writer import JobWriter, WriteResult, WriteStatus
 from baobabhoist.control.messages import (
     CancelNotice,
@@ -119,6 +120,8 @@
     owner_router: OwnerRouter
     revoke_ms: float
     row_max_bytes: int
+    # Set if jobs that cannot end in time are refused.
+    admission: JobAdmission | None = None
 
     def admit(self, call: ApiCall) -> AdmittedCall | Refusal:
         """Return the admitted call with its route and team, or the refusal."""
@@ -162,7 +165,23 @@
         if refuse_ms > 0.0 and not await self._is_stored(admitted.job_id):
             retry_after_s = min(MAX_RETRY_AFTER_S, math.ceil(refuse_ms / 1000))
             return unavailable_refusal("too many jobs wait for their start", retry_after_s)
-        return await self._store_job(call, admitted, spec)
+        refusal = await self._refuse_hopeless(admitted, spec)
+        return refusal or await self._store_job(call, admitted, spec)
+
+    async def _refuse_hopeless(self, admitted: AdmittedCall, spec: JobSpec) -> Refusal | None:
+        """Return the refusal of a job that cannot end in time, unless it may be stored already."""
+        if self.admission is None:
+            return None
+        queue, team = admitted.route.queue, admitted.team
+        never_starts = never_starts_refusal(spec, admitted.cfg.rules.teams.get(team))
+        hopeless = self.admission.find_hopeless(spec, queue, team, monotonic_ms())
+        if never_starts is None and hopeless is None:
+            return None
+        if await self._is_stored(admitted.job_id):
+            return None
+        if never_starts is not None or hopeless is None:
+            return never_starts
+        return self.admission.refuse(hopeless, team, monotonic_ms())
 
     async def _is_stored(self, job_id: str) -> bool:
         """Return whether a job may be stored already; a repeated call must not be refused."""
--- a/baobabhoist/control/links.py
+++ b/baobabhoist/control/links.py
@@ -15,6 +15,7 @@
 
 from baobabhoist.control.claim import ClaimRow, OwnerLinkState
 from baobabhoist.control.clock import monotonic_ms
+from baobabhoist.control.job_admission import KnownWaits
 from baobabhoist.control.machine_size import MachineSize
 from baobabhoist.control.messages import CODEC, Greeting, OwnerHeartbeat, Welcome
 from baobabhoist.control.sessions.assignment import Holder, LinkedInstance
@@ -120,6 +121,8 @@
         self.link: Link | None = None
         # Until when the owner wants new jobs to be refused.
         self.refuse_jobs_until_ms = 0.0
+        # For how long new jobs would wait, as the connected owner has told.
+        self.job_waits: KnownWaits | None = None
         self._identity = identity
         self._handler = handler
         self._on_change = on_change
@@ -136,6 +139,7 @@
             self._task.cancel()
             self._task = None
         self.link, self.state = None, OwnerLinkState.UNKNOWN
+        self.job_waits = None
         if claim is not None and not claim.is_released and claim.boot != self._identity.boot_id:
             self._task = create_logged_task(self._maintain(claim))
 
@@ -178,7 +182,7 @@
             self._set_state(OwnerLinkState.CONNECTED, claim)
             await self._wait_until_silent(reader)
         finally:
-            self.link = None
+            self.link = self.job_waits = None
             link.abort()
             reader.cancel()
         self._set_state(OwnerLinkState.SILENT, claim)
@@ -210,6 +214,8 @@
         if not isinstance(message, OwnerHeartbeat):
             return await self._handler(message)
         self.refuse_jobs_until_ms = monotonic_ms() + message.refuse_jobs_ms
+        if message.waits is not None:
+            self.job_waits = KnownWaits(message.waits, monotonic_ms() - message.waits.age_ms)
         if not message.owns:
             self._on_change()
         return None
--- a/baobabhoist/control/messages.py
+++ b/baobabhoist/control/messages.py
@@ -4,6 +4,7 @@
 
 import attrs
 
+from baobabhoist.cell.admission import ExpectedWait
 from baobabhoist.control.sessions.messages import SESSION_MESSAGES
 from baobabhoist.peer.codec import Codec
 from baobabhoist.peer.streams import STREAM_MESSAGES
@@ -106,15 +107,29 @@
     busy_ms: float = 0.0
 
 
+@attrs.frozen
+class JobWaits:
+    """Hold for how long new jobs would wait, as computed `age_ms` before this was sent.
+
+    `instances` is how many instances answer callers.
+    """
+
+    rows: tuple[ExpectedWait, ...] = ()
+    age_ms: float = 0.0
+    instances: int = 1
+
+
 @attrs.frozen
 class OwnerHeartbeat:
     """Show that the owner is alive, or with `owns` false that it has released the cell.
 
     New jobs should be refused for `refuse_jobs_ms`, because the owner has too many to start.
+    `waits` is None if the owner has no new figures since the last heartbeat.
     """
 
     owns: bool = True
     refuse_jobs_ms: float = 0.0
+    waits: JobWaits | None = None
 
 
 @attrs.frozen
--- a/baobabhoist/control/metrics.py
+++ b/baobabhoist/control/metrics.py
@@ -67,6 +67,9 @@
         )
         self._advice = self._counter("advice_queries_total", "Queries to the adviser, by outcome.")
         self._refusals = self._counter("refusals_total", "Calls refused, by reason.")
+        self._refused_jobs = self._counter(
+            "refused_jobs_total", "Jobs refused, by team, queue and reason."
+        )
         self._dropped = self._gauge("log_lines_dropped", "Log lines that a full pipe refused.")
         self._config = self._gauge("config_version", "Version of the configuration in force.")
         self._config_age = self._gauge("config_age_seconds", "Age of its last confirmation.")
@@ -97,6 +100,15 @@
         """Count a refused call under its reason."""
         self._refusals.inc({"reason": self._reasons.label_for(reason)})
 
+    def count_refused_job(self, team: str, queue: str, reason: str) -> None:
+        """Count a refused job of a team and queue."""
+        labels = {
+            "team": self._teams.label_for(team or NO_TEAM_LABEL),
+            "queue": self._queues.label_for(queue),
+            "reason": self._reasons.label_for(reason),
+        }
+        self._refused_jobs.inc(labels)
+
     def observe_wait(self, team: str, queue: str, waited_s: float) -> None:
         """Record how long a task waited for its start."""
         labels = {
--- a/baobabhoist/control/node.py
+++ b/baobabhoist/control/node.py
@@ -17,6 +17,7 @@
 from baobabhoist.control.election import OwnerElection
 from baobabhoist.control.handover import HandoverMonitor
 from baobabhoist.control.interfaces import Adviser, Decoder, WorkerDriver
+from baobabhoist.control.job_admission import JobAdmission
 from baobabhoist.control.job_api import JobApi
 from baobabhoist.control.job_writer import JobWriter
 from baobabhoist.control.links import Identity, LinkServer, OwnerLink
@@ -100,6 +101,7 @@
             self.owner_router,
             cfg.bounds.revoke_ms,
             cfg.store.row_max_bytes,
+            JobAdmission(self.owner_router) if cfg.scheduling.admission else None,
         )
         self._adapter = adapter
         self._advice_gate = advice_gate
--- a/baobabhoist/control/owner.py
+++ b/baobabhoist/control/owner.py
@@ -28,9 +28,10 @@
 from baobabhoist.control.cell_loader import CellLoader, CellTables
 from baobabhoist.control.clock import StoreClock, monotonic_ms, unix_ms
 from baobabhoist.control.interfaces import Decoder, WorkerDriver
+from baobabhoist.control.job_admission import KnownWaits
 from baobabhoist.control.loop_lag import LoopLagMonitor
 from baobabhoist.control.machine_size import MachineSize
-from baobabhoist.control.messages import PendingReply, StateReply
+from baobabhoist.control.messages import JobWaits, PendingReply, StateReply
 from baobabhoist.control.metrics import NodeMetrics
 from baobabhoist.control.ownership_term import OwnershipTerm
 from baobabhoist.control.progress_writer import ProgressWriter
@@ -231,6 +232,14 @@
             return 0.0
         return self.cell.state.start_backlog.refuse_jobs_ms(monotonic_ms())
 
+    def job_waits(self) -> KnownWaits | None:
+        """Return for how long new jobs would wait, or None before the first figures."""
+        if self.cell is None or not self._deps.policy.refuses_hopeless_jobs:
+            return None
+        table = self.cell.admission.table
+        instances = 1 + len(self._deps.session_hosts())
+        return KnownWaits(JobWaits(table.rows, 0.0, instances), table.computed_ms)
+
     # Loading.
 
     async def _load(self) -> None:
--- a/baobabhoist/control/owner_router.py
+++ b/baobabhoist/control/owner_router.py
@@ -10,6 +10,7 @@
 from baobabhoist.cell.model import StepKey
 from baobabhoist.control.advice_gate import AdviceGate, AdviserBusy
 from baobabhoist.control.clock import monotonic_ms
+from baobabhoist.control.job_admission import KnownWaits
 from baobabhoist.control.links import OwnerLink
 from baobabhoist.control.messages import (
     AdviceQuery,
@@ -85,6 +86,14 @@
             return 0.0
         return max(0.0, self.owner_link.refuse_jobs_until_ms - monotonic_ms())
 
+    def job_waits(self) -> KnownWaits | None:
+        """Return for how long new jobs would wait, as far as the present owner has said."""
+        if self.local_owner is not None:
+            return self.local_owner.job_waits()
+        if self.owner_link is None or self.owner_link.link is None:
+            return None
+        return self.owner_link.job_waits
+
     async def call(self, query: Any, timeout_s: float) -> Any:
         """Return the owner's answer; raises LinkClosedError or TimeoutError."""
         if self.local_owner is not None:
--- a/baobabhoist/observability/events.py
+++ b/baobabhoist/observability/events.py
@@ -247,6 +247,16 @@
         logging.ERROR,
         "gave up job {job}, whose step {step} makes the scheduler fail: {detail}",
     )
+    LONG_WAIT_BEGAN = (
+        1640,
+        logging.WARNING,
+        "new jobs of team {team} in queue {queue} would wait {late_ms} ms: {shortage}",
+    )
+    LONG_WAIT_ENDED = (
+        1641,
+        logging.INFO,
+        "new jobs of team {team} in queue {queue} wait no longer for long: {shortage}",
+    )
     TABLE_FOLLOWED = (8004, logging.INFO, "following table {table} from version {version}")
     TABLE_LOST = (8005, logging.WARNING, "cannot follow table {table}: {detail}")
     HISTORY_LOST = (
--- a/baobabhoist/platform/http_server.py
+++ b/baobabhoist/platform/http_server.py
@@ -49,6 +49,10 @@
     ErrorKind.METHOD_NOT_ALLOWED: 405,
     ErrorKind.CONFLICT: 409,
     ErrorKind.BODY_TOO_LARGE: 413,
+    ErrorKind.TEAM_LIMIT: 429,
+    ErrorKind.QUEUE_FULL: 429,
+    # The platform has no other status for a job that was not accepted and never runs.
+    ErrorKind.NEVER_FITS: 429,
     ErrorKind.PLATFORM_UNAVAILABLE: 503,
     ErrorKind.OUTCOME_UNKNOWN: 504,
 }
@@ -155,6 +159,9 @@
         if result.retry_after_s is not None:
             self.set_header("Retry-After", str(round(result.retry_after_s)))
         self._metrics.count_refusal(result.kind.value)
+        if self._admitted is not None and self.request.method == "POST":
+            team, queue = self._admitted.team, self._admitted.route.queue.name
+            self._metrics.count_refused_job(team, queue, result.kind.value)
         emit(
             log,
             Event.CALL_REFUSED,
--- /dev/null
+++ b/baobabhoist/tests/test_cell_admission.py
@@ -0,0 +1,151 @@
+"""Test for how long new jobs are expected to wait, and which of them are hopeless."""
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from baobabhoist.cell.admission import END_WAIT_MS, GAP_MS, SUSTAINED_MS, UPDATE_INTERVAL_MS
+from baobabhoist.cell.model import Step
+from baobabhoist.cell.policy import DEFAULT_POLICY
+from baobabhoist.observability.events import Event
+from baobabhoist.tests.admission_harness import TICK_MS, URGENT_QUEUE, AdmissionHarness
+from baobabhoist.tests.cell_harness import SMALL
+
+ONE_TASK = Step(1, SMALL, 1000)
+SURGE_MS = 8_000.0
+
+
+def surge(harness, team="hot", tasks=8, expected_ms=1000):
+    """Return a load: a team sends so many tasks every half second; its limit ends 4 a second."""
+
+    def load():
+        if harness.cell_harness.now % 500.0 == 0.0:
+            harness.submit(team, Step(tasks, SMALL, expected_ms))
+
+    return load
+
+
+def test_hot_team_at_its_limit_with_more_waiting_than_can_end_in_time():
+    """Guard against accepted jobs that wait behind a surge of their team until worthless."""
+    harness = AdmissionHarness()
+    harness.play(SURGE_MS, surge(harness))
+    assert harness.is_hopeless("hot")
+    wait = harness.rows[0]
+    assert (wait.team, wait.shortage, wait.cpu_rate) == ("hot", "team_limit", 4000.0)
+    # 16 tasks a second arrive for 8 s. Each of the 4 cores ends one in a second and two ticks.
+    assert 10_000.0 < wait.late_ms < (8 * 16 / 4 - 8) * 1000.0 + 2 * 32 * TICK_MS
+
+
+def test_steady_team_beside_a_hot_one_is_never_refused():
+    """Guard against a surge that is paid for by teams that did not cause it."""
+    harness = AdmissionHarness()
+
+    hot, steady = surge(harness), surge(harness, "steady", tasks=1)
+
+    def load():
+        hot()
+        steady()
+        assert not harness.is_hopeless("steady")
+
+    harness.play(2 * SURGE_MS, load)
+    assert harness.is_hopeless("hot")
+
+
+def test_urgent_jobs_of_a_hot_team_are_accepted_while_others_are_refused():
+    """Guard against urgent jobs that are refused for the sake of jobs that rank after them."""
+    harness = AdmissionHarness()
+    harness.play(SURGE_MS, surge(harness))
+    assert harness.is_hopeless("hot")
+    assert not harness.is_hopeless("hot", queue=URGENT_QUEUE)
+
+
+def test_patient_jobs_are_accepted_while_hasty_ones_are_refused():
+    """Guard against refusing a long job that would still end in time."""
+    harness = AdmissionHarness()
+    harness.play(SURGE_MS, surge(harness))
+    assert harness.is_hopeless("hot")
+    assert not harness.is_hopeless("hot", Step(1, SMALL, 10_000))
+
+
+def test_full_cell_with_expired_backlog_refuses_nothing_for_it():
+    """Guard against refusals for the sake of work that is worthless and gives way to new jobs."""
+    harness = AdmissionHarness()
+    harness.cell_harness.cell.state.rules.teams.clear()
+    harness.submit("hot", Step(400, SMALL, 1000))
+
+    def load():
+        assert not harness.is_hopeless("steady")
+
+    harness.play(12_000.0, load)
+    assert harness.cell_harness.cell.count_queued_tasks()["q"] > 150
+
+
+def test_full_service_refuses_jobs_of_all_teams_that_cannot_end_in_time():
+    """Guard against accepting jobs for days when every worker is full of better ranked work."""
+    harness = AdmissionHarness()
+    harness.cell_harness.cell.state.rules.teams.clear()
+    harness.play(SURGE_MS, surge(harness, "a", tasks=32))
+    assert {row.shortage for row in harness.rows} == {"service_full"}
+    assert harness.is_hopeless("a")
+    assert harness.is_hopeless("b")
+    assert not harness.is_hopeless("b", queue=URGENT_QUEUE)
+
+
+def test_a_backlog_right_after_a_takeover_refuses_nothing():
+    """Guard against refusals on figures that a new owner has not had time to measure."""
+    harness = AdmissionHarness()
+    harness.submit("hot", Step(100, SMALL, 1000))
+    harness.play(SUSTAINED_MS - UPDATE_INTERVAL_MS)
+    assert not harness.rows
+
+
+def test_a_gang_that_no_limit_allows_does_not_refuse_others():
+    """Guard against one hopeless job that makes its whole team look congested."""
+    harness = AdmissionHarness()
+    harness.submit("hot", Step(100, SMALL, 1000, gang=True))
+    harness.play(5_000.0)
+    assert not harness.rows
+
+
+def test_congestion_has_hysteresis_and_is_logged_once(fields_of):
+    """Guard against refusals that flap, and against a log line at each update."""
+    harness = AdmissionHarness()
+    harness.play(SURGE_MS, surge(harness))
+    harness.play(30_000.0 + GAP_MS)
+    assert not harness.rows
+    queues = [fields["queue"] for fields in fields_of(Event.LONG_WAIT_BEGAN)]
+    assert sorted(queues) == ["q", "urgent"]
+    assert len(fields_of(Event.LONG_WAIT_ENDED)) == len(queues)
+
+
+def test_without_the_policy_nothing_is_computed():
+    """Guard against refusals in deployments that have not asked for them."""
+    harness = AdmissionHarness()
+    harness.cell_harness.cell.state.policy = DEFAULT_POLICY
+    harness.play(SURGE_MS, surge(harness))
+    assert not harness.rows
+
+
+@settings(max_examples=30, deadline=None)
+@given(
+    st.lists(
+        st.tuples(st.sampled_from(["hot", "steady"]), st.integers(1, 60), st.integers(100, 2_000)),
+        max_size=8,
+    )
+)
+def test_team_under_its_limit_in_a_cell_with_room_is_never_refused(jobs):
+    """Guard against a refusal of any job that could start at once, under any load."""
+    harness = AdmissionHarness()
+    state = harness.cell_harness.cell.state
+
+    def check():
+        used = sum(worker.used.cpu for worker in state.workers.values())
+        for name, team in state.rules.teams.items():
+            waits = any(s.job.accepted.team == name for s in state.ready_steps.values())
+            if used < 12_000 and not waits and state.team_usage[name].cpu < team.limit.cpu:
+                harness.control.update(harness.cell_harness.now + UPDATE_INTERVAL_MS)
+                assert not harness.is_hopeless(name)
+
+    for team, tasks, expected_ms in jobs:
+        harness.submit(team, Step(tasks, SMALL, expected_ms))
+        harness.play(1_000.0, check)
+    assert all(row.late_ms >= END_WAIT_MS for row in harness.rows)
--- a/baobabhoist/tests/test_control_job_api.py
+++ b/baobabhoist/tests/test_control_job_api.py
@@ -4,15 +4,19 @@
 
 import orjson
 import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
 
-from baobabhoist.cell.model import CellRules, JobPhase, Queue
+from baobabhoist.cell.admission import ExpectedWait
+from baobabhoist.cell.model import CellRules, JobPhase, Queue, Resources, Team
 from baobabhoist.cell.progress_rows import JobProgress, encode
 from baobabhoist.control import job_api as job_api_module
 from baobabhoist.control.clock import StoreClock, monotonic_ms
 from baobabhoist.control.config import ActiveConfig, CellConfig, Route
+from baobabhoist.control.job_admission import MAX_WAITS_AGE_MS, JobAdmission, KnownWaits
 from baobabhoist.control.job_api import AdmittedCall, ApiCall, JobApi
 from baobabhoist.control.job_writer import JobWriter
-from baobabhoist.control.messages import JobNotice, NotOwner, PendingReply, StateReply
+from baobabhoist.control.messages import JobNotice, JobWaits, NotOwner, PendingReply, StateReply
 from baobabhoist.control.row_schema import (
     JobRow,
     encode_job,
@@ -39,6 +43,7 @@
         self.notices = []
         self.refused_for_ms = 0.0
         self.is_owner_reachable = True
+        self.waits = None
 
     async def call(self, query, timeout_s):
         if self.answer is None:
@@ -51,6 +56,9 @@
     def refuse_jobs_ms(self):
         return self.refused_for_ms
 
+    def job_waits(self):
+        return self.waits
+
 
 class JobApiHarness:
     """Run a job API with an in-memory store and a clock set by the test."""
@@ -71,6 +79,7 @@
             self.owner_router,
             REVOKE_MS,
             65_536,
+            JobAdmission(self.owner_router),
         )
 
     def configure(self, version=1, keys=None):
@@ -79,11 +88,17 @@
             Route("h", "/q/", queue),
             Route("h", "/open/", Queue("o", "svc", is_public=True)),
         )
-        rules = CellRules(version, {"q": queue}, {})
+        team = Team("team", limit=Resources(1000, 0, 0))
+        rules = CellRules(version, {"q": queue}, {"team": team})
         keys = {"k": "team"} if keys is None else keys
         self.config.accept(CellConfig(version, rules, routes, keys, 10_000))
         self.config.confirm(self.now)
 
+    def publish_wait(self, team="team", wait_ms=60_000.0, age_ms=0.0):
+        """Let the owner publish that new jobs of a team wait for this long."""
+        wait = ExpectedWait(team, "q", "team_limit", wait_ms, wait_ms, 1000.0)
+        self.owner_router.waits = KnownWaits(JobWaits((wait,)), self.now - age_ms)
+
     def call(self, path=f"/q/{ID}", key="k"):
         return ApiCall("h", path, key, self.now + 3_000.0)
 
@@ -273,3 +288,72 @@
     assert harness.submit() is None
     harness.owner_router.refused_for_ms = 2_400.0
     assert harness.submit() is None
+
+
+def test_hopeless_job_is_refused_at_once_and_not_stored(harness):
+    """Guard against a job that waits behind its team's surge until it is worth nothing."""
+    harness.publish_wait()
+    refusal = harness.submit()
+    assert (refusal.kind, refusal.outcome) == (ErrorKind.TEAM_LIMIT, Outcome.NOT_RUN)
+    assert 1.0 <= refusal.retry_after_s <= 10.0
+    assert "team_limit" in refusal.message
+    assert not harness.store.rows
+    assert not harness.owner_router.notices
+
+
+def test_repeated_call_of_a_stored_job_is_accepted_while_its_team_is_refused(harness):
+    """Guard against a caller that is told that its stored job will not run."""
+    assert harness.submit() is None
+    harness.publish_wait()
+    assert harness.submit() is None
+
+
+@pytest.mark.parametrize(
+    "figures",
+    [{"age_ms": MAX_WAITS_AGE_MS + 1.0}, {"wait_ms": 0.0}, {"team": "other"}],
+)
+def test_job_is_admitted_without_recent_figures_against_it(harness, figures):
+    """Guard against refusals on stale figures, or for the surge of another team."""
+    harness.publish_wait(**figures)
+    assert harness.submit() is None
+
+
+def test_job_is_admitted_while_no_owner_is_known(harness):
+    """Guard against refusals after the owner was killed before it published its figures."""
+    assert harness.owner_router.job_waits() is None
+    assert harness.submit() is None
+
+
+def test_job_that_its_team_limit_never_allows_is_refused(harness):
+    """Guard against a job that is accepted and can never start."""
+    step = {"count": 20, "cpu": 100, "estimatedMs": 1000}
+    body = orjson.dumps({"taskSpec": "x", "steps": [{**step, "gang": True}]})
+    assert harness.submit(body).kind is ErrorKind.NEVER_FITS
+    assert not harness.store.rows
+    assert harness.submit(orjson.dumps({"taskSpec": "x", "steps": [step]})) is None
+
+
+@settings(max_examples=60, deadline=None)
+@given(
+    st.lists(
+        st.tuples(
+            st.sampled_from(["0" * 16, "1" * 16]),
+            st.floats(0.0, 60_000.0),
+            st.floats(0.0, 2 * MAX_WAITS_AGE_MS),
+        ),
+        max_size=12,
+    )
+)
+def test_refused_implies_never_stored(calls):
+    """Guard against a refused job that runs, and a stored job that is refused, in any order."""
+    with pytest.MonkeyPatch.context() as monkeypatch:
+        harness = JobApiHarness(monkeypatch)
+        harness.configure()
+        for job_id, wait_ms, age_ms in calls:
+            harness.publish_wait(wait_ms=wait_ms, age_ms=age_ms)
+            was_stored = job_row_key(job_id) in harness.store.rows
+            call = harness.call(path=f"/q/{job_id}")
+            refusal = asyncio.run(harness.job_api.submit(call, harness.job_api.admit(call), JOB))
+            assert (job_row_key(job_id) in harness.store.rows) is (refusal is None)
+            assert refusal is None or not was_stored
+            assert refusal is None or age_ms <= MAX_WAITS_AGE_MS
--- a/baobabhoist/tests/test_control_owner_router.py
+++ b/baobabhoist/tests/test_control_owner_router.py
@@ -3,9 +3,12 @@
 import asyncio
 from types import SimpleNamespace
 
+from baobabhoist.cell.admission import ExpectedWait
+from baobabhoist.control.claim import ClaimRow
 from baobabhoist.control.clock import monotonic_ms
+from baobabhoist.control.job_admission import MAX_WAITS_AGE_MS
 from baobabhoist.control.links import Identity, OwnerLink
-from baobabhoist.control.messages import OwnerHeartbeat
+from baobabhoist.control.messages import CODEC, JobWaits, OwnerHeartbeat
 from baobabhoist.control.owner_router import OwnerRouter
 
 
@@ -50,3 +53,55 @@
     """Guard against an overloaded owner that accepts the jobs of its own callers."""
     router = make_router(SimpleNamespace(refuse_jobs_ms=lambda: 1_500.0))
     assert router.refuse_jobs_ms() == 1_500.0
+
+
+WAITS = JobWaits((ExpectedWait("team", "q", "team_limit", 1.0, 2.0, 3.0),), 100.0, 40)
+
+
+def hear_waits(router, waits):
+    asyncio.run(router.owner_link._handle(OwnerHeartbeat(waits=waits)))
+
+
+def test_expected_waits_keep_their_age_and_survive_heartbeats_without_news():
+    """Guard against old figures that look new because they were sent late."""
+    router = make_router()
+    hear_waits(router, WAITS)
+    hear_waits(router, None)
+    known = router.job_waits()
+    assert known.waits == WAITS
+    assert known.computed_ms <= monotonic_ms() - 100.0
+    assert not known.is_recent(known.computed_ms + MAX_WAITS_AGE_MS + 1.0)
+
+
+def test_figures_of_an_older_owner_are_dropped():
+    """Guard against refusals in the name of an owner that has been replaced."""
+    router = make_router()
+    hear_waits(router, WAITS)
+    asyncio.run(_connect_to(router, ClaimRow("n2", "boot2", "127.0.0.1:1", 0)))
+    router.owner_link.link = SimpleNamespace()
+    assert router.job_waits() is None
+
+
+async def _connect_to(router, claim):
+    router.owner_link.connect_to(claim)
+    router.owner_link.connect_to(None)
+
+
+def test_figures_are_not_used_without_a_link():
+    """Guard against refusals by an instance that is cut off from the owner."""
+    router = make_router()
+    hear_waits(router, WAITS)
+    router.owner_link.link = None
+    assert router.job_waits() is None
+
+
+def test_instances_of_versions_with_and_without_expected_waits_understand_each_other():
+    """Guard against a link that breaks while instances are upgraded."""
+    old = CODEC.converter.unstructure(OwnerHeartbeat(True, 5.0))
+    del old["waits"]
+    assert CODEC.converter.structure(old, OwnerHeartbeat) == OwnerHeartbeat(True, 5.0, None)
+    new = OwnerHeartbeat(waits=WAITS)
+    assert CODEC.decode(CODEC.encode(new)).message == new
+    # An earlier version ignores fields that it does not know.
+    unknown = CODEC.converter.unstructure(new) | {"later": 1}
+    assert CODEC.converter.structure(unknown, OwnerHeartbeat) == new
