--- a/baobabhoist/cell/admission.py
+++ b/baobabhoist/cell/admission.py
@@ -10,11 +10,12 @@
 import enum
 import logging
 from collections.abc import Iterable
+from typing import NamedTuple, Protocol
 
 import attrs
 
-from baobabhoist.cell.jobs import StepState
-from baobabhoist.cell.model import NO_RESOURCES, Queue, Resources
+from baobabhoist.cell.jobs import JobState, StepState
+from baobabhoist.cell.model import NO_RESOURCES, Resources
 from baobabhoist.cell.ranking import Timeliness, timeliness_of
 from baobabhoist.cell.state import CellState
 from baobabhoist.cell.wait_reasons import WaitReason
@@ -38,8 +39,8 @@
 FULL_PART = 0.85
 # Only the longest waits are published.
 MAX_ROWS = 32
-# Stands for all teams in a row on a full service.
-ANY_TEAM = ""
+# Stands for all teams in a row on a full service, and for all services in one on a team's limit.
+ANY = ""
 
 TEAM_LIMIT_REASONS = frozenset({WaitReason.TEAM_LIMIT, WaitReason.TEAM_LIMIT_RESERVED})
 NO_ROOM_REASONS = frozenset(
@@ -59,9 +60,19 @@
     SERVICE_FULL = "service_full"
 
 
+class Entitlement(Protocol):
+    """Tell which jobs their teams send beyond their shares; these rank behind all others."""
+
+    def is_beyond_entitlement(self, job: JobState) -> bool:
+        """Return whether a job is beyond the entitlement of its team."""
+
+    def has_entitlement_left(self, team: str, accepted_ms: float) -> bool:
+        """Return whether a job accepted at a time of the store's clock would be within it."""
+
+
 @attrs.frozen
 class ExpectedWait:
-    """Hold for how long a new job would wait for its start, in ms.
+    """Hold for how long a new job of a team, service and priority would wait, in ms.
 
     The wait is `on_time_ms` while the job can still meet its objective, and `late_ms` once it
     cannot. `cpu_rate` is the rate at which work ends, in thousandths of a core. `shortage` is a
@@ -69,7 +80,8 @@
     """
 
     team: str
-    queue: str
+    service: str
+    priority: int
     shortage: str
     on_time_ms: float
     late_ms: float
@@ -84,6 +96,22 @@
     computed_ms: float = float("-inf")
 
 
+class WaitingRank(NamedTuple):
+    """Hold what decides in which order work is served, except for its slack."""
+
+    is_beyond: bool
+    timeliness: Timeliness
+    priority: int
+
+    def precedes(self, other: WaitingRank) -> bool:
+        """Return whether work of this rank is served before new work of another rank."""
+        if self.is_beyond is not other.is_beyond:
+            return other.is_beyond
+        if self.timeliness is not other.timeliness:
+            return self.timeliness < other.timeliness
+        return self.priority <= other.priority
+
+
 @attrs.define
 class PoolLoad:
     """Collect the work that waits for a pool; work is an amount of each resource times ms."""
@@ -92,33 +120,20 @@
     used: Resources = NO_RESOURCES
     # Work waits for the pool itself, not for something else.
     has_shortage: bool = False
-    work: dict[tuple[Timeliness, int], Resources] = attrs.Factory(dict)
+    work: dict[WaitingRank, Resources] = attrs.Factory(dict)
 
     @property
     def used_part(self) -> float:
         """Return the used part of the resource that is used most."""
         return _largest_ratio(self.used, self.capacity)
 
-    def add(self, rank: tuple[Timeliness, int], work: Resources) -> None:
-        """Add waiting work of a timeliness and priority."""
+    def add(self, rank: WaitingRank, work: Resources) -> None:
+        """Add waiting work."""
         self.work[rank] = self.work.get(rank, NO_RESOURCES).plus(work)
 
-    def on_time_wait_ms(self, priority: int, used_part: float) -> float:
-        """Return how long the work takes that ranks before a new job of this priority."""
-        ahead = _sum(
-            work
-            for (timeliness, other), work in self.work.items()
-            if timeliness is Timeliness.ON_TIME and other <= priority
-        )
-        return _largest_ratio(ahead, self.capacity) / used_part
-
-    def late_wait_ms(self, priority: int, used_part: float) -> float:
-        """Return how long the work takes that ranks before a late job of this priority."""
-        ahead = _sum(
-            work
-            for (timeliness, other), work in self.work.items()
-            if timeliness is Timeliness.ON_TIME or other <= priority
-        )
+    def wait_ms(self, rank: WaitingRank, used_part: float) -> float:
+        """Return how long the work takes that is served before a new job of this rank."""
+        ahead = _sum(work for other, work in self.work.items() if other.precedes(rank))
         return _largest_ratio(ahead, self.capacity) / used_part
 
 
@@ -156,7 +171,10 @@
         return min(1.0, max(MIN_USED_PART, self.used_part))
 
 
+# A team or a service.
 PoolKey = tuple[Shortage, str]
+# The team, service and priority of a row.
+RowKey = tuple[str, str, int]
 
 
 @attrs.define
@@ -164,9 +182,11 @@
     """Keep the table of expected waits; call `update` at each tick."""
 
     state: CellState
+    # None if jobs are not ranked by the shares of their teams.
+    entitlement: Entitlement | None = None
     table: WaitTable = WaitTable()
     _congestions: dict[PoolKey, Congestion] = attrs.Factory(dict)
-    _announced: dict[tuple[str, str, str], ExpectedWait] = attrs.Factory(dict)
+    _announced: dict[RowKey, ExpectedWait] = attrs.Factory(dict)
 
     def update(self, now: float) -> None:
         """Compute the table anew if the interval has passed."""
@@ -175,9 +195,10 @@
         loads = self._measure_loads(now)
         for key in self._congestions.keys() - loads.keys():
             del self._congestions[key]
+        beyond_teams = self._teams_beyond(now)
         rows: list[ExpectedWait] = []
         for key, load in loads.items():
-            rows += self._judge_pool(key, load, now)
+            rows += self._judge_pool(key, load, beyond_teams, now)
         rows.sort(key=lambda row: -row.late_ms)
         self.table = WaitTable(tuple(rows[:MAX_ROWS]), now)
         self._announce(self.table.rows)
@@ -217,7 +238,10 @@
         ratio = self.state.speeds.duration_ratio(queue.name)
         duration_ms = round(step.spec.expected_ms * ratio)
         work = step.spec.need.times(step.waiting_count * duration_ms)
-        load.add((timeliness, queue.priority), work)
+        is_beyond = self.entitlement is not None and self.entitlement.is_beyond_entitlement(
+            step.job
+        )
+        load.add(WaitingRank(is_beyond, timeliness, queue.priority), work)
 
     def _measure_services(self, loads: dict[PoolKey, PoolLoad], now: float) -> None:
         """Add up the workers of the services that work waits for."""
@@ -230,23 +254,44 @@
             if shortage is Shortage.SERVICE_FULL:
                 load.has_shortage = load.has_shortage and load.used_part >= FULL_PART
 
-    def _judge_pool(self, key: PoolKey, load: PoolLoad, now: float) -> list[ExpectedWait]:
+    def _teams_beyond(self, now: float) -> set[str]:
+        """Return the teams with waiting work whose new jobs would be beyond their entitlement."""
+        if self.entitlement is None:
+            return set()
+        jobs = {step.job.accepted.team: step.job for step in self.state.ready_steps.values()}
+        return {
+            team
+            for team, job in jobs.items()
+            if not self.entitlement.has_entitlement_left(
+                team, job.accepted.accepted_ms + now - job.accepted_local_ms
+            )
+        }
+
+    def _judge_pool(
+        self, key: PoolKey, load: PoolLoad, beyond_teams: set[str], now: float
+    ) -> list[ExpectedWait]:
         """Return the rows of a pool, none if it is not congested."""
         congestion = self._congestions.setdefault(key, Congestion())
         congestion.update(load, now)
+        shortage, name = key
+        is_team = shortage is Shortage.TEAM_LIMIT
         rows = [
-            _expected_wait(key, queue, load, congestion.expected_used_part)
-            for queue in self.state.rules.queues.values()
-            if key[0] is Shortage.TEAM_LIMIT or queue.service == key[1]
+            _expected_wait(key, team, priority, team in beyond_teams, load, congestion)
+            for team in ((name,) if is_team else (ANY, *beyond_teams))
+            for priority in self._priorities(ANY if is_team else name)
         ]
         longest_ms = max((row.late_ms for row in rows), default=0.0)
         if not congestion.judge(longest_ms, now):
             return []
         return [row for row in rows if row.late_ms >= END_WAIT_MS]
 
+    def _priorities(self, service: str) -> set[int]:
+        queues = self.state.rules.queues.values()
+        return {queue.priority for queue in queues if service in (ANY, queue.service)}
+
     def _announce(self, rows: tuple[ExpectedWait, ...]) -> None:
         """Log which waits began and which ended."""
-        current = {(row.team, row.queue, row.shortage): row for row in rows}
+        current = {(row.team, row.service, row.priority): row for row in rows}
         for key, row in current.items():
             if key not in self._announced:
                 _log_row(Event.LONG_WAIT_BEGAN, row)
@@ -263,14 +308,23 @@
     return total
 
 
-def _expected_wait(key: PoolKey, queue: Queue, load: PoolLoad, used_part: float) -> ExpectedWait:
+def _expected_wait(
+    key: PoolKey,
+    team: str,
+    priority: int,
+    is_beyond: bool,
+    load: PoolLoad,
+    congestion: Congestion,
+) -> ExpectedWait:
     shortage, name = key
+    used_part = congestion.expected_used_part
     return ExpectedWait(
-        name if shortage is Shortage.TEAM_LIMIT else ANY_TEAM,
-        queue.name,
+        team,
+        name if shortage is Shortage.SERVICE_FULL else ANY,
+        priority,
         shortage.value,
-        load.on_time_wait_ms(queue.priority, used_part),
-        load.late_wait_ms(queue.priority, used_part),
+        load.wait_ms(WaitingRank(is_beyond, Timeliness.ON_TIME, priority), used_part),
+        load.wait_ms(WaitingRank(is_beyond, Timeliness.LATE, priority), used_part),
         float(load.used.cpu),
     )
 
@@ -290,7 +344,8 @@
         log,
         event,
         team=row.team or "any",
-        queue=row.queue,
+        priority=row.priority,
+        service=row.service or "any",
         shortage=row.shortage,
         on_time_ms=round(row.on_time_ms),
         late_ms=round(row.late_ms),
--- a/baobabhoist/cell/job_prospects.py
+++ b/baobabhoist/cell/job_prospects.py
@@ -6,7 +6,7 @@
 
 import attrs
 
-from baobabhoist.cell.admission import ANY_TEAM, ExpectedWait
+from baobabhoist.cell.admission import ANY, ExpectedWait
 from baobabhoist.cell.jobs import LATE_LIMIT_FACTOR, critical_path_ms, objective_after_ms
 from baobabhoist.cell.model import AcceptedJob, JobSpec, Queue, Team
 
@@ -44,14 +44,21 @@
 
 
 def find_hopeless_wait(
-    slack: JobSlack, team: str, queue: str, waits: Iterable[ExpectedWait]
+    slack: JobSlack, team: str, queue: Queue, waits: Iterable[ExpectedWait]
 ) -> ExpectedWait | None:
     """Return the wait that makes a new job hopeless, or None if it may end in time."""
-    own_waits = [w for w in waits if w.team in (team, ANY_TEAM) and w.queue == queue]
-    hopeless = [wait for wait in own_waits if not slack.allows(wait)]
+    hopeless = [w for w in waits if _concerns(w, team, queue) and not slack.allows(w)]
     return max(hopeless, key=slack.excess_ms, default=None)
 
 
+def _concerns(wait: ExpectedWait, team: str, queue: Queue) -> bool:
+    return (
+        wait.priority == queue.priority
+        and wait.team in (team, ANY)
+        and wait.service in (queue.service, ANY)
+    )
+
+
 def exceeds_limit(spec: JobSpec, team: Team) -> bool:
     """Return whether the limit of a team keeps a step of a job from ever starting."""
     return any(not team.allows(step.least_need) for step in spec.steps)
--- a/baobabhoist/cell/return_times.py
+++ b/baobabhoist/cell/return_times.py
@@ -14,18 +14,16 @@
 
 @attrs.define
 class ReturnTimes:
-    """Assign one return time after the other for each team, queue and shortage.
+    """Assign one return time after the other for each team and priority.
 
     Callers that were refused earlier return earlier. Callers of urgent queues wait behind less
     work, so they return before others.
     """
 
     # When the next caller should return, on the local clock in ms.
-    _next_ms: dict[tuple[str, str, str], float] = attrs.Factory(dict)
+    _next_ms: dict[tuple[str, int], float] = attrs.Factory(dict)
 
-    def assign(
-        self, key: tuple[str, str, str], excess_ms: float, job_ms: float, now: float
-    ) -> float:
+    def assign(self, key: tuple[str, int], excess_ms: float, job_ms: float, now: float) -> float:
         """Return in how many whole seconds a caller should return.
 
         Its job is accepted once the wait has fallen by `excess_ms`, and takes `job_ms` of the
--- a/baobabhoist/control/job_admission.py
+++ b/baobabhoist/control/job_admission.py
@@ -75,7 +75,7 @@
         slack = slack_of(spec, queue)
         if slack is None:
             return None
-        wait = find_hopeless_wait(slack, team, queue.name, known.waits.rows)
+        wait = find_hopeless_wait(slack, team, queue, known.waits.rows)
         if wait is None:
             return None
         age_ms, instances = now - known.computed_ms, known.waits.instances
@@ -86,7 +86,7 @@
         wait = job.wait
         # Each instance sees only its part of the callers, and gives out its part of the rate.
         job_ms = job.instances * job.cpu_ms / max(1.0, wait.cpu_rate)
-        key = (team, wait.queue, wait.shortage)
+        key = (team, wait.priority)
         retry_after_s = self.return_times.assign(key, job.slack.excess_ms(wait), job_ms, now)
         message = (
             f"the job cannot end in time: {wait.shortage}, expected wait {wait.late_ms:.0f} ms, "
--- a/baobabhoist/observability/events.py
+++ b/baobabhoist/observability/events.py
@@ -250,12 +250,12 @@
     LONG_WAIT_BEGAN = (
         1640,
         logging.WARNING,
-        "new jobs of team {team} in queue {queue} would wait {late_ms} ms: {shortage}",
+        "new jobs of team {team} and priority {priority} would wait {late_ms} ms: {shortage}",
     )
     LONG_WAIT_ENDED = (
         1641,
         logging.INFO,
-        "new jobs of team {team} in queue {queue} wait no longer for long: {shortage}",
+        "new jobs of team {team} and priority {priority} wait no longer for long: {shortage}",
     )
     TABLE_FOLLOWED = (8004, logging.INFO, "following table {table} from version {version}")
     TABLE_LOST = (8005, logging.WARNING, "cannot follow table {table}: {detail}")
--- a/baobabhoist/tests/admission_harness.py
+++ b/baobabhoist/tests/admission_harness.py
@@ -51,7 +51,7 @@
         """Return whether a new job of a team would be refused."""
         steps = steps or (Step(1, SMALL, 1000),)
         slack = slack_of(JobSpec("", steps), queue)
-        return find_hopeless_wait(slack, team, queue.name, self.rows) is not None
+        return find_hopeless_wait(slack, team, queue, self.rows) is not None
 
     def play(self, duration_ms, load=lambda: None):
         """Let time pass: `load` is called at each tick, and runs end when they are due."""
--- a/baobabhoist/tests/test_cell_admission.py
+++ b/baobabhoist/tests/test_cell_admission.py
@@ -112,9 +112,28 @@
     harness.play(SURGE_MS, surge(harness))
     harness.play(30_000.0 + GAP_MS)
     assert not harness.rows
-    queues = [fields["queue"] for fields in fields_of(Event.LONG_WAIT_BEGAN)]
-    assert sorted(queues) == ["q", "urgent"]
-    assert len(fields_of(Event.LONG_WAIT_ENDED)) == len(queues)
+    for event in (Event.LONG_WAIT_BEGAN, Event.LONG_WAIT_ENDED):
+        assert sorted(fields["priority"] for fields in fields_of(event)) == [0, 1]
+
+
+class FakeEntitlement:
+    """Regard all jobs of the team "greedy" as beyond its entitlement."""
+
+    def is_beyond_entitlement(self, job):
+        return job.accepted.team == "greedy"
+
+    def has_entitlement_left(self, team, accepted_ms):
+        return team != "greedy"
+
+
+def test_team_beyond_its_share_is_refused_first_while_the_cell_is_full():
+    """Guard against entitled teams that are refused for the surge of one beyond its share."""
+    harness = AdmissionHarness()
+    harness.cell_harness.cell.state.rules.teams.clear()
+    harness.control.entitlement = FakeEntitlement()
+    harness.play(SURGE_MS, surge(harness, "greedy", tasks=32))
+    assert harness.is_hopeless("greedy")
+    assert not harness.is_hopeless("steady")
 
 
 def test_without_the_policy_nothing_is_computed():
--- a/baobabhoist/tests/test_cell_return_times.py
+++ b/baobabhoist/tests/test_cell_return_times.py
@@ -2,8 +2,8 @@
 
 from baobabhoist.cell.return_times import MAX_ENTRIES, MAX_RETRY_AFTER_S, ReturnTimes
 
-KEY = ("team", "q", "team_limit")
-URGENT_KEY = ("team", "urgent", "team_limit")
+KEY = ("team", 1)
+URGENT_KEY = ("team", 0)
 
 
 def test_refused_callers_return_one_after_the_other():
@@ -27,7 +27,7 @@
     assert times.assign(KEY, 90_000.0, 1e9, 0.0) == MAX_RETRY_AFTER_S
     assert times.assign(KEY, 500.0, 100.0, 0.0) == MAX_RETRY_AFTER_S
     for number in range(2 * MAX_ENTRIES):
-        times.assign((str(number), "q", "team_limit"), 0.0, 1.0, 1e6 + 10.0 * number)
+        times.assign((str(number), 1), 0.0, 1.0, 1e6 + 10.0 * number)
     assert len(times._next_ms) <= MAX_ENTRIES
 
 
--- a/baobabhoist/tests/test_control_job_api.py
+++ b/baobabhoist/tests/test_control_job_api.py
@@ -96,7 +96,7 @@
 
     def publish_wait(self, team="team", wait_ms=60_000.0, age_ms=0.0):
         """Let the owner publish that new jobs of a team wait for this long."""
-        wait = ExpectedWait(team, "q", "team_limit", wait_ms, wait_ms, 1000.0)
+        wait = ExpectedWait(team, "", 0, "team_limit", wait_ms, wait_ms, 1000.0)
         self.owner_router.waits = KnownWaits(JobWaits((wait,)), self.now - age_ms)
 
     def call(self, path=f"/q/{ID}", key="k"):
--- a/baobabhoist/tests/test_control_owner_router.py
+++ b/baobabhoist/tests/test_control_owner_router.py
@@ -55,7 +55,7 @@
     assert router.refuse_jobs_ms() == 1_500.0
 
 
-WAITS = JobWaits((ExpectedWait("team", "q", "team_limit", 1.0, 2.0, 3.0),), 100.0, 40)
+WAITS = JobWaits((ExpectedWait("team", "", 1, "team_limit", 1.0, 2.0, 3.0),), 100.0, 40)
 
 
 def hear_waits(router, waits):
