--- a/baobabhoist/cell/admission.py
+++ b/baobabhoist/cell/admission.py
@@ -207,8 +207,13 @@
         """Return the loads of all pools that work waits for."""
         loads: dict[PoolKey, PoolLoad] = {}
         for step in self.state.ready_steps.values():
-            if step.waiting_count and not step.spec.lasting:
+            if not step.waiting_count or step.spec.lasting:
+                continue
+            try:
                 self._add_step(loads, step, now)
+            except Exception as exc:
+                # The next scheduling round gives the job up; it must not end this owner.
+                log.warning("the work of job %s is not counted: %r", step.key.job_id, exc)
         self._measure_services(loads, now)
         return loads
 
--- a/baobabhoist/tests/test_cell_admission.py
+++ b/baobabhoist/tests/test_cell_admission.py
@@ -3,6 +3,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from baobabhoist.cell import admission as admission_module
 from baobabhoist.cell.admission import END_WAIT_MS, GAP_MS, SUSTAINED_MS, UPDATE_INTERVAL_MS
 from baobabhoist.cell.model import Step
 from baobabhoist.cell.policy import DEFAULT_POLICY
@@ -136,6 +137,15 @@
     assert not harness.is_hopeless("steady")
 
 
+def test_a_job_that_cannot_be_measured_is_left_out(monkeypatch):
+    """Guard against one job that ends each owner in turn, before it is given up."""
+    harness = AdmissionHarness()
+    harness.submit("steady", ONE_TASK)
+    monkeypatch.setattr(admission_module, "timeliness_of", lambda job, now: 1 / 0)
+    harness.control.update(harness.cell_harness.now)
+    assert not harness.rows
+
+
 def test_without_the_policy_nothing_is_computed():
     """Guard against refusals in deployments that have not asked for them."""
     harness = AdmissionHarness()
--- a/baobabhoist/tests/test_control_election.py
+++ b/baobabhoist/tests/test_control_election.py
@@ -16,8 +16,10 @@
     encode_claim,
 )
 from baobabhoist.control.election import MAX_READ_AGE_MS, MAX_READ_GAP_MS, OwnerElection
+from baobabhoist.control.job_admission import KnownWaits
 from baobabhoist.control.links import Identity
 from baobabhoist.control.machine_size import MachineSize
+from baobabhoist.control.messages import JobWaits
 from baobabhoist.control.progress_writer import ProgressWriter
 from baobabhoist.control.row_schema import HEARTBEAT_ROW_KEY, OWNER_ROW_KEY
 from baobabhoist.control.store_health import MAX_STABLE_COMMIT_MS, STABLE_AFTER_MS, StoreHealth
@@ -319,3 +321,16 @@
     asyncio.run(run())
     fields = fields_of(Event.CLAIM_WON)[0]
     assert (fields["cores"], fields["link_mbps"]) == (4.0, 1000.0)
+
+
+def test_heartbeats_carry_expected_waits_once_and_with_their_age(harness):
+    """Guard against figures that look new because the owner repeats them."""
+    waits = JobWaits((), 0.0, 40)
+    owner = SimpleNamespace(
+        job_waits=lambda: KnownWaits(waits, harness.now - 200.0), refuse_jobs_ms=lambda: 0.0
+    )
+    first = harness.election._make_heartbeat(owner)
+    assert first.waits == attrs.evolve(waits, age_ms=200.0)
+    assert harness.election._make_heartbeat(owner).waits is None
+    owner.job_waits = lambda: None
+    assert harness.election._make_heartbeat(owner).waits is None
--- a/baobabhoist/tests/test_platform_http_server.py
+++ b/baobabhoist/tests/test_platform_http_server.py
@@ -10,7 +10,9 @@
 
 import pytest
 
+from baobabhoist.control.job_api import JobApi
 from baobabhoist.control.row_schema import job_row_key
+from baobabhoist.errors import ErrorKind, Refusal
 from baobabhoist.platform import instance as instance_module
 from baobabhoist.platform.http_server import MAX_BODY_BYTES
 from baobabhoist.tests.platform_harness import (
@@ -174,3 +176,25 @@
         assert (response.status, response.headers.get("connection")) == (200, None)
 
     run_test(monkeypatch, test)
+
+
+def test_hopeless_job_is_answered_429_with_a_time_to_return(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guard against a refusal that callers take for an outage, or that they retry at once."""
+
+    async def refuse(*_: object) -> Refusal:
+        return Refusal(ErrorKind.TEAM_LIMIT, "the job cannot end in time", retry_after_s=4.0)
+
+    async def test(instance: Instance, caller: CallerConnection) -> None:
+        monkeypatch.setattr(JobApi, "submit", refuse)
+        caller.send()
+        response = await caller.receive()
+        assert (response.status, response.body["outcome"]) == (429, "not_run")
+        assert response.headers["retry-after"] == "4"
+        lines = instance.node.metrics.exposition()[0].decode().splitlines()
+        refused = [line for line in lines if line.startswith("baobabhoist_refused_jobs_total{")]
+        assert [line.split()[-1] for line in refused] == ["1"]
+        assert 'reason="team_limit"' in refused[0]
+
+    run_test(monkeypatch, test)
