Count work beyond a team's share after all other work in the expected waits

Cause: with shares on, work beyond a team's entitlement ranks last, also behind late work.

Change: AdmissionControl gets the shares of the cell. New jobs of a team with entitlement left wait only behind entitled work; those of a team without wait behind all.

--- a/baobabhoist/cell/scheduler.py
+++ b/baobabhoist/cell/scheduler.py
@@ -68,7 +68,7 @@
         self.state = CellState(rules, takeover.generation, policy)
         self.is_fenced = False
         self.placer = TaskPlacer(self.state)
-        self.admission = AdmissionControl(self.state)
+        self.admission = AdmissionControl(self.state, self.state.shares)
         self._takeover = takeover
         self._lease_ms = lease_ms
         self._run_ends = RunEndHandler(self.state)
