Count no share of a resource that no worker has

What callers saw: a team with one step for GPUs, in a cell whose GPU workers had left or were draining, waited with all its other work of the same urgency behind every other team. What ran on these workers also counted in its past use as the whole cell.

Cause: a share of a capacity of 0 was computed against 1, so 8 GPUs counted as 8 times the cell. The demand for such a resource also made a cell with room look full.

Change: shares and demand count the resources that the cell has. The test failed before: ['b', 'b', 'b', 'b'] started in place of ['a', 'a', 'b', 'b'].

--- a/baobabhoist/cell/shares.py
+++ b/baobabhoist/cell/shares.py
@@ -200,7 +200,7 @@
             return
         self._charge_added_jobs()
         shares = {
-            team: min(1.0, dominant_share(_vector(used), self.capacity))
+            team: min(1.0, self._share(_vector(used)))
             for team, used in team_usage.items()
             if used.cpu or used.memory_mb or used.gpu
         }
@@ -223,14 +223,12 @@
         self._charge_added_jobs()
         if not self._is_demand_above_capacity(steps, team_usage):
             return None
-        unit_shares = [dominant_share(unit, self.capacity) for unit in UNITS]
+        unit_shares = [self._share(unit) for unit in UNITS]
         return ShareRound(self, team_usage, unit_shares)
 
     def ratio(self, team: str, used: Amounts) -> float:
         """Return an amount divided by the team's part of the capacity, 0 if that is unknown."""
-        if self.capacity is NO_CAPACITY:
-            return 0.0
-        return self.share_ratio(team, dominant_share(used, self.capacity))
+        return self.share_ratio(team, self._share(used))
 
     def share_ratio(self, team: str, share: float) -> float:
         """Return a share of the cell divided by the team's part of it."""
@@ -256,6 +254,12 @@
             for team, account in self._accounts.items()
         ]
 
+    def _share(self, used: Amounts) -> float:
+        """Return the dominant share of an amount, of the resources that the cell has."""
+        cpu, memory_mb, gpu, _ = self.capacity
+        present = (used[0] if cpu else 0, used[1] if memory_mb else 0, used[2] if gpu else 0, 0)
+        return dominant_share(present, self.capacity)
+
     def _is_demand_above_capacity(
         self, steps: Iterable[StepState], team_usage: Mapping[str, Resources]
     ) -> bool:
@@ -267,10 +271,8 @@
             cpu += need.cpu * count
             memory_mb += need.memory_mb * count
             gpu += need.gpu * count
-        capacity = self.capacity
-        return any(capacity) and (
-            cpu > capacity[0] or memory_mb > capacity[1] or gpu > capacity[2]
-        )
+        demand = (cpu, memory_mb, gpu, 0)
+        return any(amount > total > 0 for amount, total in zip(demand, self.capacity, strict=True))
 
     def _log_excess(self, now: float) -> None:
         for team, account in self._accounts.items():
--- a/baobabhoist/tests/test_cell_shares.py
+++ b/baobabhoist/tests/test_cell_shares.py
@@ -136,6 +136,17 @@
     assert [fields["team"] for fields in fields_of(Event.TEAM_WEIGHT_INVALID)] == ["a"]
 
 
+def test_work_for_a_resource_that_no_worker_has():
+    """Guard against a team that waits behind all others because no worker has a GPU."""
+    harness = make_cell(a=100.0, b=100.0)
+    jobs = Submitter(harness)
+    jobs.submit("a", need=attrs.evolve(SMALL, gpu=8))
+    assert not started_teams(harness)
+    jobs.submit("a", 8)
+    jobs.submit("b", 8)
+    assert started_teams(harness) == ["a"] * 2 + ["b"] * 2
+
+
 def test_without_weights_the_order_is_as_before():
     """Guard against fairness where no configuration asks for it."""
     harness = make_cell(a=0.0, b=0.0)
