Count the workers of an emptied data centre as no room for shares

What callers saw: while a data centre was emptied, the other workers were full, and one team got all of what became free although another one was entitled to half of it.

Cause: the capacity against which demand is held still counted the workers of the emptied data centre, where nothing starts. Shares and evacuations were written side by side.

Change: the capacity is that of the workers that stay, by the property that the other modules use. The test failed before: the first team got all four places.

--- a/baobabhoist/cell/shares.py
+++ b/baobabhoist/cell/shares.py
@@ -344,7 +344,7 @@
     """Return what the usable workers have, or None if there is none."""
     cpu = memory_mb = gpu = 0
     for worker in workers:
-        if worker.is_listed and not worker.info.is_draining:
+        if worker.is_staying:
             capacity = worker.info.capacity
             cpu += capacity.cpu
             memory_mb += capacity.memory_mb
--- a/baobabhoist/tests/test_cell_shares.py
+++ b/baobabhoist/tests/test_cell_shares.py
@@ -9,6 +9,7 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, rule
 
+from baobabhoist.cell.evacuations import Evacuations
 from baobabhoist.cell.model import CellRules, Queue, RunOutcome, StartTask, Step, Team
 from baobabhoist.cell.policy import SchedulingPolicy
 from baobabhoist.cell.ranking import timeliness_of
@@ -147,6 +148,19 @@
     assert started_teams(harness) == ["a"] * 2 + ["b"] * 2
 
 
+def test_emptied_data_centre_counts_as_no_room():
+    """Guard against a full cell that serves as if it had room, in workers to be emptied."""
+    harness = make_cell(2, a=100.0, b=100.0)
+    workers = list(harness.workers.values())
+    harness.cell.update_worker(workers[1].info(data_centre="emptied"), harness.now)
+    harness.cell.set_evacuations(Evacuations(frozenset({"emptied"})), harness.now)
+    harness.advance(1_500.0)
+    jobs = Submitter(harness)
+    jobs.submit("a", 4)
+    jobs.submit("b", 4)
+    assert "b" in started_teams(harness)
+
+
 def test_without_weights_the_order_is_as_before():
     """Guard against fairness where no configuration asks for it."""
     harness = make_cell(a=0.0, b=0.0)
