Charge a job accepted ahead of the clock as if it were accepted now

What callers saw: after one job whose row has an acceptance time ahead of the store's clock, as from an instance that takes its own clock for the store's, all later jobs of the team counted as sent beyond its weight until then.

Cause: the bucket counted as refilled up to the latest time that it had seen, so that it gained nothing more.

Change: a team is charged at most at the owner's present time. Jobs in the past are charged as before.

--- a/baobabhoist/cell/scheduler.py
+++ b/baobabhoist/cell/scheduler.py
@@ -86,7 +86,7 @@
         job.is_inherited = accepted.version < self._takeover.claim_version
         self._set_objective(job)
         self.state.jobs[accepted.job_id] = job
-        self.state.shares.add_job(job)
+        self.state.shares.add_job(job, now)
         job.open_due_occurrences(unix_ms)
         self.state.update_ready_steps(job, now)
         if not job.is_inherited:
--- a/baobabhoist/cell/shares.py
+++ b/baobabhoist/cell/shares.py
@@ -87,6 +87,14 @@
     has_excess: bool = False
 
 
+@attrs.frozen
+class UnchargedJob:
+    """Hold a job whose team has not been charged; the time is on the store's clock, in ms."""
+
+    accepted_ms: float
+    job: JobState
+
+
 @attrs.frozen
 class TeamFigures:
     """Describe a team's share for the metrics; `share_ratio` is 1 at its part of the cell."""
@@ -110,8 +118,8 @@
     _weight_sum: float = 0.0
     _use_steps: dict[str, int] = attrs.Factory(dict)
     _invalid_weights: dict[str, float] = attrs.Factory(dict)
-    # Jobs whose team has not been charged; after a takeover they come in no order.
-    _uncharged: list[JobState] = attrs.Factory(list)
+    # After a takeover they come in no order.
+    _uncharged: list[UnchargedJob] = attrs.Factory(list)
     _capacity_read_ms: float = float("-inf")
 
     @property
@@ -130,10 +138,13 @@
         is_weighted = any(weights.values())
         self._weight_sum = sum(a.weight for a in self._accounts.values()) if is_weighted else 0.0
 
-    def add_job(self, job: JobState) -> None:
+    def add_job(self, job: JobState, now: float) -> None:
         """Note a job, whose team is charged before the next decision."""
-        if self.policy.weighs_shares:
-            self._uncharged.append(job)
+        if not self.policy.weighs_shares:
+            return
+        # A job with a time ahead of the clock must not delay the entitlement to later ones.
+        ahead_ms = max(0.0, job.accepted_local_ms - now)
+        self._uncharged.append(UnchargedJob(job.accepted.accepted_ms - ahead_ms, job))
 
     def is_beyond_entitlement(self, job: JobState) -> bool:
         """Return whether a job is one of those that its team sent beyond its entitlement."""
@@ -172,16 +183,16 @@
     def _charge_added_jobs(self) -> None:
         if not self._uncharged:
             return
-        jobs, self._uncharged = self._uncharged, []
-        jobs.sort(key=lambda job: (job.accepted.accepted_ms, job.job_id))
-        for job in jobs:
-            self._charge(job)
+        entries, self._uncharged = self._uncharged, []
+        entries.sort(key=lambda entry: (entry.accepted_ms, entry.job.job_id))
+        for entry in entries:
+            self._charge(entry.job, entry.accepted_ms)
 
-    def _charge(self, job: JobState) -> None:
+    def _charge(self, job: JobState, accepted_ms: float) -> None:
         account = self._accounts.get(job.accepted.team)
         if account is None or account.bucket is None:
             return
-        if account.bucket.take(job.accepted.accepted_ms):
+        if account.bucket.take(accepted_ms):
             return
         job.is_beyond_entitlement = True
         account.jobs_beyond += 1
--- a/baobabhoist/tests/test_cell_shares.py
+++ b/baobabhoist/tests/test_cell_shares.py
@@ -123,6 +123,19 @@
     assert len(before) == 15 - 8
 
 
+def test_job_accepted_ahead_of_the_clock_takes_no_entitlement_from_later_ones():
+    """Guard against a team whose jobs all count as excess after one with an absurd time."""
+    harness = make_cell(steady=2.0)
+    ahead_ms = harness.now + 3_600_000.0
+    absurd = attrs.evolve(make_job("absurd", team="steady"), accepted_ms=int(ahead_ms))
+    harness.cell.add_job(absurd, ahead_ms, harness.now, harness.now)
+    jobs = Submitter(harness)
+    for _ in range(12):
+        harness.now += 500.0
+        jobs.submit("steady")
+        assert not marked_jobs(harness)
+
+
 def marked_jobs(harness):
     state = harness.cell.state
     return {i for i, job in state.jobs.items() if state.shares.is_beyond_entitlement(job)}
