Set the shares of teams to 0 where an instance does not own the cell any more

What operators saw: after a takeover the former owner still showed what each team had, beside the new owner, and so did the owner for a team that left the configuration.

Cause: the gauges were set for the teams with figures only, and not at all without a cell.

Change: teams that were shown and have no figures are set to 0, as the other gauges of an owner are. The test failed before: the gauge stayed at 1.5.

--- a/baobabhoist/control/metrics.py
+++ b/baobabhoist/control/metrics.py
@@ -72,6 +72,8 @@
         self._config_age = self._gauge("config_age_seconds", "Age of its last confirmation.")
         self._owns = self._gauge("owns_cell", "1 while this instance owns the cell.")
         self._queued = self._gauge("queued_tasks", "Tasks that wait, by queue.")
+        # Labels of the teams that the gauges of shares have.
+        self._shown_teams: set[str] = set()
         self._team_share = self._gauge(
             "team_share_ratio", "What a team has running, divided by its part of the cell."
         )
@@ -142,9 +144,14 @@
             self._workers.set({"condition": condition.value}, summary.workers[condition])
 
     def set_team_shares(self, figures: Iterable[TeamFigures]) -> None:
-        """Set what each team has and is entitled to."""
-        for entry in figures:
-            labels = {"team": self._teams.label_for(entry.team)}
+        """Set what each team has and is entitled to; 0 for teams that have no figures any more."""
+        by_label = {self._teams.label_for(entry.team): entry for entry in figures}
+        for label in self._shown_teams - set(by_label):
+            for gauge in (self._team_share, self._team_use, self._team_excess):
+                gauge.set({"team": label}, 0)
+        self._shown_teams |= set(by_label)
+        for label, entry in by_label.items():
+            labels = {"team": label}
             self._team_share.set(labels, entry.share_ratio)
             self._team_use.set(labels, entry.past_use_s)
             self._team_excess.set(labels, entry.jobs_beyond)
--- a/baobabhoist/control/node.py
+++ b/baobabhoist/control/node.py
@@ -195,8 +195,9 @@
         self.metrics.set_owner_gauges(owner is not None, queued, margin / 1000)
         summary = summarize_waiting(cell.state, now) if cell is not None else WaitingSummary()
         self.metrics.set_waiting(summary)
-        if cell is not None:
-            self.metrics.set_team_shares(cell.state.shares.figures(cell.state.team_usage))
+        state = cell.state if cell is not None else None
+        figures = state.shares.figures(state.team_usage) if state is not None else ()
+        self.metrics.set_team_shares(figures)
 
     async def drain(self) -> None:
         """Stop claiming the cell, and release it so that another instance takes over at once."""
--- a/baobabhoist/tests/test_control_metrics.py
+++ b/baobabhoist/tests/test_control_metrics.py
@@ -1,6 +1,7 @@
 """Test the metrics that say why jobs wait, and that their labels are bounded."""
 
 from baobabhoist.cell.model import CommandOutcome, Step
+from baobabhoist.cell.shares import TeamFigures
 from baobabhoist.cell.wait_reasons import WaitReason
 from baobabhoist.cell.waiting_summary import WaitingSummary, summarize_waiting
 from baobabhoist.cell.worker_conditions import WorkerCondition
@@ -41,6 +42,16 @@
     assert len(lines_of(metrics, "workers")) == len(WorkerCondition)
 
 
+def test_shares_on_an_instance_that_no_longer_owns_the_cell_are_zero():
+    """Guard against two instances that both show what a team has, one of them out of date."""
+    metrics = NodeMetrics()
+    metrics.set_team_shares([TeamFigures("a", 1.5, 20.0, 3)])
+    metrics.set_team_shares([])
+    for name in ("team_share_ratio", "team_past_use_seconds", "team_jobs_beyond"):
+        values = [line.split()[-1] for line in lines_of(metrics, name)]
+        assert [float(value) for value in values] == [0.0]
+
+
 def test_failed_starts_advice_and_loop_lag_are_counted():
     """Guard against rejected starts, late advice or a blocked loop that no metric shows."""
     metrics = NodeMetrics()
