Test the bucket of an idle team and a configuration that comes while loading

The test of an idle team asked a bucket that was full from the start, so that it passed without any bound on the credit of the idle time. It now empties the bucket first and names the bound.

That a configuration charges no jobs while a new owner loads had no test.

--- a/baobabhoist/tests/test_cell_shares.py
+++ b/baobabhoist/tests/test_cell_shares.py
@@ -13,7 +13,7 @@
 from baobabhoist.cell.model import CellRules, Queue, RunOutcome, StartTask, Step, Team
 from baobabhoist.cell.policy import SchedulingPolicy
 from baobabhoist.cell.ranking import timeliness_of
-from baobabhoist.cell.shares import TokenBucket
+from baobabhoist.cell.shares import BURST_S, TokenBucket
 from baobabhoist.observability.events import Event
 from baobabhoist.tests.cell_harness import SMALL, CellHarness, make_job
 
@@ -105,7 +105,9 @@
         assert 3 <= started_teams(harness).count("idle") <= 5
         end_runs(harness)
     bucket = TokenBucket.for_weight(100.0)
-    assert bucket.available_at(3_600_000.0) == bucket.burst
+    while bucket.take(0.0):
+        pass
+    assert bucket.available_at(3_600_000.0) == 100.0 * BURST_S
 
 
 def test_new_owner_marks_the_same_jobs_beyond_the_entitlement():
@@ -123,6 +125,21 @@
     assert len(before) == 15 - 8
 
 
+def test_configuration_that_comes_while_a_new_owner_loads_marks_no_more_jobs():
+    """Guard against entitled jobs that count as excess because newer ones were loaded first."""
+    harness = make_cell(steady=2.0)
+    jobs = Submitter(harness)
+    for _ in range(12):
+        harness.now += 500.0
+        jobs.submit("steady")
+    accepted = [job.accepted for job in harness.cell.state.jobs.values()]
+    harness.take_over(accepted[6:])
+    harness.cell.set_rules(harness.cell_rules)
+    for job in accepted[:6]:
+        harness.submit(job)
+    assert not marked_jobs(harness)
+
+
 def test_job_accepted_ahead_of_the_clock_takes_no_entitlement_from_later_ones():
     """Guard against a team whose jobs all count as excess after one with an absurd time."""
     harness = make_cell(steady=2.0)
