Count a step that no worker may run as nothing taken from its team's share

What callers saw: a team with one wide step for workers that are absent (a label, or a service that is down) got nothing for all its other work of the same urgency, while one other team held the whole cell.

Cause: each ranked step counts as taken by its team, also one that can take nothing. The team stood several steps lower than one that ran on all workers.

Change: a step for which no worker accepts tasks takes nothing. The placer passes this in, from the index that the round has. The test failed before: ['b', 'b', 'b', 'b'] started, with none of the other team running.

--- a/baobabhoist/cell/placer.py
+++ b/baobabhoist/cell/placer.py
@@ -62,7 +62,7 @@
         starting_before = self.state.start_window.starting_count
         held_back_tasks = 0
         self.advice.begin_round(now)
-        for position, step in enumerate(self._sort(waiting_steps, now)):
+        for position, step in enumerate(self._sort(waiting_steps, worker_index, now)):
             try:
                 self._place_or_wait(step, position, worker_index, now, may_start)
             except Exception as exc:
@@ -72,9 +72,17 @@
         starts = self.state.start_window.starting_count - starting_before
         self.state.start_backlog.record_round(starts, held_back_tasks, now)
 
-    def _sort(self, waiting_steps: list[StepState], now: float) -> list[StepState]:
+    def _sort(
+        self, waiting_steps: list[StepState], worker_index: WorkerIndex, now: float
+    ) -> list[StepState]:
         """Return the steps by rank; a job that can't be ranked is given up."""
-        shares = self.state.shares.begin_round(waiting_steps, self.state.team_usage)
+        shares = self.state.shares.begin_round(
+            waiting_steps,
+            self.state.team_usage,
+            lambda step: worker_index.has_usable_worker(
+                self.state.service_of(step.job), step.spec.label
+            ),
+        )
         ranked: list[RankedStep] = []
         for number, step in enumerate(waiting_steps):
             try:
--- a/baobabhoist/cell/shares.py
+++ b/baobabhoist/cell/shares.py
@@ -10,7 +10,7 @@
 import logging
 import math
 from bisect import bisect_left
-from collections.abc import Iterable, Mapping, Sequence
+from collections.abc import Callable, Iterable, Mapping, Sequence
 
 import attrs
 
@@ -226,7 +226,10 @@
             self._log_excess(now)
 
     def begin_round(
-        self, steps: Iterable[StepState], team_usage: Mapping[str, Resources]
+        self,
+        steps: Iterable[StepState],
+        team_usage: Mapping[str, Resources],
+        has_worker: Callable[[StepState], bool],
     ) -> ShareRound | None:
         """Return what tells the standing of teams, or None if the cell has room for all."""
         if not self.is_on:
@@ -235,7 +238,7 @@
         if not self._is_demand_above_capacity(steps, team_usage):
             return None
         unit_shares = [self._share(unit) for unit in UNITS]
-        return ShareRound(self, team_usage, unit_shares)
+        return ShareRound(self, team_usage, unit_shares, has_worker)
 
     def ratio(self, team: str, used: Amounts) -> float:
         """Return an amount divided by the team's part of the capacity, 0 if that is unknown."""
@@ -320,6 +323,8 @@
     team_usage: Mapping[str, Resources]
     # The share of the cell that one unit of each resource is.
     unit_shares: Sequence[float]
+    # Returns whether any worker may run a step at all; others take nothing.
+    has_worker: Callable[[StepState], bool]
     _loads: dict[str, TeamLoad] = attrs.Factory(dict)
 
     def rank_next(self, step: StepState) -> int:
@@ -329,7 +334,7 @@
         if load is None:
             load = self._loads[team] = self._running_load(team)
         ratio = max(load.cpu, load.memory, load.gpu)
-        need, count = step.spec.need, step.waiting_count
+        need, count = step.spec.need, step.waiting_count if self.has_worker(step) else 0
         load.cpu += need.cpu * count * load.cpu_unit
         load.memory += need.memory_mb * count * load.memory_unit
         load.gpu += need.gpu * count * load.gpu_unit
--- a/baobabhoist/tests/test_cell_shares.py
+++ b/baobabhoist/tests/test_cell_shares.py
@@ -191,6 +191,20 @@
     assert "b" in started_teams(harness)
 
 
+def test_wide_step_that_no_worker_can_run_takes_no_share():
+    """Guard against a team that gets nothing while one of its steps waits for absent workers."""
+    harness = make_cell(a=100.0, b=100.0)
+    wide = make_job("a-wide", Step(100, SMALL, 1000, label="absent"), team="a")
+    harness.submit(attrs.evolve(wide, accepted_ms=int(harness.now)))
+    jobs = Submitter(harness)
+    jobs.submit("b", 12)
+    harness.schedule()
+    harness.now += 1.0
+    jobs.submit("a", 8)
+    end_runs(harness)
+    assert "a" in started_teams(harness)
+
+
 def test_without_weights_the_order_is_as_before():
     """Guard against fairness where no configuration asks for it."""
     harness = make_cell(a=0.0, b=0.0)
