--- a/baobabhoist/cell/shares.py
+++ b/baobabhoist/cell/shares.py
@@ -10,7 +10,7 @@
 import logging
 import math
 from bisect import bisect_left
-from collections.abc import Iterable, Mapping, Sequence
+from collections.abc import Callable, Iterable, Mapping, Sequence
 
 import attrs
 
@@ -87,6 +87,14 @@
     has_excess: bool = False
 
 
+@attrs.frozen
+class UnchargedJob:
+    """Hold a job whose team has not been charged; the time is on the store's clock, in ms."""
+
+    accepted_ms: float
+    job: JobState
+
+
 @attrs.frozen
 class TeamFigures:
     """Describe a team's share for the metrics; `share_ratio` is 1 at its part of the cell."""
@@ -110,8 +118,8 @@
     _weight_sum: float = 0.0
     _use_steps: dict[str, int] = attrs.Factory(dict)
     _invalid_weights: dict[str, float] = attrs.Factory(dict)
-    # Jobs whose team has not been charged; after a takeover they come in no order.
-    _uncharged: list[JobState] = attrs.Factory(list)
+    # After a takeover they come in no order.
+    _uncharged: list[UnchargedJob] = attrs.Factory(list)
     _capacity_read_ms: float = float("-inf")
 
     @property
@@ -130,10 +138,13 @@
         is_weighted = any(weights.values())
         self._weight_sum = sum(a.weight for a in self._accounts.values()) if is_weighted else 0.0
 
-    def add_job(self, job: JobState) -> None:
+    def add_job(self, job: JobState, now: float) -> None:
         """Note a job, whose team is charged before the next decision."""
-        if self.policy.weighs_shares:
-            self._uncharged.append(job)
+        if not self.policy.weighs_shares:
+            return
+        # A job with a time ahead of the clock must not delay the entitlement to later ones.
+        ahead_ms = max(0.0, job.accepted_local_ms - now)
+        self._uncharged.append(UnchargedJob(job.accepted.accepted_ms - ahead_ms, job))
 
     def is_beyond_entitlement(self, job: JobState) -> bool:
         """Return whether a job is one of those that its team sent beyond its entitlement."""
@@ -172,16 +183,16 @@
     def _charge_added_jobs(self) -> None:
         if not self._uncharged:
             return
-        jobs, self._uncharged = self._uncharged, []
-        jobs.sort(key=lambda job: (job.accepted.accepted_ms, job.job_id))
-        for job in jobs:
-            self._charge(job)
+        entries, self._uncharged = self._uncharged, []
+        entries.sort(key=lambda entry: (entry.accepted_ms, entry.job.job_id))
+        for entry in entries:
+            self._charge(entry.job, entry.accepted_ms)
 
-    def _charge(self, job: JobState) -> None:
+    def _charge(self, job: JobState, accepted_ms: float) -> None:
         account = self._accounts.get(job.accepted.team)
         if account is None or account.bucket is None:
             return
-        if account.bucket.take(job.accepted.accepted_ms):
+        if account.bucket.take(accepted_ms):
             return
         job.is_beyond_entitlement = True
         account.jobs_beyond += 1
@@ -200,7 +211,7 @@
             return
         self._charge_added_jobs()
         shares = {
-            team: min(1.0, dominant_share(_vector(used), self.capacity))
+            team: min(1.0, self._share(_vector(used)))
             for team, used in team_usage.items()
             if used.cpu or used.memory_mb or used.gpu
         }
@@ -215,7 +226,10 @@
             self._log_excess(now)
 
     def begin_round(
-        self, steps: Iterable[StepState], team_usage: Mapping[str, Resources]
+        self,
+        steps: Iterable[StepState],
+        team_usage: Mapping[str, Resources],
+        has_worker: Callable[[StepState], bool],
     ) -> ShareRound | None:
         """Return what tells the standing of teams, or None if the cell has room for all."""
         if not self.is_on:
@@ -223,14 +237,12 @@
         self._charge_added_jobs()
         if not self._is_demand_above_capacity(steps, team_usage):
             return None
-        unit_shares = [dominant_share(unit, self.capacity) for unit in UNITS]
-        return ShareRound(self, team_usage, unit_shares)
+        unit_shares = [self._share(unit) for unit in UNITS]
+        return ShareRound(self, team_usage, unit_shares, has_worker)
 
     def ratio(self, team: str, used: Amounts) -> float:
         """Return an amount divided by the team's part of the capacity, 0 if that is unknown."""
-        if self.capacity is NO_CAPACITY:
-            return 0.0
-        return self.share_ratio(team, dominant_share(used, self.capacity))
+        return self.share_ratio(team, self._share(used))
 
     def share_ratio(self, team: str, share: float) -> float:
         """Return a share of the cell divided by the team's part of it."""
@@ -256,6 +268,12 @@
             for team, account in self._accounts.items()
         ]
 
+    def _share(self, used: Amounts) -> float:
+        """Return the dominant share of an amount, of the resources that the cell has."""
+        cpu, memory_mb, gpu, _ = self.capacity
+        present = (used[0] if cpu else 0, used[1] if memory_mb else 0, used[2] if gpu else 0, 0)
+        return dominant_share(present, self.capacity)
+
     def _is_demand_above_capacity(
         self, steps: Iterable[StepState], team_usage: Mapping[str, Resources]
     ) -> bool:
@@ -267,10 +285,8 @@
             cpu += need.cpu * count
             memory_mb += need.memory_mb * count
             gpu += need.gpu * count
-        capacity = self.capacity
-        return any(capacity) and (
-            cpu > capacity[0] or memory_mb > capacity[1] or gpu > capacity[2]
-        )
+        demand = (cpu, memory_mb, gpu, 0)
+        return any(amount > total > 0 for amount, total in zip(demand, self.capacity, strict=True))
 
     def _log_excess(self, now: float) -> None:
         for team, account in self._accounts.items():
@@ -307,6 +323,8 @@
     team_usage: Mapping[str, Resources]
     # The share of the cell that one unit of each resource is.
     unit_shares: Sequence[float]
+    # Returns whether any worker may run a step at all; others take nothing.
+    has_worker: Callable[[StepState], bool]
     _loads: dict[str, TeamLoad] = attrs.Factory(dict)
 
     def rank_next(self, step: StepState) -> int:
@@ -316,7 +334,7 @@
         if load is None:
             load = self._loads[team] = self._running_load(team)
         ratio = max(load.cpu, load.memory, load.gpu)
-        need, count = step.spec.need, step.waiting_count
+        need, count = step.spec.need, step.waiting_count if self.has_worker(step) else 0
         load.cpu += need.cpu * count * load.cpu_unit
         load.memory += need.memory_mb * count * load.memory_unit
         load.gpu += need.gpu * count * load.gpu_unit
@@ -342,7 +360,7 @@
     """Return what the usable workers have, or None if there is none."""
     cpu = memory_mb = gpu = 0
     for worker in workers:
-        if worker.is_listed and not worker.info.is_draining:
+        if worker.is_staying:
             capacity = worker.info.capacity
             cpu += capacity.cpu
             memory_mb += capacity.memory_mb
