--- a/baobabhoist/cell/shares.py
+++ b/baobabhoist/cell/shares.py
@@ -9,7 +9,8 @@
 
 import logging
 import math
-from collections.abc import Iterable, Mapping
+from bisect import bisect_left
+from collections.abc import Callable, Iterable, Mapping, Sequence
 
 import attrs
 
@@ -39,6 +40,9 @@
 EXCESS_GAP_MS = 5_000.0
 CAPACITY_INTERVAL_MS = 1_000.0
 NO_CAPACITY: Amounts = (0, 0, 0, 0)
+# One unit of the processor, of memory and of GPUs.
+UNITS: tuple[Amounts, ...] = ((1, 0, 0, 0), (0, 1, 0, 0), (0, 0, 1, 0))
+USE_STEP_COUNT = len(USE_STEPS) + 1
 
 
 @attrs.define
@@ -83,6 +87,14 @@
     has_excess: bool = False
 
 
+@attrs.frozen
+class UnchargedJob:
+    """Hold a job whose team has not been charged; the time is on the store's clock, in ms."""
+
+    accepted_ms: float
+    job: JobState
+
+
 @attrs.frozen
 class TeamFigures:
     """Describe a team's share for the metrics; `share_ratio` is 1 at its part of the cell."""
@@ -106,8 +118,8 @@
     _weight_sum: float = 0.0
     _use_steps: dict[str, int] = attrs.Factory(dict)
     _invalid_weights: dict[str, float] = attrs.Factory(dict)
-    # Jobs whose team has not been charged; after a takeover they come in no order.
-    _uncharged: list[JobState] = attrs.Factory(list)
+    # After a takeover they come in no order.
+    _uncharged: list[UnchargedJob] = attrs.Factory(list)
     _capacity_read_ms: float = float("-inf")
 
     @property
@@ -121,21 +133,24 @@
         """Apply the configured weights; accounts of teams that stay go on."""
         if not self.policy.weighs_shares:
             return
-        self._charge_added_jobs()
         weights = {name: self._valid_weight(team) for name, team in teams.items()}
         self._accounts = {name: self._account(name, w) for name, w in weights.items()}
         is_weighted = any(weights.values())
         self._weight_sum = sum(a.weight for a in self._accounts.values()) if is_weighted else 0.0
 
-    def add_job(self, job: JobState) -> None:
+    def add_job(self, job: JobState, now: float) -> None:
         """Note a job, whose team is charged before the next decision."""
-        if self.policy.weighs_shares:
-            self._uncharged.append(job)
+        if not self.policy.weighs_shares:
+            return
+        # A job with a time ahead of the clock must not delay the entitlement to later ones.
+        ahead_ms = max(0.0, job.accepted_local_ms - now)
+        self._uncharged.append(UnchargedJob(job.accepted.accepted_ms - ahead_ms, job))
 
     def is_beyond_entitlement(self, job: JobState) -> bool:
         """Return whether a job is one of those that its team sent beyond its entitlement."""
-        self._charge_added_jobs()
-        return self.is_on and job.is_beyond_entitlement
+        if self._uncharged:
+            self._charge_added_jobs()
+        return job.is_beyond_entitlement and self.is_on
 
     def has_entitlement_left(self, team: str, accepted_ms: float) -> bool:
         """Return whether a job accepted at a time of the store's clock would be within it."""
@@ -168,16 +183,16 @@
     def _charge_added_jobs(self) -> None:
         if not self._uncharged:
             return
-        jobs, self._uncharged = self._uncharged, []
-        jobs.sort(key=lambda job: (job.accepted.accepted_ms, job.job_id))
-        for job in jobs:
-            self._charge(job)
+        entries, self._uncharged = self._uncharged, []
+        entries.sort(key=lambda entry: (entry.accepted_ms, entry.job.job_id))
+        for entry in entries:
+            self._charge(entry.job, entry.accepted_ms)
 
-    def _charge(self, job: JobState) -> None:
+    def _charge(self, job: JobState, accepted_ms: float) -> None:
         account = self._accounts.get(job.accepted.team)
         if account is None or account.bucket is None:
             return
-        if account.bucket.take(job.accepted.accepted_ms):
+        if account.bucket.take(accepted_ms):
             return
         job.is_beyond_entitlement = True
         account.jobs_beyond += 1
@@ -196,21 +211,25 @@
             return
         self._charge_added_jobs()
         shares = {
-            team: dominant_share(_vector(used), self.capacity)
+            team: min(1.0, self._share(_vector(used)))
             for team, used in team_usage.items()
             if used.cpu or used.memory_mb or used.gpu
         }
         self.past_use.advance(shares, now)
         if now - self._capacity_read_ms >= CAPACITY_INTERVAL_MS:
             self._capacity_read_ms = now
-            self.capacity = _usable_capacity(workers)
+            # While no worker is listed, runs still go on in the last known capacity.
+            self.capacity = _usable_capacity(workers) or self.capacity
             self.past_use.forget_teams_except(self._accounts)
             weights = {name: account.weight for name, account in self._accounts.items()}
             self._use_steps = self.past_use.steps(weights)
             self._log_excess(now)
 
     def begin_round(
-        self, steps: Iterable[StepState], team_usage: Mapping[str, Resources]
+        self,
+        steps: Iterable[StepState],
+        team_usage: Mapping[str, Resources],
+        has_worker: Callable[[StepState], bool],
     ) -> ShareRound | None:
         """Return what tells the standing of teams, or None if the cell has room for all."""
         if not self.is_on:
@@ -218,13 +237,18 @@
         self._charge_added_jobs()
         if not self._is_demand_above_capacity(steps, team_usage):
             return None
-        return ShareRound(self, {team: _vector(used) for team, used in team_usage.items()})
+        unit_shares = [self._share(unit) for unit in UNITS]
+        return ShareRound(self, team_usage, unit_shares, has_worker)
 
     def ratio(self, team: str, used: Amounts) -> float:
-        """Return an amount divided by the team's part of the capacity."""
+        """Return an amount divided by the team's part of the capacity, 0 if that is unknown."""
+        return self.share_ratio(team, self._share(used))
+
+    def share_ratio(self, team: str, share: float) -> float:
+        """Return a share of the cell divided by the team's part of it."""
         account = self._accounts.get(team)
         weight = account.weight if account is not None else DEFAULT_WEIGHT
-        return entitlement_ratio(dominant_share(used, self.capacity), weight, self._weight_sum)
+        return entitlement_ratio(share, weight, self._weight_sum)
 
     def use_step(self, team: str) -> int:
         """Return how many steps lower a team stands because of its past use."""
@@ -244,6 +268,12 @@
             for team, account in self._accounts.items()
         ]
 
+    def _share(self, used: Amounts) -> float:
+        """Return the dominant share of an amount, of the resources that the cell has."""
+        cpu, memory_mb, gpu, _ = self.capacity
+        present = (used[0] if cpu else 0, used[1] if memory_mb else 0, used[2] if gpu else 0, 0)
+        return dominant_share(present, self.capacity)
+
     def _is_demand_above_capacity(
         self, steps: Iterable[StepState], team_usage: Mapping[str, Resources]
     ) -> bool:
@@ -255,10 +285,8 @@
             cpu += need.cpu * count
             memory_mb += need.memory_mb * count
             gpu += need.gpu * count
-        capacity = self.capacity
-        return any(capacity) and (
-            cpu > capacity[0] or memory_mb > capacity[1] or gpu > capacity[2]
-        )
+        demand = (cpu, memory_mb, gpu, 0)
+        return any(amount > total > 0 for amount, total in zip(demand, self.capacity, strict=True))
 
     def _log_excess(self, now: float) -> None:
         for team, account in self._accounts.items():
@@ -270,6 +298,20 @@
             emit(log, event, team=team, weight=account.weight, jobs=account.jobs_beyond)
 
 
+@attrs.define
+class TeamLoad:
+    """Hold a team's load by resource, each divided by its part of the capacity."""
+
+    cpu: float
+    memory: float
+    gpu: float
+    # The load that one unit of each resource adds.
+    cpu_unit: float
+    memory_unit: float
+    gpu_unit: float
+    use_step: int
+
+
 @attrs.define
 class ShareRound:
     """Tell the standing of teams in one round, as their steps are ranked one after another.
@@ -278,34 +320,52 @@
     """
 
     shares: TeamShares
-    taken: dict[str, Amounts]
+    team_usage: Mapping[str, Resources]
+    # The share of the cell that one unit of each resource is.
+    unit_shares: Sequence[float]
+    # Returns whether any worker may run a step at all; others take nothing.
+    has_worker: Callable[[StepState], bool]
+    _loads: dict[str, TeamLoad] = attrs.Factory(dict)
 
     def rank_next(self, step: StepState) -> int:
         """Return the standing of a step's team, 0 if it is within its part of the capacity."""
         team = step.job.accepted.team
-        taken = self.taken.get(team, NO_CAPACITY)
-        need, count = step.spec.need, step.waiting_count
-        self.taken[team] = (
-            taken[0] + need.cpu * count,
-            taken[1] + need.memory_mb * count,
-            taken[2] + need.gpu * count,
-            0,
-        )
-        ratio = self.shares.ratio(team, taken)
-        share_step = sum(ratio > limit for limit in SHARE_STEPS)
+        load = self._loads.get(team)
+        if load is None:
+            load = self._loads[team] = self._running_load(team)
+        ratio = max(load.cpu, load.memory, load.gpu)
+        need, count = step.spec.need, step.waiting_count if self.has_worker(step) else 0
+        load.cpu += need.cpu * count * load.cpu_unit
+        load.memory += need.memory_mb * count * load.memory_unit
+        load.gpu += need.gpu * count * load.gpu_unit
         # Past use decides only between teams whose running shares are similar.
-        return share_step * (len(USE_STEPS) + 1) + self.shares.use_step(team)
+        return bisect_left(SHARE_STEPS, ratio) * USE_STEP_COUNT + load.use_step
+
+    def _running_load(self, team: str) -> TeamLoad:
+        used = self.team_usage.get(team, NO_RESOURCES)
+        factor = self.shares.share_ratio(team, 1.0)
+        cpu_unit, memory_unit, gpu_unit = (share * factor for share in self.unit_shares)
+        return TeamLoad(
+            used.cpu * cpu_unit,
+            used.memory_mb * memory_unit,
+            used.gpu * gpu_unit,
+            cpu_unit,
+            memory_unit,
+            gpu_unit,
+            self.shares.use_step(team),
+        )
 
 
-def _usable_capacity(workers: Iterable[WorkerState]) -> Amounts:
+def _usable_capacity(workers: Iterable[WorkerState]) -> Amounts | None:
+    """Return what the usable workers have, or None if there is none."""
     cpu = memory_mb = gpu = 0
     for worker in workers:
-        if worker.is_listed and not worker.info.is_draining:
+        if worker.is_staying:
             capacity = worker.info.capacity
             cpu += capacity.cpu
             memory_mb += capacity.memory_mb
             gpu += capacity.gpu
-    return (cpu, memory_mb, gpu, 0)
+    return (cpu, memory_mb, gpu, 0) if cpu or memory_mb or gpu else None
 
 
 def _vector(amount: Resources) -> Amounts:
--- a/baobabhoist/control/metrics.py
+++ b/baobabhoist/control/metrics.py
@@ -67,11 +67,16 @@
         )
         self._advice = self._counter("advice_queries_total", "Queries to the adviser, by outcome.")
         self._refusals = self._counter("refusals_total", "Calls refused, by reason.")
+        self._refused_jobs = self._counter(
+            "refused_jobs_total", "Jobs refused, by team, queue and reason."
+        )
         self._dropped = self._gauge("log_lines_dropped", "Log lines that a full pipe refused.")
         self._config = self._gauge("config_version", "Version of the configuration in force.")
         self._config_age = self._gauge("config_age_seconds", "Age of its last confirmation.")
         self._owns = self._gauge("owns_cell", "1 while this instance owns the cell.")
         self._queued = self._gauge("queued_tasks", "Tasks that wait, by queue.")
+        # Labels of the teams that the gauges of shares have.
+        self._shown_teams: set[str] = set()
         self._team_share = self._gauge(
             "team_share_ratio", "What a team has running, divided by its part of the cell."
         )
@@ -97,6 +102,15 @@
         """Count a refused call under its reason."""
         self._refusals.inc({"reason": self._reasons.label_for(reason)})
 
+    def count_refused_job(self, team: str, queue: str, reason: str) -> None:
+        """Count a refused job of a team and queue."""
+        labels = {
+            "team": self._teams.label_for(team or NO_TEAM_LABEL),
+            "queue": self._queues.label_for(queue),
+            "reason": self._reasons.label_for(reason),
+        }
+        self._refused_jobs.inc(labels)
+
     def observe_wait(self, team: str, queue: str, waited_s: float) -> None:
         """Record how long a task waited for its start."""
         labels = {
@@ -142,9 +156,14 @@
             self._workers.set({"condition": condition.value}, summary.workers[condition])
 
     def set_team_shares(self, figures: Iterable[TeamFigures]) -> None:
-        """Set what each team has and is entitled to."""
-        for entry in figures:
-            labels = {"team": self._teams.label_for(entry.team)}
+        """Set what each team has and is entitled to; 0 for teams that have no figures any more."""
+        by_label = {self._teams.label_for(entry.team): entry for entry in figures}
+        for label in self._shown_teams - set(by_label):
+            for gauge in (self._team_share, self._team_use, self._team_excess):
+                gauge.set({"team": label}, 0)
+        self._shown_teams |= set(by_label)
+        for label, entry in by_label.items():
+            labels = {"team": label}
             self._team_share.set(labels, entry.share_ratio)
             self._team_use.set(labels, entry.past_use_s)
             self._team_excess.set(labels, entry.jobs_beyond)
--- a/baobabhoist/control/node.py
+++ b/baobabhoist/control/node.py
@@ -17,6 +17,7 @@
 from baobabhoist.control.election import OwnerElection
 from baobabhoist.control.handover import HandoverMonitor
 from baobabhoist.control.interfaces import Adviser, Decoder, WorkerDriver
+from baobabhoist.control.job_admission import JobAdmission
 from baobabhoist.control.job_api import JobApi
 from baobabhoist.control.job_writer import JobWriter
 from baobabhoist.control.links import Identity, LinkServer, OwnerLink
@@ -100,6 +101,7 @@
             self.owner_router,
             cfg.bounds.revoke_ms,
             cfg.store.row_max_bytes,
+            JobAdmission(self.owner_router) if cfg.scheduling.admission else None,
         )
         self._adapter = adapter
         self._advice_gate = advice_gate
@@ -195,8 +197,9 @@
         self.metrics.set_owner_gauges(owner is not None, queued, margin / 1000)
         summary = summarize_waiting(cell.state, now) if cell is not None else WaitingSummary()
         self.metrics.set_waiting(summary)
-        if cell is not None:
-            self.metrics.set_team_shares(cell.state.shares.figures(cell.state.team_usage))
+        state = cell.state if cell is not None else None
+        figures = state.shares.figures(state.team_usage) if state is not None else ()
+        self.metrics.set_team_shares(figures)
 
     async def drain(self) -> None:
         """Stop claiming the cell, and release it so that another instance takes over at once."""
--- a/baobabhoist/tests/test_cell_shares.py
+++ b/baobabhoist/tests/test_cell_shares.py
@@ -9,10 +9,11 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, rule
 
+from baobabhoist.cell.evacuations import Evacuations
 from baobabhoist.cell.model import CellRules, Queue, RunOutcome, StartTask, Step, Team
 from baobabhoist.cell.policy import SchedulingPolicy
 from baobabhoist.cell.ranking import timeliness_of
-from baobabhoist.cell.shares import TokenBucket
+from baobabhoist.cell.shares import BURST_S, TokenBucket
 from baobabhoist.observability.events import Event
 from baobabhoist.tests.cell_harness import SMALL, CellHarness, make_job
 
@@ -104,7 +105,9 @@
         assert 3 <= started_teams(harness).count("idle") <= 5
         end_runs(harness)
     bucket = TokenBucket.for_weight(100.0)
-    assert bucket.available_at(3_600_000.0) == bucket.burst
+    while bucket.take(0.0):
+        pass
+    assert bucket.available_at(3_600_000.0) == 100.0 * BURST_S
 
 
 def test_new_owner_marks_the_same_jobs_beyond_the_entitlement():
@@ -122,6 +125,34 @@
     assert len(before) == 15 - 8
 
 
+def test_configuration_that_comes_while_a_new_owner_loads_marks_no_more_jobs():
+    """Guard against entitled jobs that count as excess because newer ones were loaded first."""
+    harness = make_cell(steady=2.0)
+    jobs = Submitter(harness)
+    for _ in range(12):
+        harness.now += 500.0
+        jobs.submit("steady")
+    accepted = [job.accepted for job in harness.cell.state.jobs.values()]
+    harness.take_over(accepted[6:])
+    harness.cell.set_rules(harness.cell_rules)
+    for job in accepted[:6]:
+        harness.submit(job)
+    assert not marked_jobs(harness)
+
+
+def test_job_accepted_ahead_of_the_clock_takes_no_entitlement_from_later_ones():
+    """Guard against a team whose jobs all count as excess after one with an absurd time."""
+    harness = make_cell(steady=2.0)
+    ahead_ms = harness.now + 3_600_000.0
+    absurd = attrs.evolve(make_job("absurd", team="steady"), accepted_ms=int(ahead_ms))
+    harness.cell.add_job(absurd, ahead_ms, harness.now, harness.now)
+    jobs = Submitter(harness)
+    for _ in range(12):
+        harness.now += 500.0
+        jobs.submit("steady")
+        assert not marked_jobs(harness)
+
+
 def marked_jobs(harness):
     state = harness.cell.state
     return {i for i, job in state.jobs.items() if state.shares.is_beyond_entitlement(job)}
@@ -136,6 +167,44 @@
     assert [fields["team"] for fields in fields_of(Event.TEAM_WEIGHT_INVALID)] == ["a"]
 
 
+def test_work_for_a_resource_that_no_worker_has():
+    """Guard against a team that waits behind all others because no worker has a GPU."""
+    harness = make_cell(a=100.0, b=100.0)
+    jobs = Submitter(harness)
+    jobs.submit("a", need=attrs.evolve(SMALL, gpu=8))
+    assert not started_teams(harness)
+    jobs.submit("a", 8)
+    jobs.submit("b", 8)
+    assert started_teams(harness) == ["a"] * 2 + ["b"] * 2
+
+
+def test_emptied_data_centre_counts_as_no_room():
+    """Guard against a full cell that serves as if it had room, in workers to be emptied."""
+    harness = make_cell(2, a=100.0, b=100.0)
+    workers = list(harness.workers.values())
+    harness.cell.update_worker(workers[1].info(data_centre="emptied"), harness.now)
+    harness.cell.set_evacuations(Evacuations(frozenset({"emptied"})), harness.now)
+    harness.advance(1_500.0)
+    jobs = Submitter(harness)
+    jobs.submit("a", 4)
+    jobs.submit("b", 4)
+    assert "b" in started_teams(harness)
+
+
+def test_wide_step_that_no_worker_can_run_takes_no_share():
+    """Guard against a team that gets nothing while one of its steps waits for absent workers."""
+    harness = make_cell(a=100.0, b=100.0)
+    wide = make_job("a-wide", Step(100, SMALL, 1000, label="absent"), team="a")
+    harness.submit(attrs.evolve(wide, accepted_ms=int(harness.now)))
+    jobs = Submitter(harness)
+    jobs.submit("b", 12)
+    harness.schedule()
+    harness.now += 1.0
+    jobs.submit("a", 8)
+    end_runs(harness)
+    assert "a" in started_teams(harness)
+
+
 def test_without_weights_the_order_is_as_before():
     """Guard against fairness where no configuration asks for it."""
     harness = make_cell(a=0.0, b=0.0)
@@ -169,6 +238,7 @@
         super().__init__()
         self.harness = make_cell(small=1.0, large=3.0)
         self.jobs = Submitter(self.harness)
+        self.stored = {}
 
     @rule(team=TEAMS, count=st.integers(1, 12))
     def submit(self, team, count):
@@ -191,6 +261,16 @@
         self.harness.now += 1.0
         self.harness.renew_all()
 
+    @rule()
+    def take_over(self):
+        before = marked_jobs(self.harness)
+        self.stored |= self.harness.save_progress()
+        accepted = [job.accepted for job in self.harness.cell.state.jobs.values()]
+        self.harness.take_over(reversed(accepted), self.stored)
+        self.harness.renew_all()
+        self.harness.cell.tick(self.harness.now, self.harness.now)
+        assert marked_jobs(self.harness) == before
+
     @rule()
     def schedule(self):
         """Check that no team is passed over by one that is entitled to less."""
