Let two kills of the soak that overlap pick different instances

Both kills of 17.4 s read the running instances, waited for the answer on the owner, and picked the same one. The running ones are now read after the wait. Not run again since.

--- a/baobabhoist/platform/testing/soak_faults.py
+++ b/baobabhoist/platform/testing/soak_faults.py
@@ -59,8 +59,9 @@
 
 async def _pick_instance(soak: Soak, rng: random.Random) -> str:
     """Pick a running instance: half of the time the owner, otherwise any."""
-    running = [name for name in soak.deployment.instances if name not in soak.down_instances]
     owner = await soak.deployment.find_owner()
+    # Only now, because another fault may have picked an instance meanwhile.
+    running = [name for name in soak.deployment.instances if name not in soak.down_instances]
     return owner if owner in running and rng.random() < 0.5 else rng.choice(running)
 
 
