Count the work that runs throw away, by queue and cause

Work of runs that were stopped, lapsed, broken or lost was not counted anywhere, so that nobody could tell why core-seconds were thrown away. Each stop now names its cause.

--- a/baobabhoist/cell/jobs.py
+++ b/baobabhoist/cell/jobs.py
@@ -4,6 +4,7 @@
 
 import enum
 from collections.abc import Iterator
+from typing import TYPE_CHECKING
 
 import attrs
 
@@ -20,6 +21,9 @@
 )
 from baobabhoist.cell.wait_reasons import WaitReason
 
+if TYPE_CHECKING:
+    from baobabhoist.cell.wasted_work import WasteCause
+
 # A job that ends within this multiple of its objective still earns part of its value.
 LATE_LIMIT_FACTOR = 3.0
 FINAL_PERCENT = 100.0
@@ -68,6 +72,10 @@
     expected_end_ms: float = float("inf")
     # This owner started the run, and not from a checkpoint.
     is_fresh_start: bool = False
+    # Since when its work is neither saved by a checkpoint nor counted as wasted.
+    unsaved_since_ms: float = 0.0
+    # Why this owner stopped the run.
+    stop_cause: WasteCause | None = None
 
     def confirm(self, now: float) -> None:
         """Record that a worker has confirmed that it began the run."""
--- a/baobabhoist/cell/periodic_checks.py
+++ b/baobabhoist/cell/periodic_checks.py
@@ -13,6 +13,7 @@
 from baobabhoist.cell.jobs import FINAL_PERCENT, Run, RunPhase, StepState
 from baobabhoist.cell.run_ends import RunEndHandler, close_lost_run
 from baobabhoist.cell.state import CellState
+from baobabhoist.cell.wasted_work import WasteCause
 from baobabhoist.cell.workers import WorkerState
 from baobabhoist.observability.events import Event, emit
 
@@ -54,7 +55,12 @@
             self._crashes.record_lapse(worker, now)
             for run in list(worker.runs.values()):
                 close_lost_run(
-                    self._state, self._run_ends, run, now, "the lease of its worker has lapsed"
+                    self._state,
+                    self._run_ends,
+                    run,
+                    now,
+                    "the lease of its worker has lapsed",
+                    WasteCause.LEASE_LAPSED,
                 )
         is_gone = not worker.is_listed and now > worker.unlisted_since_ms + DIRECTORY_RECOVERY_MS
         if is_gone and not worker.runs:
@@ -64,7 +70,7 @@
     def _check_run(self, worker: WorkerState, run: Run, now: float) -> None:
         self._repeat_stop(run, now)
         if _is_forgotten(run, now):
-            self._state.stop_run(run, now)
+            self._state.stop_run(run, now, WasteCause.OTHER)
         elif _is_stalled(worker, run, now):
             self._stop_stalled_run(worker, run, now)
 
@@ -73,7 +79,7 @@
         is_stopping = run.phase in (RunPhase.STOPPING, RunPhase.UNSURE)
         interval_ms = OPEN_STOP_RETRY_INTERVAL_MS if run.is_stop_open else STOP_RETRY_INTERVAL_MS
         if is_stopping and not run.stop_answered_ms and now - run.stop_sent_ms > interval_ms:
-            self._state.stop_run(run, now)
+            self._state.stop_run(run, now, WasteCause.OTHER)
 
     def _stop_stalled_run(self, worker: WorkerState, run: Run, now: float) -> None:
         quarantine.record_stall(self._state, worker, now)
@@ -85,7 +91,7 @@
             worker=run.worker_id,
             percent=run.progress_percent,
         )
-        self._state.stop_run(run, now)
+        self._state.stop_run(run, now, WasteCause.STALLED)
 
     def _repair_gangs(self, now: float) -> None:
         """Stop the remaining members of gangs that lost some under an earlier owner."""
@@ -97,7 +103,7 @@
         for task in step.tasks:
             run = task.run
             if run is not None and run.phase in (RunPhase.RUNNING, RunPhase.STARTING):
-                self._state.stop_run(run, now)
+                self._state.stop_run(run, now, WasteCause.GANG_BROKEN)
 
     def _open_occurrences(self, now: float, unix_ms: float) -> None:
         for job in list(self._state.jobs.values()):
--- a/baobabhoist/cell/run_ends.py
+++ b/baobabhoist/cell/run_ends.py
@@ -7,6 +7,7 @@
 from baobabhoist.cell.jobs import Run, RunPhase, StepState, TaskState
 from baobabhoist.cell.model import JobPhase, RunOutcome
 from baobabhoist.cell.state import CellState
+from baobabhoist.cell.wasted_work import WasteCause
 from baobabhoist.observability.events import Event, emit
 
 log = logging.getLogger(__name__)
@@ -56,7 +57,7 @@
         for member in step.tasks:
             run = member.run
             if run is not None and run.number == run_number and run.phase is not RunPhase.STOPPING:
-                self._state.stop_run(run, now)
+                self._state.stop_run(run, now, WasteCause.GANG_BROKEN)
 
     def _mark_done(self, task: TaskState, now: float) -> None:
         step, job = task.step, task.step.job
@@ -106,7 +107,12 @@
 
 
 def close_lost_run(
-    state: CellState, run_ends: RunEndHandler, run: Run, now: float, reason: str
+    state: CellState,
+    run_ends: RunEndHandler,
+    run: Run,
+    now: float,
+    reason: str,
+    cause: WasteCause = WasteCause.WORKER_LOST,
 ) -> None:
     """Close a run that has certainly ended although no worker reported its end."""
     emit(
@@ -117,6 +123,7 @@
         worker=run.worker_id,
         reason=reason,
     )
+    state.waste.record_loss(run, run.stop_cause or cause, now)
     state.close_run(run)
     if run.task.step.spec.gang and not run.task.step.is_done:
         run_ends.stop_gang_run(run.task.step, run.number, now)
--- a/baobabhoist/cell/scheduler.py
+++ b/baobabhoist/cell/scheduler.py
@@ -30,6 +30,7 @@
 from baobabhoist.cell.progress_rows import JobProgress
 from baobabhoist.cell.run_ends import RunEndHandler, close_lost_run
 from baobabhoist.cell.state import CellState
+from baobabhoist.cell.wasted_work import WasteCause
 from baobabhoist.cell.worker_reports import WorkerReportHandler
 from baobabhoist.cell.workers import Lease, WorkerState
 from baobabhoist.observability.events import Event, emit
@@ -100,7 +101,7 @@
                 worker = self._worker_or_placeholder(stored_run.worker_id, now)
                 run = self.state.adopt_run(task, worker, stored_run.number, now)
                 if job.is_final:
-                    self.state.stop_run(run, now)
+                    self.state.stop_run(run, now, WasteCause.JOB_ENDED)
 
     def _worker_or_placeholder(self, worker_id: str, now: float) -> WorkerState:
         """Return a worker, or a placeholder for one that the directory does not list."""
--- a/baobabhoist/cell/state.py
+++ b/baobabhoist/cell/state.py
@@ -34,6 +34,7 @@
 from baobabhoist.cell.start_backlog import StartBacklog
 from baobabhoist.cell.start_delay import StartDelay
 from baobabhoist.cell.start_window import StartWindow
+from baobabhoist.cell.wasted_work import WasteCause, WastedWork
 from baobabhoist.cell.workers import WorkerState
 from baobabhoist.observability.events import Event, emit
 
@@ -61,6 +62,7 @@
     start_window: StartWindow = attrs.Factory(StartWindow)
     start_delay: StartDelay = attrs.Factory(StartDelay)
     start_backlog: StartBacklog = attrs.Factory(StartBacklog)
+    waste: WastedWork = attrs.Factory(WastedWork)
     commands: list[Command] = attrs.Factory(list)
     # Ids of jobs whose progress must be written to the store.
     dirty: set[str] = attrs.Factory(set)
@@ -173,7 +175,7 @@
             + 1
         )
 
-    def stop_run(self, run: Run, now: float) -> None:
+    def stop_run(self, run: Run, now: float, cause: WasteCause) -> None:
         """Issue a stop command for a run, or close it if its start has not been sent."""
         if run.phase is RunPhase.STARTING and not run.is_sent:
             self.dirty.add(run.task.step.job.job_id)
@@ -181,6 +183,7 @@
             return
         if run.phase is not RunPhase.UNSURE:
             run.phase = RunPhase.STOPPING
+        run.stop_cause = run.stop_cause or cause
         run.stop_sent_ms, run.is_stop_open = now, True
         self.commands.append(StopTask(run.worker_id, run.task.key, run.number))
 
@@ -227,7 +230,7 @@
         for step in job.steps.values():
             for task in step.tasks:
                 if task.run is not None and task.run.phase is not RunPhase.STOPPING:
-                    self.stop_run(task.run, now)
+                    self.stop_run(task.run, now, WasteCause.JOB_ENDED)
 
     def _expected_run_ms(self, run: Run) -> float:
         step = run.task.step
--- a/baobabhoist/cell/worker_reports.py
+++ b/baobabhoist/cell/worker_reports.py
@@ -19,6 +19,7 @@
 )
 from baobabhoist.cell.run_ends import RunEndHandler, close_lost_run
 from baobabhoist.cell.state import CellState
+from baobabhoist.cell.wasted_work import WasteCause, mark_saved
 from baobabhoist.cell.workers import WorkerState
 from baobabhoist.observability.events import Event, emit
 
@@ -75,7 +76,7 @@
             worker.last_heard_ms = now
             if not run.confirmed_ms:
                 run.last_progress_ms = now
-            run.confirm(now)
+            self._confirm(run, now)
             run.task.step.mark_start_confirmed()
             if run.phase in (RunPhase.STARTING, RunPhase.UNSURE) and not run.stop_sent_ms:
                 run.phase = RunPhase.RUNNING
@@ -91,7 +92,7 @@
                     run=command.run,
                     worker=command.worker_id,
                 )
-                self._state.stop_run(run, now)
+                self._state.stop_run(run, now, WasteCause.START_UNANSWERED)
                 if run.task.step.spec.gang:
                     self._run_ends.stop_gang_run(run.task.step, run.number, now)
             return
@@ -146,6 +147,7 @@
         run = worker.runs.get(ended_run.task)
         ends_tracked_run = run is not None and run.number <= ended_run.run
         if ends_tracked_run and run is not None:
+            self._state.waste.record_end(run, ended_run.outcome, ended_run.checkpoint, now)
             # Close the run only afterwards, because its duration updates the speed estimates.
             self._run_ends.record_end(
                 task, ended_run.run, ended_run.outcome, ended_run.checkpoint, now
@@ -160,7 +162,7 @@
             )
             other_run = task.run
             if task.is_done and other_run is not None and other_run.phase is not RunPhase.STOPPING:
-                self._state.stop_run(other_run, now)
+                self._state.stop_run(other_run, now, WasteCause.DUPLICATE)
 
     def _apply_active_run(self, worker: WorkerState, active_run: ActiveRun, now: float) -> None:
         run = worker.runs.get(active_run.task)
@@ -181,7 +183,7 @@
         self._update_progress(adopted_run, active_run, now)
 
     def _update_progress(self, run: Run, active_run: ActiveRun, now: float) -> None:
-        run.confirm(now)
+        self._confirm(run, now)
         if run.phase is RunPhase.STARTING:
             run.phase = RunPhase.RUNNING
             run.task.step.mark_start_confirmed()
@@ -189,8 +191,16 @@
             _forecast_end(run, active_run.progress_percent, now)
             run.progress_percent, run.last_progress_ms = active_run.progress_percent, now
         if active_run.checkpoint and run.task.step.spec.checkpoints:
+            if active_run.checkpoint != run.task.checkpoint:
+                mark_saved(run, now)
             run.task.checkpoint = active_run.checkpoint
 
+    def _confirm(self, run: Run, now: float) -> None:
+        is_first = not run.confirmed_ms
+        run.confirm(now)
+        if is_first and run.task.step.spec.gang:
+            self._state.waste.record_gang_start(run.task.step)
+
     def _close_missing_runs(
         self, worker: WorkerState, report: WorkerReport, requested_ms: float, now: float
     ) -> None:
@@ -205,6 +215,8 @@
             was_confirmed = 0 < run.confirmed_ms < requested_ms
             was_stopped = 0 < run.stop_answered_ms < requested_ms
             if run.phase is RunPhase.STOPPING and (was_stopped or was_confirmed):
+                cause = run.stop_cause or WasteCause.OTHER
+                self._state.waste.record_loss(run, cause, now)
                 self._state.close_run(run)
             elif run.phase is RunPhase.RUNNING and was_confirmed:
                 close_lost_run(
--- a/baobabhoist/control/metrics.py
+++ b/baobabhoist/control/metrics.py
@@ -9,6 +9,7 @@
 
 from baobabhoist.cell.model import CommandOutcome
 from baobabhoist.cell.wait_reasons import WaitReason
+from baobabhoist.cell.wasted_work import WastedWork
 from baobabhoist.cell.worker_conditions import WorkerCondition
 from baobabhoist.control.interfaces import AdviceOutcome
 from baobabhoist.observability.metrics import (
@@ -70,6 +71,9 @@
         self._config_age = self._gauge("config_age_seconds", "Age of its last confirmation.")
         self._owns = self._gauge("owns_cell", "1 while this instance owns the cell.")
         self._queued = self._gauge("queued_tasks", "Tasks that wait, by queue.")
+        self._wasted = self._counter(
+            "wasted_core_seconds_total", "Work of runs that was thrown away, by queue and cause."
+        )
         self._lease_margin = self._gauge(
             "lease_margin_seconds", "Time to the first lease of a worker that would lapse."
         )
@@ -130,6 +134,12 @@
         for condition in WorkerCondition:
             self._workers.set({"condition": condition.value}, summary.workers[condition])
 
+    def add_wasted_work(self, waste: WastedWork) -> None:
+        """Add the work that was thrown away since the last call, and reset it."""
+        for (queue, cause), core_s in waste.take().items():
+            labels = {"queue": self._queues.label_for(queue), "cause": cause.value}
+            self._wasted.add(labels, core_s)
+
     def count_failed_start(self, outcome: CommandOutcome) -> None:
         """Count a start command that was rejected or not answered."""
         self._failed_starts.inc({"reason": outcome.value})
--- a/baobabhoist/control/owner.py
+++ b/baobabhoist/control/owner.py
@@ -451,6 +451,7 @@
             if self._ticks % RETENTION_CHECK_TICKS == 0:
                 self._remove_expired_jobs(cell)
             self._sync_sessions()
+            self._deps.metrics.add_wasted_work(cell.state.waste)
             self._waiting_reporter.report(cell, self.may_renew(), monotonic_ms())
             await asyncio.sleep(TICK_INTERVAL_S)
 
--- a/baobabhoist/observability/events.py
+++ b/baobabhoist/observability/events.py
@@ -154,6 +154,11 @@
         logging.WARNING,
         "worker {worker} crashed with {count} tasks: {blame}",
     )
+    WORK_WASTED = (
+        1541,
+        logging.INFO,
+        "run {run} of task {task} on worker {worker} threw away {core_s} core-seconds: {cause}",
+    )
     CLAIM_SEEN = (1601, logging.INFO, "instance {owner} holds the claim of version {version}")
     CLAIM_WON = (1602, logging.INFO, "won the claim with token {token}: {reason}")
     CLAIM_LOST = (1603, logging.WARNING, "lost the claim with token {token}: {reason}")
