Let small tasks run ahead of a gathering gang, and stop runs for urgent work

A gang that could not start kept its workers idle, whatever the time until it had room, and on-time work waited for runs whose jobs were worth nothing any more. With scheduling.backfill, a gang reserves the workers that soonest have room by the expected ends of their runs; tasks that end before its start run ahead, and a gang whose start would be worth nothing reserves none (no_room_in_time). With scheduling.preemption, an on-time step that finds no room stops runs of expired jobs, and priority 0 also less urgent runs whose job stays as timely, if the won core-seconds exceed the lost ones; the freed room is kept for it. Both are off by default.

--- /dev/null
+++ b/baobabhoist/cell/gang_forecast.py
@@ -0,0 +1,66 @@
+"""Forecast when and where a waiting gang can start, from the expected ends of the runs."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Iterator
+
+import attrs
+
+from baobabhoist.cell.jobs import Run, RunPhase, StepState
+from baobabhoist.cell.worker_selection import count_fitting_tasks, max_tasks_per_worker
+from baobabhoist.cell.workers import WorkerState
+
+
+@attrs.frozen
+class GangStart:
+    """Hold when a gang can start, and the workers that will have room for all its members."""
+
+    start_ms: float
+    workers: tuple[WorkerState, ...]
+
+
+@attrs.frozen
+class Slot:
+    """Hold from when on a worker has room for one more member of a gang."""
+
+    free_ms: float
+    worker: WorkerState
+
+
+def forecast_start(
+    step: StepState, workers: Iterable[WorkerState], now: float
+) -> GangStart | None:
+    """Return the earliest start of a gang on these workers, or None if they are too small."""
+    slots = [slot for worker in workers for slot in _slots_of(worker, step, now)]
+    # The sort is stable: of workers with room at the same time, those named first are chosen.
+    slots.sort(key=lambda slot: slot.free_ms)
+    needed = slots[: step.waiting_count]
+    if len(needed) < step.waiting_count:
+        return None
+    chosen = dict.fromkeys(slot.worker for slot in needed)
+    return GangStart(needed[-1].free_ms, tuple(chosen))
+
+
+def _slots_of(worker: WorkerState, step: StepState, now: float) -> Iterator[Slot]:
+    """Yield the slots of a worker for the members of a gang, the first ones first."""
+    need = step.spec.allocation
+    max_count = max_tasks_per_worker(step.spec, step.waiting_count)
+    free, count = worker.free, 0
+    ends = sorted(((_end_ms(run, now), run.allocation) for run in worker.runs.values()), key=_time)
+    for free_ms, allocation in ((now, None), *ends):
+        free = free.plus(allocation) if allocation is not None else free
+        fitting = count_fitting_tasks(free, need, max_count)
+        for _ in range(fitting - count):
+            yield Slot(free_ms, worker)
+        count = max(count, fitting)
+
+
+def _time(end: tuple[float, object]) -> float:
+    return end[0]
+
+
+def _end_ms(run: Run, now: float) -> float:
+    """Return when a run will probably end; one that is overdue may end at any time."""
+    if run.phase is RunPhase.STOPPING:
+        return now
+    return max(now, run.expected_end_ms)
--- a/baobabhoist/cell/jobs.py
+++ b/baobabhoist/cell/jobs.py
@@ -200,6 +200,8 @@
     is_inherited: bool = False
     ended_ms: float = 0.0
     opened_count: int = 0
+    # This owner has stopped runs of this job in favour of another one.
+    was_preempted: bool = False
     # Cached until a step is opened or done.
     _remaining_critical_path_ms: float | None = None
 
--- a/baobabhoist/cell/placer.py
+++ b/baobabhoist/cell/placer.py
@@ -10,7 +10,14 @@
 from baobabhoist.cell.advice_requests import AdviceRequester
 from baobabhoist.cell.jobs import StepState, TaskState
 from baobabhoist.cell.model import JobPhase, Resources
-from baobabhoist.cell.ranking import Rank, Timeliness, rank_step, timeliness_of
+from baobabhoist.cell.preemptions import ROOM_REASONS, Preemptions
+from baobabhoist.cell.ranking import (
+    Rank,
+    Timeliness,
+    latest_useful_start_ms,
+    rank_step,
+    timeliness_of,
+)
 from baobabhoist.cell.reservations import Reservations
 from baobabhoist.cell.speed_matching import slowdown_tolerance, speed_cost
 from baobabhoist.cell.state import CellState
@@ -36,7 +43,11 @@
     advice: AdviceRequester = attrs.Factory(
         lambda self: AdviceRequester(self.state), takes_self=True
     )
-    reservations: Reservations = attrs.Factory(Reservations)
+    reservations: Reservations = attrs.Factory(
+        lambda self: Reservations(self.state.expected_run_ms, self.state.policy.backfills),
+        takes_self=True,
+    )
+    preemptions: Preemptions = attrs.Factory(lambda self: Preemptions(self.state), takes_self=True)
 
     def place_waiting_steps(self, now: float, may_start: bool) -> None:
         """Start the tasks that fit and request advice for those that still wait."""
@@ -49,7 +60,8 @@
     def _place_ranked(self, waiting_steps: list[StepState], now: float, may_start: bool) -> None:
         start_delay_ms = self.state.start_delay.expected_ms
         worker_index = WorkerIndex(self.state.workers.values(), now, start_delay_ms)
-        self.reservations.clear()
+        self.reservations.clear(now)
+        self.preemptions.reserve_held_room(self.reservations, now)
         self.state.start_window.refresh()
         starting_before = self.state.start_window.starting_count
         held_back_tasks = 0
@@ -91,11 +103,19 @@
             step.wait_reason = WaitReason.START_WINDOW_FULL
         else:
             step.wait_reason = self._place_step(step, worker_index, now)
+        if may_start and step.wait_reason in ROOM_REASONS:
+            self._preempt(step, worker_index, now)
         if step.waiting_count:
             if step.waiting_since_ms is None:
                 step.waiting_since_ms = now
             self.advice.request(step, position, worker_index, self.reservations, now)
 
+    def _preempt(self, step: StepState, worker_index: WorkerIndex, now: float) -> None:
+        """Stop other runs for a step that finds no room, if the policy allows it."""
+        if self.state.policy.preempts:
+            startable = self._startable_workers(step, worker_index)
+            self.preemptions.preempt_for(step, startable, self.reservations, now)
+
     def _give_up(self, step: StepState, exc: Exception, now: float) -> None:
         """Fail a job that makes the scheduler raise: it would end each owner in turn."""
         job = step.job
@@ -127,7 +147,9 @@
         if not candidates and not spec.gang:
             return WaitReason.WORKERS_RESERVED if startable else WaitReason.NO_STARTABLE_WORKER
         if spec.gang:
-            self._place_gang(step, self._find_slots(step, candidates, now), worker_index, now)
+            slots = self._find_slots(step, candidates, now)
+            if not self._place_gang(step, slots, worker_index, now):
+                return WaitReason.NO_ROOM_IN_TIME
         else:
             self._place_tasks(step, candidates, worker_index, now)
         if not step.waiting_count:
@@ -206,18 +228,22 @@
 
     def _place_gang(
         self, step: StepState, slots: list[WorkerSlots], worker_index: WorkerIndex, now: float
-    ) -> None:
+    ) -> bool:
+        """Start a gang or reserve workers for it; return False if it is given up."""
         members = list(step.waiting_tasks())
         chosen = assign_gang(slots, len(members), step.spec.same_rack)
         if not chosen:
-            if not self.reservations.is_full:
-                self.reservations.reserve_workers(step, self._approved_workers(step, worker_index))
-            return
+            if self.reservations.is_full:
+                return True
+            approved = self._approved_workers(step, worker_index)
+            latest_ms = latest_useful_start_ms(step.job, now)
+            return self.reservations.reserve_workers(step, approved, latest_ms)
         run_number = self.state.next_run_number(members)
         checkpoint = next((m.checkpoint for m in members if m.checkpoint), "")
         for task, worker in zip(members, chosen, strict=True):
             task.checkpoint = checkpoint
             self.state.start_run(task, worker, run_number, now)
+        return True
 
     def _placement_cost(self, worker: WorkerState, step: StepState, tolerance: float) -> float:
         """Return the cost of a worker for a step; the worker with the lowest cost is chosen."""
--- /dev/null
+++ b/baobabhoist/cell/preemptions.py
@@ -0,0 +1,113 @@
+"""Carry out preemptions in a cell, and keep the freed room for the steps that won it."""
+
+from __future__ import annotations
+
+import logging
+
+import attrs
+
+from baobabhoist.cell.jobs import StepState
+from baobabhoist.cell.model import StepKey
+from baobabhoist.cell.preemption import (
+    MAX_SERVED_TASKS,
+    Preemption,
+    Preemptor,
+    Victim,
+)
+from baobabhoist.cell.ranking import Timeliness, timeliness_of
+from baobabhoist.cell.reservations import Reservations
+from baobabhoist.cell.state import CellState
+from baobabhoist.cell.wait_reasons import WaitReason
+from baobabhoist.cell.wasted_work import WasteCause
+from baobabhoist.cell.workers import WorkerState
+from baobabhoist.observability.events import Event, emit
+
+log = logging.getLogger(__name__)
+
+# Freed room is kept for its winner for this long.
+HOLD_MS = 1_200.0
+# At most this many steps have room kept for them, as nothing else may use it meanwhile.
+MAX_HOLDS = 4
+# Reasons to wait that a preemption can end.
+ROOM_REASONS = frozenset(
+    {WaitReason.NO_ROOM, WaitReason.NO_ROOM_WITH_TICKET, WaitReason.NO_ROOM_FOR_GANG}
+)
+
+
+@attrs.frozen
+class Hold:
+    """Hold the workers that are kept for a step until a time."""
+
+    step: StepState
+    workers: tuple[WorkerState, ...]
+    until_ms: float
+
+
+@attrs.define
+class Preemptions:
+    """Stop runs for waiting steps and keep what that frees; all times are in ms."""
+
+    state: CellState
+    holds: dict[StepKey, Hold] = attrs.Factory(dict)
+
+    def reserve_held_room(self, reservations: Reservations, now: float) -> None:
+        """Reserve the freed room for its winners at the start of a round."""
+        self.holds = {key: hold for key, hold in self.holds.items() if _is_needed(hold, now)}
+        for hold in self.holds.values():
+            reservations.hold(hold.step, hold.workers, now)
+
+    def preempt_for(
+        self, step: StepState, workers: list[WorkerState], reservations: Reservations, now: float
+    ) -> None:
+        """Stop runs on some of these workers if that serves a step that finds no room."""
+        if step.key in self.holds or len(self.holds) >= MAX_HOLDS:
+            return
+        served = self._count_servable(step)
+        unreserved = [w for w in workers if reservations.is_unreserved(w, step)]
+        preemption = Preemptor(self.state.queue_of, now).choose(step, unreserved, served)
+        if preemption is None:
+            return
+        for victim in preemption.victims:
+            self._stop(victim, step, preemption, now)
+        self.holds[step.key] = Hold(step, preemption.workers, now + HOLD_MS)
+        reservations.hold(step, preemption.workers, now)
+
+    def _count_servable(self, step: StepState) -> int:
+        """Return for how many tasks room may be freed at once within the team's limit."""
+        counts = range(min(step.waiting_count, MAX_SERVED_TASKS), 0, -1)
+        if step.spec.gang:
+            counts = range(step.waiting_count, step.waiting_count - 1, -1)
+        need = step.spec.need
+        fitting = (n for n in counts if self.state.is_within_team_limit(step.job, need.times(n)))
+        return next(fitting, 0)
+
+    def _stop(self, victim: Victim, step: StepState, preemption: Preemption, now: float) -> None:
+        victim.job.was_preempted = True
+        for run in victim.runs:
+            emit(
+                log,
+                Event.RUN_PREEMPTED,
+                task=run.task.key.to_text(),
+                run=run.number,
+                worker=run.worker_id,
+                winner=step.job.job_id,
+                winner_step=step.key.step,
+                expired=victim.is_expired,
+                beyond_share=victim.is_beyond_share,
+                lost_core_s=round(victim.lost_core_s, 2),
+                all_lost_core_s=round(preemption.lost_core_s, 2),
+                won_core_s=round(preemption.won_core_s, 2),
+                percent=run.progress_percent,
+            )
+            self.state.stop_run(run, now, WasteCause.PREEMPTED)
+
+
+def _is_needed(hold: Hold, now: float) -> bool:
+    """Return whether the winner of a hold still waits and can still be on time."""
+    step = hold.step
+    return (
+        now < hold.until_ms
+        and step.waiting_count > 0
+        and not step.job.is_final
+        and timeliness_of(step.job, now) is Timeliness.ON_TIME
+    )
--- a/baobabhoist/cell/reservations.py
+++ b/baobabhoist/cell/reservations.py
@@ -2,41 +2,74 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 import attrs
 
+from baobabhoist.cell.gang_forecast import GangStart, forecast_start
 from baobabhoist.cell.jobs import StepState
 from baobabhoist.cell.worker_selection import count_fitting_tasks, max_tasks_per_worker
 from baobabhoist.cell.workers import WorkerState
 
 # Gangs that reserve workers at the same time; more would leave too many cores idle.
 MAX_RESERVING_GANGS = 1
+# A task may run ahead of a gang if this multiple of its expected duration passes before its start.
+BACKFILL_DURATION_FACTOR = 1.25
+# The forecast of a gang's start looks at this many workers, or at this many for each member.
+MAX_FORECAST_WORKERS = 128
+MAX_FORECAST_WORKERS_PER_MEMBER = 4
+
+
+@attrs.frozen
+class Reservation:
+    """Hold for which step a worker is reserved, and when it will probably start.
+
+    Without a forecast the start is the time of the reservation, so that nothing may run ahead.
+    """
+
+    step: StepState
+    start_ms: float
 
 
 @attrs.define
 class Reservations:
     """Hold the workers and team limits reserved for gangs during one scheduling round."""
 
-    gang_by_worker: dict[str, StepState] = attrs.Factory(dict)
+    # Returns how long a task of a step will probably run on a worker.
+    expected_run_ms: Callable[[StepState, str], float]
+    # Small tasks may run on reserved workers if they end before the reserved start.
+    backfills: bool = False
+    by_worker: dict[str, Reservation] = attrs.Factory(dict)
     # The first gang of each team that waits until the team's limit admits all its members.
     gang_by_team: dict[str, StepState] = attrs.Factory(dict)
     reserving_gang_count: int = 0
+    _now: float = 0.0
 
-    def clear(self) -> None:
+    def clear(self, now: float) -> None:
         """Drop all reservations at the start of a round."""
-        self.gang_by_worker.clear()
+        self._now = now
+        self.by_worker.clear()
         self.gang_by_team.clear()
         self.reserving_gang_count = 0
 
     def is_worker_available(self, worker: WorkerState, step: StepState) -> bool:
-        """Return whether a worker is not reserved for another step."""
-        if not self.gang_by_worker:
+        """Return whether a task of a step may start on a worker as far as reservations go."""
+        if not self.by_worker:
+            return True
+        reservation = self.by_worker.get(worker.worker_id)
+        if reservation is None or reservation.step is step:
             return True
-        holder = self.gang_by_worker.get(worker.worker_id)
-        return holder is None or holder is step
+        return self.backfills and self._ends_before(reservation, worker, step)
+
+    def _ends_before(self, reservation: Reservation, worker: WorkerState, step: StepState) -> bool:
+        left_ms = reservation.start_ms - self._now
+        return left_ms > 0.0 and (
+            BACKFILL_DURATION_FACTOR * self.expected_run_ms(step, worker.worker_id) <= left_ms
+        )
 
     def holds_capacity_from(self, step: StepState, workers: list[WorkerState]) -> bool:
         """Return whether a worker reserved for another step has a processor for this one."""
-        return bool(self.gang_by_worker) and any(
+        return bool(self.by_worker) and any(
             worker.free_cpu >= step.spec.allocation.cpu
             and not self.is_worker_available(worker, step)
             for worker in workers
@@ -55,30 +88,62 @@
         """Return whether no further gang may reserve workers in this round."""
         return self.reserving_gang_count >= MAX_RESERVING_GANGS
 
-    def reserve_workers(self, step: StepState, approved: list[WorkerState]) -> None:
-        """Reserve the approved workers that will soonest have the capacity for a gang.
+    def reserve_workers(
+        self, step: StepState, approved: list[WorkerState], latest_start_ms: float
+    ) -> bool:
+        """Reserve the workers for a gang; return False if it is given up.
 
-        These are the least loaded ones, and as few as suffice. If all together are too small for
-        the gang, none is reserved.
+        All the workers that it needs are reserved or none: none if all together are too small. A
+        gang that cannot start by `latest_start_ms` is given up.
         """
         if self.is_full or not approved:
-            return
-        available = [w for w in approved if self.is_worker_available(w, step)]
+            return True
+        available = [w for w in approved if self.is_unreserved(w, step)]
         available.sort(key=_cpu_utilization)
-        max_per_worker = max_tasks_per_worker(step.spec, step.waiting_count)
-        chosen, slot_count = [], 0
-        for worker in available:
-            chosen.append(worker)
-            slot_count += count_fitting_tasks(
-                worker.info.capacity, step.spec.allocation, max_per_worker
-            )
-            if slot_count >= step.waiting_count:
-                break
-        if slot_count < step.waiting_count:
-            return
+        start = self._plan(step, available)
+        if start is None:
+            return True
+        if self.backfills and start.start_ms > latest_start_ms:
+            return False
         self.reserving_gang_count += 1
-        for worker in chosen:
-            self.gang_by_worker[worker.worker_id] = step
+        self.hold(step, start.workers, start.start_ms)
+        return True
+
+    def hold(self, step: StepState, workers: tuple[WorkerState, ...], start_ms: float) -> None:
+        """Reserve workers for a step that will probably start at a time."""
+        for worker in workers:
+            self.by_worker[worker.worker_id] = Reservation(step, start_ms)
+
+    def is_unreserved(self, worker: WorkerState, step: StepState) -> bool:
+        """Return whether a worker is not reserved for another step, not even for later."""
+        reservation = self.by_worker.get(worker.worker_id)
+        return reservation is None or reservation.step is step
+
+    def _plan(self, step: StepState, available: list[WorkerState]) -> GangStart | None:
+        """Return the workers that will soonest have the capacity for a gang."""
+        if self.backfills:
+            per_member = MAX_FORECAST_WORKERS_PER_MEMBER * step.waiting_count
+            limit = max(MAX_FORECAST_WORKERS, per_member)
+            capable = [w for w in available if step.spec.allocation.fits_into(w.info.capacity)]
+            start = forecast_start(step, capable[:limit], self._now)
+            if start is None or start.start_ms < float("inf"):
+                return start
+        chosen = _least_loaded(step, available)
+        return GangStart(self._now, chosen) if chosen else None
+
+
+def _least_loaded(step: StepState, available: list[WorkerState]) -> tuple[WorkerState, ...]:
+    """Return as few of the least loaded workers as suffice for a gang, or none."""
+    max_per_worker = max_tasks_per_worker(step.spec, step.waiting_count)
+    chosen, slot_count = [], 0
+    for worker in available:
+        chosen.append(worker)
+        slot_count += count_fitting_tasks(
+            worker.info.capacity, step.spec.allocation, max_per_worker
+        )
+        if slot_count >= step.waiting_count:
+            return tuple(chosen)
+    return ()
 
 
 def _cpu_utilization(worker: WorkerState) -> float:
--- a/baobabhoist/cell/state.py
+++ b/baobabhoist/cell/state.py
@@ -131,7 +131,7 @@
         ticket = task.step.approvals.valid_ticket(worker.worker_id, sent_ms)
         run = self._add_run(task, worker, run_number, RunPhase.STARTING, now)
         run.is_fresh_start = not task.checkpoint
-        expected_ms = self._expected_run_ms(run)
+        expected_ms = self.expected_run_ms(task.step, worker.worker_id)
         run.expected_end_ms = now + expected_ms
         run.ms_per_percent = expected_ms / FINAL_PERCENT
         self.start_window.add(run)
@@ -232,11 +232,11 @@
                 if task.run is not None and task.run.phase is not RunPhase.STOPPING:
                     self.stop_run(task.run, now, WasteCause.JOB_ENDED)
 
-    def _expected_run_ms(self, run: Run) -> float:
-        step = run.task.step
+    def expected_run_ms(self, step: StepState, worker_id: str) -> float:
+        """Return how long a task of a step will probably run on a worker."""
         if step.spec.lasting:
             return float("inf")
-        slowdown = self.speeds.worker_slowdown(run.worker_id)
+        slowdown = self.speeds.worker_slowdown(worker_id)
         ratio = self.speeds.duration_ratio(step.job.accepted.queue)
         return step.spec.expected_ms * ratio * slowdown
 
--- a/baobabhoist/cell/wait_reasons.py
+++ b/baobabhoist/cell/wait_reasons.py
@@ -32,6 +32,8 @@
     NO_ROOM_WITH_TICKET = "no_room_with_ticket"
     # Some members of a gang would fit, but not all at once.
     NO_ROOM_FOR_GANG = "no_room_for_gang"
+    # A gang cannot start before its job is worth nothing, so it reserves no workers.
+    NO_ROOM_IN_TIME = "no_room_in_time"
     # A task that may crash its worker waits for one on which nothing else has just started.
     NO_QUIET_WORKER = "no_quiet_worker"
     TEAM_LIMIT = "team_limit"
--- a/baobabhoist/observability/events.py
+++ b/baobabhoist/observability/events.py
@@ -154,6 +154,11 @@
         logging.WARNING,
         "worker {worker} crashed with {count} tasks: {blame}",
     )
+    RUN_PREEMPTED = (
+        1542,
+        logging.INFO,
+        "stopping run {run} of task {task} on worker {worker} for job {winner}",
+    )
     WORK_WASTED = (
         1541,
         logging.INFO,
--- a/baobabhoist/tests/cell_harness.py
+++ b/baobabhoist/tests/cell_harness.py
@@ -19,6 +19,7 @@
     Team,
     WorkerReport,
 )
+from baobabhoist.cell.policy import DEFAULT_POLICY, SchedulingPolicy
 from baobabhoist.cell.scheduler import CellScheduler, Takeover
 from baobabhoist.testing.cell_worker import FakeCellWorker
 
@@ -31,9 +32,9 @@
     return CellRules(1, queues, {"team": Team("team", 1.0, limit)})
 
 
-def make_job(job_id="0" * 16, *steps, version=100, team="team", **spec):
+def make_job(job_id="0" * 16, *steps, version=100, team="team", queue="q", **spec):
     steps = steps or (Step(1, SMALL, 1000),)
-    return AcceptedJob(job_id, "q", "svc", team, 0, JobSpec("(payload)", steps, **spec), version)
+    return AcceptedJob(job_id, queue, "svc", team, 0, JobSpec("(payload)", steps, **spec), version)
 
 
 def make_task_key(job_id="0" * 16, index=0, step=0, occurrence=0):
@@ -50,6 +51,7 @@
     token: int = 50
     generation: int = 0
     cell: CellScheduler = None
+    policy: SchedulingPolicy = DEFAULT_POLICY
     delivers_commands: bool = True
     # Commands that were issued but not delivered, oldest first.
     undelivered: list = attrs.Factory(list)
@@ -60,16 +62,16 @@
         self.start_ownership()
 
     @classmethod
-    def with_workers(cls, count=2, cell_rules=None, **options):
+    def with_workers(cls, count=2, cell_rules=None, policy=DEFAULT_POLICY, **options):
         workers = {f"w{n}": FakeCellWorker(f"w{n}", **options) for n in range(count)}
-        harness = cls(workers, cell_rules or make_rules())
+        harness = cls(workers, cell_rules or make_rules(), policy=policy)
         harness.renew_all()
         return harness
 
     def start_ownership(self, inherited_leases_expire_ms=0.0):
         """Replace the scheduler by that of a new owner."""
         takeover = Takeover(self.generation, self.token, inherited_leases_expire_ms)
-        self.cell = CellScheduler(self.cell_rules, takeover, LEASE_MS)
+        self.cell = CellScheduler(self.cell_rules, takeover, LEASE_MS, self.policy)
         self.cell.sync_directory([w.info() for w in self.workers.values()], self.now)
 
     def take_over(self, jobs=(), progress=None, inherited_lease_ms=LEASE_MS * 1.1):
--- a/baobabhoist/tests/test_cell_reservations.py
+++ b/baobabhoist/tests/test_cell_reservations.py
@@ -1,8 +1,15 @@
 """Test that a steady stream of small tasks does not starve a gang."""
 
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
 from baobabhoist.cell.model import RunOutcome, Step
+from baobabhoist.cell.policy import SchedulingPolicy
+from baobabhoist.cell.wait_reasons import WaitReason
 from baobabhoist.tests.cell_harness import SMALL, CellHarness, make_job, make_rules, make_task_key
 
+GANG = "a" * 16
+
 
 def submit_small_jobs(harness, first, count):
     for number in range(first, first + count):
@@ -59,3 +66,104 @@
     harness.submit(make_job("a" * 16, Step(4, SMALL, 100, gang=True, most_per_worker=1)))
     submit_small_jobs(harness, 0, 8)
     assert len(harness.running_tasks()) == 8
+
+
+def backfilling_harness(workers=2):
+    return CellHarness.with_workers(workers, policy=SchedulingPolicy(backfills=True))
+
+
+def gather_a_gang(harness, long_ms=4_000):
+    """Let a gang wait for two workers, each with one long run and room for three more tasks."""
+    for number in range(2):
+        harness.submit(make_job(f"{number:016x}", Step(1, SMALL.times(3), long_ms)))
+    harness.settle()
+    harness.submit(make_job(GANG, Step(8, SMALL, 400, gang=True)))
+    harness.settle()
+
+
+def running_jobs(harness):
+    return {key.job_id for key, _ in harness.running_tasks()}
+
+
+def test_small_tasks_around_a_gathering_gang():
+    """Guard against cores that idle until a gang starts, and against tasks that delay it."""
+    harness = backfilling_harness()
+    gather_a_gang(harness)
+    harness.submit(make_job("b" * 16, Step(1, SMALL, 500)))
+    harness.submit(make_job("c" * 16, Step(1, SMALL, 8_000)))
+    harness.settle()
+    assert "b" * 16 in running_jobs(harness)
+    assert "c" * 16 not in running_jobs(harness)
+
+
+def test_nothing_runs_ahead_of_a_gang_while_backfill_is_off():
+    """Guard against decisions that change although the operator has not switched them on."""
+    harness = CellHarness.with_workers(2)
+    gather_a_gang(harness)
+    harness.submit(make_job("b" * 16, Step(1, SMALL, 500)))
+    harness.settle()
+    assert "b" * 16 not in running_jobs(harness)
+
+
+def test_two_gangs_that_need_the_same_workers():
+    """Guard against two gangs that each hold half of the workers and never start."""
+    harness = backfilling_harness()
+    gather_a_gang(harness)
+    harness.submit(make_job("b" * 16, Step(8, SMALL, 400, gang=True)))
+    harness.settle()
+    held = harness.cell.placer.reservations.by_worker.values()
+    assert {reservation.step.job.job_id for reservation in held} == {GANG}
+    for number in range(2):
+        harness.end_run(make_task_key(f"{number:016x}"))
+    assert running_jobs(harness) == {GANG}
+    harness.end_run(make_task_key(GANG))
+    assert running_jobs(harness) == {"b" * 16}
+
+
+def test_a_gang_that_cannot_start_in_time_gives_up_its_reservation():
+    """Guard against workers kept for a gang whose job is worth nothing when it starts."""
+    harness = backfilling_harness()
+    gather_a_gang(harness, long_ms=60_000)
+    assert harness.cell.find_job(GANG).steps[(0, 0)].wait_reason is WaitReason.NO_ROOM_IN_TIME
+    harness.submit(make_job("c" * 16, Step(1, SMALL, 8_000)))
+    harness.settle()
+    assert "c" * 16 in running_jobs(harness)
+
+
+def test_tasks_of_unknown_end_let_nothing_run_ahead():
+    """Guard against a reserved start that is taken as known because a lasting task ends never."""
+    harness = backfilling_harness()
+    harness.submit(make_job("0" * 16, Step(2, SMALL.times(3), 0, lasting=True)))
+    harness.settle()
+    harness.submit(make_job(GANG, Step(8, SMALL, 400, gang=True)))
+    harness.submit(make_job("b" * 16, Step(1, SMALL, 500)))
+    harness.settle()
+    assert running_jobs(harness) == {"0" * 16}
+
+
+TASKS = st.tuples(st.integers(1, 4), st.integers(1, 8), st.integers(100, 6_000))
+
+
+@settings(max_examples=60, deadline=None)
+@given(st.lists(TASKS, max_size=8), st.lists(st.integers(2, 8), min_size=1, max_size=3))
+def test_some_gang_always_starts_when_the_cell_empties(small_jobs, gang_sizes):
+    """Guard against reservations that block each other, and against over-allocation."""
+    harness = backfilling_harness()
+    for number, (count, cores, duration_ms) in enumerate(small_jobs):
+        need = SMALL.times(min(cores, 4))
+        harness.submit(make_job(f"{number:016x}", Step(count, need, duration_ms)))
+    harness.settle()
+    for number, size in enumerate(gang_sizes):
+        harness.submit(make_job(f"{number + 100:016x}", Step(size, SMALL, 1_000, gang=True)))
+    for _ in range(200):
+        harness.settle(2)
+        for worker in harness.cell.state.workers.values():
+            assert worker.used.fits_into(worker.info.capacity)
+        running = harness.running_tasks()
+        if not running:
+            break
+        step = harness.cell.find_job(running[0][0].job_id).steps[(0, 0)]
+        members = [t.key for t in step.tasks if t.run is not None]
+        for key in members if step.spec.gang else members[:1]:
+            harness.worker_running(key).end_run(key, RunOutcome.DONE)
+    assert all(job.is_final for job in harness.cell.state.jobs.values())
