Repeat the unanswered start of a gang's member before stopping the gang

A start is idempotent: a worker that has it already answers 200, and one that has seen the end of it rejects it. So the owner sends it a second time under the same number if the worker was heard since. Anything but success leaves open what the first start has done or may still do, and is handled as before: 'old' may mean that the run has ended well, 'room' that the first start comes later. Tasks outside gangs are not repeated: they start elsewhere sooner.

--- a/baobabhoist/cell/scheduler.py
+++ b/baobabhoist/cell/scheduler.py
@@ -10,7 +10,7 @@
 
 from baobabhoist.cell import progress_rows
 from baobabhoist.cell.crashes import CrashHandler
-from baobabhoist.cell.jobs import JobState, StepState, critical_path_ms
+from baobabhoist.cell.jobs import JobState, RunPhase, StepState, critical_path_ms
 from baobabhoist.cell.model import (
     NO_RESOURCES,
     AcceptedJob,
@@ -262,6 +262,24 @@
         run.is_sent, run.sent_ms = True, now
         return True
 
+    def may_repeat_start(self, command: StartTask, now: float) -> bool:
+        """Return whether an unanswered start may be sent again under the same number.
+
+        This saves a gang from being stopped for one lost message. The worker must have been heard
+        since, so that it can be expected to answer; it accepts a start that it knows already.
+        """
+        worker = self.state.workers.get(command.worker_id)
+        run = worker.runs.get(command.task) if worker is not None else None
+        if worker is None or run is None or run.number != command.run or run.sent_ms is None:
+            return False
+        return (
+            run.task.step.spec.gang
+            and run.phase is RunPhase.STARTING
+            and not run.stop_sent_ms
+            and worker.last_heard_ms > run.sent_ms
+            and not _reason_not_to_send(command, worker, now)
+        )
+
     def handle_stop_result(self, command: StopTask, outcome: CommandOutcome, now: float) -> None:
         """Apply the outcome of a stop command."""
         self._check_fenced(outcome)
--- a/baobabhoist/control/owner.py
+++ b/baobabhoist/control/owner.py
@@ -405,6 +405,26 @@
         if not self.may_renew() or not cell.should_send_start(command, monotonic_ms()):
             return
         self._observe_wait(command)
+        outcome = await self._call_start(command)
+        if outcome is CommandOutcome.UNKNOWN and self._may_repeat_start(command):
+            emit(
+                log,
+                Event.START_REPEATED,
+                task=command.task.to_text(),
+                run=command.run,
+                worker=command.worker_id,
+            )
+            if await self._call_start(command) is CommandOutcome.OK:
+                outcome = CommandOutcome.OK
+            # Any other answer leaves open what the first start has done or may still do.
+        cell.handle_start_result(command, outcome, monotonic_ms())
+        self.request_scheduling_round()
+
+    def _may_repeat_start(self, command: StartTask) -> bool:
+        is_permitted = self.may_renew() and not self._tasks.is_stopped
+        return is_permitted and self._require_cell().may_repeat_start(command, monotonic_ms())
+
+    async def _call_start(self, command: StartTask) -> CommandOutcome:
         sent_ms = monotonic_ms()
         outcome = await result_or(self.sessions.start_task(command), CommandOutcome.UNKNOWN)
         self._waiting_reporter.starts[outcome] += 1
@@ -412,9 +432,8 @@
         self._deps.metrics.observe_worker_call("start", outcome.value, duration_ms / 1000)
         if outcome is not CommandOutcome.OK:
             self._deps.metrics.count_failed_start(outcome)
-        cell.record_start_answer(outcome, duration_ms, monotonic_ms())
-        cell.handle_start_result(command, outcome, monotonic_ms())
-        self.request_scheduling_round()
+        self._require_cell().record_start_answer(outcome, duration_ms, monotonic_ms())
+        return outcome
 
     def _observe_wait(self, command: StartTask) -> None:
         job = self._require_cell().find_job(command.task.job_id)
--- a/baobabhoist/observability/events.py
+++ b/baobabhoist/observability/events.py
@@ -154,6 +154,11 @@
         logging.WARNING,
         "worker {worker} crashed with {count} tasks: {blame}",
     )
+    START_REPEATED = (
+        1543,
+        logging.INFO,
+        "repeating the unanswered start of run {run} of task {task} on worker {worker}",
+    )
     RUN_PREEMPTED = (
         1542,
         logging.INFO,
--- a/baobabhoist/tests/test_cell_run_stops.py
+++ b/baobabhoist/tests/test_cell_run_stops.py
@@ -136,3 +136,36 @@
     harness.advance(2 * STALL_TIMEOUT_MS)
     assert harness.running_tasks() == [(make_task_key(), "w0")]
     assert harness.workers["w0"].started_runs == [(make_task_key(), 1)]
+
+
+def test_only_a_gangs_start_on_a_worker_that_still_answers_is_repeated():
+    """Guard against a whole gang that is stopped because one start got lost."""
+    harness = CellHarness.with_workers(2)
+    harness.delivers_commands = False
+    harness.submit(make_job("0" * 16, *GANG))
+    first, second = harness.schedule()
+    harness.now += 10.0
+    cell = harness.cell
+    assert cell.should_send_start(first, harness.now)
+    assert cell.should_send_start(second, harness.now)
+    harness.now += 700.0
+    assert not cell.may_repeat_start(first, harness.now)
+    harness.renew(first.worker_id)
+    assert cell.may_repeat_start(first, harness.now)
+    assert not cell.may_repeat_start(second, harness.now)
+    expired = attrs.evolve(first, ticket_expires_ms=harness.now)
+    assert not cell.may_repeat_start(expired, harness.now)
+    cell.cancel_job("0" * 16, harness.now)
+    assert not cell.may_repeat_start(first, harness.now)
+
+
+def test_a_single_task_whose_start_is_unanswered_is_not_repeated():
+    """Guard against tasks that wait for a lost start although they could start elsewhere."""
+    harness = CellHarness.with_workers(1)
+    harness.delivers_commands = False
+    harness.submit(make_job())
+    (start,) = harness.schedule()
+    assert harness.cell.should_send_start(start, harness.now)
+    harness.now += 700.0
+    harness.renew("w0")
+    assert not harness.cell.may_repeat_start(start, harness.now)
--- a/baobabhoist/tests/test_control_owner.py
+++ b/baobabhoist/tests/test_control_owner.py
@@ -30,6 +30,8 @@
 
 JOB_ID = "a" + 15 * "0"
 JOB = encode_job(JobRow("q", "svc", "team", 0, JobSpec("(payload)", (Step(1, SMALL, 100),))))
+GANG = Step(1, SMALL, 100, gang=True)
+GANG_JOB = encode_job(JobRow("q", "svc", "team", 0, JobSpec("(payload)", (GANG,))))
 DIRECTORY = "servers"
 WORKER_ROW_KEY = RowKey(DIRECTORY, "", "w0")
 # Only a test that fails waits for this long.
@@ -337,6 +339,40 @@
     asyncio.run(run())
 
 
+@pytest.mark.parametrize(
+    ("second", "is_stopped"),
+    [(CommandOutcome.OK, False), (CommandOutcome.OLD, True), (CommandOutcome.NO_ROOM, True)],
+)
+def test_a_repeated_start_leaves_open_what_the_first_did_unless_it_succeeds(second, is_stopped):
+    """Guard against gangs stopped for one lost message, and against tasks that run twice.
+
+    A repetition that is rejected doesn't prove that the first start had no effect.
+    """
+
+    async def run():
+        harness = OwnerHarness()
+        outcomes = [CommandOutcome.UNKNOWN, second]
+        driver = harness.driver
+
+        async def start(worker, token, command, deadline_ms):
+            await asyncio.sleep(0.05)
+            driver.starts.append(command)
+            outcome = outcomes.pop(0)
+            if outcome is CommandOutcome.OK:
+                driver.workers["w0"].start(token, command, deadline_ms)
+            return CommandResponse(outcome)
+
+        driver.start = start
+        await harness.start()
+        harness.store.apply(RowTransaction(puts={job_row_key(JOB_ID): GANG_JOB}))
+        await harness.wait_until(lambda: driver.stops or driver.workers["w0"].runs)
+        assert driver.starts[0] == driver.starts[1]
+        assert bool(driver.stops) == is_stopped
+        harness.task.cancel()
+
+    asyncio.run(run())
+
+
 def test_stopped_owner_places_no_further_tasks():
     """Guard against runs that are stored at a release although their starts are never sent."""
 
