--- a/baobabhoist/cell/gang_forecast.py
+++ b/baobabhoist/cell/gang_forecast.py
@@ -6,7 +6,8 @@
 
 import attrs
 
-from baobabhoist.cell.jobs import Run, RunPhase, StepState
+from baobabhoist.cell.jobs import JobState, Run, RunPhase, StepState
+from baobabhoist.cell.ranking import Timeliness, timeliness_of
 from baobabhoist.cell.worker_selection import count_fitting_tasks, max_tasks_per_worker
 from baobabhoist.cell.workers import WorkerState
 
@@ -41,6 +42,13 @@
     return GangStart(needed[-1].free_ms, tuple(chosen))
 
 
+def latest_useful_start_ms(job: JobState, now: float) -> float:
+    """Return until when the rest of a job must start to have value; infinity if it has none."""
+    if timeliness_of(job, now) is Timeliness.EXPIRED:
+        return float("inf")
+    return job.late_limit_ms - job.remaining_critical_path_ms()
+
+
 def _slots_of(worker: WorkerState, step: StepState, now: float) -> Iterator[Slot]:
     """Yield the slots of a worker for the members of a gang, the first ones first."""
     need = step.spec.allocation
--- a/baobabhoist/cell/placer.py
+++ b/baobabhoist/cell/placer.py
@@ -8,16 +8,11 @@
 import attrs
 
 from baobabhoist.cell.advice_requests import AdviceRequester
+from baobabhoist.cell.gang_forecast import latest_useful_start_ms
 from baobabhoist.cell.jobs import StepState, TaskState
 from baobabhoist.cell.model import JobPhase, Resources
 from baobabhoist.cell.preemptions import ROOM_REASONS, Preemptions
-from baobabhoist.cell.ranking import (
-    Rank,
-    Timeliness,
-    latest_useful_start_ms,
-    rank_step,
-    timeliness_of,
-)
+from baobabhoist.cell.ranking import Rank, Timeliness, rank_step, timeliness_of
 from baobabhoist.cell.reservations import Reservations
 from baobabhoist.cell.speed_matching import slowdown_tolerance, speed_cost
 from baobabhoist.cell.state import CellState
--- a/baobabhoist/cell/preemption.py
+++ b/baobabhoist/cell/preemption.py
@@ -4,6 +4,7 @@
 
 from collections import defaultdict
 from collections.abc import Callable, Iterable
+from typing import Protocol
 
 import attrs
 
@@ -31,15 +32,19 @@
 FIRST_PRIORITY = 0
 
 
-class ShareView:
-    """Tell which teams use more than their share; this one knows of none."""
+class ShareView(Protocol):
+    """Tell which jobs go beyond what their team is entitled to."""
 
     def is_beyond_entitlement(self, job: JobState) -> bool:
-        """Return whether a job's team uses more than its share."""
-        return False
+        """Return whether a job goes beyond its team's share."""
 
 
-NO_SHARES = ShareView()
+class NoShares:
+    """Regard each job as within its team's share."""
+
+    def is_beyond_entitlement(self, job: JobState) -> bool:
+        """Return False."""
+        return False
 
 
 @attrs.frozen
@@ -60,10 +65,11 @@
 
 @attrs.frozen
 class Preemption:
-    """Hold the victims of a step, the workers that have room then, and what is won by it."""
+    """Hold the victims of a step, the workers with room for its served tasks, and what is won."""
 
     victims: tuple[Victim, ...]
     workers: tuple[WorkerState, ...]
+    served_count: int
     won_core_s: float
     lost_core_s: float
 
@@ -74,7 +80,7 @@
 
     queue_of: Callable[[JobState], Queue | None]
     now: float
-    shares: ShareView = NO_SHARES
+    shares: ShareView = attrs.Factory(NoShares)
 
     def choose(
         self, step: StepState, workers: list[WorkerState], served_count: int
@@ -99,7 +105,7 @@
         lost = sum(victim.lost_core_s for victim in chosen)
         if won <= MIN_GAIN_FACTOR * lost:
             return None
-        return Preemption(tuple(chosen), tuple(room.workers_with_slots(served)), won, lost)
+        return Preemption(tuple(chosen), tuple(room.workers_with_slots(served)), served, won, lost)
 
     def _may_win(self, step: StepState) -> bool:
         """Return whether a step would still be on time once the room is free."""
@@ -155,8 +161,11 @@
     def _may_stop_timely(self, run: Run, winner: StepState) -> bool:
         """Return whether a less urgent run whose job still has value may be stopped.
 
-        Only the first priority may do so, and only if the job stays as timely as it is.
+        Only the first priority may do so, within its team's share, and only if the job stays as
+        timely as it is.
         """
+        if self.shares.is_beyond_entitlement(winner.job):
+            return False
         queue, own = self.queue_of(winner.job), self.queue_of(run.task.step.job)
         if queue is None or own is None or queue.priority != FIRST_PRIORITY:
             return False
--- a/baobabhoist/cell/preemptions.py
+++ b/baobabhoist/cell/preemptions.py
@@ -10,8 +10,10 @@
 from baobabhoist.cell.model import StepKey
 from baobabhoist.cell.preemption import (
     MAX_SERVED_TASKS,
+    NoShares,
     Preemption,
     Preemptor,
+    ShareView,
     Victim,
 )
 from baobabhoist.cell.ranking import Timeliness, timeliness_of
@@ -36,11 +38,13 @@
 
 @attrs.frozen
 class Hold:
-    """Hold the workers that are kept for a step until a time."""
+    """Hold the workers that are kept for a step until a time, or until enough of it started."""
 
     step: StepState
     workers: tuple[WorkerState, ...]
     until_ms: float
+    # The tasks of the step that will still wait once those have started which it is kept for.
+    unserved_count: int
 
 
 @attrs.define
@@ -48,6 +52,7 @@
     """Stop runs for waiting steps and keep what that frees; all times are in ms."""
 
     state: CellState
+    shares: ShareView = attrs.Factory(NoShares)
     holds: dict[StepKey, Hold] = attrs.Factory(dict)
 
     def reserve_held_room(self, reservations: Reservations, now: float) -> None:
@@ -64,12 +69,16 @@
             return
         served = self._count_servable(step)
         unreserved = [w for w in workers if reservations.is_unreserved(w, step)]
-        preemption = Preemptor(self.state.queue_of, now).choose(step, unreserved, served)
+        preemption = Preemptor(self.state.queue_of, now, self.shares).choose(
+            step, unreserved, served
+        )
         if preemption is None:
             return
         for victim in preemption.victims:
             self._stop(victim, step, preemption, now)
-        self.holds[step.key] = Hold(step, preemption.workers, now + HOLD_MS)
+        self.holds[step.key] = Hold(
+            step, preemption.workers, now + HOLD_MS, step.waiting_count - preemption.served_count
+        )
         reservations.hold(step, preemption.workers, now)
 
     def _count_servable(self, step: StepState) -> int:
@@ -103,11 +112,11 @@
 
 
 def _is_needed(hold: Hold, now: float) -> bool:
-    """Return whether the winner of a hold still waits and can still be on time."""
+    """Return whether tasks that a hold is for still wait and can still be on time."""
     step = hold.step
     return (
         now < hold.until_ms
-        and step.waiting_count > 0
+        and step.waiting_count > hold.unserved_count
         and not step.job.is_final
         and timeliness_of(step.job, now) is Timeliness.ON_TIME
     )
--- a/baobabhoist/cell/ranking.py
+++ b/baobabhoist/cell/ranking.py
@@ -37,13 +37,6 @@
     return Timeliness.LATE if done_ms <= job.late_limit_ms else Timeliness.EXPIRED
 
 
-def latest_useful_start_ms(job: JobState, now: float) -> float:
-    """Return until when the rest of a job must start to have value; infinity if it has none."""
-    if timeliness_of(job, now) is Timeliness.EXPIRED:
-        return float("inf")
-    return job.late_limit_ms - job.remaining_critical_path_ms()
-
-
 def rank_step(step: StepState, queue: Queue | None, now: float) -> Rank:
     """Return the rank of a waiting step; tasks that last come first, as they earn all the time."""
     job = step.job
--- a/baobabhoist/tests/test_cell_preemption.py
+++ b/baobabhoist/tests/test_cell_preemption.py
@@ -167,6 +167,7 @@
                 assert hold.step.job.job_id not in victims
             for worker in harness.cell.state.workers.values():
                 assert worker.used.fits_into(worker.info.capacity)
-        winners = [hold.step for hold in harness.cell.placer.preemptions.holds.values()]
-        assert all(step.waiting_count == 0 for step in winners)
+        harness.now += 1.0
+        harness.schedule()
+        assert harness.cell.placer.preemptions.holds == {}
     assert len(stopped_jobs) == len(set(stopped_jobs))
