--- a/baobabhoist/cell/placer.py
+++ b/baobabhoist/cell/placer.py
@@ -8,11 +8,19 @@
 import attrs
 
 from baobabhoist.cell.advice_requests import AdviceRequester
+from baobabhoist.cell.cold_workers import cold_cost, limit_cold_slots
 from baobabhoist.cell.gang_forecast import latest_useful_start_ms
 from baobabhoist.cell.jobs import StepState, TaskState
 from baobabhoist.cell.model import JobPhase, Resources
 from baobabhoist.cell.preemptions import ROOM_REASONS, Preemptions
-from baobabhoist.cell.ranking import Rank, Timeliness, rank_step, timeliness_of
+from baobabhoist.cell.ranking import (
+    Rank,
+    RankedStep,
+    Timeliness,
+    rank_step,
+    sort_by_rank,
+    timeliness_of,
+)
 from baobabhoist.cell.reservations import Reservations
 from baobabhoist.cell.speed_matching import slowdown_tolerance, speed_cost
 from baobabhoist.cell.state import CellState
@@ -73,14 +81,14 @@
 
     def _sort(self, waiting_steps: list[StepState], now: float) -> list[StepState]:
         """Return the steps by rank; a job that can't be ranked is given up."""
-        ranked: list[tuple[Rank, int, StepState]] = []
+        shares = self.state.shares.begin_round(waiting_steps, self.state.team_usage)
+        ranked: list[RankedStep] = []
         for number, step in enumerate(waiting_steps):
             try:
-                ranked.append((self._rank(step, now), number, step))
+                ranked.append(RankedStep(self._rank(step, now), number, step))
             except Exception as exc:
                 self._give_up(step, exc, now)
-        ranked.sort(key=lambda entry: entry[:2])
-        return [step for _, _, step in ranked]
+        return sort_by_rank(ranked, shares)
 
     def _place_or_wait(
         self,
@@ -120,7 +128,8 @@
         self.state.finish_job(job, JobPhase.FAILED, now, "it makes the scheduler fail")
 
     def _rank(self, step: StepState, now: float) -> Rank:
-        return rank_step(step, self.state.queue_of(step.job), now)
+        is_beyond = self.state.shares.is_beyond_entitlement(step.job)
+        return rank_step(step, self.state.queue_of(step.job), is_beyond, now)
 
     def _place_step(
         self, step: StepState, worker_index: WorkerIndex, now: float
@@ -162,13 +171,14 @@
     ) -> list[WorkerSlots]:
         ratio = self.state.speeds.duration_ratio(step.job.accepted.queue)
         tolerance = slowdown_tolerance(step.job, ratio, now)
-        return find_slots(
+        slots = find_slots(
             candidates,
             step.spec,
             step.waiting_count,
             _tasks_by_worker(step),
-            lambda w: self._placement_cost(w, step, tolerance),
+            lambda w: self._placement_cost(w, step, tolerance) + cold_cost(w, now),
         )
+        return limit_cold_slots(slots, now)
 
     def _place_tasks(
         self,
--- a/baobabhoist/cell/preemption.py
+++ b/baobabhoist/cell/preemption.py
@@ -4,13 +4,13 @@
 
 from collections import defaultdict
 from collections.abc import Callable, Iterable
-from typing import Protocol
 
 import attrs
 
 from baobabhoist.cell.jobs import JobState, Run, RunPhase, StepState
 from baobabhoist.cell.model import NO_RESOURCES, Queue, Resources
 from baobabhoist.cell.ranking import Timeliness, timeliness_of
+from baobabhoist.cell.shares import TeamShares
 from baobabhoist.cell.wasted_work import MS_PER_S, count_cores, unsaved_core_s
 from baobabhoist.cell.worker_selection import count_fitting_tasks, max_tasks_per_worker
 from baobabhoist.cell.workers import WorkerState
@@ -32,21 +32,6 @@
 FIRST_PRIORITY = 0
 
 
-class ShareView(Protocol):
-    """Tell which jobs go beyond what their team is entitled to."""
-
-    def is_beyond_entitlement(self, job: JobState) -> bool:
-        """Return whether a job goes beyond its team's share."""
-
-
-class NoShares:
-    """Regard each job as within its team's share."""
-
-    def is_beyond_entitlement(self, job: JobState) -> bool:
-        """Return False."""
-        return False
-
-
 @attrs.frozen
 class Victim:
     """Hold runs that are stopped together, and what that throws away."""
@@ -80,7 +65,7 @@
 
     queue_of: Callable[[JobState], Queue | None]
     now: float
-    shares: ShareView = attrs.Factory(NoShares)
+    shares: TeamShares
 
     def choose(
         self, step: StepState, workers: list[WorkerState], served_count: int
--- a/baobabhoist/cell/preemptions.py
+++ b/baobabhoist/cell/preemptions.py
@@ -10,10 +10,8 @@
 from baobabhoist.cell.model import StepKey
 from baobabhoist.cell.preemption import (
     MAX_SERVED_TASKS,
-    NoShares,
     Preemption,
     Preemptor,
-    ShareView,
     Victim,
 )
 from baobabhoist.cell.ranking import Timeliness, timeliness_of
@@ -55,7 +53,6 @@
     """Stop runs for waiting steps and keep what that frees; all times are in ms."""
 
     state: CellState
-    shares: ShareView = attrs.Factory(NoShares)
     holds: dict[StepKey, Hold] = attrs.Factory(dict)
     # Until when steps that were examined in vain are not examined again.
     _retry_ms: dict[StepKey, float] = attrs.Factory(dict)
@@ -72,7 +69,7 @@
         self, step: StepState, workers: list[WorkerState], reservations: Reservations, now: float
     ) -> None:
         """Stop runs on some of these workers if that serves a step that finds no room."""
-        preemptor = Preemptor(self.state.queue_of, now, self.shares)
+        preemptor = Preemptor(self.state.queue_of, now, self.state.shares)
         served = self._count_servable(step) if self._may_examine(step, now) else 0
         if not served or not preemptor.may_win(step):
             return
--- a/baobabhoist/cell/scheduler.py
+++ b/baobabhoist/cell/scheduler.py
@@ -10,6 +10,7 @@
 
 from baobabhoist.cell import progress_rows
 from baobabhoist.cell.crashes import CrashHandler
+from baobabhoist.cell.evacuations import Evacuations
 from baobabhoist.cell.jobs import JobState, RunPhase, StepState, critical_path_ms
 from baobabhoist.cell.model import (
     NO_RESOURCES,
@@ -37,6 +38,8 @@
 
 log = logging.getLogger(__name__)
 
+REASON_EVACUATED = "its data centre was to be emptied before the start"
+
 
 @attrs.frozen
 class Takeover:
@@ -84,6 +87,7 @@
         job.is_inherited = accepted.version < self._takeover.claim_version
         self._set_objective(job)
         self.state.jobs[accepted.job_id] = job
+        self.state.shares.add_job(job)
         job.open_due_occurrences(unix_ms)
         self.state.update_ready_steps(job, now)
         if not job.is_inherited:
@@ -185,7 +189,33 @@
 
     def set_rules(self, rules: CellRules) -> None:
         """Replace the configured queues and teams."""
-        self.state.rules = rules
+        self.state.set_rules(rules)
+
+    def set_evacuations(self, evacuations: Evacuations, now: float) -> None:
+        """Replace the operator's requests to empty data centres; runs that were sent go on."""
+        before, after = self.state.evacuations.data_centres, evacuations.data_centres
+        self.state.set_evacuations(evacuations)
+        for event, data_centres in (
+            (Event.EVACUATION_BEGUN, after - before),
+            (Event.EVACUATION_ENDED, before - after),
+        ):
+            for data_centre in sorted(data_centres):
+                self._log_evacuation(event, data_centre)
+        self._close_unsent_starts(now)
+
+    def _close_unsent_starts(self, now: float) -> None:
+        """Release the room of starts in emptied data centres that were decided but not sent."""
+        evacuated = [worker for worker in self.state.workers.values() if worker.is_evacuated]
+        runs = [run for worker in evacuated for run in worker.runs.values() if not run.is_sent]
+        for run in runs:
+            self.state.dirty.add(run.task.step.job.job_id)
+            if run.task.run is run:
+                close_lost_run(self.state, self._run_ends, run, now, REASON_EVACUATED)
+
+    def _log_evacuation(self, event: Event, data_centre: str) -> None:
+        workers = [w for w in self.state.workers.values() if w.info.data_centre == data_centre]
+        runs = sum(len(worker.runs) for worker in workers)
+        emit(log, event, data_centre=data_centre, workers=len(workers), runs=runs)
 
     def sync_directory(self, listing: Iterable[WorkerInfo], now: float) -> None:
         """Apply a full listing of the worker directory."""
@@ -212,7 +242,7 @@
             )
         if info.is_draining and not worker.info.is_draining:
             emit(log, Event.WORKER_DRAINS, worker=info.worker_id, leaves_in_ms=info.leaves_in_ms)
-        self.state.apply_entry(worker, info)
+        self.state.apply_entry(worker, info, now)
 
     def unlist_worker(self, worker_id: str, now: float) -> None:
         """Mark a worker as gone from the directory; its runs are still tracked."""
@@ -331,6 +361,7 @@
     def tick(self, now: float, unix_ms: float) -> None:
         """Run the checks that depend only on time."""
         self._periodic_checks.tick(now, unix_ms)
+        self.state.shares.tick(self.state.workers.values(), self.state.team_usage, now)
 
     def schedule(self, now: float, may_start: bool) -> list[Command]:
         """Place waiting tasks and return all commands issued since the last call."""
@@ -371,6 +402,7 @@
         (now >= command.ticket_expires_ms, "its ticket expired before the start"),
         (not worker.is_listed, "its worker left before the start"),
         (worker.info.is_draining, "its worker began to drain before the start"),
+        (worker.is_evacuated, REASON_EVACUATED),
         (
             not worker.used.fits_into(worker.info.capacity),
             "the capacity of its worker shrank before the start",
--- a/baobabhoist/control/metrics.py
+++ b/baobabhoist/control/metrics.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
 from typing import TYPE_CHECKING
 
 from aioprometheus import Counter, Gauge, Histogram, Registry
@@ -22,6 +23,7 @@
 )
 
 if TYPE_CHECKING:
+    from baobabhoist.cell.shares import TeamFigures
     from baobabhoist.cell.waiting_summary import WaitingSummary
 
 CALL_BUCKETS_S = (0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.25, 0.5, 1.0, 2.0, INF)
@@ -74,6 +76,15 @@
         self._wasted = self._counter(
             "wasted_core_seconds_total", "Work of runs that was thrown away, by queue and cause."
         )
+        self._team_share = self._gauge(
+            "team_share_ratio", "What a team has running, divided by its part of the cell."
+        )
+        self._team_use = self._gauge(
+            "team_past_use_seconds", "Past use of a team, in seconds of the whole cell."
+        )
+        self._team_excess = self._gauge(
+            "team_jobs_beyond", "Jobs that a team sent beyond its entitlement to this owner."
+        )
         self._lease_margin = self._gauge(
             "lease_margin_seconds", "Time to the first lease of a worker that would lapse."
         )
@@ -140,6 +151,14 @@
             labels = {"queue": self._queues.label_for(queue), "cause": cause.value}
             self._wasted.add(labels, core_s)
 
+    def set_team_shares(self, figures: Iterable[TeamFigures]) -> None:
+        """Set what each team has and is entitled to."""
+        for entry in figures:
+            labels = {"team": self._teams.label_for(entry.team)}
+            self._team_share.set(labels, entry.share_ratio)
+            self._team_use.set(labels, entry.past_use_s)
+            self._team_excess.set(labels, entry.jobs_beyond)
+
     def count_failed_start(self, outcome: CommandOutcome) -> None:
         """Count a start command that was rejected or not answered."""
         self._failed_starts.inc({"reason": outcome.value})
--- a/baobabhoist/platform/decode.py
+++ b/baobabhoist/platform/decode.py
@@ -7,6 +7,7 @@
 
 import orjson
 
+from baobabhoist.cell.evacuations import EvacuationChange
 from baobabhoist.cell.model import (
     AdviceTerms,
     CellRules,
@@ -31,6 +32,8 @@
 DEFAULT_MAX_BODY_BYTES = 1 << 20
 # Integers up to this value are exact in the doubles that many JSON libraries use.
 MAX_INTEGER = 1 << 53
+MAX_COLD_MS = 600_000
+EVACUATION_KEY_PREFIX = "evacuate/"
 
 
 class FieldError(ValueError):
@@ -56,6 +59,20 @@
             )
             return None
 
+    def decode_evacuation(self, key: str, value: bytes | None) -> EvacuationChange | None:
+        """Return whether a data centre is to be emptied, or None for a row on something else."""
+        if not key.startswith(EVACUATION_KEY_PREFIX):
+            return None
+        data_centre = key.removeprefix(EVACUATION_KEY_PREFIX)
+        try:
+            if not data_centre:
+                raise FieldError("the row names no data centre")
+            if value is not None:
+                _parse_object(value)
+        except FieldError as exc:
+            emit(log, Event.ROW_UNREADABLE, table=self.tables.operator, row=key, detail=exc)
+        return EvacuationChange(data_centre, value is not None) if data_centre else None
+
     def decode_worker(self, worker_id: str, value: bytes) -> WorkerInfo | None:
         """Return a worker of the directory, or None if its entry cannot be decoded."""
         try:
@@ -189,7 +206,7 @@
 def _parse_team(entry: dict[str, Any]) -> Team:
     return Team(
         _string_field(entry, "name"),
-        _float_field(entry, "weight", 1.0),
+        _float_field(entry, "weight"),
         _resources(_object_field(entry, "maximum")),
     )
 
@@ -214,9 +231,20 @@
         state == "draining",
         _int_field(body, "born"),
         _int_field(body, "remainingMs"),
+        _cold_for_ms(worker_id, body),
     )
 
 
+def _cold_for_ms(worker_id: str, body: dict[str, Any]) -> int:
+    """Return how long a worker stays cold; a malformed value does not make it unusable."""
+    try:
+        return min(_int_field(body, "coldRemainingMs"), MAX_COLD_MS)
+    except FieldError as exc:
+        table = PlatformDecoder.tables.directory
+        emit(log, Event.ROW_UNREADABLE, table=table, row=worker_id, detail=exc)
+        return 0
+
+
 def _parse_job(body: dict[str, Any]) -> JobSpec:
     payload = _string_field(body, "taskSpec")
     if len(payload.encode()) > MAX_PAYLOAD_BYTES:
--- a/baobabhoist/tests/cell_harness.py
+++ b/baobabhoist/tests/cell_harness.py
@@ -47,11 +47,11 @@
 
     workers: dict = attrs.Factory(dict)
     cell_rules: CellRules = attrs.Factory(make_rules)
+    policy: SchedulingPolicy = DEFAULT_POLICY
     now: float = 10_000.0
     token: int = 50
     generation: int = 0
     cell: CellScheduler = None
-    policy: SchedulingPolicy = DEFAULT_POLICY
     delivers_commands: bool = True
     # Commands that were issued but not delivered, oldest first.
     undelivered: list = attrs.Factory(list)
