Let small tasks of a team run ahead of its gang that waits for the team's limit

With backfill the reserved limit has a start, from the expected ends of the team's runs; tasks that end before it run ahead, and a gang that would be too late keeps nothing. Without a known start nothing changes.

--- a/baobabhoist/cell/gang_forecast.py
+++ b/baobabhoist/cell/gang_forecast.py
@@ -7,6 +7,7 @@
 import attrs
 
 from baobabhoist.cell.jobs import JobState, Run, RunPhase, StepState
+from baobabhoist.cell.model import Resources, Team
 from baobabhoist.cell.ranking import Timeliness, timeliness_of
 from baobabhoist.cell.worker_selection import count_fitting_tasks, max_tasks_per_worker
 from baobabhoist.cell.workers import WorkerState
@@ -42,6 +43,18 @@
     return GangStart(needed[-1].free_ms, tuple(chosen))
 
 
+def forecast_limit_start(
+    step: StepState, team: Team, used: Resources, runs: Iterable[Run], now: float
+) -> float:
+    """Return when a team's limit will admit a whole gang, as the runs of the team end."""
+    total = used.plus(step.spec.need.times(step.waiting_count))
+    for run in sorted(runs, key=lambda run: _end_ms(run, now)):
+        total = total.minus(run.task.step.spec.need)
+        if team.allows(total):
+            return _end_ms(run, now)
+    return float("inf")
+
+
 def latest_useful_start_ms(job: JobState, now: float) -> float:
     """Return until when the rest of a job must start to have value; infinity if it has none."""
     if timeliness_of(job, now) is Timeliness.EXPIRED:
--- a/baobabhoist/cell/placer.py
+++ b/baobabhoist/cell/placer.py
@@ -9,7 +9,7 @@
 
 from baobabhoist.cell.advice_requests import AdviceRequester
 from baobabhoist.cell.cold_workers import cold_cost, limit_cold_slots
-from baobabhoist.cell.gang_forecast import latest_useful_start_ms
+from baobabhoist.cell.gang_forecast import forecast_limit_start, latest_useful_start_ms
 from baobabhoist.cell.jobs import StepState, TaskState
 from baobabhoist.cell.model import JobPhase, Resources
 from baobabhoist.cell.preemptions import ROOM_REASONS, Preemptions
@@ -144,7 +144,7 @@
         need = _min_need(step)
         if not self.state.is_within_team_limit(step.job, need):
             if spec.gang and self._may_reserve_team_limit(step, need, now):
-                self.reservations.reserve_team_limit(team, step)
+                self._reserve_team_limit(step, now)
             return WaitReason.TEAM_LIMIT
         startable = self._startable_workers(step, worker_index)
         candidates = self._without_reserved(startable, step)
@@ -225,6 +225,20 @@
         self.state.start_run(task, worker, self.state.next_run_number([task]), now)
         return True
 
+    def _reserve_team_limit(self, step: StepState, now: float) -> None:
+        """Reserve the rest of a team's limit for a gang unless it could only start in vain."""
+        team = self.state.team_of(step.job)
+        if team is None or team.name in self.reservations.by_team:
+            return
+        start_ms = now
+        if self.state.policy.backfills:
+            used = self.state.team_usage[team.name]
+            start_ms = self.reservations.limit_start_ms(
+                step, lambda: forecast_limit_start(step, team, used, self.state.runs_of(team), now)
+            )
+        if start_ms <= latest_useful_start_ms(step.job, now):
+            self.reservations.reserve_team_limit(team.name, step, start_ms)
+
     def _may_reserve_team_limit(self, step: StepState, need: Resources, now: float) -> bool:
         """Return whether a gang could fit into its team's limit and still has value."""
         team = self.state.team_of(step.job)
--- a/baobabhoist/cell/reservations.py
+++ b/baobabhoist/cell/reservations.py
@@ -8,6 +8,7 @@
 
 from baobabhoist.cell.gang_forecast import GangStart, forecast_start
 from baobabhoist.cell.jobs import StepState
+from baobabhoist.cell.model import StepKey
 from baobabhoist.cell.worker_selection import count_fitting_tasks, max_tasks_per_worker
 from baobabhoist.cell.workers import WorkerState
 
@@ -15,6 +16,8 @@
 MAX_RESERVING_GANGS = 1
 # A task may run ahead of a gang if this multiple of its expected duration passes before its start.
 BACKFILL_DURATION_FACTOR = 1.25
+# Stands for any worker when it is not known where a task would run.
+UNKNOWN_WORKER = ""
 # A forecast of a gang's start is made anew after this time.
 FORECAST_AGE_MS = 100.0
 # The forecast of a gang's start looks at this many workers, or at this many for each member.
@@ -24,7 +27,7 @@
 
 @attrs.frozen
 class Reservation:
-    """Hold for which step a worker is reserved, and when it will probably start.
+    """Hold for which step a worker or a team's limit is reserved, and when it will probably start.
 
     Without a forecast the start is the time of the reservation, so that nothing may run ahead.
     """
@@ -49,6 +52,14 @@
         return all(worker.worker_id in ids for worker in self.start.workers)
 
 
+@attrs.frozen
+class LimitStart:
+    """Hold when a team's limit will probably admit a gang, and when that was forecast."""
+
+    start_ms: float
+    made_ms: float
+
+
 @attrs.define
 class Reservations:
     """Hold the workers and team limits reserved for gangs during one scheduling round."""
@@ -59,17 +70,23 @@
     backfills: bool = False
     by_worker: dict[str, Reservation] = attrs.Factory(dict)
     # The first gang of each team that waits until the team's limit admits all its members.
-    gang_by_team: dict[str, StepState] = attrs.Factory(dict)
+    by_team: dict[str, Reservation] = attrs.Factory(dict)
     reserving_gang_count: int = 0
     _now: float = 0.0
     _last_forecast: Forecast | None = None
+    _limit_starts: dict[StepKey, LimitStart] = attrs.Factory(dict)
 
     def clear(self, now: float) -> None:
         """Drop all reservations at the start of a round."""
         self._now = now
         self.by_worker.clear()
-        self.gang_by_team.clear()
+        self.by_team.clear()
         self.reserving_gang_count = 0
+        self._limit_starts = {
+            key: known
+            for key, known in self._limit_starts.items()
+            if now < known.made_ms + FORECAST_AGE_MS
+        }
 
     def is_worker_available(self, worker: WorkerState, step: StepState) -> bool:
         """Return whether a task of a step may start on a worker as far as reservations go."""
@@ -78,13 +95,14 @@
         reservation = self.by_worker.get(worker.worker_id)
         if reservation is None or reservation.step is step:
             return True
-        return self.backfills and self._ends_before(reservation, worker, step)
+        return self._ends_before(reservation, worker.worker_id, step)
 
-    def _ends_before(self, reservation: Reservation, worker: WorkerState, step: StepState) -> bool:
+    def _ends_before(self, reservation: Reservation, worker_id: str, step: StepState) -> bool:
+        """Return whether a task may run ahead, because it ends before the reserved start."""
         left_ms = reservation.start_ms - self._now
-        return left_ms > 0.0 and (
-            BACKFILL_DURATION_FACTOR * self.expected_run_ms(step, worker.worker_id) <= left_ms
-        )
+        if not self.backfills or left_ms <= 0.0:
+            return False
+        return BACKFILL_DURATION_FACTOR * self.expected_run_ms(step, worker_id) <= left_ms
 
     def holds_capacity_from(self, step: StepState, workers: list[WorkerState]) -> bool:
         """Return whether a worker reserved for another step has a processor for this one."""
@@ -96,11 +114,21 @@
 
     def is_team_limit_available(self, team: str, step: StepState) -> bool:
         """Return whether the rest of a team's limit is not reserved for another step."""
-        return self.gang_by_team.get(team, step) is step
+        reservation = self.by_team.get(team)
+        if reservation is None or reservation.step is step:
+            return True
+        return self._ends_before(reservation, UNKNOWN_WORKER, step)
+
+    def limit_start_ms(self, step: StepState, forecast: Callable[[], float]) -> float:
+        """Return when a team's limit will admit a gang, or the present if that is not known."""
+        known = self._limit_starts.get(step.key)
+        if known is None:
+            known = self._limit_starts[step.key] = LimitStart(forecast(), self._now)
+        return known.start_ms if known.start_ms < float("inf") else self._now
 
-    def reserve_team_limit(self, team: str, step: StepState) -> None:
+    def reserve_team_limit(self, team: str, step: StepState, start_ms: float) -> None:
         """Reserve the rest of a team's limit for a gang until the end of the round."""
-        self.gang_by_team.setdefault(team, step)
+        self.by_team.setdefault(team, Reservation(step, start_ms))
 
     @property
     def is_full(self) -> bool:
--- a/baobabhoist/cell/state.py
+++ b/baobabhoist/cell/state.py
@@ -4,6 +4,7 @@
 
 import logging
 from collections import defaultdict
+from collections.abc import Iterator
 
 import attrs
 
@@ -105,6 +106,13 @@
             return True
         return team.allows(self.team_usage[job.accepted.team].plus(need))
 
+    def runs_of(self, team: Team) -> Iterator[Run]:
+        """Yield the runs of a team."""
+        for worker in self.workers.values():
+            for run in worker.runs.values():
+                if run.task.step.job.accepted.team == team.name:
+                    yield run
+
     def update_ready_steps(self, job: JobState, now: float) -> None:
         """Add the steps whose dependencies are done and remove the finished ones."""
         for step in job.steps.values():
--- a/baobabhoist/tests/test_cell_reservations.py
+++ b/baobabhoist/tests/test_cell_reservations.py
@@ -141,6 +141,19 @@
     assert running_jobs(harness) == {"0" * 16}
 
 
+def test_small_tasks_of_a_team_whose_limit_is_reserved_for_a_gang():
+    """Guard against a team that runs nothing while its gang waits for the rest of its limit."""
+    rules = make_rules(limit=SMALL.times(8))
+    harness = CellHarness.with_workers(4, rules, SchedulingPolicy(backfills=True))
+    harness.submit(make_job("0" * 16, Step(1, SMALL.times(3), 4_000)))
+    harness.settle()
+    harness.submit(make_job(GANG, Step(8, SMALL, 400, gang=True)))
+    harness.submit(make_job("b" * 16, Step(1, SMALL, 500)))
+    harness.submit(make_job("c" * 16, Step(1, SMALL, 8_000)))
+    harness.settle()
+    assert running_jobs(harness) == {"0" * 16, "b" * 16}
+
+
 TASKS = st.tuples(st.integers(1, 4), st.integers(1, 8), st.integers(100, 6_000))
 
 
