--- a/baobabhoist/observability/events.py
+++ b/baobabhoist/observability/events.py
@@ -154,21 +154,6 @@
         logging.WARNING,
         "worker {worker} crashed with {count} tasks: {blame}",
     )
-    START_REPEATED = (
-        1543,
-        logging.INFO,
-        "repeating the unanswered start of run {run} of task {task} on worker {worker}",
-    )
-    RUN_PREEMPTED = (
-        1542,
-        logging.INFO,
-        "stopping run {run} of task {task} on worker {worker} for job {winner}",
-    )
-    WORK_WASTED = (
-        1541,
-        logging.INFO,
-        "run {run} of task {task} on worker {worker} threw away {core_s} core-seconds: {cause}",
-    )
     EVACUATION_BEGUN = (
         1528,
         logging.WARNING,
@@ -199,6 +184,21 @@
         logging.INFO,
         "restored the past use of {teams} teams, stored {age_ms} ms ago",
     )
+    WORK_WASTED = (
+        1541,
+        logging.INFO,
+        "run {run} of task {task} on worker {worker} threw away {core_s} core-seconds: {cause}",
+    )
+    RUN_PREEMPTED = (
+        1542,
+        logging.INFO,
+        "stopping run {run} of task {task} on worker {worker} for job {winner}",
+    )
+    START_REPEATED = (
+        1543,
+        logging.INFO,
+        "repeating the unanswered start of run {run} of task {task} on worker {worker}",
+    )
     CLAIM_SEEN = (1601, logging.INFO, "instance {owner} holds the claim of version {version}")
     CLAIM_WON = (1602, logging.INFO, "won the claim with token {token}: {reason}")
     CLAIM_LOST = (1603, logging.WARNING, "lost the claim with token {token}: {reason}")
