--- a/baobabhoist/cell/reservations.py
+++ b/baobabhoist/cell/reservations.py
@@ -2,41 +2,111 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 import attrs
 
+from baobabhoist.cell.gang_forecast import GangStart, forecast_start
 from baobabhoist.cell.jobs import StepState
+from baobabhoist.cell.model import StepKey
 from baobabhoist.cell.worker_selection import count_fitting_tasks, max_tasks_per_worker
 from baobabhoist.cell.workers import WorkerState
 
 # Gangs that reserve workers at the same time; more would leave too many cores idle.
 MAX_RESERVING_GANGS = 1
+# A task may run ahead of a gang if this multiple of its expected duration passes before its start.
+BACKFILL_DURATION_FACTOR = 1.25
+# Stands for any worker when it is not known where a task would run.
+UNKNOWN_WORKER = ""
+# A forecast of a gang's start is made anew after this time.
+FORECAST_AGE_MS = 100.0
+# The forecast of a gang's start looks at this many workers, or at this many for each member.
+MAX_FORECAST_WORKERS = 64
+MAX_FORECAST_WORKERS_PER_MEMBER = 3
+
+
+@attrs.frozen
+class Reservation:
+    """Hold for which step a worker or a team's limit is reserved, and when it will probably start.
+
+    Without a forecast the start is the time of the reservation, so that nothing may run ahead.
+    """
+
+    step: StepState
+    start_ms: float
+
+
+@attrs.frozen
+class Forecast:
+    """Hold the forecast of a gang's start, and when it was made."""
+
+    step: StepState
+    start: GangStart | None
+    made_ms: float
+
+    def is_valid(self, step: StepState, workers: list[WorkerState], now: float) -> bool:
+        """Return whether a forecast is new enough and its workers are still available."""
+        if self.step is not step or self.start is None or now >= self.made_ms + FORECAST_AGE_MS:
+            return False
+        ids = {worker.worker_id for worker in workers}
+        return all(worker.worker_id in ids for worker in self.start.workers)
+
+
+@attrs.frozen
+class LimitStart:
+    """Hold when a team's limit will probably admit a gang, and when that was forecast."""
+
+    start_ms: float
+    made_ms: float
 
 
 @attrs.define
 class Reservations:
     """Hold the workers and team limits reserved for gangs during one scheduling round."""
 
-    gang_by_worker: dict[str, StepState] = attrs.Factory(dict)
+    # Returns how long a task of a step will probably run on a worker.
+    expected_run_ms: Callable[[StepState, str], float]
+    # Small tasks may run on reserved workers if they end before the reserved start.
+    backfills: bool = False
+    by_worker: dict[str, Reservation] = attrs.Factory(dict)
     # The first gang of each team that waits until the team's limit admits all its members.
-    gang_by_team: dict[str, StepState] = attrs.Factory(dict)
+    by_team: dict[str, Reservation] = attrs.Factory(dict)
     reserving_gang_count: int = 0
+    _now: float = 0.0
+    _last_forecast: Forecast | None = None
+    _limit_starts: dict[StepKey, LimitStart] = attrs.Factory(dict)
 
-    def clear(self) -> None:
+    def clear(self, now: float) -> None:
         """Drop all reservations at the start of a round."""
-        self.gang_by_worker.clear()
-        self.gang_by_team.clear()
+        self._now = now
+        self.by_worker.clear()
+        self.by_team.clear()
         self.reserving_gang_count = 0
+        self._limit_starts = {
+            key: known
+            for key, known in self._limit_starts.items()
+            if now < known.made_ms + FORECAST_AGE_MS
+        }
 
     def is_worker_available(self, worker: WorkerState, step: StepState) -> bool:
-        """Return whether a worker is not reserved for another step."""
-        if not self.gang_by_worker:
+        """Return whether a task of a step may start on a worker as far as reservations go."""
+        if not self.by_worker:
+            return True
+        reservation = self.by_worker.get(worker.worker_id)
+        if reservation is None or reservation.step is step:
             return True
-        holder = self.gang_by_worker.get(worker.worker_id)
-        return holder is None or holder is step
+        return self._ends_before(reservation, worker.worker_id, step)
+
+    def _ends_before(self, reservation: Reservation, worker_id: str, step: StepState) -> bool:
+        """Return whether a task may run ahead, because it ends before the reserved start."""
+        left_ms = reservation.start_ms - self._now
+        if not self.backfills or left_ms <= 0.0:
+            return False
+        return BACKFILL_DURATION_FACTOR * self.expected_run_ms(step, worker_id) <= left_ms
 
     def holds_capacity_from(self, step: StepState, workers: list[WorkerState]) -> bool:
         """Return whether a worker reserved for another step has a processor for this one."""
-        return bool(self.gang_by_worker) and any(
+        return bool(self.by_worker) and any(
             worker.free_cpu >= step.spec.allocation.cpu
             and not self.is_worker_available(worker, step)
             for worker in workers
@@ -44,41 +114,91 @@
 
     def is_team_limit_available(self, team: str, step: StepState) -> bool:
         """Return whether the rest of a team's limit is not reserved for another step."""
-        return self.gang_by_team.get(team, step) is step
+        reservation = self.by_team.get(team)
+        if reservation is None or reservation.step is step:
+            return True
+        return self._ends_before(reservation, UNKNOWN_WORKER, step)
 
-    def reserve_team_limit(self, team: str, step: StepState) -> None:
+    def limit_start_ms(self, step: StepState, forecast: Callable[[], float]) -> float:
+        """Return when a team's limit will admit a gang, or the present if that is not known."""
+        known = self._limit_starts.get(step.key)
+        if known is None:
+            known = self._limit_starts[step.key] = LimitStart(forecast(), self._now)
+        return known.start_ms if known.start_ms < float("inf") else self._now
+
+    def reserve_team_limit(self, team: str, step: StepState, start_ms: float) -> None:
         """Reserve the rest of a team's limit for a gang until the end of the round."""
-        self.gang_by_team.setdefault(team, step)
+        self.by_team.setdefault(team, Reservation(step, start_ms))
 
     @property
     def is_full(self) -> bool:
         """Return whether no further gang may reserve workers in this round."""
         return self.reserving_gang_count >= MAX_RESERVING_GANGS
 
-    def reserve_workers(self, step: StepState, approved: list[WorkerState]) -> None:
-        """Reserve the approved workers that will soonest have the capacity for a gang.
+    def reserve_workers(
+        self, step: StepState, approved: list[WorkerState], latest_start_ms: float
+    ) -> bool:
+        """Reserve the workers for a gang; return False if it is given up.
 
-        These are the least loaded ones, and as few as suffice. If all together are too small for
-        the gang, none is reserved.
+        All the workers that it needs are reserved or none: none if all together are too small. A
+        gang that cannot start by `latest_start_ms` is given up.
         """
         if self.is_full or not approved:
-            return
-        available = [w for w in approved if self.is_worker_available(w, step)]
+            return True
+        available = [w for w in approved if self.is_unreserved(w, step)]
         available.sort(key=_cpu_utilization)
-        max_per_worker = max_tasks_per_worker(step.spec, step.waiting_count)
-        chosen, slot_count = [], 0
-        for worker in available:
-            chosen.append(worker)
-            slot_count += count_fitting_tasks(
-                worker.info.capacity, step.spec.allocation, max_per_worker
-            )
-            if slot_count >= step.waiting_count:
-                break
-        if slot_count < step.waiting_count:
-            return
+        start = self._plan(step, available)
+        if start is None:
+            return True
+        if self.backfills and start.start_ms > latest_start_ms:
+            return False
         self.reserving_gang_count += 1
-        for worker in chosen:
-            self.gang_by_worker[worker.worker_id] = step
+        self.hold(step, start.workers, start.start_ms)
+        return True
+
+    def hold(self, step: StepState, workers: tuple[WorkerState, ...], start_ms: float) -> None:
+        """Reserve workers for a step that will probably start at a time."""
+        for worker in workers:
+            self.by_worker[worker.worker_id] = Reservation(step, start_ms)
+
+    def is_unreserved(self, worker: WorkerState, step: StepState) -> bool:
+        """Return whether a worker is not reserved for another step, not even for later."""
+        reservation = self.by_worker.get(worker.worker_id)
+        return reservation is None or reservation.step is step
+
+    def _plan(self, step: StepState, available: list[WorkerState]) -> GangStart | None:
+        """Return the workers that will soonest have the capacity for a gang."""
+        if self.backfills:
+            per_member = MAX_FORECAST_WORKERS_PER_MEMBER * step.waiting_count
+            limit = max(MAX_FORECAST_WORKERS, per_member)
+            capable = [w for w in available if step.spec.allocation.fits_into(w.info.capacity)]
+            start = self._forecast(step, capable[:limit])
+            if start is None or start.start_ms < float("inf"):
+                return start
+        chosen = _least_loaded(step, available)
+        return GangStart(self._now, chosen) if chosen else None
+
+    def _forecast(self, step: StepState, workers: list[WorkerState]) -> GangStart | None:
+        """Return the start of a gang, from an earlier round if that was a moment ago."""
+        last = self._last_forecast
+        if last is None or not last.is_valid(step, workers, self._now):
+            start = forecast_start(step, workers, self._now)
+            last = self._last_forecast = Forecast(step, start, self._now)
+        return last.start
+
+
+def _least_loaded(step: StepState, available: list[WorkerState]) -> tuple[WorkerState, ...]:
+    """Return as few of the least loaded workers as suffice for a gang, or none."""
+    max_per_worker = max_tasks_per_worker(step.spec, step.waiting_count)
+    chosen, slot_count = [], 0
+    for worker in available:
+        chosen.append(worker)
+        slot_count += count_fitting_tasks(
+            worker.info.capacity, step.spec.allocation, max_per_worker
+        )
+        if slot_count >= step.waiting_count:
+            return tuple(chosen)
+    return ()
 
 
 def _cpu_utilization(worker: WorkerState) -> float:
--- a/baobabhoist/cell/scheduler.py
+++ b/baobabhoist/cell/scheduler.py
@@ -12,7 +12,7 @@
 from baobabhoist.cell.admission import AdmissionControl
 from baobabhoist.cell.crashes import CrashHandler
 from baobabhoist.cell.evacuations import Evacuations
-from baobabhoist.cell.jobs import JobState, StepState, objective_after_ms
+from baobabhoist.cell.jobs import JobState, RunPhase, StepState, objective_after_ms
 from baobabhoist.cell.model import (
     NO_RESOURCES,
     AcceptedJob,
@@ -32,6 +32,7 @@
 from baobabhoist.cell.progress_rows import JobProgress
 from baobabhoist.cell.run_ends import RunEndHandler, close_lost_run
 from baobabhoist.cell.state import CellState
+from baobabhoist.cell.wasted_work import WasteCause
 from baobabhoist.cell.worker_reports import WorkerReportHandler
 from baobabhoist.cell.workers import Lease, WorkerState
 from baobabhoist.observability.events import Event, emit
@@ -106,7 +107,7 @@
                 worker = self._worker_or_placeholder(stored_run.worker_id, now)
                 run = self.state.adopt_run(task, worker, stored_run.number, now)
                 if job.is_final:
-                    self.state.stop_run(run, now)
+                    self.state.stop_run(run, now, WasteCause.JOB_ENDED)
 
     def _worker_or_placeholder(self, worker_id: str, now: float) -> WorkerState:
         """Return a worker, or a placeholder for one that the directory does not list."""
@@ -294,6 +295,24 @@
         run.is_sent, run.sent_ms = True, now
         return True
 
+    def may_repeat_start(self, command: StartTask, now: float) -> bool:
+        """Return whether an unanswered start may be sent again under the same number.
+
+        This saves a gang from being stopped for one lost message. The worker must have been heard
+        since, so that it can be expected to answer; it accepts a start that it knows already.
+        """
+        worker = self.state.workers.get(command.worker_id)
+        run = worker.runs.get(command.task) if worker is not None else None
+        if worker is None or run is None or run.number != command.run or run.sent_ms is None:
+            return False
+        return (
+            run.task.step.spec.gang
+            and run.phase is RunPhase.STARTING
+            and not run.stop_sent_ms
+            and worker.last_heard_ms > run.sent_ms
+            and not _reason_not_to_send(command, worker, now)
+        )
+
     def handle_stop_result(self, command: StopTask, outcome: CommandOutcome, now: float) -> None:
         """Apply the outcome of a stop command."""
         self._check_fenced(outcome)
--- a/baobabhoist/cell/state.py
+++ b/baobabhoist/cell/state.py
@@ -4,6 +4,7 @@
 
 import logging
 from collections import defaultdict
+from collections.abc import Iterator
 
 import attrs
 
@@ -36,6 +37,7 @@
 from baobabhoist.cell.start_backlog import StartBacklog
 from baobabhoist.cell.start_delay import StartDelay
 from baobabhoist.cell.start_window import StartWindow
+from baobabhoist.cell.wasted_work import WasteCause, WastedWork
 from baobabhoist.cell.workers import WorkerState
 from baobabhoist.observability.events import Event, emit
 
@@ -66,6 +68,7 @@
     start_window: StartWindow = attrs.Factory(StartWindow)
     start_delay: StartDelay = attrs.Factory(StartDelay)
     start_backlog: StartBacklog = attrs.Factory(StartBacklog)
+    waste: WastedWork = attrs.Factory(WastedWork)
     shares: TeamShares = attrs.Factory(lambda self: TeamShares(self.policy), takes_self=True)
     commands: list[Command] = attrs.Factory(list)
     # Ids of jobs whose progress must be written to the store.
@@ -105,6 +108,13 @@
             return True
         return team.allows(self.team_usage[job.accepted.team].plus(need))
 
+    def runs_of(self, team: Team) -> Iterator[Run]:
+        """Yield the runs of a team."""
+        for worker in self.workers.values():
+            for run in worker.runs.values():
+                if run.task.step.job.accepted.team == team.name:
+                    yield run
+
     def update_ready_steps(self, job: JobState, now: float) -> None:
         """Add the steps whose dependencies are done and remove the finished ones."""
         for step in job.steps.values():
@@ -156,7 +166,7 @@
         ticket = task.step.approvals.valid_ticket(worker.worker_id, sent_ms)
         run = self._add_run(task, worker, run_number, RunPhase.STARTING, now)
         run.is_fresh_start = not task.checkpoint
-        expected_ms = self._expected_run_ms(run)
+        expected_ms = self.expected_run_ms(task.step, worker.worker_id)
         run.expected_end_ms = now + expected_ms
         run.ms_per_percent = expected_ms / FINAL_PERCENT
         self.start_window.add(run)
@@ -200,7 +210,7 @@
             + 1
         )
 
-    def stop_run(self, run: Run, now: float) -> None:
+    def stop_run(self, run: Run, now: float, cause: WasteCause) -> None:
         """Issue a stop command for a run, or close it if its start has not been sent."""
         if run.phase is RunPhase.STARTING and not run.is_sent:
             self.dirty.add(run.task.step.job.job_id)
@@ -208,6 +218,7 @@
             return
         if run.phase is not RunPhase.UNSURE:
             run.phase = RunPhase.STOPPING
+        run.stop_cause = run.stop_cause or cause
         run.stop_sent_ms, run.is_stop_open = now, True
         self.commands.append(StopTask(run.worker_id, run.task.key, run.number))
 
@@ -254,13 +265,13 @@
         for step in job.steps.values():
             for task in step.tasks:
                 if task.run is not None and task.run.phase is not RunPhase.STOPPING:
-                    self.stop_run(task.run, now)
+                    self.stop_run(task.run, now, WasteCause.JOB_ENDED)
 
-    def _expected_run_ms(self, run: Run) -> float:
-        step = run.task.step
+    def expected_run_ms(self, step: StepState, worker_id: str) -> float:
+        """Return how long a task of a step will probably run on a worker."""
         if step.spec.lasting:
             return float("inf")
-        slowdown = self.speeds.worker_slowdown(run.worker_id)
+        slowdown = self.speeds.worker_slowdown(worker_id)
         ratio = self.speeds.duration_ratio(step.job.accepted.queue)
         return step.spec.expected_ms * ratio * slowdown
 
--- a/baobabhoist/control/metrics.py
+++ b/baobabhoist/control/metrics.py
@@ -10,6 +10,7 @@
 
 from baobabhoist.cell.model import CommandOutcome
 from baobabhoist.cell.wait_reasons import WaitReason
+from baobabhoist.cell.wasted_work import WastedWork
 from baobabhoist.cell.worker_conditions import WorkerCondition
 from baobabhoist.control.interfaces import AdviceOutcome
 from baobabhoist.observability.metrics import (
@@ -77,6 +78,9 @@
         self._queued = self._gauge("queued_tasks", "Tasks that wait, by queue.")
         # Labels of the teams that the gauges of shares have.
         self._shown_teams: set[str] = set()
+        self._wasted = self._counter(
+            "wasted_core_seconds_total", "Work of runs that was thrown away, by queue and cause."
+        )
         self._team_share = self._gauge(
             "team_share_ratio", "What a team has running, divided by its part of the cell."
         )
@@ -155,6 +159,12 @@
         for condition in WorkerCondition:
             self._workers.set({"condition": condition.value}, summary.workers[condition])
 
+    def add_wasted_work(self, waste: WastedWork) -> None:
+        """Add the work that was thrown away since the last call, and reset it."""
+        for (queue, cause), core_s in waste.take().items():
+            labels = {"queue": self._queues.label_for(queue), "cause": cause.value}
+            self._wasted.add(labels, core_s)
+
     def set_team_shares(self, figures: Iterable[TeamFigures]) -> None:
         """Set what each team has and is entitled to; 0 for teams that have no figures any more."""
         by_label = {self._teams.label_for(entry.team): entry for entry in figures}
--- a/baobabhoist/tests/cell_harness.py
+++ b/baobabhoist/tests/cell_harness.py
@@ -32,9 +32,9 @@
     return CellRules(1, queues, {"team": Team("team", 1.0, limit)})
 
 
-def make_job(job_id="0" * 16, *steps, version=100, team="team", **spec):
+def make_job(job_id="0" * 16, *steps, version=100, team="team", queue="q", **spec):
     steps = steps or (Step(1, SMALL, 1000),)
-    return AcceptedJob(job_id, "q", "svc", team, 0, JobSpec("(payload)", steps, **spec), version)
+    return AcceptedJob(job_id, queue, "svc", team, 0, JobSpec("(payload)", steps, **spec), version)
 
 
 def make_task_key(job_id="0" * 16, index=0, step=0, occurrence=0):
@@ -64,7 +64,7 @@
     @classmethod
     def with_workers(cls, count=2, cell_rules=None, policy=DEFAULT_POLICY, **options):
         workers = {f"w{n}": FakeCellWorker(f"w{n}", **options) for n in range(count)}
-        harness = cls(workers, cell_rules or make_rules(), policy)
+        harness = cls(workers, cell_rules or make_rules(), policy=policy)
         harness.renew_all()
         return harness
 
--- a/baobabhoist/tests/test_cell_evacuations.py
+++ b/baobabhoist/tests/test_cell_evacuations.py
@@ -96,7 +96,7 @@
     harness.settle()
     harness.evacuate(EAST)
     harness.schedule()
-    assert set(harness.cell.placer.reservations.gang_by_worker) <= {"w2", "w3"}
+    assert set(harness.cell.placer.reservations.by_worker) <= {"w2", "w3"}
     for index in range(4):
         if harness.worker_running(make_task_key(index=index)).worker_id in ("w2", "w3"):
             harness.end_run(make_task_key(index=index))
