Ask the adviser only for starts that its tickets can serve

A first question named workers for 1.5 times the members, of which a third are approved, and a gang needs room on all of its workers at once; steps at the head of the ranking renewed tickets for which there was no room.

Change, with advice_forecast on: a gang asks about more workers the fuller the cell is, learns approvals ahead while the slots allow it (which claims no room), and a repeated question names only approved workers that will have room. Steps past their late limit ask only while slots are idle. Of equal workers the one whose ticket expires first is used. What becomes of tickets is counted always: metric advice_tickets_total, field tickets of steps_waiting.

Ruled out: the adviser's slots; 17 to 38 of 43 were in use.

--- a/baobabhoist/benchmarks/advice_load.py
+++ b/baobabhoist/benchmarks/advice_load.py
@@ -67,6 +67,37 @@
     approval_percent=35,
     max_tasks=96,
 )
+# A site whose gangs fill it, and wait for advice on several workers at once.
+GANG_SITE = SiteProfile(
+    (
+        JobProfile(
+            _queue("trace", 1, 2.2, 1_000, AdviceTerms(350.0, 5.0, 2_500)),
+            *(0.37, 8.66, 20, 4_500, 8_100, 4_000.0),
+            gang_fraction=1.0,
+            checkpoint_fraction=0.5,
+            approval_percent=35,
+            max_tasks=120,
+        ),
+        JobProfile(
+            _queue("audit", 2, 4.0, 3_000, AdviceTerms(100.0, 1.4, 2_500)),
+            *(0.61, 3.24, 25, 1_700, 3_200, 2_700.0),
+            steps=2,
+            checkpoint_fraction=0.8,
+            cancelled_fraction=0.05,
+            approval_percent=45,
+            max_tasks=150,
+        ),
+        JobProfile(
+            _queue("ping", 0, 1.5, 250, AdviceTerms(9.0, 0.13, 2_500)),
+            *(6.8, 0.41, 3, 2_500, 3_600, 800.0),
+            gang_fraction=0.3,
+            approval_percent=70,
+            max_tasks=19,
+        ),
+    ),
+    team_weights=(1.0,) * 20,
+    limits_gangs_to_team=True,
+)
 # A site whose queries take most of the time of its few instances.
 COSTLY_ADVICE_SITE = SiteProfile((QUICK, LARGE))
 
@@ -231,3 +262,9 @@
     scenario = LoadScenario("backlog", arrival_factor=BACKLOG_FACTOR * REFERENCE_WORKERS / workers)
     backlog = generate_workload(scenario, workers, 1.0, seed + 1_000, SiteProfile((LARGE,)))
     return attrs.evolve(usual, arrivals=(*backlog.arrivals, *usual.arrivals))
+
+
+def gang_workload(workers: int, seed: int, arrival_factor: float = 1.0) -> CellWorkload:
+    """Return a workload of many gangs that fills the cell."""
+    scenario = LoadScenario("gangs", arrival_factor=arrival_factor)
+    return generate_workload(scenario, workers, SECONDS, seed, GANG_SITE)
--- a/baobabhoist/benchmarks/cell_replay.py
+++ b/baobabhoist/benchmarks/cell_replay.py
@@ -39,6 +39,7 @@
     TaskKey,
 )
 from baobabhoist.cell.placer import TaskPlacer
+from baobabhoist.cell.policy import DEFAULT_POLICY, SchedulingPolicy
 from baobabhoist.cell.ranking import Rank, Timeliness
 from baobabhoist.cell.scheduler import CellScheduler, Takeover
 from baobabhoist.cell.workers import WorkerState
@@ -103,6 +104,8 @@
     workers: dict[str, FakeCellWorker] = attrs.field(init=False)
     arrivals: dict[str, Arrival] = attrs.field(init=False)
     drain_s: float = DRAIN_PERIOD_S
+    # The optional parts of scheduling that are in use.
+    scheduling: SchedulingPolicy = DEFAULT_POLICY
     # The fencing token of the current owner.
     token: int = 1
     now: float = 0.0
@@ -130,7 +133,7 @@
         self.cell.sync_directory([worker.info() for worker in self.workers.values()], 0.0)
 
     def _create_cell(self, takeover: Takeover) -> CellScheduler:
-        cell = CellScheduler(self.workload.rules, takeover, LEASE_MS)
+        cell = CellScheduler(self.workload.rules, takeover, LEASE_MS, self.scheduling)
         cell.placer = self.policy(cell.state)
         cell.placer.advice.slot_count = ADVICE_SLOTS
         return cell
--- a/baobabhoist/cell/advice_candidates.py
+++ b/baobabhoist/cell/advice_candidates.py
@@ -7,9 +7,11 @@
 
 from collections import Counter
 from collections.abc import Mapping
+from math import ceil
 
 import attrs
 
+from baobabhoist.cell.advice_breadth import PLACES_FACTOR, gang_places_factor
 from baobabhoist.cell.jobs import StepState
 from baobabhoist.cell.model import NO_RESOURCES, AdviceTerms, Resources
 from baobabhoist.cell.reservations import Reservations
@@ -22,8 +24,6 @@
 MAX_WORKERS_PER_REQUEST = 100
 # Requests whose base cost is higher are long.
 LONG_REQUEST_MS = 150.0
-# A request names workers for this multiple of the waiting tasks, because forecasts are inaccurate.
-PLACES_FACTOR = 1.5
 # While slots are scarce, the answer to a long request must be expected to start this fraction of
 # the waiting tasks, of which at most MAX_COUNTED_TASKS count, and start any with this probability.
 MIN_USEFUL_FRACTION = 0.5
@@ -112,6 +112,8 @@
     is_scarce: bool
     now: float
 
+    _places_factor: float = PLACES_FACTOR
+
     @property
     def _answer_ms(self) -> float:
         """Return when the answer to a request about a few workers can be expected."""
@@ -125,11 +127,12 @@
         wanted = self._count_allowed_tasks()
         if wanted <= 0:
             return []
+        self._widen()
         service, forecast = self.state.service_of(self.step.job), self.worker_index.forecast
         found = FoundWorkers()
         if not self.step.approvals.tickets:
             found = self._find(forecast.rooms_now(service), wanted, self.claims)
-        if found.expected_places(self.approval_rate) < PLACES_FACTOR * wanted:
+        if found.expected_places(self.approval_rate) < self._places_factor * wanted:
             found = self._find(forecast.rooms(service, self._answer_ms), wanted, self.claims)
         return self._choose(found, wanted)
 
@@ -140,6 +143,30 @@
         wanted = self.step.waiting_count
         return self._choose(self._find(rooms, wanted, RoomClaims()), wanted)
 
+    def workers_to_learn(self) -> list[Candidate]:
+        """Return workers whose approval should be known before there is room for the step."""
+        rooms = Rooms.of(
+            Room(self.state.workers[worker_id], self.state.workers[worker_id].info.capacity)
+            for worker_id in self._capable_ids()
+        )
+        self._widen()
+        wanted = self.step.waiting_count
+        found = self._find(rooms, wanted, RoomClaims())
+        known_places = found.places_with_ticket + found.approved_places
+        missing = wanted - known_places / self._places_factor
+        if missing <= 0.0 or not found.unknown or found.most_places < wanted:
+            return []
+        chosen = self._take_enough(attrs.evolve(found, approved=[]), ceil(missing))
+        # The answer is not for a start, so other steps may ask for the same room.
+        return [attrs.evolve(candidate, places=0) for candidate in chosen]
+
+    def _widen(self) -> None:
+        """Look for more places for a gang the fuller the cell is."""
+        if self.step.spec.gang and self.state.policy.forecasts_advice:
+            service = self.state.service_of(self.step.job)
+            rooms = self.worker_index.forecast.rooms_now(service)
+            self._places_factor = gang_places_factor(rooms.free_fraction)
+
     def _capable_ids(self) -> list[str]:
         spec = self.step.spec
         service = self.state.service_of(self.step.job)
@@ -206,7 +233,7 @@
             if not places:
                 continue
             found.add_unknown(Candidate(worker_id, places))
-            if found.expected_places(self.approval_rate) >= PLACES_FACTOR * wanted:
+            if found.expected_places(self.approval_rate) >= self._places_factor * wanted:
                 extra_count -= 1
             if extra_count < 0:
                 return
@@ -255,7 +282,7 @@
 
     def _take_enough(self, found: FoundWorkers, wanted: int) -> list[Candidate]:
         chosen: list[Candidate] = []
-        missing = PLACES_FACTOR * wanted
+        missing = self._places_factor * wanted
         for probability, candidates in (
             (1.0, found.approved),
             (self.approval_rate, found.unknown),
@@ -267,9 +294,16 @@
                 missing -= probability * candidate.places
         if not chosen:
             return []
+        if self._asks_again_about(chosen):
+            return chosen
         extra_count = self._count_extra_workers(len(chosen))
         return [*chosen, *self._extra_candidates(chosen, found, extra_count)]
 
+    def _asks_again_about(self, chosen: list[Candidate]) -> bool:
+        """Return whether a request only renews the tickets of approved workers."""
+        tickets = self.step.approvals.tickets
+        return self.state.policy.forecasts_advice and all(c.worker_id in tickets for c in chosen)
+
     def _extra_candidates(
         self, chosen: list[Candidate], found: FoundWorkers, count: int
     ) -> list[Candidate]:
--- a/baobabhoist/cell/advice_requests.py
+++ b/baobabhoist/cell/advice_requests.py
@@ -20,6 +20,7 @@
 from baobabhoist.cell.approval_rates import ApprovalRates
 from baobabhoist.cell.jobs import StepState
 from baobabhoist.cell.model import AdviceTerms, RequestAdvice, Resources, StepKey
+from baobabhoist.cell.ranking import Timeliness, timeliness_of
 from baobabhoist.cell.reservations import Reservations
 from baobabhoist.cell.state import CellState
 from baobabhoist.cell.worker_index import WorkerIndex
@@ -98,6 +99,8 @@
         if step.spec.gang and step.waiting_count < step.unfinished_count:
             return
         is_long = is_long_request(queue.advice)
+        if self._is_too_late_to_ask(step, is_long, now):
+            return
         if self._vain_checks >= MAX_VAIN_CHECKS or not self._free_slots(is_long):
             return
         rate = self.rates.expected(queue.name)
@@ -114,8 +117,8 @@
             now,
         )
         chosen = finder.workers_with_room()
-        if not chosen and self._may_ask_ahead(step, position, is_long):
-            chosen = finder.workers_without_room()
+        if not chosen:
+            chosen = self._find_ahead(finder, step, position, is_long)
         if not chosen:
             self._vain_checks += 1
             step.approvals.block_requests_until(now + RECHECK_INTERVAL_MS)
@@ -144,12 +147,30 @@
         max_long = self.slot_count - max(1, self.slot_count // SHORT_SLOT_INTERVAL)
         return max(0, min(free, max_long - open_long))
 
+    def _find_ahead(
+        self, finder: CandidateFinder, step: StepState, position: int, is_long: bool
+    ) -> list[Candidate]:
+        """Return the workers that a request may name before there is room for the step."""
+        if not self.state.policy.forecasts_advice:
+            may_ask = self._may_ask_ahead(step, position, is_long)
+            return finder.workers_without_room() if may_ask else []
+        is_near = step.spec.gang and position < MAX_GATHERING_POSITION
+        may_ask = is_near or self._has_idle_slots(is_long)
+        return finder.workers_to_learn() if may_ask else []
+
     def _may_ask_ahead(self, step: StepState, position: int, is_long: bool) -> bool:
         """Return whether a step may ask before there is room for it."""
         if step.spec.gang and not step.approvals.tickets and position < MAX_GATHERING_POSITION:
             return True
         return position < MAX_HEAD_STEPS and self._has_idle_slots(is_long)
 
+    def _is_too_late_to_ask(self, step: StepState, is_long: bool, now: float) -> bool:
+        """Return whether a step that can earn nothing more would take a slot from others."""
+        if not self.state.policy.forecasts_advice or step.spec.lasting:
+            return False
+        is_expired = timeliness_of(step.job, now) is Timeliness.EXPIRED
+        return is_expired and not self._has_idle_slots(is_long)
+
     def _has_idle_slots(self, is_long: bool) -> bool:
         """Return whether so many slots are free that no other step has to wait for one."""
         return 2 * self._free_slots(is_long) > self.slot_count
--- a/baobabhoist/cell/placer.py
+++ b/baobabhoist/cell/placer.py
@@ -236,7 +236,11 @@
         """Return the workers on which a task of the step may start now, capacity aside."""
         service, label = self.state.service_of(step.job), step.spec.label
         if self.state.requires_advice(step.job):
-            return worker_index.workers_with_ticket(step, service, label)
+            workers = worker_index.workers_with_ticket(step, service, label)
+            if self.state.policy.forecasts_advice:
+                # Of equally suitable workers the first is chosen.
+                workers.sort(key=lambda w: step.approvals.tickets[w.worker_id].expires_ms)
+            return workers
         return worker_index.usable_workers(service, label)
 
     def _approved_workers(self, step: StepState, worker_index: WorkerIndex) -> list[WorkerState]:
--- a/baobabhoist/cell/room_forecast.py
+++ b/baobabhoist/cell/room_forecast.py
@@ -29,12 +29,24 @@
 
     most_free_first: list[Room] = attrs.Factory(list)
     by_worker: dict[str, Room] = attrs.Factory(dict)
+    # Of the processors of all these workers.
+    free_fraction: float = 1.0
 
     @classmethod
     def of(cls, rooms: Iterable[Room]) -> Rooms:
         """Return the rooms in order and by worker."""
         ordered = sorted(rooms, key=lambda room: room.free.cpu, reverse=True)
-        return cls(ordered, {room.worker.worker_id: room for room in ordered})
+        by_worker = {room.worker.worker_id: room for room in ordered}
+        return cls(ordered, by_worker, _free_fraction(ordered))
+
+
+def _free_fraction(rooms: Iterable[Room]) -> float:
+    """Return which fraction of the processors of some workers is free; 1 if there are none."""
+    free = capacity = 0
+    for room in rooms:
+        free += room.free.cpu
+        capacity += room.worker.info.capacity.cpu
+    return max(0.0, free / capacity) if capacity else 1.0
 
 
 NO_ROOMS = Rooms()
--- a/baobabhoist/cell/scheduler.py
+++ b/baobabhoist/cell/scheduler.py
@@ -283,6 +283,7 @@
         if step is not None:
             self.placer.advice.record_verdicts(step, requested, approved)
             step.approvals.record_answer(requested, approved, valid_until_ms)
+            self.state.ticket_usage.record_answer(step, approved, valid_until_ms)
 
     def handle_advice_failure(self, step_key: StepKey, retry_ms: float) -> None:
         """Allow a failed advice request to be repeated from `retry_ms` on."""
@@ -312,6 +313,7 @@
     def tick(self, now: float, unix_ms: float) -> None:
         """Run the checks that depend only on time."""
         self._periodic_checks.tick(now, unix_ms)
+        self.state.ticket_usage.settle(now)
 
     def schedule(self, now: float, may_start: bool) -> list[Command]:
         """Place waiting tasks and return all commands issued since the last call."""
--- a/baobabhoist/cell/state.py
+++ b/baobabhoist/cell/state.py
@@ -34,6 +34,7 @@
 from baobabhoist.cell.start_backlog import StartBacklog
 from baobabhoist.cell.start_delay import StartDelay
 from baobabhoist.cell.start_window import StartWindow
+from baobabhoist.cell.ticket_usage import TicketUsage
 from baobabhoist.cell.workers import WorkerState
 from baobabhoist.observability.events import Event, emit
 
@@ -61,6 +62,7 @@
     start_window: StartWindow = attrs.Factory(StartWindow)
     start_delay: StartDelay = attrs.Factory(StartDelay)
     start_backlog: StartBacklog = attrs.Factory(StartBacklog)
+    ticket_usage: TicketUsage = attrs.Factory(TicketUsage)
     commands: list[Command] = attrs.Factory(list)
     # Ids of jobs whose progress must be written to the store.
     dirty: set[str] = attrs.Factory(set)
@@ -133,6 +135,7 @@
         run.expected_end_ms = now + expected_ms
         run.ms_per_percent = expected_ms / FINAL_PERCENT
         self.start_window.add(run)
+        self.ticket_usage.record_start(task.step, worker.worker_id)
         # The run must be stored before the command is sent, so that the next owner knows of it.
         self.dirty.add(job.job_id)
         payload = job.accepted.spec.payload
--- a/baobabhoist/control/metrics.py
+++ b/baobabhoist/control/metrics.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
 from typing import TYPE_CHECKING
 
 from aioprometheus import Counter, Gauge, Histogram, Registry
 from aioprometheus.renderer import render
 
 from baobabhoist.cell.model import CommandOutcome
+from baobabhoist.cell.ticket_usage import TicketOutcome
 from baobabhoist.cell.wait_reasons import WaitReason
 from baobabhoist.cell.worker_conditions import WorkerCondition
 from baobabhoist.control.interfaces import AdviceOutcome
@@ -64,6 +66,9 @@
             "failed_starts_total", "Start commands that a worker rejected or did not answer."
         )
         self._advice = self._counter("advice_queries_total", "Queries to the adviser, by outcome.")
+        self._tickets = self._counter(
+            "advice_tickets_total", "Tickets of the adviser, by queue and what became of them."
+        )
         self._refusals = self._counter("refusals_total", "Calls refused, by reason.")
         self._dropped = self._gauge("log_lines_dropped", "Log lines that a full pipe refused.")
         self._config = self._gauge("config_version", "Version of the configuration in force.")
@@ -138,6 +143,12 @@
         """Count a query to the adviser."""
         self._advice.inc({"outcome": outcome.value})
 
+    def count_tickets(self, counts: Mapping[tuple[str, TicketOutcome], int]) -> None:
+        """Count what became of tickets, by queue."""
+        for (queue, outcome), count in counts.items():
+            labels = {"class": self._queues.label_for(queue), "outcome": outcome.value}
+            self._tickets.add(labels, count)
+
     def observe_loop_lag(self, seconds: float) -> None:
         """Record by how much the event loop ran late."""
         self._loop_lag.observe({}, seconds)
--- a/baobabhoist/control/owner.py
+++ b/baobabhoist/control/owner.py
@@ -448,6 +448,7 @@
             cell = self._require_cell()
             cell.tick(monotonic_ms(), unix_ms())
             self._ticks += 1
+            self._deps.metrics.count_tickets(cell.state.ticket_usage.take_counts())
             if self._ticks % RETENTION_CHECK_TICKS == 0:
                 self._remove_expired_jobs(cell)
             self._sync_sessions()
--- a/baobabhoist/control/waiting_report.py
+++ b/baobabhoist/control/waiting_report.py
@@ -118,6 +118,7 @@
             advice_open=cell.placer.advice.open_count,
             advice_slots=cell.placer.advice.slot_count,
             advice_blocked=cell.placer.advice.blocked_count,
+            tickets=cell.state.ticket_usage.describe(),
             starts_sent=sent,
             starts_not_ok=rejected,
             runs={phase.value: n for phase, n in summary.runs.items()},
