--- a/baobabhoist/tests/test_cell_advice_forecast.py
+++ b/baobabhoist/tests/test_cell_advice_forecast.py
@@ -112,7 +112,7 @@
 
 
 @given(
-    used=st.lists(st.sampled_from([0, 2000, 4000]), min_size=8, max_size=8),
+    used=st.lists(st.sampled_from([0, 2000, 4000, 4000, 4000]), min_size=8, max_size=8),
     approved=st.sets(st.sampled_from([f"w{n}" for n in range(8)])),
     count=st.integers(1, 4),
     is_gang=st.booleans(),
