--- a/baobabhoist/benchmarks/cell_replay.py
+++ b/baobabhoist/benchmarks/cell_replay.py
@@ -107,6 +107,7 @@
     workers: dict[str, FakeCellWorker] = attrs.field(init=False)
     arrivals: dict[str, Arrival] = attrs.field(init=False)
     drain_s: float = DRAIN_PERIOD_S
+    # The optional parts of scheduling that are in use.
     scheduling: SchedulingPolicy = DEFAULT_POLICY
     # The fencing token of the current owner.
     token: int = 1
--- a/baobabhoist/cell/jobs.py
+++ b/baobabhoist/cell/jobs.py
@@ -20,6 +20,7 @@
     StepKey,
     TaskKey,
 )
+from baobabhoist.cell.pace_tracking import RunPace
 from baobabhoist.cell.wait_reasons import WaitReason
 
 if TYPE_CHECKING:
@@ -71,6 +72,7 @@
     decided_ms: float = 0.0
     # When the run will probably end; infinity if nothing tells.
     expected_end_ms: float = float("inf")
+    pace: RunPace = attrs.Factory(RunPace)
     # This owner started the run, and not from a checkpoint.
     is_fresh_start: bool = False
     # Since when its work is neither saved by a checkpoint nor counted as wasted.
--- a/baobabhoist/cell/placer.py
+++ b/baobabhoist/cell/placer.py
@@ -10,6 +10,7 @@
 from baobabhoist.cell.advice_requests import AdviceRequester
 from baobabhoist.cell.cold_workers import cold_cost, limit_cold_slots
 from baobabhoist.cell.gang_forecast import forecast_limit_start, latest_useful_start_ms
+from baobabhoist.cell.gang_pace import assign_paced_gang
 from baobabhoist.cell.jobs import StepState, TaskState
 from baobabhoist.cell.model import JobPhase, Resources
 from baobabhoist.cell.preemptions import ROOM_REASONS, Preemptions
@@ -258,7 +259,7 @@
     ) -> bool:
         """Start a gang or reserve workers for it; return False if it is given up."""
         members = list(step.waiting_tasks())
-        chosen = assign_gang(slots, len(members), step.spec.same_rack)
+        chosen = self._choose_gang_workers(step, slots)
         if not chosen:
             if self.reservations.is_full:
                 return True
@@ -272,6 +273,16 @@
             self.state.start_run(task, worker, run_number, now)
         return True
 
+    def _choose_gang_workers(self, step: StepState, slots: list[WorkerSlots]) -> list[WorkerState]:
+        """Return a worker for each member of a gang, or an empty list unless all fit at once."""
+        count, same_rack = step.waiting_count, step.spec.same_rack
+        if not self.state.policy.tracks_pace:
+            return assign_gang(slots, count, same_rack)
+        speeds = self.state.speeds
+        return assign_paced_gang(
+            slots, count, same_rack, lambda worker: speeds.worker_slowdown(worker.worker_id)
+        )
+
     def _placement_cost(self, worker: WorkerState, step: StepState, tolerance: float) -> float:
         """Return the cost of a worker for a step; the worker with the lowest cost is chosen."""
         cost = speed_cost(self.state.speeds.worker_slowdown(worker.worker_id), tolerance)
@@ -289,7 +300,11 @@
         """Return the workers on which a task of the step may start now, capacity aside."""
         service, label = self.state.service_of(step.job), step.spec.label
         if self.state.requires_advice(step.job):
-            return worker_index.workers_with_ticket(step, service, label)
+            workers = worker_index.workers_with_ticket(step, service, label)
+            if self.state.policy.forecasts_advice:
+                # Of equally suitable workers the first is chosen.
+                workers.sort(key=lambda w: step.approvals.tickets[w.worker_id].expires_ms)
+            return workers
         return worker_index.usable_workers(service, label)
 
     def _approved_workers(self, step: StepState, worker_index: WorkerIndex) -> list[WorkerState]:
--- a/baobabhoist/cell/scheduler.py
+++ b/baobabhoist/cell/scheduler.py
@@ -335,6 +335,7 @@
         if step is not None:
             self.placer.advice.record_verdicts(step, requested, approved)
             step.approvals.record_answer(requested, approved, valid_until_ms)
+            self.state.ticket_usage.record_answer(step, approved, valid_until_ms)
 
     def handle_advice_failure(self, step_key: StepKey, retry_ms: float) -> None:
         """Allow a failed advice request to be repeated from `retry_ms` on."""
@@ -367,6 +368,7 @@
         self.state.shares.tick(self.state.workers.values(), self.state.team_usage, now)
         if self.state.policy.refuses_hopeless_jobs:
             self.admission.update(now)
+        self.state.ticket_usage.settle(now)
 
     def schedule(self, now: float, may_start: bool) -> list[Command]:
         """Place waiting tasks and return all commands issued since the last call."""
--- a/baobabhoist/cell/state.py
+++ b/baobabhoist/cell/state.py
@@ -37,6 +37,7 @@
 from baobabhoist.cell.start_backlog import StartBacklog
 from baobabhoist.cell.start_delay import StartDelay
 from baobabhoist.cell.start_window import StartWindow
+from baobabhoist.cell.ticket_usage import TicketUsage
 from baobabhoist.cell.wasted_work import WasteCause, WastedWork
 from baobabhoist.cell.workers import WorkerState
 from baobabhoist.observability.events import Event, emit
@@ -70,6 +71,7 @@
     start_backlog: StartBacklog = attrs.Factory(StartBacklog)
     waste: WastedWork = attrs.Factory(WastedWork)
     shares: TeamShares = attrs.Factory(lambda self: TeamShares(self.policy), takes_self=True)
+    ticket_usage: TicketUsage = attrs.Factory(TicketUsage)
     commands: list[Command] = attrs.Factory(list)
     # Ids of jobs whose progress must be written to the store.
     dirty: set[str] = attrs.Factory(set)
@@ -170,6 +172,7 @@
         run.expected_end_ms = now + expected_ms
         run.ms_per_percent = expected_ms / FINAL_PERCENT
         self.start_window.add(run)
+        self.ticket_usage.record_start(task.step, worker.worker_id)
         # The run must be stored before the command is sent, so that the next owner knows of it.
         self.dirty.add(job.job_id)
         payload = job.accepted.spec.payload
--- a/baobabhoist/observability/events.py
+++ b/baobabhoist/observability/events.py
@@ -184,6 +184,11 @@
         logging.INFO,
         "restored the past use of {teams} teams, stored {age_ms} ms ago",
     )
+    SPEED_CHANGED = (
+        1540,
+        logging.INFO,
+        "worker {worker} takes {slowdown} times as long as the mean worker since its last report",
+    )
     WORK_WASTED = (
         1541,
         logging.INFO,
