--- a/baobabhoist/cell/state.py
+++ b/baobabhoist/cell/state.py
@@ -7,6 +7,7 @@
 
 import attrs
 
+from baobabhoist.cell.evacuations import NO_EVACUATIONS, Evacuations
 from baobabhoist.cell.jobs import (
     FINAL_PERCENT,
     JobState,
@@ -30,6 +31,7 @@
     WorkerInfo,
 )
 from baobabhoist.cell.policy import DEFAULT_POLICY, SchedulingPolicy
+from baobabhoist.cell.shares import TeamShares
 from baobabhoist.cell.speed_estimates import SpeedEstimates
 from baobabhoist.cell.start_backlog import StartBacklog
 from baobabhoist.cell.start_delay import StartDelay
@@ -55,6 +57,7 @@
     workers: dict[str, WorkerState] = attrs.Factory(dict)
     # Workers that the directory lists or has listed at each address, by worker id.
     workers_by_address: dict[str, dict[str, WorkerState]] = attrs.Factory(dict)
+    evacuations: Evacuations = NO_EVACUATIONS
     team_usage: dict[str, Resources] = attrs.Factory(lambda: defaultdict(lambda: NO_RESOURCES))
     # Unfinished steps whose dependencies are done.
     ready_steps: dict[StepKey, StepState] = attrs.Factory(dict)
@@ -63,10 +66,20 @@
     start_delay: StartDelay = attrs.Factory(StartDelay)
     start_backlog: StartBacklog = attrs.Factory(StartBacklog)
     ticket_usage: TicketUsage = attrs.Factory(TicketUsage)
+    shares: TeamShares = attrs.Factory(lambda self: TeamShares(self.policy), takes_self=True)
     commands: list[Command] = attrs.Factory(list)
     # Ids of jobs whose progress must be written to the store.
     dirty: set[str] = attrs.Factory(set)
 
+    def __attrs_post_init__(self) -> None:
+        """Apply the configured weights of the teams."""
+        self.shares.set_teams(self.rules.teams)
+
+    def set_rules(self, rules: CellRules) -> None:
+        """Replace the configured queues and teams."""
+        self.rules = rules
+        self.shares.set_teams(rules.teams)
+
     def queue_of(self, job: JobState) -> Queue | None:
         """Return the queue of a job, or None if it is no longer configured."""
         return self.rules.queues.get(job.accepted.queue)
@@ -104,13 +117,20 @@
 
     # Workers.
 
-    def apply_entry(self, worker: WorkerState, info: WorkerInfo) -> None:
+    def apply_entry(self, worker: WorkerState, info: WorkerInfo, now: float) -> None:
         """Apply a directory entry to a worker."""
         if info.address != worker.info.address:
             self._forget_address(worker)
-        worker.apply_entry(info)
+        worker.apply_entry(info, now)
+        worker.is_evacuated = self.evacuations.cover(info)
         self.workers_by_address.setdefault(info.address, {})[worker.worker_id] = worker
 
+    def set_evacuations(self, evacuations: Evacuations) -> None:
+        """Replace the requests to empty data centres."""
+        self.evacuations = evacuations
+        for worker in self.workers.values():
+            worker.is_evacuated = evacuations.cover(worker.info)
+
     def remove_worker(self, worker: WorkerState) -> None:
         """Remove a worker that has no runs left."""
         del self.workers[worker.worker_id]
--- a/baobabhoist/cell/workers.py
+++ b/baobabhoist/cell/workers.py
@@ -86,8 +86,12 @@
     # The worker rejects commands of earlier owners.
     has_accepted_token: bool = False
     is_listed: bool = True
+    # Its data centre is being emptied.
+    is_evacuated: bool = False
     # Another worker answers at its address.
     has_ended: bool = False
+    # Until when the worker runs tasks more slowly, as its entry says.
+    cold_until_ms: float = float("-inf")
     # When the worker was last removed from the directory.
     unlisted_since_ms: float = 0.0
     last_report_ms: float = -1e12
@@ -135,15 +139,27 @@
             return self.lease.expiry_ms()
         return max(self.inherited_lease_expiry_ms, self.lease.extended_expiry_ms())
 
-    def apply_entry(self, info: WorkerInfo) -> None:
+    def apply_entry(self, info: WorkerInfo, now: float) -> None:
         """Apply an entry of the directory, which may outlast the worker by some seconds."""
+        # An entry that is read again is older than it was the first time.
+        if info != self.info or self.cold_until_ms == float("-inf"):
+            self.cold_until_ms = now + info.cold_for_ms
         self.info, self.is_listed = info, not self.has_ended
 
+    def is_cold(self, now: float) -> bool:
+        """Return whether the worker still runs tasks more slowly after its start."""
+        return now < self.cold_until_ms
+
     def unlist(self, now: float) -> None:
         """Record that the worker is gone from the directory."""
         if self.is_listed:
             self.is_listed, self.unlisted_since_ms = False, now
 
+    @property
+    def is_staying(self) -> bool:
+        """Return whether neither the worker nor the operator has announced that it goes."""
+        return self.is_listed and not self.info.is_draining and not self.is_evacuated
+
     @property
     def is_isolated(self) -> bool:
         """Return whether nothing else may start because of a suspected run."""
@@ -164,8 +180,7 @@
         """Return whether new tasks may be started on the worker."""
         return (
             self.has_accepted_token
-            and self.is_listed
-            and not self.info.is_draining
+            and self.is_staying
             and not self.orphan_runs
             and not self.is_isolated
             and now - self.last_report_ms < REPORT_TIMEOUT_MS
--- a/baobabhoist/control/job_api.py
+++ b/baobabhoist/control/job_api.py
@@ -14,6 +14,7 @@
 from baobabhoist.control.clock import StoreClock, monotonic_ms, unix_ms
 from baobabhoist.control.config import ActiveConfig, CellConfig, Route
 from baobabhoist.control.interfaces import Decoder
+from baobabhoist.control.job_admission import JobAdmission, never_starts_refusal
 from baobabhoist.control.job_writer import JobWriter, WriteResult, WriteStatus
 from baobabhoist.control.messages import (
     CancelNotice,
@@ -119,6 +120,8 @@
     owner_router: OwnerRouter
     revoke_ms: float
     row_max_bytes: int
+    # Set if jobs that cannot end in time are refused.
+    admission: JobAdmission | None = None
 
     def admit(self, call: ApiCall) -> AdmittedCall | Refusal:
         """Return the admitted call with its route and team, or the refusal."""
@@ -133,7 +136,7 @@
         team = ""
         if not route.queue.is_public:
             if self.config.age_ms(monotonic_ms()) > MAX_KEY_AGE_FRACTION * self.revoke_ms:
-                return unavailable_refusal("the active keys may be out of date", RETRY_ELSEWHERE_S)
+                return self._stale_keys_refusal()
             if call.key not in cfg.team_by_key:
                 kind = ErrorKind.KEY_REJECTED if call.key else ErrorKind.KEY_MISSING
                 emit(log, Event.KEY_REFUSED, queue=route.queue.name, version=cfg.version)
@@ -162,7 +165,23 @@
         if refuse_ms > 0.0 and not await self._is_stored(admitted.job_id):
             retry_after_s = min(MAX_RETRY_AFTER_S, math.ceil(refuse_ms / 1000))
             return unavailable_refusal("too many jobs wait for their start", retry_after_s)
-        return await self._store_job(call, admitted, spec)
+        refusal = await self._refuse_hopeless(admitted, spec)
+        return refusal or await self._store_job(call, admitted, spec)
+
+    async def _refuse_hopeless(self, admitted: AdmittedCall, spec: JobSpec) -> Refusal | None:
+        """Return the refusal of a job that cannot end in time, unless it may be stored already."""
+        if self.admission is None:
+            return None
+        queue, team = admitted.route.queue, admitted.team
+        never_starts = never_starts_refusal(spec, admitted.cfg.rules.teams.get(team))
+        hopeless = self.admission.find_hopeless(spec, queue, team, monotonic_ms())
+        if never_starts is None and hopeless is None:
+            return None
+        if await self._is_stored(admitted.job_id):
+            return None
+        if never_starts is not None or hopeless is None:
+            return never_starts
+        return self.admission.refuse(hopeless, team, monotonic_ms())
 
     async def _is_stored(self, job_id: str) -> bool:
         """Return whether a job may be stored already; a repeated call must not be refused."""
@@ -243,6 +262,16 @@
             return reply.jobs
         return unavailable_refusal("the owner of the queue cannot be reached")
 
+    def _stale_keys_refusal(self) -> Refusal:
+        """Return the refusal of a call whose key can't be checked.
+
+        If the linked owner could not relay the table either, no other instance can check it.
+        """
+        message = "the active keys may be out of date"
+        if self.job_writer.is_store_unreachable:
+            return self._store_refusal(message)
+        return unavailable_refusal(message, RETRY_ELSEWHERE_S)
+
     def _store_refusal(self, message: str) -> Refusal:
         """Return the refusal of a write; callers of a cut-off instance retry elsewhere at once."""
         return unavailable_refusal(
