--- a/baobabhoist/control/metrics.py
+++ b/baobabhoist/control/metrics.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 from typing import TYPE_CHECKING
 
 from aioprometheus import Counter, Gauge, Histogram, Registry
@@ -23,6 +23,7 @@
 )
 
 if TYPE_CHECKING:
+    from baobabhoist.cell.shares import TeamFigures
     from baobabhoist.cell.waiting_summary import WaitingSummary
 
 CALL_BUCKETS_S = (0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.25, 0.5, 1.0, 2.0, INF)
@@ -70,11 +71,25 @@
             "advice_tickets_total", "Tickets of the adviser, by queue and what became of them."
         )
         self._refusals = self._counter("refusals_total", "Calls refused, by reason.")
+        self._refused_jobs = self._counter(
+            "refused_jobs_total", "Jobs refused, by team, queue and reason."
+        )
         self._dropped = self._gauge("log_lines_dropped", "Log lines that a full pipe refused.")
         self._config = self._gauge("config_version", "Version of the configuration in force.")
         self._config_age = self._gauge("config_age_seconds", "Age of its last confirmation.")
         self._owns = self._gauge("owns_cell", "1 while this instance owns the cell.")
         self._queued = self._gauge("queued_tasks", "Tasks that wait, by queue.")
+        # Labels of the teams that the gauges of shares have.
+        self._shown_teams: set[str] = set()
+        self._team_share = self._gauge(
+            "team_share_ratio", "What a team has running, divided by its part of the cell."
+        )
+        self._team_use = self._gauge(
+            "team_past_use_seconds", "Past use of a team, in seconds of the whole cell."
+        )
+        self._team_excess = self._gauge(
+            "team_jobs_beyond", "Jobs that a team sent beyond its entitlement to this owner."
+        )
         self._lease_margin = self._gauge(
             "lease_margin_seconds", "Time to the first lease of a worker that would lapse."
         )
@@ -91,6 +106,15 @@
         """Count a refused call under its reason."""
         self._refusals.inc({"reason": self._reasons.label_for(reason)})
 
+    def count_refused_job(self, team: str, queue: str, reason: str) -> None:
+        """Count a refused job of a team and queue."""
+        labels = {
+            "team": self._teams.label_for(team or NO_TEAM_LABEL),
+            "queue": self._queues.label_for(queue),
+            "reason": self._reasons.label_for(reason),
+        }
+        self._refused_jobs.inc(labels)
+
     def observe_wait(self, team: str, queue: str, waited_s: float) -> None:
         """Record how long a task waited for its start."""
         labels = {
@@ -135,6 +159,19 @@
         for condition in WorkerCondition:
             self._workers.set({"condition": condition.value}, summary.workers[condition])
 
+    def set_team_shares(self, figures: Iterable[TeamFigures]) -> None:
+        """Set what each team has and is entitled to; 0 for teams that have no figures any more."""
+        by_label = {self._teams.label_for(entry.team): entry for entry in figures}
+        for label in self._shown_teams - set(by_label):
+            for gauge in (self._team_share, self._team_use, self._team_excess):
+                gauge.set({"team": label}, 0)
+        self._shown_teams |= set(by_label)
+        for label, entry in by_label.items():
+            labels = {"team": label}
+            self._team_share.set(labels, entry.share_ratio)
+            self._team_use.set(labels, entry.past_use_s)
+            self._team_excess.set(labels, entry.jobs_beyond)
+
     def count_failed_start(self, outcome: CommandOutcome) -> None:
         """Count a start command that was rejected or not answered."""
         self._failed_starts.inc({"reason": outcome.value})
--- a/baobabhoist/control/owner.py
+++ b/baobabhoist/control/owner.py
@@ -12,6 +12,7 @@
 import attrs
 
 from baobabhoist.cell import progress_rows
+from baobabhoist.cell.evacuations import NO_EVACUATIONS, Evacuations
 from baobabhoist.cell.model import (
     CellRules,
     Command,
@@ -27,9 +28,10 @@
 from baobabhoist.control.cell_loader import CellLoader, CellTables
 from baobabhoist.control.clock import StoreClock, monotonic_ms, unix_ms
 from baobabhoist.control.interfaces import Decoder, WorkerDriver
+from baobabhoist.control.job_admission import KnownWaits
 from baobabhoist.control.loop_lag import LoopLagMonitor
 from baobabhoist.control.machine_size import MachineSize
-from baobabhoist.control.messages import PendingReply, StateReply
+from baobabhoist.control.messages import JobWaits, PendingReply, StateReply
 from baobabhoist.control.metrics import NodeMetrics
 from baobabhoist.control.ownership_term import OwnershipTerm
 from baobabhoist.control.progress_writer import ProgressWriter
@@ -46,6 +48,7 @@
 from baobabhoist.control.sessions.pool import PoolDependencies, SessionPool
 from baobabhoist.control.table_follower import TableFollower
 from baobabhoist.control.task_supervisor import TaskSupervisor, result_or
+from baobabhoist.control.usage_row import decode_usage
 from baobabhoist.control.waiting_report import WaitingReporter
 from baobabhoist.observability.events import Event, emit
 from baobabhoist.store.row_store import RowStore, StoredRow, StoreError
@@ -59,6 +62,8 @@
 LOAD_RETRY_INTERVAL_S = 0.15
 ADVICE_RETRY_INTERVAL_S = 0.15
 RETENTION_CHECK_TICKS = 100
+# A new owner starts nothing while what it knows of the operator's requests is older than this.
+MAX_OPERATOR_TABLE_AGE_MS = 2_500.0
 # Least pause after a scheduling round, as a multiple of the round's duration.
 ROUND_PAUSE_FACTOR = 3.0
 # While loading a cell, yield to the event loop after this many rows, so that heartbeats are sent.
@@ -87,13 +92,19 @@
     # Returns the instances that can hold sessions with workers, by node name.
     session_hosts: Callable[[], Mapping[str, LinkedInstance]]
     policy: SchedulingPolicy = DEFAULT_POLICY
+    # Returns when the operator's table was last known to hold nothing newer.
+    operator_confirmed_ms: Callable[[], float] = lambda: float("inf")
 
 
 class CellOwner:
     """Run the tasks that drive one cell; each won claim gets a new instance."""
 
     def __init__(
-        self, deps: OwnerDependencies, ownership: OwnershipTerm, rules: CellRules
+        self,
+        deps: OwnerDependencies,
+        ownership: OwnershipTerm,
+        rules: CellRules,
+        evacuations: Evacuations = NO_EVACUATIONS,
     ) -> None:
         self.is_loaded = False
         self._cell: CellScheduler | None = None
@@ -102,8 +113,10 @@
             deps.store, ownership.token, self._report_ownership_lost
         )
         self.progress_writer.on_end_acked = self._handle_end_acked
+        self.progress_writer.store_now_ms = deps.clock.now_ms
         self._deps = deps
         self._rules = rules
+        self._evacuations = evacuations
         self._max_reads = max_concurrent_reads(deps.size.link_mbps)
         self._loader = CellLoader(deps.store, deps.decoder.tables.directory, self._max_reads)
         self._directory = self._directory_follower()
@@ -154,6 +167,13 @@
             self._cell.set_rules(rules)
             self.request_scheduling_round()
 
+    def apply_evacuations(self, evacuations: Evacuations) -> None:
+        """Apply the operator's requests to empty data centres."""
+        self._evacuations = evacuations
+        if self._cell is not None:
+            self._cell.set_evacuations(evacuations, monotonic_ms())
+            self.request_scheduling_round()
+
     def may_renew(self) -> bool:
         """Return whether leases may be renewed: not if a later owner may rely on their expiry."""
         return monotonic_ms() < self._deps.authority_ends_ms()
@@ -212,6 +232,14 @@
             return 0.0
         return self.cell.state.start_backlog.refuse_jobs_ms(monotonic_ms())
 
+    def job_waits(self) -> KnownWaits | None:
+        """Return for how long new jobs would wait, or None before the first figures."""
+        if self.cell is None or not self._deps.policy.refuses_hopeless_jobs:
+            return None
+        table = self.cell.admission.table
+        instances = 1 + len(self._deps.session_hosts())
+        return KnownWaits(JobWaits(table.rows, 0.0, instances), table.computed_ms)
+
     # Loading.
 
     async def _load(self) -> None:
@@ -227,12 +255,14 @@
         takeover = Takeover(
             self.ownership.generation, self.ownership.token, self._inherited_leases_expire_ms()
         )
-        loaded_rows = (*tables.progress, *tables.cell, *tables.speeds)
+        loaded_rows = (*tables.progress, *tables.cell, *tables.speeds, *tables.usage)
         self.progress_writer.set_versions({row.key: row.version for row in loaded_rows})
         cell = CellScheduler(self._rules, takeover, self._deps.lease_ms, self._deps.policy)
         self._apply_speeds(cell, tables.speeds)
+        self._apply_usage(cell, tables.usage)
         self._cell = cell
         self._apply_directory_rows(tables.directory, True)
+        cell.set_evacuations(self._evacuations, monotonic_ms())
         await self._load_jobs(tables.jobs)
         now = monotonic_ms()
         for index, row in enumerate(tables.progress):
@@ -278,6 +308,18 @@
             except ValueError as exc:
                 emit(log, Event.ROW_UNREADABLE, table=row.key.table, row=row.key.key, detail=exc)
 
+    def _apply_usage(self, cell: CellScheduler, rows: Sequence[StoredRow]) -> None:
+        """Continue from the past use that an earlier owner stored; without it, from none."""
+        for row in rows:
+            try:
+                usage = decode_usage(row.value or b"")
+            except ValueError as exc:
+                emit(log, Event.ROW_UNREADABLE, table=row.key.table, row=row.key.key, detail=exc)
+                continue
+            age_ms = self._deps.clock.now_ms() - usage.stored_ms
+            cell.state.shares.past_use.restore(usage.use_s, age_ms)
+            emit(log, Event.PAST_USE_RESTORED, teams=len(usage.use_s), age_ms=age_ms)
+
     def _apply_progress(self, cell: CellScheduler, row: StoredRow, now: float) -> None:
         try:
             if row.value is not None:
@@ -372,7 +414,9 @@
         start_s = time.perf_counter()
         self._update_advice_slots(cell)
         # The directory that was loaded may be some seconds old: workers may have left since.
-        may_start = self.may_renew() and self._directory.is_confirmed
+        may_start = (
+            self.may_renew() and self._directory.is_confirmed and self._knows_operator_requests()
+        )
         commands = cell.schedule(monotonic_ms(), may_start)
         duration_s = time.perf_counter() - start_s
         # Limits the share of the processor that rounds take under a flood of events.
@@ -389,6 +433,11 @@
         if cell.state.dirty:
             self.progress_writer.request_flush()
 
+    def _knows_operator_requests(self) -> bool:
+        """Return whether the operator's table was read shortly before the claim, or since."""
+        oldest_ms = self.ownership.won_ms - MAX_OPERATOR_TABLE_AGE_MS
+        return self._deps.operator_confirmed_ms() >= oldest_ms
+
     def _update_advice_slots(self, cell: CellScheduler) -> None:
         advice, dispatcher = cell.placer.advice, self._deps.advice_dispatcher
         advice.slot_count = dispatcher.slot_count
@@ -452,6 +501,7 @@
             if self._ticks % RETENTION_CHECK_TICKS == 0:
                 self._remove_expired_jobs(cell)
             self._sync_sessions()
+            self.progress_writer.request_usage_flush(cell)
             self._waiting_reporter.report(cell, self.may_renew(), monotonic_ms())
             await asyncio.sleep(TICK_INTERVAL_S)
 
--- a/baobabhoist/observability/events.py
+++ b/baobabhoist/observability/events.py
@@ -154,6 +154,36 @@
         logging.WARNING,
         "worker {worker} crashed with {count} tasks: {blame}",
     )
+    EVACUATION_BEGUN = (
+        1528,
+        logging.WARNING,
+        "data centre {data_centre} is being emptied: no task starts on its {workers} workers",
+    )
+    EVACUATION_ENDED = (
+        1529,
+        logging.INFO,
+        "data centre {data_centre} is in use again, with {workers} workers",
+    )
+    TEAM_EXCESS_BEGAN = (
+        1531,
+        logging.INFO,
+        "team {team} sends more than the {weight} jobs a second that it is entitled to",
+    )
+    TEAM_EXCESS_ENDED = (
+        1532,
+        logging.INFO,
+        "team {team} sends no more than the {weight} jobs a second that it is entitled to",
+    )
+    TEAM_WEIGHT_INVALID = (
+        1533,
+        logging.WARNING,
+        "weight {weight} of team {team} is not used, it must be a finite number from 0 to 1e6",
+    )
+    PAST_USE_RESTORED = (
+        1534,
+        logging.INFO,
+        "restored the past use of {teams} teams, stored {age_ms} ms ago",
+    )
     SPEED_CHANGED = (
         1540,
         logging.INFO,
@@ -222,6 +252,16 @@
         logging.ERROR,
         "gave up job {job}, whose step {step} makes the scheduler fail: {detail}",
     )
+    LONG_WAIT_BEGAN = (
+        1640,
+        logging.WARNING,
+        "new jobs of team {team} and priority {priority} would wait {late_ms} ms: {shortage}",
+    )
+    LONG_WAIT_ENDED = (
+        1641,
+        logging.INFO,
+        "new jobs of team {team} and priority {priority} wait no longer for long: {shortage}",
+    )
     TABLE_FOLLOWED = (8004, logging.INFO, "following table {table} from version {version}")
     TABLE_LOST = (8005, logging.WARNING, "cannot follow table {table}: {detail}")
     HISTORY_LOST = (
