Tell operators where a job would go now without sending it

An operator could learn why a job waits only after sending it, from the owner's log lines. `baobabhoist preview QUEUE TEAM FILE` and `POST /placement-preview` on the metrics port now tell whether the job would be refused, the rank of its first ready step, its team's limit and share, the workers that could take it and why each other one is set aside, and when room is expected.

The owner answers from the parts of a scheduling round that only read; the functions of a submission that refuse jobs were split off, so that both use them. Ruled out: asking `has_entitlement_left`, `is_within_team_limit` and `JobAdmission.refuse`, which charge jobs, add teams to the usage and give out return times; and `OwnerRouter.call`, after whose timeout an instance takes its owner for silent and is not ready: an owner of an earlier version does not answer.

The property test (a preview changes neither the state nor the next rounds) fails with the preview indexing `team_usage[team]` or calling `has_entitlement_left`; the test of reserved workers fails without the check of the gang. No decision of a round changes: begin_round, may_start and submit were only split.

--- a/baobabhoist/cell/placer.py
+++ b/baobabhoist/cell/placer.py
@@ -160,7 +160,7 @@
         if not candidates and not spec.gang:
             return WaitReason.WORKERS_RESERVED if startable else WaitReason.NO_STARTABLE_WORKER
         if spec.gang:
-            slots = self._find_slots(step, candidates, now)
+            slots = self.slots_for_step(step, candidates, now)
             if not self._place_gang(step, slots, worker_index, now):
                 return WaitReason.NO_ROOM_IN_TIME
         else:
@@ -175,9 +175,10 @@
             return WaitReason.TEAM_LIMIT
         return self._reason_without_slots(step, startable)
 
-    def _find_slots(
+    def slots_for_step(
         self, step: StepState, candidates: list[WorkerState], now: float
     ) -> list[WorkerSlots]:
+        """Return the candidates on which a task of a step fits now, the best first."""
         ratio = self.state.speeds.duration_ratio(step.job.accepted.queue)
         tolerance = slowdown_tolerance(step.job, ratio, now)
         slots = find_slots(
@@ -204,7 +205,7 @@
             tasks = [task for task in tasks if not task.crash_blame.is_suspect]
             candidates = [worker for worker in candidates if not worker.is_isolated]
         task_count = min(len(tasks), self.state.start_window.remaining)
-        chosen = assign_tasks(self._find_slots(step, candidates, now), task_count)
+        chosen = assign_tasks(self.slots_for_step(step, candidates, now), task_count)
         for task, worker in zip(tasks, chosen, strict=False):
             if not self._start(task, worker, now):
                 return
@@ -219,7 +220,7 @@
     ) -> None:
         """Start tasks that may crash their worker, each alone: another crash then tells more."""
         quiet = [worker for worker in candidates if not worker.has_young_run()]
-        chosen = [slot.worker for slot in self._find_slots(step, quiet, now)]
+        chosen = [slot.worker for slot in self.slots_for_step(step, quiet, now)]
         count = min(len(suspects), self.state.start_window.remaining)
         for task, worker in zip(suspects[:count], chosen, strict=False):
             if not self._start(task, worker, now):
@@ -259,7 +260,7 @@
     ) -> bool:
         """Start a gang or reserve workers for it; return False if it is given up."""
         members = list(step.waiting_tasks())
-        chosen = self._choose_gang_workers(step, slots)
+        chosen = self.choose_gang_workers(step, slots)
         if not chosen:
             if self.reservations.is_full:
                 return True
@@ -273,7 +274,7 @@
             self.state.start_run(task, worker, run_number, now)
         return True
 
-    def _choose_gang_workers(self, step: StepState, slots: list[WorkerSlots]) -> list[WorkerState]:
+    def choose_gang_workers(self, step: StepState, slots: list[WorkerSlots]) -> list[WorkerState]:
         """Return a worker for each member of a gang, or an empty list unless all fit at once."""
         count, same_rack = step.waiting_count, step.spec.same_rack
         if not self.state.policy.tracks_pace:
--- a/baobabhoist/cell/return_times.py
+++ b/baobabhoist/cell/return_times.py
@@ -23,6 +23,10 @@
     # When the next caller should return, on the local clock in ms.
     _next_ms: dict[tuple[str, int], float] = attrs.Factory(dict)
 
+    def copy(self) -> ReturnTimes:
+        """Return a copy, which assigns times that no caller gets."""
+        return ReturnTimes(dict(self._next_ms))
+
     def assign(self, key: tuple[str, int], excess_ms: float, job_ms: float, now: float) -> float:
         """Return in how many whole seconds a caller should return.
 
--- a/baobabhoist/cell/shares.py
+++ b/baobabhoist/cell/shares.py
@@ -160,6 +160,17 @@
             return True
         return account.bucket.available_at(accepted_ms) >= 1.0
 
+    def entitled_jobs(self, team: str, accepted_ms: float) -> float | None:
+        """Return how many more jobs accepted by a time would be within the entitlement.
+
+        It is None if any number would be. This charges no jobs, unlike `has_entitlement_left`.
+        """
+        account = self._accounts.get(team)
+        if not self.is_on or account is None or account.bucket is None:
+            return None
+        uncharged = sum(entry.job.accepted.team == team for entry in self._uncharged)
+        return account.bucket.available_at(accepted_ms) - uncharged
+
     def _account(self, name: str, weight: float) -> TeamAccount:
         """Return the account of a team, the one that it has if the weight is the same."""
         account = self._accounts.get(name, TeamAccount())
@@ -235,7 +246,16 @@
         if not self.is_on:
             return None
         self._charge_added_jobs()
-        if not self._is_demand_above_capacity(steps, team_usage):
+        return self.compare_teams(steps, team_usage, has_worker)
+
+    def compare_teams(
+        self,
+        steps: Iterable[StepState],
+        team_usage: Mapping[str, Resources],
+        has_worker: Callable[[StepState], bool],
+    ) -> ShareRound | None:
+        """Return the same as `begin_round`, but charge no jobs."""
+        if not self.is_on or not self._is_demand_above_capacity(steps, team_usage):
             return None
         unit_shares = [self._share(unit) for unit in UNITS]
         return ShareRound(self, team_usage, unit_shares, has_worker)
--- a/baobabhoist/cell/start_window.py
+++ b/baobabhoist/cell/start_window.py
@@ -54,6 +54,10 @@
         """Return how many more starts may be decided now."""
         return max(0, int(self.limit) - len(self._starting))
 
+    def count_remaining(self) -> int:
+        """Return how many starts would remain after a refresh, without refreshing."""
+        return max(0, int(self.limit) - sum(map(_is_starting, self._starting)))
+
     def record_answer(self, answer_ms: float, now: float) -> None:
         """Adapt the limit to the time that a worker's answer to a start took."""
         if answer_ms <= SLOW_ANSWER_MS:
--- a/baobabhoist/cli/main.py
+++ b/baobabhoist/cli/main.py
@@ -11,7 +11,7 @@
 import attrs
 from absl import app, flags
 
-from baobabhoist.cli import instances, jobs, logs, options, records
+from baobabhoist.cli import instances, jobs, logs, options, placement, records
 from baobabhoist.cli.client import (
     ExitCode,
     RefusedError,
@@ -106,6 +106,10 @@
     return jobs.explain_job(options.make_job_client(), args[0])
 
 
+def _preview_placement(args: Sequence[str]) -> CommandResult:
+    return placement.preview_placement(options.make_metrics_client(), *args)
+
+
 def _show_status(args: Sequence[str]) -> CommandResult:
     del args
     return instances.show_status(options.make_admin_client())
@@ -139,6 +143,7 @@
     ("wait", "job"): Command("JOB", 1, 1, _wait_for_job),
     ("explain", "job"): Command("JOB", 1, 1, _explain_job),
     ("explain",): Command("JOB", 1, 1, _explain_job),
+    ("preview",): Command("QUEUE TEAM FILE", 3, 3, _preview_placement),
     ("status",): Command("", 0, 0, _show_status),
     ("drain",): Command("", 0, 0, _start_drain),
     ("logs",): Command("JOB FILE [FILE ...]", 2, MAX_LOG_FILES, _merge_logs),
--- a/baobabhoist/cli/options.py
+++ b/baobabhoist/cli/options.py
@@ -15,6 +15,9 @@
 FLAGS = flags.FLAGS
 flags.DEFINE_string("admin_url", "http://127.0.0.1:7001", "URL of the admin API.")
 flags.DEFINE_string("caller_url", "http://127.0.0.1:7000", "URL of the caller API.")
+flags.DEFINE_string(
+    "metrics_url", "http://127.0.0.1:9464", "URL of the metrics port of a platform instance."
+)
 flags.DEFINE_string("operator_key", "", "Operator key; other users can see it in process lists.")
 flags.DEFINE_string("operator_key_file", "", "File with the operator key.")
 flags.DEFINE_string("team_key", "", "Team key; other users can see it in process lists.")
@@ -78,6 +81,11 @@
     return Client(FLAGS.caller_url, TEAM_KEY_HEADER, key, make_tls_context(), response_timeout_s)
 
 
+def make_metrics_client() -> Client:
+    """Return a client of the metrics port of a platform instance, which takes no key."""
+    return Client(FLAGS.metrics_url, "", tls=make_tls_context(), timeout_s=FLAGS.timeout_s)
+
+
 def make_job_client() -> Client:
     """Return a client for existing jobs: of the caller API with a team key, else of the admin API.
 
--- a/baobabhoist/control/job_admission.py
+++ b/baobabhoist/control/job_admission.py
@@ -99,6 +99,10 @@
             retry_after_s=retry_after_s,
         )
 
+    def preview_refusal(self, job: HopelessJob, team: str, now: float) -> Refusal:
+        """Return what `refuse` would return now, without assigning the return time."""
+        return JobAdmission(self.source, self.return_times.copy()).refuse(job, team, now)
+
 
 def never_starts_refusal(spec: JobSpec, team: Team | None) -> Refusal | None:
     """Return the refusal of a job that the limit of its team keeps from ever starting."""
--- a/baobabhoist/control/job_api.py
+++ b/baobabhoist/control/job_api.py
@@ -95,6 +95,23 @@
     )
 
 
+def due_tasks_refusal(spec: JobSpec) -> Refusal | None:
+    """Return the refusal of a job with too many due tasks, which every owner holds in memory."""
+    due_tasks = spec.count_due_tasks(max(unix_ms(), spec.first_due_ms))
+    if due_tasks <= MAX_DUE_TASKS:
+        return None
+    message = f"{due_tasks} tasks would be due at once; at most {MAX_DUE_TASKS} may be"
+    return Refusal(ErrorKind.BAD_REQUEST, message, remedy="repeat the steps less often")
+
+
+def overload_refusal(refuse_ms: float) -> Refusal | None:
+    """Return the refusal of all jobs while the owner asks for it, for `refuse_ms` from now."""
+    if refuse_ms <= 0.0:
+        return None
+    retry_after_s = min(MAX_RETRY_AFTER_S, math.ceil(refuse_ms / 1000))
+    return unavailable_refusal("too many jobs wait for their start", retry_after_s)
+
+
 def _unknown_job_refusal(job_id: str) -> Refusal:
     return Refusal(ErrorKind.NOT_FOUND, f"there is no job {job_id}", remedy="check the id")
 
@@ -156,15 +173,12 @@
         spec = self.decoder.decode_job(body)
         if isinstance(spec, Refusal):
             return spec
-        # Tasks that are due are held in memory by every owner of the cell.
-        due_tasks = spec.count_due_tasks(max(unix_ms(), spec.first_due_ms))
-        if due_tasks > MAX_DUE_TASKS:
-            message = f"{due_tasks} tasks would be due at once; at most {MAX_DUE_TASKS} may be"
-            return Refusal(ErrorKind.BAD_REQUEST, message, remedy="repeat the steps less often")
-        refuse_ms = self.owner_router.refuse_jobs_ms()
-        if refuse_ms > 0.0 and not await self._is_stored(admitted.job_id):
-            retry_after_s = min(MAX_RETRY_AFTER_S, math.ceil(refuse_ms / 1000))
-            return unavailable_refusal("too many jobs wait for their start", retry_after_s)
+        too_many = due_tasks_refusal(spec)
+        if too_many is not None:
+            return too_many
+        overload = overload_refusal(self.owner_router.refuse_jobs_ms())
+        if overload is not None and not await self._is_stored(admitted.job_id):
+            return overload
         refusal = await self._refuse_hopeless(admitted, spec)
         return refusal or await self._store_job(call, admitted, spec)
 
--- a/baobabhoist/control/messages.py
+++ b/baobabhoist/control/messages.py
@@ -5,6 +5,8 @@
 import attrs
 
 from baobabhoist.cell.admission import ExpectedWait
+from baobabhoist.cell.model import JobSpec
+from baobabhoist.cell.placement_report import PlacementPreview
 from baobabhoist.control.sessions.messages import SESSION_MESSAGES
 from baobabhoist.peer.codec import Codec
 from baobabhoist.peer.streams import STREAM_MESSAGES
@@ -220,6 +222,22 @@
     node: str
 
 
+@attrs.frozen
+class PlacementQuery:
+    """Ask the owner where a job would go now; an owner of an earlier version does not reply."""
+
+    queue: str
+    team: str
+    spec: JobSpec
+
+
+@attrs.frozen
+class PlacementReply:
+    """Return where a job would go now; `preview` is None if the owner does not know the queue."""
+
+    preview: PlacementPreview | None = None
+
+
 # The position of a type is its tag on the wire: append new types, never reorder.
 CODEC = Codec(
     (
@@ -245,5 +263,7 @@
         ReadinessQuery,
         ReadinessReply,
         *SESSION_MESSAGES,
+        PlacementQuery,
+        PlacementReply,
     )
 )
--- a/baobabhoist/control/node.py
+++ b/baobabhoist/control/node.py
@@ -26,6 +26,7 @@
 from baobabhoist.control.metrics import NodeMetrics
 from baobabhoist.control.owner_router import OwnerRouter
 from baobabhoist.control.ownership_term import OwnershipTerm
+from baobabhoist.control.placement_previews import PlacementPreviews
 from baobabhoist.control.relay import FailoverStore, RelayPeers
 from baobabhoist.control.row_schema import (
     CELL_TABLE,
@@ -103,6 +104,9 @@
             cfg.store.row_max_bytes,
             JobAdmission(self.owner_router) if cfg.scheduling.admission else None,
         )
+        self.placement_previews = PlacementPreviews(
+            self.config, adapter.decoder, self.owner_router, self.job_api.admission
+        )
         self._adapter = adapter
         self._advice_gate = advice_gate
         self._loop_lag = LoopLagMonitor(self.metrics)
--- a/baobabhoist/control/owner.py
+++ b/baobabhoist/control/owner.py
@@ -21,6 +21,7 @@
     StartTask,
     StopTask,
 )
+from baobabhoist.cell.placement_preview import PreviewTime, preview_placement
 from baobabhoist.cell.policy import DEFAULT_POLICY, SchedulingPolicy
 from baobabhoist.cell.scheduler import CellScheduler, Takeover
 from baobabhoist.cell.workers import LEASE_MARGIN_MS, MAX_CLOCK_DRIFT
@@ -31,7 +32,13 @@
 from baobabhoist.control.job_admission import KnownWaits
 from baobabhoist.control.loop_lag import LoopLagMonitor
 from baobabhoist.control.machine_size import MachineSize
-from baobabhoist.control.messages import JobWaits, PendingReply, StateReply
+from baobabhoist.control.messages import (
+    JobWaits,
+    PendingReply,
+    PlacementQuery,
+    PlacementReply,
+    StateReply,
+)
 from baobabhoist.control.metrics import NodeMetrics
 from baobabhoist.control.ownership_term import OwnershipTerm
 from baobabhoist.control.progress_writer import ProgressWriter
@@ -226,6 +233,23 @@
         """Return the number of jobs of a queue that have not started, or None while loading."""
         return PendingReply(self.cell.count_queued_jobs(queue)) if self.cell is not None else None
 
+    def preview_placement(self, query: PlacementQuery) -> PlacementReply | None:
+        """Return where a job would go now, or None while loading; this changes nothing."""
+        if self.cell is None:
+            return None
+        queue = self._rules.queues.get(query.queue)
+        if queue is None:
+            return PlacementReply()
+        preview = preview_placement(
+            self.cell.placer,
+            queue,
+            query.team,
+            query.spec,
+            PreviewTime(monotonic_ms(), self._deps.clock.now_ms()),
+            self._may_start() and not self.cell.is_fenced,
+        )
+        return PlacementReply(preview)
+
     def refuse_jobs_ms(self) -> float:
         """Return for how long new jobs should be refused, or 0: too many wait for their start."""
         if self.cell is None:
@@ -413,11 +437,7 @@
     def _schedule(self, cell: CellScheduler) -> None:
         start_s = time.perf_counter()
         self._update_advice_slots(cell)
-        # The directory that was loaded may be some seconds old: workers may have left since.
-        may_start = (
-            self.may_renew() and self._directory.is_confirmed and self._knows_operator_requests()
-        )
-        commands = cell.schedule(monotonic_ms(), may_start)
+        commands = cell.schedule(monotonic_ms(), self._may_start())
         duration_s = time.perf_counter() - start_s
         # Limits the share of the processor that rounds take under a flood of events.
         self._next_round_ms = monotonic_ms() + duration_s * 1000 * ROUND_PAUSE_FACTOR
@@ -433,6 +453,13 @@
         if cell.state.dirty:
             self.progress_writer.request_flush()
 
+    def _may_start(self) -> bool:
+        """Return whether tasks may start now."""
+        # The directory that was loaded may be some seconds old: workers may have left since.
+        return (
+            self.may_renew() and self._directory.is_confirmed and self._knows_operator_requests()
+        )
+
     def _knows_operator_requests(self) -> bool:
         """Return whether the operator's table was read shortly before the claim, or since."""
         oldest_ms = self.ownership.won_ms - MAX_OPERATOR_TABLE_AGE_MS
--- a/baobabhoist/control/owner_router.py
+++ b/baobabhoist/control/owner_router.py
@@ -20,6 +20,8 @@
     NotOwner,
     PendingQuery,
     PendingReply,
+    PlacementQuery,
+    PlacementReply,
     ReadinessQuery,
     ReadinessReply,
     RelayCommit,
@@ -106,6 +108,18 @@
             self._backoff_until_ms = monotonic_ms() + OWNER_TIMEOUT_BACKOFF_MS
             raise
 
+    async def call_newer(self, query: Any, timeout_s: float) -> Any:
+        """Return the owner's answer to a query that an owner of an earlier version leaves open.
+
+        Raises LinkClosedError or TimeoutError; unlike in `call`, a timeout does not tell that the
+        owner is silent.
+        """
+        if self.local_owner is not None:
+            return await self.handle(query)
+        if self.owner_link is None:
+            raise LinkClosedError("the owner is unknown")
+        return await self.owner_link.call(query, timeout_s)
+
     def notify(self, notice: Any) -> None:
         """Notify the owner in the background; it reads missed changes from the store."""
         task = create_logged_task(self._notify(notice))
@@ -130,6 +144,11 @@
     def _answer_pending(self, owner: CellOwner, query: PendingQuery) -> PendingReply | NotOwner:
         return owner.count_pending_jobs(query.queue) or NotOwner(self._node)
 
+    def _answer_placement(
+        self, owner: CellOwner, query: PlacementQuery
+    ) -> PlacementReply | NotOwner:
+        return owner.preview_placement(query) or NotOwner(self._node)
+
     def _handle_job_notice(self, owner: CellOwner, notice: JobNotice) -> None:
         owner.handle_stored_job(notice.job_id, notice.value, notice.version)
 
@@ -186,6 +205,7 @@
     _OWNER_HANDLERS: dict[type, Callable[[Any, CellOwner, Any], Any]] = {
         StateQuery: _answer_state,
         PendingQuery: _answer_pending,
+        PlacementQuery: _answer_placement,
         JobNotice: _handle_job_notice,
         CancelNotice: _handle_cancel_notice,
         SessionEvents: _handle_session_events,
--- a/baobabhoist/platform/http_server.py
+++ b/baobabhoist/platform/http_server.py
@@ -27,6 +27,7 @@
 from baobabhoist.errors import ErrorKind, Refusal
 from baobabhoist.observability.events import Event, emit
 from baobabhoist.platform.open_calls import OpenCalls
+from baobabhoist.platform.placement_handler import PlacementPreviewHandler
 
 log = logging.getLogger(__name__)
 
@@ -231,12 +232,21 @@
         }
         job_api_app = Application([(r".*", JobApiHandler, job_api_args)])
         readiness_app = Application([(r"/-/ready", ReadinessHandler, {"node": node})])
-        metrics_app = Application([(r"/metrics", MetricsHandler, {"node": node})])
+        metrics_app = Application(
+            [
+                (r"/metrics", MetricsHandler, {"node": node}),
+                (
+                    r"/placement-preview",
+                    PlacementPreviewHandler,
+                    {"previews": node.placement_previews},
+                ),
+            ]
+        )
         self._job_api_server = HTTPServer(
             job_api_app, idle_connection_timeout=60, max_body_size=MAX_BODY_BYTES
         )
         self._readiness_server = HTTPServer(readiness_app)
-        self._metrics_server = HTTPServer(metrics_app)
+        self._metrics_server = HTTPServer(metrics_app, max_body_size=MAX_BODY_BYTES)
         self._cfg = node.cfg
 
     def start(self) -> None:
