--- a/baobabhoist/cli/placement.py
+++ b/baobabhoist/cli/placement.py
@@ -48,7 +48,7 @@
     return [
         f"admission: {_admission_text(preview['refusal'])}",
         f"start:     {_start_text(placement)}",
-        f"step:      {placement['step']}, {placement['tasks']} tasks, service "
+        f"step:      {placement['step']}, tasks: {placement['tasks']}, service: "
         f"{placement['service']}",
         f"rank:      {_rank_text(placement['position'])}",
         f"team:      {preview['team'] or '(none)'}, {_team_text(placement['team'])}",
@@ -75,7 +75,7 @@
 
 def _rank_text(position: Mapping[str, Any]) -> str:
     return (
-        f"{position['position']} (with {position['waiting_steps']} other waiting steps), "
+        f"{position['position']} (other waiting steps: {position['waiting_steps']}), "
         f"tier {position['tier']}, priority {position['priority']}, "
         f"slack {position['slack_ms'] / 1000:.1f} s"
     )
@@ -104,9 +104,9 @@
 
 
 def _workers_text(placement: Mapping[str, Any]) -> str:
-    counts = [f"{entry['workers']} {entry['reason']}" for entry in placement["set_aside"]]
+    counts = [f"{entry['reason']} {entry['workers']}" for entry in placement["set_aside"]]
     note = " (a ticket is needed: which the adviser approves is not known)"
-    candidates = f"{placement['candidate_count']} candidates"
+    candidates = f"candidates: {placement['candidate_count']}"
     candidates += note if placement["needs_ticket"] else ""
     return f"{candidates}; set aside: {', '.join(counts) or 'none'}"
 
