--- a/baobabhoist/cell/policy.py
+++ b/baobabhoist/cell/policy.py
@@ -23,8 +23,6 @@
     forecasts_advice: bool = False
     # Gangs take workers of similar speed, and progress shows which workers have changed theirs.
     tracks_pace: bool = False
-    # Steps that allow it get second copies of their slowest tasks.
-    copies_slow_tasks: bool = False
 
 
 DEFAULT_POLICY = SchedulingPolicy()
--- a/baobabhoist/control/settings.py
+++ b/baobabhoist/control/settings.py
@@ -72,7 +72,6 @@
     preemption: bool = _switch("Let urgent tasks stop less urgent ones.")
     advice_forecast: bool = _switch("Ask for advice only for starts expected before it expires.")
     pace: bool = _switch("Learn speeds from progress, and match the workers of a gang by speed.")
-    copies: bool = _switch("Start second copies of the slowest tasks of steps that allow it.")
 
     def policy(self) -> SchedulingPolicy:
         """Return the parts of scheduling that are switched on."""
@@ -84,7 +83,6 @@
             preempts=self.preemption,
             forecasts_advice=self.advice_forecast,
             tracks_pace=self.pace,
-            copies_slow_tasks=self.copies,
         )
 
 
