--- a/baobabhoist/tests/test_config_load.py
+++ b/baobabhoist/tests/test_config_load.py
@@ -13,6 +13,7 @@
 from baobabhoist.config.load import load_with_warnings, validate_settings
 from baobabhoist.config.options import BaseUrl, Integer, Number, OptionError
 from baobabhoist.config.settings import PeerSettings, Settings, TlsSettings
+from baobabhoist.control.settings import SchedulingSettings
 from baobabhoist.errors import SettingsError
 
 VALID_SETTINGS = {
@@ -144,7 +145,8 @@
     """Guard against an undocumented setting, or a stale entry on the settings page."""
     page = (pytestconfig.rootpath / "docs" / "settings.md").read_text(encoding="utf-8")
     listed = [line.split("`")[1] for line in page.splitlines() if line.startswith("| `")]
-    known = [f.name for cls in (Settings, PeerSettings, TlsSettings) for f in attrs.fields(cls)]
+    documented = (Settings, PeerSettings, TlsSettings, SchedulingSettings)
+    known = [f.name for cls in documented for f in attrs.fields(cls)]
     assert listed == known
 
 
