--- a/baobabhoist/control/owner.py
+++ b/baobabhoist/control/owner.py
@@ -490,9 +490,12 @@
                 run=command.run,
                 worker=command.worker_id,
             )
-            if await self._call_start(command) is CommandOutcome.OK:
+            repeated_outcome = await self._call_start(command)
+            if repeated_outcome is CommandOutcome.OK:
                 outcome = CommandOutcome.OK
             # Any other answer leaves open what the first start has done or may still do.
+            if repeated_outcome is CommandOutcome.FENCED:
+                cell.mark_fenced()
         cell.handle_start_result(command, outcome, monotonic_ms())
         self.request_scheduling_round()
 
--- a/baobabhoist/tests/test_control_owner.py
+++ b/baobabhoist/tests/test_control_owner.py
@@ -373,6 +373,27 @@
     asyncio.run(run())
 
 
+def test_an_owner_whose_repeated_start_is_fenced_starts_nothing_more():
+    """Guard against two owners that start tasks because one overlooks the later one's token."""
+
+    async def run():
+        harness = OwnerHarness()
+        outcomes = [CommandOutcome.UNKNOWN, CommandOutcome.FENCED]
+
+        async def start(worker, token, command, deadline_ms):
+            await asyncio.sleep(0.05)
+            return CommandResponse(outcomes.pop(0))
+
+        harness.driver.start = start
+        await harness.start()
+        harness.store.apply(RowTransaction(puts={job_row_key(JOB_ID): GANG_JOB}))
+        await harness.wait_until(lambda: not outcomes)
+        await harness.wait_until(lambda: harness.owner.cell.is_fenced)
+        harness.task.cancel()
+
+    asyncio.run(run())
+
+
 def test_stopped_owner_places_no_further_tasks():
     """Guard against runs that are stored at a release although their starts are never sent."""
 
