Repeat no start of a gang when its other members have waited long

The result of a start that another instance carries out is awaited for 1.5 s. If it did not come, the start was ordered again, with 1.5 s more: only 3 s after the other members had begun were they stopped, when the first of them already ended for want of the others (gangs are given 3 s). Before the repetition was introduced they were stopped after 1.5 s. A start is now repeated only within 1 s of the first start of its gang, which leaves time for a lost call of a worker (0.7 s) and for the stops after a second one.

The test failed before: may_repeat_start said yes at any time.

--- a/baobabhoist/cell/scheduler.py
+++ b/baobabhoist/cell/scheduler.py
@@ -40,6 +40,9 @@
 log = logging.getLogger(__name__)
 
 REASON_EVACUATED = "its data centre was to be emptied before the start"
+# A start is not repeated later than this after its gang's first one was sent: members that began
+# would end for want of the others before a stop could reach them.
+MAX_REPEAT_DELAY_MS = 1_000.0
 
 
 @attrs.frozen
@@ -310,6 +313,7 @@
             and run.phase is RunPhase.STARTING
             and not run.stop_sent_ms
             and worker.last_heard_ms > run.sent_ms
+            and now - _first_sent_ms(run.task.step) <= MAX_REPEAT_DELAY_MS
             and not _reason_not_to_send(command, worker, now)
         )
 
@@ -399,6 +403,13 @@
             self.mark_fenced()
 
 
+def _first_sent_ms(step: StepState) -> float:
+    """Return when the first start of the current runs of a step was sent."""
+    runs = (task.run for task in step.tasks)
+    sent_ms = (run.sent_ms for run in runs if run is not None and run.sent_ms is not None)
+    return min(sent_ms, default=float("inf"))
+
+
 def _reason_not_to_send(command: StartTask, worker: WorkerState, now: float) -> str:
     """Return what has changed since a start was decided, or an empty text if it is still valid."""
     checks = (
--- a/baobabhoist/tests/test_cell_run_stops.py
+++ b/baobabhoist/tests/test_cell_run_stops.py
@@ -159,6 +159,24 @@
     assert not cell.may_repeat_start(first, harness.now)
 
 
+def test_a_gangs_start_is_not_repeated_when_its_other_members_have_waited_long():
+    """Guard against members that end alone while a slow instance is asked a second time."""
+    harness = CellHarness.with_workers(2)
+    harness.delivers_commands = False
+    harness.submit(make_job("0" * 16, *GANG))
+    first, second = harness.schedule()
+    assert harness.cell.should_send_start(first, harness.now)
+    harness.now += 600.0
+    assert harness.cell.should_send_start(second, harness.now)
+    harness.now += 400.0
+    harness.renew_all()
+    assert harness.cell.may_repeat_start(first, harness.now)
+    assert harness.cell.may_repeat_start(second, harness.now)
+    harness.now += 1.0
+    assert not harness.cell.may_repeat_start(first, harness.now)
+    assert not harness.cell.may_repeat_start(second, harness.now)
+
+
 def test_a_single_task_whose_start_is_unanswered_is_not_repeated():
     """Guard against tasks that wait for a lost start although they could start elsewhere."""
     harness = CellHarness.with_workers(1)
