Let no task without an estimate run ahead of a gang

estimatedMs may be left out, and then counts as 0. With backfill on, such a task was expected to take no time, so it ended before any reserved start and ran on the workers kept for a gang however long it took: a stream of such tasks kept the gang waiting. A duration that is not known lets nothing run ahead now, like that of a lasting task.

The test failed before: the task ran beside the gathering gang.

--- a/baobabhoist/cell/reservations.py
+++ b/baobabhoist/cell/reservations.py
@@ -102,7 +102,9 @@
         left_ms = reservation.start_ms - self._now
         if not self.backfills or left_ms <= 0.0:
             return False
-        return BACKFILL_DURATION_FACTOR * self.expected_run_ms(step, worker_id) <= left_ms
+        # A task without an estimate is expected to take no time at all.
+        run_ms = self.expected_run_ms(step, worker_id)
+        return 0.0 < BACKFILL_DURATION_FACTOR * run_ms <= left_ms
 
     def holds_capacity_from(self, step: StepState, workers: list[WorkerState]) -> bool:
         """Return whether a worker reserved for another step has a processor for this one."""
--- a/baobabhoist/tests/test_cell_reservations.py
+++ b/baobabhoist/tests/test_cell_reservations.py
@@ -141,6 +141,16 @@
     assert running_jobs(harness) == {"0" * 16}
 
 
+def test_a_task_without_an_estimate_does_not_run_ahead_of_a_gang():
+    """Guard against gangs that never start because tasks of unknown duration pass for short."""
+    harness = backfilling_harness()
+    gather_a_gang(harness)
+    steps = Step(1, SMALL, 0), Step(1, SMALL, 8_000, after=(0,))
+    harness.submit(make_job("c" * 16, *steps))
+    harness.settle()
+    assert "c" * 16 not in running_jobs(harness)
+
+
 def test_small_tasks_of_a_team_whose_limit_is_reserved_for_a_gang():
     """Guard against a team that runs nothing while its gang waits for the rest of its limit."""
     rules = make_rules(limit=SMALL.times(8))
