Let a gang that backfill gives up stop expired work

With backfill and preemption both on, a gang that could not start in time by the ends of the runs waited as no_room_in_time, which is not among the reasons for which a preemption is sought. So the gang that most needs one, on time after a stop of 400 ms and too late without, never got it; with backfill off it did.

The test failed before: no member of the gang ran.

--- a/baobabhoist/cell/preemptions.py
+++ b/baobabhoist/cell/preemptions.py
@@ -33,7 +33,12 @@
 VAIN_RETRY_MS = 400.0
 # Reasons to wait that a preemption can end.
 ROOM_REASONS = frozenset(
-    {WaitReason.NO_ROOM, WaitReason.NO_ROOM_WITH_TICKET, WaitReason.NO_ROOM_FOR_GANG}
+    {
+        WaitReason.NO_ROOM,
+        WaitReason.NO_ROOM_WITH_TICKET,
+        WaitReason.NO_ROOM_FOR_GANG,
+        WaitReason.NO_ROOM_IN_TIME,
+    }
 )
 
 
--- a/baobabhoist/tests/test_cell_preemption.py
+++ b/baobabhoist/tests/test_cell_preemption.py
@@ -1,5 +1,6 @@
 """Test which runs are stopped so that urgent work can start, and that few are."""
 
+import attrs
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
@@ -17,13 +18,13 @@
 LONG = Step(8, SMALL, 60_000, checkpoints=True)
 
 
-def make_harness(preempts=True, workers=2):
+def make_harness(preempts=True, workers=2, policy=None):
     queues = {
         URGENT: Queue(URGENT, "svc", 0, 3, 2.0, 2_000),
         BULK: Queue(BULK, "svc", 2, 3, 2.0, 2_000),
     }
     rules = CellRules(1, queues, {"team": Team("team", 1.0)})
-    return CellHarness.with_workers(workers, rules, SchedulingPolicy(preempts=preempts))
+    return CellHarness.with_workers(workers, rules, policy or SchedulingPolicy(preempts=preempts))
 
 
 def submit(harness, job_id, *steps, queue=URGENT, accepted_ms_ago=0.0):
@@ -72,6 +73,16 @@
     assert [key.job_id for key, _ in harness.running_tasks()].count("e" * 16) == 5
 
 
+def test_a_gang_that_backfill_gives_up_may_still_stop_expired_work():
+    """Guard against gangs that wait in vain for room which a stop would give them in time."""
+    policy = SchedulingPolicy(backfills=True, preempts=True)
+    harness = make_harness(policy=policy)
+    fill_with_expired_work(harness, attrs.evolve(LONG, count=7))
+    submit(harness, WINNER, Step(5, SMALL, 4_000, gang=True))
+    harness.settle()
+    assert [key.job_id for key, _ in harness.running_tasks()].count(WINNER) == 5
+
+
 @pytest.mark.parametrize(
     ("step", "run_ms"),
     [
