Don't take a run that goes on from earlier progress for stalled

After a takeover, and after a start from a checkpoint, the first report of a run shows all its earlier progress at once. The owner derived from it that the run takes next to no time for one percent. A run that takes over 3 s for one (over five minutes in all) was then stopped as stalled after 3 s, its worker blamed, and, when it went on from its checkpoint, stopped again and again. The same figure gave the end of such runs that advice, backfill and preemption forecast from. The first progress of a run that did not begin at 0 percent is no longer used for its pace; until the next one it is taken from the estimate.

The test failed before in both cases: the run was stopped and started again.

--- a/baobabhoist/cell/state.py
+++ b/baobabhoist/cell/state.py
@@ -203,6 +203,7 @@
         run = self._add_run(task, worker, run_number, RunPhase.RUNNING, now)
         run.confirmed_ms = now
         run.is_sent = True
+        run.ms_per_percent = self.expected_run_ms(task.step, worker.worker_id) / FINAL_PERCENT
         task.step.job.mark_running()
         return run
 
--- a/baobabhoist/cell/worker_reports.py
+++ b/baobabhoist/cell/worker_reports.py
@@ -277,7 +277,9 @@
     gained_percent = progress_percent - run.progress_percent
     if run.task.step.spec.lasting or gained_percent <= 0.0:
         return
-    run.ms_per_percent = (now - run.last_progress_ms) / gained_percent
+    # The first progress of a run that did not begin at 0 % says nothing of its pace.
+    if run.is_fresh_start or run.progress_percent:
+        run.ms_per_percent = (now - run.last_progress_ms) / gained_percent
     run.expected_end_ms = now + (FINAL_PERCENT - progress_percent) * run.ms_per_percent
 
 
--- a/baobabhoist/tests/test_cell_run_stops.py
+++ b/baobabhoist/tests/test_cell_run_stops.py
@@ -1,6 +1,7 @@
 """Test how soon the runs of a broken gang are closed, so that it can start again."""
 
 import attrs
+import pytest
 
 from baobabhoist.cell.model import CommandOutcome, RunOutcome, StartTask, Step, StopTask
 from baobabhoist.cell.periodic_checks import STALL_TIMEOUT_MS, UNSENT_START_TIMEOUT_MS
@@ -138,6 +139,25 @@
     assert harness.workers["w0"].started_runs == [(make_task_key(), 1)]
 
 
+@pytest.mark.parametrize("is_adopted", [True, False])
+def test_a_long_run_that_goes_on_from_earlier_progress_is_not_stopped(is_adopted):
+    """Guard against slow work stopped after each takeover or resumption for want of progress."""
+    key, long_ms = make_task_key(), 100 * 2 * STALL_TIMEOUT_MS
+    job = make_job("0" * 16, Step(1, SMALL, int(long_ms), checkpoints=True))
+    harness = CellHarness.with_workers(1)
+    harness.submit(job)
+    harness.settle()
+    if is_adopted:
+        harness.take_over([job], harness.save_progress())
+    else:
+        harness.end_run(key, RunOutcome.STOPPED, "half")
+    starts = list(harness.workers["w0"].started_runs)
+    harness.workers["w0"].runs[key].progress_percent = 50.0
+    harness.advance(2 * STALL_TIMEOUT_MS)
+    assert harness.running_tasks() == [(key, "w0")]
+    assert harness.workers["w0"].started_runs == starts
+
+
 def test_only_a_gangs_start_on_a_worker_that_still_answers_is_repeated():
     """Guard against a whole gang that is stopped because one start got lost."""
     harness = CellHarness.with_workers(2)
