Ask for expired jobs once a second while the adviser is the bottleneck

What callers saw: nothing yet; found in review. With the forecast of advice on, a step of a job past its late limit asked the adviser only while over half of the slots were free. With two slots, of which one is kept for short requests, that is never so: such a job never ran again. With more slots the same held for as long as the adviser bound, even if workers stood idle, and a job for which nothing runs beside free workers counts as lost.

Evidence: test_an_expired_backlog_is_asked_for_now_and_then_while_the_slots_stay_in_use fails before (no request in 3 s of a cell whose workers are all free) and passes now.

Change: one such request a second in all, and only from a slot that every step ranked above has left free, so that on a saturated adviser the share of expired jobs stays small. The existing test that a first expired request waits is unchanged.

--- a/baobabhoist/cell/advice_requests.py
+++ b/baobabhoist/cell/advice_requests.py
@@ -29,6 +29,8 @@
 SHORT_SLOT_INTERVAL = 4
 # A step is asked for again if its answer is late by this much; a late answer still counts.
 LATE_ANSWER_MS = 700.0
+# While the slots are in use, steps of expired jobs get one request in this time.
+EXPIRED_REQUEST_INTERVAL_MS = 1_000.0
 # A step for which there was nothing useful to ask is looked at again after this time.
 RECHECK_INTERVAL_MS = 60.0
 # At most this many steps are looked at in vain in one round.
@@ -63,6 +65,8 @@
     open_requests: dict[StepKey, OpenRequest] = attrs.Factory(dict)
     _claims: RoomClaims = attrs.Factory(RoomClaims)
     _vain_checks: int = 0
+    # When a step of an expired job may next ask although the slots are in use; 0 if none waits.
+    _next_expired_ms: float = 0.0
 
     @property
     def open_count(self) -> int:
@@ -169,7 +173,11 @@
         if not self.state.policy.forecasts_advice or step.spec.lasting:
             return False
         is_expired = timeliness_of(step.job, now) is Timeliness.EXPIRED
-        return is_expired and not self._has_idle_slots(is_long)
+        if not is_expired or self._has_idle_slots(is_long):
+            return False
+        if not self._next_expired_ms:
+            self._next_expired_ms = now + EXPIRED_REQUEST_INTERVAL_MS
+        return now < self._next_expired_ms
 
     def _has_idle_slots(self, is_long: bool) -> bool:
         """Return whether so many slots are free that no other step has to wait for one."""
@@ -192,6 +200,8 @@
             claimed_cpu[candidate.worker_id] = count * step.spec.allocation.cpu
             tasks += count
         request = OpenRequest(step, late_ms, is_long, claimed_cpu, step.spec.need.times(tasks))
+        if timeliness_of(step.job, now) is Timeliness.EXPIRED:
+            self._next_expired_ms = now + EXPIRED_REQUEST_INTERVAL_MS
         self.open_requests[step.key] = request
         self._claim(request)
         step.approvals.block_requests_until(late_ms)
--- a/baobabhoist/tests/test_cell_advice_forecast.py
+++ b/baobabhoist/tests/test_cell_advice_forecast.py
@@ -111,6 +111,28 @@
     assert JOB_A in requests_of(harness)
 
 
+def test_an_expired_backlog_is_asked_for_now_and_then_while_the_slots_stay_in_use():
+    """Guard against accepted jobs that nothing runs for as long as the adviser is the bottleneck.
+
+    With two slots, of which one is kept for short requests, no slot for long ones counts as idle.
+    """
+    harness = make_harness(8, slots=2)
+    for job_id in (JOB_A, JOB_B):
+        harness.submit(make_job(job_id, Step(1, WHOLE_WORKER, 1000)))
+    harness.now += 60_000.0
+    harness.renew_all()
+    assert not requests_of(harness)
+    asked_ms = []
+    for _ in range(60):
+        harness.now += 50.0
+        harness.renew_all()
+        for request in requests_of(harness).values():
+            asked_ms.append(harness.now)
+            answer(harness, request, ())
+    assert len(asked_ms) >= 2
+    assert all(b - a >= 1_000.0 for a, b in zip(asked_ms, asked_ms[1:], strict=False))
+
+
 @given(
     used=st.lists(st.sampled_from([0, 2000, 4000, 4000, 4000]), min_size=8, max_size=8),
     approved=st.sets(st.sampled_from([f"w{n}" for n in range(8)])),
