Learn no pace from a worker that is still cold

What callers saw: nothing yet; found in review. A run that began while its worker was cold sped up when the worker was warm, and pace tracking took that for a change of the worker's speed: the worker counted as up to five times faster than the mean one, and drew urgent tasks and gangs. The durations of runs that began on a cold worker are left out of the speed estimates for the same reason; the pace was not.

Evidence: test_a_worker_that_warms_up_does_not_count_as_faster_than_it_is fails before (slowdown 0.2 instead of 1.0) and passes now; a slowdown after the warm-up is still noticed.

Change: a report from a cold worker starts the pace of its runs anew.

--- a/baobabhoist/cell/worker_reports.py
+++ b/baobabhoist/cell/worker_reports.py
@@ -17,6 +17,7 @@
     StopTask,
     WorkerReport,
 )
+from baobabhoist.cell.pace_tracking import RunPace
 from baobabhoist.cell.run_ends import RunEndHandler, close_lost_run
 from baobabhoist.cell.state import CellState
 from baobabhoist.cell.wasted_work import WasteCause, mark_saved
@@ -65,7 +66,7 @@
         for active_run in report.running:
             self._apply_active_run(worker, active_run, now)
             if self._state.policy.tracks_pace:
-                self._observe_pace(worker, active_run, report.clock_ms)
+                self._observe_pace(worker, active_run, report.clock_ms, now)
         self._close_missing_runs(worker, report, requested_ms, now)
 
     def handle_start_result(self, command: StartTask, outcome: CommandOutcome, now: float) -> None:
@@ -203,12 +204,18 @@
         if is_first and run.task.step.spec.gang:
             self._state.waste.record_gang_start(run.task.step)
 
-    def _observe_pace(self, worker: WorkerState, active_run: ActiveRun, clock_ms: int) -> None:
+    def _observe_pace(
+        self, worker: WorkerState, active_run: ActiveRun, clock_ms: int, now: float
+    ) -> None:
         run = worker.runs.get(active_run.task)
         if run is None or run.number != active_run.run:
             return
         if run.task.step.spec.gang or run.task.step.spec.lasting:
             return
+        if worker.is_cold(now):
+            # The pace of a worker that warms up is no measure for its later pace.
+            run.pace = RunPace()
+            return
         speeds, percent = self._state.speeds, active_run.progress_percent
         if run.pace.observe(speeds, worker.worker_id, percent, clock_ms):
             slowdown = round(speeds.worker_slowdown(worker.worker_id), 2)
--- a/baobabhoist/tests/test_cell_pace_tracking.py
+++ b/baobabhoist/tests/test_cell_pace_tracking.py
@@ -62,3 +62,13 @@
     report_progress(harness, [5.0, 10.0])
     harness.cell.state.speeds.reset_worker("w0", 4.0)
     assert report_progress(harness, [15.0, 20.0]) == pytest.approx(4.0)
+
+
+def test_a_worker_that_warms_up_does_not_count_as_faster_than_it_is():
+    """Guard against a worker preferred for good because its run sped up when it was warm."""
+    harness = make_harness()
+    info = harness.workers["w0"].info(cold_for_ms=1_800)
+    harness.cell.update_worker(info, harness.now)
+    assert report_progress(harness, [1.0, 2.0, 3.0]) == 1.0
+    assert report_progress(harness, [8.0, 13.0, 18.0]) == 1.0
+    assert report_progress(harness, [19.0]) == pytest.approx(5.0)
