Begin the pace of a run anew when its worker's clock was set back

What callers saw: nothing yet; found in review. After the clock of a worker was set back, none of its reports counted for the pace until the clock had caught up; the first one that did set the progress of the whole time against a fraction of a second, and the worker counted as far faster than it is.

Evidence: test_a_clock_that_was_set_back_is_no_change_of_speed fails before (slowdown 0.16 instead of 1.0) and passes now. Delayed reports are still ignored: their progress is lower.

--- a/baobabhoist/cell/pace_tracking.py
+++ b/baobabhoist/cell/pace_tracking.py
@@ -49,9 +49,11 @@
     def _next_pace(self, percent: float, clock_ms: float) -> float:
         """Return the pace since the last report that counted, or 0 if this one doesn't count."""
         gained_percent, took_ms = percent - self.percent, clock_ms - self.clock_ms
-        if gained_percent <= 0.0 or (self.percent and took_ms < MIN_INTERVAL_MS):
+        # The clock of the worker was set back.
+        is_set_back = took_ms < 0.0
+        if gained_percent <= 0.0 or (self.percent and 0.0 <= took_ms < MIN_INTERVAL_MS):
             return 0.0
         # The first percents include the start of the task.
         is_first = not self.percent
         self.percent, self.clock_ms = percent, clock_ms
-        return 0.0 if is_first else took_ms / gained_percent
+        return 0.0 if is_first or is_set_back else took_ms / gained_percent
--- a/baobabhoist/tests/test_cell_pace_tracking.py
+++ b/baobabhoist/tests/test_cell_pace_tracking.py
@@ -3,7 +3,9 @@
 import pytest
 
 from baobabhoist.cell.model import ActiveRun, Resources, Step, WorkerReport
+from baobabhoist.cell.pace_tracking import RunPace
 from baobabhoist.cell.policy import SchedulingPolicy
+from baobabhoist.cell.speed_estimates import SpeedEstimates
 from baobabhoist.tests.cell_harness import CellHarness, make_job, make_task_key
 
 WHOLE_WORKER = Resources(4000, 512, 0)
@@ -72,3 +74,15 @@
     assert report_progress(harness, [1.0, 2.0, 3.0]) == 1.0
     assert report_progress(harness, [8.0, 13.0, 18.0]) == 1.0
     assert report_progress(harness, [19.0]) == pytest.approx(5.0)
+
+
+def test_a_clock_that_was_set_back_is_no_change_of_speed():
+    """Guard against a worker that counts as fast, or goes unobserved, until its clock catches up."""
+    speeds, pace = SpeedEstimates(), RunPace()
+    for percent, clock_ms in ((5.0, 10_000.0), (10.0, 10_500.0), (15.0, 11_000.0)):
+        pace.observe(speeds, "w0", percent, clock_ms)
+    for number in range(1, 10):
+        pace.observe(speeds, "w0", 15.0 + 5.0 * number, 8_900.0 + 500.0 * number)
+        assert speeds.worker_slowdown("w0") == 1.0
+    pace.observe(speeds, "w0", 61.0, 13_900.0)
+    assert speeds.worker_slowdown("w0") == pytest.approx(5.0)
