Start a gang on cold workers that it needs with several members each

What callers saw: nothing yet; found in review. At most one run may be starting on a cold worker, but a gang starts at once or not at all. After a restart of all workers, a gang with more members than workers waited in an empty cell until enough of them were warm (up to ten minutes by the entry's bound).

Evidence: test_a_gang_that_needs_several_starts_on_cold_workers_does_not_wait_until_they_are_warm fails before (no start) and passes now. A gang that fits within the limit keeps to it, and warm workers still come first.

--- a/baobabhoist/cell/placer.py
+++ b/baobabhoist/cell/placer.py
@@ -187,7 +187,12 @@
             _tasks_by_worker(step),
             lambda w: self._placement_cost(w, step, tolerance) + cold_cost(w, now),
         )
-        return limit_cold_slots(slots, now) if self.state.has_cold_workers(now) else slots
+        if not self.state.has_cold_workers(now):
+            return slots
+        limited = limit_cold_slots(slots, now)
+        # A gang starts at once or not at all.
+        is_too_few = sum(slot.task_count for slot in limited) < step.waiting_count
+        return slots if step.spec.gang and is_too_few else limited
 
     def _place_tasks(
         self,
--- a/baobabhoist/tests/test_cell_cold_workers.py
+++ b/baobabhoist/tests/test_cell_cold_workers.py
@@ -40,6 +40,17 @@
     assert [c.worker_id for c in harness.undelivered].count("w0") == 1
 
 
+def test_a_gang_that_needs_several_starts_on_cold_workers_does_not_wait_until_they_are_warm(
+    harness,
+):
+    """Guard against gangs for which nothing runs in an empty cell that has just been restarted."""
+    make_cold(harness, "w1")
+    harness.delivers_commands = False
+    harness.submit(make_job("0" * 16, Step(6, SMALL, 60_000, gang=True)))
+    harness.schedule()
+    assert len(harness.undelivered) == 6
+
+
 def test_cold_worker_is_used_as_any_other_once_it_is_warm(harness):
     """Guard against a worker that counts as cold for good because its entry does not change."""
     harness.advance(COLD_MS / 2)
