--- a/baobabhoist/tests/test_cell_advice_forecast.py
+++ b/baobabhoist/tests/test_cell_advice_forecast.py
@@ -1,5 +1,6 @@
 """Test the advice requests of gangs and backlogs in a full cell, with the forecast switched on."""
 
+import itertools
 from types import SimpleNamespace
 
 import attrs
@@ -130,7 +131,7 @@
             asked_ms.append(harness.now)
             answer(harness, request, ())
     assert len(asked_ms) >= 2
-    assert all(b - a >= 1_000.0 for a, b in zip(asked_ms, asked_ms[1:], strict=False))
+    assert all(b - a >= 1_000.0 for a, b in itertools.pairwise(asked_ms))
 
 
 @given(
--- a/baobabhoist/tests/test_cell_pace_tracking.py
+++ b/baobabhoist/tests/test_cell_pace_tracking.py
@@ -77,7 +77,7 @@
 
 
 def test_a_clock_that_was_set_back_is_no_change_of_speed():
-    """Guard against a worker that counts as fast, or goes unobserved, until its clock catches up."""
+    """Guard against a worker that counts as fast once its clock has caught up."""
     speeds, pace = SpeedEstimates(), RunPace()
     for percent, clock_ms in ((5.0, 10_000.0), (10.0, 10_500.0), (15.0, 11_000.0)):
         pace.observe(speeds, "w0", percent, clock_ms)
