--- a/baobabhoist/tests/test_cell_gang_pace.py
+++ b/baobabhoist/tests/test_cell_gang_pace.py
@@ -18,9 +18,9 @@
     return sorted(slots, key=lambda slot: slot.cost)
 
 
-def choose(slowdowns, count):
+def choose(slowdowns, count, same_rack=False):
     slots = make_slots(slowdowns)
-    chosen = assign_paced_gang(slots, count, False, lambda w: slowdowns[int(w.worker_id[1:])])
+    chosen = assign_paced_gang(slots, count, same_rack, lambda w: slowdowns[int(w.worker_id[1:])])
     return [slowdowns[int(worker.worker_id[1:])] for worker in chosen]
 
 
@@ -30,6 +30,14 @@
     assert max(choose([0.7, 0.7, 1.7, 0.7, 5.0], 7)) == 1.7
 
 
+def test_a_gang_that_belongs_in_one_rack_is_not_spread_for_a_little_speed():
+    """Guard against gangs that lose more between the racks than faster workers gain."""
+    # Workers with even numbers are in one rack, those with odd numbers in the other.
+    slowdowns = [0.7, 0.71, 0.9, 0.91]
+    assert sorted(choose(slowdowns, 4, same_rack=True)) == [0.7, 0.7, 0.9, 0.9]
+    assert max(choose([0.7, 0.71, 5.0, 5.1], 4, same_rack=True)) == 0.71
+
+
 @given(
     st.lists(st.sampled_from([0.7, 0.8, 1.0, 1.25, 1.7, 5.0]), min_size=1, max_size=8),
     st.integers(1, 16),
