--- a/baobabhoist/tests/test_cell_pace_tracking.py
+++ b/baobabhoist/tests/test_cell_pace_tracking.py
@@ -86,3 +86,14 @@
         assert speeds.worker_slowdown("w0") == 1.0
     pace.observe(speeds, "w0", 61.0, 13_900.0)
     assert speeds.worker_slowdown("w0") == pytest.approx(5.0)
+
+
+@pytest.mark.parametrize("percent_per_report", [1.3, 1.5, 2.6])
+def test_rounded_percents_are_no_change_of_speed(percent_per_report):
+    """Guard against steady runs whose whole percents, by turns 1 and 2, look like a change."""
+    harness = make_harness()
+    percents = [float(int(percent_per_report * number)) for number in range(1, 30)]
+    for percent in percents:
+        assert report_progress(harness, [percent], interval_ms=400.0) == 1.0
+    slow = [percents[-1] + number for number in (1.0, 2.0)]
+    assert report_progress(harness, slow, interval_ms=4_000.0) > 2.0
