Admit jobs that do not need the resource that is short

Callers saw 429 for jobs that would have started at once: the wait of a full service or team limit was the largest over processor, memory and GPUs, and was applied to all jobs, so that a backlog for GPUs refused jobs without GPUs.

A row now names the resource that its wait is for, and a job that does not need it is admitted. The field has a default, so old owners' rows concern all jobs.

--- a/baobabhoist/cell/admission.py
+++ b/baobabhoist/cell/admission.py
@@ -76,7 +76,8 @@
 
     The wait is `on_time_ms` while the job can still meet its objective, and `late_ms` once it
     cannot. `cpu_rate` is the rate at which work ends, in thousandths of a core. `shortage` is a
-    text, so that an instance of an earlier version can read later values.
+    text, so that an instance of an earlier version can read later values. `resource` is the one
+    that the work waits for, or empty from an owner of a version without it.
     """
 
     team: str
@@ -86,6 +87,7 @@
     on_time_ms: float
     late_ms: float
     cpu_rate: float
+    resource: str = ""
 
 
 @attrs.frozen
@@ -133,8 +135,15 @@
 
     def wait_ms(self, rank: WaitingRank, used_part: float) -> float:
         """Return how long the work takes that is served before a new job of this rank."""
-        ahead = _sum(work for other, work in self.work.items() if other.precedes(rank))
-        return _largest_ratio(ahead, self.capacity) / used_part
+        return _largest_ratio(self._work_ahead(rank), self.capacity) / used_part
+
+    def scarcest_resource(self, rank: WaitingRank) -> str:
+        """Return the resource for which a new job of this rank waits longest."""
+        ratios = _ratios(self._work_ahead(rank), self.capacity)
+        return max(ratios, key=ratios.__getitem__, default="")
+
+    def _work_ahead(self, rank: WaitingRank) -> Resources:
+        return _sum(work for other, work in self.work.items() if other.precedes(rank))
 
 
 @attrs.define
@@ -323,25 +332,28 @@
 ) -> ExpectedWait:
     shortage, name = key
     used_part = congestion.expected_used_part
+    on_time = WaitingRank(is_beyond, Timeliness.ON_TIME, priority)
+    late = WaitingRank(is_beyond, Timeliness.LATE, priority)
     return ExpectedWait(
         team,
         name if shortage is Shortage.SERVICE_FULL else ANY,
         priority,
         shortage.value,
-        load.wait_ms(WaitingRank(is_beyond, Timeliness.ON_TIME, priority), used_part),
-        load.wait_ms(WaitingRank(is_beyond, Timeliness.LATE, priority), used_part),
+        load.wait_ms(on_time, used_part),
+        load.wait_ms(late, used_part),
         float(load.used.cpu),
+        load.scarcest_resource(late),
     )
 
 
 def _largest_ratio(amount: Resources, capacity: Resources) -> float:
-    """Return the largest ratio over the resources; one without capacity does not count."""
-    pairs = (
-        (amount.cpu, capacity.cpu),
-        (amount.memory_mb, capacity.memory_mb),
-        (amount.gpu, capacity.gpu),
-    )
-    return max((part / whole for part, whole in pairs if whole > 0), default=0.0)
+    return max(_ratios(amount, capacity).values(), default=0.0)
+
+
+def _ratios(amount: Resources, capacity: Resources) -> dict[str, float]:
+    """Return the ratio of each resource; one without capacity does not count."""
+    amounts, capacities = amount.by_name(), capacity.by_name()
+    return {name: amounts[name] / whole for name, whole in capacities.items() if whole > 0}
 
 
 def _log_row(event: Event, row: ExpectedWait) -> None:
--- a/baobabhoist/cell/job_prospects.py
+++ b/baobabhoist/cell/job_prospects.py
@@ -16,13 +16,19 @@
 
 @attrs.frozen
 class JobSlack:
-    """Hold how long a new job can wait and still end by its objective or its late limit, in ms."""
+    """Hold how long a new job can wait and still end by its objective or its late limit, in ms.
+
+    `resources` are those that it needs: it does not wait for others.
+    """
 
     on_time_ms: float
     late_ms: float
+    resources: frozenset[str]
 
     def allows(self, wait: ExpectedWait) -> bool:
         """Return whether the job may still end before its late limit."""
+        if wait.resource and wait.resource not in self.resources:
+            return True
         if wait.on_time_ms <= self.on_time_ms:
             return True
         return wait.late_ms <= self.late_ms * WAIT_MARGIN
@@ -40,7 +46,10 @@
         return None
     accepted = AcceptedJob("", queue.name, queue.service, "", 0, spec)
     critical_ms, objective_ms = critical_path_ms(accepted), objective_after_ms(accepted, queue)
-    return JobSlack(objective_ms - critical_ms, LATE_LIMIT_FACTOR * objective_ms - critical_ms)
+    late_limit_ms = LATE_LIMIT_FACTOR * objective_ms
+    return JobSlack(
+        objective_ms - critical_ms, late_limit_ms - critical_ms, _needed_resources(spec)
+    )
 
 
 def find_hopeless_wait(
@@ -51,6 +60,11 @@
     return max(hopeless, key=slack.excess_ms, default=None)
 
 
+def _needed_resources(spec: JobSpec) -> frozenset[str]:
+    amounts = (step.need.by_name() for step in spec.steps)
+    return frozenset(name for need in amounts for name, amount in need.items() if amount)
+
+
 def _concerns(wait: ExpectedWait, team: str, queue: Queue) -> bool:
     return (
         wait.priority == queue.priority
--- a/baobabhoist/cell/model.py
+++ b/baobabhoist/cell/model.py
@@ -37,6 +37,10 @@
         """Return this amount multiplied by a count."""
         return Resources(self.cpu * count, self.memory_mb * count, self.gpu * count)
 
+    def by_name(self) -> dict[str, int]:
+        """Return the amounts by the names of the resources."""
+        return {"cpu": self.cpu, "memory": self.memory_mb, "gpu": self.gpu}
+
 
 NO_RESOURCES = Resources()
 
--- a/baobabhoist/tests/test_cell_admission.py
+++ b/baobabhoist/tests/test_cell_admission.py
@@ -5,14 +5,15 @@
 
 from baobabhoist.cell import admission as admission_module
 from baobabhoist.cell.admission import END_WAIT_MS, GAP_MS, SUSTAINED_MS, UPDATE_INTERVAL_MS
-from baobabhoist.cell.model import Step
-from baobabhoist.cell.policy import DEFAULT_POLICY
+from baobabhoist.cell.model import Resources, Step
+from baobabhoist.cell.policy import DEFAULT_POLICY, SchedulingPolicy
 from baobabhoist.observability.events import Event
 from baobabhoist.tests.admission_harness import TICK_MS, URGENT_QUEUE, AdmissionHarness
 from baobabhoist.tests.cell_harness import SMALL
 
 ONE_TASK = Step(1, SMALL, 1000)
 SURGE_MS = 8_000.0
+GPU_WORKER = Resources(4000, 4096, 1)
 
 
 def surge(harness, team="hot", tasks=8, expected_ms=1000):
@@ -178,3 +179,23 @@
         harness.submit(team, Step(tasks, SMALL, expected_ms))
         harness.play(1_000.0, check)
     assert all(row.late_ms >= END_WAIT_MS for row in harness.rows)
+
+
+def test_jobs_without_gpus_are_accepted_while_only_gpus_are_short():
+    """Guard against refusing jobs that would start at once beside a backlog for GPUs."""
+    harness = AdmissionHarness()
+    harness.cell_harness.cell.state.rules.teams.clear()
+    for worker in harness.cell_harness.workers.values():
+        worker.capacity = GPU_WORKER
+    harness.cell_harness.start_ownership()
+    harness.cell_harness.cell.state.policy = SchedulingPolicy(refuses_hopeless_jobs=True)
+    harness.cell_harness.cell.state.rules.teams.clear()
+    gpu_task = Resources(100, 1, 1)
+
+    def load():
+        if harness.cell_harness.now % 500.0 == 0.0:
+            harness.submit("hot", Step(8, gpu_task, 1000))
+
+    harness.play(SURGE_MS, load)
+    assert harness.is_hopeless("hot", Step(1, gpu_task, 1000))
+    assert not harness.is_hopeless("hot")
