Count only what the limit of a team lets run against its service

Callers of a steady team saw 429 because of another team's surge: once no processor is free, the placer reports no_room for all steps, also for those of a team at its limit, and the whole backlog of that team counted as ahead of everyone in its service, although its limit lets it use only a part.

The wait for a service is now the shortest time that is enough for what can be done within it: a team's work counts up to its limit times that time. A team near its limit counts as short of it also while the reasons say no_room, so that its own jobs are still refused.

The new test failed before: after some seconds the steady team was hopeless at a wait of 5.2 s and 6.5 s by priority. It also demands that the hot team stays hopeless.

--- a/baobabhoist/cell/admission.py
+++ b/baobabhoist/cell/admission.py
@@ -35,8 +35,11 @@
 USE_WEIGHT = 0.3
 # A pool is expected to have at least this part in use: gangs leave some of it idle.
 MIN_USED_PART = 0.5
-# The workers of a service are full when this part of a resource is in use.
+# A pool is full when this part of a resource is in use.
 FULL_PART = 0.85
+# The wait for a pool is computed anew until it falls by less than this part.
+REFINED_PART = 0.05
+MAX_REFINEMENTS = 16
 # Only the longest waits are published.
 MAX_ROWS = 32
 # Stands for all teams in a row on a full service, and for all services in one on a team's limit.
@@ -114,6 +117,27 @@
         return self.priority <= other.priority
 
 
+@attrs.define
+class WaitingGroup:
+    """Collect work that can use only a part of a pool at a time, or all of it without a limit."""
+
+    limit: Resources | None = None
+    work: dict[WaitingRank, Resources] = attrs.Factory(dict)
+
+    def add(self, rank: WaitingRank, work: Resources) -> None:
+        """Add waiting work."""
+        self.work[rank] = self.work.get(rank, NO_RESOURCES).plus(work)
+
+    def work_ahead(self, rank: WaitingRank) -> Resources:
+        """Return the work that is served before a new job of this rank."""
+        return _sum(work for other, work in self.work.items() if other.precedes(rank))
+
+    def most_in(self, work: Resources, time_ms: float) -> Resources:
+        """Return as much of some work as the limit allows within a time."""
+        least_ms = _largest_ratio(work, self.limit) if self.limit is not None else 0.0
+        return work.scaled(time_ms / least_ms) if least_ms > time_ms else work
+
+
 @attrs.define
 class PoolLoad:
     """Collect the work that waits for a pool; work is an amount of each resource times ms."""
@@ -122,28 +146,49 @@
     used: Resources = NO_RESOURCES
     # Work waits for the pool itself, not for something else.
     has_shortage: bool = False
-    work: dict[WaitingRank, Resources] = attrs.Factory(dict)
+    # By the name of the team whose limit holds the work back, or `ANY`.
+    groups: dict[str, WaitingGroup] = attrs.Factory(dict)
 
     @property
     def used_part(self) -> float:
         """Return the used part of the resource that is used most."""
         return _largest_ratio(self.used, self.capacity)
 
-    def add(self, rank: WaitingRank, work: Resources) -> None:
-        """Add waiting work."""
-        self.work[rank] = self.work.get(rank, NO_RESOURCES).plus(work)
+    def group(self, name: str, limit: Resources | None) -> WaitingGroup:
+        """Return the group of this name."""
+        return self.groups.setdefault(name, WaitingGroup(limit))
+
+    def merge_short_groups(self) -> None:
+        """Merge the groups whose limits hold no work back for long into the one without limit."""
+        for name, group in list(self.groups.items()):
+            total = _sum(group.work.values())
+            if group.limit is None or _largest_ratio(total, group.limit) >= BEGIN_WAIT_MS:
+                continue
+            del self.groups[name]
+            for rank, work in group.work.items():
+                self.group(ANY, None).add(rank, work)
 
     def wait_ms(self, rank: WaitingRank, used_part: float) -> float:
         """Return how long the work takes that is served before a new job of this rank."""
-        return _largest_ratio(self._work_ahead(rank), self.capacity) / used_part
+        return self._wait_for(self._work_ahead(rank), used_part)
 
     def scarcest_resource(self, rank: WaitingRank) -> str:
         """Return the resource for which a new job of this rank waits longest."""
-        ratios = _ratios(self._work_ahead(rank), self.capacity)
+        ratios = _ratios(_sum(work for _, work in self._work_ahead(rank)), self.capacity)
         return max(ratios, key=ratios.__getitem__, default="")
 
-    def _work_ahead(self, rank: WaitingRank) -> Resources:
-        return _sum(work for other, work in self.work.items() if other.precedes(rank))
+    def _work_ahead(self, rank: WaitingRank) -> list[tuple[WaitingGroup, Resources]]:
+        return [(group, group.work_ahead(rank)) for group in self.groups.values()]
+
+    def _wait_for(self, ahead: list[tuple[WaitingGroup, Resources]], used_part: float) -> float:
+        """Return the shortest time that is enough for the work that can be done within it."""
+        wait_ms = float("inf")
+        for _ in range(MAX_REFINEMENTS):
+            work = _sum(group.most_in(work, wait_ms) for group, work in ahead)
+            before_ms, wait_ms = wait_ms, _largest_ratio(work, self.capacity) / used_part
+            if wait_ms >= before_ms * (1.0 - REFINED_PART):
+                break
+        return wait_ms
 
 
 @attrs.define
@@ -224,25 +269,38 @@
                 # The next scheduling round gives the job up; it must not end this owner.
                 log.warning("the work of job %s is not counted: %r", step.key.job_id, exc)
         self._measure_services(loads, now)
+        for load in loads.values():
+            load.merge_short_groups()
         return loads
 
     def _add_step(self, loads: dict[PoolKey, PoolLoad], step: StepState, now: float) -> None:
         job = step.job
         team = self.state.team_of(job)
+        name, limit = ANY, None
         if team is not None and team.is_limited:
             if not team.allows(step.spec.least_need):
                 return
-            key = (Shortage.TEAM_LIMIT, team.name)
+            name, limit = team.name, team.limit
+            key = (Shortage.TEAM_LIMIT, name)
             if key not in loads:
-                loads[key] = PoolLoad(team.limit, self.state.team_usage[team.name])
-            self._add_work(loads[key], step, TEAM_LIMIT_REASONS, now)
+                loads[key] = PoolLoad(limit, self.state.team_usage[name])
+            reasons = TEAM_LIMIT_REASONS
+            if loads[key].used_part >= FULL_PART:
+                # In a full cell the placer does not come to compare with the limit.
+                reasons |= NO_ROOM_REASONS
+            self._add_work(loads[key], loads[key].group(ANY, None), step, reasons, now)
         if step.wait_reason not in TEAM_LIMIT_REASONS:
             key = (Shortage.SERVICE_FULL, self.state.service_of(job))
             load = loads.setdefault(key, PoolLoad(NO_RESOURCES))
-            self._add_work(load, step, NO_ROOM_REASONS, now)
+            self._add_work(load, load.group(name, limit), step, NO_ROOM_REASONS, now)
 
     def _add_work(
-        self, load: PoolLoad, step: StepState, reasons: frozenset[WaitReason], now: float
+        self,
+        load: PoolLoad,
+        group: WaitingGroup,
+        step: StepState,
+        reasons: frozenset[WaitReason],
+        now: float,
     ) -> None:
         load.has_shortage |= step.wait_reason in reasons
         queue = self.state.queue_of(step.job)
@@ -255,7 +313,7 @@
         is_beyond = self.entitlement is not None and self.entitlement.is_beyond_entitlement(
             step.job
         )
-        load.add(WaitingRank(is_beyond, timeliness, queue.priority), work)
+        group.add(WaitingRank(is_beyond, timeliness, queue.priority), work)
 
     def _measure_services(self, loads: dict[PoolKey, PoolLoad], now: float) -> None:
         """Add up the workers of the services that work waits for."""
--- a/baobabhoist/tests/test_cell_admission.py
+++ b/baobabhoist/tests/test_cell_admission.py
@@ -181,6 +181,20 @@
     assert all(row.late_ms >= END_WAIT_MS for row in harness.rows)
 
 
+def test_steady_team_beside_a_hot_one_at_its_limit_in_a_full_cell_is_never_refused():
+    """Guard against a team that is refused for work that the limit of another holds back."""
+    harness = AdmissionHarness()
+    hot, others = surge(harness, tasks=16), surge(harness, "others", tasks=7)
+
+    def load():
+        hot()
+        others()
+        assert not harness.is_hopeless("steady")
+
+    harness.play(2 * SURGE_MS, load)
+    assert harness.is_hopeless("hot")
+
+
 def test_jobs_without_gpus_are_accepted_while_only_gpus_are_short():
     """Guard against refusing jobs that would start at once beside a backlog for GPUs."""
     harness = AdmissionHarness()
