--- a/baobabhoist/cell/admission.py
+++ b/baobabhoist/cell/admission.py
@@ -182,8 +182,9 @@
 
     def _wait_for(self, ahead: list[tuple[WaitingGroup, Resources]], used_part: float) -> float:
         """Return the shortest time that is enough for the work that can be done within it."""
+        has_limit = any(group.limit is not None for group in self.groups.values())
         wait_ms = float("inf")
-        for _ in range(MAX_REFINEMENTS):
+        for _ in range(MAX_REFINEMENTS if has_limit else 1):
             work = _sum(group.most_in(work, wait_ms) for group, work in ahead)
             before_ms, wait_ms = wait_ms, _largest_ratio(work, self.capacity) / used_part
             if wait_ms >= before_ms * (1.0 - REFINED_PART):
@@ -210,13 +211,14 @@
         elif now - self._last_full_ms > GAP_MS:
             self._full_since_ms, self.is_on = None, False
 
+    def is_sustained(self, now: float) -> bool:
+        """Return whether the pool has been full for long enough to count as congested."""
+        return self._full_since_ms is not None and now - self._full_since_ms >= SUSTAINED_MS
+
     def judge(self, longest_wait_ms: float, now: float) -> bool:
         """Return whether the waits are published, given the longest of them."""
-        is_sustained = (
-            self._full_since_ms is not None and now - self._full_since_ms >= SUSTAINED_MS
-        )
         threshold_ms = END_WAIT_MS if self.is_on else BEGIN_WAIT_MS
-        self.is_on = is_sustained and longest_wait_ms >= threshold_ms
+        self.is_on = self.is_sustained(now) and longest_wait_ms >= threshold_ms
         return self.is_on
 
     @property
@@ -345,12 +347,22 @@
         """Return the rows of a pool, none if it is not congested."""
         congestion = self._congestions.setdefault(key, Congestion())
         congestion.update(load, now)
+        if not congestion.is_sustained(now):
+            congestion.is_on = False
+            return []
         shortage, name = key
         is_team = shortage is Shortage.TEAM_LIMIT
+        teams_by_standing = {False: [ANY], True: sorted(beyond_teams)}
+        if is_team:
+            teams_by_standing = {name in beyond_teams: [name]}
+        # All teams of one standing wait equally long.
         rows = [
-            _expected_wait(key, team, priority, team in beyond_teams, load, congestion)
-            for team in ((name,) if is_team else (ANY, *beyond_teams))
+            attrs.evolve(wait, team=team)
+            for is_beyond, teams in teams_by_standing.items()
+            if teams
             for priority in self._priorities(ANY if is_team else name)
+            for wait in (_expected_wait(key, priority, is_beyond, load, congestion),)
+            for team in teams
         ]
         longest_ms = max((row.late_ms for row in rows), default=0.0)
         if not congestion.judge(longest_ms, now):
@@ -382,7 +394,6 @@
 
 def _expected_wait(
     key: PoolKey,
-    team: str,
     priority: int,
     is_beyond: bool,
     load: PoolLoad,
@@ -393,7 +404,7 @@
     on_time = WaitingRank(is_beyond, Timeliness.ON_TIME, priority)
     late = WaitingRank(is_beyond, Timeliness.LATE, priority)
     return ExpectedWait(
-        team,
+        ANY,
         name if shortage is Shortage.SERVICE_FULL else ANY,
         priority,
         shortage.value,
