Count labelled work only up to what the workers with its label have

Callers whose jobs run on any worker saw 429 because of jobs for a few labelled workers, or for a label that no worker has: that backlog counted as ahead of them on the whole service, although it can use only a part of it or nothing.

Labelled work now forms a group whose limit is what the usable workers with the label have, as a team's limit already does; without such workers it isn't counted.

--- a/baobabhoist/cell/admission.py
+++ b/baobabhoist/cell/admission.py
@@ -117,6 +117,17 @@
         return self.priority <= other.priority
 
 
+class GroupKey(NamedTuple):
+    """Name what holds a group of work back: the limit of a team, or the workers with a label."""
+
+    team: str = ""
+    service: str = ""
+    label: str = ""
+
+
+WHOLE_POOL = GroupKey()
+
+
 @attrs.define
 class WaitingGroup:
     """Collect work that can use only a part of a pool at a time, or all of it without a limit."""
@@ -146,27 +157,26 @@
     used: Resources = NO_RESOURCES
     # Work waits for the pool itself, not for something else.
     has_shortage: bool = False
-    # By the name of the team whose limit holds the work back, or `ANY`.
-    groups: dict[str, WaitingGroup] = attrs.Factory(dict)
+    groups: dict[GroupKey, WaitingGroup] = attrs.Factory(dict)
 
     @property
     def used_part(self) -> float:
         """Return the used part of the resource that is used most."""
         return _largest_ratio(self.used, self.capacity)
 
-    def group(self, name: str, limit: Resources | None) -> WaitingGroup:
-        """Return the group of this name."""
-        return self.groups.setdefault(name, WaitingGroup(limit))
+    def group(self, key: GroupKey, limit: Resources | None) -> WaitingGroup:
+        """Return the group of this key."""
+        return self.groups.setdefault(key, WaitingGroup(limit))
 
     def merge_short_groups(self) -> None:
         """Merge the groups whose limits hold no work back for long into the one without limit."""
-        for name, group in list(self.groups.items()):
+        for key, group in list(self.groups.items()):
             total = _sum(group.work.values())
             if group.limit is None or _largest_ratio(total, group.limit) >= BEGIN_WAIT_MS:
                 continue
-            del self.groups[name]
+            del self.groups[key]
             for rank, work in group.work.items():
-                self.group(ANY, None).add(rank, work)
+                self.group(WHOLE_POOL, None).add(rank, work)
 
     def wait_ms(self, rank: WaitingRank, used_part: float) -> float:
         """Return how long the work takes that is served before a new job of this rank."""
@@ -262,11 +272,12 @@
     def _measure_loads(self, now: float) -> dict[PoolKey, PoolLoad]:
         """Return the loads of all pools that work waits for."""
         loads: dict[PoolKey, PoolLoad] = {}
+        label_capacity = self._measure_labels(now)
         for step in self.state.ready_steps.values():
             if not step.waiting_count or step.spec.lasting:
                 continue
             try:
-                self._add_step(loads, step, now)
+                self._add_step(loads, step, label_capacity, now)
             except Exception as exc:
                 # The next scheduling round gives the job up; it must not end this owner.
                 log.warning("the work of job %s is not counted: %r", step.key.job_id, exc)
@@ -275,26 +286,55 @@
             load.merge_short_groups()
         return loads
 
-    def _add_step(self, loads: dict[PoolKey, PoolLoad], step: StepState, now: float) -> None:
+    def _measure_labels(self, now: float) -> dict[GroupKey, Resources]:
+        """Return what the workers have that waiting steps with a label can use."""
+        capacity = {
+            GroupKey(service=self.state.service_of(step.job), label=step.spec.label): NO_RESOURCES
+            for step in self.state.ready_steps.values()
+            if step.spec.label
+        }
+        if not capacity:
+            return capacity
+        for worker in self.state.workers.values():
+            for label in worker.info.labels:
+                key = GroupKey(service=worker.info.service, label=label)
+                if key in capacity and worker.can_start_tasks(now):
+                    capacity[key] = capacity[key].plus(worker.info.capacity)
+        return capacity
+
+    def _add_step(
+        self,
+        loads: dict[PoolKey, PoolLoad],
+        step: StepState,
+        label_capacity: dict[GroupKey, Resources],
+        now: float,
+    ) -> None:
         job = step.job
         team = self.state.team_of(job)
-        name, limit = ANY, None
+        service = self.state.service_of(job)
+        group_key, limit = WHOLE_POOL, None
+        if step.spec.label:
+            group_key = GroupKey(service=service, label=step.spec.label)
+            limit = label_capacity[group_key]
+            if limit == NO_RESOURCES:
+                return
         if team is not None and team.is_limited:
             if not team.allows(step.spec.least_need):
                 return
-            name, limit = team.name, team.limit
-            key = (Shortage.TEAM_LIMIT, name)
+            key = (Shortage.TEAM_LIMIT, team.name)
             if key not in loads:
-                loads[key] = PoolLoad(limit, self.state.team_usage[name])
+                loads[key] = PoolLoad(team.limit, self.state.team_usage[team.name])
             reasons = TEAM_LIMIT_REASONS
             if loads[key].used_part >= FULL_PART:
                 # In a full cell the placer does not come to compare with the limit.
                 reasons |= NO_ROOM_REASONS
-            self._add_work(loads[key], loads[key].group(ANY, None), step, reasons, now)
+            self._add_work(loads[key], loads[key].group(group_key, limit), step, reasons, now)
+            if limit is None:
+                group_key, limit = GroupKey(team.name), team.limit
         if step.wait_reason not in TEAM_LIMIT_REASONS:
-            key = (Shortage.SERVICE_FULL, self.state.service_of(job))
+            key = (Shortage.SERVICE_FULL, service)
             load = loads.setdefault(key, PoolLoad(NO_RESOURCES))
-            self._add_work(load, load.group(name, limit), step, NO_ROOM_REASONS, now)
+            self._add_work(load, load.group(group_key, limit), step, NO_ROOM_REASONS, now)
 
     def _add_work(
         self,
--- a/baobabhoist/tests/test_cell_admission.py
+++ b/baobabhoist/tests/test_cell_admission.py
@@ -1,5 +1,6 @@
 """Test for how long new jobs are expected to wait, and which of them are hopeless."""
 
+import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
@@ -213,3 +214,22 @@
     harness.play(SURGE_MS, load)
     assert harness.is_hopeless("hot", Step(1, gpu_task, 1000))
     assert not harness.is_hopeless("hot")
+
+
+@pytest.mark.parametrize("label", ["rare", "other"])
+def test_work_for_a_few_labelled_workers_or_none_refuses_no_other_jobs(label):
+    """Guard against refusals for work that cannot run on the workers that others use."""
+    harness = AdmissionHarness()
+    harness.cell_harness.workers["w0"].labels += (label,)
+    harness.cell_harness.start_ownership()
+    harness.cell_harness.cell.state.policy = SchedulingPolicy(refuses_hopeless_jobs=True)
+    harness.cell_harness.cell.state.rules.teams.clear()
+    busy = surge(harness, "others", tasks=8)
+
+    def load():
+        busy()
+        if harness.cell_harness.now % 500.0 == 0.0:
+            harness.submit("hot", Step(32, SMALL, 1000, label="rare"))
+        assert not harness.is_hopeless("steady")
+
+    harness.play(2 * SURGE_MS, load)
