Compare the slack of a new job with that of the work on time

Callers of short jobs saw 429 although their jobs would have been served next: work of one rank is served by rising slack, but all on-time work of a priority counted as ahead of each new job, also patient work that ranks after it.

A row now also carries the wait behind on-time work of less slack than each of six bounds, and an instance interpolates for the job's own slack. Rows of owners without the field are read as before.

--- a/baobabhoist/cell/admission.py
+++ b/baobabhoist/cell/admission.py
@@ -9,7 +9,8 @@
 
 import enum
 import logging
-from collections.abc import Iterable
+from bisect import bisect_right
+from collections.abc import Iterable, Sequence
 from typing import NamedTuple, Protocol
 
 import attrs
@@ -40,6 +41,8 @@
 # The wait for a pool is computed anew until it falls by less than this part.
 REFINED_PART = 0.05
 MAX_REFINEMENTS = 16
+# On-time work is told apart by its slack; work of one priority is served by rising slack.
+SLACK_BOUNDS_MS = (1_000.0, 2_000.0, 4_000.0, 8_000.0, 16_000.0, 32_000.0)
 # Only the longest waits are published.
 MAX_ROWS = 32
 # Stands for all teams in a row on a full service, and for all services in one on a team's limit.
@@ -80,7 +83,8 @@
     The wait is `on_time_ms` while the job can still meet its objective, and `late_ms` once it
     cannot. `cpu_rate` is the rate at which work ends, in thousandths of a core. `shortage` is a
     text, so that an instance of an earlier version can read later values. `resource` is the one
-    that the work waits for, or empty from an owner of a version without it.
+    that the work waits for, or empty from an owner of a version without it. `by_slack_ms` are the
+    waits behind on-time work of less slack than each of `SLACK_BOUNDS_MS`, empty likewise.
     """
 
     team: str
@@ -91,6 +95,13 @@
     late_ms: float
     cpu_rate: float
     resource: str = ""
+    by_slack_ms: tuple[int, ...] = ()
+
+    def on_time_ms_with(self, slack_ms: float) -> float:
+        """Return for how long a job of some slack would wait while it is on time."""
+        if not self.by_slack_ms:
+            return self.on_time_ms
+        return _interpolate(slack_ms, SLACK_BOUNDS_MS, self.by_slack_ms, self.on_time_ms)
 
 
 @attrs.frozen
@@ -102,11 +113,12 @@
 
 
 class WaitingRank(NamedTuple):
-    """Hold what decides in which order work is served, except for its slack."""
+    """Hold what decides in which order work is served; `band` orders on-time work by slack."""
 
     is_beyond: bool
     timeliness: Timeliness
     priority: int
+    band: int = len(SLACK_BOUNDS_MS)
 
     def precedes(self, other: WaitingRank) -> bool:
         """Return whether work of this rank is served before new work of another rank."""
@@ -114,7 +126,9 @@
             return other.is_beyond
         if self.timeliness is not other.timeliness:
             return self.timeliness < other.timeliness
-        return self.priority <= other.priority
+        if self.priority != other.priority:
+            return self.priority < other.priority
+        return self.band <= other.band
 
 
 class GroupKey(NamedTuple):
@@ -355,7 +369,11 @@
         is_beyond = self.entitlement is not None and self.entitlement.is_beyond_entitlement(
             step.job
         )
-        group.add(WaitingRank(is_beyond, timeliness, queue.priority), work)
+        rank = WaitingRank(is_beyond, timeliness, queue.priority)
+        if timeliness is Timeliness.ON_TIME:
+            slack_ms = step.job.objective_ms - now - step.job.remaining_critical_path_ms()
+            rank = rank._replace(band=bisect_right(SLACK_BOUNDS_MS, slack_ms))
+        group.add(rank, work)
 
     def _measure_services(self, loads: dict[PoolKey, PoolLoad], now: float) -> None:
         """Add up the workers of the services that work waits for."""
@@ -452,9 +470,25 @@
         load.wait_ms(late, used_part),
         float(load.used.cpu),
         load.scarcest_resource(late),
+        tuple(
+            round(load.wait_ms(on_time._replace(band=band), used_part))
+            for band in range(len(SLACK_BOUNDS_MS))
+        ),
     )
 
 
+def _interpolate(
+    at: float, bounds: Sequence[float], values: Sequence[float], last_value: float
+) -> float:
+    """Return the value at a point, linear from 0 between bounds and `last_value` beyond them."""
+    number = bisect_right(bounds, at)
+    if number == len(bounds):
+        return last_value
+    low, low_value = (bounds[number - 1], values[number - 1]) if number else (0.0, 0.0)
+    part = max(0.0, at - low) / (bounds[number] - low)
+    return low_value + part * (values[number] - low_value)
+
+
 def _largest_ratio(amount: Resources, capacity: Resources) -> float:
     return max(_ratios(amount, capacity).values(), default=0.0)
 
--- a/baobabhoist/cell/job_prospects.py
+++ b/baobabhoist/cell/job_prospects.py
@@ -29,13 +29,13 @@
         """Return whether the job may still end before its late limit."""
         if wait.resource and wait.resource not in self.resources:
             return True
-        if wait.on_time_ms <= self.on_time_ms:
+        if wait.on_time_ms_with(self.on_time_ms) <= self.on_time_ms:
             return True
         return wait.late_ms <= self.late_ms * WAIT_MARGIN
 
     def excess_ms(self, wait: ExpectedWait) -> float:
         """Return by how much the wait has to fall before the job is accepted."""
-        on_time_excess_ms = wait.on_time_ms - self.on_time_ms
+        on_time_excess_ms = wait.on_time_ms_with(self.on_time_ms) - self.on_time_ms
         late_excess_ms = wait.late_ms - self.late_ms * WAIT_MARGIN
         return max(0.0, min(on_time_excess_ms, late_excess_ms))
 
--- a/baobabhoist/tests/test_cell_admission.py
+++ b/baobabhoist/tests/test_cell_admission.py
@@ -233,3 +233,14 @@
         assert not harness.is_hopeless("steady")
 
     harness.play(2 * SURGE_MS, load)
+
+
+def test_hasty_jobs_are_accepted_beside_patient_ones_that_rank_after_them():
+    """Guard against refusing short jobs for patient ones, which can wait and are served later."""
+    harness = AdmissionHarness()
+    chain = [Step(10, SMALL, 1000, after=(n - 1,) if n else ()) for n in range(8)]
+    for _ in range(16):
+        harness.submit("hot", *chain)
+    harness.play(4_000.0)
+    assert harness.rows
+    assert not harness.is_hopeless("hot")
