--- a/baobabhoist/cell/admission.py
+++ b/baobabhoist/cell/admission.py
@@ -253,6 +253,40 @@
 
 # A team or a service.
 PoolKey = tuple[Shortage, str]
+
+
+@attrs.frozen
+class PoolWait:
+    """Hold for how long a late job of a team and rank would wait for a pool, in ms."""
+
+    key: PoolKey
+    team: str
+    late_rank: WaitingRank
+    load: PoolLoad
+    used_part: float
+    late_ms: float
+
+    def row(self) -> ExpectedWait:
+        """Return all figures of this wait."""
+        shortage, name = self.key
+        on_time = self.late_rank._replace(timeliness=Timeliness.ON_TIME)
+        bands = range(len(SLACK_BOUNDS_MS))
+        return ExpectedWait(
+            self.team,
+            name if shortage is Shortage.SERVICE_FULL else ANY,
+            self.late_rank.priority,
+            shortage.value,
+            self._wait_ms(on_time),
+            self.late_ms,
+            float(self.load.used.cpu),
+            self.load.scarcest_resource(self.late_rank),
+            tuple(round(self._wait_ms(on_time._replace(band=band))) for band in bands),
+        )
+
+    def _wait_ms(self, rank: WaitingRank) -> float:
+        return self.load.wait_ms(rank, self.used_part)
+
+
 # The team, service and priority of a row.
 RowKey = tuple[str, str, int]
 
@@ -276,11 +310,11 @@
         for key in self._congestions.keys() - loads.keys():
             del self._congestions[key]
         beyond_teams = self._teams_beyond(now)
-        rows: list[ExpectedWait] = []
+        waits: list[PoolWait] = []
         for key, load in loads.items():
-            rows += self._judge_pool(key, load, beyond_teams, now)
-        rows.sort(key=lambda row: -row.late_ms)
-        self.table = WaitTable(tuple(rows[:MAX_ROWS]), now)
+            waits += self._judge_pool(key, load, beyond_teams, now)
+        waits.sort(key=lambda wait: -wait.late_ms)
+        self.table = WaitTable(tuple(wait.row() for wait in waits[:MAX_ROWS]), now)
         self._announce(self.table.rows)
 
     def _measure_loads(self, now: float) -> dict[PoolKey, PoolLoad]:
@@ -401,8 +435,8 @@
 
     def _judge_pool(
         self, key: PoolKey, load: PoolLoad, beyond_teams: set[str], now: float
-    ) -> list[ExpectedWait]:
-        """Return the rows of a pool, none if it is not congested."""
+    ) -> list[PoolWait]:
+        """Return the waits for a pool, none if it is not congested."""
         congestion = self._congestions.setdefault(key, Congestion())
         congestion.update(load, now)
         if not congestion.is_sustained(now):
@@ -413,19 +447,20 @@
         teams_by_standing = {False: [ANY], True: sorted(beyond_teams)}
         if is_team:
             teams_by_standing = {name in beyond_teams: [name]}
-        # All teams of one standing wait equally long.
-        rows = [
-            attrs.evolve(wait, team=team)
-            for is_beyond, teams in teams_by_standing.items()
-            if teams
-            for priority in self._priorities(ANY if is_team else name)
-            for wait in (_expected_wait(key, priority, is_beyond, load, congestion),)
-            for team in teams
-        ]
-        longest_ms = max((row.late_ms for row in rows), default=0.0)
+        used_part = congestion.expected_used_part
+        waits: list[PoolWait] = []
+        for is_beyond, teams in teams_by_standing.items():
+            for priority in self._priorities(ANY if is_team else name):
+                # All teams of one standing wait equally long.
+                late_rank = WaitingRank(is_beyond, Timeliness.LATE, priority)
+                late_ms = load.wait_ms(late_rank, used_part) if teams else 0.0
+                waits += [
+                    PoolWait(key, team, late_rank, load, used_part, late_ms) for team in teams
+                ]
+        longest_ms = max((wait.late_ms for wait in waits), default=0.0)
         if not congestion.judge(longest_ms, now):
             return []
-        return [row for row in rows if row.late_ms >= END_WAIT_MS]
+        return [wait for wait in waits if wait.late_ms >= END_WAIT_MS]
 
     def _priorities(self, service: str) -> set[int]:
         queues = self.state.rules.queues.values()
@@ -450,33 +485,6 @@
     return total
 
 
-def _expected_wait(
-    key: PoolKey,
-    priority: int,
-    is_beyond: bool,
-    load: PoolLoad,
-    congestion: Congestion,
-) -> ExpectedWait:
-    shortage, name = key
-    used_part = congestion.expected_used_part
-    on_time = WaitingRank(is_beyond, Timeliness.ON_TIME, priority)
-    late = WaitingRank(is_beyond, Timeliness.LATE, priority)
-    return ExpectedWait(
-        ANY,
-        name if shortage is Shortage.SERVICE_FULL else ANY,
-        priority,
-        shortage.value,
-        load.wait_ms(on_time, used_part),
-        load.wait_ms(late, used_part),
-        float(load.used.cpu),
-        load.scarcest_resource(late),
-        tuple(
-            round(load.wait_ms(on_time._replace(band=band), used_part))
-            for band in range(len(SLACK_BOUNDS_MS))
-        ),
-    )
-
-
 def _interpolate(
     at: float, bounds: Sequence[float], values: Sequence[float], last_value: float
 ) -> float:
