--- a/baobabhoist/cell/admission.py
+++ b/baobabhoist/cell/admission.py
@@ -38,9 +38,6 @@
 MIN_USED_PART = 0.5
 # A pool is full when this part of a resource is in use.
 FULL_PART = 0.85
-# The wait for a pool is computed anew until it falls by less than this part.
-REFINED_PART = 0.05
-MAX_REFINEMENTS = 16
 # On-time work is told apart by its slack; work of one priority is served by rising slack.
 SLACK_BOUNDS_MS = (1_000.0, 2_000.0, 4_000.0, 8_000.0, 16_000.0, 32_000.0)
 # Only the longest waits are published.
@@ -157,10 +154,16 @@
         """Return the work that is served before a new job of this rank."""
         return _sum(work for other, work in self.work.items() if other.precedes(rank))
 
-    def most_in(self, work: Resources, time_ms: float) -> Resources:
-        """Return as much of some work as the limit allows within a time."""
-        least_ms = _largest_ratio(work, self.limit) if self.limit is not None else 0.0
-        return work.scaled(time_ms / least_ms) if least_ms > time_ms else work
+    def least_ms(self, work: Resources) -> float:
+        """Return the shortest time in which the limit allows some work."""
+        return _largest_ratio(work, self.limit) if self.limit is not None else 0.0
+
+
+class GroupTime(NamedTuple):
+    """Hold how long the work of a group takes at its limit, and in the whole pool, in ms."""
+
+    least_ms: float
+    alone_ms: float
 
 
 @attrs.define
@@ -206,14 +209,13 @@
 
     def _wait_for(self, ahead: list[tuple[WaitingGroup, Resources]], used_part: float) -> float:
         """Return the shortest time that is enough for the work that can be done within it."""
-        has_limit = any(group.limit is not None for group in self.groups.values())
-        wait_ms = float("inf")
-        for _ in range(MAX_REFINEMENTS if has_limit else 1):
-            work = _sum(group.most_in(work, wait_ms) for group, work in ahead)
-            before_ms, wait_ms = wait_ms, _largest_ratio(work, self.capacity) / used_part
-            if wait_ms >= before_ms * (1.0 - REFINED_PART):
-                break
-        return wait_ms
+        times_by_resource: dict[str, list[GroupTime]] = {}
+        for group, work in ahead:
+            least_ms = group.least_ms(work)
+            for name, alone_ms in _ratios(work, self.capacity).items():
+                times = times_by_resource.setdefault(name, [])
+                times.append(GroupTime(least_ms, alone_ms / used_part))
+        return max(map(_shortest_ms, times_by_resource.values()), default=0.0)
 
 
 @attrs.define
@@ -485,6 +487,24 @@
     return total
 
 
+def _shortest_ms(times: list[GroupTime]) -> float:
+    """Return the shortest time T that is enough for what all groups can do within T.
+
+    A group does all of its work if it takes at most T, otherwise the part that T allows.
+    """
+    whole_ms = sum(time.alone_ms for time in times)
+    shortest_ms, held_back_part = whole_ms, 0.0
+    for time in sorted(times, reverse=True):
+        if time.least_ms <= shortest_ms:
+            break
+        whole_ms -= time.alone_ms
+        held_back_part += time.alone_ms / time.least_ms
+        if held_back_part >= 1.0:
+            break
+        shortest_ms = max(0.0, whole_ms) / (1.0 - held_back_part)
+    return shortest_ms
+
+
 def _interpolate(
     at: float, bounds: Sequence[float], values: Sequence[float], last_value: float
 ) -> float:
--- a/baobabhoist/cell/model.py
+++ b/baobabhoist/cell/model.py
@@ -37,12 +37,6 @@
         """Return this amount multiplied by a count."""
         return Resources(self.cpu * count, self.memory_mb * count, self.gpu * count)
 
-    def scaled(self, factor: float) -> Resources:
-        """Return this amount multiplied by a factor, rounded down."""
-        return Resources(
-            int(self.cpu * factor), int(self.memory_mb * factor), int(self.gpu * factor)
-        )
-
     def by_name(self) -> dict[str, int]:
         """Return the amounts by the names of the resources."""
         return {"cpu": self.cpu, "memory": self.memory_mb, "gpu": self.gpu}
