Keep the owner when the expected waits cannot be computed

Only the sum over the steps was guarded: an error in any other part of the update would have ended each owner in turn, for figures that are only advice. The error is logged as a crash and the table becomes empty, so that all jobs are admitted. The new test failed before with the ZeroDivisionError that it raises.

--- a/baobabhoist/cell/admission.py
+++ b/baobabhoist/cell/admission.py
@@ -21,6 +21,7 @@
 from baobabhoist.cell.state import CellState
 from baobabhoist.cell.wait_reasons import WaitReason
 from baobabhoist.observability.events import Event, emit
+from baobabhoist.observability.tasks import log_crash
 
 log = logging.getLogger(__name__)
 
@@ -308,6 +309,16 @@
         """Compute the table anew if the interval has passed."""
         if now - self.table.computed_ms < UPDATE_INTERVAL_MS:
             return
+        try:
+            rows = self._compute_rows(now)
+        except Exception as exc:
+            # Without the figures all jobs are admitted; an error must not end this owner.
+            log_crash("computing the expected waits", exc)
+            rows = ()
+        self.table = WaitTable(rows, now)
+        self._announce(rows)
+
+    def _compute_rows(self, now: float) -> tuple[ExpectedWait, ...]:
         loads = self._measure_loads(now)
         for key in self._congestions.keys() - loads.keys():
             del self._congestions[key]
@@ -316,8 +327,7 @@
         for key, load in loads.items():
             waits += self._judge_pool(key, load, beyond_teams, now)
         waits.sort(key=lambda wait: -wait.late_ms)
-        self.table = WaitTable(tuple(wait.row() for wait in waits[:MAX_ROWS]), now)
-        self._announce(self.table.rows)
+        return tuple(wait.row() for wait in waits[:MAX_ROWS])
 
     def _measure_loads(self, now: float) -> dict[PoolKey, PoolLoad]:
         """Return the loads of all pools that work waits for."""
--- a/baobabhoist/tests/test_cell_admission.py
+++ b/baobabhoist/tests/test_cell_admission.py
@@ -5,7 +5,13 @@
 from hypothesis import strategies as st
 
 from baobabhoist.cell import admission as admission_module
-from baobabhoist.cell.admission import END_WAIT_MS, GAP_MS, SUSTAINED_MS, UPDATE_INTERVAL_MS
+from baobabhoist.cell.admission import (
+    END_WAIT_MS,
+    GAP_MS,
+    SUSTAINED_MS,
+    UPDATE_INTERVAL_MS,
+    AdmissionControl,
+)
 from baobabhoist.cell.model import Resources, Step
 from baobabhoist.cell.policy import DEFAULT_POLICY, SchedulingPolicy
 from baobabhoist.observability.events import Event
@@ -244,3 +250,16 @@
     harness.play(4_000.0)
     assert harness.rows
     assert not harness.is_hopeless("hot")
+
+
+def test_an_error_outside_the_steps_ends_no_owner_and_withdraws_the_figures(monkeypatch):
+    """Guard against figures that are only advice and end each owner in turn, or stay for good."""
+    harness = AdmissionHarness()
+    harness.play(SURGE_MS, surge(harness))
+    assert harness.rows
+    monkeypatch.setattr(AdmissionControl, "_measure_services", lambda *_: 1 / 0)
+    harness.play(UPDATE_INTERVAL_MS)
+    assert not harness.rows
+    monkeypatch.undo()
+    harness.play(SUSTAINED_MS + UPDATE_INTERVAL_MS)
+    assert harness.rows
