Admit tasks that fill spare cores while all cores are allocated

Tasks with fills take no allocated core and are there for a full cell, but a service whose cores were all allocated refused them with 429. For a full service a job's resources are now those that its tasks allocate on a worker; against a team's limit their cores still count. The new test failed before, at a wait of 8.8 s.

--- a/baobabhoist/cell/job_prospects.py
+++ b/baobabhoist/cell/job_prospects.py
@@ -6,9 +6,9 @@
 
 import attrs
 
-from baobabhoist.cell.admission import ANY, ExpectedWait
+from baobabhoist.cell.admission import ANY, ExpectedWait, Shortage
 from baobabhoist.cell.jobs import LATE_LIMIT_FACTOR, critical_path_ms, objective_after_ms
-from baobabhoist.cell.model import AcceptedJob, JobSpec, Queue, Team
+from baobabhoist.cell.model import AcceptedJob, JobSpec, Queue, Resources, Team
 
 # Declared durations are rough: a job counts as hopeless only if the wait is longer by this factor.
 WAIT_MARGIN = 1.25
@@ -18,16 +18,20 @@
 class JobSlack:
     """Hold how long a new job can wait and still end by its objective or its late limit, in ms.
 
-    `resources` are those that it needs: it does not wait for others.
+    It does not wait for other resources than those it needs: `limited_resources` count against
+    the limit of its team, `worker_resources` are allocated on a worker.
     """
 
     on_time_ms: float
     late_ms: float
-    resources: frozenset[str]
+    limited_resources: frozenset[str]
+    worker_resources: frozenset[str]
 
     def allows(self, wait: ExpectedWait) -> bool:
         """Return whether the job may still end before its late limit."""
-        if wait.resource and wait.resource not in self.resources:
+        is_team_limit = wait.shortage == Shortage.TEAM_LIMIT.value
+        resources = self.limited_resources if is_team_limit else self.worker_resources
+        if wait.resource and wait.resource not in resources:
             return True
         if wait.on_time_ms_with(self.on_time_ms) <= self.on_time_ms:
             return True
@@ -48,7 +52,10 @@
     critical_ms, objective_ms = critical_path_ms(accepted), objective_after_ms(accepted, queue)
     late_limit_ms = LATE_LIMIT_FACTOR * objective_ms
     return JobSlack(
-        objective_ms - critical_ms, late_limit_ms - critical_ms, _needed_resources(spec)
+        objective_ms - critical_ms,
+        late_limit_ms - critical_ms,
+        _names_of(step.need for step in spec.steps),
+        _names_of(step.allocation for step in spec.steps),
     )
 
 
@@ -60,9 +67,8 @@
     return max(hopeless, key=slack.excess_ms, default=None)
 
 
-def _needed_resources(spec: JobSpec) -> frozenset[str]:
-    amounts = (step.need.by_name() for step in spec.steps)
-    return frozenset(name for need in amounts for name, amount in need.items() if amount)
+def _names_of(needs: Iterable[Resources]) -> frozenset[str]:
+    return frozenset(name for need in needs for name, amount in need.by_name().items() if amount)
 
 
 def _concerns(wait: ExpectedWait, team: str, queue: Queue) -> bool:
--- a/baobabhoist/tests/test_cell_admission.py
+++ b/baobabhoist/tests/test_cell_admission.py
@@ -127,6 +127,15 @@
         assert sorted(fields["priority"] for fields in fields_of(event)) == [0, 1]
 
 
+def test_tasks_that_fill_spare_cores_are_accepted_while_all_cores_are_allocated():
+    """Guard against refusing tasks that need no allocated core for want of cores."""
+    harness = AdmissionHarness()
+    harness.cell_harness.cell.state.rules.teams.clear()
+    harness.play(SURGE_MS, surge(harness, "a", tasks=32))
+    assert harness.is_hopeless("b")
+    assert not harness.is_hopeless("b", Step(1, SMALL, 1000, fills=True))
+
+
 class FakeEntitlement:
     """Regard all jobs of the team "greedy" as beyond its entitlement."""
 
