--- a/baobabhoist/benchmarks/main.py
+++ b/baobabhoist/benchmarks/main.py
@@ -23,6 +23,16 @@
 from baobabhoist.cell.policy import SchedulingPolicy
 
 PAST_USE_HALF_LIFE_S = 4 * 3600.0
+# The optional parts of scheduling by the names of their settings.
+SCHEDULING_PARTS: dict[str, dict[str, Any]] = {
+    "shares": {"weighs_shares": True, "usage_half_life_s": PAST_USE_HALF_LIFE_S},
+    "admission": {"refuses_hopeless_jobs": True},
+    "backfill": {"backfills": True},
+    "preemption": {"preempts": True},
+    "advice_forecast": {"forecasts_advice": True},
+    "pace": {"tracks_pace": True},
+}
+ALL_PARTS = "all"
 
 FLAGS = flags.FLAGS
 flags.DEFINE_integer("seed", 1, "Seed of the generated workload.")
@@ -40,7 +50,12 @@
 )
 flags.DEFINE_enum("load", "", ["", *SCENARIOS], "Load scenario of a cell; by default all of them.")
 flags.DEFINE_integer("teams", 0, "Number of teams of a cell; 0 keeps the default.", lower_bound=0)
-flags.DEFINE_bool("shares", False, "Whether a cell serves teams by their weights and past use.")
+flags.DEFINE_multi_enum(
+    "part",
+    [],
+    [*SCHEDULING_PARTS, ALL_PARTS],
+    "Optional part of scheduling that a cell uses; may be given several times.",
+)
 flags.DEFINE_enum(
     "scenario",
     "",
@@ -92,7 +107,9 @@
 
 def _run_cell() -> dict[str, Any]:
     workers, seconds = FLAGS.workers or 24, FLAGS.duration_s or 14.0
-    scheduling = SchedulingPolicy(FLAGS.shares, PAST_USE_HALF_LIFE_S if FLAGS.shares else 0.0)
+    parts = SCHEDULING_PARTS if ALL_PARTS in FLAGS.part else FLAGS.part
+    options = {name: value for part in parts for name, value in SCHEDULING_PARTS[part].items()}
+    scheduling = SchedulingPolicy(**options)
     return cell_replay.run(
         FLAGS.load, workers, seconds, FLAGS.seed, FLAGS.baselines, FLAGS.teams, scheduling
     )
