Send the commands of a cell in a module of its own

Sending starts, stops and questions to the adviser has a clear seam: it needs the cell, the sessions and the metrics, and nothing of loading or following tables. CommandSender takes the cell with each command, so it needs no check that the cell has been loaded. The repeat of an unanswered start is now a function of its own.

No change of behaviour; the logger of START_REPEATED is now that of control/command_sender.py. Tests unchanged.

--- a/baobabhoist/control/owner.py
+++ b/baobabhoist/control/owner.py
@@ -6,21 +6,13 @@
 import functools
 import logging
 import time
-from collections.abc import Callable, Coroutine, Mapping, Sequence
-from typing import Any
+from collections.abc import Callable, Mapping, Sequence
 
 import attrs
 
 from baobabhoist.cell import progress_rows
 from baobabhoist.cell.evacuations import NO_EVACUATIONS, Evacuations
-from baobabhoist.cell.model import (
-    CellRules,
-    Command,
-    CommandOutcome,
-    RequestAdvice,
-    StartTask,
-    StopTask,
-)
+from baobabhoist.cell.model import CellRules, StartTask
 from baobabhoist.cell.placement_preview import PreviewTime, preview_placement
 from baobabhoist.cell.policy import DEFAULT_POLICY, SchedulingPolicy
 from baobabhoist.cell.scheduler import CellScheduler, Takeover
@@ -28,6 +20,7 @@
 from baobabhoist.control.advice import AdviceDispatcher
 from baobabhoist.control.cell_loader import CellLoader, CellTables
 from baobabhoist.control.clock import StoreClock, monotonic_ms, unix_ms
+from baobabhoist.control.command_sender import CommandSender
 from baobabhoist.control.interfaces import Decoder, WorkerDriver
 from baobabhoist.control.job_admission import KnownWaits
 from baobabhoist.control.loop_lag import LoopLagMonitor
@@ -54,7 +47,7 @@
 from baobabhoist.control.sessions.assignment import LinkedInstance
 from baobabhoist.control.sessions.pool import PoolDependencies, SessionPool
 from baobabhoist.control.table_follower import TableFollower
-from baobabhoist.control.task_supervisor import TaskSupervisor, result_or
+from baobabhoist.control.task_supervisor import TaskSupervisor
 from baobabhoist.control.usage_row import decode_usage
 from baobabhoist.control.waiting_report import WaitingReporter
 from baobabhoist.observability.events import Event, emit
@@ -67,7 +60,6 @@
 # Most jobs arrive by notification; polling the table finds those whose notification was lost.
 JOBS_POLL_PAUSE_S = 0.2
 LOAD_RETRY_INTERVAL_S = 0.15
-ADVICE_RETRY_INTERVAL_S = 0.15
 RETENTION_CHECK_TICKS = 100
 # A new owner starts nothing while what it knows of the operator's requests is older than this.
 MAX_OPERATOR_TABLE_AGE_MS = 2_500.0
@@ -138,6 +130,15 @@
         self._ownership_lost_reported = False
         self._ticks = 0
         self._waiting_reporter = WaitingReporter(deps.loop_lag)
+        self._sender = CommandSender(
+            self.sessions,
+            deps.advice_dispatcher,
+            deps.metrics,
+            self._waiting_reporter,
+            self._tasks,
+            self.may_renew,
+            self.request_scheduling_round,
+        )
 
     async def run(self) -> None:
         """Load the stored state, then run the cell until cancelled; raises if a task failed."""
@@ -446,10 +447,10 @@
         for command in commands:
             if isinstance(command, StartTask):
                 self.progress_writer.call_when_stored(
-                    functools.partial(self._send_command, command)
+                    functools.partial(self._sender.send, cell, command)
                 )
             else:
-                self._send_command(command)
+                self._sender.send(cell, command)
         if cell.state.dirty:
             self.progress_writer.request_flush()
 
@@ -470,77 +471,6 @@
         advice.slot_count = dispatcher.slot_count
         advice.blocked_count = max(0, dispatcher.count_unavailable() - advice.open_count)
 
-    def _send_command(self, command: Command) -> None:
-        if self._tasks.is_stopped:
-            return
-        self._tasks.spawn(self._SENDERS[type(command)](self, command))
-
-    async def _send_start(self, command: StartTask) -> None:
-        cell = self._require_cell()
-        # This process may have been suspended since the run was stored.
-        if not self.may_renew() or not cell.should_send_start(command, monotonic_ms()):
-            return
-        self._observe_wait(command)
-        outcome = await self._call_start(command)
-        if outcome is CommandOutcome.UNKNOWN and self._may_repeat_start(command):
-            emit(
-                log,
-                Event.START_REPEATED,
-                task=command.task.to_text(),
-                run=command.run,
-                worker=command.worker_id,
-            )
-            repeated_outcome = await self._call_start(command)
-            if repeated_outcome is CommandOutcome.OK:
-                outcome = CommandOutcome.OK
-            # Any other answer leaves open what the first start has done or may still do.
-            if repeated_outcome is CommandOutcome.FENCED:
-                cell.mark_fenced()
-        cell.handle_start_result(command, outcome, monotonic_ms())
-        self.request_scheduling_round()
-
-    def _may_repeat_start(self, command: StartTask) -> bool:
-        is_permitted = self.may_renew() and not self._tasks.is_stopped
-        return is_permitted and self._require_cell().may_repeat_start(command, monotonic_ms())
-
-    async def _call_start(self, command: StartTask) -> CommandOutcome:
-        sent_ms = monotonic_ms()
-        outcome = await result_or(self.sessions.start_task(command), CommandOutcome.UNKNOWN)
-        self._waiting_reporter.starts[outcome] += 1
-        duration_ms = monotonic_ms() - sent_ms
-        self._deps.metrics.observe_worker_call("start", outcome.value, duration_ms / 1000)
-        if outcome is not CommandOutcome.OK:
-            self._deps.metrics.count_failed_start(outcome)
-        self._require_cell().record_start_answer(outcome, duration_ms, monotonic_ms())
-        return outcome
-
-    def _observe_wait(self, command: StartTask) -> None:
-        job = self._require_cell().find_job(command.task.job_id)
-        step = job.find_step(command.task) if job is not None else None
-        if job is not None and step is not None:
-            waited_s = (monotonic_ms() - step.ready_since_ms) / 1000
-            self._deps.metrics.observe_wait(job.accepted.team, job.accepted.queue, waited_s)
-
-    async def _send_stop(self, command: StopTask) -> None:
-        outcome = await result_or(self.sessions.stop_task(command), CommandOutcome.UNKNOWN)
-        self._require_cell().handle_stop_result(command, outcome, monotonic_ms())
-        self.request_scheduling_round()
-
-    async def _ask_adviser(self, query: RequestAdvice) -> None:
-        advice = await result_or(self._deps.advice_dispatcher.ask(query), None)
-        cell, now = self._require_cell(), monotonic_ms()
-        if advice is None:
-            cell.handle_advice_failure(query.step, now + ADVICE_RETRY_INTERVAL_S * 1000)
-        else:
-            cell.handle_advice(query.step, query.workers, advice.tickets, now + advice.valid_ms)
-        self.request_scheduling_round()
-
-    _SENDERS: dict[type[Command], Callable[[Any, Any], Coroutine[Any, Any, None]]] = {
-        StartTask: _send_start,
-        StopTask: _send_stop,
-        RequestAdvice: _ask_adviser,
-    }
-
     async def _run_ticks(self) -> None:
         while True:
             cell = self._require_cell()
