Apply stored rows to a cell in a module of its own

Jobs, progress, speed estimates and past use each had a function in owner.py that decodes a row and logs one that cannot be applied.

No change of behaviour; the loggers of ROW_UNREADABLE and PAST_USE_RESTORED are now that of control/stored_rows.py. Tests unchanged.

--- a/baobabhoist/control/owner.py
+++ b/baobabhoist/control/owner.py
@@ -10,7 +10,6 @@
 
 import attrs
 
-from baobabhoist.cell import progress_rows
 from baobabhoist.cell.evacuations import NO_EVACUATIONS, Evacuations
 from baobabhoist.cell.model import CellRules, StartTask
 from baobabhoist.cell.placement_preview import PreviewTime, preview_placement
@@ -40,15 +39,17 @@
     CANCEL_SUFFIX,
     JOB_PARTITIONS,
     JOBS_TABLE,
-    PROGRESS_TABLE,
-    decode_job,
-    decode_speeds,
 )
 from baobabhoist.control.sessions.assignment import LinkedInstance
 from baobabhoist.control.sessions.pool import PoolDependencies, SessionPool
+from baobabhoist.control.stored_rows import (
+    add_stored_job,
+    restore_progress,
+    restore_speeds,
+    restore_usage,
+)
 from baobabhoist.control.table_follower import TableFollower
 from baobabhoist.control.task_supervisor import TaskSupervisor
-from baobabhoist.control.usage_row import decode_usage
 from baobabhoist.control.waiting_report import WaitingReporter
 from baobabhoist.observability.events import Event, emit
 from baobabhoist.store.row_store import RowStore, StoredRow, StoreError
@@ -201,20 +202,7 @@
         cell = self._cell
         if cell is None:
             return
-        try:
-            accepted = decode_job(job_id, value, version)
-        except ValueError as exc:
-            emit(log, Event.ROW_UNREADABLE, table=JOBS_TABLE, row=job_id, detail=exc)
-            return
-        accepted_local_ms = self._deps.clock.to_local_ms(accepted.accepted_ms)
-        try:
-            is_new = cell.add_job(accepted, accepted_local_ms, monotonic_ms(), unix_ms())
-        except Exception as exc:
-            # One job must not end this owner, and the next ones after it.
-            emit(log, Event.ROW_UNREADABLE, table=JOBS_TABLE, row=job_id, detail=repr(exc))
-            cell.remove_job(job_id)
-            return
-        if is_new:
+        if add_stored_job(cell, job_id, value, version, self._deps.clock):
             self.request_scheduling_round()
 
     def handle_cancelled_job(self, job_id: str) -> None:
@@ -283,15 +271,15 @@
         loaded_rows = (*tables.progress, *tables.cell, *tables.speeds, *tables.usage)
         self.progress_writer.set_versions({row.key: row.version for row in loaded_rows})
         cell = CellScheduler(self._rules, takeover, self._deps.lease_ms, self._deps.policy)
-        self._apply_speeds(cell, tables.speeds)
-        self._apply_usage(cell, tables.usage)
+        restore_speeds(cell, tables.speeds)
+        restore_usage(cell, tables.usage, self._deps.clock)
         self._cell = cell
         self._apply_directory_rows(tables.directory, True)
         cell.set_evacuations(self._evacuations, monotonic_ms())
         await self._load_jobs(tables.jobs)
         now = monotonic_ms()
         for index, row in enumerate(tables.progress):
-            self._apply_progress(cell, row, now)
+            restore_progress(cell, row, now)
             if index % ROWS_PER_YIELD == 0:
                 await asyncio.sleep(0)
         self.is_loaded = True
@@ -325,34 +313,6 @@
             self._apply_job_rows(sorted_rows[first : first + ROWS_PER_YIELD], False)
             await asyncio.sleep(0)
 
-    def _apply_speeds(self, cell: CellScheduler, rows: Sequence[StoredRow]) -> None:
-        for row in rows:
-            try:
-                if row.value is not None:
-                    cell.state.speeds.add(decode_speeds(row.value))
-            except ValueError as exc:
-                emit(log, Event.ROW_UNREADABLE, table=row.key.table, row=row.key.key, detail=exc)
-
-    def _apply_usage(self, cell: CellScheduler, rows: Sequence[StoredRow]) -> None:
-        """Continue from the past use that an earlier owner stored; without it, from none."""
-        for row in rows:
-            try:
-                usage = decode_usage(row.value or b"")
-            except ValueError as exc:
-                emit(log, Event.ROW_UNREADABLE, table=row.key.table, row=row.key.key, detail=exc)
-                continue
-            age_ms = self._deps.clock.now_ms() - usage.stored_ms
-            cell.state.shares.past_use.restore(usage.use_s, age_ms)
-            emit(log, Event.PAST_USE_RESTORED, teams=len(usage.use_s), age_ms=age_ms)
-
-    def _apply_progress(self, cell: CellScheduler, row: StoredRow, now: float) -> None:
-        try:
-            if row.value is not None:
-                cell.restore_job(row.key.key, progress_rows.decode(row.value), now)
-        except Exception as exc:
-            # One row must not end this owner, and the next ones after it.
-            emit(log, Event.ROW_UNREADABLE, table=PROGRESS_TABLE, row=row.key.key, detail=exc)
-
     # Changes of tables.
 
     def _jobs_follower(self) -> TableFollower:
--- /dev/null
+++ b/baobabhoist/control/stored_rows.py
@@ -0,0 +1,72 @@
+"""Apply rows of the store to a cell; a row that cannot be applied is logged and left out."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Sequence
+
+from baobabhoist.cell import progress_rows
+from baobabhoist.cell.scheduler import CellScheduler
+from baobabhoist.control.clock import StoreClock, monotonic_ms, unix_ms
+from baobabhoist.control.row_schema import JOBS_TABLE, decode_job, decode_speeds
+from baobabhoist.control.usage_row import decode_usage
+from baobabhoist.observability.events import Event, emit
+from baobabhoist.store.row_store import StoredRow
+
+log = logging.getLogger(__name__)
+
+
+def add_stored_job(
+    cell: CellScheduler, job_id: str, value: bytes, version: int, clock: StoreClock
+) -> bool:
+    """Add a job from the value of its row; return whether it is new to the cell."""
+    try:
+        accepted = decode_job(job_id, value, version)
+    except ValueError as exc:
+        _log_unreadable(JOBS_TABLE, job_id, exc)
+        return False
+    accepted_local_ms = clock.to_local_ms(accepted.accepted_ms)
+    try:
+        return cell.add_job(accepted, accepted_local_ms, monotonic_ms(), unix_ms())
+    except Exception as exc:
+        # One job must not end this owner, and the next ones after it.
+        _log_unreadable(JOBS_TABLE, job_id, repr(exc))
+        cell.remove_job(job_id)
+        return False
+
+
+def restore_progress(cell: CellScheduler, row: StoredRow, now: float) -> None:
+    """Restore the progress of a job from its row."""
+    try:
+        if row.value is not None:
+            cell.restore_job(row.key.key, progress_rows.decode(row.value), now)
+    except Exception as exc:
+        # One row must not end this owner, and the next ones after it.
+        _log_unreadable(row.key.table, row.key.key, exc)
+
+
+def restore_speeds(cell: CellScheduler, rows: Sequence[StoredRow]) -> None:
+    """Continue from the speed estimates that an earlier owner stored."""
+    for row in rows:
+        try:
+            if row.value is not None:
+                cell.state.speeds.add(decode_speeds(row.value))
+        except ValueError as exc:
+            _log_unreadable(row.key.table, row.key.key, exc)
+
+
+def restore_usage(cell: CellScheduler, rows: Sequence[StoredRow], clock: StoreClock) -> None:
+    """Continue from the past use that an earlier owner stored; without it, from none."""
+    for row in rows:
+        try:
+            usage = decode_usage(row.value or b"")
+        except ValueError as exc:
+            _log_unreadable(row.key.table, row.key.key, exc)
+            continue
+        age_ms = clock.now_ms() - usage.stored_ms
+        cell.state.shares.past_use.restore(usage.use_s, age_ms)
+        emit(log, Event.PAST_USE_RESTORED, teams=len(usage.use_s), age_ms=age_ms)
+
+
+def _log_unreadable(table: str, key: str, detail: Exception | str) -> None:
+    emit(log, Event.ROW_UNREADABLE, table=table, row=key, detail=detail)
