Name a run in log lines in one place

Eight log lines listed task, run and worker of a run or of its start command by hand. `Run.log_fields` and `StartTask.log_fields` return these fields now; the lines keep their fields and their order.

`ORPHAN_STOPPED` and `RUN_ENDED_EARLY` are left: the first has neither a run nor a start command, the second names no worker.

--- a/baobabhoist/cell/jobs.py
+++ b/baobabhoist/cell/jobs.py
@@ -4,7 +4,7 @@
 
 import enum
 from collections.abc import Iterator
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 import attrs
 
@@ -86,6 +86,10 @@
         self.confirmed_ms = self.confirmed_ms or now
         self.task.step.job.mark_running()
 
+    def log_fields(self) -> dict[str, Any]:
+        """Return the fields that name the run in log lines, as those of `StartTask` do."""
+        return {"task": self.task.key.to_text(), "run": self.number, "worker": self.worker_id}
+
 
 @attrs.define(eq=False)
 class TaskState:
--- a/baobabhoist/cell/model.py
+++ b/baobabhoist/cell/model.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import enum
+from typing import Any
 
 import attrs
 
@@ -372,6 +373,10 @@
     ticket: str = ""
     ticket_expires_ms: float = float("inf")
 
+    def log_fields(self) -> dict[str, Any]:
+        """Return the fields that name the run in log lines, as those of `Run` do."""
+        return {"task": self.task.to_text(), "run": self.run, "worker": self.worker_id}
+
 
 @attrs.frozen
 class StopTask:
--- a/baobabhoist/cell/periodic_checks.py
+++ b/baobabhoist/cell/periodic_checks.py
@@ -86,9 +86,7 @@
         emit(
             log,
             Event.RUN_STALLED,
-            task=run.task.key.to_text(),
-            run=run.number,
-            worker=run.worker_id,
+            **run.log_fields(),
             percent=run.progress_percent,
         )
         self._state.stop_run(run, now, WasteCause.STALLED)
--- a/baobabhoist/cell/preemptions.py
+++ b/baobabhoist/cell/preemptions.py
@@ -117,9 +117,7 @@
             emit(
                 log,
                 Event.RUN_PREEMPTED,
-                task=run.task.key.to_text(),
-                run=run.number,
-                worker=run.worker_id,
+                **run.log_fields(),
                 winner=step.job.job_id,
                 winner_step=step.key.step,
                 expired=victim.is_expired,
--- a/baobabhoist/cell/run_ends.py
+++ b/baobabhoist/cell/run_ends.py
@@ -119,9 +119,7 @@
     emit(
         log,
         Event.RUN_LOST,
-        task=run.task.key.to_text(),
-        run=run.number,
-        worker=run.worker_id,
+        **run.log_fields(),
         reason=reason,
     )
     state.waste.record_loss(run, run.stop_cause or cause, now)
--- a/baobabhoist/cell/state.py
+++ b/baobabhoist/cell/state.py
@@ -189,9 +189,7 @@
         emit(
             log,
             Event.RUN_STARTED,
-            task=task.key.to_text(),
-            run=run_number,
-            worker=worker.worker_id,
+            **command.log_fields(),
             waited_ms=round(now - task.step.ready_since_ms),
             free_cpu=worker.free_cpu,
             ticket=ticket is not None,
--- a/baobabhoist/cell/wasted_work.py
+++ b/baobabhoist/cell/wasted_work.py
@@ -98,9 +98,7 @@
             emit(
                 log,
                 Event.WORK_WASTED,
-                task=run.task.key.to_text(),
-                run=run.number,
-                worker=run.worker_id,
+                **run.log_fields(),
                 cause=cause.value,
                 core_s=round(core_s, 2),
                 percent=run.progress_percent,
--- a/baobabhoist/cell/worker_reports.py
+++ b/baobabhoist/cell/worker_reports.py
@@ -91,9 +91,7 @@
                 emit(
                     log,
                     Event.START_UNANSWERED,
-                    task=command.task.to_text(),
-                    run=command.run,
-                    worker=command.worker_id,
+                    **command.log_fields(),
                 )
                 self._state.stop_run(run, now, WasteCause.START_UNANSWERED)
                 if run.task.step.spec.gang:
@@ -124,9 +122,7 @@
         emit(
             log,
             Event.START_REFUSED,
-            task=command.task.to_text(),
-            run=command.run,
-            worker=command.worker_id,
+            **command.log_fields(),
             reason=outcome.value,
             ticket_left_ms=_ticket_left_ms(step, command, now),
             decided_ms_ago=round(now - run.decided_ms),
--- a/baobabhoist/control/command_sender.py
+++ b/baobabhoist/control/command_sender.py
@@ -68,9 +68,7 @@
         emit(
             log,
             Event.START_REPEATED,
-            task=command.task.to_text(),
-            run=command.run,
-            worker=command.worker_id,
+            **command.log_fields(),
         )
         outcome = await self._call_start(cell, command)
         if outcome is CommandOutcome.FENCED:
