--- a/baobabhoist/control/job_admission.py
+++ b/baobabhoist/control/job_admission.py
@@ -29,15 +29,15 @@
 
 
 class WaitSource(Protocol):
-    """Return what the owner has published."""
+    """Know the expected waits that the owner has published."""
 
     def job_waits(self) -> KnownWaits | None:
-        """Return the last figures of the present owner, or None."""
+        """Return the last expected waits of the present owner, or None."""
 
 
 @attrs.frozen
 class KnownWaits:
-    """Hold the figures of an owner and when it computed them, on the local clock."""
+    """Hold the expected waits of an owner and when it computed them, on the local clock."""
 
     waits: JobWaits
     computed_ms: float
@@ -49,7 +49,11 @@
 
 @attrs.frozen
 class HopelessJob:
-    """Hold why a job was found hopeless."""
+    """Hold why a job was found hopeless, from the expected waits of `age_ms` ago.
+
+    `cpu_ms` is the declared processor time of the job, in thousandths of a core times ms, and
+    `instances` is how many instances answer callers.
+    """
 
     slack: JobSlack
     wait: ExpectedWait
--- a/baobabhoist/control/job_api.py
+++ b/baobabhoist/control/job_api.py
@@ -193,9 +193,9 @@
             return None
         if await self._is_stored(admitted.job_id):
             return None
-        if never_starts is not None or hopeless is None:
+        if never_starts is not None:
             return never_starts
-        return self.admission.refuse(hopeless, team, monotonic_ms())
+        return self.admission.refuse(hopeless, team, monotonic_ms()) if hopeless else None
 
     async def _is_stored(self, job_id: str) -> bool:
         """Return whether a job may be stored already; a repeated call must not be refused."""
--- a/baobabhoist/control/links.py
+++ b/baobabhoist/control/links.py
@@ -121,7 +121,7 @@
         self.link: Link | None = None
         # Until when the owner wants new jobs to be refused.
         self.refuse_jobs_until_ms = 0.0
-        # For how long new jobs would wait, as the connected owner has told.
+        # The expected waits of new jobs that the connected owner sent last.
         self.job_waits: KnownWaits | None = None
         self._identity = identity
         self._handler = handler
--- a/baobabhoist/control/metrics.py
+++ b/baobabhoist/control/metrics.py
@@ -80,7 +80,7 @@
         self._config_age = self._gauge("config_age_seconds", "Age of its last confirmation.")
         self._owns = self._gauge("owns_cell", "1 while this instance owns the cell.")
         self._queued = self._gauge("queued_tasks", "Tasks that wait, by queue.")
-        # Labels of the teams that the gauges of shares have.
+        # Labels of the teams for which the gauges of shares have been set.
         self._shown_teams: set[str] = set()
         self._wasted = self._counter(
             "wasted_core_seconds_total", "Work of runs that was thrown away, by queue and cause."
--- a/baobabhoist/control/node.py
+++ b/baobabhoist/control/node.py
@@ -211,7 +211,8 @@
         await self._election.release("this instance drains")
 
     def _apply_operator_rows(self, rows: Sequence[StoredRow], is_snapshot: bool) -> None:
-        # Without a configuration this instance claims no cell, so a new owner knows what follows.
+        # Evacuations come first: an instance claims no cell before it has a configuration, so an
+        # owner knows them from its start.
         self._apply_evacuations(rows, is_snapshot)
         for row in rows:
             if row.key.key == self._adapter.decoder.tables.config_key and row.value is not None:
--- a/baobabhoist/control/owner.py
+++ b/baobabhoist/control/owner.py
@@ -62,7 +62,8 @@
 JOBS_POLL_PAUSE_S = 0.2
 LOAD_RETRY_INTERVAL_S = 0.15
 RETENTION_CHECK_TICKS = 100
-# A new owner starts nothing while what it knows of the operator's requests is older than this.
+# A new owner starts nothing until its view of the operator's table is confirmed; a confirmation
+# counts if it came at most this long before the won claim.
 MAX_OPERATOR_TABLE_AGE_MS = 2_500.0
 # Least pause after a scheduling round, as a multiple of the round's duration.
 ROUND_PAUSE_FACTOR = 3.0
@@ -246,7 +247,7 @@
         return self.cell.state.start_backlog.refuse_jobs_ms(monotonic_ms())
 
     def job_waits(self) -> KnownWaits | None:
-        """Return for how long new jobs would wait, or None before the first figures."""
+        """Return the expected waits of new jobs, or None while loading or with admission off."""
         if self.cell is None or not self._deps.policy.refuses_hopeless_jobs:
             return None
         table = self.cell.admission.table
@@ -422,7 +423,7 @@
         )
 
     def _knows_operator_requests(self) -> bool:
-        """Return whether the operator's table was read shortly before the claim, or since."""
+        """Return whether the operator's table was confirmed shortly before the claim, or since."""
         oldest_ms = self.ownership.won_ms - MAX_OPERATOR_TABLE_AGE_MS
         return self._deps.operator_confirmed_ms() >= oldest_ms
 
--- a/baobabhoist/control/owner_router.py
+++ b/baobabhoist/control/owner_router.py
@@ -89,7 +89,7 @@
         return max(0.0, self.owner_link.refuse_jobs_until_ms - monotonic_ms())
 
     def job_waits(self) -> KnownWaits | None:
-        """Return for how long new jobs would wait, as far as the present owner has said."""
+        """Return the newest known expected waits of the present owner, or None."""
         if self.local_owner is not None:
             return self.local_owner.job_waits()
         if self.owner_link is None or self.owner_link.link is None:
@@ -108,11 +108,11 @@
             self._backoff_until_ms = monotonic_ms() + OWNER_TIMEOUT_BACKOFF_MS
             raise
 
-    async def call_newer(self, query: Any, timeout_s: float) -> Any:
-        """Return the owner's answer to a query that an owner of an earlier version leaves open.
+    async def call_if_supported(self, query: Any, timeout_s: float) -> Any:
+        """Return the owner's answer to a query that owners of earlier versions do not answer.
 
-        Raises LinkClosedError or TimeoutError; unlike in `call`, a timeout does not tell that the
-        owner is silent.
+        Raises LinkClosedError or TimeoutError. Unlike in `call`, no backoff follows a timeout,
+        because the owner may just be of an earlier version.
         """
         if self.local_owner is not None:
             return await self.handle(query)
--- a/baobabhoist/control/placement_previews.py
+++ b/baobabhoist/control/placement_previews.py
@@ -86,7 +86,7 @@
     ) -> PlacementPreview | Refusal:
         query = PlacementQuery(queue.name, team, attrs.evolve(spec, payload=""))
         try:
-            reply = await self.owner_router.call_newer(query, PREVIEW_TIMEOUT_S)
+            reply = await self.owner_router.call_if_supported(query, PREVIEW_TIMEOUT_S)
         except LinkClosedError:
             return unavailable_refusal("the owner of the cell cannot be reached")
         except TimeoutError:
--- a/baobabhoist/control/table_follower.py
+++ b/baobabhoist/control/table_follower.py
@@ -16,8 +16,8 @@
 RETRY_INTERVAL_S = 0.15
 # Long polls are short because each answer also confirms that the known rows are current.
 POLL_WAIT_MS = 1_000
-# After a failure, so that a poll which is lost in an outage holds up the next one for less long.
-RETRY_WAIT_MS = 0
+# After a failure, polls do not wait for changes, so that one that gets lost is given up earlier.
+RETRY_POLL_WAIT_MS = 0
 NEVER_MS = float("-inf")
 
 RowsCallback = Callable[[Sequence[StoredRow], bool], None]
@@ -81,7 +81,7 @@
                 is_loaded = False
             except StoreError as exc:
                 self._log_disconnected(exc)
-                wait_ms = RETRY_WAIT_MS
+                wait_ms = RETRY_POLL_WAIT_MS
                 await asyncio.sleep(RETRY_INTERVAL_S)
 
     async def load(self) -> None:
--- a/baobabhoist/control/usage_row.py
+++ b/baobabhoist/control/usage_row.py
@@ -18,7 +18,10 @@
 
 @attrs.frozen
 class UsageRow:
-    """Hold the past use of teams, in seconds of the whole cell, at a time of the store's clock."""
+    """Hold the past use of teams at a time of the store's clock.
+
+    A use of 1 s is that of the whole cell for a second.
+    """
 
     stored_ms: int
     use_s: Mapping[str, float]
