--- a/baobabhoist/control/owner.py
+++ b/baobabhoist/control/owner.py
@@ -6,21 +6,12 @@
 import functools
 import logging
 import time
-from collections.abc import Callable, Coroutine, Mapping, Sequence
-from typing import Any
+from collections.abc import Callable, Mapping, Sequence
 
 import attrs
 
-from baobabhoist.cell import progress_rows
 from baobabhoist.cell.evacuations import NO_EVACUATIONS, Evacuations
-from baobabhoist.cell.model import (
-    CellRules,
-    Command,
-    CommandOutcome,
-    RequestAdvice,
-    StartTask,
-    StopTask,
-)
+from baobabhoist.cell.model import CellRules, StartTask
 from baobabhoist.cell.placement_preview import PreviewTime, preview_placement
 from baobabhoist.cell.policy import DEFAULT_POLICY, SchedulingPolicy
 from baobabhoist.cell.scheduler import CellScheduler, Takeover
@@ -28,6 +19,7 @@
 from baobabhoist.control.advice import AdviceDispatcher
 from baobabhoist.control.cell_loader import CellLoader, CellTables
 from baobabhoist.control.clock import StoreClock, monotonic_ms, unix_ms
+from baobabhoist.control.command_sender import CommandSender
 from baobabhoist.control.interfaces import Decoder, WorkerDriver
 from baobabhoist.control.job_admission import KnownWaits
 from baobabhoist.control.loop_lag import LoopLagMonitor
@@ -47,15 +39,17 @@
     CANCEL_SUFFIX,
     JOB_PARTITIONS,
     JOBS_TABLE,
-    PROGRESS_TABLE,
-    decode_job,
-    decode_speeds,
 )
 from baobabhoist.control.sessions.assignment import LinkedInstance
 from baobabhoist.control.sessions.pool import PoolDependencies, SessionPool
+from baobabhoist.control.stored_rows import (
+    add_stored_job,
+    restore_progress,
+    restore_speeds,
+    restore_usage,
+)
 from baobabhoist.control.table_follower import TableFollower
-from baobabhoist.control.task_supervisor import TaskSupervisor, result_or
-from baobabhoist.control.usage_row import decode_usage
+from baobabhoist.control.task_supervisor import TaskSupervisor
 from baobabhoist.control.waiting_report import WaitingReporter
 from baobabhoist.observability.events import Event, emit
 from baobabhoist.store.row_store import RowStore, StoredRow, StoreError
@@ -67,9 +61,9 @@
 # Most jobs arrive by notification; polling the table finds those whose notification was lost.
 JOBS_POLL_PAUSE_S = 0.2
 LOAD_RETRY_INTERVAL_S = 0.15
-ADVICE_RETRY_INTERVAL_S = 0.15
 RETENTION_CHECK_TICKS = 100
-# A new owner starts nothing while what it knows of the operator's requests is older than this.
+# A new owner starts nothing until its view of the operator's table is confirmed; a confirmation
+# counts if it came at most this long before the won claim.
 MAX_OPERATOR_TABLE_AGE_MS = 2_500.0
 # Least pause after a scheduling round, as a multiple of the round's duration.
 ROUND_PAUSE_FACTOR = 3.0
@@ -138,6 +132,15 @@
         self._ownership_lost_reported = False
         self._ticks = 0
         self._waiting_reporter = WaitingReporter(deps.loop_lag)
+        self._sender = CommandSender(
+            self.sessions,
+            deps.advice_dispatcher,
+            deps.metrics,
+            self._waiting_reporter,
+            self._tasks,
+            self.may_renew,
+            self.request_scheduling_round,
+        )
 
     async def run(self) -> None:
         """Load the stored state, then run the cell until cancelled; raises if a task failed."""
@@ -200,20 +203,7 @@
         cell = self._cell
         if cell is None:
             return
-        try:
-            accepted = decode_job(job_id, value, version)
-        except ValueError as exc:
-            emit(log, Event.ROW_UNREADABLE, table=JOBS_TABLE, row=job_id, detail=exc)
-            return
-        accepted_local_ms = self._deps.clock.to_local_ms(accepted.accepted_ms)
-        try:
-            is_new = cell.add_job(accepted, accepted_local_ms, monotonic_ms(), unix_ms())
-        except Exception as exc:
-            # One job must not end this owner, and the next ones after it.
-            emit(log, Event.ROW_UNREADABLE, table=JOBS_TABLE, row=job_id, detail=repr(exc))
-            cell.remove_job(job_id)
-            return
-        if is_new:
+        if add_stored_job(cell, job_id, value, version, self._deps.clock):
             self.request_scheduling_round()
 
     def handle_cancelled_job(self, job_id: str) -> None:
@@ -257,7 +247,7 @@
         return self.cell.state.start_backlog.refuse_jobs_ms(monotonic_ms())
 
     def job_waits(self) -> KnownWaits | None:
-        """Return for how long new jobs would wait, or None before the first figures."""
+        """Return the expected waits of new jobs, or None while loading or with admission off."""
         if self.cell is None or not self._deps.policy.refuses_hopeless_jobs:
             return None
         table = self.cell.admission.table
@@ -282,15 +272,15 @@
         loaded_rows = (*tables.progress, *tables.cell, *tables.speeds, *tables.usage)
         self.progress_writer.set_versions({row.key: row.version for row in loaded_rows})
         cell = CellScheduler(self._rules, takeover, self._deps.lease_ms, self._deps.policy)
-        self._apply_speeds(cell, tables.speeds)
-        self._apply_usage(cell, tables.usage)
+        restore_speeds(cell, tables.speeds)
+        restore_usage(cell, tables.usage, self._deps.clock)
         self._cell = cell
         self._apply_directory_rows(tables.directory, True)
         cell.set_evacuations(self._evacuations, monotonic_ms())
         await self._load_jobs(tables.jobs)
         now = monotonic_ms()
         for index, row in enumerate(tables.progress):
-            self._apply_progress(cell, row, now)
+            restore_progress(cell, row, now)
             if index % ROWS_PER_YIELD == 0:
                 await asyncio.sleep(0)
         self.is_loaded = True
@@ -324,34 +314,6 @@
             self._apply_job_rows(sorted_rows[first : first + ROWS_PER_YIELD], False)
             await asyncio.sleep(0)
 
-    def _apply_speeds(self, cell: CellScheduler, rows: Sequence[StoredRow]) -> None:
-        for row in rows:
-            try:
-                if row.value is not None:
-                    cell.state.speeds.add(decode_speeds(row.value))
-            except ValueError as exc:
-                emit(log, Event.ROW_UNREADABLE, table=row.key.table, row=row.key.key, detail=exc)
-
-    def _apply_usage(self, cell: CellScheduler, rows: Sequence[StoredRow]) -> None:
-        """Continue from the past use that an earlier owner stored; without it, from none."""
-        for row in rows:
-            try:
-                usage = decode_usage(row.value or b"")
-            except ValueError as exc:
-                emit(log, Event.ROW_UNREADABLE, table=row.key.table, row=row.key.key, detail=exc)
-                continue
-            age_ms = self._deps.clock.now_ms() - usage.stored_ms
-            cell.state.shares.past_use.restore(usage.use_s, age_ms)
-            emit(log, Event.PAST_USE_RESTORED, teams=len(usage.use_s), age_ms=age_ms)
-
-    def _apply_progress(self, cell: CellScheduler, row: StoredRow, now: float) -> None:
-        try:
-            if row.value is not None:
-                cell.restore_job(row.key.key, progress_rows.decode(row.value), now)
-        except Exception as exc:
-            # One row must not end this owner, and the next ones after it.
-            emit(log, Event.ROW_UNREADABLE, table=PROGRESS_TABLE, row=row.key.key, detail=exc)
-
     # Changes of tables.
 
     def _jobs_follower(self) -> TableFollower:
@@ -446,10 +408,10 @@
         for command in commands:
             if isinstance(command, StartTask):
                 self.progress_writer.call_when_stored(
-                    functools.partial(self._send_command, command)
+                    functools.partial(self._sender.send, cell, command)
                 )
             else:
-                self._send_command(command)
+                self._sender.send(cell, command)
         if cell.state.dirty:
             self.progress_writer.request_flush()
 
@@ -461,7 +423,7 @@
         )
 
     def _knows_operator_requests(self) -> bool:
-        """Return whether the operator's table was read shortly before the claim, or since."""
+        """Return whether the operator's table was confirmed shortly before the claim, or since."""
         oldest_ms = self.ownership.won_ms - MAX_OPERATOR_TABLE_AGE_MS
         return self._deps.operator_confirmed_ms() >= oldest_ms
 
@@ -470,77 +432,6 @@
         advice.slot_count = dispatcher.slot_count
         advice.blocked_count = max(0, dispatcher.count_unavailable() - advice.open_count)
 
-    def _send_command(self, command: Command) -> None:
-        if self._tasks.is_stopped:
-            return
-        self._tasks.spawn(self._SENDERS[type(command)](self, command))
-
-    async def _send_start(self, command: StartTask) -> None:
-        cell = self._require_cell()
-        # This process may have been suspended since the run was stored.
-        if not self.may_renew() or not cell.should_send_start(command, monotonic_ms()):
-            return
-        self._observe_wait(command)
-        outcome = await self._call_start(command)
-        if outcome is CommandOutcome.UNKNOWN and self._may_repeat_start(command):
-            emit(
-                log,
-                Event.START_REPEATED,
-                task=command.task.to_text(),
-                run=command.run,
-                worker=command.worker_id,
-            )
-            repeated_outcome = await self._call_start(command)
-            if repeated_outcome is CommandOutcome.OK:
-                outcome = CommandOutcome.OK
-            # Any other answer leaves open what the first start has done or may still do.
-            if repeated_outcome is CommandOutcome.FENCED:
-                cell.mark_fenced()
-        cell.handle_start_result(command, outcome, monotonic_ms())
-        self.request_scheduling_round()
-
-    def _may_repeat_start(self, command: StartTask) -> bool:
-        is_permitted = self.may_renew() and not self._tasks.is_stopped
-        return is_permitted and self._require_cell().may_repeat_start(command, monotonic_ms())
-
-    async def _call_start(self, command: StartTask) -> CommandOutcome:
-        sent_ms = monotonic_ms()
-        outcome = await result_or(self.sessions.start_task(command), CommandOutcome.UNKNOWN)
-        self._waiting_reporter.starts[outcome] += 1
-        duration_ms = monotonic_ms() - sent_ms
-        self._deps.metrics.observe_worker_call("start", outcome.value, duration_ms / 1000)
-        if outcome is not CommandOutcome.OK:
-            self._deps.metrics.count_failed_start(outcome)
-        self._require_cell().record_start_answer(outcome, duration_ms, monotonic_ms())
-        return outcome
-
-    def _observe_wait(self, command: StartTask) -> None:
-        job = self._require_cell().find_job(command.task.job_id)
-        step = job.find_step(command.task) if job is not None else None
-        if job is not None and step is not None:
-            waited_s = (monotonic_ms() - step.ready_since_ms) / 1000
-            self._deps.metrics.observe_wait(job.accepted.team, job.accepted.queue, waited_s)
-
-    async def _send_stop(self, command: StopTask) -> None:
-        outcome = await result_or(self.sessions.stop_task(command), CommandOutcome.UNKNOWN)
-        self._require_cell().handle_stop_result(command, outcome, monotonic_ms())
-        self.request_scheduling_round()
-
-    async def _ask_adviser(self, query: RequestAdvice) -> None:
-        advice = await result_or(self._deps.advice_dispatcher.ask(query), None)
-        cell, now = self._require_cell(), monotonic_ms()
-        if advice is None:
-            cell.handle_advice_failure(query.step, now + ADVICE_RETRY_INTERVAL_S * 1000)
-        else:
-            cell.handle_advice(query.step, query.workers, advice.tickets, now + advice.valid_ms)
-        self.request_scheduling_round()
-
-    _SENDERS: dict[type[Command], Callable[[Any, Any], Coroutine[Any, Any, None]]] = {
-        StartTask: _send_start,
-        StopTask: _send_stop,
-        RequestAdvice: _ask_adviser,
-    }
-
     async def _run_ticks(self) -> None:
         while True:
             cell = self._require_cell()
