Move the expected waits out of cell/admission.py

Instances read the published waits and need nothing of how an owner computes them; cell/expected_waits.py holds them and how they are read. No change of behaviour.

--- a/baobabhoist/cell/admission.py
+++ b/baobabhoist/cell/admission.py
@@ -7,14 +7,22 @@
 
 from __future__ import annotations
 
-import enum
 import logging
 from bisect import bisect_right
-from collections.abc import Iterable, Sequence
+from collections.abc import Iterable
 from typing import NamedTuple, Protocol
 
 import attrs
 
+from baobabhoist.cell.expected_waits import (
+    ANY,
+    BEGIN_WAIT_MS,
+    END_WAIT_MS,
+    SLACK_BOUNDS_MS,
+    ExpectedWait,
+    Shortage,
+    WaitTable,
+)
 from baobabhoist.cell.jobs import JobState, StepState
 from baobabhoist.cell.model import NO_RESOURCES, Resources
 from baobabhoist.cell.ranking import Timeliness, timeliness_of
@@ -30,21 +38,14 @@
 SUSTAINED_MS = 1_500.0
 # Updates that find room do not end the congestion before this time has passed.
 GAP_MS = 1_000.0
-# A congestion begins with the first wait and lasts until all waits are below the second.
-BEGIN_WAIT_MS = 2_000.0
-END_WAIT_MS = 1_000.0
 # Weight of the last update in the used part of a pool.
 USE_WEIGHT = 0.3
 # A pool is expected to have at least this part in use: gangs leave some of it idle.
 MIN_USED_PART = 0.5
 # A pool is full when this part of a resource is in use.
 FULL_PART = 0.85
-# On-time work is told apart by its slack; work of one priority is served by rising slack.
-SLACK_BOUNDS_MS = (1_000.0, 2_000.0, 4_000.0, 8_000.0, 16_000.0, 32_000.0)
 # Only the longest waits are published.
 MAX_ROWS = 32
-# Stands for all teams in a row on a full service, and for all services in one on a team's limit.
-ANY = ""
 
 TEAM_LIMIT_REASONS = frozenset({WaitReason.TEAM_LIMIT, WaitReason.TEAM_LIMIT_RESERVED})
 NO_ROOM_REASONS = frozenset(
@@ -57,13 +58,6 @@
 )
 
 
-class Shortage(enum.StrEnum):
-    """List what new jobs would wait for."""
-
-    TEAM_LIMIT = "team_limit"
-    SERVICE_FULL = "service_full"
-
-
 class Entitlement(Protocol):
     """Tell which jobs their teams send beyond their shares; these rank behind all others."""
 
@@ -74,42 +68,6 @@
         """Return whether a job accepted at a time of the store's clock would be within it."""
 
 
-@attrs.frozen
-class ExpectedWait:
-    """Hold for how long a new job of a team, service and priority would wait, in ms.
-
-    The wait is `on_time_ms` while the job can still meet its objective, and `late_ms` once it
-    cannot. `cpu_rate` is the rate at which work ends, in thousandths of a core. `shortage` is a
-    text, so that an instance of an earlier version can read later values. `resource` is the one
-    that the work waits for, or empty from an owner of a version without it. `by_slack_ms` are the
-    waits behind on-time work of less slack than each of `SLACK_BOUNDS_MS`, empty likewise.
-    """
-
-    team: str
-    service: str
-    priority: int
-    shortage: str
-    on_time_ms: float
-    late_ms: float
-    cpu_rate: float
-    resource: str = ""
-    by_slack_ms: tuple[int, ...] = ()
-
-    def on_time_ms_with(self, slack_ms: float) -> float:
-        """Return for how long a job of some slack would wait while it is on time."""
-        if not self.by_slack_ms:
-            return self.on_time_ms
-        return _interpolate(slack_ms, SLACK_BOUNDS_MS, self.by_slack_ms, self.on_time_ms)
-
-
-@attrs.frozen
-class WaitTable:
-    """Hold the expected waits that are worth telling, and when they were computed."""
-
-    rows: tuple[ExpectedWait, ...] = ()
-    computed_ms: float = float("-inf")
-
-
 class WaitingRank(NamedTuple):
     """Hold what decides in which order work is served; `band` orders on-time work by slack."""
 
@@ -301,7 +259,7 @@
     state: CellState
     # None if jobs are not ranked by the shares of their teams.
     entitlement: Entitlement | None = None
-    table: WaitTable = WaitTable()
+    table: WaitTable = attrs.Factory(WaitTable)
     _congestions: dict[PoolKey, Congestion] = attrs.Factory(dict)
     _announced: dict[RowKey, ExpectedWait] = attrs.Factory(dict)
 
@@ -515,18 +473,6 @@
     return shortest_ms
 
 
-def _interpolate(
-    at: float, bounds: Sequence[float], values: Sequence[float], last_value: float
-) -> float:
-    """Return the value at a point, linear from 0 between bounds and `last_value` beyond them."""
-    number = bisect_right(bounds, at)
-    if number == len(bounds):
-        return last_value
-    low, low_value = (bounds[number - 1], values[number - 1]) if number else (0.0, 0.0)
-    part = max(0.0, at - low) / (bounds[number] - low)
-    return low_value + part * (values[number] - low_value)
-
-
 def _largest_ratio(amount: Resources, capacity: Resources) -> float:
     return max(_ratios(amount, capacity).values(), default=0.0)
 
--- a/baobabhoist/cell/job_prospects.py
+++ b/baobabhoist/cell/job_prospects.py
@@ -6,7 +6,7 @@
 
 import attrs
 
-from baobabhoist.cell.admission import ANY, ExpectedWait, Shortage
+from baobabhoist.cell.expected_waits import ANY, ExpectedWait, Shortage
 from baobabhoist.cell.jobs import LATE_LIMIT_FACTOR, critical_path_ms, objective_after_ms
 from baobabhoist.cell.model import AcceptedJob, JobSpec, Queue, Resources, Team
 
--- a/baobabhoist/control/job_admission.py
+++ b/baobabhoist/control/job_admission.py
@@ -6,7 +6,7 @@
 
 import attrs
 
-from baobabhoist.cell.admission import ExpectedWait, Shortage
+from baobabhoist.cell.expected_waits import ExpectedWait, Shortage
 from baobabhoist.cell.job_prospects import (
     JobSlack,
     exceeds_limit,
--- a/baobabhoist/control/messages.py
+++ b/baobabhoist/control/messages.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from baobabhoist.cell.admission import ExpectedWait
+from baobabhoist.cell.expected_waits import ExpectedWait
 from baobabhoist.cell.model import JobSpec
 from baobabhoist.cell.placement_report import PlacementPreview
 from baobabhoist.control.sessions.messages import SESSION_MESSAGES
--- a/baobabhoist/tests/test_cell_admission.py
+++ b/baobabhoist/tests/test_cell_admission.py
@@ -6,7 +6,6 @@
 
 from baobabhoist.cell import admission as admission_module
 from baobabhoist.cell.admission import (
-    END_WAIT_MS,
     GAP_MS,
     SUSTAINED_MS,
     UPDATE_INTERVAL_MS,
@@ -14,6 +13,7 @@
     GroupTime,
     _shortest_ms,
 )
+from baobabhoist.cell.expected_waits import END_WAIT_MS
 from baobabhoist.cell.model import Resources, Step
 from baobabhoist.cell.policy import DEFAULT_POLICY, SchedulingPolicy
 from baobabhoist.observability.events import Event
--- a/baobabhoist/tests/test_control_job_api.py
+++ b/baobabhoist/tests/test_control_job_api.py
@@ -7,7 +7,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from baobabhoist.cell.admission import ExpectedWait
+from baobabhoist.cell.expected_waits import ExpectedWait
 from baobabhoist.cell.model import CellRules, JobPhase, Queue, Resources, Team
 from baobabhoist.cell.progress_rows import JobProgress, encode
 from baobabhoist.control import job_api as job_api_module
--- a/baobabhoist/tests/test_control_owner_router.py
+++ b/baobabhoist/tests/test_control_owner_router.py
@@ -3,7 +3,7 @@
 import asyncio
 from types import SimpleNamespace
 
-from baobabhoist.cell.admission import ExpectedWait
+from baobabhoist.cell.expected_waits import ExpectedWait
 from baobabhoist.control.claim import ClaimRow
 from baobabhoist.control.clock import monotonic_ms
 from baobabhoist.control.job_admission import MAX_WAITS_AGE_MS
--- a/baobabhoist/tests/test_control_placement_previews.py
+++ b/baobabhoist/tests/test_control_placement_previews.py
@@ -6,7 +6,7 @@
 import attrs
 import pytest
 
-from baobabhoist.cell.admission import ExpectedWait
+from baobabhoist.cell.expected_waits import ExpectedWait
 from baobabhoist.cell.model import NO_RESOURCES, Resources, Team
 from baobabhoist.cell.placement_report import PlacementPreview, TeamStanding, WaitingPosition
 from baobabhoist.control.clock import monotonic_ms
