Move the hysteresis of congestion out of cell/admission.py

cell/congestion.py decides whether the waits for one pool are published, and holds the times and parts that decide it. No change of behaviour.

--- a/baobabhoist/cell/admission.py
+++ b/baobabhoist/cell/admission.py
@@ -13,9 +13,9 @@
 
 import attrs
 
+from baobabhoist.cell.congestion import Congestion
 from baobabhoist.cell.expected_waits import (
     ANY,
-    BEGIN_WAIT_MS,
     END_WAIT_MS,
     SLACK_BOUNDS_MS,
     ExpectedWait,
@@ -35,14 +35,6 @@
 log = logging.getLogger(__name__)
 
 UPDATE_INTERVAL_MS = 500.0
-# A pool counts as congested once it has been full for this long on end.
-SUSTAINED_MS = 1_500.0
-# Updates that find room do not end the congestion before this time has passed.
-GAP_MS = 1_000.0
-# Weight of the last update in the used part of a pool.
-USE_WEIGHT = 0.3
-# A pool is expected to have at least this part in use: gangs leave some of it idle.
-MIN_USED_PART = 0.5
 # A pool is full when this part of a resource is in use.
 FULL_PART = 0.85
 # Only the longest waits are published.
@@ -69,41 +61,6 @@
         """Return whether a job accepted at a time of the store's clock would be within it."""
 
 
-@attrs.define
-class Congestion:
-    """Decide with hysteresis whether waits for one pool are published; all times are in ms."""
-
-    is_on: bool = False
-    used_part: float = 0.0
-    _full_since_ms: float | None = None
-    _last_full_ms: float = float("-inf")
-
-    def update(self, load: PoolLoad, now: float) -> None:
-        """Record whether the pool is full now, and how much of it is in use."""
-        self.used_part += USE_WEIGHT * (load.used_part - self.used_part)
-        if load.has_shortage:
-            self._last_full_ms = now
-            if self._full_since_ms is None:
-                self._full_since_ms, self.used_part = now, load.used_part
-        elif now - self._last_full_ms > GAP_MS:
-            self._full_since_ms, self.is_on = None, False
-
-    def is_sustained(self, now: float) -> bool:
-        """Return whether the pool has been full for long enough to count as congested."""
-        return self._full_since_ms is not None and now - self._full_since_ms >= SUSTAINED_MS
-
-    def judge(self, longest_wait_ms: float, now: float) -> bool:
-        """Return whether the waits are published, given the longest of them."""
-        threshold_ms = END_WAIT_MS if self.is_on else BEGIN_WAIT_MS
-        self.is_on = self.is_sustained(now) and longest_wait_ms >= threshold_ms
-        return self.is_on
-
-    @property
-    def expected_used_part(self) -> float:
-        """Return the part of the pool that is expected to stay in use."""
-        return min(1.0, max(MIN_USED_PART, self.used_part))
-
-
 @attrs.frozen
 class PoolWait:
     """Hold for how long a late job of a team and rank would wait for a pool, in ms."""
--- a/baobabhoist/tests/test_cell_admission.py
+++ b/baobabhoist/tests/test_cell_admission.py
@@ -5,12 +5,8 @@
 from hypothesis import strategies as st
 
 from baobabhoist.cell import admission as admission_module
-from baobabhoist.cell.admission import (
-    GAP_MS,
-    SUSTAINED_MS,
-    UPDATE_INTERVAL_MS,
-    AdmissionControl,
-)
+from baobabhoist.cell.admission import UPDATE_INTERVAL_MS, AdmissionControl
+from baobabhoist.cell.congestion import GAP_MS, SUSTAINED_MS
 from baobabhoist.cell.expected_waits import END_WAIT_MS
 from baobabhoist.cell.model import Resources, Step
 from baobabhoist.cell.policy import DEFAULT_POLICY, SchedulingPolicy
