--- a/baobabhoist/cell/admission.py
+++ b/baobabhoist/cell/admission.py
@@ -25,6 +25,7 @@
 from baobabhoist.cell.jobs import JobState, StepState
 from baobabhoist.cell.model import NO_RESOURCES, Resources
 from baobabhoist.cell.pool_loads import WHOLE_POOL, GroupKey, PoolKey, PoolLoad, WaitingGroup
+from baobabhoist.cell.pool_waits import PoolWait
 from baobabhoist.cell.ranking import Timeliness, timeliness_of
 from baobabhoist.cell.state import CellState
 from baobabhoist.cell.wait_reasons import WaitReason
@@ -61,38 +62,6 @@
         """Return whether a job accepted at a time of the store's clock would be within it."""
 
 
-@attrs.frozen
-class PoolWait:
-    """Hold for how long a late job of a team and rank would wait for a pool, in ms."""
-
-    key: PoolKey
-    team: str
-    late_rank: WaitingRank
-    load: PoolLoad
-    used_part: float
-    late_ms: float
-
-    def row(self) -> ExpectedWait:
-        """Return all figures of this wait."""
-        shortage, name = self.key
-        on_time = self.late_rank._replace(timeliness=Timeliness.ON_TIME)
-        bands = range(len(SLACK_BOUNDS_MS))
-        return ExpectedWait(
-            self.team,
-            name if shortage is Shortage.SERVICE_FULL else ANY,
-            self.late_rank.priority,
-            shortage.value,
-            self._wait_ms(on_time),
-            self.late_ms,
-            float(self.load.used.cpu),
-            self.load.scarcest_resource(self.late_rank),
-            tuple(round(self._wait_ms(on_time._replace(band=band))) for band in bands),
-        )
-
-    def _wait_ms(self, rank: WaitingRank) -> float:
-        return self.load.wait_ms(rank, self.used_part)
-
-
 # The team, service and priority of a row.
 RowKey = tuple[str, str, int]
 
