--- a/baobabhoist/cell/shares.py
+++ b/baobabhoist/cell/shares.py
@@ -18,6 +18,7 @@
 from baobabhoist.cell.model import NO_RESOURCES, Resources, Team
 from baobabhoist.cell.past_use import USE_STEPS, PastUse
 from baobabhoist.cell.policy import DEFAULT_POLICY, SchedulingPolicy
+from baobabhoist.cell.token_bucket import TokenBucket
 from baobabhoist.cell.workers import WorkerState
 from baobabhoist.fair_shares import (
     DEFAULT_WEIGHT,
@@ -29,10 +30,6 @@
 
 log = logging.getLogger(__name__)
 
-MS_PER_S = 1000.0
-# A team may send what it is entitled to in this time at once, but at least some jobs.
-BURST_S = 2.0
-MIN_BURST_JOBS = 4.0
 MAX_WEIGHT = 1e6
 # Multiples of a team's part of the capacity at which it stands one step lower.
 SHARE_STEPS = (1.0, 2.0, 4.0)
@@ -45,36 +42,6 @@
 USE_STEP_COUNT = len(USE_STEPS) + 1
 
 
-@attrs.define
-class TokenBucket:
-    """Count the jobs that a team may still send; times are on the store's clock, in ms."""
-
-    rate_per_ms: float
-    burst: float
-    tokens: float
-    refilled_ms: float = float("-inf")
-
-    @classmethod
-    def for_weight(cls, weight: float) -> TokenBucket:
-        """Return a full bucket for a number of jobs a second."""
-        burst = max(MIN_BURST_JOBS, weight * BURST_S)
-        return cls(weight / MS_PER_S, burst, burst)
-
-    def available_at(self, at_ms: float) -> float:
-        """Return the tokens at a time; one that lies before the last refill adds none."""
-        elapsed_ms = max(0.0, at_ms - self.refilled_ms)
-        return min(self.burst, self.tokens + elapsed_ms * self.rate_per_ms)
-
-    def take(self, at_ms: float) -> bool:
-        """Take a token; return whether there was one."""
-        self.tokens = self.available_at(at_ms)
-        self.refilled_ms = max(self.refilled_ms, at_ms)
-        if self.tokens < 1.0:
-            return False
-        self.tokens -= 1.0
-        return True
-
-
 @attrs.define
 class TeamAccount:
     """Hold the entitlement of a team; a team without a bucket may send any number of jobs."""
--- a/baobabhoist/tests/test_cell_shares.py
+++ b/baobabhoist/tests/test_cell_shares.py
@@ -13,7 +13,7 @@
 from baobabhoist.cell.model import CellRules, Queue, RunOutcome, StartTask, Step, Team
 from baobabhoist.cell.policy import SchedulingPolicy
 from baobabhoist.cell.ranking import timeliness_of
-from baobabhoist.cell.shares import BURST_S, TokenBucket
+from baobabhoist.cell.token_bucket import BURST_S, TokenBucket
 from baobabhoist.observability.events import Event
 from baobabhoist.tests.cell_harness import SMALL, CellHarness, make_job
 
