--- a/baobabhoist/cell/ranking.py
+++ b/baobabhoist/cell/ranking.py
@@ -9,7 +9,7 @@
 
 from baobabhoist.cell.jobs import JobState, StepState
 from baobabhoist.cell.model import Queue
-from baobabhoist.cell.shares import ShareRound
+from baobabhoist.cell.share_rounds import ShareRound
 
 # Before that of all queues.
 FIRST_PRIORITY = -1
