Move the entitlements of teams out of cell/shares.py

cell/team_entitlements.py charges the token buckets and marks jobs beyond them; cell/shares.py is left with running shares and past use. CellState holds both, and admission, preemption and the preview ask the entitlements. Tests read the moved attributes from there; assertions are unchanged. No change of behaviour.

--- a/baobabhoist/cell/placement_preview.py
+++ b/baobabhoist/cell/placement_preview.py
@@ -83,7 +83,7 @@
     accepted = AcceptedJob("", queue.name, queue.service, team, round(time.store_ms), spec)
     job = JobState(accepted, time.now)
     job.objective_ms = time.now + objective_after_ms(accepted, queue)
-    entitled_jobs = state.shares.entitled_jobs(team, time.store_ms)
+    entitled_jobs = state.entitlements.entitled_jobs(team, time.store_ms)
     job.is_beyond_entitlement = entitled_jobs is not None and entitled_jobs < 1.0
     return next(step for step in job.open_occurrence() if job.is_step_ready(step))
 
@@ -196,7 +196,7 @@
             used,
             limit,
             self._step.job.is_beyond_entitlement,
-            shares.entitled_jobs(self._team, self._time.store_ms),
+            self._state.entitlements.entitled_jobs(self._team, self._time.store_ms),
             shares.ratio(self._team, (used.cpu, used.memory_mb, used.gpu, 0)),
             shares.past_use.use_s.get(self._team, 0.0),
         )
--- a/baobabhoist/cell/placer.py
+++ b/baobabhoist/cell/placer.py
@@ -141,7 +141,7 @@
         self.state.finish_job(job, JobPhase.FAILED, now, "it makes the scheduler fail")
 
     def _rank(self, step: StepState, now: float) -> Rank:
-        is_beyond = self.state.shares.is_beyond_entitlement(step.job)
+        is_beyond = self.state.entitlements.is_beyond_entitlement(step.job)
         return rank_step(step, self.state.queue_of(step.job), is_beyond, now)
 
     def _place_step(
--- a/baobabhoist/cell/preemption.py
+++ b/baobabhoist/cell/preemption.py
@@ -10,7 +10,7 @@
 from baobabhoist.cell.jobs import JobState, Run, RunPhase, StepState
 from baobabhoist.cell.model import NO_RESOURCES, Queue, Resources
 from baobabhoist.cell.ranking import Timeliness, timeliness_of
-from baobabhoist.cell.shares import TeamShares
+from baobabhoist.cell.team_entitlements import TeamEntitlements
 from baobabhoist.cell.wasted_work import MS_PER_S, count_cores, unsaved_core_s
 from baobabhoist.cell.worker_selection import count_fitting_tasks, max_tasks_per_worker
 from baobabhoist.cell.workers import WorkerState
@@ -65,7 +65,7 @@
 
     queue_of: Callable[[JobState], Queue | None]
     now: float
-    shares: TeamShares
+    entitlements: TeamEntitlements
 
     def choose(
         self, step: StepState, workers: list[WorkerState], served_count: int
@@ -121,7 +121,7 @@
         if not is_expired and (spec.gang or not self._may_stop_timely(run, winner)):
             return None
         lost = sum(self._lost_core_s(member) for member in runs)
-        is_beyond = self.shares.is_beyond_entitlement(job)
+        is_beyond = self.entitlements.is_beyond_entitlement(job)
         return Victim(job, runs, is_expired, is_beyond, lost)
 
     def _is_spared(self, run: Run) -> bool:
@@ -147,7 +147,7 @@
         Only the first priority may do so, within its team's share, and only if the job stays as
         timely as it is.
         """
-        if self.shares.is_beyond_entitlement(winner.job):
+        if self.entitlements.is_beyond_entitlement(winner.job):
             return False
         queue, own = self.queue_of(winner.job), self.queue_of(run.task.step.job)
         if queue is None or own is None or queue.priority != FIRST_PRIORITY:
--- a/baobabhoist/cell/preemptions.py
+++ b/baobabhoist/cell/preemptions.py
@@ -79,7 +79,7 @@
         now: float,
     ) -> None:
         """Stop runs on some of these workers if that serves a step that finds no room."""
-        preemptor = Preemptor(self.state.queue_of, now, self.state.shares)
+        preemptor = Preemptor(self.state.queue_of, now, self.state.entitlements)
         served = self._count_servable(step) if self._may_examine(step, now) else 0
         if not served or not preemptor.may_win(step):
             return
--- a/baobabhoist/cell/scheduler.py
+++ b/baobabhoist/cell/scheduler.py
@@ -72,7 +72,7 @@
         self.state = CellState(rules, takeover.generation, policy)
         self.is_fenced = False
         self.placer = TaskPlacer(self.state)
-        self.admission = AdmissionControl(self.state, self.state.shares)
+        self.admission = AdmissionControl(self.state, self.state.entitlements)
         self._takeover = takeover
         self._lease_ms = lease_ms
         self._run_ends = RunEndHandler(self.state)
@@ -92,7 +92,7 @@
         job.is_inherited = accepted.version < self._takeover.claim_version
         self._set_objective(job)
         self.state.jobs[accepted.job_id] = job
-        self.state.shares.add_job(job, now)
+        self.state.entitlements.add_job(job, now)
         job.open_due_occurrences(unix_ms)
         self.state.update_ready_steps(job, now)
         if not job.is_inherited:
--- a/baobabhoist/cell/state.py
+++ b/baobabhoist/cell/state.py
@@ -37,6 +37,7 @@
 from baobabhoist.cell.start_backlog import StartBacklog
 from baobabhoist.cell.start_delay import StartDelay
 from baobabhoist.cell.start_window import StartWindow
+from baobabhoist.cell.team_entitlements import TeamEntitlements
 from baobabhoist.cell.ticket_usage import TicketUsage
 from baobabhoist.cell.wasted_work import WasteCause, WastedWork
 from baobabhoist.cell.workers import WorkerState
@@ -70,7 +71,10 @@
     start_delay: StartDelay = attrs.Factory(StartDelay)
     start_backlog: StartBacklog = attrs.Factory(StartBacklog)
     waste: WastedWork = attrs.Factory(WastedWork)
-    shares: TeamShares = attrs.Factory(lambda self: TeamShares(self.policy), takes_self=True)
+    entitlements: TeamEntitlements = attrs.Factory(
+        lambda self: TeamEntitlements(self.policy), takes_self=True
+    )
+    shares: TeamShares = attrs.Factory(lambda self: TeamShares(self.entitlements), takes_self=True)
     ticket_usage: TicketUsage = attrs.Factory(TicketUsage)
     commands: list[Command] = attrs.Factory(list)
     # Ids of jobs whose progress must be written to the store.
@@ -78,12 +82,12 @@
 
     def __attrs_post_init__(self) -> None:
         """Apply the configured weights of the teams."""
-        self.shares.set_teams(self.rules.teams)
+        self.entitlements.set_teams(self.rules.teams)
 
     def set_rules(self, rules: CellRules) -> None:
         """Replace the configured queues and teams."""
         self.rules = rules
-        self.shares.set_teams(rules.teams)
+        self.entitlements.set_teams(rules.teams)
 
     def queue_of(self, job: JobState) -> Queue | None:
         """Return the queue of a job, or None if it is no longer configured."""
--- a/baobabhoist/tests/test_cell_placement_preview.py
+++ b/baobabhoist/tests/test_cell_placement_preview.py
@@ -103,14 +103,14 @@
 def figures(harness):
     """Return what decides on the next scheduling rounds."""
     state, placer = harness.cell.state, harness.cell.placer
-    accounts = {name: attrs.asdict(a) for name, a in state.shares._accounts.items()}
+    accounts = {name: attrs.asdict(a) for name, a in state.entitlements.accounts.items()}
     return (
         (list(state.commands), set(state.dirty), dict(state.team_usage), set(state.jobs)),
         {k: (s.waiting_count, s.wait_reason, s.job.phase) for k, s in state.ready_steps.items()},
         {i: (w.used, set(w.runs), w.backoff_until_ms) for i, w in state.workers.items()},
         dict(placer.reservations.by_worker),
         (state.start_window.limit, list(state.start_window._starting)),
-        (accounts, list(state.shares._uncharged), dict(state.shares.past_use.use_s)),
+        (accounts, list(state.entitlements._uncharged), dict(state.shares.past_use.use_s)),
     )
 
 
--- a/baobabhoist/tests/test_cell_shares.py
+++ b/baobabhoist/tests/test_cell_shares.py
@@ -155,7 +155,7 @@
 
 def marked_jobs(harness):
     state = harness.cell.state
-    return {i for i, job in state.jobs.items() if state.shares.is_beyond_entitlement(job)}
+    return {i for i, job in state.jobs.items() if state.entitlements.is_beyond_entitlement(job)}
 
 
 @pytest.mark.parametrize("weight", [-1.0, math.nan, math.inf, 1e9])
@@ -284,10 +284,10 @@
                     self.check_not_passed_over(step.job, job, ratio)
 
     def check_not_passed_over(self, waiting, started, started_ratio):
-        now, shares = self.harness.now, self.harness.cell.state.shares
+        now = self.harness.now
         if timeliness_of(waiting, now) is not timeliness_of(started, now):
             return
-        is_beyond = shares.is_beyond_entitlement
+        is_beyond = self.harness.cell.state.entitlements.is_beyond_entitlement
         assert is_beyond(waiting) or not is_beyond(started)
         is_within_share = self.ratio(waiting.accepted.team) <= 1.0
         if is_within_share and is_beyond(waiting) is is_beyond(started):
