--- a/baobabhoist/cell/team_entitlements.py
+++ b/baobabhoist/cell/team_entitlements.py
@@ -104,6 +104,25 @@
         uncharged = sum(entry.job.accepted.team == team for entry in self._uncharged)
         return account.bucket.available_at(accepted_ms) - uncharged
 
+    def charge_added_jobs(self) -> None:
+        """Charge the teams for the jobs added since the last call, in order of acceptance."""
+        if not self._uncharged:
+            return
+        entries, self._uncharged = self._uncharged, []
+        entries.sort(key=lambda entry: (entry.accepted_ms, entry.job.job_id))
+        for entry in entries:
+            self._charge(entry.job, entry.accepted_ms)
+
+    def log_excess(self, now: float) -> None:
+        """Log which teams began or ceased to send jobs beyond their entitlement."""
+        for team, account in self.accounts.items():
+            has_excess = now - account.last_beyond_ms < EXCESS_GAP_MS
+            if has_excess is account.has_excess:
+                continue
+            account.has_excess = has_excess
+            event = Event.TEAM_EXCESS_BEGAN if has_excess else Event.TEAM_EXCESS_ENDED
+            emit(log, event, team=team, weight=account.weight, jobs=account.jobs_beyond)
+
     def _account(self, name: str, weight: float) -> TeamAccount:
         """Return the account of a team, the one that it has if the weight is the same."""
         account = self.accounts.get(name, TeamAccount())
@@ -124,15 +143,6 @@
             emit(log, Event.TEAM_WEIGHT_INVALID, team=team.name, weight=weight)
         return 0.0
 
-    def charge_added_jobs(self) -> None:
-        """Charge the teams for the jobs added since the last call, in order of acceptance."""
-        if not self._uncharged:
-            return
-        entries, self._uncharged = self._uncharged, []
-        entries.sort(key=lambda entry: (entry.accepted_ms, entry.job.job_id))
-        for entry in entries:
-            self._charge(entry.job, entry.accepted_ms)
-
     def _charge(self, job: JobState, accepted_ms: float) -> None:
         account = self.accounts.get(job.accepted.team)
         if account is None or account.bucket is None:
@@ -142,13 +152,3 @@
         job.is_beyond_entitlement = True
         account.jobs_beyond += 1
         account.last_beyond_ms = max(account.last_beyond_ms, job.accepted_local_ms)
-
-    def log_excess(self, now: float) -> None:
-        """Log which teams began or ceased to send jobs beyond their entitlement."""
-        for team, account in self.accounts.items():
-            has_excess = now - account.last_beyond_ms < EXCESS_GAP_MS
-            if has_excess is account.has_excess:
-                continue
-            account.has_excess = has_excess
-            event = Event.TEAM_EXCESS_BEGAN if has_excess else Event.TEAM_EXCESS_ENDED
-            emit(log, event, team=team, weight=account.weight, jobs=account.jobs_beyond)
--- a/baobabhoist/tests/test_cell_shares.py
+++ b/baobabhoist/tests/test_cell_shares.py
@@ -1,66 +1,23 @@
 """Test which team's work comes next in a full cell whose teams have weights."""
 
-import itertools
-import math
-
 import attrs
-import pytest
 from hypothesis import settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, rule
 
 from baobabhoist.cell.evacuations import Evacuations
-from baobabhoist.cell.model import CellRules, Queue, RunOutcome, StartTask, Step, Team
-from baobabhoist.cell.policy import SchedulingPolicy
+from baobabhoist.cell.model import RunOutcome, Step
 from baobabhoist.cell.ranking import timeliness_of
 from baobabhoist.cell.token_bucket import BURST_S, TokenBucket
-from baobabhoist.observability.events import Event
-from baobabhoist.tests.cell_harness import SMALL, CellHarness, make_job
-
-POLICY = SchedulingPolicy(weighs_shares=True, usage_half_life_s=3600.0)
-QUEUES = {
-    "urgent": Queue("urgent", "svc", 0, 3, 1.0, 60_000),
-    "q": Queue("q", "svc", 1, 3, 1.0, 60_000),
-}
-
-
-def make_cell(workers=1, **weights):
-    """Return a cell with room for four tasks on each worker."""
-    rules = CellRules(1, QUEUES, {name: Team(name, weight) for name, weight in weights.items()})
-    harness = CellHarness.with_workers(workers, rules, POLICY)
-    harness.cell.tick(harness.now, harness.now)
-    return harness
-
-
-@attrs.define
-class Submitter:
-    """Submit jobs of one task each, whose ids tell the team and the number."""
-
-    harness: CellHarness
-    numbers: itertools.count = attrs.Factory(itertools.count)
-
-    def submit(self, team, count=1, queue="q", need=SMALL):
-        for _ in range(count):
-            job = make_job(f"{team}-{next(self.numbers):04}", Step(1, need, 1000), team=team)
-            job = attrs.evolve(job, queue=queue, accepted_ms=int(self.harness.now))
-            self.harness.submit(job)
-
-
-def started_jobs(harness):
-    """Return the jobs that a round starts, in order."""
-    starts = [c for c in harness.schedule() if isinstance(c, StartTask)]
-    return [harness.cell.find_job(command.task.job_id) for command in starts]
-
-
-def started_teams(harness):
-    return [job.accepted.team for job in started_jobs(harness)]
-
-
-def end_runs(harness):
-    for key, _ in harness.running_tasks():
-        harness.worker_running(key).end_run(key, RunOutcome.DONE)
-    harness.now += 1.0
-    harness.renew_all()
+from baobabhoist.tests.cell_harness import SMALL, make_job
+from baobabhoist.tests.shares_harness import (
+    Submitter,
+    end_runs,
+    make_cell,
+    marked_jobs,
+    started_jobs,
+    started_teams,
+)
 
 
 def test_hot_team_of_six_times_its_weight_beside_a_steady_one():
@@ -110,63 +67,6 @@
     assert bucket.available_at(3_600_000.0) == 100.0 * BURST_S
 
 
-def test_new_owner_marks_the_same_jobs_beyond_the_entitlement():
-    """Guard against a takeover that changes whose work counts as entitled."""
-    harness = make_cell(hot=2.0)
-    jobs = Submitter(harness)
-    for _ in range(5):
-        harness.now += 500.0
-        jobs.submit("hot", 3)
-    before = marked_jobs(harness)
-    accepted = [job.accepted for job in harness.cell.state.jobs.values()]
-    harness.take_over(reversed(accepted))
-    assert marked_jobs(harness) == before
-    # A burst of 4, and 4 more for the 2 s after the first job.
-    assert len(before) == 15 - 8
-
-
-def test_configuration_that_comes_while_a_new_owner_loads_marks_no_more_jobs():
-    """Guard against entitled jobs that count as excess because newer ones were loaded first."""
-    harness = make_cell(steady=2.0)
-    jobs = Submitter(harness)
-    for _ in range(12):
-        harness.now += 500.0
-        jobs.submit("steady")
-    accepted = [job.accepted for job in harness.cell.state.jobs.values()]
-    harness.take_over(accepted[6:])
-    harness.cell.set_rules(harness.cell_rules)
-    for job in accepted[:6]:
-        harness.submit(job)
-    assert not marked_jobs(harness)
-
-
-def test_job_accepted_ahead_of_the_clock_takes_no_entitlement_from_later_ones():
-    """Guard against a team whose jobs all count as excess after one with an absurd time."""
-    harness = make_cell(steady=2.0)
-    ahead_ms = harness.now + 3_600_000.0
-    absurd = attrs.evolve(make_job("absurd", team="steady"), accepted_ms=int(ahead_ms))
-    harness.cell.add_job(absurd, ahead_ms, harness.now, harness.now)
-    jobs = Submitter(harness)
-    for _ in range(12):
-        harness.now += 500.0
-        jobs.submit("steady")
-        assert not marked_jobs(harness)
-
-
-def marked_jobs(harness):
-    state = harness.cell.state
-    return {i for i, job in state.jobs.items() if state.entitlements.is_beyond_entitlement(job)}
-
-
-@pytest.mark.parametrize("weight", [-1.0, math.nan, math.inf, 1e9])
-def test_absurd_weight_is_logged_and_limits_nothing(weight, fields_of):
-    """Guard against a configured weight that makes the owner fail or shuts a team out."""
-    harness = make_cell(a=weight, b=1.0)
-    Submitter(harness).submit("a", 100)
-    assert not marked_jobs(harness)
-    assert [fields["team"] for fields in fields_of(Event.TEAM_WEIGHT_INVALID)] == ["a"]
-
-
 def test_work_for_a_resource_that_no_worker_has():
     """Guard against a team that waits behind all others because no worker has a GPU."""
     harness = make_cell(a=100.0, b=100.0)
@@ -217,18 +117,6 @@
     assert not marked_jobs(harness)
 
 
-def test_team_with_excess_is_logged_once_when_it_begins_and_ends(fields_of):
-    """Guard against a line for each job of a surge."""
-    harness = make_cell(hot=1.0)
-    jobs = Submitter(harness)
-    for _ in range(3):
-        jobs.submit("hot", 20)
-        harness.advance(1_500.0)
-    harness.advance(8_000.0)
-    assert len(fields_of(Event.TEAM_EXCESS_BEGAN)) == 1
-    assert len(fields_of(Event.TEAM_EXCESS_ENDED)) == 1
-
-
 class SharesMachine(RuleBasedStateMachine):
     """Let two teams send jobs of one size to a small cell, whose owner changes at times."""
 
