--- a/baobabhoist/cell/congestion.py
+++ b/baobabhoist/cell/congestion.py
@@ -11,7 +11,7 @@
 SUSTAINED_MS = 1_500.0
 # Updates that find room do not end the congestion before this time has passed.
 GAP_MS = 1_000.0
-# Weight of the last update in the used part of a pool.
+# Weight of the newest update in the moving average of the used part.
 USE_WEIGHT = 0.3
 # A pool is expected to have at least this part in use: gangs leave some of it idle.
 MIN_USED_PART = 0.5
--- a/baobabhoist/cell/load_meter.py
+++ b/baobabhoist/cell/load_meter.py
@@ -33,7 +33,7 @@
 
 
 class Entitlement(Protocol):
-    """Tell which jobs their teams send beyond their shares; these rank behind all others."""
+    """Tell which jobs are beyond the entitlements of their teams; they rank behind all others."""
 
     def is_beyond_entitlement(self, job: JobState) -> bool:
         """Return whether a job is beyond the entitlement of its team."""
@@ -107,7 +107,7 @@
                 loads[key] = PoolLoad(team.limit, self.state.team_usage[team.name])
             reasons = TEAM_LIMIT_REASONS
             if loads[key].used_part >= FULL_PART:
-                # In a full cell the placer does not come to compare with the limit.
+                # In a full cell the placer finds no room before it checks the limit.
                 reasons |= NO_ROOM_REASONS
             self._add_work(loads[key], loads[key].group(group_key, limit), step, reasons, now)
             if limit is None:
@@ -139,7 +139,7 @@
         rank = WaitingRank(is_beyond, timeliness, queue.priority)
         if timeliness is Timeliness.ON_TIME:
             slack_ms = step.job.objective_ms - now - step.job.remaining_critical_path_ms()
-            rank = rank._replace(band=bisect_right(SLACK_BOUNDS_MS, slack_ms))
+            rank = rank._replace(slack_band=bisect_right(SLACK_BOUNDS_MS, slack_ms))
         group.add(rank, work)
 
     def _measure_services(self, loads: dict[PoolKey, PoolLoad], now: float) -> None:
--- a/baobabhoist/cell/pool_loads.py
+++ b/baobabhoist/cell/pool_loads.py
@@ -28,7 +28,7 @@
 
 @attrs.define
 class WaitingGroup:
-    """Collect work that can use only a part of a pool at a time, or all of it without a limit."""
+    """Collect work that can use only `limit` of a pool at a time, or all of it if that is None."""
 
     limit: Resources | None = None
     work: dict[WaitingRank, Resources] = attrs.Factory(dict)
@@ -47,7 +47,7 @@
 
 
 class GroupTime(NamedTuple):
-    """Hold how long the work of a group takes at its limit, and in the whole pool, in ms."""
+    """Hold how long a group takes at least, by its limit, and alone in the whole pool, in ms."""
 
     least_ms: float
     alone_ms: float
--- a/baobabhoist/cell/pool_waits.py
+++ b/baobabhoist/cell/pool_waits.py
@@ -25,7 +25,7 @@
         """Return all figures of this wait."""
         shortage, name = self.key
         on_time = self.late_rank._replace(timeliness=Timeliness.ON_TIME)
-        bands = range(len(SLACK_BOUNDS_MS))
+        slack_bands = range(len(SLACK_BOUNDS_MS))
         return ExpectedWait(
             self.team,
             name if shortage is Shortage.SERVICE_FULL else ANY,
@@ -35,7 +35,7 @@
             self.late_ms,
             float(self.load.used.cpu),
             self.load.scarcest_resource(self.late_rank),
-            tuple(round(self._wait_ms(on_time._replace(band=band))) for band in bands),
+            tuple(round(self._wait_ms(on_time._replace(slack_band=band))) for band in slack_bands),
         )
 
     def _wait_ms(self, rank: WaitingRank) -> float:
--- a/baobabhoist/cell/share_rounds.py
+++ b/baobabhoist/cell/share_rounds.py
@@ -43,9 +43,9 @@
 
     shares: TeamShares
     team_usage: Mapping[str, Resources]
-    # The share of the cell that one unit of each resource is.
+    # The share of the cell that one unit of each resource takes.
     unit_shares: Sequence[float]
-    # Returns whether any worker may run a step at all; others take nothing.
+    # Whether any worker may run a step at all; a step without one adds no load.
     has_worker: Callable[[StepState], bool]
     _loads: dict[str, TeamLoad] = attrs.Factory(dict)
 
--- a/baobabhoist/cell/shares.py
+++ b/baobabhoist/cell/shares.py
@@ -25,8 +25,8 @@
 
 CAPACITY_INTERVAL_MS = 1_000.0
 NO_CAPACITY: Amounts = (0, 0, 0, 0)
-# One unit of the processor, of memory and of GPUs.
-UNITS: tuple[Amounts, ...] = ((1, 0, 0, 0), (0, 1, 0, 0), (0, 0, 1, 0))
+# One unit of each resource.
+UNIT_AMOUNTS: tuple[Amounts, ...] = ((1, 0, 0, 0), (0, 1, 0, 0), (0, 0, 1, 0))
 
 
 @attrs.frozen
@@ -67,7 +67,7 @@
             return
         self.entitlements.charge_added_jobs()
         shares = {
-            team: min(1.0, self._share(_vector(used)))
+            team: min(1.0, self._share(_to_amounts(used)))
             for team, used in team_usage.items()
             if used.cpu or used.memory_mb or used.gpu
         }
@@ -89,7 +89,7 @@
         team_usage: Mapping[str, Resources],
         has_worker: Callable[[StepState], bool],
     ) -> ShareRound | None:
-        """Return what tells the standing of teams, or None if the cell has room for all."""
+        """Return a round that ranks steps by team, or None if the cell has room for all."""
         if not self.is_on:
             return None
         self.entitlements.charge_added_jobs()
@@ -104,7 +104,7 @@
         """Return the same as `begin_round`, but charge no jobs."""
         if not self.is_on or not self._is_demand_above_capacity(steps, team_usage):
             return None
-        unit_shares = [self._share(unit) for unit in UNITS]
+        unit_shares = [self._share(unit) for unit in UNIT_AMOUNTS]
         return ShareRound(self, team_usage, unit_shares, has_worker)
 
     def ratio(self, team: str, used: Amounts) -> float:
@@ -128,7 +128,7 @@
         return [
             TeamFigures(
                 team,
-                self.ratio(team, _vector(team_usage.get(team, NO_RESOURCES))),
+                self.ratio(team, _to_amounts(team_usage.get(team, NO_RESOURCES))),
                 self.past_use.use_s.get(team, 0.0),
                 account.jobs_beyond,
             )
@@ -168,5 +168,5 @@
     return (cpu, memory_mb, gpu, 0) if cpu or memory_mb or gpu else None
 
 
-def _vector(amount: Resources) -> Amounts:
+def _to_amounts(amount: Resources) -> Amounts:
     return (amount.cpu, amount.memory_mb, amount.gpu, 0)
--- a/baobabhoist/cell/token_bucket.py
+++ b/baobabhoist/cell/token_bucket.py
@@ -5,7 +5,7 @@
 import attrs
 
 MS_PER_S = 1000.0
-# A team may send what it is entitled to in this time at once, but at least some jobs.
+# A full bucket holds the entitlement for this time, but at least MIN_BURST_JOBS.
 BURST_S = 2.0
 MIN_BURST_JOBS = 4.0
 
--- a/baobabhoist/cell/waiting_rank.py
+++ b/baobabhoist/cell/waiting_rank.py
@@ -9,12 +9,15 @@
 
 
 class WaitingRank(NamedTuple):
-    """Hold what decides in which order work is served; `band` orders on-time work by slack."""
+    """Hold what decides in which order work is served.
+
+    `slack_band` is the number of the `SLACK_BOUNDS_MS` that the slack of on-time work reaches.
+    """
 
     is_beyond: bool
     timeliness: Timeliness
     priority: int
-    band: int = len(SLACK_BOUNDS_MS)
+    slack_band: int = len(SLACK_BOUNDS_MS)
 
     def precedes(self, other: WaitingRank) -> bool:
         """Return whether work of this rank is served before new work of another rank."""
@@ -24,4 +27,4 @@
             return self.timeliness < other.timeliness
         if self.priority != other.priority:
             return self.priority < other.priority
-        return self.band <= other.band
+        return self.slack_band <= other.slack_band
