Name the module that chooses victims, and reword preemption for newcomers

cell/preemption.py beside cell/preemptions.py did not tell which one decides; it is cell/victim_selection.py now, as cell/worker_selection.py. may_win becomes may_preempt, VAIN_RETRY_MS becomes RETRY_INTERVAL_MS. The tests move to test_cell_preemptions.py; assertions are unchanged. No change of behaviour.

--- a/baobabhoist/cell/preemptions.py
+++ b/baobabhoist/cell/preemptions.py
@@ -9,15 +9,15 @@
 
 from baobabhoist.cell.jobs import StepState
 from baobabhoist.cell.model import StepKey
-from baobabhoist.cell.preemption import (
+from baobabhoist.cell.ranking import Timeliness, timeliness_of
+from baobabhoist.cell.reservations import Reservations
+from baobabhoist.cell.state import CellState
+from baobabhoist.cell.victim_selection import (
     MAX_SERVED_TASKS,
     Preemption,
     Preemptor,
     Victim,
 )
-from baobabhoist.cell.ranking import Timeliness, timeliness_of
-from baobabhoist.cell.reservations import Reservations
-from baobabhoist.cell.state import CellState
 from baobabhoist.cell.wait_reasons import WaitReason
 from baobabhoist.cell.wasted_work import WasteCause
 from baobabhoist.cell.workers import WorkerState
@@ -29,9 +29,10 @@
 HOLD_MS = 1_200.0
 # At most this many steps have room kept for them, as nothing else may use it meanwhile.
 MAX_HOLDS = 4
-# At most one step is examined in this time, and one that was examined in vain not for longer.
+# At most one step is examined in this time, as a search for victims takes long.
 EXAMINATION_INTERVAL_MS = 40.0
-VAIN_RETRY_MS = 400.0
+# A step for which no victims were found is not examined again within this time.
+RETRY_INTERVAL_MS = 400.0
 # Reasons to wait that a preemption can end.
 ROOM_REASONS = frozenset(
     {
@@ -45,12 +46,12 @@
 
 @attrs.frozen
 class Hold:
-    """Hold the workers that are kept for a step until a time, or until enough of it started."""
+    """Hold the workers kept for a step until a time, or until enough of its tasks have started."""
 
     step: StepState
     workers: tuple[WorkerState, ...]
     until_ms: float
-    # The tasks of the step that will still wait once those have started which it is kept for.
+    # The tasks of the step that still wait once those that the workers are kept for have started.
     unserved_count: int
 
 
@@ -60,7 +61,7 @@
 
     state: CellState
     holds: dict[StepKey, Hold] = attrs.Factory(dict)
-    # Until when steps that were examined in vain are not examined again.
+    # When steps for which no victims were found may be examined again.
     _retry_ms: dict[StepKey, float] = attrs.Factory(dict)
     _next_examination_ms: float = 0.0
 
@@ -81,13 +82,13 @@
         """Stop runs on some of these workers if that serves a step that finds no room."""
         preemptor = Preemptor(self.state.queue_of, now, self.state.entitlements)
         served = self._count_servable(step) if self._may_examine(step, now) else 0
-        if not served or not preemptor.may_win(step):
+        if not served or not preemptor.may_preempt(step):
             return
         self._next_examination_ms = now + EXAMINATION_INTERVAL_MS
         unreserved = [w for w in find_workers() if reservations.is_unreserved(w, step)]
         preemption = preemptor.choose(step, unreserved, served)
         if preemption is None:
-            self._retry_ms[step.key] = now + VAIN_RETRY_MS
+            self._retry_ms[step.key] = now + RETRY_INTERVAL_MS
             return
         for victim in preemption.victims:
             self._stop(victim, step, preemption, now)
--- a/baobabhoist/cell/preemption.py
+++ b/baobabhoist/cell/victim_selection.py
@@ -1,4 +1,4 @@
-"""Choose the runs to stop so that a waiting step can start: none unless more is won than lost."""
+"""Choose the runs to stop for a waiting step, if that wins more work than it throws away."""
 
 from __future__ import annotations
 
@@ -81,7 +81,7 @@
         if not chosen or (step.spec.gang and room.slot_count < served_count):
             return None
         served = min(served_count, room.slot_count)
-        chosen = _drop_needless(chosen, room, served)
+        chosen = _drop_unneeded(chosen, room, served)
         if not chosen:
             return None
         won = served * count_cores(step.spec.allocation) * step.spec.expected_ms / MS_PER_S
@@ -90,7 +90,7 @@
             return None
         return Preemption(tuple(chosen), tuple(room.workers_with_slots(served)), served, won, lost)
 
-    def may_win(self, step: StepState) -> bool:
+    def may_preempt(self, step: StepState) -> bool:
         """Return whether a step would still be on time once the room is free."""
         is_on_time = timeliness_of(step.job, self.now + STOP_MS) is Timeliness.ON_TIME
         return is_on_time and not step.spec.lasting
@@ -100,6 +100,7 @@
         victims = []
         for worker in workers:
             for run in worker.runs.values():
+                # The members of a gang are one victim.
                 key = (run.task.step, run.task.index if not run.task.step.spec.gang else -1)
                 if key in seen:
                     continue
@@ -118,7 +119,7 @@
         if any(self._is_spared(member) for member in runs):
             return None
         is_expired = all(self._is_expired(member) for member in runs)
-        if not is_expired and (spec.gang or not self._may_stop_timely(run, winner)):
+        if not is_expired and (spec.gang or not self._may_stop_less_urgent(run, winner)):
             return None
         lost = sum(self._lost_core_s(member) for member in runs)
         is_beyond = self.entitlements.is_beyond_entitlement(job)
@@ -141,11 +142,11 @@
             return self.now > limit_ms
         return max(self.now, run.expected_end_ms) > limit_ms
 
-    def _may_stop_timely(self, run: Run, winner: StepState) -> bool:
-        """Return whether a less urgent run whose job still has value may be stopped.
+    def _may_stop_less_urgent(self, run: Run, winner: StepState) -> bool:
+        """Return whether a run whose job still has value may be stopped for a more urgent step.
 
-        Only the first priority may do so, within its team's share, and only if the job stays as
-        timely as it is.
+        The step must have the first priority and be within the entitlement of its team, and the
+        job of the run must stay as timely as it is.
         """
         if self.entitlements.is_beyond_entitlement(winner.job):
             return False
@@ -235,8 +236,8 @@
     return chosen
 
 
-def _drop_needless(chosen: list[Victim], room: FreedRoom, served: int) -> list[Victim]:
-    """Return the victims without whose room fewer tasks fit; the most costly are dropped first."""
+def _drop_unneeded(chosen: list[Victim], room: FreedRoom, served: int) -> list[Victim]:
+    """Return the victims that are needed for the served tasks; drop the most costly first."""
     kept = []
     for victim in reversed(chosen):
         room.remove(victim)
--- a/baobabhoist/cell/waiting_rank.py
+++ b/baobabhoist/cell/waiting_rank.py
@@ -11,7 +11,7 @@
 class WaitingRank(NamedTuple):
     """Hold what decides in which order work is served.
 
-    `slack_band` is the number of the `SLACK_BOUNDS_MS` that the slack of on-time work reaches.
+    `slack_band` tells how many of the `SLACK_BOUNDS_MS` the slack of on-time work reaches.
     """
 
     is_beyond: bool
--- a/baobabhoist/tests/test_cell_preemption.py
+++ b/baobabhoist/tests/test_cell_preemptions.py
@@ -7,8 +7,8 @@
 
 from baobabhoist.cell.model import CellRules, Queue, Step, StopTask, Team
 from baobabhoist.cell.policy import SchedulingPolicy
-from baobabhoist.cell.preemption import MAX_UNSAVED_MS
 from baobabhoist.cell.preemptions import EXAMINATION_INTERVAL_MS, HOLD_MS
+from baobabhoist.cell.victim_selection import MAX_UNSAVED_MS
 from baobabhoist.cell.wasted_work import WasteCause
 from baobabhoist.cell.worker_index import WorkerIndex
 from baobabhoist.tests.cell_harness import SMALL, CellHarness, make_job
