--- a/baobabhoist/cell/admission.py
+++ b/baobabhoist/cell/admission.py
@@ -7,288 +7,32 @@
 
 from __future__ import annotations
 
-import enum
 import logging
-from bisect import bisect_right
-from collections.abc import Iterable, Sequence
-from typing import NamedTuple, Protocol
 
 import attrs
 
-from baobabhoist.cell.jobs import JobState, StepState
-from baobabhoist.cell.model import NO_RESOURCES, Resources
-from baobabhoist.cell.ranking import Timeliness, timeliness_of
+from baobabhoist.cell.congestion import Congestion
+from baobabhoist.cell.expected_waits import (
+    ANY,
+    END_WAIT_MS,
+    ExpectedWait,
+    Shortage,
+    WaitTable,
+)
+from baobabhoist.cell.load_meter import Entitlement, LoadMeter
+from baobabhoist.cell.pool_loads import PoolKey, PoolLoad
+from baobabhoist.cell.pool_waits import PoolWait
+from baobabhoist.cell.ranking import Timeliness
 from baobabhoist.cell.state import CellState
-from baobabhoist.cell.wait_reasons import WaitReason
+from baobabhoist.cell.waiting_rank import WaitingRank
 from baobabhoist.observability.events import Event, emit
 from baobabhoist.observability.tasks import log_crash
 
 log = logging.getLogger(__name__)
 
 UPDATE_INTERVAL_MS = 500.0
-# A pool counts as congested once it has been full for this long on end.
-SUSTAINED_MS = 1_500.0
-# Updates that find room do not end the congestion before this time has passed.
-GAP_MS = 1_000.0
-# A congestion begins with the first wait and lasts until all waits are below the second.
-BEGIN_WAIT_MS = 2_000.0
-END_WAIT_MS = 1_000.0
-# Weight of the last update in the used part of a pool.
-USE_WEIGHT = 0.3
-# A pool is expected to have at least this part in use: gangs leave some of it idle.
-MIN_USED_PART = 0.5
-# A pool is full when this part of a resource is in use.
-FULL_PART = 0.85
-# On-time work is told apart by its slack; work of one priority is served by rising slack.
-SLACK_BOUNDS_MS = (1_000.0, 2_000.0, 4_000.0, 8_000.0, 16_000.0, 32_000.0)
 # Only the longest waits are published.
 MAX_ROWS = 32
-# Stands for all teams in a row on a full service, and for all services in one on a team's limit.
-ANY = ""
-
-TEAM_LIMIT_REASONS = frozenset({WaitReason.TEAM_LIMIT, WaitReason.TEAM_LIMIT_RESERVED})
-NO_ROOM_REASONS = frozenset(
-    {
-        WaitReason.NO_ROOM,
-        WaitReason.NO_ROOM_WITH_TICKET,
-        WaitReason.NO_ROOM_FOR_GANG,
-        WaitReason.WORKERS_RESERVED,
-    }
-)
-
-
-class Shortage(enum.StrEnum):
-    """List what new jobs would wait for."""
-
-    TEAM_LIMIT = "team_limit"
-    SERVICE_FULL = "service_full"
-
-
-class Entitlement(Protocol):
-    """Tell which jobs their teams send beyond their shares; these rank behind all others."""
-
-    def is_beyond_entitlement(self, job: JobState) -> bool:
-        """Return whether a job is beyond the entitlement of its team."""
-
-    def has_entitlement_left(self, team: str, accepted_ms: float) -> bool:
-        """Return whether a job accepted at a time of the store's clock would be within it."""
-
-
-@attrs.frozen
-class ExpectedWait:
-    """Hold for how long a new job of a team, service and priority would wait, in ms.
-
-    The wait is `on_time_ms` while the job can still meet its objective, and `late_ms` once it
-    cannot. `cpu_rate` is the rate at which work ends, in thousandths of a core. `shortage` is a
-    text, so that an instance of an earlier version can read later values. `resource` is the one
-    that the work waits for, or empty from an owner of a version without it. `by_slack_ms` are the
-    waits behind on-time work of less slack than each of `SLACK_BOUNDS_MS`, empty likewise.
-    """
-
-    team: str
-    service: str
-    priority: int
-    shortage: str
-    on_time_ms: float
-    late_ms: float
-    cpu_rate: float
-    resource: str = ""
-    by_slack_ms: tuple[int, ...] = ()
-
-    def on_time_ms_with(self, slack_ms: float) -> float:
-        """Return for how long a job of some slack would wait while it is on time."""
-        if not self.by_slack_ms:
-            return self.on_time_ms
-        return _interpolate(slack_ms, SLACK_BOUNDS_MS, self.by_slack_ms, self.on_time_ms)
-
-
-@attrs.frozen
-class WaitTable:
-    """Hold the expected waits that are worth telling, and when they were computed."""
-
-    rows: tuple[ExpectedWait, ...] = ()
-    computed_ms: float = float("-inf")
-
-
-class WaitingRank(NamedTuple):
-    """Hold what decides in which order work is served; `band` orders on-time work by slack."""
-
-    is_beyond: bool
-    timeliness: Timeliness
-    priority: int
-    band: int = len(SLACK_BOUNDS_MS)
-
-    def precedes(self, other: WaitingRank) -> bool:
-        """Return whether work of this rank is served before new work of another rank."""
-        if self.is_beyond is not other.is_beyond:
-            return other.is_beyond
-        if self.timeliness is not other.timeliness:
-            return self.timeliness < other.timeliness
-        if self.priority != other.priority:
-            return self.priority < other.priority
-        return self.band <= other.band
-
-
-class GroupKey(NamedTuple):
-    """Name what holds a group of work back: the limit of a team, or the workers with a label."""
-
-    team: str = ""
-    service: str = ""
-    label: str = ""
-
-
-WHOLE_POOL = GroupKey()
-
-
-@attrs.define
-class WaitingGroup:
-    """Collect work that can use only a part of a pool at a time, or all of it without a limit."""
-
-    limit: Resources | None = None
-    work: dict[WaitingRank, Resources] = attrs.Factory(dict)
-
-    def add(self, rank: WaitingRank, work: Resources) -> None:
-        """Add waiting work."""
-        self.work[rank] = self.work.get(rank, NO_RESOURCES).plus(work)
-
-    def work_ahead(self, rank: WaitingRank) -> Resources:
-        """Return the work that is served before a new job of this rank."""
-        return _sum(work for other, work in self.work.items() if other.precedes(rank))
-
-    def least_ms(self, work: Resources) -> float:
-        """Return the shortest time in which the limit allows some work."""
-        return _largest_ratio(work, self.limit) if self.limit is not None else 0.0
-
-
-class GroupTime(NamedTuple):
-    """Hold how long the work of a group takes at its limit, and in the whole pool, in ms."""
-
-    least_ms: float
-    alone_ms: float
-
-
-@attrs.define
-class PoolLoad:
-    """Collect the work that waits for a pool; work is an amount of each resource times ms."""
-
-    capacity: Resources
-    used: Resources = NO_RESOURCES
-    # Work waits for the pool itself, not for something else.
-    has_shortage: bool = False
-    groups: dict[GroupKey, WaitingGroup] = attrs.Factory(dict)
-
-    @property
-    def used_part(self) -> float:
-        """Return the used part of the resource that is used most."""
-        return _largest_ratio(self.used, self.capacity)
-
-    def group(self, key: GroupKey, limit: Resources | None) -> WaitingGroup:
-        """Return the group of this key."""
-        return self.groups.setdefault(key, WaitingGroup(limit))
-
-    def merge_short_groups(self) -> None:
-        """Merge the groups whose limits hold no work back for long into the one without limit."""
-        for key, group in list(self.groups.items()):
-            total = _sum(group.work.values())
-            if group.limit is None or _largest_ratio(total, group.limit) >= BEGIN_WAIT_MS:
-                continue
-            del self.groups[key]
-            for rank, work in group.work.items():
-                self.group(WHOLE_POOL, None).add(rank, work)
-
-    def wait_ms(self, rank: WaitingRank, used_part: float) -> float:
-        """Return how long the work takes that is served before a new job of this rank."""
-        return self._wait_for(self._work_ahead(rank), used_part)
-
-    def scarcest_resource(self, rank: WaitingRank) -> str:
-        """Return the resource for which a new job of this rank waits longest."""
-        ratios = _ratios(_sum(work for _, work in self._work_ahead(rank)), self.capacity)
-        return max(ratios, key=ratios.__getitem__, default="")
-
-    def _work_ahead(self, rank: WaitingRank) -> list[tuple[WaitingGroup, Resources]]:
-        return [(group, group.work_ahead(rank)) for group in self.groups.values()]
-
-    def _wait_for(self, ahead: list[tuple[WaitingGroup, Resources]], used_part: float) -> float:
-        """Return the shortest time that is enough for the work that can be done within it."""
-        times_by_resource: dict[str, list[GroupTime]] = {}
-        for group, work in ahead:
-            least_ms = group.least_ms(work)
-            for name, alone_ms in _ratios(work, self.capacity).items():
-                times = times_by_resource.setdefault(name, [])
-                times.append(GroupTime(least_ms, alone_ms / used_part))
-        return max(map(_shortest_ms, times_by_resource.values()), default=0.0)
-
-
-@attrs.define
-class Congestion:
-    """Decide with hysteresis whether waits for one pool are published; all times are in ms."""
-
-    is_on: bool = False
-    used_part: float = 0.0
-    _full_since_ms: float | None = None
-    _last_full_ms: float = float("-inf")
-
-    def update(self, load: PoolLoad, now: float) -> None:
-        """Record whether the pool is full now, and how much of it is in use."""
-        self.used_part += USE_WEIGHT * (load.used_part - self.used_part)
-        if load.has_shortage:
-            self._last_full_ms = now
-            if self._full_since_ms is None:
-                self._full_since_ms, self.used_part = now, load.used_part
-        elif now - self._last_full_ms > GAP_MS:
-            self._full_since_ms, self.is_on = None, False
-
-    def is_sustained(self, now: float) -> bool:
-        """Return whether the pool has been full for long enough to count as congested."""
-        return self._full_since_ms is not None and now - self._full_since_ms >= SUSTAINED_MS
-
-    def judge(self, longest_wait_ms: float, now: float) -> bool:
-        """Return whether the waits are published, given the longest of them."""
-        threshold_ms = END_WAIT_MS if self.is_on else BEGIN_WAIT_MS
-        self.is_on = self.is_sustained(now) and longest_wait_ms >= threshold_ms
-        return self.is_on
-
-    @property
-    def expected_used_part(self) -> float:
-        """Return the part of the pool that is expected to stay in use."""
-        return min(1.0, max(MIN_USED_PART, self.used_part))
-
-
-# A team or a service.
-PoolKey = tuple[Shortage, str]
-
-
-@attrs.frozen
-class PoolWait:
-    """Hold for how long a late job of a team and rank would wait for a pool, in ms."""
-
-    key: PoolKey
-    team: str
-    late_rank: WaitingRank
-    load: PoolLoad
-    used_part: float
-    late_ms: float
-
-    def row(self) -> ExpectedWait:
-        """Return all figures of this wait."""
-        shortage, name = self.key
-        on_time = self.late_rank._replace(timeliness=Timeliness.ON_TIME)
-        bands = range(len(SLACK_BOUNDS_MS))
-        return ExpectedWait(
-            self.team,
-            name if shortage is Shortage.SERVICE_FULL else ANY,
-            self.late_rank.priority,
-            shortage.value,
-            self._wait_ms(on_time),
-            self.late_ms,
-            float(self.load.used.cpu),
-            self.load.scarcest_resource(self.late_rank),
-            tuple(round(self._wait_ms(on_time._replace(band=band))) for band in bands),
-        )
-
-    def _wait_ms(self, rank: WaitingRank) -> float:
-        return self.load.wait_ms(rank, self.used_part)
-
 
 # The team, service and priority of a row.
 RowKey = tuple[str, str, int]
@@ -301,7 +45,7 @@
     state: CellState
     # None if jobs are not ranked by the shares of their teams.
     entitlement: Entitlement | None = None
-    table: WaitTable = WaitTable()
+    table: WaitTable = attrs.Factory(WaitTable)
     _congestions: dict[PoolKey, Congestion] = attrs.Factory(dict)
     _announced: dict[RowKey, ExpectedWait] = attrs.Factory(dict)
 
@@ -319,7 +63,7 @@
         self._announce(rows)
 
     def _compute_rows(self, now: float) -> tuple[ExpectedWait, ...]:
-        loads = self._measure_loads(now)
+        loads = LoadMeter(self.state, self.entitlement).measure(now)
         for key in self._congestions.keys() - loads.keys():
             del self._congestions[key]
         beyond_teams = self._teams_beyond(now)
@@ -329,109 +73,6 @@
         waits.sort(key=lambda wait: -wait.late_ms)
         return tuple(wait.row() for wait in waits[:MAX_ROWS])
 
-    def _measure_loads(self, now: float) -> dict[PoolKey, PoolLoad]:
-        """Return the loads of all pools that work waits for."""
-        loads: dict[PoolKey, PoolLoad] = {}
-        label_capacity = self._measure_labels(now)
-        for step in self.state.ready_steps.values():
-            if not step.waiting_count or step.spec.lasting:
-                continue
-            try:
-                self._add_step(loads, step, label_capacity, now)
-            except Exception as exc:
-                # The next scheduling round gives the job up; it must not end this owner.
-                log.warning("the work of job %s is not counted: %r", step.key.job_id, exc)
-        self._measure_services(loads, now)
-        for load in loads.values():
-            load.merge_short_groups()
-        return loads
-
-    def _measure_labels(self, now: float) -> dict[GroupKey, Resources]:
-        """Return what the workers have that waiting steps with a label can use."""
-        capacity = {
-            GroupKey(service=self.state.service_of(step.job), label=step.spec.label): NO_RESOURCES
-            for step in self.state.ready_steps.values()
-            if step.spec.label
-        }
-        if not capacity:
-            return capacity
-        for worker in self.state.workers.values():
-            for label in worker.info.labels:
-                key = GroupKey(service=worker.info.service, label=label)
-                if key in capacity and worker.can_start_tasks(now):
-                    capacity[key] = capacity[key].plus(worker.info.capacity)
-        return capacity
-
-    def _add_step(
-        self,
-        loads: dict[PoolKey, PoolLoad],
-        step: StepState,
-        label_capacity: dict[GroupKey, Resources],
-        now: float,
-    ) -> None:
-        job = step.job
-        team = self.state.team_of(job)
-        service = self.state.service_of(job)
-        group_key, limit = WHOLE_POOL, None
-        if step.spec.label:
-            group_key = GroupKey(service=service, label=step.spec.label)
-            limit = label_capacity[group_key]
-            if limit == NO_RESOURCES:
-                return
-        if team is not None and team.is_limited:
-            if not team.allows(step.spec.least_need):
-                return
-            key = (Shortage.TEAM_LIMIT, team.name)
-            if key not in loads:
-                loads[key] = PoolLoad(team.limit, self.state.team_usage[team.name])
-            reasons = TEAM_LIMIT_REASONS
-            if loads[key].used_part >= FULL_PART:
-                # In a full cell the placer does not come to compare with the limit.
-                reasons |= NO_ROOM_REASONS
-            self._add_work(loads[key], loads[key].group(group_key, limit), step, reasons, now)
-            if limit is None:
-                group_key, limit = GroupKey(team.name), team.limit
-        if step.wait_reason not in TEAM_LIMIT_REASONS:
-            key = (Shortage.SERVICE_FULL, service)
-            load = loads.setdefault(key, PoolLoad(NO_RESOURCES))
-            self._add_work(load, load.group(group_key, limit), step, NO_ROOM_REASONS, now)
-
-    def _add_work(
-        self,
-        load: PoolLoad,
-        group: WaitingGroup,
-        step: StepState,
-        reasons: frozenset[WaitReason],
-        now: float,
-    ) -> None:
-        load.has_shortage |= step.wait_reason in reasons
-        queue = self.state.queue_of(step.job)
-        timeliness = timeliness_of(step.job, now)
-        if queue is None or timeliness is Timeliness.EXPIRED:
-            return
-        ratio = self.state.speeds.duration_ratio(queue.name)
-        duration_ms = round(step.spec.expected_ms * ratio)
-        work = step.spec.need.times(step.waiting_count * duration_ms)
-        is_beyond = self.entitlement is not None and self.entitlement.is_beyond_entitlement(
-            step.job
-        )
-        rank = WaitingRank(is_beyond, timeliness, queue.priority)
-        if timeliness is Timeliness.ON_TIME:
-            slack_ms = step.job.objective_ms - now - step.job.remaining_critical_path_ms()
-            rank = rank._replace(band=bisect_right(SLACK_BOUNDS_MS, slack_ms))
-        group.add(rank, work)
-
-    def _measure_services(self, loads: dict[PoolKey, PoolLoad], now: float) -> None:
-        """Add up the workers of the services that work waits for."""
-        for worker in self.state.workers.values():
-            load = loads.get((Shortage.SERVICE_FULL, worker.info.service))
-            if load is not None and worker.can_start_tasks(now):
-                load.capacity = load.capacity.plus(worker.info.capacity)
-                load.used = load.used.plus(worker.used)
-        for (shortage, _), load in loads.items():
-            if shortage is Shortage.SERVICE_FULL:
-                load.has_shortage = load.has_shortage and load.used_part >= FULL_PART
-
     def _teams_beyond(self, now: float) -> set[str]:
         """Return the teams with waiting work whose new jobs would be beyond their entitlement."""
         if self.entitlement is None:
@@ -490,53 +131,6 @@
         self._announced = current
 
 
-def _sum(amounts: Iterable[Resources]) -> Resources:
-    total = NO_RESOURCES
-    for amount in amounts:
-        total = total.plus(amount)
-    return total
-
-
-def _shortest_ms(times: list[GroupTime]) -> float:
-    """Return the shortest time T that is enough for what all groups can do within T.
-
-    A group does all of its work if it takes at most T, otherwise the part that T allows.
-    """
-    whole_ms = sum(time.alone_ms for time in times)
-    shortest_ms, held_back_part = whole_ms, 0.0
-    for time in sorted(times, reverse=True):
-        if time.least_ms <= shortest_ms:
-            break
-        whole_ms -= time.alone_ms
-        held_back_part += time.alone_ms / time.least_ms
-        if held_back_part >= 1.0:
-            break
-        shortest_ms = max(0.0, whole_ms) / (1.0 - held_back_part)
-    return shortest_ms
-
-
-def _interpolate(
-    at: float, bounds: Sequence[float], values: Sequence[float], last_value: float
-) -> float:
-    """Return the value at a point, linear from 0 between bounds and `last_value` beyond them."""
-    number = bisect_right(bounds, at)
-    if number == len(bounds):
-        return last_value
-    low, low_value = (bounds[number - 1], values[number - 1]) if number else (0.0, 0.0)
-    part = max(0.0, at - low) / (bounds[number] - low)
-    return low_value + part * (values[number] - low_value)
-
-
-def _largest_ratio(amount: Resources, capacity: Resources) -> float:
-    return max(_ratios(amount, capacity).values(), default=0.0)
-
-
-def _ratios(amount: Resources, capacity: Resources) -> dict[str, float]:
-    """Return the ratio of each resource; one without capacity does not count."""
-    amounts, capacities = amount.by_name(), capacity.by_name()
-    return {name: amounts[name] / whole for name, whole in capacities.items() if whole > 0}
-
-
 def _log_row(event: Event, row: ExpectedWait) -> None:
     emit(
         log,
