Build the rooms of free workers once a round for advice

Cause: each step that asks ahead built and sorted the list of all capable workers anew, twice in the code. Change: WorkerIndex keeps that list for its round; no decision changes.

--- a/baobabhoist/cell/advice_candidates.py
+++ b/baobabhoist/cell/advice_candidates.py
@@ -138,20 +138,14 @@
 
     def workers_without_room(self) -> list[Candidate]:
         """Return workers without a valid ticket that could run the step once they are free."""
-        workers = [self.state.workers[worker_id] for worker_id in self._capable_ids()]
-        rooms = Rooms.of(Room(worker, worker.info.capacity) for worker in workers)
         wanted = self.step.waiting_count
-        return self._choose(self._find(rooms, wanted, RoomClaims()), wanted)
+        return self._choose(self._find(self._rooms_when_free(), wanted, RoomClaims()), wanted)
 
     def workers_to_learn(self) -> list[Candidate]:
         """Return workers whose approval should be known before there is room for the step."""
-        rooms = Rooms.of(
-            Room(self.state.workers[worker_id], self.state.workers[worker_id].info.capacity)
-            for worker_id in self._capable_ids()
-        )
         self._widen()
         wanted = self.step.waiting_count
-        found = self._find(rooms, wanted, RoomClaims())
+        found = self._find(self._rooms_when_free(), wanted, RoomClaims())
         known_places = found.places_with_ticket + found.approved_places
         missing = wanted - known_places / self._places_factor
         if missing <= 0.0 or not found.unknown or found.most_places < wanted:
@@ -167,6 +161,11 @@
             rooms = self.worker_index.forecast.rooms_now(service)
             self._places_factor = gang_places_factor(rooms.free_fraction)
 
+    def _rooms_when_free(self) -> Rooms:
+        spec = self.step.spec
+        service = self.state.service_of(self.step.job)
+        return self.worker_index.rooms_when_free(service, spec.label, spec.allocation)
+
     def _capable_ids(self) -> list[str]:
         spec = self.step.spec
         service = self.state.service_of(self.step.job)
--- a/baobabhoist/cell/worker_index.py
+++ b/baobabhoist/cell/worker_index.py
@@ -8,7 +8,7 @@
 
 from baobabhoist.cell.jobs import StepState
 from baobabhoist.cell.model import Resources
-from baobabhoist.cell.room_forecast import RoomForecast
+from baobabhoist.cell.room_forecast import Room, RoomForecast, Rooms
 from baobabhoist.cell.workers import WorkerState
 
 
@@ -34,6 +34,7 @@
         self._usable: dict[str, dict[str, WorkerState]] = {}
         self._groups: dict[str, list[WorkerGroup]] | None = None
         self._ids_by_groups: dict[tuple[int, ...], list[str]] = {}
+        self._rooms_by_groups: dict[tuple[int, ...], Rooms] = {}
         self._max_free_cpu: dict[str, int] = {}
         self._has_usable: dict[tuple[str, str], bool] = {}
         for worker in self._workers:
@@ -89,6 +90,16 @@
             ]
         return self._ids_by_groups[key]
 
+    def rooms_when_free(self, service: str, label: str, need: Resources) -> Rooms:
+        """Return the staying workers that could run a task, with all that they have."""
+        groups = self._capable_groups(service, label, need)
+        key = tuple(map(id, groups))
+        if key not in self._rooms_by_groups:
+            self._rooms_by_groups[key] = Rooms.of(
+                Room(worker, worker.info.capacity) for group in groups for worker in group.workers
+            )
+        return self._rooms_by_groups[key]
+
     def _capable_groups(self, service: str, label: str, need: Resources) -> list[WorkerGroup]:
         if self._groups is None:
             self._groups = self._group_workers()
