Test the guard around one job in the measurement of waiting work itself

The test passed although the guard raised again, because the control catches it too. It now measures directly; with the guard made to raise it fails. The help text of team_jobs_beyond says whose jobs are counted.

--- a/baobabhoist/control/metrics.py
+++ b/baobabhoist/control/metrics.py
@@ -92,7 +92,8 @@
             "team_past_use_seconds", "Past use of a team, in seconds of the whole cell."
         )
         self._team_excess = self._gauge(
-            "team_jobs_beyond", "Jobs that a team sent beyond its entitlement to this owner."
+            "team_jobs_beyond",
+            "Jobs beyond the entitlement of a team that this owner has received.",
         )
         self._lease_margin = self._gauge(
             "lease_margin_seconds", "Time to the first lease of a worker that would lapse."
--- a/baobabhoist/tests/test_cell_load_meter.py
+++ b/baobabhoist/tests/test_cell_load_meter.py
@@ -13,5 +13,8 @@
     harness = AdmissionHarness()
     harness.submit("steady", ONE_TASK)
     monkeypatch.setattr(load_meter, "timeliness_of", lambda job, now: 1 / 0)
+    # Measured directly, because the control would hide an error behind an empty table.
+    meter = load_meter.LoadMeter(harness.cell_harness.cell.state, None)
+    assert not meter.measure(harness.cell_harness.now)
     harness.control.update(harness.cell_harness.now)
     assert not harness.rows
