--- a/baobabhoist/benchmarks/main.py
+++ b/baobabhoist/benchmarks/main.py
@@ -25,7 +25,8 @@
 PAST_USE_HALF_LIFE_S = 4 * 3600.0
 # The optional parts of scheduling by the names of their settings.
 SCHEDULING_PARTS: dict[str, dict[str, Any]] = {
-    "shares": {"weighs_shares": True, "usage_half_life_s": PAST_USE_HALF_LIFE_S},
+    "shares": {"weighs_shares": True},
+    "past_use": {"usage_half_life_s": PAST_USE_HALF_LIFE_S},
     "admission": {"refuses_hopeless_jobs": True},
     "backfill": {"backfills": True},
     "preemption": {"preempts": True},
