Check the label of a worker in one place, and share the harness of advice tests

Cause: has_label came with the wait reason of emptied data centres, and its copies in the worker index and in the choice of candidates stayed.

No decision and no assertion changes.

--- a/baobabhoist/cell/advice_candidates.py
+++ b/baobabhoist/cell/advice_candidates.py
@@ -276,7 +276,7 @@
         claimed_cpu = claims.cpu_by_worker.get(worker.worker_id, 0)
         if room.free.cpu - claimed_cpu < spec.allocation.cpu:
             return 0
-        if spec.label and spec.label not in worker.info.labels:
+        if not worker.info.has_label(spec.label):
             return 0
         if not self.reservations.is_worker_available(worker, self.step):
             return 0
--- a/baobabhoist/cell/worker_index.py
+++ b/baobabhoist/cell/worker_index.py
@@ -52,7 +52,7 @@
     def usable_workers(self, service: str, label: str) -> list[WorkerState]:
         """Return the workers of a service that accept tasks now; `label` is ignored if empty."""
         found = self._usable.get(service, {}).values()
-        return [worker for worker in found if not label or label in worker.info.labels]
+        return [worker for worker in found if worker.info.has_label(label)]
 
     def withdraw(self, worker: WorkerState) -> None:
         """Treat a worker as not usable for the rest of the round."""
@@ -78,7 +78,7 @@
     def _filter_usable(self, ids: Iterable[str], service: str, label: str) -> list[WorkerState]:
         usable = self._usable.get(service, {})
         found = [usable[worker_id] for worker_id in ids if worker_id in usable]
-        return [worker for worker in found if not label or label in worker.info.labels]
+        return [worker for worker in found if worker.info.has_label(label)]
 
     def capable_worker_ids(self, service: str, label: str, need: Resources) -> list[str]:
         """Return the ids of the staying workers that could run a task once they are free."""
--- a/baobabhoist/tests/test_cell_advice_candidates.py
+++ b/baobabhoist/tests/test_cell_advice_candidates.py
@@ -7,12 +7,12 @@
     AdviceTerms,
     CellRules,
     Queue,
-    RequestAdvice,
     Resources,
     Step,
     Team,
 )
-from baobabhoist.tests.cell_harness import CellHarness, make_job, make_rules
+from baobabhoist.tests.advice_harness import answer, make_advice_harness, requests_of
+from baobabhoist.tests.cell_harness import CellHarness, make_job
 
 WHOLE_WORKER = Resources(4000, 512, 0)
 HALF_WORKER = Resources(2000, 256, 0)
@@ -24,18 +24,7 @@
 
 
 def make_harness(worker_count, terms=EXACT_TERMS, slots=8, **rules):
-    harness = CellHarness.with_workers(worker_count, make_rules(advice=terms, **rules))
-    harness.cell.placer.advice.slot_count = slots
-    return harness
-
-
-def requests_of(harness):
-    return {c.step.job_id: c for c in harness.schedule() if isinstance(c, RequestAdvice)}
-
-
-def answer(harness, request, approved, valid_ms=2_500.0):
-    tickets = dict.fromkeys(approved, "t")
-    harness.cell.handle_advice(request.step, request.workers, tickets, harness.now + valid_ms)
+    return make_advice_harness(worker_count, terms, slots, **rules)
 
 
 def occupy(harness, worker_ids):
--- a/baobabhoist/tests/test_cell_advice_forecast.py
+++ b/baobabhoist/tests/test_cell_advice_forecast.py
@@ -9,10 +9,11 @@
 from hypothesis import strategies as st
 
 from baobabhoist.cell.advice_breadth import gang_places_factor
-from baobabhoist.cell.model import AdviceTerms, RequestAdvice, Resources, Step
+from baobabhoist.cell.model import AdviceTerms, Resources, Step
 from baobabhoist.cell.policy import SchedulingPolicy
 from baobabhoist.cell.ticket_usage import TicketOutcome, TicketUsage
-from baobabhoist.tests.cell_harness import CellHarness, make_job, make_rules
+from baobabhoist.tests.advice_harness import answer, make_advice_harness, requests_of
+from baobabhoist.tests.cell_harness import make_job
 
 WHOLE_WORKER = Resources(4000, 512, 0)
 HALF_WORKER = Resources(2000, 256, 0)
@@ -23,19 +24,8 @@
 
 
 def make_harness(worker_count, terms=LONG_TERMS, slots=8, **rules):
-    harness = CellHarness.with_workers(worker_count, make_rules(advice=terms, **rules))
-    harness.cell.placer.advice.slot_count = slots
-    harness.cell.state.policy = SchedulingPolicy(forecasts_advice=True)
-    return harness
-
-
-def requests_of(harness):
-    return {c.step.job_id: c for c in harness.schedule() if isinstance(c, RequestAdvice)}
-
-
-def answer(harness, request, approved, valid_ms=2_500.0):
-    tickets = dict.fromkeys(approved, "t")
-    harness.cell.handle_advice(request.step, request.workers, tickets, harness.now + valid_ms)
+    policy = SchedulingPolicy(forecasts_advice=True)
+    return make_advice_harness(worker_count, terms, slots, policy, **rules)
 
 
 def set_used(harness, used_by_worker):
