--- a/review/standins/workers.py
+++ b/review/standins/workers.py
@@ -28,6 +28,7 @@
         self.task, self.number, self.checkpoint = task, number, checkpoint
         self.work_ms = float(plan["ms"])
         self.saves = bool(plan.get("saves"))
+        self.fails = bool(plan.get("fails"))
         self.done_ms = float(int(checkpoint[:8], 16)) - RESTORE_MS if checkpoint else 0.0
         self.stop_ms: float | None = None
         self.started_s = time.monotonic()
@@ -235,7 +236,7 @@
             if max(0.0, run.done_ms) // CHECKPOINT_MS > before:
                 self._save(run)
             if run.done_ms >= run.work_ms:
-                self._end(run, "done")
+                self._end(run, "failed" if run.fails else "done")
 
     def _save(self, run: Run) -> None:
         if run.saves:
--- a/review/standins/world.py
+++ b/review/standins/world.py
@@ -15,6 +15,7 @@
 import tempfile
 import time
 import tomllib
+import traceback
 from collections.abc import Awaitable, Callable
 from pathlib import Path
 from typing import Any
@@ -351,9 +352,11 @@
         return bool(tries) and all(status in (429, 503) for status in tries)
 
 
-def job(count: int, cpu: int, mem_mb: int, ms: float, **fields: Any) -> dict[str, Any]:
-    """Return the body of a job of one step whose tasks work for `ms`."""
-    plan = {"ms": ms, "saves": bool(fields.get("checkpointing"))}
+def job(
+    count: int, cpu: int, mem_mb: int, ms: float, *, fails: bool = False, **fields: Any
+) -> dict[str, Any]:
+    """Return the body of a job of one step whose tasks work for `ms` and then end."""
+    plan = {"ms": ms, "saves": bool(fields.get("checkpointing")), "fails": fails}
     step = {"count": count, "cpu": cpu, "memMb": mem_mb, "estimatedMs": int(ms), **fields}
     return {"taskSpec": json.dumps(plan), "steps": [step]}
 
@@ -369,6 +372,9 @@
         except NotRun as exc:
             print(f"not run: {exc}")
             return NOT_RUN
+        except Exception:
+            traceback.print_exc()
+            return NOT_RUN
         finally:
             world.close()
         for text in broken[:20]:
