--- a/review/standins/world.py
+++ b/review/standins/world.py
@@ -38,10 +38,16 @@
     """Report that a case could not run."""
 
 
-def _free_port(host: str) -> int:
-    with socket.socket() as sock:
-        sock.bind((host, 0))
-        return int(sock.getsockname()[1])
+def _free_ports(host: str, count: int) -> list[int]:
+    """Return different free ports."""
+    socks = [socket.socket() for _ in range(count)]
+    try:
+        for sock in socks:
+            sock.bind((host, 0))
+        return [int(sock.getsockname()[1]) for sock in socks]
+    finally:
+        for sock in socks:
+            sock.close()
 
 
 def _is_free(host: str, port: int) -> bool:
@@ -72,9 +78,8 @@
 
     def __init__(self, name: str, zone: str, host: str, folder: Path) -> None:
         self.name, self.zone, self.host = name, zone, host
-        self.front = f"{host}:{_free_port(host)}"
-        self.ready = f"{host}:{_free_port(host)}"
-        self.peer_port = _free_port(host)
+        front, ready, self.peer_port = _free_ports(host, 3)
+        self.front, self.ready = f"{host}:{front}", f"{host}:{ready}"
         self.folder = folder
         self.process: subprocess.Popen[bytes] | None = None
 
@@ -161,10 +166,22 @@
             node = NodeProcess(f"edge-{number + 1}", zone, f"{block}.{number + 1}", self.tmp)
             self.nodes.append(node)
             self.start_node(node)
-        await self.wait_for(self._is_ready, START_TIMEOUT_S, "the nodes are not ready")
+        try:
+            await self.wait_for(self._is_ready, START_TIMEOUT_S, "the nodes are not ready")
+        except NotRun:
+            self._describe_nodes()
+            raise
         # The owner asks each worker once before it uses it.
         await asyncio.sleep(2.0)
 
+    def _describe_nodes(self) -> None:
+        """Print why the nodes may not be ready."""
+        print(f"the cell is owned by {self.store.owner()!r}")
+        for node in self.nodes:
+            status = node.process.poll() if node.process is not None else None
+            lines = (self.tmp / f"{node.name}.log").read_text(errors="replace").splitlines()
+            print(f"{node.name}: exit status {status}; its last lines:", *lines[-3:], sep="\n  ")
+
     def _free_block(self) -> str:
         """Return the first three bytes of loopback addresses whose metrics ports are free."""
         for _ in range(50):
