--- a/review/1/case.py
+++ b/review/1/case.py
@@ -7,7 +7,7 @@
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1]))
-from standins.world import World, job, main  # noqa: E402
+from standins.world import World, job, main
 
 WAVES = 10
 WAVE_S = 1.0
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -7,7 +7,7 @@
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1]))
-from standins.world import NotRun, World, job, main  # noqa: E402
+from standins.world import NotRunError, World, job, main
 
 WIDE_TASKS = 1_000
 WIDE_MS = 200_000.0
@@ -64,7 +64,7 @@
     body = job(WIDE_TASKS, 100, 50, WIDE_MS, checkpointing=True, affinity=RACK)
     wide_id, is_accepted = await world.submit("batch", "wide", body)
     if not is_accepted:
-        raise NotRun("the wide job was not accepted")
+        raise NotRunError("the wide job was not accepted")
     await world.wait_for(_has_started(world), 20.0, "the wide job has not started")
     begin_s = world.record.now_s()
     small = world.spawn(submit_small(world, accepted, begin_s + 5.0 + TRAFFIC_AFTER_CRASH_S))
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -7,7 +7,7 @@
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1]))
-from standins.world import NotRun, World, job, main  # noqa: E402
+from standins.world import NotRunError, World, job, main
 
 TASKS = 1_000
 TASK_MS = 6_000.0
@@ -28,7 +28,7 @@
         body = job(TASKS, 10, 10, TASK_MS)
         job_id, is_accepted = await world.submit("batch", "t1", body)
         if not is_accepted:
-            raise NotRun("the job was not accepted")
+            raise NotRunError("the job was not accepted")
         sent_s = world.record.now_s()
         while world.pool.starts % TASKS == 0 and world.record.now_s() < sent_s + 10:
             await asyncio.sleep(0.01)
--- a/review/5/case.py
+++ b/review/5/case.py
@@ -8,8 +8,8 @@
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1]))
-from standins.workers import Run, Worker  # noqa: E402
-from standins.world import World, job, main  # noqa: E402
+from standins.workers import Run, Worker
+from standins.world import World, job, main
 
 MAX_ATTEMPTS = 3
 JOBS = 4
--- a/review/standins/http11.py
+++ b/review/standins/http11.py
@@ -44,7 +44,7 @@
         self.writer.transport.abort()
 
 
-class NoAnswer(Exception):
+class NoAnswerError(Exception):
     """End a connection without an answer."""
 
 
@@ -53,7 +53,7 @@
 
 
 class Server:
-    """Serve requests on a loopback address; `handler` may raise NoAnswer."""
+    """Serve requests on a loopback address; `handler` may raise NoAnswerError."""
 
     def __init__(self, handler: Handler) -> None:
         self.channels: set[Channel] = set()
@@ -100,7 +100,7 @@
                 )
                 writer.write(head.encode() + data)
                 await writer.drain()
-        except NoAnswer:
+        except NoAnswerError:
             channel.reset()
         except (OSError, asyncio.IncompleteReadError):
             pass
--- a/review/standins/store.py
+++ b/review/standins/store.py
@@ -9,7 +9,7 @@
 import time
 from typing import Any
 
-from .http11 import Answer, Channel, NoAnswer, Request, Server
+from .http11 import Answer, Channel, NoAnswerError, Request, Server
 from .record import Record
 
 ROW_BYTES = 65_536
@@ -96,7 +96,7 @@
             self._part_free_s[part] = start_s + TXN_S
             await asyncio.sleep(start_s + TXN_S - time.monotonic())
             if request.path == "/done":
-                raise NoAnswer
+                raise NoAnswerError
             return self._commit(request)
         if request.path == "/-/rows-get":
             return self._read(request)
@@ -161,7 +161,7 @@
             except TimeoutError:
                 pass
         if self.busy:
-            raise NoAnswer
+            raise NoAnswerError
         rows = [self._entry(key, value, version) for version, key, value in changes]
         body = self._answer(rows)
         if len(rows) == MAX_ROWS:
--- a/review/standins/workers.py
+++ b/review/standins/workers.py
@@ -9,7 +9,7 @@
 from collections.abc import Callable
 from typing import Any
 
-from .http11 import Answer, Channel, NoAnswer, Request, Server
+from .http11 import Answer, Channel, NoAnswerError, Request, Server
 from .record import Record
 from .store import Store
 
@@ -144,7 +144,7 @@
             self.pool.record.add(
                 "answer_lost", worker=self.worker_id, task=body["task"], run=body["runId"]
             )
-            raise NoAnswer
+            raise NoAnswerError
         answer = {"clockMs": self.clock_ms()}
         return status, {**answer, "reason": reason} if reason else answer
 
@@ -256,7 +256,11 @@
     """Hold all workers of a service, and check what they see against the rules on runs."""
 
     def __init__(
-        self, record: Record, store: Store, service: str, capacity: dict[str, int],
+        self,
+        record: Record,
+        store: Store,
+        service: str,
+        capacity: dict[str, int],
         max_hold_ms: float,
     ) -> None:
         self.record, self.store, self.service = record, store, service
@@ -308,16 +312,18 @@
         self.started_jobs.add(run.task.split(".")[0])
         text = f"{run.task} run {run.number} on {worker.worker_id} at {self.record.now_s():.3f}"
         self.record.add(
-            "start", worker=worker.worker_id, task=run.task, run=run.number,
-            token=body.get("fencingToken", 0), deadline=body["deadlineMs"],
+            "start",
+            worker=worker.worker_id,
+            task=run.task,
+            run=run.number,
+            token=body.get("fencingToken", 0),
+            deadline=body["deadlineMs"],
             clock=worker.clock_ms(),
         )
         for other in self.workers.values():
             twin = other.runs.get(run.task) if other.is_up and other is not worker else None
             if twin is not None:
-                self._break(
-                    "TWICE", f"{text} while run {twin.number} works on {other.worker_id}"
-                )
+                self._break("TWICE", f"{text} while run {twin.number} works on {other.worker_id}")
         if run.task in self.done_noted:
             self._break("TWICE", f"{text} after an end done that was taken note of")
         for task, starts in self._done_open.values():
@@ -328,9 +334,7 @@
     def note_end(self, worker: Worker, run: Run, how: str) -> None:
         """Note an end."""
         self.ends_by_kind[how] = self.ends_by_kind.get(how, 0) + 1
-        self.record.add(
-            "end", worker=worker.worker_id, task=run.task, run=run.number, how=how
-        )
+        self.record.add("end", worker=worker.worker_id, task=run.task, run=run.number, how=how)
         if how == "done":
             key = (worker.worker_id, worker.born, worker.end_count)
             self._done_open[key] = (run.task, [])
--- a/review/standins/world.py
+++ b/review/standins/world.py
@@ -34,7 +34,7 @@
 HELD, BROKEN, NOT_RUN = 0, 1, 2
 
 
-class NotRun(Exception):
+class NotRunError(Exception):
     """Report that a case could not run."""
 
 
@@ -150,7 +150,7 @@
     async def start(self) -> None:
         """Start everything and wait until the nodes are ready and the workers known."""
         if not (ROOT / "target/deps").is_dir():
-            raise NotRun("target/deps is missing: run the build line of deploy/system.toml")
+            raise NotRunError("target/deps is missing: run the build line of deploy/system.toml")
         await self.store.server.start()
         for number in range(self.worker_count):
             zone = ZONES[number % len(ZONES)]
@@ -168,7 +168,7 @@
             self.start_node(node)
         try:
             await self.wait_for(self._is_ready, START_TIMEOUT_S, "the nodes are not ready")
-        except NotRun:
+        except NotRunError:
             self._describe_nodes()
             raise
         # The owner asks each worker once before it uses it.
@@ -189,7 +189,7 @@
             hosts = [f"{block}.{n + 1}" for n in range(self.node_count)]
             if all(_is_free(host, METRICS_PORT) for host in hosts):
                 return block
-        raise NotRun("no loopback address with a free metrics port")
+        raise NotRunError("no loopback address with a free metrics port")
 
     def start_node(self, node: NodeProcess) -> None:
         """Start a node, or start it again."""
@@ -223,11 +223,11 @@
     async def wait_for(
         self, check: Callable[[], Awaitable[bool]], timeout_s: float, problem: str
     ) -> None:
-        """Wait until a check holds; raises NotRun after a time."""
+        """Wait until a check holds; raises NotRunError after a time."""
         end_s = time.monotonic() + timeout_s
         while not await check():
             if time.monotonic() > end_s:
-                raise NotRun(problem)
+                raise NotRunError(problem)
             await asyncio.sleep(0.2)
 
     def close(self) -> None:
@@ -279,16 +279,26 @@
         """Write the config to the store."""
         self.version += 2
         service = {
-            "name": SERVICE, "healthPath": "/health", "maxConnections": 64, "protocol": "h1",
-            "tls": False, "rejectsOverload": False, "standby": False,
+            "name": SERVICE,
+            "healthPath": "/health",
+            "maxConnections": 64,
+            "protocol": "h1",
+            "tls": False,
+            "rejectsOverload": False,
+            "standby": False,
         }
         limits = {
-            "maxHeaderBytes": 16_384, "maxBodyBytes": 262_144, "headerTimeoutMs": 3_000,
+            "maxHeaderBytes": 16_384,
+            "maxBodyBytes": 262_144,
+            "headerTimeoutMs": 3_000,
             "idleTimeoutMs": 15_000,
         }
         config = {
-            "version": self.version, "routes": self.routes, "services": [service],
-            "limits": limits, "tenants": self.tenants,
+            "version": self.version,
+            "routes": self.routes,
+            "services": [service],
+            "limits": limits,
+            "tenants": self.tenants,
         }
         self.store.put("op", "config", config)
         self.record.add("config", version=self.version)
@@ -300,7 +310,7 @@
         name = self.store.owner()
         found = [node for node in self.nodes if node.name == name]
         if not found:
-            raise NotRun("nobody owns the cell")
+            raise NotRunError("nobody owns the cell")
         return found[0]
 
     def signal_node(self, node: NodeProcess, signum: int) -> None:
@@ -386,7 +396,7 @@
         try:
             await world.start()
             broken = await play(world)
-        except NotRun as exc:
+        except NotRunError as exc:
             print(f"not run: {exc}")
             return NOT_RUN
         except Exception:
