Keep libcurl from sending a request a second time

Cause: when a reused connection ends without an answer, libcurl sends the request again, also a POST. The store had done the first call; the 503 of the repetition counted for both. Commands to workers take the same way, so a start that was carried out could count as refused (TWICE).

Ruled out: a repetition by JobWriter (it logs write_unanswered and never reports REFUSED after one), and late execution by the store (the stand-in applies the writes before it resets the connections).

Change: libcurl must rewind a body that it has read before it repeats the request; HttpClient refuses that, so the request ends without a response and the callers' own handling of that applies. A POST without a body is sent with an empty object, since an empty body needs no rewinding.

--- a/baobabhoist/platform/http_client.py
+++ b/baobabhoist/platform/http_client.py
@@ -19,6 +19,8 @@
 JSON = "application/json"
 # The status with which Tornado reports that no response arrived.
 NO_RESPONSE_CODE = 599
+# Requests with these methods change something; an empty body would escape the check in `_prepare`.
+METHODS_WITH_BODY = frozenset({"POST", "PUT"})
 
 
 @attrs.frozen
@@ -60,9 +62,9 @@
     ) -> HttpResponse:
         """Send one request; a missing response is returned with status 0, not raised."""
         needs_new_connection = address in self._suspect_addresses
+        if body is None and method in METHODS_WITH_BODY:
+            body = {}
         data = orjson.dumps(body) if body is not None else None
-        if data is None and method in ("POST", "PUT"):
-            data = b""
         request_headers = dict(headers or {})
         if data:
             request_headers["Content-Type"] = JSON
@@ -76,7 +78,7 @@
             follow_redirects=False,
             decompress_response=False,
             allow_ipv6=False,
-            prepare_curl_callback=_force_new_connection if needs_new_connection else None,
+            prepare_curl_callback=_prepare_new if needs_new_connection else _prepare,
         )
         fetch = asyncio.ensure_future(self._client.fetch(req, raise_error=False))
         # Observed, because Tornado logs each failure of a request whose caller was cancelled.
@@ -104,10 +106,25 @@
         fetch.exception()
 
 
-def _force_new_connection(curl: Any) -> None:
+def _prepare(curl: Any) -> None:
+    """Keep libcurl from sending a body twice.
+
+    When a reused connection ends without an answer, libcurl repeats the request, and the answer
+    to the repetition would hide that the first sending may have been carried out.
+    """
+    curl.setopt(pycurl.SEEKFUNCTION, _refuse_seek)
+
+
+def _prepare_new(curl: Any) -> None:
+    """Do the same, and use a new connection."""
+    _prepare(curl)
     curl.setopt(pycurl.FRESH_CONNECT, 1)
 
 
+def _refuse_seek(offset: int, origin: int) -> int:
+    return int(pycurl.SEEKFUNC_FAIL)
+
+
 def _parse_json(body: bytes) -> Any:
     if not body:
         return None
--- a/baobabhoist/tests/test_platform_http_client.py
+++ b/baobabhoist/tests/test_platform_http_client.py
@@ -98,3 +98,46 @@
 
 async def _hang_up(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
     writer.close()
+
+
+class _LostAnswers:
+    """Answer the first POST, carry out the second without an answer, and refuse all others."""
+
+    def __init__(self) -> None:
+        self.bodies: list[bytes] = []
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        """Serve one connection."""
+        with contextlib.suppress(asyncio.IncompleteReadError, asyncio.CancelledError):
+            while True:
+                head = (await reader.readuntil(b"\r\n\r\n")).lower()
+                length = int(head.split(b"content-length:")[1].split(b"\r\n")[0])
+                self.bodies.append(await reader.readexactly(length))
+                if len(self.bodies) == 2:
+                    break
+                status = b"200 OK" if len(self.bodies) == 1 else b"503 Unavailable"
+                writer.write(b"HTTP/1.1 " + status + b"\r\nContent-Length: 2\r\n\r\n{}")
+        writer.close()
+
+
+@pytest.mark.parametrize("body", [{"n": 1}, None])
+def test_a_request_is_not_sent_again_by_the_library(body: object) -> None:
+    """Guard against a refusal of a second sending that is taken for the answer to the first.
+
+    Callers were told that their jobs never run although the store had them (REFUSED), and tasks
+    whose start was carried out were started once more (TWICE).
+    """
+
+    async def run() -> list[int]:
+        client = HttpClient(10)
+        address = await _listen(server.serve)
+        answers = [
+            await client.request("POST", address, "/", body, timeout_s=TEST_TIMEOUT_S)
+            for _ in range(3)
+        ]
+        client.close()
+        return [answer.status for answer in answers]
+
+    server = _LostAnswers()
+    assert asyncio.run(run()) == [200, 0, 503]
+    assert len(server.bodies) == 3
