Acknowledge no ends of a worker that may have restarted

Cause: the first renewal after the restart carries the number of the last end of the earlier process. The worker forgets the ends of its new life up to that number before it has listed them, and the owner takes their runs for lost with the crash.

Ruled out: acknowledging after a store write (it compares the incarnation), the owner's own counter (it is reset on a restart).

Change: a renewal acknowledges nothing while the worker is silent or was not heard by this session yet. Runs of the new life that the same report lists are no longer closed, blamed or, in a gang, stopped.

--- a/baobabhoist/cell/crashes.py
+++ b/baobabhoist/cell/crashes.py
@@ -74,9 +74,9 @@
 
     def handle_restart(self, worker: WorkerState, report: WorkerReport, now: float) -> None:
         """Blame what ran on a worker before it restarted under its id."""
-        survivors = {active_run.task for active_run in report.running}
-        ended = [run for task, run in worker.runs.items() if task not in survivors]
-        self._blame(worker, _blame_of_runs(worker, ended), now)
+        listed_runs = report.listed_runs()
+        lost = [r for r in worker.runs.values() if (r.task.key, r.number) not in listed_runs]
+        self._blame(worker, _blame_of_runs(worker, lost), now)
 
     def record_lapse(self, worker: WorkerState, now: float) -> None:
         """Remember what runs on a worker whose lease lapses: whether it crashed is not known."""
--- a/baobabhoist/cell/model.py
+++ b/baobabhoist/cell/model.py
@@ -335,6 +335,10 @@
     running: tuple[ActiveRun, ...]
     ended: tuple[EndedRun, ...]
 
+    def listed_runs(self) -> set[tuple[TaskKey, int]]:
+        """Return the runs in progress and the ended ones, by task and number."""
+        return {(run.task, run.run) for run in (*self.running, *self.ended)}
+
 
 class CommandOutcome(enum.StrEnum):
     """List the possible outcomes of a command to a worker."""
--- a/baobabhoist/cell/worker_reports.py
+++ b/baobabhoist/cell/worker_reports.py
@@ -256,10 +256,12 @@
         worker.lease.reset()
         for step in self._state.ready_steps.values():
             step.approvals.remove_worker(worker.worker_id)
+        listed_runs = report.listed_runs()
         for run in list(worker.runs.values()):
             if (
                 run.phase in (RunPhase.RUNNING, RunPhase.STOPPING)
                 and run.confirmed_ms < requested_ms
+                and (run.task.key, run.number) not in listed_runs
             ):
                 close_lost_run(self._state, self._run_ends, run, now, "its worker started again")
 
--- a/baobabhoist/control/sessions/worker_session.py
+++ b/baobabhoist/control/sessions/worker_session.py
@@ -150,10 +150,13 @@
         may_extend = self._is_answering and self._listener.may_renew()
         deadline_ms = self._next_deadline() if may_extend else None
         sent_ms = monotonic_ms()
+        # A worker that was silent, or not heard yet, may have started again under its id: a number
+        # of its earlier incarnation would acknowledge ends that were never listed.
+        acked_end = self.acked_end if self._has_reported and self._is_answering else 0
         answer = await self._driver.renew(
             self.info,
             self._listener.token,
-            self.acked_end,
+            acked_end,
             deadline_ms,
             RENEW_WAIT_MS if may_wait else 0,
         )
--- a/baobabhoist/tests/test_cell_worker_reports.py
+++ b/baobabhoist/tests/test_cell_worker_reports.py
@@ -1,8 +1,8 @@
-"""Test the log lines about start commands that workers reject."""
+"""Test how reports of workers and answers to commands are applied."""
 
-from baobabhoist.cell.model import AdviceTerms, CommandOutcome
+from baobabhoist.cell.model import AdviceTerms, CommandOutcome, Step
 from baobabhoist.observability.events import Event
-from baobabhoist.tests.cell_harness import CellHarness, make_job, make_rules
+from baobabhoist.tests.cell_harness import SMALL, CellHarness, make_job, make_rules, make_task_key
 
 
 def test_rejected_start_says_how_old_its_ticket_and_decision_are(fields_of):
@@ -24,3 +24,19 @@
         "ticket_left_ms": -300,
         "decided_ms_ago": 1_300,
     }
+
+
+def test_a_gang_that_started_after_a_restart_goes_on():
+    """Guard against a gang that is stopped, and blamed, for a crash before its start.
+
+    The owner hears of the restart only with the next report, which lists the new runs.
+    """
+    harness = CellHarness.with_workers(2)
+    harness.workers["w0"].crash()
+    harness.workers["w0"].restart()
+    harness.submit(make_job("0" * 16, Step(2, SMALL, 1000, gang=True, most_per_worker=1)))
+    harness.schedule()
+    harness.settle()
+    assert [w for _, w in harness.running_tasks()] == ["w0", "w1"]
+    task = harness.cell.find_job("0" * 16).find_task(make_task_key())
+    assert (task.last_run_number, task.crash_blame.total) == (1, 0)
--- a/baobabhoist/tests/test_sessions_worker_session.py
+++ b/baobabhoist/tests/test_sessions_worker_session.py
@@ -5,12 +5,12 @@
 
 import pytest
 
-from baobabhoist.cell.model import CommandOutcome
+from baobabhoist.cell.model import CommandOutcome, JobPhase, RunOutcome
 from baobabhoist.control.sessions import worker_session
 from baobabhoist.control.sessions.detours import Detours
 from baobabhoist.control.sessions.pool import LocalSession
 from baobabhoist.control.sessions.worker_session import WorkerSession
-from baobabhoist.tests.cell_harness import LEASE_MS, CellHarness, make_job
+from baobabhoist.tests.cell_harness import LEASE_MS, CellHarness, make_job, make_task_key
 
 
 class FakeDriver:
@@ -79,6 +79,37 @@
     assert harness.cell.state.workers["w0"].lease.deadline_ms == driver.deadlines[2]
 
 
+@pytest.mark.parametrize("is_silence_noticed", [True, False])
+def test_ends_of_a_restarted_worker_are_not_acknowledged_unseen(is_silence_noticed):
+    """Guard against tasks that run again because a number of an earlier life acknowledged them.
+
+    Workers restarted under their ids, and the next renewal carried the number of the last end that
+    the process before them had listed (TWICE, review/3). A session that is new, because it moved
+    to another holder, notices no silence.
+    """
+    harness = CellHarness.with_workers(1)
+    harness.submit(make_job())
+    harness.settle()
+    harness.end_run(make_task_key())
+    harness.save_progress()
+    worker = harness.workers["w0"]
+    driver = FakeDriver(worker)
+    session = make_session(harness, driver)
+
+    async def run():
+        worker.crash()
+        if is_silence_noticed:
+            await session._renew()
+        worker.restart()
+        harness.submit(make_job("1" * 16))
+        harness.schedule()
+        worker.end_run(make_task_key("1" * 16), RunOutcome.DONE)
+        await session._renew()
+
+    asyncio.run(run())
+    assert harness.job_phase("1" * 16) is JobPhase.COMPLETED
+
+
 def test_answering_worker_gets_its_lease_renewed():
     """Guard against a lease that expires although its worker answers."""
     _, driver = run_renewals(4, silent_from=4)
