--- a/baobabhoist/cell/model.py
+++ b/baobabhoist/cell/model.py
@@ -337,7 +337,8 @@
 
     def listed_runs(self) -> set[tuple[TaskKey, int]]:
         """Return the runs in progress and the ended ones, by task and number."""
-        return {(run.task, run.run) for run in (*self.running, *self.ended)}
+        running = {(run.task, run.run) for run in self.running}
+        return running | {(run.task, run.run) for run in self.ended}
 
 
 class CommandOutcome(enum.StrEnum):
