Wait for the longest lease that a restarted worker may hold

Cause: a start that reaches the new process carries a deadline on the clock of the earlier one.

Ruled out: renewals, which offer a silent worker no deadline.

Change: Lease takes the longest lease that the worker grants into account after a restart. The deadlines that are sent stay as they were.

The test failed before (one task on two workers) and passes now. The test's worker shortens deadlines as the platform's do.

--- a/baobabhoist/cell/scheduler.py
+++ b/baobabhoist/cell/scheduler.py
@@ -68,6 +68,7 @@
         takeover: Takeover,
         lease_ms: float,
         policy: SchedulingPolicy = DEFAULT_POLICY,
+        max_lease_ms: float = 0.0,
     ) -> None:
         self.state = CellState(rules, takeover.generation, policy)
         self.is_fenced = False
@@ -75,6 +76,8 @@
         self.admission = AdmissionControl(self.state, self.state.entitlements)
         self._takeover = takeover
         self._lease_ms = lease_ms
+        # The longest lease that a worker grants.
+        self._max_lease_ms = max(lease_ms, max_lease_ms)
         self._run_ends = RunEndHandler(self.state)
         crashes = CrashHandler(self.state, self._run_ends)
         self._reports = WorkerReportHandler(self.state, self._run_ends, crashes)
@@ -117,13 +120,14 @@
         worker = self.state.workers.get(worker_id)
         if worker is None:
             info = WorkerInfo(worker_id, "", "", "", NO_RESOURCES, ())
-            worker = WorkerState(
-                info, Lease(self._lease_ms), is_listed=False, unlisted_since_ms=now
-            )
+            worker = WorkerState(info, self._new_lease(), is_listed=False, unlisted_since_ms=now)
             self.state.workers[worker_id] = worker
         worker.inherited_lease_expiry_ms = self._takeover.inherited_leases_expire_ms
         return worker
 
+    def _new_lease(self) -> Lease:
+        return Lease(self._lease_ms, self._max_lease_ms)
+
     def unfinished_inherited_jobs(self) -> list[JobState]:
         """Return the unfinished jobs of earlier owners; call this once progress is restored."""
         return [job for job in self.state.jobs.values() if job.is_inherited and not job.is_final]
@@ -235,7 +239,7 @@
         """Add or update a worker from its entry in the directory."""
         worker = self.state.workers.get(info.worker_id)
         if worker is None:
-            worker = WorkerState(info, Lease(self._lease_ms), known_since_ms=now)
+            worker = WorkerState(info, self._new_lease(), known_since_ms=now)
             self.state.workers[info.worker_id] = worker
             emit(
                 log,
--- a/baobabhoist/cell/workers.py
+++ b/baobabhoist/cell/workers.py
@@ -23,15 +23,21 @@
     """Track the lease of one worker, whose deadline is on the worker's own clock.
 
     `deadline_ms` is the latest deadline known to have been sent. `max_inherited_ms` is the longest
-    lease that an earlier owner may have granted. `clock_ms` is a reading of the worker's clock,
-    taken at `clock_read_ms` on the owner's clock.
+    lease that an earlier owner may have granted, and `max_granted_ms` the longest that the worker
+    accepts. `clock_ms` is a reading of the worker's clock, taken at `clock_read_ms` on the owner's
+    clock.
     """
 
     max_inherited_ms: float
+    max_granted_ms: float = attrs.Factory(lambda self: self.max_inherited_ms, takes_self=True)
     clock_ms: float = 0.0
     clock_read_ms: float = 0.0
     deadline_ms: int = 0
     is_clock_known: bool = False
+    # The longest lease that the worker may have when its clock is read for the first time.
+    _max_unknown_ms: float = attrs.Factory(lambda self: self.max_inherited_ms, takes_self=True)
+    # The end of that lease, on the worker's clock.
+    _unknown_until_ms: int = 0
     # Until when another instance may extend the lease, on the owner's clock.
     extendable_until_ms: float = float("-inf")
     # Nobody may extend the lease before the worker has answered to this owner again.
@@ -41,13 +47,18 @@
         """Record a reading of the worker's clock unless an earlier one gives a later time."""
         if not self.is_clock_known or clock_ms >= self.min_clock_at(now):
             if not self.is_clock_known:
-                self.deadline_ms = max(self.deadline_ms, int(clock_ms + self.max_inherited_ms))
+                self._unknown_until_ms = int(clock_ms + self._max_unknown_ms)
             self.clock_ms, self.clock_read_ms, self.is_clock_known = clock_ms, now, True
 
     def reset(self) -> None:
-        """Discard the clock and deadline of an earlier incarnation of the worker."""
+        """Discard the clock and deadline of an earlier incarnation of the worker.
+
+        A start that was sent before may have reached the new one, for which a deadline on the
+        earlier clock is far away.
+        """
         self.clock_ms = self.clock_read_ms = 0.0
         self.deadline_ms, self.is_clock_known = 0, False
+        self._max_unknown_ms = max(self.max_inherited_ms, self.max_granted_ms)
 
     def min_clock_at(self, now: float) -> float:
         """Return the least time that the worker's clock can show now, given the maximum drift."""
@@ -62,7 +73,7 @@
 
     def expiry_ms(self) -> float:
         """Return the time after which certainly no run is left under this lease."""
-        remaining_ms = self.deadline_ms - self.clock_ms
+        remaining_ms = max(self.deadline_ms, self._unknown_until_ms) - self.clock_ms
         granted_ms = self.clock_read_ms + remaining_ms / (1.0 - MAX_CLOCK_DRIFT) + LEASE_MARGIN_MS
         return max(granted_ms, self.extended_expiry_ms())
 
--- a/baobabhoist/control/node.py
+++ b/baobabhoist/control/node.py
@@ -275,6 +275,7 @@
                 self._advice_gate, lambda: self.link_server.links, self.metrics.count_advice
             ),
             min(DEFAULT_LEASE_MS, self.cfg.bounds.lease_max_ms),
+            self.cfg.bounds.lease_max_ms,
             self.cfg.bounds.job_kept_s * 1000,
             authority_ends_ms,
             on_ownership_lost,
--- a/baobabhoist/control/owner.py
+++ b/baobabhoist/control/owner.py
@@ -81,6 +81,8 @@
     clock: StoreClock
     advice_dispatcher: AdviceDispatcher
     lease_ms: float
+    # Longest lease that a worker grants.
+    max_lease_ms: float
     job_kept_ms: float
     # Returns until when this owner may act, as far as its claim has been confirmed.
     authority_ends_ms: Callable[[], float]
@@ -271,7 +273,8 @@
         )
         loaded_rows = (*tables.progress, *tables.cell, *tables.speeds, *tables.usage)
         self.progress_writer.set_versions({row.key: row.version for row in loaded_rows})
-        cell = CellScheduler(self._rules, takeover, self._deps.lease_ms, self._deps.policy)
+        deps = self._deps
+        cell = CellScheduler(self._rules, takeover, deps.lease_ms, deps.policy, deps.max_lease_ms)
         restore_speeds(cell, tables.speeds)
         restore_usage(cell, tables.usage, self._deps.clock)
         self._cell = cell
--- a/baobabhoist/testing/cell_worker.py
+++ b/baobabhoist/testing/cell_worker.py
@@ -44,6 +44,8 @@
     started_unix_ms: int = 1
     token: int = 0
     lease_expires_ms: float = 0.0
+    # The longest lease that the worker grants.
+    max_lease_ms: float = 10_000.0
     runs: dict[TaskKey, FakeRun] = attrs.Factory(dict)
     unacked_ends: list[EndedRun] = attrs.Factory(list)
     last_ended_runs: dict[TaskKey, int] = attrs.Factory(dict)
@@ -78,7 +80,7 @@
             return CommandOutcome.FENCED
         self.token = token
         if deadline_ms is not None:
-            self.lease_expires_ms = max(self.lease_expires_ms, deadline_ms)
+            self._extend_lease(deadline_ms)
         self.unacked_ends = [end for end in self.unacked_ends if end.sequence_number > acked_end]
         return self.report()
 
@@ -103,7 +105,7 @@
             return CommandOutcome.NO_TICKET
         if deadline_ms <= self.now_ms:
             return CommandOutcome.LATE
-        self.lease_expires_ms = max(self.lease_expires_ms, deadline_ms)
+        self._extend_lease(deadline_ms)
         run = self.runs.get(command.task)
         if run is not None and run.number == command.run:
             return CommandOutcome.OK
@@ -113,6 +115,10 @@
         self.started_runs.append((command.task, command.run))
         return CommandOutcome.OK
 
+    def _extend_lease(self, deadline_ms: float) -> None:
+        granted_ms = min(deadline_ms, self.now_ms + self.max_lease_ms)
+        self.lease_expires_ms = max(self.lease_expires_ms, granted_ms)
+
     def stop(self, token: int, command: StopTask) -> CommandOutcome:
         """Handle a stop command; a run that was never started is recorded as ended."""
         if not self.is_up:
--- a/baobabhoist/tests/cell_harness.py
+++ b/baobabhoist/tests/cell_harness.py
@@ -24,6 +24,8 @@
 from baobabhoist.testing.cell_worker import FakeCellWorker
 
 LEASE_MS = 5_000.0
+# The longest lease that a worker grants.
+MAX_LEASE_MS = 10_000.0
 SMALL = Resources(1000, 512, 0)
 
 
@@ -71,7 +73,7 @@
     def start_ownership(self, inherited_leases_expire_ms=0.0):
         """Replace the scheduler by that of a new owner."""
         takeover = Takeover(self.generation, self.token, inherited_leases_expire_ms)
-        self.cell = CellScheduler(self.cell_rules, takeover, LEASE_MS, self.policy)
+        self.cell = CellScheduler(self.cell_rules, takeover, LEASE_MS, self.policy, MAX_LEASE_MS)
         self.cell.sync_directory([w.info() for w in self.workers.values()], self.now)
 
     def take_over(self, jobs=(), progress=None, inherited_lease_ms=LEASE_MS * 1.1):
--- a/baobabhoist/tests/test_cell_worker_reports.py
+++ b/baobabhoist/tests/test_cell_worker_reports.py
@@ -40,3 +40,25 @@
     assert [w for _, w in harness.running_tasks()] == ["w0", "w1"]
     task = harness.cell.find_job("0" * 16).find_task(make_task_key())
     assert (task.last_run_number, task.crash_blame.total) == (1, 0)
+
+
+def test_a_lease_on_the_clock_of_an_earlier_process_is_waited_for():
+    """Guard against tasks that run twice because a restarted worker got too long a lease.
+
+    A start that reaches it before the owner knows of the restart carries a deadline that is far
+    away on the new clock, so that the worker grants its longest lease (TWICE).
+    """
+    harness = CellHarness.with_workers(3, now_ms=1_000_000.0)
+    harness.workers["w0"].crash()
+    harness.workers["w0"].restart()
+    harness.submit(make_job("0" * 16, Step(2, SMALL, 60_000, most_per_worker=1)))
+    harness.schedule()
+    harness.settle()
+    task = next(key for key, worker_id in harness.running_tasks() if worker_id == "w0")
+    # From now on nobody reaches the worker, which goes on.
+    harness.workers["w0"].is_up = False
+    for _ in range(130):
+        harness.advance(100.0)
+        running_on = [name for name, worker in harness.workers.items() if task in worker.runs]
+        assert len(running_on) <= 1
+    assert running_on != ["w0"]
--- a/baobabhoist/tests/test_control_owner.py
+++ b/baobabhoist/tests/test_control_owner.py
@@ -95,6 +95,7 @@
             StoreClock(),
             SimpleNamespace(slot_count=1, count_unavailable=lambda: 0),
             LEASE_MS,
+            LEASE_MS,
             60_000.0,
             lambda: self.authority_ends_ms,
             lambda reason: None,
--- a/baobabhoist/tests/test_control_owner_logs.py
+++ b/baobabhoist/tests/test_control_owner_logs.py
@@ -69,6 +69,7 @@
             clock=StoreClock(0.0),
             advice_dispatcher=AdviceDispatcher(AdviceGate(None), dict),
             lease_ms=LEASE_MS,
+            max_lease_ms=LEASE_MS,
             job_kept_ms=60_000.0,
             authority_ends_ms=lambda: float("inf"),
             on_ownership_lost=lambda reason: None,
