Start tasks only on the process that the directory describes

Ruled out: reading the directory sooner, since the entry may be written after the report.

Change: no starts while the entry is that of another process, nor between a failed renewal and the next answer; starts that are stored but not sent are closed.

Both tests failed before and pass now. The harness of cells reads the directory along with reports, as the platform's workers write both; the test of the restart switches this off.

--- a/baobabhoist/cell/scheduler.py
+++ b/baobabhoist/cell/scheduler.py
@@ -421,6 +421,8 @@
         (not worker.is_listed, "its worker left before the start"),
         (worker.info.is_draining, "its worker began to drain before the start"),
         (worker.is_evacuated, REASON_EVACUATED),
+        (worker.lease.is_suspended, "its worker fell silent before the start"),
+        (worker.is_entry_outdated, "its worker restarted before the start"),
         (
             not worker.used.fits_into(worker.info.capacity),
             "the capacity of its worker shrank before the start",
--- a/baobabhoist/cell/worker_conditions.py
+++ b/baobabhoist/cell/worker_conditions.py
@@ -15,8 +15,10 @@
     DRAINING = "draining"
     # The worker's data centre is being emptied.
     EVACUATED = "evacuated"
-    # The worker has never reported to this owner, or not for the report timeout.
+    # The worker has not reported to this owner, or not for the report timeout, or is silent.
     SILENT = "silent"
+    # The directory entry is that of an earlier process.
+    RESTARTED = "restarted"
     # A worker on probation that already runs its one task.
     ON_PROBATION = "on_probation"
     QUARANTINED = "quarantined"
@@ -38,7 +40,9 @@
         (worker.info.is_draining, WorkerCondition.DRAINING),
         (worker.is_evacuated, WorkerCondition.EVACUATED),
         (not worker.has_accepted_token, WorkerCondition.SILENT),
+        (worker.lease.is_suspended, WorkerCondition.SILENT),
         (now - worker.last_report_ms >= REPORT_TIMEOUT_MS, WorkerCondition.SILENT),
+        (worker.is_entry_outdated, WorkerCondition.RESTARTED),
         (now < health.quarantined_until_ms, WorkerCondition.QUARANTINED),
         (not health.accepts_task(now, len(worker.runs)), WorkerCondition.ON_PROBATION),
         (now < worker.backoff_until_ms, WorkerCondition.BACKED_OFF),
--- a/baobabhoist/cell/workers.py
+++ b/baobabhoist/cell/workers.py
@@ -40,7 +40,8 @@
     _unknown_until_ms: int = 0
     # Until when another instance may extend the lease, on the owner's clock.
     extendable_until_ms: float = float("-inf")
-    # Nobody may extend the lease before the worker has answered to this owner again.
+    # The worker was silent: nobody may extend the lease, nor start anything under it, before the
+    # worker has answered to this owner again.
     is_suspended: bool = False
 
     def update_clock(self, clock_ms: float, now: float) -> None:
@@ -187,12 +188,23 @@
         """Return whether any run is young."""
         return any(self.is_young(run) for run in self.runs.values())
 
+    @property
+    def is_entry_outdated(self) -> bool:
+        """Return whether the directory entry belongs to another incarnation than the last report.
+
+        The kind, the labels and the capacity may differ between incarnations.
+        """
+        entry_ms, report_ms = self.info.started_unix_ms, self.started_unix_ms
+        return bool(entry_ms and report_ms and entry_ms != report_ms)
+
     def can_start_tasks(self, now: float) -> bool:
         """Return whether new tasks may be started on the worker."""
         return (
             self.has_accepted_token
             and self.is_staying
             and not self.orphan_runs
+            and not self.lease.is_suspended
+            and not self.is_entry_outdated
             and not self.is_isolated
             and now - self.last_report_ms < REPORT_TIMEOUT_MS
             and now >= self.backoff_until_ms
--- a/baobabhoist/control/sessions/pool.py
+++ b/baobabhoist/control/sessions/pool.py
@@ -103,10 +103,11 @@
 
     def may_renew(self) -> bool:
         """Return whether the lease may be extended now."""
-        return self.deps.owner.may_renew()
+        return self.deps.owner.may_renew() and not self.state.lease.is_suspended
 
     def handle_report(self, report: WorkerReport, sent_ms: float) -> None:
         """Apply a report to the cell."""
+        self.state.lease.is_suspended = False
         self.detours.record_answer(self.state.worker_id)
         cell = self.deps.owner.cell
         if cell is not None:
@@ -114,7 +115,8 @@
             _request_work(self.deps.owner, report)
 
     def handle_silence(self, outcome: CommandOutcome) -> None:
-        """Stop starting tasks if a later owner has fenced the worker."""
+        """Start nothing on the worker, and nothing at all if a later owner has fenced it."""
+        self.state.lease.is_suspended = True
         self.detours.record_silence(self.state.worker_id, monotonic_ms())
         cell = self.deps.owner.cell
         if outcome is CommandOutcome.FENCED and cell is not None:
--- a/baobabhoist/tests/cell_harness.py
+++ b/baobabhoist/tests/cell_harness.py
@@ -55,6 +55,8 @@
     generation: int = 0
     cell: CellScheduler = None
     delivers_commands: bool = True
+    # The directory is read along with each report.
+    updates_directory: bool = True
     # Commands that were issued but not delivered, oldest first.
     undelivered: list = attrs.Factory(list)
     advice_requests: list = attrs.Factory(list)
@@ -98,8 +100,17 @@
         if reply is CommandOutcome.FENCED:
             self.cell.mark_fenced()
         elif report_arrives and isinstance(reply, WorkerReport):
+            if self.updates_directory:
+                self.update_entry(worker_id)
             self.cell.handle_report(worker_id, reply, self.now, self.now + 0.5)
 
+    def update_entry(self, worker_id):
+        """Let the directory show the current process of a worker."""
+        worker, state = self.workers[worker_id], self.cell.state.workers[worker_id]
+        if state.info.started_unix_ms != worker.started_unix_ms:
+            entry = attrs.evolve(state.info, started_unix_ms=worker.started_unix_ms)
+            self.cell.update_worker(entry, self.now)
+
     def renew_all(self):
         for worker_id in self.workers:
             if worker_id in self.cell.state.workers:
--- a/baobabhoist/tests/test_cell_worker_conditions.py
+++ b/baobabhoist/tests/test_cell_worker_conditions.py
@@ -35,6 +35,14 @@
     worker.last_report_ms = harness.now - REPORT_TIMEOUT_MS
 
 
+def suspend(harness, worker):
+    worker.lease.is_suspended = True
+
+
+def restart(harness, worker):
+    worker.started_unix_ms += 1
+
+
 def lose_token(harness, worker):
     worker.has_accepted_token = False
 
@@ -64,6 +72,8 @@
         (evacuate, WorkerCondition.EVACUATED),
         (unlist, WorkerCondition.UNLISTED),
         (fall_silent, WorkerCondition.SILENT),
+        (suspend, WorkerCondition.SILENT),
+        (restart, WorkerCondition.RESTARTED),
         (lose_token, WorkerCondition.SILENT),
         (quarantine, WorkerCondition.QUARANTINED),
         (end_quarantine, WorkerCondition.ON_PROBATION),
--- a/baobabhoist/tests/test_cell_worker_reports.py
+++ b/baobabhoist/tests/test_cell_worker_reports.py
@@ -62,3 +62,23 @@
         running_on = [name for name, worker in harness.workers.items() if task in worker.runs]
         assert len(running_on) <= 1
     assert running_on != ["w0"]
+
+
+def test_a_restarted_worker_gets_tasks_only_by_its_own_entry():
+    """Guard against tasks on a worker that restarted as another kind (ROUTE).
+
+    The next report tells of the restart, but the labels and the capacity are in the directory,
+    which still showed those of the earlier process.
+    """
+    harness = CellHarness.with_workers(1)
+    harness.updates_directory = False
+    worker = harness.workers["w0"]
+    worker.crash()
+    worker.restart()
+    worker.labels = ("b", "r1-1")
+    harness.renew_all()
+    harness.submit(make_job("0" * 16, Step(1, SMALL, 1000, label="a")))
+    harness.submit(make_job("1" * 16, Step(1, SMALL, 1000, label="b")))
+    assert harness.schedule() == []
+    harness.cell.update_worker(worker.info(), harness.now)
+    assert [command.task.job_id for command in harness.schedule()] == ["1" * 16]
--- a/baobabhoist/tests/test_sessions_worker_session.py
+++ b/baobabhoist/tests/test_sessions_worker_session.py
@@ -13,6 +13,9 @@
 from baobabhoist.tests.cell_harness import LEASE_MS, CellHarness, make_job, make_task_key
 
 
+FAR_DEADLINE_MS = 1_000_000
+
+
 class FakeDriver:
     """Pass renewals on to a fake worker, or leave them unanswered if silent."""
 
@@ -93,23 +96,49 @@
     harness.end_run(make_task_key())
     harness.save_progress()
     worker = harness.workers["w0"]
-    driver = FakeDriver(worker)
-    session = make_session(harness, driver)
+    session = make_session(harness, FakeDriver(worker))
+    harness.delivers_commands = False
+    harness.submit(make_job("1" * 16))
+    (start,) = harness.schedule()
+    harness.cell.should_send_start(start, harness.now)
 
     async def run():
         worker.crash()
         if is_silence_noticed:
             await session._renew()
         worker.restart()
-        harness.submit(make_job("1" * 16))
-        harness.schedule()
-        worker.end_run(make_task_key("1" * 16), RunOutcome.DONE)
+        outcome = worker.start(harness.token, start, FAR_DEADLINE_MS)
+        harness.cell.handle_start_result(start, outcome, harness.now)
+        worker.end_run(start.task, RunOutcome.DONE)
         await session._renew()
 
     asyncio.run(run())
     assert harness.job_phase("1" * 16) is JobPhase.COMPLETED
 
 
+def test_a_silent_worker_gets_no_new_tasks_until_it_answers():
+    """Guard against starts that meet a worker's next process, which may be of another kind.
+
+    They also waited in vain for an answer when the worker was down.
+    """
+    harness = CellHarness.with_workers(1)
+    driver = FakeDriver(harness.workers["w0"])
+    session = make_session(harness, driver)
+    harness.submit(make_job())
+    (start,) = harness.cell.schedule(harness.now, True)
+
+    async def renew(is_silent):
+        driver.is_silent = is_silent
+        await session._renew()
+        return harness.cell.schedule(harness.now, True)
+
+    asyncio.run(renew(is_silent=True))
+    assert not harness.cell.should_send_start(start, harness.now)
+    assert asyncio.run(renew(is_silent=True)) == []
+    (start,) = asyncio.run(renew(is_silent=False))
+    assert harness.cell.should_send_start(start, harness.now)
+
+
 def test_answering_worker_gets_its_lease_renewed():
     """Guard against a lease that expires although its worker answers."""
     _, driver = run_renewals(4, silent_from=4)
