Split the progress of a job that outgrows one row

Cause: the progress of a job was one row without a bound. The store rejected it as too large, the writer repeated the call for ever, and all starts and acknowledgements wait for that call.

Ruled out: a lower limit of tasks (checkpoints and blame aren't bounded by it), a shorter encoding alone (five crashes still don't fit).

Jobs that fit into one row are stored as before.

--- a/baobabhoist/cell/progress_rows.py
+++ b/baobabhoist/cell/progress_rows.py
@@ -2,14 +2,17 @@
 
 from __future__ import annotations
 
-from typing import Any
+from collections.abc import Iterable
+from typing import Any, TypeVar
 
 import attrs
 import orjson
 
 from baobabhoist.cell.crash_blame import NO_BLAME, CrashBlame, Evidence
 from baobabhoist.cell.jobs import JobState
-from baobabhoist.cell.model import JobPhase
+from baobabhoist.cell.model import FINAL_PHASES, JobPhase
+
+Value = TypeVar("Value")
 
 
 @attrs.frozen
@@ -32,6 +35,35 @@
     runs: dict[int, StoredRun] = attrs.Factory(dict)
     crash_blame: dict[int, CrashBlame] = attrs.Factory(dict)
 
+    def split(self, tasks_per_part: int) -> dict[int, StepProgress]:
+        """Return the state by ranges of this many tasks, keyed by the first index of each."""
+        indices = {*self.done, *self.failed, *self.checkpoints, *self.runs, *self.crash_blame}
+        firsts = sorted({index - index % tasks_per_part for index in indices})
+        return {first: self._slice(range(first, first + tasks_per_part)) for first in firsts}
+
+    def _slice(self, indices: range) -> StepProgress:
+        return StepProgress(
+            self.occurrence,
+            self.step,
+            tuple(index for index in self.done if index in indices),
+            _select(self.failed, indices),
+            _select(self.checkpoints, indices),
+            _select(self.runs, indices),
+            _select(self.crash_blame, indices),
+        )
+
+    def merge(self, newer: StepProgress) -> StepProgress:
+        """Return the state with that of a row which may have been written later."""
+        return StepProgress(
+            self.occurrence,
+            self.step,
+            tuple(sorted({*self.done, *newer.done})),
+            {**self.failed, **newer.failed},
+            {**self.checkpoints, **newer.checkpoints},
+            {**self.runs, **newer.runs},
+            {**self.crash_blame, **newer.crash_blame},
+        )
+
 
 @attrs.frozen
 class JobProgress:
@@ -41,6 +73,19 @@
     steps: tuple[StepProgress, ...] = ()
 
 
+def merge_progress(main: JobProgress | None, parts: Iterable[JobProgress]) -> JobProgress:
+    """Return the progress of a job whose rows are a main one, which tells the phase, and parts."""
+    if main is not None and main.phase in FINAL_PHASES:
+        return main
+    merged: dict[tuple[int, int], StepProgress] = {}
+    rows = [main, *parts] if main is not None else list(parts)
+    for step in (step for row in rows for step in row.steps):
+        key = (step.occurrence, step.step)
+        merged[key] = merged[key].merge(step) if key in merged else step
+    phase = main.phase if main is not None else JobPhase.RUNNING
+    return JobProgress(phase, tuple(merged.values()))
+
+
 def capture_progress(job: JobState) -> JobProgress:
     """Return the durable state of a job; for a finished one only its phase."""
     if job.is_final:
@@ -138,5 +183,9 @@
     return by_step
 
 
+def _select(values: dict[int, Value], indices: range) -> dict[int, Value]:
+    return {index: value for index, value in values.items() if index in indices}
+
+
 def _with_text_keys(values: dict[int, Any]) -> dict[str, Any]:
     return {str(key): value for key, value in values.items()}
--- a/baobabhoist/cell/scheduler.py
+++ b/baobabhoist/cell/scheduler.py
@@ -175,6 +175,12 @@
         self.state.finish_job(job, JobPhase.CANCELLED, now, "its team cancelled it")
         return True
 
+    def fail_job(self, job_id: str, now: float, reason: str) -> None:
+        """Fail a job that can't go on."""
+        job = self.state.jobs.get(job_id)
+        if job is not None:
+            self.state.finish_job(job, JobPhase.FAILED, now, reason)
+
     def find_job(self, job_id: str) -> JobState | None:
         """Return a job, or None if it is not known."""
         return self.state.jobs.get(job_id)
--- a/baobabhoist/control/node.py
+++ b/baobabhoist/control/node.py
@@ -277,6 +277,7 @@
             min(DEFAULT_LEASE_MS, self.cfg.bounds.lease_max_ms),
             self.cfg.bounds.lease_max_ms,
             self.cfg.bounds.job_kept_s * 1000,
+            self.cfg.store.row_max_bytes,
             authority_ends_ms,
             on_ownership_lost,
             self.metrics,
--- a/baobabhoist/control/owner.py
+++ b/baobabhoist/control/owner.py
@@ -44,6 +44,7 @@
 from baobabhoist.control.sessions.pool import PoolDependencies, SessionPool
 from baobabhoist.control.stored_rows import (
     add_stored_job,
+    group_by_job,
     restore_progress,
     restore_speeds,
     restore_usage,
@@ -84,6 +85,8 @@
     # Longest lease that a worker grants.
     max_lease_ms: float
     job_kept_ms: float
+    # Largest value that a row of the store holds.
+    row_max_bytes: int
     # Returns until when this owner may act, as far as its claim has been confirmed.
     authority_ends_ms: Callable[[], float]
     # Called once, with the reason, when another instance owns the cell.
@@ -113,7 +116,7 @@
         self._cell: CellScheduler | None = None
         self.ownership = ownership
         self.progress_writer = ProgressWriter(
-            deps.store, ownership.token, self._report_ownership_lost
+            deps.store, ownership.token, self._report_ownership_lost, deps.row_max_bytes
         )
         self.progress_writer.on_end_acked = self._handle_end_acked
         self.progress_writer.store_now_ms = deps.clock.now_ms
@@ -282,8 +285,8 @@
         cell.set_evacuations(self._evacuations, monotonic_ms())
         await self._load_jobs(tables.jobs)
         now = monotonic_ms()
-        for index, row in enumerate(tables.progress):
-            restore_progress(cell, row, now)
+        for index, (job_id, rows) in enumerate(group_by_job(tables.progress).items()):
+            restore_progress(cell, job_id, rows, now)
             if index % ROWS_PER_YIELD == 0:
                 await asyncio.sleep(0)
         self.is_loaded = True
--- a/baobabhoist/control/progress_writer.py
+++ b/baobabhoist/control/progress_writer.py
@@ -3,19 +3,23 @@
 from __future__ import annotations
 
 import asyncio
+import enum
 import logging
-from collections.abc import Callable
+from collections import defaultdict
+from collections.abc import Callable, Iterator, Mapping
+from types import MappingProxyType
 
-from baobabhoist.cell import progress_rows
 from baobabhoist.cell.scheduler import CellScheduler
 from baobabhoist.control.clock import monotonic_ms
+from baobabhoist.control.progress_layout import ProgressLayout, RowChanges
 from baobabhoist.control.row_schema import (
     HEARTBEAT_ROW_KEY,
     OWNER_ROW_KEY,
+    PROGRESS_TABLE,
     cancel_row_key,
     encode_speeds,
+    job_id_of_progress,
     job_row_key,
-    progress_row_key,
 )
 from baobabhoist.control.usage_row import USAGE_ROW_KEY, UsageRow, encode_usage
 from baobabhoist.observability.events import Event, emit
@@ -26,6 +30,7 @@
     RowStore,
     RowTransaction,
     StoreError,
+    StoreRejectedError,
 )
 
 log = logging.getLogger(__name__)
@@ -35,7 +40,11 @@
 RETRY_INTERVAL_S = 0.15
 # The store accepts at most 100 entries per call; a write has one for the claim and two per row.
 MAX_ROWS_PER_WRITE = 45
+# The store accepts 1 MB per call, in which values take a third more.
+MAX_BYTES_PER_WRITE = 600_000
 RELEASE_FLUSH_ATTEMPTS = 3
+# The store accepts other writes if a heartbeat was confirmed this lately.
+MAX_HEARTBEAT_AGE_MS = 2_500.0
 # Without a stored release, other instances notice only by the missing heartbeats.
 RELEASE_ATTEMPTS = 3
 # The speed estimates are stored along with progress, at most once per interval.
@@ -44,11 +53,27 @@
 USAGE_INTERVAL_MS = 5_000.0
 
 
+NO_EXPECTATIONS: Mapping[RowKey, int] = MappingProxyType({})
+
+
+class WriteFailure(enum.Enum):
+    """List why a write is not known to be stored."""
+
+    # Refused, unanswered, or in conflict with an earlier write: it may succeed when repeated.
+    NOT_STORED = "not_stored"
+    # The store will never accept it.
+    REJECTED = "rejected"
+
+
 class ProgressWriter:
     """Make all writes under one claim; they fail once another instance owns the cell."""
 
     def __init__(
-        self, store: RowStore, token: int, on_ownership_lost: Callable[[str], None]
+        self,
+        store: RowStore,
+        token: int,
+        on_ownership_lost: Callable[[str], None],
+        row_max_bytes: int,
     ) -> None:
         # When the last confirmed heartbeat was sent, on the local clock.
         self.heartbeat_confirmed_ms = monotonic_ms()
@@ -67,10 +92,12 @@
         # A write that the store applies late must not undo a newer one, so each write is
         # conditional on the version of every row that it replaces.
         self._versions: dict[RowKey, int] = {}
+        self._layout = ProgressLayout(row_max_bytes)
 
     def set_versions(self, versions: dict[RowKey, int]) -> None:
         """Set the versions of the rows, as loaded from the store."""
         self._versions = versions
+        self._layout.load(versions)
 
     def request_flush(self) -> None:
         """Request a write of the changed progress in the background."""
@@ -100,7 +127,7 @@
         """Write a heartbeat; return whether the store confirmed it."""
         self._heartbeat_count += 1
         value = str(self._heartbeat_count).encode()
-        return await self._commit({HEARTBEAT_ROW_KEY: value}, {}) is not None
+        return isinstance(await self._commit({HEARTBEAT_ROW_KEY: value}), RowsCommitted)
 
     async def release(self, claim: bytes, cell: CellScheduler | None) -> bool:
         """Store all progress and release the claim; return whether the release is stored."""
@@ -108,7 +135,7 @@
             self._next_usage_write_ms = monotonic_ms()
             await self._flush_all(cell)
         for _ in range(RELEASE_ATTEMPTS):
-            if await self._commit({OWNER_ROW_KEY: claim}, {}) is not None:
+            if isinstance(await self._commit({OWNER_ROW_KEY: claim}), RowsCommitted):
                 return True
         return False
 
@@ -117,7 +144,10 @@
         try:
             removed = (job_row_key(job_id), cancel_row_key(job_id))
             await self._store.commit(RowTransaction(removes=removed))
-            await self._store.commit(RowTransaction(removes=(progress_row_key(job_id),)))
+            keys = self._layout.forget_job(job_id)
+            for first in range(0, len(keys), MAX_ROWS_PER_WRITE):
+                part = tuple(keys[first : first + MAX_ROWS_PER_WRITE])
+                await self._store.commit(RowTransaction(removes=part))
         except StoreError as exc:
             emit(log, Event.WRITE_REFUSED, row=job_id, detail=exc)
 
@@ -133,23 +163,25 @@
         incarnations = {w.worker_id: w.started_unix_ms for w in cell.state.workers.values()}
         dirty = cell.take_unsaved_progress()
         deferred_sends, self._deferred_sends = self._deferred_sends, []
-        puts = {progress_row_key(i): progress_rows.encode(p) for i, p in dirty.items()}
+        changes: RowChanges = {}
+        for job_id, progress in dirty.items():
+            changes |= self._layout.changes(job_id, progress)
         if monotonic_ms() > self._next_speeds_write_ms and cell.state.speeds.workers:
             self._next_speeds_write_ms = monotonic_ms() + SPEEDS_INTERVAL_MS
             cell.state.speeds.forget_workers_except(cell.state.workers)
-            puts |= encode_speeds(cell.state.speeds)
+            changes |= encode_speeds(cell.state.speeds)
         if self._is_usage_due(cell):
             self._next_usage_write_ms = monotonic_ms() + USAGE_INTERVAL_MS
             use_s = cell.state.shares.past_use.take_changed()
-            puts[USAGE_ROW_KEY] = encode_usage(UsageRow(self.store_now_ms(), use_s))
+            changes[USAGE_ROW_KEY] = encode_usage(UsageRow(self.store_now_ms(), use_s))
         is_written = False
         try:
-            is_written = await self._write(puts)
+            is_written = await self._write(changes, cell)
         finally:
             # This also runs on cancellation, because another task then writes the rest.
             if not is_written:
                 cell.state.dirty.update(dirty)
-                if USAGE_ROW_KEY in puts:
+                if USAGE_ROW_KEY in changes:
                     cell.state.shares.past_use.has_changed = True
                 self._deferred_sends = deferred_sends + self._deferred_sends
         if not is_written:
@@ -163,17 +195,42 @@
         past_use = cell.state.shares.past_use
         return past_use.has_changed and monotonic_ms() >= self._next_usage_write_ms
 
-    async def _write(self, puts: dict[RowKey, bytes]) -> bool:
-        items = list(puts.items())
-        for first in range(0, len(items), MAX_ROWS_PER_WRITE):
-            chunk = dict(items[first : first + MAX_ROWS_PER_WRITE])
-            expected = {key: self._versions.get(key, 0) for key in chunk}
-            committed = await self._commit(chunk, expected)
-            if committed is None:
+    async def _write(self, changes: RowChanges, cell: CellScheduler) -> bool:
+        for batch in _batches(changes):
+            failure = await self._write_batch(batch)
+            if failure is WriteFailure.REJECTED:
+                await self._fail_rejected_jobs(batch, cell)
+            if failure is not None:
                 return False
-            self._versions.update(dict.fromkeys(chunk, committed.version))
         return True
 
+    async def _write_batch(self, changes: RowChanges) -> WriteFailure | None:
+        """Write some rows in one call; return why that failed, or None."""
+        expected = {key: self._versions.get(key, 0) for key in changes}
+        puts = {key: value for key, value in changes.items() if value is not None}
+        removes = tuple(key for key, value in changes.items() if value is None)
+        outcome = await self._commit(puts, expected, removes)
+        if isinstance(outcome, WriteFailure):
+            return outcome
+        self._versions.update(dict.fromkeys(puts, outcome.version))
+        for key in removes:
+            self._versions.pop(key, None)
+        self._layout.record_stored(changes)
+        return None
+
+    async def _fail_rejected_jobs(self, batch: RowChanges, cell: CellScheduler) -> None:
+        """Fail the jobs whose rows the store rejects, so that they don't hold up all others."""
+        by_job: defaultdict[str, RowChanges] = defaultdict(dict)
+        for key, value in batch.items():
+            if key.table == PROGRESS_TABLE:
+                by_job[job_id_of_progress(key)][key] = value
+        for job_id, changes in by_job.items():
+            failure = await self._write_batch(changes)
+            # If the store rejects everything, the job is not to blame.
+            is_store_sound = monotonic_ms() - self.heartbeat_confirmed_ms < MAX_HEARTBEAT_AGE_MS
+            if failure is WriteFailure.REJECTED and is_store_sound:
+                cell.fail_job(job_id, monotonic_ms(), "the store rejects its progress")
+
     def _acknowledge(
         self, cell: CellScheduler, seen_ends: dict[str, int], incarnations: dict[str, int]
     ) -> None:
@@ -186,26 +243,46 @@
                 self.on_end_acked(worker_id)
 
     async def _commit(
-        self, puts: dict[RowKey, bytes], expected: dict[RowKey, int]
-    ) -> RowsCommitted | None:
+        self,
+        puts: dict[RowKey, bytes],
+        expected: Mapping[RowKey, int] = NO_EXPECTATIONS,
+        removes: tuple[RowKey, ...] = (),
+    ) -> RowsCommitted | WriteFailure:
+        """Change rows under the claim."""
         sent_ms = monotonic_ms()
-        txn = RowTransaction({OWNER_ROW_KEY: self._token, **expected}, puts)
+        txn = RowTransaction({OWNER_ROW_KEY: self._token, **expected}, puts, removes)
         try:
             outcome = await self._store.commit(txn)
         except StoreError as exc:
             emit(log, Event.WRITE_REFUSED, row=f"{len(puts)} rows of progress", detail=exc)
-            return None
+            is_rejected = isinstance(exc, StoreRejectedError)
+            return WriteFailure.REJECTED if is_rejected else WriteFailure.NOT_STORED
         if isinstance(outcome, RowsConflict):
             self._handle_conflict(outcome, expected)
-            return None
+            return WriteFailure.NOT_STORED
         if HEARTBEAT_ROW_KEY in puts:
             self.heartbeat_confirmed_ms = max(self.heartbeat_confirmed_ms, sent_ms)
         return outcome
 
-    def _handle_conflict(self, conflict: RowsConflict, expected: dict[RowKey, int]) -> None:
+    def _handle_conflict(self, conflict: RowsConflict, expected: Mapping[RowKey, int]) -> None:
         """Distinguish a lost claim from an earlier write of this owner that got no answer."""
         if conflict.version_of(OWNER_ROW_KEY) != self._token:
             self._on_ownership_lost("the claim in the store has another version")
             return
         for key in expected:
             self._versions[key] = conflict.version_of(key)
+
+
+def _batches(changes: RowChanges) -> Iterator[RowChanges]:
+    """Yield the changes in order, as many at a time as the store accepts."""
+    batch: RowChanges = {}
+    size = 0
+    for key, value in changes.items():
+        value_size = len(value or b"")
+        if batch and (len(batch) >= MAX_ROWS_PER_WRITE or size + value_size > MAX_BYTES_PER_WRITE):
+            yield batch
+            batch, size = {}, 0
+        batch[key] = value
+        size += value_size
+    if batch:
+        yield batch
--- a/baobabhoist/control/row_schema.py
+++ b/baobabhoist/control/row_schema.py
@@ -29,6 +29,8 @@
 # Jobs are partitioned by the first hex digit of their ids.
 JOB_PARTITIONS = tuple("0123456789abcdef")
 CANCEL_SUFFIX = "/cancel"
+# Between the job's id and what else is in the key of a row of progress.
+PART_SEPARATOR = "/"
 
 _converter = cattrs.Converter()
 
@@ -59,6 +61,17 @@
     return RowKey(PROGRESS_TABLE, "", job_id)
 
 
+def progress_part_key(job_id: str, occurrence: int, step: int, first_task: int) -> RowKey:
+    """Return the key of the progress of some tasks of a step, from `first_task` on."""
+    part = f"{occurrence}.{step}.{first_task}"
+    return RowKey(PROGRESS_TABLE, "", f"{job_id}{PART_SEPARATOR}{part}")
+
+
+def job_id_of_progress(key: RowKey) -> str:
+    """Return the id of the job whose progress a row holds."""
+    return key.key.partition(PART_SEPARATOR)[0]
+
+
 def encode_job(row: JobRow) -> bytes:
     """Encode a job as the value of its row; default values are omitted."""
     body = _converter.unstructure(row)
--- a/baobabhoist/control/stored_rows.py
+++ b/baobabhoist/control/stored_rows.py
@@ -3,12 +3,20 @@
 from __future__ import annotations
 
 import logging
-from collections.abc import Sequence
+from collections import defaultdict
+from collections.abc import Iterable, Sequence
 
 from baobabhoist.cell import progress_rows
+from baobabhoist.cell.progress_rows import merge_progress
 from baobabhoist.cell.scheduler import CellScheduler
 from baobabhoist.control.clock import StoreClock, monotonic_ms, unix_ms
-from baobabhoist.control.row_schema import JOBS_TABLE, decode_job, decode_speeds
+from baobabhoist.control.row_schema import (
+    JOBS_TABLE,
+    decode_job,
+    decode_speeds,
+    job_id_of_progress,
+    progress_row_key,
+)
 from baobabhoist.control.usage_row import decode_usage
 from baobabhoist.observability.events import Event, emit
 from baobabhoist.store.row_store import StoredRow
@@ -35,14 +43,26 @@
         return False
 
 
-def restore_progress(cell: CellScheduler, row: StoredRow, now: float) -> None:
-    """Restore the progress of a job from its row."""
+def group_by_job(rows: Iterable[StoredRow]) -> dict[str, list[StoredRow]]:
+    """Return the rows of progress by the job that they belong to."""
+    by_job: defaultdict[str, list[StoredRow]] = defaultdict(list)
+    for row in rows:
+        by_job[job_id_of_progress(row.key)].append(row)
+    return by_job
+
+
+def restore_progress(
+    cell: CellScheduler, job_id: str, rows: Sequence[StoredRow], now: float
+) -> None:
+    """Restore the progress of a job from its rows."""
+    main_key = progress_row_key(job_id)
     try:
-        if row.value is not None:
-            cell.restore_job(row.key.key, progress_rows.decode(row.value), now)
+        stored = {r.key: progress_rows.decode(r.value) for r in rows if r.value is not None}
+        main = stored.pop(main_key, None)
+        cell.restore_job(job_id, merge_progress(main, stored.values()), now)
     except Exception as exc:
         # One row must not end this owner, and the next ones after it.
-        _log_unreadable(row.key.table, row.key.key, exc)
+        _log_unreadable(main_key.table, job_id, exc)
 
 
 def restore_speeds(cell: CellScheduler, rows: Sequence[StoredRow]) -> None:
--- a/baobabhoist/observability/events.py
+++ b/baobabhoist/observability/events.py
@@ -287,6 +287,11 @@
     WRITE_REFUSED = (8007, logging.WARNING, "store refused the write of {row}: {detail}")
     WRITE_UNANSWERED = (8008, logging.WARNING, "store did not answer the write of {row}: {detail}")
     ROW_UNREADABLE = (8009, logging.WARNING, "cannot read row {row} of table {table}: {detail}")
+    CHECKPOINTS_NOT_STORED = (
+        8011,
+        logging.WARNING,
+        "row {row} would have {size} bytes, so it is stored without the checkpoints of its tasks",
+    )
     OPERATOR_REFUSED = (9002, logging.WARNING, "refused an operator key from {address}")
 
     def __init__(self, number: int, level: int, template: str) -> None:
--- a/baobabhoist/platform/store.py
+++ b/baobabhoist/platform/store.py
@@ -20,12 +20,15 @@
     StoredRow,
     StoreError,
     StoreRefusedError,
+    StoreRejectedError,
     StoreUnansweredError,
 )
 
 REQUEST_TIMEOUT_S = 1.2
-OK, GONE, PRECONDITION_FAILED, TOO_MANY_REQUESTS, UNAVAILABLE = 200, 410, 412, 429, 503
+OK, BAD_REQUEST, GONE, PRECONDITION_FAILED, TOO_LARGE = 200, 400, 410, 412, 413
+TOO_MANY_REQUESTS, UNAVAILABLE = 429, 503
 REFUSED_STATUSES = frozenset({TOO_MANY_REQUESTS, UNAVAILABLE})
+REJECTED_STATUSES = frozenset({BAD_REQUEST, TOO_LARGE})
 
 
 class PlatformRowStore:
@@ -121,6 +124,8 @@
         raise StoreUnansweredError(f"the store did not answer: {response.reason}")
     if response.status in REFUSED_STATUSES:
         raise StoreRefusedError(f"the store answered {response.status}")
+    if response.status in REJECTED_STATUSES:
+        raise StoreRejectedError(f"the store answered {response.status}: {response.body}")
     raise StoreError(f"the store answered {response.status}: {response.body}")
 
 
--- a/baobabhoist/store/row_store.py
+++ b/baobabhoist/store/row_store.py
@@ -17,6 +17,10 @@
     """Report that the store refused a call, which had no effect."""
 
 
+class StoreRejectedError(StoreError):
+    """Report that the store will never accept a call, for example because a row is too large."""
+
+
 class StoreUnansweredError(StoreError):
     """Report that a call got no response: it may have taken effect or may do so later."""
 
--- a/baobabhoist/testing/memory_row_store.py
+++ b/baobabhoist/testing/memory_row_store.py
@@ -17,6 +17,7 @@
     RowTransaction,
     StoredRow,
     StoreRefusedError,
+    StoreRejectedError,
     StoreUnansweredError,
 )
 
@@ -31,9 +32,12 @@
     is_down: bool = False
     history_start_version: int = 0
     history: list[StoredRow] = attrs.Factory(list)
-    # Returns "" for no failure, "refused", "lost" (applied, but the reply is lost) or "late" (the
-    # reply is lost, and `apply_delayed` applies the transaction).
+    # Returns "" for no failure, "refused", "rejected", "lost" (applied, but the reply is lost) or
+    # "late" (the reply is lost, and `apply_delayed` applies the transaction).
     choose_failure: Callable[[RowTransaction], str] = lambda txn: ""
+    # The longest value of a row, and the longest values of a call together.
+    row_max_bytes: int = 65_536
+    call_max_bytes: int = 750_000
     # While this is set, commits never return.
     commits_hang: bool = False
     delayed: list[RowTransaction] = attrs.Factory(list)
@@ -68,7 +72,12 @@
         self.commit_count += 1
         if self.commits_hang:
             await asyncio.Event().wait()
+        sizes = [len(value) for value in txn.puts.values()]
+        if max(sizes, default=0) > self.row_max_bytes or sum(sizes) > self.call_max_bytes:
+            raise StoreRejectedError("the values are too large")
         failure = self.choose_failure(txn)
+        if failure == "rejected":
+            raise StoreRejectedError("the store does not accept the row")
         if failure == "refused":
             raise StoreRefusedError("the store is busy")
         if failure == "late":
--- a/baobabhoist/tests/test_control_election.py
+++ b/baobabhoist/tests/test_control_election.py
@@ -39,7 +39,9 @@
     def __init__(self, store, ownership):
         self.ownership = ownership
         self.cell = None
-        self.progress_writer = ProgressWriter(store, ownership.token, lambda reason: None)
+        self.progress_writer = ProgressWriter(
+            store, ownership.token, lambda reason: None, store.row_max_bytes
+        )
 
     async def run(self):
         await asyncio.sleep(3600)
--- a/baobabhoist/tests/test_control_owner.py
+++ b/baobabhoist/tests/test_control_owner.py
@@ -36,6 +36,7 @@
 WORKER_ROW_KEY = RowKey(DIRECTORY, "", "w0")
 # Only a test that fails waits for this long.
 FAILURE_TIMEOUT_S = 5.0
+ROW_MAX_BYTES = 65_536
 
 
 class FakeDecoder:
@@ -97,6 +98,7 @@
             LEASE_MS,
             LEASE_MS,
             60_000.0,
+            ROW_MAX_BYTES,
             lambda: self.authority_ends_ms,
             lambda reason: None,
             metrics,
--- a/baobabhoist/tests/test_control_owner_logs.py
+++ b/baobabhoist/tests/test_control_owner_logs.py
@@ -71,6 +71,7 @@
             lease_ms=LEASE_MS,
             max_lease_ms=LEASE_MS,
             job_kept_ms=60_000.0,
+            row_max_bytes=65_536,
             authority_ends_ms=lambda: float("inf"),
             on_ownership_lost=lambda reason: None,
             metrics=self.metrics,
--- a/baobabhoist/tests/test_control_progress_writer.py
+++ b/baobabhoist/tests/test_control_progress_writer.py
@@ -17,7 +17,8 @@
     store = MemoryRowStore(**options)
     token = store.apply(RowTransaction({}, {OWNER_ROW_KEY: b"me"})).version
     loss_reasons = []
-    return store, ProgressWriter(store, token, loss_reasons.append), loss_reasons
+    writer = ProgressWriter(store, token, loss_reasons.append, store.row_max_bytes)
+    return store, writer, loss_reasons
 
 
 def make_harness_with_runs():
--- a/baobabhoist/tests/test_sessions_worker_session.py
+++ b/baobabhoist/tests/test_sessions_worker_session.py
@@ -12,7 +12,6 @@
 from baobabhoist.control.sessions.worker_session import WorkerSession
 from baobabhoist.tests.cell_harness import LEASE_MS, CellHarness, make_job, make_task_key
 
-
 FAR_DEADLINE_MS = 1_000_000
 
 
