Lose no run whose end a full report leaves out

Cause: a worker lists 500 ends at a time and the next ones only once these are acknowledged, which waits for the store. A run that a report listed neither as running nor as ended counted as lost.

Ruled out: an acknowledgement before the write; none was sent during the outage.

Change: the driver marks a report that may have left out ends. It closes no run, and a run of that worker does not count as stalled. The mark passes through instances that hold sessions.

--- a/baobabhoist/cell/model.py
+++ b/baobabhoist/cell/model.py
@@ -327,13 +327,15 @@
     """Hold the reply of a worker to a lease renewal.
 
     `clock_ms` is on the worker's own monotonic clock. `started_unix_ms`, when the worker process
-    started, identifies its incarnation.
+    started, identifies its incarnation. If `has_more_ends` is set, the worker may list further ends
+    once these are acknowledged.
     """
 
     clock_ms: int
     started_unix_ms: int
     running: tuple[ActiveRun, ...]
     ended: tuple[EndedRun, ...]
+    has_more_ends: bool = False
 
     def listed_runs(self) -> set[tuple[TaskKey, int]]:
         """Return the runs in progress and the ended ones, by task and number."""
--- a/baobabhoist/cell/periodic_checks.py
+++ b/baobabhoist/cell/periodic_checks.py
@@ -122,6 +122,8 @@
     """
     if run.phase is not RunPhase.RUNNING or run.task.step.spec.lasting:
         return False
+    if worker.has_unlisted_ends:
+        return False
     timeout_ms = max(STALL_TIMEOUT_MS, STALLED_PERCENTS * run.ms_per_percent)
     last_ms = run.last_progress_ms
     return (
--- a/baobabhoist/cell/worker_reports.py
+++ b/baobabhoist/cell/worker_reports.py
@@ -49,6 +49,7 @@
         worker.started_unix_ms = report.started_unix_ms or worker.started_unix_ms
         worker.lease.update_clock(report.clock_ms, now)
         worker.last_report_ms = worker.last_heard_ms = now
+        worker.has_unlisted_ends = report.has_more_ends
         if not worker.has_accepted_token:
             worker.has_accepted_token = True
             emit(
@@ -225,6 +226,9 @@
         for task_key, run_number in list(worker.orphan_runs.items()):
             if (task_key, run_number) not in listed:
                 del worker.orphan_runs[task_key]
+        if report.has_more_ends:
+            # A run may be missing because its end is not listed yet.
+            return
         for run in list(worker.runs.values()):
             if (run.task.key, run.number) in listed:
                 continue
--- a/baobabhoist/cell/workers.py
+++ b/baobabhoist/cell/workers.py
@@ -118,6 +118,8 @@
     isolated_run: Run | None = None
     # When the worker process started; identifies its incarnation.
     started_unix_ms: int = 0
+    # The last report left out ends, so that a run which it does not list may have ended well.
+    has_unlisted_ends: bool = False
     # Sequence numbers of the last end applied, and of the last one that is also stored.
     last_seen_end: int = 0
     last_acked_end: int = 0
--- a/baobabhoist/control/sessions/messages.py
+++ b/baobabhoist/control/sessions/messages.py
@@ -156,6 +156,7 @@
     lease_deadline_ms: int
     running: tuple[RunningTask, ...]
     ended: tuple[EndedTask, ...]
+    has_more_ends: bool = False
 
 
 @attrs.frozen
@@ -205,6 +206,7 @@
         lease_deadline_ms,
         tuple(running),
         tuple(ended),
+        report.has_more_ends,
     )
 
 
@@ -218,7 +220,9 @@
         EndedRun(e.sequence_number, parse_task(e.task), e.run, RunOutcome(e.outcome), e.checkpoint)
         for e in held.ended
     )
-    return WorkerReport(held.clock_ms, held.started_unix_ms, tuple(running), tuple(ended))
+    return WorkerReport(
+        held.clock_ms, held.started_unix_ms, tuple(running), tuple(ended), held.has_more_ends
+    )
 
 
 def parse_task(text: str) -> TaskKey:
--- a/baobabhoist/platform/workers.py
+++ b/baobabhoist/platform/workers.py
@@ -23,6 +23,8 @@
 
 COMMAND_TIMEOUT_S = 0.7
 RENEW_TIMEOUT_MARGIN_S = 0.8
+# A report lists at most this many ends; a list of this length may be cut short.
+MAX_ENDS_PER_REPORT = 500
 TARGET_INSTANCE_HEADER = "X-Target-Instance"
 
 _OUTCOME_BY_STATUS = {
@@ -124,12 +126,14 @@
 
 def _parse_report(response: HttpResponse) -> WorkerReport | None:
     """Return the report in a response, or None if it cannot be parsed."""
+    running, finished = response.field("running") or (), response.field("finished") or ()
     try:
         return WorkerReport(
             int(response.field("clockMs")),
             int(response.field("born", 0)),
-            tuple(filter(None, map(_parse_active_run, response.field("running") or ()))),
-            tuple(filter(None, map(_parse_ended_run, response.field("finished") or ()))),
+            tuple(filter(None, map(_parse_active_run, running))),
+            tuple(filter(None, map(_parse_ended_run, finished))),
+            len(finished) >= MAX_ENDS_PER_REPORT,
         )
     except (TypeError, ValueError, IndexError, KeyError, AttributeError, OverflowError) as exc:
         log.warning("cannot parse the report of a worker: %s", exc)
--- a/baobabhoist/testing/cell_worker.py
+++ b/baobabhoist/testing/cell_worker.py
@@ -53,6 +53,8 @@
     # Every start that took effect.
     started_runs: list[tuple[TaskKey, int]] = attrs.Factory(list)
     is_up: bool = True
+    # How many ends a report lists.
+    max_listed_ends: int = 500
     requires_tickets: bool = False
     # When each ticket for a step expires, on the worker's clock.
     ticket_expiries_ms: dict[tuple[StepKey, str], float] = attrs.Factory(dict)
@@ -90,8 +92,13 @@
             ActiveRun(r.task, r.number, r.checkpoint, r.progress_percent)
             for r in self.runs.values()
         ]
+        ended = tuple(self.unacked_ends[: self.max_listed_ends])
         return WorkerReport(
-            int(self.now_ms), self.started_unix_ms, tuple(running), tuple(self.unacked_ends)
+            int(self.now_ms),
+            self.started_unix_ms,
+            tuple(running),
+            ended,
+            len(ended) >= self.max_listed_ends,
         )
 
     def start(self, token: int, command: StartTask, deadline_ms: int) -> CommandOutcome:
--- a/baobabhoist/tests/test_cell_worker_reports.py
+++ b/baobabhoist/tests/test_cell_worker_reports.py
@@ -1,6 +1,6 @@
 """Test how reports of workers and answers to commands are applied."""
 
-from baobabhoist.cell.model import AdviceTerms, CommandOutcome, Step
+from baobabhoist.cell.model import AdviceTerms, CommandOutcome, JobPhase, RunOutcome, Step
 from baobabhoist.observability.events import Event
 from baobabhoist.tests.cell_harness import SMALL, CellHarness, make_job, make_rules, make_task_key
 
@@ -82,3 +82,24 @@
     assert harness.schedule() == []
     harness.cell.update_worker(worker.info(), harness.now)
     assert [command.task.job_id for command in harness.schedule()] == ["1" * 16]
+
+
+def test_runs_whose_ends_are_not_listed_yet_are_not_lost():
+    """Guard against tasks that run again because a report lists only the first ends.
+
+    While the store is down no end is acknowledged, and a worker that had more ends than fit into
+    its report seemed to have lost the others (TWICE, review/4).
+    """
+    harness = CellHarness.with_workers(1, max_listed_ends=2)
+    harness.submit(make_job("0" * 16, Step(4, SMALL, 1000)))
+    harness.settle()
+    worker = harness.workers["w0"]
+    for key in list(worker.runs):
+        worker.end_run(key, RunOutcome.DONE)
+    harness.advance(4_000.0)
+    assert len(worker.started_runs) == 4
+    for _ in range(3):
+        harness.save_progress()
+        harness.renew_all()
+    assert harness.job_phase() is JobPhase.COMPLETED
+    assert len(worker.started_runs) == 4
--- a/baobabhoist/tests/test_platform_malformed_answers.py
+++ b/baobabhoist/tests/test_platform_malformed_answers.py
@@ -52,6 +52,13 @@
     assert renew({**REPORT, **fields}) is CommandOutcome.UNKNOWN
 
 
+def test_a_full_list_of_ends_may_be_cut_short():
+    """Guard against ends beyond the first 500 that count as runs which were lost."""
+    ends = [[n, "0" * 16 + f".0.0.{n}", 1, "done", ""] for n in range(1, 501)]
+    assert renew({**REPORT, "finished": ends}).has_more_ends
+    assert not renew({**REPORT, "finished": ends[1:]}).has_more_ends
+
+
 @pytest.mark.parametrize("rows", [7, {"k": 1}, [None], ["row"], [{**ROW, "schemaVer": "new"}]])
 def test_malformed_rows_count_as_a_missing_answer(rows):
     """Guard against an answer of the store that ends the task which follows a table."""
