--- a/baobabhoist/cell/model.py
+++ b/baobabhoist/cell/model.py
@@ -327,8 +327,8 @@
     """Hold the reply of a worker to a lease renewal.
 
     `clock_ms` is on the worker's own monotonic clock. `started_unix_ms`, when the worker process
-    started, identifies its incarnation. If `has_more_ends` is set, the worker may list further ends
-    once these are acknowledged.
+    started, identifies its incarnation. If `has_more_ends` is set, the worker may list others once
+    these ends are acknowledged.
     """
 
     clock_ms: int
