Take the error of a server for an unknown outcome

A gateway's 502 or 504 to a write counted as a refusal, so a job could run after a 503, and an error of a worker other than 429 and 503 counted as a start that had no effect.

Change: other statuses from 500 on leave the outcome open, for the store and for workers. A call that the store rejects is an answer, so it no longer counts as a failure of the store, and is passed on as what it is by a relaying instance.

The tests failed before (500, 502, 504; and a store that counts as unreachable after a 400) and pass now.

--- a/baobabhoist/control/relay.py
+++ b/baobabhoist/control/relay.py
@@ -35,6 +35,7 @@
     StoredRow,
     StoreError,
     StoreRefusedError,
+    StoreRejectedError,
     StoreUnansweredError,
 )
 
@@ -54,6 +55,7 @@
 
 _ERROR_TYPES: dict[str, type[StoreError]] = {
     "refused": StoreRefusedError,
+    "rejected": StoreRejectedError,
     "unanswered": StoreUnansweredError,
     "history_lost": HistoryLostError,
 }
@@ -189,7 +191,8 @@
                 self._peers.mark_served(link)
                 return reply
             if reply.kind != "refused":
-                raise _ERROR_TYPES[reply.kind](reply.detail)
+                # A kind of a later release leaves open what was done.
+                raise _ERROR_TYPES.get(reply.kind, StoreUnansweredError)(reply.detail)
             self._peers.mark_unusable(link)
             emit(log, Event.RELAY_REFUSED, detail=reply.detail)
         if timed_out:
--- a/baobabhoist/control/store_health.py
+++ b/baobabhoist/control/store_health.py
@@ -18,6 +18,7 @@
     RowTransaction,
     StoreError,
     StoreRefusedError,
+    StoreRejectedError,
 )
 
 T = TypeVar("T")
@@ -87,8 +88,9 @@
         outcome = "cancelled"
         try:
             result = await answer
-        except HistoryLostError:
-            outcome = "history_lost"
+        except (HistoryLostError, StoreRejectedError) as exc:
+            # The call fails, but the store answers.
+            outcome = "history_lost" if isinstance(exc, HistoryLostError) else "rejected"
             self.health.last_answer_ms = monotonic_ms()
             raise
         except StoreError as exc:
--- a/baobabhoist/platform/workers.py
+++ b/baobabhoist/platform/workers.py
@@ -43,6 +43,7 @@
     "ticket": CommandOutcome.NO_TICKET,
 }
 HTTP_CONFLICT = 409
+FIRST_SERVER_ERROR = 500
 
 
 class PlatformWorkerDriver:
@@ -121,7 +122,10 @@
 def _command_outcome(response: HttpResponse) -> CommandOutcome:
     if response.status == HTTP_CONFLICT:
         return _OUTCOME_BY_REASON.get(response.field("reason", ""), CommandOutcome.BAD)
-    return _OUTCOME_BY_STATUS.get(response.status, CommandOutcome.BAD)
+    # Another error of a server says nothing of what was done.
+    is_server_error = response.status >= FIRST_SERVER_ERROR
+    other = CommandOutcome.UNKNOWN if is_server_error else CommandOutcome.BAD
+    return _OUTCOME_BY_STATUS.get(response.status, other)
 
 
 def _parse_report(response: HttpResponse) -> WorkerReport | None:
--- a/baobabhoist/tests/test_control_relay.py
+++ b/baobabhoist/tests/test_control_relay.py
@@ -16,6 +16,7 @@
     RowsConflict,
     RowTransaction,
     StoreRefusedError,
+    StoreRejectedError,
     StoreUnansweredError,
 )
 from baobabhoist.testing.memory_row_store import MemoryRowStore
@@ -193,6 +194,24 @@
     asyncio.run(run())
 
 
+def test_a_rejected_write_does_not_make_the_store_unreachable():
+    """Guard against one row that is too large and keeps an instance from the store."""
+
+    async def run():
+        shared = MemoryRowStore(choose_failure=lambda txn: "rejected")
+        _, peer = make_instance(shared)
+        view, failover = make_instance(shared, FakeLink(peer))
+        with pytest.raises(StoreRejectedError):
+            await failover.commit(TXN)
+        assert not failover.direct.health.is_unreachable()
+        view.is_down = True
+        for error in (StoreUnansweredError, StoreRejectedError):
+            with pytest.raises(error):
+                await failover.commit(TXN)
+
+    asyncio.run(run())
+
+
 def test_cut_off_peers_are_skipped():
     """Guard against an owner that keeps trying the same cut-off peers.
 
--- a/baobabhoist/tests/test_platform_malformed_answers.py
+++ b/baobabhoist/tests/test_platform_malformed_answers.py
@@ -4,12 +4,20 @@
 
 import pytest
 
-from baobabhoist.cell.model import CommandOutcome, Resources, StepKey, WorkerInfo, WorkerReport
+from baobabhoist.cell.model import (
+    CommandOutcome,
+    Resources,
+    StartTask,
+    StepKey,
+    TaskKey,
+    WorkerInfo,
+    WorkerReport,
+)
 from baobabhoist.platform.advice import DEFAULT_TICKET_VALID_MS, PlatformAdviser
 from baobabhoist.platform.http_client import HttpResponse
 from baobabhoist.platform.store import PlatformRowStore
 from baobabhoist.platform.workers import PlatformWorkerDriver
-from baobabhoist.store.row_store import StoreUnansweredError
+from baobabhoist.store.row_store import RowTransaction, StoreUnansweredError
 
 WORKER = WorkerInfo("w0", "svc", "127.0.0.1:1", "z1", Resources(1000, 512, 0), ())
 REPORT = {"clockMs": 1, "born": 2, "running": [], "finished": []}
@@ -79,3 +87,17 @@
     body = {"approved": [["w0", "ticket"], ["w1"], None, [7, "x"], "w2"], "validityMs": "long"}
     advice = asyncio.run(PlatformAdviser(FakeHttp(body), "a:1").ask(StepKey("j", 0, 0), [], 1.0))
     assert (advice.tickets, advice.valid_ms) == ({"w0": "ticket"}, DEFAULT_TICKET_VALID_MS)
+
+
+@pytest.mark.parametrize("status", [500, 502, 504])
+def test_an_error_of_a_server_leaves_open_what_was_done(status):
+    """Guard against jobs that run although they were refused, and tasks that start twice.
+
+    Only 429 and 503 say that nothing was done.
+    """
+    http = FakeHttp({}, status)
+    with pytest.raises(StoreUnansweredError):
+        asyncio.run(PlatformRowStore(http, "store:1").commit(RowTransaction()))
+    start = StartTask("w0", TaskKey("0" * 16, 0, 0, 0), 1, "(payload)")
+    response = asyncio.run(PlatformWorkerDriver(http, http).start(WORKER, 1, start, 1_000))
+    assert response.outcome is CommandOutcome.UNKNOWN
