Show a job as completed only once its end is stored

Cause: the owner answered from memory. While the store was away an end was known to this owner alone; if it was replaced and the worker was gone or out of reach, the next owner ran the task again.

Change: completed and failed are shown once the row with the final phase is stored; a cancellation is stored before the owner hears of it.

The test failed before (shown while the store refused the write) and passes now.

--- a/baobabhoist/cell/jobs.py
+++ b/baobabhoist/cell/jobs.py
@@ -208,6 +208,8 @@
     # An earlier owner may have started tasks of this job.
     is_inherited: bool = False
     ended_ms: float = 0.0
+    # The final phase is stored, so that no later owner can run the job again.
+    is_end_stored: bool = False
     opened_count: int = 0
     # This owner has stopped runs of this job in favour of another one.
     was_preempted: bool = False
@@ -224,6 +226,11 @@
         """Return whether the job has ended."""
         return self.phase in FINAL_PHASES
 
+    @property
+    def confirmed_phase(self) -> JobPhase:
+        """Return the phase that callers may see: a final one only once it is stored."""
+        return self.phase if self.is_end_stored or not self.is_final else JobPhase.RUNNING
+
     @property
     def late_limit_ms(self) -> float:
         """Return the time after which the job has no value any more."""
--- a/baobabhoist/cell/scheduler.py
+++ b/baobabhoist/cell/scheduler.py
@@ -14,6 +14,7 @@
 from baobabhoist.cell.evacuations import Evacuations
 from baobabhoist.cell.jobs import JobState, RunPhase, StepState, objective_after_ms
 from baobabhoist.cell.model import (
+    FINAL_PHASES,
     NO_RESOURCES,
     AcceptedJob,
     CellRules,
@@ -160,7 +161,7 @@
             # The cancellation is stored in its own row, which may be newer than the progress.
             job.phase = JobPhase.CANCELLED
         if job.is_final:
-            job.ended_ms = now
+            job.ended_ms, job.is_end_stored = now, True
             job.drop_payload()
         self._adopt_stored_runs(job, progress, now)
         self.state.update_ready_steps(job, now)
@@ -396,6 +397,13 @@
         jobs = self.state.jobs
         return {i: progress_rows.capture_progress(jobs[i]) for i in dirty if i in jobs}
 
+    def record_stored(self, progress: Mapping[str, JobProgress]) -> None:
+        """Record that progress is stored."""
+        for job_id, stored in progress.items():
+            job = self.state.jobs.get(job_id)
+            if job is not None and stored.phase in FINAL_PHASES:
+                job.is_end_stored = True
+
     def last_seen_ends(self) -> dict[str, int]:
         """Return the sequence number of the last end applied from each worker."""
         return {w.worker_id: w.last_seen_end for w in self.state.workers.values()}
--- a/baobabhoist/cell/state.py
+++ b/baobabhoist/cell/state.py
@@ -255,6 +255,8 @@
         if job.is_final:
             return
         job.phase, job.ended_ms = phase, now
+        # A cancellation is stored in a row of its own before the owner hears of it.
+        job.is_end_stored = phase is JobPhase.CANCELLED
         self.dirty.add(job.job_id)
         emit(
             log,
--- a/baobabhoist/control/owner.py
+++ b/baobabhoist/control/owner.py
@@ -222,7 +222,7 @@
         job = self.cell.find_job(job_id) if self.cell is not None else None
         if job is None:
             return StateReply()
-        return StateReply(job.phase.value, job.accepted.queue, job.accepted.team)
+        return StateReply(job.confirmed_phase.value, job.accepted.queue, job.accepted.team)
 
     def count_pending_jobs(self, queue: str) -> PendingReply | None:
         """Return the number of jobs of a queue that have not started, or None while loading."""
--- a/baobabhoist/control/progress_writer.py
+++ b/baobabhoist/control/progress_writer.py
@@ -186,6 +186,7 @@
                 self._deferred_sends = deferred_sends + self._deferred_sends
         if not is_written:
             return False
+        cell.record_stored(dirty)
         for send in deferred_sends:
             send()
         self._acknowledge(cell, seen_ends, incarnations)
--- a/baobabhoist/tests/test_control_owner.py
+++ b/baobabhoist/tests/test_control_owner.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from baobabhoist.cell.model import CommandOutcome, JobSpec, Step, WorkerInfo
+from baobabhoist.cell.model import CommandOutcome, JobPhase, JobSpec, Step, WorkerInfo
 from baobabhoist.cell.scheduler import CellScheduler
 from baobabhoist.control import owner as owner_module
 from baobabhoist.control.clock import StoreClock, monotonic_ms
@@ -327,6 +327,34 @@
     assert counter.most_in_one_turn("renewal") <= pool.SESSIONS_PER_TURN
 
 
+def test_a_job_is_shown_as_completed_only_once_that_is_stored():
+    """Guard against a job that starts again after a caller has seen it completed (TWICE).
+
+    While the store was down the end was known to this owner alone. If it was replaced, and the
+    worker that had reported the end could not be reached, the next owner ran the task again.
+    """
+
+    async def run():
+        harness = OwnerHarness()
+        await harness.start()
+        harness.store_job()
+        cell = harness.owner.cell
+        await harness.wait_until(lambda: cell.find_job(JOB_ID) is not None)
+        harness.store.choose_failure = lambda txn: "refused"
+        cell.state.finish_job(cell.find_job(JOB_ID), JobPhase.COMPLETED, monotonic_ms(), "done")
+        harness.owner.progress_writer.request_flush()
+        first_try = harness.store.commit_count + 1
+        await harness.wait_until(lambda: harness.store.commit_count > first_try)
+        states = [harness.owner.job_state(JOB_ID).state]
+        harness.store.choose_failure = lambda txn: ""
+        await harness.wait_until(lambda: harness.owner.job_state(JOB_ID).state != states[0])
+        states.append(harness.owner.job_state(JOB_ID).state)
+        harness.task.cancel()
+        return states
+
+    assert asyncio.run(run()) == ["running", "completed"]
+
+
 def test_crashed_start_counts_as_unanswered():
     """Guard against a run that is never started again because sending its start crashed."""
 
