Keep the limits of queues and teams that are removed

Cause: the number of attempts was looked up in the configuration in force, and a queue that is not there counted as one without a limit.

Ruled out: counting of failures.

Change: a cell keeps removed queues and teams while unfinished jobs need them, a job's row holds its number of attempts, and a new owner fails a job whose stored failures have used them up.

--- a/baobabhoist/cell/model.py
+++ b/baobabhoist/cell/model.py
@@ -126,7 +126,8 @@
     """Hold a job as it was stored; `accepted_ms` is on the store's monotonic clock.
 
     `version` is the store's version of the row. It tells whether the job was stored before or
-    after the cell was claimed.
+    after the cell was claimed. `max_attempts` is that of its queue at the time, or 0 if an earlier
+    release has stored the job.
     """
 
     job_id: str
@@ -136,6 +137,7 @@
     accepted_ms: int
     spec: JobSpec
     version: int = 0
+    max_attempts: int = 0
 
 
 class JobPhase(enum.StrEnum):
--- a/baobabhoist/cell/run_ends.py
+++ b/baobabhoist/cell/run_ends.py
@@ -4,7 +4,7 @@
 
 import logging
 
-from baobabhoist.cell.jobs import Run, RunPhase, StepState, TaskState
+from baobabhoist.cell.jobs import JobState, Run, RunPhase, StepState, TaskState
 from baobabhoist.cell.model import JobPhase, RunOutcome
 from baobabhoist.cell.state import CellState
 from baobabhoist.cell.wasted_work import WasteCause
@@ -92,14 +92,20 @@
 
     def _fail_job_after_max_attempts(self, task: TaskState, now: float) -> None:
         job = task.step.job
-        queue = self._state.queue_of(job)
         attempts = task.step.failed_attempts(task)
-        if queue is None or task.step.spec.lasting or attempts < queue.max_attempts:
+        if task.step.spec.lasting or attempts < self._state.max_attempts_of(job):
             return
         self._state.finish_job(
             job, JobPhase.FAILED, now, f"task {task.key.to_text()} failed {attempts} times"
         )
 
+    def fail_exhausted_job(self, job: JobState, now: float) -> None:
+        """Fail a job if a task has no attempt left, as stored progress may show."""
+        for step in job.steps.values():
+            for task in step.tasks:
+                if task.failed_runs and not task.is_done:
+                    self._fail_job_after_max_attempts(task, now)
+
     def _save_checkpoint(self, task: TaskState, checkpoint: str) -> None:
         members = task.step.tasks if task.step.spec.gang else [task]
         for member in members:
--- a/baobabhoist/cell/scheduler.py
+++ b/baobabhoist/cell/scheduler.py
@@ -167,6 +167,8 @@
         self.state.update_ready_steps(job, now)
         if not job.is_final and job.are_all_tasks_done():
             self.state.finish_job(job, JobPhase.COMPLETED, now, "all tasks are done")
+        if not job.is_final:
+            self._run_ends.fail_exhausted_job(job, now)
 
     def cancel_job(self, job_id: str, now: float) -> bool:
         """Cancel a job; return whether it is known."""
--- a/baobabhoist/cell/state.py
+++ b/baobabhoist/cell/state.py
@@ -47,6 +47,8 @@
 
 # Run numbers reserved for each owner, so that a later owner always uses higher ones.
 RUN_NUMBERS_PER_OWNER = 1000
+# For a job of an earlier release, whose queue was removed before this owner knew it.
+DEFAULT_MAX_ATTEMPTS = 3
 
 
 @attrs.define
@@ -60,6 +62,9 @@
     workers: dict[str, WorkerState] = attrs.Factory(dict)
     # Workers that the directory lists or has listed at each address, by worker id.
     workers_by_address: dict[str, dict[str, WorkerState]] = attrs.Factory(dict)
+    # What the configuration no longer holds, although unfinished jobs need it.
+    removed_queues: dict[str, Queue] = attrs.Factory(dict)
+    removed_teams: dict[str, Team] = attrs.Factory(dict)
     evacuations: Evacuations = NO_EVACUATIONS
     # When the last worker that has said so will be warm.
     all_warm_ms: float = float("-inf")
@@ -85,17 +90,33 @@
         self.entitlements.set_teams(self.rules.teams)
 
     def set_rules(self, rules: CellRules) -> None:
-        """Replace the configured queues and teams."""
+        """Replace the configured queues and teams; jobs keep those that are removed."""
+        unfinished = [job.accepted for job in self.jobs.values() if not job.is_final]
+        queues = {accepted.queue for accepted in unfinished} - rules.queues.keys()
+        teams = {accepted.team for accepted in unfinished} - rules.teams.keys()
+        known_queues = self.removed_queues | self.rules.queues
+        known_teams = self.removed_teams | self.rules.teams
+        self.removed_queues = {name: known_queues[name] for name in queues & known_queues.keys()}
+        self.removed_teams = {name: known_teams[name] for name in teams & known_teams.keys()}
         self.rules = rules
         self.entitlements.set_teams(rules.teams)
 
     def queue_of(self, job: JobState) -> Queue | None:
-        """Return the queue of a job, or None if it is no longer configured."""
-        return self.rules.queues.get(job.accepted.queue)
+        """Return the queue of a job, or None if this owner has never known it."""
+        name = job.accepted.queue
+        return self.rules.queues.get(name) or self.removed_queues.get(name)
 
     def team_of(self, job: JobState) -> Team | None:
-        """Return the team of a job, or None if it is no longer configured."""
-        return self.rules.teams.get(job.accepted.team)
+        """Return the team of a job, or None if this owner has never known it."""
+        name = job.accepted.team
+        return self.rules.teams.get(name) or self.removed_teams.get(name)
+
+    def max_attempts_of(self, job: JobState) -> int:
+        """Return after how many failed attempts of a task a job fails."""
+        queue = self.queue_of(job)
+        if queue is not None:
+            return queue.max_attempts
+        return job.accepted.max_attempts or DEFAULT_MAX_ATTEMPTS
 
     def service_of(self, job: JobState) -> str:
         """Return the service that currently runs the tasks of a job."""
--- a/baobabhoist/control/job_api.py
+++ b/baobabhoist/control/job_api.py
@@ -211,7 +211,14 @@
         self, call: ApiCall, admitted: AdmittedCall, spec: JobSpec
     ) -> Refusal | None:
         queue = admitted.route.queue
-        row = JobRow(queue.name, queue.service, admitted.team, self.clock.now_ms(), spec)
+        row = JobRow(
+            queue.name,
+            queue.service,
+            admitted.team,
+            self.clock.now_ms(),
+            spec,
+            queue.max_attempts,
+        )
         value = encode_job(row)
         if len(value) > self.row_max_bytes:
             message = f"the job would take {len(value)} bytes in the store"
--- a/baobabhoist/control/row_schema.py
+++ b/baobabhoist/control/row_schema.py
@@ -39,13 +39,17 @@
 
 @attrs.frozen
 class JobRow:
-    """Hold a job as it is stored; `accepted_ms` is on the store's monotonic clock."""
+    """Hold a job as it is stored; `accepted_ms` is on the store's monotonic clock.
+
+    The queue may be removed while the job runs, so its limit of attempts is stored as well.
+    """
 
     queue: str
     service: str
     team: str
     accepted_ms: int
     spec: JobSpec
+    max_attempts: int = 0
 
 
 def job_row_key(job_id: str) -> RowKey:
@@ -89,7 +93,14 @@
     except Exception as exc:
         raise ValueError(f"malformed row of job {job_id}: {exc!r}") from exc
     return AcceptedJob(
-        job_id, row.queue, row.service, row.team, row.accepted_ms, row.spec, version
+        job_id,
+        row.queue,
+        row.service,
+        row.team,
+        row.accepted_ms,
+        row.spec,
+        version,
+        row.max_attempts,
     )
 
 
