--- a/baobabhoist/tests/conftest.py
+++ b/baobabhoist/tests/conftest.py
@@ -4,9 +4,14 @@
 import pathlib
 
 import pytest
+from hypothesis import settings
 
 from baobabhoist.observability.events import EVENT_ATTRIBUTE, FIELDS_ATTRIBUTE
 
+# Each run draws the same examples, so that its verdict depends on the code alone.
+settings.register_profile("repeatable", derandomize=True)
+settings.load_profile("repeatable")
+
 KNOWN_RED = pathlib.Path(__file__).parents[2] / "KNOWN-RED.txt"
 TEST_PREFIX = "test: "
 
