Count leases until the permits of a stopped owner's holders expire

What callers could see: one task on two workers after a planned release or the end of an owner, if a worker is cut off in the same second (TWICE).

Cause: instances that hold sessions renew leases under permits of 1.5 s, which outlast the owner. The next owner counted inherited leases from its claim.

Ruled out: takeovers after missing heartbeats; there a permit ends with the authority of the owner.

Change: the inherited leases end one permit later after such claims.

The test failed before and passes now.

--- a/baobabhoist/control/claim.py
+++ b/baobabhoist/control/claim.py
@@ -97,7 +97,8 @@
     BEAT_STALE = "beat_stale"
 
 
-# With these reasons the previous owner can no longer send commands.
+# With these reasons the previous owner can no longer send commands, though the instances that hold
+# sessions for it may until their permits expire.
 REASONS_PREVIOUS_OWNER_STOPPED = frozenset(
     {ClaimReason.UNCLAIMED, ClaimReason.RELEASED, ClaimReason.OWNER_ENDED}
 )
--- a/baobabhoist/control/election.py
+++ b/baobabhoist/control/election.py
@@ -33,6 +33,7 @@
 from baobabhoist.control.owner_router import OwnerRouter
 from baobabhoist.control.ownership_term import OwnershipTerm
 from baobabhoist.control.row_schema import CELL_TABLE, HEARTBEAT_ROW_KEY, OWNER_ROW_KEY
+from baobabhoist.control.sessions.permits import PERMIT_VALID_MS
 from baobabhoist.control.settings import NodeSettings
 from baobabhoist.control.store_health import StoreHealth
 from baobabhoist.errors import LinkClosedError
@@ -306,9 +307,7 @@
         now = monotonic_ms()
         self._claim, self._claim_version = claim, version
         self._owner_link.connect_to(None)
-        previous_owner_until_ms = now
-        if reason not in REASONS_PREVIOUS_OWNER_STOPPED:
-            previous_owner_until_ms = max(now, self._heartbeat_changed_ms + CONFIRMATION_VALID_MS)
+        previous_owner_until_ms = self._previous_owner_ends_ms(reason, now)
         ownership = OwnershipTerm(version, claim.generation, now, previous_owner_until_ms)
         emit(
             log,
@@ -338,6 +337,15 @@
         self._next_claim_ms = monotonic_ms() + HEARTBEAT_STALE_MS * backoff_factor
         self._step_down(f"the owner's task ended: {exc!r}")
 
+    def _previous_owner_ends_ms(self, reason: ClaimReason, now: float) -> float:
+        """Return until when a previous owner, or a holder of its sessions, may renew leases."""
+        if reason is ClaimReason.UNCLAIMED:
+            return now
+        if reason in REASONS_PREVIOUS_OWNER_STOPPED:
+            # It has stopped, but the instances that hold sessions for it have permits.
+            return now + PERMIT_VALID_MS
+        return max(now, self._heartbeat_changed_ms + CONFIRMATION_VALID_MS)
+
     def _authority_ends_ms(self) -> float:
         """Return until when this owner may act if its claim is not confirmed any more."""
         owner = self._owner_router.local_owner
--- a/baobabhoist/tests/test_control_election.py
+++ b/baobabhoist/tests/test_control_election.py
@@ -22,6 +22,7 @@
 from baobabhoist.control.messages import JobWaits
 from baobabhoist.control.progress_writer import ProgressWriter
 from baobabhoist.control.row_schema import HEARTBEAT_ROW_KEY, OWNER_ROW_KEY
+from baobabhoist.control.sessions.permits import PERMIT_VALID_MS
 from baobabhoist.control.store_health import MAX_STABLE_COMMIT_MS, STABLE_AFTER_MS, StoreHealth
 from baobabhoist.observability.events import Event
 from baobabhoist.store.row_store import RowTransaction
@@ -119,6 +120,29 @@
     asyncio.run(run())
 
 
+@pytest.mark.parametrize(
+    ("claim", "link_state"),
+    [(RELEASED, OwnerLinkState.CONNECTED), (OTHER, OwnerLinkState.ENDED)],
+)
+def test_leases_may_be_renewed_until_the_permits_of_holders_expire(harness, claim, link_state):
+    """Guard against tasks that run twice because holders outlast a stopped owner by 1.5 s.
+
+    They went on renewing leases, and the next owner counted from its claim.
+    """
+
+    async def run():
+        harness.write(owner=encode_claim(claim), heartbeat=b"1")
+        harness.read()
+        harness.owner_link.state = link_state
+        harness.now += 1_000.0
+        harness.read()
+        await harness.settle()
+        ownership = harness.owner_router.local_owner.ownership
+        assert ownership.previous_owner_until_ms == ownership.won_ms + PERMIT_VALID_MS
+
+    asyncio.run(run())
+
+
 def test_claim_fails_if_a_heartbeat_was_written_meanwhile(harness):
     """Guard against a takeover from a live owner whose heartbeat was only read late."""
 
