Forget a finished job only once its rows are removed

What callers could see: a job that had ended minutes ago runs once more (TWICE).

Cause: the owner forgot the job first. If the removal of its rows failed, a later reading of the whole table added the job as a new one, without progress.

Ruled out: a new owner, which reads the progress too.

Change: the rows go first, the progress last, and a removal that failed is tried again.

--- a/baobabhoist/control/owner.py
+++ b/baobabhoist/control/owner.py
@@ -459,8 +459,12 @@
             j.job_id for j in cell.state.jobs.values() if j.is_final and j.ended_ms < cutoff_ms
         ]
         for job_id in expired:
+            self._tasks.spawn(self._remove_job(cell, job_id))
+
+    async def _remove_job(self, cell: CellScheduler, job_id: str) -> None:
+        """Forget a job once its rows are gone; one that is read again would run again."""
+        if await self.progress_writer.remove_job(job_id):
             cell.remove_job(job_id)
-            self._tasks.spawn(self.progress_writer.remove_job(job_id))
 
     def _report_ownership_lost(self, reason: str) -> None:
         if not self._ownership_lost_reported:
--- a/baobabhoist/control/progress_layout.py
+++ b/baobabhoist/control/progress_layout.py
@@ -78,12 +78,14 @@
             else:
                 self._forget_part(key)
 
-    def forget_job(self, job_id: str) -> list[RowKey]:
-        """Return all rows of a job, which are going to be removed."""
-        keys = [progress_row_key(job_id), *self._parts.get(job_id, ())]
-        for key in keys[1:]:
+    def keys_of(self, job_id: str) -> list[RowKey]:
+        """Return the keys of all rows of a job."""
+        return [progress_row_key(job_id), *self._parts.get(job_id, ())]
+
+    def forget_job(self, job_id: str) -> None:
+        """Forget the rows of a job, which have been removed."""
+        for key in self.keys_of(job_id)[1:]:
             self._forget_part(key)
-        return keys
 
     def _forget_part(self, key: RowKey) -> None:
         job_id = job_id_of_progress(key)
--- a/baobabhoist/control/progress_writer.py
+++ b/baobabhoist/control/progress_writer.py
@@ -139,17 +139,23 @@
                 return True
         return False
 
-    async def remove_job(self, job_id: str) -> None:
-        """Remove the rows of a job whose retention period has passed."""
+    async def remove_job(self, job_id: str) -> bool:
+        """Remove the rows of a job that is no longer kept; return whether they are gone.
+
+        The progress goes last: a job without progress would run again.
+        """
+        progress_keys = self._layout.keys_of(job_id)
+        job_keys = (job_row_key(job_id), cancel_row_key(job_id))
         try:
-            removed = (job_row_key(job_id), cancel_row_key(job_id))
-            await self._store.commit(RowTransaction(removes=removed))
-            keys = self._layout.forget_job(job_id)
-            for first in range(0, len(keys), MAX_ROWS_PER_WRITE):
-                part = tuple(keys[first : first + MAX_ROWS_PER_WRITE])
-                await self._store.commit(RowTransaction(removes=part))
+            for keys in (job_keys, *_batched(progress_keys, MAX_ROWS_PER_WRITE)):
+                await self._store.commit(RowTransaction(removes=keys))
         except StoreError as exc:
             emit(log, Event.WRITE_REFUSED, row=job_id, detail=exc)
+            return False
+        self._layout.forget_job(job_id)
+        for key in progress_keys:
+            self._versions.pop(key, None)
+        return True
 
     async def _flush_all(self, cell: CellScheduler) -> bool:
         """Store all progress; retry, because an earlier write may have been interrupted."""
@@ -274,6 +280,10 @@
             self._versions[key] = conflict.version_of(key)
 
 
+def _batched(keys: list[RowKey], size: int) -> list[tuple[RowKey, ...]]:
+    return [tuple(keys[first : first + size]) for first in range(0, len(keys), size)]
+
+
 def _batches(changes: RowChanges) -> Iterator[RowChanges]:
     """Yield the changes in order, as many at a time as the store accepts."""
     batch: RowChanges = {}
--- a/baobabhoist/tests/test_control_owner.py
+++ b/baobabhoist/tests/test_control_owner.py
@@ -355,6 +355,40 @@
     assert asyncio.run(run()) == ["running", "completed"]
 
 
+@pytest.mark.parametrize("failure", ["refused", "lost"])
+def test_an_expired_job_whose_rows_remain_does_not_run_again(failure):
+    """Guard against a forgotten job that is read again when the history is lost (TWICE)."""
+
+    async def run():
+        harness = OwnerHarness()
+        await harness.start()
+        harness.store_job()
+        cell = harness.owner.cell
+        await harness.wait_until(lambda: cell.find_job(JOB_ID) is not None)
+        cell.state.finish_job(cell.find_job(JOB_ID), JobPhase.COMPLETED, monotonic_ms(), "done")
+        harness.owner.progress_writer.request_flush()
+        await harness.wait_until(lambda: harness.owner.job_state(JOB_ID).state == "completed")
+        starts = len(harness.driver.starts)
+        harness.store.choose_failure = lambda txn: failure if txn.removes else ""
+        cell.find_job(JOB_ID).ended_ms = float("-inf")
+        harness.owner._remove_expired_jobs(cell)
+        await asyncio.sleep(0.05)
+        # The followers read all tables again.
+        harness.store.history_start_version = harness.store.version + 1
+        await asyncio.sleep(0.1)
+        assert harness.owner.job_state(JOB_ID).state == "completed"
+        assert len(harness.driver.starts) == starts
+        harness.store.history_start_version = 0
+        harness.store.choose_failure = lambda txn: ""
+        harness.owner._remove_expired_jobs(cell)
+        await harness.wait_until(lambda: cell.find_job(JOB_ID) is None)
+        left = [key for key in harness.store.rows if key.key.startswith(JOB_ID)]
+        harness.task.cancel()
+        return left
+
+    assert asyncio.run(run()) == []
+
+
 def test_crashed_start_counts_as_unanswered():
     """Guard against a run that is never started again because sending its start crashed."""
 
