Wait shortly for the write when a job that has just ended is queried

Since an end is shown only once it is stored, a caller who polled in the tens of milliseconds of that write learned of the end with its next poll. The owner now waits for the write, 0.2 s at most, and then answers what is true.

--- a/baobabhoist/control/owner.py
+++ b/baobabhoist/control/owner.py
@@ -62,6 +62,8 @@
 # Most jobs arrive by notification; polling the table finds those whose notification was lost.
 JOBS_POLL_PAUSE_S = 0.2
 LOAD_RETRY_INTERVAL_S = 0.15
+# A query for a job that has just ended is answered this much later at most.
+MAX_END_WAIT_S = 0.2
 RETENTION_CHECK_TICKS = 100
 # A new owner starts nothing until its view of the operator's table is confirmed; a confirmation
 # counts if it came at most this long before the won claim.
@@ -224,6 +226,13 @@
             return StateReply()
         return StateReply(job.confirmed_phase.value, job.accepted.queue, job.accepted.team)
 
+    async def settled_job_state(self, job_id: str) -> StateReply:
+        """Return the state of a job; if it has just ended, wait shortly until that is stored."""
+        job = self.cell.find_job(job_id) if self.cell is not None else None
+        if job is not None and job.is_final and not job.is_end_stored:
+            await self.progress_writer.wait_until_stored(MAX_END_WAIT_S)
+        return self.job_state(job_id)
+
     def count_pending_jobs(self, queue: str) -> PendingReply | None:
         """Return the number of jobs of a queue that have not started, or None while loading."""
         return PendingReply(self.cell.count_queued_jobs(queue)) if self.cell is not None else None
--- a/baobabhoist/control/owner_router.py
+++ b/baobabhoist/control/owner_router.py
@@ -28,7 +28,6 @@
     RelayFollow,
     RelayRead,
     StateQuery,
-    StateReply,
 )
 from baobabhoist.control.relay import FailoverStore
 from baobabhoist.control.sessions.messages import (
@@ -133,14 +132,13 @@
             return await instance_handler(self, message)
         if self.local_owner is None:
             return NotOwner(self._node)
+        if isinstance(message, StateQuery):
+            return await self.local_owner.settled_job_state(message.job_id)
         owner_handler = self._OWNER_HANDLERS.get(type(message))
         return (
             owner_handler(self, self.local_owner, message) if owner_handler is not None else None
         )
 
-    def _answer_state(self, owner: CellOwner, query: StateQuery) -> StateReply:
-        return owner.job_state(query.job_id)
-
     def _answer_pending(self, owner: CellOwner, query: PendingQuery) -> PendingReply | NotOwner:
         return owner.count_pending_jobs(query.queue) or NotOwner(self._node)
 
@@ -203,7 +201,6 @@
         SessionOrders: _handle_orders,
     }
     _OWNER_HANDLERS: dict[type, Callable[[Any, CellOwner, Any], Any]] = {
-        StateQuery: _answer_state,
         PendingQuery: _answer_pending,
         PlacementQuery: _answer_placement,
         JobNotice: _handle_job_notice,
--- a/baobabhoist/control/progress_writer.py
+++ b/baobabhoist/control/progress_writer.py
@@ -113,6 +113,16 @@
         self._deferred_sends.append(send)
         self._flush_requested.set()
 
+    async def wait_until_stored(self, timeout_s: float) -> None:
+        """Wait until all progress made so far is stored, or for a time."""
+        stored = asyncio.Event()
+        self.call_when_stored(stored.set)
+        try:
+            async with asyncio.timeout(timeout_s):
+                await stored.wait()
+        except TimeoutError:
+            log.debug("the progress is not stored yet")
+
     async def run(self, cell: CellScheduler) -> None:
         """Write changed progress until cancelled."""
         while True:
--- a/baobabhoist/tests/test_control_owner.py
+++ b/baobabhoist/tests/test_control_owner.py
@@ -355,6 +355,26 @@
     assert asyncio.run(run()) == ["running", "completed"]
 
 
+@pytest.mark.parametrize(("is_down", "shown"), [(False, "completed"), (True, "running")])
+def test_a_query_for_a_job_that_has_just_ended_waits_for_the_write(is_down, shown, monkeypatch):
+    """Guard against callers who learn of each end one poll late, or who wait out an outage."""
+    monkeypatch.setattr(owner_module, "MAX_END_WAIT_S", 0.05 if is_down else FAILURE_TIMEOUT_S)
+
+    async def run():
+        harness = OwnerHarness()
+        await harness.start()
+        harness.store_job()
+        cell = harness.owner.cell
+        await harness.wait_until(lambda: cell.find_job(JOB_ID) is not None)
+        harness.store.is_down = is_down
+        cell.state.finish_job(cell.find_job(JOB_ID), JobPhase.COMPLETED, monotonic_ms(), "done")
+        state = await harness.owner.settled_job_state(JOB_ID)
+        harness.task.cancel()
+        return state.state
+
+    assert asyncio.run(run()) == shown
+
+
 @pytest.mark.parametrize("failure", ["refused", "lost"])
 def test_an_expired_job_whose_rows_remain_does_not_run_again(failure):
     """Guard against a forgotten job that is read again when the history is lost (TWICE)."""
