Write a part of a split job again after a write without an answer

By reading: a row that was written without an answer, and whose content then changed back, kept what that write had left, since the layout compared with what was last known to be stored.

--- a/baobabhoist/control/progress_layout.py
+++ b/baobabhoist/control/progress_layout.py
@@ -78,6 +78,11 @@
             else:
                 self._forget_part(key)
 
+    def record_unknown(self, changes: Iterable[RowKey]) -> None:
+        """Record that changes may be stored or not, so that their rows are written again."""
+        for key in changes:
+            self._stored_values.pop(key, None)
+
     def keys_of(self, job_id: str) -> list[RowKey]:
         """Return the keys of all rows of a job."""
         return [progress_row_key(job_id), *self._parts.get(job_id, ())]
--- a/baobabhoist/control/progress_writer.py
+++ b/baobabhoist/control/progress_writer.py
@@ -228,6 +228,7 @@
         removes = tuple(key for key, value in changes.items() if value is None)
         outcome = await self._commit(puts, expected, removes)
         if isinstance(outcome, WriteFailure):
+            self._layout.record_unknown(changes)
             return outcome
         self._versions.update(dict.fromkeys(puts, outcome.version))
         for key in removes:
--- a/baobabhoist/tests/test_control_progress_layout.py
+++ b/baobabhoist/tests/test_control_progress_layout.py
@@ -3,6 +3,7 @@
 import asyncio
 from unittest import mock
 
+import attrs
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
@@ -140,6 +141,19 @@
     assert len(written) == 2
 
 
+def test_a_part_whose_write_got_no_answer_is_written_again():
+    """Guard against a row that keeps what was written late, because its content changed back."""
+    layout = ProgressLayout(2_000)
+    step = StepProgress(0, 0, tuple(range(600)))
+    before = JobProgress(JobPhase.RUNNING, (step,))
+    after = JobProgress(JobPhase.RUNNING, (attrs.evolve(step, runs={5: StoredRun(1, "w0")}),))
+    layout.record_stored(layout.changes(ID, before))
+    unanswered = layout.changes(ID, after)
+    assert len(unanswered) == 2
+    layout.record_unknown(unanswered)
+    assert set(layout.changes(ID, before)) == set(unanswered)
+
+
 def test_wide_jobs_together_fit_into_the_calls():
     """Guard against a write that the store never accepts because it holds too many large rows."""
     store, writer, _ = make_writer(row_max_bytes=ROW_MAX_BYTES, call_max_bytes=750_000)
