--- a/baobabhoist/tests/test_control_owner.py
+++ b/baobabhoist/tests/test_control_owner.py
@@ -114,6 +114,14 @@
         self.task = asyncio.create_task(self.owner.run())
         await self.wait_until(lambda: self.owner.is_loaded)
 
+    async def start_with_job(self):
+        """Start the owner, store a job and return the cell once it has the job."""
+        await self.start()
+        self.store_job()
+        cell = self.owner.cell
+        await self.wait_until(lambda: cell.find_job(JOB_ID) is not None)
+        return cell
+
     async def wait_until(self, condition):
         async with asyncio.timeout(FAILURE_TIMEOUT_S):
             while not condition():
@@ -336,10 +344,7 @@
 
     async def run():
         harness = OwnerHarness()
-        await harness.start()
-        harness.store_job()
-        cell = harness.owner.cell
-        await harness.wait_until(lambda: cell.find_job(JOB_ID) is not None)
+        cell = await harness.start_with_job()
         harness.store.choose_failure = lambda txn: "refused"
         cell.state.finish_job(cell.find_job(JOB_ID), JobPhase.COMPLETED, monotonic_ms(), "done")
         harness.owner.progress_writer.request_flush()
@@ -362,10 +367,7 @@
 
     async def run():
         harness = OwnerHarness()
-        await harness.start()
-        harness.store_job()
-        cell = harness.owner.cell
-        await harness.wait_until(lambda: cell.find_job(JOB_ID) is not None)
+        cell = await harness.start_with_job()
         harness.store.is_down = is_down
         cell.state.finish_job(cell.find_job(JOB_ID), JobPhase.COMPLETED, monotonic_ms(), "done")
         state = await harness.owner.settled_job_state(JOB_ID)
@@ -381,10 +383,7 @@
 
     async def run():
         harness = OwnerHarness()
-        await harness.start()
-        harness.store_job()
-        cell = harness.owner.cell
-        await harness.wait_until(lambda: cell.find_job(JOB_ID) is not None)
+        cell = await harness.start_with_job()
         cell.state.finish_job(cell.find_job(JOB_ID), JobPhase.COMPLETED, monotonic_ms(), "done")
         harness.owner.progress_writer.request_flush()
         await harness.wait_until(lambda: harness.owner.job_state(JOB_ID).state == "completed")
