Ignore rows that were read before their job was removed

A table that is read again, after the history was lost, may be applied after the owner has removed a job that was in it; the job came back as a new one and ran (TWICE). The race was there before and became visible with the new test.

Ruled out: the second removal itself; the rows were gone.

Change: the owner remembers the versions of the rows that it removed, the last 10,000, and ignores rows that are not newer.

--- a/baobabhoist/control/owner.py
+++ b/baobabhoist/control/owner.py
@@ -65,6 +65,8 @@
 # A query for a job that has just ended is answered this much later at most.
 MAX_END_WAIT_S = 0.2
 RETENTION_CHECK_TICKS = 100
+# Removed jobs that are remembered, because a table may have been read shortly before.
+MAX_REMEMBERED_JOBS = 10_000
 # A new owner starts nothing until its view of the operator's table is confirmed; a confirmation
 # counts if it came at most this long before the won claim.
 MAX_OPERATOR_TABLE_AGE_MS = 2_500.0
@@ -137,6 +139,8 @@
         self._round_requested = False
         self._next_round_ms = 0.0
         self._ownership_lost_reported = False
+        # The versions of the rows of removed jobs, by job id.
+        self._removed_versions: dict[str, int] = {}
         self._ticks = 0
         self._waiting_reporter = WaitingReporter(deps.loop_lag)
         self._sender = CommandSender(
@@ -206,9 +210,9 @@
     # Queries and notifications from this and other instances.
 
     def handle_stored_job(self, job_id: str, value: bytes, version: int) -> None:
-        """Add a stored job to the cell."""
+        """Add a stored job to the cell, unless its row was read before it was removed."""
         cell = self._cell
-        if cell is None:
+        if cell is None or version <= self._removed_versions.get(job_id, 0):
             return
         if add_stored_job(cell, job_id, value, version, self._deps.clock):
             self.request_scheduling_round()
@@ -472,8 +476,13 @@
 
     async def _remove_job(self, cell: CellScheduler, job_id: str) -> None:
         """Forget a job once its rows are gone; one that is read again would run again."""
-        if await self.progress_writer.remove_job(job_id):
-            cell.remove_job(job_id)
+        job = cell.find_job(job_id)
+        if job is None or not await self.progress_writer.remove_job(job_id):
+            return
+        self._removed_versions[job_id] = job.accepted.version
+        if len(self._removed_versions) > MAX_REMEMBERED_JOBS:
+            del self._removed_versions[next(iter(self._removed_versions))]
+        cell.remove_job(job_id)
 
     def _report_ownership_lost(self, reason: str) -> None:
         if not self._ownership_lost_reported:
--- a/baobabhoist/tests/test_control_owner.py
+++ b/baobabhoist/tests/test_control_owner.py
@@ -408,6 +408,27 @@
     assert asyncio.run(run()) == []
 
 
+def test_a_row_that_was_read_before_its_removal_brings_no_job_back():
+    """Guard against a job that runs again because its table was read while it was removed."""
+
+    async def run():
+        harness = OwnerHarness()
+        cell = await harness.start_with_job()
+        version = cell.find_job(JOB_ID).accepted.version
+        cell.cancel_job(JOB_ID, monotonic_ms())
+        cell.find_job(JOB_ID).ended_ms = float("-inf")
+        harness.owner._remove_expired_jobs(cell)
+        await harness.wait_until(lambda: cell.find_job(JOB_ID) is None)
+        harness.owner.handle_stored_job(JOB_ID, JOB, version)
+        is_back = cell.find_job(JOB_ID) is not None
+        harness.owner.handle_stored_job(JOB_ID, JOB, version + 10)
+        is_new = cell.find_job(JOB_ID) is not None
+        harness.task.cancel()
+        return is_back, is_new
+
+    assert asyncio.run(run()) == (False, True)
+
+
 def test_crashed_start_counts_as_unanswered():
     """Guard against a run that is never started again because sending its start crashed."""
 
