Check the values of JSON in one place

The checks of worker reports repeated those of directory entries: limits, whole numbers, strings, MAX_INTEGER. Both now call platform/fields.py. The first status of a server's error, which store and workers each defined, is a property of the response; the cold time of an entry uses the same path as rows to be logged once, and what remembers logged problems is a module of its own.

--- a/baobabhoist/platform/decode.py
+++ b/baobabhoist/platform/decode.py
@@ -24,6 +24,9 @@
 from baobabhoist.control.interfaces import ExternalTables
 from baobabhoist.errors import ErrorKind, Refusal
 from baobabhoist.observability.events import Event, emit
+from baobabhoist.platform import fields
+from baobabhoist.platform.fields import FieldError
+from baobabhoist.platform.known_problems import KnownProblems
 
 log = logging.getLogger(__name__)
 
@@ -32,55 +35,25 @@
 MAX_TASKS = 1_000
 MAX_STEPS = 1_000
 DEFAULT_MAX_BODY_BYTES = 1 << 20
-# Integers up to this value are exact in the doubles that many JSON libraries use.
-MAX_INTEGER = 1 << 53
 MAX_COLD_MS = 600_000
 EVACUATION_KEY_PREFIX = "evacuate/"
 # The id goes into a header, and the host and port into a URL.
 WORKER_ID = re.compile(r"[!-~]{1,200}")
 ADDRESS = re.compile(r"([A-Za-z0-9._-]{1,253}):([0-9]{1,5})")
 MAX_PORT = 65_535
-# Unreadable rows that are remembered, so that each is logged once.
-MAX_REMEMBERED_ROWS = 1_000
-MAX_DETAIL_CHARS = 200
 
 Decoded = TypeVar("Decoded")
 
 
-class FieldError(ValueError):
-    """Report a field that is missing, out of range or of the wrong type."""
-
-
-class UnreadableRows:
-    """Log each row that can't be read once, until it can be read or fails in another way."""
-
-    def __init__(self) -> None:
-        self._details: dict[tuple[str, str], str] = {}
-
-    def record(self, table: str, row: str, exc: FieldError) -> None:
-        """Record that a row can't be read."""
-        detail = str(exc)[:MAX_DETAIL_CHARS]
-        if self._details.get((table, row)) == detail:
-            return
-        if len(self._details) >= MAX_REMEMBERED_ROWS:
-            del self._details[next(iter(self._details))]
-        self._details[table, row] = detail
-        emit(log, Event.ROW_UNREADABLE, table=table, row=row, detail=detail)
-
-    def forget(self, table: str, row: str) -> None:
-        """Record that a row can be read."""
-        self._details.pop((table, row), None)
-
-
 class PlatformDecoder:
     """Decode configurations, directory entries and jobs from the platform's JSON."""
 
     tables = ExternalTables(operator="op", config_key="config", directory="servers")
 
     def __init__(self) -> None:
-        self._unreadable = UnreadableRows()
-        # Fields without which an entry can be used.
-        self._unreadable_hints = UnreadableRows()
+        self._unreadable = KnownProblems()
+        # Those of fields without which an entry can be used.
+        self._unreadable_hints = KnownProblems()
 
     def decode_config(self, value: bytes) -> CellConfig | None:
         """Return a configuration, or None if it cannot be decoded."""
@@ -88,6 +61,7 @@
             self.tables.operator,
             self.tables.config_key,
             lambda: _parse_config(_parse_object(value)),
+            self._unreadable,
         )
 
     def decode_evacuation(self, key: str, value: bytes | None) -> EvacuationChange | None:
@@ -98,13 +72,21 @@
         data_centre = key.removeprefix(EVACUATION_KEY_PREFIX)
         if data_centre == key:
             return None
-        self._decode_row(self.tables.operator, key, lambda: _check_evacuation(data_centre, value))
+        self._decode_row(
+            self.tables.operator,
+            key,
+            lambda: _check_evacuation(data_centre, value),
+            self._unreadable,
+        )
         return EvacuationChange(data_centre, value is not None) if data_centre else None
 
     def decode_worker(self, worker_id: str, value: bytes) -> WorkerInfo | None:
         """Return a worker of the directory, or None if its entry cannot be decoded."""
         return self._decode_row(
-            self.tables.directory, worker_id, lambda: self._parse_entry(worker_id, value)
+            self.tables.directory,
+            worker_id,
+            lambda: self._parse_entry(worker_id, value),
+            self._unreadable,
         )
 
     def _parse_entry(self, worker_id: str, value: bytes) -> WorkerInfo:
@@ -113,14 +95,13 @@
 
     def _read_cold_ms(self, worker_id: str, body: dict[str, Any]) -> int:
         """Return how long a worker stays cold; a malformed value does not make it unusable."""
-        table = self.tables.directory
-        try:
-            cold_ms = min(_int_field(body, "coldRemainingMs"), MAX_COLD_MS)
-        except FieldError as exc:
-            self._unreadable_hints.record(table, worker_id, exc)
-            return 0
-        self._unreadable_hints.forget(table, worker_id)
-        return cold_ms
+        cold_ms = self._decode_row(
+            self.tables.directory,
+            worker_id,
+            lambda: min(_int_field(body, "coldRemainingMs"), MAX_COLD_MS),
+            self._unreadable_hints,
+        )
+        return cold_ms or 0
 
     def decode_job(self, body: bytes) -> JobSpec | Refusal:
         """Return the job in a request body, or a refusal that says what is wrong with it."""
@@ -131,13 +112,17 @@
                 ErrorKind.BAD_REQUEST, f"the job is not valid: {exc}", remedy="correct the body"
             )
 
-    def _decode_row(self, table: str, row: str, parse: Callable[[], Decoded]) -> Decoded | None:
+    def _decode_row(
+        self, table: str, row: str, parse: Callable[[], Decoded], problems: KnownProblems
+    ) -> Decoded | None:
+        """Return what was parsed, or log once why the row can't be read and return None."""
         try:
             decoded = _decode(parse)
         except FieldError as exc:
-            self._unreadable.record(table, row, exc)
+            if problems.is_new(f"{table}/{row}", str(exc)):
+                emit(log, Event.ROW_UNREADABLE, table=table, row=row, detail=exc)
             return None
-        self._unreadable.forget(table, row)
+        problems.forget(f"{table}/{row}")
         return decoded
 
 
@@ -161,32 +146,19 @@
     return body
 
 
-def _int_field(body: dict[str, Any], name: str, low: int = 0, high: int = MAX_INTEGER) -> int:
+def _int_field(
+    body: dict[str, Any], name: str, low: int = 0, high: int = fields.MAX_INTEGER
+) -> int:
     """Return an integer field, or 0 if it is absent."""
-    value = body.get(name, 0)
-    if isinstance(value, bool) or not isinstance(value, int | float):
-        raise FieldError(f"{name} is not an integer")
-    if not low <= value <= high:
-        raise FieldError(f"{name} is {value}; it must be from {low} to {high}")
-    if value != int(value):
-        raise FieldError(f"{name} is not an integer")
-    return int(value)
+    return fields.integer(body.get(name, 0), name, low, high)
 
 
 def _float_field(body: dict[str, Any], name: str, default: float = 0.0) -> float:
-    value = body.get(name, default)
-    if isinstance(value, bool) or not isinstance(value, int | float):
-        raise FieldError(f"{name} is not a number")
-    if not 0 <= value <= MAX_INTEGER:
-        raise FieldError(f"{name} is {value}; it must be from 0 to {MAX_INTEGER}")
-    return float(value)
+    return fields.number(body.get(name, default), name)
 
 
 def _string_field(body: dict[str, Any], name: str) -> str:
-    value = body.get(name, "")
-    if not isinstance(value, str):
-        raise FieldError(f"{name} is not a string")
-    return value
+    return fields.text(body.get(name, ""), name)
 
 
 def _bool_field(body: dict[str, Any], name: str) -> bool:
--- a/baobabhoist/platform/http_client.py
+++ b/baobabhoist/platform/http_client.py
@@ -19,6 +19,7 @@
 JSON = "application/json"
 # The status with which Tornado reports that no response arrived.
 NO_RESPONSE_CODE = 599
+FIRST_SERVER_ERROR = 500
 # Requests with these methods change something; an empty body would escape the check in `_prepare`.
 METHODS_WITH_BODY = frozenset({"POST", "PUT"})
 
@@ -31,6 +32,11 @@
     body: Any = None
     reason: str = ""
 
+    @property
+    def is_server_error(self) -> bool:
+        """Return whether a server, or a gateway before it, reports an error of its own."""
+        return self.status >= FIRST_SERVER_ERROR
+
     def field(self, name: str, default: Any = None) -> Any:
         """Return a field of the body, or the default."""
         if isinstance(self.body, dict):
--- a/baobabhoist/platform/store.py
+++ b/baobabhoist/platform/store.py
@@ -27,7 +27,6 @@
 REQUEST_TIMEOUT_S = 1.2
 OK, BAD_REQUEST, GONE, PRECONDITION_FAILED, TOO_LARGE = 200, 400, 410, 412, 413
 TOO_MANY_REQUESTS, UNAVAILABLE = 429, 503
-FIRST_SERVER_ERROR = 500
 REFUSED_STATUSES = frozenset({TOO_MANY_REQUESTS, UNAVAILABLE})
 REJECTED_STATUSES = frozenset({BAD_REQUEST, TOO_LARGE})
 
@@ -127,7 +126,7 @@
         raise StoreRefusedError(f"the store answered {response.status}")
     if response.status in REJECTED_STATUSES:
         raise StoreRejectedError(f"the store answered {response.status}: {response.body}")
-    if response.status >= FIRST_SERVER_ERROR:
+    if response.is_server_error:
         # An error of a gateway or of the store itself says nothing of what was done.
         raise StoreUnansweredError(f"the store answered {response.status}")
     raise StoreError(f"the store answered {response.status}: {response.body}")
--- a/baobabhoist/platform/workers.py
+++ b/baobabhoist/platform/workers.py
@@ -17,6 +17,8 @@
     WorkerReport,
 )
 from baobabhoist.control.interfaces import CommandResponse
+from baobabhoist.platform import fields
+from baobabhoist.platform.fields import FieldError
 from baobabhoist.platform.http_client import HttpClient, HttpResponse
 
 log = logging.getLogger(__name__)
@@ -43,9 +45,6 @@
     "ticket": CommandOutcome.NO_TICKET,
 }
 HTTP_CONFLICT = 409
-# Integers up to this value are exact in the doubles that many JSON libraries use.
-MAX_INTEGER = 1 << 53
-FIRST_SERVER_ERROR = 500
 
 
 class PlatformWorkerDriver:
@@ -116,8 +115,8 @@
 
 def _command_response(response: HttpResponse) -> CommandResponse:
     try:
-        clock_ms = _integer(response.field("clockMs"))
-    except ValueError:
+        clock_ms = fields.integer(response.field("clockMs"), "clockMs")
+    except FieldError:
         # Not every answer carries one.
         clock_ms = None
     return CommandResponse(_command_outcome(response), clock_ms)
@@ -129,8 +128,7 @@
         known = _OUTCOME_BY_REASON if isinstance(reason, str) else {}
         return known.get(reason, CommandOutcome.BAD)
     # Another error of a server says nothing of what was done.
-    is_server_error = response.status >= FIRST_SERVER_ERROR
-    other = CommandOutcome.UNKNOWN if is_server_error else CommandOutcome.BAD
+    other = CommandOutcome.UNKNOWN if response.is_server_error else CommandOutcome.BAD
     return _OUTCOME_BY_STATUS.get(response.status, other)
 
 
@@ -139,13 +137,13 @@
     try:
         running, finished = _rows(response, "running"), _rows(response, "finished")
         return WorkerReport(
-            _integer(response.field("clockMs")),
-            _integer(response.field("born", 0)),
+            fields.integer(response.field("clockMs"), "clockMs"),
+            fields.integer(response.field("born", 0), "born"),
             tuple(filter(None, map(_parse_active_run, running))),
             tuple(filter(None, map(_parse_ended_run, finished))),
             len(finished) >= MAX_ENDS_PER_REPORT,
         )
-    except (TypeError, ValueError, IndexError, KeyError) as exc:
+    except (ValueError, IndexError) as exc:
         log.warning("cannot parse the report of a worker: %s", exc)
         return None
 
@@ -153,40 +151,36 @@
 def _rows(response: HttpResponse, name: str) -> list[Any]:
     rows = response.field(name) or []
     if not isinstance(rows, list) or not all(isinstance(row, list) for row in rows):
-        raise TypeError(f"{name} is not a list of rows")
+        raise FieldError(f"{name} is not a list of rows")
     return rows
 
 
-def _integer(value: Any) -> int:
-    if type(value) not in (int, float) or not 0 <= value <= MAX_INTEGER or value != int(value):
-        raise ValueError("expected an integer from 0 on")
-    return int(value)
-
-
-def _number(value: Any) -> float:
-    if type(value) not in (int, float) or not abs(value) <= MAX_INTEGER:
-        raise ValueError("expected a number")
-    return float(value)
-
-
-def _text(value: Any) -> str:
-    if not isinstance(value, str):
-        raise TypeError("expected a string")
-    return value
-
-
 def _parse_active_run(row: list[Any]) -> ActiveRun | None:
     # Fields: task, run, latest checkpoint, percent done, approximate load of the last 0.5 s.
-    task = TaskKey.parse(_text(row[0]))
+    task = TaskKey.parse(fields.text(row[0], "task"))
     if task is None:
         return None
-    usage = _number(row[4]) if len(row) > 4 else 0.0
-    return ActiveRun(task, _integer(row[1]), _text(row[2]), _number(row[3]), usage)
+    return ActiveRun(
+        task,
+        fields.integer(row[1], "run"),
+        fields.text(row[2], "saved"),
+        _signed(row[3], "percent"),
+        _signed(row[4], "load") if len(row) > 4 else 0.0,
+    )
 
 
 def _parse_ended_run(row: list[Any]) -> EndedRun | None:
-    task = TaskKey.parse(_text(row[1]))
+    task = TaskKey.parse(fields.text(row[1], "task"))
     if task is None:
         return None
-    outcome = RunOutcome(_text(row[3]))
-    return EndedRun(_integer(row[0]), task, _integer(row[2]), outcome, _text(row[4]))
+    return EndedRun(
+        fields.integer(row[0], "N"),
+        task,
+        fields.integer(row[2], "run"),
+        RunOutcome(fields.text(row[3], "how")),
+        fields.text(row[4], "saved"),
+    )
+
+
+def _signed(value: Any, name: str) -> float:
+    return fields.number(value, name, -fields.MAX_INTEGER)
