Read odd reasons of refusals, and log an unreadable report once

And each renewal of a worker whose reports can't be read logged a line that did not name the worker.

Both tests failed before and pass now.

--- a/baobabhoist/platform/workers.py
+++ b/baobabhoist/platform/workers.py
@@ -20,6 +20,7 @@
 from baobabhoist.platform import fields
 from baobabhoist.platform.fields import FieldError
 from baobabhoist.platform.http_client import HttpClient, HttpResponse
+from baobabhoist.platform.known_problems import KnownProblems
 
 log = logging.getLogger(__name__)
 
@@ -54,6 +55,7 @@
         self._command_http = command_http
         # Renewals wait at the workers and would leave few connections for commands.
         self._renewal_http = renewal_http
+        self._unreadable_reports = KnownProblems()
 
     async def renew(
         self, worker: WorkerInfo, token: int, acked_end: int, deadline_ms: int | None, wait_ms: int
@@ -68,8 +70,14 @@
         response = await self._send(worker, "/-/hold", body, timeout_s, self._renewal_http)
         if response.status != 200:
             return _command_outcome(response)
-        report = _parse_report(response)
-        return report if report is not None else CommandOutcome.UNKNOWN
+        try:
+            report = _parse_report(response)
+        except (ValueError, IndexError) as exc:
+            if self._unreadable_reports.is_new(worker.worker_id, str(exc)):
+                log.warning("cannot parse the report of worker %s: %s", worker.worker_id, exc)
+            return CommandOutcome.UNKNOWN
+        self._unreadable_reports.forget(worker.worker_id)
+        return report
 
     async def start(
         self, worker: WorkerInfo, token: int, command: StartTask, deadline_ms: int
@@ -124,28 +132,25 @@
 
 def _command_outcome(response: HttpResponse) -> CommandOutcome:
     if response.status == HTTP_CONFLICT:
-        reason = response.field("reason", "")
-        known = _OUTCOME_BY_REASON if isinstance(reason, str) else {}
-        return known.get(reason, CommandOutcome.BAD)
+        reason = response.field("reason")
+        # Other values may not be hashable.
+        known_reason = reason if isinstance(reason, str) else ""
+        return _OUTCOME_BY_REASON.get(known_reason, CommandOutcome.BAD)
     # Another error of a server says nothing of what was done.
     other = CommandOutcome.UNKNOWN if response.is_server_error else CommandOutcome.BAD
     return _OUTCOME_BY_STATUS.get(response.status, other)
 
 
-def _parse_report(response: HttpResponse) -> WorkerReport | None:
-    """Return the report in a response, or None if it cannot be parsed."""
-    try:
-        running, finished = _rows(response, "running"), _rows(response, "finished")
-        return WorkerReport(
-            fields.integer(response.field("clockMs"), "clockMs"),
-            fields.integer(response.field("born", 0), "born"),
-            tuple(filter(None, map(_parse_active_run, running))),
-            tuple(filter(None, map(_parse_ended_run, finished))),
-            len(finished) >= MAX_ENDS_PER_REPORT,
-        )
-    except (ValueError, IndexError) as exc:
-        log.warning("cannot parse the report of a worker: %s", exc)
-        return None
+def _parse_report(response: HttpResponse) -> WorkerReport:
+    """Return the report in a response; raises ValueError or IndexError if it is malformed."""
+    running, finished = _rows(response, "running"), _rows(response, "finished")
+    return WorkerReport(
+        fields.integer(response.field("clockMs"), "clockMs"),
+        fields.integer(response.field("born", 0), "born"),
+        tuple(filter(None, map(_parse_active_run, running))),
+        tuple(filter(None, map(_parse_ended_run, finished))),
+        len(finished) >= MAX_ENDS_PER_REPORT,
+    )
 
 
 def _rows(response: HttpResponse, name: str) -> list[Any]:
--- a/baobabhoist/tests/test_platform_malformed_answers.py
+++ b/baobabhoist/tests/test_platform_malformed_answers.py
@@ -10,6 +10,7 @@
     Resources,
     StartTask,
     StepKey,
+    StopTask,
     TaskKey,
     WorkerInfo,
     WorkerReport,
@@ -81,6 +82,25 @@
     assert [run.task.to_text() for run in report.running] == [known[0]]
 
 
+@pytest.mark.parametrize("reason", [None, 7, [], {"fence": 1}, "unknown"])
+def test_a_refusal_with_an_odd_reason_is_a_refusal(reason):
+    """Guard against an answer to a command that raises in the task which sent it."""
+    http = FakeHttp({"reason": reason}, 409)
+    stop = StopTask("w0", TaskKey("0" * 16, 0, 0, 0), 1)
+    response = asyncio.run(PlatformWorkerDriver(http, http).stop(WORKER, 1, stop))
+    assert response.outcome is CommandOutcome.BAD
+
+
+def test_an_unreadable_report_is_logged_once_and_names_its_worker(caplog):
+    """Guard against a line for each renewal of a worker whose reports are malformed."""
+    http = FakeHttp({**REPORT, "clockMs": "soon"})
+    driver = PlatformWorkerDriver(http, http)
+    for _ in range(3):
+        asyncio.run(driver.renew(WORKER, 1, 0, None, 0))
+    (line,) = [r.getMessage() for r in caplog.records]
+    assert "w0" in line and "clockMs" in line
+
+
 def test_a_full_list_of_ends_may_be_cut_short():
     """Guard against ends beyond the first 500 that count as runs which were lost."""
     ends = [[n, "0" * 16 + f".0.0.{n}", 1, "done", ""] for n in range(1, 501)]
