Use one table, one chunker and one encoding where the change had two

Found in the last reading of the change; behaviour is unchanged. - Queries for a job's state were a special case before the table of the owner's handlers; all handlers are coroutines now, like those of instances, so that it stands in the table again. - Rows to be removed were cut into pieces beside the batches of writes, which serve both. - The progress of a job that is already split was encoded whole in each flush and thrown away. - Lease and scheduler both took the longer of two limits; the scheduler does. - Two limits of due tasks had one name and different values; the one for stored jobs says so.

--- a/baobabhoist/cell/state.py
+++ b/baobabhoist/cell/state.py
@@ -94,10 +94,10 @@
         unfinished = [job.accepted for job in self.jobs.values() if not job.is_final]
         queues = {accepted.queue for accepted in unfinished} - rules.queues.keys()
         teams = {accepted.team for accepted in unfinished} - rules.teams.keys()
-        known_queues = self.removed_queues | self.rules.queues
-        known_teams = self.removed_teams | self.rules.teams
-        self.removed_queues = {name: known_queues[name] for name in queues & known_queues.keys()}
-        self.removed_teams = {name: known_teams[name] for name in teams & known_teams.keys()}
+        known_queues = (self.removed_queues | self.rules.queues).items()
+        known_teams = (self.removed_teams | self.rules.teams).items()
+        self.removed_queues = {name: queue for name, queue in known_queues if name in queues}
+        self.removed_teams = {name: team for name, team in known_teams if name in teams}
         self.rules = rules
         self.entitlements.set_teams(rules.teams)
 
--- a/baobabhoist/cell/workers.py
+++ b/baobabhoist/cell/workers.py
@@ -59,7 +59,7 @@
         """
         self.clock_ms = self.clock_read_ms = 0.0
         self.deadline_ms, self.is_clock_known = 0, False
-        self._max_unknown_ms = max(self.max_inherited_ms, self.max_granted_ms)
+        self._max_unknown_ms = self.max_granted_ms
 
     def min_clock_at(self, now: float) -> float:
         """Return the least time that the worker's clock can show now, given the maximum drift."""
--- a/baobabhoist/control/owner.py
+++ b/baobabhoist/control/owner.py
@@ -11,6 +11,7 @@
 import attrs
 
 from baobabhoist.cell.evacuations import NO_EVACUATIONS, Evacuations
+from baobabhoist.cell.jobs import JobState
 from baobabhoist.cell.model import CellRules, StartTask
 from baobabhoist.cell.placement_preview import PreviewTime, preview_placement
 from baobabhoist.cell.policy import DEFAULT_POLICY, SchedulingPolicy
@@ -225,18 +226,21 @@
 
     def job_state(self, job_id: str) -> StateReply:
         """Return the state of a job."""
-        job = self.cell.find_job(job_id) if self.cell is not None else None
+        job = self._find_job(job_id)
         if job is None:
             return StateReply()
         return StateReply(job.confirmed_phase.value, job.accepted.queue, job.accepted.team)
 
     async def settled_job_state(self, job_id: str) -> StateReply:
         """Return the state of a job; if it has just ended, wait shortly until that is stored."""
-        job = self.cell.find_job(job_id) if self.cell is not None else None
+        job = self._find_job(job_id)
         if job is not None and job.is_final and not job.is_end_stored:
             await self.progress_writer.wait_until_stored(MAX_END_WAIT_S)
         return self.job_state(job_id)
 
+    def _find_job(self, job_id: str) -> JobState | None:
+        return self.cell.find_job(job_id) if self.cell is not None else None
+
     def count_pending_jobs(self, queue: str) -> PendingReply | None:
         """Return the number of jobs of a queue that have not started, or None while loading."""
         return PendingReply(self.cell.count_queued_jobs(queue)) if self.cell is not None else None
--- a/baobabhoist/control/owner_router.py
+++ b/baobabhoist/control/owner_router.py
@@ -28,6 +28,7 @@
     RelayFollow,
     RelayRead,
     StateQuery,
+    StateReply,
 )
 from baobabhoist.control.relay import FailoverStore
 from baobabhoist.control.sessions.messages import (
@@ -132,31 +133,34 @@
             return await instance_handler(self, message)
         if self.local_owner is None:
             return NotOwner(self._node)
-        if isinstance(message, StateQuery):
-            return await self.local_owner.settled_job_state(message.job_id)
         owner_handler = self._OWNER_HANDLERS.get(type(message))
-        return (
-            owner_handler(self, self.local_owner, message) if owner_handler is not None else None
-        )
+        if owner_handler is None:
+            return None
+        return await owner_handler(self, self.local_owner, message)
+
+    async def _answer_state(self, owner: CellOwner, query: StateQuery) -> StateReply:
+        return await owner.settled_job_state(query.job_id)
 
-    def _answer_pending(self, owner: CellOwner, query: PendingQuery) -> PendingReply | NotOwner:
+    async def _answer_pending(
+        self, owner: CellOwner, query: PendingQuery
+    ) -> PendingReply | NotOwner:
         return owner.count_pending_jobs(query.queue) or NotOwner(self._node)
 
-    def _answer_placement(
+    async def _answer_placement(
         self, owner: CellOwner, query: PlacementQuery
     ) -> PlacementReply | NotOwner:
         return owner.preview_placement(query) or NotOwner(self._node)
 
-    def _handle_job_notice(self, owner: CellOwner, notice: JobNotice) -> None:
+    async def _handle_job_notice(self, owner: CellOwner, notice: JobNotice) -> None:
         owner.handle_stored_job(notice.job_id, notice.value, notice.version)
 
-    def _handle_session_events(self, owner: CellOwner, events: SessionEvents) -> None:
+    async def _handle_session_events(self, owner: CellOwner, events: SessionEvents) -> None:
         owner.sessions.handle_events(events)
 
-    def _answer_permit(self, owner: CellOwner, query: PermitQuery) -> PermitReply:
+    async def _answer_permit(self, owner: CellOwner, query: PermitQuery) -> PermitReply:
         return owner.sessions.handle_permit_query(query)
 
-    def _handle_cancel_notice(self, owner: CellOwner, notice: CancelNotice) -> None:
+    async def _handle_cancel_notice(self, owner: CellOwner, notice: CancelNotice) -> None:
         owner.handle_cancelled_job(notice.job_id)
 
     async def _serve_store_call(self, message: Any) -> Any:
@@ -200,7 +204,8 @@
         SessionAssignment: _handle_assignment,
         SessionOrders: _handle_orders,
     }
-    _OWNER_HANDLERS: dict[type, Callable[[Any, CellOwner, Any], Any]] = {
+    _OWNER_HANDLERS: dict[type, Callable[[Any, CellOwner, Any], Awaitable[Any]]] = {
+        StateQuery: _answer_state,
         PendingQuery: _answer_pending,
         PlacementQuery: _answer_placement,
         JobNotice: _handle_job_notice,
--- a/baobabhoist/control/progress_layout.py
+++ b/baobabhoist/control/progress_layout.py
@@ -54,11 +54,14 @@
 
     def changes(self, job_id: str, progress: JobProgress) -> RowChanges:
         """Return the changes that store the progress of a job."""
-        main_key, main = progress_row_key(job_id), progress_rows.encode(progress)
+        main_key = progress_row_key(job_id)
         if progress.phase in FINAL_PHASES:
-            return {main_key: main, **dict.fromkeys(self._parts.get(job_id, ()))}
-        if job_id not in self._parts and len(main) <= SPLIT_SHARE * self._row_max_bytes:
-            return {main_key: main}
+            removed = dict.fromkeys(self._parts.get(job_id, ()))
+            return {main_key: progress_rows.encode(progress), **removed}
+        if job_id not in self._parts:
+            main = progress_rows.encode(progress)
+            if len(main) <= SPLIT_SHARE * self._row_max_bytes:
+                return {main_key: main}
         changes: RowChanges = {}
         for key, steps in self._split(job_id, progress).items():
             value = self._encode_part(key, progress.phase, steps)
--- a/baobabhoist/control/progress_writer.py
+++ b/baobabhoist/control/progress_writer.py
@@ -157,8 +157,8 @@
         progress_keys = self._layout.keys_of(job_id)
         job_keys = (job_row_key(job_id), cancel_row_key(job_id))
         try:
-            for keys in (job_keys, *_batched(progress_keys, MAX_ROWS_PER_WRITE)):
-                await self._store.commit(RowTransaction(removes=keys))
+            for keys in (job_keys, *_batches(dict.fromkeys(progress_keys))):
+                await self._store.commit(RowTransaction(removes=tuple(keys)))
         except StoreError as exc:
             emit(log, Event.WRITE_REFUSED, row=job_id, detail=exc)
             return False
@@ -291,10 +291,6 @@
             self._versions[key] = conflict.version_of(key)
 
 
-def _batched(keys: list[RowKey], size: int) -> list[tuple[RowKey, ...]]:
-    return [tuple(keys[first : first + size]) for first in range(0, len(keys), size)]
-
-
 def _batches(changes: RowChanges) -> Iterator[RowChanges]:
     """Yield the changes in order, as many at a time as the store accepts."""
     batch: RowChanges = {}
--- a/baobabhoist/control/stored_rows.py
+++ b/baobabhoist/control/stored_rows.py
@@ -24,7 +24,7 @@
 log = logging.getLogger(__name__)
 
 # Many more than are accepted at once; a job that repeats its steps may have some more due later.
-MAX_DUE_TASKS = 1_000_000
+MAX_STORED_DUE_TASKS = 1_000_000
 
 
 def add_stored_job(
@@ -38,7 +38,7 @@
         return False
     try:
         due_tasks = accepted.spec.count_due_tasks(unix_ms())
-        if due_tasks > MAX_DUE_TASKS:
+        if due_tasks > MAX_STORED_DUE_TASKS:
             raise ValueError(f"{due_tasks} tasks are due, more than an owner can hold")
         accepted_local_ms = clock.to_local_ms(accepted.accepted_ms)
         return cell.add_job(accepted, accepted_local_ms, monotonic_ms(), unix_ms())
