Let simulated workers hear that other ends than done are stored

In the simulation of sessions, the acknowledgement of an end that was stopped or lapsed raised KeyError inside the renewal (`ended_s` holds only the ends of tasks that were done). The session took that for a crash and the worker for silent, so each such end hid what should have been tested, and added a fault that nobody had asked for.

Only ends `done` count for the check on starts after an end, as the rule says; the check itself is unchanged.

--- a/baobabhoist/tests/sessions_harness.py
+++ b/baobabhoist/tests/sessions_harness.py
@@ -389,7 +389,7 @@
         listed = worker.unacked_ends
         report = worker.renew(token, acked_end, deadline_ms)
         for end in listed:
-            if end not in worker.unacked_ends:
+            if end not in worker.unacked_ends and end.outcome is RunOutcome.DONE:
                 self._record_noted(worker_id, end)
         return report
 
