Reproduce two runs of one task by a lease that is counted too short

The simulation of sessions gets data centres that are cut off whole (an instance and workers that still reach each other), new workers, and a check that no owner expects a lease to end before it does. The directed test runs tasks twice: a new worker gets its session at an instance that holds others, and both are cut off 0.1 s later.

--- a/baobabhoist/tests/sessions_harness.py
+++ b/baobabhoist/tests/sessions_harness.py
@@ -36,6 +36,7 @@
 CALL_TIMEOUT_S = 0.7
 POLL_INTERVAL_S = 0.02
 TICK_S = 0.1
+LEASE_CHECK_S = 0.05
 # A start that was decided before its task was shown or noted to be done may be sent for this long.
 START_AFTER_DONE_S = 1.0
 TASK = Resources(1000, 512, 0)
@@ -252,7 +253,15 @@
             return self.pool.handle_permit_query(message)
         return self.pool.handle_events(message)
 
+    async def check_leases(self):
+        """Compare what this owner knows of the leases with what the workers hold."""
+        while self.world.owner is self:
+            for worker_id, state in self.cell.state.workers.items():
+                self.world.compare_lease(worker_id, state.lease_expiry_ms())
+            await asyncio.sleep(LEASE_CHECK_S)
+
     async def run(self):
+        self.world.network.spawn(self.check_leases())
         while self.world.owner is self or self.may_renew():
             now = self.world.loop.now_ms()
             self.cell.tick(now, now)
@@ -328,8 +337,13 @@
         self.order_counts = {}
         self.double_runs = []
         self.started_after_done = []
+        # Leases that an owner expected to end earlier than they did: time, worker, ms too early.
+        self.short_leases = []
         # The start and the duration of each run.
         self.run_times_s = {}
+        # The longest durations of runs; some outlast a lease, so that one that is given up too
+        # early runs twice.
+        self.longest_runs_s = (1.0, 1.0, 12.0)
         # The starts of each task, and when a caller could first see that its job is completed.
         self.starts_s = defaultdict(list)
         self.shown_s = {}
@@ -365,6 +379,20 @@
             instance.connect(self.owner)
         self.network.spawn(self.owner.run())
 
+    def add_worker(self, worker_id):
+        """List a new worker at the current owner."""
+        worker = self.workers[worker_id] = FakeCellWorker(worker_id)
+        self.worker_now(worker_id)
+        self.owner.cell.update_worker(worker.info(), self.loop.now_ms())
+
+    def cut_off(self, node, worker_ids, until_s):
+        """Cut off an instance and workers that still reach each other, as a data centre is."""
+        self.network.stalled_until_s[node] = until_s
+        others = ["owner", *(i.node for i in self.instances if i.node != node)]
+        for other in others:
+            for worker_id in worker_ids:
+                self.network.cut_until_s[other, worker_id] = until_s
+
     def linked_instances(self, owner):
         return {
             i.node: LinkedInstance(Holder(i.node, "dc", HOLDER_SIZE), i.from_owner)
@@ -384,6 +412,14 @@
             run.progress_percent = 100.0 * (self.loop.time() - started_s) / duration_s
         return worker
 
+    def compare_lease(self, worker_id, expected_end_ms):
+        """Record a lease that goes on after its owner takes it for ended."""
+        worker = self.worker_now(worker_id)
+        left_ms = worker.lease_expires_ms - worker.now_ms
+        early_ms = self.loop.now_ms() + left_ms - expected_end_ms
+        if left_ms > 0.0 and early_ms > 1.0:
+            self.short_leases.append((self.loop.time(), worker_id, round(early_ms)))
+
     def renew(self, worker_id, token, acked_end, deadline_ms):
         worker = self.worker_now(worker_id)
         listed = worker.unacked_ends
@@ -427,8 +463,7 @@
         self.starts_s[task].append(self.loop.time())
         if task in self.noted_s:
             self.started_after_done.append((self.loop.time(), task))
-        # Long ones outlast a lease, so that a run that was given up too early runs twice.
-        longest_s = self.rng.choice((1.0, 1.0, 12.0))
+        longest_s = self.rng.choice(self.longest_runs_s)
         duration_s = self.rng.uniform(0.2, longest_s)
         self.run_times_s[task, command.run] = (self.loop.time(), duration_s)
         self.loop.call_later(duration_s, self._end_run, command)
--- a/baobabhoist/tests/test_sessions_faults.py
+++ b/baobabhoist/tests/test_sessions_faults.py
@@ -2,7 +2,7 @@
 
 The judge looks at what workers and callers saw: no task runs twice at once, none runs again after
 its end was acknowledged or its job was shown as completed, no order is sent twice, and all jobs
-end once the faults are over.
+end once the faults are over. No owner expects a lease to end before it does.
 """
 
 import asyncio
@@ -54,6 +54,16 @@
     world.network.cut_until_s[worker_id] = world.loop.time() + world.rng.uniform(0.2, 7.0)
 
 
+async def cut_data_centre(world):
+    node = world.rng.choice(world.instances).node
+    worker_ids = world.rng.sample(list(world.workers), 2)
+    world.cut_off(node, worker_ids, world.loop.time() + world.rng.uniform(4.0, 8.0))
+
+
+async def add_worker(world):
+    world.add_worker(f"w{len(world.workers)}")
+
+
 async def take_over(world):
     world.take_over()
 
@@ -65,6 +75,8 @@
     lose_all_links,
     cut_worker_from_node,
     cut_worker,
+    cut_data_centre,
+    add_worker,
     take_over,
 )
 
@@ -81,6 +93,7 @@
 
 def check(world):
     assert not world.double_runs
+    assert not world.short_leases
     assert not world.started_after_done
     assert not world.sent_twice()
     assert world.count_unfinished() == 0
@@ -128,3 +141,22 @@
     world = World(seed)
     world.run(run_faults, RUN_S, monkeypatch)
     check(world)
+
+
+def test_a_new_worker_that_is_cut_off_with_its_holder_runs_no_task_twice(monkeypatch):
+    """Guard against a lease that is counted too short, since the holder had its permit before."""
+
+    async def cut_off_new_worker(world):
+        await asyncio.sleep(1.0)
+        world.longest_runs_s = (12.0,)
+        world.add_worker("new")
+        while "new" not in world.owner.pool._remote:
+            await asyncio.sleep(0.01)
+        await asyncio.sleep(0.1)
+        node = world.owner.pool._remote["new"].holder.node
+        world.cut_off(node, ["new"], world.loop.time() + 12.0)
+
+    world = World(1, job_count=200)
+    world.run(cut_off_new_worker, 20.0, monkeypatch)
+    assert not world.double_runs
+    assert not world.short_leases
