--- a/baobabhoist/cell/progress_rows.py
+++ b/baobabhoist/cell/progress_rows.py
@@ -25,7 +25,10 @@
 
 @attrs.frozen
 class StepProgress:
-    """Hold the durable state of a step; the dictionaries are keyed by task index."""
+    """Hold the durable state of a step; the dictionaries are keyed by task index.
+
+    `last_numbers` has the last run numbers of tasks that used up those reserved for their owner.
+    """
 
     occurrence: int
     step: int
@@ -34,10 +37,12 @@
     checkpoints: dict[int, str] = attrs.Factory(dict)
     runs: dict[int, StoredRun] = attrs.Factory(dict)
     crash_blame: dict[int, CrashBlame] = attrs.Factory(dict)
+    last_numbers: dict[int, int] = attrs.Factory(dict)
 
     def split(self, tasks_per_part: int) -> dict[int, StepProgress]:
         """Return the state by ranges of this many tasks, keyed by the first index of each."""
-        indices = {*self.done, *self.failed, *self.checkpoints, *self.runs, *self.crash_blame}
+        by_index = (self.failed, self.checkpoints, self.runs, self.crash_blame, self.last_numbers)
+        indices = {*self.done}.union(*by_index)
         firsts = sorted({index - index % tasks_per_part for index in indices})
         return {first: self._slice(range(first, first + tasks_per_part)) for first in firsts}
 
@@ -50,6 +55,7 @@
             _select(self.checkpoints, indices),
             _select(self.runs, indices),
             _select(self.crash_blame, indices),
+            _select(self.last_numbers, indices),
         )
 
     def merge(self, newer: StepProgress) -> StepProgress:
@@ -62,6 +68,7 @@
             {**self.checkpoints, **newer.checkpoints},
             {**self.runs, **newer.runs},
             {**self.crash_blame, **newer.crash_blame},
+            {**self.last_numbers, **newer.last_numbers},
         )
 
 
@@ -86,8 +93,11 @@
     return JobProgress(phase, tuple(merged.values()))
 
 
-def capture_progress(job: JobState) -> JobProgress:
-    """Return the durable state of a job; for a finished one only its phase."""
+def capture_progress(job: JobState, last_reserved_number: float = float("inf")) -> JobProgress:
+    """Return the durable state of a job; for a finished one only its phase.
+
+    The next owner starts above `last_reserved_number`, unless a task is stored with a higher one.
+    """
     if job.is_final:
         return JobProgress(job.phase)
     steps = []
@@ -101,9 +111,23 @@
             if task.run is not None
         }
         blame = {t.index: t.crash_blame for t in step.tasks if t.crash_blame.by_crash}
-        if done or failed_runs or checkpoints or runs or blame:
+        last_numbers = {
+            task.index: task.last_run_number
+            for task in step.tasks
+            if task.last_run_number > last_reserved_number and not task.is_done
+        }
+        if done or failed_runs or checkpoints or runs or blame or last_numbers:
             steps.append(
-                StepProgress(occurrence, step_number, done, failed_runs, checkpoints, runs, blame)
+                StepProgress(
+                    occurrence,
+                    step_number,
+                    done,
+                    failed_runs,
+                    checkpoints,
+                    runs,
+                    blame,
+                    last_numbers,
+                )
             )
     return JobProgress(job.phase, tuple(steps))
 
@@ -122,7 +146,7 @@
         for s in progress.steps
     ]
     body: dict[str, Any] = {"phase": progress.phase.value, "steps": steps}
-    # A member of its own, which earlier releases ignore: they read exactly six fields of a step.
+    # Members of their own, which earlier releases ignore: they read exactly six fields of a step.
     crashes = [
         [s.occurrence, s.step, index, crash, evidence.value]
         for s in progress.steps
@@ -131,6 +155,13 @@
     ]
     if crashes:
         body["crashes"] = crashes
+    last_numbers = [
+        [s.occurrence, s.step, index, number]
+        for s in progress.steps
+        for index, number in s.last_numbers.items()
+    ]
+    if last_numbers:
+        body["lastNumbers"] = last_numbers
     return orjson.dumps(body)
 
 
@@ -139,6 +170,7 @@
     try:
         body = orjson.loads(value)
         blame_by_step = _decode_crashes(body.get("crashes", ()))
+        numbers_by_step = _decode_last_numbers(body.get("lastNumbers", ()))
         steps = tuple(
             StepProgress(
                 int(occurrence),
@@ -148,6 +180,7 @@
                 {int(k): str(v) for k, v in checkpoints.items()},
                 {int(k): StoredRun(int(run), str(worker)) for k, (run, worker) in runs.items()},
                 blame_by_step.get((int(occurrence), int(step)), {}),
+                numbers_by_step.get((int(occurrence), int(step)), {}),
             )
             for occurrence, step, done, failed_runs, checkpoints, runs in body["steps"]
         )
@@ -171,6 +204,9 @@
             step.tasks[index].checkpoint = checkpoint
         for index, blame in step_progress.crash_blame.items():
             step.tasks[index].crash_blame = blame
+        for index, number in step_progress.last_numbers.items():
+            task = step.tasks[index]
+            task.last_run_number = max(task.last_run_number, number)
 
 
 def _decode_crashes(entries: list[list[Any]]) -> dict[tuple[int, int], dict[int, CrashBlame]]:
@@ -183,6 +219,14 @@
     return by_step
 
 
+def _decode_last_numbers(entries: list[list[Any]]) -> dict[tuple[int, int], dict[int, int]]:
+    """Return the last run numbers of tasks by occurrence and step, then by task index."""
+    by_step: dict[tuple[int, int], dict[int, int]] = {}
+    for occurrence, step, index, number in entries:
+        by_step.setdefault((int(occurrence), int(step)), {})[int(index)] = int(number)
+    return by_step
+
+
 def _select(values: dict[int, Value], indices: range) -> dict[int, Value]:
     return {index: value for index, value in values.items() if index in indices}
 
--- a/baobabhoist/cell/scheduler.py
+++ b/baobabhoist/cell/scheduler.py
@@ -396,8 +396,12 @@
     def take_unsaved_progress(self) -> dict[str, JobProgress]:
         """Return the progress that must be stored and clear the list of changed jobs."""
         dirty, self.state.dirty = self.state.dirty, set()
-        jobs = self.state.jobs
-        return {i: progress_rows.capture_progress(jobs[i]) for i in dirty if i in jobs}
+        jobs, last_number = self.state.jobs, self.state.last_reserved_number
+        return {
+            job_id: progress_rows.capture_progress(jobs[job_id], last_number)
+            for job_id in dirty
+            if job_id in jobs
+        }
 
     def record_stored(self, progress: Mapping[str, JobProgress]) -> None:
         """Record that progress is stored."""
--- a/baobabhoist/cell/state.py
+++ b/baobabhoist/cell/state.py
@@ -46,7 +46,8 @@
 
 log = logging.getLogger(__name__)
 
-# Run numbers reserved for each owner, so that a later owner always uses higher ones.
+# Run numbers reserved for each owner, so that a later owner uses higher ones. The last number of a
+# task that has used them up is stored.
 RUN_NUMBERS_PER_OWNER = 1000
 # For a job of an earlier release, whose queue was removed before this owner knew it.
 DEFAULT_MAX_ATTEMPTS = 3
@@ -232,6 +233,11 @@
         task.step.job.mark_running()
         return run
 
+    @property
+    def last_reserved_number(self) -> int:
+        """Return the last run number that is reserved for this owner."""
+        return (self.generation + 1) * RUN_NUMBERS_PER_OWNER
+
     def next_run_number(self, tasks: list[TaskState]) -> int:
         """Return a number higher than any run of these tasks had under any owner."""
         return (
--- a/baobabhoist/tests/test_cell_scheduler.py
+++ b/baobabhoist/tests/test_cell_scheduler.py
@@ -3,6 +3,7 @@
 import attrs
 import pytest
 
+from baobabhoist.cell import progress_rows
 from baobabhoist.cell.model import (
     AdviceTerms,
     CommandOutcome,
@@ -13,6 +14,7 @@
     Step,
     StopTask,
 )
+from baobabhoist.cell.state import RUN_NUMBERS_PER_OWNER
 from baobabhoist.tests.cell_harness import (
     LEASE_MS,
     SMALL,
@@ -374,3 +376,19 @@
     assert state.phase is JobPhase.COMPLETED
     assert not state.accepted.spec.payload
     assert not state.steps[(0, 0)].approvals.tickets
+
+
+def test_the_next_owner_uses_higher_numbers_after_more_starts_than_are_reserved():
+    """Guard against a lasting task that never runs again: workers reject a lower run number."""
+    harness = CellHarness.with_workers(1)
+    accepted = make_job("0" * 16, Step(1, SMALL, 100, lasting=True))
+    harness.submit(accepted)
+    task = harness.cell.find_job(accepted.job_id).find_task(make_task_key())
+    task.last_run_number = RUN_NUMBERS_PER_OWNER + 5
+    harness.settle()
+    harness.workers["w0"].end_run(make_task_key(), RunOutcome.FAILED)
+    harness.renew_all()
+    rows = {i: progress_rows.encode(p) for i, p in harness.save_progress().items()}
+    harness.take_over([accepted], {i: progress_rows.decode(row) for i, row in rows.items()})
+    harness.settle()
+    assert harness.running_tasks() == [(make_task_key(), "w0")]
--- a/baobabhoist/tests/test_control_progress_layout.py
+++ b/baobabhoist/tests/test_control_progress_layout.py
@@ -38,6 +38,7 @@
         indices,
         st.dictionaries(texts, st.sampled_from(Evidence), min_size=1).map(CrashBlame),
     ),
+    st.dictionaries(indices, st.integers(1_000, 9_000)),
 )
 job_progress = st.builds(
     JobProgress,
