Report a worker as silent that restarts and then does not answer

What callers could see: tasks that never end, where other instances hold the sessions.

Cause: when an answer showed a restart, the session marked the worker as not answering, so that its next call carries no deadline, before it made a second call under a higher token. If that call failed, the session took the silence for known and told nobody. The owner then counted each further permit of the holder into the worker's lease, so the runs of the process before were never given up, and the worker was not tried through other instances.

Ruled out: sessions of the owner itself count no permits; there only the detour was missing.

Change: the session forgets that it has heard the worker; whether it answers is decided by calls that fail.

Result: test_a_worker_that_falls_silent_after_a_restart_is_reported_as_silent failed before.

--- a/baobabhoist/control/sessions/worker_session.py
+++ b/baobabhoist/control/sessions/worker_session.py
@@ -82,7 +82,7 @@
 
     @property
     def _is_heard(self) -> bool:
-        """Return whether this session has heard the worker, and no call has failed since.
+        """Return whether this session has heard the worker's process and no call failed since.
 
         Otherwise the worker may have started again, with another clock and other numbers of ends.
         """
@@ -197,7 +197,7 @@
             self._needs_higher_token = True
             if self._listener.token > self.token:
                 # Only the answer to a call with a higher token shows what will run there.
-                self._is_answering = False
+                self._has_reported = False
                 return True
         self._handle_report(answer, sent_ms)
         if self.last_seen_end > self.acked_end:
--- a/baobabhoist/tests/test_sessions_worker_session.py
+++ b/baobabhoist/tests/test_sessions_worker_session.py
@@ -299,3 +299,24 @@
 
     asyncio.run(run())
     assert expiries_ms == [lease.expiry_ms()]
+
+
+def test_a_worker_that_falls_silent_after_a_restart_is_reported_as_silent():
+    """Guard against runs that are never given up because nobody hears of their worker's silence."""
+    harness = CellHarness.with_workers(1)
+    worker = harness.workers["w0"]
+    driver = FakeDriver(worker)
+    session = make_session(harness, driver)
+
+    async def run():
+        await session._renew()
+        worker.crash()
+        worker.restart()
+        harness.token += 1
+        # The answer shows the restart, and nothing answers any more.
+        await session._renew()
+        driver.is_silent = True
+        await session._renew()
+
+    asyncio.run(run())
+    assert harness.cell.state.workers["w0"].lease.is_suspended
