Extend a holder's permit while its next assignment is on its way

What callers could see: tasks that are given up and start again, and starts that wait, while many workers come or go.

An assignment is decided up to once in each tick of 0.1 s, also if it only adds workers. With messages that take 50 ms or more, each query then names an old one, and a sound holder loses its permit after 1.5 s and ends its sessions.

Ruled out: to ask only for the last assignment that took a session away. Moves come as often when paths are bad.

Change: the permit is extended, and counted for each session that was closed until the holder names a later assignment: in the lease of the worker, and in what the session that replaced it inherits.

Result: test_a_permit_is_extended_while_an_assignment_is_on_its_way failed before; test_a_holder_that_has_not_heard_of_a_move_extends_no_lease_unseen passes as before.

--- a/baobabhoist/control/sessions/pool.py
+++ b/baobabhoist/control/sessions/pool.py
@@ -36,7 +36,7 @@
     to_worker_report,
 )
 from baobabhoist.control.sessions.permits import grantable_ms
-from baobabhoist.control.sessions.remote_holder import RemoteHolder
+from baobabhoist.control.sessions.remote_holder import ClosedSession, RemoteHolder
 from baobabhoist.control.sessions.worker_session import WorkerSession
 from baobabhoist.observability.events import Event, emit
 from baobabhoist.observability.tasks import create_logged_task
@@ -326,8 +326,7 @@
         remote = self._remote.pop(worker_id, None)
         if remote is not None:
             del self._by_number[remote.number]
-            remote.holder.workers.pop(remote.number, None)
-            remote.holder.needs_assignment = True
+            remote.holder.close_session(remote.number, remote.state, remote.is_suspended)
 
     def _send_assignments(self) -> None:
         for holder in list(self._holders.values()):
@@ -367,15 +366,26 @@
         if holder is None or query.token != self._deps.token or not holder.workers:
             return PermitReply(0.0, now)
         valid_ms = grantable_ms(self._deps.owner.authority_ends_ms(), now)
-        if not holder.has_applied_assignment(query.assignment):
-            # It may still extend leases of workers that other sessions have been opened with.
-            valid_ms = min(valid_ms, max(0.0, holder.permitted_until_ms - now))
         holder.heard_ms = now
         holder.permitted_until_ms = max(holder.permitted_until_ms, now + valid_ms)
         for number in holder.workers:
             self._by_number[number].update_lease()
+        holder.record_applied_assignment(query.assignment)
+        for closed in holder.closed_sessions:
+            self._count_closed_session(closed, holder.permitted_until_ms)
         return PermitReply(valid_ms, now, self._deps.newest_token())
 
+    def _count_closed_session(self, closed: ClosedSession, until_ms: float) -> None:
+        """Record until when the holder of a closed session may extend the worker's lease."""
+        if closed.is_suspended:
+            return
+        lease = closed.state.lease
+        lease.extendable_until_ms = max(lease.extendable_until_ms, until_ms)
+        current = self._remote.get(closed.state.worker_id)
+        if current is not None:
+            current.inherited_until_ms = max(current.inherited_until_ms, until_ms)
+            current.update_lease()
+
     # Commands and acknowledgements.
 
     async def start_task(self, command: StartTask) -> CommandOutcome:
--- a/baobabhoist/control/sessions/remote_holder.py
+++ b/baobabhoist/control/sessions/remote_holder.py
@@ -10,6 +10,7 @@
 import attrs
 
 from baobabhoist.cell.model import CommandOutcome, StartTask, StopTask
+from baobabhoist.cell.workers import WorkerState
 from baobabhoist.control.clock import monotonic_ms
 from baobabhoist.control.interfaces import CommandResponse
 from baobabhoist.control.sessions.batch_sender import BatchSender
@@ -38,6 +39,17 @@
 UNKNOWN = CommandResponse(CommandOutcome.UNKNOWN)
 
 
+@attrs.frozen
+class ClosedSession:
+    """Describe a session that its holder goes on with until it has applied a later assignment."""
+
+    state: WorkerState
+    # The last assignment that may name it.
+    assignment: int
+    # The owner had not consented to extending the worker's lease.
+    is_suspended: bool
+
+
 @attrs.define
 class _Batch:
     """Collect the orders of one message."""
@@ -74,6 +86,8 @@
         self.heard_ms = 0.0
         # The workers whose sessions it holds, by session number.
         self.workers: dict[int, str] = {}
+        # Sessions that it may still hold, although they were closed.
+        self.closed_sessions: list[ClosedSession] = []
         # Its sessions have changed since the last assignment.
         self.needs_assignment = False
         self._token = token
@@ -100,9 +114,18 @@
         self._assignment_number, self._assignment = number, workers
         self._sender.request(ORDER_DELAY_S)
 
-    def has_applied_assignment(self, number: int) -> bool:
-        """Return whether a holder that names this assignment holds no session it should not."""
-        return number in (0, self._assignment_number) and not self.needs_assignment
+    def close_session(self, number: int, state: WorkerState, is_suspended: bool) -> None:
+        """Remove a session; the holder ends it once it applies the next assignment."""
+        self.workers.pop(number, None)
+        closed = ClosedSession(state, self._assignment_number, is_suspended)
+        self.closed_sessions.append(closed)
+        self.needs_assignment = True
+
+    def record_applied_assignment(self, number: int) -> None:
+        """Forget the sessions that the holder has ended; earlier releases name no assignment."""
+        self.closed_sessions = [
+            closed for closed in self.closed_sessions if 0 < number <= closed.assignment
+        ]
 
     async def start_task(self, session: int, command: StartTask) -> CommandResponse:
         """Order the start of a run and return its result."""
--- a/baobabhoist/tests/test_sessions_faults.py
+++ b/baobabhoist/tests/test_sessions_faults.py
@@ -13,7 +13,8 @@
 from hypothesis import strategies as st
 
 from baobabhoist.cell.model import CommandOutcome, StartTask, TaskKey
-from baobabhoist.control.sessions.messages import SessionEvents, WorkerSilence
+from baobabhoist.control.sessions.messages import PermitQuery, SessionEvents, WorkerSilence
+from baobabhoist.control.sessions.permits import PERMIT_VALID_MS
 from baobabhoist.tests.sessions_harness import World
 
 RUN_S = 45.0
@@ -104,6 +105,13 @@
         world.network.spawn(world.rng.choice(FAULTS)(world))
 
 
+def move_session(pool, worker_id, node, workers):
+    """Give the session with a worker to another instance."""
+    nodes = {w: session.holder.node for w, session in pool._remote.items()}
+    pool._distribution = {**nodes, worker_id: node}
+    pool.sync(workers)
+
+
 async def run_calm(world):
     await asyncio.sleep(1.0)
 
@@ -249,10 +257,7 @@
         # What the owner sends to the source arrives late; its queries and the replies don't.
         source.from_owner._last_s = world.loop.time() + 6.0
         state = world.owner.cell.state.workers[worker_id]
-        nodes = {w: s.holder.node for w, s in pool._remote.items()}
-        nodes[worker_id] = target.node
-        pool._distribution = nodes
-        pool.sync(world.owner.cell.state.workers)
+        move_session(pool, worker_id, target.node, world.owner.cell.state.workers)
         for node in ("owner", *(i.node for i in world.instances if i is not source)):
             world.network.cut_until_s[node, worker_id] = world.loop.time() + 12.0
         assert state.lease.extendable_until_ms > 0.0
@@ -260,3 +265,29 @@
     world = World(1)
     world.run(move_unheard, 20.0, monkeypatch)
     assert not world.short_leases
+
+
+@pytest.mark.parametrize("is_moved", [False, True])
+def test_a_permit_is_extended_while_an_assignment_is_on_its_way(is_moved, monkeypatch):
+    """Guard against sessions that end because workers come and go faster than messages arrive."""
+    permits = []
+
+    async def change_workers(world):
+        await asyncio.sleep(1.0)
+        pool, workers = world.owner.pool, world.owner.cell.state.workers
+        session = next(iter(pool._remote.values()))
+        source, state = session.holder, session.state
+        query = PermitQuery(source.node, world.owner.token, source._assignment_number)
+        if is_moved:
+            target = next(i.node for i in world.instances if i.node != source.node)
+            move_session(pool, state.worker_id, target, workers)
+        else:
+            world.add_worker("new")
+            pool.sync(workers)
+        assert source._assignment_number > query.assignment
+        reply = pool.handle_permit_query(query)
+        is_counted = state.lease.extendable_until_ms >= world.loop.now_ms() + PERMIT_VALID_MS
+        permits.append((reply.valid_ms, is_counted))
+
+    World(1).run(change_workers, RUN_S, monkeypatch)
+    assert permits == [(PERMIT_VALID_MS, True)]
