Teach no higher token to a holder that still has closed sessions

What callers could see: no starts for some seconds, because the owner gives up the cell without a later one.

Cause: replies to permit queries carry the owner's newest fencing token. A holder that had not yet applied that a session was moved used it for the closed session, after a silence or restart of the worker. The worker then refused the session that had replaced it under the token that this one had begun with, and the owner took that for the refusal of a later owner.

Ruled out: refusals of the closed session itself (its number is unknown to the owner), and tokens that the holder had before (the next session begins with the newest one of the owner, which is at least that).

Change: until the holder has applied the move, it is told the token of the time at which the session was closed. Any later session with the worker uses that one or a higher one.

Result: test_a_holder_that_has_not_heard_of_a_move_fences_no_other_session failed before.

--- a/baobabhoist/control/sessions/pool.py
+++ b/baobabhoist/control/sessions/pool.py
@@ -326,7 +326,9 @@
         remote = self._remote.pop(worker_id, None)
         if remote is not None:
             del self._by_number[remote.number]
-            remote.holder.close_session(remote.number, remote.state, remote.is_suspended)
+            remote.holder.close_session(
+                remote.number, remote.state, self._deps.newest_token(), remote.is_suspended
+            )
 
     def _send_assignments(self) -> None:
         for holder in list(self._holders.values()):
@@ -373,7 +375,8 @@
         holder.record_applied_assignment(query.assignment)
         for closed in holder.closed_sessions:
             self._count_closed_session(closed, holder.permitted_until_ms)
-        return PermitReply(valid_ms, now, self._deps.newest_token())
+        tokens = (closed.token for closed in holder.closed_sessions)
+        return PermitReply(valid_ms, now, min(tokens, default=self._deps.newest_token()))
 
     def _count_closed_session(self, closed: ClosedSession, until_ms: float) -> None:
         """Record until when the holder of a closed session may extend the worker's lease."""
--- a/baobabhoist/control/sessions/remote_holder.py
+++ b/baobabhoist/control/sessions/remote_holder.py
@@ -46,6 +46,9 @@
     state: WorkerState
     # The last assignment that may name it.
     assignment: int
+    # The owner's newest fencing token at that time. The next session with the worker may use it,
+    # so this one must learn no higher one.
+    token: int
     # The owner had not consented to extending the worker's lease.
     is_suspended: bool
 
@@ -114,11 +117,14 @@
         self._assignment_number, self._assignment = number, workers
         self._sender.request(ORDER_DELAY_S)
 
-    def close_session(self, number: int, state: WorkerState, is_suspended: bool) -> None:
+    def close_session(
+        self, number: int, state: WorkerState, token: int, is_suspended: bool
+    ) -> None:
         """Remove a session; the holder ends it once it applies the next assignment."""
         self.workers.pop(number, None)
-        closed = ClosedSession(state, self._assignment_number, is_suspended)
-        self.closed_sessions.append(closed)
+        self.closed_sessions.append(
+            ClosedSession(state, self._assignment_number, token, is_suspended)
+        )
         self.needs_assignment = True
 
     def record_applied_assignment(self, number: int) -> None:
--- a/baobabhoist/tests/test_sessions_faults.py
+++ b/baobabhoist/tests/test_sessions_faults.py
@@ -291,3 +291,21 @@
 
     World(1).run(change_workers, RUN_S, monkeypatch)
     assert permits == [(PERMIT_VALID_MS, True)]
+
+
+def test_a_holder_that_has_not_heard_of_a_move_fences_no_other_session(monkeypatch):
+    """Guard against an owner that gives up because of its own higher token."""
+
+    async def move_unheard(world):
+        await asyncio.sleep(1.0)
+        pool, source, target = world.owner.pool, world.instances[0], world.instances[1]
+        worker_id = next(w for w, s in pool._remote.items() if s.holder.node == source.node)
+        source.from_owner._last_s = world.loop.time() + 3.0
+        move_session(pool, worker_id, target.node, world.owner.cell.state.workers)
+        await asyncio.sleep(0.5)
+        world.restart_worker(worker_id)
+
+    world = World(1)
+    world.run(move_unheard, RUN_S, monkeypatch)
+    assert not world.owner.cell.is_fenced
+    check(world)
