Hold sessions with workers that refuse holders of an earlier release

What callers could see: jobs that never end while releases are mixed: a new owner, and instances of an earlier release.

Cause: an owner without linked instances holds the sessions itself, and its workers see a higher token than that of its claim. When instances of an earlier release are linked again, they get the sessions and use the claim's token, which those workers refuse as long as this owner stays. The owner tried them through other instances only, all of the same release.

Ruled out: to raise no token while such instances are linked. An owner that has just claimed the cell doesn't know them yet.

Change: a worker that refuses a holder for such a token gets its session at the owner, for as long as this owner stays.

--- a/baobabhoist/control/sessions/pool.py
+++ b/baobabhoist/control/sessions/pool.py
@@ -179,6 +179,9 @@
         self._numbers = itertools.count(1)
         self._assignment_numbers = itertools.count(1)
         self._detours = Detours()
+        # Workers that refuse holders of earlier releases, which don't know this owner's higher
+        # tokens; this process holds the sessions with them.
+        self._refusing_workers: set[str] = set()
         # The last distribution, and the workers and holders that it was made for.
         self._distribution: dict[str, str] = {}
         self._distributed_for: tuple[frozenset[str], frozenset[str]] | None = None
@@ -212,6 +215,8 @@
         usable = self._usable_instances(now)
         nodes = self._choose_nodes(reachable, usable, now)
         nodes |= self._detours.choose(reachable, self._node_of, list(usable.values()), now)
+        self._refusing_workers &= reachable.keys()
+        nodes |= dict.fromkeys(self._refusing_workers, LOCAL_NODE)
         self._apply(reachable, nodes)
 
     def _usable_instances(self, now: float) -> dict[str, Holder]:
@@ -492,11 +497,13 @@
         lease.deadline_ms = max(lease.deadline_ms, silence.lease_deadline_ms)
         session.update_lease()
         cell = self._deps.owner.cell
-        is_fenced = parse_outcome(silence.outcome) is CommandOutcome.FENCED
-        # A holder of an earlier release may be refused for a higher token of this owner.
-        if is_fenced and silence.token >= session.token and cell is not None:
-            cell.mark_fenced()
-            self._deps.owner.request_scheduling_round()
+        if parse_outcome(silence.outcome) is not CommandOutcome.FENCED or cell is None:
+            return
+        if silence.token < session.token:
+            self._refusing_workers.add(session.state.worker_id)
+            return
+        cell.mark_fenced()
+        self._deps.owner.request_scheduling_round()
 
 
 def _request_work(owner: CellListener, report: WorkerReport) -> None:
--- a/baobabhoist/tests/sessions_harness.py
+++ b/baobabhoist/tests/sessions_harness.py
@@ -291,6 +291,8 @@
     to_owner: SimulatedLink = None
     from_owner: SimulatedLink = None
     owner: SimulatedOwner = None
+    # Speaks as a release that knows only the token of the owner's claim.
+    is_earlier_release: bool = False
 
     def __attrs_post_init__(self):
         driver = SimulatedDriver(self.world, self.node)
@@ -311,6 +313,9 @@
 
     def _receive(self, message):
         if isinstance(message, messages.SessionAssignment):
+            if self.is_earlier_release:
+                workers = (attrs.evolve(worker, token=0) for worker in message.workers)
+                message = attrs.evolve(message, workers=tuple(workers), number=0)
             self.holder.handle_assignment(message)
         else:
             self.holder.handle_orders(message)
@@ -319,12 +324,16 @@
         await self.world.network.wait_while_paused(self.node)
         if self.to_owner is None:
             raise LinkClosedError("no link")
-        return await self.to_owner.call(message, timeout_s)
+        reply = await self.to_owner.call(message, timeout_s)
+        return attrs.evolve(reply, token=0) if self.is_earlier_release else reply
 
     async def _notify_owner(self, message):
         await self.world.network.wait_while_paused(self.node)
         if self.to_owner is None:
             raise LinkClosedError("no link")
+        if self.is_earlier_release:
+            silences = (attrs.evolve(silence, token=0) for silence in message.silences)
+            message = attrs.evolve(message, silences=tuple(silences))
         await self.to_owner.notify(message)
 
 
--- a/baobabhoist/tests/test_sessions_faults.py
+++ b/baobabhoist/tests/test_sessions_faults.py
@@ -309,3 +309,22 @@
     world.run(move_unheard, RUN_S, monkeypatch)
     assert not world.owner.cell.is_fenced
     check(world)
+
+
+@pytest.mark.parametrize("earlier_count", [1, 3])
+def test_workers_that_refuse_holders_of_an_earlier_release_are_served(earlier_count, monkeypatch):
+    """Guard against workers that nobody reaches while releases are mixed.
+
+    They have seen a higher token than the only one that such a holder uses.
+    """
+
+    async def lose_links(world):
+        for instance in world.instances[:earlier_count]:
+            instance.is_earlier_release = True
+        await asyncio.sleep(0.5)
+        await lose_all_links(world)
+
+    world = World(1)
+    world.run(lose_links, RUN_S, monkeypatch)
+    assert not world.owner.cell.is_fenced
+    check(world)
