Take a holder's refusal under an outdated token for no later owner

What callers could see: no starts for some seconds while releases are mixed, because the owner gives up the cell without a later one.

Cause: a holder of an earlier release sends stops under the token of the owner's claim. A worker that had its session elsewhere before refuses them, since it has seen a higher token of the same owner. The result of an order named no token, so the owner took it for the refusal of a later owner. Silences already name theirs.

Ruled out: starts. A session sends none before it has heard its worker, which such a session never does.

Change: the result of an order names the token of the call; earlier releases name none. A refusal below the session's token says nothing of the stop. Later owners are still seen by the claim in the store.

Result: test_a_stop_through_a_holder_of_an_earlier_release_shows_no_later_owner failed before.

--- a/baobabhoist/control/interfaces.py
+++ b/baobabhoist/control/interfaces.py
@@ -24,12 +24,10 @@
 
 @attrs.frozen
 class CommandResponse:
-    """Hold a worker's response to a command.
-
-    The clock in it is not used: nothing says which process of the worker it belongs to.
-    """
+    """Hold a worker's response to a command, and the fencing token of the call if it is known."""
 
     outcome: CommandOutcome
+    token: int = 0
 
 
 @attrs.frozen
--- a/baobabhoist/control/sessions/holder.py
+++ b/baobabhoist/control/sessions/holder.py
@@ -191,7 +191,7 @@
 
     async def _execute(self, number: int, answer: Awaitable[CommandResponse]) -> None:
         response = await result_or(answer, CommandResponse(CommandOutcome.UNKNOWN))
-        result = OrderResult(number, response.outcome.value)
+        result = OrderResult(number, response.outcome.value, token=response.token)
         self._outbox.add_result(result)
 
     async def _start_task(self, order: StartOrder, payloads: tuple[str, ...]) -> CommandResponse:
--- a/baobabhoist/control/sessions/messages.py
+++ b/baobabhoist/control/sessions/messages.py
@@ -131,11 +131,16 @@
 
 @attrs.frozen
 class OrderResult:
-    """Return the outcome of an order; earlier releases read `clock_ms`, where 0 means nothing."""
+    """Return the outcome of an order.
+
+    `token` is the fencing token of the call, or 0 from earlier releases; these read `clock_ms`,
+    where 0 means nothing.
+    """
 
     number: int
     outcome: str
     clock_ms: int = 0
+    token: int = 0
 
 
 @attrs.frozen
--- a/baobabhoist/control/sessions/pool.py
+++ b/baobabhoist/control/sessions/pool.py
@@ -430,11 +430,15 @@
         """Return the outcome of a command, as seen by the owner.
 
         A refusal shows no later owner if another session with the worker, which uses a higher
-        token of this owner, has begun meanwhile.
+        token of this owner, has begun meanwhile, or if a holder of an earlier release used a token
+        below that of its session.
         """
         worker_id = command.worker_id
         is_current = session in (self._remote.get(worker_id), self._local.get(worker_id))
-        if response.outcome is CommandOutcome.FENCED and not is_current:
+        is_outdated = not is_current or (
+            isinstance(session, RemoteSession) and response.token < session.token
+        )
+        if response.outcome is CommandOutcome.FENCED and is_outdated:
             return if_fenced_by_itself
         return response.outcome
 
--- a/baobabhoist/control/sessions/remote_holder.py
+++ b/baobabhoist/control/sessions/remote_holder.py
@@ -171,7 +171,7 @@
         waiting = self._results.get(result.number)
         if waiting is not None and not waiting.done():
             outcome = parse_outcome(result.outcome)
-            waiting.set_result(CommandResponse(outcome))
+            waiting.set_result(CommandResponse(outcome, result.token))
 
     async def _wait_for_result(self, number: int) -> CommandResponse:
         self._sender.request(ORDER_DELAY_S)
--- a/baobabhoist/control/sessions/worker_session.py
+++ b/baobabhoist/control/sessions/worker_session.py
@@ -123,7 +123,7 @@
         answer = await self._driver.start(self.info, token, command, deadline_ms)
         if self._is_fenced_by_itself(answer, token):
             return NOT_SENT
-        return answer
+        return CommandResponse(answer.outcome, token)
 
     async def stop_task(self, command: StopTask) -> CommandResponse:
         """Send a stop command."""
@@ -131,7 +131,7 @@
         answer = await self._driver.stop(self.info, token, command)
         if self._is_fenced_by_itself(answer, token):
             return CommandResponse(CommandOutcome.UNKNOWN)
-        return answer
+        return CommandResponse(answer.outcome, token)
 
     def _is_fenced_by_itself(self, answer: CommandResponse, token: int) -> bool:
         """Return whether a call was refused because this session has raised its token since."""
--- a/baobabhoist/tests/sessions_harness.py
+++ b/baobabhoist/tests/sessions_harness.py
@@ -333,7 +333,8 @@
             raise LinkClosedError("no link")
         if self.is_earlier_release:
             silences = (attrs.evolve(silence, token=0) for silence in message.silences)
-            message = attrs.evolve(message, silences=tuple(silences))
+            results = (attrs.evolve(result, token=0) for result in message.results)
+            message = attrs.evolve(message, silences=tuple(silences), results=tuple(results))
         await self.to_owner.notify(message)
 
 
--- a/baobabhoist/tests/test_sessions_faults.py
+++ b/baobabhoist/tests/test_sessions_faults.py
@@ -12,7 +12,7 @@
 from hypothesis import HealthCheck, example, given, settings
 from hypothesis import strategies as st
 
-from baobabhoist.cell.model import CommandOutcome, StartTask, TaskKey
+from baobabhoist.cell.model import CommandOutcome, StartTask, StopTask, TaskKey
 from baobabhoist.control.sessions.messages import PermitQuery, SessionEvents, WorkerSilence
 from baobabhoist.control.sessions.permits import PERMIT_VALID_MS
 from baobabhoist.tests.sessions_harness import World
@@ -328,3 +328,26 @@
     world.run(lose_links, RUN_S, monkeypatch)
     assert not world.owner.cell.is_fenced
     check(world)
+
+
+@pytest.mark.parametrize("knows_higher_tokens, is_later_owner", [(False, False), (True, True)])
+def test_a_stop_through_a_holder_of_an_earlier_release_shows_no_later_owner(
+    knows_higher_tokens, is_later_owner, monkeypatch
+):
+    """Guard against an owner that gives up because a stop under its claim's token is refused."""
+
+    async def stop_refused(world):
+        await asyncio.sleep(1.0)
+        session = next(iter(world.owner.pool._remote.values()))
+        instance = next(i for i in world.instances if i.node == session.holder.node)
+        instance.is_earlier_release = not knows_higher_tokens
+        world.workers[session.state.worker_id].token = 1_000_000
+        command = StopTask(session.state.worker_id, TaskKey("f" * 16, 0, 0, 0), 1)
+        world.owner.cell.handle_stop_result(
+            command, await world.owner.pool.stop_task(command), world.loop.now_ms()
+        )
+        outcomes.append(world.owner.cell.is_fenced)
+
+    outcomes = []
+    World(1).run(stop_refused, 2.2, monkeypatch)
+    assert outcomes == [is_later_owner]
--- a/baobabhoist/tests/test_sessions_worker_session.py
+++ b/baobabhoist/tests/test_sessions_worker_session.py
@@ -302,7 +302,7 @@
 
 
 def test_a_worker_that_falls_silent_after_a_restart_is_reported_as_silent():
-    """Guard against runs that are never given up, because a worker's silence goes unheard."""
+    """Guard against runs that are never given up: nobody heard of their worker's silence."""
     harness = CellHarness.with_workers(1)
     worker = harness.workers["w0"]
     driver = FakeDriver(worker)
