Ignore the deadline in a silence of an earlier process of a worker

What callers could see: tasks that never end.

Cause: a silence carries the deadline that its holder had sent last, on the clock of the process that fell silent. The owner applies the reports of a message first. If a link held the silence up until the next process had reported, the deadline of the earlier process counted on the clock of the next, which begins anew: the lease then ended as much later as the earlier process had lived, and runs on a worker that was lost afterwards were given up that late.

Ruled out: deadlines in reports (the holder discards its deadline when a report shows a restart), and other sessions' silences.

Change: a silence names the process; earlier releases name none and are applied as before.

--- a/baobabhoist/control/sessions/holder.py
+++ b/baobabhoist/control/sessions/holder.py
@@ -82,9 +82,14 @@
         """Extend the worker's lease no more, and tell the owner so."""
         self.is_suspended = True
         self.silence += 1
-        deadline_ms = self.session.lease.deadline_ms
+        session = self.session
         silence = WorkerSilence(
-            self.number, self.silence, deadline_ms, outcome.value, self.session.token
+            self.number,
+            self.silence,
+            session.lease.deadline_ms,
+            outcome.value,
+            session.token,
+            session.started_unix_ms,
         )
         self.holder.add_silence(silence)
 
--- a/baobabhoist/control/sessions/messages.py
+++ b/baobabhoist/control/sessions/messages.py
@@ -183,7 +183,8 @@
     """Report that a worker does not answer; its lease is not extended until the owner resumes it.
 
     `silence` counts the silences of this session. `outcome` is how the last renewal failed, and
-    `token` its fencing token.
+    `token` its fencing token. The deadline is on the clock of the process that started at
+    `started_unix_ms`; earlier releases name none.
     """
 
     session: int
@@ -191,6 +192,7 @@
     lease_deadline_ms: int
     outcome: str
     token: int = 0
+    started_unix_ms: int = 0
 
 
 @attrs.frozen
--- a/baobabhoist/control/sessions/pool.py
+++ b/baobabhoist/control/sessions/pool.py
@@ -498,7 +498,9 @@
         self._detours.record_silence(session.state.worker_id, monotonic_ms())
         lease = session.state.lease
         session.is_suspended = lease.is_suspended = True
-        lease.deadline_ms = max(lease.deadline_ms, silence.lease_deadline_ms)
+        # The reports of a message are applied first: one may be of a later process.
+        if silence.started_unix_ms in (0, session.state.started_unix_ms):
+            lease.deadline_ms = max(lease.deadline_ms, silence.lease_deadline_ms)
         session.update_lease()
         cell = self._deps.owner.cell
         if parse_outcome(silence.outcome) is not CommandOutcome.FENCED or cell is None:
--- a/baobabhoist/tests/test_sessions_faults.py
+++ b/baobabhoist/tests/test_sessions_faults.py
@@ -12,9 +12,15 @@
 from hypothesis import HealthCheck, example, given, settings
 from hypothesis import strategies as st
 
-from baobabhoist.cell.model import CommandOutcome, StartTask, StopTask, TaskKey
-from baobabhoist.control.sessions.messages import PermitQuery, SessionEvents, WorkerSilence
+from baobabhoist.cell.model import CommandOutcome, StartTask, StopTask, TaskKey, WorkerReport
+from baobabhoist.control.sessions.messages import (
+    PermitQuery,
+    SessionEvents,
+    WorkerSilence,
+    to_held_report,
+)
 from baobabhoist.control.sessions.permits import PERMIT_VALID_MS
+from baobabhoist.tests.cell_harness import MAX_LEASE_MS
 from baobabhoist.tests.sessions_harness import World
 
 RUN_S = 45.0
@@ -351,3 +357,28 @@
     outcomes = []
     World(1).run(stop_refused, 2.2, monkeypatch)
     assert outcomes == [is_later_owner]
+
+
+def test_the_silence_of_an_earlier_process_sets_no_deadline_for_the_next(monkeypatch):
+    """Guard against runs that are never given up, after news of a restart came in one message."""
+    expiries_ms = []
+
+    async def restart(world):
+        await asyncio.sleep(1.0)
+        session = next(iter(world.owner.pool._remote.values()))
+        state, now = session.state, world.loop.now_ms()
+        silence = WorkerSilence(
+            session.number, 1, FAR_CLOCK_MS, "unknown", started_unix_ms=state.started_unix_ms
+        )
+        report = WorkerReport(100, state.started_unix_ms + 1_000, (), ())
+        events = SessionEvents(
+            session.holder.node,
+            world.owner.token,
+            reports=(to_held_report(session.number, report, now, 0),),
+            silences=(silence,),
+        )
+        world.owner.pool.handle_events(events)
+        expiries_ms.append(state.lease.expiry_ms() - now)
+
+    World(1).run(restart, 2.2, monkeypatch)
+    assert expiries_ms[0] < 2 * MAX_LEASE_MS
