Send stops before a session's first renewal under its token

What callers could see: a stop that comes 0.4 s later, after a session was moved.

Cause: since sessions take their token with their first renewal, a stop before that carried none, and a worker does nothing for a value below the highest that it has seen.

Ruled out: starts. They need that the session has heard its worker.

Change: such a stop carries the owner's newest token.

Result: test_a_stop_before_the_first_renewal_carries_the_token failed before.

--- a/baobabhoist/control/sessions/worker_session.py
+++ b/baobabhoist/control/sessions/worker_session.py
@@ -132,8 +132,8 @@
         return CommandResponse(answer.outcome, token)
 
     async def stop_task(self, command: StopTask) -> CommandResponse:
-        """Send a stop command."""
-        token = self.token
+        """Send a stop command, also before the first renewal."""
+        token = self.token or self._listener.token
         answer = await self._driver.stop(self.info, token, command)
         if self._is_fenced_by_itself(answer, token):
             return CommandResponse(CommandOutcome.UNKNOWN)
--- a/baobabhoist/tests/test_sessions_worker_session.py
+++ b/baobabhoist/tests/test_sessions_worker_session.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from baobabhoist.cell.model import CommandOutcome, JobPhase, RunOutcome
+from baobabhoist.cell.model import CommandOutcome, JobPhase, RunOutcome, StopTask
 from baobabhoist.control.clock import monotonic_ms
 from baobabhoist.control.interfaces import CommandResponse
 from baobabhoist.control.sessions import worker_session
@@ -38,6 +38,9 @@
     async def start(self, info, token, command, deadline_ms):
         return CommandResponse(self.worker.start(token, command, deadline_ms))
 
+    async def stop(self, info, token, command):
+        return CommandResponse(self.worker.stop(token, command))
+
 
 def make_session(harness, driver, request_scheduling_round=lambda: None):
     owner = SimpleNamespace(
@@ -396,3 +399,20 @@
 
     assert asyncio.run(run()).outcome is CommandOutcome.LATE
     assert not worker.runs
+
+
+def test_a_stop_before_the_first_renewal_carries_the_token():
+    """Guard against stops that a worker refuses because they come before the session's renewal."""
+    harness = CellHarness.with_workers(1)
+    worker = harness.workers["w0"]
+    driver = FakeDriver(worker)
+    harness.submit(make_job())
+    harness.settle()
+    (run,) = harness.cell.state.workers["w0"].runs.values()
+
+    async def run_stop():
+        session = make_session(harness, driver)
+        return await session.stop_task(StopTask("w0", run.task.key, run.number))
+
+    assert asyncio.run(run_stop()).outcome is CommandOutcome.OK
+    assert not worker.runs
