Let restarted workers of the simulated cell write their entries

In the test of late starts a restarted worker kept the directory entry of its first process, so it got no tasks any more. Now the entry is written at the restart.

--- a/baobabhoist/tests/sessions_harness.py
+++ b/baobabhoist/tests/sessions_harness.py
@@ -439,6 +439,7 @@
         """Let a worker start again under its id, with a clock that begins at 0."""
         self.workers[worker_id].restart()
         self.restarted_ms[worker_id] = self.loop.now_ms()
+        self.owner.cell.update_worker(self.workers[worker_id].info(), self.loop.now_ms())
 
     def worker_now(self, worker_id):
         worker = self.workers[worker_id]
