Accept the machine's limits in the settings, without effect yet

Both are 0 by default, and an empty value means the default, because the template renders nothing for a value that the platform doesn't state. The test of the settings page also covers the new section.

--- a/baobabhoist/config/options.py
+++ b/baobabhoist/config/options.py
@@ -90,14 +90,17 @@
 
 @attrs.frozen
 class Integer:
-    """Accept an integer within inclusive bounds."""
+    """Accept an integer within inclusive bounds; null stands for `empty_value` if that is set."""
 
     low: int
     high: int
     unit: str = ""
+    empty_value: int | None = None
 
     def parse(self, value: Any) -> int:
         """Return the number; raises OptionError."""
+        if value is None and self.empty_value is not None:
+            return self.empty_value
         if type(value) is not int:
             raise _wrong_type(self, value)
         if not self.low <= value <= self.high:
--- a/baobabhoist/config/settings.py
+++ b/baobabhoist/config/settings.py
@@ -10,6 +10,7 @@
 
 import attrs
 
+from baobabhoist.config.limits import LimitSettings
 from baobabhoist.config.options import (
     BaseUrl,
     Choice,
@@ -117,6 +118,9 @@
         "Time after which a worker stops a task whose lease was not renewed.",
         default=30.0,
     )
+    limits: LimitSettings = setting(
+        Section(LimitSettings), "Limits of the machine for this process.", default=LimitSettings()
+    )
     log_format: str = setting(
         Choice(("text", "json")), "Form of the log lines on standard error.", default="text"
     )
--- a/baobabhoist/control/settings.py
+++ b/baobabhoist/control/settings.py
@@ -7,6 +7,7 @@
 import attrs
 
 from baobabhoist.cell.policy import SchedulingPolicy
+from baobabhoist.config.limits import LimitSettings
 from baobabhoist.config.options import (
     Choice,
     Integer,
@@ -117,6 +118,9 @@
     scheduling: SchedulingSettings = setting(
         Section(SchedulingSettings), "Optional parts of scheduling.", default=SchedulingSettings()
     )
+    limits: LimitSettings = setting(
+        Section(LimitSettings), "Limits of the machine for this process.", default=LimitSettings()
+    )
     log_level: str = setting(
         Choice(("debug", "info", "warning", "error")),
         "Lowest level that is logged.",
--- a/baobabhoist/tests/test_config_load.py
+++ b/baobabhoist/tests/test_config_load.py
@@ -10,6 +10,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from baobabhoist.config.limits import LimitSettings
 from baobabhoist.config.load import load_with_warnings, validate_settings
 from baobabhoist.config.options import BaseUrl, Integer, Number, OptionError
 from baobabhoist.config.settings import PeerSettings, Settings, TlsSettings
@@ -46,6 +47,13 @@
     assert (cfg.max_deadline_s, cfg.log_format, cfg.peers[0].port) == (600.0, "text", 7002)
 
 
+def test_empty_limits_of_the_machine_are_accepted():
+    """Guard against an instance that does not start because its platform states no limits."""
+    empty_limits = {"memory_mb": None, "max_open_files": None}
+    cfg = validate_settings({**VALID_SETTINGS, "limits": empty_limits}).settings
+    assert cfg == validate_settings(VALID_SETTINGS).settings
+
+
 def test_every_problem_is_reported_at_once():
     """Guard against a loader that stops at the first problem or omits its path."""
     invalid = dict(
@@ -145,7 +153,7 @@
     """Guard against an undocumented setting, or a stale entry on the settings page."""
     page = (pytestconfig.rootpath / "docs" / "settings.md").read_text(encoding="utf-8")
     listed = [line.split("`")[1] for line in page.splitlines() if line.startswith("| `")]
-    documented = (Settings, PeerSettings, TlsSettings, SchedulingSettings)
+    documented = (Settings, PeerSettings, TlsSettings, LimitSettings, SchedulingSettings)
     known = [f.name for cls in documented for f in attrs.fields(cls)]
     assert listed == known
 
