Show with a small crowd that clients fill an instance's memory and descriptors

The tests start one instance as a process, tell it that its machine has 96 MB and 300 descriptors, and play 20 to 400 connections at one of its ports. They check that the process lives, its memory (also with the bytes received and not yet read, which count on the users' machines) and its descriptors stay within that machine and are given back, and an ordinary job is served beside and after the crowd.

--- a/baobabhoist/platform/testing/deployment.py
+++ b/baobabhoist/platform/testing/deployment.py
@@ -56,6 +56,8 @@
     config_versions: itertools.count[int] = attrs.Factory(lambda: itertools.count(3, 2))
     # The size that the instances are told; a small owner lets others hold its sessions.
     instance_cores: float = 1.0
+    # The limits of their machine that the instances are told, as in the section `limits`.
+    instance_limits: dict[str, int] = attrs.Factory(dict)
 
     @property
     def worker_log_path(self) -> Path:
@@ -124,6 +126,7 @@
                 "row_max_bytes": ROW_MAX_BYTES,
             },
             "bounds": INSTANCE_BOUNDS,
+            "limits": self.instance_limits,
         }
         path = self.cluster.folder / f"{name}.yaml"
         path.write_text(yaml.safe_dump(settings), encoding="utf-8")
