Bound the sum of the callers' bodies that are incomplete or not served

Seen by callers: an instance that ends for lack of memory cuts all its calls. On 20 clients that stop one byte short of 8 MiB took it from 49 to 214 MB (whole, in pieces, chunked; endless chunks 212), on a machine of 96 MB. Cause: the server bounded one body, and nothing their sum; a body that stalled was kept for as long as its client liked. Change: the callers' server accounts for each piece before it keeps it. Small bodies have a reserve; what doesn't fit is refused with 503 and Retry-After, or takes the memory of a body that has stalled, the longest first. A complete body is never given up. A body without progress for 15 s, or 60 s in all, ends its connection. Ruled out: waiting for memory in place of the refusal; it would hold answers back, and incomplete bodies that wait for each other never end.

--- a/baobabhoist/control/metrics.py
+++ b/baobabhoist/control/metrics.py
@@ -72,6 +72,12 @@
             "advice_tickets_total", "Tickets of the adviser, by queue and what became of them."
         )
         self._refusals = self._counter("refusals_total", "Calls refused, by reason.")
+        self._refused_bodies = self._counter(
+            "refused_bodies_total", "Bodies of requests that were not kept, by reason."
+        )
+        self._closed_connections = self._counter(
+            "closed_connections_total", "Connections of clients closed for a limit, by reason."
+        )
         self._refused_jobs = self._counter(
             "refused_jobs_total", "Jobs refused, by team, queue and reason."
         )
@@ -111,6 +117,14 @@
         """Count a refused call under its reason."""
         self._refusals.inc({"reason": self._reasons.label_for(reason)})
 
+    def count_refused_body(self, reason: str) -> None:
+        """Count a body of a request that was not kept."""
+        self._refused_bodies.inc({"reason": reason})
+
+    def count_closed_connection(self, reason: str) -> None:
+        """Count a connection of a client that was closed for a limit."""
+        self._closed_connections.inc({"reason": reason})
+
     def count_refused_job(self, team: str, queue: str, reason: str) -> None:
         """Count a refused job of a team and queue."""
         labels = {
--- a/baobabhoist/inbound/body_memory.py
+++ b/baobabhoist/inbound/body_memory.py
@@ -2,14 +2,23 @@
 
 from __future__ import annotations
 
+from typing import Protocol
+
 import attrs
 
 
+class BodyOwner(Protocol):
+    """Receive the body of one request."""
+
+    def give_up(self) -> None:
+        """Refuse the request, because its body stalled and its memory was given to another."""
+
+
 @attrs.define(eq=False, slots=True)
 class Body:
-    """Hold what the body of one request occupies; `owner` is what receives it."""
+    """Hold what the body of one request occupies."""
 
-    owner: object
+    owner: BodyOwner
     size: int = 0
     is_large: bool = False
     progressed_s: float = 0.0
@@ -65,6 +74,17 @@
         (self._large if is_large else self._small)[body] = None
         return Charge(True, given_up) if given_up else GRANTED
 
+    def hold(self, size: int) -> bool:
+        """Account for a small body that arrived in one piece; return whether there is room."""
+        if size > self.small_body_bytes or self.used_bytes + size > self.limit_bytes:
+            return False
+        self.used_bytes += size
+        return True
+
+    def drop(self, size: int) -> None:
+        """Give the memory of a body back that was held in one piece."""
+        self.used_bytes -= size
+
     def complete(self, body: Body) -> None:
         """Keep a complete body until it is released."""
         self._stop_waiting(body)
--- a/baobabhoist/inbound/http_server.py
+++ b/baobabhoist/inbound/http_server.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import time
 from collections.abc import Awaitable, Callable
 from typing import Any, Protocol, cast
 
@@ -67,11 +68,12 @@
 
 
 class HttpClientConnection:
-    """Represent one connection of a client; paces the chunks that are decoded from it."""
+    """Represent one connection of a client."""
 
     def __init__(self, stream: IOStream, intake: Intake) -> None:
         self.stream = stream
         self.intake = intake
+        self._is_sending = False
 
     def close(self) -> None:
         """Close the connection at once."""
@@ -79,7 +81,15 @@
 
     def start_request(self) -> None:
         """Wait for the next request."""
-        self.wait(self.intake.limits.idle_timeout_s)
+        if self._is_sending:
+            self._is_sending = False
+            self.wait(self.intake.limits.idle_timeout_s)
+
+    def finish_request(self) -> None:
+        """Wait until the client has read the answer, and then for the next request."""
+        limits = self.intake.limits
+        self._is_sending = self.stream.writing()
+        self.wait(limits.write_timeout_s if self._is_sending else limits.idle_timeout_s)
 
     def work(self) -> None:
         """Note that the request is complete."""
@@ -91,12 +101,7 @@
 
     def wait(self, timeout_s: float) -> None:
         """Note progress; the client must make more within a time."""
-        now_s = asyncio.get_running_loop().time()
-        self.intake.connections.wait(self, now_s + timeout_s)
-
-    def pause(self) -> Awaitable[None] | None:
-        """Return what to wait for before the next piece of a body, if anything."""
-        return None
+        self.intake.connections.wait(self, time.monotonic() + timeout_s)
 
 
 class RequestConnection(HTTPConnection):
@@ -151,6 +156,20 @@
 class InboundRequest(HTTPMessageDelegate):
     """Receive one request within the limits, and pass it on to the application."""
 
+    _delegate: HTTPMessageDelegate | None = None
+    # Set from the first piece of a body that did not arrive in one piece.
+    _body: Body | None = None
+    _body_deadline_s = 0.0
+    # The size of a body that arrived in one piece.
+    _held_bytes = 0
+    _announced_bytes = 0
+    _received_bytes = 0
+    _check_at_bytes = 0
+    _discard_until_bytes = 0
+    _is_refused = False
+    _is_answered = False
+    _is_received = False
+
     def __init__(
         self,
         server: BoundedHTTPServer,
@@ -163,14 +182,6 @@
         self._client = client
         self._server_conn = server_conn
         self._conn = conn
-        self._delegate: HTTPMessageDelegate | None = None
-        self._body: Body | None = None
-        self._announced_bytes = 0
-        self._received_bytes = 0
-        self._check_at_bytes = 0
-        self._is_refused = False
-        self._is_answered = False
-        self._is_received = False
 
     @property
     def closes_after_refusal(self) -> bool:
@@ -185,13 +196,8 @@
         self._start_line = cast(RequestStartLine, start_line)
         self._headers = headers
         length = headers.get("Content-Length")
-        if length is None and "Transfer-Encoding" not in headers:
-            return self._start(RequestConnection(self._conn, self), headers)
-        limits = self._intake.limits
-        self._announced_bytes = _parse_length(length or "0")
-        self._body = Body(self)
-        self._body_deadline_s = asyncio.get_running_loop().time() + limits.body_timeout_s
-        if self._announced_bytes > limits.small_body_bytes:
+        self._announced_bytes = _parse_length(length) if length else 0
+        if self._announced_bytes > self._intake.limits.small_body_bytes:
             refusal = self._check(self._announced_bytes)
             if refusal is not None:
                 self._refuse(refusal, RefusedBody.EARLY)
@@ -200,16 +206,17 @@
 
     def data_received(self, chunk: bytes) -> Awaitable[None] | None:
         """Keep a piece of the body if it is wanted and there is room for it."""
-        self._received_bytes += len(chunk)
+        size = len(chunk)
+        self._received_bytes += size
+        if size == self._announced_bytes and self._intake.bodies.hold(size):
+            self._held_bytes = size
+            return cast(HTTPMessageDelegate, self._delegate).data_received(chunk)
         if not self._is_refused:
-            self._keep(chunk)
+            self._keep(size)
         if self._is_refused:
             self._close_after_discarding()
-            return self._client.pause()
-        ready = cast(HTTPMessageDelegate, self._delegate).data_received(chunk)
-        if ready is not None or self._received_bytes == self._announced_bytes:
-            return ready
-        return self._client.pause()
+            return None
+        return cast(HTTPMessageDelegate, self._delegate).data_received(chunk)
 
     def finish(self) -> None:
         """Pass the end of the request on."""
@@ -221,13 +228,13 @@
             return
         if self._body is not None:
             self._intake.bodies.complete(self._body)
-        cast(HTTPMessageDelegate, self._delegate).finish()
+        self._take_delegate().finish()
 
     def on_connection_close(self) -> None:
         """Forget a request whose client left before it was complete."""
         self._release()
-        if self._delegate is not None and not self._is_refused:
-            self._delegate.on_connection_close()
+        if self._delegate is not None:
+            self._take_delegate().on_connection_close()
 
     def on_answered(self) -> None:
         """Complete the answer; if the request was refused, once the rest of it is discarded."""
@@ -250,7 +257,7 @@
         self._check_at_bytes = body_bytes + self._intake.limits.small_body_bytes
         return self._server.early_check(self._start_line, self._headers, body_bytes)
 
-    def _keep(self, chunk: bytes) -> None:
+    def _keep(self, size: int) -> None:
         """Account for a piece of the body, or refuse the request."""
         received = self._received_bytes
         is_complete = received == self._announced_bytes
@@ -259,11 +266,13 @@
             if refusal is not None:
                 self._refuse(refusal, RefusedBody.EARLY)
                 return
-        now_s = asyncio.get_running_loop().time()
-        body = cast(Body, self._body)
-        charge = self._intake.bodies.charge(body, len(chunk), now_s)
+        now_s = time.monotonic()
+        if self._body is None:
+            self._body = Body(self)
+            self._body_deadline_s = now_s + self._intake.limits.body_timeout_s
+        charge = self._intake.bodies.charge(self._body, size, now_s)
         for stalled in charge.given_up:
-            cast(InboundRequest, stalled.owner).give_up()
+            stalled.owner.give_up()
         if not charge.granted:
             self._refuse(no_memory_refusal(), RefusedBody.NO_MEMORY)
         elif not is_complete:
@@ -281,12 +290,17 @@
         self._release()
         self._intake.observer.count_refused_body(reason.value)
         if self._delegate is not None:
-            self._delegate.on_connection_close()
+            self._take_delegate().on_connection_close()
         # An application would take the body that it doesn't get for an invalid form.
         headers = self._headers.copy()
         headers.pop("Content-Type", None)
         self._start(RequestConnection(self._conn, self, refusal), headers)
-        cast(HTTPMessageDelegate, self._delegate).finish()
+        self._take_delegate().finish()
+
+    def _take_delegate(self) -> HTTPMessageDelegate:
+        """Return the application's receiver, and forget it to break the cycle of references."""
+        delegate, self._delegate = self._delegate, None
+        return cast(HTTPMessageDelegate, delegate)
 
     def _close_after_discarding(self) -> None:
         """Close the connection of a refused request that goes on for too long."""
@@ -294,12 +308,16 @@
             self._finish_answer()
 
     def _finish_answer(self) -> None:
-        self._client.wait(self._intake.limits.write_timeout_s)
         self._conn.finish()
+        self._client.finish_request()
 
     def _release(self) -> None:
+        if self._held_bytes:
+            self._intake.bodies.drop(self._held_bytes)
+            self._held_bytes = 0
         if self._body is not None:
             self._intake.bodies.release(self._body)
+            self._body = None
 
 
 class BoundedHTTPServer(HTTPServer):
@@ -325,9 +343,9 @@
         super().initialize(app, max_body_size=UNLIMITED_BODY_BYTES, **options)
 
     def handle_stream(self, stream: IOStream, address: tuple[Any, ...]) -> None:
-        """Serve a new connection."""
+        """Serve a new connection, unless there are too many."""
         client = HttpClientConnection(stream, self.intake)
-        deadline_s = asyncio.get_running_loop().time() + self.intake.limits.idle_timeout_s
+        deadline_s = time.monotonic() + self.intake.limits.idle_timeout_s
         if self.intake.open(client, deadline_s):
             self._clients[stream] = client
             super().handle_stream(stream, address)
--- a/baobabhoist/inbound/intake.py
+++ b/baobabhoist/inbound/intake.py
@@ -2,12 +2,27 @@
 
 from __future__ import annotations
 
+import asyncio
 import enum
+import logging
+import time
 from typing import Protocol
 
 from baobabhoist.inbound.body_memory import BodyMemory
 from baobabhoist.inbound.connections import ConnectionTable
 from baobabhoist.inbound.limits import InboundLimits
+from baobabhoist.observability.events import Event, emit
+
+log = logging.getLogger(__name__)
+
+SWEEP_INTERVAL_S = 1.0
+
+
+class CloseReason(enum.StrEnum):
+    """Enumerate why a connection was closed."""
+
+    TOO_MANY = "too_many"
+    TIMEOUT = "timeout"
 
 
 class RefusedBody(enum.StrEnum):
@@ -59,8 +74,29 @@
             limits.min_stall_s,
         )
         self.connections: ConnectionTable[Client] = ConnectionTable(limits.max_connections)
+        self._is_sweeping = False
 
     def open(self, client: Client, deadline_s: float) -> bool:
         """Track a new connection, which waits until a deadline; return whether it may stay."""
-        self.connections.add(client, deadline_s)
-        return True
+        excess = self.connections.add(client, deadline_s)
+        if excess is not None:
+            self._close(excess, CloseReason.TOO_MANY)
+        if not self._is_sweeping:
+            self._is_sweeping = True
+            asyncio.get_running_loop().call_later(SWEEP_INTERVAL_S, self._sweep)
+        return excess is not client
+
+    def _sweep(self) -> None:
+        """Close the connections whose clients have let their deadlines pass."""
+        loop = asyncio.get_running_loop()
+        for client in self.connections.overdue(time.monotonic()):
+            self._close(client, CloseReason.TIMEOUT)
+        self._is_sweeping = len(self.connections) > 0
+        if self._is_sweeping:
+            loop.call_later(SWEEP_INTERVAL_S, self._sweep)
+
+    def _close(self, client: Client, reason: CloseReason) -> None:
+        self.connections.remove(client)
+        self.observer.count_closed_connection(reason.value)
+        emit(log, Event.CONNECTION_CLOSED, reason=reason.value, open=len(self.connections))
+        client.close()
--- a/baobabhoist/observability/events.py
+++ b/baobabhoist/observability/events.py
@@ -20,7 +20,7 @@
 
     A number is never reused for another event. Its first two digits denote the package:
     10 daemon, 11 config, 15 cell, 16 control, 20 ownership, 30 quota, 40 records, 50 scheduling,
-    60 peer, 70 upstream, 80 store and platform, 90 gateway.
+    60 peer, 70 upstream, 80 store and platform, 90 gateway, 91 inbound.
     """
 
     DAEMON_STARTED = (1001, logging.INFO, "instance {instance_id} started in {data_centre}")
@@ -97,6 +97,11 @@
     PLATFORM_DOWN = (8001, logging.WARNING, "platform is not responding: {detail}")
     COMMIT_READ_BACK = (8003, logging.INFO, "outcome of transaction {txn_id} read back: {state}")
     KEY_REFUSED = (9001, logging.INFO, "refused a team key on queue {queue}")
+    CONNECTION_CLOSED = (
+        9101,
+        logging.WARNING,
+        "closed a connection of a client ({reason}), {open} are open",
+    )
     SETTINGS_RELOADED = (1105, logging.INFO, "reloaded the settings of instance {instance_id}")
     JOB_OWNED = (1501, logging.INFO, "took ownership of job {job} of team {team} on queue {queue}")
     JOB_ENDED = (1502, logging.INFO, "job {job} ended as {state}: {reason}")
--- a/baobabhoist/platform/http_server.py
+++ b/baobabhoist/platform/http_server.py
@@ -8,8 +8,8 @@
 from typing import Any, cast
 
 import orjson
-from tornado.http1connection import HTTP1Connection
 from tornado.httpserver import HTTPServer
+from tornado.httputil import HTTPHeaders
 from tornado.netutil import bind_sockets
 from tornado.web import Application, RequestHandler
 
@@ -25,6 +25,13 @@
 from baobabhoist.control.metrics import NodeMetrics
 from baobabhoist.control.node import Node
 from baobabhoist.errors import ErrorKind, Refusal
+from baobabhoist.inbound.http_server import (
+    BoundedHTTPServer,
+    RequestConnection,
+    early_refusal,
+)
+from baobabhoist.inbound.intake import Intake
+from baobabhoist.inbound.limits import InboundLimits
 from baobabhoist.observability.events import Event, emit
 from baobabhoist.platform.open_calls import OpenCalls
 from baobabhoist.platform.placement_handler import PlacementPreviewHandler
@@ -62,6 +69,12 @@
 HTTP_GONE = 410
 
 
+def make_call(path: str, headers: HTTPHeaders, deadline_ms: float) -> ApiCall:
+    """Return the fields of a call that its route and key are found by."""
+    host = headers.get("Host", "127.0.0.1").partition(":")[0]
+    return ApiCall(host, path, headers.get(CREDENTIAL_HEADER, ""), deadline_ms)
+
+
 class JobApiHandler(RequestHandler):
     """Handle one call to the job API."""
 
@@ -93,6 +106,10 @@
         """Admit the call and serve it, or answer with a refusal when the drain ends first."""
         caller_timeout_s = min(self._caller_timeout_ms() / 1000, self._open_calls.time_left_s)
         self._call = self._make_call(caller_timeout_s)
+        refused = early_refusal(self.request)
+        if refused is not None:
+            self._respond(refused)
+            return
         with self._open_calls.track() as timeout:
             try:
                 async with timeout:
@@ -131,9 +148,8 @@
         self._respond(unknown_outcome_refusal("the call failed with an internal error"))
 
     def _make_call(self, timeout_s: float) -> ApiCall:
-        host = self.request.host.partition(":")[0]
-        key = self.request.headers.get(CREDENTIAL_HEADER, "")
-        return ApiCall(host, self.request.path, key, monotonic_ms() + timeout_s * 1000)
+        deadline_ms = monotonic_ms() + timeout_s * 1000
+        return make_call(self.request.path, self.request.headers, deadline_ms)
 
     def _admit(self) -> AdmittedCall | None:
         """Return the call if its route and key allow it, or answer with a refusal."""
@@ -187,7 +203,7 @@
     def _finish_and_close(self, body: dict[str, Any]) -> None:
         """Send the answer, then close the connection, so that the caller opens one elsewhere."""
         self.set_header("Connection", "close")
-        conn = cast(HTTP1Connection, self.request.connection)
+        conn = cast(RequestConnection, self.request.connection)
         sent = self.finish(orjson.dumps(body))
         sent.add_done_callback(lambda _: conn.close())
 
@@ -242,9 +258,11 @@
                 ),
             ]
         )
-        self._job_api_server = HTTPServer(
-            job_api_app, idle_connection_timeout=60, max_body_size=MAX_BODY_BYTES
+        limits = InboundLimits.for_process(
+            node.cfg.limits.memory_mb, node.cfg.limits.max_open_files, node.cfg.cores
         )
+        self.intake = Intake(limits, node.metrics)
+        self._job_api_server = BoundedHTTPServer(job_api_app, self.intake, MAX_BODY_BYTES)
         self._readiness_server = HTTPServer(readiness_app)
         self._metrics_server = HTTPServer(metrics_app, max_body_size=MAX_BODY_BYTES)
         self._cfg = node.cfg
