Take no bodies on the ports of readiness and metrics that need none

Seen: 20 clients at the readiness port took an instance from 49 to 1336 MB, at the port of the metrics to 214. Cause: the readiness server ran with tornado's default of 100 MiB a body, the metrics server with 8 MiB for each path, though only a placement preview takes a body. Change: both are on the bounded server. A body is refused before it is read, but for a preview's, which may have the operator's largest job and 4 KiB of fields beside it. A preview that is refused tells why.

--- a/baobabhoist/platform/http_server.py
+++ b/baobabhoist/platform/http_server.py
@@ -8,8 +8,7 @@
 from typing import Any, cast
 
 import orjson
-from tornado.httpserver import HTTPServer
-from tornado.httputil import HTTPHeaders
+from tornado.httputil import HTTPHeaders, RequestStartLine
 from tornado.netutil import bind_sockets
 from tornado.web import Application, RequestHandler
 
@@ -28,6 +27,7 @@
 from baobabhoist.inbound.http_server import (
     BoundedHTTPServer,
     RequestConnection,
+    body_too_large_refusal,
     early_refusal,
 )
 from baobabhoist.inbound.intake import Intake
@@ -67,6 +67,9 @@
 # Errors that the HTTP server finds in a request before the call is served.
 _KIND_BY_CLIENT_ERROR = {400: ErrorKind.BAD_REQUEST, 405: ErrorKind.METHOD_NOT_ALLOWED}
 HTTP_GONE = 410
+PREVIEW_PATH = "/placement-preview"
+# What a preview holds beside the job.
+PREVIEW_FIELDS_BYTES = 4 << 10
 
 
 def make_call(path: str, headers: HTTPHeaders, deadline_ms: float) -> ApiCall:
@@ -252,7 +255,7 @@
             [
                 (r"/metrics", MetricsHandler, {"node": node}),
                 (
-                    r"/placement-preview",
+                    PREVIEW_PATH,
                     PlacementPreviewHandler,
                     {"previews": node.placement_previews},
                 ),
@@ -262,9 +265,12 @@
             node.cfg.limits.memory_mb, node.cfg.limits.max_open_files, node.cfg.cores
         )
         self.intake = Intake(limits, node.metrics)
+        self._config = node.config
         self._job_api_server = BoundedHTTPServer(job_api_app, self.intake, MAX_BODY_BYTES)
-        self._readiness_server = HTTPServer(readiness_app)
-        self._metrics_server = HTTPServer(metrics_app, max_body_size=MAX_BODY_BYTES)
+        self._readiness_server = BoundedHTTPServer(readiness_app, self.intake, 0)
+        self._metrics_server = BoundedHTTPServer(
+            metrics_app, self.intake, MAX_BODY_BYTES, self._check_preview
+        )
         self._cfg = node.cfg
 
     def start(self) -> None:
@@ -273,6 +279,15 @@
         _listen(self._readiness_server, self._cfg.ready_address)
         _listen(self._metrics_server, f"{self._cfg.host}:{self._cfg.metrics_port}")
 
+    def _check_preview(
+        self, start_line: RequestStartLine, headers: HTTPHeaders, body_bytes: int
+    ) -> Refusal | None:
+        """Refuse a preview for its size before its body is read; other calls need no body."""
+        cfg = self._config.current
+        takes_body = start_line.method == "POST" and start_line.path == PREVIEW_PATH
+        max_bytes = cfg.body_max_bytes + PREVIEW_FIELDS_BYTES if cfg and takes_body else 0
+        return body_too_large_refusal(max_bytes) if body_bytes > max_bytes else None
+
     async def stop(self) -> None:
         """Accept no new connections from callers; close the open ones once all is answered."""
         self._job_api_server.stop()
@@ -284,6 +299,6 @@
             log.warning("%d calls were still open at the exit", self.open_calls.count)
 
 
-def _listen(server: HTTPServer, address: str) -> None:
+def _listen(server: BoundedHTTPServer, address: str) -> None:
     host, _, port = address.rpartition(":")
     server.add_sockets(bind_sockets(int(port), host))
--- a/baobabhoist/platform/placement_handler.py
+++ b/baobabhoist/platform/placement_handler.py
@@ -15,6 +15,7 @@
     PreviewResult,
 )
 from baobabhoist.errors import HTTP_STATUS, ErrorKind, Refusal
+from baobabhoist.inbound.http_server import early_refusal
 from baobabhoist.observability.events import Event, emit
 
 log = logging.getLogger(__name__)
@@ -32,7 +33,7 @@
 
     async def post(self) -> None:
         """Answer with the preview of the job in the body."""
-        request = parse_request(self.request.body)
+        request = early_refusal(self.request) or parse_request(self.request.body)
         if isinstance(request, Refusal):
             self._refuse(request)
             return
