Bound the connections of all listeners of an instance

Seen: 400 idle clients, or clients that send their headers slowly, took an instance to 428 open files where its machine gave 300; without a descriptor left it reaches neither the store nor its workers. Cause: nothing bounded the connections, and the kernel chose the receive buffer of each, up to several MB. For a newcomer the connection is closed that has waited longest for its client; one that is busy with a complete request never is. Ruled out: refusing the newcomer; a crowd that stays would shut all others out.

--- a/baobabhoist/inbound/connections.py
+++ b/baobabhoist/inbound/connections.py
@@ -25,8 +25,13 @@
 
     def add(self, conn: Conn, deadline_s: float) -> Conn | None:
         """Track a new connection; return the one to close for it, which may be the new one."""
-        self._waiting[conn] = deadline_s
-        return None
+        excess: Conn | None = None
+        if len(self) >= self.max_connections:
+            excess = next(iter(self._waiting), conn)
+            self._waiting.pop(excess, None)
+        if excess is not conn:
+            self._waiting[conn] = deadline_s
+        return excess
 
     def wait(self, conn: Conn, deadline_s: float) -> None:
         """Note that a connection made progress, and waits for its client until a deadline."""
--- a/baobabhoist/inbound/http_server.py
+++ b/baobabhoist/inbound/http_server.py
@@ -3,8 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 import time
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterable
 from typing import Any, Protocol, cast
 
 from tornado.http1connection import HTTP1Connection, HTTP1ServerConnection
@@ -342,6 +343,13 @@
         options.setdefault("chunk_size", limits.read_chunk_bytes)
         super().initialize(app, max_body_size=UNLIMITED_BODY_BYTES, **options)
 
+    def add_sockets(self, sockets: Iterable[socket.socket]) -> None:
+        """Listen on sockets, whose connections get small receive buffers."""
+        listeners = list(sockets)
+        for listener in listeners:
+            limit_receive_buffer(listener, self.intake.limits.receive_buffer_bytes)
+        super().add_sockets(listeners)
+
     def handle_stream(self, stream: IOStream, address: tuple[Any, ...]) -> None:
         """Serve a new connection, unless there are too many."""
         client = HttpClientConnection(stream, self.intake)
@@ -371,6 +379,11 @@
         super().on_close(server_conn)
 
 
+def limit_receive_buffer(listener: socket.socket, size_bytes: int) -> None:
+    """Bound what the kernel holds for each connection that a listener accepts."""
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, size_bytes)
+
+
 def _parse_length(length: str) -> int:
     """Return an announced length; tornado rejects what is not a number later."""
     if not length.isdecimal():
--- a/baobabhoist/tests/test_inbound_http_server.py
+++ b/baobabhoist/tests/test_inbound_http_server.py
@@ -224,6 +224,17 @@
     run_test(test)
 
 
+# Guards against connections that take all descriptors, and shut ordinary callers out.
+def test_the_number_of_connections_is_bounded():
+    async def test(harness: Harness) -> None:
+        crowd = [await harness.connect() for _ in range(3 * LIMITS.max_connections)]
+        assert await harness.is_serving()
+        assert len(harness.intake.connections) <= LIMITS.max_connections
+        assert await crowd[0].is_closed()
+
+    run_test(test)
+
+
 # Guards against clients that stop in their headers, in a body or while they are answered.
 @pytest.mark.parametrize("sent", ["", "POST / HTTP/1.1\r\nX: ", "body", "unread"])
 def test_a_client_that_stalls_is_disconnected(sent):
