--- a/baobabhoist/tests/crowd_harness.py
+++ b/baobabhoist/tests/crowd_harness.py
@@ -160,7 +160,6 @@
     )
     if not process.is_alive:
         return ["the process ended"]
-    sampling.cancel()
 
     async def gives_back() -> bool:
         mb_left = calm_mb + (memory_mb - calm_mb) * LEFT_IN_USE
@@ -168,6 +167,7 @@
         return process.memory_mb() <= mb_left and process.count_open_files() <= files_left
 
     gave_back = await wait_until(gives_back)
+    sampling.cancel()
     figures = (
         f"memory {calm_mb:.0f} MB in calm, {process.memory_mb('VmHWM'):.0f} at the peak, "
         f"{process.most_memory_mb:.0f} with unread bytes, "
--- a/baobabhoist/tests/test_crowd_platform.py
+++ b/baobabhoist/tests/test_crowd_platform.py
@@ -105,6 +105,12 @@
     assert play_crowd(running_site(tmp_path), "peer", kind) == []
 
 
+# Guards against an event loop that decodes tiny chunks and has no turn left for other callers.
+@pytest.mark.parametrize("port_name", ["caller", "ready", "metrics"])
+def test_tiny_chunks_leave_the_event_loop_to_ordinary_callers(tmp_path, port_name):
+    assert play_crowd(running_site(tmp_path), port_name, "tiny_chunks") == []
+
+
 # Guards against a limit on the memory of bodies that refuses a single job of legal size.
 def test_a_job_of_the_largest_legal_body_is_served_in_calm(tmp_path):
     job = JOB.ljust(MAX_BODY_BYTES)
