Pace the decoding of small chunks over all connections

Seen: 200 clients that send chunks of 2 bytes left ordinary callers unanswered for 60 s beside them and for 60 s after; memory reached 105 MB of 96, because what the loop didn't read filled the kernel's buffers. Cause: tornado decodes up to 256 chunks of a connection before the next has its turn, and a turn of 200 such connections takes most of a second; a bound on bytes doesn't help, since 2 bytes cost as much as 16 KiB. What waits is let through in order; the loop keeps its turns for others. Ruled out: an own decoder of chunks: cheaper, but it must give back what it read beyond the end of a body, which tornado's streams don't offer.

--- a/baobabhoist/inbound/http_server.py
+++ b/baobabhoist/inbound/http_server.py
@@ -22,6 +22,7 @@
 
 from baobabhoist.errors import ErrorKind, Refusal
 from baobabhoist.inbound.body_memory import Body
+from baobabhoist.inbound.chunk_rate import is_pause_due
 from baobabhoist.inbound.intake import Intake, RefusedBody
 
 # Bodies are refused here, because tornado refuses them without an answer that tells why.
@@ -69,12 +70,16 @@
 
 
 class HttpClientConnection:
-    """Represent one connection of a client."""
+    """Represent one connection of a client; paces the chunks that are decoded from it."""
 
     def __init__(self, stream: IOStream, intake: Intake) -> None:
         self.stream = stream
         self.intake = intake
+        # Chunks and other pieces of the current request's body.
+        self.pieces = 0
         self._is_sending = False
+        # tornado reads the length of each chunk by this method, and nothing else.
+        stream.read_until = self._read_chunk_length  # type: ignore[method-assign]
 
     def close(self) -> None:
         """Close the connection at once."""
@@ -82,6 +87,7 @@
 
     def start_request(self) -> None:
         """Wait for the next request."""
+        self.pieces = 0
         if self._is_sending:
             self._is_sending = False
             self.wait(self.intake.limits.idle_timeout_s)
@@ -97,13 +103,34 @@
         self.intake.connections.work(self)
 
     def forget(self) -> None:
-        """Stop tracking the closed connection."""
+        """Stop tracking the closed connection, and break its cycle of references."""
         self.intake.connections.remove(self)
+        del self.stream.read_until
 
     def wait(self, timeout_s: float) -> None:
         """Note progress; the client must make more within a time."""
         self.intake.connections.wait(self, time.monotonic() + timeout_s)
 
+    def pause(self) -> Awaitable[None] | None:
+        """Count a piece of the body; return what to wait for before the next, if anything."""
+        pieces = self.pieces
+        self.pieces = pieces + 1
+        return self.intake.gate.enter(self.stream) if is_pause_due(pieces) else None
+
+    def _read_chunk_length(
+        self, delimiter: bytes, max_bytes: int | None = None
+    ) -> Awaitable[bytes]:
+        turn = self.pause()
+        if turn is None:
+            return type(self.stream).read_until(self.stream, delimiter, max_bytes)
+        return self._read_after(turn, delimiter, max_bytes)
+
+    async def _read_after(
+        self, turn: Awaitable[None], delimiter: bytes, max_bytes: int | None
+    ) -> bytes:
+        await turn
+        return await type(self.stream).read_until(self.stream, delimiter, max_bytes)
+
 
 class RequestConnection(HTTPConnection):
     """Pass the answer of one request on, and note when it is complete.
@@ -216,8 +243,11 @@
             self._keep(size)
         if self._is_refused:
             self._close_after_discarding()
-            return None
-        return cast(HTTPMessageDelegate, self._delegate).data_received(chunk)
+            return self._client.pause()
+        ready = cast(HTTPMessageDelegate, self._delegate).data_received(chunk)
+        if ready is not None or self._received_bytes == self._announced_bytes:
+            return ready
+        return self._client.pause()
 
     def finish(self) -> None:
         """Pass the end of the request on."""
--- a/baobabhoist/inbound/intake.py
+++ b/baobabhoist/inbound/intake.py
@@ -9,6 +9,7 @@
 from typing import Protocol
 
 from baobabhoist.inbound.body_memory import BodyMemory
+from baobabhoist.inbound.chunk_rate import ChunkGate, make_bucket
 from baobabhoist.inbound.connections import ConnectionTable
 from baobabhoist.inbound.limits import InboundLimits
 from baobabhoist.observability.events import Event, emit
@@ -74,6 +75,7 @@
             limits.min_stall_s,
         )
         self.connections: ConnectionTable[Client] = ConnectionTable(limits.max_connections)
+        self.gate = ChunkGate(make_bucket(limits.pieces_per_s, limits.piece_burst))
         self._is_sweeping = False
 
     def open(self, client: Client, deadline_s: float) -> bool:
--- a/baobabhoist/tests/test_inbound_http_server.py
+++ b/baobabhoist/tests/test_inbound_http_server.py
@@ -224,6 +224,19 @@
     run_test(test)
 
 
+# Guards against small chunks that are decoded without end while others wait for the event loop.
+def test_decoding_of_small_chunks_pauses():
+    async def test(harness: Harness) -> None:
+        client = await harness.connect()
+        client.begin_chunked()
+        client.writer.write(b"1\r\nx\r\n" * 1_000 + b"0\r\n\r\n")
+        assert await harness.is_serving()
+        await asyncio.sleep(0.1)
+        assert 0 < harness.intake.bodies.used_bytes < 100
+
+    run_test(test, pieces_per_s=1e-9, piece_burst=1)
+
+
 # Guards against connections that take all descriptors, and shut ordinary callers out.
 def test_the_number_of_connections_is_bounded():
     async def test(harness: Harness) -> None:
