Refuse a call for its key, route, size or a stop before its body is read

Seen: a call with an invalid key or for an unknown route, at a stopping instance or over the operator's maxBodyBytes was refused only once its whole body, up to 8 MiB, had arrived; its memory was taken and its caller waited for nothing. Cause: the handler runs after the body, and the operator's limit was compared in the job API. Change: the server asks the job API at the headers if more than 64 KiB are announced, else when a body's first piece isn't all of it, and again for each 64 KiB of a body without a length. The answer goes out at once. Up to 1 MiB and 2 s of the rest are read and discarded, so that the answer isn't lost and the connection stays usable; then it is closed. A small call in one piece is admitted once, as before. Evidence: test_call_is_refused_before_its_body and test_stopping_instance_refuses_a_call_before_its_body wait for an answer that doesn't come on the commit before, and pass.

--- a/baobabhoist/platform/http_server.py
+++ b/baobabhoist/platform/http_server.py
@@ -265,8 +265,11 @@
             node.cfg.limits.memory_mb, node.cfg.limits.max_open_files, node.cfg.cores
         )
         self.intake = Intake(limits, node.metrics)
+        self._job_api = node.job_api
         self._config = node.config
-        self._job_api_server = BoundedHTTPServer(job_api_app, self.intake, MAX_BODY_BYTES)
+        self._job_api_server = BoundedHTTPServer(
+            job_api_app, self.intake, MAX_BODY_BYTES, self._check_call
+        )
         self._readiness_server = BoundedHTTPServer(readiness_app, self.intake, 0)
         self._metrics_server = BoundedHTTPServer(
             metrics_app, self.intake, MAX_BODY_BYTES, self._check_preview
@@ -279,6 +282,19 @@
         _listen(self._readiness_server, self._cfg.ready_address)
         _listen(self._metrics_server, f"{self._cfg.host}:{self._cfg.metrics_port}")
 
+    def _check_call(
+        self, start_line: RequestStartLine, headers: HTTPHeaders, body_bytes: int
+    ) -> Refusal | None:
+        """Refuse a call for its route, its key, a stop or its size before its body is read."""
+        path = start_line.path.partition("?")[0]
+        admitted = self._job_api.admit(make_call(path, headers, monotonic_ms()))
+        if isinstance(admitted, Refusal):
+            return admitted
+        if not self.open_calls.can_finish_new_calls:
+            return unavailable_refusal("this instance stops", RETRY_ELSEWHERE_S)
+        max_bytes = admitted.cfg.body_max_bytes
+        return body_too_large_refusal(max_bytes) if body_bytes > max_bytes else None
+
     def _check_preview(
         self, start_line: RequestStartLine, headers: HTTPHeaders, body_bytes: int
     ) -> Refusal | None:
--- a/baobabhoist/tests/test_platform_http_server.py
+++ b/baobabhoist/tests/test_platform_http_server.py
@@ -14,6 +14,7 @@
 from baobabhoist.control.row_schema import job_row_key
 from baobabhoist.errors import ErrorKind, Refusal
 from baobabhoist.platform import instance as instance_module
+from baobabhoist.platform.decode import DEFAULT_MAX_BODY_BYTES
 from baobabhoist.platform.http_server import MAX_BODY_BYTES
 from baobabhoist.tests.platform_harness import (
     JOB_ID,
@@ -199,3 +200,40 @@
         assert 'reason="team_limit"' in refused[0]
 
     run_test(monkeypatch, test)
+
+
+@pytest.mark.parametrize(
+    ("path", "key", "size", "status"),
+    [
+        (f"/q/{JOB_ID}", "wrong", 100_000, 401),
+        (f"/other/{JOB_ID}", "k", 100_000, 404),
+        (f"/q/{JOB_ID}", "k", DEFAULT_MAX_BODY_BYTES + 1, 413),
+    ],
+)
+def test_call_is_refused_before_its_body(
+    monkeypatch: pytest.MonkeyPatch, path: str, key: str, size: int, status: int
+) -> None:
+    """Guard against bodies that are held in memory although their calls cannot be served."""
+
+    async def test(instance: Instance, caller: CallerConnection) -> None:
+        head = f"POST {path} HTTP/1.1\r\nHost: h\r\nX-Credential: {key}\r\nContent-Length: {size}"
+        caller.writer.write(head.encode() + b"\r\n\r\nx")
+        response = await caller.receive()
+        assert (response.status, response.body["outcome"]) == (status, "not_run")
+
+    run_test(monkeypatch, test)
+
+
+def test_stopping_instance_refuses_a_call_before_its_body(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guard against bodies that a stopping instance reads and then refuses."""
+
+    async def test(instance: Instance, caller: CallerConnection) -> None:
+        instance.terminate()
+        await asyncio.sleep(POLL_PAUSE_S)
+        head = f"POST /q/{JOB_ID} HTTP/1.1\r\nHost: h\r\nX-Credential: k\r\nContent-Length: 100000"
+        caller.writer.write(head.encode() + b"\r\n\r\nx")
+        response = await caller.receive()
+        assert (response.status, response.headers["retry-after"]) == (503, "0")
+        assert response.headers["connection"] == "close"
+
+    run_test(monkeypatch, test)
