Bound the answers that wait for their clients to read them

Seen, by reading: up to 915 clients of the metrics port that don't read their answers could each make an instance hold a page of metrics for 30 s; the crowd of unread queries doesn't show it, since the kernel takes their small answers. Cause: an answer that the kernel can't take stays in the process's write buffer, and only the time of it was bounded. Change: an eighth of the connections may have such an answer; beyond it the one that has waited longest is closed. Answers that the kernel takes at once, all answers to callers in practice, don't count. Evidence: test_the_number_of_unread_answers_is_bounded (of the table and over sockets) needs the change.

--- a/baobabhoist/inbound/connections.py
+++ b/baobabhoist/inbound/connections.py
@@ -14,8 +14,11 @@
     answer) until a deadline, or it is busy with a request. Only waiting ones are closed.
     """
 
-    def __init__(self, max_connections: int) -> None:
+    def __init__(self, max_connections: int, max_sending: int) -> None:
         self.max_connections = max_connections
+        # Connections whose clients have not read an answer that the kernel could not take.
+        self.max_sending = max_sending
+        self._sending: dict[Conn, None] = {}
         # The deadlines; the connection that has waited longest is in front.
         self._waiting: dict[Conn, float] = {}
         self._busy: set[Conn] = set()
@@ -28,13 +31,14 @@
         excess: Conn | None = None
         if len(self) >= self.max_connections:
             excess = next(iter(self._waiting), conn)
-            self._waiting.pop(excess, None)
+            self.remove(excess)
         if excess is not conn:
             self._waiting[conn] = deadline_s
         return excess
 
     def wait(self, conn: Conn, deadline_s: float) -> None:
         """Note that a connection made progress, and waits for its client until a deadline."""
+        self._sending.pop(conn, None)
         if conn in self._waiting:
             del self._waiting[conn]
         elif conn in self._busy:
@@ -43,6 +47,16 @@
             return
         self._waiting[conn] = deadline_s
 
+    def send(self, conn: Conn, deadline_s: float) -> Conn | None:
+        """Note that a client must read its answer; return the connection to close, if any."""
+        self.wait(conn, deadline_s)
+        if conn not in self._waiting:
+            return None
+        self._sending[conn] = None
+        if len(self._sending) <= self.max_sending:
+            return None
+        return next(iter(self._sending))
+
     def work(self, conn: Conn) -> None:
         """Note that a connection is busy with a complete request."""
         if self._waiting.pop(conn, None) is not None:
@@ -51,12 +65,9 @@
     def remove(self, conn: Conn) -> None:
         """Stop tracking a closed connection; a second call has no effect."""
         self._waiting.pop(conn, None)
+        self._sending.pop(conn, None)
         self._busy.discard(conn)
 
-    def busy(self) -> list[Conn]:
-        """Return the connections that are busy with a request."""
-        return list(self._busy)
-
     def overdue(self, now_s: float) -> list[Conn]:
         """Return the waiting connections whose deadlines have passed."""
         return [conn for conn, deadline_s in self._waiting.items() if deadline_s <= now_s]
--- a/baobabhoist/inbound/http_server.py
+++ b/baobabhoist/inbound/http_server.py
@@ -94,9 +94,11 @@
 
     def finish_request(self) -> None:
         """Wait until the client has read the answer, and then for the next request."""
-        limits = self.intake.limits
         self._is_sending = self.stream.writing()
-        self.wait(limits.write_timeout_s if self._is_sending else limits.idle_timeout_s)
+        if self._is_sending:
+            self.intake.send(self)
+        else:
+            self.wait(self.intake.limits.idle_timeout_s)
 
     def work(self) -> None:
         """Note that the request is complete."""
--- a/baobabhoist/inbound/intake.py
+++ b/baobabhoist/inbound/intake.py
@@ -24,6 +24,7 @@
 
     TOO_MANY = "too_many"
     TIMEOUT = "timeout"
+    UNREAD_ANSWERS = "unread_answers"
 
 
 class RefusedBody(enum.StrEnum):
@@ -74,7 +75,9 @@
             limits.small_body_bytes,
             limits.min_stall_s,
         )
-        self.connections: ConnectionTable[Client] = ConnectionTable(limits.max_connections)
+        self.connections: ConnectionTable[Client] = ConnectionTable(
+            limits.max_connections, limits.max_sending
+        )
         self.gate = ChunkGate(make_bucket(limits.pieces_per_s, limits.piece_burst))
         self._is_sweeping = False
 
@@ -88,6 +91,13 @@
             asyncio.get_running_loop().call_later(SWEEP_INTERVAL_S, self._sweep)
         return excess is not client
 
+    def send(self, client: Client) -> None:
+        """Track a client that has not read its answer yet; close another if there are too many."""
+        deadline_s = time.monotonic() + self.limits.write_timeout_s
+        excess = self.connections.send(client, deadline_s)
+        if excess is not None:
+            self._close(excess, CloseReason.UNREAD_ANSWERS)
+
     def _sweep(self) -> None:
         """Close the connections whose clients have let their deadlines pass."""
         loop = asyncio.get_running_loop()
--- a/baobabhoist/inbound/limits.py
+++ b/baobabhoist/inbound/limits.py
@@ -18,6 +18,7 @@
 CONNECTION_MEMORY_FRACTION = 0.25
 # Buffers of one connection in the process and in the kernel, beside its body.
 CONNECTION_BYTES = 80 << 10
+SENDING_DIVISOR = 8
 SMALL_RESERVE_FRACTION = 0.25
 PIECES_PER_CORE_S = 10_000.0
 MIN_PIECES_PER_S = 1_000.0
@@ -28,6 +29,8 @@
     """Hold the limits of one process; sizes in bytes, timeouts in seconds."""
 
     max_connections: int
+    # Those whose clients have not read their answers; the answers are held in memory.
+    max_sending: int
     # All bodies that are not complete, or complete and not served, of all connections.
     body_memory_bytes: int
     # Part of it that only small bodies may use.
@@ -58,8 +61,10 @@
         """Return the limits of a process on a machine; 0 means that a size is not known."""
         memory_bytes = (memory_mb or DEFAULT_MEMORY_MB) * BYTES_PER_MB
         body_memory = max(MIN_BODY_MEMORY_BYTES, int(memory_bytes * BODY_MEMORY_FRACTION))
+        max_connections = _max_connections(memory_bytes, _open_file_limit(max_fds))
         return cls(
-            max_connections=_max_connections(memory_bytes, _open_file_limit(max_fds)),
+            max_connections=max_connections,
+            max_sending=max_connections // SENDING_DIVISOR,
             body_memory_bytes=body_memory,
             small_reserve_bytes=int(body_memory * SMALL_RESERVE_FRACTION),
             pieces_per_s=max(MIN_PIECES_PER_S, PIECES_PER_CORE_S * cores),
--- a/baobabhoist/tests/test_inbound_connections.py
+++ b/baobabhoist/tests/test_inbound_connections.py
@@ -8,7 +8,7 @@
 
 def make_table(*conns: str) -> ConnectionTable[str]:
     """Return a full table."""
-    table: ConnectionTable[str] = ConnectionTable(len(conns))
+    table: ConnectionTable[str] = ConnectionTable(len(conns), max_sending=2)
     assert [table.add(conn, DEADLINE_S) for conn in conns] == [None] * len(conns)
     return table
 
@@ -40,6 +40,16 @@
     assert set(table.overdue(DEADLINE_S)) == {"a", "c"}
 
 
+# Guards against answers that their clients don't read, and that fill the memory.
+def test_the_number_of_unread_answers_is_bounded():
+    table = make_table("a", "b", "c", "d")
+    assert table.send("a", DEADLINE_S) is None
+    assert table.send("b", DEADLINE_S) is None
+    table.wait("a", DEADLINE_S)
+    assert table.send("c", DEADLINE_S) is None
+    assert table.send("d", DEADLINE_S) == "b"
+
+
 # Guards against a connection that is closed for another one and counted on.
 def test_a_removed_connection_leaves_nothing_behind():
     table = make_table("a", "b")
@@ -48,6 +58,7 @@
         table.remove(conn)
         table.wait(conn, DEADLINE_S)
         table.work(conn)
+        assert [table.send(conn, DEADLINE_S) for _ in range(3)] == [None] * 3
     assert len(table) == 0
 
 
--- a/baobabhoist/tests/test_inbound_http_server.py
+++ b/baobabhoist/tests/test_inbound_http_server.py
@@ -18,6 +18,7 @@
 HOST = "127.0.0.1"
 LIMITS = InboundLimits(
     max_connections=20,
+    max_sending=2,
     body_memory_bytes=4_000,
     small_reserve_bytes=1_000,
     small_body_bytes=500,
@@ -248,6 +249,20 @@
     run_test(test)
 
 
+# Guards against large answers that their clients don't read, and that fill the memory.
+def test_the_number_of_unread_answers_is_bounded():
+    async def test(harness: Harness) -> None:
+        crowd = [await harness.connect() for _ in range(2 * LIMITS.max_sending)]
+        for client in crowd:
+            client.begin(0, method="GET")
+        while len(harness.intake.connections) > LIMITS.max_sending:
+            await asyncio.sleep(0.01)
+        assert await crowd[0].is_closed()
+        assert await harness.is_serving()
+
+    run_test(test)
+
+
 # Guards against clients that stop in their headers, in a body or while they are answered.
 @pytest.mark.parametrize("sent", ["", "POST / HTTP/1.1\r\nX: ", "body", "unread"])
 def test_a_client_that_stalls_is_disconnected(sent):
