--- a/baobabhoist/inbound/intake.py
+++ b/baobabhoist/inbound/intake.py
@@ -30,7 +30,6 @@
 class RefusedBody(enum.StrEnum):
     """Enumerate why a body was refused."""
 
-    TOO_LARGE = "too_large"
     NO_MEMORY = "no_memory"
     GIVEN_UP = "given_up"
     EARLY = "early"
