Bound the connections that wait for clients apart from those in work

Cause: one bound for two things: descriptors, which every connection takes, and buffers, which only a client that the process waits for can fill. Change: the memory bounds the waiting connections (915 at 300 MB, 488 at 160), the descriptors all (3,296 at 4,096, 838 at 1,638). Evidence: test_busy_connections_leave_room_for_waiting_ones needs the change.

--- a/baobabhoist/inbound/connections.py
+++ b/baobabhoist/inbound/connections.py
@@ -14,8 +14,10 @@
     answer) until a deadline, or it is busy with a request. Only waiting ones are closed.
     """
 
-    def __init__(self, max_connections: int, max_sending: int) -> None:
+    def __init__(self, max_connections: int, max_waiting: int, max_sending: int) -> None:
         self.max_connections = max_connections
+        # A connection that waits can fill its buffers, and a busy one cannot.
+        self.max_waiting = max_waiting
         # Connections whose clients have not read an answer that the kernel could not take.
         self.max_sending = max_sending
         self._sending: dict[Conn, None] = {}
@@ -26,14 +28,16 @@
     def __len__(self) -> int:
         return len(self._waiting) + len(self._busy)
 
-    def add(self, conn: Conn, deadline_s: float) -> Conn | None:
-        """Track a new connection; return the one to close for it, which may be the new one."""
-        excess: Conn | None = None
-        if len(self) >= self.max_connections:
-            excess = next(iter(self._waiting), conn)
-            self.remove(excess)
-        if excess is not conn:
-            self._waiting[conn] = deadline_s
+    def add(self, conn: Conn, deadline_s: float) -> list[Conn]:
+        """Track a new connection; return those to close for it, or itself if none can be."""
+        excess: list[Conn] = []
+        while len(self) >= self.max_connections or len(self._waiting) >= self.max_waiting:
+            if not self._waiting:
+                return [conn]
+            longest = next(iter(self._waiting))
+            self.remove(longest)
+            excess.append(longest)
+        self._waiting[conn] = deadline_s
         return excess
 
     def wait(self, conn: Conn, deadline_s: float) -> None:
--- a/baobabhoist/inbound/intake.py
+++ b/baobabhoist/inbound/intake.py
@@ -75,7 +75,7 @@
             limits.min_stall_s,
         )
         self.connections: ConnectionTable[Client] = ConnectionTable(
-            limits.max_connections, limits.max_sending
+            limits.max_connections, limits.max_waiting, limits.max_sending
         )
         self.gate = ChunkGate(make_bucket(limits.pieces_per_s, limits.piece_burst))
         self._is_sweeping = False
@@ -83,12 +83,12 @@
     def open(self, client: Client, deadline_s: float) -> bool:
         """Track a new connection, which waits until a deadline; return whether it may stay."""
         excess = self.connections.add(client, deadline_s)
-        if excess is not None:
-            self._close(excess, CloseReason.TOO_MANY)
+        for other in excess:
+            self._close(other, CloseReason.TOO_MANY)
         if not self._is_sweeping:
             self._is_sweeping = True
             asyncio.get_running_loop().call_later(SWEEP_INTERVAL_S, self._sweep)
-        return excess is not client
+        return client not in excess
 
     def send(self, client: Client) -> None:
         """Track a client that has not read its answer yet; close another if there are too many."""
--- a/baobabhoist/inbound/limits.py
+++ b/baobabhoist/inbound/limits.py
@@ -29,6 +29,8 @@
     """Hold the limits of one process; sizes in bytes, timeouts in seconds."""
 
     max_connections: int
+    # Those that wait for their clients, and may have their buffers filled.
+    max_waiting: int
     # Those whose clients have not read their answers; the answers are held in memory.
     max_sending: int
     # All bodies that are not complete, or complete and not served, of all connections.
@@ -61,10 +63,13 @@
         """Return the limits of a process on a machine; 0 means that a size is not known."""
         memory_bytes = (memory_mb or DEFAULT_MEMORY_MB) * BYTES_PER_MB
         body_memory = max(MIN_BODY_MEMORY_BYTES, int(memory_bytes * BODY_MEMORY_FRACTION))
-        max_connections = _max_connections(memory_bytes, _open_file_limit(max_fds))
+        max_connections = _max_connections(_open_file_limit(max_fds))
+        by_memory = int(memory_bytes * CONNECTION_MEMORY_FRACTION) // CONNECTION_BYTES
+        max_waiting = max(MIN_CONNECTIONS, min(by_memory, max_connections))
         return cls(
             max_connections=max_connections,
-            max_sending=max_connections // SENDING_DIVISOR,
+            max_waiting=max_waiting,
+            max_sending=max_waiting // SENDING_DIVISOR,
             body_memory_bytes=body_memory,
             small_reserve_bytes=int(body_memory * SMALL_RESERVE_FRACTION),
             pieces_per_s=max(MIN_PIECES_PER_S, PIECES_PER_CORE_S * cores),
@@ -77,7 +82,5 @@
     return wanted if soft_limit == resource.RLIM_INFINITY else min(wanted, soft_limit)
 
 
-def _max_connections(memory_bytes: int, max_fds: int) -> int:
-    by_memory = int(memory_bytes * CONNECTION_MEMORY_FRACTION) // CONNECTION_BYTES
-    by_fds = max(max_fds - RESERVED_FDS, max_fds // 4)
-    return max(MIN_CONNECTIONS, min(by_memory, by_fds))
+def _max_connections(max_fds: int) -> int:
+    return max(MIN_CONNECTIONS, max_fds - RESERVED_FDS, max_fds // 4)
--- a/baobabhoist/tests/test_inbound_connections.py
+++ b/baobabhoist/tests/test_inbound_connections.py
@@ -8,8 +8,8 @@
 
 def make_table(*conns: str) -> ConnectionTable[str]:
     """Return a full table."""
-    table: ConnectionTable[str] = ConnectionTable(len(conns), max_sending=2)
-    assert [table.add(conn, DEADLINE_S) for conn in conns] == [None] * len(conns)
+    table: ConnectionTable[str] = ConnectionTable(len(conns), len(conns), max_sending=2)
+    assert [table.add(conn, DEADLINE_S) for conn in conns] == [[]] * len(conns)
     return table
 
 
@@ -17,7 +17,7 @@
 def test_the_connection_that_waited_longest_is_closed_for_a_new_one():
     table = make_table("a", "b", "c")
     table.wait("a", DEADLINE_S)
-    assert table.add("d", DEADLINE_S) == "b"
+    assert table.add("d", DEADLINE_S) == ["b"]
     assert len(table) == 3
 
 
@@ -26,10 +26,22 @@
     table = make_table("a", "b")
     for conn in "ab":
         table.work(conn)
-    assert table.add("c", DEADLINE_S) == "c"
+    assert table.add("c", DEADLINE_S) == ["c"]
     assert len(table) == 2
 
 
+# Guards against ordinary callers who are refused because many calls are open.
+def test_busy_connections_leave_room_for_waiting_ones():
+    table: ConnectionTable[str] = ConnectionTable(10, max_waiting=1, max_sending=1)
+    for conn in "abc":
+        assert table.add(conn, DEADLINE_S) == []
+        table.work(conn)
+    assert table.add("d", DEADLINE_S) == []
+    for conn in "ab":
+        table.wait(conn, DEADLINE_S)
+    assert table.add("e", DEADLINE_S) == ["d", "a", "b"]
+
+
 # Guards against clients that neither send nor read, and keep their connections.
 def test_only_waiting_connections_become_overdue():
     table = make_table("a", "b", "c")
@@ -67,5 +79,6 @@
     least = InboundLimits.for_process(memory_mb=160, max_fds=1_638)
     usual = InboundLimits.for_process(memory_mb=300, max_fds=4_100)
     assert least.max_connections < usual.max_connections < 4_100
+    assert least.max_waiting < usual.max_waiting < usual.max_connections
     assert least.body_memory_bytes < usual.body_memory_bytes < 300_000_000
     assert least.body_memory_bytes - least.small_reserve_bytes > 8 << 20
--- a/baobabhoist/tests/test_inbound_http_server.py
+++ b/baobabhoist/tests/test_inbound_http_server.py
@@ -18,6 +18,7 @@
 HOST = "127.0.0.1"
 LIMITS = InboundLimits(
     max_connections=20,
+    max_waiting=20,
     max_sending=2,
     body_memory_bytes=4_000,
     small_reserve_bytes=1_000,
