--- a/baobabhoist/platform/http_server.py
+++ b/baobabhoist/platform/http_server.py
@@ -8,8 +8,7 @@
 from typing import Any, cast
 
 import orjson
-from tornado.http1connection import HTTP1Connection
-from tornado.httpserver import HTTPServer
+from tornado.httputil import HTTPHeaders, RequestStartLine
 from tornado.netutil import bind_sockets
 from tornado.web import Application, RequestHandler
 
@@ -25,6 +24,14 @@
 from baobabhoist.control.metrics import NodeMetrics
 from baobabhoist.control.node import Node
 from baobabhoist.errors import ErrorKind, Refusal
+from baobabhoist.inbound.http_server import (
+    BoundedHTTPServer,
+    RequestConnection,
+    body_too_large_refusal,
+    early_refusal,
+)
+from baobabhoist.inbound.intake import Intake
+from baobabhoist.inbound.limits import InboundLimits
 from baobabhoist.observability.events import Event, emit
 from baobabhoist.platform.open_calls import OpenCalls
 from baobabhoist.platform.placement_handler import PlacementPreviewHandler
@@ -60,6 +67,15 @@
 # Errors that the HTTP server finds in a request before the call is served.
 _KIND_BY_CLIENT_ERROR = {400: ErrorKind.BAD_REQUEST, 405: ErrorKind.METHOD_NOT_ALLOWED}
 HTTP_GONE = 410
+PREVIEW_PATH = "/placement-preview"
+# What a preview holds beside the job.
+PREVIEW_FIELDS_BYTES = 4 << 10
+
+
+def make_call(path: str, headers: HTTPHeaders, deadline_ms: float) -> ApiCall:
+    """Return the fields of a call that its route and key are found by."""
+    host = headers.get("Host", "127.0.0.1").partition(":")[0]
+    return ApiCall(host, path, headers.get(CREDENTIAL_HEADER, ""), deadline_ms)
 
 
 class JobApiHandler(RequestHandler):
@@ -93,6 +109,10 @@
         """Admit the call and serve it, or answer with a refusal when the drain ends first."""
         caller_timeout_s = min(self._caller_timeout_ms() / 1000, self._open_calls.time_left_s)
         self._call = self._make_call(caller_timeout_s)
+        refused = early_refusal(self.request)
+        if refused is not None:
+            self._respond(refused)
+            return
         with self._open_calls.track() as timeout:
             try:
                 async with timeout:
@@ -131,9 +151,8 @@
         self._respond(unknown_outcome_refusal("the call failed with an internal error"))
 
     def _make_call(self, timeout_s: float) -> ApiCall:
-        host = self.request.host.partition(":")[0]
-        key = self.request.headers.get(CREDENTIAL_HEADER, "")
-        return ApiCall(host, self.request.path, key, monotonic_ms() + timeout_s * 1000)
+        deadline_ms = monotonic_ms() + timeout_s * 1000
+        return make_call(self.request.path, self.request.headers, deadline_ms)
 
     def _admit(self) -> AdmittedCall | None:
         """Return the call if its route and key allow it, or answer with a refusal."""
@@ -187,7 +206,7 @@
     def _finish_and_close(self, body: dict[str, Any]) -> None:
         """Send the answer, then close the connection, so that the caller opens one elsewhere."""
         self.set_header("Connection", "close")
-        conn = cast(HTTP1Connection, self.request.connection)
+        conn = cast(RequestConnection, self.request.connection)
         sent = self.finish(orjson.dumps(body))
         sent.add_done_callback(lambda _: conn.close())
 
@@ -236,17 +255,25 @@
             [
                 (r"/metrics", MetricsHandler, {"node": node}),
                 (
-                    r"/placement-preview",
+                    PREVIEW_PATH,
                     PlacementPreviewHandler,
                     {"previews": node.placement_previews},
                 ),
             ]
         )
-        self._job_api_server = HTTPServer(
-            job_api_app, idle_connection_timeout=60, max_body_size=MAX_BODY_BYTES
+        limits = InboundLimits.for_process(
+            node.cfg.limits.memory_mb, node.cfg.limits.max_open_files, node.cfg.cores
+        )
+        self.intake = Intake(limits, node.metrics)
+        self._job_api = node.job_api
+        self._config = node.config
+        self._job_api_server = BoundedHTTPServer(
+            job_api_app, self.intake, MAX_BODY_BYTES, self._check_call
+        )
+        self._readiness_server = BoundedHTTPServer(readiness_app, self.intake, 0)
+        self._metrics_server = BoundedHTTPServer(
+            metrics_app, self.intake, MAX_BODY_BYTES, self._check_preview
         )
-        self._readiness_server = HTTPServer(readiness_app)
-        self._metrics_server = HTTPServer(metrics_app, max_body_size=MAX_BODY_BYTES)
         self._cfg = node.cfg
 
     def start(self) -> None:
@@ -255,6 +282,28 @@
         _listen(self._readiness_server, self._cfg.ready_address)
         _listen(self._metrics_server, f"{self._cfg.host}:{self._cfg.metrics_port}")
 
+    def _check_call(
+        self, start_line: RequestStartLine, headers: HTTPHeaders, body_bytes: int
+    ) -> Refusal | None:
+        """Refuse a call for its route, its key, a stop or its size before its body is read."""
+        path = start_line.path.partition("?")[0]
+        admitted = self._job_api.admit(make_call(path, headers, monotonic_ms()))
+        if isinstance(admitted, Refusal):
+            return admitted
+        if not self.open_calls.can_finish_new_calls:
+            return unavailable_refusal("this instance stops", RETRY_ELSEWHERE_S)
+        max_bytes = admitted.cfg.body_max_bytes
+        return body_too_large_refusal(max_bytes) if body_bytes > max_bytes else None
+
+    def _check_preview(
+        self, start_line: RequestStartLine, headers: HTTPHeaders, body_bytes: int
+    ) -> Refusal | None:
+        """Refuse a preview for its size before its body is read; other calls need no body."""
+        cfg = self._config.current
+        takes_body = start_line.method == "POST" and start_line.path == PREVIEW_PATH
+        max_bytes = cfg.body_max_bytes + PREVIEW_FIELDS_BYTES if cfg and takes_body else 0
+        return body_too_large_refusal(max_bytes) if body_bytes > max_bytes else None
+
     async def stop(self) -> None:
         """Accept no new connections from callers; close the open ones once all is answered."""
         self._job_api_server.stop()
@@ -266,6 +315,6 @@
             log.warning("%d calls were still open at the exit", self.open_calls.count)
 
 
-def _listen(server: HTTPServer, address: str) -> None:
+def _listen(server: BoundedHTTPServer, address: str) -> None:
     host, _, port = address.rpartition(":")
     server.add_sockets(bind_sockets(int(port), host))
