Bound the connections to the peer ports that have not identified themselves

Cause: the port accepted every connection, and nothing asked for the name of the other end. The library bounds neither the number of connections nor the time until the first message.

Ruled out: a lower opening timeout alone, since a connection that completes the handshake and then waits is not affected by it; refusing the newcomer, since a crowd that came first would keep real instances out.

Change: both peer ports (LinkServer, Mesh) listen through InboundPort.

--- a/baobabhoist/control/links.py
+++ b/baobabhoist/control/links.py
@@ -10,7 +10,7 @@
 import attrs
 from websockets.asyncio.client import connect
 from websockets.asyncio.connection import Connection
-from websockets.asyncio.server import Server, ServerConnection, serve
+from websockets.asyncio.server import Server
 from websockets.exceptions import WebSocketException
 
 from baobabhoist.control.claim import ClaimRow, OwnerLinkState
@@ -22,6 +22,8 @@
 from baobabhoist.errors import LinkClosedError
 from baobabhoist.observability.events import Event, emit
 from baobabhoist.observability.tasks import create_logged_task
+from baobabhoist.peer.admission import LinkLimits, Standing
+from baobabhoist.peer.inbound import InboundConnection, InboundPort
 from baobabhoist.peer.link import WEBSOCKET_OPTIONS, Link
 
 log = logging.getLogger(__name__)
@@ -61,7 +63,9 @@
 class LinkServer:
     """Accept links from the other instances and track the open ones by node name."""
 
-    def __init__(self, identity: Identity, handler: Handler) -> None:
+    def __init__(
+        self, identity: Identity, handler: Handler, limits: LinkLimits | None = None
+    ) -> None:
         self.links: dict[str, Link] = {}
         # The sizes of the linked instances' machines, by node name.
         self.sizes: dict[str, MachineSize] = {}
@@ -69,23 +73,26 @@
         self.session_hosts: dict[str, LinkedInstance] = {}
         self._identity = identity
         self._handler = handler
+        self._port = InboundPort(limits)
         self._server: Server | None = None
 
     async def start(self, host: str, port: int) -> None:
         """Start listening on `host` and `port`."""
-        self._server = await serve(self._serve, host, port, **SERVER_OPTIONS)
+        self._server = await self._port.serve(self._serve, host, port, SERVER_OPTIONS)
 
     async def stop(self) -> None:
         """Stop listening and close all links."""
         if self._server is not None:
             self._server.close()
 
-    async def _serve(self, conn: ServerConnection) -> None:
+    async def _serve(self, conn: InboundConnection) -> None:
         node = ""
 
         async def handle(message: Any) -> Any:
             nonlocal node
             if isinstance(message, Greeting):
+                if not conn.identify(Standing.UNCONFIRMED):
+                    return None
                 node = message.node
                 self._add(message, link)
                 return Welcome(
--- a/baobabhoist/observability/events.py
+++ b/baobabhoist/observability/events.py
@@ -86,6 +86,11 @@
     )
     MESSAGE_DISCARDED = (6003, logging.WARNING, "discarded an invalid message: {detail}")
     LINK_REPLACED = (6004, logging.WARNING, "replacing the unresponsive link to worker {name}")
+    INBOUND_LINK_CLOSED = (
+        6030,
+        logging.WARNING,
+        "closed the connection from {address}: {reason}; {count} closed so far",
+    )
     WORKER_CONNECTED = (7001, logging.INFO, "worker {worker} connected")
     WORKER_DISCONNECTED = (7002, logging.WARNING, "worker {worker} disconnected")
     WORKER_LEAVING = (7003, logging.INFO, "worker {worker} is leaving and receives no new work")
--- a/baobabhoist/peer/mesh.py
+++ b/baobabhoist/peer/mesh.py
@@ -12,11 +12,12 @@
 
 import attrs
 from websockets.asyncio.client import connect
-from websockets.asyncio.server import ServerConnection, serve
 from websockets.exceptions import ConnectionClosed, InvalidHandshake
 
 from baobabhoist.errors import LinkClosedError, MessageNotSentError
 from baobabhoist.ownership.tokens import NO_TOKEN, Token
+from baobabhoist.peer.admission import LinkLimits, Standing
+from baobabhoist.peer.inbound import InboundConnection, InboundPort
 from baobabhoist.peer.link import WEBSOCKET_OPTIONS, Link
 from baobabhoist.peer.messages import CODEC, Ack, Heartbeat, LastContact, ShardDigest
 
@@ -84,6 +85,7 @@
         on_heartbeat: Callable[[Heartbeat], None] = lambda _: None,
         tls: TlsContexts | None = None,
         clock: Callable[[], float] = time.time,
+        limits: LinkLimits | None = None,
     ) -> None:
         self.peers = {address.instance_id: PeerState(address) for address in peers}
         self._make_heartbeat = make_heartbeat
@@ -91,15 +93,14 @@
         self._on_heartbeat = on_heartbeat
         self._tls = tls
         self._clock = clock
+        self._port = InboundPort(limits)
         self._link_tasks: dict[str, asyncio.Task[None]] = {}
         self._heartbeat_tasks: set[asyncio.Task[None]] = set()
 
     async def run(self, host: str, port: int) -> None:
         """Serve the peer port, maintain links to all peers and send heartbeats until cancelled."""
         server_context = self._tls.server if self._tls is not None else None
-        async with serve(
-            self._serve_connection, host, port, ssl=server_context, **WEBSOCKET_OPTIONS
-        ):
+        async with self._port.serve(self._serve_connection, host, port, context=server_context):
             try:
                 while True:
                     self._start_link_tasks()
@@ -185,13 +186,23 @@
         except (LinkClosedError, TimeoutError):
             log.info("cannot deliver a message to instance %s", peer.address.instance_id)
 
-    async def _serve_connection(self, conn: ServerConnection) -> None:
+    async def _serve_connection(self, conn: InboundConnection) -> None:
         async def handle(message: Any) -> Any | None:
-            return await self._handle_message(message, link)
+            if isinstance(message, Heartbeat):
+                self._identify(message.instance_id, conn, link)
+            return await self._handle_message(message)
 
         link = Link(conn, CODEC, handle)
         await link.run()
 
+    def _identify(self, instance_id: str, conn: InboundConnection, link: Link) -> None:
+        peer = self.peers.get(instance_id)
+        if peer is None:
+            conn.identify(Standing.UNCONFIRMED)
+            return
+        conn.identify(Standing.LISTED)
+        peer.inbound_link = link
+
     def _start_link_tasks(self) -> None:
         for name, peer in self.peers.items():
             if name not in self._link_tasks:
@@ -248,13 +259,11 @@
         except LinkClosedError:
             return
 
-    async def _handle_message(self, message: Any, inbound: Link | None = None) -> Any | None:
+    async def _handle_message(self, message: Any) -> Any | None:
         if not isinstance(message, Heartbeat):
             return await self._on_message(message)
         peer = self.peers.get(message.instance_id)
         if peer is not None:
-            if inbound is not None:
-                peer.inbound_link = inbound
             self._record_heartbeat(peer, message)
         return Ack()
 
