Bound the memory that unknown instances hold on the peer ports

One link may hold 512 MiB of unfinished messages, so two of them end a process of a machine of 300 MB.

Cause: each limit (frame, message, buffered bytes) holds for one connection, and none for their sum.

Ruled out: lower limits for each connection, since a heartbeat or a hand-over may be large and any number of connections can be opened.

Change: LinkAdmission sums the unparsed bytes, the unfinished streams and the unsent answers of all connections that are not of listed peers. Above 32 MiB, or an eighth of the machine if its memory is given, the connection that holds most is closed, those that haven't identified themselves first. One of these may hold 1 MiB, enough for a heartbeat with hundreds of shards. Links of listed peers, which TLS authenticates, keep their limits: a hand-over may be large. A call whose link is closed fails as for any lost link, and its sender connects again.

--- a/baobabhoist/control/links.py
+++ b/baobabhoist/control/links.py
@@ -101,6 +101,7 @@
             return await self._handler(message)
 
         link = Link(conn, CODEC, handle)
+        conn.count_unfinished_bytes = link.unfinished_bytes
         await link.run()
         if self.links.get(node) is link:
             del self.links[node]
--- a/baobabhoist/peer/admission.py
+++ b/baobabhoist/peer/admission.py
@@ -7,6 +7,10 @@
 
 import attrs
 
+BYTES_PER_MB = 1 << 20
+# The part of the machine's memory that unknown instances may fill with their messages.
+MEMORY_DIVISOR = 8
+
 
 class Standing(enum.IntEnum):
     """Rank incoming connections by what is known of the other end."""
@@ -24,17 +28,31 @@
 
     TOO_MANY_PENDING = "too many connections have not identified themselves"
     TOO_MANY_UNCONFIRMED = "too many connections of unknown instances are open"
+    TOO_MUCH_MEMORY = "the unfinished messages of unknown instances take too much memory"
     NOT_IDENTIFIED = "it did not identify itself in time"
 
 
 @attrs.frozen
 class LinkLimits:
-    """Hold the limits of the incoming connections of one port."""
+    """Hold the limits of the incoming connections of one port.
+
+    `max_bytes` bounds the unfinished and unsent messages of all connections that are not of a
+    listed peer, and `max_message_bytes` those of one that has not identified itself.
+    """
 
     max_pending: int = 128
     max_unconfirmed: int = 512
+    max_bytes: int = 32 << 20
+    max_message_bytes: int = 1 << 20
     identify_timeout_s: float = 5.0
 
+    @classmethod
+    def for_memory(cls, memory_mb: int) -> LinkLimits:
+        """Return the limits of a machine; a size of 0 is not known."""
+        if memory_mb == 0:
+            return cls()
+        return cls(max_bytes=memory_mb * BYTES_PER_MB // MEMORY_DIVISOR)
+
 
 @attrs.frozen
 class Eviction:
@@ -49,8 +67,10 @@
     """Track the incoming connections of one port and decide which to close."""
 
     limits: LinkLimits = attrs.Factory(LinkLimits)
-    # The connections of each standing, in the order in which they got it.
-    _conns: dict[Standing, dict[Hashable, None]] = attrs.Factory(
+    # Held by all connections but those of listed peers.
+    total_bytes: int = 0
+    # The bytes that each connection holds, by standing, in the order in which it got its standing.
+    _conns: dict[Standing, dict[Hashable, int]] = attrs.Factory(
         lambda: {standing: {} for standing in Standing}
     )
     _standings: dict[Hashable, Standing] = attrs.Factory(dict)
@@ -58,7 +78,7 @@
     def open(self, conn: Hashable) -> Eviction | None:
         """Add a connection; the oldest pending one has to go if there are too many."""
         pending = self._conns[Standing.PENDING]
-        self._add(conn, Standing.PENDING)
+        self._add(conn, Standing.PENDING, 0)
         if len(pending) <= self.limits.max_pending:
             return None
         return Eviction(next(iter(pending)), CloseReason.TOO_MANY_PENDING)
@@ -71,16 +91,41 @@
         unconfirmed = self._conns[Standing.UNCONFIRMED]
         if standing is Standing.UNCONFIRMED and len(unconfirmed) >= self.limits.max_unconfirmed:
             return Eviction(conn, CloseReason.TOO_MANY_UNCONFIRMED)
-        self.close(conn)
-        self._add(conn, standing)
+        self._add(conn, standing, self.close(conn))
         return None
 
-    def close(self, conn: Hashable) -> None:
-        """Remove a connection; a second call has no effect."""
-        standing = self._standings.pop(conn, None)
-        if standing is not None:
-            del self._conns[standing][conn]
+    def hold(self, conn: Hashable, held_bytes: int) -> Eviction | None:
+        """Record what a connection holds; if it is too much, the largest one may have to go."""
+        standing = self._standings.get(conn)
+        if standing is None or standing is Standing.LISTED:
+            return None
+        conns = self._conns[standing]
+        self.total_bytes += held_bytes - conns[conn]
+        conns[conn] = held_bytes
+        if standing is Standing.PENDING and held_bytes > self.limits.max_message_bytes:
+            return Eviction(conn, CloseReason.TOO_MUCH_MEMORY)
+        if self.total_bytes <= self.limits.max_bytes:
+            return None
+        return Eviction(self._find_largest(), CloseReason.TOO_MUCH_MEMORY)
 
-    def _add(self, conn: Hashable, standing: Standing) -> None:
+    def close(self, conn: Hashable) -> int:
+        """Remove a connection and return what it held; a second call has no effect."""
+        standing = self._standings.pop(conn, None)
+        if standing is None:
+            return 0
+        held_bytes = self._conns[standing].pop(conn)
+        if standing is not Standing.LISTED:
+            self.total_bytes -= held_bytes
+        return held_bytes
+
+    def _add(self, conn: Hashable, standing: Standing, held_bytes: int) -> None:
         self._standings[conn] = standing
-        self._conns[standing][conn] = None
+        self._conns[standing][conn] = held_bytes
+        if standing is not Standing.LISTED:
+            self.total_bytes += held_bytes
+
+    def _find_largest(self) -> Hashable:
+        """Return the connection that holds most, among the pending ones if these hold anything."""
+        pending = self._conns[Standing.PENDING]
+        conns = pending if any(pending.values()) else self._conns[Standing.UNCONFIRMED]
+        return max(conns, key=conns.__getitem__)
--- a/baobabhoist/peer/inbound.py
+++ b/baobabhoist/peer/inbound.py
@@ -40,6 +40,8 @@
     def __init__(self, *args: Any, **kwargs: Any) -> None:
         super().__init__(*args, **kwargs)
         self.standing = Standing.PENDING
+        # Returns the bytes of the unfinished messages of the link over this connection.
+        self.count_unfinished_bytes: Callable[[], int] = lambda: 0
         self._timer: asyncio.TimerHandle | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -68,6 +70,16 @@
         self.port.close(eviction)
         return eviction is None
 
+    def data_received(self, data: bytes) -> None:
+        """Receive data, and account for what an unknown instance makes this process hold."""
+        super().data_received(data)
+        if self.standing is not Standing.LISTED:
+            self.port.close(self.port.admission.hold(self, self._held_bytes()))
+
+    def _held_bytes(self) -> int:
+        received = len(self.protocol.reader.buffer) + self.count_unfinished_bytes()
+        return received + self.transport.get_write_buffer_size()
+
     def _cancel_timer(self) -> None:
         if self._timer is not None:
             self._timer.cancel()
--- a/baobabhoist/peer/link.py
+++ b/baobabhoist/peer/link.py
@@ -92,6 +92,10 @@
             self.closed = True
             self._fail_pending_calls()
 
+    def unfinished_bytes(self) -> int:
+        """Return the bytes of the messages of which only a part has arrived."""
+        return self._assembler.buffered_bytes
+
     async def call(self, message: Any, timeout_s: float) -> Any:
         """Send a message and return its reply.
 
--- a/baobabhoist/peer/mesh.py
+++ b/baobabhoist/peer/mesh.py
@@ -193,6 +193,7 @@
             return await self._handle_message(message)
 
         link = Link(conn, CODEC, handle)
+        conn.count_unfinished_bytes = link.unfinished_bytes
         await link.run()
 
     def _identify(self, instance_id: str, conn: InboundConnection, link: Link) -> None:
--- a/baobabhoist/tests/test_peer_admission.py
+++ b/baobabhoist/tests/test_peer_admission.py
@@ -8,7 +8,8 @@
     Standing,
 )
 
-LIMITS = LinkLimits(max_pending=2, max_unconfirmed=1)
+LIMITS = LinkLimits(max_pending=2, max_unconfirmed=1, max_bytes=100, max_message_bytes=80)
+TOO_MUCH_MEMORY = CloseReason.TOO_MUCH_MEMORY
 
 
 def admission_with(*conns):
@@ -38,3 +39,35 @@
     assert admission.identify("a", Standing.LISTED) is None
     assert admission.open("c") is None
     assert admission.identify("c", Standing.UNCONFIRMED) is None
+
+
+def test_memory_is_taken_from_the_largest_connection_of_the_least_known():
+    """Guard against unfinished messages of strangers that take the memory of the process."""
+    admission = admission_with("a")
+    admission.identify("a", Standing.UNCONFIRMED)
+    admission.open("b")
+    admission.open("c")
+    assert admission.hold("a", 60) is None
+    assert admission.hold("b", 30) is None
+    assert admission.hold("c", 20) == Eviction("b", TOO_MUCH_MEMORY)
+    admission.close("b")
+    assert admission.hold("a", 90) == Eviction("c", TOO_MUCH_MEMORY)
+    admission.close("c")
+    assert admission.hold("a", 101) == Eviction("a", TOO_MUCH_MEMORY)
+    admission.close("a")
+    assert admission.total_bytes == 0
+
+
+def test_listed_peer_may_send_large_messages():
+    """Guard against a hand-over that fails because the memory is bounded for strangers."""
+    admission = admission_with("a")
+    admission.hold("a", 50)
+    admission.identify("a", Standing.LISTED)
+    assert admission.total_bytes == 0
+    assert admission.hold("a", 1000) is None
+
+
+def test_message_before_the_identification_is_bounded():
+    """Guard against a single stranger that takes all of the memory that strangers share."""
+    admission = admission_with("a")
+    assert admission.hold("a", 81) == Eviction("a", TOO_MUCH_MEMORY)
--- a/baobabhoist/tests/test_peer_inbound.py
+++ b/baobabhoist/tests/test_peer_inbound.py
@@ -11,9 +11,17 @@
 from baobabhoist.errors import LinkClosedError
 from baobabhoist.peer.admission import LinkLimits
 from baobabhoist.peer.link import WEBSOCKET_OPTIONS, Link
+from baobabhoist.peer.streams import CHUNK_BYTES, BodyChunk
 from baobabhoist.testing.cluster import free_port
 
 CROWD = 200
+UNFINISHED_BYTES = 200 << 10
+# A frame of 256 KiB, of which the masking key and the rest are still to come.
+FRAME_HEADER = b"\x82\xff" + (256 << 10).to_bytes(8, "big")
+HANDSHAKE = (
+    b"GET / HTTP/1.1\r\nHost: a\r\nUpgrade: websocket\r\nConnection: Upgrade\r\n"
+    b"Sec-WebSocket-Key: MDEyMzQ1Njc4OWFiY2RlZg==\r\nSec-WebSocket-Version: 13\r\n\r\n"
+)
 LIMITS = LinkLimits(max_pending=4, max_unconfirmed=2, identify_timeout_s=0.3)
 
 
@@ -46,8 +54,8 @@
 
 
 async def count_closed(streams):
-    """Return how many connections the port has closed; the others stay silent."""
-    reads = [asyncio.ensure_future(reader.read(1)) for reader, _ in streams]
+    """Return how many connections the port has closed within a second."""
+    reads = [asyncio.ensure_future(reader.read()) for reader, _ in streams]
     done, pending = await asyncio.wait(reads, timeout=1.0)
     for read in pending:
         read.cancel()
@@ -101,3 +109,34 @@
             assert sorted(server.links) == ["n0", "n1"]
 
     asyncio.run(scenario())
+
+
+def test_frames_that_stop_just_short_of_their_end_are_bounded_together():
+    """Guard against strangers that take the memory with many legal frames that never end."""
+
+    async def scenario():
+        limits = LinkLimits(max_bytes=1 << 20)
+        async with link_server(limits=limits) as (_, port), silent_crowd(port, 20) as streams:
+            for _, writer in streams:
+                writer.write(HANDSHAKE + FRAME_HEADER + bytes(UNFINISHED_BYTES))
+            assert await count_closed(streams) >= 20 - limits.max_bytes // UNFINISHED_BYTES
+
+    asyncio.run(scenario())
+
+
+def test_chunk_streams_that_never_end_are_bounded_together():
+    """Guard against links that each hold the largest message that the protocol allows."""
+
+    async def scenario():
+        limits = LinkLimits(max_bytes=1 << 20)
+        async with link_server(limits=limits) as (server, port), contextlib.AsyncExitStack() as s:
+            for number in range(4):
+                link = await s.enter_async_context(open_link(port))
+                await greet(link, f"n{number}")
+                for offset in range(0, 6 * CHUNK_BYTES, CHUNK_BYTES // 2):
+                    await link.notify(BodyChunk(1, offset, False, bytes(CHUNK_BYTES // 2)))
+            async with asyncio.timeout(10.0):
+                while len(server.links) > 2:
+                    await asyncio.sleep(0.01)
+
+    asyncio.run(scenario())
