Count an empty stream of chunks towards the limit of its link

Seen: 100 first chunks without bytes opened 100 streams at a limit of 10,000 bytes, and so would a million; each takes a buffer and an entry until the link ends.

Cause: StreamAssembler counted the bytes of the chunks and nothing for the streams themselves.

Ruled out: refusing empty chunks, since streams of one byte cost the same.

Change: each unfinished stream counts 256 bytes more, given back when it ends.

--- a/baobabhoist/peer/streams.py
+++ b/baobabhoist/peer/streams.py
@@ -14,6 +14,8 @@
 WINDOW_BYTES = 1 << 19
 MAX_MESSAGE_BYTES = 1 << 28
 MAX_BUFFERED_BYTES = 1 << 29
+# What an unfinished stream takes beside its bytes.
+STREAM_OVERHEAD_BYTES = 256
 
 
 @attrs.frozen
@@ -92,7 +94,10 @@
 
     def add(self, chunk: BodyChunk) -> bytes | WindowUpdate | StreamAborted:
         """Append a chunk; return the complete message, or the reply to send to the sender."""
-        buffer = self.buffers.setdefault(chunk.stream, bytearray())
+        buffer = self.buffers.get(chunk.stream)
+        if buffer is None:
+            buffer = self.buffers[chunk.stream] = bytearray()
+            self.buffered_bytes += STREAM_OVERHEAD_BYTES
         size = len(chunk.data)
         exceeds_message_limit = len(buffer) + size > MAX_MESSAGE_BYTES
         exceeds_buffer_limit = self.buffered_bytes + size > MAX_BUFFERED_BYTES
@@ -111,4 +116,4 @@
         """Discard the buffer of a stream, if there is one."""
         buffer = self.buffers.pop(stream_id, None)
         if buffer is not None:
-            self.buffered_bytes -= len(buffer)
+            self.buffered_bytes -= len(buffer) + STREAM_OVERHEAD_BYTES
--- a/baobabhoist/tests/test_peer_streams.py
+++ b/baobabhoist/tests/test_peer_streams.py
@@ -67,3 +67,12 @@
     assert assembler.add(BodyChunk(1, 3, False, b"d")) == aborted
     assert assembler.add(BodyChunk(1, 0, False, b"abcde")) == aborted
     assert assembler.buffered_bytes == 0
+
+
+def test_streams_without_bytes_count_towards_the_limit(monkeypatch):
+    """Guard against a sender that exhausts the memory with many streams that stay empty."""
+    monkeypatch.setattr(streams, "MAX_BUFFERED_BYTES", 10_000)
+    assembler = StreamAssembler()
+    replies = [assembler.add(BodyChunk(number, 0, False, b"")) for number in range(100)]
+    assert replies[-1] == StreamAborted(99, by_sender=False)
+    assert len(assembler.buffers) < 50
