Let a link keep the name that it gave first, and replace an instance's last one

Only the last is removed when the link ends; the others stay as instances to which the owner sends heartbeats and may assign sessions. Nothing bounds them, since they are one connection. And an instance that connects again stayed linked twice until the old connection was noticed to be dead, so a full port refused it because of its own remains.

Cause: each greeting was taken for the first, and none replaced the earlier connection of its name.

Change: a link that gives a second name is closed. A greeting with the name of another link closes that link first and takes its place in the count.

Evidence: both new tests of test_peer_inbound.py fail on (did not raise; TimeoutError) and pass now.

--- a/baobabhoist/control/links.py
+++ b/baobabhoist/control/links.py
@@ -74,6 +74,7 @@
         self._identity = identity
         self._handler = handler
         self._port = InboundPort(limits)
+        self._conns: dict[str, InboundConnection] = {}
         self._server: Server | None = None
 
     async def start(self, host: str, port: int) -> None:
@@ -91,7 +92,8 @@
         async def handle(message: Any) -> Any:
             nonlocal node
             if isinstance(message, Greeting):
-                if not conn.identify(Standing.UNCONFIRMED):
+                if node not in ("", message.node) or not self._accept(conn, message):
+                    link.abort()
                     return None
                 node = message.node
                 self._add(message, link)
@@ -106,8 +108,19 @@
         if self.links.get(node) is link:
             del self.links[node]
             del self.sizes[node]
+            del self._conns[node]
             self.session_hosts.pop(node, None)
 
+    def _accept(self, conn: InboundConnection, greeting: Greeting) -> bool:
+        """Replace the last connection of an instance; return whether the new one may stay."""
+        previous = self._conns.get(greeting.node)
+        if previous is not None and previous is not conn:
+            previous.replace()
+        if not conn.identify(Standing.UNCONFIRMED):
+            return False
+        self._conns[greeting.node] = conn
+        return True
+
     def _add(self, greeting: Greeting, link: Link) -> None:
         node, size = greeting.node, MachineSize(greeting.cores, greeting.link_mbps)
         self.links[node] = link
--- a/baobabhoist/peer/admission.py
+++ b/baobabhoist/peer/admission.py
@@ -30,6 +30,7 @@
     TOO_MANY_UNCONFIRMED = "too many connections of unknown instances are open"
     TOO_MUCH_MEMORY = "the unfinished messages of unknown instances take too much memory"
     NOT_IDENTIFIED = "it did not identify itself in time"
+    REPLACED = "the instance has opened another connection"
     TOO_MANY_FRAMES = "it sent too many frames before it identified itself"
 
 
--- a/baobabhoist/peer/inbound.py
+++ b/baobabhoist/peer/inbound.py
@@ -73,6 +73,10 @@
         self.port.close(eviction)
         return eviction is None
 
+    def replace(self) -> None:
+        """Close the connection at once, because its other end has opened a new one."""
+        self.port.close(Eviction(self, CloseReason.REPLACED))
+
     def data_received(self, data: bytes) -> None:
         """Receive data, and account for what an unknown instance makes this process hold."""
         for offset in range(0, len(data), SLICE_BYTES):
--- a/baobabhoist/tests/test_peer_inbound.py
+++ b/baobabhoist/tests/test_peer_inbound.py
@@ -155,3 +155,35 @@
                 raise link._conn.protocol.close_exc
 
     asyncio.run(scenario())
+
+
+def test_link_keeps_the_name_that_it_gave_first():
+    """Guard against one link that enters any number of names, which stay after its end."""
+
+    async def scenario():
+        async with link_server() as (server, port), open_link(port) as link:
+            await greet(link, "a")
+            await greet(link, "a")
+            with pytest.raises(LinkClosedError):
+                await greet(link, "b")
+            async with asyncio.timeout(10.0):
+                while server.links:
+                    await asyncio.sleep(0.01)
+
+    asyncio.run(scenario())
+
+
+def test_instance_that_connects_again_takes_the_place_of_its_last_connection():
+    """Guard against an instance that finds its place taken by what is left of its own link."""
+
+    async def scenario():
+        async with link_server(limits=LIMITS) as (server, port), contextlib.AsyncExitStack() as s:
+            links = [await s.enter_async_context(open_link(port)) for _ in range(3)]
+            for link, node in zip(links, ("a", "b", "a"), strict=True):
+                assert isinstance(await greet(link, node), Welcome)
+            async with asyncio.timeout(10.0):
+                await links[0]._conn.wait_closed()
+            assert sorted(server.links) == ["a", "b"]
+            assert not links[2].closed
+
+    asyncio.run(scenario())
