Free the unfinished messages of a link when it ends

Cause: a link and its handler refer to each other, so the buffers of its streams wait for the garbage collector, whose full collections the processes make rare.

Change: the link discards its streams when its connection ends.

--- a/baobabhoist/peer/link.py
+++ b/baobabhoist/peer/link.py
@@ -91,6 +91,8 @@
         finally:
             self.closed = True
             self._fail_pending_calls()
+            # The link is part of a cycle of references, which is collected much later.
+            self._assembler.discard_all()
 
     def unfinished_bytes(self) -> int:
         """Return the bytes of the messages of which only a part has arrived."""
--- a/baobabhoist/peer/streams.py
+++ b/baobabhoist/peer/streams.py
@@ -112,6 +112,11 @@
         self.discard(chunk.stream)
         return message
 
+    def discard_all(self) -> None:
+        """Discard the buffers of all streams."""
+        self.buffers.clear()
+        self.buffered_bytes = 0
+
     def discard(self, stream_id: int) -> None:
         """Discard the buffer of a stream, if there is one."""
         buffer = self.buffers.pop(stream_id, None)
--- a/baobabhoist/tests/test_peer_inbound.py
+++ b/baobabhoist/tests/test_peer_inbound.py
@@ -5,6 +5,7 @@
 
 import pytest
 from websockets.asyncio.client import connect
+from websockets.asyncio.server import serve
 from websockets.exceptions import ConnectionClosed
 
 from baobabhoist.control.links import Identity, LinkServer
@@ -187,3 +188,26 @@
             assert not links[2].closed
 
     asyncio.run(scenario())
+
+
+def test_unfinished_messages_end_with_their_link():
+    """Guard against memory of strangers that stays until the next garbage collection."""
+
+    async def scenario():
+        accepted = []
+
+        async def accept(conn):
+            accepted.append(Link(conn, CODEC, ignore))
+            await accepted[0].run()
+
+        port = free_port()
+        async with serve(accept, "127.0.0.1", port, **WEBSOCKET_OPTIONS):
+            async with open_link(port) as link:
+                await link.notify(BodyChunk(1, 0, False, b"a"))
+                await link.close()
+            async with asyncio.timeout(10.0):
+                while not accepted[0].closed:
+                    await asyncio.sleep(0.01)
+            assert accepted[0]._assembler.buffers == {}
+
+    asyncio.run(scenario())
