Derive the memory for unknown instances from the machine's

With limits.memory_mb the peer ports of both servers let unknown instances hold an eighth of it instead of 32 MiB.

--- a/baobabhoist/control/node.py
+++ b/baobabhoist/control/node.py
@@ -36,6 +36,7 @@
 from baobabhoist.control.table_follower import TableFollower
 from baobabhoist.observability.events import Event, emit
 from baobabhoist.observability.tasks import log_task_crash
+from baobabhoist.peer.admission import LinkLimits
 from baobabhoist.peer.link import Link
 from baobabhoist.store.row_store import (
     RowStore,
@@ -79,7 +80,11 @@
         )
         advice_gate = AdviceGate(adapter.adviser)
         self.owner_router = OwnerRouter(cfg.instance_id, advice_gate)
-        self.link_server = LinkServer(self.identity, self.owner_router.handle)
+        self.link_server = LinkServer(
+            self.identity,
+            self.owner_router.handle,
+            LinkLimits.for_memory(cfg.limits.memory_mb),
+        )
         self.owner_link = OwnerLink(
             self.identity, self.owner_router.handle, lambda: self._election.recheck()
         )
--- a/baobabhoist/daemon/app.py
+++ b/baobabhoist/daemon/app.py
@@ -40,6 +40,7 @@
 from baobabhoist.ownership.claim import ShardClaim
 from baobabhoist.ownership.events import ClaimState, ClaimTiming
 from baobabhoist.ownership.request_keys import Result
+from baobabhoist.peer.admission import LinkLimits
 from baobabhoist.peer.mesh import Mesh, PeerAddress
 from baobabhoist.peer.messages import (
     Ack,
@@ -118,6 +119,7 @@
             self._on_peer_message,
             on_heartbeat=self._on_heartbeat,
             tls=self.tls,
+            limits=LinkLimits.for_memory(cfg.limits.memory_mb),
         )
         self.ownership = OwnershipManager(
             LocalInstance(cfg.instance_id, cfg.data_centre, cfg.vm_weight),
