Answer a refused request before its announced length is found invalid

Seen: with the daemon on BoundedHTTPServer, a request that announces a length of 30 digits got 400 instead of 413 (test_oversized_bodies_are_refused_and_discarded_up_to_a_limit failed).

Cause: InboundRequest.headers_received starts the handler, whose answer is a task, and returned without waiting for it. tornado went on to read the length, found it too large and answered first.

Change: headers_received returns what the handler is awaited by. Evidence: that test passes.

--- a/baobabhoist/inbound/http_server.py
+++ b/baobabhoist/inbound/http_server.py
@@ -228,8 +228,8 @@
         if self._announced_bytes > self._intake.limits.small_body_bytes:
             refusal = self._check(self._announced_bytes)
             if refusal is not None:
-                self._refuse(refusal, RefusedBody.EARLY)
-                return None
+                # tornado may find the length invalid next, and must not answer before.
+                return self._refuse(refusal, RefusedBody.EARLY)
         return self._start(RequestConnection(self._conn, self), headers)
 
     def data_received(self, chunk: bytes) -> Awaitable[None] | None:
@@ -314,7 +314,7 @@
         self._delegate = self._server.make_delegate(self._server_conn, conn)
         return self._delegate.headers_received(self._start_line, headers)
 
-    def _refuse(self, refusal: Refusal, reason: RefusedBody) -> None:
+    def _refuse(self, refusal: Refusal, reason: RefusedBody) -> Awaitable[None] | None:
         """Let the application answer with a refusal, and discard the body."""
         self._is_refused = True
         self._discard_until_bytes = self._received_bytes + self._intake.limits.discard_bytes
@@ -325,8 +325,9 @@
         # An application would take the body that it doesn't get for an invalid form.
         headers = self._headers.copy()
         headers.pop("Content-Type", None)
-        self._start(RequestConnection(self._conn, self, refusal), headers)
+        answered = self._start(RequestConnection(self._conn, self, refusal), headers)
         self._take_delegate().finish()
+        return answered
 
     def _take_delegate(self) -> HTTPMessageDelegate:
         """Return the application's receiver, and forget it to break the cycle of references."""
