Serve the daemon's HTTP ports within the limits of its process

Seen: of eight bodies of 1 MiB that stop one byte short of their end, on none is refused; any number is held until 30 s have passed, and any number of silent connections stays open for 75 s (0 of 8 closed). A crowd fills the memory and the descriptors of a daemon.

Cause: the gateway bounds one body and its time, not their sum, nor the number of connections, nor the chunks that are decoded a second.

Change: both ports are served by BoundedHTTPServer of baobabhoist/inbound, with one Intake for the process, whose limits come from the section limits of the settings. There is always room for one body of max_body_bytes. A body without room is refused with 503 as not run, with Retry-After 1 s. Handlers answer a late body (408) before the connection is closed for it. An announced size over the limit is refused at once; over 64 KiB it was read up to four times the limit before. The admin port's server takes the limits of its application (4 MiB), which it didn't. What is refused or closed is counted in the metrics refused_bodies_total and closed_connections_total.

--- a/baobabhoist/daemon/app.py
+++ b/baobabhoist/daemon/app.py
@@ -6,6 +6,8 @@
 import logging
 from typing import Any
 
+from tornado.httpserver import HTTPServer
+
 from baobabhoist.config.settings import Settings, TlsSettings
 from baobabhoist.daemon.digests import build_digest
 from baobabhoist.daemon.dispatch import LeaseSettings
@@ -31,7 +33,7 @@
 from baobabhoist.gateway.caller_handler import CallerOptions
 from baobabhoist.gateway.callers import make_caller_app
 from baobabhoist.gateway.drain import OpenRequests
-from baobabhoist.gateway.server import HttpLimits, make_http_server
+from baobabhoist.gateway.server import HttpLimits, make_http_server, make_intake
 from baobabhoist.gateway.tls import ReloadingTlsContext, TlsFiles
 from baobabhoist.jobs.messages import JOB_MESSAGES
 from baobabhoist.model import Request, WorkerSpec
@@ -144,38 +146,11 @@
         self.sync.is_poller = self._is_poller
         self._tasks: set[asyncio.Task[None]] = set()
         self._listener_tls = (_listener_tls(cfg.caller_tls), _listener_tls(cfg.admin_tls))
-        self._caller_server = make_http_server(
-            make_caller_app(
-                self,
-                CallerOptions(
-                    jobs=self.jobs,
-                    data_centre=cfg.data_centre,
-                    limits=HttpLimits(max_body_bytes=cfg.max_body_bytes),
-                    open_requests=self.open_requests,
-                    max_deadline_s=cfg.max_deadline_s,
-                    default_deadline_s=cfg.default_deadline_s,
-                    clock_skew_s=cfg.clock_skew_s,
-                    records_unconfirmed_s=self.sync.cut_off_s,
-                    metrics=self.metrics,
-                ),
-            ),
-            HttpLimits(max_body_bytes=cfg.max_body_bytes),
-            self._listener_tls[0].context if self._listener_tls[0] is not None else None,
-        )
-        self._admin_server = make_http_server(
-            make_admin_app(
-                self,
-                AdminOptions(
-                    jobs=self.jobs,
-                    open_requests=self.open_requests,
-                    drain=self.drain.start,
-                    records_unconfirmed_s=self.sync.cut_off_s,
-                    metrics=self.metrics,
-                ),
-            ),
-            HttpLimits(),
-            self._listener_tls[1].context if self._listener_tls[1] is not None else None,
+        self._intake = make_intake(
+            cfg.limits.memory_mb, cfg.limits.max_open_files, cfg.max_body_bytes, self.metrics
         )
+        self._caller_server = self._make_caller_server()
+        self._admin_server = self._make_admin_server()
 
     async def run(self) -> None:
         """Serve until the instance is drained or the task is cancelled."""
@@ -359,6 +334,42 @@
         self._caller_server.stop()
         await self._caller_server.close_all_connections()
 
+    def _make_caller_server(self) -> HTTPServer:
+        cfg, tls = self.cfg, self._listener_tls[0]
+        options = CallerOptions(
+            jobs=self.jobs,
+            data_centre=cfg.data_centre,
+            limits=HttpLimits(max_body_bytes=cfg.max_body_bytes),
+            open_requests=self.open_requests,
+            max_deadline_s=cfg.max_deadline_s,
+            default_deadline_s=cfg.default_deadline_s,
+            clock_skew_s=cfg.clock_skew_s,
+            records_unconfirmed_s=self.sync.cut_off_s,
+            metrics=self.metrics,
+        )
+        return make_http_server(
+            make_caller_app(self, options),
+            options.limits,
+            tls.context if tls is not None else None,
+            intake=self._intake,
+        )
+
+    def _make_admin_server(self) -> HTTPServer:
+        tls = self._listener_tls[1]
+        options = AdminOptions(
+            jobs=self.jobs,
+            open_requests=self.open_requests,
+            drain=self.drain.start,
+            records_unconfirmed_s=self.sync.cut_off_s,
+            metrics=self.metrics,
+        )
+        return make_http_server(
+            make_admin_app(self, options),
+            options.limits,
+            tls.context if tls is not None else None,
+            intake=self._intake,
+        )
+
     def _make_owner(
         self, claim: ShardClaim, workers: list[WorkerSpec], inherited: HandOver | None
     ) -> ShardOwner:
--- a/baobabhoist/gateway/base_handler.py
+++ b/baobabhoist/gateway/base_handler.py
@@ -14,6 +14,7 @@
 from baobabhoist.errors import HTTP_STATUS, ErrorKind, Refusal
 from baobabhoist.gateway.drain import OpenRequests
 from baobabhoist.gateway.server import HttpLimits
+from baobabhoist.inbound.http_server import early_refusal
 from baobabhoist.model import Outcome
 
 log = logging.getLogger(__name__)
@@ -57,8 +58,12 @@
         self._is_body_complete = False
         self._counted = False
         self._timer: asyncio.TimerHandle | None = None
-        # A refusal is sent only after the body has arrived: closing a connection with unread
-        # bytes resets it, and the caller may never see the response.
+        early = early_refusal(self.request)
+        if early is not None:
+            self.refuse(early)
+            return
+        # Any other refusal is sent only after the body has arrived: closing a connection with
+        # unread bytes resets it, and the caller may never see the response.
         self._refusal = self.admit()
         discard_limit = self.options.limits.max_body_bytes * DISCARD_FACTOR
         # tornado has not validated the length yet; it rejects a value that is not a number later.
--- a/baobabhoist/gateway/server.py
+++ b/baobabhoist/gateway/server.py
@@ -8,11 +8,13 @@
 
 import attrs
 import orjson
-from tornado.httpserver import HTTPServer
 from tornado.iostream import IOStream
 from tornado.web import Application
 
 from baobabhoist.errors import ErrorKind, Refusal
+from baobabhoist.inbound.http_server import BoundedHTTPServer, EarlyCheck, accept_all
+from baobabhoist.inbound.intake import Intake, Observer
+from baobabhoist.inbound.limits import InboundLimits
 
 MAX_BODY_BYTES = 16 << 20
 MAX_HEADER_BYTES = 64 << 10
@@ -20,9 +22,8 @@
 IDLE_TIMEOUT_S = 75.0
 # A caller that does not read its response would otherwise keep an instance from draining.
 WRITE_TIMEOUT_S = 60.0
-# The handlers enforce the body limit themselves, because tornado rejects an oversized body
-# without a JSON error.
-UNLIMITED_BODY_BYTES = 1 << 62
+# How much later than the handlers, which answer first, the connections enforce the time of a body.
+BODY_TIMEOUT_MARGIN_S = 5.0
 # The response that tornado sends if the bytes received are not valid HTTP.
 TORNADO_BAD_REQUEST = b"HTTP/1.1 400 Bad Request\r\n\r\n"
 
@@ -68,7 +69,7 @@
     return write_with_json_error
 
 
-class JsonErrorHTTPServer(HTTPServer):
+class JsonErrorHTTPServer(BoundedHTTPServer):
     """Reject malformed HTTP with the same JSON error body as every other refusal.
 
     tornado rejects it before any handler runs, so its response is replaced in the stream.
@@ -80,14 +81,39 @@
         super().handle_stream(stream, address)
 
 
+def make_intake(
+    memory_mb: int, max_open_files: int, max_body_bytes: int, observer: Observer | None = None
+) -> Intake:
+    """Return what bounds the clients of all ports; there is room for the largest legal body."""
+    limits = InboundLimits.for_process(memory_mb, max_open_files)
+    body_memory_bytes = max(limits.body_memory_bytes, limits.small_reserve_bytes + max_body_bytes)
+    body_timeout_s = BODY_TIMEOUT_S + BODY_TIMEOUT_MARGIN_S
+    limits = attrs.evolve(
+        limits,
+        body_memory_bytes=body_memory_bytes,
+        body_timeout_s=body_timeout_s,
+        body_stall_timeout_s=body_timeout_s,
+        idle_timeout_s=IDLE_TIMEOUT_S,
+        write_timeout_s=WRITE_TIMEOUT_S,
+    )
+    return Intake(limits, observer)
+
+
 def make_http_server(
-    app: Application, limits: HttpLimits, context: ssl.SSLContext | None = None
-) -> HTTPServer:
+    app: Application,
+    limits: HttpLimits,
+    context: ssl.SSLContext | None = None,
+    *,
+    intake: Intake | None = None,
+    early_check: EarlyCheck = accept_all,
+) -> JsonErrorHTTPServer:
     """Return an HTTP server for an application, over TLS if a context is given."""
     return JsonErrorHTTPServer(
         app,
+        intake or make_intake(0, 0, limits.max_body_bytes),
+        limits.max_body_bytes,
+        early_check,
         ssl_options=context,
         max_header_size=limits.max_header_bytes,
-        max_body_size=UNLIMITED_BODY_BYTES,
         idle_connection_timeout=limits.idle_timeout_s,
     )
--- a/baobabhoist/observability/metrics.py
+++ b/baobabhoist/observability/metrics.py
@@ -73,6 +73,12 @@
             "link_bytes", "Bytes of messages on links to peers and workers since the start."
         )
         self._refusals = self._counter("refusals_total", "Work refused, by team and kind.")
+        self._refused_bodies = self._counter(
+            "refused_bodies_total", "Bodies of requests that were not kept, by reason."
+        )
+        self._closed_connections = self._counter(
+            "closed_connections_total", "Connections closed for a limit, by reason."
+        )
 
     def observe_wait(self, team: str, kind: str, seconds: float) -> None:
         """Observe how long a task waited for its start."""
@@ -119,6 +125,14 @@
         """Count a refusal by team and kind."""
         self._refusals.inc({"team": self._teams.label_for(team), "kind": kind})
 
+    def count_refused_body(self, reason: str) -> None:
+        """Count a body of a request that was not kept."""
+        self._refused_bodies.inc({"reason": reason})
+
+    def count_closed_connection(self, reason: str) -> None:
+        """Count a connection that was closed for a limit."""
+        self._closed_connections.inc({"reason": reason})
+
     def exposition(self, accept: list[str] | None = None) -> tuple[bytes, dict[str, str]]:
         """Return the metrics and the HTTP headers for a format in `accept`, by default text."""
         content, headers = render(self.registry, accept or ["text/plain"])
--- a/baobabhoist/tests/gateway_harness.py
+++ b/baobabhoist/tests/gateway_harness.py
@@ -139,7 +139,8 @@
 class Gateway:
     """Serve both applications while used as an asynchronous context manager."""
 
-    def __init__(self, **caller_options):
+    def __init__(self, intake=None, **caller_options):
+        self.intake = intake
         self.daemon = FakeDaemon()
         self.jobs = FakeJobService()
         self.callers = CallerOptions(
@@ -159,7 +160,7 @@
         for name, app in self.apps.items():
             limits = self.callers.limits if name == "callers" else self.admin.limits
             sock, self.ports[name] = bind_unused_port()
-            server = make_http_server(app, limits)
+            server = make_http_server(app, limits, intake=self.intake)
             server.add_sockets([sock])
             self._servers.append(server)
         return self
