Refuse a request to the daemon for its key or a drain before its body

Cause: refusals were held until the end of the body, since a connection that is closed with unread bytes is reset and its caller may not see the answer.

Evidence: test_request_is_refused_for_its_key_before_its_body and test_request_is_refused_during_a_drain_before_its_body fail on (TimeoutError) and pass now.

--- a/baobabhoist/daemon/app.py
+++ b/baobabhoist/daemon/app.py
@@ -33,6 +33,7 @@
 from baobabhoist.gateway.caller_handler import CallerOptions
 from baobabhoist.gateway.callers import make_caller_app
 from baobabhoist.gateway.drain import OpenRequests
+from baobabhoist.gateway.early_checks import AdminEarlyCheck, CallerEarlyCheck
 from baobabhoist.gateway.server import HttpLimits, make_http_server, make_intake
 from baobabhoist.gateway.tls import ReloadingTlsContext, TlsFiles
 from baobabhoist.jobs.messages import JOB_MESSAGES
@@ -352,6 +353,7 @@
             options.limits,
             tls.context if tls is not None else None,
             intake=self._intake,
+            early_check=CallerEarlyCheck(self, options),
         )
 
     def _make_admin_server(self) -> HTTPServer:
@@ -368,6 +370,7 @@
             options.limits,
             tls.context if tls is not None else None,
             intake=self._intake,
+            early_check=AdminEarlyCheck(self, options),
         )
 
     def _make_owner(
--- a/baobabhoist/gateway/drain.py
+++ b/baobabhoist/gateway/drain.py
@@ -11,6 +11,16 @@
 DRAIN_RETRY_AFTER_S = 0.5
 
 
+def draining_refusal() -> Refusal:
+    """Return the refusal of a new request during a drain."""
+    return Refusal(
+        ErrorKind.DRAINING,
+        "this instance is being drained",
+        remedy="send the request again; another instance will serve it",
+        retry_after_s=DRAIN_RETRY_AFTER_S,
+    )
+
+
 @attrs.define
 class OpenRequests:
     """Count open requests; once the drain has begun, new ones are refused.
@@ -27,12 +37,7 @@
     def admit(self) -> Refusal | None:
         """Count a new request, or return the refusal during a drain."""
         if self.draining:
-            return Refusal(
-                ErrorKind.DRAINING,
-                "this instance is being drained",
-                remedy="send the request again; another instance will serve it",
-                retry_after_s=DRAIN_RETRY_AFTER_S,
-            )
+            return draining_refusal()
         self.count += 1
         return None
 
--- a/baobabhoist/tests/gateway_harness.py
+++ b/baobabhoist/tests/gateway_harness.py
@@ -12,6 +12,7 @@
 from baobabhoist.gateway.admin_handler import AdminOptions
 from baobabhoist.gateway.caller_handler import CallerOptions
 from baobabhoist.gateway.callers import make_caller_app
+from baobabhoist.gateway.early_checks import AdminEarlyCheck, CallerEarlyCheck
 from baobabhoist.gateway.server import make_http_server
 from baobabhoist.model import (
     FINAL_JOB_STATES,
@@ -153,6 +154,10 @@
             "callers": make_caller_app(self.daemon, self.callers),
             "admin": make_admin_app(self.daemon, self.admin),
         }
+        self.early_checks = {
+            "callers": CallerEarlyCheck(self.daemon, self.callers),
+            "admin": AdminEarlyCheck(self.daemon, self.admin),
+        }
         self.ports = {}
         self._servers = []
 
@@ -160,7 +165,9 @@
         for name, app in self.apps.items():
             limits = self.callers.limits if name == "callers" else self.admin.limits
             sock, self.ports[name] = bind_unused_port()
-            server = make_http_server(app, limits, intake=self.intake)
+            server = make_http_server(
+                app, limits, intake=self.intake, early_check=self.early_checks[name]
+            )
             server.add_sockets([sock])
             self._servers.append(server)
         return self
--- a/baobabhoist/tests/test_gateway_bounds.py
+++ b/baobabhoist/tests/test_gateway_bounds.py
@@ -87,6 +87,34 @@
     with_gateway(test, intake=small_intake())
 
 
+def test_request_is_refused_for_its_key_before_its_body():
+    """Guard against strangers without a key that make an instance read large bodies."""
+
+    async def test(gateway):
+        cases = [
+            ("callers", "X-Team-Key: wrong", REQUESTS_PATH, 401),
+            ("callers", "X-Other: 1", REQUESTS_PATH, 401),
+            ("callers", "X-Team-Key: wrong", "/v1/jobs", 401),
+            ("admin", "X-Operator-Key: wrong", "/v1/records/team/a", 401),
+        ]
+        for listener, key, path, status in cases:
+            async with sending(gateway, request_head(key, path=path), listener) as reader:
+                assert await read_status(reader) == status
+
+    with_gateway(test)
+
+
+def test_request_is_refused_during_a_drain_before_its_body():
+    """Guard against a drain that waits for bodies that will not be served."""
+
+    async def test(gateway):
+        gateway.callers.open_requests.begin_drain()
+        async with sending(gateway, request_head()) as reader:
+            assert await read_status(reader) == 503
+
+    with_gateway(test)
+
+
 def test_announced_size_over_the_limit_is_refused_before_the_body():
     """Guard against reading a body that cannot be accepted."""
 
