Fit the peer ports into the descriptors of the machine, and count what they close

The bounds on connections of unknown instances follow from limits.max_open_files, too: with the defaults alone 640 of them could be open on a machine of 300 descriptors. What the peer ports close is counted in closed_connections_total with the reason's name after "peer_".

--- a/baobabhoist/control/links.py
+++ b/baobabhoist/control/links.py
@@ -20,6 +20,7 @@
 from baobabhoist.control.messages import CODEC, Greeting, OwnerHeartbeat, Welcome
 from baobabhoist.control.sessions.assignment import Holder, LinkedInstance
 from baobabhoist.errors import LinkClosedError
+from baobabhoist.inbound.intake import Observer
 from baobabhoist.observability.events import Event, emit
 from baobabhoist.observability.tasks import create_logged_task
 from baobabhoist.peer.admission import LinkLimits, Standing
@@ -64,7 +65,11 @@
     """Accept links from the other instances and track the open ones by node name."""
 
     def __init__(
-        self, identity: Identity, handler: Handler, limits: LinkLimits | None = None
+        self,
+        identity: Identity,
+        handler: Handler,
+        limits: LinkLimits | None = None,
+        observer: Observer | None = None,
     ) -> None:
         self.links: dict[str, Link] = {}
         # The sizes of the linked instances' machines, by node name.
@@ -73,7 +78,7 @@
         self.session_hosts: dict[str, LinkedInstance] = {}
         self._identity = identity
         self._handler = handler
-        self._port = InboundPort(limits)
+        self._port = InboundPort(limits, observer)
         self._conns: dict[str, InboundConnection] = {}
         self._server: Server | None = None
 
--- a/baobabhoist/control/node.py
+++ b/baobabhoist/control/node.py
@@ -80,17 +80,18 @@
         )
         advice_gate = AdviceGate(adapter.adviser)
         self.owner_router = OwnerRouter(cfg.instance_id, advice_gate)
+        self.metrics = NodeMetrics()
         self.link_server = LinkServer(
             self.identity,
             self.owner_router.handle,
-            LinkLimits.for_memory(cfg.limits.memory_mb),
+            LinkLimits.for_process(cfg.limits.memory_mb, cfg.limits.max_open_files),
+            self.metrics,
         )
         self.owner_link = OwnerLink(
             self.identity, self.owner_router.handle, lambda: self._election.recheck()
         )
         self.owner_router.owner_link = self.owner_link
         self.owner_router.make_session_holder = self._make_session_holder
-        self.metrics = NodeMetrics()
         # Returns how many log lines were dropped or suppressed.
         self.count_dropped_lines: Callable[[], int] = lambda: 0
         direct = MonitoredStore(adapter.store, self.metrics)
--- a/baobabhoist/daemon/app.py
+++ b/baobabhoist/daemon/app.py
@@ -122,7 +122,8 @@
             self._on_peer_message,
             on_heartbeat=self._on_heartbeat,
             tls=self.tls,
-            limits=LinkLimits.for_memory(cfg.limits.memory_mb),
+            limits=LinkLimits.for_process(cfg.limits.memory_mb, cfg.limits.max_open_files),
+            observer=self.metrics,
         )
         self.ownership = OwnershipManager(
             LocalInstance(cfg.instance_id, cfg.data_centre, cfg.vm_weight),
--- a/baobabhoist/peer/admission.py
+++ b/baobabhoist/peer/admission.py
@@ -10,6 +10,9 @@
 BYTES_PER_MB = 1 << 20
 # The part of the machine's memory that unknown instances may fill with their messages.
 MEMORY_DIVISOR = 8
+# The parts of the descriptors that connections of unknown instances may take.
+PENDING_DIVISOR = 10
+UNCONFIRMED_DIVISOR = 4
 
 
 class Standing(enum.IntEnum):
@@ -51,11 +54,19 @@
     identify_timeout_s: float = 5.0
 
     @classmethod
-    def for_memory(cls, memory_mb: int) -> LinkLimits:
-        """Return the limits of a machine; a size of 0 is not known."""
-        if memory_mb == 0:
-            return cls()
-        return cls(max_bytes=memory_mb * BYTES_PER_MB // MEMORY_DIVISOR)
+    def for_process(cls, memory_mb: int, max_open_files: int) -> LinkLimits:
+        """Return the limits of a process on a machine; a size of 0 is not known."""
+        limits = cls()
+        if memory_mb:
+            max_bytes = memory_mb * BYTES_PER_MB // MEMORY_DIVISOR
+            limits = attrs.evolve(limits, max_bytes=max_bytes)
+        if max_open_files:
+            limits = attrs.evolve(
+                limits,
+                max_pending=min(limits.max_pending, max_open_files // PENDING_DIVISOR),
+                max_unconfirmed=min(limits.max_unconfirmed, max_open_files // UNCONFIRMED_DIVISOR),
+            )
+        return limits
 
 
 @attrs.frozen
--- a/baobabhoist/peer/inbound.py
+++ b/baobabhoist/peer/inbound.py
@@ -13,6 +13,7 @@
 
 from websockets.asyncio.server import Server, ServerConnection, serve
 
+from baobabhoist.inbound.intake import NoObserver, Observer
 from baobabhoist.observability.events import Event, emit
 from baobabhoist.peer.admission import (
     CloseReason,
@@ -111,8 +112,9 @@
 class InboundPort:
     """Listen for other instances, and close the connections that exceed the limits."""
 
-    def __init__(self, limits: LinkLimits | None = None) -> None:
+    def __init__(self, limits: LinkLimits | None = None, observer: Observer | None = None) -> None:
         self.admission = LinkAdmission(limits or LinkLimits())
+        self._observer = observer or NoObserver()
         # How many connections were closed, by reason.
         self.closed: Counter[CloseReason] = Counter()
         self._next_log_at = 0.0
@@ -149,6 +151,7 @@
         assert isinstance(conn, InboundConnection)
         self.admission.close(conn)
         self.closed[eviction.reason] += 1
+        self._observer.count_closed_connection(f"peer_{eviction.reason.name.lower()}")
         self._log(conn, eviction.reason)
         conn.transport.abort()
 
--- a/baobabhoist/peer/mesh.py
+++ b/baobabhoist/peer/mesh.py
@@ -15,6 +15,7 @@
 from websockets.exceptions import ConnectionClosed, InvalidHandshake
 
 from baobabhoist.errors import LinkClosedError, MessageNotSentError
+from baobabhoist.inbound.intake import Observer
 from baobabhoist.ownership.tokens import NO_TOKEN, Token
 from baobabhoist.peer.admission import LinkLimits, Standing
 from baobabhoist.peer.inbound import InboundConnection, InboundPort
@@ -86,6 +87,7 @@
         tls: TlsContexts | None = None,
         clock: Callable[[], float] = time.time,
         limits: LinkLimits | None = None,
+        observer: Observer | None = None,
     ) -> None:
         self.peers = {address.instance_id: PeerState(address) for address in peers}
         self._make_heartbeat = make_heartbeat
@@ -93,7 +95,7 @@
         self._on_heartbeat = on_heartbeat
         self._tls = tls
         self._clock = clock
-        self._port = InboundPort(limits)
+        self._port = InboundPort(limits, observer)
         self._link_tasks: dict[str, asyncio.Task[None]] = {}
         self._heartbeat_tasks: set[asyncio.Task[None]] = set()
 
--- a/baobabhoist/tests/test_peer_admission.py
+++ b/baobabhoist/tests/test_peer_admission.py
@@ -71,3 +71,11 @@
     """Guard against a single stranger that takes all of the memory that strangers share."""
     admission = admission_with("a")
     assert admission.hold("a", 81) == Eviction("a", TOO_MUCH_MEMORY)
+
+
+def test_limits_follow_the_machine_and_never_exceed_the_defaults():
+    """Guard against peer ports that take the descriptors or the memory of a small machine."""
+    assert LinkLimits.for_process(0, 0) == LinkLimits()
+    assert LinkLimits.for_process(0, 100_000) == LinkLimits()
+    small = LinkLimits.for_process(160, 300)
+    assert (small.max_bytes, small.max_pending, small.max_unconfirmed) == (20 << 20, 30, 75)
