--- a/baobabhoist/control/links.py
+++ b/baobabhoist/control/links.py
@@ -10,7 +10,7 @@
 import attrs
 from websockets.asyncio.client import connect
 from websockets.asyncio.connection import Connection
-from websockets.asyncio.server import Server, ServerConnection, serve
+from websockets.asyncio.server import Server
 from websockets.exceptions import WebSocketException
 
 from baobabhoist.control.claim import ClaimRow, OwnerLinkState
@@ -20,8 +20,11 @@
 from baobabhoist.control.messages import CODEC, Greeting, OwnerHeartbeat, Welcome
 from baobabhoist.control.sessions.assignment import Holder, LinkedInstance
 from baobabhoist.errors import LinkClosedError
+from baobabhoist.inbound.intake import Observer
 from baobabhoist.observability.events import Event, emit
 from baobabhoist.observability.tasks import create_logged_task
+from baobabhoist.peer.admission import LinkLimits, Standing
+from baobabhoist.peer.inbound import InboundConnection, InboundPort
 from baobabhoist.peer.link import WEBSOCKET_OPTIONS, Link
 
 log = logging.getLogger(__name__)
@@ -61,7 +64,13 @@
 class LinkServer:
     """Accept links from the other instances and track the open ones by node name."""
 
-    def __init__(self, identity: Identity, handler: Handler) -> None:
+    def __init__(
+        self,
+        identity: Identity,
+        handler: Handler,
+        limits: LinkLimits | None = None,
+        observer: Observer | None = None,
+    ) -> None:
         self.links: dict[str, Link] = {}
         # The sizes of the linked instances' machines, by node name.
         self.sizes: dict[str, MachineSize] = {}
@@ -69,23 +78,28 @@
         self.session_hosts: dict[str, LinkedInstance] = {}
         self._identity = identity
         self._handler = handler
+        self._port = InboundPort(limits, observer)
+        self._conns: dict[str, InboundConnection] = {}
         self._server: Server | None = None
 
     async def start(self, host: str, port: int) -> None:
         """Start listening on `host` and `port`."""
-        self._server = await serve(self._serve, host, port, **SERVER_OPTIONS)
+        self._server = await self._port.serve(self._serve, host, port, SERVER_OPTIONS)
 
     async def stop(self) -> None:
         """Stop listening and close all links."""
         if self._server is not None:
             self._server.close()
 
-    async def _serve(self, conn: ServerConnection) -> None:
+    async def _serve(self, conn: InboundConnection) -> None:
         node = ""
 
         async def handle(message: Any) -> Any:
             nonlocal node
             if isinstance(message, Greeting):
+                if node not in ("", message.node) or not self._accept(conn, message):
+                    link.abort()
+                    return None
                 node = message.node
                 self._add(message, link)
                 return Welcome(
@@ -94,12 +108,24 @@
             return await self._handler(message)
 
         link = Link(conn, CODEC, handle)
+        conn.count_unfinished_bytes = link.unfinished_bytes
         await link.run()
         if self.links.get(node) is link:
             del self.links[node]
             del self.sizes[node]
+            del self._conns[node]
             self.session_hosts.pop(node, None)
 
+    def _accept(self, conn: InboundConnection, greeting: Greeting) -> bool:
+        """Replace the last connection of an instance; return whether the new one may stay."""
+        previous = self._conns.get(greeting.node)
+        if previous is not None and previous is not conn:
+            previous.replace()
+        if not conn.identify(Standing.UNCONFIRMED):
+            return False
+        self._conns[greeting.node] = conn
+        return True
+
     def _add(self, greeting: Greeting, link: Link) -> None:
         node, size = greeting.node, MachineSize(greeting.cores, greeting.link_mbps)
         self.links[node] = link
