Let a restarted worker refuse late acknowledgements too

What callers could see: a task that runs again after its end was acknowledged.

Cause: that commit asked for a higher token after a restart only if a deadline had been sent under the last one. A renewal of a suspended session carries none, but it acknowledges ends. Executed late, it makes the next process forget ends of its own that nobody has seen.

Change: every call that a session makes once it has heard its worker counts.

--- a/baobabhoist/control/sessions/worker_session.py
+++ b/baobabhoist/control/sessions/worker_session.py
@@ -72,8 +72,9 @@
         # before, which may otherwise reach a later process of it.
         self.token = 0
         self._needs_higher_token = True
-        # A deadline was sent under the token, so a next process may still accept that call.
-        self._has_sent_deadline = False
+        # A deadline, a start or an acknowledgement was sent under the token, which a next process
+        # may still accept.
+        self._may_reach_next_process = False
         # The incarnation of the worker that the ends below belong to.
         self.started_unix_ms = 0
         self.last_seen_end = 0
@@ -125,6 +126,7 @@
         deadline_ms = self._next_deadline()
         if deadline_ms is None:
             return NOT_SENT
+        self._may_reach_next_process = True
         token = self.token
         answer = await self._driver.start(self.info, token, command, deadline_ms)
         if self._is_fenced_by_itself(answer, token):
@@ -148,7 +150,8 @@
         token = self._listener.token
         if not self._needs_higher_token or token <= self.token:
             return
-        self.token, self._needs_higher_token, self._has_sent_deadline = token, False, False
+        self.token, self._needs_higher_token = token, False
+        self._may_reach_next_process = False
 
     def _next_deadline(self) -> int | None:
         """Extend the lease if that is permitted, and return its deadline.
@@ -160,9 +163,7 @@
         now = monotonic_ms()
         if not self._is_heard or not self._listener.may_renew():
             return None
-        deadline_ms = self.lease.extend_deadline(now, self._lease_ms)
-        self._has_sent_deadline |= deadline_ms is not None
-        return deadline_ms
+        return self.lease.extend_deadline(now, self._lease_ms)
 
     async def _run(self) -> None:
         delay_s = RETRY_INITIAL_S
@@ -190,6 +191,7 @@
         self._raise_token()
         has_unacked_ends = self.last_seen_end > self.acked_end
         is_heard = self._is_heard
+        self._may_reach_next_process |= is_heard
         may_wait = is_heard and not has_unacked_ends
         deadline_ms = self._next_deadline()
         sent_ms = monotonic_ms()
@@ -206,7 +208,7 @@
         if not isinstance(answer, WorkerReport):
             self._handle_failure(answer)
             return False
-        if self._has_restarted(answer) and self._has_sent_deadline:
+        if self._has_restarted(answer) and self._may_reach_next_process:
             self._needs_higher_token = True
             if self._listener.gets_higher_tokens:
                 # Only the answer to a call with a higher token shows what will run there.
--- a/baobabhoist/tests/test_sessions_worker_session.py
+++ b/baobabhoist/tests/test_sessions_worker_session.py
@@ -416,3 +416,25 @@
 
     assert asyncio.run(run_stop()).outcome is CommandOutcome.OK
     assert not worker.runs
+
+
+def test_a_restarted_worker_refuses_acknowledgements_of_earlier_ends():
+    """Guard against ends that a restarted worker forgets unseen, by a renewal that comes late."""
+    harness = CellHarness.with_workers(1)
+    worker = harness.workers["w0"]
+    session = make_session(harness, FakeDriver(worker))
+    # The lease may not be extended, so that no renewal carries a deadline.
+    session._listener.deps.owner.may_renew = lambda: False
+
+    async def run():
+        await session._renew()
+        await session._renew()
+        sent_token = session.token
+        worker.crash()
+        worker.restart()
+        harness.token += 1
+        await session._renew()
+        await session._renew()
+        return worker.renew(sent_token, 1, None)
+
+    assert asyncio.run(run()) is CommandOutcome.FENCED
