Wait for an expected echo as long as it takes

An echo that must come may take 10 s now, which is only a guard against hanging; the absence of one is watched for 0.2 s as before. No check is weaker: each outcome is still compared.

--- a/baobabhoist/tests/test_testing_network.py
+++ b/baobabhoist/tests/test_testing_network.py
@@ -9,7 +9,9 @@
 from baobabhoist.testing.cluster import free_port
 from baobabhoist.testing.network import Relay, parse_relay
 
-REPLY_TIMEOUT_S = 0.2
+# How long the absence of an echo is watched, and how long an expected echo may take at most.
+NO_REPLY_S = 0.2
+REPLY_TIMEOUT_S = 10.0
 
 
 async def echo(reader, writer):
@@ -18,12 +20,12 @@
             writer.write(data)
 
 
-async def is_echoed(conn):
-    """Return whether data sent over a connection is echoed."""
+async def is_echoed(conn, is_expected=True):
+    """Return whether data sent over a connection is echoed; an expected echo may take longer."""
     reader, writer = conn
     try:
         writer.write(b"ping")
-        async with asyncio.timeout(REPLY_TIMEOUT_S):
+        async with asyncio.timeout(REPLY_TIMEOUT_S if is_expected else NO_REPLY_S):
             return await reader.readexactly(4) == b"ping"
     except (TimeoutError, ConnectionError, asyncio.IncompleteReadError):
         return False
@@ -60,11 +62,14 @@
         first = await connect()
         assert await is_echoed(first)
         await relay.set_fault(mode, 0.0, None)
-        outcome = await is_echoed(first), await is_echoed(await connect())
+        outcome = (
+            await is_echoed(first, open_works),
+            await is_echoed(await connect(), new_works),
+        )
         if mode == "silent":
             assert not first[0].at_eof()
         await relay.set_fault("pass", 0.0, None)
-        assert await is_echoed(first) == open_works
+        assert await is_echoed(first, open_works) == open_works
         assert await is_echoed(await connect())
         return outcome
 
@@ -81,7 +86,11 @@
         await relay.set_fault("cut", 0.0, "south")
         while_south_is_cut = await is_echoed(first), await is_echoed(await connect())
         await relay.set_fault("cut", 0.0, "north")
-        return while_south_is_cut, (await is_echoed(first), await is_echoed(await connect()))
+        while_north_is_cut = (
+            await is_echoed(first, False),
+            await is_echoed(await connect(), False),
+        )
+        return while_south_is_cut, while_north_is_cut
 
     assert asyncio.run(run_with_relay(scenario)) == ((True, True), (False, False))
 
