Close a link that sends many invalid messages

Seen: after 200 invalid messages a link stays open on (TimeoutError), and by the code each of them writes a warning; a stranger can fill the disk and spend the time of the loop on log lines.

Cause: an invalid message was discarded with a line, and nothing counted them.

Ruled out: closing at the first one, since an instance of a newer release may send messages that an older one does not know while releases are mixed.

Change: a link is closed after 100 invalid messages.

Evidence: the new test of test_peer_inbound.py fails on (TimeoutError) and passes now.

--- a/baobabhoist/peer/link.py
+++ b/baobabhoist/peer/link.py
@@ -39,6 +39,8 @@
 # A frame holds at most one chunk; the remainder leaves room for the encoding around it.
 MAX_FRAME_BYTES = 4 * CHUNK_BYTES
 MAX_QUEUED_FRAMES = 256
+# An instance of a newer release may send some messages that this one does not know.
+MAX_INVALID_MESSAGES = 100
 
 # Options of the websockets library for all connections between processes. Its keepalive closes an
 # unresponsive connection, after which a new link is opened.
@@ -78,12 +80,15 @@
         self._send_windows: dict[int, SendWindow] = {}
         self._assembler = StreamAssembler()
         self._tasks: set[asyncio.Task[None]] = set()
+        self._invalid_messages = 0
         self.closed = False
 
     async def run(self) -> None:
         """Receive messages until the connection ends, then fail the pending calls."""
         try:
             async for data in self._conn:
+                if self.closed:
+                    break
                 LINK_TRAFFIC.received_bytes += len(data)
                 self._receive(data if isinstance(data, bytes) else data.encode())
         except ConnectionClosed:
@@ -180,6 +185,9 @@
             envelope = self._codec.decode(data)
         except CodecError as exc:
             emit(log, Event.MESSAGE_DISCARDED, detail=exc)
+            self._invalid_messages += 1
+            if self._invalid_messages > MAX_INVALID_MESSAGES:
+                self.abort()
             return
         stream_handler = self._STREAM_HANDLERS.get(type(envelope.message))
         if stream_handler is not None:
--- a/baobabhoist/tests/test_peer_inbound.py
+++ b/baobabhoist/tests/test_peer_inbound.py
@@ -12,7 +12,7 @@
 from baobabhoist.control.messages import CODEC, Greeting, Welcome
 from baobabhoist.errors import LinkClosedError
 from baobabhoist.peer.admission import LinkLimits
-from baobabhoist.peer.link import WEBSOCKET_OPTIONS, Link
+from baobabhoist.peer.link import MAX_INVALID_MESSAGES, WEBSOCKET_OPTIONS, Link
 from baobabhoist.peer.streams import CHUNK_BYTES, BodyChunk
 from baobabhoist.testing.cluster import free_port
 
@@ -211,3 +211,20 @@
             assert accepted[0]._assembler.buffers == {}
 
     asyncio.run(scenario())
+
+
+def test_link_with_many_invalid_messages_is_closed(caplog):
+    """Guard against a stranger that fills the log with a line for each message."""
+
+    async def scenario():
+        async with link_server() as (_, port), open_link(port) as link:
+            await greet(link, "a")
+            with contextlib.suppress(ConnectionClosed):
+                for _ in range(2 * MAX_INVALID_MESSAGES):
+                    await link._conn.send(b"invalid")
+            async with asyncio.timeout(10.0):
+                await link._conn.wait_closed()
+
+    asyncio.run(scenario())
+    lines = [r for r in caplog.records if "discarded an invalid message" in r.getMessage()]
+    assert len(lines) == MAX_INVALID_MESSAGES + 1
