Let a listed peer hold one connection of the peer port

Listed peers don't count towards the bounds on unknown instances, so without TLS a stranger who knows a name could open any number.

Cause: each heartbeat made its connection the peer's inbound link, and none ended the one before.

Change: the connection that gives the name last replaces the one before; its messages that are still to be handled don't take the place back.

--- a/baobabhoist/peer/mesh.py
+++ b/baobabhoist/peer/mesh.py
@@ -96,6 +96,8 @@
         self._tls = tls
         self._clock = clock
         self._port = InboundPort(limits, observer)
+        # The last connection that each listed peer has opened.
+        self._inbound_conns: dict[str, InboundConnection] = {}
         self._link_tasks: dict[str, asyncio.Task[None]] = {}
         self._heartbeat_tasks: set[asyncio.Task[None]] = set()
 
@@ -123,6 +125,7 @@
         Call it once the membership list has reported the peer as gone for the membership lag.
         """
         self.peers.pop(instance_id, None)
+        self._inbound_conns.pop(instance_id, None)
         link_task = self._link_tasks.pop(instance_id, None)
         if link_task is not None:
             link_task.cancel()
@@ -190,7 +193,7 @@
 
     async def _serve_connection(self, conn: InboundConnection) -> None:
         async def handle(message: Any) -> Any | None:
-            if isinstance(message, Heartbeat):
+            if isinstance(message, Heartbeat) and not link.closed:
                 self._identify(message.instance_id, conn, link)
             return await self._handle_message(message)
 
@@ -204,6 +207,10 @@
             conn.identify(Standing.UNCONFIRMED)
             return
         conn.identify(Standing.LISTED)
+        previous = self._inbound_conns.get(instance_id)
+        if previous is not None and previous is not conn:
+            previous.replace()
+        self._inbound_conns[instance_id] = conn
         peer.inbound_link = link
 
     def _start_link_tasks(self) -> None:
--- a/baobabhoist/tests/test_peer_mesh.py
+++ b/baobabhoist/tests/test_peer_mesh.py
@@ -189,6 +189,22 @@
     return [(own_mesh, port) for own_mesh, port in zip(meshes, ports, strict=True)]
 
 
+def make_own_heartbeat():
+    return make_heartbeat("a")
+
+
+@contextlib.asynccontextmanager
+async def connect_when_ready(port):
+    async with asyncio.timeout(5.0):
+        while True:
+            with contextlib.suppress(OSError):
+                conn = await connect(f"ws://127.0.0.1:{port}", **WEBSOCKET_OPTIONS)
+                break
+            await asyncio.sleep(0.01)
+    yield conn
+    conn.transport.abort()
+
+
 def test_unresponsive_connection_is_replaced(monkeypatch):
     """Guard against a connection that a middlebox dropped silently and that stays open forever."""
     monkeypatch.setattr(mesh, "ACK_TIMEOUT_S", 0.3)
@@ -299,3 +315,25 @@
                 await link.call(RelayRequest(request("small", b"y")), 0.01)
 
     asyncio.run(scenario())
+
+
+def test_listed_name_holds_one_connection_of_a_peer_port():
+    """Guard against a stranger that opens any number of connections with the name of a peer."""
+
+    async def scenario():
+        port = free_port()
+        own_mesh = Mesh([PeerAddress("b", "north", "127.0.0.1", 1)], make_own_heartbeat, echo)
+        async with running((own_mesh, port)), contextlib.AsyncExitStack() as stack:
+            links = []
+            for _ in range(3):
+                conn = await stack.enter_async_context(connect_when_ready(port))
+                links.append(Link(conn, CODEC, echo))
+                stack.callback(asyncio.ensure_future(links[-1].run()).cancel)
+                assert await links[-1].call(make_heartbeat("b"), 5.0) == Ack()
+            async with asyncio.timeout(10.0):
+                while not (links[0].closed and links[1].closed):
+                    await asyncio.sleep(0.01)
+            assert not links[2].closed
+            assert [peer.address.instance_id for peer in own_mesh.live_peers()] == ["b"]
+
+    asyncio.run(scenario())
