Free the body of a request to the daemon as soon as the request ends

Cause: a handler, its request and its connection refer to each other, and full collections are made rare; what had been received of a refused or abandoned body stayed in the handler until then.

Change: the handler drops its pieces when it answers or when its connection ends.

--- a/baobabhoist/gateway/base_handler.py
+++ b/baobabhoist/gateway/base_handler.py
@@ -126,6 +126,7 @@
     def finish(self, chunk: Any = None) -> Any:
         """Send the response; the request stays open until all of it is written."""
         self._cancel_body_timer()
+        self._free_body()
         if self.options.open_requests.leaving_balancer:
             self.set_header("Connection", "close")
         stream = self.request.connection.stream  # type: ignore[union-attr]
@@ -142,6 +143,7 @@
         super().on_connection_close()
         if not self._is_body_complete:
             self._cancel_body_timer()
+            self._free_body()
             self._finish_open_request()
 
     def write_error(self, status_code: int, **kwargs: Any) -> None:
@@ -180,6 +182,10 @@
             remedy="send a smaller body",
         )
 
+    def _free_body(self) -> None:
+        # The handler is part of a cycle of references, which is collected much later.
+        getattr(self, "_chunks", []).clear()
+
     def _cancel_body_timer(self) -> None:
         timer = getattr(self, "_timer", None)
         if timer is not None:
--- a/baobabhoist/tests/test_gateway_bounds.py
+++ b/baobabhoist/tests/test_gateway_bounds.py
@@ -5,6 +5,7 @@
 
 import attrs
 
+from baobabhoist.gateway.base_handler import ApiHandler
 from baobabhoist.gateway.server import make_intake
 from baobabhoist.inbound.intake import Intake
 from baobabhoist.tests.gateway_harness import ROSTER_HEADERS, with_gateway
@@ -144,3 +145,26 @@
 
     limits = attrs.evolve(make_intake(0, 0, 0).limits, max_connections=CROWD // 2)
     with_gateway(test, intake=Intake(limits))
+
+
+def test_body_of_a_request_that_ends_early_is_freed_at_once(monkeypatch):
+    """Guard against bodies that stay in memory until the next garbage collection."""
+    handlers = []
+
+    def prepare(handler):
+        handlers.append(handler)
+        receive(handler)
+
+    receive = ApiHandler.prepare
+    monkeypatch.setattr(ApiHandler, "prepare", prepare)
+
+    async def test(gateway):
+        body = request_head() + bytes(BODY_BYTES - 1)
+        async with sending(gateway, body), sending(gateway, body), sending(gateway, body) as last:
+            assert await read_status(last) == 503
+        async with asyncio.timeout(10.0):
+            while gateway.callers.open_requests.count:
+                await asyncio.sleep(0.01)
+        assert [handler._chunks for handler in handlers] == [[]] * 4
+
+    with_gateway(test, intake=small_intake())
