--- a/baobabhoist/tests/crowd_harness.py
+++ b/baobabhoist/tests/crowd_harness.py
@@ -22,6 +22,8 @@
 MACHINE = {"memory_mb": 96, "max_open_files": 300}
 # Fails a test whose process answers nothing any more.
 HANG_GUARD_S = 60.0
+# Fails a test whose process keeps what a crowd took.
+GIVE_BACK_GUARD_S = 20.0
 REQUEST_TIMEOUT_S = 10.0
 POLL_PAUSE_S = 0.2
 SAMPLE_INTERVAL_S = 0.05
@@ -96,9 +98,11 @@
             await asyncio.sleep(SAMPLE_INTERVAL_S)
 
 
-async def wait_until(condition: Callable[[], Awaitable[bool]]) -> bool:
-    """Return whether a condition came true before the hang guard."""
-    deadline = time.monotonic() + HANG_GUARD_S
+async def wait_until(
+    condition: Callable[[], Awaitable[bool]], guard_s: float = HANG_GUARD_S
+) -> bool:
+    """Return whether a condition came true before a guard."""
+    deadline = time.monotonic() + guard_s
     while time.monotonic() < deadline:
         if await condition():
             return True
@@ -166,7 +170,7 @@
         files_left = calm_files + (max_open_files - calm_files) * LEFT_IN_USE
         return process.memory_mb() <= mb_left and process.count_open_files() <= files_left
 
-    gave_back = await wait_until(gives_back)
+    gave_back = await wait_until(gives_back, GIVE_BACK_GUARD_S)
     sampling.cancel()
     figures = (
         f"memory {calm_mb:.0f} MB in calm, {process.memory_mb('VmHWM'):.0f} at the peak, "
