--- a/baobabhoist/inbound/intake.py
+++ b/baobabhoist/inbound/intake.py
@@ -24,12 +24,12 @@
 
     TOO_MANY = "too_many"
     TIMEOUT = "timeout"
+    UNREAD_ANSWERS = "unread_answers"
 
 
 class RefusedBody(enum.StrEnum):
     """Enumerate why a body was refused."""
 
-    TOO_LARGE = "too_large"
     NO_MEMORY = "no_memory"
     GIVEN_UP = "given_up"
     EARLY = "early"
@@ -74,19 +74,28 @@
             limits.small_body_bytes,
             limits.min_stall_s,
         )
-        self.connections: ConnectionTable[Client] = ConnectionTable(limits.max_connections)
+        self.connections: ConnectionTable[Client] = ConnectionTable(
+            limits.max_connections, limits.max_waiting, limits.max_sending
+        )
         self.gate = ChunkGate(make_bucket(limits.pieces_per_s, limits.piece_burst))
         self._is_sweeping = False
 
     def open(self, client: Client, deadline_s: float) -> bool:
         """Track a new connection, which waits until a deadline; return whether it may stay."""
         excess = self.connections.add(client, deadline_s)
-        if excess is not None:
-            self._close(excess, CloseReason.TOO_MANY)
+        for other in excess:
+            self._close(other, CloseReason.TOO_MANY)
         if not self._is_sweeping:
             self._is_sweeping = True
             asyncio.get_running_loop().call_later(SWEEP_INTERVAL_S, self._sweep)
-        return excess is not client
+        return client not in excess
+
+    def send(self, client: Client) -> None:
+        """Track a client that has not read its answer yet; close another if there are too many."""
+        deadline_s = time.monotonic() + self.limits.write_timeout_s
+        excess = self.connections.send(client, deadline_s)
+        if excess is not None:
+            self._close(excess, CloseReason.UNREAD_ANSWERS)
 
     def _sweep(self) -> None:
         """Close the connections whose clients have let their deadlines pass."""
