--- a/baobabhoist/tests/test_crowd_gateway.py
+++ b/baobabhoist/tests/test_crowd_gateway.py
@@ -127,6 +127,12 @@
     assert play_crowd(running_site(tmp_path), "peer", kind) == []
 
 
+# Guards against an event loop that decodes tiny chunks and has no turn left for other callers.
+@pytest.mark.parametrize("port_name", ["caller", "admin"])
+def test_tiny_chunks_leave_a_daemon_time_for_ordinary_callers(tmp_path, port_name):
+    assert play_crowd(running_site(tmp_path), port_name, "tiny_chunks") == []
+
+
 # Guards against a limit on the memory of bodies that refuses a single job of legal size.
 def test_a_daemon_serves_a_job_of_the_largest_legal_body_in_calm(tmp_path):
     job = JOB.ljust(MAX_BODY_BYTES)
