Play the whole crowd before the descriptors are counted

Now the crowd settles once every member has connected, at the latest after 10 s, and one sample is taken before it leaves.

--- a/baobabhoist/testing/crowd.py
+++ b/baobabhoist/testing/crowd.py
@@ -22,7 +22,8 @@
 # Sent by one member over all of its connections.
 MEMBER_MAX_BYTES = 128 * MIB
 CROWD_MAX_S = 150.0
-SETTLE_MAX_S = 6.0
+# Covers the second repetition of an opening packet that the kernel dropped.
+SETTLE_MAX_S = 10.0
 STALL_S = 1.0
 POLL_INTERVAL_S = 0.05
 RECONNECT_PAUSE_S = 1.0
@@ -155,6 +156,7 @@
     target: Target
     behaviour: Behaviour
     sent_bytes: int = 0
+    has_connected: bool = False
     # Whether a connection has sent everything or was closed by the server.
     is_settled: bool = False
 
@@ -171,6 +173,7 @@
     async def _connect(self) -> None:
         limit = CHUNK_BYTES if self.behaviour.reads_answers else UNREAD_LIMIT_BYTES
         reader, writer = await asyncio.open_connection(HOST, self.target.port, limit=limit)
+        self.has_connected = True
         try:
             await self._send(writer)
             self.is_settled = True
@@ -215,14 +218,18 @@
 
     async def wait_until_settled(self) -> None:
         """Wait until every member has sent all it can, or the server reads no more."""
-        now = time.monotonic()
-        deadline, stalled_at, sent_bytes = now + SETTLE_MAX_S, now + STALL_S, 0
-        while time.monotonic() < min(deadline, stalled_at):
+        deadline = time.monotonic() + SETTLE_MAX_S
+        progress, stalled_at = (0, 0), time.monotonic() + STALL_S
+        while time.monotonic() < deadline:
+            connected_count = sum(m.has_connected or m.is_settled for m in self.members)
             if all(member.is_settled for member in self.members):
                 return
+            if (connected_count, self.sent_bytes) != progress:
+                progress = (connected_count, self.sent_bytes)
+                stalled_at = time.monotonic() + STALL_S
+            elif time.monotonic() >= stalled_at and connected_count == len(self.members):
+                return
             await asyncio.sleep(POLL_INTERVAL_S)
-            if self.sent_bytes != sent_bytes:
-                sent_bytes, stalled_at = self.sent_bytes, time.monotonic() + STALL_S
 
     @property
     def sent_bytes(self) -> int:
--- a/baobabhoist/tests/crowd_harness.py
+++ b/baobabhoist/tests/crowd_harness.py
@@ -90,11 +90,14 @@
         queues = [row[4] for row in rows if row[1].endswith(local_port) and row[3] == ESTABLISHED]
         return sum(int(queue.partition(":")[2], 16) for queue in queues) / KIB_PER_MB**2
 
-    async def sample(self) -> None:
+    def sample(self) -> None:
+        memory_mb = self.memory_mb() + self.unread_mb()
+        self.most_memory_mb = max(self.most_memory_mb, memory_mb, self.memory_mb("VmHWM"))
+        self.most_open_files = max(self.most_open_files, self.count_open_files())
+
+    async def sample_periodically(self) -> None:
         while self.is_alive:
-            memory_mb = self.memory_mb() + self.unread_mb()
-            self.most_memory_mb = max(self.most_memory_mb, memory_mb, self.memory_mb("VmHWM"))
-            self.most_open_files = max(self.most_open_files, self.count_open_files())
+            self.sample()
             await asyncio.sleep(SAMPLE_INTERVAL_S)
 
 
@@ -155,10 +158,12 @@
     memory_mb, max_open_files = MACHINE["memory_mb"], MACHINE["max_open_files"]
     process = WatchedProcess(site.cluster, site.name, target.port)
     calm_mb, calm_files = process.memory_mb(), process.count_open_files()
-    sampling = asyncio.create_task(process.sample())
+    sampling = asyncio.create_task(process.sample_periodically())
     async with Crowd(target, BEHAVIOURS[kind]) as crowd:
         await crowd.wait_until_settled()
         is_served_beside = await wait_until(site.serves_a_job)
+        if process.is_alive:
+            process.sample()
     is_served_after = await wait_until(site.serves_a_job) and await wait_until(
         site.serves_all_ports
     )
