Go on to further ports in long runs of the tests

Ruled out: the product.

After 300 ports of a block the next block is used. test_a_long_run_of_tests_goes_on_to_further_ports would not end before.

--- a/baobabhoist/testing/cluster.py
+++ b/baobabhoist/testing/cluster.py
@@ -31,13 +31,16 @@
 PORT_RANGE = range(12_000, 32_000)
 # Test processes that run in parallel choose ports from different blocks.
 PORTS_PER_BLOCK = 400
+# A process chooses at most this many ports of a block, and then goes on to the next one.
+MAX_CHOSEN_PER_BLOCK = 300
 _chosen_ports: set[int] = set()
 
 
 def free_port() -> int:
     """Return a port that is unused now and that this process has not chosen before."""
     block_count = len(PORT_RANGE) // PORTS_PER_BLOCK
-    start = os.getpid() % block_count * PORTS_PER_BLOCK
+    finished_blocks = len(_chosen_ports) // MAX_CHOSEN_PER_BLOCK
+    start = (os.getpid() + finished_blocks) % block_count * PORTS_PER_BLOCK
     while True:
         port = random.SystemRandom().choice(PORT_RANGE[start : start + PORTS_PER_BLOCK])
         with socket.socket() as sock:
