Start nothing under a new owner before it has polled the jobs

Cause: a cancelling that is stored after a loading owner has read that partition of the jobs reaches it by the notice, which is lost without a cell, or by the first poll. The owner waited for the directory and the operator's table before it started tasks, not for that poll. If the poll fails, or meets a discarded history and all jobs are read again, it starts the task until then.

Evidence: with the jobs away after they were loaded, the owner of the test started the task again and again. Both cases of test_a_new_owner_starts_nothing_before_it_has_polled_the_jobs failed before.

Ruled out: the order of rows while loading (cancellings are applied last) and the version from which the follower goes on (the oldest of all ranges).

Change: tasks start once the jobs have been read since the cell was loaded. The first poll from a known version doesn't wait for changes, so that a takeover isn't held up by a long poll (test_known_rows_are_confirmed_without_waiting_for_a_change, failed before).

The harness of platform tests now begins its tests once the instance may start tasks.

Result: both tests pass. The cost, one call after loading beside the directory's read, was not measured.

--- a/baobabhoist/control/owner.py
+++ b/baobabhoist/control/owner.py
@@ -131,6 +131,8 @@
         self._max_reads = max_concurrent_reads(deps.size.link_mbps)
         self._loader = CellLoader(deps.store, deps.decoder.tables.directory, self._max_reads)
         self._directory = self._directory_follower()
+        # Set once the cell is loaded, because it continues from the loaded version.
+        self._jobs: TableFollower | None = None
         self._tasks = TaskSupervisor()
         self.sessions = SessionPool(
             PoolDependencies(
@@ -166,7 +168,8 @@
             await self._load()
             if self._tasks.is_stopped:
                 return
-            self._tasks.spawn_service(self._jobs_follower().run())
+            self._jobs = self._jobs_follower()
+            self._tasks.spawn_service(self._jobs.run())
             self._tasks.spawn_service(self._directory.run())
             self._tasks.spawn_service(self.progress_writer.run(self._require_cell()))
             self._tasks.spawn_service(self._run_ticks())
@@ -354,6 +357,7 @@
             self._deps.clock,
             partitions=JOB_PARTITIONS,
             pause_s=lambda: JOBS_POLL_PAUSE_S,
+            on_confirmed=lambda sent_ms: self.request_scheduling_round(),
             known_version=self._loader.tables().jobs_version,
             max_reads=self._max_reads,
         )
@@ -446,9 +450,14 @@
 
     def _may_start(self) -> bool:
         """Return whether tasks may start now."""
-        # The directory that was loaded may be some seconds old: workers may have left since.
+        # What was loaded may be some seconds old: workers may have left and jobs may have been
+        # cancelled since.
         return (
-            self.may_renew() and self._directory.is_confirmed and self._knows_operator_requests()
+            self.may_renew()
+            and self._directory.is_confirmed
+            and self._jobs is not None
+            and self._jobs.is_confirmed
+            and self._knows_operator_requests()
         )
 
     def _knows_operator_requests(self) -> bool:
--- a/baobabhoist/control/table_follower.py
+++ b/baobabhoist/control/table_follower.py
@@ -16,8 +16,9 @@
 RETRY_INTERVAL_S = 0.15
 # Long polls are short because each answer also confirms that the known rows are current.
 POLL_WAIT_MS = 1_000
-# After a failure, polls do not wait for changes, so that one that gets lost is given up earlier.
-RETRY_POLL_WAIT_MS = 0
+# The first poll does not wait for changes, so that known rows are confirmed soon; nor do polls
+# after a failure, so that one that gets lost is given up earlier.
+IMMEDIATE_POLL_WAIT_MS = 0
 NEVER_MS = float("-inf")
 
 RowsCallback = Callable[[Sequence[StoredRow], bool], None]
@@ -68,7 +69,7 @@
     async def run(self) -> None:
         """Follow until cancelled."""
         is_loaded = self.version > 0
-        wait_ms = POLL_WAIT_MS
+        wait_ms = IMMEDIATE_POLL_WAIT_MS if is_loaded else POLL_WAIT_MS
         while True:
             try:
                 if not is_loaded:
@@ -81,7 +82,7 @@
                 is_loaded = False
             except StoreError as exc:
                 self._log_disconnected(exc)
-                wait_ms = RETRY_POLL_WAIT_MS
+                wait_ms = IMMEDIATE_POLL_WAIT_MS
                 await asyncio.sleep(RETRY_INTERVAL_S)
 
     async def load(self) -> None:
--- a/baobabhoist/tests/platform_harness.py
+++ b/baobabhoist/tests/platform_harness.py
@@ -142,9 +142,14 @@
     )
 
 
+def _may_start_tasks(node: Node) -> bool:
+    owner = node.owner_router.local_owner
+    return owner is not None and owner._may_start()
+
+
 @contextlib.asynccontextmanager
 async def run_instance(monkeypatch: pytest.MonkeyPatch, grace_s: float) -> AsyncIterator[Instance]:
-    """Run an instance until SIGTERM; it owns the cell once this context is entered."""
+    """Run an instance until SIGTERM; it may start tasks once this context is entered."""
     store = HangingStore()
     config_key = RowKey(PlatformDecoder.tables.operator, "", PlatformDecoder.tables.config_key)
     store.apply(RowTransaction({}, {config_key: orjson.dumps(CONFIG)}))
@@ -153,7 +158,7 @@
     monkeypatch.setattr(instance, "make_node", lambda cfg: node)
     async with asyncio.timeout(TEST_TIMEOUT_S):
         serving = asyncio.create_task(instance.serve(node.cfg, lambda: 0))
-        while not node.is_ready():
+        while not (node.is_ready() and _may_start_tasks(node)):
             await asyncio.sleep(POLL_PAUSE_S)
         yield Instance(node, store, serving)
         await serving
--- a/baobabhoist/tests/test_control_job_cancellations.py
+++ b/baobabhoist/tests/test_control_job_cancellations.py
@@ -6,22 +6,49 @@
 
 from baobabhoist.cell.model import JobPhase
 from baobabhoist.control import owner as owner_module
+from baobabhoist.control import table_follower
 from baobabhoist.control.clock import StoreClock, monotonic_ms
 from baobabhoist.control.config import ActiveConfig, Route
 from baobabhoist.control.job_api import AdmittedCall, ApiCall, JobApi
 from baobabhoist.control.job_writer import JobWriter
 from baobabhoist.control.owner_router import OwnerRouter
-from baobabhoist.control.row_schema import cancel_row_key
+from baobabhoist.control.row_schema import JOB_PARTITIONS, JOBS_TABLE, cancel_row_key
 from baobabhoist.control.store_health import StoreHealth
 from baobabhoist.platform.decode import PlatformDecoder
+from baobabhoist.store.row_store import RowTransaction, StoreUnansweredError
+from baobabhoist.testing.memory_row_store import MemoryRowStore
 from baobabhoist.tests.cell_harness import make_rules
-from baobabhoist.tests.owner_harness import JOB_ID, ROW_MAX_BYTES, OwnerHarness
+from baobabhoist.tests.owner_harness import DIRECTORY, JOB_ID, ROW_MAX_BYTES, OwnerHarness
 
 pytestmark = pytest.mark.usefixtures("short_owner_polls")
 
 REVOKE_MS = 5_000.0
 # Only calls that the store does not answer take this long.
 CALL_MS = 400.0
+# An owner that may start a task has started it after so many polls of the directory.
+POLLS_FOR_A_START = 30
+
+
+class JobsAwayStore(MemoryRowStore):
+    """Fail all calls for the jobs once the last partition of them has been read."""
+
+    are_jobs_away = False
+    polls_of_directory = 0
+
+    async def read(self, table, part="", **bounds):
+        if table == JOBS_TABLE and self.are_jobs_away:
+            raise StoreUnansweredError("the jobs are away")
+        rows = await super().read(table, part, **bounds)
+        if (table, part) == (JOBS_TABLE, JOB_PARTITIONS[-1]):
+            self.are_jobs_away = True
+        return rows
+
+    async def poll_changes(self, table, after_version, wait_ms):
+        if table == JOBS_TABLE and self.are_jobs_away:
+            raise StoreUnansweredError("the jobs are away")
+        if table == DIRECTORY:
+            self.polls_of_directory += 1
+        return await super().poll_changes(table, after_version, wait_ms)
 
 
 def make_job_api(harness):
@@ -74,3 +101,31 @@
 
     is_acknowledged, is_stored = asyncio.run(run())
     assert is_acknowledged is is_stored is not is_store_away
+
+
+@pytest.mark.parametrize("is_history_lost", [False, True])
+def test_a_new_owner_starts_nothing_before_it_has_polled_the_jobs(is_history_lost, monkeypatch):
+    """Guard against a task that starts long after its job was cancelled while its owner loaded.
+
+    The job's row was read before the cancelling was stored, and the notice met an owner without a
+    cell. Only the first poll of the jobs brings it, and the store doesn't answer that.
+    """
+    monkeypatch.setattr(table_follower, "RETRY_INTERVAL_S", 0.01)
+
+    async def run():
+        harness = OwnerHarness(JobsAwayStore)
+        harness.store_job()
+        task = asyncio.create_task(harness.owner.run())
+        harness.task = task
+        await harness.wait_until(lambda: harness.store.are_jobs_away)
+        harness.store.apply(RowTransaction(puts={cancel_row_key(JOB_ID): b"{}"}))
+        if is_history_lost:
+            harness.store.history_start_version = harness.store.version
+        await harness.wait_until(lambda: harness.store.polls_of_directory > POLLS_FOR_A_START)
+        starts_before = len(harness.driver.starts)
+        harness.store.are_jobs_away = False
+        await harness.wait_until(lambda: harness.owner.job_state(JOB_ID).state == "cancelled")
+        task.cancel()
+        return starts_before, len(harness.driver.starts)
+
+    assert asyncio.run(run()) == (0, 0)
--- a/baobabhoist/tests/test_control_table_follower.py
+++ b/baobabhoist/tests/test_control_table_follower.py
@@ -184,3 +184,26 @@
         assert waits[recovered + 1] == (False, long_wait_ms)
 
     run_with_follower(test)
+
+
+def test_known_rows_are_confirmed_without_waiting_for_a_change(monkeypatch):
+    """Guard against a new owner that starts its first tasks one long poll late."""
+    waits, poll_changes = [], MemoryRowStore.poll_changes
+
+    async def record_wait(store, table, after_version, wait_ms):
+        waits.append(wait_ms)
+        return await poll_changes(store, table, after_version, wait_ms)
+
+    monkeypatch.setattr(MemoryRowStore, "poll_changes", record_wait)
+
+    async def run():
+        follower = TableFollower(
+            MemoryRowStore(), "t", lambda *_: None, StoreClock(), known_version=1
+        )
+        task = asyncio.create_task(follower.run())
+        await run_event_loop()
+        task.cancel()
+        assert follower.is_confirmed
+
+    asyncio.run(run())
+    assert waits[:2] == [0, table_follower_module.POLL_WAIT_MS]
