Apply a cancelling that reaches the owner before its job

Cause: the notice of a cancelling is sent once and has no answer. If the owner had no cell yet, or not the job's row, it dropped it. The job's own notice may come later over another link, or the row from an earlier read; until the next poll the job then ran. The poll comes within a second or so, but for as long as the feed fails the task may start.

Evidence: test_a_cancelling_that_overtakes_its_job_is_applied_to_it failed before in both cases ('queued').

Ruled out: cancellings of removed jobs, which are not remembered, so that a later job of that id isn't cancelled (test_a_removed_job_leaves_no_cancelling_for_another_of_its_id).

Change: the owner remembers up to 10,000 cancellings of jobs that it doesn't know, and applies each as the job is added.

Result: the tests pass.

--- a/baobabhoist/control/owner.py
+++ b/baobabhoist/control/owner.py
@@ -66,7 +66,8 @@
 # A query for a job that has just ended is answered this much later at most.
 MAX_END_WAIT_S = 0.2
 RETENTION_CHECK_TICKS = 100
-# Removed jobs that are remembered, because a table may have been read shortly before.
+# Removed jobs that are remembered, because a table may have been read shortly before, and
+# cancelled jobs whose rows are not known yet.
 MAX_REMEMBERED_JOBS = 10_000
 # A new owner starts nothing until its view of the operator's table is confirmed; a confirmation
 # counts if it came at most this long before the won claim.
@@ -150,6 +151,8 @@
         self._ownership_lost_reported = False
         # The versions of the rows of removed jobs, by job id.
         self._removed_versions: dict[str, int] = {}
+        # Jobs that were cancelled before this owner had their rows, oldest first.
+        self._early_cancellations: dict[str, None] = {}
         self._ticks = 0
         self._waiting_reporter = WaitingReporter(deps.loop_lag)
         self._sender = CommandSender(
@@ -226,12 +229,19 @@
             return
         if add_stored_job(cell, job_id, value, version, self._deps.clock):
             self.request_scheduling_round()
+            if job_id in self._early_cancellations:
+                del self._early_cancellations[job_id]
+                self.handle_cancelled_job(job_id)
 
     def handle_cancelled_job(self, job_id: str) -> None:
-        """Cancel a job whose cancellation is stored."""
+        """Cancel a job whose cancellation is stored, now or once its row is known."""
         if self._cell is not None and self._cell.cancel_job(job_id, monotonic_ms()):
             self.request_scheduling_round()
             self.progress_writer.request_flush()
+        elif job_id not in self._removed_versions:
+            self._early_cancellations[job_id] = None
+            if len(self._early_cancellations) > MAX_REMEMBERED_JOBS:
+                del self._early_cancellations[next(iter(self._early_cancellations))]
 
     def job_state(self, job_id: str) -> StateReply:
         """Return the state of a job."""
--- a/baobabhoist/tests/test_control_job_cancellations.py
+++ b/baobabhoist/tests/test_control_job_cancellations.py
@@ -12,13 +12,17 @@
 from baobabhoist.control.job_api import AdmittedCall, ApiCall, JobApi
 from baobabhoist.control.job_writer import JobWriter
 from baobabhoist.control.owner_router import OwnerRouter
-from baobabhoist.control.row_schema import JOB_PARTITIONS, JOBS_TABLE, cancel_row_key
+from baobabhoist.control.row_schema import (
+    JOB_PARTITIONS,
+    JOBS_TABLE,
+    cancel_row_key,
+)
 from baobabhoist.control.store_health import StoreHealth
 from baobabhoist.platform.decode import PlatformDecoder
 from baobabhoist.store.row_store import RowTransaction, StoreUnansweredError
 from baobabhoist.testing.memory_row_store import MemoryRowStore
 from baobabhoist.tests.cell_harness import make_rules
-from baobabhoist.tests.owner_harness import DIRECTORY, JOB_ID, ROW_MAX_BYTES, OwnerHarness
+from baobabhoist.tests.owner_harness import DIRECTORY, JOB, JOB_ID, ROW_MAX_BYTES, OwnerHarness
 
 pytestmark = pytest.mark.usefixtures("short_owner_polls")
 
@@ -129,3 +133,45 @@
         return starts_before, len(harness.driver.starts)
 
     assert asyncio.run(run()) == (0, 0)
+
+
+@pytest.mark.parametrize("is_loaded", [False, True])
+def test_a_cancelling_that_overtakes_its_job_is_applied_to_it(is_loaded):
+    """Guard against a task that starts because its cancelling was heard before its job."""
+
+    async def run():
+        harness = OwnerHarness(JobsAwayStore)
+        if is_loaded:
+            await harness.start()
+            await harness.wait_until(lambda: harness.store.are_jobs_away)
+        harness.owner.handle_cancelled_job(JOB_ID)
+        if is_loaded:
+            harness.owner.handle_stored_job(JOB_ID, JOB, harness.store.version)
+        else:
+            harness.store_job()
+            await harness.start()
+        state = harness.owner.job_state(JOB_ID).state
+        harness.task.cancel()
+        return state
+
+    assert asyncio.run(run()) == "cancelled"
+
+
+def test_a_removed_job_leaves_no_cancelling_for_another_of_its_id():
+    """Guard against a new job that is cancelled because of rows that were read long ago."""
+
+    async def run():
+        harness = OwnerHarness()
+        cell = await harness.start_with_job()
+        version = cell.find_job(JOB_ID).accepted.version
+        cell.cancel_job(JOB_ID, monotonic_ms())
+        cell.find_job(JOB_ID).ended_ms = float("-inf")
+        harness.owner._remove_expired_jobs(cell)
+        await harness.wait_until(lambda: cell.find_job(JOB_ID) is None)
+        harness.owner.handle_cancelled_job(JOB_ID)
+        harness.owner.handle_stored_job(JOB_ID, JOB, version + 10)
+        state = harness.owner.job_state(JOB_ID).state
+        harness.task.cancel()
+        return state
+
+    assert asyncio.run(run()) == "queued"
