Keep a stored end of a job that was cancelled as it ended

A job that was shown as completed (or failed) is shown as cancelled by the next owner.

Cause: a cancelling of a job whose end isn't stored yet is stored too. The owner then stores and shows the end; the next one put the cancelling above it, and wrote it over the end. An instance without an owner showed the end all the while (JobApi._read_state).

Ruled out: a start of the job. Either state is final.

Change: on loading, a cancelling counts only for jobs without a stored end.

--- a/baobabhoist/cell/scheduler.py
+++ b/baobabhoist/cell/scheduler.py
@@ -160,8 +160,8 @@
             return
         was_cancelled = job.phase is JobPhase.CANCELLED
         progress_rows.restore_progress(job, progress)
-        if was_cancelled:
-            # The cancellation is stored in its own row, which may be newer than the progress.
+        if was_cancelled and not job.is_final:
+            # The cancellation is stored in its own row; callers may have seen a stored end.
             job.phase = JobPhase.CANCELLED
         if job.is_final:
             job.ended_ms, job.is_end_stored = now, True
--- a/baobabhoist/tests/test_control_job_cancellations.py
+++ b/baobabhoist/tests/test_control_job_cancellations.py
@@ -5,6 +5,7 @@
 import pytest
 
 from baobabhoist.cell.model import JobPhase
+from baobabhoist.cell.progress_rows import JobProgress, encode
 from baobabhoist.control import owner as owner_module
 from baobabhoist.control import table_follower
 from baobabhoist.control.clock import StoreClock, monotonic_ms
@@ -16,6 +17,7 @@
     JOB_PARTITIONS,
     JOBS_TABLE,
     cancel_row_key,
+    progress_row_key,
 )
 from baobabhoist.control.store_health import StoreHealth
 from baobabhoist.platform.decode import PlatformDecoder
@@ -175,3 +177,20 @@
         return state
 
     assert asyncio.run(run()) == "queued"
+
+
+def test_a_job_shown_as_completed_is_not_shown_as_cancelled_by_the_next_owner():
+    """Guard against a final state that changes, because the job was cancelled as it ended."""
+
+    async def run():
+        harness = OwnerHarness()
+        harness.store_job()
+        completed = encode(JobProgress(JobPhase.COMPLETED))
+        harness.store.apply(RowTransaction(puts={progress_row_key(JOB_ID): completed}))
+        harness.store.apply(RowTransaction(puts={cancel_row_key(JOB_ID): b"{}"}))
+        await harness.start()
+        state = harness.owner.job_state(JOB_ID).state
+        harness.task.cancel()
+        return state
+
+    assert asyncio.run(run()) == "completed"
