Accept no job or cancelling on a conflict that does not show its row

A job is accepted, or a cancelling acknowledged, although its row isn't stored.

Cause: JobWriter took any conflict of an insert as proof that the row is there. An answer without the row, such as one with a field missing, proves nothing.

Evidence: test_a_conflict_that_shows_no_row_is_no_proof_that_it_is_stored failed before (ALREADY_STORED).

Change: such an answer counts as a missing one, so the write is repeated until its outcome is known or the time is up.

Result: the test passes.

--- a/baobabhoist/control/job_writer.py
+++ b/baobabhoist/control/job_writer.py
@@ -83,7 +83,7 @@
             timeout_s = (deadline_ms - monotonic_ms()) / 1000 if may_be_written else None
             try:
                 async with asyncio.timeout(timeout_s):
-                    outcome = await self._store.commit(txn)
+                    outcome = await self._commit_insert(txn, key)
             except TimeoutError:
                 return WriteResult(WriteStatus.UNKNOWN)
             except StoreRefusedError as exc:
@@ -107,6 +107,15 @@
                 return WriteResult(WriteStatus.UNKNOWN if may_be_written else WriteStatus.REFUSED)
             await asyncio.sleep(RETRY_INTERVAL_S)
 
+    async def _commit_insert(
+        self, txn: RowTransaction, key: RowKey
+    ) -> RowsCommitted | RowsConflict:
+        """Commit an insert; raises StoreError, also for a conflict that does not show the row."""
+        outcome = await self._store.commit(txn)
+        if isinstance(outcome, RowsConflict) and not outcome.version_of(key):
+            raise StoreUnansweredError("the store's answer does not show the row in conflict")
+        return outcome
+
     def _is_silent_since(self, start_ms: float) -> bool:
         """Return whether the store has been silent since `start_ms`, for too long."""
         is_silent = self._store_health.last_answer_ms < start_ms
--- a/baobabhoist/tests/test_control_job_writer.py
+++ b/baobabhoist/tests/test_control_job_writer.py
@@ -9,6 +9,7 @@
 from baobabhoist.control.job_writer import JobWriter, WriteStatus
 from baobabhoist.control.row_schema import job_row_key
 from baobabhoist.control.store_health import StoreHealth
+from baobabhoist.store.row_store import RowsConflict
 from baobabhoist.testing.memory_row_store import MemoryRowStore
 
 ID = "0123456789abcdef"
@@ -49,6 +50,16 @@
     assert (again.status, again.version) == (WriteStatus.ALREADY_STORED, first.version)
 
 
+def test_a_conflict_that_shows_no_row_is_no_proof_that_it_is_stored():
+    """Guard against a job or a cancelling that is acknowledged although its row isn't there."""
+
+    class OddStore(MemoryRowStore):
+        async def commit(self, txn):
+            return RowsConflict(())
+
+    assert store_job(OddStore(), 50.0).status is WriteStatus.UNKNOWN
+
+
 def test_refusal_is_reported_only_if_no_late_write_is_possible(monkeypatch):
     """Guard against a refusal of a job whose earlier write the store applies late."""
     monkeypatch.setattr(job_writer, "REFUSED_RETRY_MS", 0.0)
