Leave open what a write did whose answer is an odd success

A job runs although every attempt to submit it was refused (REFUSED).

Cause: an answer to a write with another status below 400 than 200, as a gateway may send, was an error of the kind that JobWriter reports as a refusal, although the write may have been carried out.

Evidence: test_an_odd_success_of_the_store_leaves_open_what_was_done failed before with 201, 204 and 302.

Ruled out: 4xx (nothing was done), 5xx (counted as a missing answer already).

Change: such an answer counts as a missing one.

Result: the three cases pass.

--- a/baobabhoist/platform/store.py
+++ b/baobabhoist/platform/store.py
@@ -126,8 +126,9 @@
         raise StoreRefusedError(f"the store answered {response.status}")
     if response.status in REJECTED_STATUSES:
         raise StoreRejectedError(f"the store answered {response.status}: {response.body}")
-    if response.is_server_error:
-        # An error of a gateway or of the store itself says nothing of what was done.
+    if response.is_server_error or response.status < BAD_REQUEST:
+        # An error of a gateway or of the store itself says nothing of what was done, nor does a
+        # success or a redirection of another kind.
         raise StoreUnansweredError(f"the store answered {response.status}")
     raise StoreError(f"the store answered {response.status}: {response.body}")
 
--- a/baobabhoist/tests/test_platform_malformed_answers.py
+++ b/baobabhoist/tests/test_platform_malformed_answers.py
@@ -136,6 +136,13 @@
     assert (advice.tickets, advice.valid_ms) == ({"w0": "ticket"}, DEFAULT_TICKET_VALID_MS)
 
 
+@pytest.mark.parametrize("status", [201, 204, 302])
+def test_an_odd_success_of_the_store_leaves_open_what_was_done(status):
+    """Guard against jobs that run although they were refused, where a gateway answers oddly."""
+    with pytest.raises(StoreUnansweredError):
+        asyncio.run(PlatformRowStore(FakeHttp({}, status), "store:1").commit(RowTransaction()))
+
+
 @pytest.mark.parametrize("status", [500, 502, 504])
 def test_an_error_of_a_server_leaves_open_what_was_done(status):
     """Guard against jobs that run although they were refused, and tasks that start twice.
