Show a stored running job as running without an owner

A job that was shown as running is shown as queued while its owner can't be reached.

Cause: without an owner's answer JobApi took only a final phase from the progress.

Evidence: two cases of test_state_of_a_split_job_is_read_from_its_main_row failed before ('queued'): a job with a main row, and one of which only a part is written yet.

Ruled out: a final phase that is read too early. The phase is in the main row, and a job that ended keeps it, whichever of its parts are removed yet (the other cases passed before).

Change: the phase is read as a new owner reads it (merge_progress).

Result: the cases pass. A job whose start was confirmed after its last row was written is still shown as queued.

--- a/baobabhoist/control/job_api.py
+++ b/baobabhoist/control/job_api.py
@@ -33,6 +33,7 @@
     decode_job,
     encode_job,
     job_row_key,
+    progress_row_key,
 )
 from baobabhoist.errors import ErrorKind, LinkClosedError, Refusal
 from baobabhoist.model import Outcome
@@ -335,14 +336,20 @@
         if stored is None or stored.value is None:
             return StateReply()
         job = decode_job(job_id, stored.value, stored.version)
-        phase = JobPhase.CANCELLED if cancel_row_key(job_id) in rows_by_key else JobPhase.QUEUED
-        progress = await self.store.read(PROGRESS_TABLE, "", start=job_id, end=job_id + "0")
-        for row in progress.rows:
-            if row.value is not None:
-                stored_phase = progress_rows.decode(row.value).phase
-                phase = stored_phase if stored_phase in FINAL_PHASES else phase
+        phase = await self._read_phase(job_id)
+        if phase not in FINAL_PHASES and cancel_row_key(job_id) in rows_by_key:
+            phase = JobPhase.CANCELLED
         return StateReply(phase.value, job.queue, job.team)
 
+    async def _read_phase(self, job_id: str) -> JobPhase:
+        """Read the phase in the progress of a job; raises StoreError or ValueError."""
+        stored = await self.store.read(PROGRESS_TABLE, "", start=job_id, end=job_id + "0")
+        rows = {r.key: progress_rows.decode(r.value) for r in stored.rows if r.value is not None}
+        if not rows:
+            return JobPhase.QUEUED
+        main = rows.pop(progress_row_key(job_id), None)
+        return progress_rows.merge_progress(main, rows.values()).phase
+
     async def _ask_owner(self, query: Any) -> Any:
         try:
             return await self.owner_router.call(query, QUERY_TIMEOUT_S)
--- a/baobabhoist/tests/test_control_job_api.py
+++ b/baobabhoist/tests/test_control_job_api.py
@@ -19,8 +19,10 @@
 from baobabhoist.control.messages import JobNotice, JobWaits, NotOwner, PendingReply, StateReply
 from baobabhoist.control.row_schema import (
     JobRow,
+    cancel_row_key,
     encode_job,
     job_row_key,
+    progress_part_key,
     progress_row_key,
 )
 from baobabhoist.control.store_health import StoreHealth
@@ -188,6 +190,28 @@
     assert asyncio.run(harness.job_api.job_state(admitted)) == "completed"
 
 
+@pytest.mark.parametrize(
+    ("main", "is_cancelled", "shown"),
+    [
+        (JobPhase.RUNNING, False, "running"),
+        (JobPhase.RUNNING, True, "cancelled"),
+        (JobPhase.FAILED, False, "failed"),
+        (JobPhase.FAILED, True, "failed"),
+        (None, False, "running"),
+    ],
+)
+def test_state_of_a_split_job_is_read_from_its_main_row(harness, main, is_cancelled, shown):
+    """Guard against a state that goes back while some rows of a wide job are written or gone."""
+    harness.submit()
+    rows = {progress_part_key(ID, 0, 0, 64): encode(JobProgress(JobPhase.RUNNING))}
+    if main is not None:
+        rows[progress_row_key(ID)] = encode(JobProgress(main))
+    harness.store.apply(RowTransaction({}, rows))
+    if is_cancelled:
+        harness.store.apply(RowTransaction({}, {cancel_row_key(ID): b"{}"}))
+    assert asyncio.run(harness.job_api.job_state(harness.admit())) == shown
+
+
 def test_job_unknown_to_the_owner_is_read_from_the_store(harness):
     """Guard against a 410 for a job whose notification has not reached the owner yet."""
     harness.submit()
