--- a/baobabhoist/tests/test_control_owner_job_ends.py
+++ b/baobabhoist/tests/test_control_owner_job_ends.py
@@ -7,6 +7,8 @@
 from baobabhoist.cell.model import JobPhase
 from baobabhoist.control import owner as owner_module
 from baobabhoist.control.clock import monotonic_ms
+from baobabhoist.control.row_schema import OWNER_ROW_KEY
+from baobabhoist.store.row_store import RowTransaction
 from baobabhoist.tests.owner_harness import (
     FAILURE_TIMEOUT_S,
     JOB,
@@ -109,3 +111,31 @@
         return is_back, is_new
 
     assert asyncio.run(run()) == (False, True)
+
+
+@pytest.mark.parametrize("phase", [JobPhase.COMPLETED, JobPhase.FAILED])
+@pytest.mark.parametrize("is_deposed", [False, True])
+def test_an_end_is_not_shown_by_an_owner_that_could_not_store_it(phase, is_deposed, monkeypatch):
+    """Guard against an end that is shown during a hand-over, or by an owner that was replaced.
+
+    The next owner does not know it and runs the job again.
+    """
+    monkeypatch.setattr(owner_module, "MAX_END_WAIT_S", 0.02)
+
+    async def run():
+        harness = OwnerHarness()
+        cell = await harness.start_with_job()
+        if is_deposed:
+            harness.store.apply(RowTransaction(puts={OWNER_ROW_KEY: b"another"}))
+        else:
+            harness.store.choose_failure = lambda txn: "refused"
+        cell.state.finish_job(cell.find_job(JOB_ID), phase, monotonic_ms(), "its tasks ended")
+        states = [await harness.owner.settled_job_state(JOB_ID)]
+        harness.owner.stop()
+        await harness.owner.wait_until_stopped()
+        assert not await harness.owner.progress_writer.release(b"nobody", cell)
+        states.append(await harness.owner.settled_job_state(JOB_ID))
+        harness.task.cancel()
+        return [reply.state for reply in states]
+
+    assert asyncio.run(run()) == ["running", "running"]
