--- a/baobabhoist/tests/test_control_job_cancellations.py
+++ b/baobabhoist/tests/test_control_job_cancellations.py
@@ -20,6 +20,7 @@
     progress_row_key,
 )
 from baobabhoist.control.store_health import StoreHealth
+from baobabhoist.errors import ErrorKind
 from baobabhoist.platform.decode import PlatformDecoder
 from baobabhoist.store.row_store import RowTransaction, StoreUnansweredError
 from baobabhoist.testing.memory_row_store import MemoryRowStore
@@ -194,3 +195,42 @@
         return state
 
     assert asyncio.run(run()) == "completed"
+
+
+def test_a_cancelling_stored_late_is_acknowledged_once_its_row_is_there():
+    """Guard against a second call that is acknowledged because of the first one's late write."""
+
+    async def run():
+        harness = OwnerHarness()
+        await harness.start_with_job()
+        cancelled = cancel_row_key(JOB_ID)
+        is_late = True
+        harness.store.choose_failure = lambda txn: (
+            "late" if is_late and cancelled in txn.puts else ""
+        )
+        first = await cancel(harness)
+        stored_first = cancelled in harness.store.rows
+        is_late = False
+        second = await cancel(harness)
+        stored = harness.store.rows[cancelled]
+        harness.store.apply_delayed()
+        harness.task.cancel()
+        return first.kind, stored_first, second, harness.store.rows[cancelled] == stored
+
+    assert asyncio.run(run()) == (ErrorKind.OUTCOME_UNKNOWN, False, None, True)
+
+
+@pytest.mark.parametrize("is_job_there", [False, True])
+def test_a_cancelling_is_acknowledged_only_with_the_row_of_its_job(is_job_there):
+    """Guard against a 200 for the cancelling of a job that nobody stored."""
+
+    async def run():
+        harness = OwnerHarness()
+        await harness.start()
+        if is_job_there:
+            harness.store_job()
+        refusal = await cancel(harness)
+        harness.task.cancel()
+        return refusal is None, cancel_row_key(JOB_ID) in harness.store.rows
+
+    assert asyncio.run(run()) == (is_job_there, is_job_there)
