Count pending jobs only once they were polled after loading

Cause: the count was given from what was loaded, before the first poll of the jobs.

Ruled out: states of jobs, which are read from the store if the owner doesn't know the job.

Change: until the first poll the count is refused, as it is while the cell loads. The test's store moves to the harness of the owner.

--- a/baobabhoist/control/owner.py
+++ b/baobabhoist/control/owner.py
@@ -262,7 +262,9 @@
 
     def count_pending_jobs(self, queue: str) -> PendingReply | None:
         """Return the number of jobs of a queue that have not started, or None while loading."""
-        return PendingReply(self.cell.count_queued_jobs(queue)) if self.cell is not None else None
+        if self.cell is None or not self._has_polled_jobs():
+            return None
+        return PendingReply(self.cell.count_queued_jobs(queue))
 
     def preview_placement(self, query: PlacementQuery) -> PlacementReply | None:
         """Return where a job would go now, or None while loading; this changes nothing."""
@@ -465,11 +467,14 @@
         return (
             self.may_renew()
             and self._directory.is_confirmed
-            and self._jobs is not None
-            and self._jobs.is_confirmed
+            and self._has_polled_jobs()
             and self._knows_operator_requests()
         )
 
+    def _has_polled_jobs(self) -> bool:
+        """Return whether the jobs were read since the cell was loaded."""
+        return self._jobs is not None and self._jobs.is_confirmed
+
     def _knows_operator_requests(self) -> bool:
         """Return whether the operator's table was confirmed shortly before the claim, or since."""
         oldest_ms = self.ownership.won_ms - MAX_OPERATOR_TABLE_AGE_MS
--- a/baobabhoist/tests/owner_harness.py
+++ b/baobabhoist/tests/owner_harness.py
@@ -12,12 +12,14 @@
 from baobabhoist.control.owner import CellOwner, OwnerDependencies
 from baobabhoist.control.ownership_term import OwnershipTerm
 from baobabhoist.control.row_schema import (
+    JOB_PARTITIONS,
+    JOBS_TABLE,
     OWNER_ROW_KEY,
     JobRow,
     encode_job,
     job_row_key,
 )
-from baobabhoist.store.row_store import RowKey, RowTransaction
+from baobabhoist.store.row_store import RowKey, RowTransaction, StoreUnansweredError
 from baobabhoist.testing.memory_row_store import MemoryRowStore
 from baobabhoist.tests.cell_harness import LEASE_MS, SMALL, CellHarness, make_rules
 
@@ -70,6 +72,28 @@
         return CommandResponse(CommandOutcome.OK)
 
 
+class JobsAwayStore(MemoryRowStore):
+    """Fail all calls for the jobs once the last partition of them has been read."""
+
+    are_jobs_away = False
+    polls_of_directory = 0
+
+    async def read(self, table, part="", **bounds):
+        if table == JOBS_TABLE and self.are_jobs_away:
+            raise StoreUnansweredError("the jobs are away")
+        rows = await super().read(table, part, **bounds)
+        if (table, part) == (JOBS_TABLE, JOB_PARTITIONS[-1]):
+            self.are_jobs_away = True
+        return rows
+
+    async def poll_changes(self, table, after_version, wait_ms):
+        if table == JOBS_TABLE and self.are_jobs_away:
+            raise StoreUnansweredError("the jobs are away")
+        if table == DIRECTORY:
+            self.polls_of_directory += 1
+        return await super().poll_changes(table, after_version, wait_ms)
+
+
 class OwnerHarness:
     """Run an owner of one worker."""
 
--- a/baobabhoist/tests/test_control_job_cancellations.py
+++ b/baobabhoist/tests/test_control_job_cancellations.py
@@ -14,18 +14,15 @@
 from baobabhoist.control.job_writer import JobWriter
 from baobabhoist.control.owner_router import OwnerRouter
 from baobabhoist.control.row_schema import (
-    JOB_PARTITIONS,
-    JOBS_TABLE,
     cancel_row_key,
     progress_row_key,
 )
 from baobabhoist.control.store_health import StoreHealth
 from baobabhoist.errors import ErrorKind
 from baobabhoist.platform.decode import PlatformDecoder
-from baobabhoist.store.row_store import RowTransaction, StoreUnansweredError
-from baobabhoist.testing.memory_row_store import MemoryRowStore
+from baobabhoist.store.row_store import RowTransaction
 from baobabhoist.tests.cell_harness import make_rules
-from baobabhoist.tests.owner_harness import DIRECTORY, JOB, JOB_ID, ROW_MAX_BYTES, OwnerHarness
+from baobabhoist.tests.owner_harness import JOB, JOB_ID, ROW_MAX_BYTES, JobsAwayStore, OwnerHarness
 
 pytestmark = pytest.mark.usefixtures("short_owner_polls")
 
@@ -36,28 +33,6 @@
 POLLS_FOR_A_START = 30
 
 
-class JobsAwayStore(MemoryRowStore):
-    """Fail all calls for the jobs once the last partition of them has been read."""
-
-    are_jobs_away = False
-    polls_of_directory = 0
-
-    async def read(self, table, part="", **bounds):
-        if table == JOBS_TABLE and self.are_jobs_away:
-            raise StoreUnansweredError("the jobs are away")
-        rows = await super().read(table, part, **bounds)
-        if (table, part) == (JOBS_TABLE, JOB_PARTITIONS[-1]):
-            self.are_jobs_away = True
-        return rows
-
-    async def poll_changes(self, table, after_version, wait_ms):
-        if table == JOBS_TABLE and self.are_jobs_away:
-            raise StoreUnansweredError("the jobs are away")
-        if table == DIRECTORY:
-            self.polls_of_directory += 1
-        return await super().poll_changes(table, after_version, wait_ms)
-
-
 def make_job_api(harness):
     """Return the API of the owner's instance."""
     router = OwnerRouter("n1", None)
--- a/baobabhoist/tests/test_control_owner.py
+++ b/baobabhoist/tests/test_control_owner.py
@@ -23,6 +23,7 @@
     JOB,
     JOB_ID,
     WORKER_ROW_KEY,
+    JobsAwayStore,
     OwnerHarness,
 )
 
@@ -349,3 +350,20 @@
         harness.task.cancel()
 
     asyncio.run(run())
+
+
+def test_a_new_owner_counts_pending_jobs_once_it_has_polled_them():
+    """Guard against too low a count, of the jobs that were stored before the cell was loaded."""
+
+    async def run():
+        harness = OwnerHarness(JobsAwayStore)
+        await harness.start()
+        harness.store_job()
+        unread = harness.owner.count_pending_jobs("q")
+        harness.store.are_jobs_away = False
+        await harness.wait_until(lambda: harness.owner.job_state(JOB_ID).state)
+        count = harness.owner.count_pending_jobs("q")
+        harness.task.cancel()
+        return unread, count is not None
+
+    assert asyncio.run(run()) == (None, True)
