Let the soak's store crash with writes in progress

A store that refuses from one moment on never loses the response of a write that it has done. In the mode `crash` it commits the first transaction of each connection that was in use, closes the connection, and refuses all that follows: the order of events of the incident "refused jobs ran". The other modes are unchanged.

--- a/baobabhoist/platform/testing/store.py
+++ b/baobabhoist/platform/testing/store.py
@@ -6,12 +6,15 @@
 import base64
 import random
 import time
+import weakref
 from collections.abc import Sequence
-from typing import Any
+from typing import Any, cast
 
 import attrs
 import orjson
 from absl import app, flags
+from tornado.http1connection import HTTP1Connection
+from tornado.iostream import IOStream
 from tornado.web import Application, HTTPError, RequestHandler
 
 from baobabhoist.store.row_store import (
@@ -40,7 +43,8 @@
     """Hold the rows and the active fault.
 
     The modes are up: no fault; refuse: answer 503; hang: do not answer; slow: answer `delay_s`
-    later; lose: commit, but drop the response; late: commit seconds later, without a response.
+    later; lose: commit, but drop the response; late: commit seconds later, without a response;
+    crash: commit the first transaction of each open connection, close it, and then refuse.
     """
 
     rows: MemoryRowStore = attrs.Factory(MemoryRowStore)
@@ -49,6 +53,8 @@
     started_s: float = attrs.Factory(time.monotonic)
     rng: random.Random = attrs.Factory(lambda: random.Random(1))
     delayed_commits: set[asyncio.Task[None]] = attrs.Factory(set)
+    # The instances' connections that were in use before the mode `crash` began.
+    open_connections: weakref.WeakSet[IOStream] = attrs.Factory(weakref.WeakSet)
 
     def now_ms(self) -> int:
         """Return the time on the store's monotonic clock, which has an epoch of its own."""
@@ -58,11 +64,22 @@
         """Refuse or delay a request as the active fault demands; raises HTTPError."""
         if self.mode == "refuse":
             raise HTTPError(503)
+        if self.mode == "crash":
+            raise HTTPError(503)
         if self.mode == "hang":
             await asyncio.sleep(3_600)
         if self.mode == "slow":
             await asyncio.sleep(self.delay_s)
 
+    def crashes_during(self, connection: IOStream) -> bool:
+        """Return whether the store crashes during the next request of a connection."""
+        if self.mode != "crash":
+            self.open_connections.add(connection)
+            return False
+        was_open = connection in self.open_connections
+        self.open_connections.discard(connection)
+        return was_open
+
     def commit_later(self, txn: RowTransaction) -> None:
         """Apply a transaction some seconds later, if the versions it expects still hold then."""
 
@@ -84,8 +101,17 @@
 
     async def prepare(self) -> None:
         """Apply the active fault unless a fake worker or operator sent the request."""
-        if EXTERNAL_WRITER_HEADER not in self.request.headers:
-            await self.state.apply_fault()
+        if EXTERNAL_WRITER_HEADER in self.request.headers:
+            return
+        connection = cast(HTTP1Connection, self.request.connection)
+        if self.state.crashes_during(connection.stream):
+            self.crash()
+            return
+        await self.state.apply_fault()
+
+    def crash(self) -> None:
+        """Close the connection without a response."""
+        drop_connection(self)
 
     def write_rows(self, rows: Sequence[StoredRow], version: int, **fields: Any) -> None:
         """Write a response that holds rows."""
@@ -132,10 +158,14 @@
 class RowsTxHandler(StoreHandler):
     """Handle rows-tx."""
 
+    def crash(self) -> None:
+        """Apply the transaction and close the connection without a response."""
+        self.state.rows.apply(_parse_transaction(orjson.loads(self.request.body)))
+        drop_connection(self)
+
     def post(self) -> None:
         """Apply a transaction; during a fault, delay it or drop its response."""
-        body = orjson.loads(self.request.body)
-        txn = _parse_transaction(body)
+        txn = _parse_transaction(orjson.loads(self.request.body))
         tables = {key.table for key in (*txn.puts, *txn.removes)}
         is_external = EXTERNAL_WRITER_HEADER in self.request.headers
         if tables & EXTERNAL_TABLES and not is_external:
