Judge starts after a cancellation or a shown end also near faults

The soak's checker excused a start after an acknowledged cancellation if any fault, or its recovery of 4 s, touched the time between: the runs that restarts bring about were never judged. It is now a breach of UNASKED whatever the faults, except on a worker in the mode `late`, which carries out starts seconds after they were sent. That a cancelled run ends in time is judged as before.

A start over a second after the job was shown as `failed` is a breach of TWICE, as one after `completed` was already. REFUSED and the latter knew no excuse; tests hold that too.

--- a/baobabhoist/platform/testing/soak_checker.py
+++ b/baobabhoist/platform/testing/soak_checker.py
@@ -300,7 +300,6 @@
                 starts_late = (
                     run.start > cancelled_at + CANCEL_DEADLINE_S and run.entry["mode"] != "late"
                 )
-                starts_late = starts_late and self._is_undisturbed(cancelled_at, run.start)
                 self._check(
                     "UNASKED", not starts_late, f"{run.task_id} starts after its cancellation"
                 )
@@ -377,6 +376,7 @@
                 "TWICE", not later_runs, f"{job.job_id} starts after it was reported as completed"
             )
         elif state == "failed":
+            self._check_starts_after_failure(job, t)
             failure_counts = Counter(
                 r.task_id for r in self.runs_by_job.get(job.job_id, ()) if r.outcome == "failed"
             )
@@ -398,6 +398,17 @@
                 f"{job.job_id} was reported as cancelled without a cancellation",
             )
 
+    def _check_starts_after_failure(self, job: SubmittedJob, reported_at: float) -> None:
+        # A worker in the mode `late` carries out starts seconds after they were sent.
+        later_runs = [
+            run
+            for run in self.runs_by_job.get(job.job_id, ())
+            if run.start > reported_at + COMPLETION_DEADLINE_S and run.entry["mode"] != "late"
+        ]
+        self._check(
+            "TWICE", not later_runs, f"{job.job_id} starts after it was reported as failed"
+        )
+
     def _check_start_bans(self) -> None:
         for ban in START_BANS:
             for begin in (e for e in self.driver_log if e["event"] == ban.begin_event):
--- a/baobabhoist/tests/test_platform_soak_checker.py
+++ b/baobabhoist/tests/test_platform_soak_checker.py
@@ -175,6 +175,34 @@
     assert guarantee in broken_guarantees(worker_log, caller_log, driver_log)
 
 
+@pytest.mark.parametrize("fault", ["kill", "outage_takeover"])
+def test_start_after_a_cancellation_is_a_breach_during_a_fault(fault: str) -> None:
+    """Guard against a fault that excuses a start long after an acknowledged cancellation."""
+    window = {**FAULT_WINDOW, "fault": fault}
+    requests = [ACCEPTED, CANCELLED]
+    assert "UNASKED" in broken_guarantees([run_start(9.5)], requests, [window])
+    in_time = [run_start(5.0), run_end(5.1, "stopped")]
+    assert "UNASKED" not in broken_guarantees(in_time, requests, [window])
+    late = [run_start(9.5, mode="late"), run_end(9.6, "stopped")]
+    assert "UNASKED" not in broken_guarantees(late, requests, [window])
+
+
+@pytest.mark.parametrize("state", ["completed", "failed"])
+def test_start_after_a_reported_end_is_a_breach_during_a_fault(state: str) -> None:
+    """Guard against a fault that excuses a start after the job was shown as ended."""
+    requests = [ACCEPTED, caller_request("state", 8.0, 200, state)]
+    assert "TWICE" in broken_guarantees([run_start(9.5)], requests, [FAULT_WINDOW])
+    assert "TWICE" not in broken_guarantees([run_start(9.0)], requests, [FAULT_WINDOW])
+
+
+def test_refused_job_that_runs_is_a_breach_during_a_fault() -> None:
+    """Guard against a fault that excuses a run of a job that was refused everywhere."""
+    refusals = [caller_request("submit", t, 503) for t in (9.0, 9.5)]
+    assert "REFUSED" in broken_guarantees([run_start(10.0)], refusals, [FAULT_WINDOW])
+    unanswered = [*refusals, caller_request("submit", 9.8, 0)]
+    assert "REFUSED" not in broken_guarantees([run_start(10.0)], unanswered, [FAULT_WINDOW])
+
+
 def test_allowed_behaviour_is_no_breach() -> None:
     """Guard against a checker that reports what the guarantees allow."""
     second_step_run = [
