Add takeovers during an outage of the store to the platform's soak

In runs with this fault half of the callers cancel a job as soon as they see its end, and 30 % give up after one refusal. Draws of runs without it are unchanged.

--- a/baobabhoist/platform/testing/soak.py
+++ b/baobabhoist/platform/testing/soak.py
@@ -20,6 +20,7 @@
 from baobabhoist.platform.testing.soak_checker import REFUSED_STATUSES, GuaranteeChecker
 from baobabhoist.platform.testing.soak_faults import FAULTS
 from baobabhoist.platform.testing.soak_records import SubmittedJob, Team
+from baobabhoist.platform.testing.soak_takeover import OUTAGE_TAKEOVER
 from baobabhoist.testing import soak_driver
 from baobabhoist.testing.cluster import Cluster
 from baobabhoist.testing.soak_driver import SoakDriver
@@ -46,6 +47,10 @@
 START_TIMEOUT_S = 10.0
 CANCEL_PROBABILITY = 0.08
 DUPLICATE_PROBABILITY = 0.1
+# With outages and takeovers, this share of the callers gives up when it is refused once, and this
+# share cancels a job as soon as it is shown as ended.
+SINGLE_ATTEMPT_PROBABILITY = 0.3
+CANCEL_ENDED_PROBABILITY = 0.5
 UNKNOWN_KEY_PROBABILITY = 0.03
 ALWAYS_FAILS_PROBABILITY = 0.02
 FAILS_ONCE_PROBABILITY = 0.05
@@ -84,6 +89,7 @@
         lambda: {n: [f"key-{n}"] for n in TEAM_CPU_LIMITS}
     )
     load_factor: float = 1.0
+    has_outage_takeovers: bool = False
     key_numbers: itertools.count[int] = attrs.Factory(lambda: itertools.count(1))
 
     def restart_instance(self, name: str) -> None:
@@ -226,10 +232,12 @@
         self.caller_log.append(entry)
         return entry
 
-    async def submit(self, job: SubmittedJob, key: str = "") -> bool:
+    async def submit(
+        self, job: SubmittedJob, key: str = "", attempts: int = REQUEST_ATTEMPTS
+    ) -> bool:
         """Submit a job, retrying unless it is refused for good; tell whether it was accepted."""
         instance = self._pick_instance()
-        for _ in range(REQUEST_ATTEMPTS):
+        for _ in range(attempts):
             entry = await self._send_request("submit", job, "POST", instance, key)
             if entry["status"] == 200:
                 return True
@@ -259,13 +267,23 @@
             await self.submit(job, "key-of-nobody")
             return
         duplicates = [self.submit(job)] if rng.random() < DUPLICATE_PROBABILITY else []
-        is_accepted = any(await asyncio.gather(self.submit(job), *duplicates))
+        attempts = self._draw_attempts(rng)
+        is_accepted = any(await asyncio.gather(self.submit(job, attempts=attempts), *duplicates))
         if not is_accepted:
             return
         if rng.random() < CANCEL_PROBABILITY:
             await asyncio.sleep(rng.uniform(0, 1.5))
             await self.cancel(job)
         await self.poll_until_final(job)
+        cancels_ended = self.has_outage_takeovers and rng.random() < CANCEL_ENDED_PROBABILITY
+        if cancels_ended and self.final_states[job.job_id] != "cancelled":
+            await self.cancel(job)
+
+    def _draw_attempts(self, rng: random.Random) -> int:
+        """Draw how often a caller submits a job."""
+        if self.has_outage_takeovers and rng.random() < SINGLE_ATTEMPT_PROBABILITY:
+            return 1
+        return REQUEST_ATTEMPTS
 
     async def poll_until_final(self, job: SubmittedJob) -> None:
         """Poll a job's state until it is final."""
@@ -316,6 +334,7 @@
 
     async def run(self, seconds: float, schedule: list[soak_faults.ScheduledFault]) -> None:
         """Run the load and the faults, then wait until all jobs have finished."""
+        self.has_outage_takeovers = any(fault.name == OUTAGE_TAKEOVER for fault in schedule)
         await self.deployment.start(INSTANCE_COUNT, WORKER_COUNT, self.make_config())
         self.log_event("limits", limits=dict(self.team_cpu_limits), acked=time.time())
         readiness_task = asyncio.create_task(
--- a/baobabhoist/platform/testing/soak_faults.py
+++ b/baobabhoist/platform/testing/soak_faults.py
@@ -13,6 +13,7 @@
 
 from baobabhoist.platform.testing.simulated_worker import DATA_CENTRES
 from baobabhoist.platform.testing.soak_checker import EVACUATION_DEADLINE_S, GRACE_PERIOD_S
+from baobabhoist.platform.testing.soak_takeover import OUTAGE_TAKEOVER, take_over_in_outage
 from baobabhoist.testing.soak_faults import ScheduledFault
 
 if TYPE_CHECKING:
@@ -274,6 +275,7 @@
     "store_slow": _make_store_fault(mode="slow"),
     "store_loses": _make_store_fault(mode="lose"),
     "store_late": _make_store_fault(mode="late"),
+    OUTAGE_TAKEOVER: take_over_in_outage,
     "store_forgets": _make_store_fault(mode="up", forget=True),
     "cut_store": _cut_store,
     "cut_peer": _cut_peer,
