--- a/baobabhoist/tests/test_platform_soak.py
+++ b/baobabhoist/tests/test_platform_soak.py
@@ -16,7 +16,10 @@
 from baobabhoist.testing.cluster import Cluster
 
 SEED, SECONDS = 3, 7.0
-FAULTS = ["kill", "stop", "cut_store", "worker_crash", "store_loses"]
+FAULT_LISTS = {
+    "common faults": ["kill", "stop", "cut_store", "worker_crash", "store_loses"],
+    "takeovers during outages": ["outage_takeover"],
+}
 
 
 def test_schedule_depends_on_the_seed_alone() -> None:
@@ -49,12 +52,13 @@
     AsyncHTTPClient.configure(None)
 
 
-def test_guarantees_hold_in_a_short_run(tmp_path: Path, curl_client: None) -> None:
-    """Guard against instances that break a guarantee under a few common faults."""
+@pytest.mark.parametrize("name", FAULT_LISTS)
+def test_guarantees_hold_in_a_short_run(name: str, tmp_path: Path, curl_client: None) -> None:
+    """Guard against instances that break a guarantee under a few faults."""
 
     async def run(cluster: Cluster) -> soak.Soak:
         driver = soak.Soak(Deployment(cluster), random.Random(SEED))
-        await driver.run(SECONDS, soak_faults.schedule_faults(SEED, SECONDS, FAULTS))
+        await driver.run(SECONDS, soak_faults.schedule_faults(SEED, SECONDS, FAULT_LISTS[name]))
         return driver
 
     with Cluster(tmp_path) as cluster:
