Tell the simulated owner how long the leases of its workers may be

The simulated workers grant 10 s, and the simulated owner took 5 s for the longest lease that they grant; an owner of an instance knows the true figure (bounds.max_hold_ms). So the simulation called leases too short that a real owner counts rightly. The comparison of leases stays as it is.

--- a/baobabhoist/tests/sessions_harness.py
+++ b/baobabhoist/tests/sessions_harness.py
@@ -30,7 +30,7 @@
 from baobabhoist.errors import LinkClosedError
 from baobabhoist.testing.cell_worker import FakeCellWorker
 from baobabhoist.testing.simulated_loop import SimulatedLoop, run_simulated
-from baobabhoist.tests.cell_harness import LEASE_MS, make_job, make_rules
+from baobabhoist.tests.cell_harness import LEASE_MS, MAX_LEASE_MS, make_job, make_rules
 
 LATENCY_S = 0.002
 CALL_TIMEOUT_S = 0.7
@@ -191,7 +191,8 @@
         self.newest_token = self.token
         lease_ms = LEASE_MS / (1.0 - MAX_CLOCK_DRIFT) + LEASE_MARGIN_MS
         takeover = Takeover(self.generation, self.token, now + CONFIRMATION_VALID_MS + lease_ms)
-        self.cell = CellScheduler(make_rules(max_attempts=50), takeover, LEASE_MS)
+        rules = make_rules(max_attempts=50)
+        self.cell = CellScheduler(rules, takeover, LEASE_MS, max_lease_ms=MAX_LEASE_MS)
         self.cell.sync_directory([w.info() for w in world.workers.values()], now)
         for job in world.jobs:
             self.cell.add_job(job, now, now, now)
