Give up an answered start only with the longest lease until a report lists its run

Found by reading, while the cause of the late starts was looked for elsewhere.

Cause: the answer to a start doesn't name the process. A worker that has started again carries a start out under the longest lease that it grants, because the deadline is on the clock of the process before. If it is cut off before its first report, the owner counted the lease of the process before, which ends seconds earlier.

Change: until a report lists the run, the owner counts the longest lease from the answer. Only runs that were started within a second of the silence wait longer.

Ruled out: the clock in the answer, which would show most restarts but none of a worker that had started shortly before.

The new test failed before and passes.

--- a/baobabhoist/cell/jobs.py
+++ b/baobabhoist/cell/jobs.py
@@ -59,6 +59,8 @@
     has_begun: bool = False
     # When the start command was answered or a report first listed the run.
     confirmed_ms: float = 0.0
+    # A report has listed the run, so that it belongs to a process that was heard.
+    is_listed: bool = False
     stop_sent_ms: float = 0.0
     # The last stop command has neither been answered nor timed out.
     is_stop_open: bool = False
--- a/baobabhoist/cell/worker_reports.py
+++ b/baobabhoist/cell/worker_reports.py
@@ -203,6 +203,7 @@
 
     def _update_progress(self, run: Run, active_run: ActiveRun, now: float) -> None:
         self._confirm(run, now)
+        run.is_listed = True
         if run.phase is RunPhase.STARTING:
             run.phase = RunPhase.RUNNING
             run.task.step.mark_start_confirmed()
--- a/baobabhoist/cell/workers.py
+++ b/baobabhoist/cell/workers.py
@@ -163,13 +163,15 @@
     def run_expiry_ms(self, run: Run) -> float:
         """Return the time after which a run has certainly ended and never begins.
 
-        A start without an answer may reach the next process of the worker, which then grants it
-        the longest lease. A task that lasts must be back sooner than that.
+        Until a report lists the run, the next process of the worker may have got the start or, if
+        there was no answer, may get it yet. That process grants the longest lease. A task that
+        lasts must be back sooner than that.
         """
         expiry_ms = self.lease_expiry_ms()
-        if run.sent_ms is None or run.confirmed_ms or run.task.step.spec.lasting:
+        if run.sent_ms is None or run.is_listed or run.task.step.spec.lasting:
             return expiry_ms
-        return max(expiry_ms, run.sent_ms + MAX_START_LATENESS_MS + self.lease.longest_ms())
+        last_start_ms = run.confirmed_ms or run.sent_ms + MAX_START_LATENESS_MS
+        return max(expiry_ms, last_start_ms + self.lease.longest_ms())
 
     def apply_entry(self, info: WorkerInfo, now: float) -> None:
         """Apply an entry of the directory, which may outlast the worker by some seconds."""
--- a/baobabhoist/tests/test_cell_late_starts.py
+++ b/baobabhoist/tests/test_cell_late_starts.py
@@ -51,8 +51,19 @@
     assert is_given_up(harness)
 
 
-def test_a_confirmed_run_is_given_up_with_the_lease_of_its_worker():
-    """Guard against tasks of a worker that is gone waiting for starts that were answered."""
+def test_an_answered_start_outlasts_the_lease_until_a_report_lists_its_run():
+    """Guard against two runs of a task whose start a process answered that nobody has heard of."""
+    harness, start = send_start()
+    harness.deliver_command(start)
+    harness.workers["w0"].is_up = False
+    harness.advance(LONGEST_LEASE_MS - 100.0)
+    assert not is_given_up(harness)
+    harness.advance(200.0)
+    assert is_given_up(harness)
+
+
+def test_a_listed_run_is_given_up_with_the_lease_of_its_worker():
+    """Guard against tasks of a worker that is gone waiting for starts that it had listed."""
     harness, start = send_start()
     harness.deliver_command(start)
     harness.settle()
