Count the longest lease for the inherited runs of workers that a new owner never hears

Cause: a new owner counted the usual lease (5 s) from the end of the one before for workers that it had not heard. A process that had started again grants its longest lease (up to 10 s) to a start whose deadline is on the clock of the process before. If the worker was cut off when the owner changed, its tasks started elsewhere while they ran.

Ruled out: the `born` of the directory's entry, which a worker that is cut off does not write.

Change: Takeover names both ends; a run that no report has listed waits for the later one. A task that lasts waits for the usual one.

test_a_new_owner_keeps_the_runs_of_an_unreachable_worker expected that the runs are given up after the usual lease. It now demands that they are kept then and given up after the longest one: as strict, at the bound that the protocol states. The new test failed before for a task that doesn't last.

--- a/baobabhoist/cell/scheduler.py
+++ b/baobabhoist/cell/scheduler.py
@@ -51,13 +51,15 @@
     """Describe what a new owner knows about the earlier ones.
 
     `generation` counts the owners of the cell and `claim_version` is the store's version of the
-    claim. After `inherited_leases_expire_ms` no run of an earlier owner is left on a worker that
-    has never reported to this owner.
+    claim. After `inherited_leases_expire_ms` a worker that has never reported to this owner holds
+    no lease of an earlier one, unless its process had started again and granted the longest one:
+    that has expired after `longest_leases_expire_ms`.
     """
 
     generation: int
     claim_version: int
     inherited_leases_expire_ms: float = 0.0
+    longest_leases_expire_ms: float = 0.0
 
 
 class CellScheduler:
@@ -124,6 +126,7 @@
             worker = WorkerState(info, self._new_lease(), is_listed=False, unlisted_since_ms=now)
             self.state.workers[worker_id] = worker
         worker.inherited_lease_expiry_ms = self._takeover.inherited_leases_expire_ms
+        worker.longest_inherited_expiry_ms = self._takeover.longest_leases_expire_ms
         return worker
 
     def _new_lease(self) -> Lease:
--- a/baobabhoist/cell/workers.py
+++ b/baobabhoist/cell/workers.py
@@ -21,6 +21,11 @@
 YOUNG_RUN_MS = 250.0
 
 
+def lease_duration_ms(lease_ms: float) -> float:
+    """Return how long a lease can last on the owner's clock."""
+    return lease_ms / (1.0 - MAX_CLOCK_DRIFT) + LEASE_MARGIN_MS
+
+
 @attrs.define
 class Lease:
     """Track the lease of one worker, whose deadline is on the worker's own clock.
@@ -78,17 +83,12 @@
     def expiry_ms(self) -> float:
         """Return the time after which certainly no run is left under this lease."""
         remaining_ms = max(self.deadline_ms, self._unknown_until_ms) - self.clock_ms
-        granted_ms = self.clock_read_ms + remaining_ms / (1.0 - MAX_CLOCK_DRIFT) + LEASE_MARGIN_MS
+        granted_ms = self.clock_read_ms + lease_duration_ms(remaining_ms)
         return max(granted_ms, self.extended_expiry_ms())
 
-    def longest_ms(self) -> float:
-        """Return how long the longest lease that the worker accepts can last."""
-        return self.max_granted_ms / (1.0 - MAX_CLOCK_DRIFT) + LEASE_MARGIN_MS
-
     def extended_expiry_ms(self) -> float:
         """Return when a lease that another instance extends at the last moment will expire."""
-        longest_ms = self.max_inherited_ms / (1.0 - MAX_CLOCK_DRIFT)
-        return self.extendable_until_ms + longest_ms + LEASE_MARGIN_MS
+        return self.extendable_until_ms + lease_duration_ms(self.max_inherited_ms)
 
 
 @attrs.define(eq=False)
@@ -118,8 +118,10 @@
     last_heard_ms: float = float("-inf")
     # When this owner learned of the worker.
     known_since_ms: float = float("-inf")
-    # When the leases of earlier owners have expired, for a worker that has never reported.
+    # For a worker that has never reported: when the leases of earlier owners have expired, and
+    # when the longest one has that its process may have granted.
     inherited_lease_expiry_ms: float = float("inf")
+    longest_inherited_expiry_ms: float = float("-inf")
     backoff_until_ms: float = 0.0
     # A run whose task may crash the worker: while it is young, nothing else starts there.
     isolated_run: Run | None = None
@@ -168,10 +170,12 @@
         lasts must be back sooner than that.
         """
         expiry_ms = self.lease_expiry_ms()
-        if run.sent_ms is None or run.is_listed or run.task.step.spec.lasting:
+        if run.is_listed or run.task.step.spec.lasting:
             return expiry_ms
+        if run.sent_ms is None:
+            return max(expiry_ms, self.longest_inherited_expiry_ms)
         last_start_ms = run.confirmed_ms or run.sent_ms + MAX_START_LATENESS_MS
-        return max(expiry_ms, last_start_ms + self.lease.longest_ms())
+        return max(expiry_ms, last_start_ms + lease_duration_ms(self.lease.max_granted_ms))
 
     def apply_entry(self, info: WorkerInfo, now: float) -> None:
         """Apply an entry of the directory, which may outlast the worker by some seconds."""
--- a/baobabhoist/control/owner.py
+++ b/baobabhoist/control/owner.py
@@ -16,7 +16,7 @@
 from baobabhoist.cell.placement_preview import PreviewTime, preview_placement
 from baobabhoist.cell.policy import DEFAULT_POLICY, SchedulingPolicy
 from baobabhoist.cell.scheduler import CellScheduler, Takeover
-from baobabhoist.cell.workers import LEASE_MARGIN_MS, MAX_CLOCK_DRIFT
+from baobabhoist.cell.workers import lease_duration_ms
 from baobabhoist.control.advice import AdviceDispatcher
 from baobabhoist.control.cell_loader import CellLoader, CellTables
 from baobabhoist.control.clock import StoreClock, monotonic_ms, unix_ms
@@ -295,7 +295,10 @@
 
     async def _build_cell(self, tables: CellTables) -> None:
         takeover = Takeover(
-            self.ownership.generation, self.ownership.token, self._inherited_leases_expire_ms()
+            self.ownership.generation,
+            self.ownership.token,
+            self._inherited_expiry_ms(self._deps.lease_ms),
+            self._inherited_expiry_ms(self._deps.max_lease_ms),
         )
         loaded_rows = (*tables.progress, *tables.cell, *tables.speeds, *tables.usage)
         self.progress_writer.set_versions({row.key: row.version for row in loaded_rows})
@@ -331,10 +334,10 @@
         )
         self._deps.metrics.observe_takeover((now - self.ownership.won_ms) / 1000)
 
-    def _inherited_leases_expire_ms(self) -> float:
-        """Return when every lease granted by previous owners has certainly expired."""
+    def _inherited_expiry_ms(self, lease_ms: float) -> float:
+        """Return when a lease that previous owners granted at the last moment has expired."""
         last_ms = max(self.ownership.won_ms, self.ownership.previous_owner_until_ms)
-        return last_ms + self._deps.lease_ms / (1.0 - MAX_CLOCK_DRIFT) + LEASE_MARGIN_MS
+        return last_ms + lease_duration_ms(lease_ms)
 
     async def _load_jobs(self, rows: Sequence[StoredRow]) -> None:
         # Cancellations come last, because they refer to jobs that must already be loaded.
--- a/baobabhoist/tests/test_cell_scheduler.py
+++ b/baobabhoist/tests/test_cell_scheduler.py
@@ -17,6 +17,7 @@
 from baobabhoist.cell.state import RUN_NUMBERS_PER_OWNER
 from baobabhoist.tests.cell_harness import (
     LEASE_MS,
+    MAX_LEASE_MS,
     SMALL,
     CellHarness,
     make_job,
@@ -178,6 +179,9 @@
     assert [(s.worker_id, s.task.index) for s in starts] == [("w0", 8)]
     harness.now += LEASE_MS * 1.2
     harness.cell.tick(harness.now, harness.now)
+    assert harness.cell.state.workers["w1"].runs
+    harness.now += (MAX_LEASE_MS - LEASE_MS) * 1.2
+    harness.cell.tick(harness.now, harness.now)
     assert not harness.cell.state.workers["w1"].runs
 
 
