Raise the fencing token after a move before a restart is reported

Cause: a session that had moved took its first token, the newest of the owner, for one that nothing had been sent under. If the owner had written nothing since, the session before had used the same one. Of a worker that had restarted meanwhile, the first report was passed on, its lost runs started elsewhere, and the late start of the session before was still accepted there.

Change: a session knows the highest token that may have been used before it, also by its predecessor, and reports a restart only under a higher one, as it did for its own calls. The flag that was cleared with each new token is gone.

Ruled out: waiting for a higher token at every move; a worker whose process is the same refuses nothing that it must.

The new test failed before (shown with the new line taken out) and passes.

--- a/baobabhoist/control/sessions/holder.py
+++ b/baobabhoist/control/sessions/holder.py
@@ -168,7 +168,7 @@
         info = WorkerInfo(worker.worker_id, "", worker.address, "", NO_RESOURCES, ())
         lease = Lease(self._lease_ms)
         held.session = WorkerSession(info, self._driver, held, lease, self._lease_ms)
-        held.session.resume_from(worker.started_unix_ms, worker.acked_end)
+        held.session.resume_from(worker.started_unix_ms, worker.acked_end, worker.token)
         if self.may_act():
             held.session.start()
         return held
--- a/baobabhoist/control/sessions/pool.py
+++ b/baobabhoist/control/sessions/pool.py
@@ -299,7 +299,7 @@
         session = WorkerSession(
             state.info, self._deps.driver, listener, state.lease, self._deps.lease_ms
         )
-        session.resume_from(state.started_unix_ms, state.last_acked_end)
+        session.resume_from(state.started_unix_ms, state.last_acked_end, self._deps.newest_token())
         self._local[state.worker_id] = session
         session.start()
 
--- a/baobabhoist/control/sessions/worker_session.py
+++ b/baobabhoist/control/sessions/worker_session.py
@@ -72,9 +72,9 @@
         # before, which may otherwise reach a later process of it.
         self.token = 0
         self._needs_higher_token = True
-        # A deadline, a start or an acknowledgement was sent under the token, which a next process
-        # may still accept.
-        self._may_reach_next_process = False
+        # The highest token under which this session, or one before, may have sent a deadline, a
+        # start or an acknowledgement; a next process that sees no higher one may accept these.
+        self._last_used_token = 0
         # The incarnation of the worker that the ends below belong to.
         self.started_unix_ms = 0
         self.last_seen_end = 0
@@ -116,18 +116,22 @@
             self.acked_end = acked_end
             self._ends_acked.set()
 
-    def resume_from(self, started_unix_ms: int, acked_end: int) -> None:
-        """Continue where an earlier session with the same incarnation ended."""
+    def resume_from(self, started_unix_ms: int, acked_end: int, last_token: int) -> None:
+        """Continue where an earlier session with the same incarnation ended.
+
+        That session has used no token above `last_token`. If it never heard the worker, it has
+        sent nothing that a next process may accept.
+        """
         self.started_unix_ms = started_unix_ms
         self.acked_end = self.last_seen_end = acked_end
+        self._last_used_token = last_token if started_unix_ms else 0
 
     async def start_task(self, command: StartTask) -> CommandResponse:
         """Send a start command if that is permitted and the process of the worker was heard."""
         deadline_ms = self._next_deadline()
         if deadline_ms is None:
             return NOT_SENT
-        self._may_reach_next_process = True
-        token = self.token
+        token = self._last_used_token = self.token
         answer = await self._driver.start(self.info, token, command, deadline_ms)
         if self._is_fenced_by_itself(answer, token):
             return NOT_SENT
@@ -151,7 +155,6 @@
         if not self._needs_higher_token or token <= self.token:
             return
         self.token, self._needs_higher_token = token, False
-        self._may_reach_next_process = False
 
     def _next_deadline(self) -> int | None:
         """Extend the lease if that is permitted, and return its deadline.
@@ -191,7 +194,8 @@
         self._raise_token()
         has_unacked_ends = self.last_seen_end > self.acked_end
         is_heard = self._is_heard
-        self._may_reach_next_process |= is_heard
+        if is_heard:
+            self._last_used_token = self.token
         may_wait = is_heard and not has_unacked_ends
         deadline_ms = self._next_deadline()
         sent_ms = monotonic_ms()
@@ -208,7 +212,7 @@
         if not isinstance(answer, WorkerReport):
             self._handle_failure(answer)
             return False
-        if self._has_restarted(answer) and self._may_reach_next_process:
+        if self._has_restarted(answer) and self.token <= self._last_used_token:
             self._needs_higher_token = True
             if self._listener.gets_higher_tokens:
                 # Only the answer to a call with a higher token shows what will run there.
--- a/baobabhoist/tests/test_sessions_worker_session.py
+++ b/baobabhoist/tests/test_sessions_worker_session.py
@@ -42,7 +42,7 @@
         return CommandResponse(self.worker.stop(token, command))
 
 
-def make_session(harness, driver, request_scheduling_round=lambda: None):
+def make_session(harness, driver, request_scheduling_round=lambda: None, last_token=0):
     owner = SimpleNamespace(
         cell=harness.cell,
         may_renew=lambda: True,
@@ -53,7 +53,7 @@
     state = harness.cell.state.workers["w0"]
     listener = LocalSession(deps, state, Detours())
     session = WorkerSession(state.info, driver, listener, state.lease, LEASE_MS)
-    session.resume_from(state.started_unix_ms, state.last_acked_end)
+    session.resume_from(state.started_unix_ms, state.last_acked_end, last_token)
     return session
 
 
@@ -310,6 +310,32 @@
     assert worker.start(*late_starts[0]) is CommandOutcome.FENCED
 
 
+def test_a_moved_session_refuses_the_late_starts_of_the_session_before():
+    """Guard against tasks that run twice because a session moves while its owner writes nothing.
+
+    It began with the token of the session before, whose late start the next process accepted.
+    """
+    harness = CellHarness.with_workers(1)
+    worker = harness.workers["w0"]
+    state = harness.cell.state.workers["w0"]
+    harness.submit(make_job())
+    (late_start,) = harness.cell.schedule(harness.now, True)
+    late_token = harness.token
+    moved = make_session(harness, FakeDriver(worker), last_token=late_token)
+    worker.crash()
+    worker.restart()
+
+    async def run():
+        await moved._renew()
+        assert state.started_unix_ms != worker.started_unix_ms
+        harness.token += 1
+        await moved._renew()
+        assert state.started_unix_ms == worker.started_unix_ms
+
+    asyncio.run(run())
+    assert worker.start(late_token, late_start, FAR_DEADLINE_MS) is CommandOutcome.FENCED
+
+
 def test_the_clock_of_an_earlier_process_does_not_shorten_a_lease():
     """Guard against runs that start elsewhere while they work, after an answer that came late."""
     harness = CellHarness.with_workers(1)
