Count the earlier holder of a worker that is listed again

Cause: the lease of a worker is forgotten with the worker when it leaves the directory. If it was listed again before its earlier holder had applied the end of its session, the new lease left out what that holder had been permitted, and what it was still being permitted if the new session was one of the owner itself: up to 1.5 s too short.

Change: the pool keeps by worker id until when the holders of closed sessions may extend leases, and a permit of such a holder counts for the current lease wherever its session is.

The new test failed before for a session of the owner (the lease counted nothing of the holder) and passes.

--- a/baobabhoist/control/sessions/pool.py
+++ b/baobabhoist/control/sessions/pool.py
@@ -12,7 +12,7 @@
 
 from baobabhoist.cell.model import CommandOutcome, StartTask, StopTask, WorkerReport
 from baobabhoist.cell.scheduler import CellScheduler
-from baobabhoist.cell.workers import WorkerState
+from baobabhoist.cell.workers import WorkerState, lease_duration_ms
 from baobabhoist.control.clock import monotonic_ms
 from baobabhoist.control.interfaces import CommandResponse, WorkerDriver
 from baobabhoist.control.machine_size import MachineSize
@@ -184,6 +184,9 @@
         self._numbers = itertools.count(1)
         self._assignment_numbers = itertools.count(1)
         self._detours = Detours()
+        # Until when the holders of closed sessions may extend leases, by worker id. The cell
+        # forgets a worker that leaves the directory, and with it the lease.
+        self._extendable_until_ms: dict[str, float] = {}
         # Workers that refuse holders of earlier releases, which don't know this owner's higher
         # tokens; this process holds the sessions with them.
         self._refusing_workers: set[str] = set()
@@ -211,6 +214,7 @@
         """Adapt the sessions to the workers of the cell and to the instances that are linked."""
         now = monotonic_ms()
         self._drop_lost_holders(now)
+        self._forget_expired_extensions(now)
         reachable = {w.worker_id: w for w in workers.values() if w.info.address}
         held = (*self._local, *self._to_open, *self._remote)
         for worker_id in [worker_id for worker_id in held if worker_id not in reachable]:
@@ -278,6 +282,7 @@
             if is_open and self._node_of(worker_id) == node:
                 continue
             self._close(worker_id)
+            self._inherit_lease(workers[worker_id])
             if node == LOCAL_NODE:
                 self._to_open[worker_id] = workers[worker_id]
             else:
@@ -294,6 +299,11 @@
             await asyncio.sleep(0)
         self._opening = None
 
+    def _inherit_lease(self, state: WorkerState) -> None:
+        """Record in a lease until when the holders of closed sessions may extend it."""
+        until_ms = self._extendable_until_ms.pop(state.worker_id, float("-inf"))
+        state.lease.extendable_until_ms = max(state.lease.extendable_until_ms, until_ms)
+
     def _open_local(self, state: WorkerState) -> None:
         listener = LocalSession(self._deps, state, self._detours)
         session = WorkerSession(
@@ -336,10 +346,22 @@
         remote = self._remote.pop(worker_id, None)
         if remote is not None:
             del self._by_number[remote.number]
+            self._record_extendable(worker_id, remote.state.lease.extendable_until_ms)
             remote.holder.close_session(
                 remote.number, remote.state, self._deps.newest_token(), remote.is_suspended
             )
 
+    def _record_extendable(self, worker_id: str, until_ms: float) -> None:
+        """Record until when a closed session may extend a lease, for the next one."""
+        earlier_ms = self._extendable_until_ms.get(worker_id, until_ms)
+        self._extendable_until_ms[worker_id] = max(earlier_ms, until_ms)
+
+    def _forget_expired_extensions(self, now: float) -> None:
+        longest_ms = lease_duration_ms(self._deps.lease_ms)
+        for worker_id, until_ms in list(self._extendable_until_ms.items()):
+            if now > until_ms + longest_ms:
+                del self._extendable_until_ms[worker_id]
+
     def _send_assignments(self) -> None:
         for holder in list(self._holders.values()):
             if not holder.needs_assignment:
@@ -392,12 +414,16 @@
         """Record until when the holder of a closed session may extend the worker's lease."""
         if closed.is_suspended:
             return
-        lease = closed.state.lease
-        lease.extendable_until_ms = max(lease.extendable_until_ms, until_ms)
-        current = self._remote.get(closed.state.worker_id)
-        if current is not None:
-            current.inherited_until_ms = max(current.inherited_until_ms, until_ms)
-            current.update_lease()
+        worker_id, state = closed.state.worker_id, closed.state
+        self._record_extendable(worker_id, until_ms)
+        state.lease.extendable_until_ms = max(state.lease.extendable_until_ms, until_ms)
+        remote = self._remote.get(worker_id)
+        if remote is not None:
+            remote.inherited_until_ms = max(remote.inherited_until_ms, until_ms)
+            remote.update_lease()
+        local = self._local.get(worker_id) or self._to_open.get(worker_id)
+        if local is not None:
+            local.lease.extendable_until_ms = max(local.lease.extendable_until_ms, until_ms)
 
     # Commands and acknowledgements.
 
--- a/baobabhoist/tests/test_sessions_faults.py
+++ b/baobabhoist/tests/test_sessions_faults.py
@@ -19,7 +19,7 @@
     WorkerSilence,
     to_held_report,
 )
-from baobabhoist.control.sessions.permits import PERMIT_VALID_MS
+from baobabhoist.control.sessions.permits import PERMIT_INTERVAL_S, PERMIT_VALID_MS
 from baobabhoist.tests.cell_harness import MAX_LEASE_MS
 from baobabhoist.tests.sessions_harness import World
 
@@ -273,6 +273,37 @@
     assert not world.short_leases
 
 
+@pytest.mark.parametrize("is_local", [False, True])
+def test_the_lease_of_a_worker_that_is_listed_again_counts_its_earlier_holder(
+    is_local, monkeypatch
+):
+    """Guard against a lease that an earlier holder extends for a worker that was forgotten."""
+    expiries_ms = []
+
+    async def list_again(world):
+        await asyncio.sleep(1.0)
+        pool, cell, source = world.owner.pool, world.owner.cell, world.instances[0]
+        worker_id = next(w for w, s in pool._remote.items() if s.holder.node == source.node)
+        source.from_owner._last_s = world.loop.time() + 6.0
+        cell.state.remove_worker(cell.state.workers[worker_id])
+        pool.sync(cell.state.workers)
+        cell.update_worker(world.workers[worker_id].info(), world.loop.now_ms())
+        if is_local:
+            pool._refusing_workers.add(worker_id)
+        pool.sync(cell.state.workers)
+        expiries_ms.append(cell.state.workers[worker_id].lease.extended_expiry_ms())
+        # The next permit of the earlier holder counts as well.
+        await asyncio.sleep(PERMIT_INTERVAL_S + 0.1)
+        expiries_ms.append(cell.state.workers[worker_id].lease.extended_expiry_ms())
+        for node in ("owner", *(i.node for i in world.instances if i is not source)):
+            world.network.cut_until_s[node, worker_id] = world.loop.time() + 12.0
+
+    world = World(1)
+    world.run(list_again, 20.0, monkeypatch)
+    assert not world.short_leases
+    assert 0.0 < expiries_ms[0] < expiries_ms[1]
+
+
 @pytest.mark.parametrize("is_moved", [False, True])
 def test_a_permit_is_extended_while_an_assignment_is_on_its_way(is_moved, monkeypatch):
     """Guard against sessions that end because workers come and go faster than messages arrive."""
