Keep the ends and runs of occurrences that a new owner's wall clock has not reached

What callers see: a task of a recurring job runs again after its end was noted and acknowledged (TWICE), or the run of an earlier owner is stopped as an unknown one and started again.

Cause: a new owner opened the occurrences that are due by its own clock and left out the stored progress of all others, so that their ends, failures and runs were lost. The occurrence opened afresh as soon as its time came.

Ruled out: jobs that don't recur are due at any time; an occurrence with a start always has its run in a stored row, because starts are stored before they are sent.

Change: the occurrences that the stored progress names are opened. Those that are not due by this owner's clock start nothing more until they are (ORDER). A row that names more tasks than an owner can hold fails only its own job.

--- a/baobabhoist/cell/jobs.py
+++ b/baobabhoist/cell/jobs.py
@@ -212,6 +212,8 @@
     ended_ms: float = 0.0
     # The final phase is stored, so that no later owner can run the job again.
     is_end_stored: bool = False
+    # The occurrences that are due; an earlier owner may have opened more of them.
+    due_count: int = 0
     opened_count: int = 0
     # This owner has stopped runs of this job in favour of another one.
     was_preempted: bool = False
@@ -264,12 +266,18 @@
 
     def open_due_occurrences(self, unix_ms: float) -> bool:
         """Open the occurrences that are due; return whether there was any."""
-        spec, before = self.accepted.spec, self.opened_count
-        while self.opened_count < spec.occurrence_count and unix_ms >= spec.due_unix_ms(
-            self.opened_count
+        spec, before = self.accepted.spec, self.due_count
+        while self.due_count < spec.occurrence_count and unix_ms >= spec.due_unix_ms(
+            self.due_count
         ):
+            self.due_count += 1
+        self.open_occurrences(self.due_count)
+        return self.due_count > before
+
+    def open_occurrences(self, count: int) -> None:
+        """Open the first `count` occurrences; those that are not due yet start nothing."""
+        while self.opened_count < min(count, self.accepted.spec.occurrence_count):
             self.open_occurrence()
-        return self.opened_count > before
 
     def find_step(self, key: StepKey | TaskKey) -> StepState | None:
         """Return a step, or None if its occurrence is not open."""
@@ -283,9 +291,9 @@
         return step.tasks[key.index]
 
     def is_step_ready(self, step: StepState) -> bool:
-        """Return whether all steps that a step depends on are done."""
+        """Return whether a step is due and all steps that it depends on are done."""
         occurrence = step.key.occurrence
-        return all(
+        return occurrence < self.due_count and all(
             self.steps[(occurrence, step_number)].is_done for step_number in step.spec.after
         )
 
--- a/baobabhoist/cell/placement_preview.py
+++ b/baobabhoist/cell/placement_preview.py
@@ -85,6 +85,7 @@
     job.objective_ms = time.now + objective_after_ms(accepted, queue)
     entitled_jobs = state.entitlements.entitled_jobs(team, time.store_ms)
     job.is_beyond_entitlement = entitled_jobs is not None and entitled_jobs < 1.0
+    job.due_count = 1
     return next(step for step in job.open_occurrence() if job.is_step_ready(step))
 
 
--- a/baobabhoist/cell/progress_rows.py
+++ b/baobabhoist/cell/progress_rows.py
@@ -79,6 +79,11 @@
     phase: JobPhase
     steps: tuple[StepProgress, ...] = ()
 
+    @property
+    def occurrence_count(self) -> int:
+        """Return how many occurrences had been opened at least."""
+        return max((step.occurrence + 1 for step in self.steps), default=0)
+
 
 def merge_progress(main: JobProgress | None, parts: Iterable[JobProgress]) -> JobProgress:
     """Return the progress of a job whose rows are a main one, which tells the phase, and parts."""
@@ -192,6 +197,8 @@
 def restore_progress(job: JobState, progress: JobProgress) -> None:
     """Apply stored progress to a job whose due occurrences are open."""
     job.phase = progress.phase
+    # The wall clock of the earlier owner may have been ahead of this one's.
+    job.open_occurrences(progress.occurrence_count)
     for step_progress in progress.steps:
         step = job.steps.get((step_progress.occurrence, step_progress.step))
         if step is None:
--- a/baobabhoist/control/stored_rows.py
+++ b/baobabhoist/control/stored_rows.py
@@ -7,7 +7,7 @@
 from collections.abc import Iterable, Sequence
 
 from baobabhoist.cell import progress_rows
-from baobabhoist.cell.progress_rows import merge_progress
+from baobabhoist.cell.progress_rows import JobProgress, merge_progress
 from baobabhoist.cell.scheduler import CellScheduler
 from baobabhoist.control.clock import StoreClock, monotonic_ms, unix_ms
 from baobabhoist.control.row_schema import (
@@ -65,7 +65,9 @@
     try:
         stored = {r.key: progress_rows.decode(r.value) for r in rows if r.value is not None}
         main = stored.pop(main_key, None)
-        cell.restore_job(job_id, merge_progress(main, stored.values()), now)
+        progress = merge_progress(main, stored.values())
+        _check_opened_tasks(cell, job_id, progress)
+        cell.restore_job(job_id, progress, now)
     except Exception as exc:
         # One row must not end this owner, and the next ones after it. Without its progress the job
         # would run again what it has done.
@@ -73,6 +75,18 @@
         cell.fail_job(job_id, now, "its progress can't be read")
 
 
+def _check_opened_tasks(cell: CellScheduler, job_id: str, progress: JobProgress) -> None:
+    """Raise ValueError if an owner can't hold the occurrences that a progress names."""
+    job = cell.find_job(job_id)
+    if job is None:
+        return
+    spec = job.accepted.spec
+    opened = min(progress.occurrence_count, spec.occurrence_count)
+    opened_tasks = opened * sum(step.count for step in spec.steps)
+    if opened_tasks > MAX_STORED_DUE_TASKS:
+        raise ValueError(f"{opened_tasks} tasks are open, more than an owner can hold")
+
+
 def restore_speeds(cell: CellScheduler, rows: Sequence[StoredRow]) -> None:
     """Continue from the speed estimates that an earlier owner stored."""
     for row in rows:
--- a/baobabhoist/tests/test_cell_scheduler.py
+++ b/baobabhoist/tests/test_cell_scheduler.py
@@ -220,6 +220,61 @@
     assert harness.running_tasks() == []
 
 
+def take_over_with_clock_behind(harness, accepted):
+    """Let an owner take over by whose wall clock the job's first occurrence is not due yet."""
+    saved = harness.save_progress()
+    harness.take_over()
+    unix_ms = accepted.spec.first_due_ms - 2000
+    harness.cell.add_job(accepted, harness.now, harness.now, unix_ms)
+    harness.cell.restore_job(accepted.job_id, saved[accepted.job_id], harness.now)
+
+
+def make_recurring_job(harness, *steps):
+    times = {"repeats": 2, "first_due_ms": int(harness.now), "interval_ms": 60_000}
+    return make_job("0" * 16, *steps, version=1, **times)
+
+
+def test_a_new_owner_whose_wall_clock_is_behind_keeps_the_ends_of_an_occurrence():
+    """Guard against a task that runs again because its occurrence seems not to be due yet."""
+    harness = CellHarness.with_workers(1)
+    accepted = make_recurring_job(harness)
+    harness.submit(accepted)
+    harness.settle()
+    harness.end_run(make_task_key())
+    take_over_with_clock_behind(harness, accepted)
+    harness.advance(3000)
+    assert harness.workers["w0"].started_runs == [(make_task_key(), 1)]
+
+
+def test_a_new_owner_whose_wall_clock_is_behind_tracks_the_runs_of_an_occurrence():
+    """Guard against a second run because the occurrence of the first seems not to be due yet."""
+    harness = CellHarness.with_workers(2)
+    accepted = make_recurring_job(harness)
+    harness.submit(accepted)
+    harness.settle()
+    ((task, worker_id),) = harness.running_tasks()
+    take_over_with_clock_behind(harness, accepted)
+    harness.renew(worker_id)
+    harness.settle()
+    assert harness.running_tasks() == [(task, worker_id)]
+
+
+def test_a_new_owner_starts_no_more_of_an_occurrence_that_is_not_due_by_its_clock():
+    """Guard against a start before its time because an earlier owner's clock was ahead."""
+    harness = CellHarness.with_workers(1)
+    steps = (Step(1, SMALL, 1000), Step(1, SMALL, 1000, after=(0,)))
+    accepted = make_recurring_job(harness, *steps)
+    harness.submit(accepted)
+    harness.settle()
+    harness.workers["w0"].end_run(make_task_key(), RunOutcome.DONE)
+    harness.renew_all()
+    take_over_with_clock_behind(harness, accepted)
+    harness.settle()
+    assert harness.running_tasks() == []
+    harness.advance(100)
+    assert harness.running_tasks() == [(make_task_key(step=1), "w0")]
+
+
 def test_an_adopted_run_keeps_the_lease_of_the_earlier_owner():
     """Guard against a second run because the new owner has not renewed the lease yet."""
     harness = CellHarness.with_workers(2)
--- a/baobabhoist/tests/test_control_progress_layout.py
+++ b/baobabhoist/tests/test_control_progress_layout.py
@@ -16,6 +16,7 @@
 from baobabhoist.control.progress_layout import ProgressLayout
 from baobabhoist.control.row_schema import PROGRESS_TABLE, progress_row_key
 from baobabhoist.control.stored_rows import group_by_job, restore_progress
+from baobabhoist.store.row_store import StoredRow
 from baobabhoist.tests.cell_harness import CellHarness, make_job
 from baobabhoist.tests.test_control_progress_writer import flush, make_writer
 
@@ -115,6 +116,19 @@
     assert without_empty(after) == without_empty(before)
 
 
+def test_a_progress_that_names_too_many_occurrences_fails_only_its_job():
+    """Guard against an owner that opens more occurrences than its memory holds."""
+    harness = CellHarness.with_workers(1)
+    repeats = 10**9
+    far_ahead = int(harness.now) + 10**9
+    harness.submit(make_job(ID, repeats=repeats, first_due_ms=far_ahead, interval_ms=1))
+    value = progress_rows.encode(
+        JobProgress(JobPhase.RUNNING, (StepProgress(repeats - 1, 0, (0,)),))
+    )
+    restore_progress(harness.cell, ID, [StoredRow(progress_row_key(ID), value, 1)], harness.now)
+    assert harness.job_phase(ID) is JobPhase.FAILED
+
+
 def test_the_parts_of_a_finished_job_are_removed():
     """Guard against rows that each new owner reads although their job has ended."""
     store, writer, _ = make_writer(row_max_bytes=ROW_MAX_BYTES)
