Confirm a cancelling in the gateway's jobs only once it is stored

What callers see: DELETE /v1/jobs/ID answered 200 while the cancelling was known to the coordinator's memory alone, for up to 2 s (the flush) and for as long as the table was away. In the first 0.25 s after an instance had come to own a home shard the cancelling was applied to a copy of the job that nobody kept, and was lost without any failure.

Cause: JobCoordinator.cancel marked the run as cancelled and answered with its status; the progress was left to the flush.

Evidence: the first and third of the new tests in test_daemon_jobs.py failed before (with the table down both calls answered 'cancelled' or 'succeeded'; the row of progress was missing).

Change: a cancelling is written before it is confirmed, also for a repeated call that meets a job which has ended in memory; without the table's answer the call is refused with an unknown outcome, and a repetition tells. Tasks are still stopped at once. All cancellings that wait share one transaction (50 at once: under 5 transactions). One lock orders the writes of a coordinator, because two of one job at a time look like another coordinator's.

Not changed: a status of an ended job may still be shown up to 2 s before it is stored.

--- a/baobabhoist/daemon/jobs.py
+++ b/baobabhoist/daemon/jobs.py
@@ -424,8 +424,10 @@
     async def _apply_verb(self, run: JobRun, verb: JobVerb) -> JobReply:
         if verb is JobVerb.EXPLAIN:
             return JobReply(explanation=await self._coordinator.explain(run))
-        if verb is JobVerb.CANCEL and not run.is_finished:
-            return JobReply(status=await self._coordinator.cancel(run))
+        if verb is JobVerb.CANCEL:
+            status = await self._coordinator.cancel(run)
+            refusal = _cancelling_not_stored() if status is None else None
+            return JobReply(status, refusal=refusal)
         return JobReply(status=await self._coordinator.status(run))
 
     async def _watch_ownership(self) -> None:
@@ -434,6 +436,16 @@
             await asyncio.sleep(OWNERSHIP_POLL_INTERVAL_S)
 
 
+def _cancelling_not_stored() -> Refusal:
+    return Refusal(
+        ErrorKind.PLATFORM_UNAVAILABLE,
+        "the platform's table did not confirm that the job is cancelled",
+        Outcome.UNKNOWN,
+        "repeat the call; it has no effect when the first one took effect",
+        retry_after_s=2.0,
+    )
+
+
 def _platform_unavailable(exc: PlatformError) -> Refusal:
     return Refusal(
         ErrorKind.PLATFORM_UNAVAILABLE,
--- a/baobabhoist/jobs/coordinator.py
+++ b/baobabhoist/jobs/coordinator.py
@@ -97,6 +97,8 @@
         self._in_flight: dict[str, set[asyncio.Task[Any]]] = {}
         self._starting_gangs: set[str] = set()
         self._cancelling_jobs: set[str] = set()
+        # Two writes of one job at a time would look like a conflict with another coordinator.
+        self._store_lock = asyncio.Lock()
 
     async def run(self) -> None:
         """Send tasks, store progress and scan the table for new jobs until cancelled."""
@@ -165,11 +167,17 @@
         status = run.status(frozenset(report.running), unresponsive)
         return JobExplanation(run.spec.job_id, status.state, status.reason, waiting)
 
-    async def cancel(self, run: JobRun) -> JobStatus:
-        """Cancel a job and return its status after that."""
-        run.cancel()
-        await self._cancel_open_tasks(run)
-        return await self.status(run)
+    async def cancel(self, run: JobRun) -> JobStatus | None:
+        """Cancel a job and return its status after that, or None if that may not be stored."""
+        if run.is_finished and self.runs.get(run.spec.job_id) is not run:
+            # It was read from the table.
+            return await self.status(run)
+        if not run.is_finished:
+            run.cancel()
+        is_stored, _ = await asyncio.gather(
+            self._store_cancelling(run), self._cancel_open_tasks(run)
+        )
+        return await self.status(run) if is_stored else None
 
     async def _advance_job(self, run: JobRun, now: float) -> None:
         run.expire_waiting_tasks(now)
@@ -383,8 +391,23 @@
         if dirty:
             await self._store_progress(dirty)
 
+    async def _store_cancelling(self, run: JobRun) -> bool:
+        """Write the progress of a cancelled job unless it is stored; return whether it is.
+
+        All jobs that are cancelled by then share one transaction.
+        """
+        async with self._store_lock:
+            if not run.dirty:
+                return True
+            others = [r for r in self.runs.values() if r.dirty and r.cancel_requested]
+            return await self._commit_progress([run, *(r for r in others if r is not run)])
+
     async def _store_progress(self, runs: list[JobRun]) -> bool:
         """Write the progress of several jobs in one transaction; return whether it was stored."""
+        async with self._store_lock:
+            return await self._commit_progress(runs)
+
+    async def _commit_progress(self, runs: list[JobRun]) -> bool:
         checks: dict[str, int] = {}
         writes: dict[str, Any] = {}
         finished = []
--- a/baobabhoist/tests/test_daemon_jobs.py
+++ b/baobabhoist/tests/test_daemon_jobs.py
@@ -9,6 +9,7 @@
 from baobabhoist.errors import ErrorKind, MessageNotSentError, Refusal
 from baobabhoist.jobs import state
 from baobabhoist.jobs.messages import HoldReply, TasksReport
+from baobabhoist.jobs.rows import progress_key
 from baobabhoist.model import (
     Answer,
     JobSpec,
@@ -181,6 +182,61 @@
     two_instances(scenario)
 
 
+def test_a_cancelling_is_confirmed_only_once_it_is_stored(two_instances):
+    """Guard against a cancelled job that runs again because only its coordinator knew of it."""
+
+    async def scenario(here, jobs, there, others):
+        await jobs.submit(spec("j1", WorkKind.BATCH, 1))
+        await until(lambda: here.sent)
+        here.table.down = True
+        reply = await jobs.cancel("j1", "roster")
+        assert (reply.kind, reply.outcome) == (ErrorKind.PLATFORM_UNAVAILABLE, Outcome.UNKNOWN)
+        here.finish.set()
+        await until(lambda: jobs._coordinator.runs["j1"].is_finished)
+        assert isinstance(await jobs.cancel("j1", "roster"), Refusal)
+        here.table.down = False
+        assert not isinstance(await jobs.cancel("j1", "roster"), Refusal)
+        assert here.table.rows[progress_key("j1")].value["cancel_wanted"]
+
+    two_instances(scenario)
+
+
+def test_a_wave_of_cancellings_shares_transactions(two_instances):
+    """Guard against jobs that wait for the table behind a transaction for each cancelling."""
+
+    async def scenario(here, jobs, there, others):
+        names = [f"j{number}" for number in range(50)]
+        for name in names:
+            await jobs.submit(spec(name, WorkKind.BATCH, 1))
+        await until(lambda: len(here.sent) == len(names))
+        commit, txns = here.table.commit, []
+
+        async def record_commit(txn):
+            txns.append(txn)
+            await asyncio.sleep(0.01)
+            return await commit(txn)
+
+        here.table.commit = record_commit
+        replies = await asyncio.gather(*(jobs.cancel(name, "roster") for name in names))
+        assert not any(isinstance(reply, Refusal) for reply in replies)
+        assert len(txns) < len(names) / 10
+        assert all(here.table.rows[progress_key(n)].value["cancel_wanted"] for n in names)
+
+    two_instances(scenario)
+
+
+def test_a_cancelling_reaches_a_job_that_is_not_coordinated_yet(two_instances):
+    """Guard against a confirmed cancelling that is lost before the coordinator reads the job."""
+
+    async def scenario(here, jobs, there, others):
+        jobs._coordinator.set_owned_shards([])
+        await jobs.submit(spec("j1", WorkKind.BATCH, 1))
+        assert not isinstance(await jobs.cancel("j1", "roster"), Refusal)
+        assert here.table.rows[progress_key("j1")].value["cancel_wanted"]
+
+    two_instances(scenario)
+
+
 def test_all_unfinished_jobs_of_a_queue_are_found_however_many_there_are(
     two_instances, monkeypatch
 ):
