Let a fault of the soak wait while another one has stopped all instances

Cause: 'herd' and 'cut_peer' began together at 33.4 s; 'herd' stopped all four instances, and the other fault had none to pick. Not a fault of the instances. The fault now picks once an instance runs again.

--- a/baobabhoist/platform/testing/soak_faults.py
+++ b/baobabhoist/platform/testing/soak_faults.py
@@ -24,6 +24,7 @@
 MIN_FAULT_S, MAX_FAULT_S = 1.0, 6.0
 PAIR_PROBABILITY = 0.35
 DRAIN_NOTICE_S = 2.5
+RUNNING_POLL_INTERVAL_S = 0.1
 PARTITION_MODES = ("cut", "blackhole", "mute")
 MIN_DELAY_S, MAX_DELAY_S = 0.05, 0.6
 CANCELLED_JOBS = 12
@@ -59,11 +60,18 @@
 
 
 async def _pick_instance(soak: Soak, rng: random.Random) -> str:
-    """Pick a running instance: half of the time the owner, otherwise any."""
-    owner = await soak.deployment.find_owner()
-    # Only now, because another fault may have picked an instance meanwhile.
-    running = [name for name in soak.deployment.instances if name not in soak.down_instances]
-    return owner if owner in running and rng.random() < 0.5 else rng.choice(running)
+    """Pick a running instance, once there is one: half of the time the owner, otherwise any."""
+    while True:
+        owner = await soak.deployment.find_owner()
+        # Only now, because another fault may have picked an instance meanwhile.
+        running = _running_instances(soak)
+        if running:
+            return owner if owner in running and rng.random() < 0.5 else rng.choice(running)
+        await asyncio.sleep(RUNNING_POLL_INTERVAL_S)
+
+
+def _running_instances(soak: Soak) -> list[str]:
+    return [name for name in soak.deployment.instances if name not in soak.down_instances]
 
 
 async def _kill_instance(soak: Soak, fault: ScheduledFault, rng: random.Random) -> None:
@@ -71,7 +79,7 @@
 
 
 async def _kill_instances(soak: Soak, fault: ScheduledFault, rng: random.Random) -> None:
-    running = [name for name in soak.deployment.instances if name not in soak.down_instances]
+    running = _running_instances(soak)
     count = rng.choice([len(running) // 2, len(running)])
     await _kill_and_restart(soak, fault, rng.sample(running, count))
 
