Cancel the tasks that may be in flight when a job's next coordinator continues its cancelling

What callers see: DELETE /v1/jobs/ID is answered and the job is shown as cancelled, but one of its tasks runs on to its end on a worker. Needs an idempotent task whose request had no answer and waits for its retry, and a coordinator that is replaced before the shard is told of the cancelling.

Cause: JobCoordinator.load applied the stored cancelling before it was known which attempts may be in flight, so that such a task counted as never sent and was cancelled in memory alone.

Evidence: the new test in test_jobs_coordinator.py failed before: the shard was told nothing. Found by reading. Tasks that were stored as sent are not affected.

Change: the restored attempts that may be in flight are marked first.

--- a/baobabhoist/jobs/coordinator.py
+++ b/baobabhoist/jobs/coordinator.py
@@ -140,6 +140,7 @@
         run = job_from_row(row.value, progress.value["tasks"] if progress.value else None)
         run.revision = progress.revision
         if progress.value and progress.value["cancel_wanted"]:
+            run.mark_possibly_sent()
             run.cancel()
         return run
 
--- a/baobabhoist/jobs/state.py
+++ b/baobabhoist/jobs/state.py
@@ -375,7 +375,13 @@
             task.generation, task.failure_count, task.has_intent, task.shard, task.reason = row[1:]
 
     def resume(self) -> None:
-        """Set every attempt that may be in flight to be sent again, which returns its outcome.
+        """Set every attempt that may be in flight to be sent again, which returns its outcome."""
+        self.mark_possibly_sent()
+        for index in self._open_tasks():
+            self.tasks[index].state = AttemptState.WAITING
+
+    def mark_possibly_sent(self) -> None:
+        """Mark every restored attempt that may be in flight.
 
         The first attempt of an idempotent task is sent without a stored intent, so each one that
         is waiting may be in flight as well.
@@ -387,7 +393,6 @@
                 or task.state is AttemptState.SENT
                 or self._sent_without_intent(task)
             )
-            task.state = AttemptState.WAITING
 
     def _sent_without_intent(self, task: TaskProgress) -> bool:
         is_gang = self.spec.kind is WorkKind.GANG
--- a/baobabhoist/tests/test_jobs_coordinator.py
+++ b/baobabhoist/tests/test_jobs_coordinator.py
@@ -11,7 +11,7 @@
 from baobabhoist.jobs.messages import HoldReply, TasksReport
 from baobabhoist.jobs.rows import job_key, job_to_row, progress_key, unfinished_job_key
 from baobabhoist.jobs.state import JobRun
-from baobabhoist.model import Answer, JobSpec, JobState, Resources, TaskSpec, WorkKind
+from baobabhoist.model import Answer, JobSpec, JobState, Outcome, Resources, TaskSpec, WorkKind
 from baobabhoist.store.table import Committed, Row
 
 SHARDS = ("rack-1", "rack-2")
@@ -231,3 +231,24 @@
         assert shards.cancelled == {request_id for _, request_id in shards.sent}
 
     run_scenario(scenario, monkeypatch)
+
+
+def test_next_coordinator_cancels_a_task_that_waits_for_its_retry_at_its_shard(monkeypatch):
+    """Guard against a task that runs on, although its job is shown as cancelled."""
+
+    async def scenario(jobs, table, shards):
+        run = new_run(WorkKind.BATCH, 1)
+        run.record_sent(0)
+        run.apply_result(0, Refusal(ErrorKind.PEER_UNREACHABLE, "", Outcome.UNKNOWN), 0.0)
+        run.cancel()
+        store_run(table, run)
+        table.rows[progress_key("j1")] = (
+            1,
+            {"tasks": run.progress_to_row(), "cancel_wanted": True},
+        )
+        jobs.set_owned_shards([])
+        jobs.set_owned_shards(["rack-1"])
+        await wait_until(lambda: table.rows[unfinished_job_key("rack-1", "j1")][1] is None)
+        assert shards.cancelled == {"j1.0.0"}
+
+    run_scenario(scenario, monkeypatch)
