Release the room of a gang's unsent members once when the lease lapses

A team could run more than its limit (QUOTA).

Cause: when the lease of a worker lapses, each of its runs is closed. Closing an unsent member of a gang closes the other unsent ones, and the loop then closed these once more: the usage of the team and the count of waiting members were off by one run each time, for good.

Ruled out: the other loops over a worker's runs; evacuations have the same guard, and restarts and successors close sent runs only.

Change: a run that is closed already is left alone.

--- a/baobabhoist/cell/periodic_checks.py
+++ b/baobabhoist/cell/periodic_checks.py
@@ -53,7 +53,17 @@
     def _check_lease(self, worker: WorkerState, now: float) -> None:
         if now > worker.lease_expiry_ms():
             self._crashes.record_lapse(worker, now)
-            for run in [run for run in worker.runs.values() if now > worker.run_expiry_ms(run)]:
+            self._give_up_runs(worker, now)
+        is_gone = not worker.is_listed and now > worker.unlisted_since_ms + DIRECTORY_RECOVERY_MS
+        if is_gone and not worker.runs:
+            emit(log, Event.WORKER_GONE, worker=worker.worker_id)
+            self._state.remove_worker(worker)
+
+    def _give_up_runs(self, worker: WorkerState, now: float) -> None:
+        """Close the runs that have certainly ended on a worker whose lease has lapsed."""
+        for run in [run for run in worker.runs.values() if now > worker.run_expiry_ms(run)]:
+            # Closing a member of a gang closes the other unsent ones too.
+            if run.task.run is run:
                 close_lost_run(
                     self._state,
                     self._run_ends,
@@ -62,10 +72,6 @@
                     "the lease of its worker has lapsed",
                     WasteCause.LEASE_LAPSED,
                 )
-        is_gone = not worker.is_listed and now > worker.unlisted_since_ms + DIRECTORY_RECOVERY_MS
-        if is_gone and not worker.runs:
-            emit(log, Event.WORKER_GONE, worker=worker.worker_id)
-            self._state.remove_worker(worker)
 
     def _check_run(self, worker: WorkerState, run: Run, now: float) -> None:
         self._repeat_stop(run, now)
--- a/baobabhoist/tests/test_cell_run_stops.py
+++ b/baobabhoist/tests/test_cell_run_stops.py
@@ -3,8 +3,16 @@
 import attrs
 import pytest
 
-from baobabhoist.cell.model import CommandOutcome, RunOutcome, StartTask, Step, StopTask
+from baobabhoist.cell.model import (
+    NO_RESOURCES,
+    CommandOutcome,
+    RunOutcome,
+    StartTask,
+    Step,
+    StopTask,
+)
 from baobabhoist.cell.periodic_checks import STALL_TIMEOUT_MS, UNSENT_START_TIMEOUT_MS
+from baobabhoist.cell.workers import REPORT_TIMEOUT_MS
 from baobabhoist.tests.cell_harness import SMALL, CellHarness, make_job, make_task_key
 
 GANG = (Step(2, SMALL.times(4), 100, gang=True),)
@@ -207,3 +215,21 @@
     harness.now += 700.0
     harness.renew("w0")
     assert not harness.cell.may_repeat_start(start, harness.now)
+
+
+def test_the_unsent_members_of_a_gang_are_given_up_once():
+    """Guard against a team that runs more than its limit: their room was released twice."""
+    harness = CellHarness.with_workers(1)
+    harness.delivers_commands = False
+    harness.submit(make_job("0" * 16, Step(2, SMALL, 100, gang=True)))
+    # The worker falls silent before the starts are decided, which the store is slow to take.
+    harness.now += REPORT_TIMEOUT_MS - 100.0
+    harness.schedule()
+    state = harness.cell.state
+    worker = state.workers["w0"]
+    harness.now = worker.lease_expiry_ms() + 1.0
+    harness.cell.tick(harness.now, harness.now)
+    assert not worker.runs
+    assert state.team_usage["team"] == NO_RESOURCES
+    (step,) = state.ready_steps.values()
+    assert step.waiting_count == 2
