Count the lease of an unlisted run from the last start that its process may get

Found by reading the fixes.

Cause: a start carries a deadline for all that runs on its worker. A process that had started again, and that no report had shown yet, got one start and then another, answered later or not at all: the second one extended the lease of the first run, for which the owner counted the longest lease from its own answer only. The owner started its task elsewhere up to 14 s too early.

Ruled out: runs that a report lists, because deadlines for their process are counted in its lease.

Change: the longest lease counts from the latest start that such a process may carry out, for all its runs that no report lists. A start that the process refuses for want of room extends the lease too and is not counted.

Both cases of the new test failed before and pass.

--- a/baobabhoist/cell/workers.py
+++ b/baobabhoist/cell/workers.py
@@ -166,15 +166,15 @@
         """Return the time after which a run has certainly ended and never begins.
 
         Until a report lists the run, the next process of the worker may have got the start or, if
-        there was no answer, may get it yet. That process grants the longest lease. A task that
-        lasts must be back sooner than that.
+        there was no answer, may get it yet. That process grants the longest lease, and each later
+        start extends it for all its runs. A task that lasts must be back sooner than that.
         """
         expiry_ms = self.lease_expiry_ms()
         if run.is_listed or run.task.step.spec.lasting:
             return expiry_ms
         if run.sent_ms is None:
             return max(expiry_ms, self.longest_inherited_expiry_ms)
-        last_start_ms = run.confirmed_ms or run.sent_ms + MAX_START_LATENESS_MS
+        last_start_ms = max(map(_last_start_ms, self.runs.values()))
         return max(expiry_ms, last_start_ms + lease_duration_ms(self.lease.max_granted_ms))
 
     def apply_entry(self, info: WorkerInfo, now: float) -> None:
@@ -246,3 +246,10 @@
         """Remove a run and release its resources."""
         if self.runs.pop(run.task.key, None) is not None:
             self.used = self.used.minus(run.allocation)
+
+
+def _last_start_ms(run: Run) -> float:
+    """Return until when a process that was not heard may carry out the start of a run."""
+    if run.is_listed or run.sent_ms is None:
+        return float("-inf")
+    return run.confirmed_ms or run.sent_ms + MAX_START_LATENESS_MS
--- a/baobabhoist/tests/test_cell_late_starts.py
+++ b/baobabhoist/tests/test_cell_late_starts.py
@@ -128,3 +128,27 @@
     assert not is_given_up(harness)
     harness.advance(200.0)
     assert is_given_up(harness)
+
+
+@pytest.mark.parametrize("is_answered", [True, False])
+def test_a_later_start_extends_the_lease_of_an_answered_run(is_answered):
+    """Guard against two runs of a task whose lease the next start at a new process extends."""
+    harness, start = send_start()
+    worker = harness.workers["w0"]
+    worker.now_ms += 2 * MAX_LEASE_MS
+    harness.renew_all()
+    worker.restart()
+    harness.deliver_command(start)
+    harness.submit(make_job("1" * 16))
+    harness.schedule()
+    (second,) = harness.undelivered
+    harness.cell.should_send_start(second, harness.now)
+    harness.advance(1_000.0, renew=False)
+    if not is_answered:
+        harness.lose_command(second)
+        harness.advance(1_000.0, renew=False)
+    harness.deliver_command(second, is_answered)
+    worker.is_up = False
+    while TASK in worker.runs:
+        assert not is_given_up(harness)
+        harness.advance(100.0)
