Stop a gang when the lease lapses under a member that is not given up yet

Members of a gang wait for one on a lost worker.

Cause: when the lease of a worker lapsed, its runs were closed, and with them the other members of their gangs were stopped. A run whose start may still be carried out is kept for longer now, and the other members, which had waited for 5 s, waited on: 5 s more beside an answered start, up to 20 s, at which they end alone (GANG), beside later starts without an answer. Members of short tasks were stopped as stalled after 3 s; those of long ones (over 100 s) were not.

Ruled out: starts without an answer, whose gang is stopped at once.

Change: a gang is stopped when the lease lapses, whether its member there is closed or kept.

The new test failed before and passes.

--- a/baobabhoist/cell/periodic_checks.py
+++ b/baobabhoist/cell/periodic_checks.py
@@ -61,9 +61,11 @@
 
     def _give_up_runs(self, worker: WorkerState, now: float) -> None:
         """Close the runs that have certainly ended on a worker whose lease has lapsed."""
-        for run in [run for run in worker.runs.values() if now > worker.run_expiry_ms(run)]:
+        for run in list(worker.runs.values()):
             # Closing a member of a gang closes the other unsent ones too.
-            if run.task.run is run:
+            if run.task.run is not run:
+                continue
+            if now > worker.run_expiry_ms(run):
                 close_lost_run(
                     self._state,
                     self._run_ends,
@@ -72,6 +74,9 @@
                     "the lease of its worker has lapsed",
                     WasteCause.LEASE_LAPSED,
                 )
+            elif run.task.step.spec.gang:
+                # The other members would wait for it until they end alone.
+                self._run_ends.stop_gang_run(run.task.step, run.number, now)
 
     def _check_run(self, worker: WorkerState, run: Run, now: float) -> None:
         self._repeat_stop(run, now)
--- a/baobabhoist/tests/test_cell_late_starts.py
+++ b/baobabhoist/tests/test_cell_late_starts.py
@@ -152,3 +152,20 @@
     while TASK in worker.runs:
         assert not is_given_up(harness)
         harness.advance(100.0)
+
+
+def test_a_gang_is_stopped_when_the_lease_lapses_under_a_member_that_is_not_given_up():
+    """Guard against members that wait for one on a lost worker until they end alone (GANG)."""
+    harness = CellHarness.with_workers(2)
+    harness.delivers_commands = False
+    # Its tasks take long, so that the members do not seem to stand still.
+    harness.submit(make_job("0" * 16, Step(2, SMALL.times(4), 1_000_000, gang=True)))
+    starts = harness.schedule()
+    for start in starts:
+        harness.deliver_command(start)
+    lost, waiting = (start.worker_id for start in starts)
+    harness.workers[lost].is_up = False
+    harness.delivers_commands = True
+    harness.advance(LEASE_LAPSES_MS)
+    assert not harness.workers[waiting].runs
+    assert harness.cell.state.workers[lost].runs
