Adopt a late run in place of a later one that its process does not hold

Cause: a process that had just started carried out an old start, before its first call. A new owner knew a later run of the task, from the store, on the same worker. Its report listed the earlier run, which was ignored because a later one was known; then the later one was closed because the report did not list it. The task was free, its next start was refused there as old, and it began elsewhere beside the run that had been listed.

Ruled out: the same owner, which closes the later run when it sees the restart, before it applies what is listed.

Change: what a report doesn't list is closed before what it lists is applied, so that the listed run is adopted.

--- a/baobabhoist/cell/worker_reports.py
+++ b/baobabhoist/cell/worker_reports.py
@@ -65,11 +65,12 @@
             if ended_run.sequence_number > worker.last_seen_end:
                 worker.last_seen_end = ended_run.sequence_number
                 self._apply_end(worker, ended_run, now)
+        # First, because the worker may have begun an earlier run of the same task late.
+        self._close_missing_runs(worker, report, requested_ms, now)
         for active_run in report.running:
             self._apply_active_run(worker, active_run, now)
             if self._state.policy.tracks_pace:
                 self._observe_pace(worker, active_run, report.clock_ms, now)
-        self._close_missing_runs(worker, report, requested_ms, now)
 
     def handle_start_result(self, command: StartTask, outcome: CommandOutcome, now: float) -> None:
         """Apply the outcome of a start command."""
--- a/baobabhoist/tests/test_cell_late_starts.py
+++ b/baobabhoist/tests/test_cell_late_starts.py
@@ -4,6 +4,7 @@
 
 from baobabhoist.cell.model import Step
 from baobabhoist.cell.workers import MAX_START_LATENESS_MS, lease_duration_ms
+from baobabhoist.testing.cell_worker import FakeCellWorker
 from baobabhoist.tests.cell_harness import (
     LEASE_MS,
     MAX_LEASE_MS,
@@ -169,3 +170,25 @@
     harness.advance(LEASE_LAPSES_MS)
     assert not harness.workers[waiting].runs
     assert harness.cell.state.workers[lost].runs
+
+
+def test_a_late_run_is_adopted_in_place_of_a_later_one_that_its_process_does_not_hold():
+    """Guard against two runs of a task whose earlier start a restarted worker has carried out."""
+    harness, late_start = send_start()
+    harness.lose_command(late_start)
+    harness.delivers_commands = True
+    harness.advance(1_000.0)
+    late_worker = harness.worker_running(TASK)
+    assert late_worker.runs[TASK].number > late_start.run
+    progress = harness.save_progress()
+    late_worker.restart()
+    late_worker.start(harness.token, late_start, MAX_LEASE_MS)
+    harness.workers["w1"] = FakeCellWorker("w1")
+    harness.take_over([make_job("0" * 16)], progress)
+    harness.now += 1.0
+    harness.renew_all()
+    # A start that its worker refuses is tried elsewhere in the next round.
+    harness.schedule()
+    harness.schedule()
+    assert harness.running_tasks() == [(TASK, "w0")]
+    assert late_worker.started_runs[-1] == (TASK, late_start.run)
