Count the copy of a repeated start that may still come late

Cause: an unanswered start of a gang's member is sent again under its number. Its run is listed once one copy has arrived, and then it is given up with the lease of its worker; the other copy may still reach the next process, which grants it the longest lease. The lateness of an unanswered repetition was counted from the first sending.

Ruled out: single starts. A late one that has arrived is not carried out a second time.

Change: the time of the repetition is kept, and such a run is given up as late as one without an answer, counted from there. The other members are stopped when the lease lapses, as before. A run that is older than that is given up with the lease.

--- a/baobabhoist/cell/jobs.py
+++ b/baobabhoist/cell/jobs.py
@@ -55,6 +55,8 @@
     is_sent: bool = False
     # When this owner sent the start command.
     sent_ms: float | None = None
+    # When it was sent once more, so that one copy of it may still be on its way.
+    repeated_ms: float | None = None
     # A worker has confirmed to this owner that it began the run.
     has_begun: bool = False
     # When the start command was answered or a report first listed the run.
--- a/baobabhoist/cell/scheduler.py
+++ b/baobabhoist/cell/scheduler.py
@@ -336,6 +336,13 @@
             and not _reason_not_to_send(command, worker, now)
         )
 
+    def record_repeated_start(self, command: StartTask, now: float) -> None:
+        """Record that an unanswered start is sent again."""
+        worker = self.state.workers.get(command.worker_id)
+        run = worker.runs.get(command.task) if worker is not None else None
+        if run is not None and run.number == command.run:
+            run.repeated_ms = now
+
     def handle_stop_result(self, command: StopTask, outcome: CommandOutcome, now: float) -> None:
         """Apply the outcome of a stop command."""
         self._check_fenced(outcome)
--- a/baobabhoist/cell/workers.py
+++ b/baobabhoist/cell/workers.py
@@ -166,11 +166,12 @@
         """Return the time after which a run has certainly ended and never begins.
 
         Until a report lists the run, the next process of the worker may have got the start or, if
-        there was no answer, may get it yet. That process grants the longest lease, and each later
-        start extends it for all its runs. A task that lasts must be back sooner than that.
+        there was no answer, may get it yet, as it may a copy of a repeated start. That process
+        grants the longest lease, and each later start extends it for all its runs. A task that
+        lasts must be back sooner than that.
         """
         expiry_ms = self.lease_expiry_ms()
-        if run.is_listed or run.task.step.spec.lasting:
+        if _belongs_to_heard_process(run) or run.task.step.spec.lasting:
             return expiry_ms
         if run.sent_ms is None:
             return max(expiry_ms, self.longest_inherited_expiry_ms)
@@ -248,8 +249,15 @@
             self.used = self.used.minus(run.allocation)
 
 
+def _belongs_to_heard_process(run: Run) -> bool:
+    """Return whether no process but those that have reported can have begun a run."""
+    return run.is_listed and run.repeated_ms is None
+
+
 def _last_start_ms(run: Run) -> float:
     """Return until when a process that was not heard may carry out the start of a run."""
-    if run.is_listed or run.sent_ms is None:
+    if run.sent_ms is None or _belongs_to_heard_process(run):
         return float("-inf")
+    if run.repeated_ms is not None:
+        return run.repeated_ms + MAX_START_LATENESS_MS
     return run.confirmed_ms or run.sent_ms + MAX_START_LATENESS_MS
--- a/baobabhoist/control/command_sender.py
+++ b/baobabhoist/control/command_sender.py
@@ -70,6 +70,7 @@
             Event.START_REPEATED,
             **command.log_fields(),
         )
+        cell.record_repeated_start(command, monotonic_ms())
         outcome = await self._call_start(cell, command)
         if outcome is CommandOutcome.FENCED:
             cell.mark_fenced()
--- a/baobabhoist/tests/test_cell_late_starts.py
+++ b/baobabhoist/tests/test_cell_late_starts.py
@@ -192,3 +192,18 @@
     harness.schedule()
     assert harness.running_tasks() == [(TASK, "w0")]
     assert late_worker.started_runs[-1] == (TASK, late_start.run)
+
+
+def test_a_start_that_was_repeated_outlasts_the_lease_although_its_run_is_listed():
+    """Guard against two runs of a gang's task: a copy of its start came late."""
+    harness, start = send_start(Step(1, SMALL, 1000, gang=True))
+    harness.advance(700.0)
+    assert harness.cell.may_repeat_start(start, harness.now)
+    harness.cell.record_repeated_start(start, harness.now)
+    harness.deliver_command(start)
+    harness.settle()
+    harness.workers["w0"].is_up = False
+    harness.advance(MAX_START_LATENESS_MS + LONGEST_LEASE_MS - 100.0)
+    assert not is_given_up(harness)
+    harness.advance(200.0)
+    assert is_given_up(harness)
--- a/baobabhoist/tests/test_control_owner.py
+++ b/baobabhoist/tests/test_control_owner.py
@@ -264,6 +264,8 @@
         await harness.wait_until(lambda: driver.stops or driver.workers["w0"].runs)
         assert driver.starts[0] == driver.starts[1]
         assert bool(driver.stops) == is_stopped
+        (sent_run,) = harness.owner.cell.state.workers["w0"].runs.values()
+        assert sent_run.repeated_ms is not None
         harness.task.cancel()
 
     asyncio.run(run())
