List a start of the owner before that comes late after a takeover

Found by reading, shown by the new test.

Cause: an owner keeps its own starts without an answer for the longest lateness and the longest lease. A new owner counts only the longest lease, from the end of the one before, for workers that it never hears: a start that was sent shortly before that end and is carried out more than the rest of it later runs beside the next one. With starts that come 6 s late it takes a worker that is silent for the owner before, starts again and then is cut off, and a takeover less than 6 s after the start.

Not fixed: a stored run tells neither when it was sent nor whether it was listed, so all inherited runs of lost workers would have to wait for 24.4 s. Whether that is worth it, or whether the time of the start is stored, is for the owners of the project to decide.

--- a/baobabhoist/tests/test_cell_late_starts.py
+++ b/baobabhoist/tests/test_cell_late_starts.py
@@ -207,3 +207,17 @@
     assert not is_given_up(harness)
     harness.advance(200.0)
     assert is_given_up(harness)
+
+
+def test_a_new_owner_counts_a_start_of_the_owner_before_that_comes_late():
+    """Guard against two runs of a task whose start is carried out after a change of the owner."""
+    harness, start = lose_start()
+    worker = harness.workers["w0"]
+    harness.take_over([make_job("0" * 16)], harness.save_progress(), 1.1 * LEASE_MS)
+    harness.advance(MAX_START_LATENESS_MS - 100.0)
+    worker.restart()
+    worker.start(harness.token, start, MAX_LEASE_MS)
+    worker.is_up = False
+    while TASK in worker.runs:
+        assert not is_given_up(harness)
+        harness.advance(100.0)
