--- a/baobabhoist/tests/test_cell_late_starts.py
+++ b/baobabhoist/tests/test_cell_late_starts.py
@@ -4,6 +4,7 @@
 
 from baobabhoist.cell.model import Step
 from baobabhoist.cell.workers import MAX_START_LATENESS_MS, lease_duration_ms
+from baobabhoist.testing.cell_worker import FakeCellWorker
 from baobabhoist.tests.cell_harness import (
     LEASE_MS,
     MAX_LEASE_MS,
@@ -128,3 +129,95 @@
     assert not is_given_up(harness)
     harness.advance(200.0)
     assert is_given_up(harness)
+
+
+@pytest.mark.parametrize("is_answered", [True, False])
+def test_a_later_start_extends_the_lease_of_an_answered_run(is_answered):
+    """Guard against two runs of a task whose lease the next start at a new process extends."""
+    harness, start = send_start()
+    worker = harness.workers["w0"]
+    worker.now_ms += 2 * MAX_LEASE_MS
+    harness.renew_all()
+    worker.restart()
+    harness.deliver_command(start)
+    harness.submit(make_job("1" * 16))
+    harness.schedule()
+    (second,) = harness.undelivered
+    harness.cell.should_send_start(second, harness.now)
+    harness.advance(1_000.0, renew=False)
+    if not is_answered:
+        harness.lose_command(second)
+        harness.advance(1_000.0, renew=False)
+    harness.deliver_command(second, is_answered)
+    worker.is_up = False
+    while TASK in worker.runs:
+        assert not is_given_up(harness)
+        harness.advance(100.0)
+
+
+def test_a_gang_is_stopped_when_the_lease_lapses_under_a_member_that_is_not_given_up():
+    """Guard against members that wait for one on a lost worker until they end alone (GANG)."""
+    harness = CellHarness.with_workers(2)
+    harness.delivers_commands = False
+    # Its tasks take long, so that the members do not seem to stand still.
+    harness.submit(make_job("0" * 16, Step(2, SMALL.times(4), 1_000_000, gang=True)))
+    starts = harness.schedule()
+    for start in starts:
+        harness.deliver_command(start)
+    lost, waiting = (start.worker_id for start in starts)
+    harness.workers[lost].is_up = False
+    harness.delivers_commands = True
+    harness.advance(LEASE_LAPSES_MS)
+    assert not harness.workers[waiting].runs
+    assert harness.cell.state.workers[lost].runs
+
+
+def test_a_late_run_is_adopted_in_place_of_a_later_one_that_its_process_does_not_hold():
+    """Guard against two runs of a task whose earlier start a restarted worker has carried out."""
+    harness, late_start = send_start()
+    harness.lose_command(late_start)
+    harness.delivers_commands = True
+    harness.advance(1_000.0)
+    late_worker = harness.worker_running(TASK)
+    assert late_worker.runs[TASK].number > late_start.run
+    progress = harness.save_progress()
+    late_worker.restart()
+    late_worker.start(harness.token, late_start, MAX_LEASE_MS)
+    harness.workers["w1"] = FakeCellWorker("w1")
+    harness.take_over([make_job("0" * 16)], progress)
+    harness.now += 1.0
+    harness.renew_all()
+    # A start that its worker refuses is tried elsewhere in the next round.
+    harness.schedule()
+    harness.schedule()
+    assert harness.running_tasks() == [(TASK, "w0")]
+    assert late_worker.started_runs[-1] == (TASK, late_start.run)
+
+
+def test_a_start_that_was_repeated_outlasts_the_lease_although_its_run_is_listed():
+    """Guard against two runs of a gang's task: a copy of its start came late."""
+    harness, start = send_start(Step(1, SMALL, 1000, gang=True))
+    harness.advance(700.0)
+    assert harness.cell.may_repeat_start(start, harness.now)
+    harness.cell.record_repeated_start(start, harness.now)
+    harness.deliver_command(start)
+    harness.settle()
+    harness.workers["w0"].is_up = False
+    harness.advance(MAX_START_LATENESS_MS + LONGEST_LEASE_MS - 100.0)
+    assert not is_given_up(harness)
+    harness.advance(200.0)
+    assert is_given_up(harness)
+
+
+def test_a_new_owner_counts_a_start_of_the_owner_before_that_comes_late():
+    """Guard against two runs of a task whose start is carried out after a change of the owner."""
+    harness, start = lose_start()
+    worker = harness.workers["w0"]
+    harness.take_over([make_job("0" * 16)], harness.save_progress(), 1.1 * LEASE_MS)
+    harness.advance(MAX_START_LATENESS_MS - 100.0)
+    worker.restart()
+    worker.start(harness.token, start, MAX_LEASE_MS)
+    worker.is_up = False
+    while TASK in worker.runs:
+        assert not is_given_up(harness)
+        harness.advance(100.0)
