Stop a gang once while a start of it is awaited

While a member of a gang was kept after its worker's lease had lapsed, the gang was stopped again at each tick: ten stops a second for each member without an answer, for up to 20 s, to a worker that does not answer.

Change: it is stopped unless it has been; the usual repetition of unanswered stops goes on.

The new test failed before and passes.

--- a/baobabhoist/cell/periodic_checks.py
+++ b/baobabhoist/cell/periodic_checks.py
@@ -28,6 +28,8 @@
 STALLED_PERCENTS = 5.0
 # A start that was not sent for this long is given up: the task that should send it is gone.
 UNSENT_START_TIMEOUT_MS = 5_000.0
+# A run in one of these phases has been stopped, and a gang with it.
+STOPPED_PHASES = frozenset({RunPhase.UNSURE, RunPhase.STOPPING})
 # Live workers are listed in the directory again within this time after a store outage.
 DIRECTORY_RECOVERY_MS = 2_500.0
 
@@ -74,7 +76,7 @@
                     "the lease of its worker has lapsed",
                     WasteCause.LEASE_LAPSED,
                 )
-            elif run.task.step.spec.gang:
+            elif run.task.step.spec.gang and run.phase not in STOPPED_PHASES:
                 # The other members would wait for it until they end alone.
                 self._run_ends.stop_gang_run(run.task.step, run.number, now)
 
@@ -87,7 +89,7 @@
 
     def _repeat_stop(self, run: Run, now: float) -> None:
         """Repeat the stop of a run whose worker has not answered it."""
-        is_stopping = run.phase in (RunPhase.STOPPING, RunPhase.UNSURE)
+        is_stopping = run.phase in STOPPED_PHASES
         interval_ms = OPEN_STOP_RETRY_INTERVAL_MS if run.is_stop_open else STOP_RETRY_INTERVAL_MS
         if is_stopping and not run.stop_answered_ms and now - run.stop_sent_ms > interval_ms:
             self._state.stop_run(run, now, WasteCause.OTHER)
--- a/baobabhoist/tests/test_cell_late_starts.py
+++ b/baobabhoist/tests/test_cell_late_starts.py
@@ -3,6 +3,7 @@
 import pytest
 
 from baobabhoist.cell.model import Step
+from baobabhoist.cell.periodic_checks import OPEN_STOP_RETRY_INTERVAL_MS
 from baobabhoist.cell.workers import MAX_START_LATENESS_MS, lease_duration_ms
 from baobabhoist.testing.cell_worker import FakeCellWorker
 from baobabhoist.tests.cell_harness import (
@@ -221,3 +222,19 @@
     while TASK in worker.runs:
         assert not is_given_up(harness)
         harness.advance(100.0)
+
+
+def test_a_gang_whose_member_is_kept_is_stopped_once_and_not_at_each_tick():
+    """Guard against an owner that floods a silent worker with stops while it waits for a start."""
+    harness = CellHarness.with_workers(1)
+    harness.delivers_commands = False
+    harness.submit(make_job("0" * 16, Step(2, SMALL, 1000, gang=True)))
+    harness.schedule()
+    for start in harness.undelivered:
+        harness.cell.should_send_start(start, harness.now)
+        harness.lose_command(start)
+    harness.workers["w0"].is_up = False
+    harness.advance(LEASE_LAPSES_MS)
+    harness.undelivered.clear()
+    harness.advance(OPEN_STOP_RETRY_INTERVAL_MS)
+    assert len(harness.undelivered) <= 2 * 2
