Let the next process of a simulated worker carry out starts that come late

The platform may carry a call without a response out seconds later, and a worker that has restarted under its id has seen no fencing token. In the mode `late` of the stand-ins a command waits inside the worker and is dropped when the process ends, so the soak never met a late start as the first call of the next process.

Change: in the mode `delay_starts` a start waits on the network, gets no response, and is carried out 2 to 6 s later by the process that the worker has then; X-Target-Instance, the token, the deadline and the run number are checked at that moment. The workers' log shows when such a start was sent (`start_delayed`) and what came of it (`late_start`), and marks its run (`late`).

Ruled out: letting the worker's own queue outlive its crash, which would blur the two modes; and refusing by the clock: a deadline of the earlier process lies in the future of the next one's clock.

--- a/baobabhoist/platform/testing/simulated_worker.py
+++ b/baobabhoist/platform/testing/simulated_worker.py
@@ -72,7 +72,9 @@
 
     Commands of the soak set `mode`, `draining` and `gone`. The modes are normal; fail: all runs
     fail; hang: runs make no progress; late: starts and stops are carried out seconds later, after
-    the sender has timed out; lose: they are carried out at once, but the responses are lost.
+    the sender has timed out; lose: they are carried out at once, but the responses are lost;
+    delay_starts: starts wait on the network and are carried out seconds later by the process
+    that the worker has then.
     """
 
     worker_id: str
@@ -130,6 +132,19 @@
         if not self.gone and self.started_unix_ms == incarnation:
             execute(body)
 
+    def receive_late_start(self, target_id: str | None, body: dict[str, Any]) -> None:
+        """Carry out a start that waited on the network, also if the worker has restarted since."""
+        if self.gone:
+            return
+        status, reason = (
+            (421, "") if self.is_other(target_id) else self.start_run(body, is_late=True)
+        )
+        self.log_start("late_start", body, status=status, reason=reason)
+
+    def is_other(self, target_id: str | None) -> bool:
+        """Return whether a call is meant for another worker."""
+        return target_id not in (None, self.worker_id)
+
     def accept_token(self, token: int) -> bool:
         """Record a fencing token; return False if a higher one was seen."""
         if token < self.token:
@@ -143,7 +158,7 @@
         self.lease_expires_ms = max(self.lease_expires_ms, min(deadline_ms, latest_ms))
         self.has_lease = True
 
-    def start_run(self, body: dict[str, Any]) -> tuple[int, str]:
+    def start_run(self, body: dict[str, Any], *, is_late: bool = False) -> tuple[int, str]:
         """Start a run; return the HTTP status and the reason of a refusal."""
         if not self.accept_token(body["fencingToken"]):
             return 409, "fence"
@@ -163,7 +178,8 @@
         self.runs[task] = run
         self.highest_run_numbers[task] = number
         spec = zlib.crc32(body["taskSpec"].encode())
-        self.log("start", run, spec=spec, checkpoint=checkpoint, token=self.token, mode=self.mode)
+        order = {"spec": spec, "checkpoint": checkpoint, "token": self.token}
+        self.log("start", run, **order, mode=self.mode, late=is_late)
         return 200, ""
 
     def stop_run(self, body: dict[str, Any]) -> tuple[int, str]:
@@ -269,6 +285,11 @@
         self.started_unix_ms, self.clock_started_s = int(time.time() * 1000), time.monotonic()
         self.draining = self.gone = False
 
+    def log_start(self, event: str, body: dict[str, Any], **fields: Any) -> None:
+        """Log an event of a start that waits on the network."""
+        order = {"task": body["task"], "run": body["runId"], "token": body["fencingToken"]}
+        self.hub.log(event, worker=self.worker_id, **order, **fields)
+
     def log(self, event: str, run: Run, **fields: Any) -> None:
         """Log an event of a run."""
         self.hub.log(event, worker=self.worker_id, task=run.task, run=run.number, **fields)
--- a/baobabhoist/platform/testing/workers.py
+++ b/baobabhoist/platform/testing/workers.py
@@ -20,6 +20,7 @@
 
 FLAGS = flags.FLAGS
 
+TARGET_HEADER = "X-Target-Instance"
 TICKET_VALIDITY_MS = 2_000
 LATE_COMMAND_MIN_S, LATE_COMMAND_MAX_S = 2.0, 6.0
 # Each worker's clock runs slower than real time by up to this fraction.
@@ -39,13 +40,16 @@
         if worker.gone:
             drop_connection(self)
             return
-        if self.request.headers.get("X-Target-Instance") not in (None, worker.worker_id):
+        if worker.is_other(self.request.headers.get(TARGET_HEADER)):
             self.set_status(421)
             self.finish({"clockMs": int(worker.clock_ms())})
             return
         if self.request.path == "/-/hold":
             await self._renew_lease(body)
             return
+        if worker.mode == "delay_starts" and self.request.path == "/-/run-start":
+            await self._delay_start(body)
+            return
         execute = worker.start_run if self.request.path == "/-/run-start" else worker.stop_run
         if worker.mode == "late":
             delay_s = worker.hub.rng.uniform(LATE_COMMAND_MIN_S, LATE_COMMAND_MAX_S)
@@ -62,6 +66,16 @@
         self.set_status(status)
         self.finish({"clockMs": int(worker.clock_ms()), "reason": reason})
 
+    async def _delay_start(self, body: dict[str, Any]) -> None:
+        """Let a start wait on the network; its sender gets no response."""
+        worker, target_id = self.worker, self.request.headers.get(TARGET_HEADER)
+        worker.log_start("start_delayed", body)
+        delay_s = worker.hub.rng.uniform(LATE_COMMAND_MIN_S, LATE_COMMAND_MAX_S)
+        loop = asyncio.get_running_loop()
+        loop.call_later(delay_s, worker.receive_late_start, target_id, body)
+        await asyncio.sleep(LATE_COMMAND_MAX_S)
+        drop_connection(self)
+
     async def _renew_lease(self, body: dict[str, Any]) -> None:
         worker = self.worker
         if not worker.accept_token(body["fencingToken"]):
