Allow a start that a worker carried out late after a cancellation

Trace: the start of run 1 left 28 ms before the worker held it back; the job's cancelling was acknowledged 10 ms after that; the worker crashed at 0.5 s; its next process, behind a cut, carried the start out 5.05 s after it was sent and before any call of the owner, which stopped it 0.3 s later (event 1544, same_process=false).

Change: only runs whose start the worker's log marks as late are exempt, beside those in the mode `late`, as before. TWICE, LIMIT, QUOTA, ORDER and BUDGET exempt nothing; a test says so for TWICE. Starts after a reported failure, and on workers that are drained or evacuated, have time bounds as well, but no trace shows a case, so they stay.

--- a/baobabhoist/platform/testing/soak_checker.py
+++ b/baobabhoist/platform/testing/soak_checker.py
@@ -296,9 +296,8 @@
                 continue
             cancelled_at = min((e["end"] for e in entries if e["status"] == 200), default=INF)
             for run in self.runs_by_job.get(job_id, ()):
-                # A worker in the mode `late` carries out starts seconds after they were sent.
                 starts_late = (
-                    run.start > cancelled_at + CANCEL_DEADLINE_S and run.entry["mode"] != "late"
+                    run.start > cancelled_at + CANCEL_DEADLINE_S and not run.was_carried_out_late
                 )
                 self._check(
                     "UNASKED", not starts_late, f"{run.task_id} starts after its cancellation"
--- a/baobabhoist/platform/testing/soak_records.py
+++ b/baobabhoist/platform/testing/soak_records.py
@@ -53,6 +53,11 @@
         """Return the id of the run's job."""
         return self.task_id.partition(".")[0]
 
+    @property
+    def was_carried_out_late(self) -> bool:
+        """Return whether the worker carried out the start seconds after it was sent."""
+        return bool(self.entry["mode"] == "late" or self.entry.get("late"))
+
     @property
     def step_number(self) -> int:
         """Return the number of the run's step."""
--- a/baobabhoist/tests/test_platform_soak_checker.py
+++ b/baobabhoist/tests/test_platform_soak_checker.py
@@ -187,6 +187,23 @@
     assert "UNASKED" not in broken_guarantees(late, requests, [window])
 
 
+def test_start_that_a_worker_carried_out_late_may_follow_a_cancellation() -> None:
+    """Guard against breaches that nobody can prevent, and excuses for other starts."""
+    requests = [ACCEPTED, CANCELLED]
+    stopped = run_end(9.6, "stopped")
+    assert "UNASKED" not in broken_guarantees([run_start(9.5, late=True), stopped], requests, [])
+    assert "UNASKED" in broken_guarantees([run_start(9.5, late=False), stopped], requests, [])
+
+
+def test_late_starts_excuse_no_second_run() -> None:
+    """Guard against an exemption for late starts that covers two runs of one task."""
+    overlapping = [run_start(2.0), run_start(2.5, run=2, worker="w2", late=True)]
+    assert "TWICE" in broken_guarantees(overlapping, [], [])
+    assert "TWICE" in broken_guarantees([*DONE_RUN, run_start(4.0, run=2, late=True)], [], [])
+    completed = [ACCEPTED, caller_request("state", 8.0, 200, "completed")]
+    assert "TWICE" in broken_guarantees([run_start(9.5, late=True)], completed, [])
+
+
 @pytest.mark.parametrize("state", ["completed", "failed"])
 def test_start_after_a_reported_end_is_a_breach_during_a_fault(state: str) -> None:
     """Guard against a fault that excuses a start after the job was shown as ended."""
