Add late starts to the platform's soak

In the fault `late_starts` 30 to 60 % of the workers lose the answers of starts for 0.3 to 1 s; the starts wait on the network and reach, 2 to 6 s later, whichever process the worker has then. The workers crash in between, each with even odds behind a cut that lasts 5 to 10 s; two or three rounds make a series, and in two of five rounds the owner is killed. In runs with this fault 30 % of the quick jobs have runs that are eight times as long. Draws of runs without it are unchanged. TWICE is judged as before, nothing is excused.

--- a/baobabhoist/platform/testing/regressions.py
+++ b/baobabhoist/platform/testing/regressions.py
@@ -1,7 +1,7 @@
 """List the seeds on which the platform's soak once failed, with the causes.
 
 A seed's schedule depends on the list of faults: these were found without
-`evacuation` and `outage_takeover`.
+`evacuation`, `outage_takeover` and `late_starts`.
 """
 
 from __future__ import annotations
--- a/baobabhoist/platform/testing/soak.py
+++ b/baobabhoist/platform/testing/soak.py
@@ -19,6 +19,7 @@
 from baobabhoist.platform.testing.deployment import Deployment, run_periodically
 from baobabhoist.platform.testing.soak_checker import REFUSED_STATUSES, GuaranteeChecker
 from baobabhoist.platform.testing.soak_faults import FAULTS
+from baobabhoist.platform.testing.soak_late_starts import LATE_STARTS
 from baobabhoist.platform.testing.soak_records import SubmittedJob, Team
 from baobabhoist.platform.testing.soak_takeover import OUTAGE_TAKEOVER
 from baobabhoist.testing import soak_driver
@@ -51,6 +52,9 @@
 # share cancels a job as soon as it is shown as ended.
 SINGLE_ATTEMPT_PROBABILITY = 0.3
 CANCEL_ENDED_PROBABILITY = 0.5
+# With late starts, this share of the quick jobs has runs that are longer by this factor.
+LONG_RUNS_PROBABILITY = 0.3
+LONG_RUNS_FACTOR = 8
 UNKNOWN_KEY_PROBABILITY = 0.03
 ALWAYS_FAILS_PROBABILITY = 0.02
 FAILS_ONCE_PROBABILITY = 0.05
@@ -90,6 +94,7 @@
     )
     load_factor: float = 1.0
     has_outage_takeovers: bool = False
+    has_late_starts: bool = False
     key_numbers: itertools.count[int] = attrs.Factory(lambda: itertools.count(1))
 
     def restart_instance(self, name: str) -> None:
@@ -168,7 +173,7 @@
         for number, step in enumerate(steps[1:], 1):
             step["after"] = [number - 1]
         plan = {
-            "run_ms": rng.uniform(*run_ms_range),
+            "run_ms": rng.uniform(*run_ms_range) * self._draw_run_factor(rng, queue),
             "failures": failures,
             "saves": queue == "batch",
         }
@@ -184,6 +189,12 @@
         job.body = json.dumps({"taskSpec": spec, "steps": steps})
         return job
 
+    def _draw_run_factor(self, rng: random.Random, queue: str) -> int:
+        """Draw the factor by which the runs of a job are longer."""
+        if self.has_late_starts and queue == "quick" and rng.random() < LONG_RUNS_PROBABILITY:
+            return LONG_RUNS_FACTOR
+        return 1
+
     def _pick_instance(self, excluded: str = "") -> str:
         """Pick a ready instance, or any instance if fewer than half of them are ready."""
         ready_instances = [
@@ -334,6 +345,7 @@
 
     async def run(self, seconds: float, schedule: list[soak_faults.ScheduledFault]) -> None:
         """Run the load and the faults, then wait until all jobs have finished."""
+        self.has_late_starts = any(fault.name == LATE_STARTS for fault in schedule)
         self.has_outage_takeovers = any(fault.name == OUTAGE_TAKEOVER for fault in schedule)
         await self.deployment.start(INSTANCE_COUNT, WORKER_COUNT, self.make_config())
         self.log_event("limits", limits=dict(self.team_cpu_limits), acked=time.time())
--- a/baobabhoist/platform/testing/soak_faults.py
+++ b/baobabhoist/platform/testing/soak_faults.py
@@ -13,6 +13,7 @@
 
 from baobabhoist.platform.testing.simulated_worker import DATA_CENTRES
 from baobabhoist.platform.testing.soak_checker import EVACUATION_DEADLINE_S, GRACE_PERIOD_S
+from baobabhoist.platform.testing.soak_late_starts import LATE_STARTS, restart_beside_late_starts
 from baobabhoist.platform.testing.soak_takeover import OUTAGE_TAKEOVER, take_over_in_outage
 from baobabhoist.testing.soak_faults import ScheduledFault
 
@@ -288,6 +289,7 @@
     "worker_hangs": _make_worker_fault("hang"),
     "worker_late": _make_worker_fault("late"),
     "worker_loses": _make_worker_fault("lose"),
+    LATE_STARTS: restart_beside_late_starts,
     "worker_crash": _crash_workers,
     "worker_drain": _drain_worker,
     "evacuation": _empty_data_centre,
--- a/baobabhoist/platform/testing/soak_takeover.py
+++ b/baobabhoist/platform/testing/soak_takeover.py
@@ -23,7 +23,7 @@
     """Stop the store, kill the owner, crash some workers, and bring back all in this order."""
     await soak.deployment.set_store_fault(mode=rng.choice(OUTAGE_MODES))
     await asyncio.sleep(rng.uniform(MIN_CRASH_DELAY_S, MAX_CRASH_DELAY_S))
-    killed_owner = await _kill_owner(soak)
+    killed_owner = await kill_owner(soak)
     crashed_workers = await _crash_workers(soak, rng)
     await asyncio.sleep(rng.uniform(MIN_REMAINING_OUTAGE_S, MAX_REMAINING_OUTAGE_S))
     await soak.deployment.set_store_fault(mode="up")
@@ -35,7 +35,7 @@
         soak.restart_instance(killed_owner)
 
 
-async def _kill_owner(soak: Soak) -> str:
+async def kill_owner(soak: Soak) -> str:
     """Kill the owner and return its name, or an empty string if it is down already."""
     owner = await soak.deployment.find_owner()
     if not owner or owner in soak.down_instances:
