--- a/baobabhoist/cell/periodic_checks.py
+++ b/baobabhoist/cell/periodic_checks.py
@@ -46,6 +46,7 @@
         """Run all checks once."""
         for worker in list(self._state.workers.values()):
             self._check_lease(worker, now)
+            self._state.awaited_runs.review(worker, now)
             for run in list(worker.runs.values()):
                 self._check_run(worker, run, now)
         self._crashes.forget_old(now)
@@ -68,6 +69,7 @@
             if run.task.run is not run:
                 continue
             if now > worker.run_expiry_ms(run):
+                self._state.awaited_runs.record_given_up(run, now)
                 close_lost_run(
                     self._state,
                     self._run_ends,
--- a/baobabhoist/cell/state.py
+++ b/baobabhoist/cell/state.py
@@ -8,6 +8,7 @@
 
 import attrs
 
+from baobabhoist.cell.awaited_runs import AwaitedRuns
 from baobabhoist.cell.evacuations import NO_EVACUATIONS, Evacuations
 from baobabhoist.cell.given_up_runs import GivenUpRuns
 from baobabhoist.cell.jobs import (
@@ -84,6 +85,7 @@
     shares: TeamShares = attrs.Factory(lambda self: TeamShares(self.entitlements), takes_self=True)
     ticket_usage: TicketUsage = attrs.Factory(TicketUsage)
     given_up_runs: GivenUpRuns = attrs.Factory(GivenUpRuns)
+    awaited_runs: AwaitedRuns = attrs.Factory(AwaitedRuns)
     commands: list[Command] = attrs.Factory(list)
     # Ids of jobs whose progress must be written to the store.
     dirty: set[str] = attrs.Factory(set)
--- a/baobabhoist/cell/waiting_summary.py
+++ b/baobabhoist/cell/waiting_summary.py
@@ -6,6 +6,7 @@
 
 import attrs
 
+from baobabhoist.cell.awaited_runs import AwaitedSummary
 from baobabhoist.cell.jobs import Run, RunPhase, StepState
 from baobabhoist.cell.model import StepKey
 from baobabhoist.cell.state import CellState
@@ -68,6 +69,8 @@
     # The oldest run whose start command was not answered, and the time since it was issued.
     oldest_starting_ms: float = 0.0
     oldest_starting: Run | None = None
+    # The runs on silent workers for which tasks wait.
+    awaited: AwaitedSummary = attrs.Factory(AwaitedSummary)
 
     @property
     def steps(self) -> int:
@@ -138,7 +141,7 @@
     state: CellState, now: float, long_wait_ms: float = float("inf")
 ) -> WaitingSummary:
     """Return what waits now; takes time in proportion to the ready steps, workers and runs."""
-    summary = WaitingSummary()
+    summary = WaitingSummary(awaited=state.awaited_runs.summarize(now))
     worker_index = WorkerIndex(state.workers.values(), now)
     for step in state.ready_steps.values():
         if step.waiting_count:
--- a/baobabhoist/control/metrics.py
+++ b/baobabhoist/control/metrics.py
@@ -8,6 +8,7 @@
 from aioprometheus import Counter, Gauge, Histogram, Registry
 from aioprometheus.renderer import render
 
+from baobabhoist.cell.awaited_runs import AwaitReason, EndedWait
 from baobabhoist.cell.model import CommandOutcome
 from baobabhoist.cell.ticket_usage import TicketOutcome
 from baobabhoist.cell.wait_reasons import WaitReason
@@ -29,6 +30,8 @@
 
 CALL_BUCKETS_S = (0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.25, 0.5, 1.0, 2.0, INF)
 TAKEOVER_BUCKETS_S = (0.05, 0.1, 0.25, 0.5, 1.0, 2.0, 5.0, 10.0, INF)
+AWAITED_RUN_BUCKETS_S = (1.0, 2.5, 5.0, 7.5, 10.0, 15.0, 20.0, 25.0, 30.0, 60.0, INF)
+MS_PER_S = 1000.0
 REASON_LABELS_MAX = 32
 NO_TEAM_LABEL = "none"
 
@@ -64,6 +67,14 @@
         )
         self._waiting_tasks = self._gauge("waiting_tasks", "Tasks that wait, by reason.")
         self._workers = self._gauge("workers", "Workers of the cell, by condition.")
+        self._awaited_runs = self._gauge(
+            "awaited_runs", "Runs on silent workers for which tasks wait, by reason."
+        )
+        self._awaited_run = self._histogram(
+            "awaited_run_seconds",
+            "Time that a task waited for a run on a silent worker until it was given up.",
+            AWAITED_RUN_BUCKETS_S,
+        )
         self._failed_starts = self._counter(
             "failed_starts_total", "Start commands that a worker rejected or did not answer."
         )
@@ -171,12 +182,20 @@
             self._queued.set({"class": self._queues.label_for(queue)}, tasks)
 
     def set_waiting(self, summary: WaitingSummary) -> None:
-        """Set the number of waiting tasks by reason and of workers by condition."""
+        """Set the number of waiting tasks, of workers and of awaited runs."""
         for reason in WaitReason:
             entry = summary.by_reason.get(reason)
             self._waiting_tasks.set({"reason": reason.value}, entry.tasks if entry else 0)
         for condition in WorkerCondition:
             self._workers.set({"condition": condition.value}, summary.workers[condition])
+        for await_reason in AwaitReason:
+            labels = {"reason": await_reason.value}
+            self._awaited_runs.set(labels, summary.awaited.by_reason[await_reason])
+
+    def observe_ended_waits(self, waits: Iterable[EndedWait]) -> None:
+        """Record how long tasks waited for runs that were given up."""
+        for wait in waits:
+            self._awaited_run.observe({"reason": wait.reason.value}, wait.waited_ms / MS_PER_S)
 
     def add_wasted_work(self, waste: WastedWork) -> None:
         """Add the work that was thrown away since the last call, and reset it."""
--- a/baobabhoist/control/owner.py
+++ b/baobabhoist/control/owner.py
@@ -498,6 +498,7 @@
                 self._remove_expired_jobs(cell)
             self._sync_sessions()
             self._deps.metrics.add_wasted_work(cell.state.waste)
+            self._deps.metrics.observe_ended_waits(cell.state.awaited_runs.take_ended_waits())
             self.progress_writer.request_usage_flush(cell)
             self._waiting_reporter.report(cell, self.may_renew(), monotonic_ms())
             await asyncio.sleep(TICK_INTERVAL_S)
--- a/baobabhoist/control/waiting_report.py
+++ b/baobabhoist/control/waiting_report.py
@@ -8,6 +8,8 @@
 
 import attrs
 
+from baobabhoist.cell.awaited_runs import AwaitedSummary
+from baobabhoist.cell.jobs import Run
 from baobabhoist.cell.model import CommandOutcome, StepKey
 from baobabhoist.cell.scheduler import CellScheduler
 from baobabhoist.cell.wait_reasons import WaitReason
@@ -26,7 +28,8 @@
 log = logging.getLogger(__name__)
 
 REPORT_INTERVAL_MS = 1_000.0
-# A line is written while a step, or the answer to a start, has been awaited for longer than this.
+# A line is written while a step, the answer to a start, or a run on a silent worker, has been
+# awaited for longer than this.
 LONG_WAIT_MS = 2_000.0
 # Steps that one line names because they wait for long or their reason has changed.
 MAX_NAMED_STEPS = 20
@@ -122,8 +125,9 @@
             starts_sent=sent,
             starts_not_ok=rejected,
             runs={phase.value: n for phase, n in summary.runs.items()},
-            oldest_start=_oldest_start_id(summary),
+            oldest_start=_run_id(summary.oldest_starting),
             oldest_start_ms=round(summary.oldest_starting_ms),
+            **_awaited_fields(summary.awaited),
             rounds=self.rounds.count,
             round_mean_ms=round(self.rounds.mean_ms, 2),
             round_longest_ms=round(self.rounds.longest_ms, 2),
@@ -136,7 +140,7 @@
 def _longest_wait_ms(summary: WaitingSummary) -> float:
     oldest = summary.oldest
     step_ms = oldest[1].oldest_ms if oldest is not None else 0.0
-    return max(step_ms, summary.oldest_starting_ms)
+    return max(step_ms, summary.oldest_starting_ms, summary.awaited.oldest_ms)
 
 
 def _oldest_step_fields(summary: WaitingSummary, now: float) -> dict[str, Any]:
@@ -169,6 +173,15 @@
     }
 
 
-def _oldest_start_id(summary: WaitingSummary) -> str:
-    run = summary.oldest_starting
+def _awaited_fields(awaited: AwaitedSummary) -> dict[str, Any]:
+    """Return how many runs are awaited on silent workers, and the one awaited longest."""
+    run = awaited.oldest.run if awaited.oldest is not None else None
+    return {
+        "awaited_runs": {reason.value: n for reason, n in awaited.by_reason.items()},
+        "oldest_awaited": _run_id(run),
+        "oldest_awaited_ms": round(awaited.oldest_ms),
+    }
+
+
+def _run_id(run: Run | None) -> str:
     return f"{run.task.key.to_text()} on {run.worker_id}" if run is not None else ""
--- a/baobabhoist/observability/events.py
+++ b/baobabhoist/observability/events.py
@@ -219,6 +219,11 @@
         logging.WARNING,
         "worker {worker} works on run {run} of task {task}, given up {ms_ago} ms ago: {reason}",
     )
+    RUNS_AWAITED = (
+        1545,
+        logging.WARNING,
+        "{count} runs on silent worker {worker} are awaited for {until_ms} ms ({reason}): {runs}",
+    )
     CLAIM_SEEN = (1601, logging.INFO, "instance {owner} holds the claim of version {version}")
     CLAIM_WON = (1602, logging.INFO, "won the claim with token {token}: {reason}")
     CLAIM_LOST = (1603, logging.WARNING, "lost the claim with token {token}: {reason}")
--- a/baobabhoist/tests/test_control_metrics.py
+++ b/baobabhoist/tests/test_control_metrics.py
@@ -1,5 +1,6 @@
 """Test the metrics that say why jobs wait, and that their labels are bounded."""
 
+from baobabhoist.cell.awaited_runs import AwaitReason
 from baobabhoist.cell.model import CommandOutcome, Step
 from baobabhoist.cell.shares import TeamFigures
 from baobabhoist.cell.wait_reasons import WaitReason
@@ -29,6 +30,21 @@
     assert 'baobabhoist_workers{condition="unlisted"} 1' in workers
 
 
+def test_awaited_runs_by_reason():
+    """Guard against a job that stands still although no metric says that a task waits (LOST)."""
+    harness = CellHarness.with_workers(1)
+    harness.submit(make_job("0" * 16, Step(3, SMALL, 60_000)))
+    harness.settle()
+    harness.workers["w0"].is_up = False
+    harness.advance(3_000.0)
+    metrics = NodeMetrics()
+    metrics.set_waiting(summarize_waiting(harness.cell.state, harness.now))
+    assert 'baobabhoist_awaited_runs{reason="lease"} 3' in lines_of(metrics, "awaited_runs")
+    metrics.set_waiting(WaitingSummary())
+    values = [line.split()[-1] for line in lines_of(metrics, "awaited_runs")]
+    assert values == ["0"] * len(AwaitReason)
+
+
 def test_gauges_of_an_instance_that_no_longer_owns_the_cell_are_zero():
     """Guard against a former owner whose metrics still show waiting tasks."""
     harness = CellHarness.with_workers(0)
--- a/baobabhoist/tests/test_control_owner_logs.py
+++ b/baobabhoist/tests/test_control_owner_logs.py
@@ -4,6 +4,7 @@
 
 import attrs
 
+from baobabhoist.cell.awaited_runs import AwaitedRuns, AwaitReason, EndedWait
 from baobabhoist.cell.model import CommandOutcome, Step
 from baobabhoist.control import waiting_report
 from baobabhoist.control.advice import AdviceDispatcher
@@ -138,3 +139,17 @@
     assert line["oldest"] == f"{JOB_ID}.0.0"
     text = harness.metrics.exposition()[0].decode()
     assert 'baobabhoist_failed_starts_total{reason="no_room"}' in text
+
+
+def test_waits_for_runs_of_silent_workers_reach_the_metrics(monkeypatch):
+    """Guard against a histogram of standstills that stays empty on a running owner (LOST)."""
+    waits = [EndedWait(AwaitReason.LATE_START, 24_000.0)]
+    monkeypatch.setattr(AwaitedRuns, "take_ended_waits", lambda self: waits)
+    harness = OwnerHarness()
+
+    def is_counted():
+        return "baobabhoist_awaited_run_seconds_count" in harness.metrics.exposition()[0].decode()
+
+    asyncio.run(harness.run_until(is_counted))
+    text = harness.metrics.exposition()[0].decode()
+    assert 'baobabhoist_awaited_run_seconds_bucket{le="20.0",reason="late_start"} 0' in text
--- a/baobabhoist/tests/test_control_waiting_report.py
+++ b/baobabhoist/tests/test_control_waiting_report.py
@@ -115,6 +115,22 @@
     assert line["oldest_start_ms"] > LONG_WAIT_MS
 
 
+def test_line_answers_whether_a_silent_worker_holds_up_a_job_without_waiting_steps(lines):
+    """Guard against a job that stands still unseen: all its tasks have a run, so no step waits."""
+    harness = CellHarness.with_workers(1)
+    harness.submit(make_job("0" * 16, Step(2, SMALL, 60_000)))
+    harness.settle()
+    harness.workers["w0"].is_up = False
+    reporter = make_reporter()
+    for _ in range(4):
+        harness.advance(REPORT_INTERVAL_MS)
+        reporter.report(harness.cell, True, harness.now)
+    line = lines()[-1]
+    assert (line["steps"], line["awaited_runs"]) == (0, {"lease": 2})
+    assert line["oldest_awaited"] == "0" * 16 + ".0.0.0 on w0"
+    assert line["oldest_awaited_ms"] > LONG_WAIT_MS
+
+
 def test_lines_name_each_waiting_step_once_per_reason(lines):
     """Guard against a waiting job whose own reason is in no line, because others are older."""
     harness = CellHarness.with_workers(1)
