Wait for a worker's next process only while the directory may still list one

A worker that is gone for good never has a next process, and its tasks waited all the same.

So a worker that the directory leaves out has no process that was not heard, unless its last entry showed one; its runs end with the lease of the process that was heard. A worker that is still listed is waited for as before, so the windows that closed stay closed (its tests are unchanged). Entries that lapse while the store is away don't count: the directory must have been read without a gap for 2.5 s.

What remains: a process that starts under the same id after its entry has lapsed is listed at once and hears a higher token as its first call, within the directory's poll; a start that reaches it before that would still run.

--- a/baobabhoist/cell/awaited_runs.py
+++ b/baobabhoist/cell/awaited_runs.py
@@ -98,7 +98,7 @@
     _silences: dict[str, WorkerSilence] = attrs.Factory(dict)
     _ended_waits: list[EndedWait] = attrs.Factory(list)
 
-    def review(self, worker: WorkerState, now: float) -> None:
+    def review(self, worker: WorkerState, is_gone: bool, now: float) -> None:
         """Update and log the awaited runs of a worker if it is silent, or forget them."""
         if not (worker.runs and _is_silent(worker, now)):
             if self._silences:
@@ -109,7 +109,7 @@
             silence = self._silences[worker.worker_id] = WorkerSilence(now + NOTICE_DELAY_MS)
         if now < silence.next_review_ms:
             return
-        silence.runs = _find_awaited_runs(worker)
+        silence.runs = _find_awaited_runs(worker, is_gone)
         _log_unnamed(worker, silence, now)
         if silence.are_all_named():
             silence.next_review_ms = now + REVIEW_INTERVAL_MS
@@ -149,13 +149,13 @@
     return run.is_sent and task.run is run and not task.is_done and not task.step.job.is_final
 
 
-def _find_awaited_runs(worker: WorkerState) -> dict[Run, AwaitedRun]:
+def _find_awaited_runs(worker: WorkerState, is_gone: bool) -> dict[Run, AwaitedRun]:
     """Return the runs of a silent worker that tasks wait for."""
     lease_expiry_ms = worker.lease_expiry_ms()
     awaited = {}
     for run in worker.runs.values():
         if _is_awaited(run):
-            until_ms = worker.run_expiry_ms(run)
+            until_ms = worker.run_expiry_ms(run, is_gone)
             reason = _find_reason(worker, run, until_ms > lease_expiry_ms)
             since_ms = max(worker.last_heard_ms, run.decided_ms)
             awaited[run] = AwaitedRun(run, reason, since_ms, until_ms)
--- a/baobabhoist/cell/periodic_checks.py
+++ b/baobabhoist/cell/periodic_checks.py
@@ -10,6 +10,7 @@
 
 from baobabhoist.cell import quarantine
 from baobabhoist.cell.crashes import CrashHandler
+from baobabhoist.cell.directory_health import DIRECTORY_RECOVERY_MS
 from baobabhoist.cell.jobs import FINAL_PERCENT, Run, RunPhase, StepState
 from baobabhoist.cell.run_ends import RunEndHandler, close_lost_run
 from baobabhoist.cell.state import CellState
@@ -30,8 +31,6 @@
 UNSENT_START_TIMEOUT_MS = 5_000.0
 # A run in one of these phases has been stopped, and a gang with it.
 STOPPED_PHASES = frozenset({RunPhase.UNSURE, RunPhase.STOPPING})
-# Live workers are listed in the directory again within this time after a store outage.
-DIRECTORY_RECOVERY_MS = 2_500.0
 
 
 class PeriodicChecks:
@@ -46,7 +45,7 @@
         """Run all checks once."""
         for worker in list(self._state.workers.values()):
             self._check_lease(worker, now)
-            self._state.awaited_runs.review(worker, now)
+            self._state.awaited_runs.review(worker, self._state.is_gone(worker, now), now)
             for run in list(worker.runs.values()):
                 self._check_run(worker, run, now)
         self._crashes.forget_old(now)
@@ -64,11 +63,12 @@
 
     def _give_up_runs(self, worker: WorkerState, now: float) -> None:
         """Close the runs that have certainly ended on a worker whose lease has lapsed."""
+        is_gone = self._state.is_gone(worker, now)
         for run in list(worker.runs.values()):
             # Closing a member of a gang closes the other unsent ones too.
             if run.task.run is not run:
                 continue
-            if now > worker.run_expiry_ms(run):
+            if now > worker.run_expiry_ms(run, is_gone):
                 self._state.awaited_runs.record_given_up(run, now)
                 close_lost_run(
                     self._state,
--- a/baobabhoist/cell/scheduler.py
+++ b/baobabhoist/cell/scheduler.py
@@ -250,6 +250,10 @@
         for worker_id in set(self.state.workers) - set(info_by_id):
             self.unlist_worker(worker_id, now)
 
+    def confirm_directory(self, now: float) -> None:
+        """Record that the directory was read, and all its changes are applied."""
+        self.state.directory.record_read(now)
+
     def update_worker(self, info: WorkerInfo, now: float) -> None:
         """Add or update a worker from its entry in the directory."""
         worker = self.state.workers.get(info.worker_id)
--- a/baobabhoist/cell/state.py
+++ b/baobabhoist/cell/state.py
@@ -9,6 +9,7 @@
 import attrs
 
 from baobabhoist.cell.awaited_runs import AwaitedRuns
+from baobabhoist.cell.directory_health import DirectoryHealth
 from baobabhoist.cell.evacuations import NO_EVACUATIONS, Evacuations
 from baobabhoist.cell.given_up_runs import GivenUpRuns
 from baobabhoist.cell.jobs import (
@@ -65,6 +66,7 @@
     workers: dict[str, WorkerState] = attrs.Factory(dict)
     # Workers that the directory lists or has listed at each address, by worker id.
     workers_by_address: dict[str, dict[str, WorkerState]] = attrs.Factory(dict)
+    directory: DirectoryHealth = attrs.Factory(DirectoryHealth)
     # What the configuration no longer holds, although unfinished jobs need it.
     removed_queues: dict[str, Queue] = attrs.Factory(dict)
     removed_teams: dict[str, Team] = attrs.Factory(dict)
@@ -178,6 +180,10 @@
         for worker in self.workers.values():
             worker.is_evacuated = evacuations.cover(worker.info)
 
+    def is_gone(self, worker: WorkerState, now: float) -> bool:
+        """Return whether the directory shows that no process of a worker is left to be reached."""
+        return not worker.is_listed and self.directory.is_complete(now)
+
     def remove_worker(self, worker: WorkerState) -> None:
         """Remove a worker that has no runs left."""
         del self.workers[worker.worker_id]
--- a/baobabhoist/cell/workers.py
+++ b/baobabhoist/cell/workers.py
@@ -162,16 +162,19 @@
             return self.lease.expiry_ms()
         return max(self.inherited_lease_expiry_ms, self.lease.extended_expiry_ms())
 
-    def run_expiry_ms(self, run: Run) -> float:
+    def run_expiry_ms(self, run: Run, is_gone: bool) -> float:
         """Return the time after which a run has certainly ended and never begins.
 
         Until a report lists the run, the next process of the worker may have got the start or, if
         there was no answer, may get it yet, as it may a copy of a repeated start. That process
-        grants the longest lease, and each later start extends it for all its runs. A task that
-        lasts must be back sooner than that.
+        grants the longest lease, and each later start extends it for all its runs. A worker that
+        is gone from the directory has no such process, unless its last entry showed one. A task
+        that lasts must be back sooner than that.
         """
         expiry_ms = self.lease_expiry_ms()
-        if _belongs_to_heard_process(run) or run.task.step.spec.lasting:
+        has_next_process = self.is_entry_outdated or not is_gone
+        is_lasting = run.task.step.spec.lasting
+        if is_lasting or not has_next_process or _belongs_to_heard_process(run):
             return expiry_ms
         if run.sent_ms is None:
             return max(expiry_ms, self.longest_inherited_expiry_ms)
--- a/baobabhoist/control/owner.py
+++ b/baobabhoist/control/owner.py
@@ -384,6 +384,7 @@
             self._apply_directory_rows,
             self._deps.clock,
             pause_s=lambda: DIRECTORY_POLL_PAUSE_S,
+            on_confirmed=lambda sent_ms: self._require_cell().confirm_directory(sent_ms),
         )
 
     def _apply_job_rows(self, rows: Sequence[StoredRow], is_snapshot: bool) -> None:
--- a/baobabhoist/tests/cell_harness.py
+++ b/baobabhoist/tests/cell_harness.py
@@ -57,6 +57,8 @@
     delivers_commands: bool = True
     # The directory is read along with each report.
     updates_directory: bool = True
+    # The directory is read at each tick.
+    reads_directory: bool = True
     # Commands that were issued but not delivered, oldest first.
     undelivered: list = attrs.Factory(list)
     advice_requests: list = attrs.Factory(list)
@@ -168,6 +170,8 @@
                 worker.advance(step)
             if renew:
                 self.renew_all()
+            if self.reads_directory:
+                self.cell.confirm_directory(self.now)
             self.cell.tick(self.now, self.now)
             self.schedule()
 
--- a/baobabhoist/tests/sessions_harness.py
+++ b/baobabhoist/tests/sessions_harness.py
@@ -270,7 +270,7 @@
         """Compare what this owner knows of the leases with what the workers hold."""
         while self.world.owner is self:
             for worker_id, state in self.cell.state.workers.items():
-                expiries_ms = (state.run_expiry_ms(run) for run in state.runs.values())
+                expiries_ms = (state.run_expiry_ms(run, False) for run in state.runs.values())
                 self.world.compare_lease(worker_id, max((state.lease_expiry_ms(), *expiries_ms)))
             await asyncio.sleep(LEASE_CHECK_S)
 
