Log why the commands to a worker get no answer

Nothing told a time-out from a reset connection: the reason was dropped in the adapter.

Change: event 8012, once for each worker, kind of command and reason until a command is answered. Tested without the line: the new test fails.

--- a/baobabhoist/observability/events.py
+++ b/baobabhoist/observability/events.py
@@ -312,6 +312,11 @@
         logging.WARNING,
         "row {row} would have {size} bytes, so it is stored without the checkpoints of its tasks",
     )
+    COMMAND_UNANSWERED = (
+        8012,
+        logging.WARNING,
+        "worker {worker} leaves commands to {command} a run unanswered: {detail}",
+    )
     OPERATOR_REFUSED = (9002, logging.WARNING, "refused an operator key from {address}")
 
     def __init__(self, number: int, level: int, template: str) -> None:
--- a/baobabhoist/platform/workers.py
+++ b/baobabhoist/platform/workers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+import re
 from typing import Any
 
 from baobabhoist.cell.model import (
@@ -17,6 +18,7 @@
     WorkerReport,
 )
 from baobabhoist.control.interfaces import CommandResponse
+from baobabhoist.observability.events import Event, emit
 from baobabhoist.platform import fields
 from baobabhoist.platform.fields import FieldError
 from baobabhoist.platform.http_client import HttpClient, HttpResponse
@@ -29,9 +31,12 @@
 # A report lists at most this many ends; a list of this length may be cut short.
 MAX_ENDS_PER_REPORT = 500
 TARGET_INSTANCE_HEADER = "X-Target-Instance"
+HTTP_CONFLICT = 409
+# The status of a response that did not arrive.
+NO_RESPONSE = 0
 
 _OUTCOME_BY_STATUS = {
-    0: CommandOutcome.UNKNOWN,
+    NO_RESPONSE: CommandOutcome.UNKNOWN,
     200: CommandOutcome.OK,
     400: CommandOutcome.BAD,
     421: CommandOutcome.WRONG_LIFETIME,
@@ -45,7 +50,6 @@
     "room": CommandOutcome.NO_ROOM,
     "ticket": CommandOutcome.NO_TICKET,
 }
-HTTP_CONFLICT = 409
 
 
 class PlatformWorkerDriver:
@@ -56,6 +60,7 @@
         # Renewals wait at the workers and would leave few connections for commands.
         self._renewal_http = renewal_http
         self._unreadable_reports = KnownProblems()
+        self._unanswered_commands = KnownProblems()
 
     async def renew(
         self, worker: WorkerInfo, token: int, acked_end: int, deadline_ms: int | None, wait_ms: int
@@ -94,19 +99,34 @@
             body["checkpoint"] = command.checkpoint
         if command.ticket:
             body["ticket"] = command.ticket
-        return await self._send_command(worker, "/-/run-start", body)
+        return await self._send_command(worker, "start", "/-/run-start", body)
 
     async def stop(self, worker: WorkerInfo, token: int, command: StopTask) -> CommandResponse:
         """Stop a run."""
         body = {"task": command.task.to_text(), "runId": command.run, "fencingToken": token}
-        return await self._send_command(worker, "/-/run-stop", body)
+        return await self._send_command(worker, "stop", "/-/run-stop", body)
 
     async def _send_command(
-        self, worker: WorkerInfo, path: str, body: dict[str, Any]
+        self, worker: WorkerInfo, name: str, path: str, body: dict[str, Any]
     ) -> CommandResponse:
         response = await self._send(worker, path, body, COMMAND_TIMEOUT_S, self._command_http)
+        self._log_unanswered(worker, name, response)
         return _command_response(response)
 
+    def _log_unanswered(self, worker: WorkerInfo, name: str, response: HttpResponse) -> None:
+        """Log why commands of one kind get no answer, once until one is answered."""
+        key = f"{name} {worker.worker_id}"
+        if response.status != NO_RESPONSE:
+            self._unanswered_commands.forget(key)
+        elif self._unanswered_commands.is_new(key, _without_numbers(response.reason)):
+            emit(
+                log,
+                Event.COMMAND_UNANSWERED,
+                worker=worker.worker_id,
+                command=name,
+                detail=response.reason,
+            )
+
     async def _send(
         self,
         worker: WorkerInfo,
@@ -182,5 +202,10 @@
     )
 
 
+def _without_numbers(reason: str) -> str:
+    """Return a reason without the times in it, so that it equals others of its kind."""
+    return re.sub(r"[0-9]+", "", reason)
+
+
 def _signed(value: Any, name: str) -> float:
     return fields.number(value, name, -fields.MAX_INTEGER)
--- a/baobabhoist/tests/test_platform_http_client.py
+++ b/baobabhoist/tests/test_platform_http_client.py
@@ -141,3 +141,20 @@
     server = _LostAnswers()
     assert asyncio.run(run()) == [200, 0, 503]
     assert len(server.bodies) == 3
+
+
+def test_why_a_worker_answers_no_command_is_logged_once(caplog: pytest.LogCaptureFixture) -> None:
+    """Guard against tasks that wait for a worker of which no line says what its calls meet."""
+
+    async def run() -> None:
+        driver = PlatformWorkerDriver(HttpClient(10), HttpClient(10))
+        worker = WorkerInfo("w", "svc", await _listen(_hang_up), "z1", NO_RESOURCES, ())
+        stop = StopTask("w", TaskKey("0" * 16, 0, 0, 0), 1)
+        for _ in range(3):
+            await driver.stop(worker, 1, stop)
+        driver._renewal_http.close()
+        driver._command_http.close()
+
+    asyncio.run(run())
+    (record,) = caplog.records
+    assert record.message.startswith("worker w leaves commands to stop a run unanswered: ")
