Use cached connections again when a new one to the same address fails

Cause: after a lost answer each request to that address demands a new connection, because the cached ones may be dead, and goes on doing so until one is answered.

The new test gets no answer for as long as the server resets new connections without the change.

Change: a request whose new connection failed lets the next one use what is cached.

--- a/baobabhoist/platform/http_client.py
+++ b/baobabhoist/platform/http_client.py
@@ -53,7 +53,8 @@
         )
         # libcurl caches few connections by default, and a new connection to a worker is costly.
         self._client._multi.setopt(pycurl.M_MAXCONNECTS, MAX_CACHED_CONNECTIONS)
-        # Addresses whose last request got no response: their cached connections may be dead.
+        # Addresses whose last request got no response on a cached connection: others may be dead
+        # as well. If a new connection fails too, the cached ones are tried again.
         self._suspect_addresses: set[str] = set()
 
     async def request(
@@ -92,9 +93,9 @@
         try:
             response = await asyncio.shield(fetch)
         except (HTTPClientError, OSError) as exc:
-            return self._no_response(address, str(exc))
+            return self._no_response(address, needs_new_connection, str(exc))
         if response.code == NO_RESPONSE_CODE:
-            return self._no_response(address, str(response.error))
+            return self._no_response(address, needs_new_connection, str(response.error))
         self._suspect_addresses.discard(address)
         return HttpResponse(response.code, _parse_json(response.body))
 
@@ -102,8 +103,11 @@
         """Close all connections; open requests end without a response."""
         self._client.close()
 
-    def _no_response(self, address: str, reason: str) -> HttpResponse:
-        self._suspect_addresses.add(address)
+    def _no_response(self, address: str, was_new_connection: bool, reason: str) -> HttpResponse:
+        if was_new_connection:
+            self._suspect_addresses.discard(address)
+        else:
+            self._suspect_addresses.add(address)
         return HttpResponse(0, None, reason)
 
 
--- a/baobabhoist/tests/test_platform_http_client.py
+++ b/baobabhoist/tests/test_platform_http_client.py
@@ -143,6 +143,44 @@
     assert len(server.bodies) == 3
 
 
+class _FullServer:
+    """Answer on two connections, all requests but those for `/hang`, and reset all others."""
+
+    def __init__(self) -> None:
+        self.connections = 0
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        """Serve one connection."""
+        self.connections += 1
+        if self.connections > 2:
+            writer.transport.abort()
+            return
+        with contextlib.suppress(asyncio.IncompleteReadError, asyncio.CancelledError):
+            while b"/hang" not in await reader.readuntil(b"\r\n\r\n"):
+                writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}")
+            await reader.read()
+
+
+def test_an_address_that_resets_new_connections_is_reached_over_a_cached_one() -> None:
+    """Guard against a worker that no command reaches any more once it takes no new connection.
+
+    After a lost answer each request demanded a new connection, for as long as these failed.
+    """
+
+    async def run() -> list[int]:
+        client = HttpClient(10)
+        address = await _listen(_FullServer().serve)
+        hanging = client.request("GET", address, "/hang", timeout_s=1.0)
+        answered = client.request("GET", address, "/", timeout_s=TEST_TIMEOUT_S)
+        answers = list(await asyncio.gather(hanging, answered))
+        for _ in range(2):
+            answers.append(await client.request("GET", address, "/", timeout_s=TEST_TIMEOUT_S))
+        client.close()
+        return [answer.status for answer in answers]
+
+    assert asyncio.run(run()) == [0, 200, 0, 200]
+
+
 def test_why_a_worker_answers_no_command_is_logged_once(caplog: pytest.LogCaptureFixture) -> None:
     """Guard against tasks that wait for a worker of which no line says what its calls meet."""
 
