Keep few commands open to each worker at the same time

All starts for a worker, and the repeated stops of its unanswered ones, left at the same time, each on a connection of its own.

Change: a session has at most 6 commands open; one that can't be sent within 0.1 s is returned as not sent, so that its task goes elsewhere at once.

--- a/baobabhoist/control/sessions/worker_session.py
+++ b/baobabhoist/control/sessions/worker_session.py
@@ -29,6 +29,11 @@
 # each renewal at once, so renewing meanwhile would be a busy loop.
 ACK_TIMEOUT_S = 0.15
 NOT_SENT = CommandResponse(CommandOutcome.LATE)
+# Commands that are open at the same time. Each takes a connection, of which a worker holds few for
+# all instances together, some of them until long after their sender has given them up.
+MAX_OPEN_COMMANDS = 6
+# A command that can't be sent within this time is returned: the worker leaves others unanswered.
+COMMAND_WAIT_S = 0.1
 
 
 class SessionListener(Protocol):
@@ -84,6 +89,7 @@
         self._lease_ms = lease_ms
         self._task: asyncio.Task[None] | None = None
         self._ends_acked = asyncio.Event()
+        self._open_commands = asyncio.Semaphore(MAX_OPEN_COMMANDS)
         self._has_reported = False
         self._is_answering = True
 
@@ -128,6 +134,14 @@
 
     async def start_task(self, command: StartTask) -> CommandResponse:
         """Send a start command if that is permitted and the process of the worker was heard."""
+        if not await self._begin_command():
+            return NOT_SENT
+        try:
+            return await self._send_start(command)
+        finally:
+            self._open_commands.release()
+
+    async def _send_start(self, command: StartTask) -> CommandResponse:
         deadline_ms = self._next_deadline()
         if deadline_ms is None:
             return NOT_SENT
@@ -139,6 +153,24 @@
 
     async def stop_task(self, command: StopTask) -> CommandResponse:
         """Send a stop command, also before the first renewal."""
+        if not await self._begin_command():
+            return CommandResponse(CommandOutcome.UNKNOWN)
+        try:
+            return await self._send_stop(command)
+        finally:
+            self._open_commands.release()
+
+    async def _begin_command(self) -> bool:
+        """Wait until one more command may be open; return whether it may before the time-out."""
+        if not self._open_commands.locked():
+            return await self._open_commands.acquire()
+        try:
+            async with asyncio.timeout(COMMAND_WAIT_S):
+                return await self._open_commands.acquire()
+        except TimeoutError:
+            return False
+
+    async def _send_stop(self, command: StopTask) -> CommandResponse:
         token = self.token or self._listener.token
         answer = await self._driver.stop(self.info, token, command)
         if self._is_fenced_by_itself(answer, token):
--- a/baobabhoist/tests/test_sessions_worker_session.py
+++ b/baobabhoist/tests/test_sessions_worker_session.py
@@ -6,13 +6,13 @@
 
 import pytest
 
-from baobabhoist.cell.model import CommandOutcome, JobPhase, RunOutcome, StopTask
+from baobabhoist.cell.model import CommandOutcome, JobPhase, RunOutcome, StartTask, StopTask
 from baobabhoist.control.clock import monotonic_ms
 from baobabhoist.control.interfaces import CommandResponse
 from baobabhoist.control.sessions import worker_session
 from baobabhoist.control.sessions.detours import Detours
 from baobabhoist.control.sessions.pool import LocalSession
-from baobabhoist.control.sessions.worker_session import WorkerSession
+from baobabhoist.control.sessions.worker_session import MAX_OPEN_COMMANDS, WorkerSession
 from baobabhoist.tests.cell_harness import LEASE_MS, CellHarness, make_job, make_task_key
 
 FAR_DEADLINE_MS = 1_000_000
@@ -464,3 +464,74 @@
         return worker.renew(sent_token, 1, None)
 
     assert asyncio.run(run()) is CommandOutcome.FENCED
+
+
+class SlowDriver(FakeDriver):
+    """Leave commands open until the test answers them."""
+
+    def __init__(self, worker):
+        super().__init__(worker)
+        self.answers = []
+
+    async def start(self, info, token, command, deadline_ms):
+        return await self._leave_open()
+
+    async def stop(self, info, token, command):
+        return await self._leave_open()
+
+    async def _leave_open(self):
+        answer = asyncio.get_running_loop().create_future()
+        self.answers.append(answer)
+        return CommandResponse(await answer)
+
+
+def open_commands(command_count, answer_some=lambda driver: None):
+    """Send starts to a worker; returns their outcomes, and how many were sent before an answer."""
+    harness = CellHarness.with_workers(1)
+    driver = SlowDriver(harness.workers["w0"])
+    session = make_session(harness, driver)
+    start = StartTask("w0", make_task_key(), 1, "(payload)")
+
+    async def run():
+        await session._renew()
+        calls = [asyncio.ensure_future(session.start_task(start)) for _ in range(command_count)]
+        await asyncio.sleep(0)
+        await asyncio.sleep(0)
+        sent_count = len(driver.answers)
+        answer_some(driver)
+        await asyncio.wait(calls, timeout=5 * worker_session.COMMAND_WAIT_S)
+        for answer in driver.answers:
+            if not answer.done():
+                answer.set_result(CommandOutcome.UNKNOWN)
+        responses = await asyncio.gather(*calls)
+        return [response.outcome for response in responses], sent_count
+
+    return asyncio.run(run())
+
+
+def test_commands_to_one_worker_take_few_connections():
+    """Guard against a worker that takes no connection any more, so that its tasks stand still.
+
+    It holds few connections, also those of calls that it leaves unanswered. Each of a burst of
+    starts took one, and the worker then reset those of the stops as well (LOST).
+    """
+    outcomes, sent_count = open_commands(30)
+    assert sent_count == MAX_OPEN_COMMANDS
+    assert outcomes.count(CommandOutcome.UNKNOWN) == MAX_OPEN_COMMANDS
+    assert outcomes.count(CommandOutcome.LATE) == 30 - MAX_OPEN_COMMANDS
+
+
+def test_a_command_waits_for_the_answers_to_others():
+    """Guard against a burst of starts of which only the first few reach a worker that answers."""
+
+    def answer_all(driver):
+        def answer_next():
+            for answer in driver.answers:
+                if not answer.done():
+                    answer.set_result(CommandOutcome.OK)
+            asyncio.get_running_loop().call_soon(answer_next)
+
+        answer_next()
+
+    outcomes, _ = open_commands(30, answer_all)
+    assert outcomes == [CommandOutcome.OK] * 30
