Add workers that end for good, and a check for starving jobs, to the platform's soak

The soak could not see it: none of its workers ended for good, and its check of LOST allowed 25 s after the last fault, just over the 24.4 s that a start without an answer holds its task.

The fault workers_gone lets a quarter of the workers answer no calls for 1 to 1.5 s (half of the time the calls are carried out) and then end; half of the time the owner is killed beside it. Their entries expire after three intervals without an update, and other workers join in their place, under ids and at addresses of their own. Jobs of queues with advice are left out, because the logs do not tell whether tickets are at hand. The check that all jobs end within 25 s stays beside it.

--- a/baobabhoist/platform/testing/deployment.py
+++ b/baobabhoist/platform/testing/deployment.py
@@ -16,6 +16,7 @@
 from tornado.httpclient import AsyncHTTPClient, HTTPResponse
 
 from baobabhoist.platform.instance import SETTINGS_ENV_VAR
+from baobabhoist.platform.testing.simulated_worker import DATA_CENTRES
 from baobabhoist.platform.testing.store import EXTERNAL_WRITER_HEADER
 from baobabhoist.testing.cluster import Cluster, free_port, wait_for_port
 from baobabhoist.testing.soak_driver import try_fetch
@@ -49,7 +50,10 @@
 
     cluster: Cluster
     instances: dict[str, InstancePorts] = attrs.Factory(dict)
+    # The workers in use; those that have ended for good are left out, and spares until they join.
     worker_names: list[str] = attrs.Factory(list)
+    spare_workers: list[str] = attrs.Factory(list)
+    worker_data_centres: dict[str, str] = attrs.Factory(dict)
     store_port: int = attrs.Factory(free_port)
     adviser_port: int = attrs.Factory(free_port)
     http: AsyncHTTPClient = attrs.Factory(AsyncHTTPClient)
@@ -64,14 +68,20 @@
         """Return the path of the file in which the workers log their runs."""
         return self.cluster.folder / "runs.jsonl"
 
-    async def start(self, instance_count: int, worker_count: int, config: dict[str, Any]) -> None:
+    async def start(
+        self,
+        instance_count: int,
+        worker_count: int,
+        config: dict[str, Any],
+        spare_worker_count: int = 0,
+    ) -> None:
         """Start all processes; the configuration is written before the instances start."""
         self.cluster.start_process(
             "store", "baobabhoist.platform.testing.store", f"--port={self.store_port}"
         )
         wait_for_port(self.store_port)
         self._plan_instances(instance_count)
-        self._start_workers(worker_count)
+        self._start_workers(worker_count, spare_worker_count)
         self.cluster.start_relays()
         await self.write_config(config)
         for name in self.instances:
@@ -86,18 +96,16 @@
             instance.peer_relay_port = self.cluster.add_relay(f"peer:{name}", instance.peer_port)
             self.instances[name] = instance
 
-    def _start_workers(self, count: int) -> None:
-        worker_specs = []
-        for number in range(count):
-            name, port = f"w{number + 1}", free_port()
-            relay_port = self.cluster.add_relay(f"worker:{name}", port)
-            self.worker_names.append(name)
-            worker_specs.append(f"{name}:{port}:{relay_port}:r1-{number // WORKERS_PER_RACK}")
+    def _start_workers(self, count: int, spare_count: int) -> None:
+        worker_specs = [self._plan_worker(number) for number in range(count + spare_count)]
+        names = list(self.worker_data_centres)
+        self.worker_names, self.spare_workers = names[:count], names[count:]
         self.cluster.control_ports["workers"] = free_port()
         self.cluster.start_process(
             "workers",
             "baobabhoist.platform.testing.workers",
             f"--workers={','.join(worker_specs)}",
+            f"--spares={','.join(self.spare_workers)}",
             f"--control_port={self.cluster.control_ports['workers']}",
             f"--adviser_port={self.adviser_port}",
             f"--store={HOST}:{self.store_port}",
@@ -105,6 +113,15 @@
         )
         wait_for_port(self.cluster.control_ports["workers"])
 
+    def _plan_worker(self, number: int) -> str:
+        """Return the specification of a worker behind a relay."""
+        name, port = f"w{number + 1}", free_port()
+        relay_port = self.cluster.add_relay(f"worker:{name}", port)
+        rack = f"r1-{number // WORKERS_PER_RACK}"
+        data_centre = DATA_CENTRES[number % len(DATA_CENTRES)]
+        self.worker_data_centres[name] = data_centre
+        return f"{name}:{port}:{relay_port}:{rack}:{data_centre}"
+
     def start_instance(self, name: str) -> None:
         """Start or restart an instance."""
         instance = self.instances[name]
@@ -168,6 +185,17 @@
         port = self.cluster.control_ports["workers"]
         await self._post(f"http://{HOST}:{port}/workers/{name}", command)
 
+    async def end_worker(self, name: str) -> None:
+        """End a worker for good; its address refuses connections."""
+        await self.set_relay_mode(f"worker:{name}", "cut")
+        await self.command_worker(name, end=1)
+
+    async def add_spare_worker(self) -> None:
+        """Let a spare worker join, under an id and at an address that were not in use before."""
+        name = self.spare_workers.pop(0)
+        await self.command_worker(name, join=1)
+        self.worker_names.append(name)
+
     async def set_relay_mode(self, pattern: str, mode: str, **options: Any) -> None:
         """Set the mode of all relays whose names match a pattern."""
         port = self.cluster.control_ports["relays"]
--- a/baobabhoist/platform/testing/simulated_worker.py
+++ b/baobabhoist/platform/testing/simulated_worker.py
@@ -20,6 +20,8 @@
 
 CLOCK_TICK_S = 0.01
 DIRECTORY_UPDATE_INTERVAL_S = 1.0
+# The directory drops the entry of a worker after three intervals without an update.
+DIRECTORY_ENTRY_EXPIRY_S = 3 * DIRECTORY_UPDATE_INTERVAL_S
 LEASE_DURATION_MAX_MS = 6_000.0
 GANG_TIMEOUT_MS = 3_000.0
 CHECKPOINT_INTERVAL_MS = 500.0
@@ -70,11 +72,12 @@
 class Worker:
     """Simulate one worker: its lease, its runs and its ended runs until they are acknowledged.
 
-    Commands of the soak set `mode`, `draining` and `gone`. The modes are normal; fail: all runs
-    fail; hang: runs make no progress; late: starts and stops are carried out seconds later, after
-    the sender has timed out; lose: they are carried out at once, but the responses are lost;
-    delay_starts: starts wait on the network and are carried out seconds later by the process
-    that the worker has then.
+    Commands of the soak set `mode`, `draining` and `gone`, which removes the entry from the
+    directory at once, or end the worker for good, which lets the entry expire. The modes are
+    normal; fail: all runs fail; hang: runs make no progress; late: starts and stops are carried
+    out seconds later, after the sender has timed out; lose: they are carried out at once, but the
+    responses are lost; delay_starts: starts wait on the network and are carried out seconds later
+    by the process that the worker has then.
     """
 
     worker_id: str
@@ -99,6 +102,8 @@
     row_sequence: int = 0
     draining: bool = False
     gone: bool = False
+    has_ended: bool = False
+    row_written_s: float = 0.0
     run_ended: asyncio.Event = attrs.Factory(asyncio.Event)
 
     def clock_ms(self) -> float:
@@ -285,6 +290,12 @@
         self.started_unix_ms, self.clock_started_s = int(time.time() * 1000), time.monotonic()
         self.draining = self.gone = False
 
+    def end_for_good(self) -> None:
+        """End without another process under this id; the entry in the directory expires."""
+        self.crash()
+        self.gone = self.has_ended = True
+        self.hub.log("ended_for_good", worker=self.worker_id)
+
     def log_start(self, event: str, body: dict[str, Any], **fields: Any) -> None:
         """Log an event of a start that waits on the network."""
         order = {"task": body["task"], "run": body["runId"], "token": body["fencingToken"]}
@@ -304,6 +315,7 @@
     workers: dict[str, Worker] = attrs.Factory(dict)
     rng: random.Random = attrs.Factory(lambda: random.Random(1))
     http: AsyncHTTPClient = attrs.Factory(AsyncHTTPClient)
+    update_tasks: set[asyncio.Future[None]] = attrs.Factory(set)
 
     def log(self, event: str, **fields: Any) -> None:
         """Append a line to the log."""
@@ -345,11 +357,23 @@
                 worker.advance(elapsed_ms)
             self.start_complete_gangs()
 
+    def join(self, worker: Worker) -> None:
+        """Add a worker to the directory as a process that has just started."""
+        worker.started_unix_ms = int(time.time() * 1000)
+        worker.clock_started_s = time.monotonic()
+        worker.gone = False
+        self.log("joined", worker=worker.worker_id)
+        task = asyncio.ensure_future(self.update_directory_periodically(worker))
+        self.update_tasks.add(task)
+
     async def update_directory_periodically(self, worker: Worker) -> None:
-        """Write a worker's row to the directory at intervals until cancelled."""
-        while True:
+        """Write a worker's row to the directory at intervals until the worker has ended."""
+        while not worker.has_ended:
             await self.write_directory_row(worker)
             await asyncio.sleep(DIRECTORY_UPDATE_INTERVAL_S)
+        expires_s = worker.row_written_s + DIRECTORY_ENTRY_EXPIRY_S
+        await asyncio.sleep(max(0.0, expires_s - time.monotonic()))
+        await self.write_directory_row(worker)
 
     async def write_directory_row(self, worker: Worker) -> None:
         """Write a worker's row to the directory, or remove it once the worker is gone."""
@@ -359,6 +383,7 @@
         else:
             value = base64.b64encode(orjson.dumps(worker.next_directory_row())).decode()
             body = {"puts": [{**row, "value": value}]}
+            worker.row_written_s = time.monotonic()
         try:
             await self.http.fetch(
                 f"http://{self.store_address}/-/rows-tx",
--- a/baobabhoist/platform/testing/soak.py
+++ b/baobabhoist/platform/testing/soak.py
@@ -22,6 +22,7 @@
 from baobabhoist.platform.testing.soak_late_starts import LATE_STARTS
 from baobabhoist.platform.testing.soak_records import SubmittedJob, Team
 from baobabhoist.platform.testing.soak_takeover import OUTAGE_TAKEOVER
+from baobabhoist.platform.testing.soak_workers_gone import WORKERS_GONE, max_ended_workers
 from baobabhoist.testing import soak_driver
 from baobabhoist.testing.cluster import Cluster
 from baobabhoist.testing.soak_driver import SoakDriver
@@ -187,6 +188,7 @@
         job = SubmittedJob(job_id, queue, team, steps, zlib.crc32(spec.encode()), attempts)
         self.jobs[job_id] = job
         job.body = json.dumps({"taskSpec": spec, "steps": steps})
+        job.needs_advice = "advice" in QUEUES[queue]
         return job
 
     def _draw_run_factor(self, rng: random.Random, queue: str) -> int:
@@ -347,7 +349,12 @@
         """Run the load and the faults, then wait until all jobs have finished."""
         self.has_late_starts = any(fault.name == LATE_STARTS for fault in schedule)
         self.has_outage_takeovers = any(fault.name == OUTAGE_TAKEOVER for fault in schedule)
-        await self.deployment.start(INSTANCE_COUNT, WORKER_COUNT, self.make_config())
+        spare_worker_count = sum(
+            max_ended_workers(WORKER_COUNT) for fault in schedule if fault.name == WORKERS_GONE
+        )
+        await self.deployment.start(
+            INSTANCE_COUNT, WORKER_COUNT, self.make_config(), spare_worker_count
+        )
         self.log_event("limits", limits=dict(self.team_cpu_limits), acked=time.time())
         readiness_task = asyncio.create_task(
             run_periodically(READY_CHECK_INTERVAL_S, self.check_readiness)
@@ -441,7 +448,9 @@
     }
     (folder / "driver.json").write_text(json.dumps(trace))
     print(f"seed={FLAGS.seed} seconds={FLAGS.seconds:g} logs in {folder}")
-    return 0 if print_report(soak, soak.check_guarantees(is_finished=True)) else 1
+    checker = soak.check_guarantees(is_finished=True)
+    checker.check_starvation()
+    return 0 if print_report(soak, checker) else 1
 
 
 if __name__ == "__main__":
--- a/baobabhoist/platform/testing/soak_checker.py
+++ b/baobabhoist/platform/testing/soak_checker.py
@@ -9,7 +9,16 @@
 
 import attrs
 
-from baobabhoist.platform.testing.soak_records import INF, JsonObject, Run, SubmittedJob, Team
+from baobabhoist.platform.testing.soak_records import (
+    INF,
+    JsonObject,
+    Run,
+    SubmittedJob,
+    Team,
+    limits_in_force,
+)
+from baobabhoist.platform.testing.soak_starvation import StarvationFinder
+from baobabhoist.platform.testing.soak_usage import UsageHistory
 
 WORKER_CAPACITY = {"cpu": 4_000, "memMb": 8_192}
 QUOTA_TOLERANCE_FACTOR = 1.1
@@ -19,7 +28,6 @@
 REVOKE_DEADLINE_S = 5.0
 JOB_VISIBLE_DEADLINE_S = 3.0
 COMPLETION_DEADLINE_S = 1.0
-LIMIT_DEADLINE_S = 2.0
 DRAIN_DEADLINE_S = 2.0
 EVACUATION_DEADLINE_S = 5.0
 GRACE_PERIOD_S = 6.0
@@ -231,13 +239,8 @@
 
     def _highest_limit(self, team: str, t: float) -> float:
         """Return the highest limit of a team that may be in force at a time."""
-        changes = [e for e in self.driver_log if e["event"] == "limits"]
-        highest = 0.0
-        for change, next_change in zip(changes, [*changes[1:], None], strict=True):
-            until = next_change["acked"] + LIMIT_DEADLINE_S if next_change else INF
-            if change["t"] <= t <= until + self._extra_delay_s(t):
-                highest = max(highest, change["limits"][team] or INF)
-        return highest
+        limits = limits_in_force(self.driver_log, team, t, self._extra_delay_s(t))
+        return max(limits, default=0.0)
 
     def _extra_delay_s(self, t: float) -> float:
         """Return how much later than required a change may take effect because of faults."""
@@ -457,6 +460,22 @@
             holds = entry["code"] is not None or not self._is_undisturbed(entry["t"], entry["t"])
             self._check("LOST", holds, f"{entry['instance']} did not stop within the grace period")
 
+    def check_starvation(self) -> None:
+        """Check that no accepted job stands still in calm times although it could run."""
+        usage_history = UsageHistory(
+            self.worker_log, list(self._all_runs()), self.jobs, WORKER_CAPACITY
+        )
+        finder = StarvationFinder(self.driver_log, self.requests, self.runs_by_job, usage_history)
+        for job in self.jobs.values():
+            span = finder.find_starvation(job)
+            self._check(
+                "LOST",
+                span is None,
+                f"{job.job_id} starves for {span.length_s:.1f} s from {span.start:.3f}"
+                if span
+                else "",
+            )
+
     def check_completion(self, final_states: dict[str, str]) -> None:
         """Check that every accepted job has reached a final state."""
         for (event, job_id), entries in self.requests.items():
--- a/baobabhoist/platform/testing/soak_faults.py
+++ b/baobabhoist/platform/testing/soak_faults.py
@@ -15,6 +15,7 @@
 from baobabhoist.platform.testing.soak_checker import EVACUATION_DEADLINE_S, GRACE_PERIOD_S
 from baobabhoist.platform.testing.soak_late_starts import LATE_STARTS, restart_beside_late_starts
 from baobabhoist.platform.testing.soak_takeover import OUTAGE_TAKEOVER, take_over_in_outage
+from baobabhoist.platform.testing.soak_workers_gone import WORKERS_GONE, end_workers_for_good
 from baobabhoist.testing.soak_faults import ScheduledFault
 
 if TYPE_CHECKING:
@@ -235,15 +236,19 @@
 
 
 async def _empty_data_centre(soak: Soak, fault: ScheduledFault, rng: random.Random) -> None:
-    number = rng.randrange(len(DATA_CENTRES))
-    names = soak.deployment.worker_names[number :: len(DATA_CENTRES)]
-    await soak.deployment.request_evacuation(DATA_CENTRES[number], is_requested=True)
+    data_centre = DATA_CENTRES[rng.randrange(len(DATA_CENTRES))]
+    names = [
+        name
+        for name in soak.deployment.worker_names
+        if soak.deployment.worker_data_centres[name] == data_centre
+    ]
+    await soak.deployment.request_evacuation(data_centre, is_requested=True)
     for name in names:
         soak.log_event("evacuated", worker=name)
     await asyncio.sleep(EVACUATION_DEADLINE_S + fault.duration_s)
     for name in names:
         soak.log_event("taken_back", worker=name)
-    await soak.deployment.request_evacuation(DATA_CENTRES[number], is_requested=False)
+    await soak.deployment.request_evacuation(data_centre, is_requested=False)
 
 
 async def _change_limit(soak: Soak, fault: ScheduledFault, rng: random.Random) -> None:
@@ -299,6 +304,7 @@
     "worker_loses": _make_worker_fault("lose"),
     LATE_STARTS: restart_beside_late_starts,
     "worker_crash": _crash_workers,
+    WORKERS_GONE: end_workers_for_good,
     "worker_drain": _drain_worker,
     "evacuation": _empty_data_centre,
     "config": _change_limit,
--- a/baobabhoist/platform/testing/soak_late_starts.py
+++ b/baobabhoist/platform/testing/soak_late_starts.py
@@ -6,7 +6,7 @@
 import random
 from typing import TYPE_CHECKING
 
-from baobabhoist.platform.testing.soak_takeover import kill_owner
+from baobabhoist.platform.testing.soak_takeover import kill_owner_for_a_while
 
 if TYPE_CHECKING:
     from baobabhoist.platform.testing.soak import Soak
@@ -22,7 +22,6 @@
 CUT_PROBABILITY = 0.5
 OWNER_KILL_PROBABILITY = 0.4
 MAX_OWNER_KILL_DELAY_S = 2.0
-OWNER_DOWN_S = 3.0
 
 
 async def restart_beside_late_starts(
@@ -35,7 +34,7 @@
         async with asyncio.TaskGroup() as group:
             group.create_task(_delay_starts_and_crash(soak, random.Random(rng.random())))
             if kills_owner:
-                group.create_task(_kill_owner_for_a_while(soak, owner_kill_delay_s))
+                group.create_task(kill_owner_for_a_while(soak, owner_kill_delay_s))
         await asyncio.sleep(rng.uniform(0.0, MAX_PAUSE_S))
 
 
@@ -55,11 +54,3 @@
     await asyncio.sleep(rng.uniform(MIN_UNREACHABLE_S, MAX_UNREACHABLE_S))
     for name in cut_workers:
         await soak.deployment.set_relay_mode(f"worker:{name}", "pass")
-
-
-async def _kill_owner_for_a_while(soak: Soak, delay_s: float) -> None:
-    await asyncio.sleep(delay_s)
-    killed_owner = await kill_owner(soak)
-    await asyncio.sleep(OWNER_DOWN_S)
-    if killed_owner:
-        soak.restart_instance(killed_owner)
--- a/baobabhoist/platform/testing/soak_records.py
+++ b/baobabhoist/platform/testing/soak_records.py
@@ -9,6 +9,8 @@
 JsonObject = dict[str, Any]
 
 INF = float("inf")
+# A changed limit must be in force everywhere within this time.
+LIMIT_DEADLINE_S = 2.0
 
 
 @attrs.define
@@ -23,6 +25,7 @@
     attempts: int
     cancel_sent: float = 0.0
     body: str = ""
+    needs_advice: bool = False
 
 
 @attrs.frozen
@@ -62,3 +65,16 @@
     def step_number(self) -> int:
         """Return the number of the run's step."""
         return int(self.task_id.split(".")[2])
+
+
+def limits_in_force(
+    driver_log: list[JsonObject], team: str, t: float, extra_delay_s: float = 0.0
+) -> list[float]:
+    """Return the CPU limits of a team that may be in force at a time."""
+    changes = [e for e in driver_log if e["event"] == "limits"]
+    ends = [*(e["acked"] + LIMIT_DEADLINE_S for e in changes[1:]), INF]
+    return [
+        change["limits"][team] or INF
+        for change, until in zip(changes, ends, strict=True)
+        if change["t"] <= t <= until + extra_delay_s
+    ]
--- a/baobabhoist/platform/testing/soak_takeover.py
+++ b/baobabhoist/platform/testing/soak_takeover.py
@@ -17,6 +17,7 @@
 MIN_REMAINING_OUTAGE_S, MAX_REMAINING_OUTAGE_S = 2.2, 2.8
 MAX_RETURN_DELAY_S = 0.5
 MIN_CRASHED_SHARE, MAX_CRASHED_SHARE = 0.3, 0.5
+OWNER_DOWN_S = 3.0
 
 
 async def take_over_in_outage(soak: Soak, fault: ScheduledFault, rng: random.Random) -> None:
@@ -47,6 +48,15 @@
     return owner
 
 
+async def kill_owner_for_a_while(soak: Soak, delay_s: float) -> None:
+    """Kill the owner after a delay, and restart it once another instance has taken over."""
+    await asyncio.sleep(delay_s)
+    killed_owner = await kill_owner(soak)
+    await asyncio.sleep(OWNER_DOWN_S)
+    if killed_owner:
+        soak.restart_instance(killed_owner)
+
+
 async def _crash_workers(soak: Soak, rng: random.Random) -> list[str]:
     """Crash a share of the workers and return their names; they stay unreachable."""
     worker_names = soak.deployment.worker_names
--- a/baobabhoist/platform/testing/workers.py
+++ b/baobabhoist/platform/testing/workers.py
@@ -4,9 +4,8 @@
 
 import asyncio
 import itertools
-import time
 import zlib
-from collections.abc import Iterable
+from collections.abc import Container, Iterable
 from pathlib import Path
 from typing import Any
 
@@ -14,7 +13,7 @@
 from absl import app, flags
 from tornado.web import Application, RequestHandler
 
-from baobabhoist.platform.testing.simulated_worker import DATA_CENTRES, Worker, WorkerHub
+from baobabhoist.platform.testing.simulated_worker import Worker, WorkerHub
 from baobabhoist.platform.testing.soak_checker import WORKER_CAPACITY
 from baobabhoist.platform.testing.store import drop_connection
 
@@ -92,6 +91,9 @@
                     await worker.run_ended.wait()
             except TimeoutError:
                 pass
+        if worker.gone:
+            drop_connection(self)
+            return
         self.finish(orjson.dumps(worker.make_report()))
 
 
@@ -111,15 +113,30 @@
 
 
 class ControlHandler(RequestHandler):
-    """Handle commands of the soak: POST /workers/ID with {"mode": ...}, {"crash": 1} and so on."""
+    """Handle commands of the soak: POST /workers/ID with {"mode": ...}, {"crash": 1} and so on.
+
+    A worker that has ended for good takes no further commands.
+    """
 
     def initialize(self, hub: WorkerHub) -> None:
         """Set the workers."""
         self.hub = hub
 
     async def post(self, worker_id: str) -> None:
-        """Crash a worker or change its attributes."""
+        """Crash a worker, end it, let it join or change its attributes."""
         worker, body = self.hub.workers[worker_id], orjson.loads(self.request.body)
+        self.hub.log("command", worker=worker_id, **body)
+        if not worker.has_ended:
+            await self._carry_out(worker, body)
+        self.finish({})
+
+    async def _carry_out(self, worker: Worker, body: dict[str, Any]) -> None:
+        if body.pop("end", False):
+            worker.end_for_good()
+            return
+        if body.pop("join", False):
+            self.hub.join(worker)
+            return
         if body.pop("crash", False):
             worker.crash()
         for name, value in body.items():
@@ -127,16 +144,14 @@
         if worker.gone:
             for run in list(worker.runs.values()):
                 worker.end_run(run, "crashed")
-        self.hub.log("command", worker=worker_id, **body)
         await self.hub.write_directory_row(worker)
-        self.finish({})
 
 
 def add_workers(hub: WorkerHub, worker_specs: Iterable[str]) -> None:
-    """Add workers that are given as ID:PORT:ADVERTISED_PORT:RACK."""
+    """Add workers that are given as ID:PORT:ADVERTISED_PORT:RACK:DATA_CENTRE; none joins yet."""
     numbers = itertools.count()
     for worker_spec in worker_specs:
-        worker_id, port, advertised_port, rack = worker_spec.split(":")
+        worker_id, port, advertised_port, rack, data_centre = worker_spec.split(":")
         number = next(numbers)
         hub.workers[worker_id] = Worker(
             worker_id,
@@ -146,35 +161,38 @@
             ("a" if number % 2 else "b", rack),
             {**WORKER_CAPACITY, "gpu": 0},
             hub,
-            DATA_CENTRES[number % len(DATA_CENTRES)],
+            data_centre,
             clock_rate=1.0 - hub.rng.uniform(0, CLOCK_SLOWDOWN_MAX),
-            started_unix_ms=int(time.time() * 1000),
+            gone=True,
         )
 
 
-async def serve(hub: WorkerHub, control_port: int, adviser_port: int) -> None:
-    """Serve all workers and the adviser until cancelled."""
+async def serve(
+    hub: WorkerHub, spares: Container[str], control_port: int, adviser_port: int
+) -> None:
+    """Serve all workers and the adviser until cancelled; the spare workers join on command."""
     for worker in hub.workers.values():
         handlers = [(r"/-/(?:run-start|run-stop|hold)", WorkerCommandHandler, {"worker": worker})]
         Application(handlers).listen(worker.port, "127.0.0.1")
     Application([(r"/-/advise", AdviserHandler)]).listen(adviser_port, "127.0.0.1")
     commands = Application([(r"/workers/(.+)", ControlHandler, {"hub": hub})])
     commands.listen(control_port, "127.0.0.1")
-    await asyncio.gather(
-        hub.advance_periodically(),
-        *(hub.update_directory_periodically(worker) for worker in hub.workers.values()),
-    )
+    for worker in hub.workers.values():
+        if worker.worker_id not in spares:
+            hub.join(worker)
+    await hub.advance_periodically()
 
 
 def main(argv: list[str]) -> None:
     """Serve the workers that the flags describe."""
     hub = WorkerHub(Path(FLAGS.log), FLAGS.store)
     add_workers(hub, FLAGS.workers)
-    asyncio.run(serve(hub, FLAGS.control_port, FLAGS.adviser_port))
+    asyncio.run(serve(hub, FLAGS.spares, FLAGS.control_port, FLAGS.adviser_port))
 
 
 if __name__ == "__main__":
-    flags.DEFINE_list("workers", [], "Workers as ID:PORT:ADVERTISED_PORT:RACK.")
+    flags.DEFINE_list("workers", [], "Workers as ID:PORT:ADVERTISED_PORT:RACK:DATA_CENTRE.")
+    flags.DEFINE_list("spares", [], "Ids of the workers that join only on command.")
     flags.DEFINE_integer("control_port", 0, "Port for commands of the soak.")
     flags.DEFINE_integer("adviser_port", 0, "Port of the placement adviser.")
     flags.DEFINE_string("store", "", "Address of the store.")
