Store which workers are silent, so that owners don't each wait anew

Callers saw accepted jobs of which nothing ran: a start got no answer, its worker was gone, and owners changed every few seconds. Each new owner counted the whole wait for the inherited runs of a worker that it never heard from its own takeover, although no owner since an earlier one had heard that worker, so nobody had extended its lease.

A row names the silent workers with runs and when their leases have expired on the store's clock. While it may name a worker, nobody extends its lease nor sends it a start: from when a write that names it may have been stored until one without it is confirmed, and for a new owner from its takeover. All writes are conditional on the claim, so the row that a new owner reads is the last word of its predecessors; each kept to it, also one that died before it wrote anything. The new owner counts the row's times and carries them on.

A worker is not named while another instance may go on extending its lease (a session that was moved, whose holder has not applied that). An unreadable row or entry counts as absent, but leases are extended only once it is replaced: another release may be able to read it. An owner of an earlier release keeps no such promise, so a claim that replaces one empties the row in the same transaction. Stored times never make a wait longer than what all earlier owners can have granted.

--- a/baobabhoist/cell/scheduler.py
+++ b/baobabhoist/cell/scheduler.py
@@ -32,10 +32,11 @@
 from baobabhoist.cell.policy import DEFAULT_POLICY, SchedulingPolicy
 from baobabhoist.cell.progress_rows import JobProgress
 from baobabhoist.cell.run_ends import RunEndHandler, close_lost_run
+from baobabhoist.cell.silent_workers import SilentWorker
 from baobabhoist.cell.state import CellState
 from baobabhoist.cell.wasted_work import WasteCause
 from baobabhoist.cell.worker_reports import WorkerReportHandler
-from baobabhoist.cell.workers import Lease, WorkerState
+from baobabhoist.cell.workers import MAX_START_LATENESS_MS, Lease, WorkerState
 from baobabhoist.observability.events import Event, emit
 
 log = logging.getLogger(__name__)
@@ -53,13 +54,26 @@
     `generation` counts the owners of the cell and `claim_version` is the store's version of the
     claim. After `inherited_leases_expire_ms` a worker that has never reported to this owner holds
     no lease of an earlier one, unless its process had started again and granted the longest one:
-    that has expired after `longest_leases_expire_ms`.
+    that has expired after `longest_leases_expire_ms`. For the silent workers that earlier owners
+    stored, their times count, as far as these are earlier.
     """
 
     generation: int
     claim_version: int
     inherited_leases_expire_ms: float = 0.0
     longest_leases_expire_ms: float = 0.0
+    silent_workers: Mapping[str, SilentWorker] = attrs.Factory(dict)
+
+    def expiries_of(self, worker_id: str) -> SilentWorker:
+        """Return when the leases of earlier owners have expired on a worker without a report."""
+        latest_ms = self.longest_leases_expire_ms + MAX_START_LATENESS_MS
+        silent = self.silent_workers.get(worker_id)
+        if silent is None:
+            return SilentWorker(self.inherited_leases_expire_ms, self.longest_leases_expire_ms)
+        return SilentWorker(
+            min(silent.lease_expiry_ms, self.longest_leases_expire_ms),
+            min(silent.longest_expiry_ms, latest_ms),
+        )
 
 
 class CellScheduler:
@@ -125,8 +139,9 @@
             info = WorkerInfo(worker_id, "", "", "", NO_RESOURCES, ())
             worker = WorkerState(info, self._new_lease(), is_listed=False, unlisted_since_ms=now)
             self.state.workers[worker_id] = worker
-        worker.inherited_lease_expiry_ms = self._takeover.inherited_leases_expire_ms
-        worker.longest_inherited_expiry_ms = self._takeover.longest_leases_expire_ms
+        expiries = self._takeover.expiries_of(worker_id)
+        worker.inherited_lease_expiry_ms = expiries.lease_expiry_ms
+        worker.longest_inherited_expiry_ms = expiries.longest_expiry_ms
         return worker
 
     def _new_lease(self) -> Lease:
--- a/baobabhoist/cell/workers.py
+++ b/baobabhoist/cell/workers.py
@@ -181,6 +181,11 @@
         last_start_ms = max(map(_last_start_ms, self.runs.values()))
         return max(expiry_ms, last_start_ms + lease_duration_ms(self.lease.max_granted_ms))
 
+    def last_run_expiry_ms(self) -> float:
+        """Return the time after which all runs have ended, even if the worker may be back."""
+        expiries_ms = (self.run_expiry_ms(run, is_gone=False) for run in self.runs.values())
+        return max(self.lease_expiry_ms(), *expiries_ms, float("-inf"))
+
     def apply_entry(self, info: WorkerInfo, now: float) -> None:
         """Apply an entry of the directory, which may outlast the worker by some seconds."""
         # An entry that is read again is older than it was the first time.
--- a/baobabhoist/control/cell_loader.py
+++ b/baobabhoist/control/cell_loader.py
@@ -12,6 +12,7 @@
     PROGRESS_TABLE,
     SPEEDS_ROW_KEY,
 )
+from baobabhoist.control.silent_workers_row import SILENT_WORKERS_ROW_KEY
 from baobabhoist.control.usage_row import USAGE_ROW_KEY
 from baobabhoist.store.row_store import RowStore, StoredRow
 
@@ -24,6 +25,7 @@
     cell: tuple[StoredRow, ...]
     speeds: tuple[StoredRow, ...]
     usage: tuple[StoredRow, ...]
+    silent_workers: tuple[StoredRow, ...]
     directory: tuple[StoredRow, ...]
     jobs: tuple[StoredRow, ...]
     jobs_version: int
@@ -42,6 +44,7 @@
             TableRange(CELL_TABLE),
             TableRange(SPEEDS_ROW_KEY.table),
             TableRange(USAGE_ROW_KEY.table),
+            TableRange(SILENT_WORKERS_ROW_KEY.table),
             TableRange(directory_table),
             TableRange(PROGRESS_TABLE),
             *(TableRange(JOBS_TABLE, partition) for partition in JOB_PARTITIONS),
@@ -69,6 +72,7 @@
             cell=self._reader.rows(CELL_TABLE),
             speeds=self._reader.rows(SPEEDS_ROW_KEY.table),
             usage=self._reader.rows(USAGE_ROW_KEY.table),
+            silent_workers=self._reader.rows(SILENT_WORKERS_ROW_KEY.table),
             directory=self._reader.rows(self._directory_table),
             jobs=self._reader.rows(JOBS_TABLE),
             jobs_version=self._reader.version(JOBS_TABLE),
--- a/baobabhoist/control/claim.py
+++ b/baobabhoist/control/claim.py
@@ -38,7 +38,9 @@
 class ClaimRow:
     """Hold the claim to the cell; `boot` identifies the owner's process, empty once released.
 
-    A released claim may name the `successor` that the owner released the cell to.
+    A released claim may name the `successor` that the owner released the cell to. Its owner
+    `tracks_silent_workers` unless it is of an earlier release, which extends the leases of workers
+    that the row of silent workers names.
     """
 
     node: str
@@ -46,6 +48,7 @@
     address: str
     generation: int
     successor: str = ""
+    tracks_silent_workers: bool = False
 
     @property
     def is_released(self) -> bool:
--- a/baobabhoist/control/clock.py
+++ b/baobabhoist/control/clock.py
@@ -35,6 +35,10 @@
         """Return the store's time, or the local time before the first reading."""
         return int(monotonic_ms() + (self.offset_ms or 0.0))
 
+    def to_store_ms(self, local_ms: float) -> float:
+        """Convert a time of the local monotonic clock to the store's clock."""
+        return local_ms + (self.offset_ms or 0.0)
+
     def to_local_ms(self, store_ms: float) -> float:
         """Convert a time of the store's clock to the local monotonic clock."""
         return store_ms - (self.offset_ms or 0.0)
--- a/baobabhoist/control/election.py
+++ b/baobabhoist/control/election.py
@@ -35,6 +35,10 @@
 from baobabhoist.control.row_schema import CELL_TABLE, HEARTBEAT_ROW_KEY, OWNER_ROW_KEY
 from baobabhoist.control.sessions.permits import PERMIT_VALID_MS
 from baobabhoist.control.settings import NodeSettings
+from baobabhoist.control.silent_workers_row import (
+    SILENT_WORKERS_ROW_KEY,
+    encode_silent_workers,
+)
 from baobabhoist.control.store_health import StoreHealth
 from baobabhoist.errors import LinkClosedError
 from baobabhoist.observability.events import Event, emit
@@ -151,7 +155,9 @@
         owner = self._owner_router.local_owner
         if owner is None:
             return
-        claim = ClaimRow("", "", "", owner.ownership.generation, successor)
+        claim = ClaimRow(
+            "", "", "", owner.ownership.generation, successor, tracks_silent_workers=True
+        )
         owner.stop()
         await owner.wait_until_stopped()
         if await owner.progress_writer.release(encode_claim(claim), owner.cell):
@@ -266,12 +272,21 @@
 
     async def _try_claim(self, reason: ClaimReason) -> None:
         generation = self._claim.generation + 1 if self._claim is not None else 0
-        address = self._cfg.advertised_peer_address
-        claim = ClaimRow(self._identity.node, self._identity.boot_id, address, generation)
+        claim = ClaimRow(
+            self._identity.node,
+            self._identity.boot_id,
+            self._cfg.advertised_peer_address,
+            generation,
+            tracks_silent_workers=True,
+        )
         expected = {OWNER_ROW_KEY: self._claim_version}
         if reason not in REASONS_PREVIOUS_OWNER_STOPPED and self._heartbeat_version:
             expected[HEARTBEAT_ROW_KEY] = self._heartbeat_version
-        txn = RowTransaction(expected, {OWNER_ROW_KEY: encode_claim(claim)})
+        puts = {OWNER_ROW_KEY: encode_claim(claim)}
+        if self._claim is None or not self._claim.tracks_silent_workers:
+            # What the row says no longer holds, neither for this owner nor for the next one.
+            puts[SILENT_WORKERS_ROW_KEY] = encode_silent_workers({})
+        txn = RowTransaction(expected, puts)
         sent_ms = monotonic_ms()
         try:
             outcome = await self._store.commit(txn)
--- a/baobabhoist/control/owner.py
+++ b/baobabhoist/control/owner.py
@@ -43,6 +43,7 @@
 )
 from baobabhoist.control.sessions.assignment import LinkedInstance
 from baobabhoist.control.sessions.pool import PoolDependencies, SessionPool
+from baobabhoist.control.silent_workers import SilentWorkers
 from baobabhoist.control.stored_rows import (
     add_stored_job,
     group_by_job,
@@ -121,8 +122,13 @@
         self.is_loaded = False
         self._cell: CellScheduler | None = None
         self.ownership = ownership
+        self._silent_workers = SilentWorkers(deps.clock, deps.row_max_bytes)
         self.progress_writer = ProgressWriter(
-            deps.store, ownership.token, self._report_ownership_lost, deps.row_max_bytes
+            deps.store,
+            ownership.token,
+            self._report_ownership_lost,
+            deps.row_max_bytes,
+            self._silent_workers,
         )
         self.progress_writer.on_end_acked = self._handle_end_acked
         self.progress_writer.store_now_ms = deps.clock.now_ms
@@ -143,9 +149,11 @@
                 deps.lease_ms,
                 deps.size,
                 deps.session_hosts,
+                self._silent_workers,
                 lambda: self.progress_writer.newest_token,
             )
         )
+        self._silent_workers.gate = self.sessions
         self._round_requested = False
         self._next_round_ms = 0.0
         self._ownership_lost_reported = False
@@ -309,13 +317,21 @@
         await self._build_cell(self._loader.tables())
 
     async def _build_cell(self, tables: CellTables) -> None:
+        self._silent_workers.load(tables.silent_workers, monotonic_ms())
         takeover = Takeover(
             self.ownership.generation,
             self.ownership.token,
             self._inherited_expiry_ms(self._deps.lease_ms),
             self._inherited_expiry_ms(self._deps.max_lease_ms),
+            self._silent_workers.inherited(),
+        )
+        loaded_rows = (
+            *tables.progress,
+            *tables.cell,
+            *tables.speeds,
+            *tables.usage,
+            *tables.silent_workers,
         )
-        loaded_rows = (*tables.progress, *tables.cell, *tables.speeds, *tables.usage)
         self.progress_writer.set_versions({row.key: row.version for row in loaded_rows})
         deps = self._deps
         cell = CellScheduler(self._rules, takeover, deps.lease_ms, deps.policy, deps.max_lease_ms)
@@ -500,7 +516,7 @@
             self._sync_sessions()
             self._deps.metrics.add_wasted_work(cell.state.waste)
             self._deps.metrics.observe_ended_waits(cell.state.awaited_runs.take_ended_waits())
-            self.progress_writer.request_usage_flush(cell)
+            self.progress_writer.request_due_flush(cell)
             self._waiting_reporter.report(cell, self.may_renew(), monotonic_ms())
             await asyncio.sleep(TICK_INTERVAL_S)
 
--- a/baobabhoist/control/progress_writer.py
+++ b/baobabhoist/control/progress_writer.py
@@ -21,6 +21,8 @@
     job_id_of_progress,
     job_row_key,
 )
+from baobabhoist.control.silent_workers import SilentWorkers
+from baobabhoist.control.silent_workers_row import SILENT_WORKERS_ROW_KEY
 from baobabhoist.control.usage_row import USAGE_ROW_KEY, UsageRow, encode_usage
 from baobabhoist.observability.events import Event, emit
 from baobabhoist.store.row_store import (
@@ -74,6 +76,7 @@
         token: int,
         on_ownership_lost: Callable[[str], None],
         row_max_bytes: int,
+        silent_workers: SilentWorkers,
     ) -> None:
         # The version of the newest write. It is higher than the claim's and lower than that of the
         # next claim, so it may serve as a fencing token.
@@ -96,6 +99,7 @@
         # conditional on the version of every row that it replaces.
         self._versions: dict[RowKey, int] = {}
         self._layout = ProgressLayout(row_max_bytes)
+        self._silent_workers = silent_workers
 
     def set_versions(self, versions: dict[RowKey, int]) -> None:
         """Set the versions of the rows, as loaded from the store."""
@@ -106,9 +110,10 @@
         """Request a write of the changed progress in the background."""
         self._flush_requested.set()
 
-    def request_usage_flush(self, cell: CellScheduler) -> None:
-        """Request a write if the past use of teams has not been stored lately."""
-        if self._is_usage_due(cell):
+    def request_due_flush(self, cell: CellScheduler) -> None:
+        """Request a write if the silent workers, or the past use of teams, should be stored."""
+        is_due = self._silent_workers.is_write_due(cell.state.workers, monotonic_ms())
+        if is_due or self._is_usage_due(cell):
             self._flush_requested.set()
 
     def call_when_stored(self, send: Callable[[], None]) -> None:
@@ -182,7 +187,8 @@
         incarnations = {w.worker_id: w.started_unix_ms for w in cell.state.workers.values()}
         dirty = cell.take_unsaved_progress()
         deferred_sends, self._deferred_sends = self._deferred_sends, []
-        changes: RowChanges = {}
+        # First, because workers that answer wait for it.
+        changes = self._silent_workers.changes(cell.state.workers, monotonic_ms())
         for job_id, progress in dirty.items():
             changes |= self._layout.changes(job_id, progress)
         if monotonic_ms() > self._next_speeds_write_ms and cell.state.speeds.workers:
@@ -237,6 +243,8 @@
         for key in removes:
             self._versions.pop(key, None)
         self._layout.record_stored(changes)
+        if SILENT_WORKERS_ROW_KEY in changes:
+            self._silent_workers.record_stored()
         return None
 
     async def _fail_rejected_jobs(self, batch: RowChanges, cell: CellScheduler) -> None:
--- a/baobabhoist/control/sessions/pool.py
+++ b/baobabhoist/control/sessions/pool.py
@@ -38,6 +38,7 @@
 from baobabhoist.control.sessions.permits import grantable_ms
 from baobabhoist.control.sessions.remote_holder import ClosedSession, RemoteHolder
 from baobabhoist.control.sessions.worker_session import WorkerSession
+from baobabhoist.control.silent_workers import SilentWorkers
 from baobabhoist.observability.events import Event, emit
 from baobabhoist.observability.tasks import create_logged_task
 
@@ -86,6 +87,7 @@
     size: MachineSize
     # Returns the instances that can hold sessions now, by node name.
     instances: Callable[[], Mapping[str, LinkedInstance]]
+    silent_workers: SilentWorkers
     # Returns the newest fencing token of this owner, at least `token`.
     newest_token: Callable[[], int] = attrs.Factory(
         lambda self: lambda: self.token, takes_self=True
@@ -116,7 +118,8 @@
 
     def handle_report(self, report: WorkerReport, sent_ms: float) -> None:
         """Apply a report to the cell."""
-        self.state.lease.is_suspended = False
+        if self.state.lease.is_suspended and _may_resume(self.deps, self.state.worker_id):
+            self.state.lease.is_suspended = False
         self.detours.record_answer(self.state.worker_id)
         cell = self.deps.owner.cell
         if cell is not None:
@@ -126,6 +129,7 @@
     def handle_silence(self, outcome: CommandOutcome) -> None:
         """Start nothing on the worker, and nothing at all if a later owner has fenced it."""
         self.state.lease.is_suspended = True
+        self.deps.silent_workers.record_silence(self.state.worker_id)
         self.detours.record_silence(self.state.worker_id, monotonic_ms())
         cell = self.deps.owner.cell
         if outcome is CommandOutcome.FENCED and cell is not None:
@@ -303,6 +307,8 @@
         """Record in a lease until when the holders of closed sessions may extend it."""
         until_ms = self._extendable_until_ms.pop(state.worker_id, float("-inf"))
         state.lease.extendable_until_ms = max(state.lease.extendable_until_ms, until_ms)
+        if self._deps.silent_workers.may_name(state.worker_id):
+            state.lease.is_suspended = True
 
     def _open_local(self, state: WorkerState) -> None:
         listener = LocalSession(self._deps, state, self._detours)
@@ -425,6 +431,30 @@
         if local is not None:
             local.lease.extendable_until_ms = max(local.lease.extendable_until_ms, until_ms)
 
+    # Leases of silent workers; see LeaseGate.
+
+    def may_extend_elsewhere(self, worker_id: str) -> bool:
+        """Return whether another instance may extend a worker's lease without being told to."""
+        remote = self._remote.get(worker_id)
+        if remote is not None and not remote.is_suspended:
+            return True
+        return any(
+            closed.state.worker_id == worker_id and not closed.is_suspended
+            for holder in self._holders.values()
+            for closed in holder.closed_sessions
+        )
+
+    def resume(self, worker_id: str) -> None:
+        """Let the lease of a worker that has answered be extended again."""
+        remote = self._remote.get(worker_id)
+        if remote is not None:
+            remote.is_suspended = remote.state.lease.is_suspended = False
+            remote.update_lease()
+            remote.holder.resume(remote.number, remote.silence)
+        local = self._local.get(worker_id) or self._to_open.get(worker_id)
+        if local is not None:
+            local.lease.is_suspended = False
+
     # Commands and acknowledgements.
 
     async def start_task(self, command: StartTask) -> CommandOutcome:
@@ -515,10 +545,8 @@
             session.state.worker_id, report, held.requested_owner_ms, monotonic_ms()
         )
         lease.deadline_ms = max(lease.deadline_ms, held.lease_deadline_ms)
-        if session.is_suspended:
-            session.is_suspended = lease.is_suspended = False
-            session.update_lease()
-            holder.resume(session.number, session.silence)
+        if session.is_suspended and _may_resume(self._deps, session.state.worker_id):
+            self.resume(session.state.worker_id)
         _request_work(self._deps.owner, report)
 
     def _apply_silence(self, holder: RemoteHolder, silence: WorkerSilence) -> None:
@@ -526,6 +554,7 @@
         if session is None:
             return
         session.silence = silence.silence
+        self._deps.silent_workers.record_silence(session.state.worker_id)
         self._detours.record_silence(session.state.worker_id, monotonic_ms())
         lease = session.state.lease
         session.is_suspended = lease.is_suspended = True
@@ -543,6 +572,14 @@
         self._deps.owner.request_scheduling_round()
 
 
+def _may_resume(deps: PoolDependencies, worker_id: str) -> bool:
+    """Return whether the lease of a worker that answers may be extended; request it otherwise."""
+    if deps.silent_workers.record_answer(worker_id):
+        return True
+    deps.owner.request_flush()
+    return False
+
+
 def _request_work(owner: CellListener, report: WorkerReport) -> None:
     """Request the work that a report entails."""
     owner.request_scheduling_round()
--- a/baobabhoist/tests/sessions_harness.py
+++ b/baobabhoist/tests/sessions_harness.py
@@ -27,7 +27,9 @@
 from baobabhoist.control.sessions.assignment import Holder, LinkedInstance
 from baobabhoist.control.sessions.holder import SessionHolder
 from baobabhoist.control.sessions.pool import PoolDependencies, SessionPool
+from baobabhoist.control.silent_workers import SilentWorkers
 from baobabhoist.errors import LinkClosedError
+from baobabhoist.store.row_store import StoredRow
 from baobabhoist.testing.cell_worker import FakeCellWorker
 from baobabhoist.testing.simulated_loop import SimulatedLoop, run_simulated
 from baobabhoist.tests.cell_harness import LEASE_MS, MAX_LEASE_MS, make_job, make_rules
@@ -37,6 +39,9 @@
 POLL_INTERVAL_S = 0.02
 TICK_S = 0.1
 LEASE_CHECK_S = 0.05
+ROW_MAX_BYTES = 65_536
+# How long the store may take to confirm a write.
+STORE_DELAYS_S = (0.0, 0.005, 0.02, 0.5)
 # A start that was decided before its task was shown or noted to be done may be sent for this long.
 START_AFTER_DONE_S = 1.0
 TASK = Resources(1000, 512, 0)
@@ -180,11 +185,13 @@
     generation: int
     cell: CellScheduler = None
     pool: SessionPool = None
+    silent_workers: SilentWorkers = None
     # The version of the newest write.
     newest_token: int = 0
     # Set when a later owner has claimed the cell, which this one does not notice.
     authority_until_ms: float = float("inf")
     _tasks: set = attrs.Factory(set)
+    _is_writing_row: bool = False
 
     def __attrs_post_init__(self):
         world, now = self.world, self.world.loop.now_ms()
@@ -193,10 +200,13 @@
         expire_ms = [
             last_ms + lease_duration_ms(lease_ms) for lease_ms in (LEASE_MS, MAX_LEASE_MS)
         ]
-        takeover = Takeover(self.generation, self.token, *expire_ms)
+        self.silent_workers = SilentWorkers(clock.StoreClock(), ROW_MAX_BYTES)
+        self.silent_workers.load(world.silent_rows, now)
+        inherited = self.silent_workers.inherited()
+        takeover = Takeover(self.generation, self.token, *expire_ms, inherited)
         rules = make_rules(max_attempts=50)
         self.cell = CellScheduler(rules, takeover, LEASE_MS, max_lease_ms=MAX_LEASE_MS)
-        self.cell.sync_directory([w.info() for w in world.workers.values()], now)
+        self.cell.sync_directory(world.listed_entries(), now)
         for job in world.jobs:
             self.cell.add_job(job, now, now, now)
         for job_id, progress in world.stored.items():
@@ -209,9 +219,11 @@
                 LEASE_MS,
                 OWNER_SIZE,
                 lambda: world.linked_instances(self),
+                self.silent_workers,
                 lambda: self.newest_token,
             )
         )
+        self.silent_workers.gate = self.pool
 
     def authority_ends_ms(self):
         return min(self.authority_until_ms, self.world.loop.now_ms() + CONFIRMATION_VALID_MS)
@@ -229,6 +241,7 @@
         """Store the progress, unless a later owner has claimed the cell; return whether it is."""
         if self.world.owner is not self:
             return False
+        self._store_silent_workers()
         unsaved = self.cell.take_unsaved_progress()
         for job_id, progress in unsaved.items():
             self.world.stored[job_id] = progress_rows.encode(progress)
@@ -240,6 +253,24 @@
                 self.pool.acknowledge(worker)
         return True
 
+    def _store_silent_workers(self):
+        """Store the row of silent workers; its answer may be late, or never come."""
+        world = self.world
+        if self._is_writing_row:
+            return
+        changes = self.silent_workers.changes(self.cell.state.workers, world.loop.now_ms())
+        for key, value in changes.items():
+            self._is_writing_row = True
+            world.silent_rows = [StoredRow(key, value, world.next_version())]
+            world.loop.call_later(
+                world.store_rng.choice(STORE_DELAYS_S), self._confirm_silent_workers
+            )
+
+    def _confirm_silent_workers(self):
+        self._is_writing_row = False
+        if self.world.owner is self:
+            self.silent_workers.record_stored()
+
     def _decide(self):
         now = self.world.loop.now_ms()
         commands = self.cell.schedule(now, self.may_renew())
@@ -278,6 +309,7 @@
         self.world.network.spawn(self.check_leases())
         while self.world.owner is self or self.may_renew():
             now = self.world.loop.now_ms()
+            self.cell.confirm_directory(now)
             self.cell.tick(now, now)
             self.pool.sync(self.cell.state.workers)
             self._decide()
@@ -343,11 +375,19 @@
         await self.to_owner.notify(message)
 
 
+def move_session(pool, worker_id, node, workers):
+    """Give the session with a worker to another instance."""
+    nodes = {w: session.holder.node for w, session in pool._remote.items()}
+    pool._distribution = {**nodes, worker_id: node}
+    pool.sync(workers)
+
+
 class World:
     """Hold everything of one simulated run, and judge it by what the workers saw."""
 
     def __init__(self, seed, worker_count=6, instance_count=3, job_count=30):
         self.rng = random.Random(seed)
+        self.store_rng = random.Random(seed)
         self.loop = SimulatedLoop()
         self.network = Network(self.loop)
         self.workers = {f"w{n}": FakeCellWorker(f"w{n}") for n in range(worker_count)}
@@ -356,6 +396,10 @@
             for n in range(job_count)
         ]
         self.stored = {}
+        # Workers that the directory does not list.
+        self.unlisted = set()
+        # The row of silent workers, if there is one.
+        self.silent_rows = []
         self.version = 0
         self.owner = None
         self.instances = [SimulatedInstance(self, f"n{n}") for n in range(instance_count)]
@@ -412,6 +456,14 @@
         self.worker_now(worker_id)
         self.owner.cell.update_worker(worker.info(), self.loop.now_ms())
 
+    def unlist_worker(self, worker_id):
+        """Remove a worker from the directory."""
+        self.unlisted.add(worker_id)
+        self.owner.cell.unlist_worker(worker_id, self.loop.now_ms())
+
+    def listed_entries(self):
+        return [w.info() for w in self.workers.values() if w.worker_id not in self.unlisted]
+
     def cut_off(self, node, worker_ids, until_s):
         """Cut off an instance and workers that still reach each other, as a data centre is."""
         self.network.stalled_until_s[node] = until_s
--- a/baobabhoist/tests/test_control_election.py
+++ b/baobabhoist/tests/test_control_election.py
@@ -6,6 +6,7 @@
 import attrs
 import pytest
 
+from baobabhoist.cell.silent_workers import SilentWorker
 from baobabhoist.control import election as election_module
 from baobabhoist.control import progress_writer, store_health
 from baobabhoist.control.claim import (
@@ -16,6 +17,7 @@
     decode_claim,
     encode_claim,
 )
+from baobabhoist.control.clock import StoreClock
 from baobabhoist.control.election import MAX_READ_AGE_MS, MAX_READ_GAP_MS, OwnerElection
 from baobabhoist.control.job_admission import KnownWaits
 from baobabhoist.control.links import Identity
@@ -24,6 +26,12 @@
 from baobabhoist.control.progress_writer import ProgressWriter
 from baobabhoist.control.row_schema import HEARTBEAT_ROW_KEY, OWNER_ROW_KEY
 from baobabhoist.control.sessions.permits import PERMIT_VALID_MS
+from baobabhoist.control.silent_workers import SilentWorkers
+from baobabhoist.control.silent_workers_row import (
+    SILENT_WORKERS_ROW_KEY,
+    decode_silent_workers,
+    encode_silent_workers,
+)
 from baobabhoist.control.store_health import MAX_STABLE_COMMIT_MS, STABLE_AFTER_MS, StoreHealth
 from baobabhoist.observability.events import Event
 from baobabhoist.store.row_store import RowTransaction
@@ -42,7 +50,11 @@
         self.ownership = ownership
         self.cell = None
         self.progress_writer = ProgressWriter(
-            store, ownership.token, lambda reason: None, store.row_max_bytes
+            store,
+            ownership.token,
+            lambda reason: None,
+            store.row_max_bytes,
+            SilentWorkers(StoreClock(), store.row_max_bytes),
         )
 
     async def run(self):
@@ -106,6 +118,57 @@
     return ElectionHarness(monkeypatch)
 
 
+@pytest.mark.parametrize("is_released", [False, True])
+@pytest.mark.parametrize("tracks_silent_workers", [False, True])
+def test_a_claim_after_one_of_an_earlier_release_empties_the_row_of_silent_workers(
+    tracks_silent_workers, is_released, harness
+):
+    """Guard against two runs of a task during an upgrade.
+
+    An owner of an earlier release extends the leases of the workers that the row names.
+    """
+    claim = attrs.evolve(
+        RELEASED if is_released else OTHER, tracks_silent_workers=tracks_silent_workers
+    )
+    silent_workers = {"w0": SilentWorker(5, 10)}
+
+    async def run():
+        value = encode_silent_workers(silent_workers)
+        harness.store.apply(RowTransaction(puts={SILENT_WORKERS_ROW_KEY: value}))
+        harness.write(owner=encode_claim(claim), heartbeat=b"1")
+        harness.read()
+        harness.owner_link.state = OwnerLinkState.ENDED
+        await harness.settle()
+        assert harness.owner_router.local_owner is not None
+
+    asyncio.run(run())
+    stored = decode_silent_workers(harness.store.rows[SILENT_WORKERS_ROW_KEY].value)
+    assert stored.workers == (silent_workers if tracks_silent_workers else {})
+
+
+def test_the_claim_of_an_earlier_release_does_not_track_silent_workers():
+    """Guard against trust in a row that an owner of an earlier release has not kept to."""
+    value = b'{"node":"n","boot":"b","address":"10.0.0.9:7000","generation":0,"successor":""}'
+    assert not decode_claim(value).tracks_silent_workers
+
+
+def test_a_claim_tracks_silent_workers_also_once_it_is_released(harness):
+    """Guard against owners that each wait anew after a planned stop."""
+
+    async def run():
+        harness.read()
+        await harness.settle()
+        claims = [harness.store.rows[OWNER_ROW_KEY].value]
+        await harness.election.release("the test ends")
+        claims.append(harness.store.rows[OWNER_ROW_KEY].value)
+        return [decode_claim(value) for value in claims]
+
+    won, released = asyncio.run(run())
+    assert released.is_released
+    assert won.tracks_silent_workers
+    assert released.tracks_silent_workers
+
+
 def test_unclaimed_cell_is_claimed_once(harness):
     """Guard against a start after which no instance, or more than one, owns the cell."""
 
--- a/baobabhoist/tests/test_control_odd_rows.py
+++ b/baobabhoist/tests/test_control_odd_rows.py
@@ -20,6 +20,10 @@
     job_row_key,
     progress_row_key,
 )
+from baobabhoist.control.silent_workers_row import (
+    SILENT_WORKERS_ROW_KEY,
+    decode_silent_workers,
+)
 from baobabhoist.control.usage_row import USAGE_ROW_KEY, decode_usage
 from baobabhoist.platform.decode import PlatformDecoder
 from baobabhoist.store.row_store import RowKey, RowTransaction
@@ -58,6 +62,8 @@
     "part of progress": (RowKey(PROGRESS_TABLE, "", "b" * 16 + "/x"), b'{"phase":%b}' % NESTED),
     "speeds": (SPEEDS_ROW_KEY, b'{"workers":{"w0":{"mean":1e5}},"queues":{}}'),
     "usage": (USAGE_ROW_KEY, b'{"schema":1,"at_ms":5,"use_s":{"team":1e300}}'),
+    "silent workers": (SILENT_WORKERS_ROW_KEY, b'{"schema":1,"workers":{"w0":[1]}}'),
+    "all silent workers": (SILENT_WORKERS_ROW_KEY, NESTED),
     "heartbeat": (HEARTBEAT_ROW_KEY, NESTED),
 }
 
@@ -116,6 +122,7 @@
         progress_rows.decode,
         decode_claim,
         decode_usage,
+        decode_silent_workers,
         decode_speeds,
         lambda body: decode_job(JOB_ID, body, 1),
     )
--- a/baobabhoist/tests/test_control_progress_writer.py
+++ b/baobabhoist/tests/test_control_progress_writer.py
@@ -4,8 +4,10 @@
 
 from baobabhoist.cell import progress_rows
 from baobabhoist.cell.model import RunOutcome, Step
+from baobabhoist.control.clock import StoreClock
 from baobabhoist.control.progress_writer import ProgressWriter
 from baobabhoist.control.row_schema import OWNER_ROW_KEY, progress_row_key
+from baobabhoist.control.silent_workers import SilentWorkers
 from baobabhoist.store.row_store import RowTransaction
 from baobabhoist.testing.memory_row_store import MemoryRowStore
 from baobabhoist.tests.cell_harness import SMALL, CellHarness, make_job, make_task_key
@@ -17,7 +19,8 @@
     store = MemoryRowStore(**options)
     token = store.apply(RowTransaction({}, {OWNER_ROW_KEY: b"me"})).version
     loss_reasons = []
-    writer = ProgressWriter(store, token, loss_reasons.append, store.row_max_bytes)
+    silent_workers = SilentWorkers(StoreClock(), store.row_max_bytes)
+    writer = ProgressWriter(store, token, loss_reasons.append, store.row_max_bytes, silent_workers)
     return store, writer, loss_reasons
 
 
--- a/baobabhoist/tests/test_sessions_faults.py
+++ b/baobabhoist/tests/test_sessions_faults.py
@@ -21,7 +21,7 @@
 )
 from baobabhoist.control.sessions.permits import PERMIT_INTERVAL_S, PERMIT_VALID_MS
 from baobabhoist.tests.cell_harness import MAX_LEASE_MS
-from baobabhoist.tests.sessions_harness import World
+from baobabhoist.tests.sessions_harness import World, move_session
 
 RUN_S = 45.0
 # Tasks that may have crashed their worker start one at a time.
@@ -111,13 +111,6 @@
         world.network.spawn(world.rng.choice(FAULTS)(world))
 
 
-def move_session(pool, worker_id, node, workers):
-    """Give the session with a worker to another instance."""
-    nodes = {w: session.holder.node for w, session in pool._remote.items()}
-    pool._distribution = {**nodes, worker_id: node}
-    pool.sync(workers)
-
-
 async def run_calm(world):
     await asyncio.sleep(1.0)
 
@@ -160,7 +153,7 @@
     check(world)
 
 
-@pytest.mark.parametrize("seed", (4, 5, 7, 9, 10, 19, 315, 326, 424, 1001))
+@pytest.mark.parametrize("seed", (4, 5, 7, 9, 10, 19, 315, 326, 424, 1001, 1130))
 def test_late_starts_never_run_on_the_next_process_of_a_worker(seed, monkeypatch):
     """Guard against tasks that run twice because a restarted worker takes an earlier start."""
 
--- a/baobabhoist/tests/test_sessions_worker_session.py
+++ b/baobabhoist/tests/test_sessions_worker_session.py
@@ -7,15 +7,17 @@
 import pytest
 
 from baobabhoist.cell.model import CommandOutcome, JobPhase, RunOutcome, StartTask, StopTask
-from baobabhoist.control.clock import monotonic_ms
+from baobabhoist.control.clock import StoreClock, monotonic_ms
 from baobabhoist.control.interfaces import CommandResponse
 from baobabhoist.control.sessions import worker_session
 from baobabhoist.control.sessions.detours import Detours
 from baobabhoist.control.sessions.pool import LocalSession
 from baobabhoist.control.sessions.worker_session import MAX_OPEN_COMMANDS, WorkerSession
+from baobabhoist.control.silent_workers import SilentWorkers
 from baobabhoist.tests.cell_harness import LEASE_MS, CellHarness, make_job, make_task_key
 
 FAR_DEADLINE_MS = 1_000_000
+ROW_MAX_BYTES = 65_536
 
 
 class FakeDriver:
@@ -49,7 +51,11 @@
         request_scheduling_round=request_scheduling_round,
         request_flush=lambda: None,
     )
-    deps = SimpleNamespace(owner=owner, newest_token=lambda: harness.token)
+    deps = SimpleNamespace(
+        owner=owner,
+        newest_token=lambda: harness.token,
+        silent_workers=SilentWorkers(StoreClock(), ROW_MAX_BYTES),
+    )
     state = harness.cell.state.workers["w0"]
     listener = LocalSession(deps, state, Detours())
     session = WorkerSession(state.info, driver, listener, state.lease, LEASE_MS)
