Store that a start had no answer, so that the next owner waits for it

A start without an answer may be carried out up to 14 s after it was sent, by the process that its worker has then. The owner that sent it counts that; the next one did not know it, gave the run up 10.4 s after the end of the one before, and the task ran twice if the start came later (TWICE).

A start that gets no answer, or is repeated, now makes its job dirty, and its stored run says so in a member of the row that earlier releases ignore. A new owner that never hears the worker counts the 14 s for such runs, and stores them again with its own progress; not on a worker that is gone from the directory, nor on one that the row of silent workers names, whose times count it already.

What remains: a start that is still on its way when its owner ends counts as answered. To store each answer would cost a write for each start.

--- a/baobabhoist/cell/jobs.py
+++ b/baobabhoist/cell/jobs.py
@@ -57,6 +57,8 @@
     sent_ms: float | None = None
     # When it was sent once more, so that one copy of it may still be on its way.
     repeated_ms: float | None = None
+    # A copy of the start had no answer, so that a process that was not heard may carry it out.
+    is_start_unanswered: bool = False
     # A worker has confirmed to this owner that it began the run.
     has_begun: bool = False
     # When the start command was answered or a report first listed the run.
@@ -84,6 +86,16 @@
     # Why this owner stopped the run.
     stop_cause: WasteCause | None = None
 
+    @property
+    def belongs_to_heard_process(self) -> bool:
+        """Return whether no process but those that have reported can have begun the run."""
+        return self.is_listed and self.repeated_ms is None
+
+    @property
+    def may_start_late(self) -> bool:
+        """Return whether a process that was not heard may still carry out the start."""
+        return self.is_start_unanswered and not self.belongs_to_heard_process
+
     def confirm(self, now: float) -> None:
         """Record that a worker has confirmed that it began the run."""
         self.has_begun = True
--- a/baobabhoist/cell/progress_rows.py
+++ b/baobabhoist/cell/progress_rows.py
@@ -17,10 +17,14 @@
 
 @attrs.frozen
 class StoredRun:
-    """Identify a run that may be active: it is about to be started or its end is not known."""
+    """Identify a run that may be active: it is about to be started or its end is not known.
+
+    If it `may_start_late`, its start had no answer, and its worker's next process may get it.
+    """
 
     number: int
     worker_id: str
+    may_start_late: bool = False
 
 
 @attrs.frozen
@@ -111,7 +115,7 @@
         failed_runs = {t.index: tuple(sorted(t.failed_runs)) for t in step.tasks if t.failed_runs}
         checkpoints = {t.index: t.checkpoint for t in step.tasks if t.checkpoint and not t.is_done}
         runs = {
-            task.index: StoredRun(task.run.number, task.run.worker_id)
+            task.index: StoredRun(task.run.number, task.run.worker_id, task.run.may_start_late)
             for task in step.tasks
             if task.run is not None
         }
@@ -167,6 +171,14 @@
     ]
     if last_numbers:
         body["lastNumbers"] = last_numbers
+    late_starts = [
+        [s.occurrence, s.step, index]
+        for s in progress.steps
+        for index, run in s.runs.items()
+        if run.may_start_late
+    ]
+    if late_starts:
+        body["lateStarts"] = late_starts
     return orjson.dumps(body)
 
 
@@ -176,6 +188,7 @@
         body = orjson.loads(value)
         blame_by_step = _decode_crashes(body.get("crashes", ()))
         numbers_by_step = _decode_last_numbers(body.get("lastNumbers", ()))
+        late_by_step = _decode_late_starts(body.get("lateStarts", ()))
         steps = tuple(
             StepProgress(
                 int(occurrence),
@@ -183,7 +196,7 @@
                 tuple(int(index) for index in done),
                 {int(k): tuple(int(run) for run in v) for k, v in failed_runs.items()},
                 {int(k): str(v) for k, v in checkpoints.items()},
-                {int(k): StoredRun(int(run), str(worker)) for k, (run, worker) in runs.items()},
+                _decode_runs(runs, late_by_step.get((int(occurrence), int(step)), set())),
                 blame_by_step.get((int(occurrence), int(step)), {}),
                 numbers_by_step.get((int(occurrence), int(step)), {}),
             )
@@ -234,6 +247,22 @@
     return by_step
 
 
+def _decode_late_starts(entries: list[list[Any]]) -> dict[tuple[int, int], set[int]]:
+    """Return the tasks whose starts may be carried out late, by occurrence and step."""
+    by_step: dict[tuple[int, int], set[int]] = {}
+    for occurrence, step, index in entries:
+        by_step.setdefault((int(occurrence), int(step)), set()).add(int(index))
+    return by_step
+
+
+def _decode_runs(runs: dict[str, list[Any]], late: set[int]) -> dict[int, StoredRun]:
+    """Return the runs by task index; the starts of some may be carried out late."""
+    return {
+        int(index): StoredRun(int(number), str(worker_id), int(index) in late)
+        for index, (number, worker_id) in runs.items()
+    }
+
+
 def _select(values: dict[int, Value], indices: range) -> dict[int, Value]:
     return {index: value for index, value in values.items() if index in indices}
 
--- a/baobabhoist/cell/scheduler.py
+++ b/baobabhoist/cell/scheduler.py
@@ -75,6 +75,12 @@
             min(silent.longest_expiry_ms, latest_ms),
         )
 
+    def late_starts_expire_ms(self, worker_id: str) -> float:
+        """Return when a lease has expired that a late start of an earlier owner extended."""
+        longest_ms = self.expiries_of(worker_id).longest_expiry_ms
+        # The stored times of a silent worker count late starts already.
+        return longest_ms + (0.0 if worker_id in self.silent_workers else MAX_START_LATENESS_MS)
+
 
 class CellScheduler:
     """Schedule the jobs of one cell on its workers; all times are on the owner's clock, in ms."""
@@ -129,6 +135,7 @@
                     continue
                 worker = self._worker_or_placeholder(stored_run.worker_id, now)
                 run = self.state.adopt_run(task, worker, stored_run.number, now)
+                run.is_start_unanswered = stored_run.may_start_late
                 if job.is_final:
                     self.state.stop_run(run, now, WasteCause.JOB_ENDED)
 
@@ -142,6 +149,7 @@
         expiries = self._takeover.expiries_of(worker_id)
         worker.inherited_lease_expiry_ms = expiries.lease_expiry_ms
         worker.longest_inherited_expiry_ms = expiries.longest_expiry_ms
+        worker.late_start_expiry_ms = self._takeover.late_starts_expire_ms(worker_id)
         return worker
 
     def _new_lease(self) -> Lease:
@@ -360,7 +368,8 @@
         worker = self.state.workers.get(command.worker_id)
         run = worker.runs.get(command.task) if worker is not None else None
         if run is not None and run.number == command.run:
-            run.repeated_ms = now
+            run.repeated_ms, run.is_start_unanswered = now, True
+            self.state.dirty.add(command.task.job_id)
 
     def handle_stop_result(self, command: StopTask, outcome: CommandOutcome, now: float) -> None:
         """Apply the outcome of a stop command."""
--- a/baobabhoist/cell/worker_reports.py
+++ b/baobabhoist/cell/worker_reports.py
@@ -88,6 +88,10 @@
                 run.phase = RunPhase.RUNNING
             return
         if outcome is CommandOutcome.UNKNOWN:
+            if run.sent_ms is not None:
+                # The next owner has to know it, if it does not hear the worker either.
+                run.is_start_unanswered = True
+                self._state.dirty.add(command.task.job_id)
             if run.phase is RunPhase.STARTING:
                 run.phase = RunPhase.UNSURE
                 worker.backoff_until_ms = now + FAILED_START_BACKOFF_MS
--- a/baobabhoist/cell/workers.py
+++ b/baobabhoist/cell/workers.py
@@ -118,10 +118,11 @@
     last_heard_ms: float = float("-inf")
     # When this owner learned of the worker.
     known_since_ms: float = float("-inf")
-    # For a worker that has never reported: when the leases of earlier owners have expired, and
-    # when the longest one has that its process may have granted.
+    # For a worker that has never reported: when the leases of earlier owners have expired, when
+    # the longest one has that its process may have granted, and when that has under a late start.
     inherited_lease_expiry_ms: float = float("inf")
     longest_inherited_expiry_ms: float = float("-inf")
+    late_start_expiry_ms: float = float("-inf")
     backoff_until_ms: float = 0.0
     # A run whose task may crash the worker: while it is young, nothing else starts there.
     isolated_run: Run | None = None
@@ -174,10 +175,12 @@
         expiry_ms = self.lease_expiry_ms()
         has_next_process = self.is_entry_outdated or not is_gone
         is_lasting = run.task.step.spec.lasting
-        if is_lasting or not has_next_process or _belongs_to_heard_process(run):
+        if is_lasting or not has_next_process or run.belongs_to_heard_process:
             return expiry_ms
         if run.sent_ms is None:
-            return max(expiry_ms, self.longest_inherited_expiry_ms)
+            is_late = run.may_start_late
+            longest_ms = self.late_start_expiry_ms if is_late else self.longest_inherited_expiry_ms
+            return max(expiry_ms, longest_ms)
         last_start_ms = max(map(_last_start_ms, self.runs.values()))
         return max(expiry_ms, last_start_ms + lease_duration_ms(self.lease.max_granted_ms))
 
@@ -257,14 +260,9 @@
             self.used = self.used.minus(run.allocation)
 
 
-def _belongs_to_heard_process(run: Run) -> bool:
-    """Return whether no process but those that have reported can have begun a run."""
-    return run.is_listed and run.repeated_ms is None
-
-
 def _last_start_ms(run: Run) -> float:
     """Return until when a process that was not heard may carry out the start of a run."""
-    if run.sent_ms is None or _belongs_to_heard_process(run):
+    if run.sent_ms is None or run.belongs_to_heard_process:
         return float("-inf")
     if run.repeated_ms is not None:
         return run.repeated_ms + MAX_START_LATENESS_MS
--- a/baobabhoist/tests/test_cell_late_starts.py
+++ b/baobabhoist/tests/test_cell_late_starts.py
@@ -1,7 +1,9 @@
 """Test until when a start may still be carried out by some process of its worker."""
 
+import orjson
 import pytest
 
+from baobabhoist.cell import progress_rows
 from baobabhoist.cell.model import Step
 from baobabhoist.cell.periodic_checks import OPEN_STOP_RETRY_INTERVAL_MS
 from baobabhoist.cell.workers import MAX_START_LATENESS_MS, lease_duration_ms
@@ -224,6 +226,60 @@
         harness.advance(100.0)
 
 
+def stored_runs(harness):
+    """Return the runs as another owner reads them, from a row of the store."""
+    job = harness.cell.find_job(TASK.job_id)
+    row = progress_rows.encode(progress_rows.capture_progress(job))
+    (step,) = progress_rows.decode(row).steps
+    return step.runs
+
+
+@pytest.mark.parametrize("is_repeated", [False, True])
+def test_each_new_owner_reads_that_a_start_had_no_answer(is_repeated):
+    """Guard against two runs of a task whose start comes late, after two changes of the owner."""
+    harness, start = send_start()
+    assert not stored_runs(harness)[0].may_start_late
+    harness.cell.take_unsaved_progress()
+    if is_repeated:
+        harness.cell.record_repeated_start(start, harness.now)
+    else:
+        harness.lose_command(start)
+    harness.workers["w0"].is_up = False
+    progress = harness.save_progress()
+    for _ in range(2):
+        harness.take_over([make_job("0" * 16)], progress)
+        job = harness.cell.find_job(TASK.job_id)
+        progress = {TASK.job_id: progress_rows.capture_progress(job)}
+    assert stored_runs(harness)[0].may_start_late
+
+
+def test_a_start_is_not_stored_as_unanswered_once_a_report_lists_its_run():
+    """Guard against tasks that wait for a start which has been carried out."""
+    harness, start = send_start()
+    harness.deliver_command(start, reply_arrives=False)
+    assert stored_runs(harness)[0].may_start_late
+    harness.renew_all()
+    assert not stored_runs(harness)[0].may_start_late
+
+
+def test_a_new_owner_waits_for_no_late_start_on_a_worker_that_is_gone():
+    """Guard against a task that stands still for its worker's next process, which never comes."""
+    harness, _ = lose_start()
+    progress = harness.save_progress()
+    harness.take_over([make_job("0" * 16)], progress, LEASE_LAPSES_MS)
+    harness.cell.unlist_worker("w0", harness.now)
+    harness.advance(LEASE_LAPSES_MS + 200.0)
+    assert is_given_up(harness)
+
+
+@pytest.mark.parametrize("entries", [[[0, 0]], [[0, 0, "x"]], 7, [["a", 0, 0]]])
+def test_odd_late_starts_make_a_row_unreadable(entries):
+    """Guard against an owner that ends, or guesses, because of an odd row."""
+    body = {"phase": "running", "steps": [], "lateStarts": entries}
+    with pytest.raises(ValueError):
+        progress_rows.decode(orjson.dumps(body))
+
+
 def test_a_gang_whose_member_is_kept_is_stopped_once_and_not_at_each_tick():
     """Guard against an owner that floods a silent worker with stops while it waits for a start."""
     harness = CellHarness.with_workers(1)
