--- a/baobabhoist/control/sessions/pool.py
+++ b/baobabhoist/control/sessions/pool.py
@@ -12,7 +12,7 @@
 
 from baobabhoist.cell.model import CommandOutcome, StartTask, StopTask, WorkerReport
 from baobabhoist.cell.scheduler import CellScheduler
-from baobabhoist.cell.workers import WorkerState, lease_duration_ms
+from baobabhoist.cell.workers import WorkerState
 from baobabhoist.control.clock import monotonic_ms
 from baobabhoist.control.interfaces import CommandResponse, WorkerDriver
 from baobabhoist.control.machine_size import MachineSize
@@ -24,8 +24,8 @@
     choose_holders,
 )
 from baobabhoist.control.sessions.detours import Detours
+from baobabhoist.control.sessions.lease_extensions import LeaseExtensions
 from baobabhoist.control.sessions.messages import (
-    AssignedWorker,
     EndsStored,
     HeldReport,
     PermitQuery,
@@ -37,6 +37,7 @@
 )
 from baobabhoist.control.sessions.permits import grantable_ms
 from baobabhoist.control.sessions.remote_holder import ClosedSession, RemoteHolder
+from baobabhoist.control.sessions.remote_session import RemoteSession
 from baobabhoist.control.sessions.worker_session import WorkerSession
 from baobabhoist.control.silent_workers import SilentWorkers
 from baobabhoist.observability.events import Event, emit
@@ -137,40 +138,6 @@
             self.deps.owner.request_scheduling_round()
 
 
-@attrs.define(eq=False)
-class RemoteSession:
-    """Track a session that another instance holds."""
-
-    number: int
-    state: WorkerState
-    holder: RemoteHolder
-    is_suspended: bool
-    # The least token of its calls; no earlier session with the worker has used a higher one.
-    token: int
-    # Until when earlier holders may have extended the lease.
-    inherited_until_ms: float
-    silence: int = 0
-
-    def update_lease(self) -> None:
-        """Record until when somebody may extend the worker's lease."""
-        until_ms = self.inherited_until_ms
-        if not self.is_suspended:
-            until_ms = max(until_ms, self.holder.permitted_until_ms)
-        self.state.lease.extendable_until_ms = until_ms
-
-    def to_assigned(self) -> AssignedWorker:
-        """Return what the holder has to know."""
-        return AssignedWorker(
-            self.number,
-            self.state.worker_id,
-            self.state.info.address,
-            self.state.started_unix_ms,
-            self.state.last_acked_end,
-            self.is_suspended,
-            self.token,
-        )
-
-
 class SessionPool:
     """Assign the sessions, pass commands to them and apply what they report."""
 
@@ -188,9 +155,7 @@
         self._numbers = itertools.count(1)
         self._assignment_numbers = itertools.count(1)
         self._detours = Detours()
-        # Until when the holders of closed sessions may extend leases, by worker id. The cell
-        # forgets a worker that leaves the directory, and with it the lease.
-        self._extendable_until_ms: dict[str, float] = {}
+        self._extensions = LeaseExtensions(deps.lease_ms)
         # Workers that refuse holders of earlier releases, which don't know this owner's higher
         # tokens; this process holds the sessions with them.
         self._refusing_workers: set[str] = set()
@@ -218,7 +183,7 @@
         """Adapt the sessions to the workers of the cell and to the instances that are linked."""
         now = monotonic_ms()
         self._drop_lost_holders(now)
-        self._forget_expired_extensions(now)
+        self._extensions.forget_expired(now)
         reachable = {w.worker_id: w for w in workers.values() if w.info.address}
         held = (*self._local, *self._to_open, *self._remote)
         for worker_id in [worker_id for worker_id in held if worker_id not in reachable]:
@@ -304,9 +269,8 @@
         self._opening = None
 
     def _inherit_lease(self, state: WorkerState) -> None:
-        """Record in a lease until when the holders of closed sessions may extend it."""
-        until_ms = self._extendable_until_ms.pop(state.worker_id, float("-inf"))
-        state.lease.extendable_until_ms = max(state.lease.extendable_until_ms, until_ms)
+        """Record in a lease what earlier sessions and earlier owners leave open."""
+        self._extensions.pass_on(state)
         if self._deps.silent_workers.may_name(state.worker_id):
             state.lease.is_suspended = True
 
@@ -352,22 +316,11 @@
         remote = self._remote.pop(worker_id, None)
         if remote is not None:
             del self._by_number[remote.number]
-            self._record_extendable(worker_id, remote.state.lease.extendable_until_ms)
+            self._extensions.record(worker_id, remote.state.lease.extendable_until_ms)
             remote.holder.close_session(
                 remote.number, remote.state, self._deps.newest_token(), remote.is_suspended
             )
 
-    def _record_extendable(self, worker_id: str, until_ms: float) -> None:
-        """Record until when a closed session may extend a lease, for the next one."""
-        earlier_ms = self._extendable_until_ms.get(worker_id, until_ms)
-        self._extendable_until_ms[worker_id] = max(earlier_ms, until_ms)
-
-    def _forget_expired_extensions(self, now: float) -> None:
-        longest_ms = lease_duration_ms(self._deps.lease_ms)
-        for worker_id, until_ms in list(self._extendable_until_ms.items()):
-            if now > until_ms + longest_ms:
-                del self._extendable_until_ms[worker_id]
-
     def _send_assignments(self) -> None:
         for holder in list(self._holders.values()):
             if not holder.needs_assignment:
@@ -421,7 +374,7 @@
         if closed.is_suspended:
             return
         worker_id, state = closed.state.worker_id, closed.state
-        self._record_extendable(worker_id, until_ms)
+        self._extensions.record(worker_id, until_ms)
         state.lease.extendable_until_ms = max(state.lease.extendable_until_ms, until_ms)
         remote = self._remote.get(worker_id)
         if remote is not None:
