Call the next process of a worker at once where a late start may come first

A run is given up once its worker is gone from the directory and the lease of the process that was heard has lapsed. If the worker returns under its id before the start may no longer come (14 s after it was sent), the start must find the owner's newer fencing token.

Change: while such a start may come, the directory is polled without a pause, and an entry that shows a new process ends the pause between renewals. A start with a ticket doesn't count: tickets hold for one life of a worker, so the next process refuses it. Both new tests fail without the change.

--- a/baobabhoist/cell/jobs.py
+++ b/baobabhoist/cell/jobs.py
@@ -53,6 +53,8 @@
     phase: RunPhase
     # The start command has left the owner, or may have left an earlier one.
     is_sent: bool = False
+    # The start carried a ticket, which holds for one process of the worker.
+    has_ticket: bool = False
     # When this owner sent the start command.
     sent_ms: float | None = None
     # When it was sent once more, so that one copy of it may still be on its way.
--- a/baobabhoist/cell/periodic_checks.py
+++ b/baobabhoist/cell/periodic_checks.py
@@ -15,7 +15,7 @@
 from baobabhoist.cell.run_ends import RunEndHandler, close_lost_run
 from baobabhoist.cell.state import CellState
 from baobabhoist.cell.wasted_work import WasteCause
-from baobabhoist.cell.workers import WorkerState
+from baobabhoist.cell.workers import WorkerState, last_start_ms
 from baobabhoist.observability.events import Event, emit
 
 log = logging.getLogger(__name__)
@@ -69,6 +69,7 @@
             if run.task.run is not run:
                 continue
             if now > worker.run_expiry_ms(run, is_gone):
+                self._expect_late_start(run)
                 self._state.awaited_runs.record_given_up(run, now)
                 close_lost_run(
                     self._state,
@@ -82,6 +83,12 @@
                 # The other members would wait for it until they end alone.
                 self._run_ends.stop_gang_run(run.task.step, run.number, now)
 
+    def _expect_late_start(self, run: Run) -> None:
+        """Record until when a start without a ticket may reach its worker's next process."""
+        if not run.has_ticket:
+            until_ms = self._state.late_starts_until_ms
+            self._state.late_starts_until_ms = max(until_ms, last_start_ms(run))
+
     def _check_run(self, worker: WorkerState, run: Run, now: float) -> None:
         self._repeat_stop(run, now)
         if _is_forgotten(run, now):
--- a/baobabhoist/cell/scheduler.py
+++ b/baobabhoist/cell/scheduler.py
@@ -277,6 +277,10 @@
         """Record that the directory was read, and all its changes are applied."""
         self.state.directory.record_read(now)
 
+    def may_get_late_starts(self, now: float) -> bool:
+        """Return whether a process that starts now may carry out a run that was given up."""
+        return now < self.state.late_starts_until_ms
+
     def update_worker(self, info: WorkerInfo, now: float) -> None:
         """Add or update a worker from its entry in the directory."""
         worker = self.state.workers.get(info.worker_id)
--- a/baobabhoist/cell/state.py
+++ b/baobabhoist/cell/state.py
@@ -71,6 +71,8 @@
     removed_queues: dict[str, Queue] = attrs.Factory(dict)
     removed_teams: dict[str, Team] = attrs.Factory(dict)
     evacuations: Evacuations = NO_EVACUATIONS
+    # Until when the next process of a worker may get the start of a run that was given up.
+    late_starts_until_ms: float = float("-inf")
     # When the last worker that has said so will be warm.
     all_warm_ms: float = float("-inf")
     team_usage: dict[str, Resources] = attrs.Factory(lambda: defaultdict(lambda: NO_RESOURCES))
@@ -204,6 +206,7 @@
         ticket = task.step.approvals.valid_ticket(worker.worker_id, sent_ms)
         run = self._add_run(task, worker, run_number, RunPhase.STARTING, now)
         run.is_fresh_start = not task.checkpoint
+        run.has_ticket = ticket is not None
         expected_ms = self.expected_run_ms(task.step, worker.worker_id)
         run.expected_end_ms = now + expected_ms
         run.ms_per_percent = expected_ms / FINAL_PERCENT
--- a/baobabhoist/cell/workers.py
+++ b/baobabhoist/cell/workers.py
@@ -181,8 +181,8 @@
             is_late = run.may_start_late
             longest_ms = self.late_start_expiry_ms if is_late else self.longest_inherited_expiry_ms
             return max(expiry_ms, longest_ms)
-        last_start_ms = max(map(_last_start_ms, self.runs.values()))
-        return max(expiry_ms, last_start_ms + lease_duration_ms(self.lease.max_granted_ms))
+        latest_ms = max(map(last_start_ms, self.runs.values()))
+        return max(expiry_ms, latest_ms + lease_duration_ms(self.lease.max_granted_ms))
 
     def last_run_expiry_ms(self) -> float:
         """Return the time after which all runs have ended, even if the worker may be back."""
@@ -260,7 +260,7 @@
             self.used = self.used.minus(run.allocation)
 
 
-def _last_start_ms(run: Run) -> float:
+def last_start_ms(run: Run) -> float:
     """Return until when a process that was not heard may carry out the start of a run."""
     if run.sent_ms is None or run.belongs_to_heard_process:
         return float("-inf")
--- a/baobabhoist/control/owner.py
+++ b/baobabhoist/control/owner.py
@@ -399,10 +399,15 @@
             self._deps.decoder.tables.directory,
             self._apply_directory_rows,
             self._deps.clock,
-            pause_s=lambda: DIRECTORY_POLL_PAUSE_S,
+            pause_s=self._directory_pause_s,
             on_confirmed=lambda sent_ms: self._require_cell().confirm_directory(sent_ms),
         )
 
+    def _directory_pause_s(self) -> float:
+        """Return the pause between polls; a process that may get late starts is called at once."""
+        is_urgent = self._require_cell().may_get_late_starts(monotonic_ms())
+        return 0.0 if is_urgent else DIRECTORY_POLL_PAUSE_S
+
     def _apply_job_rows(self, rows: Sequence[StoredRow], is_snapshot: bool) -> None:
         for row in sorted(rows, key=lambda r: r.key.key.endswith(CANCEL_SUFFIX)):
             if row.value is None:
--- a/baobabhoist/control/sessions/pool.py
+++ b/baobabhoist/control/sessions/pool.py
@@ -189,7 +189,7 @@
         for worker_id in [worker_id for worker_id in held if worker_id not in reachable]:
             self._close(worker_id)
         for worker_id, session in self._local.items():
-            session.info = reachable[worker_id].info
+            session.update_info(reachable[worker_id].info)
         usable = self._usable_instances(now)
         nodes = self._choose_nodes(reachable, usable, now)
         nodes |= self._detours.choose(reachable, self._node_of, list(usable.values()), now)
--- a/baobabhoist/control/sessions/worker_session.py
+++ b/baobabhoist/control/sessions/worker_session.py
@@ -89,6 +89,7 @@
         self._lease_ms = lease_ms
         self._task: asyncio.Task[None] | None = None
         self._ends_acked = asyncio.Event()
+        self._retry_requested = asyncio.Event()
         self._open_commands = asyncio.Semaphore(MAX_OPEN_COMMANDS)
         self._has_reported = False
         self._is_answering = True
@@ -111,6 +112,13 @@
         if self._task is None:
             self._task = asyncio.create_task(self._run())
 
+    def update_info(self, info: WorkerInfo) -> None:
+        """Apply a directory entry; a process that has just started is called at once."""
+        is_new_process = info.started_unix_ms != self.info.started_unix_ms
+        self.info = info
+        if is_new_process:
+            self._retry_requested.set()
+
     def cancel(self) -> None:
         """Stop renewing the lease."""
         if self._task is not None:
@@ -207,11 +215,19 @@
                 if await self._try_renew():
                     delay_s = RETRY_INITIAL_S
                     continue
-                await asyncio.sleep(delay_s)
+                await self._wait_for_retry(delay_s)
                 delay_s = min(RETRY_MAX_S, 2 * delay_s)
         finally:
             self._task = None
 
+    async def _wait_for_retry(self, delay_s: float) -> None:
+        self._retry_requested.clear()
+        try:
+            async with asyncio.timeout(delay_s):
+                await self._retry_requested.wait()
+        except TimeoutError:
+            return
+
     async def _try_renew(self) -> bool:
         """Renew the lease once; a crash counts as a missing answer."""
         try:
--- a/baobabhoist/tests/test_cell_gone_workers.py
+++ b/baobabhoist/tests/test_cell_gone_workers.py
@@ -116,3 +116,17 @@
     while TASK in worker.runs:
         assert not is_running_elsewhere(harness)
         harness.advance(100.0)
+
+
+def test_the_directory_is_urgent_while_a_start_that_was_given_up_may_arrive():
+    """Guard against two runs of a task: its worker returned, and its late start came first."""
+    harness, start = send_start()
+    sent_ms = harness.now
+    harness.lose_command(start)
+    crash_for_good(harness)
+    harness.cell.unlist_worker("w0", harness.now)
+    assert not harness.cell.may_get_late_starts(harness.now)
+    harness.advance(MAX_STANDSTILL_MS)
+    assert is_running_elsewhere(harness)
+    assert harness.cell.may_get_late_starts(sent_ms + MAX_START_LATENESS_MS - 1.0)
+    assert not harness.cell.may_get_late_starts(sent_ms + MAX_START_LATENESS_MS)
--- a/baobabhoist/tests/test_sessions_worker_session.py
+++ b/baobabhoist/tests/test_sessions_worker_session.py
@@ -541,3 +541,28 @@
 
     outcomes, _ = open_commands(30, answer_all)
     assert outcomes == [CommandOutcome.OK] * 30
+
+
+def test_a_process_that_the_directory_shows_is_called_without_a_pause(monkeypatch):
+    """Guard against a late start that reaches a new process before the owner does (TWICE)."""
+    monkeypatch.setattr(worker_session, "RETRY_INITIAL_S", 60.0)
+    monkeypatch.setattr(worker_session, "RETRY_MAX_S", 60.0)
+    harness = CellHarness.with_workers(1)
+    worker = harness.workers["w0"]
+    driver = FakeDriver(worker)
+    session = make_session(harness, driver)
+
+    async def run():
+        driver.is_silent = True
+        session.start()
+        while not driver.deadlines:
+            await asyncio.sleep(0)
+        driver.is_silent = False
+        worker.restart()
+        harness.token += 1
+        session.update_info(worker.info())
+        while worker.token < harness.token:
+            await asyncio.sleep(0)
+        session.cancel()
+
+    asyncio.run(asyncio.wait_for(run(), 10.0))
