Add late starts that reach a worker that has come back to the platform's soak

In late_starts the next process of a worker starts at once, so its entry never leaves the directory, and a rule that takes a worker without an entry for gone for good is not put to the test.

--- a/baobabhoist/platform/testing/deployment.py
+++ b/baobabhoist/platform/testing/deployment.py
@@ -188,7 +188,7 @@
     async def end_worker(self, name: str) -> None:
         """End a worker for good; its address refuses connections."""
         await self.set_relay_mode(f"worker:{name}", "cut")
-        await self.command_worker(name, end=1)
+        await self.command_worker(name, end="for_good")
 
     async def add_spare_worker(self) -> None:
         """Let a spare worker join, under an id and at an address that were not in use before."""
--- a/baobabhoist/platform/testing/regressions.py
+++ b/baobabhoist/platform/testing/regressions.py
@@ -1,7 +1,7 @@
 """List the seeds on which the platform's soak once failed, with the causes.
 
 A seed's schedule depends on the list of faults: these were found without
-`evacuation`, `outage_takeover`, `late_starts` and `workers_gone`.
+`evacuation`, `outage_takeover`, `late_starts`, `late_starts_at_return` and `workers_gone`.
 """
 
 from __future__ import annotations
--- a/baobabhoist/platform/testing/simulated_worker.py
+++ b/baobabhoist/platform/testing/simulated_worker.py
@@ -19,6 +19,7 @@
 from baobabhoist.platform.testing.store import EXTERNAL_WRITER_HEADER
 
 CLOCK_TICK_S = 0.01
+LATE_COMMAND_MIN_S, LATE_COMMAND_MAX_S = 2.0, 6.0
 DIRECTORY_UPDATE_INTERVAL_S = 1.0
 # The directory drops the entry of a worker after three intervals without an update.
 DIRECTORY_ENTRY_EXPIRY_S = 3 * DIRECTORY_UPDATE_INTERVAL_S
@@ -73,11 +74,11 @@
     """Simulate one worker: its lease, its runs and its ended runs until they are acknowledged.
 
     Commands of the soak set `mode`, `draining` and `gone`, which removes the entry from the
-    directory at once, or end the worker for good, which lets the entry expire. The modes are
-    normal; fail: all runs fail; hang: runs make no progress; late: starts and stops are carried
-    out seconds later, after the sender has timed out; lose: they are carried out at once, but the
-    responses are lost; delay_starts: starts wait on the network and are carried out seconds later
-    by the process that the worker has then.
+    directory at once, or end its process, for good or until it is started again, which lets the
+    entry expire. The modes are normal; fail: all runs fail; hang: runs make no progress; late:
+    starts and stops are carried out seconds later, after the sender has timed out; lose: they are
+    carried out at once, but the responses are lost; delay_starts: starts wait on the network and
+    are carried out up to `start_delay_max_s` later by the process that the worker has then.
     """
 
     worker_id: str
@@ -102,7 +103,9 @@
     row_sequence: int = 0
     draining: bool = False
     gone: bool = False
+    is_down: bool = False
     has_ended: bool = False
+    start_delay_max_s: float = LATE_COMMAND_MAX_S
     row_written_s: float = 0.0
     run_ended: asyncio.Event = attrs.Factory(asyncio.Event)
 
@@ -110,6 +113,11 @@
         """Return the time on the worker's own monotonic clock."""
         return (time.monotonic() - self.clock_started_s) * 1000 * self.clock_rate
 
+    @property
+    def has_expired_row(self) -> bool:
+        """Return whether the directory drops the worker because it has been silent."""
+        return time.monotonic() >= self.row_written_s + DIRECTORY_ENTRY_EXPIRY_S
+
     def next_directory_row(self) -> dict[str, Any]:
         """Return the worker's next row for the directory."""
         self.row_sequence += 1
@@ -288,13 +296,14 @@
         self.highest_run_numbers.clear()
         self.token, self.end_count, self.lease_expires_ms = 0, 0, 0.0
         self.started_unix_ms, self.clock_started_s = int(time.time() * 1000), time.monotonic()
-        self.draining = self.gone = False
+        self.draining = self.gone = self.is_down = False
 
-    def end_for_good(self) -> None:
-        """End without another process under this id; the entry in the directory expires."""
+    def end(self, *, for_good: bool) -> None:
+        """End the process; the entry in the directory expires unless another one is started."""
         self.crash()
-        self.gone = self.has_ended = True
-        self.hub.log("ended_for_good", worker=self.worker_id)
+        self.gone = self.is_down = True
+        self.has_ended = for_good
+        self.hub.log("ended", worker=self.worker_id, for_good=for_good)
 
     def log_start(self, event: str, body: dict[str, Any], **fields: Any) -> None:
         """Log an event of a start that waits on the network."""
@@ -368,15 +377,18 @@
 
     async def update_directory_periodically(self, worker: Worker) -> None:
         """Write a worker's row to the directory at intervals until the worker has ended."""
-        while not worker.has_ended:
+        while not (worker.has_ended and worker.has_expired_row):
             await self.write_directory_row(worker)
             await asyncio.sleep(DIRECTORY_UPDATE_INTERVAL_S)
-        expires_s = worker.row_written_s + DIRECTORY_ENTRY_EXPIRY_S
-        await asyncio.sleep(max(0.0, expires_s - time.monotonic()))
         await self.write_directory_row(worker)
 
     async def write_directory_row(self, worker: Worker) -> None:
-        """Write a worker's row to the directory, or remove it once the worker is gone."""
+        """Write a worker's row to the directory, or remove it once the worker is gone.
+
+        While a worker is down nobody removes its row before it expires.
+        """
+        if worker.is_down and not worker.has_expired_row:
+            return
         row = {"table": "servers", "part": "", "key": worker.worker_id}
         if worker.gone:
             body = {"remove": [row]}
@@ -384,6 +396,10 @@
             value = base64.b64encode(orjson.dumps(worker.next_directory_row())).decode()
             body = {"puts": [{**row, "value": value}]}
             worker.row_written_s = time.monotonic()
+        await self.change_directory(worker, body)
+
+    async def change_directory(self, worker: Worker, body: dict[str, Any]) -> None:
+        """Send a transaction of a worker to the store."""
         try:
             await self.http.fetch(
                 f"http://{self.store_address}/-/rows-tx",
--- a/baobabhoist/platform/testing/soak.py
+++ b/baobabhoist/platform/testing/soak.py
@@ -19,6 +19,7 @@
 from baobabhoist.platform.testing.deployment import Deployment, run_periodically
 from baobabhoist.platform.testing.soak_checker import REFUSED_STATUSES, GuaranteeChecker
 from baobabhoist.platform.testing.soak_faults import FAULTS
+from baobabhoist.platform.testing.soak_late_returns import LATE_STARTS_AT_RETURN
 from baobabhoist.platform.testing.soak_late_starts import LATE_STARTS
 from baobabhoist.platform.testing.soak_records import SubmittedJob, Team
 from baobabhoist.platform.testing.soak_takeover import OUTAGE_TAKEOVER
@@ -347,7 +348,9 @@
 
     async def run(self, seconds: float, schedule: list[soak_faults.ScheduledFault]) -> None:
         """Run the load and the faults, then wait until all jobs have finished."""
-        self.has_late_starts = any(fault.name == LATE_STARTS for fault in schedule)
+        self.has_late_starts = any(
+            fault.name in (LATE_STARTS, LATE_STARTS_AT_RETURN) for fault in schedule
+        )
         self.has_outage_takeovers = any(fault.name == OUTAGE_TAKEOVER for fault in schedule)
         spare_worker_count = sum(
             max_ended_workers(WORKER_COUNT) for fault in schedule if fault.name == WORKERS_GONE
--- a/baobabhoist/platform/testing/soak_faults.py
+++ b/baobabhoist/platform/testing/soak_faults.py
@@ -13,6 +13,10 @@
 
 from baobabhoist.platform.testing.simulated_worker import DATA_CENTRES
 from baobabhoist.platform.testing.soak_checker import EVACUATION_DEADLINE_S, GRACE_PERIOD_S
+from baobabhoist.platform.testing.soak_late_returns import (
+    LATE_STARTS_AT_RETURN,
+    return_beside_late_starts,
+)
 from baobabhoist.platform.testing.soak_late_starts import LATE_STARTS, restart_beside_late_starts
 from baobabhoist.platform.testing.soak_takeover import OUTAGE_TAKEOVER, take_over_in_outage
 from baobabhoist.platform.testing.soak_workers_gone import WORKERS_GONE, end_workers_for_good
@@ -303,6 +307,7 @@
     "worker_late": _make_worker_fault("late"),
     "worker_loses": _make_worker_fault("lose"),
     LATE_STARTS: restart_beside_late_starts,
+    LATE_STARTS_AT_RETURN: return_beside_late_starts,
     "worker_crash": _crash_workers,
     WORKERS_GONE: end_workers_for_good,
     "worker_drain": _drain_worker,
--- a/baobabhoist/platform/testing/soak_usage.py
+++ b/baobabhoist/platform/testing/soak_usage.py
@@ -10,7 +10,7 @@
 from baobabhoist.platform.testing.soak_records import JsonObject, Run, SubmittedJob
 
 # Whether a worker is up after an event of its log.
-PRESENCE_AFTER_EVENT = {"joined": True, "crashed": True, "ended_for_good": False}
+PRESENCE_AFTER_EVENT = {"joined": True, "crashed": True, "ended": False}
 
 
 @attrs.frozen
--- a/baobabhoist/tests/test_platform_soak_starvation.py
+++ b/baobabhoist/tests/test_platform_soak_starvation.py
@@ -124,7 +124,7 @@
         {"steps": [{**STEP, "memMb": 4_000, "count": 4, "gang": True}]},
     ),
     "the other workers are gone": (
-        [{"t": 8.0, "event": "ended_for_good", "worker": f"w{n}"} for n in (1, 2, 3)],
+        [{"t": 8.0, "event": "ended", "worker": f"w{n}"} for n in (1, 2, 3)],
         [FAULT],
         [],
         {},
--- a/baobabhoist/tests/test_platform_soak_workers_gone.py
+++ b/baobabhoist/tests/test_platform_soak_workers_gone.py
@@ -5,13 +5,13 @@
 import asyncio
 import random
 from pathlib import Path
-from typing import cast
+from typing import Any, cast
 
 import attrs
 import pytest
 
 from baobabhoist.platform.testing import simulated_worker, soak_workers_gone
-from baobabhoist.platform.testing.simulated_worker import WorkerHub
+from baobabhoist.platform.testing.simulated_worker import Worker, WorkerHub
 from baobabhoist.platform.testing.soak import Soak
 from baobabhoist.platform.testing.workers import add_workers
 from baobabhoist.testing.soak_faults import ScheduledFault
@@ -112,13 +112,12 @@
 
     changes: list[str] = attrs.Factory(list)
 
-    async def write_directory_row(self, worker: simulated_worker.Worker) -> None:
+    async def change_directory(self, worker: Worker, body: dict[str, Any]) -> None:
         """Record whether the row is written or removed."""
-        self.changes.append("remove" if worker.gone else "write")
-        worker.row_written_s = asyncio.get_running_loop().time()
+        self.changes.append("write" if "puts" in body else "remove")
 
 
-def test_the_entry_of_an_ended_worker_expires(
+def test_the_entry_of_a_worker_that_is_down_expires(
     monkeypatch: pytest.MonkeyPatch, tmp_path: Path
 ) -> None:
     """Guard against entries that a worker removes in its last moment, and entries that stay."""
@@ -128,13 +127,17 @@
     async def main() -> list[list[str]]:
         hub = RecordingHub(tmp_path / "runs.jsonl", "127.0.0.1:1")
         add_workers(hub, ["w1:1:2:r1-0:z1"])
-        hub.join(hub.workers["w1"])
+        worker = hub.workers["w1"]
+        hub.join(worker)
         await asyncio.sleep(0)
-        hub.workers["w1"].end_for_good()
-        ended = list(hub.changes)
+        worker.end(for_good=False)
+        changes = [list(hub.changes)]
         await asyncio.sleep(INTERVAL_S)
-        unexpired = list(hub.changes)
-        await asyncio.gather(*hub.update_tasks)
-        return [ended, unexpired, hub.changes]
-
-    assert asyncio.run(main()) == [["write"], ["write"], ["write", "remove"]]
+        changes.append(list(hub.changes))
+        while len(hub.changes) == 1:
+            await asyncio.sleep(INTERVAL_S)
+        worker.crash()
+        await hub.write_directory_row(worker)
+        return [*changes, hub.changes]
+
+    assert asyncio.run(main()) == [["write"], ["write"], ["write", "remove", "write"]]
