--- a/baobabhoist/tests/test_control_silent_workers.py
+++ b/baobabhoist/tests/test_control_silent_workers.py
@@ -1,6 +1,7 @@
 """Test that no lease is extended while the stored row may name its worker."""
 
 import asyncio
+import math
 
 import pytest
 
@@ -10,6 +11,8 @@
 from baobabhoist.cell.workers import MAX_START_LATENESS_MS
 from baobabhoist.control.clock import StoreClock
 from baobabhoist.control.interfaces import CommandResponse
+from baobabhoist.control.owner import CellOwner
+from baobabhoist.control.ownership_term import OwnershipTerm
 from baobabhoist.control.silent_workers import SILENT_AFTER_TAKEOVER_MS, SilentWorkers
 from baobabhoist.control.silent_workers_row import (
     SILENT_WORKERS_ROW_KEY,
@@ -18,12 +21,14 @@
 )
 from baobabhoist.observability.events import Event
 from baobabhoist.store.row_store import RowTransaction, StoredRow
-from baobabhoist.tests.cell_harness import SMALL, CellHarness, make_job
+from baobabhoist.tests.cell_harness import SMALL, CellHarness, make_job, make_rules
 from baobabhoist.tests.owner_harness import ROW_MAX_BYTES, FakeDriver, OwnerHarness
 
 W0 = {"w0": SilentWorker(5, 10)}
 HOLD_BACK_S = 0.4
 STORE_AHEAD_MS = 1_000_000.0
+# The estimate of the store's clock may improve meanwhile.
+CLOCK_ERROR_MS = 100.0
 
 
 class RecordingDriver(FakeDriver):
@@ -33,6 +38,8 @@
         super().__init__()
         self.store = store
         self.is_silent = False
+        # Renewals that are answered before all others hang.
+        self.answers_left = math.inf
         # Whether each call extended the lease, and whether the stored row named the worker then.
         self.calls = []
 
@@ -43,6 +50,9 @@
         if self.is_silent:
             await asyncio.sleep(0.01)
             return CommandOutcome.UNKNOWN
+        if not self.answers_left:
+            await asyncio.Event().wait()
+        self.answers_left -= 1
         self._record(deadline_ms is not None)
         return await super().renew(worker, token, acked_end, deadline_ms, wait_ms)
 
@@ -55,11 +65,16 @@
         return sum(extends for extends, _ in self.calls)
 
 
+def read_workers(store):
+    """Return the silent workers that are stored."""
+    row = store.rows.get(SILENT_WORKERS_ROW_KEY)
+    return list(decode_silent_workers(row.value).workers.values()) if row is not None else []
+
+
 def is_named(store):
     """Return whether the stored row may name the worker."""
-    row = store.rows.get(SILENT_WORKERS_ROW_KEY)
     try:
-        return row is not None and "w0" in decode_silent_workers(row.value).workers
+        return bool(read_workers(store))
     except ValueError:
         return True
 
@@ -161,6 +176,49 @@
     assert len(unreadable) == (value == b"\xff")
 
 
+def test_a_named_worker_is_resumed_without_another_answer():
+    """Guard against leases that lapse because the next answer of a worker takes a while."""
+
+    async def run():
+        harness = make_owner()
+        await fall_silent(harness)
+        await harness.wait_until(lambda: is_named(harness.store))
+        harness.driver.answers_left = 1
+        harness.driver.is_silent = False
+        lease = harness.owner.cell.state.workers["w0"].lease
+        await harness.wait_until(lambda: not lease.is_suspended)
+        assert not is_named(harness.store)
+        harness.task.cancel()
+
+    asyncio.run(run())
+
+
+def test_a_new_owner_counts_the_stored_times():
+    """Guard against owners that each wait anew although the row tells until when."""
+
+    async def run():
+        harness = make_owner()
+        await fall_silent(harness)
+        await harness.wait_until(lambda: is_named(harness.store))
+        harness.task.cancel()
+        (stored,) = read_workers(harness.store)
+        deps, term = harness.owner._deps, harness.owner.ownership
+        later_ms = term.won_ms + 60_000.0
+        later = OwnershipTerm(term.token, 1, later_ms, later_ms)
+        harness.owner = CellOwner(deps, later, make_rules())
+        await harness.start()
+        worker = harness.owner.cell.state.workers["w0"]
+        assert worker.runs
+        lease_ms, longest_ms = map(
+            deps.clock.to_local_ms, (stored.lease_expiry_ms, stored.longest_expiry_ms)
+        )
+        assert worker.inherited_lease_expiry_ms == pytest.approx(lease_ms, abs=CLOCK_ERROR_MS)
+        assert worker.longest_inherited_expiry_ms == pytest.approx(longest_ms, abs=CLOCK_ERROR_MS)
+        harness.task.cancel()
+
+    asyncio.run(run())
+
+
 def make_cell_with_run():
     """Return a cell with a run on a worker that it has never heard."""
     harness = CellHarness.with_workers(1)
