--- a/baobabhoist/cell/jobs.py
+++ b/baobabhoist/cell/jobs.py
@@ -53,6 +53,8 @@
     phase: RunPhase
     # The start command has left the owner, or may have left an earlier one.
     is_sent: bool = False
+    # When the process of the worker started that was heard last before the run; 0 if none was.
+    process_unix_ms: int = 0
     # The start carried a ticket, which holds for one process of the worker.
     has_ticket: bool = False
     # When this owner sent the start command.
--- a/baobabhoist/cell/progress_rows.py
+++ b/baobabhoist/cell/progress_rows.py
@@ -20,11 +20,13 @@
     """Identify a run that may be active: it is about to be started or its end is not known.
 
     If it `may_start_late`, its start had no answer, and its worker's next process may get it.
+    `process_unix_ms` is when the process of the worker started that was heard before, or 0.
     """
 
     number: int
     worker_id: str
     may_start_late: bool = False
+    process_unix_ms: int = 0
 
 
 @attrs.frozen
@@ -115,7 +117,12 @@
         failed_runs = {t.index: tuple(sorted(t.failed_runs)) for t in step.tasks if t.failed_runs}
         checkpoints = {t.index: t.checkpoint for t in step.tasks if t.checkpoint and not t.is_done}
         runs = {
-            task.index: StoredRun(task.run.number, task.run.worker_id, task.run.may_start_late)
+            task.index: StoredRun(
+                task.run.number,
+                task.run.worker_id,
+                task.run.may_start_late,
+                task.run.process_unix_ms,
+            )
             for task in step.tasks
             if task.run is not None
         }
@@ -179,6 +186,14 @@
     ]
     if late_starts:
         body["lateStarts"] = late_starts
+    processes = {
+        run.worker_id: run.process_unix_ms
+        for s in progress.steps
+        for run in s.runs.values()
+        if run.process_unix_ms
+    }
+    if processes:
+        body["processes"] = processes
     return orjson.dumps(body)
 
 
@@ -189,6 +204,7 @@
         blame_by_step = _decode_crashes(body.get("crashes", ()))
         numbers_by_step = _decode_last_numbers(body.get("lastNumbers", ()))
         late_by_step = _decode_late_starts(body.get("lateStarts", ()))
+        processes = {str(k): int(v) for k, v in body.get("processes", {}).items()}
         steps = tuple(
             StepProgress(
                 int(occurrence),
@@ -196,7 +212,9 @@
                 tuple(int(index) for index in done),
                 {int(k): tuple(int(run) for run in v) for k, v in failed_runs.items()},
                 {int(k): str(v) for k, v in checkpoints.items()},
-                _decode_runs(runs, late_by_step.get((int(occurrence), int(step)), set())),
+                _decode_runs(
+                    runs, late_by_step.get((int(occurrence), int(step)), set()), processes
+                ),
                 blame_by_step.get((int(occurrence), int(step)), {}),
                 numbers_by_step.get((int(occurrence), int(step)), {}),
             )
@@ -255,10 +273,14 @@
     return by_step
 
 
-def _decode_runs(runs: dict[str, list[Any]], late: set[int]) -> dict[int, StoredRun]:
+def _decode_runs(
+    runs: dict[str, list[Any]], late: set[int], processes: dict[str, int]
+) -> dict[int, StoredRun]:
     """Return the runs by task index; the starts of some may be carried out late."""
     return {
-        int(index): StoredRun(int(number), str(worker_id), int(index) in late)
+        int(index): StoredRun(
+            int(number), str(worker_id), int(index) in late, processes.get(str(worker_id), 0)
+        )
         for index, (number, worker_id) in runs.items()
     }
 
--- a/baobabhoist/cell/scheduler.py
+++ b/baobabhoist/cell/scheduler.py
@@ -136,6 +136,7 @@
                 worker = self._worker_or_placeholder(stored_run.worker_id, now)
                 run = self.state.adopt_run(task, worker, stored_run.number, now)
                 run.is_start_unanswered = stored_run.may_start_late
+                run.process_unix_ms = stored_run.process_unix_ms
                 if job.is_final:
                     self.state.stop_run(run, now, WasteCause.JOB_ENDED)
 
--- a/baobabhoist/cell/state.py
+++ b/baobabhoist/cell/state.py
@@ -328,6 +328,7 @@
     ) -> Run:
         run = Run(task, run_number, worker.worker_id, task.step.spec.allocation, phase)
         run.decided_ms = run.last_progress_ms = now
+        run.process_unix_ms = worker.started_unix_ms
         task.step.attach_run(run)
         worker.add_run(run)
         team = task.step.job.accepted.team
--- a/baobabhoist/cell/workers.py
+++ b/baobabhoist/cell/workers.py
@@ -173,7 +173,7 @@
         that lasts must be back sooner than that.
         """
         expiry_ms = self.lease_expiry_ms()
-        has_next_process = self.is_entry_outdated or not is_gone
+        has_next_process = not is_gone or self._entry_shows_next_process(run)
         is_lasting = run.task.step.spec.lasting
         if is_lasting or not has_next_process or run.belongs_to_heard_process:
             return expiry_ms
@@ -184,6 +184,12 @@
         latest_ms = max(map(last_start_ms, self.runs.values()))
         return max(expiry_ms, latest_ms + lease_duration_ms(self.lease.max_granted_ms))
 
+    def _entry_shows_next_process(self, run: Run) -> bool:
+        """Return whether the last entry is of a later process than was heard, by any owner."""
+        heard_ms = self.started_unix_ms or run.process_unix_ms
+        entry_ms = self.info.started_unix_ms
+        return bool(heard_ms and entry_ms and heard_ms != entry_ms)
+
     def last_run_expiry_ms(self) -> float:
         """Return the time after which all runs have ended, even if the worker may be back."""
         expiries_ms = (self.run_expiry_ms(run, is_gone=False) for run in self.runs.values())
