Count the silence of workers from when a new owner opens its sessions

After a load of over 1 s the first tick named every worker with inherited runs as silent, which suspended their leases until two writes were confirmed. The new test fails without the change.

--- a/baobabhoist/control/owner.py
+++ b/baobabhoist/control/owner.py
@@ -347,6 +347,7 @@
             if index % ROWS_PER_YIELD == 0:
                 await asyncio.sleep(0)
         self.is_loaded = True
+        self._silent_workers.record_opened(monotonic_ms())
         self._sync_sessions()
         for index, job in enumerate(cell.unfinished_inherited_jobs()):
             cell.log_ownership(job, now)
--- a/baobabhoist/control/silent_workers.py
+++ b/baobabhoist/control/silent_workers.py
@@ -29,7 +29,7 @@
 
 log = logging.getLogger(__name__)
 
-# A worker that a new owner has not heard for this long after its takeover counts as silent.
+# A worker that a new owner has not heard for this long since it opens sessions counts as silent.
 SILENT_AFTER_TAKEOVER_MS = 1_000.0
 
 
@@ -69,18 +69,22 @@
     _stored: dict[str, SilentWorker] | None = attrs.Factory(dict)
     # Workers that have answered while the row may name them.
     _answered: set[str] = attrs.Factory(set)
-    _taken_over_ms: float = float("-inf")
+    _opened_ms: float = float("-inf")
 
     # A new owner.
 
     def load(self, rows: Sequence[StoredRow], now: float) -> None:
         """Continue from the row that the earlier owners left."""
-        self._taken_over_ms = now
+        self.record_opened(now)
         for row in rows:
             self._load_row(row)
         if not self._may_name_others:
             self._stored = dict(self._named)
 
+    def record_opened(self, now: float) -> None:
+        """Count from now how long workers have not been heard, because sessions are opened now."""
+        self._opened_ms = now
+
     def _load_row(self, row: StoredRow) -> None:
         try:
             loaded = decode_silent_workers(row.value or b"")
@@ -169,7 +173,7 @@
     def _is_silent(self, worker: WorkerState, now: float) -> bool:
         """Return whether nobody hears a worker, nor may extend its lease."""
         is_unheard = worker.last_heard_ms == float("-inf")
-        is_missed = is_unheard and now - self._taken_over_ms >= SILENT_AFTER_TAKEOVER_MS
+        is_missed = is_unheard and now - self._opened_ms >= SILENT_AFTER_TAKEOVER_MS
         if not (worker.lease.is_suspended or is_missed):
             return False
         has_expiry = math.isfinite(worker.lease_expiry_ms())
--- a/baobabhoist/tests/test_control_silent_workers.py
+++ b/baobabhoist/tests/test_control_silent_workers.py
@@ -253,6 +253,17 @@
     assert workers["w0"].lease.is_suspended
 
 
+def test_an_owner_that_loads_for_long_names_no_worker_before_it_could_hear_it():
+    """Guard against a takeover that suspends the leases of all workers at once."""
+    harness = make_cell_with_run()
+    workers = harness.cell.state.workers
+    silent_workers = load({}, harness.now)
+    harness.now += 10 * SILENT_AFTER_TAKEOVER_MS
+    silent_workers.record_opened(harness.now)
+    assert not silent_workers.is_write_due(workers, harness.now)
+    assert silent_workers.is_write_due(workers, harness.now + SILENT_AFTER_TAKEOVER_MS)
+
+
 def test_a_new_owner_carries_an_entry_on_unchanged():
     """Guard against times that grow a little with each owner."""
     harness = make_cell_with_run()
