--- a/baobabhoist/platform/testing/simulated_worker.py
+++ b/baobabhoist/platform/testing/simulated_worker.py
@@ -19,7 +19,6 @@
 from baobabhoist.platform.testing.store import EXTERNAL_WRITER_HEADER
 
 CLOCK_TICK_S = 0.01
-LATE_COMMAND_MIN_S, LATE_COMMAND_MAX_S = 2.0, 6.0
 DIRECTORY_UPDATE_INTERVAL_S = 1.0
 # The directory drops the entry of a worker after three intervals without an update.
 DIRECTORY_ENTRY_EXPIRY_S = 3 * DIRECTORY_UPDATE_INTERVAL_S
@@ -105,7 +104,8 @@
     gone: bool = False
     is_down: bool = False
     has_ended: bool = False
-    start_delay_max_s: float = LATE_COMMAND_MAX_S
+    # How long starts wait on the network at most, unless as long as other late commands.
+    start_delay_max_s: float | None = None
     row_written_s: float = 0.0
     run_ended: asyncio.Event = attrs.Factory(asyncio.Event)
 
--- a/baobabhoist/platform/testing/soak_late_returns.py
+++ b/baobabhoist/platform/testing/soak_late_returns.py
@@ -6,8 +6,6 @@
 import random
 from typing import TYPE_CHECKING
 
-from baobabhoist.platform.testing.simulated_worker import LATE_COMMAND_MAX_S
-
 if TYPE_CHECKING:
     from baobabhoist.platform.testing.soak import Soak
     from baobabhoist.testing.soak_faults import ScheduledFault
@@ -45,9 +43,7 @@
     await asyncio.sleep(rng.uniform(MIN_DOWN_S, MAX_DOWN_S))
     if is_cut:
         await soak.deployment.set_relay_mode(f"worker:{name}", "cut")
-    await soak.deployment.command_worker(
-        name, crash=1, mode="normal", start_delay_max_s=LATE_COMMAND_MAX_S
-    )
+    await soak.deployment.command_worker(name, crash=1, mode="normal", start_delay_max_s=None)
     if is_cut:
         await asyncio.sleep(rng.uniform(0.0, MAX_CUT_S))
         await soak.deployment.set_relay_mode(f"worker:{name}", "pass")
--- a/baobabhoist/platform/testing/workers.py
+++ b/baobabhoist/platform/testing/workers.py
@@ -13,12 +13,7 @@
 from absl import app, flags
 from tornado.web import Application, RequestHandler
 
-from baobabhoist.platform.testing.simulated_worker import (
-    LATE_COMMAND_MAX_S,
-    LATE_COMMAND_MIN_S,
-    Worker,
-    WorkerHub,
-)
+from baobabhoist.platform.testing.simulated_worker import Worker, WorkerHub
 from baobabhoist.platform.testing.soak_checker import WORKER_CAPACITY
 from baobabhoist.platform.testing.store import drop_connection
 
@@ -26,6 +21,7 @@
 
 TARGET_HEADER = "X-Target-Instance"
 TICKET_VALIDITY_MS = 2_000
+LATE_COMMAND_MIN_S, LATE_COMMAND_MAX_S = 2.0, 6.0
 # Each worker's clock runs slower than real time by up to this fraction.
 CLOCK_SLOWDOWN_MAX = 0.02
 
@@ -73,7 +69,8 @@
         """Let a start wait on the network; its sender gets no response."""
         worker, target_id = self.worker, self.request.headers.get(TARGET_HEADER)
         worker.log_start("start_delayed", body)
-        delay_s = worker.hub.rng.uniform(LATE_COMMAND_MIN_S, worker.start_delay_max_s)
+        max_s = worker.start_delay_max_s or LATE_COMMAND_MAX_S
+        delay_s = worker.hub.rng.uniform(LATE_COMMAND_MIN_S, max_s)
         loop = asyncio.get_running_loop()
         loop.call_later(delay_s, worker.receive_late_start, target_id, body)
         await asyncio.sleep(LATE_COMMAND_MAX_S)
