Give the platform's soak the advice and the scheduling policy of the deployment

The users count room only on workers that the advice admits, and their real processes have advice on all queues. The soak had it on one queue of three, its adviser answered all calls at once, its workers took any ticket, its instances ran without the section on scheduling of deploy/settings.yaml.template (shares, admission, backfill, preemption, advice_forecast, pace all off), and StarvationFinder passed over every job with advice.

The test case 'advice may admit no worker' asserted that a job with advice is never found; it is replaced by cases with no approved worker, without room on the approved ones (not found) and with room on them (found).

--- a/baobabhoist/platform/testing/deployment.py
+++ b/baobabhoist/platform/testing/deployment.py
@@ -17,6 +17,7 @@
 
 from baobabhoist.platform.instance import SETTINGS_ENV_VAR
 from baobabhoist.platform.testing.simulated_worker import DATA_CENTRES
+from baobabhoist.platform.testing.soak_advice import PROFILES
 from baobabhoist.platform.testing.store import EXTERNAL_WRITER_HEADER
 from baobabhoist.testing.cluster import Cluster, free_port, wait_for_port
 from baobabhoist.testing.soak_driver import try_fetch
@@ -40,6 +41,8 @@
     ready_port: int = attrs.Factory(free_port)
     peer_port: int = attrs.Factory(free_port)
     metrics_port: int = attrs.Factory(free_port)
+    # The adviser tells the machines apart by the port that they call.
+    adviser_port: int = attrs.Factory(free_port)
     store_relay_port: int = 0
     peer_relay_port: int = 0
 
@@ -55,13 +58,14 @@
     spare_workers: list[str] = attrs.Factory(list)
     worker_data_centres: dict[str, str] = attrs.Factory(dict)
     store_port: int = attrs.Factory(free_port)
-    adviser_port: int = attrs.Factory(free_port)
     http: AsyncHTTPClient = attrs.Factory(AsyncHTTPClient)
     config_versions: itertools.count[int] = attrs.Factory(lambda: itertools.count(3, 2))
     # The size that the instances are told; a small owner lets others hold its sessions.
     instance_cores: float = 1.0
     # The limits of their machine that the instances are told, as in the section `limits`.
     instance_limits: dict[str, int] = attrs.Factory(dict)
+    # The name of the profile that tells which queues need advice, and how tasks are scheduled.
+    profile: str = "mixed"
 
     @property
     def worker_log_path(self) -> Path:
@@ -101,13 +105,15 @@
         names = list(self.worker_data_centres)
         self.worker_names, self.spare_workers = names[:count], names[count:]
         self.cluster.control_ports["workers"] = free_port()
+        adviser_ports = [str(instance.adviser_port) for instance in self.instances.values()]
         self.cluster.start_process(
             "workers",
             "baobabhoist.platform.testing.workers",
             f"--workers={','.join(worker_specs)}",
             f"--spares={','.join(self.spare_workers)}",
             f"--control_port={self.cluster.control_ports['workers']}",
-            f"--adviser_port={self.adviser_port}",
+            f"--adviser_ports={','.join(adviser_ports)}",
+            f"--profile={self.profile}",
             f"--store={HOST}:{self.store_port}",
             f"--log={self.worker_log_path}",
         )
@@ -134,7 +140,7 @@
             "peer_port": instance.peer_port,
             "peer_address": f"{HOST}:{instance.peer_relay_port}",
             "metrics_port": instance.metrics_port,
-            "adviser_address": f"{HOST}:{self.adviser_port}",
+            "adviser_address": f"{HOST}:{instance.adviser_port}",
             "cpu_share": self.instance_cores,
             "cpu_speed": 1.0,
             "link_mbps": 1000.0,
@@ -144,6 +150,7 @@
             },
             "bounds": INSTANCE_BOUNDS,
             "limits": self.instance_limits,
+            "scheduling": dict(PROFILES[self.profile].scheduling),
         }
         path = self.cluster.folder / f"{name}.yaml"
         path.write_text(yaml.safe_dump(settings), encoding="utf-8")
--- a/baobabhoist/platform/testing/simulated_worker.py
+++ b/baobabhoist/platform/testing/simulated_worker.py
@@ -16,6 +16,7 @@
 import orjson
 from tornado.httpclient import AsyncHTTPClient, HTTPClientError
 
+from baobabhoist.platform.testing.soak_advice import PROFILES, Profile, accepts_ticket
 from baobabhoist.platform.testing.store import EXTERNAL_WRITER_HEADER
 
 CLOCK_TICK_S = 0.01
@@ -184,6 +185,8 @@
             return 200, ""
         if current_run is not None or number <= self.highest_run_numbers.get(task, 0):
             return 409, "old"
+        if not self._admits(task, body.get("ticket", "")):
+            return 409, "ticket"
         plan = RunPlan(**json.loads(body["taskSpec"])["plan"])
         now, checkpoint = self.clock_ms(), body.get("checkpoint", "")
         run = Run(task, number, plan, now, None if plan.members else now, checkpoint=checkpoint)
@@ -195,6 +198,12 @@
         self.log("start", run, **order, mode=self.mode, late=is_late)
         return 200, ""
 
+    def _admits(self, task: str, ticket: str) -> bool:
+        """Return whether a task needs no ticket, or has a valid one."""
+        step = task.rpartition(".")[0]
+        is_needed = self.hub.profile.policy_of(task.partition(".")[0]) is not None
+        return not is_needed or accepts_ticket(ticket, step, self.worker_id, self.started_unix_ms)
+
     def stop_run(self, body: dict[str, Any]) -> tuple[int, str]:
         """Stop a run; one that has not arrived yet is refused when it does."""
         if not self.accept_token(body["fencingToken"]):
@@ -325,6 +334,7 @@
     rng: random.Random = attrs.Factory(lambda: random.Random(1))
     http: AsyncHTTPClient = attrs.Factory(AsyncHTTPClient)
     update_tasks: set[asyncio.Future[None]] = attrs.Factory(set)
+    profile: Profile = PROFILES["mixed"]
 
     def log(self, event: str, **fields: Any) -> None:
         """Append a line to the log."""
--- a/baobabhoist/platform/testing/soak.py
+++ b/baobabhoist/platform/testing/soak.py
@@ -17,11 +17,23 @@
 
 from baobabhoist.platform.testing import soak_faults
 from baobabhoist.platform.testing.deployment import Deployment, run_periodically
-from baobabhoist.platform.testing.soak_checker import REFUSED_STATUSES, GuaranteeChecker
+from baobabhoist.platform.testing.soak_advice import (
+    PROFILES,
+    QUEUE_DIGITS,
+    AdvicePolicy,
+    Profile,
+    approved_workers,
+)
+from baobabhoist.platform.testing.soak_checker import (
+    REFUSED_STATUSES,
+    WORKER_CAPACITY,
+    GuaranteeChecker,
+)
 from baobabhoist.platform.testing.soak_faults import FAULTS
 from baobabhoist.platform.testing.soak_late_returns import LATE_STARTS_AT_RETURN
 from baobabhoist.platform.testing.soak_late_starts import LATE_STARTS
 from baobabhoist.platform.testing.soak_records import SubmittedJob, Team
+from baobabhoist.platform.testing.soak_starvation import ROOM_FACTOR
 from baobabhoist.platform.testing.soak_takeover import OUTAGE_TAKEOVER
 from baobabhoist.platform.testing.soak_workers_gone import WORKERS_GONE, max_ended_workers
 from baobabhoist.testing import soak_driver
@@ -33,8 +45,6 @@
 # The curl client keeps the callers' connections open until the instance is gone.
 HTTP_CLIENT_CLASS = "tornado.curl_httpclient.CurlAsyncHTTPClient"
 HTTP_CLIENTS_MAX = 400
-INSTANCE_COUNT = 4
-WORKER_COUNT = 12
 # With odd seeds the owner is too small to hold the sessions with all workers.
 SMALL_INSTANCE_CORES, LARGE_INSTANCE_CORES = 0.15, 1.0
 JOBS_PER_S = 10.0
@@ -71,12 +81,16 @@
         "maxAttempts": 2,
         "slackFactor": 2.2,
         "targetLatencyMs": 1_000,
-        "advice": {"decisionMs": 20, "perItemMs": 0, "validityMs": 2_000},
     },
 }
 QUEUE_MIX = ("quick",) * 7 + ("batch",) * 2 + ("gangs",)
+STEPS_MAX = 3
+# All steps of a job together take no longer than this, so that it ends after the run.
+CHAIN_MAX_MS = 10_000.0
+# Workers that may run a step when its job is submitted.
+APPROVED_WORKERS_MIN = 4
 # The teams' limits in thousandths of a core; 0 means no limit.
-TEAM_CPU_LIMITS = {"alpha": 20_000, "beta": 8_000, "gamma": 0}
+SMALL_TEAM_CPU_LIMITS = {"alpha": 20_000, "beta": 8_000, "gamma": 0}
 
 
 @attrs.define
@@ -90,15 +104,27 @@
     final_states: dict[str, str] = attrs.Factory(dict)
     down_instances: set[str] = attrs.Factory(set)
     failed_ready_checks: Counter[str] = attrs.Factory(Counter)
-    team_cpu_limits: dict[str, int] = attrs.Factory(lambda: dict(TEAM_CPU_LIMITS))
-    api_keys: dict[str, list[str]] = attrs.Factory(
-        lambda: {n: [f"key-{n}"] for n in TEAM_CPU_LIMITS}
-    )
+    # The limits at first, and those that are configured now.
+    usual_limits: dict[str, int] = attrs.field(init=False)
+    team_cpu_limits: dict[str, int] = attrs.field(init=False)
+    api_keys: dict[str, list[str]] = attrs.field(init=False)
     load_factor: float = 1.0
     has_outage_takeovers: bool = False
     has_late_starts: bool = False
     key_numbers: itertools.count[int] = attrs.Factory(lambda: itertools.count(1))
 
+    def __attrs_post_init__(self) -> None:
+        """Set the teams of the profile."""
+        load = self.profile.load
+        self.usual_limits = load.team_limits() if load else dict(SMALL_TEAM_CPU_LIMITS)
+        self.team_cpu_limits = dict(self.usual_limits)
+        self.api_keys = {name: [f"key-{name}"] for name in self.usual_limits}
+
+    @property
+    def profile(self) -> Profile:
+        """Return which deployment the run resembles."""
+        return PROFILES[self.deployment.profile]
+
     def restart_instance(self, name: str) -> None:
         """Restart an instance."""
         self.deployment.start_instance(name)
@@ -116,6 +142,7 @@
                 "prefix": f"/{name}/",
                 "service": "svc",
                 **queue,
+                **self._advice_config(name),
             }
             for name, queue in QUEUES.items()
         ]
@@ -130,6 +157,10 @@
         ]
         return {"routes": routes, "services": [{"name": "svc"}], "tenants": tenants}
 
+    def _advice_config(self, queue: str) -> dict[str, Any]:
+        policy = self.profile.advice.get(queue)
+        return {"advice": policy.config()} if policy else {}
+
     async def write_config(self) -> None:
         """Write the configuration and log the teams' new limits for the checker."""
         entry = self.log_event("limits", limits=dict(self.team_cpu_limits), acked=float("inf"))
@@ -138,15 +169,14 @@
 
     async def change_team_limit(self, rng: random.Random) -> None:
         """Change the limit of a random team."""
-        team = rng.choice([name for name, limit in TEAM_CPU_LIMITS.items() if limit])
-        self.team_cpu_limits[team] = rng.choice(
-            [TEAM_CPU_LIMITS[team], TEAM_CPU_LIMITS[team] // 2, TEAM_CPU_LIMITS[team] * 2]
-        )
+        team = rng.choice([name for name, limit in self.usual_limits.items() if limit])
+        usual_limit = self.usual_limits[team]
+        self.team_cpu_limits[team] = rng.choice([usual_limit, usual_limit // 2, usual_limit * 2])
         await self.write_config()
 
     async def replace_team_key(self, rng: random.Random) -> None:
         """Revoke the API key of a random team and issue another one."""
-        team = rng.choice(list(TEAM_CPU_LIMITS))
+        team = rng.choice(list(self.usual_limits))
         revoked_keys = self.api_keys[team]
         self.api_keys[team] = [f"key-{team}-{next(self.key_numbers)}"]
         await self.write_config()
@@ -157,41 +187,62 @@
 
     def new_job(self, rng: random.Random, queue: str) -> SubmittedJob:
         """Return a random job for a queue."""
-        job_id = f"{rng.getrandbits(64):016x}"
-        team = rng.choice(list(TEAM_CPU_LIMITS))
+        team = self._draw_team(rng)
         failures = 99 if rng.random() < ALWAYS_FAILS_PROBABILITY else 0
         failures = failures or int(rng.random() < FAILS_ONCE_PROBABILITY)
-        run_ms_range = {"quick": (50, 500), "batch": (200, 1_500), "gangs": (300, 1_200)}[queue]
-        task_counts = {"quick": (1, 3), "batch": (2, 8), "gangs": (2, 4)}[queue]
-        steps: list[dict[str, Any]] = [
-            {
-                "count": rng.randint(*task_counts),
-                "cpu": rng.choice([300, 700, 1_500]),
-                "memMb": rng.choice([100, 900]),
-                "estimatedMs": 500,
-            }
-            for _ in range(rng.choice([1, 1, 3]) if queue == "batch" else 1)
-        ]
-        for number, step in enumerate(steps[1:], 1):
-            step["after"] = [number - 1]
+        load = self.profile.load
+        if load is None:
+            run_ms_range = {"quick": (50, 500), "batch": (200, 1_500), "gangs": (300, 1_200)}
+            run_ms = rng.uniform(*run_ms_range[queue]) * self._draw_run_factor(rng, queue)
+            steps = _draw_small_steps(rng, queue)
+        else:
+            steps = load.shapes[queue].draw_steps(rng, self._gang_cpu_max(queue, team))
+            run_ms = min(load.shapes[queue].run_ms.draw(rng), CHAIN_MAX_MS / len(steps))
         plan = {
-            "run_ms": rng.uniform(*run_ms_range) * self._draw_run_factor(rng, queue),
+            "run_ms": run_ms,
             "failures": failures,
-            "saves": queue == "batch",
+            "saves": bool(steps[0].get("checkpointing")),
         }
-        if queue == "gangs":
-            steps[0]["gang"] = True
+        job_id = self._draw_job_id(rng, queue, steps)
+        if steps[0].get("gang"):
             plan["members"] = steps[0]["count"]
-        if queue == "batch":
-            steps[0] |= {"checkpointing": True, "maxPerServer": 3}
         spec = json.dumps({"plan": plan, "pad": "x" * rng.choice([0, 500])})
         attempts = int(QUEUES[queue]["maxAttempts"])
         job = SubmittedJob(job_id, queue, team, steps, zlib.crc32(spec.encode()), attempts)
         self.jobs[job_id] = job
         job.body = json.dumps({"taskSpec": spec, "steps": steps})
-        job.needs_advice = "advice" in QUEUES[queue]
+        job.advice = self.profile.advice.get(queue)
         return job
 
+    def _draw_job_id(self, rng: random.Random, queue: str, steps: list[dict[str, Any]]) -> str:
+        """Draw the id of a job whose steps fit twice into the workers that are approved."""
+        policy = self.profile.advice.get(queue)
+        while True:
+            job_id = f"{rng.getrandbits(60):015x}{QUEUE_DIGITS[queue]}"
+            if policy is None or all(
+                self._fits_twice(policy, f"{job_id}.0.{number}", step)
+                for number, step in enumerate(steps)
+            ):
+                return job_id
+
+    def _fits_twice(self, policy: AdvicePolicy, name: str, step: dict[str, Any]) -> bool:
+        places_per_worker = min(WORKER_CAPACITY[r] // step[r] for r in WORKER_CAPACITY)
+        workers = approved_workers(policy, name, self.deployment.worker_names)
+        wanted = step["count"] if step.get("gang") else 1
+        has_room = places_per_worker * len(workers) >= ROOM_FACTOR * wanted
+        return has_room and len(workers) >= APPROVED_WORKERS_MIN
+
+    def _gang_cpu_max(self, queue: str, team: str) -> int:
+        """Return the CPU that a gang may need so that it can start beside other jobs."""
+        policy = self.profile.advice.get(queue)
+        share = policy.approved_share if policy else 1.0
+        total_cpu = self.profile.worker_count * WORKER_CAPACITY["cpu"]
+        return min(self.usual_limits[team], round(share * total_cpu / ROOM_FACTOR))
+
+    def _draw_team(self, rng: random.Random) -> str:
+        load = self.profile.load
+        return load.draw_team(rng) if load else rng.choice(list(self.usual_limits))
+
     def _draw_run_factor(self, rng: random.Random, queue: str) -> int:
         """Draw the factor by which the runs of a job are longer."""
         if self.has_late_starts and queue == "quick" and rng.random() < LONG_RUNS_PROBABILITY:
@@ -310,10 +361,16 @@
 
     async def generate_load(self) -> None:
         """Submit jobs as a Poisson process until cancelled."""
+        load = self.profile.load
+        jobs_per_s = load.jobs_per_s if load else JOBS_PER_S
         while True:
-            job = self.new_job(self.rng, self.rng.choice(QUEUE_MIX))
+            job = self.new_job(self.rng, self._draw_queue())
             self.spawn(self.submit_and_follow(job))
-            await asyncio.sleep(self.rng.expovariate(JOBS_PER_S * self.load_factor))
+            await asyncio.sleep(self.rng.expovariate(jobs_per_s * self.load_factor))
+
+    def _draw_queue(self) -> str:
+        load = self.profile.load
+        return load.draw_queue(self.rng) if load else self.rng.choice(QUEUE_MIX)
 
     async def check_readiness(self) -> None:
         """Check whether the instances are ready, as the platform does."""
@@ -333,7 +390,7 @@
             caller_log=list(self.caller_log),
             driver_log=list(self.driver_log),
             jobs=self.jobs,
-            teams={name: Team(name, limit) for name, limit in TEAM_CPU_LIMITS.items()},
+            teams={name: Team(name, limit) for name, limit in self.usual_limits.items()},
         )
         checker.check_logs()
         if is_finished:
@@ -353,10 +410,15 @@
         )
         self.has_outage_takeovers = any(fault.name == OUTAGE_TAKEOVER for fault in schedule)
         spare_worker_count = sum(
-            max_ended_workers(WORKER_COUNT) for fault in schedule if fault.name == WORKERS_GONE
+            max_ended_workers(self.profile.worker_count)
+            for fault in schedule
+            if fault.name == WORKERS_GONE
         )
         await self.deployment.start(
-            INSTANCE_COUNT, WORKER_COUNT, self.make_config(), spare_worker_count
+            self.profile.instance_count,
+            self.profile.worker_count,
+            self.make_config(),
+            spare_worker_count,
         )
         self.log_event("limits", limits=dict(self.team_cpu_limits), acked=time.time())
         readiness_task = asyncio.create_task(
@@ -379,7 +441,7 @@
         self.log_event("calm", failed=[repr(r) for r in results if r is not None])
         # Lift all limits: a team's backlog, or a gang that exceeds its team's lowered limit, would
         # outlast the run.
-        self.team_cpu_limits = dict.fromkeys(TEAM_CPU_LIMITS, 0)
+        self.team_cpu_limits = dict.fromkeys(self.usual_limits, 0)
         await self.write_config()
         if self.background_tasks:
             await asyncio.wait(self.background_tasks, timeout=FINISH_TIMEOUT_S)
@@ -395,6 +457,27 @@
         raise RuntimeError(f"the instances were not ready within {START_TIMEOUT_S} s")
 
 
+def _draw_small_steps(rng: random.Random, queue: str) -> list[dict[str, Any]]:
+    """Draw the steps of a job that is small beside the workers."""
+    task_counts = {"quick": (1, 3), "batch": (2, 8), "gangs": (2, 4)}[queue]
+    steps: list[dict[str, Any]] = [
+        {
+            "count": rng.randint(*task_counts),
+            "cpu": rng.choice([300, 700, 1_500]),
+            "memMb": rng.choice([100, 900]),
+            "estimatedMs": 500,
+        }
+        for _ in range(rng.choice([1, 1, STEPS_MAX]) if queue == "batch" else 1)
+    ]
+    for number, step in enumerate(steps[1:], 1):
+        step["after"] = [number - 1]
+    if queue == "gangs":
+        steps[0]["gang"] = True
+    if queue == "batch":
+        steps[0] |= {"checkpointing": True, "maxPerServer": 3}
+    return steps
+
+
 def _read_state(response: HTTPResponse) -> str:
     try:
         body = json.loads(response.body or b"{}")
@@ -431,11 +514,11 @@
     folder = soak_driver.prepare_log_folder(FLAGS.folder, FLAGS.faults, FAULTS)
     if folder is None:
         return 2
-    schedule = soak_faults.schedule_faults(FLAGS.seed, FLAGS.seconds, FLAGS.faults)
+    schedule = soak_faults.schedule_faults(FLAGS.seed, FLAGS.seconds, FLAGS.faults, FLAGS.calm_s)
 
     async def run_soak(cluster: Cluster) -> Soak:
         cores = SMALL_INSTANCE_CORES if FLAGS.seed % 2 else LARGE_INSTANCE_CORES
-        deployment = Deployment(cluster, instance_cores=cores)
+        deployment = Deployment(cluster, instance_cores=cores, profile=FLAGS.profile)
         soak = Soak(deployment, random.Random(FLAGS.seed))
         await soak.run(FLAGS.seconds, schedule)
         return soak
@@ -460,5 +543,9 @@
     flags.DEFINE_integer("seed", 1, "Seed of the schedule of faults.")
     flags.DEFINE_float("seconds", 40.0, "Length of the run, in seconds.")
     flags.DEFINE_list("faults", sorted(FAULTS), "Names of the faults to inject.")
+    flags.DEFINE_enum(
+        "profile", "mixed", sorted(PROFILES), "Which queues need advice, and how tasks are placed."
+    )
+    flags.DEFINE_float("calm_s", 0.0, "Least time without a fault after each one, in seconds.")
     flags.DEFINE_string("folder", "", "Empty folder for the logs; a temporary one by default.")
     app.run(main)
--- a/baobabhoist/platform/testing/soak_faults.py
+++ b/baobabhoist/platform/testing/soak_faults.py
@@ -39,20 +39,29 @@
 Injector = Callable[["Soak", "ScheduledFault", random.Random], Awaitable[None]]
 
 
-def schedule_faults(seed: int, seconds: float, faults: list[str]) -> list[ScheduledFault]:
-    """Return the faults of a run in order of time; they follow closely and may overlap."""
+def schedule_faults(
+    seed: int, seconds: float, faults: list[str], calm_s: float = 0.0
+) -> list[ScheduledFault]:
+    """Return the faults of a run in order of time; they follow closely and may overlap.
+
+    With `calm_s`, each fault or pair of faults is followed by at least so much time without any.
+    """
     rng = random.Random(seed)
     schedule: list[ScheduledFault] = []
     remaining: list[str] = []
     start_s = WARM_UP_S
-    while start_s + MIN_FAULT_S < seconds:
+    while faults and start_s + MIN_FAULT_S < seconds:
+        durations_s = []
         for _ in range(2 if rng.random() < PAIR_PROBABILITY else 1):
             remaining = remaining or rng.sample(faults, len(faults))
             duration_s = min(rng.uniform(MIN_FAULT_S, MAX_FAULT_S), seconds - start_s)
+            durations_s.append(duration_s)
             schedule.append(
                 ScheduledFault(start_s, remaining.pop(), duration_s, rng.randrange(1 << 30))
             )
         start_s += rng.uniform(0.3, 1.0) * schedule[-1].duration_s + rng.uniform(0.0, MAX_GAP_S)
+        if calm_s:
+            start_s = max(start_s, schedule[-1].start_s + max(durations_s) + calm_s)
     return schedule
 
 
--- a/baobabhoist/platform/testing/soak_records.py
+++ b/baobabhoist/platform/testing/soak_records.py
@@ -6,6 +6,8 @@
 
 import attrs
 
+from baobabhoist.platform.testing.soak_advice import AdvicePolicy
+
 JsonObject = dict[str, Any]
 
 INF = float("inf")
@@ -25,7 +27,13 @@
     attempts: int
     cancel_sent: float = 0.0
     body: str = ""
-    needs_advice: bool = False
+    # What the adviser approves, or None if the queue needs no advice.
+    advice: AdvicePolicy | None = None
+
+    def may_run_on(self, step_number: int, worker: str) -> bool:
+        """Return whether a worker is approved for a step, or no approval is needed."""
+        step = f"{self.job_id}.0.{step_number}"
+        return self.advice is None or self.advice.approves(step, worker)
 
 
 @attrs.frozen
--- a/baobabhoist/platform/testing/soak_starvation.py
+++ b/baobabhoist/platform/testing/soak_starvation.py
@@ -77,12 +77,7 @@
         self.observed_until = max(request_ends, default=0.0)
 
     def find_starvation(self, job: SubmittedJob) -> Span | None:
-        """Return the longest span in which an accepted job starves, if there is one.
-
-        Jobs of queues with advice are left out: whether tickets are at hand is not known.
-        """
-        if job.needs_advice:
-            return None
+        """Return the longest span in which an accepted job starves, if there is one."""
         lifetime = self._lifetime(job)
         spans = [
             starving
@@ -164,8 +159,8 @@
         """Return whether the guarantee demands that a step of a job starts."""
         usage = self.usage_history.usage_at(t)
         return any(
-            self._has_turn(job, number, t) and self._has_room(job, step, usage, t)
-            for number, step in enumerate(job.steps)
+            self._has_turn(job, number, t) and self._has_room(job, number, usage, t)
+            for number in range(len(job.steps))
         )
 
     def _has_turn(self, job: SubmittedJob, number: int, t: float) -> bool:
@@ -193,8 +188,9 @@
             return INF
         return min((t for t in self.crash_times[run.worker] if t >= run.end), default=INF)
 
-    def _has_room(self, job: SubmittedJob, step: JsonObject, usage: Usage, t: float) -> bool:
-        """Return whether the workers and the limit of the team leave room for a step."""
+    def _has_room(self, job: SubmittedJob, number: int, usage: Usage, t: float) -> bool:
+        """Return whether the approved workers and the team's limit leave room for a step."""
+        step = job.steps[number]
         member_count = step["count"] if step.get("gang") else 1
         limit = min(limits_in_force(self.driver_log, job.team, t), default=0.0)
         used = usage.cpu_by_team[job.team]
@@ -202,4 +198,4 @@
         has_team_room = (
             used < TEAM_SHARE_MAX * limit and used + member_count * step["cpu"] <= limit
         )
-        return has_team_room and usage.count_slots(step) >= ROOM_FACTOR * member_count
+        return has_team_room and usage.count_slots(job, number) >= ROOM_FACTOR * member_count
--- a/baobabhoist/platform/testing/soak_usage.py
+++ b/baobabhoist/platform/testing/soak_usage.py
@@ -20,11 +20,13 @@
     free_by_worker: dict[str, dict[str, int]]
     cpu_by_team: Counter[str]
 
-    def count_slots(self, step: JsonObject) -> int:
-        """Return how many tasks of a step there is room for."""
+    def count_slots(self, job: SubmittedJob, step_number: int) -> int:
+        """Return for how many tasks of a step the approved workers have room."""
+        step = job.steps[step_number]
         counts = (
             min(free[resource] // step[resource] for resource in free)
-            for free in self.free_by_worker.values()
+            for worker, free in self.free_by_worker.items()
+            if job.may_run_on(step_number, worker)
         )
         return sum(min(count, step.get("maxPerServer", count)) for count in counts)
 
--- a/baobabhoist/platform/testing/workers.py
+++ b/baobabhoist/platform/testing/workers.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import itertools
-import zlib
 from collections.abc import Container, Iterable
 from pathlib import Path
 from typing import Any
@@ -14,13 +13,18 @@
 from tornado.web import Application, RequestHandler
 
 from baobabhoist.platform.testing.simulated_worker import Worker, WorkerHub
+from baobabhoist.platform.testing.soak_advice import (
+    PROFILES,
+    AdviserQueue,
+    approved_workers,
+    issue_ticket,
+)
 from baobabhoist.platform.testing.soak_checker import WORKER_CAPACITY
 from baobabhoist.platform.testing.store import drop_connection
 
 FLAGS = flags.FLAGS
 
 TARGET_HEADER = "X-Target-Instance"
-TICKET_VALIDITY_MS = 2_000
 LATE_COMMAND_MIN_S, LATE_COMMAND_MAX_S = 2.0, 6.0
 # Each worker's clock runs slower than real time by up to this fraction.
 CLOCK_SLOWDOWN_MAX = 0.02
@@ -99,18 +103,27 @@
 
 
 class AdviserHandler(RequestHandler):
-    """Act as the placement adviser, which approves three of four workers for a step."""
+    """Act as the placement adviser towards one machine, whose calls it handles in turn."""
+
+    def initialize(self, hub: WorkerHub, queue: AdviserQueue) -> None:
+        """Set the workers, and the calls of the machine."""
+        self.hub, self.queue = hub, queue
 
     async def post(self) -> None:
         """Return tickets for the approved workers."""
         body = orjson.loads(self.request.body)
-        await asyncio.sleep(0.02)
+        step, workers = body["step"], body["workers"]
+        policy = self.hub.profile.policy_of(step.partition(".")[0])
+        if self.queue.is_full or policy is None:
+            self.set_status(429 if policy else 400)
+            return
+        await self.queue.process(policy.cost_s(len(workers)))
         approved = [
-            [worker, "ticket"]
-            for worker in body["workers"]
-            if zlib.crc32((body["step"] + worker).encode()) % 4
+            [name, issue_ticket(step, name, worker.started_unix_ms, policy.validity_ms)]
+            for name in approved_workers(policy, step, workers)
+            if (worker := self.hub.workers.get(name)) is not None
         ]
-        self.finish({"approved": approved, "validityMs": TICKET_VALIDITY_MS})
+        self.finish({"approved": approved, "validityMs": policy.validity_ms})
 
 
 class ControlHandler(RequestHandler):
@@ -169,13 +182,15 @@
 
 
 async def serve(
-    hub: WorkerHub, spares: Container[str], control_port: int, adviser_port: int
+    hub: WorkerHub, spares: Container[str], control_port: int, adviser_ports: Iterable[int]
 ) -> None:
     """Serve all workers and the adviser until cancelled; the spare workers join on command."""
     for worker in hub.workers.values():
         handlers = [(r"/-/(?:run-start|run-stop|hold)", WorkerCommandHandler, {"worker": worker})]
         Application(handlers).listen(worker.port, "127.0.0.1")
-    Application([(r"/-/advise", AdviserHandler)]).listen(adviser_port, "127.0.0.1")
+    for port in adviser_ports:
+        adviser = {"hub": hub, "queue": AdviserQueue()}
+        Application([(r"/-/advise", AdviserHandler, adviser)]).listen(port, "127.0.0.1")
     commands = Application([(r"/workers/(.+)", ControlHandler, {"hub": hub})])
     commands.listen(control_port, "127.0.0.1")
     for worker in hub.workers.values():
@@ -186,16 +201,18 @@
 
 def main(argv: list[str]) -> None:
     """Serve the workers that the flags describe."""
-    hub = WorkerHub(Path(FLAGS.log), FLAGS.store)
+    hub = WorkerHub(Path(FLAGS.log), FLAGS.store, profile=PROFILES[FLAGS.profile])
     add_workers(hub, FLAGS.workers)
-    asyncio.run(serve(hub, FLAGS.spares, FLAGS.control_port, FLAGS.adviser_port))
+    adviser_ports = map(int, FLAGS.adviser_ports)
+    asyncio.run(serve(hub, FLAGS.spares, FLAGS.control_port, adviser_ports))
 
 
 if __name__ == "__main__":
     flags.DEFINE_list("workers", [], "Workers as ID:PORT:ADVERTISED_PORT:RACK:DATA_CENTRE.")
     flags.DEFINE_list("spares", [], "Ids of the workers that join only on command.")
     flags.DEFINE_integer("control_port", 0, "Port for commands of the soak.")
-    flags.DEFINE_integer("adviser_port", 0, "Port of the placement adviser.")
+    flags.DEFINE_list("adviser_ports", [], "Ports of the placement adviser, one a machine.")
+    flags.DEFINE_enum("profile", "mixed", sorted(PROFILES), "Which queues need advice.")
     flags.DEFINE_string("store", "", "Address of the store.")
     flags.DEFINE_string("log", "", "Path of the log of runs.")
     app.run(main)
--- a/baobabhoist/tests/test_platform_soak.py
+++ b/baobabhoist/tests/test_platform_soak.py
@@ -19,7 +19,9 @@
 FAULT_LISTS = {
     "common faults": ["kill", "stop", "cut_store", "worker_crash", "store_loses"],
     "takeovers during outages": ["outage_takeover"],
+    "advice and scheduling as deployed": ["kill", "worker_crash"],
 }
+PROFILE_NAMES = {"advice and scheduling as deployed": "deployed"}
 
 
 def test_schedule_depends_on_the_seed_alone() -> None:
@@ -57,7 +59,8 @@
     """Guard against instances that break a guarantee under a few faults."""
 
     async def run(cluster: Cluster) -> soak.Soak:
-        driver = soak.Soak(Deployment(cluster), random.Random(SEED))
+        deployment = Deployment(cluster, profile=PROFILE_NAMES.get(name, "mixed"))
+        driver = soak.Soak(deployment, random.Random(SEED))
         await driver.run(SECONDS, soak_faults.schedule_faults(SEED, SECONDS, FAULT_LISTS[name]))
         return driver
 
--- a/baobabhoist/tests/test_platform_soak_starvation.py
+++ b/baobabhoist/tests/test_platform_soak_starvation.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from baobabhoist.platform.testing.soak_advice import AdvicePolicy
 from baobabhoist.platform.testing.soak_checker import GuaranteeChecker
 from baobabhoist.platform.testing.soak_records import SubmittedJob, Team
 from baobabhoist.tests.test_platform_soak_checker import (
@@ -25,6 +26,8 @@
 WORKERS = [{"t": 0.0, "event": "joined", "worker": f"w{n}"} for n in (1, 2, 3)]
 ACCEPTED = caller_request("submit", 9.0, 200)
 SEEN_RUNNING = caller_request("state", 19.9, 200, "running")
+# Of the workers w1 to w3 it approves only w3 for the first step of the job.
+APPROVES_W3 = AdvicePolicy(0, 0, 2_000, 0.5)
 FAULT = {"event": "window", "t": 5.0, "until": 9.0, "fault": "kill"}
 LOST_RUN = [run_start(9.5), run_end(10.0, "crashed")]
 
@@ -93,6 +96,15 @@
     assert breach == f"LOST {JOB} starves for 7.0 s from 13.000"
 
 
+def test_job_that_waits_for_advice_starves() -> None:
+    """Guard against a check that passes over all jobs whose queue has advice (issue 46)."""
+    advice = AdvicePolicy(0, 0, 2_000, 1.0)
+    (breach,) = find_starving_jobs([], [FAULT], advice=advice)
+    assert breach == f"LOST {JOB} starves for 7.0 s from 13.000"
+    on_refused_workers = [*other_runs(4, "w1"), *other_runs(4, "w2")]
+    assert find_starving_jobs(on_refused_workers, [FAULT], advice=APPROVES_W3)
+
+
 def test_starvation_ends_with_the_next_run() -> None:
     """Guard against a bound that is longer than that of the guarantee."""
     next_run = [run_start(16.1, run=2), run_end(19.5, "stopped", run=2)]
@@ -154,7 +166,13 @@
     ),
     "shown as final": ([], [FAULT], [caller_request("state", 12.0, 200, "failed")], {}),
     "running": ([run_start(9.5)], [FAULT], [], {}),
-    "advice may admit no worker": ([], [FAULT], [], {"needs_advice": True}),
+    "no worker is approved": ([], [FAULT], [], {"advice": AdvicePolicy(0, 0, 2_000, 0.0)}),
+    "without room on the approved workers": (
+        other_runs(4, "w3"),
+        [FAULT],
+        [],
+        {"advice": APPROVES_W3},
+    ),
 }
 
 
