Let no gang hold back an idle job of a team that uses less than half of its limit

Callers saw accepted jobs with nothing running although their team and the approved workers had room (LOST), many of one team at once, beside 429 for team_limit.

Cause: a gang that waits until its team's limit, or enough workers, admit all its members reserves the rest for itself. Only tasks that are expected to end before the reserved start may run ahead, so all other jobs of the team stand still until the gang starts or is worth nothing, which takes up to three times its objective. The class: a wait without a bound for the sake of something else.

Ruled out: taking the reservation away; gangs larger than half of the limit would never start.

Now a job of which nothing has run for 1.5 s is not held back while its team uses less than half of its limit. Room that a preemption freed is kept as before.

--- a/baobabhoist/cell/jobs.py
+++ b/baobabhoist/cell/jobs.py
@@ -197,6 +197,9 @@
         """Make a run the current run of its task."""
         if run.task.run is None and not run.task.is_done:
             self.waiting_count -= 1
+        if run.task.run is None:
+            self.job.active_run_count += 1
+            self.job.idle_since_ms = None
         run.task.run = run
         run.task.last_run_number = max(run.task.last_run_number, run.number)
 
@@ -204,6 +207,7 @@
         """Remove an ended run from its task."""
         if run.task.run is run:
             run.task.run = None
+            self.job.active_run_count -= 1
             if not run.task.is_done:
                 self.waiting_count += 1
 
@@ -235,6 +239,10 @@
     opened_count: int = 0
     # This owner has stopped runs of this job in favour of another one.
     was_preempted: bool = False
+    # Runs of its tasks that have not ended as far as this owner knows.
+    active_run_count: int = 0
+    # Since when none of its tasks has run, if tasks wait.
+    idle_since_ms: float | None = None
     # Cached until a step is opened or done.
     _remaining_critical_path_ms: float | None = None
 
@@ -260,6 +268,11 @@
             self.objective_ms - self.accepted_local_ms
         )
 
+    def mark_idle(self, since_ms: float) -> None:
+        """Record that nothing of the job has run since a time, unless it has runs."""
+        if self.idle_since_ms is None and not self.active_run_count:
+            self.idle_since_ms = since_ms
+
     def mark_running(self) -> None:
         """Record that a task has started."""
         if self.phase is JobPhase.QUEUED:
--- a/baobabhoist/cell/model.py
+++ b/baobabhoist/cell/model.py
@@ -201,6 +201,18 @@
         """Return whether any resource is limited."""
         return self.limit != NO_RESOURCES
 
+    def is_half_used(self, used: Resources) -> bool:
+        """Return whether an allocation takes half of the limit of any resource."""
+        limit = self.limit
+        return any(
+            amount and 2 * in_use >= amount
+            for in_use, amount in (
+                (used.cpu, limit.cpu),
+                (used.memory_mb, limit.memory_mb),
+                (used.gpu, limit.gpu),
+            )
+        )
+
     def allows(self, total: Resources) -> bool:
         """Return whether a total allocation stays within the limit."""
         return (
--- a/baobabhoist/cell/placer.py
+++ b/baobabhoist/cell/placer.py
@@ -48,7 +48,11 @@
         lambda self: AdviceRequester(self.state), takes_self=True
     )
     reservations: Reservations = attrs.Factory(
-        lambda self: Reservations(self.state.expected_run_ms, self.state.policy.backfills),
+        lambda self: Reservations(
+            self.state.expected_run_ms,
+            self.state.is_team_half_used,
+            self.state.policy.backfills,
+        ),
         takes_self=True,
     )
     preemptions: Preemptions = attrs.Factory(lambda self: Preemptions(self.state), takes_self=True)
@@ -108,6 +112,7 @@
         may_start: bool,
     ) -> None:
         """Start the tasks of a step that fit, and request advice for those that still wait."""
+        step.job.mark_idle(now)
         max_free_cpu = worker_index.max_free_cpu(self.state.service_of(step.job))
         if not may_start or step.spec.allocation.cpu > max_free_cpu:
             step.wait_reason = _reason_without_cpu(max_free_cpu, may_start)
--- a/baobabhoist/cell/preemptions.py
+++ b/baobabhoist/cell/preemptions.py
@@ -70,7 +70,7 @@
         self.holds = {key: hold for key, hold in self.holds.items() if _is_needed(hold, now)}
         self._retry_ms = {key: ms for key, ms in self._retry_ms.items() if ms > now}
         for hold in self.holds.values():
-            reservations.hold(hold.step, hold.workers, now)
+            reservations.hold(hold.step, hold.workers, now, is_freed_room=True)
 
     def preempt_for(
         self,
@@ -95,7 +95,7 @@
         self.holds[step.key] = Hold(
             step, preemption.workers, now + HOLD_MS, step.waiting_count - preemption.served_count
         )
-        reservations.hold(step, preemption.workers, now)
+        reservations.hold(step, preemption.workers, now, is_freed_room=True)
 
     def _may_examine(self, step: StepState, now: float) -> bool:
         """Return whether victims may be sought for a step now; each search takes long."""
--- a/baobabhoist/cell/reservations.py
+++ b/baobabhoist/cell/reservations.py
@@ -7,7 +7,7 @@
 import attrs
 
 from baobabhoist.cell.gang_forecast import GangStart, forecast_start
-from baobabhoist.cell.jobs import StepState
+from baobabhoist.cell.jobs import JobState, StepState
 from baobabhoist.cell.model import StepKey
 from baobabhoist.cell.worker_selection import count_fitting_tasks, max_tasks_per_worker
 from baobabhoist.cell.workers import WorkerState
@@ -25,6 +25,9 @@
 MAX_FORECAST_WORKERS_PER_MEMBER = 3
 # Forecasts take long, so one round makes no more than these.
 MAX_FORECASTS_PER_ROUND = 8
+# No gang holds back a job of which nothing has run for this long, unless its team uses half of its
+# limit. The job still has to get advice before it counts as starved.
+MAX_IDLE_MS = 1_500.0
 # A gang that was given up makes no reservation for this long.
 GIVE_UP_MS = 1_000.0
 
@@ -34,10 +37,12 @@
     """Hold for which step a worker or a team's limit is reserved, and when it will probably start.
 
     Without a forecast the start is the time of the reservation, so that nothing may run ahead.
+    Room that was freed for the step is kept from idle jobs as well.
     """
 
     step: StepState
     start_ms: float
+    is_freed_room: bool = False
 
 
 @attrs.frozen
@@ -69,6 +74,8 @@
 
     # Returns how long a task of a step will probably run on a worker.
     expected_run_ms: Callable[[StepState, str], float]
+    # Returns whether the team of a job has half of its limit in use.
+    is_team_half_used: Callable[[JobState], bool]
     # Small tasks may run on reserved workers if they end before the reserved start.
     backfills: bool = False
     by_worker: dict[str, Reservation] = attrs.Factory(dict)
@@ -100,8 +107,17 @@
         reservation = self.by_worker.get(worker.worker_id)
         if reservation is None or reservation.step is step:
             return True
+        if not reservation.is_freed_room and self._is_held_too_long(step):
+            return True
         return self._ends_before(reservation, worker.worker_id, step)
 
+    def _is_held_too_long(self, step: StepState) -> bool:
+        """Return whether a job has been idle for so long that no gang holds it back."""
+        idle_since_ms = step.job.idle_since_ms
+        if idle_since_ms is None or self._now - idle_since_ms < MAX_IDLE_MS:
+            return False
+        return not self.is_team_half_used(step.job)
+
     def _ends_before(self, reservation: Reservation, worker_id: str, step: StepState) -> bool:
         """Return whether a task may run ahead, because it ends before the reserved start."""
         left_ms = reservation.start_ms - self._now
@@ -122,7 +138,7 @@
     def is_team_limit_available(self, team: str, step: StepState) -> bool:
         """Return whether the rest of a team's limit is not reserved for another step."""
         reservation = self.by_team.get(team)
-        if reservation is None or reservation.step is step:
+        if reservation is None or reservation.step is step or self._is_held_too_long(step):
             return True
         return self._ends_before(reservation, UNKNOWN_WORKER, step)
 
@@ -179,10 +195,17 @@
         self.hold(step, start.workers, start.start_ms)
         return True
 
-    def hold(self, step: StepState, workers: tuple[WorkerState, ...], start_ms: float) -> None:
+    def hold(
+        self,
+        step: StepState,
+        workers: tuple[WorkerState, ...],
+        start_ms: float,
+        *,
+        is_freed_room: bool = False,
+    ) -> None:
         """Reserve workers for a step that will probably start at a time."""
         for worker in workers:
-            self.by_worker[worker.worker_id] = Reservation(step, start_ms)
+            self.by_worker[worker.worker_id] = Reservation(step, start_ms, is_freed_room)
 
     def is_unreserved(self, worker: WorkerState, step: StepState) -> bool:
         """Return whether a worker is not reserved for another step, not even for later."""
--- a/baobabhoist/cell/state.py
+++ b/baobabhoist/cell/state.py
@@ -144,6 +144,11 @@
             return True
         return team.allows(self.team_usage[job.accepted.team].plus(need))
 
+    def is_team_half_used(self, job: JobState) -> bool:
+        """Return whether the team of a job has half of its resource limit in use."""
+        team = self.team_of(job)
+        return team is not None and team.is_half_used(self.team_usage[job.accepted.team])
+
     def runs_of(self, team: Team) -> Iterator[Run]:
         """Yield the runs of a team."""
         for worker in self.workers.values():
--- a/baobabhoist/tests/test_cell_reservations.py
+++ b/baobabhoist/tests/test_cell_reservations.py
@@ -75,12 +75,12 @@
     return CellHarness.with_workers(workers, policy=SchedulingPolicy(backfills=True))
 
 
-def gather_a_gang(harness, long_ms=4_000):
+def gather_a_gang(harness, long_ms=4_000, gang_ms=400):
     """Let a gang wait for two workers, each with one long run and room for three more tasks."""
     for number in range(2):
         harness.submit(make_job(f"{number:016x}", Step(1, SMALL.times(3), long_ms)))
     harness.settle()
-    harness.submit(make_job(GANG, Step(8, SMALL, 400, gang=True)))
+    harness.submit(make_job(GANG, Step(8, SMALL, gang_ms, gang=True)))
     harness.settle()
 
 
@@ -188,6 +188,72 @@
     assert running_jobs(harness) == {"0" * 16, "b" * 16}
 
 
+def wait_until_jobs_would_starve(harness):
+    """Let pass for how long an accepted job may stand still although it could run."""
+    harness.now += 3_000.0
+    harness.settle()
+
+
+def test_a_team_does_not_stand_still_while_its_gang_waits_for_the_rest_of_the_limit():
+    """Guard against jobs that starve behind a gang although their team has room (issue 46)."""
+    rules = make_rules(limit=SMALL.times(16))
+    harness = CellHarness.with_workers(5, rules, SchedulingPolicy(backfills=True))
+    harness.submit(make_job("0" * 16, Step(1, SMALL, 20_000)))
+    harness.settle()
+    harness.submit(make_job(GANG, Step(16, SMALL, 10_000, gang=True)))
+    for number in range(5):
+        harness.submit(make_job(f"c{number:015x}", Step(1, SMALL, 30_000)))
+    harness.settle()
+    assert running_jobs(harness) == {"0" * 16}
+    wait_until_jobs_would_starve(harness)
+    assert running_jobs(harness) == {"0" * 16, *(f"c{number:015x}" for number in range(5))}
+
+
+def test_idle_jobs_take_no_more_than_half_of_the_limit_that_a_gang_waits_for():
+    """Guard against gangs that never start because jobs that wait as well use up the limit."""
+    rules = make_rules(limit=SMALL.times(16))
+    harness = CellHarness.with_workers(5, rules, SchedulingPolicy(backfills=True))
+    harness.submit(make_job("0" * 16, Step(8, SMALL, 4_000)))
+    harness.settle()
+    harness.submit(make_job(GANG, Step(16, SMALL, 10_000, gang=True)))
+    harness.submit(make_job("c" * 16, Step(1, SMALL, 30_000)))
+    wait_until_jobs_would_starve(harness)
+    assert running_jobs(harness) == {"0" * 16}
+
+
+def test_a_job_does_not_stand_still_while_a_gang_gathers_the_workers():
+    """Guard against jobs that starve on free workers that wait for a gang (issue 46)."""
+    harness = backfilling_harness()
+    gather_a_gang(harness, long_ms=15_000, gang_ms=4_000)
+    harness.submit(make_job("c" * 16, Step(1, SMALL, 30_000)))
+    harness.settle()
+    assert "c" * 16 not in running_jobs(harness)
+    wait_until_jobs_would_starve(harness)
+    assert "c" * 16 in running_jobs(harness)
+
+
+def test_a_job_that_lost_its_worker_is_not_held_back_as_well():
+    """Guard against a lease and a wait behind a gang that add up to a starving job (issue 46)."""
+    rules = make_rules(limit=SMALL.times(18))
+    harness = CellHarness.with_workers(6, rules, SchedulingPolicy(backfills=True))
+    harness.submit(make_job("c" * 16, Step(1, SMALL, 30_000)))
+    harness.settle()
+    lost_worker = harness.worker_running(make_task_key("c" * 16))
+    harness.submit(make_job("0" * 16, Step(1, SMALL.times(4), 0, lasting=True)))
+    harness.settle()
+    harness.submit(make_job(GANG, Step(16, SMALL, 10_000, gang=True)))
+    lost_worker.crash()
+    lost_worker.is_up = False
+    harness.cell.unlist_worker(lost_worker.worker_id, harness.now)
+    del harness.workers[lost_worker.worker_id]
+    (task,) = harness.cell.find_job("c" * 16).steps[(0, 0)].tasks
+    lost_run = task.run
+    while task.run is lost_run:
+        harness.advance(100.0)
+    harness.advance(200.0)
+    assert "c" * 16 in running_jobs(harness)
+
+
 def test_many_gangs_beyond_their_teams_limit_take_few_forecasts_a_round(monkeypatch):
     """Guard against rounds that look at all runs for each waiting gang of a team."""
     forecasts = []
