--- a/baobabhoist/cell/waiting_summary.py
+++ b/baobabhoist/cell/waiting_summary.py
@@ -55,6 +55,21 @@
     waited_ms: float
 
 
+@attrs.define
+class IdleSummary:
+    """Count the idle jobs whose team uses less than half of its limit, by why a step waits."""
+
+    jobs_by_reason: dict[WaitReason, set[str]] = attrs.Factory(dict)
+    oldest: StepState | None = None
+    oldest_ms: float = 0.0
+
+    def add(self, step: StepState, reason: WaitReason, idle_ms: float) -> None:
+        """Add a waiting step of an idle job."""
+        self.jobs_by_reason.setdefault(reason, set()).add(step.job.job_id)
+        if self.oldest is None or idle_ms > self.oldest_ms:
+            self.oldest, self.oldest_ms = step, idle_ms
+
+
 @attrs.define
 class WaitingSummary:
     """Summarize what waits and on which workers, at one moment."""
@@ -71,6 +86,8 @@
     oldest_starting: Run | None = None
     # The runs on silent workers for which tasks wait.
     awaited: AwaitedSummary = attrs.Factory(AwaitedSummary)
+    # The jobs of which nothing has run for longer than the threshold.
+    idle: IdleSummary = attrs.Factory(IdleSummary)
 
     @property
     def steps(self) -> int:
@@ -150,6 +167,7 @@
             summary.by_reason.setdefault(reason, ReasonSummary()).add(step, duration_ms)
             if duration_ms > long_wait_ms:
                 summary.long_waits.append(LongWait(step.key, reason, duration_ms))
+            _add_idle(summary, step, reason, state, now, long_wait_ms)
     free_cpu = [0]
     for worker in state.workers.values():
         condition = worker_condition(worker, now)
@@ -163,6 +181,19 @@
     return summary
 
 
+def _add_idle(
+    summary: WaitingSummary,
+    step: StepState,
+    reason: WaitReason,
+    state: CellState,
+    now: float,
+    long_wait_ms: float,
+) -> None:
+    idle_ms = now - step.job.idle_since_ms if step.job.idle_since_ms is not None else 0.0
+    if idle_ms > long_wait_ms and not state.is_team_half_used(step.job):
+        summary.idle.add(step, reason, idle_ms)
+
+
 def _add_run(summary: WaitingSummary, run: Run, now: float) -> None:
     summary.runs[run.phase] += 1
     if run.phase is not RunPhase.STARTING:
--- a/baobabhoist/control/waiting_report.py
+++ b/baobabhoist/control/waiting_report.py
@@ -15,6 +15,7 @@
 from baobabhoist.cell.wait_reasons import WaitReason
 from baobabhoist.cell.waiting_summary import (
     CPU_UNITS_PER_CORE,
+    IdleSummary,
     LongWait,
     ReasonSummary,
     WaitingSummary,
@@ -128,6 +129,7 @@
             oldest_start=_run_id(summary.oldest_starting),
             oldest_start_ms=round(summary.oldest_starting_ms),
             **_awaited_fields(summary.awaited),
+            **_idle_fields(summary.idle),
             rounds=self.rounds.count,
             round_mean_ms=round(self.rounds.mean_ms, 2),
             round_longest_ms=round(self.rounds.longest_ms, 2),
@@ -183,5 +185,14 @@
     }
 
 
+def _idle_fields(idle: IdleSummary) -> dict[str, Any]:
+    """Return how many jobs have had nothing running for long, and the one idle longest."""
+    return {
+        "idle_jobs": {reason.value: len(jobs) for reason, jobs in idle.jobs_by_reason.items()},
+        "oldest_idle": step_id(idle.oldest.key) if idle.oldest is not None else "",
+        "oldest_idle_ms": round(idle.oldest_ms),
+    }
+
+
 def _run_id(run: Run | None) -> str:
     return f"{run.task.key.to_text()} on {run.worker_id}" if run is not None else ""
--- a/baobabhoist/tests/test_control_waiting_report.py
+++ b/baobabhoist/tests/test_control_waiting_report.py
@@ -18,7 +18,8 @@
 from baobabhoist.observability.events import EVENT_ATTRIBUTE, Event, JsonFormatter
 from baobabhoist.tests.cell_harness import SMALL, CellHarness, make_job, make_rules
 
-ADVICE_RULES = make_rules(advice=AdviceTerms(10.0, 1.0, 2_000))
+ADVICE_TERMS = AdviceTerms(10.0, 1.0, 2_000)
+ADVICE_RULES = make_rules(advice=ADVICE_TERMS)
 TICK_MS = 100.0
 # A line fits into one atomic write to a pipe.
 MAX_LINE_BYTES = 4096
@@ -73,6 +74,28 @@
     assert line["oldest_tickets"] == {"valid": 0, "approved": 0, "refused": 0}
 
 
+def test_line_counts_the_jobs_that_stand_still_although_their_team_has_room(lines):
+    """Guard against steps of jobs that run and jobs that stand still told apart by nobody."""
+    harness = CellHarness.with_workers(3, make_rules(limit=SMALL.times(10), advice=ADVICE_TERMS))
+    harness.submit(make_job("0" * 16, Step(2, SMALL, 60_000)))
+    run_ticks(harness, make_reporter(), LONG_WAIT_MS + REPORT_INTERVAL_MS + TICK_MS)
+    line = lines()[-1]
+    assert line["idle_jobs"] == {"no_advice": 1}
+    assert line["oldest_idle"] == "0" * 16 + ".0.0"
+    assert line["oldest_idle_ms"] > LONG_WAIT_MS
+
+
+def test_jobs_of_a_team_that_uses_half_of_its_limit_do_not_count_as_idle(lines):
+    """Guard against a count of idle jobs that includes those that the team's limit holds."""
+    harness = CellHarness.with_workers(3, make_rules(limit=SMALL.times(4)))
+    harness.submit(make_job("0" * 16, Step(4, SMALL, 60_000)))
+    harness.settle()
+    harness.submit(make_job("b" * 16, Step(1, SMALL, 60_000)))
+    run_ticks(harness, make_reporter(), LONG_WAIT_MS + REPORT_INTERVAL_MS + TICK_MS)
+    line = lines()[-1]
+    assert (line["reason"], line["idle_jobs"], line["oldest_idle"]) == ("team_limit", {}, "")
+
+
 def test_line_answers_whether_starts_are_paused(lines):
     """Guard against an owner without a confirmed claim that looks like a full cell."""
     harness = CellHarness.with_workers(1)
