--- a/baobabhoist/control/metrics.py
+++ b/baobabhoist/control/metrics.py
@@ -14,6 +14,7 @@
 from baobabhoist.cell.wait_reasons import WaitReason
 from baobabhoist.cell.wasted_work import WastedWork
 from baobabhoist.cell.worker_conditions import WorkerCondition
+from baobabhoist.control.clock import MS_PER_S
 from baobabhoist.control.interfaces import AdviceOutcome
 from baobabhoist.observability.metrics import (
     CLASS_LABELS_MAX,
@@ -31,7 +32,6 @@
 CALL_BUCKETS_S = (0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.25, 0.5, 1.0, 2.0, INF)
 TAKEOVER_BUCKETS_S = (0.05, 0.1, 0.25, 0.5, 1.0, 2.0, 5.0, 10.0, INF)
 AWAITED_RUN_BUCKETS_S = (1.0, 2.5, 5.0, 7.5, 10.0, 15.0, 20.0, 25.0, 30.0, 60.0, INF)
-MS_PER_S = 1000.0
 REASON_LABELS_MAX = 32
 NO_TEAM_LABEL = "none"
 
