--- a/baobabhoist/platform/testing/soak.py
+++ b/baobabhoist/platform/testing/soak.py
@@ -32,6 +32,7 @@
 from baobabhoist.platform.testing.soak_faults import FAULTS
 from baobabhoist.platform.testing.soak_late_returns import LATE_STARTS_AT_RETURN
 from baobabhoist.platform.testing.soak_late_starts import LATE_STARTS
+from baobabhoist.platform.testing.soak_load import NO_BURST, Burst
 from baobabhoist.platform.testing.soak_records import SubmittedJob, Team
 from baobabhoist.platform.testing.soak_starvation import ROOM_FACTOR
 from baobabhoist.platform.testing.soak_takeover import OUTAGE_TAKEOVER
@@ -109,6 +110,8 @@
     team_cpu_limits: dict[str, int] = attrs.field(init=False)
     api_keys: dict[str, list[str]] = attrs.field(init=False)
     load_factor: float = 1.0
+    # Which queues and teams of the profile's load send more than usual.
+    burst: Burst = NO_BURST
     has_outage_takeovers: bool = False
     has_late_starts: bool = False
     key_numbers: itertools.count[int] = attrs.Factory(lambda: itertools.count(1))
@@ -241,7 +244,7 @@
 
     def _draw_team(self, rng: random.Random) -> str:
         load = self.profile.load
-        return load.draw_team(rng) if load else rng.choice(list(self.usual_limits))
+        return load.draw_team(rng, self.burst) if load else rng.choice(list(self.usual_limits))
 
     def _draw_run_factor(self, rng: random.Random, queue: str) -> int:
         """Draw the factor by which the runs of a job are longer."""
@@ -362,15 +365,15 @@
     async def generate_load(self) -> None:
         """Submit jobs as a Poisson process until cancelled."""
         load = self.profile.load
-        jobs_per_s = load.jobs_per_s if load else JOBS_PER_S
         while True:
+            jobs_per_s = load.jobs_per_s(self.burst) if load else JOBS_PER_S
             job = self.new_job(self.rng, self._draw_queue())
             self.spawn(self.submit_and_follow(job))
             await asyncio.sleep(self.rng.expovariate(jobs_per_s * self.load_factor))
 
     def _draw_queue(self) -> str:
         load = self.profile.load
-        return load.draw_queue(self.rng) if load else self.rng.choice(QUEUE_MIX)
+        return load.draw_queue(self.rng, self.burst) if load else self.rng.choice(QUEUE_MIX)
 
     async def check_readiness(self) -> None:
         """Check whether the instances are ready, as the platform does."""
--- a/baobabhoist/platform/testing/soak_faults.py
+++ b/baobabhoist/platform/testing/soak_faults.py
@@ -12,6 +12,7 @@
 from typing import TYPE_CHECKING, Any
 
 from baobabhoist.platform.testing.simulated_worker import DATA_CENTRES
+from baobabhoist.platform.testing.soak_bursts import BURSTS
 from baobabhoist.platform.testing.soak_checker import EVACUATION_DEADLINE_S, GRACE_PERIOD_S
 from baobabhoist.platform.testing.soak_late_returns import (
     LATE_STARTS_AT_RETURN,
@@ -325,4 +326,5 @@
     "revoke": _revoke_key,
     "cancel_wave": _submit_and_cancel_jobs,
     "burst": _raise_load,
+    **BURSTS,
 }
--- a/baobabhoist/platform/testing/soak_load.py
+++ b/baobabhoist/platform/testing/soak_load.py
@@ -72,6 +72,17 @@
         return steps
 
 
+@attrs.frozen
+class Burst:
+    """Hold by which factors some queues and some teams send more jobs than usual."""
+
+    queue_factors: Mapping[str, float] = attrs.Factory(dict)
+    team_factors: Mapping[str, float] = attrs.Factory(dict)
+
+
+NO_BURST = Burst()
+
+
 @attrs.frozen
 class Load:
     """Hold the jobs of each queue, and the share of the teams in them."""
@@ -81,19 +92,27 @@
     # A team's limit is this multiple of what its jobs use on average.
     limit_factor: float
 
-    @property
-    def jobs_per_s(self) -> float:
+    def jobs_per_s(self, burst: Burst = NO_BURST) -> float:
         """Return how many jobs all queues get."""
-        return sum(shape.jobs_per_s for shape in self.shapes.values())
+        team_factor = sum(self._weights_in(burst)) / sum(self.team_weights.values())
+        return sum(self._rates_in(burst)) * team_factor
 
-    def draw_queue(self, rng: random.Random) -> str:
+    def draw_queue(self, rng: random.Random, burst: Burst = NO_BURST) -> str:
         """Draw the queue of a job."""
-        rates = [shape.jobs_per_s for shape in self.shapes.values()]
-        return rng.choices(list(self.shapes), rates)[0]
+        return rng.choices(list(self.shapes), self._rates_in(burst))[0]
 
-    def draw_team(self, rng: random.Random) -> str:
+    def draw_team(self, rng: random.Random, burst: Burst = NO_BURST) -> str:
         """Draw the team of a job."""
-        return rng.choices(list(self.team_weights), list(self.team_weights.values()))[0]
+        return rng.choices(list(self.team_weights), self._weights_in(burst))[0]
+
+    def _rates_in(self, burst: Burst) -> list[float]:
+        """Return how many jobs each queue gets from the usual teams."""
+        factors = burst.queue_factors
+        return [shape.jobs_per_s * factors.get(q, 1.0) for q, shape in self.shapes.items()]
+
+    def _weights_in(self, burst: Burst) -> list[float]:
+        factors = burst.team_factors
+        return [weight * factors.get(team, 1.0) for team, weight in self.team_weights.items()]
 
     def team_limits(self) -> dict[str, int]:
         """Return the limits of the teams in thousandths of a core."""
--- a/baobabhoist/platform/testing/soak_starvation.py
+++ b/baobabhoist/platform/testing/soak_starvation.py
@@ -27,7 +27,9 @@
 # A job starves only while its team uses less than this share of its limit.
 TEAM_SHARE_MAX = 0.5
 # Changes of the configuration and of the load disturb nothing.
-CALM_FAULTS = frozenset({"config", "revoke", "cancel_wave", "burst"})
+CALM_FAULTS = frozenset(
+    {"config", "revoke", "cancel_wave", "burst", "quick_burst", "gang_burst", "hot_team"}
+)
 FINAL_STATES = frozenset({"completed", "failed", "cancelled"})
 
 
--- a/baobabhoist/tests/test_platform_soak_advice.py
+++ b/baobabhoist/tests/test_platform_soak_advice.py
@@ -5,11 +5,16 @@
 import asyncio
 import itertools
 import random
+from collections import Counter
 
 import attrs
+import pytest
 
 from baobabhoist.platform.testing import soak_advice, soak_faults
 from baobabhoist.platform.testing.soak_advice import PROFILES, AdvicePolicy, AdviserQueue
+from baobabhoist.platform.testing.soak_bursts import BURSTS
+from baobabhoist.platform.testing.soak_load import Burst
+from baobabhoist.platform.testing.soak_starvation import CALM_FAULTS
 from baobabhoist.testing.simulated_loop import SimulatedLoop, run_simulated
 
 STEP = "a" * 15 + "2.0.0"
@@ -90,6 +95,27 @@
     assert sum(load.team_limits().values()) > 0
 
 
+def test_burst_raises_only_what_it_names() -> None:
+    """Guard against bursts that raise the load of other queues or teams too (issue 46)."""
+    load = PROFILES["deployed"].load
+    assert load is not None
+    quick, team = load.shapes["quick"].jobs_per_s, load.team_weights["team1"]
+    assert load.jobs_per_s(Burst({"quick": 2.0})) == pytest.approx(load.jobs_per_s() + quick)
+    share = team / sum(load.team_weights.values())
+    hot = Burst(team_factors={"team1": 3.0})
+    assert load.jobs_per_s(hot) == pytest.approx(load.jobs_per_s() * (1 + 2 * share))
+    rng = random.Random(1)
+    teams = Counter(load.draw_team(rng, hot) for _ in range(2_000))
+    assert teams["team1"] / 2_000 == pytest.approx(3 * share / (1 + 2 * share), abs=0.04)
+    queues = Counter(load.draw_queue(rng, Burst({"gangs": 0.0})) for _ in range(200))
+    assert not queues["gangs"]
+
+
+def test_bursts_disturb_nothing() -> None:
+    """Guard against a finder that overlooks all that starves around a burst (issue 46)."""
+    assert set(BURSTS) <= CALM_FAULTS
+
+
 def test_calm_follows_each_fault() -> None:
     """Guard against schedules without calm spans, in which no job can be seen to starve."""
     schedule = soak_faults.schedule_faults(3, 200.0, ["kill", "stop"], calm_s=9.0)
