Bound the memory of the soak's gangs as their CPU

The driver draws the id of a job until the workers that the adviser approves for it have room for it twice.

--- a/baobabhoist/platform/testing/soak.py
+++ b/baobabhoist/platform/testing/soak.py
@@ -199,7 +199,8 @@
             run_ms = rng.uniform(*run_ms_range[queue]) * self._draw_run_factor(rng, queue)
             steps = _draw_small_steps(rng, queue)
         else:
-            steps = load.shapes[queue].draw_steps(rng, self._gang_cpu_max(queue, team))
+            shape, team_limit = load.shapes[queue], self.usual_limits[team]
+            steps = shape.draw_steps(rng, *max_gang_resources(self.profile, queue, team_limit))
             run_ms = min(load.shapes[queue].run_ms.draw(rng), CHAIN_MAX_MS / len(steps))
         plan = {
             "run_ms": run_ms,
@@ -235,13 +236,6 @@
         has_room = places_per_worker * len(workers) >= ROOM_FACTOR * wanted
         return has_room and len(workers) >= APPROVED_WORKERS_MIN
 
-    def _gang_cpu_max(self, queue: str, team: str) -> int:
-        """Return the CPU that a gang may need so that it can start beside other jobs."""
-        policy = self.profile.advice.get(queue)
-        share = policy.approved_share if policy else 1.0
-        total_cpu = self.profile.worker_count * WORKER_CAPACITY["cpu"]
-        return min(self.usual_limits[team], round(share * total_cpu / ROOM_FACTOR))
-
     def _draw_team(self, rng: random.Random) -> str:
         load = self.profile.load
         return load.draw_team(rng, self.burst) if load else rng.choice(list(self.usual_limits))
@@ -460,6 +454,17 @@
         raise RuntimeError(f"the instances were not ready within {START_TIMEOUT_S} s")
 
 
+def max_gang_resources(profile: Profile, queue: str, team_cpu_limit: int) -> tuple[int, int]:
+    """Return the CPU and the memory of which a gang may need no more, so that it can start."""
+    policy = profile.advice.get(queue)
+    approved_count = profile.worker_count * (policy.approved_share if policy else 1.0)
+    cpu, memory_mb = (
+        round(approved_count * WORKER_CAPACITY[resource] / ROOM_FACTOR)
+        for resource in ("cpu", "memMb")
+    )
+    return min(team_cpu_limit, cpu), memory_mb
+
+
 def _draw_small_steps(rng: random.Random, queue: str) -> list[dict[str, Any]]:
     """Draw the steps of a job that is small beside the workers."""
     task_counts = {"quick": (1, 3), "batch": (2, 8), "gangs": (2, 4)}[queue]
--- a/baobabhoist/platform/testing/soak_load.py
+++ b/baobabhoist/platform/testing/soak_load.py
@@ -50,18 +50,21 @@
         tasks_per_s = self.jobs_per_s * self.steps.mean * self.width.mean
         return tasks_per_s * self.cpu.mean * self.run_ms.mean / 1000
 
-    def draw_steps(self, rng: random.Random, cpu_max: int) -> list[dict[str, Any]]:
-        """Draw the steps of a job; a gang needs no more than `cpu_max` in all."""
+    def draw_steps(
+        self, rng: random.Random, cpu_max: int, memory_mb_max: int
+    ) -> list[dict[str, Any]]:
+        """Draw the steps of a job; a gang needs no more than the maxima in all."""
         is_gang = rng.random() < self.gang_share
         saves = rng.random() < self.saving_share
         cpu = self.cpu.draw_count(rng)
         width = self.width.draw_count(rng)
-        if is_gang and cpu_max:
-            width = max(1, min(width, cpu_max // cpu))
+        memory_mb = self.memory_mb.draw_count(rng)
+        if is_gang:
+            width = max(1, min(width, cpu_max // cpu, memory_mb_max // memory_mb))
         step: dict[str, Any] = {
             "count": width,
             "cpu": cpu,
-            "memMb": self.memory_mb.draw_count(rng),
+            "memMb": memory_mb,
             "estimatedMs": round(self.run_ms.mean),
         }
         step |= {"gang": True} if is_gang else {}
