--- a/baobabhoist/platform/testing/simulated_worker.py
+++ b/baobabhoist/platform/testing/simulated_worker.py
@@ -90,6 +90,8 @@
     hub: WorkerHub
     data_centre: str
     clock_rate: float = 1.0
+    # How fast runs progress.
+    speed: float = 1.0
     mode: str = "normal"
     started_unix_ms: int = 0
     clock_started_s: float = attrs.Factory(time.monotonic)
@@ -261,7 +263,7 @@
                 self.end_run(run, "alone")
         elif self.mode != "hang":
             progress_before_ms = run.progress_ms
-            run.progress_ms += elapsed_ms * self.clock_rate
+            run.progress_ms += elapsed_ms * self.clock_rate * self.speed
             if (
                 run.progress_ms // CHECKPOINT_INTERVAL_MS
                 > progress_before_ms // CHECKPOINT_INTERVAL_MS
--- a/baobabhoist/platform/testing/soak.py
+++ b/baobabhoist/platform/testing/soak.py
@@ -34,6 +34,7 @@
 from baobabhoist.platform.testing.soak_late_starts import LATE_STARTS
 from baobabhoist.platform.testing.soak_load import NO_BURST, Burst
 from baobabhoist.platform.testing.soak_records import SubmittedJob, Team
+from baobabhoist.platform.testing.soak_slowdowns import slowed_processes
 from baobabhoist.platform.testing.soak_starvation import ROOM_FACTOR
 from baobabhoist.platform.testing.soak_takeover import OUTAGE_TAKEOVER
 from baobabhoist.platform.testing.soak_workers_gone import WORKERS_GONE, max_ended_workers
@@ -112,6 +113,8 @@
     load_factor: float = 1.0
     # Which queues and teams of the profile's load send more than usual.
     burst: Burst = NO_BURST
+    # How many times slower than usual all instances run.
+    instance_slowdown: float = 1.0
     has_outage_takeovers: bool = False
     has_late_starts: bool = False
     key_numbers: itertools.count[int] = attrs.Factory(lambda: itertools.count(1))
@@ -422,6 +425,12 @@
             run_periodically(READY_CHECK_INTERVAL_S, self.check_readiness)
         )
         await self._wait_until_ready()
+        names = self.deployment.instances
+        with slowed_processes(self.deployment.cluster, names, self.instance_slowdown):
+            await self._run_load(seconds, schedule)
+        readiness_task.cancel()
+
+    async def _run_load(self, seconds: float, schedule: list[soak_faults.ScheduledFault]) -> None:
         started_at = time.time()
         checking_task = asyncio.create_task(
             run_periodically(CHECK_INTERVAL_S, self.print_first_breach)
@@ -442,7 +451,7 @@
         await self.write_config()
         if self.background_tasks:
             await asyncio.wait(self.background_tasks, timeout=FINISH_TIMEOUT_S)
-        for task in (readiness_task, checking_task, *self.background_tasks):
+        for task in (checking_task, *self.background_tasks):
             task.cancel()
 
     async def _wait_until_ready(self) -> None:
@@ -527,7 +536,9 @@
     async def run_soak(cluster: Cluster) -> Soak:
         cores = SMALL_INSTANCE_CORES if FLAGS.seed % 2 else LARGE_INSTANCE_CORES
         deployment = Deployment(cluster, instance_cores=cores, profile=FLAGS.profile)
-        soak = Soak(deployment, random.Random(FLAGS.seed))
+        soak = Soak(
+            deployment, random.Random(FLAGS.seed), instance_slowdown=FLAGS.instance_slowdown
+        )
         await soak.run(FLAGS.seconds, schedule)
         return soak
 
@@ -555,5 +566,10 @@
         "profile", "mixed", sorted(PROFILES), "Which queues need advice, and how tasks are placed."
     )
     flags.DEFINE_float("calm_s", 0.0, "Least time without a fault after each one, in seconds.")
+    flags.DEFINE_float(
+        "instance_slowdown",
+        1.0,
+        "How many times slower all instances run; not with pause or slow.",
+    )
     flags.DEFINE_string("folder", "", "Empty folder for the logs; a temporary one by default.")
     app.run(main)
--- a/baobabhoist/platform/testing/soak_faults.py
+++ b/baobabhoist/platform/testing/soak_faults.py
@@ -19,6 +19,7 @@
     return_beside_late_starts,
 )
 from baobabhoist.platform.testing.soak_late_starts import LATE_STARTS, restart_beside_late_starts
+from baobabhoist.platform.testing.soak_slowdowns import SLOWDOWNS
 from baobabhoist.platform.testing.soak_takeover import OUTAGE_TAKEOVER, take_over_in_outage
 from baobabhoist.platform.testing.soak_workers_gone import WORKERS_GONE, end_workers_for_good
 from baobabhoist.testing.soak_faults import ScheduledFault
@@ -327,4 +328,5 @@
     "cancel_wave": _submit_and_cancel_jobs,
     "burst": _raise_load,
     **BURSTS,
+    **SLOWDOWNS,
 }
