Ask for advice before the lease of a lost worker ends

What callers saw: a job stood still for the adviser's time (0.35 to 0.87 s, longer if many runs were lost at once) after the lease of its lost worker had already ended, on top of the wait for the lease.

Cause: a task whose run only waits for a lease does not count as waiting, so nothing was asked for it; for a gang `AdviceRequester.request` returned while any member still had a run. With the lease all runs of the worker end in one tick, and their steps then asked one after the other through the few slots.

Change: tasks whose awaited run (`AwaitedRuns`) will count as ended within the answer's time and half of a ticket's validity count for requests as if they waited. Their steps come after all that wait now, so they use only slots that are left. A gang asks for all members, because it is stopped as a whole. Starts are decided as before, only once the run counts as ended: nothing of the leases changes.

--- a/baobabhoist/cell/advice_candidates.py
+++ b/baobabhoist/cell/advice_candidates.py
@@ -111,9 +111,16 @@
     # Other steps wait for the slots, so an answer must be worth its time.
     is_scarce: bool
     now: float
+    # Tasks that will wait by the time the answer comes, because their runs count as ended then.
+    returning_count: int = 0
 
     _places_factor: float = PLACES_FACTOR
 
+    @property
+    def _task_count(self) -> int:
+        """Return how many tasks need a place when the answer comes."""
+        return self.step.waiting_count + self.returning_count
+
     @property
     def _answer_ms(self) -> float:
         """Return when the answer to a request about a few workers can be expected."""
@@ -138,13 +145,13 @@
 
     def workers_without_room(self) -> list[Candidate]:
         """Return workers without a valid ticket that could run the step once they are free."""
-        wanted = self.step.waiting_count
+        wanted = self._task_count
         return self._choose(self._find(self._rooms_when_free(), wanted, RoomClaims()), wanted)
 
     def workers_to_learn(self) -> list[Candidate]:
         """Return workers whose approval should be known before there is room for the step."""
         self._widen()
-        wanted = self.step.waiting_count
+        wanted = self._task_count
         found = self._find(self._rooms_when_free(), wanted, RoomClaims())
         known_places = found.places_with_ticket + found.approved_places
         missing = wanted - known_places / self._places_factor
@@ -174,12 +181,13 @@
     def _count_allowed_tasks(self) -> int:
         """Return how many tasks the team's limit will admit when the answer arrives."""
         state, job = self.state, self.step.job
-        team, waiting = state.team_of(job), self.step.waiting_count
+        team, waiting = state.team_of(job), self._task_count
         if team is None:
             return waiting
         if not self.reservations.is_team_limit_available(team.name, self.step):
             return 0
-        used = state.team_usage[team.name].plus(self.claims.of_team(team.name))
+        returned = self.step.spec.need.times(self.returning_count)
+        used = state.team_usage[team.name].minus(returned).plus(self.claims.of_team(team.name))
         allowed = self._count_within_limit(team.limit.minus(used), team.limit)
         if allowed < waiting:
             ending = self.worker_index.forecast.ending_of_team(team.name, self._answer_ms)
@@ -195,7 +203,7 @@
             need.memory_mb if limit.memory_mb else 0,
             need.gpu if limit.gpu else 0,
         )
-        return count_fitting_tasks(rest, limited_need, self.step.waiting_count)
+        return count_fitting_tasks(rest, limited_need, self._task_count)
 
     def _find(self, rooms: Rooms, wanted: int, claims: RoomClaims) -> FoundWorkers:
         """Return the workers that the step could ask for, with at least one place each."""
@@ -281,7 +289,7 @@
         if not self.reservations.is_worker_available(worker, self.step):
             return 0
         free = room.free.minus(Resources(claimed_cpu)) if claimed_cpu else room.free
-        limit = max_tasks_per_worker(spec, self.step.waiting_count)
+        limit = max_tasks_per_worker(spec, self._task_count)
         if spec.most_per_worker:
             limit -= self.step.count_tasks_on(worker.worker_id)
         return count_fitting_tasks(free, spec.allocation, limit)
--- a/baobabhoist/cell/advice_requests.py
+++ b/baobabhoist/cell/advice_requests.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from collections.abc import Container, Iterable
 
 import attrs
@@ -39,6 +40,14 @@
 MAX_HEAD_STEPS = 8
 # Gangs this far up the ranking learn their approved workers before there is room for them.
 MAX_GATHERING_POSITION = 32
+# A task whose run will count as ended asks so early that this fraction of its tickets' validity is
+# left by then: many runs end at once with a lease, and a slot answers one request at a time.
+RETURN_VALIDITY_FRACTION = 0.5
+
+
+def return_lead_ms(terms: AdviceTerms) -> float:
+    """Return how long before its run counts as ended a task may ask."""
+    return terms.base_cost_ms + (1.0 - RETURN_VALIDITY_FRACTION) * terms.ticket_valid_ms
 
 
 @attrs.define
@@ -65,6 +74,8 @@
     open_requests: dict[StepKey, OpenRequest] = attrs.Factory(dict)
     _claims: RoomClaims = attrs.Factory(RoomClaims)
     _vain_checks: int = 0
+    # How many tasks of each step will wait when an answer comes, besides those that wait now.
+    _returning: Counter[StepKey] = attrs.Factory(Counter)
     # When a step of an expired job may next ask although the slots are in use; 0 if none waits.
     _next_expired_ms: float = 0.0
 
@@ -80,6 +91,27 @@
             del self.open_requests[step_key]
         self._claims = RoomClaims()
         self._vain_checks = 0
+        self._returning = self._count_returning(now)
+
+    def returning_steps(self, now: float) -> list[StepState]:
+        """Return the steps of which no task waits yet, though some will when an answer comes."""
+        steps = (self.state.ready_steps.get(key) for key in self._count_returning(now))
+        return [step for step in steps if step is not None and not step.waiting_count]
+
+    def _count_returning(self, now: float) -> Counter[StepKey]:
+        """Count, by step, the tasks whose runs will count as ended when an answer comes."""
+        returning: Counter[StepKey] = Counter()
+        for awaited in self.state.awaited_runs.open_waits():
+            step = awaited.run.task.step
+            queue = self.state.queue_of(step.job)
+            if queue is None or queue.advice is None:
+                continue
+            if awaited.until_ms > now + return_lead_ms(queue.advice):
+                continue
+            # A gang that has lost a member is stopped as a whole.
+            running_count = step.unfinished_count - step.waiting_count
+            returning[step.key] = running_count if step.spec.gang else returning[step.key] + 1
+        return returning
 
     def request(
         self,
@@ -100,7 +132,9 @@
         queue = self.state.queue_of(step.job)
         if queue is None or queue.advice is None or step.approvals.is_request_blocked(now):
             return
-        if step.spec.gang and step.waiting_count < step.unfinished_count:
+        returning_count = self._returning[step.key]
+        task_count = step.waiting_count + returning_count
+        if step.spec.gang and task_count < step.unfinished_count:
             return
         is_long = is_long_request(queue.advice)
         if self._is_too_late_to_ask(step, is_long, now):
@@ -119,6 +153,7 @@
             self._claims,
             is_scarce,
             now,
+            returning_count,
         )
         chosen = finder.workers_with_room()
         if not chosen:
@@ -127,7 +162,7 @@
             self._vain_checks += 1
             step.approvals.block_requests_until(now + RECHECK_INTERVAL_MS)
             return
-        self._issue(step, queue.advice, chosen, is_long, now)
+        self._issue(step, queue.advice, chosen, task_count, now)
 
     def close_request(self, step_key: StepKey) -> None:
         """Record that the request of a step was answered or has failed."""
@@ -188,7 +223,7 @@
         step: StepState,
         terms: AdviceTerms,
         chosen: list[Candidate],
-        is_long: bool,
+        task_count: int,
         now: float,
     ) -> None:
         names = tuple(candidate.worker_id for candidate in chosen)
@@ -196,9 +231,10 @@
         late_ms = now + cost_ms + LATE_ANSWER_MS
         claimed_cpu, tasks = {}, 0
         for candidate in chosen:
-            count = min(candidate.places, step.waiting_count - tasks)
+            count = min(candidate.places, task_count - tasks)
             claimed_cpu[candidate.worker_id] = count * step.spec.allocation.cpu
             tasks += count
+        is_long = is_long_request(terms)
         request = OpenRequest(step, late_ms, is_long, claimed_cpu, step.spec.need.times(tasks))
         if timeliness_of(step.job, now) is Timeliness.EXPIRED:
             self._next_expired_ms = now + EXPIRED_REQUEST_INTERVAL_MS
--- a/baobabhoist/cell/awaited_runs.py
+++ b/baobabhoist/cell/awaited_runs.py
@@ -9,6 +9,7 @@
 import enum
 import logging
 from collections import Counter, defaultdict
+from collections.abc import Iterator
 
 import attrs
 
@@ -121,6 +122,11 @@
         if awaited is not None:
             self._ended_waits.append(EndedWait(awaited.reason, now - awaited.since_ms))
 
+    def open_waits(self) -> Iterator[AwaitedRun]:
+        """Yield the runs that tasks wait for, as of the last reviews."""
+        for silence in self._silences.values():
+            yield from (awaited for awaited in silence.runs.values() if _is_awaited(awaited.run))
+
     def take_ended_waits(self) -> list[EndedWait]:
         """Return the waits that ended since the last call."""
         taken, self._ended_waits = self._ended_waits, []
@@ -129,10 +135,8 @@
     def summarize(self, now: float) -> AwaitedSummary:
         """Return how many runs are awaited for each reason."""
         summary = AwaitedSummary()
-        for silence in self._silences.values():
-            for awaited in silence.runs.values():
-                if _is_awaited(awaited.run):
-                    summary.add(awaited, now)
+        for awaited in self.open_waits():
+            summary.add(awaited, now)
         return summary
 
 
--- a/baobabhoist/cell/placer.py
+++ b/baobabhoist/cell/placer.py
@@ -60,12 +60,19 @@
     def place_waiting_steps(self, now: float, may_start: bool) -> None:
         """Start the tasks that fit and request advice for those that still wait."""
         waiting_steps = [step for step in self.state.ready_steps.values() if step.waiting_count]
-        if waiting_steps:
-            self._place_ranked(waiting_steps, now, may_start)
+        returning_steps = self.advice.returning_steps(now)
+        if waiting_steps or returning_steps:
+            self._place_ranked(waiting_steps, returning_steps, now, may_start)
         else:
             self.state.start_backlog.record_round(0, 0, now)
 
-    def _place_ranked(self, waiting_steps: list[StepState], now: float, may_start: bool) -> None:
+    def _place_ranked(
+        self,
+        waiting_steps: list[StepState],
+        returning_steps: list[StepState],
+        now: float,
+        may_start: bool,
+    ) -> None:
         start_delay_ms = self.state.start_delay.expected_ms
         worker_index = WorkerIndex(self.state.workers.values(), now, start_delay_ms)
         self.reservations.clear(now)
@@ -81,6 +88,8 @@
                 self._give_up(step, exc, now)
             if step.wait_reason is WaitReason.START_WINDOW_FULL:
                 held_back_tasks += step.waiting_count
+        for position, step in enumerate(returning_steps, len(waiting_steps)):
+            self.advice.request(step, position, worker_index, self.reservations, now)
         starts = self.state.start_window.starting_count - starting_before
         self.state.start_backlog.record_round(starts, held_back_tasks, now)
 
--- a/baobabhoist/tests/test_cell_advice.py
+++ b/baobabhoist/tests/test_cell_advice.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import attrs
+import pytest
 
+from baobabhoist.cell.advice_requests import return_lead_ms
 from baobabhoist.cell.approvals import TICKET_MARGIN_MS
 from baobabhoist.cell.model import AdviceTerms, RequestAdvice, Resources, StartTask, Step
-from baobabhoist.tests.cell_harness import CellHarness, make_job, make_rules
+from baobabhoist.tests.cell_harness import LEASE_MS, CellHarness, make_job, make_rules
 
 WHOLE_WORKER = Resources(4000, 512, 0)
 # The terms of the slowest adviser among the platform's sites.
@@ -15,6 +17,8 @@
 # Time for a batch of starts to be written to the store by a busy owner.
 STORE_WRITE_MS = 80.0
 RESTART_INTERVAL_MS = 1_400.0
+# Rounds in which a lapse is noticed, the other members of a gang stop, and all start again.
+RESTART_ROUNDS = 5
 # Time for a first query, a renewal and the start itself.
 START_BOUND_MS = 2_000.0
 
@@ -179,3 +183,70 @@
     starts = [command for command in harness.schedule() if isinstance(command, StartTask)]
     harness.now += STORE_WRITE_MS
     assert all(harness.cell.should_send_start(start, harness.now) for start in starts)
+
+
+class ProgressingHarness(AdvisedHarness):
+    """Let all runs make progress, so that none counts as stalled."""
+
+    def renew_all(self):
+        for worker in self.workers.values():
+            for run in worker.runs.values():
+                run.progress_percent += 0.05
+        super().renew_all()
+
+
+def lose_worker_of(step):
+    """Start a step, lose one worker for good, and return that worker with the harness."""
+    harness = ProgressingHarness.with_workers(6, make_rules(advice=TERMS))
+    harness.submit(make_job("a" * 16, step))
+    assert harness.run_for(START_BOUND_MS, lambda: harness.is_running("a" * 16))
+    harness.run_for(RESTART_INTERVAL_MS)
+    return harness, lose_a_busy_worker(harness)
+
+
+def lose_a_busy_worker(harness):
+    _, worker_id = harness.running_tasks()[0]
+    lost = harness.cell.state.workers[worker_id]
+    harness.workers[worker_id].is_up = False
+    lost.lease.is_suspended = True
+    harness.cell.unlist_worker(worker_id, harness.now)
+    return lost
+
+
+@pytest.mark.parametrize("gang", [False, True])
+def test_advice_is_asked_for_before_the_lease_of_a_lost_worker_ends(gang):
+    """Guard against jobs that stand still for the adviser's time after their lost run has ended.
+
+    Nothing was asked for a task, nor for a gang, while a run only waited for its lease to expire.
+    """
+    harness, lost = lose_worker_of(Step(2, WHOLE_WORKER, 60_000, gang=gang))
+    expiry_ms = lost.lease_expiry_ms()
+    has_restarted = harness.run_for(
+        2 * LEASE_MS, lambda: not lost.runs and len(harness.running_tasks()) == 2
+    )
+    assert has_restarted
+    assert harness.now <= expiry_ms + RESTART_ROUNDS * ROUND_MS
+
+
+def test_no_advice_is_asked_for_long_before_the_lease_of_a_lost_worker_ends():
+    """Guard against tickets that expire before the run of their task has ended."""
+    harness, lost = lose_worker_of(Step(2, WHOLE_WORKER, 60_000))
+    query_count = harness.query_count
+    harness.run_for(lost.lease_expiry_ms() - harness.now - return_lead_ms(TERMS) - ROUND_MS)
+    assert harness.query_count == query_count
+
+
+def test_the_tasks_of_many_lost_runs_ask_before_the_lease_ends():
+    """Guard against tasks that ask one after the other once all their runs have ended at once."""
+    harness = ProgressingHarness.with_workers(6, make_rules(advice=TERMS))
+    harness.cell.placer.advice.slot_count = 4
+    jobs = [f"{number:016x}" for number in range(8)]
+    for job_id in jobs:
+        harness.submit(make_job(job_id, Step(1, Resources(500, 64, 0), 60_000)))
+    assert harness.run_for(4 * START_BOUND_MS, lambda: len(harness.running_tasks()) == len(jobs))
+    harness.run_for(RESTART_INTERVAL_MS)
+    lost = lose_a_busy_worker(harness)
+    assert len(lost.runs) == len(jobs)
+    harness.run_for(lost.lease_expiry_ms() + RESTART_ROUNDS * ROUND_MS - harness.now)
+    assert not lost.runs
+    assert len(harness.running_tasks()) == len(jobs)
