Ask at once for quick jobs past their late limit that stand still

Cause: while fewer than half of the slots are free, the steps of all jobs past their late limit get one request a second between them. After a pause of some seconds every quick job is past it.

Fix: a step that has waited for 1.5 s, and of whose job nothing runs, asks as if it were on time, if its request is short (7 to 90 ms). Long requests, of gangs, still take turns of a second; short ones no longer use these up.

--- a/baobabhoist/cell/advice_requests.py
+++ b/baobabhoist/cell/advice_requests.py
@@ -30,6 +30,9 @@
 SHORT_SLOT_INTERVAL = 4
 # A step is asked for again if its answer is late by this much; a late answer still counts.
 LATE_ANSWER_MS = 700.0
+# A job stands still if it has had nothing running for this long. Its short requests are issued as
+# if it were on time.
+STANDSTILL_MS = 1_500.0
 # While the slots are in use, steps of expired jobs get one request in this time.
 EXPIRED_REQUEST_INTERVAL_MS = 1_000.0
 # A step for which there was nothing useful to ask is looked at again after this time.
@@ -207,8 +210,7 @@
         """Return whether a step that can earn nothing more would take a slot from others."""
         if not self.state.policy.forecasts_advice or step.spec.lasting:
             return False
-        is_expired = timeliness_of(step.job, now) is Timeliness.EXPIRED
-        if not is_expired or self._has_idle_slots(is_long):
+        if not _is_deferrable(step, is_long, now) or self._has_idle_slots(is_long):
             return False
         if not self._next_expired_ms:
             self._next_expired_ms = now + EXPIRED_REQUEST_INTERVAL_MS
@@ -236,7 +238,7 @@
             tasks += count
         is_long = is_long_request(terms)
         request = OpenRequest(step, late_ms, is_long, claimed_cpu, step.spec.need.times(tasks))
-        if timeliness_of(step.job, now) is Timeliness.EXPIRED:
+        if _is_deferrable(step, is_long, now):
             self._next_expired_ms = now + EXPIRED_REQUEST_INTERVAL_MS
         self.open_requests[step.key] = request
         self._claim(request)
@@ -246,3 +248,16 @@
     def _claim(self, request: OpenRequest) -> None:
         team = request.step.job.accepted.team
         self._claims.add(team, request.claimed_cpu, request.claimed_need)
+
+
+def _is_deferrable(step: StepState, is_long: bool, now: float) -> bool:
+    """Return whether a request could only start a job that earns nothing more, and may wait."""
+    is_expired = timeliness_of(step.job, now) is Timeliness.EXPIRED
+    return is_expired and (is_long or not _stands_still(step, now))
+
+
+def _stands_still(step: StepState, now: float) -> bool:
+    """Return whether a step has waited for long, and its job has nothing running."""
+    since_ms = step.waiting_since_ms
+    is_overdue = since_ms is not None and now - since_ms >= STANDSTILL_MS
+    return is_overdue and not step.job.has_runs
--- a/baobabhoist/cell/jobs.py
+++ b/baobabhoist/cell/jobs.py
@@ -256,6 +256,11 @@
         """Return whether the job has ended."""
         return self.phase in FINAL_PHASES
 
+    @property
+    def has_runs(self) -> bool:
+        """Return whether any unfinished task has a run."""
+        return any(step.waiting_count < step.unfinished_count for step in self.steps.values())
+
     @property
     def confirmed_phase(self) -> JobPhase:
         """Return the phase that callers may see: a final one only once it is stored."""
