Keep half of the slots from long requests while a quick job stands still

One or two slots remained for some hundred waiting quick steps whose requests take 9 to 90 ms.

Fix: while a step of a job that stands still found no slot in the last round, long requests leave half of the slots to others.

--- a/baobabhoist/cell/advice_requests.py
+++ b/baobabhoist/cell/advice_requests.py
@@ -26,7 +26,8 @@
 from baobabhoist.cell.state import CellState
 from baobabhoist.cell.worker_index import WorkerIndex
 
-# Long requests must leave one in this many slots to the others.
+# Long requests must leave one in this many slots to the others, and half of the slots while a job
+# that stands still waits for one.
 SHORT_SLOT_INTERVAL = 4
 # A step is asked for again if its answer is late by this much; a late answer still counts.
 LATE_ANSWER_MS = 700.0
@@ -79,6 +80,9 @@
     _vain_checks: int = 0
     # How many tasks of each step will wait when an answer comes, besides those that wait now.
     _returning: Counter[StepKey] = attrs.Factory(Counter)
+    # A step of a job that stands still found no slot in this round, and in the last one.
+    _lacks_slot: bool = False
+    _lacked_slot: bool = False
     # When a step of an expired job may next ask although the slots are in use; 0 if none waits.
     _next_expired_ms: float = 0.0
 
@@ -95,6 +99,7 @@
         self._claims = RoomClaims()
         self._vain_checks = 0
         self._returning = self._count_returning(now)
+        self._lacked_slot, self._lacks_slot = self._lacks_slot, False
 
     def returning_steps(self, now: float) -> list[StepState]:
         """Return the steps of which no task waits yet, though some will when an answer comes."""
@@ -142,7 +147,10 @@
         is_long = is_long_request(queue.advice)
         if self._is_too_late_to_ask(step, is_long, now):
             return
-        if self._vain_checks >= MAX_VAIN_CHECKS or not self._free_slots(is_long):
+        if self._vain_checks >= MAX_VAIN_CHECKS:
+            return
+        if not self._free_slots(is_long):
+            self._lacks_slot = self._lacks_slot or (not is_long and _stands_still(step, now))
             return
         rate = self.rates.expected(queue.name)
         is_scarce = is_long and not self._has_idle_slots(is_long)
@@ -187,6 +195,8 @@
             return max(0, free)
         open_long = sum(request.is_long for request in self.open_requests.values())
         max_long = self.slot_count - max(1, self.slot_count // SHORT_SLOT_INTERVAL)
+        if self._lacked_slot:
+            max_long = min(max_long, self.slot_count // 2)
         return max(0, min(free, max_long - open_long))
 
     def _find_ahead(
--- a/baobabhoist/tests/test_cell_advice_requests.py
+++ b/baobabhoist/tests/test_cell_advice_requests.py
@@ -2,6 +2,7 @@
 
 import attrs
 
+from baobabhoist.cell.advice_requests import STANDSTILL_MS
 from baobabhoist.cell.model import AdviceTerms, Resources, Step
 from baobabhoist.cell.policy import SchedulingPolicy
 from baobabhoist.tests.advice_harness import answer, make_advice_harness, requests_of
@@ -73,3 +74,19 @@
     advance(harness, 10_000.0)
     asked = ask_until(harness, harness.now + STARVATION_MS, 50.0)
     assert set(gangs) <= asked
+
+
+def test_long_requests_leave_half_of_the_slots_to_jobs_that_stand_still():
+    """Guard against gangs whose requests keep the slots from a backlog of quick jobs."""
+    harness = make_harness(32, slots=8)
+    add_long_queue(harness)
+    gangs = submit_jobs(harness, "a", 12, Step(2, SMALL, 60_000, gang=True), "long")
+    quick_jobs = submit_jobs(harness, "b", 4, Step(1, SMALL, 100))
+    harness.cell.placer.advice.blocked_count = 8
+    assert not requests_of(harness)
+    advance(harness, STANDSTILL_MS)
+    assert not requests_of(harness)
+    harness.cell.placer.advice.blocked_count = 0
+    asked = requests_of(harness)
+    assert set(quick_jobs) <= set(asked)
+    assert len(set(gangs) & set(asked)) == 4
