Count a job as idle no longer than this owner has known its run

Found by the reviewer of: for a worker that this owner never heard, the last report lies at -1e12 ms, so that the job passed every gang at once and steps_waiting showed an idle time of 1e12. The new test failed before (-1e12 in place of the time of the takeover).

--- a/baobabhoist/cell/run_ends.py
+++ b/baobabhoist/cell/run_ends.py
@@ -135,6 +135,6 @@
     state.waste.record_loss(run, run.stop_cause or cause, now)
     state.close_run(run)
     if worker is not None:
-        run.task.step.job.mark_idle(worker.last_report_ms)
+        run.task.step.job.mark_idle(max(worker.last_report_ms, run.decided_ms))
     if run.task.step.spec.gang and not run.task.step.is_done:
         run_ends.stop_gang_run(run.task.step, run.number, now)
--- a/baobabhoist/tests/test_cell_reservations.py
+++ b/baobabhoist/tests/test_cell_reservations.py
@@ -302,3 +302,19 @@
         for key in members if step.spec.gang else members[:1]:
             harness.worker_running(key).end_run(key, RunOutcome.DONE)
     assert all(job.is_final for job in harness.cell.state.jobs.values())
+
+
+def test_a_job_whose_worker_no_report_came_from_is_idle_since_the_takeover():
+    """Guard against a job that passes every gang because its worker was never heard (issue 46)."""
+    harness = CellHarness.with_workers(1)
+    job = make_job("c" * 16, Step(1, SMALL, 30_000))
+    harness.submit(job)
+    harness.settle()
+    progress = harness.save_progress()
+    harness.worker_running(make_task_key("c" * 16)).is_up = False
+    harness.take_over([job], progress)
+    taken_over_ms = harness.now
+    restored_job = harness.cell.find_job("c" * 16)
+    while restored_job.active_run_count:
+        harness.advance(100.0)
+    assert restored_job.idle_since_ms == taken_over_ms
