Tell in one place from when on an idle job is not put off

Reservations and requests for advice each had their own figure and their own test for a job that stands still. JobState.is_overdue serves both; requests now count from when the last run of the job ended, not from when the step began to wait.

--- a/baobabhoist/cell/advice_requests.py
+++ b/baobabhoist/cell/advice_requests.py
@@ -31,9 +31,6 @@
 SHORT_SLOT_INTERVAL = 4
 # A step is asked for again if its answer is late by this much; a late answer still counts.
 LATE_ANSWER_MS = 700.0
-# A job stands still if it has had nothing running for this long. Its short requests are issued as
-# if it were on time.
-STANDSTILL_MS = 1_500.0
 # While the slots are in use, steps of expired jobs get one request in this time.
 EXPIRED_REQUEST_INTERVAL_MS = 1_000.0
 # A step for which there was nothing useful to ask is looked at again after this time.
@@ -150,7 +147,7 @@
         if self._vain_checks >= MAX_VAIN_CHECKS:
             return
         if not self._free_slots(is_long):
-            self._lacks_slot = self._lacks_slot or (not is_long and _stands_still(step, now))
+            self._lacks_slot = self._lacks_slot or (not is_long and step.job.is_overdue(now))
             return
         rate = self.rates.expected(queue.name)
         is_scarce = is_long and not self._has_idle_slots(is_long)
@@ -263,11 +260,4 @@
 def _is_deferrable(step: StepState, is_long: bool, now: float) -> bool:
     """Return whether a request could only start a job that earns nothing more, and may wait."""
     is_expired = timeliness_of(step.job, now) is Timeliness.EXPIRED
-    return is_expired and (is_long or not _stands_still(step, now))
-
-
-def _stands_still(step: StepState, now: float) -> bool:
-    """Return whether a step has waited for long, and its job has nothing running."""
-    since_ms = step.waiting_since_ms
-    is_overdue = since_ms is not None and now - since_ms >= STANDSTILL_MS
-    return is_overdue and not step.job.has_runs
+    return is_expired and (is_long or not step.job.is_overdue(now))
--- a/baobabhoist/cell/jobs.py
+++ b/baobabhoist/cell/jobs.py
@@ -28,6 +28,9 @@
 
 # A job that ends within this multiple of its objective still earns part of its value.
 LATE_LIMIT_FACTOR = 3.0
+# A job of which nothing has run for this long is no longer put off for others. It still has to get
+# advice before it counts as starved.
+MAX_IDLE_MS = 1_500.0
 FINAL_PERCENT = 100.0
 
 
@@ -256,11 +259,6 @@
         """Return whether the job has ended."""
         return self.phase in FINAL_PHASES
 
-    @property
-    def has_runs(self) -> bool:
-        """Return whether any unfinished task has a run."""
-        return any(step.waiting_count < step.unfinished_count for step in self.steps.values())
-
     @property
     def confirmed_phase(self) -> JobPhase:
         """Return the phase that callers may see: a final one only once it is stored."""
@@ -278,6 +276,10 @@
         if self.idle_since_ms is None and not self.active_run_count:
             self.idle_since_ms = since_ms
 
+    def is_overdue(self, now: float) -> bool:
+        """Return whether nothing of the job has run for so long that it is not put off."""
+        return self.idle_since_ms is not None and now - self.idle_since_ms >= MAX_IDLE_MS
+
     def mark_running(self) -> None:
         """Record that a task has started."""
         if self.phase is JobPhase.QUEUED:
--- a/baobabhoist/cell/reservations.py
+++ b/baobabhoist/cell/reservations.py
@@ -25,9 +25,6 @@
 MAX_FORECAST_WORKERS_PER_MEMBER = 3
 # Forecasts take long, so one round makes no more than these.
 MAX_FORECASTS_PER_ROUND = 8
-# No gang holds back a job of which nothing has run for this long, unless its team uses half of its
-# limit. The job still has to get advice before it counts as starved.
-MAX_IDLE_MS = 1_500.0
 # A gang that was given up makes no reservation for this long.
 GIVE_UP_MS = 1_000.0
 
@@ -113,10 +110,7 @@
 
     def _is_held_too_long(self, step: StepState) -> bool:
         """Return whether a job has been idle for so long that no gang holds it back."""
-        idle_since_ms = step.job.idle_since_ms
-        if idle_since_ms is None or self._now - idle_since_ms < MAX_IDLE_MS:
-            return False
-        return not self.is_team_half_used(step.job)
+        return step.job.is_overdue(self._now) and not self.is_team_half_used(step.job)
 
     def _ends_before(self, reservation: Reservation, worker_id: str, step: StepState) -> bool:
         """Return whether a task may run ahead, because it ends before the reserved start."""
--- a/baobabhoist/tests/test_cell_advice_requests.py
+++ b/baobabhoist/tests/test_cell_advice_requests.py
@@ -2,7 +2,7 @@
 
 import attrs
 
-from baobabhoist.cell.advice_requests import STANDSTILL_MS
+from baobabhoist.cell.jobs import MAX_IDLE_MS
 from baobabhoist.cell.model import AdviceTerms, Resources, Step
 from baobabhoist.cell.policy import SchedulingPolicy
 from baobabhoist.tests.advice_harness import answer, make_advice_harness, requests_of
@@ -84,7 +84,7 @@
     quick_jobs = submit_jobs(harness, "b", 4, Step(1, SMALL, 100))
     harness.cell.placer.advice.blocked_count = 8
     assert not requests_of(harness)
-    advance(harness, STANDSTILL_MS)
+    advance(harness, MAX_IDLE_MS)
     assert not requests_of(harness)
     harness.cell.placer.advice.blocked_count = 0
     asked = requests_of(harness)
