--- a/baobabhoist/benchmarks/cell_faults.py
+++ b/baobabhoist/benchmarks/cell_faults.py
@@ -33,6 +33,10 @@
 RESTART_DURATION_MS = 200.0
 LEAVE_NOTICE_MS = 2_000.0
 ABSENCE_MS = 4_000.0
+# How long the entry of a worker that has crashed stays in the directory.
+ENTRY_LAPSE_MS = 4_500.0
+# After the loss of workers jobs may stand still for this long.
+LOSS_SETTLING_MS = 9_000.0
 # How soon a run fails on a worker that fails everything at once.
 FAST_FAILURE_MS = 150.0
 COMMAND_TIMEOUT_MS = 700.0
@@ -59,6 +63,8 @@
     late_start_fraction: float = 0.0
     has_slow_starts: bool = False
     has_takeover: bool = False
+    # Workers that crash and never come back.
+    lost_fraction: float = 0.0
 
 
 @attrs.define
@@ -105,6 +111,8 @@
     faulty_workers: set[str] = attrs.Factory(set)
     # What each worker that is down ran when it crashed.
     lost_runs: dict[str, LostRuns] = attrs.Factory(dict)
+    # Until when jobs may stand still because workers were lost.
+    settled_ms: float = 0.0
     _failing: set[str] = attrs.Factory(set)
     _booted_ms: dict[str, float] = attrs.Factory(dict)
     _stalled_until_ms: dict[str, float] = attrs.Factory(dict)
@@ -153,6 +161,7 @@
             (self.plan.leaving_fraction, self._schedule_absence),
             (self.plan.failing_fraction, self._schedule_failures),
             (self.plan.stalling_fraction, self._schedule_stall),
+            (self.plan.lost_fraction, self._schedule_loss),
         )
         for fraction, schedule_fault in faults:
             count = round(fraction * len(self.workers))
@@ -181,6 +190,9 @@
         self.schedule_event(leave_ms, functools.partial(self._leave, name))
         self.schedule_event(leave_ms + ABSENCE_MS, functools.partial(self._restart, name))
 
+    def _schedule_loss(self, name: str, at_ms: float) -> None:
+        self.schedule_event(at_ms, functools.partial(self._lose, name))
+
     def _schedule_failures(self, name: str, at_ms: float) -> None:
         self._schedule_fault_period(name, at_ms, at_ms + FAULT_DURATION_MS)
         self.schedule_event(at_ms, lambda: self._failing.add(name))
@@ -215,6 +227,18 @@
         del self.directory[name]
         self._notify_owner(lambda: self.cell.unlist_worker(name, self.now))
 
+    def _lose(self, name: str) -> None:
+        if name in self.directory:
+            self._crash(name)
+            self.settled_ms = self.now + LOSS_SETTLING_MS
+            self.schedule_event(
+                self.now + ENTRY_LAPSE_MS, functools.partial(self._drop_entry, name)
+            )
+
+    def _drop_entry(self, name: str) -> None:
+        del self.directory[name]
+        self._notify_owner(lambda: self.cell.unlist_worker(name, self.now))
+
     def _list_worker(self, info: WorkerInfo) -> None:
         self.directory[info.worker_id] = info
         self._notify_owner(lambda: self.cell.update_worker(info, self.now))
@@ -296,6 +320,7 @@
 
     def _run_periodic_checks(self) -> None:
         if not self._is_owner_paused:
+            self.cell.confirm_directory(self.now)
             super()._run_periodic_checks()
 
     def _exchange_report(self, worker_id: str) -> None:
--- a/baobabhoist/benchmarks/cell_liveness.py
+++ b/baobabhoist/benchmarks/cell_liveness.py
@@ -89,6 +89,7 @@
         _scenario("full_load", FaultPlan(), arrival_factor=1.0),
         _scenario("restarting_workers", FaultPlan(restarting_fraction=0.1)),
         _scenario("leaving_workers", FaultPlan(leaving_fraction=0.14)),
+        _scenario("lost_workers", FaultPlan(lost_fraction=0.3)),
         _scenario("failing_workers", FaultPlan(failing_fraction=0.085)),
         _scenario("stalling_workers", FaultPlan(stalling_fraction=0.14)),
         _scenario("always_failing_jobs", FaultPlan(), always_failing_job_fraction=0.3),
@@ -121,6 +122,11 @@
         _scenario(
             "stalling_workers_and_takeover", FaultPlan(stalling_fraction=0.14, has_takeover=True)
         ),
+        _scenario(
+            "lost_workers_and_late_starts",
+            FaultPlan(late_start_fraction=0.05, lost_fraction=0.3),
+        ),
+        _scenario("lost_workers_and_takeover", FaultPlan(has_takeover=True, lost_fraction=0.3)),
         _scenario(
             "leaving_workers_and_late_starts",
             FaultPlan(leaving_fraction=0.14, late_start_fraction=0.05),
@@ -186,7 +192,8 @@
             if not self._has_ended(arrival, done)
         }
         usage = self._usage()
-        starving = {} if self._is_half_used(usage) else self._starving_steps(usage, done)
+        may_wait = now < self.replay.settled_ms or self._is_half_used(usage)
+        starving = {} if may_wait else self._starving_steps(usage, done)
         self._starving_since_ms = {
             job_id: self._starving_since_ms.get(job_id, now) for job_id in starving
         }
