Check liveness with all parts of scheduling too

The deployment switches on shares, past use, admission, backfill, preemption, the forecast of advice and pace; the liveness check and its test ran with none of them, so a wait that only they cause (reservations, limits on advice for expired jobs) could not show.

--- a/baobabhoist/benchmarks/cell_liveness.py
+++ b/baobabhoist/benchmarks/cell_liveness.py
@@ -27,6 +27,7 @@
 )
 from baobabhoist.cell.model import NO_RESOURCES, JobPhase, Resources, RunOutcome, StepKey, TaskKey
 from baobabhoist.cell.placer import TaskPlacer
+from baobabhoist.cell.policy import DEFAULT_POLICY, SchedulingPolicy
 from baobabhoist.cell.worker_selection import count_fitting_tasks
 
 SAMPLE_INTERVAL_MS = 250.0
@@ -358,12 +359,23 @@
     earned_value: float
 
 
-def check_liveness(name: str, workers: int, seconds: float, seed: int) -> LivenessResult:
+def check_liveness(
+    name: str,
+    workers: int,
+    seconds: float,
+    seed: int,
+    scheduling: SchedulingPolicy = DEFAULT_POLICY,
+) -> LivenessResult:
     """Replay a scenario and judge all its jobs."""
     scenario = SCENARIOS[name]
     workload = generate_workload(scenario.load, workers, seconds, seed, LARGE_SITE)
     replay = FaultyCellReplay(
-        workload, TaskPlacer, drain_s=DRAIN_S, plan=scenario.faults, seed=seed
+        workload,
+        TaskPlacer,
+        drain_s=DRAIN_S,
+        scheduling=scheduling,
+        plan=scenario.faults,
+        seed=seed,
     )
     oracle = LivenessOracle(replay)
     oracle.attach()
@@ -385,12 +397,22 @@
             yield job_id
 
 
-def run(name: str, workers: int, seconds: float, seeds: Iterable[int]) -> dict[str, Any]:
+def run(
+    name: str,
+    workers: int,
+    seconds: float,
+    seeds: Iterable[int],
+    scheduling: SchedulingPolicy = DEFAULT_POLICY,
+) -> dict[str, Any]:
     """Return the results of each seed; an empty `name` means all scenarios."""
     # Logging the simulated runs would take longer than the decisions.
     logging.getLogger("baobabhoist").setLevel(logging.CRITICAL)
     names = [name] if name else list(SCENARIOS)
-    results = [check_liveness(name, workers, seconds, seed) for name in names for seed in seeds]
+    results = [
+        check_liveness(name, workers, seconds, seed, scheduling)
+        for name in names
+        for seed in seeds
+    ]
     return {
         "workers": workers,
         "duration_s": seconds,
--- a/baobabhoist/benchmarks/main.py
+++ b/baobabhoist/benchmarks/main.py
@@ -19,20 +19,10 @@
     relay,
 )
 from baobabhoist.benchmarks.cell_workload import SCENARIOS
+from baobabhoist.benchmarks.scheduling_parts import SCHEDULING_PARTS, make_policy
 from baobabhoist.benchmarks.workload import PROFILES
 from baobabhoist.cell.policy import SchedulingPolicy
 
-PAST_USE_HALF_LIFE_S = 4 * 3600.0
-# The optional parts of scheduling by the names of their settings.
-SCHEDULING_PARTS: dict[str, dict[str, Any]] = {
-    "shares": {"weighs_shares": True},
-    "past_use": {"usage_half_life_s": PAST_USE_HALF_LIFE_S},
-    "admission": {"refuses_hopeless_jobs": True},
-    "backfill": {"backfills": True},
-    "preemption": {"preempts": True},
-    "advice_forecast": {"forecasts_advice": True},
-    "pace": {"tracks_pace": True},
-}
 ALL_PARTS = "all"
 
 FLAGS = flags.FLAGS
@@ -106,13 +96,14 @@
     )
 
 
+def _chosen_policy() -> SchedulingPolicy:
+    return make_policy(SCHEDULING_PARTS if ALL_PARTS in FLAGS.part else FLAGS.part)
+
+
 def _run_cell() -> dict[str, Any]:
     workers, seconds = FLAGS.workers or 24, FLAGS.duration_s or 14.0
-    parts = SCHEDULING_PARTS if ALL_PARTS in FLAGS.part else FLAGS.part
-    options = {name: value for part in parts for name, value in SCHEDULING_PARTS[part].items()}
-    scheduling = SchedulingPolicy(**options)
     return cell_replay.run(
-        FLAGS.load, workers, seconds, FLAGS.seed, FLAGS.baselines, FLAGS.teams, scheduling
+        FLAGS.load, workers, seconds, FLAGS.seed, FLAGS.baselines, FLAGS.teams, _chosen_policy()
     )
 
 
@@ -120,7 +111,7 @@
     workers = FLAGS.workers or cell_liveness.LARGE_SITE_WORKERS
     seconds = FLAGS.duration_s or cell_liveness.LARGE_SITE_LENGTH_S
     seeds = range(FLAGS.seed, FLAGS.seed + FLAGS.seeds)
-    return cell_liveness.run(FLAGS.scenario, workers, seconds, seeds)
+    return cell_liveness.run(FLAGS.scenario, workers, seconds, seeds, _chosen_policy())
 
 
 def _run_progress() -> dict[str, Any]:
--- a/baobabhoist/tests/test_cell_liveness.py
+++ b/baobabhoist/tests/test_cell_liveness.py
@@ -7,6 +7,7 @@
 from baobabhoist.benchmarks import cell_liveness, cell_workload
 from baobabhoist.benchmarks.cell_faults import FaultPlan, FaultyCellReplay
 from baobabhoist.benchmarks.cell_liveness import LARGE_SITE, SCENARIOS, LivenessOracle
+from baobabhoist.benchmarks.scheduling_parts import FULL_POLICY
 from baobabhoist.cell.model import CommandOutcome, StartTask
 from baobabhoist.cell.placer import TaskPlacer
 from baobabhoist.testing.cell_worker import FakeCellWorker
@@ -35,6 +36,14 @@
     assert result.wrongly_failed == ()
 
 
+@pytest.mark.parametrize(("name", "seed"), CASES, ids=[f"{name}-{seed}" for name, seed in CASES])
+def test_an_accepted_job_that_could_run_does_run_with_all_parts_of_scheduling(name, seed):
+    """Guard against a wait that only the optional parts of scheduling cause."""
+    result = cell_liveness.check_liveness(name, WORKERS, SECONDS, seed, FULL_POLICY)
+    assert result.starvations == ()
+    assert result.wrongly_failed == ()
+
+
 class IdlePlacer(TaskPlacer):
     """Start no task."""
 
