--- a/baobabhoist/tests/test_cell_advice_requests.py
+++ b/baobabhoist/tests/test_cell_advice_requests.py
@@ -90,3 +90,27 @@
     asked = requests_of(harness)
     assert set(quick_jobs) <= set(asked)
     assert len(set(gangs) & set(asked)) == 4
+
+
+def test_steps_behind_those_that_have_nothing_to_ask_are_looked_at_in_slow_rounds():
+    """Guard against steps that never ask because those ahead use up all checks of each round."""
+    harness = make_harness(8)
+    add_long_queue(harness)
+    submit_jobs(harness, "a", 40, Step(9, WHOLE_WORKER, 60_000, gang=True), "long")
+    quick_jobs = submit_jobs(harness, "b", 3, Step(1, SMALL, 100))
+    asked = ask_until(harness, harness.now + STARVATION_MS, 100.0)
+    assert asked == set(quick_jobs)
+
+
+def test_the_head_of_the_ranking_is_looked_at_in_every_second_round():
+    """Guard against urgent steps that wait until a long list of others has been gone through."""
+    harness = make_harness(8)
+    add_long_queue(harness)
+    submit_jobs(harness, "a", 400, Step(9, WHOLE_WORKER, 60_000, gang=True), "long")
+    for number in range(6):
+        advance(harness, 100.0)
+        requests_of(harness)
+        (job_id,) = submit_jobs(harness, f"{number:x}b", 1, Step(1, SMALL, 100), "long")
+        asked = set(requests_of(harness))
+        advance(harness, 100.0)
+        assert job_id in asked | set(requests_of(harness))
