--- a/baobabhoist/cell/advice_requests.py
+++ b/baobabhoist/cell/advice_requests.py
@@ -112,9 +112,9 @@
         self._first_position = 0 if self._first_position else self._resume_position
         self._checks_ended = False
 
-    def returning_steps(self, now: float) -> list[StepState]:
+    def returning_steps(self) -> list[StepState]:
         """Return the steps of which no task waits yet, though some will when an answer comes."""
-        steps = (self.state.ready_steps.get(key) for key in self._count_returning(now))
+        steps = (self.state.ready_steps.get(key) for key in self._returning)
         return [step for step in steps if step is not None and not step.waiting_count]
 
     def _count_returning(self, now: float) -> Counter[StepKey]:
--- a/baobabhoist/cell/placer.py
+++ b/baobabhoist/cell/placer.py
@@ -60,7 +60,8 @@
     def place_waiting_steps(self, now: float, may_start: bool) -> None:
         """Start the tasks that fit and request advice for those that still wait."""
         waiting_steps = [step for step in self.state.ready_steps.values() if step.waiting_count]
-        returning_steps = self.advice.returning_steps(now)
+        self.advice.begin_round(now)
+        returning_steps = self.advice.returning_steps()
         if waiting_steps or returning_steps:
             self._place_ranked(waiting_steps, returning_steps, now, may_start)
         else:
@@ -80,7 +81,6 @@
         self.state.start_window.refresh()
         starting_before = self.state.start_window.starting_count
         held_back_tasks = 0
-        self.advice.begin_round(now)
         for position, step in enumerate(self._sort(waiting_steps, worker_index, now)):
             try:
                 self._place_or_wait(step, position, worker_index, now, may_start)
