Give up a job whose early request for advice raises, instead of ending the owner

The requests for tasks whose runs are only awaited stood outside of the guard that the placing of a step has: a job that makes the scheduler raise would have ended each owner in turn. Found by reading the change; the test failed before.

--- a/baobabhoist/cell/placer.py
+++ b/baobabhoist/cell/placer.py
@@ -89,7 +89,10 @@
             if step.wait_reason is WaitReason.START_WINDOW_FULL:
                 held_back_tasks += step.waiting_count
         for position, step in enumerate(returning_steps, len(waiting_steps)):
-            self.advice.request(step, position, worker_index, self.reservations, now)
+            try:
+                self.advice.request(step, position, worker_index, self.reservations, now)
+            except Exception as exc:
+                self._give_up(step, exc, now)
         starts = self.state.start_window.starting_count - starting_before
         self.state.start_backlog.record_round(starts, held_back_tasks, now)
 
--- a/baobabhoist/tests/test_cell_advice.py
+++ b/baobabhoist/tests/test_cell_advice.py
@@ -5,9 +5,9 @@
 import attrs
 import pytest
 
-from baobabhoist.cell.advice_requests import return_lead_ms
+from baobabhoist.cell.advice_requests import AdviceRequester, return_lead_ms
 from baobabhoist.cell.approvals import TICKET_MARGIN_MS
-from baobabhoist.cell.model import AdviceTerms, RequestAdvice, Resources, StartTask, Step
+from baobabhoist.cell.model import AdviceTerms, JobPhase, RequestAdvice, Resources, StartTask, Step
 from baobabhoist.tests.cell_harness import LEASE_MS, CellHarness, make_job, make_rules
 
 WHOLE_WORKER = Resources(4000, 512, 0)
@@ -250,3 +250,17 @@
     harness.run_for(lost.lease_expiry_ms() + RESTART_ROUNDS * ROUND_MS - harness.now)
     assert not lost.runs
     assert len(harness.running_tasks()) == len(jobs)
+
+
+def test_an_error_of_a_request_before_the_lease_ends_costs_only_its_job(monkeypatch):
+    """Guard against an owner that ends because a request for a lost run's task raises."""
+    harness, _ = lose_worker_of(Step(2, WHOLE_WORKER, 60_000))
+    step = harness.cell.find_job("a" * 16).steps[(0, 0)]
+
+    def fail(*args):
+        raise RuntimeError("no candidates")
+
+    monkeypatch.setattr(AdviceRequester, "returning_steps", lambda self: [step])
+    monkeypatch.setattr(AdviceRequester, "request", fail)
+    harness.cell.placer.place_waiting_steps(harness.now, True)
+    assert step.job.phase is JobPhase.FAILED
