--- a/baobabhoist/platform/testing/soak.py
+++ b/baobabhoist/platform/testing/soak.py
@@ -7,7 +7,6 @@
 import json
 import random
 import time
-import zlib
 from collections import Counter
 from typing import Any
 
@@ -19,23 +18,18 @@
 from baobabhoist.platform.testing.deployment import Deployment, run_periodically
 from baobabhoist.platform.testing.soak_advice import (
     PROFILES,
-    QUEUE_DIGITS,
-    AdvicePolicy,
     Profile,
-    approved_workers,
 )
 from baobabhoist.platform.testing.soak_checker import (
     REFUSED_STATUSES,
-    WORKER_CAPACITY,
     GuaranteeChecker,
 )
 from baobabhoist.platform.testing.soak_faults import FAULTS
+from baobabhoist.platform.testing.soak_jobs import QUEUES, JobGenerator
 from baobabhoist.platform.testing.soak_late_returns import LATE_STARTS_AT_RETURN
 from baobabhoist.platform.testing.soak_late_starts import LATE_STARTS
-from baobabhoist.platform.testing.soak_load import NO_BURST, Burst
 from baobabhoist.platform.testing.soak_records import SubmittedJob, Team
 from baobabhoist.platform.testing.soak_slowdowns import slowed_processes
-from baobabhoist.platform.testing.soak_starvation import ROOM_FACTOR
 from baobabhoist.platform.testing.soak_takeover import OUTAGE_TAKEOVER
 from baobabhoist.platform.testing.soak_workers_gone import WORKERS_GONE, max_ended_workers
 from baobabhoist.testing import soak_driver
@@ -66,31 +60,9 @@
 # share cancels a job as soon as it is shown as ended.
 SINGLE_ATTEMPT_PROBABILITY = 0.3
 CANCEL_ENDED_PROBABILITY = 0.5
-# With late starts, this share of the quick jobs has runs that are longer by this factor.
-LONG_RUNS_PROBABILITY = 0.3
-LONG_RUNS_FACTOR = 8
 UNKNOWN_KEY_PROBABILITY = 0.03
-ALWAYS_FAILS_PROBABILITY = 0.02
-FAILS_ONCE_PROBABILITY = 0.05
 # The HTTP client reports a request without a response under this status.
 NO_RESPONSE_STATUS = 599
-
-QUEUES: dict[str, dict[str, Any]] = {
-    "quick": {"priority": 0, "maxAttempts": 3, "slackFactor": 1.5, "targetLatencyMs": 300},
-    "batch": {"priority": 2, "maxAttempts": 4, "slackFactor": 4.0, "targetLatencyMs": 3_000},
-    "gangs": {
-        "priority": 1,
-        "maxAttempts": 2,
-        "slackFactor": 2.2,
-        "targetLatencyMs": 1_000,
-    },
-}
-QUEUE_MIX = ("quick",) * 7 + ("batch",) * 2 + ("gangs",)
-STEPS_MAX = 3
-# All steps of a job together take no longer than this, so that it ends after the run.
-CHAIN_MAX_MS = 10_000.0
-# Workers that may run a step when its job is submitted.
-APPROVED_WORKERS_MIN = 4
 # The teams' limits in thousandths of a core; 0 means no limit.
 SMALL_TEAM_CPU_LIMITS = {"alpha": 20_000, "beta": 8_000, "gamma": 0}
 
@@ -111,12 +83,10 @@
     team_cpu_limits: dict[str, int] = attrs.field(init=False)
     api_keys: dict[str, list[str]] = attrs.field(init=False)
     load_factor: float = 1.0
-    # Which queues and teams of the profile's load send more than usual.
-    burst: Burst = NO_BURST
+    generator: JobGenerator = attrs.field(init=False)
     # How many times slower than usual all instances run.
     instance_slowdown: float = 1.0
     has_outage_takeovers: bool = False
-    has_late_starts: bool = False
     key_numbers: itertools.count[int] = attrs.Factory(lambda: itertools.count(1))
 
     def __attrs_post_init__(self) -> None:
@@ -124,6 +94,7 @@
         load = self.profile.load
         self.usual_limits = load.team_limits() if load else dict(SMALL_TEAM_CPU_LIMITS)
         self.team_cpu_limits = dict(self.usual_limits)
+        self.generator = JobGenerator(self.profile, self.usual_limits)
         self.api_keys = {name: [f"key-{name}"] for name in self.usual_limits}
 
     @property
@@ -193,62 +164,10 @@
 
     def new_job(self, rng: random.Random, queue: str) -> SubmittedJob:
         """Return a random job for a queue."""
-        team = self._draw_team(rng)
-        failures = 99 if rng.random() < ALWAYS_FAILS_PROBABILITY else 0
-        failures = failures or int(rng.random() < FAILS_ONCE_PROBABILITY)
-        load = self.profile.load
-        if load is None:
-            run_ms_range = {"quick": (50, 500), "batch": (200, 1_500), "gangs": (300, 1_200)}
-            run_ms = rng.uniform(*run_ms_range[queue]) * self._draw_run_factor(rng, queue)
-            steps = _draw_small_steps(rng, queue)
-        else:
-            shape, team_limit = load.shapes[queue], self.usual_limits[team]
-            steps = shape.draw_steps(rng, *max_gang_resources(self.profile, queue, team_limit))
-            run_ms = min(load.shapes[queue].run_ms.draw(rng), CHAIN_MAX_MS / len(steps))
-        plan = {
-            "run_ms": run_ms,
-            "failures": failures,
-            "saves": bool(steps[0].get("checkpointing")),
-        }
-        job_id = self._draw_job_id(rng, queue, steps)
-        if steps[0].get("gang"):
-            plan["members"] = steps[0]["count"]
-        spec = json.dumps({"plan": plan, "pad": "x" * rng.choice([0, 500])})
-        attempts = int(QUEUES[queue]["maxAttempts"])
-        job = SubmittedJob(job_id, queue, team, steps, zlib.crc32(spec.encode()), attempts)
-        self.jobs[job_id] = job
-        job.body = json.dumps({"taskSpec": spec, "steps": steps})
-        job.advice = self.profile.advice.get(queue)
+        job = self.generator.draw_job(rng, queue, self.deployment.worker_names)
+        self.jobs[job.job_id] = job
         return job
 
-    def _draw_job_id(self, rng: random.Random, queue: str, steps: list[dict[str, Any]]) -> str:
-        """Draw the id of a job whose steps fit twice into the workers that are approved."""
-        policy = self.profile.advice.get(queue)
-        while True:
-            job_id = f"{rng.getrandbits(60):015x}{QUEUE_DIGITS[queue]}"
-            if policy is None or all(
-                self._fits_twice(policy, f"{job_id}.0.{number}", step)
-                for number, step in enumerate(steps)
-            ):
-                return job_id
-
-    def _fits_twice(self, policy: AdvicePolicy, name: str, step: dict[str, Any]) -> bool:
-        places_per_worker = min(WORKER_CAPACITY[r] // step[r] for r in WORKER_CAPACITY)
-        workers = approved_workers(policy, name, self.deployment.worker_names)
-        wanted = step["count"] if step.get("gang") else 1
-        has_room = places_per_worker * len(workers) >= ROOM_FACTOR * wanted
-        return has_room and len(workers) >= APPROVED_WORKERS_MIN
-
-    def _draw_team(self, rng: random.Random) -> str:
-        load = self.profile.load
-        return load.draw_team(rng, self.burst) if load else rng.choice(list(self.usual_limits))
-
-    def _draw_run_factor(self, rng: random.Random, queue: str) -> int:
-        """Draw the factor by which the runs of a job are longer."""
-        if self.has_late_starts and queue == "quick" and rng.random() < LONG_RUNS_PROBABILITY:
-            return LONG_RUNS_FACTOR
-        return 1
-
     def _pick_instance(self, excluded: str = "") -> str:
         """Pick a ready instance, or any instance if fewer than half of them are ready."""
         ready_instances = [
@@ -363,15 +282,11 @@
         """Submit jobs as a Poisson process until cancelled."""
         load = self.profile.load
         while True:
-            jobs_per_s = load.jobs_per_s(self.burst) if load else JOBS_PER_S
-            job = self.new_job(self.rng, self._draw_queue())
+            jobs_per_s = load.jobs_per_s(self.generator.burst) if load else JOBS_PER_S
+            job = self.new_job(self.rng, self.generator.draw_queue(self.rng))
             self.spawn(self.submit_and_follow(job))
             await asyncio.sleep(self.rng.expovariate(jobs_per_s * self.load_factor))
 
-    def _draw_queue(self) -> str:
-        load = self.profile.load
-        return load.draw_queue(self.rng, self.burst) if load else self.rng.choice(QUEUE_MIX)
-
     async def check_readiness(self) -> None:
         """Check whether the instances are ready, as the platform does."""
 
@@ -405,7 +320,7 @@
 
     async def run(self, seconds: float, schedule: list[soak_faults.ScheduledFault]) -> None:
         """Run the load and the faults, then wait until all jobs have finished."""
-        self.has_late_starts = any(
+        self.generator.has_late_starts = any(
             fault.name in (LATE_STARTS, LATE_STARTS_AT_RETURN) for fault in schedule
         )
         self.has_outage_takeovers = any(fault.name == OUTAGE_TAKEOVER for fault in schedule)
@@ -463,38 +378,6 @@
         raise RuntimeError(f"the instances were not ready within {START_TIMEOUT_S} s")
 
 
-def max_gang_resources(profile: Profile, queue: str, team_cpu_limit: int) -> tuple[int, int]:
-    """Return the CPU and the memory of which a gang may need no more, so that it can start."""
-    policy = profile.advice.get(queue)
-    approved_count = profile.worker_count * (policy.approved_share if policy else 1.0)
-    cpu, memory_mb = (
-        round(approved_count * WORKER_CAPACITY[resource] / ROOM_FACTOR)
-        for resource in ("cpu", "memMb")
-    )
-    return min(team_cpu_limit, cpu), memory_mb
-
-
-def _draw_small_steps(rng: random.Random, queue: str) -> list[dict[str, Any]]:
-    """Draw the steps of a job that is small beside the workers."""
-    task_counts = {"quick": (1, 3), "batch": (2, 8), "gangs": (2, 4)}[queue]
-    steps: list[dict[str, Any]] = [
-        {
-            "count": rng.randint(*task_counts),
-            "cpu": rng.choice([300, 700, 1_500]),
-            "memMb": rng.choice([100, 900]),
-            "estimatedMs": 500,
-        }
-        for _ in range(rng.choice([1, 1, STEPS_MAX]) if queue == "batch" else 1)
-    ]
-    for number, step in enumerate(steps[1:], 1):
-        step["after"] = [number - 1]
-    if queue == "gangs":
-        steps[0]["gang"] = True
-    if queue == "batch":
-        steps[0] |= {"checkpointing": True, "maxPerServer": 3}
-    return steps
-
-
 def _read_state(response: HTTPResponse) -> str:
     try:
         body = json.loads(response.body or b"{}")
--- a/baobabhoist/platform/testing/soak_bursts.py
+++ b/baobabhoist/platform/testing/soak_bursts.py
@@ -40,10 +40,10 @@
 
 async def _submit_more(soak: Soak, fault: ScheduledFault, burst: Burst) -> None:
     """Apply a burst for the time of a fault; the last of several bursts counts."""
-    soak.burst = burst
+    soak.generator.burst = burst
     await asyncio.sleep(fault.duration_s)
-    if soak.burst is burst:
-        soak.burst = NO_BURST
+    if soak.generator.burst is burst:
+        soak.generator.burst = NO_BURST
 
 
 BURSTS: dict[str, Callable[[Soak, ScheduledFault, random.Random], Awaitable[None]]] = {
--- a/baobabhoist/tests/test_platform_soak_advice.py
+++ b/baobabhoist/tests/test_platform_soak_advice.py
@@ -11,10 +11,10 @@
 import pytest
 
 from baobabhoist.platform.testing import soak_advice, soak_faults
-from baobabhoist.platform.testing.soak import max_gang_resources
 from baobabhoist.platform.testing.soak_advice import PROFILES, AdvicePolicy, AdviserQueue
 from baobabhoist.platform.testing.soak_bursts import BURSTS
 from baobabhoist.platform.testing.soak_checker import WORKER_CAPACITY
+from baobabhoist.platform.testing.soak_jobs import max_gang_resources
 from baobabhoist.platform.testing.soak_load import Burst
 from baobabhoist.platform.testing.soak_starvation import CALM_FAULTS, ROOM_FACTOR
 from baobabhoist.testing.simulated_loop import SimulatedLoop, run_simulated
