--- a/baobabhoist/platform/testing/regressions.py
+++ b/baobabhoist/platform/testing/regressions.py
@@ -1,7 +1,8 @@
 """List the seeds on which the platform's soak once failed, with the causes.
 
 A seed's schedule depends on the list of faults: these were found without
-`evacuation`, `outage_takeover`, `late_starts`, `late_starts_at_return` and `workers_gone`.
+`evacuation`, `outage_takeover`, `late_starts`, `late_starts_at_return`, `workers_gone`,
+`quick_burst`, `gang_burst`, `hot_team`, `slow` and `worker_slow`.
 """
 
 from __future__ import annotations
