--- a/review/standins2/worker.py
+++ b/review/standins2/worker.py
@@ -132,14 +132,14 @@
 
     def _carry_out_late(self, call: Call) -> None:
         if self.up and not self.is_cut:
-            self._execute_now(call, late=True)
+            self.execute(call, late=True)
 
     async def _execute(self, call: Call) -> Any:
         if call.path == "/-/hold":
             return await self._hold(call.json)
-        return self._execute_now(call)
+        return self.execute(call)
 
-    def _execute_now(self, call: Call, late: bool = False) -> Any:
+    def execute(self, call: Call, late: bool = False) -> Any:
         body = call.json
         do = {"/-/run-start": self._start, "/-/run-stop": self._stop}.get(call.path)
         if do is None:
--- a/review/standins2/world.py
+++ b/review/standins2/world.py
@@ -246,32 +246,44 @@
             for _, member in members:
                 member.at_work_since = time.monotonic()
 
-    async def submit(
+    def new_job(
         self,
         steps: list[dict[str, Any]],
         plans: list[dict[str, Any]],
         *,
-        node: str = "",
         queue: str = "q",
         digit: str = "a",
         key: str = KEY,
-        tries: int = 5,
     ) -> str:
-        """Hand a job in, again after no answer; return its id."""
+        """Return the id of a new job; its plans say how long the tasks of each step run."""
         job_id = secrets.token_hex(8)[:15] + digit
         self.jobs[job_id] = {"plans": plans, "steps": steps, "queue": queue, "key": key}
+        return job_id
+
+    async def hand_in(self, job_id: str, node: str = "", tries: int = 5) -> None:
+        """Hand a job in, again after no answer."""
+        body = {"taskSpec": f"spec of {job_id}", "steps": self.jobs[job_id]["steps"]}
         for _ in range(tries):
-            status, _, _ = await self.request(
-                "POST",
-                job_id,
-                node or random.choice(self.up_nodes()),
-                {"taskSpec": f"spec of {job_id}", "steps": steps},
-            )
+            chosen = node or random.choice(self.up_nodes())
+            status, _, _ = await self.request("POST", job_id, chosen, body)
             if 200 <= status < 300:
-                return job_id
+                return
             await asyncio.sleep(0.3)
         raise CaseError(f"job {job_id} was not accepted")
 
+    async def submit(
+        self,
+        steps: list[dict[str, Any]],
+        plans: list[dict[str, Any]],
+        *,
+        node: str = "",
+        **options: str,
+    ) -> str:
+        """Hand in a new job and return its id."""
+        job_id = self.new_job(steps, plans, **options)
+        await self.hand_in(job_id, node)
+        return job_id
+
     def up_nodes(self) -> list[str]:
         return [name for name, process in self.processes.items() if process.returncode is None]
 
