--- a/review/standins2/http_server.py
+++ b/review/standins2/http_server.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import json
 import socket
 import struct
@@ -38,6 +39,7 @@
 
     @property
     def json(self) -> Any:
+        """Return the decoded body."""
         return json.loads(self.raw) if self.raw else {}
 
 
@@ -66,15 +68,18 @@
 
     @property
     def address(self) -> str:
+        """Return host and port."""
         return f"{self.host}:{self.port}"
 
     async def open(self) -> None:
+        """Listen."""
         self._server = await asyncio.start_server(
             self._serve, self.host, self.port, reuse_address=True
         )
         self.port = self._server.sockets[0].getsockname()[1]
 
     def close(self) -> None:
+        """End as a crash does."""
         if self._server is not None:
             self._server.close()
             self._server = None
@@ -103,7 +108,8 @@
                 data = json.dumps(value).encode()
                 writer.write(
                     f"HTTP/1.1 {status} {REASONS.get(status, 'X')}\r\n"
-                    f"Content-Type: application/json\r\nContent-Length: {len(data)}\r\n\r\n".encode()
+                    "Content-Type: application/json\r\n"
+                    f"Content-Length: {len(data)}\r\n\r\n".encode()
                     + data
                 )
                 await writer.drain()
@@ -118,10 +124,8 @@
 def _reset(writer: asyncio.StreamWriter) -> None:
     sock = writer.get_extra_info("socket")
     if sock is not None:
-        try:
+        with contextlib.suppress(OSError):
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
-        except OSError:
-            pass
     writer.transport.abort()
 
 
--- a/review/standins2/store.py
+++ b/review/standins2/store.py
@@ -30,6 +30,7 @@
         self.last_conditional_writer = ""
 
     def now_ms(self) -> int:
+        """Return the time of the store's steady clock."""
         return int((time.monotonic() - self._started) * 1000) + 5_000_000
 
     async def put(self, table: str, key: str, value: Any) -> None:
@@ -39,10 +40,12 @@
         )
 
     async def remove(self, table: str, key: str) -> None:
+        """Remove a row of the operator or of a worker."""
         if (table, "", key) in self.rows:
             await self._apply({}, [(table, "", key)])
 
     def get(self, table: str, key: str, part: str = "") -> Any:
+        """Return the decoded value of a row, or None."""
         found = self.rows.get((table, part, key))
         return json.loads(base64.b64decode(found[0])) if found else None
 
--- a/review/standins2/worker.py
+++ b/review/standins2/worker.py
@@ -31,7 +31,7 @@
 
 
 class Worker:
-    """Hold one worker, which may start again under its id; each process knows nothing of before."""
+    """Hold one worker, which may start again under its id and then knows nothing of before."""
 
     def __init__(
         self, world: World, worker_id: str, host: str, rack: str, kind: str, **info: Any
@@ -63,6 +63,7 @@
         self._ended = asyncio.Event()
 
     def clock_ms(self) -> int:
+        """Return the time of the process's own clock."""
         return int((time.monotonic() - self.clock_zero) * 1000) + 1_000
 
     async def start(self) -> None:
@@ -93,6 +94,7 @@
             await asyncio.sleep(HEARTBEAT_S)
 
     async def write_entry(self) -> None:
+        """Write the worker's entry in the directory."""
         self.sequence += 1
         self.last_entry = time.monotonic()
         await self.world.store.put(
@@ -140,6 +142,7 @@
         return self.execute(call)
 
     def execute(self, call: Call, late: bool = False) -> Any:
+        """Carry an order out and return its answer."""
         body = call.json
         do = {"/-/run-start": self._start, "/-/run-stop": self._stop}.get(call.path)
         if do is None:
@@ -242,6 +245,7 @@
     # Runs.
 
     def percent(self, run: Run) -> int:
+        """Return how far a run is, in whole percent."""
         if run.at_work_since is None:
             return 0
         age = time.monotonic() - run.at_work_since
--- a/review/standins2/world.py
+++ b/review/standins2/world.py
@@ -63,15 +63,18 @@
     # The record.
 
     def now(self) -> float:
+        """Return the seconds since the case began."""
         return time.monotonic() - self.started
 
     def log(self, event: str, **fields: Any) -> None:
+        """Write an event to the record."""
         entry = {"t": round(self.now(), 3), "event": event, **fields}
         self.events.append(entry)
         self.record.write(json.dumps(entry) + "\n")
         self.record.flush()
 
     def find(self, event: str, **fields: Any) -> list[dict[str, Any]]:
+        """Return the events of a kind with these fields."""
         return [
             e
             for e in self.events
@@ -81,12 +84,15 @@
     # Start and end.
 
     def address(self, node: str) -> str:
+        """Return the address of a node."""
         return f"{self.net}.{self.node_names.index(node) + 1}"
 
     def front(self, node: str) -> str:
+        """Return the address for requesters of a node."""
         return f"{self.address(node)}:8183"
 
     async def open(self, config: dict[str, Any], worker_specs: list[dict[str, Any]]) -> None:
+        """Start workers, nodes and adviser, and wait until all are ready."""
         await self.store.put("op", "config", config)
         for index, spec in enumerate(worker_specs):
             worker = Worker(self, f"i-{index + 1}", f"{self.net}.{100 + index}", **spec)
@@ -122,6 +128,7 @@
         return ready == len(self.node_names) and all(w.token for w in self.workers.values())
 
     async def start_node(self, node: str) -> None:
+        """Start the process of a node, as the deploy file says."""
         deploy = tomllib.loads((ROOT / "deploy/system.toml").read_text())["roles"]["node"]
         settings = self.tmp / f"{node}.yaml"
         settings.write_text(self._render((ROOT / deploy["template"]).read_text(), node))
@@ -160,6 +167,7 @@
         )
 
     async def kill_node(self, node: str) -> None:
+        """Kill the process of a node."""
         self.log("node_killed", node=node)
         self.processes[node].send_signal(signal.SIGKILL)
         await self.processes[node].wait()
@@ -169,9 +177,11 @@
         return self.store.last_conditional_writer
 
     def other_nodes(self, *nodes: str) -> list[str]:
+        """Return the nodes except some."""
         return [name for name in self.node_names if name not in nodes]
 
     async def close(self) -> None:
+        """End all processes and servers."""
         for process in self.processes.values():
             if process.returncode is None:
                 try:
@@ -215,6 +225,7 @@
         return 200, {"approved": approved, "validityMs": 2_000}
 
     def admits(self, worker: Worker, task: str, ticket: str) -> bool:
+        """Return whether a worker takes a start with this ticket."""
         if task.partition(".")[0][-1] not in self.ticket_digits:
             return True
         named, _, expires = ticket.rpartition("/")
@@ -224,6 +235,7 @@
     # Requesters.
 
     def plan_of(self, task: str) -> dict[str, Any]:
+        """Return how long the task's runs take and how they end."""
         job, _, step, _ = task.split(".")
         return self.jobs[job]["plans"][int(step)]
 
@@ -285,11 +297,13 @@
         return job_id
 
     def up_nodes(self) -> list[str]:
+        """Return the nodes whose processes run."""
         return [name for name, process in self.processes.items() if process.returncode is None]
 
     async def request(
         self, method: str, job_id: str, node: str, body: Any = None
     ) -> tuple[int, Any, Any]:
+        """Send a request for a job; return its status, body and headers."""
         job = self.jobs.get(job_id, {})
         queue = job.get("queue", "q")
         headers = {
@@ -323,6 +337,7 @@
         return ""
 
     async def pending(self, queue: str, node: str) -> int | None:
+        """Return the number of pending jobs that a node tells, or None."""
         headers = {"Host": "jobs.example", "X-Credential": KEY, "X-Deadline-Ms": "3000"}
         status, answer, _ = await call(self.front(node), "GET", f"/{queue}/", headers=headers)
         self.log("request", method="GET", queue=queue, node=node, status=status, answer=answer)
@@ -331,6 +346,7 @@
     # Waiting.
 
     async def wait_until(self, check: Callable[[], Any], timeout_s: float, what: str) -> None:
+        """Wait until a check is true; raise CaseError after a time."""
         end = time.monotonic() + timeout_s
         while time.monotonic() < end:
             found = check()
@@ -420,12 +436,15 @@
     """Run a case, which returns whether the rule held, and exit as the review asks."""
 
     async def main() -> int:
-        world = None
+        world, task = None, asyncio.current_task()
+        assert task is not None
+        for signum in (signal.SIGTERM, signal.SIGINT):
+            asyncio.get_running_loop().add_signal_handler(signum, task.cancel)
         try:
             world = World(Path(folder), **options)
             async with asyncio.timeout(112):
                 held = await case(world)
-        except Exception as exc:
+        except (Exception, asyncio.CancelledError) as exc:
             print(f"the case could not run: {exc!r}")
             return NOT_RUN
         finally:
