--- /dev/null
+++ b/review/standins3/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins of the users' platform for the cases 11 to 15."""
