--- a/review/standins3/workers.py
+++ b/review/standins3/workers.py
@@ -43,10 +43,11 @@
 
     def crash(self):
         """End this life; what runs on it ends."""
-        for run in list(self.runs.values()):
+        for run in self.runs.values():
             self.world.record("run_end", worker=self.id, task=run.task, run=run.number, how="crashed")
-            self.world.run_ended(self, run)
-        self.runs, self.ends, self.is_up = {}, [], False
+        lost, self.runs, self.ends, self.is_up = list(self.runs.values()), {}, [], False
+        for run in lost:
+            self.world.run_ended(self, run, "crashed")
         self.world.record("worker_down", worker=self.id)
 
     def clock_ms(self):
@@ -184,7 +185,7 @@
         self.end_count += 1
         self.ends.append([self.end_count, run.task, run.number, how, ""])
         self.world.record("run_end", worker=self.id, task=run.task, run=run.number, how=how)
-        self.world.run_ended(self, run)
+        self.world.run_ended(self, run, how)
         self.ended.set()
 
     def entry(self):
--- a/review/standins3/world.py
+++ b/review/standins3/world.py
@@ -45,6 +45,7 @@
         self.trouble = os.environ.get("TROUBLE", "1") != "0"
         self.store, self.workers, self.nodes = Store(), {}, {}
         self.max_hold_ms = 6000
+        self.cpu_share = 0.537
         self.worker_fault = None
         self.services_with_ticket = False
         self.tickets = {}
@@ -76,11 +77,27 @@
     def plan_of(self, task_spec, task):
         return json.loads(task_spec)
 
+    def _gang(self, run):
+        """Return the members of a gang's run that are there, with their workers."""
+        step = run.task.rpartition(".")[0]
+        return [
+            (worker, other)
+            for worker in self.workers.values()
+            for other in list(worker.runs.values())
+            if other.number == run.number and other.task.rpartition(".")[0] == step
+        ]
+
     def run_started(self, worker, run):
-        """Nothing; a case may replace it."""
+        """Let a gang begin its work once all its members are there."""
+        members = self._gang(run) if run.members else []
+        if run.members and len(members) == run.members:
+            for other, member in members:
+                member.begun_ms = other.clock_ms()
 
-    def run_ended(self, worker, run):
-        """Nothing; a case may replace it."""
+    def run_ended(self, worker, run, how):
+        """End the other members of a gang with the first."""
+        for other, member in self._gang(run) if run.members else ():
+            other.end(member, "done" if how == "done" else "broken")
 
     def issue_ticket(self, step, worker_id):
         worker = self.workers[worker_id]
@@ -131,7 +148,7 @@
             "nodeName": name, "zone": "z1", "ip": HOST,
             "listenAddrs.front": f"{HOST}:{node.front}", "listenAddrs.ready": f"{HOST}:{node.ready}",
             "internalPorts.0": node.peer, "advice": f"{HOST}:{node.advice}",
-            "limits.cpuShare": 0.537, "limits.cores": 2, "limits.linkMbps": 1000.0,
+            "limits.cpuShare": self.cpu_share, "limits.cores": 2, "limits.linkMbps": 1000.0,
             "limits.memoryMb": 300, "limits.maxFds": 4100,
             "platform.address": f"{HOST}:{node.store}", "platform.rowBytes": 65536,
             "bounds.maxHoldMs": self.max_hold_ms, "bounds.revokeMs": 5000,
