Store the cancelling of an id without a job before it is answered 410

Cause: the cancelling of an unknown id was acknowledged and left nothing behind, and the insert of a job depended on the absence of its own row alone. Whatever still carried the submission (the socket of an instance that stood still, a write that the store performs late, a repetition) stored the job.

Ruled out: calls served after their requesters left, as the cause (nobody stands still when the store is late or the call comes again); an owner that drops a cancelling that overtakes its job (tested before, holds); owner and workers (the job's row is stored after the 410, all later is as it should).

Change: such a cancelling is stored as a tombstone, in the partition of the job's row. The insert of a job expects that there is none, and that of a tombstone that there is no job, so the outcome follows from what is stored. A tombstone names its teams and stands against their jobs alone. Tombstones are limited for each instance and team, neither loaded nor held by owners, and removed after as long as ended jobs are remembered. A removed row in a conflict no longer counts as stored: an insert now expects two rows.

--- a/baobabhoist/control/job_api.py
+++ b/baobabhoist/control/job_api.py
@@ -15,7 +15,7 @@
 from baobabhoist.control.config import ActiveConfig, CellConfig, Route
 from baobabhoist.control.interfaces import Decoder
 from baobabhoist.control.job_admission import JobAdmission, never_starts_refusal
-from baobabhoist.control.job_writer import JobWriter, WriteResult, WriteStatus
+from baobabhoist.control.job_writer import JobWriter
 from baobabhoist.control.messages import (
     CancelNotice,
     JobNotice,
@@ -25,7 +25,9 @@
     StateReply,
 )
 from baobabhoist.control.owner_router import OwnerRouter
+from baobabhoist.control.row_inserts import WriteResult, WriteStatus
 from baobabhoist.control.row_schema import (
+    ID_RETENTION_FACTOR,
     JOBS_TABLE,
     PROGRESS_TABLE,
     JobRow,
@@ -35,6 +37,7 @@
     job_row_key,
     progress_row_key,
 )
+from baobabhoist.control.tombstone_limits import TombstoneLimits
 from baobabhoist.errors import ErrorKind, LinkClosedError, Refusal
 from baobabhoist.model import Outcome
 from baobabhoist.observability.events import Event, emit
@@ -54,6 +57,7 @@
 # Keys are checked only while the configuration is younger than this fraction of revoke_ms, the
 # time within which a withdrawn key must stop working.
 MAX_KEY_AGE_FRACTION = 0.85
+DEFAULT_JOB_KEPT_MS = 120_000.0
 
 
 @attrs.frozen
@@ -117,6 +121,37 @@
     return Refusal(ErrorKind.NOT_FOUND, f"there is no job {job_id}", remedy="check the id")
 
 
+def _unknown_state_refusal(job_id: str, exc: Exception) -> Refusal:
+    emit(log, Event.STATE_UNKNOWN, job=job_id, detail=exc)
+    return unavailable_refusal("neither the owner nor the store returned the state of the job")
+
+
+def _own_state(admitted: AdmittedCall, reply: StateReply | Refusal) -> StateReply | Refusal:
+    """Return the state of an existing job of the caller's team, or the refusal."""
+    if isinstance(reply, Refusal):
+        return reply
+    if not reply.state:
+        return _unknown_job_refusal(admitted.job_id)
+    if reply.team and reply.team != admitted.team:
+        message = "the job belongs to another team"
+        return Refusal(ErrorKind.FORBIDDEN, message, remedy="use its key")
+    return reply
+
+
+def _decode_state(job_id: str, result: WriteResult) -> StateReply | Refusal:
+    """Return the state of a job that was stored just before, or the refusal if unreadable."""
+    try:
+        job = decode_job(job_id, result.value, result.version)
+    except ValueError as exc:
+        return _unknown_state_refusal(job_id, exc)
+    return StateReply(JobPhase.QUEUED.value, job.queue, job.team)
+
+
+def _cancelled_id_refusal(job_id: str) -> Refusal:
+    message = f"the id {job_id} was cancelled before a job of it was stored"
+    return Refusal(ErrorKind.CANCELLED, message, remedy="choose another id")
+
+
 def _is_of_another_team(admitted: AdmittedCall, result: WriteResult) -> bool:
     """Return whether the stored job belongs to a team other than the caller's."""
     try:
@@ -140,6 +175,9 @@
     row_max_bytes: int
     # Set if jobs that cannot end in time are refused.
     admission: JobAdmission | None = None
+    # Least time for which a finished job can be queried.
+    job_kept_ms: float = DEFAULT_JOB_KEPT_MS
+    tombstone_limits: TombstoneLimits = attrs.Factory(TombstoneLimits)
 
     def admit(self, call: ApiCall) -> AdmittedCall | Refusal:
         """Return the admitted call with its route and team, or the refusal."""
@@ -227,7 +265,7 @@
             return Refusal(ErrorKind.BODY_TOO_LARGE, message, remedy=remedy)
         start_ms = monotonic_ms()
         result = await self.job_writer.store_job(
-            admitted.job_id, value, call.deadline_ms - ANSWER_RESERVE_MS
+            admitted.job_id, admitted.team, value, call.deadline_ms - ANSWER_RESERVE_MS
         )
         emit(
             log,
@@ -245,6 +283,8 @@
             return self._store_refusal("the store cannot accept jobs now")
         if result.status is WriteStatus.UNKNOWN:
             return unknown_outcome_refusal("the store did not confirm whether the job was stored")
+        if result.status is WriteStatus.CANCELLED:
+            return _cancelled_id_refusal(admitted.job_id)
         if _is_of_another_team(admitted, result):
             return Refusal(ErrorKind.CONFLICT, "the id is in use", remedy="choose another id")
         if result.status is WriteStatus.NEW:
@@ -253,27 +293,53 @@
 
     async def job_state(self, admitted: AdmittedCall) -> str | Refusal:
         """Return the state of a job."""
-        reply = await self._find_job(admitted)
+        reply = _own_state(admitted, await self._find_state(admitted.job_id))
         return reply if isinstance(reply, Refusal) else reply.state
 
     async def cancel(self, call: ApiCall, admitted: AdmittedCall) -> Refusal | None:
-        """Cancel a job; return None once the cancellation is stored."""
-        reply = await self._find_job(admitted)
+        """Cancel a job; return None once the cancellation is stored.
+
+        A refusal of the kind NOT_FOUND acknowledges it as well: no job of the id is stored later.
+        """
+        deadline_ms = call.deadline_ms - ANSWER_RESERVE_MS
+        found = await self._find_state(admitted.job_id)
+        if isinstance(found, StateReply) and not found.state:
+            found = await self._cancel_unknown_id(admitted, deadline_ms)
+        reply = _own_state(admitted, found)
         if isinstance(reply, Refusal):
             return reply
         if reply.state in FINAL_PHASES:
             return None
-        result = await self.job_writer.store_cancellation(
-            admitted.job_id, call.deadline_ms - ANSWER_RESERVE_MS
-        )
+        result = await self.job_writer.store_cancellation(admitted.job_id, deadline_ms)
         emit(log, Event.CANCEL_STORED, job=admitted.job_id, outcome=result.status.value)
+        refusal = self._unstored_cancellation_refusal(result)
+        if refusal is None:
+            self.owner_router.notify(CancelNotice(admitted.job_id))
+        return refusal
+
+    async def _cancel_unknown_id(
+        self, admitted: AdmittedCall, deadline_ms: float
+    ) -> StateReply | Refusal:
+        """Keep jobs of an id from being stored later; return the state of one stored meanwhile."""
+        job_id, team = admitted.job_id, admitted.team
+        if JOB_ID.fullmatch(job_id) is None:
+            return StateReply()
+        if not self.tombstone_limits.take(team, monotonic_ms()):
+            return unavailable_refusal("too many ids without a job were cancelled")
+        expires_ms = self.clock.now_ms() + int(ID_RETENTION_FACTOR * self.job_kept_ms)
+        result = await self.job_writer.store_tombstone(job_id, team, expires_ms, deadline_ms)
+        emit(log, Event.TOMBSTONE_STORED, job=job_id, team=team, outcome=result.status.value)
+        if result.status is WriteStatus.HAS_JOB:
+            return _decode_state(job_id, result)
+        return self._unstored_cancellation_refusal(result) or StateReply()
+
+    def _unstored_cancellation_refusal(self, result: WriteResult) -> Refusal | None:
+        """Return the refusal of a cancellation that may not be stored, or None if it is."""
         if result.status is WriteStatus.REFUSED:
             return self._store_refusal("the store cannot accept cancellations now")
         if result.status is WriteStatus.UNKNOWN:
-            return unknown_outcome_refusal(
-                "the store did not confirm whether the job was cancelled"
-            )
-        self.owner_router.notify(CancelNotice(admitted.job_id))
+            message = "the store did not confirm whether the job was cancelled"
+            return attrs.evolve(unknown_outcome_refusal(message), retry_after_s=RETRY_AFTER_S)
         return None
 
     async def count_pending_jobs(self, admitted: AdmittedCall) -> int | Refusal:
@@ -300,19 +366,6 @@
             message, RETRY_AFTER_S if self.owner_router.is_owner_reachable else RETRY_ELSEWHERE_S
         )
 
-    async def _find_job(self, admitted: AdmittedCall) -> StateReply | Refusal:
-        """Return the state of an existing job of the caller's team, or the refusal."""
-        reply = await self._find_state(admitted.job_id)
-        if isinstance(reply, Refusal):
-            return reply
-        if not reply.state:
-            return _unknown_job_refusal(admitted.job_id)
-        if reply.team and reply.team != admitted.team:
-            return Refusal(
-                ErrorKind.FORBIDDEN, "the job belongs to another team", remedy="use its key"
-            )
-        return reply
-
     async def _find_state(self, job_id: str) -> StateReply | Refusal:
         if JOB_ID.fullmatch(job_id) is None:
             return StateReply()
@@ -322,10 +375,7 @@
         try:
             return await self._read_state(job_id)
         except (StoreError, ValueError) as exc:
-            emit(log, Event.STATE_UNKNOWN, job=job_id, detail=exc)
-            return unavailable_refusal(
-                "neither the owner nor the store returned the state of the job"
-            )
+            return _unknown_state_refusal(job_id, exc)
 
     async def _read_state(self, job_id: str) -> StateReply:
         """Read the state of a job from the store; raises StoreError or ValueError."""
--- a/baobabhoist/control/node.py
+++ b/baobabhoist/control/node.py
@@ -109,6 +109,7 @@
             cfg.bounds.revoke_ms,
             cfg.store.row_max_bytes,
             JobAdmission(self.owner_router) if cfg.scheduling.admission else None,
+            cfg.bounds.job_kept_s * 1000,
         )
         self.placement_previews = PlacementPreviews(
             self.config, adapter.decoder, self.owner_router, self.job_api.admission
--- a/baobabhoist/control/owner.py
+++ b/baobabhoist/control/owner.py
@@ -38,6 +38,7 @@
 from baobabhoist.control.range_reader import max_concurrent_reads
 from baobabhoist.control.row_schema import (
     CANCEL_SUFFIX,
+    ID_RETENTION_FACTOR,
     JOB_PARTITIONS,
     JOBS_TABLE,
 )
@@ -53,6 +54,7 @@
 )
 from baobabhoist.control.table_follower import TableFollower
 from baobabhoist.control.task_supervisor import TaskSupervisor
+from baobabhoist.control.tombstone_sweeper import TombstoneSweeper
 from baobabhoist.control.waiting_report import WaitingReporter
 from baobabhoist.observability.events import Event, emit
 from baobabhoist.store.row_store import RowStore, StoredRow, StoreError
@@ -184,6 +186,8 @@
             self._tasks.spawn_service(self._directory.run())
             self._tasks.spawn_service(self.progress_writer.run(self._require_cell()))
             self._tasks.spawn_service(self._run_ticks())
+            sweeper = TombstoneSweeper(self._deps.store, self._deps.clock)
+            self._tasks.spawn_service(sweeper.run())
             await self._tasks.wait_for_failure()
         finally:
             self.stop()
@@ -528,7 +532,7 @@
 
     def _remove_expired_jobs(self, cell: CellScheduler) -> None:
         """Remove jobs whose retention period has passed."""
-        cutoff_ms = monotonic_ms() - 2 * self._deps.job_kept_ms
+        cutoff_ms = monotonic_ms() - ID_RETENTION_FACTOR * self._deps.job_kept_ms
         expired = [
             j.job_id for j in cell.state.jobs.values() if j.is_final and j.ended_ms < cutoff_ms
         ]
--- a/baobabhoist/control/row_schema.py
+++ b/baobabhoist/control/row_schema.py
@@ -31,6 +31,8 @@
 # Jobs are partitioned by the first hex digit of their ids.
 JOB_PARTITIONS = tuple("0123456789abcdef")
 CANCEL_SUFFIX = "/cancel"
+# Ids are remembered this many times as long as finished jobs can be queried.
+ID_RETENTION_FACTOR = 2
 # Between the job's id and what else is in the key of a row of progress.
 PART_SEPARATOR = "/"
 
--- a/baobabhoist/observability/events.py
+++ b/baobabhoist/observability/events.py
@@ -287,6 +287,16 @@
         logging.ERROR,
         "gave up job {job}, whose step {step} makes the scheduler fail: {detail}",
     )
+    TOMBSTONE_STORED = (
+        1627,
+        logging.INFO,
+        "storing that team {team} cancelled id {job}, which has no job: {outcome}",
+    )
+    TOMBSTONES_REMOVED = (
+        1628,
+        logging.INFO,
+        "removed {count} expired tombstones of partition {partition}",
+    )
     LONG_WAIT_BEGAN = (
         1640,
         logging.WARNING,
--- a/baobabhoist/platform/http_server.py
+++ b/baobabhoist/platform/http_server.py
@@ -61,6 +61,7 @@
     ErrorKind.QUEUE_FULL: 429,
     # The platform has no other status for a job that was not accepted and never runs.
     ErrorKind.NEVER_FITS: 429,
+    ErrorKind.CANCELLED: 429,
     ErrorKind.PLATFORM_UNAVAILABLE: 503,
     ErrorKind.OUTCOME_UNKNOWN: 504,
 }
--- a/baobabhoist/store/row_store.py
+++ b/baobabhoist/store/row_store.py
@@ -82,7 +82,7 @@
     def version_of(self, key: RowKey) -> int:
         """Return the version of a row, or 0 if it is absent."""
         row = self._find(key)
-        return row.version if row is not None else 0
+        return row.version if row is not None and row.value is not None else 0
 
     def value_of(self, key: RowKey) -> bytes:
         """Return the value of a row, or an empty one if it is absent."""
--- a/baobabhoist/tests/test_control_job_writer.py
+++ b/baobabhoist/tests/test_control_job_writer.py
@@ -6,10 +6,12 @@
 
 from baobabhoist.control import job_writer
 from baobabhoist.control.clock import monotonic_ms
-from baobabhoist.control.job_writer import JobWriter, WriteStatus
+from baobabhoist.control.job_writer import JobWriter
+from baobabhoist.control.row_inserts import WriteStatus
 from baobabhoist.control.row_schema import job_row_key
 from baobabhoist.control.store_health import StoreHealth
-from baobabhoist.store.row_store import RowsConflict
+from baobabhoist.control.tombstone_row import Tombstone, encode_tombstone, tombstone_row_key
+from baobabhoist.store.row_store import RowsConflict, RowTransaction, StoredRow
 from baobabhoist.testing.memory_row_store import MemoryRowStore
 
 ID = "0123456789abcdef"
@@ -23,7 +25,7 @@
 
 
 def store_job(store, budget_ms=2000.0):
-    return asyncio.run(make_writer(store).store_job(ID, b"{}", monotonic_ms() + budget_ms))
+    return asyncio.run(make_writer(store).store_job(ID, "team", b"{}", monotonic_ms() + budget_ms))
 
 
 def make_writer(store):
@@ -60,6 +62,27 @@
     assert store_job(OddStore(), 50.0).status is WriteStatus.UNKNOWN
 
 
+@pytest.mark.parametrize("is_cancelled", [False, True])
+def test_a_removed_job_in_a_conflict_is_no_proof_that_it_is_stored(is_cancelled):
+    """Guard against a job that counts as stored because its id was used long ago."""
+
+    class ShowingRemovedRows(MemoryRowStore):
+        async def commit(self, txn):
+            outcome = await super().commit(txn)
+            if not isinstance(outcome, RowsConflict):
+                return outcome
+            return RowsConflict((StoredRow(job_row_key(ID), None, 7), *outcome.rows))
+
+    store = ShowingRemovedRows()
+    team = "team" if is_cancelled else "other"
+    store.apply(
+        RowTransaction(puts={tombstone_row_key(ID): encode_tombstone(Tombstone((team,), 0))})
+    )
+    status = WriteStatus.CANCELLED if is_cancelled else WriteStatus.NEW
+    assert store_job(store).status is status
+    assert (job_row_key(ID) in store.rows) is not is_cancelled
+
+
 def test_refusal_is_reported_only_if_no_late_write_is_possible(monkeypatch):
     """Guard against a refusal of a job whose earlier write the store applies late."""
     monkeypatch.setattr(job_writer, "REFUSED_RETRY_MS", 0.0)
@@ -89,7 +112,7 @@
     async def run():
         store = HangingStore(choose_failure=lambda txn: "late")
         async with asyncio.timeout(TEST_TIMEOUT_S):
-            result = await make_writer(store).store_job(ID, b"{}", monotonic_ms() + 30.0)
+            result = await make_writer(store).store_job(ID, "team", b"{}", monotonic_ms() + 30.0)
         assert result.status is WriteStatus.UNKNOWN
 
     asyncio.run(run())
--- a/baobabhoist/tests/test_control_odd_rows.py
+++ b/baobabhoist/tests/test_control_odd_rows.py
@@ -24,6 +24,7 @@
     SILENT_WORKERS_ROW_KEY,
     decode_silent_workers,
 )
+from baobabhoist.control.tombstone_row import decode_tombstone
 from baobabhoist.control.usage_row import USAGE_ROW_KEY, decode_usage
 from baobabhoist.platform.decode import PlatformDecoder
 from baobabhoist.store.row_store import RowKey, RowTransaction
@@ -124,6 +125,7 @@
         decode_usage,
         decode_silent_workers,
         decode_speeds,
+        decode_tombstone,
         lambda body: decode_job(JOB_ID, body, 1),
     )
     for body in bodies:
