--- a/baobabhoist/tests/test_daemon_jobs.py
+++ b/baobabhoist/tests/test_daemon_jobs.py
@@ -237,6 +237,31 @@
     two_instances(scenario)
 
 
+@pytest.mark.parametrize("is_coordinator_lost", [False, True])
+def test_a_submission_that_arrives_after_its_jobs_cancelling_starts_nothing(
+    two_instances, is_coordinator_lost
+):
+    """Guard against a first submission that is read late and starts the job that was cancelled.
+
+    Its caller got no answer, submitted the job again under its key, and cancelled it then.
+    """
+
+    async def scenario(here, jobs, there, others):
+        await jobs.submit(spec())
+        await until(lambda: len(here.sent) == 2)
+        cancelled = await jobs.cancel("j1", "roster")
+        if is_coordinator_lost:
+            jobs._coordinator.set_owned_shards([])
+            jobs._coordinator.set_owned_shards(here.owned)
+        late = await others.submit(spec())
+        await asyncio.sleep(0.3)
+        assert (cancelled.job_id, late.job_id) == ("j1", "j1")
+        assert len(here.sent) == 2
+        assert here.shards["rack-1"].cancelled == {req.request_id for req in here.sent}
+
+    two_instances(scenario)
+
+
 def test_all_unfinished_jobs_of_a_queue_are_found_however_many_there_are(
     two_instances, monkeypatch
 ):
