Let callers of the platform's soak leave and cancel elsewhere, and count a 410

A caller that left has ended its connection itself, so it is not counted as cut off by a planned stop (tested both ways).

--- a/baobabhoist/platform/testing/soak.py
+++ b/baobabhoist/platform/testing/soak.py
@@ -23,11 +23,13 @@
 from baobabhoist.platform.testing.soak_checker import (
     REFUSED_STATUSES,
     GuaranteeChecker,
+    is_cancel_acknowledged,
 )
 from baobabhoist.platform.testing.soak_faults import FAULTS
 from baobabhoist.platform.testing.soak_jobs import QUEUES, JobGenerator
 from baobabhoist.platform.testing.soak_late_returns import LATE_STARTS_AT_RETURN
 from baobabhoist.platform.testing.soak_late_starts import LATE_STARTS
+from baobabhoist.platform.testing.soak_leavers import LEAVE_PROBABILITY, submit_and_leave
 from baobabhoist.platform.testing.soak_records import SubmittedJob, Team
 from baobabhoist.platform.testing.soak_slowdowns import slowed_processes
 from baobabhoist.platform.testing.soak_takeover import OUTAGE_TAKEOVER
@@ -181,9 +183,18 @@
         )
 
     async def _send_request(
-        self, event: str, job: SubmittedJob, method: str, instance: str, key: str = ""
+        self,
+        event: str,
+        job: SubmittedJob,
+        method: str,
+        instance: str,
+        key: str = "",
+        patience_s: float = REQUEST_TIMEOUT_S,
     ) -> dict[str, Any]:
-        """Send one request and log it; `status` is 0 if there was no response."""
+        """Send one request and log it; `status` is 0 if there was no response.
+
+        `left` tells whether the caller left before the time that it had given the instance.
+        """
         entry: dict[str, Any] = {
             "t": time.time(),
             "event": event,
@@ -200,11 +211,12 @@
             self.deployment.instances[instance].caller_port,
             method,
             f"/{job.queue}/{job.job_id}",
-            REQUEST_TIMEOUT_S,
+            patience_s,
             headers=headers,
             body=job.body if method == "POST" else None,
         )
         entry["end"] = time.time()
+        entry["left"] = patience_s < REQUEST_TIMEOUT_S
         has_response = isinstance(response, HTTPResponse) and response.code != NO_RESPONSE_STATUS
         if isinstance(response, HTTPResponse) and has_response:
             entry["status"] = response.code
@@ -232,24 +244,36 @@
             instance = self._pick_instance(excluded=instance)
         return False
 
-    async def cancel(self, job: SubmittedJob) -> None:
-        """Cancel a job, retrying until the cancellation is confirmed or the job is unknown."""
+    async def submit_impatiently(
+        self, job: SubmittedJob, instance: str, patience_s: float
+    ) -> bool:
+        """Submit a job once and leave after a time; tell whether it was accepted until then."""
+        entry = await self._send_request("submit", job, "POST", instance, patience_s=patience_s)
+        return bool(entry["status"] == 200)
+
+    async def cancel(self, job: SubmittedJob, excluded: str = "") -> None:
+        """Cancel a job, retrying until that is acknowledged."""
         job.cancel_sent = job.cancel_sent or time.time()
         for _ in range(REQUEST_ATTEMPTS):
-            entry = await self._send_request("cancel", job, "DELETE", self._pick_instance())
-            if entry["status"] in (200, 410):
+            instance = self._pick_instance(excluded)
+            entry = await self._send_request("cancel", job, "DELETE", instance)
+            if is_cancel_acknowledged(entry["status"]):
                 return
             await asyncio.sleep(RETRY_DELAY_S)
 
     async def submit_and_follow(self, job: SubmittedJob) -> None:
         """Submit a job and follow it to its end.
 
-        Some jobs are submitted twice at once, with an unknown key, or cancelled later.
+        Some jobs are submitted twice at once, with an unknown key, or cancelled, by callers that
+        leave without an answer or later.
         """
         rng = random.Random(job.job_id)
         if rng.random() < UNKNOWN_KEY_PROBABILITY:
             await self.submit(job, "key-of-nobody")
             return
+        if rng.random() < LEAVE_PROBABILITY:
+            await submit_and_leave(self, job, rng)
+            return
         duplicates = [self.submit(job)] if rng.random() < DUPLICATE_PROBABILITY else []
         attempts = self._draw_attempts(rng)
         is_accepted = any(await asyncio.gather(self.submit(job, attempts=attempts), *duplicates))
--- a/baobabhoist/platform/testing/soak_checker.py
+++ b/baobabhoist/platform/testing/soak_checker.py
@@ -36,6 +36,7 @@
 # Entries for events of the same moment may be logged this far apart.
 TIMESTAMP_TOLERANCE_S = 0.002
 REFUSED_STATUSES = frozenset({400, 401, 403, 404, 413, 429, 503})
+HTTP_GONE = 410
 # These faults do not excuse a breach of any guarantee.
 NON_DISRUPTIVE_FAULTS = frozenset(
     {"config", "revoke", "cancel_wave", "burst", "worker_drain", "evacuation"}
@@ -58,6 +59,11 @@
 )
 
 
+def is_cancel_acknowledged(status: int) -> bool:
+    """Return whether an answer to a cancellation acknowledges it, also that of an unknown job."""
+    return 200 <= status < 300 or status == HTTP_GONE
+
+
 @attrs.define
 class GuaranteeChecker:
     """Check one run of the soak; each of `breaches` begins with the guarantee that was broken."""
@@ -297,7 +303,8 @@
         for (event, job_id), entries in self.requests.items():
             if event != "cancel":
                 continue
-            cancelled_at = min((e["end"] for e in entries if e["status"] == 200), default=INF)
+            acknowledged = (e["end"] for e in entries if is_cancel_acknowledged(e["status"]))
+            cancelled_at = min(acknowledged, default=INF)
             for run in self.runs_by_job.get(job_id, ()):
                 starts_late = (
                     run.start > cancelled_at + CANCEL_DEADLINE_S and not run.was_carried_out_late
@@ -446,9 +453,12 @@
             ]
             for entry in self.caller_log:
                 is_near_stop = stopping_at - 1.0 < entry["t"] < stopping_at + GRACE_PERIOD_S
-                # A connection that was refused carried no request.
+                # A connection that was refused carried no request, and a caller that left ended
+                # its connection by itself.
                 lacks_response = (
-                    entry["status"] == 0 and "refused" not in entry.get("reason", "").lower()
+                    entry["status"] == 0
+                    and "refused" not in entry.get("reason", "").lower()
+                    and not entry.get("left")
                 )
                 if entry["instance"] == instance and is_near_stop:
                     self._check(
--- a/baobabhoist/tests/test_platform_soak.py
+++ b/baobabhoist/tests/test_platform_soak.py
@@ -20,6 +20,7 @@
     "common faults": ["kill", "stop", "cut_store", "worker_crash", "store_loses"],
     "takeovers during outages": ["outage_takeover"],
     "advice and scheduling as deployed": ["kill", "worker_crash"],
+    "callers that leave": ["pause", "kill", "store_late"],
 }
 PROFILE_NAMES = {"advice and scheduling as deployed": "deployed"}
 
--- a/baobabhoist/tests/test_platform_soak_checker.py
+++ b/baobabhoist/tests/test_platform_soak_checker.py
@@ -102,6 +102,12 @@
     "another payload": ("UNASKED", [run_start(2.0, spec=1)], [], []),
     "another task's checkpoint": ("UNASKED", [run_start(2.0, checkpoint="0" * 16)], [], []),
     "started after its cancellation": ("UNASKED", [run_start(9.0)], [ACCEPTED, CANCELLED], []),
+    "started after it was unknown to its cancellation": (
+        "UNASKED",
+        [run_start(9.0)],
+        [caller_request("submit", 1.0, 0, left=True), caller_request("cancel", 2.0, 410)],
+        [],
+    ),
     "still running after its cancellation": (
         "UNASKED",
         [run_start(1.5)],
@@ -195,6 +201,24 @@
     assert "UNASKED" in broken_guarantees([run_start(9.5, late=False), stopped], requests, [])
 
 
+@pytest.mark.parametrize("status", [0, 403, 503, 504])
+def test_start_after_a_cancellation_that_was_not_acknowledged_is_no_breach(status: int) -> None:
+    """Guard against breaches that no instance answers for."""
+    requests = [ACCEPTED, caller_request("cancel", 2.0, status)]
+    stopped = run_end(9.6, "stopped")
+    assert "UNASKED" not in broken_guarantees([run_start(9.5), stopped], requests, [])
+
+
+@pytest.mark.parametrize(("left", "is_breach"), [(False, True), (True, False)])
+def test_caller_that_left_during_a_stop_got_no_response_by_itself(
+    left: bool, is_breach: bool
+) -> None:
+    """Guard against breaches of callers that left, and against an excuse for all others."""
+    request = caller_request("submit", 5.0, 0, reason="timeout", left=left)
+    stop = {"event": "stop", "t": 5.0, "instance": "edge-1"}
+    assert ("LOST" in broken_guarantees([], [request], [stop])) is is_breach
+
+
 def test_late_starts_excuse_no_second_run() -> None:
     """Guard against an exemption for late starts that covers two runs of one task."""
     overlapping = [run_start(2.0), run_start(2.5, run=2, worker="w2", late=True)]
