Move the rotating checks for advice into a class, and end two repetitions

The liveness check drops a directory entry in one place, and a run is attached with one question about the current one. No change of behaviour.

--- a/baobabhoist/benchmarks/cell_faults.py
+++ b/baobabhoist/benchmarks/cell_faults.py
@@ -224,8 +224,7 @@
 
     def _leave(self, name: str) -> None:
         self._crash(name)
-        del self.directory[name]
-        self._notify_owner(lambda: self.cell.unlist_worker(name, self.now))
+        self._drop_entry(name)
 
     def _lose(self, name: str) -> None:
         if name in self.directory:
--- a/baobabhoist/cell/advice_requests.py
+++ b/baobabhoist/cell/advice_requests.py
@@ -23,6 +23,7 @@
 from baobabhoist.cell.model import AdviceTerms, RequestAdvice, Resources, StepKey
 from baobabhoist.cell.ranking import Timeliness, timeliness_of
 from baobabhoist.cell.reservations import Reservations
+from baobabhoist.cell.rotating_checks import RotatingChecks
 from baobabhoist.cell.state import CellState
 from baobabhoist.cell.worker_index import WorkerIndex
 
@@ -35,8 +36,6 @@
 EXPIRED_REQUEST_INTERVAL_MS = 1_000.0
 # A step for which there was nothing useful to ask is looked at again after this time.
 RECHECK_INTERVAL_MS = 60.0
-# At most this many steps are looked at in vain in one round; a later one goes on with the others.
-MAX_VAIN_CHECKS = 16
 # This many steps at the head of the ranking keep valid tickets while slots are idle.
 MAX_HEAD_STEPS = 8
 # Gangs this far up the ranking learn their approved workers before there is room for them.
@@ -74,15 +73,9 @@
     rates: ApprovalRates = attrs.Factory(ApprovalRates)
     open_requests: dict[StepKey, OpenRequest] = attrs.Factory(dict)
     _claims: RoomClaims = attrs.Factory(RoomClaims)
-    _vain_checks: int = 0
+    _checks: RotatingChecks = attrs.Factory(RotatingChecks)
     # How many tasks of each step will wait when an answer comes, besides those that wait now.
     _returning: Counter[StepKey] = attrs.Factory(Counter)
-    # Steps further up the ranking are not looked at in this round.
-    _first_position: int = 0
-    # Where a later round goes on, because one ended its checks there; 0 if none did.
-    _resume_position: int = 0
-    # The checks of this round have ended although a slot is free.
-    _checks_ended: bool = False
     # A step of a job that stands still found no slot in this round, and in the last one.
     _lacks_slot: bool = False
     _lacked_slot: bool = False
@@ -100,17 +93,9 @@
         for step_key in late:
             del self.open_requests[step_key]
         self._claims = RoomClaims()
-        self._vain_checks = 0
         self._returning = self._count_returning(now)
         self._lacked_slot, self._lacks_slot = self._lacks_slot, False
-        self._begin_checks()
-
-    def _begin_checks(self) -> None:
-        """Look at the steps from the top, or every second time from where checks have ended."""
-        if self._first_position and not self._checks_ended:
-            self._resume_position = 0
-        self._first_position = 0 if self._first_position else self._resume_position
-        self._checks_ended = False
+        self._checks.begin_round()
 
     def returning_steps(self) -> list[StepState]:
         """Return the steps of which no task waits yet, though some will when an answer comes."""
@@ -158,13 +143,12 @@
         is_long = is_long_request(queue.advice)
         if self._is_too_late_to_ask(step, is_long, now):
             return
-        if position < self._first_position or self._checks_ended:
+        if self._checks.skips(position):
             return
         if not self._free_slots(is_long):
             self._lacks_slot = self._lacks_slot or (not is_long and step.job.is_overdue(now))
             return
-        if self._vain_checks >= MAX_VAIN_CHECKS:
-            self._end_checks(position)
+        if self._checks.end_if_in_vain(position):
             return
         rate = self.rates.expected(queue.name)
         is_scarce = is_long and not self._has_idle_slots(is_long)
@@ -184,17 +168,11 @@
         if not chosen:
             chosen = self._find_ahead(finder, step, position, is_long)
         if not chosen:
-            self._vain_checks += 1
+            self._checks.count_vain()
             step.approvals.block_requests_until(now + RECHECK_INTERVAL_MS)
             return
         self._issue(step, queue.advice, chosen, task_count, now)
 
-    def _end_checks(self, position: int) -> None:
-        """End the checks of this round, though a slot is free; a later round goes on here."""
-        if self._first_position or not self._resume_position:
-            self._resume_position = position
-        self._checks_ended = True
-
     def close_request(self, step_key: StepKey) -> None:
         """Record that the request of a step was answered or has failed."""
         self.open_requests.pop(step_key, None)
--- a/baobabhoist/cell/jobs.py
+++ b/baobabhoist/cell/jobs.py
@@ -198,9 +198,9 @@
 
     def attach_run(self, run: Run) -> None:
         """Make a run the current run of its task."""
-        if run.task.run is None and not run.task.is_done:
-            self.waiting_count -= 1
         if run.task.run is None:
+            if not run.task.is_done:
+                self.waiting_count -= 1
             self.job.active_run_count += 1
             self.job.idle_since_ms = None
         run.task.run = run
