--- a/baobabhoist/control/node.py
+++ b/baobabhoist/control/node.py
@@ -269,7 +269,8 @@
     ) -> CellOwner:
         # Imported only now: few instances ever own a cell, and all have to start quickly.
         from baobabhoist.control.advice import AdviceDispatcher
-        from baobabhoist.control.owner import CellOwner, OwnerDependencies
+        from baobabhoist.control.owner import CellOwner
+        from baobabhoist.control.owner_dependencies import OwnerDependencies
 
         self.owner_router.end_held_sessions()
         rules = self.config.current.rules if self.config.current is not None else EMPTY_RULES
--- a/baobabhoist/control/owner.py
+++ b/baobabhoist/control/owner.py
@@ -6,25 +6,18 @@
 import functools
 import logging
 import time
-from collections.abc import Callable, Mapping, Sequence
-
-import attrs
+from collections.abc import Sequence
 
 from baobabhoist.cell.evacuations import NO_EVACUATIONS, Evacuations
 from baobabhoist.cell.jobs import JobState
 from baobabhoist.cell.model import CellRules, StartTask
 from baobabhoist.cell.placement_preview import PreviewTime, preview_placement
-from baobabhoist.cell.policy import DEFAULT_POLICY, SchedulingPolicy
 from baobabhoist.cell.scheduler import CellScheduler, Takeover
-from baobabhoist.cell.workers import lease_duration_ms
-from baobabhoist.control.advice import AdviceDispatcher
 from baobabhoist.control.cell_loader import CellLoader, CellTables
-from baobabhoist.control.clock import StoreClock, monotonic_ms, unix_ms
+from baobabhoist.control.clock import monotonic_ms, unix_ms
 from baobabhoist.control.command_sender import CommandSender
-from baobabhoist.control.interfaces import Decoder, WorkerDriver
 from baobabhoist.control.job_admission import KnownWaits
-from baobabhoist.control.loop_lag import LoopLagMonitor
-from baobabhoist.control.machine_size import MachineSize
+from baobabhoist.control.job_rows import JobRows, cancellations_last
 from baobabhoist.control.messages import (
     JobWaits,
     PendingReply,
@@ -32,7 +25,7 @@
     PlacementReply,
     StateReply,
 )
-from baobabhoist.control.metrics import NodeMetrics
+from baobabhoist.control.owner_dependencies import OwnerDependencies
 from baobabhoist.control.ownership_term import OwnershipTerm
 from baobabhoist.control.progress_writer import ProgressWriter
 from baobabhoist.control.range_reader import max_concurrent_reads
@@ -42,11 +35,9 @@
     JOB_PARTITIONS,
     JOBS_TABLE,
 )
-from baobabhoist.control.sessions.assignment import LinkedInstance
 from baobabhoist.control.sessions.pool import PoolDependencies, SessionPool
 from baobabhoist.control.silent_workers import SilentWorkers
 from baobabhoist.control.stored_rows import (
-    add_stored_job,
     group_by_job,
     restore_progress,
     restore_speeds,
@@ -57,7 +48,7 @@
 from baobabhoist.control.tombstone_sweeper import TombstoneSweeper
 from baobabhoist.control.waiting_report import WaitingReporter
 from baobabhoist.observability.events import Event, emit
-from baobabhoist.store.row_store import RowStore, StoredRow, StoreError
+from baobabhoist.store.row_store import StoredRow, StoreError
 
 log = logging.getLogger(__name__)
 
@@ -69,9 +60,6 @@
 # A query for a job that has just ended is answered this much later at most.
 MAX_END_WAIT_S = 0.2
 RETENTION_CHECK_TICKS = 100
-# Removed jobs that are remembered, because a table may have been read shortly before, and
-# cancelled jobs whose rows are not known yet.
-MAX_REMEMBERED_JOBS = 10_000
 # A new owner starts nothing until its view of the operator's table is confirmed; a confirmation
 # counts if it came at most this long before the won claim.
 MAX_OPERATOR_TABLE_AGE_MS = 2_500.0
@@ -81,36 +69,6 @@
 ROWS_PER_YIELD = 40
 
 
-@attrs.define
-class OwnerDependencies:
-    """Hold the collaborators and settings of a cell's owner."""
-
-    store: RowStore
-    driver: WorkerDriver
-    decoder: Decoder
-    clock: StoreClock
-    advice_dispatcher: AdviceDispatcher
-    lease_ms: float
-    # Longest lease that a worker grants.
-    max_lease_ms: float
-    job_kept_ms: float
-    # Largest value that a row of the store holds.
-    row_max_bytes: int
-    # Returns until when this owner may act, as far as its claim has been confirmed.
-    authority_ends_ms: Callable[[], float]
-    # Called once, with the reason, when another instance owns the cell.
-    on_ownership_lost: Callable[[str], None]
-    metrics: NodeMetrics
-    # Size of this machine.
-    size: MachineSize
-    loop_lag: LoopLagMonitor
-    # Returns the instances that can hold sessions with workers, by node name.
-    session_hosts: Callable[[], Mapping[str, LinkedInstance]]
-    policy: SchedulingPolicy = DEFAULT_POLICY
-    # Returns when the operator's table was last known to hold nothing newer.
-    operator_confirmed_ms: Callable[[], float] = lambda: float("inf")
-
-
 class CellOwner:
     """Run the tasks that drive one cell; each won claim gets a new instance."""
 
@@ -159,10 +117,7 @@
         self._round_requested = False
         self._next_round_ms = 0.0
         self._ownership_lost_reported = False
-        # The versions of the rows of removed jobs, by job id.
-        self._removed_versions: dict[str, int] = {}
-        # Jobs that were cancelled before this owner had their rows, oldest first.
-        self._early_cancellations: dict[str, None] = {}
+        self._job_rows = JobRows(deps.clock)
         self._ticks = 0
         self._waiting_reporter = WaitingReporter(deps.loop_lag)
         self._sender = CommandSender(
@@ -186,8 +141,7 @@
             self._tasks.spawn_service(self._directory.run())
             self._tasks.spawn_service(self.progress_writer.run(self._require_cell()))
             self._tasks.spawn_service(self._run_ticks())
-            sweeper = TombstoneSweeper(self._deps.store, self._deps.clock)
-            self._tasks.spawn_service(sweeper.run())
+            self._tasks.spawn_service(TombstoneSweeper(self._deps.store, self._deps.clock).run())
             await self._tasks.wait_for_failure()
         finally:
             self.stop()
@@ -236,24 +190,17 @@
 
     def handle_stored_job(self, job_id: str, value: bytes, version: int) -> None:
         """Add a stored job to the cell, unless its row was read before it was removed."""
-        cell = self._cell
-        if cell is None or version <= self._removed_versions.get(job_id, 0):
+        if self._cell is None or not self._job_rows.add(self._cell, job_id, value, version):
             return
-        if add_stored_job(cell, job_id, value, version, self._deps.clock):
-            self.request_scheduling_round()
-            if job_id in self._early_cancellations:
-                del self._early_cancellations[job_id]
-                self.handle_cancelled_job(job_id)
+        self.request_scheduling_round()
+        if self._job_rows.take_early_cancellation(job_id):
+            self.handle_cancelled_job(job_id)
 
     def handle_cancelled_job(self, job_id: str) -> None:
         """Cancel a job whose cancellation is stored, now or once its row is known."""
-        if self._cell is not None and self._cell.cancel_job(job_id, monotonic_ms()):
+        if self._job_rows.cancel(self._cell, job_id):
             self.request_scheduling_round()
             self.progress_writer.request_flush()
-        elif job_id not in self._removed_versions:
-            self._early_cancellations[job_id] = None
-            if len(self._early_cancellations) > MAX_REMEMBERED_JOBS:
-                del self._early_cancellations[next(iter(self._early_cancellations))]
 
     def job_state(self, job_id: str) -> StateReply:
         """Return the state of a job."""
@@ -325,8 +272,8 @@
         takeover = Takeover(
             self.ownership.generation,
             self.ownership.token,
-            self._inherited_expiry_ms(self._deps.lease_ms),
-            self._inherited_expiry_ms(self._deps.max_lease_ms),
+            self.ownership.inherited_expiry_ms(self._deps.lease_ms),
+            self.ownership.inherited_expiry_ms(self._deps.max_lease_ms),
             self._silent_workers.inherited(),
         )
         loaded_rows = (
@@ -370,14 +317,8 @@
         )
         self._deps.metrics.observe_takeover((now - self.ownership.won_ms) / 1000)
 
-    def _inherited_expiry_ms(self, lease_ms: float) -> float:
-        """Return when a lease that previous owners granted at the last moment has expired."""
-        last_ms = max(self.ownership.won_ms, self.ownership.previous_owner_until_ms)
-        return last_ms + lease_duration_ms(lease_ms)
-
     async def _load_jobs(self, rows: Sequence[StoredRow]) -> None:
-        # Cancellations come last, because they refer to jobs that must already be loaded.
-        sorted_rows = sorted(rows, key=lambda r: r.key.key.endswith(CANCEL_SUFFIX))
+        sorted_rows = cancellations_last(rows)
         for first in range(0, len(sorted_rows), ROWS_PER_YIELD):
             self._apply_job_rows(sorted_rows[first : first + ROWS_PER_YIELD], False)
             await asyncio.sleep(0)
@@ -414,7 +355,7 @@
         return 0.0 if is_urgent else DIRECTORY_POLL_PAUSE_S
 
     def _apply_job_rows(self, rows: Sequence[StoredRow], is_snapshot: bool) -> None:
-        for row in sorted(rows, key=lambda r: r.key.key.endswith(CANCEL_SUFFIX)):
+        for row in cancellations_last(rows):
             if row.value is None:
                 continue
             if row.key.key.endswith(CANCEL_SUFFIX):
@@ -544,10 +485,7 @@
         job = cell.find_job(job_id)
         if job is None or not await self.progress_writer.remove_job(job_id):
             return
-        self._removed_versions[job_id] = job.accepted.version
-        if len(self._removed_versions) > MAX_REMEMBERED_JOBS:
-            del self._removed_versions[next(iter(self._removed_versions))]
-        cell.remove_job(job_id)
+        self._job_rows.remove(cell, job)
 
     def _report_ownership_lost(self, reason: str) -> None:
         if not self._ownership_lost_reported:
--- a/baobabhoist/control/ownership_term.py
+++ b/baobabhoist/control/ownership_term.py
@@ -4,6 +4,8 @@
 
 import attrs
 
+from baobabhoist.cell.workers import lease_duration_ms
+
 
 @attrs.frozen
 class OwnershipTerm:
@@ -18,3 +20,7 @@
     generation: int
     won_ms: float
     previous_owner_until_ms: float
+
+    def inherited_expiry_ms(self, lease_ms: float) -> float:
+        """Return when a lease that previous owners granted at the last moment has expired."""
+        return max(self.won_ms, self.previous_owner_until_ms) + lease_duration_ms(lease_ms)
--- a/baobabhoist/tests/test_control_tombstones.py
+++ b/baobabhoist/tests/test_control_tombstones.py
@@ -149,7 +149,7 @@
         answers = {await instance.cancel(job_id=f"{n:016x}") for n in range(3_000)}
         submitted = await instance.submit()
         starts = await started_tasks(harness, owner_starts_now=True)
-        remembered = len(harness.owner._early_cancellations)
+        remembered = harness.owner._job_rows.early_cancellation_count
         return answers, submitted, starts, TOMBSTONES_TABLE in harness.store.tables, remembered
 
     kinds, submitted, starts, reads_tombstones, remembered = asyncio.run(run())
