Renew a tombstone that a later cancelling of the same id relies on

Found on reading: a second DELETE of an id was answered 410 because of the team's tombstone, however soon that expired. The two inserts that follow a tombstone share how they read its version, and the tests of cancellings share one caller harness.

--- a/baobabhoist/control/row_inserts.py
+++ b/baobabhoist/control/row_inserts.py
@@ -26,6 +26,9 @@
 
 log = logging.getLogger(__name__)
 
+# A team's tombstone that expires up to this much earlier than a new one would is not replaced.
+RENEWAL_SLACK_MS = 60_000
+
 
 class WriteStatus(enum.Enum):
     """Describe the outcome of storing a row."""
@@ -124,15 +127,15 @@
         if stored is not None:
             return stored
         tombstone_key = tombstone_row_key(self.job_id)
-        version = conflict.version_of(tombstone_key)
-        if version == self._tombstone_version:
-            raise _odd_conflict_error()
-        self._tombstone_version = version
+        self._tombstone_version = _changed_version(
+            conflict, tombstone_key, self._tombstone_version
+        )
         tombstone = _read_tombstone(conflict, tombstone_key)
+        is_absent = not self._tombstone_version
         # One that can't be read may be of any team.
-        if version and (tombstone is None or tombstone.forbids(self.team)):
-            return WriteResult(WriteStatus.CANCELLED)
-        return None
+        if is_absent or (tombstone is not None and not tombstone.forbids(self.team)):
+            return None
+        return WriteResult(WriteStatus.CANCELLED)
 
 
 @attrs.define
@@ -165,15 +168,14 @@
         if conflict.version_of(job_key):
             version, value = conflict.version_of(job_key), conflict.value_of(job_key)
             return WriteResult(WriteStatus.HAS_JOB, version, value)
-        version = conflict.version_of(self.key)
-        if version == self._version:
-            raise _odd_conflict_error()
-        self._version = version
+        self._version = _changed_version(conflict, self.key, self._version)
         stored = _read_tombstone(conflict, self.key)
-        if stored is not None and self.team in stored.teams:
+        if stored is None:
+            return None
+        is_recent = stored.expires_ms + RENEWAL_SLACK_MS >= self.tombstone.expires_ms
+        if self.team in stored.teams and is_recent:
             return _stored_result(conflict, self.key, may_be_written)
-        if stored is not None:
-            self.tombstone = self.tombstone.merge(stored)
+        self.tombstone = self.tombstone.merge(stored)
         return None
 
 
@@ -187,6 +189,14 @@
     return WriteResult(status, conflict.version_of(key), conflict.value_of(key))
 
 
+def _changed_version(conflict: RowsConflict, key: RowKey, known_version: int) -> int:
+    """Return the version of a row that has caused a conflict by its change."""
+    version = conflict.version_of(key)
+    if version == known_version:
+        raise _odd_conflict_error()
+    return version
+
+
 def _read_tombstone(conflict: RowsConflict, key: RowKey) -> Tombstone | None:
     """Return the tombstone that a conflict shows, or None if it is absent or unreadable."""
     if not conflict.version_of(key):
--- a/baobabhoist/tests/test_control_job_cancellations.py
+++ b/baobabhoist/tests/test_control_job_cancellations.py
@@ -8,53 +8,33 @@
 from baobabhoist.cell.progress_rows import JobProgress, encode
 from baobabhoist.control import owner as owner_module
 from baobabhoist.control import table_follower
-from baobabhoist.control.clock import StoreClock, monotonic_ms
-from baobabhoist.control.config import ActiveConfig, Route
-from baobabhoist.control.job_api import AdmittedCall, ApiCall, JobApi
-from baobabhoist.control.job_writer import JobWriter
-from baobabhoist.control.owner_router import OwnerRouter
+from baobabhoist.control.clock import monotonic_ms
+from baobabhoist.control.config import Route
+from baobabhoist.control.job_api import AdmittedCall, ApiCall
 from baobabhoist.control.row_schema import (
     cancel_row_key,
     progress_row_key,
 )
-from baobabhoist.control.store_health import StoreHealth
 from baobabhoist.errors import ErrorKind
-from baobabhoist.platform.decode import PlatformDecoder
 from baobabhoist.store.row_store import RowTransaction
+from baobabhoist.tests.caller_harness import CallerInstance
 from baobabhoist.tests.cell_harness import make_rules
-from baobabhoist.tests.owner_harness import JOB, JOB_ID, ROW_MAX_BYTES, JobsAwayStore, OwnerHarness
+from baobabhoist.tests.owner_harness import JOB, JOB_ID, JobsAwayStore, OwnerHarness
 
 pytestmark = pytest.mark.usefixtures("short_owner_polls")
 
-REVOKE_MS = 5_000.0
 # Only calls that the store does not answer take this long.
 CALL_MS = 400.0
 # An owner that may start a task has started it after so many polls of the directory.
 POLLS_FOR_A_START = 30
 
 
-def make_job_api(harness):
-    """Return the API of the owner's instance."""
-    router = OwnerRouter("n1", None)
-    router.local_owner = harness.owner
-    return JobApi(
-        ActiveConfig(),
-        harness.store,
-        JobWriter(harness.store, StoreHealth()),
-        PlatformDecoder(),
-        StoreClock(),
-        router,
-        REVOKE_MS,
-        ROW_MAX_BYTES,
-    )
-
-
 def cancel(harness):
     """Cancel the harness's job as its team does; returns the refusal or None."""
     queue = make_rules().queues["q"]
     admitted = AdmittedCall(None, Route("h", "/q/", queue), "team", JOB_ID)
     call = ApiCall("h", f"/q/{JOB_ID}", "k", monotonic_ms() + CALL_MS)
-    return make_job_api(harness).cancel(call, admitted)
+    return CallerInstance(harness).api.cancel(call, admitted)
 
 
 @pytest.mark.parametrize("phase", [JobPhase.COMPLETED, JobPhase.FAILED])
--- a/baobabhoist/tests/test_control_tombstones.py
+++ b/baobabhoist/tests/test_control_tombstones.py
@@ -10,7 +10,9 @@
 from baobabhoist.control.row_schema import cancel_row_key, job_row_key
 from baobabhoist.control.tombstone_row import (
     TOMBSTONES_TABLE,
+    Tombstone,
     decode_tombstone,
+    encode_tombstone,
     tombstone_row_key,
 )
 from baobabhoist.errors import ErrorKind
@@ -200,6 +202,25 @@
     assert decode_tombstone(value).expires_ms > now_ms + 2 * DEFAULT_JOB_KEPT_MS - CALL_MS
 
 
+@pytest.mark.parametrize(("age_ms", "is_renewed"), [(1_000, False), (200_000, True)])
+def test_a_tombstone_is_renewed_by_a_later_cancelling(age_ms, is_renewed):
+    """Guard against a cancelling whose 410 rests on a tombstone that is about to expire."""
+
+    async def run():
+        harness = OwnerHarness()
+        instance = CallerInstance(harness)
+        kept_until_ms = instance.api.clock.now_ms() + int(2 * DEFAULT_JOB_KEPT_MS)
+        stored = Tombstone(("other", "team"), kept_until_ms - age_ms)
+        key = tombstone_row_key(JOB_ID)
+        harness.store.apply(RowTransaction(puts={key: encode_tombstone(stored)}))
+        kind = await instance.cancel()
+        tombstone = decode_tombstone(harness.store.rows[key].value)
+        return kind, set(tombstone.teams), tombstone.expires_ms >= kept_until_ms
+
+    expected = (ErrorKind.NOT_FOUND, {"other", "team"}, is_renewed)
+    assert asyncio.run(run()) == expected
+
+
 def test_a_tombstone_that_cannot_be_read_refuses_its_id_alone():
     """Guard against a damaged row that lets a cancelled job run, or raises for other jobs."""
 
