Let a tombstone of a public queue stand for the team of the key, if one was sent

Found on reading: on a public queue all callers had the same empty team, so a caller with another team's key could refuse a job by cancelling its id before it was submitted, and a queue that became public or private in between lost the cancelling. A tombstone now names the team of the key also there; a caller without a known key, on either side, counts as the same one, so that a cancelled job doesn't run because one of its calls had no key. Jobs of public queues still belong to no team.

--- a/baobabhoist/control/job_api.py
+++ b/baobabhoist/control/job_api.py
@@ -25,7 +25,7 @@
     StateReply,
 )
 from baobabhoist.control.owner_router import OwnerRouter
-from baobabhoist.control.row_inserts import WriteResult, WriteStatus
+from baobabhoist.control.row_inserts import JobInsert, WriteResult, WriteStatus
 from baobabhoist.control.row_schema import (
     ID_RETENTION_FACTOR,
     JOBS_TABLE,
@@ -72,12 +72,17 @@
 
 @attrs.frozen
 class AdmittedCall:
-    """Hold a call admitted by its route and key; `job_id` is empty for a call to the queue."""
+    """Hold a call admitted by its route and key; `job_id` is empty for a call to the queue.
+
+    `team` is empty on a public queue, whose jobs belong to no team; `key_team` is the team of the
+    key also there, if it is known.
+    """
 
     cfg: CellConfig
     route: Route
     team: str
     job_id: str
+    key_team: str = attrs.field(default=attrs.Factory(lambda call: call.team, takes_self=True))
 
 
 def unavailable_refusal(message: str, retry_after_s: float = RETRY_AFTER_S) -> Refusal:
@@ -189,7 +194,7 @@
             return Refusal(
                 ErrorKind.NOT_FOUND, f"no queue at {call.path}", remedy="check host and path"
             )
-        team = ""
+        key_team = cfg.team_by_key.get(call.key, "")
         if not route.queue.is_public:
             if self.config.age_ms(monotonic_ms()) > MAX_KEY_AGE_FRACTION * self.revoke_ms:
                 return self._stale_keys_refusal()
@@ -197,9 +202,9 @@
                 kind = ErrorKind.KEY_REJECTED if call.key else ErrorKind.KEY_MISSING
                 emit(log, Event.KEY_REFUSED, queue=route.queue.name, version=cfg.version)
                 return Refusal(kind, "the key is not valid", remedy="send a key of the team")
-            team = cfg.team_by_key[call.key]
+        team = "" if route.queue.is_public else key_team
         job_id = call.path[len(route.prefix) :].partition("?")[0]
-        return AdmittedCall(cfg, route, team, job_id)
+        return AdmittedCall(cfg, route, team, job_id, key_team)
 
     async def submit(self, call: ApiCall, admitted: AdmittedCall, body: bytes) -> Refusal | None:
         """Store a job; return None once it is accepted."""
@@ -264,9 +269,8 @@
             remedy = f"send a job of at most {self.row_max_bytes} bytes"
             return Refusal(ErrorKind.BODY_TOO_LARGE, message, remedy=remedy)
         start_ms = monotonic_ms()
-        result = await self.job_writer.store_job(
-            admitted.job_id, admitted.team, value, call.deadline_ms - ANSWER_RESERVE_MS
-        )
+        insert = JobInsert(admitted.job_id, admitted.key_team, queue.is_public, value)
+        result = await self.job_writer.store_job(insert, call.deadline_ms - ANSWER_RESERVE_MS)
         emit(
             log,
             Event.JOB_STORED,
@@ -321,7 +325,7 @@
         self, admitted: AdmittedCall, deadline_ms: float
     ) -> StateReply | Refusal:
         """Keep jobs of an id from being stored later; return the state of one stored meanwhile."""
-        job_id, team = admitted.job_id, admitted.team
+        job_id, team = admitted.job_id, admitted.key_team
         if JOB_ID.fullmatch(job_id) is None:
             return StateReply()
         if not self.tombstone_limits.take(team, monotonic_ms()):
--- a/baobabhoist/control/job_writer.py
+++ b/baobabhoist/control/job_writer.py
@@ -46,11 +46,9 @@
         """Return whether the last direct call to the store failed."""
         return self._store_health.is_unreachable()
 
-    async def store_job(
-        self, job_id: str, team: str, value: bytes, deadline_ms: float
-    ) -> WriteResult:
+    async def store_job(self, insert: JobInsert, deadline_ms: float) -> WriteResult:
         """Store a job unless it is already stored, or its team cancelled the id before."""
-        return await self._insert(JobInsert(job_id, team, value), deadline_ms)
+        return await self._insert(insert, deadline_ms)
 
     async def store_cancellation(self, job_id: str, deadline_ms: float) -> WriteResult:
         """Store the cancellation of a job."""
--- a/baobabhoist/control/row_inserts.py
+++ b/baobabhoist/control/row_inserts.py
@@ -106,7 +106,9 @@
     """Insert a job, unless its team cancelled the id before."""
 
     job_id: str
+    # The team of the caller's key.
     team: str
+    is_public: bool
     value: bytes
     # The version of a tombstone of other teams, or 0 if none is known.
     _tombstone_version: int = 0
@@ -130,12 +132,13 @@
         self._tombstone_version = _changed_version(
             conflict, tombstone_key, self._tombstone_version
         )
+        if not self._tombstone_version:
+            return None
         tombstone = _read_tombstone(conflict, tombstone_key)
-        is_absent = not self._tombstone_version
         # One that can't be read may be of any team.
-        if is_absent or (tombstone is not None and not tombstone.forbids(self.team)):
-            return None
-        return WriteResult(WriteStatus.CANCELLED)
+        if tombstone is None or tombstone.forbids(self.team, is_public=self.is_public):
+            return WriteResult(WriteStatus.CANCELLED)
+        return None
 
 
 @attrs.define
--- a/baobabhoist/control/tombstone_row.py
+++ b/baobabhoist/control/tombstone_row.py
@@ -17,18 +17,21 @@
 class Tombstone:
     """Hold the teams that cancelled an id, until a time of the store's clock.
 
-    A caller without a key has an empty team.
+    Callers without a known key, who can use public queues only, have an empty team.
     """
 
     teams: tuple[str, ...]
     expires_ms: int
 
-    def forbids(self, team: str) -> bool:
-        """Return whether no job of a team may be stored under the id.
+    def forbids(self, team: str, *, is_public: bool) -> bool:
+        """Return whether a caller of a team may store no job under the id.
 
-        A job without a team may be cancelled by whoever knows its id.
+        On a public queue the caller that cancelled the id may have been the same one if either
+        has no team.
         """
-        return not team or team in self.teams
+        if team in self.teams:
+            return True
+        return is_public and (not team or "" in self.teams)
 
     def merge(self, other: Tombstone) -> Tombstone:
         """Return the tombstone of both, which expires with the later one."""
