Log how a job that stands still has spent its wait, and what holds it

Now `job_stands_still` (1629) tells, for the job of each wait reason that has stood longest though its team has room: the time by reason and by decision about advice, the requests, the places on approved workers with and without a ticket, the team's limit and use, and the runs that have not ended. AdviceRequester.request returns its decision; nothing that is decided changes.

--- a/baobabhoist/cell/advice_requests.py
+++ b/baobabhoist/cell/advice_requests.py
@@ -25,6 +25,7 @@
 from baobabhoist.cell.reservations import Reservations
 from baobabhoist.cell.rotating_checks import RotatingChecks
 from baobabhoist.cell.state import CellState
+from baobabhoist.cell.wait_account import AdviceDecision
 from baobabhoist.cell.worker_index import WorkerIndex
 
 # Long requests must leave one in this many slots to the others, and half of the slots while a job
@@ -124,32 +125,34 @@
         worker_index: WorkerIndex,
         reservations: Reservations,
         now: float,
-    ) -> None:
-        """Issue the request that a waiting step needs, if a slot is free.
+    ) -> AdviceDecision:
+        """Issue the request that a waiting step needs, if a slot is free; return what was decided.
 
         Call this for all waiting steps of a round, by their `position` in the ranking.
         """
         open_request = self.open_requests.get(step.key)
         if open_request is not None:
             self._claim(open_request)
-            return
+            return AdviceDecision.OPEN
         queue = self.state.queue_of(step.job)
-        if queue is None or queue.advice is None or step.approvals.is_request_blocked(now):
-            return
+        if queue is None or queue.advice is None:
+            return AdviceDecision.NOT_NEEDED
+        if step.approvals.is_request_blocked(now):
+            return AdviceDecision.BLOCKED
         returning_count = self._returning[step.key]
         task_count = step.waiting_count + returning_count
         if step.spec.gang and task_count < step.unfinished_count:
-            return
+            return AdviceDecision.RUN_ENDING
         is_long = is_long_request(queue.advice)
         if self._is_too_late_to_ask(step, is_long, now):
-            return
+            return AdviceDecision.TOO_LATE
         if self._checks.skips(position):
-            return
+            return AdviceDecision.NOT_CHECKED
         if not self._free_slots(is_long):
             self._lacks_slot = self._lacks_slot or (not is_long and step.job.is_overdue(now))
-            return
+            return AdviceDecision.NO_SLOT
         if self._checks.end_if_in_vain(position):
-            return
+            return AdviceDecision.NOT_CHECKED
         rate = self.rates.expected(queue.name)
         is_scarce = is_long and not self._has_idle_slots(is_long)
         finder = CandidateFinder(
@@ -170,8 +173,9 @@
         if not chosen:
             self._checks.count_vain()
             step.approvals.block_requests_until(now + RECHECK_INTERVAL_MS)
-            return
+            return AdviceDecision.NOTHING_TO_ASK
         self._issue(step, queue.advice, chosen, task_count, now)
+        return AdviceDecision.ASKED
 
     def close_request(self, step_key: StepKey) -> None:
         """Record that the request of a step was answered or has failed."""
--- a/baobabhoist/cell/jobs.py
+++ b/baobabhoist/cell/jobs.py
@@ -21,6 +21,7 @@
     TaskKey,
 )
 from baobabhoist.cell.pace_tracking import RunPace
+from baobabhoist.cell.wait_account import WaitAccount
 from baobabhoist.cell.wait_reasons import WaitReason
 
 if TYPE_CHECKING:
@@ -156,6 +157,8 @@
     # Since when tasks have waited without a break that a worker confirmed.
     waiting_since_ms: float | None = None
     wait_reason: WaitReason | None = None
+    # How the wait since then was spent.
+    wait_account: WaitAccount = attrs.Factory(WaitAccount)
 
     def __attrs_post_init__(self) -> None:
         """Create the tasks."""
@@ -175,6 +178,7 @@
         """Record that a worker confirmed a start, which ends the wait if no other task waits."""
         if not self.waiting_count:
             self.waiting_since_ms = None
+            self.wait_account = WaitAccount()
 
     def waiting_tasks(self) -> Iterator[TaskState]:
         """Yield the tasks that are neither done nor running."""
--- a/baobabhoist/cell/placer.py
+++ b/baobabhoist/cell/placer.py
@@ -137,14 +137,15 @@
         if step.waiting_count:
             if step.waiting_since_ms is None:
                 step.waiting_since_ms = now
-            self.advice.request(step, position, worker_index, self.reservations, now)
+            decision = self.advice.request(step, position, worker_index, self.reservations, now)
+            step.wait_account.record(step.wait_reason, decision, now)
 
     def _preempt(self, step: StepState, worker_index: WorkerIndex, now: float) -> None:
         """Stop other runs for a step that finds no room, if the policy allows it."""
         if self.state.policy.preempts:
             self.preemptions.preempt_for(
                 step,
-                lambda: self._startable_workers(step, worker_index),
+                lambda: self.startable_workers(step, worker_index),
                 self.reservations,
                 now,
             )
@@ -176,7 +177,7 @@
             if spec.gang and self._may_reserve_team_limit(step, need, now):
                 self._reserve_team_limit(step, now)
             return WaitReason.TEAM_LIMIT
-        startable = self._startable_workers(step, worker_index)
+        startable = self.startable_workers(step, worker_index)
         candidates = self._without_reserved(startable, step)
         if not candidates and not spec.gang:
             return WaitReason.WORKERS_RESERVED if startable else WaitReason.NO_STARTABLE_WORKER
@@ -292,7 +293,7 @@
         if not chosen:
             if self.reservations.is_full:
                 return True
-            approved = self._approved_workers(step, worker_index)
+            approved = self.approved_workers(step, worker_index)
             latest_ms = latest_useful_start_ms(step.job, now)
             return self.reservations.reserve_workers(step, approved, latest_ms)
         run_number = self.state.next_run_number(members)
@@ -325,7 +326,7 @@
 
     # Candidate workers.
 
-    def _startable_workers(self, step: StepState, worker_index: WorkerIndex) -> list[WorkerState]:
+    def startable_workers(self, step: StepState, worker_index: WorkerIndex) -> list[WorkerState]:
         """Return the workers on which a task of the step may start now, capacity aside."""
         service, label = self.state.service_of(step.job), step.spec.label
         if self.state.requires_advice(step.job):
@@ -336,7 +337,7 @@
             return workers
         return worker_index.usable_workers(service, label)
 
-    def _approved_workers(self, step: StepState, worker_index: WorkerIndex) -> list[WorkerState]:
+    def approved_workers(self, step: StepState, worker_index: WorkerIndex) -> list[WorkerState]:
         """Return the usable workers that may run the step, even without a valid ticket."""
         service, label = self.state.service_of(step.job), step.spec.label
         if self.state.requires_advice(step.job):
--- a/baobabhoist/control/waiting_report.py
+++ b/baobabhoist/control/waiting_report.py
@@ -10,8 +10,10 @@
 
 from baobabhoist.cell.awaited_runs import AwaitedSummary
 from baobabhoist.cell.jobs import Run
-from baobabhoist.cell.model import CommandOutcome, StepKey
+from baobabhoist.cell.model import NO_RESOURCES, CommandOutcome, StepKey
 from baobabhoist.cell.scheduler import CellScheduler
+from baobabhoist.cell.standing_jobs import StandingJobs, StandingStep
+from baobabhoist.cell.state import CellState
 from baobabhoist.cell.wait_reasons import WaitReason
 from baobabhoist.cell.waiting_summary import (
     CPU_UNITS_PER_CORE,
@@ -63,6 +65,7 @@
     loop_lag: LoopLagMonitor
     rounds: DurationStats = attrs.Factory(DurationStats)
     starts: Counter[CommandOutcome] = attrs.Factory(Counter)
+    standing_jobs: StandingJobs = attrs.Factory(StandingJobs)
     _next_report_ms: float = 0.0
     _reset_ms: float | None = None
     # The reason that the last line on each waiting step gave.
@@ -77,6 +80,10 @@
         summary = summarize_waiting(cell.state, now, LONG_WAIT_MS)
         if _longest_wait_ms(summary) > LONG_WAIT_MS:
             self._write(summary, cell, may_start, loop_lag_ms, now)
+        self.standing_jobs.update(cell.state, now)
+        for standing in self.standing_jobs.longest(cell.placer, now):
+            if now - standing.since_ms > LONG_WAIT_MS:
+                _log_standing(standing, cell.state, now)
         self._reset(now)
 
     def _reset(self, now: float) -> None:
@@ -196,3 +203,34 @@
 
 def _run_id(run: Run | None) -> str:
     return f"{run.task.key.to_text()} on {run.worker_id}" if run is not None else ""
+
+
+def _log_standing(standing: StandingStep, state: CellState, now: float) -> None:
+    """Log what holds a job that stands still, and how its step has spent the wait."""
+    step, run = standing.step, standing.oldest_run
+    account = step.wait_account
+    team = state.team_of(step.job)
+    emit(
+        log,
+        Event.JOB_STANDS_STILL,
+        job=step.job.job_id,
+        step=step_id(step.key),
+        queue=step.job.accepted.queue,
+        stands_ms=round(now - standing.since_ms),
+        used_percent=round(100.0 * standing.used_fraction),
+        is_gang=step.spec.gang,
+        tasks=len(step.tasks),
+        task_needs=attrs.asdict(step.spec.need),
+        reason=step.wait_reason.value if step.wait_reason is not None else "",
+        team=step.job.accepted.team,
+        team_limit=attrs.asdict(team.limit if team is not None else NO_RESOURCES),
+        team_used=attrs.asdict(state.team_usage[step.job.accepted.team]),
+        places=attrs.asdict(standing.room),
+        reasons_ms={reason.value: round(ms) for reason, ms in account.by_reason_ms.items()},
+        advice_ms={decision.value: round(ms) for decision, ms in account.by_decision_ms.items()},
+        requests=account.requests,
+        tickets=attrs.asdict(count_tickets(step, now)),
+        runs={phase.value: count for phase, count in standing.runs.items()},
+        oldest_run=_run_id(run),
+        oldest_run_ms=round(now - run.decided_ms) if run is not None else 0,
+    )
--- a/baobabhoist/observability/events.py
+++ b/baobabhoist/observability/events.py
@@ -297,6 +297,11 @@
         logging.INFO,
         "removed {count} expired tombstones of partition {partition}",
     )
+    JOB_STANDS_STILL = (
+        1629,
+        logging.INFO,
+        "nothing of job {job} has run for {stands_ms} ms, with {used_percent} % of the cell used",
+    )
     LONG_WAIT_BEGAN = (
         1640,
         logging.WARNING,
--- a/baobabhoist/tests/test_control_waiting_report.py
+++ b/baobabhoist/tests/test_control_waiting_report.py
@@ -85,6 +85,21 @@
     assert line["oldest_idle_ms"] > LONG_WAIT_MS
 
 
+def test_line_tells_how_a_job_that_stands_still_spent_its_wait(fields_of):
+    """Guard against hypotheses on a job that stands still which no log line tells apart."""
+    harness = CellHarness.with_workers(3, make_rules(limit=SMALL.times(10), advice=ADVICE_TERMS))
+    harness.submit(make_job("0" * 16, Step(2, SMALL, 60_000)))
+    run_ticks(harness, make_reporter(), LONG_WAIT_MS + REPORT_INTERVAL_MS + TICK_MS)
+    line = fields_of(Event.JOB_STANDS_STILL)[-1]
+    assert (line["job"], line["used_percent"]) == ("0" * 16, 0)
+    assert line["stands_ms"] > LONG_WAIT_MS
+    assert line["places"] == {"wanted": 2, "approved": 0, "with_ticket": 0, "unreserved": 0}
+    assert line["reasons_ms"].keys() == {"no_startable_worker"}
+    assert line["advice_ms"]["open"] > LONG_WAIT_MS / 2
+    assert line["team_limit"]["cpu"] == SMALL.times(10).cpu
+    assert len(json.dumps(line)) < MAX_LINE_BYTES
+
+
 def test_jobs_of_a_team_that_uses_half_of_its_limit_do_not_count_as_idle(lines):
     """Guard against a count of idle jobs that includes those that the team's limit holds."""
     harness = CellHarness.with_workers(3, make_rules(limit=SMALL.times(4)))
