--- a/baobabhoist/tests/test_cell_advice.py
+++ b/baobabhoist/tests/test_cell_advice.py
@@ -7,13 +7,16 @@
 
 from baobabhoist.cell.advice_requests import AdviceRequester, return_lead_ms
 from baobabhoist.cell.approvals import TICKET_MARGIN_MS
+from baobabhoist.cell.jobs import FINAL_PERCENT, RunPhase
 from baobabhoist.cell.model import AdviceTerms, JobPhase, RequestAdvice, Resources, StartTask, Step
+from baobabhoist.cell.policy import SchedulingPolicy
 from baobabhoist.tests.cell_harness import LEASE_MS, CellHarness, make_job, make_rules
 
 WHOLE_WORKER = Resources(4000, 512, 0)
 # The terms of the slowest adviser among the platform's sites.
 TERMS = AdviceTerms(350.0, 5.0, 2_500)
 ROUND_MS = 10.0
+JOB = "a" * 16
 # Time for a batch of starts to be written to the store by a busy owner.
 STORE_WRITE_MS = 80.0
 RESTART_INTERVAL_MS = 1_400.0
@@ -21,6 +24,11 @@
 RESTART_ROUNDS = 5
 # Time for a first query, a renewal and the start itself.
 START_BOUND_MS = 2_000.0
+# A gang of a cell in which four workers of ten can't be used, though they look free.
+GANG_CELL_WORKERS, GANG_CELL_UNUSABLE = 60, 24
+GANG_OF_SEVEN = Step(7, Resources(2000, 512, 0), 60_000, gang=True)
+# Nothing may stand still for 3 s after 4 s of calm.
+MAX_STANDSTILL_MS = 7_000.0
 
 
 @attrs.frozen
@@ -38,6 +46,8 @@
     pending_answers: list = attrs.Factory(list)
     query_count: int = 0
     is_adviser_up: bool = True
+    # Workers that the adviser does not approve.
+    refused_ids: set = attrs.Factory(set)
 
     def schedule(self, may_start=True):
         """Run a round and queue the answers of its queries."""
@@ -67,7 +77,8 @@
         for answer in due:
             if self.is_adviser_up:
                 valid_until_ms = self.now + TERMS.ticket_valid_ms
-                tickets = dict.fromkeys(answer.query.workers, str(valid_until_ms))
+                approved = [w for w in answer.query.workers if w not in self.refused_ids]
+                tickets = dict.fromkeys(approved, str(valid_until_ms))
                 self.cell.handle_advice(
                     answer.query.step, answer.query.workers, tickets, valid_until_ms
                 )
@@ -264,3 +275,104 @@
     monkeypatch.setattr(AdviceRequester, "request", fail)
     harness.cell.placer.place_waiting_steps(harness.now, True)
     assert step.job.phase is JobPhase.FAILED
+
+
+def make_gang_cell():
+    """Return a cell whose adviser approves each third worker, and its last workers."""
+    policy = SchedulingPolicy(forecasts_advice=True)
+    harness = AdvisedHarness.with_workers(
+        GANG_CELL_WORKERS, make_rules(advice=TERMS), policy=policy
+    )
+    harness.refused_ids = {f"w{n}" for n in range(GANG_CELL_WORKERS) if n % 3}
+    return harness, list(harness.workers.values())[-GANG_CELL_UNUSABLE:]
+
+
+def use_others_a_little(harness, unusable):
+    """Let a quarter of each other worker be in use, so that the unusable ones look most free."""
+    unusable_ids = {worker.worker_id for worker in unusable}
+    for worker_id, state in harness.cell.state.workers.items():
+        if worker_id not in unusable_ids:
+            state.used = Resources(1000, 256, 0)
+
+
+def is_gang_running(harness):
+    running = [key for key, _ in harness.running_tasks() if key.job_id == JOB]
+    return len(running) == GANG_OF_SEVEN.count
+
+
+@pytest.mark.parametrize("cause", ["never_heard", "entry_outdated"])
+def test_a_gang_starts_beside_workers_that_only_look_free(cause):
+    """Guard against a gang that asks again and again for workers that can't start anything."""
+    harness, unusable = make_gang_cell()
+    if cause == "never_heard":
+        for worker in unusable:
+            worker.is_up = False
+        harness.take_over()
+    else:
+        harness.updates_directory = False
+        for worker in unusable:
+            worker.restart()
+    harness.settle()
+    use_others_a_little(harness, unusable)
+    harness.submit(make_job(JOB, GANG_OF_SEVEN))
+    assert harness.run_for(MAX_STANDSTILL_MS, lambda: is_gang_running(harness))
+
+
+def restart_while_asked_about(harness):
+    """Let all workers that an open question names restart before its answer arrives."""
+    harness.submit(make_job(JOB, GANG_OF_SEVEN))
+    harness.settle()
+    (question,) = harness.pending_answers
+    restarted = [harness.workers[worker_id] for worker_id in question.query.workers]
+    for worker in restarted:
+        worker.restart()
+        # The tickets of the answer are not valid for the new process.
+        worker.requires_tickets = True
+    harness.run_for(question.at_ms - harness.now + ROUND_MS)
+    harness.is_adviser_up = False
+    harness.run_for(TERMS.ticket_valid_ms)
+    assert not harness.running_tasks()
+    harness.is_adviser_up = True
+    for worker in restarted:
+        worker.requires_tickets = False
+    return restarted
+
+
+def test_a_gang_starts_although_approvals_are_of_earlier_processes():
+    """Guard against a gang that asks for ever for workers that were approved before a restart."""
+    harness, unusable = make_gang_cell()
+    use_others_a_little(harness, unusable)
+    restarted = restart_while_asked_about(harness)
+    harness.refused_ids.update(worker.worker_id for worker in restarted)
+    assert harness.run_for(MAX_STANDSTILL_MS, lambda: is_gang_running(harness))
+
+
+def occupy_with_runs_that_hang(harness, worker_ids, phase):
+    """Let a run occupy each worker that seems to end at once, but never does."""
+    state = harness.cell.state
+    rules = harness.cell_rules
+    queue = attrs.evolve(rules.queues["q"], name="p", advice=None)
+    harness.cell.set_rules(attrs.evolve(rules, queues={**rules.queues, "p": queue}))
+    harness.submit(make_job("b" * 16, Step(len(worker_ids), WHOLE_WORKER, 500), queue="p"))
+    tasks = state.jobs["b" * 16].steps[0, 0].tasks
+    for task, worker_id in zip(tasks, worker_ids, strict=True):
+        state.start_run(task, state.workers[worker_id], 1, harness.now)
+    harness.settle()
+    for worker_id in worker_ids:
+        (run,) = state.workers[worker_id].runs.values()
+        harness.workers[worker_id].runs[run.task.key].progress_percent = FINAL_PERCENT
+        if phase is RunPhase.STOPPING:
+            # The stop is answered, but the worker goes on listing the run.
+            run.phase, run.stop_answered_ms = phase, harness.now
+
+
+@pytest.mark.parametrize("phase", [RunPhase.RUNNING, RunPhase.STOPPING])
+def test_a_gang_starts_beside_runs_that_only_seem_to_end(phase):
+    """Guard against a gang that asks again and again for the room of runs that do not end."""
+    harness, _ = make_gang_cell()
+    harness.refused_ids = set()
+    harness.submit(make_job(JOB, GANG_OF_SEVEN))
+    harness.settle()
+    (question,) = harness.pending_answers
+    occupy_with_runs_that_hang(harness, question.query.workers, phase)
+    assert harness.run_for(MAX_STANDSTILL_MS, lambda: is_gang_running(harness))
--- a/baobabhoist/tests/test_cell_run_stops.py
+++ b/baobabhoist/tests/test_cell_run_stops.py
@@ -12,10 +12,12 @@
     StopTask,
 )
 from baobabhoist.cell.periodic_checks import STALL_TIMEOUT_MS, UNSENT_START_TIMEOUT_MS
-from baobabhoist.cell.workers import REPORT_TIMEOUT_MS
+from baobabhoist.cell.workers import MAX_START_LATENESS_MS, REPORT_TIMEOUT_MS
 from baobabhoist.tests.cell_harness import SMALL, CellHarness, make_job, make_task_key
 
 GANG = (Step(2, SMALL.times(4), 100, gang=True),)
+# Nothing may stand still for 3 s once no start can be carried out late any more.
+MAX_STANDSTILL_MS = 3_000.0
 
 
 def test_a_gang_whose_start_was_rejected_does_not_stop_the_members_that_were_never_sent():
@@ -233,3 +235,34 @@
     assert state.team_usage["team"] == NO_RESOURCES
     (step,) = state.ready_steps.values()
     assert step.waiting_count == 2
+
+
+def advance_without_stops(harness, ms):
+    """Let time pass while all commands are delivered but stops, which get no answer."""
+    for _ in range(int(ms / 100.0)):
+        harness.advance(100.0)
+        commands = list(harness.undelivered)
+        harness.undelivered.clear()
+        for command in commands:
+            if isinstance(command, StopTask):
+                harness.lose_command(command)
+            else:
+                harness.deliver_command(command)
+
+
+@pytest.mark.parametrize("step", [Step(1, SMALL, 60_000), *GANG], ids=["task", "gang"])
+def test_a_start_that_no_report_lists_ends_without_an_answered_stop(step):
+    """Guard against a task that stands still because its worker reports but answers no stop."""
+    harness = CellHarness.with_workers(4)
+    harness.delivers_commands = False
+    harness.submit(make_job("0" * 16, step))
+    lost, *others = harness.schedule()
+    harness.undelivered.clear()
+    assert harness.cell.should_send_start(lost, harness.now)
+    for start in others:
+        harness.deliver_command(start)
+    harness.lose_command(lost)
+    for member in [start.task for start in others]:
+        harness.worker_running(member).end_run(member, RunOutcome.ALONE)
+    advance_without_stops(harness, MAX_START_LATENESS_MS + MAX_STANDSTILL_MS)
+    assert len(harness.running_tasks()) == step.count
