Forecast room only on workers that this owner hears and whose entry is theirs

Cause: the forecast of room, by which a request for advice chooses its workers, counted listed workers that the owner has never heard, whose lease is suspended or whose entry is of another process. They run nothing, so they look most free and are asked about first; once approved they count as certain places, and each later request names them alone, while no task may start there. The class: a retry whose input the failure does not change.

A worker that the owner has just learned of still counts, until it has been silent for the report timeout: a new owner asks before the first reports.

--- a/baobabhoist/cell/room_forecast.py
+++ b/baobabhoist/cell/room_forecast.py
@@ -111,13 +111,14 @@
 def _accepts_tasks_by(worker: WorkerState, by_ms: float, now: float) -> bool:
     """Return whether a worker will accept tasks by a time, as far as is known now.
 
-    A worker that has not reported to this owner yet counts as one that will.
+    A worker that has not reported to this owner yet counts as one that will, until it is silent.
     """
-    health = worker.health
-    is_silent = worker.has_accepted_token and now - worker.last_report_ms >= REPORT_TIMEOUT_MS
+    heard_ms = max(worker.last_report_ms, worker.known_since_ms)
     return (
         worker.is_staying
-        and not is_silent
+        and now - heard_ms < REPORT_TIMEOUT_MS
+        and not worker.lease.is_suspended
+        and not worker.is_entry_outdated
         and by_ms >= worker.backoff_until_ms
-        and health.accepts_task(by_ms, len(worker.runs))
+        and worker.health.accepts_task(by_ms, len(worker.runs))
     )
