Do not forecast the room of runs that are long overdue or do not stop

Cause: the forecasts of room and of a team's limit counted each run as ended that is being stopped or whose expected end has passed, however long ago. The room of a run that does not end was asked for in each request, by a gang that named no other workers. Now a run counts for 1 s after its expected end or its first stop (a stop takes at most 400 ms); one function serves both forecasts.

The test of a stopped run now also sets when it was stopped, as a stop does, so that it can't pass for want of that time.

--- a/baobabhoist/cell/gang_forecast.py
+++ b/baobabhoist/cell/gang_forecast.py
@@ -6,9 +6,10 @@
 
 import attrs
 
-from baobabhoist.cell.jobs import JobState, Run, RunPhase, StepState
+from baobabhoist.cell.jobs import JobState, Run, StepState
 from baobabhoist.cell.model import Resources, Team
 from baobabhoist.cell.ranking import Timeliness, timeliness_of
+from baobabhoist.cell.run_forecast import probable_end_ms
 from baobabhoist.cell.worker_selection import count_fitting_tasks, max_tasks_per_worker
 from baobabhoist.cell.workers import WorkerState
 
@@ -48,10 +49,10 @@
 ) -> float:
     """Return when a team's limit will admit a whole gang, as the runs of the team end."""
     total = used.plus(step.spec.need.times(step.waiting_count))
-    for run in sorted(runs, key=lambda run: _end_ms(run, now)):
+    for run in sorted(runs, key=lambda run: probable_end_ms(run, now)):
         total = total.minus(run.task.step.spec.need)
         if team.allows(total):
-            return _end_ms(run, now)
+            return probable_end_ms(run, now)
     return float("inf")
 
 
@@ -67,7 +68,9 @@
     need = step.spec.allocation
     max_count = max_tasks_per_worker(step.spec, step.waiting_count)
     free, count = worker.free, 0
-    ends = sorted(((_end_ms(run, now), run.allocation) for run in worker.runs.values()), key=_time)
+    ends = sorted(
+        ((probable_end_ms(run, now), run.allocation) for run in worker.runs.values()), key=_time
+    )
     for free_ms, allocation in ((now, None), *ends):
         free = free.plus(allocation) if allocation is not None else free
         fitting = count_fitting_tasks(free, need, max_count)
@@ -78,10 +81,3 @@
 
 def _time(end: tuple[float, object]) -> float:
     return end[0]
-
-
-def _end_ms(run: Run, now: float) -> float:
-    """Return when a run will probably end; one that is overdue may end at any time."""
-    if run.phase is RunPhase.STOPPING:
-        return now
-    return max(now, run.expected_end_ms)
--- a/baobabhoist/cell/jobs.py
+++ b/baobabhoist/cell/jobs.py
@@ -74,6 +74,8 @@
     # A report has listed the run, so that it belongs to a process that was heard.
     is_listed: bool = False
     stop_sent_ms: float = 0.0
+    # When the run was stopped first.
+    stopped_ms: float = 0.0
     # The last stop command has neither been answered nor timed out.
     is_stop_open: bool = False
     # When the worker answered the stop command.
--- a/baobabhoist/cell/room_forecast.py
+++ b/baobabhoist/cell/room_forecast.py
@@ -10,8 +10,8 @@
 
 import attrs
 
-from baobabhoist.cell.jobs import Run, RunPhase
 from baobabhoist.cell.model import NO_RESOURCES, Resources
+from baobabhoist.cell.run_forecast import probable_end_ms
 from baobabhoist.cell.workers import REPORT_TIMEOUT_MS, WorkerState
 
 
@@ -92,7 +92,7 @@
         for worker in self._workers:
             free = worker.free
             for run in worker.runs.values() if by_ms > self._now else ():
-                if not _ends_by(run, by_ms):
+                if probable_end_ms(run, self._now) > by_ms:
                     continue
                 free = free.plus(run.allocation)
                 team = run.task.step.job.accepted.team
@@ -104,10 +104,6 @@
         return Forecast(by_service, ending_by_team)
 
 
-def _ends_by(run: Run, by_ms: float) -> bool:
-    return run.phase is RunPhase.STOPPING or run.expected_end_ms <= by_ms
-
-
 def _accepts_tasks_by(worker: WorkerState, by_ms: float, now: float) -> bool:
     """Return whether a worker will accept tasks by a time, as far as is known now.
 
--- a/baobabhoist/cell/state.py
+++ b/baobabhoist/cell/state.py
@@ -270,6 +270,7 @@
         if run.phase is not RunPhase.UNSURE:
             run.phase = RunPhase.STOPPING
         run.stop_cause = run.stop_cause or cause
+        run.stopped_ms = run.stopped_ms or now
         run.stop_sent_ms, run.is_stop_open = now, True
         self.commands.append(StopTask(run.worker_id, run.task.key, run.number))
 
--- a/baobabhoist/tests/test_cell_advice.py
+++ b/baobabhoist/tests/test_cell_advice.py
@@ -363,7 +363,7 @@
         harness.workers[worker_id].runs[run.task.key].progress_percent = FINAL_PERCENT
         if phase is RunPhase.STOPPING:
             # The stop is answered, but the worker goes on listing the run.
-            run.phase, run.stop_answered_ms = phase, harness.now
+            run.phase, run.stop_answered_ms, run.stopped_ms = phase, harness.now, harness.now
 
 
 @pytest.mark.parametrize("phase", [RunPhase.RUNNING, RunPhase.STOPPING])
