Ask about a worker anew if the adviser takes an approval back

Cause: an answer about an earlier process of a worker may come after its restart, which drops what was known of it. Now such a worker counts as not known, as approvals don't change within one life: the next answer settles it. The case that the earlier rule was for, a refusal from before a restart that comes late, is settled by the same answer.

--- a/baobabhoist/cell/approvals.py
+++ b/baobabhoist/cell/approvals.py
@@ -57,8 +57,8 @@
                 self.tickets[worker_id] = Ticket(approved[worker_id], expires_ms)
                 self.refused_workers.discard(worker_id)
             elif worker_id in self.tickets:
-                # Approvals do not change, so the adviser may have answered before a restart.
-                self.tickets[worker_id] = Ticket("", expires_ms)
+                # One of the answers was about an earlier process of the worker, so ask again.
+                del self.tickets[worker_id]
             else:
                 self.refused_workers.add(worker_id)
 
