End a start without an answer once no process can carry it out any more

Cause: such a run ended only with an answered stop or a lapsed lease.

Ruled out: drift of the counts of waiting and active tasks (400 random examples of the state machine with extra invariants, trial).

--- a/baobabhoist/cell/worker_reports.py
+++ b/baobabhoist/cell/worker_reports.py
@@ -22,7 +22,7 @@
 from baobabhoist.cell.run_ends import RunEndHandler, close_lost_run
 from baobabhoist.cell.state import CellState
 from baobabhoist.cell.wasted_work import WasteCause, mark_saved
-from baobabhoist.cell.workers import WorkerState
+from baobabhoist.cell.workers import WorkerState, last_start_ms
 from baobabhoist.observability.events import Event, emit
 
 log = logging.getLogger(__name__)
@@ -257,18 +257,24 @@
         for run in list(worker.runs.values()):
             if (run.task.key, run.number) in listed:
                 continue
-            was_confirmed = 0 < run.confirmed_ms < requested_ms
-            was_stopped = 0 < run.stop_answered_ms < requested_ms
-            if run.phase is RunPhase.STOPPING and (was_stopped or was_confirmed):
+            if _was_stopped(run, requested_ms):
                 cause = run.stop_cause or WasteCause.OTHER
                 given_up = GivenUpRun(now, "it was stopped", worker.started_unix_ms)
                 self._state.given_up_runs.add(run, given_up)
                 self._state.waste.record_loss(run, cause, now)
                 self._state.close_run(run)
-            elif run.phase is RunPhase.RUNNING and was_confirmed:
+            elif _was_confirmed(run, requested_ms) and run.phase is RunPhase.RUNNING:
                 close_lost_run(
                     self._state, self._run_ends, run, now, "its worker does not list it"
                 )
+            elif _has_never_begun(run, requested_ms):
+                close_lost_run(
+                    self._state,
+                    self._run_ends,
+                    run,
+                    now,
+                    "its start can't be carried out any more",
+                )
 
     def _handle_restart(
         self, worker: WorkerState, report: WorkerReport, requested_ms: float, now: float
@@ -302,6 +308,23 @@
         return run if run is not None and run.number == command.run else None
 
 
+def _was_confirmed(run: Run, requested_ms: float) -> bool:
+    """Return whether a run was known to have begun when a report was requested."""
+    return 0 < run.confirmed_ms < requested_ms
+
+
+def _was_stopped(run: Run, requested_ms: float) -> bool:
+    """Return whether a stopped run was known to have begun, or not to begin, at that time."""
+    is_answered = 0 < run.stop_answered_ms < requested_ms
+    return run.phase is RunPhase.STOPPING and (is_answered or _was_confirmed(run, requested_ms))
+
+
+def _has_never_begun(run: Run, requested_ms: float) -> bool:
+    """Return whether a start without an answer came too late for any process at that time."""
+    is_open = run.phase in (RunPhase.UNSURE, RunPhase.STOPPING) and run.sent_ms is not None
+    return is_open and requested_ms > last_start_ms(run)
+
+
 def _has_restarted(worker: WorkerState, report: WorkerReport) -> bool:
     """Return whether a report comes from a later process than the last one."""
     known_start, start = worker.started_unix_ms, report.started_unix_ms
