Bound the gangs of a simulated site by a fraction of the team's limit

The cap is now the field max_gang_fraction, and the peak of a load has fields for its start and end.

--- a/baobabhoist/benchmarks/advice_load.py
+++ b/baobabhoist/benchmarks/advice_load.py
@@ -96,7 +96,7 @@
         ),
     ),
     team_weights=(1.0,) * 20,
-    limits_gangs_to_team=True,
+    max_gang_fraction=0.5,
 )
 # A site whose queries take most of the time of its few instances.
 COSTLY_ADVICE_SITE = SiteProfile((QUICK, LARGE))
--- a/baobabhoist/benchmarks/cell_liveness.py
+++ b/baobabhoist/benchmarks/cell_liveness.py
@@ -62,7 +62,7 @@
         _large_site_profile(_ENTRY, 5.5, 3, 19, 70),
     ),
     team_weights=tuple(1.0 / (number + 1) for number in range(20)),
-    limits_gangs_to_team=True,
+    max_gang_fraction=0.5,
 )
 LARGE_SITE_WORKERS = 176
 LARGE_SITE_LENGTH_S = 34.0
--- a/baobabhoist/benchmarks/cell_workload.py
+++ b/baobabhoist/benchmarks/cell_workload.py
@@ -54,9 +54,9 @@
     """Describe how a workload deviates from normal load.
 
     `arrival_factor` multiplies all arrival rates. `burst_factor` multiplies that of one queue and
-    `hot_team_factor` that of one team between PEAK_START_S and PEAK_END_S. From PEAK_START_S on, a
-    fraction of the workers fails all tasks or is slow. A fraction of the jobs always fails or is
-    cancelled soon after its arrival.
+    `hot_team_factor` that of one team during the peak. From the start of the peak on, a fraction
+    of the workers fails all tasks or is slow. A fraction of the jobs always fails or is cancelled
+    soon after its arrival.
     """
 
     name: str
@@ -68,6 +68,8 @@
     slow_worker_fraction: float = 0.0
     always_failing_job_fraction: float = 0.03
     cancelled_fraction: float = 0.0
+    peak_start_s: float = 4.0
+    peak_end_s: float = 8.0
 
 
 SCENARIOS = {
@@ -83,7 +85,6 @@
         LoadScenario("cancel_wave", cancelled_fraction=0.4),
     )
 }
-PEAK_START_S, PEAK_END_S = 4.0, 8.0
 
 
 def _advice_terms(base_cost_ms: float, cost_per_worker_ms: float) -> AdviceTerms:
@@ -136,12 +137,12 @@
 class SiteProfile:
     """Describe the jobs of a site and its teams, whose shares are in proportion to `team_weights`.
 
-    With `limits_gangs_to_team` a gang needs at most half of its team's limit.
+    A gang needs at most `max_gang_fraction` of its team's limit; None means no bound.
     """
 
     job_profiles: tuple[JobProfile, ...] = JOB_PROFILES
     team_weights: tuple[float, ...] = (1.0,) * 6
-    limits_gangs_to_team: bool = False
+    max_gang_fraction: float | None = None
 
     def team_limits(self, workers: int) -> list[Resources]:
         """Return the limit of each team in a cell of this many workers."""
@@ -149,6 +150,12 @@
         shares = [total_cpu * weight / sum(self.team_weights) for weight in self.team_weights]
         return [Resources(int(TEAM_LIMIT_FACTOR * share)) for share in shares]
 
+    def max_gang_cpu(self, team_limit: Resources) -> int | None:
+        """Return the most CPU that a gang of a team with this limit needs."""
+        if self.max_gang_fraction is None:
+            return None
+        return int(self.max_gang_fraction * team_limit.cpu)
+
     def job_rates(self, workers: int) -> list[float]:
         """Return the jobs a second that each team is entitled to."""
         usual = sum(profile.arrivals_per_s for profile in self.job_profiles)
@@ -184,7 +191,7 @@
         """Return the actual duration of tasks on a worker as a multiple of the declared one."""
         number = int(worker_id[1:])
         is_slowed = (
-            at_ms >= PEAK_START_S * 1000
+            at_ms >= self.scenario.peak_start_s * 1000
             and number < self.scenario.slow_worker_fraction * len(self.workers)
         )
         return self.workers[worker_id] * (5.0 if is_slowed else 1.0)
@@ -193,7 +200,7 @@
         """Return whether a worker fails all tasks at this time."""
         number = int(worker_id[1:])
         return (
-            at_ms >= PEAK_START_S * 1000
+            at_ms >= self.scenario.peak_start_s * 1000
             and number < self.scenario.failing_worker_fraction * len(self.workers)
         )
 
@@ -240,7 +247,7 @@
         * (1.0 + (scenario.hot_team_factor - 1.0) / team_count)
     )
     while (at_s := at_s + rng.expovariate(max_rate)) < seconds:
-        in_peak = PEAK_START_S <= at_s < PEAK_END_S
+        in_peak = scenario.peak_start_s <= at_s < scenario.peak_end_s
         burst = (
             scenario.burst_factor
             if in_peak and profile.queue.name == scenario.burst_queue
@@ -251,7 +258,7 @@
         if rng.random() < rate / max_rate:
             weights = [hot_factor * site.team_weights[0], *site.team_weights[1:]]
             team = rng.choices(range(team_count), weights)[0]
-            max_gang_cpu = limits[team].cpu // 2 if site.limits_gangs_to_team else None
+            max_gang_cpu = site.max_gang_cpu(limits[team])
             arrivals.append(
                 _generate_arrival(scenario, profile, at_s * 1000, f"t{team}", max_gang_cpu, rng)
             )
