Measure how near a replay of the liveness check comes to starvation

The check said only whether a job starved, and nothing of a job that could run but stood while over half of the cell was in use, so plays could not be ranked. Each result now has the longest time for which a job that the rule would count had nothing running, with the mean share of the capacity in use meanwhile. It is no bound: what counts as starved is as before. A starved job is still reported once, but stays under measurement.

--- a/baobabhoist/benchmarks/cell_liveness.py
+++ b/baobabhoist/benchmarks/cell_liveness.py
@@ -3,7 +3,8 @@
 A job is starved if for STARVATION_MS on end it has nothing running although a task of it is ready,
 sound workers have free capacity for that task (for a gang, for all its members) twice over, and
 both its team and the cell use less than half of what they have. The check looks at the fake
-workers and never at the state of the scheduler.
+workers and never at the state of the scheduler. How near a replay comes to starvation is measured
+as well, by the longest time that such a job is idle, however much of the cell is in use.
 """
 
 from __future__ import annotations
@@ -25,6 +26,7 @@
     SiteProfile,
     generate_workload,
 )
+from baobabhoist.benchmarks.idle_spans import IdleSpan, IdleSpanMeter
 from baobabhoist.cell.model import NO_RESOURCES, JobPhase, Resources, RunOutcome, StepKey, TaskKey
 from baobabhoist.cell.placer import TaskPlacer
 from baobabhoist.cell.policy import DEFAULT_POLICY, SchedulingPolicy
@@ -34,6 +36,8 @@
 STARVATION_MS = 3_000.0
 # A job must run if there is capacity for this many times what it needs.
 SPARE_CAPACITY_FACTOR = 2
+# From this use on, as a fraction of its capacity or limit, a cell or a team may let jobs wait.
+MAX_USE = 0.5
 # Time after the last arrival in which jobs are still judged.
 DRAIN_S = 14.0
 
@@ -172,8 +176,10 @@
 
     replay: FaultyCellReplay
     starvations: list[Starvation] = attrs.Factory(list)
+    idle_spans: IdleSpanMeter = attrs.Factory(IdleSpanMeter)
     _open_jobs: dict[str, Arrival] = attrs.Factory(dict)
     _starving_since_ms: dict[str, float] = attrs.Factory(dict)
+    _reported_jobs: set[str] = attrs.Factory(set)
     _approved: dict[StepKey, frozenset[str]] = attrs.Factory(dict)
 
     def attach(self) -> None:
@@ -193,15 +199,20 @@
             if not self._has_ended(arrival, done)
         }
         usage = self._usage()
-        may_wait = now < self.replay.settled_ms or self._is_half_used(usage)
-        starving = {} if may_wait else self._starving_steps(usage, done)
+        use = self._use_of_cell(usage)
+        is_settled = now >= self.replay.settled_ms
+        idle = self._idle_steps(usage, done) if is_settled else {}
+        self.idle_spans.record(now, idle, use)
+        self._update_starving(now, idle if use < MAX_USE else {})
+
+    def _update_starving(self, now: float, starving: dict[str, StepKey]) -> None:
         self._starving_since_ms = {
             job_id: self._starving_since_ms.get(job_id, now) for job_id in starving
         }
         for job_id, since_ms in list(self._starving_since_ms.items()):
-            if now - since_ms >= STARVATION_MS:
+            if now - since_ms >= STARVATION_MS and job_id not in self._reported_jobs:
                 self._report(starving[job_id], since_ms, now)
-                del self._open_jobs[job_id]
+                self._reported_jobs.add(job_id)
 
     def _report(self, step: StepKey, since_ms: float, now: float) -> None:
         arrival = self.replay.arrivals[step.job_id]
@@ -276,29 +287,30 @@
                 by_team[job.team] = by_team.get(job.team, NO_RESOURCES).plus(need)
         return Usage(frozenset(running), by_team, by_worker)
 
-    def _is_half_used(self, usage: Usage) -> bool:
+    def _use_of_cell(self, usage: Usage) -> float:
         capacity = WORKER_CAPACITY.times(len(self.replay.directory))
-        return _is_half_used(usage.total, capacity)
+        return _use_fraction(usage.total, capacity)
 
-    def _starving_steps(self, usage: Usage, done: set[TaskKey]) -> dict[str, StepKey]:
+    def _idle_steps(self, usage: Usage, done: set[TaskKey]) -> dict[str, StepKey]:
         """Return a step that could run of each job that has nothing running."""
         free = {
             name: WORKER_CAPACITY.minus(usage.by_worker[name])
             for name in self.replay.workers
             if self.replay.is_sound(name)
         }
-        starving = {}
+        idle = {}
         for job_id, arrival in self._open_jobs.items():
             if arrival.at_ms > self.replay.now or job_id in usage.running_jobs:
                 continue
             team = self.replay.workload.rules.teams[arrival.job.team]
-            if _is_half_used(usage.by_team.get(team.name, NO_RESOURCES), team.limit):
+            team_use = usage.by_team.get(team.name, NO_RESOURCES)
+            if _use_fraction(team_use, team.limit) >= MAX_USE:
                 continue
             for step in self._ready_steps(arrival, done):
                 if self._has_spare_capacity(arrival, step, free):
-                    starving[job_id] = step
+                    idle[job_id] = step
                     break
-        return starving
+        return idle
 
     def _ready_steps(self, arrival: Arrival, done: set[TaskKey]) -> Iterator[StepKey]:
         for step, spec in enumerate(arrival.job.spec.steps):
@@ -333,13 +345,12 @@
     return [TaskKey(arrival.job.job_id, 0, step, index) for index in range(count)]
 
 
-def _is_half_used(used: Resources, limit: Resources) -> bool:
-    return any(
-        amount and 2 * in_use >= amount
-        for in_use, amount in zip(
-            attrs.astuple(used, recurse=False), attrs.astuple(limit, recurse=False), strict=True
-        )
+def _use_fraction(used: Resources, limit: Resources) -> float:
+    """Return the used fraction of the limited resource that is used most."""
+    amounts = zip(
+        attrs.astuple(used, recurse=False), attrs.astuple(limit, recurse=False), strict=True
     )
+    return max((in_use / amount for in_use, amount in amounts if amount), default=0.0)
 
 
 def _sum_resources(amounts: Iterable[Resources]) -> Resources:
@@ -357,6 +368,8 @@
     # Jobs that the scheduler shows as failed although a task has attempts left.
     wrongly_failed: tuple[str, ...]
     earned_value: float
+    # The longest time that a job which could run had nothing running.
+    longest_idle: IdleSpan | None
 
 
 def check_liveness(
@@ -387,6 +400,7 @@
         tuple(oracle.starvations),
         tuple(_wrongly_failed_jobs(replay, oracle)),
         replay.earned_value()["all"],
+        oracle.idle_spans.longest,
     )
 
 
@@ -423,10 +437,9 @@
 def format_table(report: dict[str, Any]) -> str:
     """Format the report as a plain-text table that lists each starved job."""
     lines = [f"{report['workers']} workers, arrivals for {report['duration_s']} s"]
-    row_format = "{:36}{:>6}{:>7}{:>9}{:>15}{:>8}"
-    lines.append(
-        row_format.format("scenario", "seed", "jobs", "starved", "wrongly failed", "worth")
-    )
+    row_format = "{:36}{:>6}{:>7}{:>9}{:>15}{:>8}{:>18}{:>8}"
+    headings = ("scenario", "seed", "jobs", "starved", "wrongly failed", "worth")
+    lines.append(row_format.format(*headings, "longest idle (s)", "in use"))
     for result in report["results"]:
         starvations = result["starvations"]
         lines.append(
@@ -437,12 +450,19 @@
                 len(starvations),
                 len(result["wrongly_failed"]),
                 f"{result['earned_value']:.3f}",
+                *_format_idle_span(result["longest_idle"]),
             )
         )
         lines += [_format_starvation(starvation) for starvation in starvations]
     return "\n".join(lines)
 
 
+def _format_idle_span(span: dict[str, Any] | None) -> tuple[str, str]:
+    if span is None:
+        return "-", "-"
+    return f"{span['duration_ms'] / 1000:.2f}", f"{span['mean_use']:.0%}"
+
+
 def _format_starvation(starvation: dict[str, Any]) -> str:
     step = starvation["step"]
     kind = "gang" if starvation["is_gang"] else "step"
