--- a/baobabhoist/benchmarks/cell_liveness.py
+++ b/baobabhoist/benchmarks/cell_liveness.py
@@ -21,6 +21,7 @@
     JOB_PROFILES,
     WORKER_CAPACITY,
     Arrival,
+    CellWorkload,
     JobProfile,
     LoadScenario,
     SiteProfile,
@@ -68,18 +69,34 @@
     team_weights=tuple(1.0 / (number + 1) for number in range(20)),
     max_gang_fraction=0.5,
 )
+# Has gangs that need up to the whole limit of their team.
+WIDE_GANG_SITE = attrs.evolve(LARGE_SITE, max_gang_fraction=1.0)
 LARGE_SITE_WORKERS = 176
 LARGE_SITE_LENGTH_S = 34.0
 # Keeps under half of the cell in use most of the time, so that starvation can be seen.
 ARRIVAL_FACTOR = 0.45
+# Length of a peak that ends with the last arrival.
+FINAL_PEAK_S = 4.0
 
 
 @attrs.frozen
 class LivenessScenario:
-    """Combine a load with faults."""
+    """Combine a load with faults.
+
+    With `has_final_peak` the peak of the load ends with the last arrival.
+    """
 
     load: LoadScenario
     faults: FaultPlan = attrs.Factory(FaultPlan)
+    site: SiteProfile = LARGE_SITE
+    has_final_peak: bool = False
+
+    def generate_workload(self, workers: int, seconds: float, seed: int) -> CellWorkload:
+        """Return the workload of this scenario; the same seed gives the same workload."""
+        load = self.load
+        if self.has_final_peak:
+            load = attrs.evolve(load, peak_start_s=seconds - FINAL_PEAK_S, peak_end_s=seconds)
+        return generate_workload(load, workers, seconds, seed, self.site)
 
 
 def _scenario(name: str, faults: FaultPlan, **load: Any) -> LivenessScenario:
@@ -87,6 +104,11 @@
     return LivenessScenario(LoadScenario(name, **load), faults)
 
 
+def _wide_gang_scenario(name: str, has_final_peak: bool = False, **load: Any) -> LivenessScenario:
+    scenario = _scenario(name, FaultPlan(), **load)
+    return attrs.evolve(scenario, site=WIDE_GANG_SITE, has_final_peak=has_final_peak)
+
+
 SCENARIOS = {
     scenario.load.name: scenario
     for scenario in (
@@ -136,6 +158,13 @@
             "leaving_workers_and_late_starts",
             FaultPlan(leaving_fraction=0.14, late_start_fraction=0.05),
         ),
+        _wide_gang_scenario("wide_gangs"),
+        _wide_gang_scenario(
+            "final_burst_of_wide_gangs",
+            has_final_peak=True,
+            burst_queue="bundle",
+            burst_factor=4.0,
+        ),
     )
 }
 
@@ -381,7 +410,7 @@
 ) -> LivenessResult:
     """Replay a scenario and judge all its jobs."""
     scenario = SCENARIOS[name]
-    workload = generate_workload(scenario.load, workers, seconds, seed, LARGE_SITE)
+    workload = scenario.generate_workload(workers, seconds, seed)
     replay = FaultyCellReplay(
         workload,
         TaskPlacer,
