--- a/baobabhoist/tests/test_cell_liveness.py
+++ b/baobabhoist/tests/test_cell_liveness.py
@@ -6,7 +6,12 @@
 
 from baobabhoist.benchmarks import cell_liveness, cell_workload
 from baobabhoist.benchmarks.cell_faults import FaultPlan, FaultyCellReplay
-from baobabhoist.benchmarks.cell_liveness import LARGE_SITE, SCENARIOS, LivenessOracle
+from baobabhoist.benchmarks.cell_liveness import (
+    LARGE_SITE,
+    LARGE_SITE_WORKERS,
+    SCENARIOS,
+    LivenessOracle,
+)
 from baobabhoist.benchmarks.scheduling_parts import FULL_POLICY
 from baobabhoist.cell.model import CommandOutcome, StartTask
 from baobabhoist.cell.placer import TaskPlacer
@@ -44,6 +49,22 @@
     assert result.wrongly_failed == ()
 
 
+@pytest.mark.parametrize(
+    ("name", "seconds", "seed"),
+    [
+        ("wide_gangs", 20.0, 13),
+        ("wide_gangs", 20.0, 40),
+        ("final_burst_of_wide_gangs", 12.0, 20),
+    ],
+)
+def test_a_gang_wider_than_half_of_its_teams_limit_is_not_overtaken_until_it_starves(
+    name, seconds, seed
+):
+    """Guard against smaller jobs that take a team's limit again and again before a wide gang."""
+    result = cell_liveness.check_liveness(name, LARGE_SITE_WORKERS, seconds, seed, FULL_POLICY)
+    assert result.starvations == ()
+
+
 class IdlePlacer(TaskPlacer):
     """Start no task."""
 
