Await a lost start no longer than the ticket's process shows in the directory

Cause: a start without an answer, on a worker that is silent and stays listed, is awaited for 14 s and the longest lease (20 to 24 s), for the sake of a next process of the worker that may carry it out.

But a start with a ticket is refused by each process except the one that lived when the ticket was issued, and that was before the start was sent. If the directory, 13 s after the start was sent, still shows the process that was heard before, that process has lived until after the sending (a silent one's entry is removed after three heartbeats, 4.5 s; 8.5 s are left for stale reads), so the ticket is its own, and its lease, which has lapsed, is all there is to wait for. No clock of a worker and no validity of a ticket is relied on. Without a ticket, with an entry of another process, after a takeover (a stored run doesn't tell that it had a ticket) and while the directory can't be read, the wait is as before: a test each but for the takeover.

--- a/baobabhoist/cell/awaited_runs.py
+++ b/baobabhoist/cell/awaited_runs.py
@@ -9,7 +9,7 @@
 import enum
 import logging
 from collections import Counter, defaultdict
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 
 import attrs
 
@@ -27,6 +27,9 @@
 # Runs that one log line names; the line of the next tick names further ones.
 MAX_NAMED_RUNS = 20
 
+# Returns whether no process of a worker but that heard before can carry out a run.
+NextProcessCheck = Callable[[WorkerState, Run, float], bool]
+
 
 class AwaitReason(enum.StrEnum):
     """List what keeps a run of a silent worker from counting as ended."""
@@ -99,7 +102,9 @@
     _silences: dict[str, WorkerSilence] = attrs.Factory(dict)
     _ended_waits: list[EndedWait] = attrs.Factory(list)
 
-    def review(self, worker: WorkerState, is_gone: bool, now: float) -> None:
+    def review(
+        self, worker: WorkerState, has_no_next_process: NextProcessCheck, now: float
+    ) -> None:
         """Update and log the awaited runs of a worker if it is silent, or forget them."""
         if not (worker.runs and _is_silent(worker, now)):
             if self._silences:
@@ -110,7 +115,7 @@
             silence = self._silences[worker.worker_id] = WorkerSilence(now + NOTICE_DELAY_MS)
         if now < silence.next_review_ms:
             return
-        silence.runs = _find_awaited_runs(worker, is_gone)
+        silence.runs = _find_awaited_runs(worker, has_no_next_process, now)
         _log_unnamed(worker, silence, now)
         if silence.are_all_named():
             silence.next_review_ms = now + REVIEW_INTERVAL_MS
@@ -153,13 +158,15 @@
     return run.is_sent and task.run is run and not task.is_done and not task.step.job.is_final
 
 
-def _find_awaited_runs(worker: WorkerState, is_gone: bool) -> dict[Run, AwaitedRun]:
+def _find_awaited_runs(
+    worker: WorkerState, has_no_next_process: NextProcessCheck, now: float
+) -> dict[Run, AwaitedRun]:
     """Return the runs of a silent worker that tasks wait for."""
     lease_expiry_ms = worker.lease_expiry_ms()
     awaited = {}
     for run in worker.runs.values():
         if _is_awaited(run):
-            until_ms = worker.run_expiry_ms(run, is_gone)
+            until_ms = worker.run_expiry_ms(run, has_no_next_process(worker, run, now))
             reason = _find_reason(worker, run, until_ms > lease_expiry_ms)
             since_ms = max(worker.last_heard_ms, run.decided_ms)
             awaited[run] = AwaitedRun(run, reason, since_ms, until_ms)
--- a/baobabhoist/cell/periodic_checks.py
+++ b/baobabhoist/cell/periodic_checks.py
@@ -45,7 +45,7 @@
         """Run all checks once."""
         for worker in list(self._state.workers.values()):
             self._check_lease(worker, now)
-            self._state.awaited_runs.review(worker, self._state.is_gone(worker, now), now)
+            self._state.awaited_runs.review(worker, self._state.has_no_next_process, now)
             for run in list(worker.runs.values()):
                 self._check_run(worker, run, now)
         self._crashes.forget_old(now)
@@ -63,12 +63,12 @@
 
     def _give_up_runs(self, worker: WorkerState, now: float) -> None:
         """Close the runs that have certainly ended on a worker whose lease has lapsed."""
-        is_gone = self._state.is_gone(worker, now)
         for run in list(worker.runs.values()):
             # Closing a member of a gang closes the other unsent ones too.
             if run.task.run is not run:
                 continue
-            if now > worker.run_expiry_ms(run, is_gone):
+            has_no_next_process = self._state.has_no_next_process(worker, run, now)
+            if now > worker.run_expiry_ms(run, has_no_next_process):
                 self._expect_late_start(run)
                 self._state.awaited_runs.record_given_up(run, now)
                 close_lost_run(
--- a/baobabhoist/cell/state.py
+++ b/baobabhoist/cell/state.py
@@ -191,6 +191,12 @@
         """Return whether the directory shows that no process of a worker is left to be reached."""
         return not worker.is_listed and self.directory.is_complete(now)
 
+    def has_no_next_process(self, worker: WorkerState, run: Run, now: float) -> bool:
+        """Return whether no process of a worker but that heard before can carry out a run."""
+        if self.is_gone(worker, now):
+            return True
+        return self.directory.is_complete(now) and worker.has_ticket_of_heard_process(run, now)
+
     def remove_worker(self, worker: WorkerState) -> None:
         """Remove a worker that has no runs left."""
         del self.workers[worker.worker_id]
--- a/baobabhoist/cell/workers.py
+++ b/baobabhoist/cell/workers.py
@@ -17,6 +17,9 @@
 # A start without an answer may be carried out this long after the owner sent it, by the process
 # that its worker has then.
 MAX_START_LATENESS_MS = 14_000.0
+# A process whose entry is read this long after a time was alive then: the entry of a silent one is
+# removed after three heartbeats, and what is read may be some seconds old.
+MAX_ENTRY_AGE_MS = 13_000.0
 # A run is young until its worker has answered this long after the start was sent.
 YOUNG_RUN_MS = 250.0
 
@@ -163,17 +166,18 @@
             return self.lease.expiry_ms()
         return max(self.inherited_lease_expiry_ms, self.lease.extended_expiry_ms())
 
-    def run_expiry_ms(self, run: Run, is_gone: bool) -> float:
+    def run_expiry_ms(self, run: Run, has_no_next_process: bool) -> float:
         """Return the time after which a run has certainly ended and never begins.
 
         Until a report lists the run, the next process of the worker may have got the start or, if
         there was no answer, may get it yet, as it may a copy of a repeated start. That process
         grants the longest lease, and each later start extends it for all its runs. A worker that
-        is gone from the directory has no such process, unless its last entry showed one. A task
-        that lasts must be back sooner than that.
+        is gone from the directory has no such process, unless its last entry showed one, and a
+        ticket may rule it out (`has_ticket_of_heard_process`). A task that lasts must be back
+        sooner than that.
         """
         expiry_ms = self.lease_expiry_ms()
-        has_next_process = not is_gone or self._entry_shows_next_process(run)
+        has_next_process = not has_no_next_process or self._entry_shows_next_process(run)
         is_lasting = run.task.step.spec.lasting
         if is_lasting or not has_next_process or run.belongs_to_heard_process:
             return expiry_ms
@@ -190,9 +194,23 @@
         entry_ms = self.info.started_unix_ms
         return bool(heard_ms and entry_ms and heard_ms != entry_ms)
 
+    def has_ticket_of_heard_process(self, run: Run, now: float) -> bool:
+        """Return whether the ticket of a start holds only for the process that was heard before.
+
+        A ticket holds for the process that lived when it was issued, which was before the start
+        was sent. The entry shows that the one heard before has lived until after that.
+        """
+        if not run.has_ticket or run.sent_ms is None or now - run.sent_ms < MAX_ENTRY_AGE_MS:
+            return False
+        heard_ms = run.process_unix_ms
+        is_entry_of_heard = heard_ms == self.started_unix_ms == self.info.started_unix_ms
+        return self.is_listed and bool(heard_ms) and is_entry_of_heard
+
     def last_run_expiry_ms(self) -> float:
         """Return the time after which all runs have ended, even if the worker may be back."""
-        expiries_ms = (self.run_expiry_ms(run, is_gone=False) for run in self.runs.values())
+        expiries_ms = (
+            self.run_expiry_ms(run, has_no_next_process=False) for run in self.runs.values()
+        )
         return max(self.lease_expiry_ms(), *expiries_ms, float("-inf"))
 
     def apply_entry(self, info: WorkerInfo, now: float) -> None:
--- a/baobabhoist/tests/test_cell_late_starts.py
+++ b/baobabhoist/tests/test_cell_late_starts.py
@@ -4,9 +4,13 @@
 import pytest
 
 from baobabhoist.cell import progress_rows
-from baobabhoist.cell.model import Step
+from baobabhoist.cell.model import AdviceTerms, CommandOutcome, Step
 from baobabhoist.cell.periodic_checks import OPEN_STOP_RETRY_INTERVAL_MS
-from baobabhoist.cell.workers import MAX_START_LATENESS_MS, lease_duration_ms
+from baobabhoist.cell.workers import (
+    MAX_ENTRY_AGE_MS,
+    MAX_START_LATENESS_MS,
+    lease_duration_ms,
+)
 from baobabhoist.testing.cell_worker import FakeCellWorker
 from baobabhoist.tests.cell_harness import (
     LEASE_MS,
@@ -14,12 +18,15 @@
     SMALL,
     CellHarness,
     make_job,
+    make_rules,
     make_task_key,
 )
 
 TASK = make_task_key()
 LEASE_LAPSES_MS = LEASE_MS * 1.1
 LONGEST_LEASE_MS = lease_duration_ms(MAX_LEASE_MS)
+TICKET_VALID_MS = 2_500.0
+TICKET_TERMS = AdviceTerms(10.0, 0.0, int(TICKET_VALID_MS))
 
 
 def send_start(step=None):
@@ -294,3 +301,72 @@
     harness.undelivered.clear()
     harness.advance(OPEN_STOP_RETRY_INTERVAL_MS)
     assert len(harness.undelivered) <= 2 * 2
+
+
+def send_start_with_ticket(is_heard_since):
+    """Start a task with a ticket; its worker may be heard between the ticket and the start."""
+    harness = CellHarness.with_workers(1, make_rules(advice=TICKET_TERMS))
+    worker = harness.workers["w0"]
+    worker.requires_tickets = True
+    harness.delivers_commands = False
+    harness.submit(make_job())
+    harness.schedule()
+    (question,) = harness.advice_requests
+    tickets = {"w0": worker.issue_ticket(question.step, TICKET_VALID_MS)}
+    valid_until_ms = harness.now + TICKET_VALID_MS
+    harness.cell.handle_advice(question.step, question.workers, tickets, valid_until_ms)
+    if is_heard_since:
+        harness.advance(100.0)
+    else:
+        harness.schedule()
+    (start,) = harness.undelivered
+    harness.undelivered.clear()
+    assert start.ticket
+    harness.cell.should_send_start(start, harness.now)
+    return harness, start
+
+
+@pytest.mark.parametrize("is_expired", [True, False], ids=["expired", "next_process"])
+def test_no_process_carries_out_a_late_start_whose_ticket_is_void(is_expired):
+    """Guard the premise of each bound by the ticket: the stand-in refuses it as workers do."""
+    harness, start = send_start_with_ticket(is_heard_since=False)
+    worker = harness.workers["w0"]
+    if is_expired:
+        harness.advance(TICKET_VALID_MS + 100.0)
+    else:
+        worker.restart()
+    assert (
+        worker.start(harness.token, start, int(worker.now_ms + LEASE_MS))
+        is CommandOutcome.NO_TICKET
+    )
+    assert not worker.started_runs
+
+
+def wait_until_given_up(harness):
+    """Let time pass until the run of the task is given up; return for how long."""
+    since_ms = harness.now
+    while not is_given_up(harness):
+        harness.advance(100.0)
+    return harness.now - since_ms
+
+
+def test_a_ticket_of_the_process_heard_before_bounds_the_wait_for_a_lost_start():
+    """Guard against a task that stands still for a process that would refuse its ticket."""
+    harness, start = send_start_with_ticket(is_heard_since=False)
+    harness.lose_command(start)
+    harness.workers["w0"].is_up = False
+    assert wait_until_given_up(harness) <= MAX_ENTRY_AGE_MS + 100.0
+
+
+@pytest.mark.parametrize("cause", ["no_ticket", "next_process", "unread_directory"])
+def test_a_lost_start_that_a_next_process_may_carry_out_is_awaited_for_longer(cause):
+    """Guard against two runs of a task whose lost start the worker's next process may accept."""
+    has_ticket = cause != "no_ticket"
+    harness, start = send_start_with_ticket(False) if has_ticket else send_start()
+    harness.lose_command(start)
+    harness.workers["w0"].is_up = False
+    if cause == "next_process":
+        entry = harness.workers["w0"].info(started_unix_ms=2)
+        harness.cell.update_worker(entry, harness.now)
+    harness.reads_directory = cause != "unread_directory"
+    assert wait_until_given_up(harness) >= MAX_START_LATENESS_MS + LONGEST_LEASE_MS
