Ask one predicate for room now and for its forecast, also of workers with orphan runs

The review of the forecast found the same cause once more: a worker that lists a run of an unknown job and answers no stop can start nothing, but its room was forecast, so a gang asked for such workers for ever. `WorkerState.is_sound` now says for both, rounds and forecasts, what other than time and health keeps a worker from new tasks; an isolated worker no longer counts in the forecast either. The test fails without the orphans in the predicate.

--- a/baobabhoist/cell/room_forecast.py
+++ b/baobabhoist/cell/room_forecast.py
@@ -111,10 +111,8 @@
     """
     heard_ms = max(worker.last_report_ms, worker.known_since_ms)
     return (
-        worker.is_staying
+        worker.is_sound
         and now - heard_ms < REPORT_TIMEOUT_MS
-        and not worker.lease.is_suspended
-        and not worker.is_entry_outdated
         and by_ms >= worker.backoff_until_ms
         and worker.health.accepts_task(by_ms, len(worker.runs))
     )
--- a/baobabhoist/cell/workers.py
+++ b/baobabhoist/cell/workers.py
@@ -259,15 +259,22 @@
         entry_ms, report_ms = self.info.started_unix_ms, self.started_unix_ms
         return bool(entry_ms and report_ms and entry_ms != report_ms)
 
-    def can_start_tasks(self, now: float) -> bool:
-        """Return whether new tasks may be started on the worker."""
+    @property
+    def is_sound(self) -> bool:
+        """Return whether nothing but time and its health keeps the worker from new tasks."""
         return (
-            self.has_accepted_token
-            and self.is_staying
+            self.is_staying
             and not self.orphan_runs
             and not self.lease.is_suspended
             and not self.is_entry_outdated
             and not self.is_isolated
+        )
+
+    def can_start_tasks(self, now: float) -> bool:
+        """Return whether new tasks may be started on the worker."""
+        return (
+            self.has_accepted_token
+            and self.is_sound
             and now - self.last_report_ms < REPORT_TIMEOUT_MS
             and now >= self.backoff_until_ms
             and self.health.accepts_task(now, len(self.runs))
--- a/baobabhoist/tests/test_cell_advice.py
+++ b/baobabhoist/tests/test_cell_advice.py
@@ -8,9 +8,24 @@
 from baobabhoist.cell.advice_requests import AdviceRequester, return_lead_ms
 from baobabhoist.cell.approvals import TICKET_MARGIN_MS
 from baobabhoist.cell.jobs import FINAL_PERCENT, RunPhase
-from baobabhoist.cell.model import AdviceTerms, JobPhase, RequestAdvice, Resources, StartTask, Step
+from baobabhoist.cell.model import (
+    AdviceTerms,
+    JobPhase,
+    RequestAdvice,
+    Resources,
+    StartTask,
+    Step,
+    StopTask,
+)
 from baobabhoist.cell.policy import SchedulingPolicy
-from baobabhoist.tests.cell_harness import LEASE_MS, CellHarness, make_job, make_rules
+from baobabhoist.testing.cell_worker import FakeRun
+from baobabhoist.tests.cell_harness import (
+    LEASE_MS,
+    CellHarness,
+    make_job,
+    make_rules,
+    make_task_key,
+)
 
 WHOLE_WORKER = Resources(4000, 512, 0)
 # The terms of the slowest adviser among the platform's sites.
@@ -376,3 +391,30 @@
     (question,) = harness.pending_answers
     occupy_with_runs_that_hang(harness, question.query.workers, phase)
     assert harness.run_for(MAX_STANDSTILL_MS, lambda: is_gang_running(harness))
+
+
+@attrs.define
+class StopLosingHarness(AdvisedHarness):
+    """Lose each stop command, as workers do whose connections are all taken."""
+
+    def deliver_command(self, command, reply_arrives=True):
+        if isinstance(command, StopTask):
+            return self.lose_command(command)
+        return AdvisedHarness.deliver_command(self, command, reply_arrives)
+
+
+def test_a_gang_starts_beside_workers_that_stop_no_orphan():
+    """Guard against a gang that asks again and again for workers with runs of unknown jobs."""
+    policy = SchedulingPolicy(forecasts_advice=True)
+    harness = StopLosingHarness.with_workers(
+        GANG_CELL_WORKERS, make_rules(advice=TERMS), policy=policy
+    )
+    harness.refused_ids = {f"w{n}" for n in range(GANG_CELL_WORKERS) if n % 3}
+    unusable = list(harness.workers.values())[-GANG_CELL_UNUSABLE:]
+    for number, worker in enumerate(unusable):
+        orphan = make_task_key(f"{number:x}".rjust(16, "e"))
+        worker.runs[orphan] = FakeRun(orphan, 1)
+    harness.settle()
+    use_others_a_little(harness, unusable)
+    harness.submit(make_job(JOB, GANG_OF_SEVEN))
+    assert harness.run_for(MAX_STANDSTILL_MS, lambda: is_gang_running(harness))
