--- a/baobabhoist/cell/worker_reports.py
+++ b/baobabhoist/cell/worker_reports.py
@@ -320,9 +320,10 @@
 
 
 def _has_never_begun(run: Run, requested_ms: float) -> bool:
-    """Return whether a start without an answer came too late for any process at that time."""
-    is_open = run.phase in (RunPhase.UNSURE, RunPhase.STOPPING) and run.sent_ms is not None
-    return is_open and requested_ms > last_start_ms(run)
+    """Return whether no process could begin a run any more when a report was requested."""
+    if run.phase not in (RunPhase.UNSURE, RunPhase.STOPPING) or run.sent_ms is None:
+        return False
+    return requested_ms > max(run.confirmed_ms, last_start_ms(run))
 
 
 def _has_restarted(worker: WorkerState, report: WorkerReport) -> bool:
--- a/baobabhoist/tests/test_cell_run_stops.py
+++ b/baobabhoist/tests/test_cell_run_stops.py
@@ -3,6 +3,7 @@
 import attrs
 import pytest
 
+from baobabhoist.cell.jobs import RunPhase
 from baobabhoist.cell.model import (
     NO_RESOURCES,
     CommandOutcome,
@@ -12,6 +13,7 @@
     StopTask,
 )
 from baobabhoist.cell.periodic_checks import STALL_TIMEOUT_MS, UNSENT_START_TIMEOUT_MS
+from baobabhoist.cell.wasted_work import WasteCause
 from baobabhoist.cell.workers import MAX_START_LATENESS_MS, REPORT_TIMEOUT_MS
 from baobabhoist.tests.cell_harness import SMALL, CellHarness, make_job, make_task_key
 
@@ -266,3 +268,20 @@
         harness.worker_running(member).end_run(member, RunOutcome.ALONE)
     advance_without_stops(harness, MAX_START_LATENESS_MS + MAX_STANDSTILL_MS)
     assert len(harness.running_tasks()) == step.count
+
+
+def test_a_listed_run_that_is_stopped_is_not_ended_by_an_earlier_report():
+    """Guard against two runs of a task: a report requested before the run was listed ends it."""
+    harness = CellHarness.with_workers(1)
+    state = harness.cell.state
+    early_ms = harness.now
+    early_report = harness.workers["w0"].renew(harness.token, 0, None)
+    harness.submit(make_job())
+    harness.now += 10.0
+    harness.settle()
+    run = state.workers["w0"].runs[make_task_key()]
+    assert run.is_listed
+    state.stop_run(run, harness.now, WasteCause.STALLED)
+    assert run.phase is RunPhase.STOPPING
+    harness.cell.handle_report("w0", early_report, early_ms, harness.now)
+    assert state.workers["w0"].runs
