Describe only jobs that have stood for 2 s, and count no wait for a step that starts

The account of a step blamed the last reason for the time of a start without an answer; the test failed before.

--- a/baobabhoist/cell/placer.py
+++ b/baobabhoist/cell/placer.py
@@ -139,6 +139,8 @@
                 step.waiting_since_ms = now
             decision = self.advice.request(step, position, worker_index, self.reservations, now)
             step.wait_account.record(step.wait_reason, decision, now)
+        else:
+            step.wait_account.record(None, None, now)
 
     def _preempt(self, step: StepState, worker_index: WorkerIndex, now: float) -> None:
         """Stop other runs for a step that finds no room, if the policy allows it."""
--- a/baobabhoist/cell/standing_jobs.py
+++ b/baobabhoist/cell/standing_jobs.py
@@ -59,34 +59,44 @@
         standing = {key.job_id for key in state.ready_steps} - running
         self._since_ms = {job_id: self._since_ms.get(job_id, now) for job_id in standing}
 
-    def longest(self, placer: TaskPlacer, now: float) -> list[StandingStep]:
+    def longest_by_reason(
+        self, placer: TaskPlacer, now: float, least_ms: float
+    ) -> list[StandingStep]:
         """Return for each wait reason the step whose job, of a team with room, has stood longest.
 
-        Steps of which no task waits, because all have a run that has not ended, count together.
+        Jobs that have stood for less than a time are left out. Steps of which no task waits,
+        because all have a run that has not ended, count together.
         """
         longest: dict[WaitReason | None, StepState] = {}
         for step in placer.state.ready_steps.values():
-            if not self._is_counted(step, placer.state):
+            if not self._is_counted(step, placer.state, now - least_ms):
                 continue
             reason = step.wait_reason if step.waiting_count else None
             other = longest.get(reason)
             if other is None or self._since(step) < self._since(other):
                 longest[reason] = step
-        return [self._describe(step, placer, now) for step in longest.values()]
+        if not longest:
+            return []
+        used = used_fraction(placer.state, now)
+        worker_index = WorkerIndex(placer.state.workers.values(), now)
+        return [self._describe(step, placer, worker_index, used) for step in longest.values()]
 
-    def _is_counted(self, step: StepState, state: CellState) -> bool:
-        return step.key.job_id in self._since_ms and not state.is_team_half_used(step.job)
+    def _is_counted(self, step: StepState, state: CellState, latest_ms: float) -> bool:
+        since_ms = self._since_ms.get(step.key.job_id, float("inf"))
+        return since_ms <= latest_ms and not state.is_team_half_used(step.job)
 
     def _since(self, step: StepState) -> float:
         return self._since_ms[step.key.job_id]
 
-    def _describe(self, step: StepState, placer: TaskPlacer, now: float) -> StandingStep:
+    def _describe(
+        self, step: StepState, placer: TaskPlacer, worker_index: WorkerIndex, used: float
+    ) -> StandingStep:
         runs = [task.run for task in step.tasks if task.run is not None]
         return StandingStep(
             step,
             self._since(step),
-            used_fraction(placer.state, now),
-            count_room(placer, step, now),
+            used,
+            count_room(placer, step, worker_index),
             Counter(run.phase for run in runs),
             min(runs, key=lambda run: run.decided_ms, default=None),
         )
@@ -104,9 +114,8 @@
     return max((in_use / total for in_use, total in amounts if total), default=0.0)
 
 
-def count_room(placer: TaskPlacer, step: StepState, now: float) -> StepRoom:
+def count_room(placer: TaskPlacer, step: StepState, worker_index: WorkerIndex) -> StepRoom:
     """Return how many tasks of a step would find a place now, with and without a ticket."""
-    worker_index = WorkerIndex(placer.state.workers.values(), now)
     startable = placer.startable_workers(step, worker_index)
     unreserved = [w for w in startable if placer.reservations.is_worker_available(w, step)]
     return StepRoom(
--- a/baobabhoist/cell/wait_account.py
+++ b/baobabhoist/cell/wait_account.py
@@ -43,8 +43,10 @@
     _decision: AdviceDecision | None = None
     _since_ms: float = 0.0
 
-    def record(self, reason: WaitReason | None, decision: AdviceDecision, now: float) -> None:
-        """Record what a round found; it holds until the next round that considers the step."""
+    def record(
+        self, reason: WaitReason | None, decision: AdviceDecision | None, now: float
+    ) -> None:
+        """Record what a round found, until the next one; None stands for a step that starts."""
         elapsed_ms = now - self._since_ms
         if self._reason is not None:
             self.by_reason_ms[self._reason] += elapsed_ms
--- a/baobabhoist/control/waiting_report.py
+++ b/baobabhoist/control/waiting_report.py
@@ -81,9 +81,8 @@
         if _longest_wait_ms(summary) > LONG_WAIT_MS:
             self._write(summary, cell, may_start, loop_lag_ms, now)
         self.standing_jobs.update(cell.state, now)
-        for standing in self.standing_jobs.longest(cell.placer, now):
-            if now - standing.since_ms > LONG_WAIT_MS:
-                _log_standing(standing, cell.state, now)
+        for standing in self.standing_jobs.longest_by_reason(cell.placer, now, LONG_WAIT_MS):
+            _log_standing(standing, cell.state, now)
         self._reset(now)
 
     def _reset(self, now: float) -> None:
--- a/baobabhoist/tests/test_cell_standing_jobs.py
+++ b/baobabhoist/tests/test_cell_standing_jobs.py
@@ -9,12 +9,13 @@
 from baobabhoist.tests.cell_harness import SMALL, CellHarness, make_job
 
 JOB_ID = "0" * 16
+UNANSWERED_MS = 2_000.0
 GANG = Step(4, SMALL, 60_000, gang=True)
 
 
 def longest(harness, standing_jobs):
     standing_jobs.update(harness.cell.state, harness.now)
-    (standing,) = standing_jobs.longest(harness.cell.placer, harness.now)
+    (standing,) = standing_jobs.longest_by_reason(harness.cell.placer, harness.now, 0.0)
     return standing
 
 
@@ -42,7 +43,7 @@
     harness.settle()
     standing_jobs = StandingJobs()
     standing_jobs.update(harness.cell.state, harness.now)
-    assert standing_jobs.longest(harness.cell.placer, harness.now) == []
+    assert standing_jobs.longest_by_reason(harness.cell.placer, harness.now, 0.0) == []
     assert used_fraction(harness.cell.state, harness.now) == 0.25
 
 
@@ -74,3 +75,21 @@
         AdviceDecision.OPEN: 500.0,
     }
     assert account.requests == 1
+
+
+def test_time_of_an_unanswered_start_is_not_a_wait_for_room():
+    """Guard against a log that blames the reason before a start for the time after it."""
+    harness = CellHarness.with_workers(1)
+    harness.delivers_commands = False
+    harness.submit(make_job())
+    harness.schedule(may_start=False)
+    step = next(iter(harness.cell.state.ready_steps.values()))
+    harness.now += 100.0
+    (start,) = (c for c in harness.schedule() if isinstance(c, StartTask))
+    harness.cell.should_send_start(start, harness.now)
+    harness.cell.handle_start_result(start, CommandOutcome.UNKNOWN, harness.now)
+    harness.now += UNANSWERED_MS
+    (run,) = [task.run for task in step.tasks]
+    harness.cell.state.close_run(run)
+    harness.schedule(may_start=False)
+    assert sum(step.wait_account.by_reason_ms.values()) == 100.0
