--- a/baobabhoist/tests/test_cell_advice_requests.py
+++ b/baobabhoist/tests/test_cell_advice_requests.py
@@ -63,6 +63,17 @@
     assert asked == set(job_ids)
 
 
+def test_expired_jobs_with_long_requests_ask_while_some_slots_are_free():
+    """Guard against jobs that stand still unasked beside free slots, as they are worth nothing."""
+    harness = make_harness(8, LONG_TERMS)
+    harness.cell.placer.advice.blocked_count = 5
+    job_ids = submit_jobs(harness, "a", 10, Step(1, SMALL, 100))
+    harness.cell.schedule(harness.now, False)
+    advance(harness, 10_000.0)
+    asked = ask_until(harness, harness.now + STARVATION_MS, 50.0)
+    assert asked == set(job_ids)
+
+
 def test_expired_gangs_ask_beside_many_quick_jobs_that_stand_still():
     """Guard against a request a second for expired jobs that quick ones use up."""
     harness = make_harness(8, slots=4)
