Count the lost starts that are given up early in the waits for other runs

Found by the review of the wait that ends with the ticket's process: a start of a run that was given up may still reach a next process, which refuses it but extends its lease by it, and so that of another run without a ticket on the same worker (TWICE, by up to the time between the two starts; it needs two starts that are each over 13.8 s late). The worker now remembers until when such starts may come. Besides, a run is given up no sooner than any start may be carried out (14 s, before 13 s), and only if the directory was read without a gap since the start was sent. The tests of both fail without the changes.

--- a/baobabhoist/cell/directory_health.py
+++ b/baobabhoist/cell/directory_health.py
@@ -32,3 +32,7 @@
         """Return whether each worker that lives and reaches the store is listed."""
         is_current = now - self._last_read_ms <= MAX_READ_GAP_MS
         return is_current and now - self._read_since_ms >= DIRECTORY_RECOVERY_MS
+
+    def is_complete_since(self, since_ms: float, now: float) -> bool:
+        """Return whether no read has failed since a time, and each living worker is listed."""
+        return self._read_since_ms <= since_ms and self.is_complete(now)
--- a/baobabhoist/cell/periodic_checks.py
+++ b/baobabhoist/cell/periodic_checks.py
@@ -69,7 +69,7 @@
                 continue
             has_no_next_process = self._state.has_no_next_process(worker, run, now)
             if now > worker.run_expiry_ms(run, has_no_next_process):
-                self._expect_late_start(run)
+                self._expect_late_start(worker, run)
                 self._state.awaited_runs.record_given_up(run, now)
                 close_lost_run(
                     self._state,
@@ -83,11 +83,12 @@
                 # The other members would wait for it until they end alone.
                 self._run_ends.stop_gang_run(run.task.step, run.number, now)
 
-    def _expect_late_start(self, run: Run) -> None:
-        """Record until when a start without a ticket may reach its worker's next process."""
+    def _expect_late_start(self, worker: WorkerState, run: Run) -> None:
+        """Record until when the start of a run may reach its worker's next process."""
+        until_ms = last_start_ms(run)
+        worker.given_up_starts_until_ms = max(worker.given_up_starts_until_ms, until_ms)
         if not run.has_ticket:
-            until_ms = self._state.late_starts_until_ms
-            self._state.late_starts_until_ms = max(until_ms, last_start_ms(run))
+            self._state.late_starts_until_ms = max(self._state.late_starts_until_ms, until_ms)
 
     def _check_run(self, worker: WorkerState, run: Run, now: float) -> None:
         self._repeat_stop(run, now)
--- a/baobabhoist/cell/state.py
+++ b/baobabhoist/cell/state.py
@@ -195,7 +195,9 @@
         """Return whether no process of a worker but that heard before can carry out a run."""
         if self.is_gone(worker, now):
             return True
-        return self.directory.is_complete(now) and worker.has_ticket_of_heard_process(run, now)
+        if run.sent_ms is None or not self.directory.is_complete_since(run.sent_ms, now):
+            return False
+        return worker.has_ticket_of_heard_process(run, now)
 
     def remove_worker(self, worker: WorkerState) -> None:
         """Remove a worker that has no runs left."""
--- a/baobabhoist/cell/workers.py
+++ b/baobabhoist/cell/workers.py
@@ -17,9 +17,6 @@
 # A start without an answer may be carried out this long after the owner sent it, by the process
 # that its worker has then.
 MAX_START_LATENESS_MS = 14_000.0
-# A process whose entry is read this long after a time was alive then: the entry of a silent one is
-# removed after three heartbeats, and what is read may be some seconds old.
-MAX_ENTRY_AGE_MS = 13_000.0
 # A run is young until its worker has answered this long after the start was sent.
 YOUNG_RUN_MS = 250.0
 
@@ -127,6 +124,9 @@
     longest_inherited_expiry_ms: float = float("-inf")
     late_start_expiry_ms: float = float("-inf")
     backoff_until_ms: float = 0.0
+    # Until when the next process may get the starts of runs that were given up, which it refuses
+    # but which extend its lease.
+    given_up_starts_until_ms: float = float("-inf")
     # A run whose task may crash the worker: while it is young, nothing else starts there.
     isolated_run: Run | None = None
     # When the worker process started; identifies its incarnation.
@@ -185,7 +185,7 @@
             is_late = run.may_start_late
             longest_ms = self.late_start_expiry_ms if is_late else self.longest_inherited_expiry_ms
             return max(expiry_ms, longest_ms)
-        latest_ms = max(map(last_start_ms, self.runs.values()))
+        latest_ms = max(self.given_up_starts_until_ms, *map(last_start_ms, self.runs.values()))
         return max(expiry_ms, latest_ms + lease_duration_ms(self.lease.max_granted_ms))
 
     def _entry_shows_next_process(self, run: Run) -> bool:
@@ -200,7 +200,8 @@
         A ticket holds for the process that lived when it was issued, which was before the start
         was sent. The entry shows that the one heard before has lived until after that.
         """
-        if not run.has_ticket or run.sent_ms is None or now - run.sent_ms < MAX_ENTRY_AGE_MS:
+        # Long enough for the entry of a silent process to be removed, even by a stale read.
+        if not run.has_ticket or run.sent_ms is None or now - run.sent_ms < MAX_START_LATENESS_MS:
             return False
         heard_ms = run.process_unix_ms
         is_entry_of_heard = heard_ms == self.started_unix_ms == self.info.started_unix_ms
--- a/baobabhoist/tests/test_cell_late_starts.py
+++ b/baobabhoist/tests/test_cell_late_starts.py
@@ -4,13 +4,10 @@
 import pytest
 
 from baobabhoist.cell import progress_rows
+from baobabhoist.cell.directory_health import MAX_READ_GAP_MS
 from baobabhoist.cell.model import AdviceTerms, CommandOutcome, Step
 from baobabhoist.cell.periodic_checks import OPEN_STOP_RETRY_INTERVAL_MS
-from baobabhoist.cell.workers import (
-    MAX_ENTRY_AGE_MS,
-    MAX_START_LATENESS_MS,
-    lease_duration_ms,
-)
+from baobabhoist.cell.workers import MAX_START_LATENESS_MS, lease_duration_ms
 from baobabhoist.testing.cell_worker import FakeCellWorker
 from baobabhoist.tests.cell_harness import (
     LEASE_MS,
@@ -306,6 +303,7 @@
 def send_start_with_ticket(is_heard_since):
     """Start a task with a ticket; its worker may be heard between the ticket and the start."""
     harness = CellHarness.with_workers(1, make_rules(advice=TICKET_TERMS))
+    harness.cell.confirm_directory(harness.now)
     worker = harness.workers["w0"]
     worker.requires_tickets = True
     harness.delivers_commands = False
@@ -355,18 +353,39 @@
     harness, start = send_start_with_ticket(is_heard_since=False)
     harness.lose_command(start)
     harness.workers["w0"].is_up = False
-    assert wait_until_given_up(harness) <= MAX_ENTRY_AGE_MS + 100.0
+    assert wait_until_given_up(harness) <= MAX_START_LATENESS_MS + 100.0
 
 
-@pytest.mark.parametrize("cause", ["no_ticket", "next_process", "unread_directory"])
+@pytest.mark.parametrize("cause", ["no_ticket", "next_process", "unread_directory", "read_gap"])
 def test_a_lost_start_that_a_next_process_may_carry_out_is_awaited_for_longer(cause):
     """Guard against two runs of a task whose lost start the worker's next process may accept."""
     has_ticket = cause != "no_ticket"
     harness, start = send_start_with_ticket(False) if has_ticket else send_start()
+    sent_ms = harness.now
     harness.lose_command(start)
     harness.workers["w0"].is_up = False
     if cause == "next_process":
         entry = harness.workers["w0"].info(started_unix_ms=2)
         harness.cell.update_worker(entry, harness.now)
-    harness.reads_directory = cause != "unread_directory"
-    assert wait_until_given_up(harness) >= MAX_START_LATENESS_MS + LONGEST_LEASE_MS
+    harness.reads_directory = cause not in ("unread_directory", "read_gap")
+    if cause == "read_gap":
+        harness.advance(MAX_READ_GAP_MS + 100.0)
+        harness.reads_directory = True
+    wait_until_given_up(harness)
+    assert harness.now - sent_ms >= MAX_START_LATENESS_MS + LONGEST_LEASE_MS
+
+
+def test_a_lost_start_that_was_given_up_still_extends_the_wait_for_others():
+    """Guard against two runs of a task: a refused start extends the lease of a next process."""
+    harness, start = send_start_with_ticket(is_heard_since=False)
+    state, sent_ms = harness.cell.state, harness.now
+    harness.submit(make_job("1" * 16))
+    (task,) = harness.cell.find_job("1" * 16).steps[0, 0].tasks
+    state.start_run(task, state.workers["w0"], 1, harness.now)
+    run = task.run
+    run.has_ticket, run.is_sent, run.sent_ms = False, True, sent_ms - 900.0
+    harness.lose_command(start)
+    harness.workers["w0"].is_up = False
+    wait_until_given_up(harness)
+    expiry_ms = state.workers["w0"].run_expiry_ms(run, has_no_next_process=False)
+    assert expiry_ms >= sent_ms + MAX_START_LATENESS_MS + LONGEST_LEASE_MS
