Drop the unused parameter of a test's set-up of late starts

Every caller passed False, so the branch in which the worker is heard between the ticket and the start never ran. No assertion changes; the file's 32 tests pass, formatter and linter are clean.

--- a/baobabhoist/tests/test_cell_late_starts.py
+++ b/baobabhoist/tests/test_cell_late_starts.py
@@ -300,8 +300,8 @@
     assert len(harness.undelivered) <= 2 * 2
 
 
-def send_start_with_ticket(is_heard_since):
-    """Start a task with a ticket; its worker may be heard between the ticket and the start."""
+def send_start_with_ticket():
+    """Start a task with a ticket of its worker's process."""
     harness = CellHarness.with_workers(1, make_rules(advice=TICKET_TERMS))
     harness.cell.confirm_directory(harness.now)
     worker = harness.workers["w0"]
@@ -313,10 +313,7 @@
     tickets = {"w0": worker.issue_ticket(question.step, TICKET_VALID_MS)}
     valid_until_ms = harness.now + TICKET_VALID_MS
     harness.cell.handle_advice(question.step, question.workers, tickets, valid_until_ms)
-    if is_heard_since:
-        harness.advance(100.0)
-    else:
-        harness.schedule()
+    harness.schedule()
     (start,) = harness.undelivered
     harness.undelivered.clear()
     assert start.ticket
@@ -327,7 +324,7 @@
 @pytest.mark.parametrize("is_expired", [True, False], ids=["expired", "next_process"])
 def test_no_process_carries_out_a_late_start_whose_ticket_is_void(is_expired):
     """Guard the premise of each bound by the ticket: the stand-in refuses it as workers do."""
-    harness, start = send_start_with_ticket(is_heard_since=False)
+    harness, start = send_start_with_ticket()
     worker = harness.workers["w0"]
     if is_expired:
         harness.advance(TICKET_VALID_MS + 100.0)
@@ -350,7 +347,7 @@
 
 def test_a_ticket_of_the_process_heard_before_bounds_the_wait_for_a_lost_start():
     """Guard against a task that stands still for a process that would refuse its ticket."""
-    harness, start = send_start_with_ticket(is_heard_since=False)
+    harness, start = send_start_with_ticket()
     harness.lose_command(start)
     harness.workers["w0"].is_up = False
     assert wait_until_given_up(harness) <= MAX_START_LATENESS_MS + 100.0
@@ -360,7 +357,7 @@
 def test_a_lost_start_that_a_next_process_may_carry_out_is_awaited_for_longer(cause):
     """Guard against two runs of a task whose lost start the worker's next process may accept."""
     has_ticket = cause != "no_ticket"
-    harness, start = send_start_with_ticket(False) if has_ticket else send_start()
+    harness, start = send_start_with_ticket() if has_ticket else send_start()
     sent_ms = harness.now
     harness.lose_command(start)
     harness.workers["w0"].is_up = False
@@ -377,7 +374,7 @@
 
 def test_a_lost_start_that_was_given_up_still_extends_the_wait_for_others():
     """Guard against two runs of a task: a refused start extends the lease of a next process."""
-    harness, start = send_start_with_ticket(is_heard_since=False)
+    harness, start = send_start_with_ticket()
     state, sent_ms = harness.cell.state, harness.now
     harness.submit(make_job("1" * 16))
     (task,) = harness.cell.find_job("1" * 16).steps[0, 0].tasks
