--- a/baobabhoist/control/metrics.py
+++ b/baobabhoist/control/metrics.py
@@ -56,6 +56,9 @@
         self._store = self._histogram(
             "store_seconds", "Time of a call to the platform's store.", CALL_BUCKETS_S
         )
+        self._store_bytes = self._counter(
+            "store_read_bytes_total", "Values read from the platform's store, by table."
+        )
         self._worker = self._histogram(
             "worker_seconds", "Time of an order to a worker.", CALL_BUCKETS_S
         )
@@ -161,6 +164,10 @@
         """Record a call to the store."""
         self._store.observe({"call": call, "outcome": outcome}, seconds)
 
+    def count_read_bytes(self, table: str, size_bytes: int) -> None:
+        """Count the values of a table that were read from the store."""
+        self._store_bytes.add({"table": table}, size_bytes)
+
     def observe_worker_call(self, call: str, outcome: str, seconds: float) -> None:
         """Record a command to a worker."""
         self._worker.observe({"call": call, "outcome": outcome}, seconds)
--- a/baobabhoist/control/node.py
+++ b/baobabhoist/control/node.py
@@ -247,6 +247,8 @@
             queues=len(cfg.rules.queues),
             teams=len(cfg.rules.teams),
             keys=len(cfg.team_by_key),
+            bytes=len(value),
+            config_age_ms=round(self.config.age_ms(monotonic_ms())),
         )
         if self.owner_router.local_owner is not None:
             self.owner_router.local_owner.apply_rules(cfg.rules)
--- a/baobabhoist/control/store_health.py
+++ b/baobabhoist/control/store_health.py
@@ -67,13 +67,13 @@
 
     async def read(self, table: str, part: str = "", *, start: str = "", end: str = "") -> RowSet:
         """Return the rows of a partition in a range of keys."""
-        return await self._measure("read", self._store.read(table, part, start=start, end=end))
+        answer = self._store.read(table, part, start=start, end=end)
+        return self._count_bytes(table, await self._measure("read", answer))
 
     async def poll_changes(self, table: str, after_version: int, wait_ms: int) -> RowSet:
         """Return the rows of a table that changed after a version."""
-        return await self._measure(
-            "follow", self._store.poll_changes(table, after_version, wait_ms)
-        )
+        answer = self._store.poll_changes(table, after_version, wait_ms)
+        return self._count_bytes(table, await self._measure("follow", answer))
 
     async def commit(self, txn: RowTransaction) -> RowsCommitted | RowsConflict:
         """Apply a transaction."""
@@ -83,6 +83,10 @@
         self.health.last_commit_took_ms = self.health.last_commit_ms - start_ms
         return outcome
 
+    def _count_bytes(self, table: str, rows: RowSet) -> RowSet:
+        self._metrics.count_read_bytes(table, rows.size_bytes)
+        return rows
+
     async def _measure(self, call: str, answer: Awaitable[T]) -> T:
         start_ms = monotonic_ms()
         outcome = "cancelled"
--- a/baobabhoist/control/table_follower.py
+++ b/baobabhoist/control/table_follower.py
@@ -20,6 +20,8 @@
 # after a failure, so that one that gets lost is given up earlier.
 IMMEDIATE_POLL_WAIT_MS = 0
 NEVER_MS = float("-inf")
+# A table that can't be read is logged again after this time.
+LOG_INTERVAL_MS = 5_000.0
 
 RowsCallback = Callable[[Sequence[StoredRow], bool], None]
 
@@ -59,6 +61,9 @@
         self._snapshot: RangeReader | None = None
         self._snapshot_sent_ms = 0.0
         self._is_connected = False
+        # Calls that failed since the last answered one, and when the next may be logged.
+        self._failed_calls = 0
+        self._next_log_ms = NEVER_MS
         self._poll_requested = asyncio.Event()
 
     @property
@@ -81,7 +86,7 @@
                 emit(log, Event.HISTORY_LOST, table=self._table, version=self.version)
                 is_loaded = False
             except StoreError as exc:
-                self._log_disconnected(exc)
+                self._log_failure(exc)
                 wait_ms = IMMEDIATE_POLL_WAIT_MS
                 await asyncio.sleep(RETRY_INTERVAL_S)
 
@@ -126,13 +131,26 @@
     def _confirm(self, rows: RowSet, sent_ms: float) -> None:
         self._clock.observe(rows.now_ms)
         self.confirmed_ms = sent_ms
+        self._failed_calls = 0
         if not self._is_connected:
             self._is_connected = True
             emit(log, Event.TABLE_FOLLOWED, table=self._table, version=self.version)
         if self._on_confirmed is not None:
             self._on_confirmed(sent_ms)
 
-    def _log_disconnected(self, exc: StoreError) -> None:
-        if self._is_connected:
-            self._is_connected = False
-            emit(log, Event.TABLE_LOST, table=self._table, version=self.version, detail=exc)
+    def _log_failure(self, exc: StoreError) -> None:
+        """Log the first of some failed calls, and one in each interval after it."""
+        now = monotonic_ms()
+        self._failed_calls += 1
+        if not self._is_connected and now < self._next_log_ms:
+            return
+        self._is_connected = False
+        self._next_log_ms = now + LOG_INTERVAL_MS
+        emit(
+            log,
+            Event.TABLE_LOST,
+            table=self._table,
+            version=self.version,
+            failed_calls=self._failed_calls,
+            detail=exc,
+        )
--- a/baobabhoist/store/row_store.py
+++ b/baobabhoist/store/row_store.py
@@ -55,6 +55,11 @@
     version: int
     now_ms: int
 
+    @property
+    def size_bytes(self) -> int:
+        """Return the size of all values."""
+        return sum(len(row.value or b"") for row in self.rows)
+
 
 @attrs.frozen
 class RowTransaction:
--- a/baobabhoist/tests/test_control_table_follower.py
+++ b/baobabhoist/tests/test_control_table_follower.py
@@ -161,6 +161,26 @@
     run_with_follower(test)
 
 
+def test_table_that_can_never_be_read_is_logged(caplog, monkeypatch):
+    """Guard against an instance that starts, never gets a configuration and doesn't say why."""
+    caplog.set_level("WARNING")
+    now = [0.0]
+    monkeypatch.setattr(table_follower_module, "monotonic_ms", lambda: now[0])
+
+    async def run():
+        store = MemoryRowStore(is_down=True)
+        follower = TableFollower(store, "t", lambda *_: None, StoreClock())
+        task = asyncio.create_task(follower.run())
+        await run_event_loop()
+        assert caplog.text.count("cannot follow table t") == 1
+        now[0] += table_follower_module.LOG_INTERVAL_MS
+        await run_event_loop()
+        task.cancel()
+        assert caplog.text.count("cannot follow table t") == 2
+
+    asyncio.run(run())
+
+
 def test_poll_after_a_failure_waits_for_no_change(monkeypatch):
     """Guard against a poll lost in an outage that delays the news by a long poll's timeout."""
     waits, poll_changes = [], MemoryRowStore.poll_changes
