--- a/baobabhoist/tests/test_control_table_follower.py
+++ b/baobabhoist/tests/test_control_table_follower.py
@@ -161,6 +161,25 @@
     run_with_follower(test)
 
 
+def test_versions_that_were_missed_are_not_read_one_by_one():
+    """Guard against a backlog that grows with each change until no link carries it in time."""
+
+    async def test(store, seen, follower):
+        put(store, b"0" * 1_000_000)
+        await run_event_loop()
+        store.is_down = True
+        await run_event_loop()
+        seen.clear()
+        newest = b"9" * 1_000_000
+        for value in (*(digit * 1_000_000 for digit in (b"1", b"2", b"3")), newest):
+            put(store, value)
+        store.is_down = False
+        await run_event_loop()
+        assert seen == [(newest, True)]
+
+    run_with_follower(test)
+
+
 def test_table_that_can_never_be_read_is_logged(caplog, monkeypatch):
     """Guard against an instance that starts, never gets a configuration and doesn't say why."""
     caplog.set_level("WARNING")
--- /dev/null
+++ b/baobabhoist/tests/test_platform_slow_links.py
@@ -0,0 +1,103 @@
+"""Test reads from the store over links that need longer than a timeout for the whole answer."""
+
+from __future__ import annotations
+
+import asyncio
+import base64
+import contextlib
+from collections.abc import Awaitable, Callable, Iterable
+from typing import TypeVar
+
+import orjson
+import pytest
+
+from baobabhoist.platform import store as platform_store
+from baobabhoist.platform.http_client import HttpClient
+from baobabhoist.platform.store import PlatformRowStore
+from baobabhoist.store.row_store import RowSet, StoreUnansweredError
+from baobabhoist.tests.platform_harness import HOST
+
+Result = TypeVar("Result")
+
+TIMEOUT_S = 0.4
+PART_INTERVAL_S = 0.1
+# The whole answer takes three times the timeout of a request.
+PARTS = 12
+VALUE = b"v" * 60_000
+# Fails a test that would wait for ever.
+TEST_TIMEOUT_S = 20.0
+
+Serve = Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]
+
+
+@pytest.fixture(autouse=True)
+def short_timeout(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(platform_store, "REQUEST_TIMEOUT_S", TIMEOUT_S)
+
+
+def _answer(values: Iterable[bytes] = (VALUE,), version: int = 7) -> bytes:
+    rows = [
+        {"table": "op", "key": "config", "schemaVer": version, "value": base64.b64encode(value)}
+        for value in values
+    ]
+    body = {"rows": rows, "schemaVer": version, "nowMs": 5, "hasMore": False}
+    data = orjson.dumps(body, default=bytes.decode)
+    return f"HTTP/1.1 200 OK\r\nContent-Length: {len(data)}\r\n\r\n".encode() + data
+
+
+def _slow_link(answer: bytes, parts: int = PARTS) -> Serve:
+    """Return a server that sends an answer in parts, and only the first `parts` of them."""
+
+    async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await reader.readuntil(b"\r\n\r\n")
+        size = len(answer) // PARTS + 1
+        with contextlib.suppress(ConnectionError, asyncio.CancelledError):
+            for first in range(0, parts * size, size):
+                writer.write(answer[first : first + size])
+                await writer.drain()
+                await asyncio.sleep(PART_INTERVAL_S)
+            await reader.read()
+        writer.close()
+
+    return serve
+
+
+def _run(serve: Serve, call: Callable[[PlatformRowStore], Awaitable[Result]]) -> Result:
+    async def run() -> Result:
+        server = await asyncio.start_server(serve, HOST, 0)
+        http = HttpClient(4)
+        port = server.sockets[0].getsockname()[1]
+        try:
+            async with asyncio.timeout(TEST_TIMEOUT_S):
+                return await call(PlatformRowStore(http, f"{HOST}:{port}"))
+        finally:
+            http.close()
+            server.close()
+
+    return asyncio.run(run())
+
+
+def test_row_that_takes_longer_than_a_timeout_is_read() -> None:
+    """Guard against a configuration that a slow link can carry and that is asked for for ever."""
+    rows = _run(_slow_link(_answer()), lambda store: store.read("op"))
+    assert rows.rows[0].value == VALUE
+
+
+def test_change_that_takes_longer_than_a_timeout_is_read() -> None:
+    """Guard against a change of the configuration that slow links never get in force."""
+
+    async def poll(store: PlatformRowStore) -> RowSet:
+        return await store.poll_changes("op", 3, 0)
+
+    assert _run(_slow_link(_answer()), poll).rows[0].value == VALUE
+
+
+@pytest.mark.parametrize("parts", [0, 1, PARTS // 2])
+def test_answer_that_stops_arriving_is_given_up(parts: int) -> None:
+    """Guard against a read that waits for ever for a connection that carries nothing any more."""
+
+    async def read(store: PlatformRowStore) -> None:
+        with pytest.raises(StoreUnansweredError):
+            await store.read("op")
+
+    _run(_slow_link(_answer(), parts), read)
