--- a/baobabhoist/control/node.py
+++ b/baobabhoist/control/node.py
@@ -110,6 +110,7 @@
             cfg.store.row_max_bytes,
             JobAdmission(self.owner_router) if cfg.scheduling.admission else None,
             cfg.bounds.job_kept_s * 1000,
+            config_apply_ms=cfg.bounds.config_apply_ms,
         )
         self.placement_previews = PlacementPreviews(
             self.config, adapter.decoder, self.owner_router, self.job_api.admission
@@ -143,7 +144,8 @@
             self._adapter.decoder.tables.operator,
             self._apply_operator_rows,
             self.clock,
-            on_confirmed=self.config.confirm,
+            on_current=self.config.confirm,
+            on_failed=self.config.record_failed_read,
         )
         cell_follower = TableFollower(
             store,
--- a/baobabhoist/control/settings.py
+++ b/baobabhoist/control/settings.py
@@ -43,6 +43,9 @@
     revoke_ms: float = setting(_milliseconds(), "Time within which a withdrawn key stops working.")
     grace_s: float = setting(_seconds(), "Time from SIGTERM to SIGKILL.")
     job_kept_s: float = setting(_seconds(), "Least time for which a finished job can be queried.")
+    config_apply_ms: float = setting(
+        _milliseconds(), "Time within which a new configuration comes into force."
+    )
 
 
 @attrs.frozen
--- a/baobabhoist/control/table_follower.py
+++ b/baobabhoist/control/table_follower.py
@@ -41,8 +41,9 @@
     """Follow one table.
 
     `on_rows` gets rows and whether they are a snapshot of the table. `confirmed_ms` is when the
-    last answered call was sent, on the local clock. With a `known_version` no snapshot is read:
-    the caller already has the rows up to that version.
+    last answered call was sent, on the local clock; `on_current` gets the time at which the rows
+    were current, which can be later, and `on_failed` is called after each failed call. With a
+    `known_version` no snapshot is read: the caller already has the rows up to that version.
     """
 
     def __init__(
@@ -55,6 +56,8 @@
         partitions: Iterable[str] = ("",),
         pause_s: Callable[[], float] = lambda: 0.0,
         on_confirmed: Callable[[float], None] | None = None,
+        on_current: Callable[[float], None] | None = None,
+        on_failed: Callable[[], None] | None = None,
         known_version: int = 0,
         max_reads: int = MAX_CONCURRENT_READS,
     ) -> None:
@@ -67,6 +70,8 @@
         self._partitions = tuple(partitions)
         self._pause_s = pause_s
         self._on_confirmed = on_confirmed
+        self._on_current = on_current
+        self._on_failed = on_failed
         self._max_reads = max_reads
         # The snapshot that is being read, and when its first read was sent.
         self._snapshot: RangeReader | None = None
@@ -100,6 +105,8 @@
                 is_loaded = False
             except StoreError as exc:
                 self._log_failure(exc)
+                if self._on_failed is not None:
+                    self._on_failed()
                 wait_ms = IMMEDIATE_POLL_WAIT_MS
                 await asyncio.sleep(RETRY_INTERVAL_S)
 
@@ -116,7 +123,8 @@
         rows = snapshot.rows(self._table)
         self._table_bytes = _newest_bytes(rows)
         self._on_rows(rows, True)
-        self._confirm(snapshot.row_sets(self._table)[-1], self._snapshot_sent_ms)
+        rows_read = snapshot.row_sets(self._table)[-1]
+        self._confirm(rows_read, self._snapshot_sent_ms, self._snapshot_sent_ms)
 
     async def _poll(self, wait_ms: int) -> None:
         sent_ms = monotonic_ms()
@@ -128,7 +136,7 @@
             if self._table_bytes is not None:
                 self._table_bytes = max(self._table_bytes, _newest_bytes(changes.rows))
             self._on_rows(changes.rows, False)
-        self._confirm(changes, sent_ms)
+        self._confirm(changes, sent_ms, _current_ms(changes, sent_ms, wait_ms))
         await self._pause()
 
     def _max_backlog_bytes(self) -> int:
@@ -153,7 +161,7 @@
         """Poll without waiting for the pause to end."""
         self._poll_requested.set()
 
-    def _confirm(self, rows: RowSet, sent_ms: float) -> None:
+    def _confirm(self, rows: RowSet, sent_ms: float, current_ms: float) -> None:
         self._clock.observe(rows.now_ms)
         self.confirmed_ms = sent_ms
         self._failed_calls = 0
@@ -162,6 +170,8 @@
             emit(log, Event.TABLE_FOLLOWED, table=self._table, version=self.version)
         if self._on_confirmed is not None:
             self._on_confirmed(sent_ms)
+        if self._on_current is not None:
+            self._on_current(current_ms)
 
     def _log_reload(self, exc: HistoryLostError) -> None:
         is_too_large = isinstance(exc, BacklogTooLargeError)
@@ -189,3 +199,9 @@
 def _newest_bytes(rows: Iterable[StoredRow]) -> int:
     """Return the size of the newest value of each row, in rows that are sorted by version."""
     return sum({row.key: len(row.value or b"") for row in rows}.values())
+
+
+def _current_ms(changes: RowSet, sent_ms: float, wait_ms: int) -> float:
+    """Return when the answer of a poll was current: without changes, at the end of its wait."""
+    waited_ms = sent_ms + wait_ms
+    return sent_ms if changes.rows or monotonic_ms() < waited_ms else waited_ms
--- a/baobabhoist/platform/testing/deployment.py
+++ b/baobabhoist/platform/testing/deployment.py
@@ -23,7 +23,13 @@
 from baobabhoist.testing.soak_driver import try_fetch
 
 HOST = "127.0.0.1"
-INSTANCE_BOUNDS = {"lease_max_ms": 6_000, "revoke_ms": 5_000, "grace_s": 6, "job_kept_s": 120}
+INSTANCE_BOUNDS = {
+    "lease_max_ms": 6_000,
+    "revoke_ms": 5_000,
+    "grace_s": 6,
+    "job_kept_s": 120,
+    "config_apply_ms": 2_000,
+}
 ROW_MAX_BYTES = 65_536
 COMMAND_TIMEOUT_S = 5.0
 WORKERS_PER_RACK = 4
--- a/baobabhoist/tests/test_control_handover.py
+++ b/baobabhoist/tests/test_control_handover.py
@@ -213,7 +213,7 @@
         peer_port=free_port(),
         metrics_port=3,
         store=StoreSettings("127.0.0.1:4", 65_536),
-        bounds=BoundSettings(6_000, 5_000, 6, 120),
+        bounds=BoundSettings(6_000, 5_000, 6, 120, 2_000),
         cpu_share=size.cores,
         cpu_speed=1.0,
         link_mbps=size.link_mbps,
--- a/baobabhoist/tests/test_control_job_api.py
+++ b/baobabhoist/tests/test_control_job_api.py
@@ -35,6 +35,7 @@
 ID = "0123456789abcdef"
 JOB = orjson.dumps({"taskSpec": "x", "steps": [{"count": 1, "cpu": 10}]})
 REVOKE_MS = 5_000.0
+CONFIG_APPLY_MS = 2_000.0
 
 
 class FakeOwnerRouter:
@@ -82,6 +83,7 @@
             REVOKE_MS,
             65_536,
             JobAdmission(self.owner_router),
+            config_apply_ms=CONFIG_APPLY_MS,
         )
 
     def configure(self, version=1, keys=None):
@@ -135,6 +137,7 @@
     harness.owner_router.is_owner_reachable = owner_reachable
     if store_fails:
         harness.store_health.last_failure_ms = harness.now
+        harness.config.record_failed_read()
     refusal = harness.admit()
     assert (refusal.kind, refusal.retry_after_s) == (
         ErrorKind.PLATFORM_UNAVAILABLE,
@@ -142,6 +145,27 @@
     )
 
 
+@pytest.mark.parametrize("path", [f"/q/{ID}", f"/open/{ID}", f"/new/{ID}"])
+def test_call_is_sent_elsewhere_while_a_newer_configuration_may_be_arriving(harness, path):
+    """Guard against a slow link that makes an instance answer as an old configuration allows."""
+    harness.now += CONFIG_APPLY_MS
+    refusal = harness.admit(path=path)
+    assert (refusal.kind, refusal.outcome, refusal.retry_after_s) == (
+        ErrorKind.PLATFORM_UNAVAILABLE,
+        Outcome.NOT_RUN,
+        0.0,
+    )
+    harness.config.confirm(harness.now)
+    assert harness.admit(path=path) != refusal
+
+
+def test_known_routes_are_served_while_the_store_is_away(harness):
+    """Guard against refusals of calls that need nothing newer than what this instance knows."""
+    harness.now += CONFIG_APPLY_MS
+    harness.config.record_failed_read()
+    assert isinstance(harness.admit(), AdmittedCall)
+
+
 def test_call_without_a_configuration_is_refused_with_a_retry_time(monkeypatch):
     """Guard against a 404 or 401 from an instance that has just started."""
     refusal = JobApiHarness(monkeypatch).admit()
@@ -153,6 +177,7 @@
     """Guard against a withdrawn key that still works on an instance cut off from the store."""
     assert isinstance(harness.admit(), AdmittedCall)
     harness.now += REVOKE_MS * 0.9
+    harness.config.record_failed_read()
     assert harness.admit().kind is ErrorKind.PLATFORM_UNAVAILABLE
     assert isinstance(harness.admit(path=f"/open/{ID}", key=""), AdmittedCall)
 
--- a/baobabhoist/tests/test_control_table_follower.py
+++ b/baobabhoist/tests/test_control_table_follower.py
@@ -161,6 +161,44 @@
     run_with_follower(test)
 
 
+@pytest.mark.parametrize(
+    ("is_changed", "waits", "current_ms"),
+    [
+        pytest.param(False, True, 1_000.0, id="nothing changed in the whole wait"),
+        pytest.param(True, True, 0.0, id="changed"),
+        pytest.param(False, False, 0.0, id="answered before the wait was over"),
+    ],
+)
+def test_rows_are_current_at_the_end_of_a_wait_without_changes(
+    monkeypatch, is_changed, waits, current_ms
+):
+    """Guard against rows that count as older than they are, or as newer."""
+    now, poll_changes = [0.0], MemoryRowStore.poll_changes
+    monkeypatch.setattr(table_follower_module, "monotonic_ms", lambda: now[0])
+    current = []
+
+    async def poll(store, table, after_version, wait_ms, max_bytes=0):
+        if now[0]:
+            await asyncio.Event().wait()
+        if is_changed:
+            put(store, b"1")
+        now[0] = 1.2 * wait_ms if waits else 1.0
+        return await poll_changes(store, table, after_version, wait_ms, max_bytes)
+
+    monkeypatch.setattr(MemoryRowStore, "poll_changes", poll)
+
+    async def run():
+        follower = TableFollower(
+            MemoryRowStore(), "t", lambda *_: None, StoreClock(), on_current=current.append
+        )
+        task = asyncio.create_task(follower.run())
+        await run_event_loop()
+        task.cancel()
+
+    asyncio.run(run())
+    assert current == [0.0, current_ms]
+
+
 def test_versions_that_were_missed_are_not_read_one_by_one():
     """Guard against a backlog that grows with each change until no link carries it in time."""
 
--- a/baobabhoist/tests/test_platform_main.py
+++ b/baobabhoist/tests/test_platform_main.py
@@ -27,7 +27,13 @@
     "cpu_speed": 2,
     "link_mbps": 1000.0,
     "store": {"address": "10.200.0.1:8182", "row_max_bytes": 65536},
-    "bounds": {"lease_max_ms": 6000, "revoke_ms": 5000, "grace_s": 6, "job_kept_s": 120},
+    "bounds": {
+        "lease_max_ms": 6000,
+        "revoke_ms": 5000,
+        "grace_s": 6,
+        "job_kept_s": 120,
+        "config_apply_ms": 2000,
+    },
 }
 
 
