--- a/baobabhoist/control/progress_writer.py
+++ b/baobabhoist/control/progress_writer.py
@@ -199,19 +199,19 @@
             self._next_usage_write_ms = monotonic_ms() + USAGE_INTERVAL_MS
             use_s = cell.state.shares.past_use.take_changed()
             changes[USAGE_ROW_KEY] = encode_usage(UsageRow(self.store_now_ms(), use_s))
-        is_written = False
         try:
-            is_written = await self._write(changes, cell)
+            await self._write(changes, cell)
         finally:
             # This also runs on cancellation, because another task then writes the rest.
-            if not is_written:
-                cell.state.dirty.update(dirty)
-                if USAGE_ROW_KEY in changes:
-                    cell.state.shares.past_use.has_changed = True
+            unsaved = {job_id_of_progress(k) for k in changes if k.table == PROGRESS_TABLE}
+            cell.state.dirty.update(unsaved)
+            cell.record_stored({k: v for k, v in dirty.items() if k not in unsaved})
+            if USAGE_ROW_KEY in changes:
+                cell.state.shares.past_use.has_changed = True
+            if changes:
                 self._deferred_sends = deferred_sends + self._deferred_sends
-        if not is_written:
+        if changes:
             return False
-        cell.record_stored(dirty)
         for send in deferred_sends:
             send()
         self._acknowledge(cell, seen_ends, incarnations)
@@ -221,14 +221,16 @@
         past_use = cell.state.shares.past_use
         return past_use.has_changed and monotonic_ms() >= self._next_usage_write_ms
 
-    async def _write(self, changes: RowChanges, cell: CellScheduler) -> bool:
-        for batch in _batches(changes):
+    async def _write(self, changes: RowChanges, cell: CellScheduler) -> None:
+        """Write the changes up to the first failure, and remove from them what is stored."""
+        for batch in _batches(dict(changes)):
             failure = await self._write_batch(batch)
             if failure is WriteFailure.REJECTED:
                 await self._fail_rejected_jobs(batch, cell)
             if failure is not None:
-                return False
-        return True
+                return
+            for key in batch:
+                del changes[key]
 
     async def _write_batch(self, changes: RowChanges) -> WriteFailure | None:
         """Write some rows in one call; return why that failed, or None."""
--- a/baobabhoist/tests/test_control_progress_writer.py
+++ b/baobabhoist/tests/test_control_progress_writer.py
@@ -1,18 +1,22 @@
 """Test that progress is stored before workers discard it, and is never overwritten by older."""
 
 import asyncio
+import itertools
 
 from baobabhoist.cell import progress_rows
 from baobabhoist.cell.model import RunOutcome, Step
 from baobabhoist.control.clock import StoreClock
-from baobabhoist.control.progress_writer import ProgressWriter
-from baobabhoist.control.row_schema import OWNER_ROW_KEY, progress_row_key
+from baobabhoist.control.progress_writer import MAX_ROWS_PER_WRITE, ProgressWriter
+from baobabhoist.control.row_schema import OWNER_ROW_KEY, PROGRESS_TABLE, progress_row_key
 from baobabhoist.control.silent_workers import SilentWorkers
 from baobabhoist.store.row_store import RowTransaction
 from baobabhoist.testing.memory_row_store import MemoryRowStore
 from baobabhoist.tests.cell_harness import SMALL, CellHarness, make_job, make_task_key
 
 ID = "0" * 16
+# Every write of this number is refused; more writes are needed than succeed in a row.
+FAILING_WRITE = 4
+MANY_JOBS = FAILING_WRITE * MAX_ROWS_PER_WRITE + 1
 
 
 def make_writer(**options):
@@ -147,3 +151,33 @@
     assert not flush(writer, harness.cell)
     assert loss_reasons
     assert sent == []
+
+
+def test_progress_is_stored_although_some_write_of_each_try_fails():
+    """Guard against an owner with many changed jobs that writes the same first ones for ever."""
+    writes = itertools.count(1)
+    store, writer, _ = make_writer(
+        choose_failure=lambda txn: "" if next(writes) % FAILING_WRITE else "refused"
+    )
+    harness = CellHarness.with_workers(1)
+    for number in range(MANY_JOBS):
+        harness.submit(make_job(f"{number:016x}"))
+    harness.cell.state.dirty.update(harness.cell.state.jobs)
+    tries = [flush(writer, harness.cell) for _ in range(FAILING_WRITE)]
+    assert any(tries)
+    assert sum(key.table == PROGRESS_TABLE for key in store.rows) == MANY_JOBS
+
+
+def test_job_whose_rows_are_stored_in_part_is_written_again():
+    """Guard against a job that counts as stored although a write with one of its rows failed."""
+    failures = ["refused", ""]
+    store, writer, _ = make_writer(choose_failure=lambda txn: failures.pop() if failures else "")
+    harness = CellHarness.with_workers(1)
+    job_ids = [f"{number:016x}" for number in range(MAX_ROWS_PER_WRITE + 1)]
+    for job_id in job_ids:
+        harness.submit(make_job(job_id))
+    harness.cell.state.dirty.update(harness.cell.state.jobs)
+    assert not flush(writer, harness.cell)
+    missing = {job_id for job_id in job_ids if progress_row_key(job_id) not in store.rows}
+    assert harness.cell.state.dirty == missing
+    assert len(missing) == 1
