--- a/baobabhoist/control/progress_writer.py
+++ b/baobabhoist/control/progress_writer.py
@@ -42,8 +42,9 @@
 RETRY_INTERVAL_S = 0.15
 # The store accepts at most 100 entries per call; a write has one for the claim and two per row.
 MAX_ROWS_PER_WRITE = 45
-# The store accepts 1 MB per call, in which values take a third more.
-MAX_BYTES_PER_WRITE = 600_000
+# A link of 2.5 Mbit/s carries this, encoded, within the shortest timeout of a write. A larger row
+# is written alone.
+MAX_BYTES_PER_WRITE = 64_000
 RELEASE_FLUSH_ATTEMPTS = 3
 # The store accepts other writes if a heartbeat was confirmed this lately.
 MAX_HEARTBEAT_AGE_MS = 2_500.0
--- a/baobabhoist/tests/test_control_progress_writer.py
+++ b/baobabhoist/tests/test_control_progress_writer.py
@@ -9,6 +9,8 @@
 from baobabhoist.control.progress_writer import MAX_ROWS_PER_WRITE, ProgressWriter
 from baobabhoist.control.row_schema import OWNER_ROW_KEY, PROGRESS_TABLE, progress_row_key
 from baobabhoist.control.silent_workers import SilentWorkers
+from baobabhoist.platform.adaptive_timeout import MIN_TIMEOUT_S
+from baobabhoist.platform.store import ENCODED_BYTES_PER_BYTE
 from baobabhoist.store.row_store import RowTransaction
 from baobabhoist.testing.memory_row_store import MemoryRowStore
 from baobabhoist.tests.cell_harness import SMALL, CellHarness, make_job, make_task_key
@@ -17,6 +19,10 @@
 # Every write of this number is refused; more writes are needed than succeed in a row.
 FAILING_WRITE = 4
 MANY_JOBS = FAILING_WRITE * MAX_ROWS_PER_WRITE + 1
+# The slowest links of the users' sites have 5 Mbit/s and are played at half of that.
+SLOWEST_LINK_BYTES_PER_S = 2_500_000 / 8
+LARGE_ROW_BYTES = 40_000
+LARGE_ROWS = 20
 
 
 def make_writer(**options):
@@ -181,3 +187,18 @@
     missing = {job_id for job_id in job_ids if progress_row_key(job_id) not in store.rows}
     assert harness.cell.state.dirty == missing
     assert len(missing) == 1
+
+
+def test_large_progress_is_stored_over_a_slow_link():
+    """Guard against a write that a slow link never carries within the timeout of a write."""
+
+    def choose_failure(txn):
+        sent_bytes = sum(map(len, txn.puts.values())) * ENCODED_BYTES_PER_BYTE
+        return "lost" if sent_bytes > SLOWEST_LINK_BYTES_PER_S * MIN_TIMEOUT_S else ""
+
+    store, writer, _ = make_writer(choose_failure=choose_failure)
+    keys = [progress_row_key(f"{number:016x}") for number in range(LARGE_ROWS)]
+    changes = dict.fromkeys(keys, b"x" * LARGE_ROW_BYTES)
+    asyncio.run(writer._write(changes, CellHarness.with_workers(1).cell))
+    assert not changes
+    assert set(keys) <= set(store.rows)
