--- a/baobabhoist/control/job_api.py
+++ b/baobabhoist/control/job_api.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import logging
 import math
 import re
@@ -28,8 +29,6 @@
 from baobabhoist.control.row_inserts import JobInsert, WriteResult, WriteStatus
 from baobabhoist.control.row_schema import (
     ID_RETENTION_FACTOR,
-    JOBS_TABLE,
-    PROGRESS_TABLE,
     JobRow,
     cancel_row_key,
     decode_job,
@@ -41,7 +40,13 @@
 from baobabhoist.errors import ErrorKind, LinkClosedError, Refusal
 from baobabhoist.model import Outcome
 from baobabhoist.observability.events import Event, emit
-from baobabhoist.store.row_store import RowStore, StoreError
+from baobabhoist.store.row_store import (
+    RowKey,
+    RowStore,
+    StoredRow,
+    StoreError,
+    StoreUnansweredError,
+)
 
 log = logging.getLogger(__name__)
 
@@ -226,12 +231,14 @@
         if too_many is not None:
             return too_many
         overload = overload_refusal(self.owner_router.refuse_jobs_ms())
-        if overload is not None and not await self._is_stored(admitted.job_id):
+        if overload is not None and not await self._is_stored(call, admitted.job_id):
             return overload
-        refusal = await self._refuse_hopeless(admitted, spec)
+        refusal = await self._refuse_hopeless(call, admitted, spec)
         return refusal or await self._store_job(call, admitted, spec)
 
-    async def _refuse_hopeless(self, admitted: AdmittedCall, spec: JobSpec) -> Refusal | None:
+    async def _refuse_hopeless(
+        self, call: ApiCall, admitted: AdmittedCall, spec: JobSpec
+    ) -> Refusal | None:
         """Return the refusal of a job that cannot end in time, unless it may be stored already."""
         if self.admission is None:
             return None
@@ -240,21 +247,20 @@
         hopeless = self.admission.find_hopeless(spec, queue, team, monotonic_ms())
         if never_starts is None and hopeless is None:
             return None
-        if await self._is_stored(admitted.job_id):
+        if await self._is_stored(call, admitted.job_id):
             return None
         if never_starts is not None:
             return never_starts
         return self.admission.refuse(hopeless, team, monotonic_ms()) if hopeless else None
 
-    async def _is_stored(self, job_id: str) -> bool:
+    async def _is_stored(self, call: ApiCall, job_id: str) -> bool:
         """Return whether a job may be stored already; a repeated call must not be refused."""
         key = job_row_key(job_id)
         try:
-            rows = await self.store.read(JOBS_TABLE, key.part, start=job_id, end=job_id + "0")
+            return key in await self._read_rows(call, key)
         except StoreError as exc:
             log.debug("whether job %s is stored is not known: %s", job_id, exc)
             return True
-        return any(row.key == key for row in rows.rows)
 
     async def _store_job(
         self, call: ApiCall, admitted: AdmittedCall, spec: JobSpec
@@ -300,9 +306,9 @@
             self.owner_router.notify(JobNotice(admitted.job_id, result.value, result.version))
         return None
 
-    async def job_state(self, admitted: AdmittedCall) -> str | Refusal:
+    async def job_state(self, call: ApiCall, admitted: AdmittedCall) -> str | Refusal:
         """Return the state of a job."""
-        reply = _own_state(admitted, await self._find_state(admitted.job_id))
+        reply = _own_state(admitted, await self._find_state(call, admitted.job_id))
         return reply if isinstance(reply, Refusal) else reply.state
 
     async def cancel(self, call: ApiCall, admitted: AdmittedCall) -> Refusal | None:
@@ -311,7 +317,7 @@
         A refusal of the kind NOT_FOUND acknowledges it as well: no job of the id is stored later.
         """
         deadline_ms = call.deadline_ms - ANSWER_RESERVE_MS
-        found = await self._find_state(admitted.job_id)
+        found = await self._find_state(call, admitted.job_id)
         if isinstance(found, StateReply) and not found.state:
             found = await self._cancel_unknown_id(admitted, deadline_ms)
         reply = _own_state(admitted, found)
@@ -375,39 +381,52 @@
             message, RETRY_AFTER_S if self.owner_router.is_owner_reachable else RETRY_ELSEWHERE_S
         )
 
-    async def _find_state(self, job_id: str) -> StateReply | Refusal:
+    async def _find_state(self, call: ApiCall, job_id: str) -> StateReply | Refusal:
         if JOB_ID.fullmatch(job_id) is None:
             return StateReply()
         reply = await self._ask_owner(StateQuery(job_id))
         if isinstance(reply, StateReply) and reply.state:
             return reply
         try:
-            return await self._read_state(job_id)
+            return await self._read_state(call, job_id)
         except (StoreError, ValueError) as exc:
             return _unknown_state_refusal(job_id, exc)
 
-    async def _read_state(self, job_id: str) -> StateReply:
+    async def _read_state(self, call: ApiCall, job_id: str) -> StateReply:
         """Read the state of a job from the store; raises StoreError or ValueError."""
         key = job_row_key(job_id)
-        rows = await self.store.read(JOBS_TABLE, key.part, start=job_id, end=job_id + "0")
-        rows_by_key = {row.key: row for row in rows.rows}
-        stored = rows_by_key.get(key)
+        rows = await self._read_rows(call, key)
+        stored = rows.get(key)
         if stored is None or stored.value is None:
             return StateReply()
         job = decode_job(job_id, stored.value, stored.version)
-        phase = await self._read_phase(job_id)
-        if phase not in FINAL_PHASES and cancel_row_key(job_id) in rows_by_key:
+        phase = await self._read_phase(call, job_id)
+        if phase not in FINAL_PHASES and cancel_row_key(job_id) in rows:
             phase = JobPhase.CANCELLED
         return StateReply(phase.value, job.queue, job.team)
 
-    async def _read_phase(self, job_id: str) -> JobPhase:
+    async def _read_phase(self, call: ApiCall, job_id: str) -> JobPhase:
         """Read the phase in the progress of a job; raises StoreError or ValueError."""
-        stored = await self.store.read(PROGRESS_TABLE, "", start=job_id, end=job_id + "0")
-        rows = {r.key: progress_rows.decode(r.value) for r in stored.rows if r.value is not None}
-        if not rows:
+        main_key = progress_row_key(job_id)
+        rows = await self._read_rows(call, main_key)
+        parts = {k: progress_rows.decode(r.value) for k, r in rows.items() if r.value is not None}
+        if not parts:
             return JobPhase.QUEUED
-        main = rows.pop(progress_row_key(job_id), None)
-        return progress_rows.merge_progress(main, rows.values()).phase
+        main = parts.pop(main_key, None)
+        return progress_rows.merge_progress(main, parts.values()).phase
+
+    async def _read_rows(self, call: ApiCall, key: RowKey) -> dict[RowKey, StoredRow]:
+        """Read the row of a job and those that belong to it; raises StoreError.
+
+        A read over a slow link ends when the answer to the call is due.
+        """
+        timeout_s = (call.deadline_ms - ANSWER_RESERVE_MS - monotonic_ms()) / 1000
+        try:
+            async with asyncio.timeout(timeout_s):
+                rows = await self.store.read(key.table, key.part, start=key.key, end=key.key + "0")
+        except TimeoutError as exc:
+            raise StoreUnansweredError("the store did not answer in time for the call") from exc
+        return {row.key: row for row in rows.rows}
 
     async def _ask_owner(self, query: Any) -> Any:
         try:
--- a/baobabhoist/platform/http_server.py
+++ b/baobabhoist/platform/http_server.py
@@ -131,7 +131,7 @@
 
     async def _query(self, admitted: AdmittedCall) -> None:
         if admitted.job_id:
-            state = await self._job_api.job_state(admitted)
+            state = await self._job_api.job_state(self._call, admitted)
             self._respond(state if isinstance(state, Refusal) else {"state": state}, HTTP_GONE)
         else:
             pending = await self._job_api.count_pending_jobs(admitted)
--- a/baobabhoist/tests/caller_harness.py
+++ b/baobabhoist/tests/caller_harness.py
@@ -68,5 +68,5 @@
         return kind_of(await self.api.cancel(*self._admit(key, prefix + job_id)))
 
     async def state(self, key="k", job_id=JOB_ID, prefix="/q/"):
-        state = await self.api.job_state(self._admit(key, prefix + job_id)[1])
+        state = await self.api.job_state(*self._admit(key, prefix + job_id))
         return state if isinstance(state, str) else state.kind
--- a/baobabhoist/tests/test_control_job_api.py
+++ b/baobabhoist/tests/test_control_job_api.py
@@ -14,10 +14,12 @@
 from baobabhoist.control.clock import StoreClock, monotonic_ms
 from baobabhoist.control.config import ActiveConfig, CellConfig, Route
 from baobabhoist.control.job_admission import MAX_WAITS_AGE_MS, JobAdmission, KnownWaits
-from baobabhoist.control.job_api import AdmittedCall, ApiCall, JobApi
+from baobabhoist.control.job_api import ANSWER_RESERVE_MS, AdmittedCall, ApiCall, JobApi
 from baobabhoist.control.job_writer import JobWriter
 from baobabhoist.control.messages import JobNotice, JobWaits, NotOwner, PendingReply, StateReply
 from baobabhoist.control.row_schema import (
+    JOBS_TABLE,
+    PROGRESS_TABLE,
     JobRow,
     cancel_row_key,
     encode_job,
@@ -36,6 +38,21 @@
 JOB = orjson.dumps({"taskSpec": "x", "steps": [{"count": 1, "cpu": 10}]})
 REVOKE_MS = 5_000.0
 CONFIG_APPLY_MS = 2_000.0
+# Leaves 50 ms for reads.
+SHORT_TIMEOUT_MS = ANSWER_RESERVE_MS + 50.0
+# Fails a test that would wait for ever.
+TEST_TIMEOUT_S = 20.0
+
+
+class HangingReads(MemoryRowStore):
+    """Let reads of one table hang on command."""
+
+    hanging_table = ""
+
+    async def read(self, table, part="", *, start="", end=""):
+        if table == self.hanging_table:
+            await asyncio.Event().wait()
+        return await super().read(table, part, start=start, end=end)
 
 
 class FakeOwnerRouter:
@@ -69,7 +86,7 @@
     def __init__(self, monkeypatch):
         self.now = 50_000.0
         monkeypatch.setattr(job_api_module, "monotonic_ms", lambda: self.now)
-        self.store = MemoryRowStore()
+        self.store = HangingReads()
         self.owner_router = FakeOwnerRouter()
         self.config = ActiveConfig()
         self.store_health = StoreHealth()
@@ -103,8 +120,12 @@
         wait = ExpectedWait(team, "", 0, "team_limit", wait_ms, wait_ms, 1000.0)
         self.owner_router.waits = KnownWaits(JobWaits((wait,)), self.now - age_ms)
 
-    def call(self, path=f"/q/{ID}", key="k"):
-        return ApiCall("h", path, key, self.now + 3_000.0)
+    def call(self, path=f"/q/{ID}", key="k", timeout_ms=3_000.0):
+        return ApiCall("h", path, key, self.now + timeout_ms)
+
+    def state(self):
+        call = self.call()
+        return asyncio.run(self.job_api.job_state(call, self.job_api.admit(call)))
 
     def admit(self, **options):
         return self.job_api.admit(self.call(**options))
@@ -208,11 +229,10 @@
 def test_state_is_read_from_the_store_without_an_owner(harness):
     """Guard against an accepted job that is reported as unknown during a takeover."""
     harness.submit()
-    admitted = harness.admit()
-    assert asyncio.run(harness.job_api.job_state(admitted)) == "queued"
+    assert harness.state() == "queued"
     done = encode(JobProgress(JobPhase.COMPLETED))
     harness.store.apply(RowTransaction({}, {progress_row_key(ID): done}))
-    assert asyncio.run(harness.job_api.job_state(admitted)) == "completed"
+    assert harness.state() == "completed"
 
 
 @pytest.mark.parametrize(
@@ -234,28 +254,57 @@
     harness.store.apply(RowTransaction({}, rows))
     if is_cancelled:
         harness.store.apply(RowTransaction({}, {cancel_row_key(ID): b"{}"}))
-    assert asyncio.run(harness.job_api.job_state(harness.admit())) == shown
+    assert harness.state() == shown
 
 
 def test_job_unknown_to_the_owner_is_read_from_the_store(harness):
     """Guard against a 410 for a job whose notification has not reached the owner yet."""
     harness.submit()
     harness.owner_router.answer = StateReply()
-    assert asyncio.run(harness.job_api.job_state(harness.admit())) == "queued"
+    assert harness.state() == "queued"
 
 
 def test_unreadable_state_is_not_reported_as_missing(harness):
     """Guard against a 410 for an accepted job while neither the owner nor the store answers."""
     harness.submit()
     harness.store.is_down = True
-    refusal = asyncio.run(harness.job_api.job_state(harness.admit()))
+    refusal = harness.state()
+    assert refusal.kind is ErrorKind.PLATFORM_UNAVAILABLE
+
+
+@pytest.mark.parametrize("hanging_table", [JOBS_TABLE, PROGRESS_TABLE])
+@pytest.mark.parametrize("method", ["GET", "DELETE"])
+def test_state_that_a_read_does_not_show_in_time_is_refused(harness, method, hanging_table):
+    """Guard against a caller that waits for a slow read instead of asking another instance."""
+    harness.submit()
+    harness.store.hanging_table = hanging_table
+    call = harness.call(timeout_ms=SHORT_TIMEOUT_MS)
+    admitted = harness.job_api.admit(call)
+
+    async def ask():
+        async with asyncio.timeout(TEST_TIMEOUT_S):
+            if method == "GET":
+                return await harness.job_api.job_state(call, admitted)
+            return await harness.job_api.cancel(call, admitted)
+
+    refusal = asyncio.run(ask())
     assert refusal.kind is ErrorKind.PLATFORM_UNAVAILABLE
+    assert refusal.retry_after_s is not None
+    assert cancel_row_key(ID) not in harness.store.rows
+
+
+def test_owner_is_asked_although_its_answer_may_be_late(harness):
+    """Guard against a refusal for a caller in a hurry whose answer the owner has ready."""
+    harness.owner_router.answer = StateReply("running", "q", "team")
+    call = harness.call(timeout_ms=0.0)
+    state = asyncio.run(harness.job_api.job_state(call, harness.job_api.admit(call)))
+    assert state == "running"
 
 
 def test_job_of_another_team_is_forbidden(harness):
     """Guard against a key that gives access to the jobs of other teams."""
     harness.owner_router.answer = StateReply("running", "q", "other")
-    refusal = asyncio.run(harness.job_api.job_state(harness.admit()))
+    refusal = harness.state()
     assert refusal.kind is ErrorKind.FORBIDDEN
 
 
