--- a/baobabhoist/control/config.py
+++ b/baobabhoist/control/config.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Sequence
+
 import attrs
 
 from baobabhoist.cell.evacuations import NO_EVACUATIONS, Evacuations
@@ -17,6 +19,23 @@
     queue: Queue
 
 
+class RouteIndex:
+    """Find routes by host and path."""
+
+    def __init__(self, routes: Sequence[Route]) -> None:
+        # Of several routes with the same host and prefix, the first one counts.
+        self._routes = {(route.host, route.prefix): route for route in reversed(routes)}
+        self._prefix_lengths = sorted({len(route.prefix) for route in routes}, reverse=True)
+
+    def find(self, host: str, path: str) -> Route | None:
+        """Return the route with the longest matching path prefix, or None."""
+        for length in self._prefix_lengths:
+            route = self._routes.get((host, path[:length]))
+            if route is not None:
+                return route
+        return None
+
+
 @attrs.frozen
 class CellConfig:
     """Hold one version of the configuration."""
@@ -26,11 +45,16 @@
     routes: tuple[Route, ...]
     team_by_key: dict[str, str]
     body_max_bytes: int
+    _route_index: RouteIndex = attrs.field(
+        init=False,
+        eq=False,
+        repr=False,
+        default=attrs.Factory(lambda self: RouteIndex(self.routes), takes_self=True),
+    )
 
     def find_route(self, host: str, path: str) -> Route | None:
         """Return the route with the longest matching path prefix, or None."""
-        matching = [r for r in self.routes if r.host == host and path.startswith(r.prefix)]
-        return max(matching, key=lambda route: len(route.prefix), default=None)
+        return self._route_index.find(host, path)
 
 
 @attrs.define
