--- a/baobabhoist/platform/decode.py
+++ b/baobabhoist/platform/decode.py
@@ -25,6 +25,7 @@
 from baobabhoist.errors import ErrorKind, Refusal
 from baobabhoist.observability.events import Event, emit
 from baobabhoist.platform import fields
+from baobabhoist.platform.entry_cache import EntryCache
 from baobabhoist.platform.fields import FieldError
 from baobabhoist.platform.known_problems import KnownProblems
 
@@ -54,13 +55,15 @@
         self._unreadable = KnownProblems()
         # Those of fields without which an entry can be used.
         self._unreadable_hints = KnownProblems()
+        # A change of the configuration leaves most of its routes as they were.
+        self._routes = EntryCache(_parse_route)
 
     def decode_config(self, value: bytes) -> CellConfig | None:
         """Return a configuration, or None if it cannot be decoded."""
         return self._decode_row(
             self.tables.operator,
             self.tables.config_key,
-            lambda: _parse_config(_parse_object(value)),
+            lambda: _parse_config(_parse_object(value), self._routes),
             self._unreadable,
         )
 
@@ -204,8 +207,8 @@
     return Resources(_int_field(body, "cpu"), _int_field(body, "memMb"), _int_field(body, "gpu"))
 
 
-def _parse_config(body: dict[str, Any]) -> CellConfig:
-    routes = tuple(_parse_route(entry) for entry in _object_list_field(body, "routes"))
+def _parse_config(body: dict[str, Any], route_cache: EntryCache[Route]) -> CellConfig:
+    routes = route_cache.decode(_object_list_field(body, "routes"))
     tenants = _object_list_field(body, "tenants")
     teams = {_string_field(entry, "name"): _parse_team(entry) for entry in tenants}
     keys = {
