--- a/baobabhoist/cell/admission.py
+++ b/baobabhoist/cell/admission.py
@@ -116,8 +116,10 @@
         return [wait for wait in waits if wait.late_ms >= END_WAIT_MS]
 
     def _priorities(self, service: str) -> set[int]:
-        queues = self.state.rules.queues.values()
-        return {queue.priority for queue in queues if service in (ANY, queue.service)}
+        rules = self.state.rules
+        if service == ANY:
+            return rules.priorities
+        return rules.priorities_by_service.get(service, set())
 
     def _announce(self, rows: tuple[ExpectedWait, ...]) -> None:
         """Log which waits began and which ended."""
--- a/baobabhoist/cell/model.py
+++ b/baobabhoist/cell/model.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import enum
+import functools
 import re
 from typing import Any
 
@@ -230,6 +231,19 @@
     queues: dict[str, Queue]
     teams: dict[str, Team]
 
+    @functools.cached_property
+    def priorities(self) -> set[int]:
+        """Return the priorities of all queues."""
+        return {queue.priority for queue in self.queues.values()}
+
+    @functools.cached_property
+    def priorities_by_service(self) -> dict[str, set[int]]:
+        """Return the priorities of the queues of each service."""
+        priorities: dict[str, set[int]] = {}
+        for queue in self.queues.values():
+            priorities.setdefault(queue.service, set()).add(queue.priority)
+        return priorities
+
 
 @attrs.frozen
 class WorkerInfo:
--- a/baobabhoist/tests/test_cell_admission.py
+++ b/baobabhoist/tests/test_cell_admission.py
@@ -8,11 +8,11 @@
 from baobabhoist.cell.congestion import GAP_MS, SUSTAINED_MS
 from baobabhoist.cell.expected_waits import END_WAIT_MS
 from baobabhoist.cell.load_meter import LoadMeter
-from baobabhoist.cell.model import Resources, Step
+from baobabhoist.cell.model import CellRules, Queue, Resources, Step, Team
 from baobabhoist.cell.policy import DEFAULT_POLICY, SchedulingPolicy
 from baobabhoist.observability.events import Event
-from baobabhoist.tests.admission_harness import TICK_MS, URGENT_QUEUE, AdmissionHarness
-from baobabhoist.tests.cell_harness import SMALL
+from baobabhoist.tests.admission_harness import QUEUE, TICK_MS, URGENT_QUEUE, AdmissionHarness
+from baobabhoist.tests.cell_harness import SMALL, CellHarness
 
 SURGE_MS = 8_000.0
 GPU_WORKER = Resources(4000, 4096, 1)
@@ -258,3 +258,36 @@
     monkeypatch.undo()
     harness.play(SUSTAINED_MS + UPDATE_INTERVAL_MS)
     assert harness.rows
+
+
+class CountedQueues(dict):
+    """Count how often all queues are gone through."""
+
+    passes = 0
+
+    def values(self):
+        self.passes += 1
+        return super().values()
+
+
+def test_the_queues_are_not_gone_through_for_each_team_at_its_limit():
+    """Guard against an owner that takes longer with each queue, also with those without jobs."""
+    queues = CountedQueues({"q": QUEUE} | {f"q{n}": Queue(f"q{n}", "svc") for n in range(50)})
+    teams = {name: Team(name, 1.0, Resources(1000, 0, 0)) for name in ("a", "b", "c", "d")}
+    harness = AdmissionHarness(CellHarness.with_workers(4, CellRules(1, queues, teams)))
+    loads = [surge(harness, name) for name in teams]
+    harness.play(2 * SURGE_MS, lambda: [load() for load in loads])
+    assert {row.team for row in harness.rows} == set(teams)
+    assert queues.passes <= 2
+
+
+def test_work_of_a_service_that_has_no_queue_any_more_does_not_end_the_figures(caplog):
+    """Guard against a removed queue whose waiting jobs leave all teams without expected waits."""
+    harness = AdmissionHarness()
+    harness.cell_harness.cell.state.rules.teams.clear()
+    harness.play(SURGE_MS, surge(harness, "a", tasks=32))
+    harness.cell_harness.cell.set_rules(CellRules(2, {}, {}))
+    harness.play(2 * UPDATE_INTERVAL_MS)
+    assert harness.cell_harness.cell.count_queued_tasks()
+    assert not harness.rows
+    assert "computing the expected waits" not in caplog.text
