--- a/baobabhoist/control/row_schema.py
+++ b/baobabhoist/control/row_schema.py
@@ -21,8 +21,8 @@
 HEARTBEAT_ROW_KEY = RowKey(CELL_TABLE, "", "beat")
 # In a table of its own, because every instance follows the cell's table.
 SPEEDS_ROW_KEY = RowKey("learned", "", "speeds")
-# The estimates of more workers than this do not fit into one row, and are spread over several.
-MAX_WORKERS_PER_SPEEDS_ROW = 400
+# More estimates of workers and queues do not fit into one row, and are spread over several.
+MAX_ESTIMATES_PER_SPEEDS_ROW = 400
 SPEEDS_ROWS = 16
 SPEED_DIGITS = 4
 
@@ -108,11 +108,13 @@
 
 def encode_speeds(speeds: SpeedEstimates) -> dict[RowKey, bytes]:
     """Encode the speed estimates of workers and queues as rows of limited size."""
-    if len(speeds.workers) <= MAX_WORKERS_PER_SPEEDS_ROW:
+    if len(speeds.workers) + len(speeds.queues) <= MAX_ESTIMATES_PER_SPEEDS_ROW:
         return {SPEEDS_ROW_KEY: _encode_speeds_row(speeds)}
-    parts = [SpeedEstimates({}, speeds.queues) for _ in range(SPEEDS_ROWS)]
-    for worker_id, estimate in speeds.workers.items():
-        parts[zlib.crc32(worker_id.encode()) % SPEEDS_ROWS].workers[worker_id] = estimate
+    parts = [SpeedEstimates() for _ in range(SPEEDS_ROWS)]
+    for worker_id, worker_estimate in speeds.workers.items():
+        parts[_speeds_row_number(worker_id)].workers[worker_id] = worker_estimate
+    for queue, queue_estimate in speeds.queues.items():
+        parts[_speeds_row_number(queue)].queues[queue] = queue_estimate
     return {
         attrs.evolve(SPEEDS_ROW_KEY, key=f"{SPEEDS_ROW_KEY.key}-{number:02}"): _encode_speeds_row(
             part
@@ -121,6 +123,10 @@
     }
 
 
+def _speeds_row_number(name: str) -> int:
+    return zlib.crc32(name.encode()) % SPEEDS_ROWS
+
+
 def _encode_speeds_row(speeds: SpeedEstimates) -> bytes:
     return orjson.dumps(_round_floats(_converter.unstructure(speeds)))
 
--- a/baobabhoist/tests/test_control_progress_writer.py
+++ b/baobabhoist/tests/test_control_progress_writer.py
@@ -3,12 +3,20 @@
 import asyncio
 import itertools
 
+import attrs
+
 from baobabhoist.cell import progress_rows
-from baobabhoist.cell.model import RunOutcome, Step
+from baobabhoist.cell.model import Queue, RunOutcome, Step
 from baobabhoist.control.clock import StoreClock
 from baobabhoist.control.progress_writer import MAX_ROWS_PER_WRITE, ProgressWriter
-from baobabhoist.control.row_schema import OWNER_ROW_KEY, PROGRESS_TABLE, progress_row_key
+from baobabhoist.control.row_schema import (
+    OWNER_ROW_KEY,
+    PROGRESS_TABLE,
+    SPEEDS_ROW_KEY,
+    progress_row_key,
+)
 from baobabhoist.control.silent_workers import SilentWorkers
+from baobabhoist.control.stored_rows import restore_speeds
 from baobabhoist.platform.adaptive_timeout import MIN_TIMEOUT_S
 from baobabhoist.platform.store import ENCODED_BYTES_PER_BYTE
 from baobabhoist.store.row_store import RowTransaction
@@ -202,3 +210,22 @@
     asyncio.run(writer._write(changes, CellHarness.with_workers(1).cell))
     assert not changes
     assert set(keys) <= set(store.rows)
+
+
+def test_progress_is_stored_with_the_estimates_of_thousands_of_queues():
+    """Guard against progress that the store rejects because the estimates exceed a row."""
+    store, writer, _ = make_writer()
+    harness = make_harness_with_runs()
+    rules = harness.cell.state.rules
+    names = {f"queue-of-team-{number:05}" for number in range(4_000)}
+    queues = rules.queues | {name: Queue(name, "svc") for name in names}
+    harness.cell.set_rules(attrs.evolve(rules, queues=queues))
+    for name in names:
+        harness.cell.state.speeds.observe("w0", name, 700.0, 1_000.0)
+    harness.end_run(make_task_key(index=0))
+    assert flush(writer, harness.cell)
+    assert stored_done_tasks(store) == (0,)
+    stored = [row for key, row in store.rows.items() if key.table == SPEEDS_ROW_KEY.table]
+    next_cell = CellHarness.with_workers(2).cell
+    restore_speeds(next_cell, stored)
+    assert names <= next_cell.state.speeds.queues.keys()
