--- a/baobabhoist/control/job_api.py
+++ b/baobabhoist/control/job_api.py
@@ -59,9 +59,9 @@
 QUERY_TIMEOUT_S = 0.5
 # Part of a caller's deadline that is reserved for sending the answer.
 ANSWER_RESERVE_MS = 150.0
-# Calls are admitted, and keys are checked, only while the configuration is younger than this
-# fraction of the time within which a new one or a withdrawn key must take effect.
-MAX_AGE_FRACTION = 0.85
+# Keys are checked only while the configuration is younger than this fraction of revoke_ms, the
+# time within which a withdrawn key must stop working.
+MAX_KEY_AGE_FRACTION = 0.85
 DEFAULT_JOB_KEPT_MS = 120_000.0
 
 
@@ -196,7 +196,7 @@
         cfg = self.config.current
         if cfg is None:
             return unavailable_refusal("no configuration has been loaded yet")
-        if self.config.is_lagging(monotonic_ms(), MAX_AGE_FRACTION * self.config_apply_ms):
+        if self.config.is_lagging(monotonic_ms(), self.config_apply_ms):
             message = "a newer configuration may not have arrived yet"
             return unavailable_refusal(message, RETRY_ELSEWHERE_S)
         route = cfg.find_route(call.host, call.path)
@@ -206,7 +206,7 @@
             )
         key_team = cfg.team_by_key.get(call.key, "")
         if not route.queue.is_public:
-            if self.config.age_ms(monotonic_ms()) > MAX_AGE_FRACTION * self.revoke_ms:
+            if self.config.age_ms(monotonic_ms()) > MAX_KEY_AGE_FRACTION * self.revoke_ms:
                 return self._stale_keys_refusal()
             if call.key not in cfg.team_by_key:
                 kind = ErrorKind.KEY_REJECTED if call.key else ErrorKind.KEY_MISSING
