--- a/baobabhoist/peer/link.py
+++ b/baobabhoist/peer/link.py
@@ -21,11 +21,11 @@
 from baobabhoist.observability.events import Event, emit
 from baobabhoist.observability.tasks import create_logged_task
 from baobabhoist.peer.codec import Codec
+from baobabhoist.peer.flow_control import LinkWindow, SendWindow
 from baobabhoist.peer.streams import (
     CHUNK_BYTES,
     MAX_MESSAGE_BYTES,
     BodyChunk,
-    SendWindow,
     StreamAborted,
     StreamAssembler,
     WindowUpdate,
@@ -77,6 +77,8 @@
         self._pending_calls: dict[int, asyncio.Future[Any]] = {}
         self._correlation_ids = itertools.count(1)
         self._stream_ids = itertools.count(1)
+        self._link_window = LinkWindow()
+        # Also of streams that were sent and are not acknowledged yet.
         self._send_windows: dict[int, SendWindow] = {}
         self._assembler = StreamAssembler()
         self._tasks: set[asyncio.Task[None]] = set()
@@ -160,18 +162,26 @@
 
     async def _send_chunks(self, data: bytes) -> None:
         stream_id = next(self._stream_ids)
-        window = self._send_windows[stream_id] = SendWindow()
+        window = self._send_windows[stream_id] = SendWindow(self._link_window)
+        offset = 0
         try:
-            for offset in range(0, len(data), CHUNK_BYTES):
-                part = data[offset : offset + CHUNK_BYTES]
+            while offset < len(data):
+                part = data[offset : offset + self._link_window.chunk_bytes]
                 await window.reserve(len(part))
                 is_last = offset + len(part) == len(data)
                 chunk = BodyChunk(stream_id, offset, is_last, part)
                 await self._send_frame(self._codec.encode(chunk))
+                offset += len(part)
         except asyncio.CancelledError:
             self._spawn(self._send_if_open(StreamAborted(stream_id, by_sender=True)))
             raise
         finally:
+            window.finish()
+            self._forget_settled_window(stream_id)
+
+    def _forget_settled_window(self, stream_id: int) -> None:
+        window = self._send_windows.get(stream_id)
+        if window is not None and window.is_settled:
             del self._send_windows[stream_id]
 
     async def _send_if_open(self, message: Any, correlation_id: int = 0) -> None:
@@ -212,6 +222,7 @@
         window = self._send_windows.get(update.stream)
         if window is not None:
             window.acknowledge(update.taken)
+            self._forget_settled_window(update.stream)
 
     def _on_stream_aborted(self, aborted: StreamAborted) -> None:
         if aborted.by_sender:
@@ -220,6 +231,7 @@
         window = self._send_windows.get(aborted.stream)
         if window is not None:
             window.abort()
+            self._forget_settled_window(aborted.stream)
 
     _STREAM_HANDLERS: dict[type, Callable[[Any, Any], None]] = {
         BodyChunk: _on_chunk,
