--- a/baobabhoist/control/relay.py
+++ b/baobabhoist/control/relay.py
@@ -43,6 +43,7 @@
 
 # Number of instances that are tried before a call fails.
 MAX_PEERS_TRIED = 5
+# How long a reply may take to begin, and how long no part of it may arrive after that.
 CALL_TIMEOUT_S = 0.6
 # Interval of the direct probes of an unreachable store.
 PROBE_INTERVAL_S = 0.25
@@ -182,7 +183,7 @@
         timed_out = False
         for link in self._peers.usable_links():
             try:
-                reply = await link.call(message, timeout_s)
+                reply = await link.call(message, timeout_s, CALL_TIMEOUT_S)
             except MessageNotSentError:
                 continue
             except (LinkClosedError, TimeoutError) as exc:
--- a/baobabhoist/peer/flow_control.py
+++ b/baobabhoist/peer/flow_control.py
@@ -84,7 +84,8 @@
 class SendWindow:
     """Block the sender of a stream while the window of its link is full."""
 
-    def __init__(self, link_window: LinkWindow) -> None:
+    def __init__(self, link_window: LinkWindow, correlation_id: int = 0) -> None:
+        self.correlation_id = correlation_id
         self._link_window = link_window
         self._chunks: deque[SentChunk] = deque()
         self._sent_bytes = 0
--- a/baobabhoist/peer/link.py
+++ b/baobabhoist/peer/link.py
@@ -22,6 +22,7 @@
 from baobabhoist.observability.tasks import create_logged_task
 from baobabhoist.peer.codec import Codec
 from baobabhoist.peer.flow_control import LinkWindow, SendWindow
+from baobabhoist.peer.pending_call import PendingCall
 from baobabhoist.peer.streams import (
     CHUNK_BYTES,
     MAX_MESSAGE_BYTES,
@@ -74,7 +75,7 @@
         self._conn = conn
         self._codec = codec
         self._handler = handler
-        self._pending_calls: dict[int, asyncio.Future[Any]] = {}
+        self._pending_calls: dict[int, PendingCall] = {}
         self._correlation_ids = itertools.count(1)
         self._stream_ids = itertools.count(1)
         self._link_window = LinkWindow()
@@ -105,31 +106,33 @@
         """Return the bytes of the messages of which only a part has arrived."""
         return self._assembler.buffered_bytes
 
-    async def call(self, message: Any, timeout_s: float) -> Any:
+    async def call(self, message: Any, timeout_s: float, idle_timeout_s: float = 0.0) -> Any:
         """Send a message and return its reply.
 
+        `timeout_s` bounds the whole call. With an `idle_timeout_s` it bounds the time until the
+        reply begins, counted from the last part of the message that arrived, and the reply may
+        take as long as parts of it keep arriving.
+
         Raises MessageNotSentError if nothing was sent, LinkClosedError if the connection ends
-        before the reply and TimeoutError after `timeout_s`.
+        before the reply and TimeoutError if a time has passed.
         """
         if self.closed:
             raise MessageNotSentError("the connection is closed; the message was not sent")
         correlation_id = next(self._correlation_ids)
-        fut: asyncio.Future[Any] = asyncio.get_running_loop().create_future()
-        self._pending_calls[correlation_id] = fut
-        data = self._codec.encode(message, correlation_id)
+        call = self._pending_calls[correlation_id] = PendingCall(timeout_s, idle_timeout_s)
         try:
             # Sending may wait as well, while the connection carries nothing.
-            async with asyncio.timeout(timeout_s):
-                await self._send(data)
-                return await fut
+            async with call.timeout:
+                await self._send(message, correlation_id)
+                return await call.reply
         except TimeoutError:
             raise TimeoutError("no reply within the timeout") from None
         finally:
-            self._pending_calls.pop(correlation_id, None)
+            del self._pending_calls[correlation_id]
 
     async def notify(self, message: Any) -> None:
         """Send a message without expecting a reply."""
-        await self._send(self._codec.encode(message))
+        await self._send(message)
 
     async def close(self) -> None:
         """Close the connection with a closing handshake."""
@@ -141,13 +144,14 @@
         self._fail_pending_calls()
         self._conn.transport.abort()
 
-    async def _send(self, data: bytes) -> None:
+    async def _send(self, message: Any, correlation_id: int = 0) -> None:
+        data = self._codec.encode(message, correlation_id)
         if len(data) > MAX_MESSAGE_BYTES:
             raise MessageTooLargeError(
                 f"a message of {len(data)} bytes exceeds the size limit of the protocol"
             )
         if len(data) > CHUNK_BYTES:
-            await self._send_chunks(data)
+            await self._send_chunks(data, correlation_id)
         else:
             await self._send_frame(data)
 
@@ -160,9 +164,9 @@
         except ConnectionClosed as exc:
             raise LinkClosedError("the connection is closed") from exc
 
-    async def _send_chunks(self, data: bytes) -> None:
+    async def _send_chunks(self, data: bytes, correlation_id: int) -> None:
         stream_id = next(self._stream_ids)
-        window = self._send_windows[stream_id] = SendWindow(self._link_window)
+        window = self._send_windows[stream_id] = SendWindow(self._link_window, correlation_id)
         offset = 0
         try:
             while offset < len(data):
@@ -170,7 +174,8 @@
                 await window.reserve(len(part))
                 is_last = offset + len(part) == len(data)
                 chunk = BodyChunk(stream_id, offset, is_last, part)
-                await self._send_frame(self._codec.encode(chunk))
+                # The correlation id tells the receiver to which call the chunk belongs.
+                await self._send_frame(self._codec.encode(chunk, correlation_id))
                 offset += len(part)
         except asyncio.CancelledError:
             self._spawn(self._send_if_open(StreamAborted(stream_id, by_sender=True)))
@@ -186,7 +191,7 @@
 
     async def _send_if_open(self, message: Any, correlation_id: int = 0) -> None:
         try:
-            await self._send(self._codec.encode(message, correlation_id))
+            await self._send(message, correlation_id)
         except LinkClosedError:
             log.info("connection closed before %s was sent", type(message).__name__)
 
@@ -199,16 +204,17 @@
             if self._invalid_messages > MAX_INVALID_MESSAGES:
                 self.abort()
             return
+        # A reply carries the negated correlation id of its call, so both ends can number their own
+        # calls.
+        call = self._pending_calls.get(-envelope.correlation_id)
         stream_handler = self._STREAM_HANDLERS.get(type(envelope.message))
         if stream_handler is not None:
+            if call is not None:
+                call.record_received_part()
             stream_handler(self, envelope.message)
-        # A reply carries the negated correlation id of its call, so both ends can number their own
-        # calls.
-        elif envelope.correlation_id < 0:
-            fut = self._pending_calls.get(-envelope.correlation_id)
-            if fut is not None and not fut.done():
-                fut.set_result(envelope.message)
-        else:
+        elif call is not None:
+            call.set_reply(envelope.message)
+        elif envelope.correlation_id >= 0:
             self._spawn(self._handle(envelope.correlation_id, envelope.message))
 
     def _on_chunk(self, chunk: BodyChunk) -> None:
@@ -222,6 +228,9 @@
         window = self._send_windows.get(update.stream)
         if window is not None:
             window.acknowledge(update.taken)
+            call = self._pending_calls.get(window.correlation_id)
+            if call is not None:
+                call.record_sent_part()
             self._forget_settled_window(update.stream)
 
     def _on_stream_aborted(self, aborted: StreamAborted) -> None:
@@ -252,10 +261,5 @@
     def _fail_pending_calls(self) -> None:
         for window in self._send_windows.values():
             window.abort()
-        for fut in self._pending_calls.values():
-            if not fut.done():
-                fut.set_exception(LinkClosedError("the connection closed before the reply"))
-                # If the caller was cancelled, nothing else retrieves the exception, which asyncio
-                # would then log.
-                fut.exception()
-        self._pending_calls.clear()
+        for call in self._pending_calls.values():
+            call.fail()
