--- a/baobabhoist/peer/link.py
+++ b/baobabhoist/peer/link.py
@@ -20,7 +20,7 @@
 )
 from baobabhoist.observability.events import Event, emit
 from baobabhoist.observability.tasks import create_logged_task
-from baobabhoist.peer.codec import Codec
+from baobabhoist.peer.codec import Codec, Envelope
 from baobabhoist.peer.flow_control import LinkWindow, SendWindow
 from baobabhoist.peer.pending_call import PendingCall
 from baobabhoist.peer.streams import (
@@ -192,8 +192,8 @@
     async def _send_if_open(self, message: Any, correlation_id: int = 0) -> None:
         try:
             await self._send(message, correlation_id)
-        except LinkClosedError:
-            log.info("connection closed before %s was sent", type(message).__name__)
+        except LinkClosedError as exc:
+            log.info("%s was not sent: %s", type(message).__name__, exc)
 
     def _receive(self, data: bytes) -> None:
         try:
@@ -204,19 +204,32 @@
             if self._invalid_messages > MAX_INVALID_MESSAGES:
                 self.abort()
             return
+        self._dispatch(envelope)
+
+    def _dispatch(self, envelope: Envelope) -> None:
         # A reply carries the negated correlation id of its call, so both ends can number their own
         # calls.
-        call = self._pending_calls.get(-envelope.correlation_id)
+        is_reply = envelope.correlation_id < 0
+        call = self._pending_calls.get(-envelope.correlation_id) if is_reply else None
         stream_handler = self._STREAM_HANDLERS.get(type(envelope.message))
-        if stream_handler is not None:
+        if is_reply and call is None:
+            self._refuse_reply(envelope.message)
+        elif stream_handler is not None:
             if call is not None:
                 call.record_received_part()
             stream_handler(self, envelope.message)
         elif call is not None:
             call.set_reply(envelope.message)
-        elif envelope.correlation_id >= 0:
+        else:
             self._spawn(self._handle(envelope.correlation_id, envelope.message))
 
+    def _refuse_reply(self, message: Any) -> None:
+        """Drop a reply to a call that was given up, and stop the transfer of a large one."""
+        if isinstance(message, BodyChunk):
+            self._assembler.discard(message.stream)
+            aborted = StreamAborted(message.stream, by_sender=False)
+            self._spawn(self._send_if_open(aborted))
+
     def _on_chunk(self, chunk: BodyChunk) -> None:
         result = self._assembler.add(chunk)
         if isinstance(result, bytes):
--- a/baobabhoist/tests/test_control_slow_links.py
+++ b/baobabhoist/tests/test_control_slow_links.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from baobabhoist.control.messages import CODEC
+from baobabhoist.control.messages import CODEC, RelayRead
 from baobabhoist.control.metrics import NodeMetrics
 from baobabhoist.control.relay import FailoverStore, RelayPeers
 from baobabhoist.control.store_health import MonitoredStore
@@ -106,3 +106,18 @@
         assert instance.shared.commit_count == 1
 
     run(scenario)
+
+
+def test_reply_that_nobody_waits_for_is_not_sent_on():
+    """Guard against a link that is full of the replies to calls that were given up."""
+
+    async def scenario(instance):
+        await instance.shared.commit(TXN)
+        with pytest.raises(TimeoutError):
+            await instance.link.call(RelayRead("op", "", "", ""), 0.5)
+        await asyncio.sleep(10.0)
+        assert instance.conn.received_bytes < len(VALUE) / 2
+        assert instance.link.unfinished_bytes() == 0
+        assert (await instance.store.read("op")).rows[0].value == VALUE
+
+    run(scenario)
