--- a/baobabhoist/tests/test_control_slow_links.py
+++ b/baobabhoist/tests/test_control_slow_links.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from baobabhoist.control.messages import CODEC, RelayRead
+from baobabhoist.control.messages import CODEC, RelayedRows, RelayFollow, RelayRead
 from baobabhoist.control.metrics import NodeMetrics
 from baobabhoist.control.relay import FailoverStore, RelayPeers
 from baobabhoist.control.store_health import MonitoredStore
@@ -26,11 +26,21 @@
 TXN = RowTransaction({KEY: 0}, {KEY: VALUE})
 
 
+class WaitingStore(MemoryRowStore):
+    """Answer a poll without changes at the end of its wait."""
+
+    async def poll_changes(self, table, after_version, wait_ms, max_bytes=0):
+        changes = await super().poll_changes(table, after_version, wait_ms, max_bytes)
+        if not changes.rows:
+            await asyncio.sleep(wait_ms / 1000)
+        return changes
+
+
 class RelayedInstance:
     """Reach a store only through a peer, over a link of a given bandwidth."""
 
     def __init__(self, bytes_per_s=BYTES_PER_S):
-        self.shared = MemoryRowStore(row_max_bytes=len(VALUE), call_max_bytes=len(VALUE))
+        self.shared = WaitingStore(row_max_bytes=len(VALUE), call_max_bytes=len(VALUE))
         self.conn, peer_conn = SlowConnection.pair(bytes_per_s)
         peer = FailoverStore(MonitoredStore(self.shared, NodeMetrics()), RelayPeers(list))
         self.peer_link = Link(peer_conn, CODEC, peer.serve)
@@ -121,3 +131,14 @@
         assert (await instance.store.read("op")).rows[0].value == VALUE
 
     run(scenario)
+
+
+def test_poll_that_is_forwarded_may_wait_for_a_change():
+    """Guard against an owner that gives up sound peers, and then has none for its own commits."""
+
+    async def scenario(instance):
+        poll = RelayFollow("op", instance.shared.version, wait_ms=1_000)
+        assert isinstance(await instance.store.serve(poll), RelayedRows)
+        assert isinstance(await instance.store.commit(TXN), RowsCommitted)
+
+    run(scenario)
