--- a/baobabhoist/control/links.py
+++ b/baobabhoist/control/links.py
@@ -17,7 +17,7 @@
 from baobabhoist.control.clock import monotonic_ms
 from baobabhoist.control.job_admission import KnownWaits
 from baobabhoist.control.machine_size import MachineSize
-from baobabhoist.control.messages import CODEC, Greeting, OwnerHeartbeat, Welcome
+from baobabhoist.control.messages import CODEC, SLOW_CALLS, Greeting, OwnerHeartbeat, Welcome
 from baobabhoist.control.sessions.assignment import Holder, LinkedInstance
 from baobabhoist.errors import LinkClosedError
 from baobabhoist.inbound.intake import Observer
@@ -107,7 +107,7 @@
                 )
             return await self._handler(message)
 
-        link = Link(conn, CODEC, handle)
+        link = Link(conn, CODEC, handle, SLOW_CALLS)
         conn.count_unfinished_bytes = link.unfinished_bytes
         await link.run()
         if self.links.get(node) is link:
@@ -196,7 +196,7 @@
     async def _connect(self, claim: ClaimRow) -> None:
         async with asyncio.timeout(CONNECT_TIMEOUT_S):
             conn: Connection = await connect(f"ws://{claim.address}", proxy=None, **CLIENT_OPTIONS)
-        link = Link(conn, CODEC, self._handle)
+        link = Link(conn, CODEC, self._handle, SLOW_CALLS)
         reader = create_logged_task(link.run())
         try:
             greeting = self._make_greeting()
--- a/baobabhoist/control/messages.py
+++ b/baobabhoist/control/messages.py
@@ -239,6 +239,9 @@
     preview: PlacementPreview | None = None
 
 
+# Calls that take as long as the answering instance needs to read from the store.
+SLOW_CALLS = (RelayRead, RelayFollow)
+
 # The position of a type is its tag on the wire: append new types, never reorder.
 CODEC = Codec(
     (
--- a/baobabhoist/peer/link.py
+++ b/baobabhoist/peer/link.py
@@ -37,6 +37,8 @@
 PING_INTERVAL_S = 0.5
 PING_TIMEOUT_S = 1.5
 CLOSE_TIMEOUT_S = 0.5
+# Interval of the announcements of a reply that is not ready yet.
+ANNOUNCE_INTERVAL_S = 0.2
 # A frame holds at most one chunk; the remainder leaves room for the encoding around it.
 MAX_FRAME_BYTES = 4 * CHUNK_BYTES
 MAX_QUEUED_FRAMES = 256
@@ -71,10 +73,18 @@
 class Link:
     """Send messages, match replies to calls and pass received messages to a handler."""
 
-    def __init__(self, conn: Connection, codec: Codec, handler: MessageHandler) -> None:
+    def __init__(
+        self,
+        conn: Connection,
+        codec: Codec,
+        handler: MessageHandler,
+        slow_calls: tuple[type, ...] = (),
+    ) -> None:
         self._conn = conn
         self._codec = codec
         self._handler = handler
+        # The calls whose replies are announced while they are being handled.
+        self._slow_calls = slow_calls
         self._pending_calls: dict[int, PendingCall] = {}
         self._correlation_ids = itertools.count(1)
         self._stream_ids = itertools.count(1)
@@ -261,16 +271,42 @@
         StreamAborted: _on_stream_aborted,
     }
 
-    def _spawn(self, coro: Coroutine[Any, Any, None]) -> None:
+    def _spawn(self, coro: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
         task = create_logged_task(coro)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
+        return task
 
     async def _handle(self, correlation_id: int, message: Any) -> None:
-        reply = await self._handler(message)
+        if correlation_id and isinstance(message, self._slow_calls):
+            reply = await self._handle_slow_call(correlation_id, message)
+        else:
+            reply = await self._handler(message)
         if correlation_id and reply is not None:
             await self._send_if_open(reply, -correlation_id)
 
+    async def _handle_slow_call(self, correlation_id: int, message: Any) -> Any | None:
+        announcements = self._spawn(self._announce_reply(-correlation_id))
+        try:
+            return await self._handler(message)
+        finally:
+            announcements.cancel()
+
+    async def _announce_reply(self, correlation_id: int) -> None:
+        """Send empty chunks, which every release understands, until the reply is ready."""
+        stream_id = next(self._stream_ids)
+        announcement = self._codec.encode(BodyChunk(stream_id, 0, False, b""), correlation_id)
+        await asyncio.sleep(ANNOUNCE_INTERVAL_S)
+        try:
+            while True:
+                await self._send_frame(announcement)
+                await asyncio.sleep(ANNOUNCE_INTERVAL_S)
+        except LinkClosedError:
+            return
+        except asyncio.CancelledError:
+            self._spawn(self._send_if_open(StreamAborted(stream_id, by_sender=True)))
+            raise
+
     def _fail_pending_calls(self) -> None:
         for window in self._send_windows.values():
             window.abort()
--- a/baobabhoist/peer/pending_call.py
+++ b/baobabhoist/peer/pending_call.py
@@ -12,7 +12,8 @@
     """Hold the reply to a call and the time by which it, or the next part of it, has to arrive.
 
     With an `idle_timeout_s`, `timeout_s` counts anew from each acknowledged part of the call, and
-    the reply may take as long as parts of it keep arriving. Otherwise it bounds the whole call.
+    the reply may take as long as parts or announcements of it keep arriving. Otherwise
+    `timeout_s` bounds the whole call.
     """
 
     def __init__(self, timeout_s: float, idle_timeout_s: float) -> None:
@@ -27,7 +28,7 @@
         self._restart_timeout(self._timeout_s)
 
     def record_received_part(self) -> None:
-        """Record that a part of the reply has arrived."""
+        """Record that a part or an announcement of the reply has arrived."""
         self._restart_timeout(self._idle_timeout_s)
 
     def set_reply(self, message: Any) -> None:
@@ -46,4 +47,5 @@
 
     def _restart_timeout(self, timeout_s: float) -> None:
         if self._idle_timeout_s and not self.timeout.expired():
-            self.timeout.reschedule(self._loop.time() + timeout_s)
+            deadline_s = self.timeout.when() or 0.0
+            self.timeout.reschedule(max(deadline_s, self._loop.time() + timeout_s))
--- a/baobabhoist/tests/test_control_slow_links.py
+++ b/baobabhoist/tests/test_control_slow_links.py
@@ -4,7 +4,13 @@
 
 import pytest
 
-from baobabhoist.control.messages import CODEC, RelayedRows, RelayFollow, RelayRead
+from baobabhoist.control.messages import (
+    CODEC,
+    SLOW_CALLS,
+    RelayedRows,
+    RelayFollow,
+    RelayRead,
+)
 from baobabhoist.control.metrics import NodeMetrics
 from baobabhoist.control.relay import FailoverStore, RelayPeers
 from baobabhoist.control.store_health import MonitoredStore
@@ -27,7 +33,13 @@
 
 
 class WaitingStore(MemoryRowStore):
-    """Answer a poll without changes at the end of its wait."""
+    """Answer a poll without changes at the end of its wait, and read for `read_s`."""
+
+    read_s = 0.0
+
+    async def read(self, table, part="", *, start="", end=""):
+        await asyncio.sleep(self.read_s)
+        return await super().read(table, part, start=start, end=end)
 
     async def poll_changes(self, table, after_version, wait_ms, max_bytes=0):
         changes = await super().poll_changes(table, after_version, wait_ms, max_bytes)
@@ -37,13 +49,17 @@
 
 
 class RelayedInstance:
-    """Reach a store only through a peer, over a link of a given bandwidth."""
+    """Reach a store only through a peer, over a link of a given bandwidth.
 
-    def __init__(self, bytes_per_s=BYTES_PER_S):
-        self.shared = WaitingStore(row_max_bytes=len(VALUE), call_max_bytes=len(VALUE))
-        self.conn, peer_conn = SlowConnection.pair(bytes_per_s)
-        peer = FailoverStore(MonitoredStore(self.shared, NodeMetrics()), RelayPeers(list))
-        self.peer_link = Link(peer_conn, CODEC, peer.serve)
+    `peer` is the store of that peer; by default it reaches the shared store directly.
+    """
+
+    def __init__(self, shared, peer=None):
+        self.shared = shared
+        self.conn, peer_conn = SlowConnection.pair(BYTES_PER_S)
+        if peer is None:
+            peer = FailoverStore(MonitoredStore(shared, NodeMetrics()), RelayPeers(list))
+        self.peer_link = Link(peer_conn, CODEC, peer.serve, SLOW_CALLS)
         self.link = Link(self.conn, CODEC, self._ignore)
         direct = MonitoredStore(MemoryRowStore(is_down=True), NodeMetrics())
         self.store = FailoverStore(direct, RelayPeers(lambda: [self.link]))
@@ -58,9 +74,11 @@
         return None
 
 
-def run(scenario, **options):
+def run(scenario, read_s=0.0):
     async def run_scenario():
-        instance = RelayedInstance(**options)
+        shared = WaitingStore(row_max_bytes=len(VALUE), call_max_bytes=len(VALUE))
+        shared.read_s = read_s
+        instance = RelayedInstance(shared)
         await instance.connect()
         return await scenario(instance)
 
@@ -142,3 +160,26 @@
         assert isinstance(await instance.store.commit(TXN), RowsCommitted)
 
     run(scenario)
+
+
+def test_rows_that_a_peer_reads_for_longer_than_a_timeout_are_read():
+    """Guard against a configuration that takes the peer itself longer than its caller waits."""
+
+    async def scenario(instance):
+        await instance.shared.commit(TXN)
+        assert (await instance.store.read("op")).rows[0].value == VALUE
+        assert instance.link.unfinished_bytes() == 0
+
+    run(scenario, read_s=2.0)
+
+
+def test_rows_that_take_long_to_a_forwarding_peer_are_read():
+    """Guard against a configuration that takes the second of two links longer than a timeout."""
+
+    async def scenario(owner):
+        await owner.shared.commit(TXN)
+        instance = RelayedInstance(owner.shared, owner.store)
+        await instance.connect()
+        assert (await instance.store.read("op")).rows[0].value == VALUE
+
+    run(scenario)
