--- a/baobabhoist/control/links.py
+++ b/baobabhoist/control/links.py
@@ -102,9 +102,7 @@
                     return None
                 node = message.node
                 self._add(message, link)
-                return Welcome(
-                    self._identity.node, self._identity.boot_id, self._identity.is_owner
-                )
+                return self._make_welcome()
             return await self._handler(message)
 
         link = Link(conn, CODEC, handle, SLOW_CALLS)
@@ -126,8 +124,13 @@
         self._conns[greeting.node] = conn
         return True
 
+    def _make_welcome(self) -> Welcome:
+        identity = self._identity
+        return Welcome(identity.node, identity.boot_id, identity.is_owner, identity.size.link_mbps)
+
     def _add(self, greeting: Greeting, link: Link) -> None:
         node, size = greeting.node, MachineSize(greeting.cores, greeting.link_mbps)
+        link.expect_bandwidth(min(self._identity.size.link_mbps, size.link_mbps))
         self.links[node] = link
         self.sizes[node] = size
         if greeting.holds_sessions:
@@ -204,6 +207,7 @@
             if not isinstance(welcome, Welcome) or welcome.boot != claim.boot:
                 self._set_state(OwnerLinkState.ENDED, claim)
                 return
+            link.expect_bandwidth(min(self._identity.size.link_mbps, welcome.link_mbps))
             self.link = link
             self._set_state(OwnerLinkState.CONNECTED, claim)
             await self._wait_until_silent(reader)
--- a/baobabhoist/control/messages.py
+++ b/baobabhoist/control/messages.py
@@ -30,11 +30,15 @@
 
 @attrs.frozen
 class Welcome:
-    """Identify the accepting process, and say whether it owns the cell."""
+    """Identify the accepting process, and say whether it owns the cell.
+
+    `link_mbps` is 0 from a process of a version that does not send it.
+    """
 
     node: str
     boot: str
     owns: bool
+    link_mbps: float = 0.0
 
 
 @attrs.frozen
--- a/baobabhoist/peer/flow_control.py
+++ b/baobabhoist/peer/flow_control.py
@@ -16,7 +16,9 @@
 MIN_CHUNK_BYTES = 1 << 14
 # A window smaller than this number of the largest chunks is filled with smaller ones.
 CHUNKS_IN_WINDOW = 4
-INITIAL_WINDOW_BYTES = 2 * MIN_CHUNK_BYTES
+# The least window of a link whose bandwidth is not known.
+MIN_WINDOW_BYTES = 2 * MIN_CHUNK_BYTES
+BYTES_PER_S_PER_MBPS = 125_000
 # How long chunks may wait for earlier ones to leave; a heartbeat sent after them waits as well.
 MAX_QUEUEING_DELAY_S = 0.1
 
@@ -29,7 +31,8 @@
     are late, compared with the earliest one on this link.
     """
 
-    size_bytes: int = INITIAL_WINDOW_BYTES
+    size_bytes: int = MIN_WINDOW_BYTES
+    min_size_bytes: int = MIN_WINDOW_BYTES
     unacknowledged_bytes: int = 0
     _min_delay_s: float = float("inf")
     _last_halved_at_s: float = float("-inf")
@@ -40,6 +43,16 @@
         """Return the size of the next chunk."""
         return min(CHUNK_BYTES, max(MIN_CHUNK_BYTES, self.size_bytes // CHUNKS_IN_WINDOW))
 
+    def expect_bandwidth(self, mbps: float) -> None:
+        """Never be smaller than what a link of this bandwidth carries soon; 0 is not known.
+
+        An acknowledgement may also be late because the receiver is busy, which a smaller window
+        would make worse.
+        """
+        soon_bytes = int(mbps * BYTES_PER_S_PER_MBPS * MAX_QUEUEING_DELAY_S)
+        self.min_size_bytes = min(WINDOW_BYTES, max(MIN_WINDOW_BYTES, soon_bytes))
+        self.size_bytes = max(self.size_bytes, self.min_size_bytes)
+
     def has_room(self, size: int) -> bool:
         """Return whether `size` more bytes may be sent; one chunk may always be on its way."""
         total_bytes = self.unacknowledged_bytes + size
@@ -68,7 +81,7 @@
                 self.size_bytes = min(WINDOW_BYTES, self.size_bytes + size)
         # Chunks sent before the window was halved say nothing about the new one.
         elif sent_at_s >= self._last_halved_at_s:
-            self.size_bytes = max(MIN_CHUNK_BYTES, self.size_bytes // 2)
+            self.size_bytes = max(self.min_size_bytes, self.size_bytes // 2)
             self._last_halved_at_s = acknowledged_at_s
 
 
--- a/baobabhoist/peer/link.py
+++ b/baobabhoist/peer/link.py
@@ -116,6 +116,10 @@
         """Return the bytes of the messages of which only a part has arrived."""
         return self._assembler.buffered_bytes
 
+    def expect_bandwidth(self, mbps: float) -> None:
+        """Set the bandwidth of the slower end's machine; 0 is not known."""
+        self._link_window.expect_bandwidth(mbps)
+
     async def call(self, message: Any, timeout_s: float, idle_timeout_s: float = 0.0) -> Any:
         """Send a message and return its reply.
 
