--- a/baobabhoist/platform/http_client.py
+++ b/baobabhoist/platform/http_client.py
@@ -78,7 +78,8 @@
         """Send one request; a missing response is returned with status 0, not raised.
 
         `timeout_s` bounds the whole request. With an `idle_timeout_s` it bounds the time until the
-        response begins, and the response may take as long as parts of it keep arriving. A body
+        response begins, and the response may take as long as parts of it keep arriving and the
+        caller waits; without one, a request goes on although its caller is cancelled. A body
         larger than `max_bytes` is not received, unless that is 0.
         """
         needs_new_connection = address in self._suspect_addresses
@@ -112,6 +113,9 @@
         fetch.add_done_callback(_retrieve_exception)
         try:
             response = await asyncio.shield(fetch)
+        except asyncio.CancelledError:
+            progress.abort("nobody waits for the response any more")
+            raise
         except (HTTPClientError, OSError) as exc:
             if isinstance(exc, CurlError) and exc.errno == pycurl.E_FILESIZE_EXCEEDED:
                 return HttpResponse(0, reason=str(exc), is_too_large=True)
@@ -150,9 +154,12 @@
         self._curl: Any = None
         # Tornado's state of the request; the handle has another one as soon as it is reused.
         self._transfer: Any = None
+        self._is_abandoned = False
 
     def watch(self, curl: Any) -> None:
-        """Watch the request that a handle of libcurl is about to send."""
+        """Watch the request that a handle of libcurl is about to send; raises HTTPClientError."""
+        if self._is_abandoned:
+            raise HTTPClientError(NO_RESPONSE_CODE, "nobody waits for the response any more")
         self._curl, self._transfer = curl, curl.info
         curl.setopt(pycurl.NOPROGRESS, 0)
         curl.setopt(pycurl.XFERINFOFUNCTION, self._record)
@@ -174,12 +181,16 @@
         self._timer = self._loop.call_at(self._deadline_s, self._check)
 
     def _check(self) -> None:
-        if self._curl.info is not self._transfer:
-            return
         if self._loop.time() < self._deadline_s:
             self._check_at_deadline()
+        else:
+            self.abort(f"timed out after {self._received_bytes} bytes of the response")
+
+    def abort(self, reason: str) -> None:
+        """End the request unless it has ended; one that was not sent yet will not be sent."""
+        self._is_abandoned = True
+        if self._curl is None or self._curl.info is not self._transfer:
             return
-        reason = f"timed out after {self._received_bytes} bytes of the response"
         self._client._finish(self._curl, pycurl.E_OPERATION_TIMEDOUT, reason)
 
 
