--- a/baobabhoist/platform/instance.py
+++ b/baobabhoist/platform/instance.py
@@ -32,7 +32,8 @@
 QUIET_LOGGERS = ("tornado.access", "tornado.general", "websockets")
 # Concurrent requests to each kind of server. An instance has one query at the adviser, and a
 # renewal waits at each worker whose session it holds.
-MAX_STORE_REQUESTS = 80
+MAX_STORE_READS = 40
+MAX_STORE_WRITES = 80
 MAX_COMMANDS = 120
 MAX_RENEWALS = 250
 MAX_QUERIES = 2
@@ -52,7 +53,9 @@
     and hold up the owner's heartbeats to the store.
     """
     return PlatformAdapter(
-        PlatformRowStore(HttpClient(MAX_STORE_REQUESTS), cfg.store.address),
+        PlatformRowStore(
+            HttpClient(MAX_STORE_READS), HttpClient(MAX_STORE_WRITES), cfg.store.address
+        ),
         PlatformWorkerDriver(HttpClient(MAX_COMMANDS), HttpClient(MAX_RENEWALS)),
         PlatformAdviser(HttpClient(MAX_QUERIES), cfg.adviser_address),
         PlatformDecoder(),
--- a/baobabhoist/platform/store.py
+++ b/baobabhoist/platform/store.py
@@ -39,10 +39,14 @@
 
 
 class PlatformRowStore:
-    """Access the platform's row store over HTTP."""
+    """Access the platform's row store over HTTP.
 
-    def __init__(self, http: HttpClient, address: str) -> None:
-        self._http = http
+    Writes have connections of their own, so that heartbeats don't wait until long reads end.
+    """
+
+    def __init__(self, read_http: HttpClient, write_http: HttpClient, address: str) -> None:
+        self._read_http = read_http
+        self._write_http = write_http
         self._address = address
         self._commit_timeout = AdaptiveTimeout()
         self._page_size = AdaptivePageSize()
@@ -107,7 +111,7 @@
             "remove": [_row_key_body(key) for key in txn.removes],
         }
         started_s = time.monotonic()
-        response = await self._http.request(
+        response = await self._write_http.request(
             "POST", self._address, "/-/rows-tx", body, timeout_s=self._commit_timeout.current_s()
         )
         if response.status:
@@ -122,7 +126,7 @@
     async def _get(
         self, path: str, query: dict[str, Any], timeout_s: float, max_bytes: int = 0
     ) -> HttpResponse:
-        response = await self._http.request(
+        response = await self._read_http.request(
             "GET",
             self._address,
             f"{path}?{urlencode(query)}",
--- a/baobabhoist/tests/test_platform_changing_calls.py
+++ b/baobabhoist/tests/test_platform_changing_calls.py
@@ -82,7 +82,9 @@
     driver = cast(PlatformWorkerDriver, adapter.driver)
     driver._renewal_http.close()
     driver._command_http.close()
-    cast(PlatformRowStore, adapter.store)._http.close()
+    store = cast(PlatformRowStore, adapter.store)
+    store._read_http.close()
+    store._write_http.close()
 
 
 @pytest.mark.parametrize(
--- a/baobabhoist/tests/test_platform_malformed_answers.py
+++ b/baobabhoist/tests/test_platform_malformed_answers.py
@@ -117,7 +117,8 @@
 @pytest.mark.parametrize("rows", ODD_ROWS, ids=range(len(ODD_ROWS)))
 def test_malformed_rows_count_as_a_missing_answer(rows):
     """Guard against an answer of the store that ends the task which follows a table."""
-    store = PlatformRowStore(FakeHttp({"rows": rows, "schemaVer": 3, "nowMs": 1}), "store:1")
+    http = FakeHttp({"rows": rows, "schemaVer": 3, "nowMs": 1})
+    store = PlatformRowStore(http, http, "store:1")
     with pytest.raises(StoreUnansweredError):
         asyncio.run(store.read("t"))
 
@@ -125,7 +126,8 @@
 def test_a_row_whose_value_is_malformed_is_read_as_empty():
     """Guard against one damaged row that hides all others of its table."""
     rows = [{**ROW, "value": "%"}, {**ROW, "key": "l", "value": 7}]
-    store = PlatformRowStore(FakeHttp({"rows": rows, "schemaVer": 3, "nowMs": 1}), "store:1")
+    http = FakeHttp({"rows": rows, "schemaVer": 3, "nowMs": 1})
+    store = PlatformRowStore(http, http, "store:1")
     assert [row.value for row in asyncio.run(store.read("t")).rows] == [b"", b""]
 
 
@@ -140,7 +142,8 @@
 def test_an_odd_success_of_the_store_leaves_open_what_was_done(status):
     """Guard against jobs that run although they were refused, where a gateway answers oddly."""
     with pytest.raises(StoreUnansweredError):
-        asyncio.run(PlatformRowStore(FakeHttp({}, status), "store:1").commit(RowTransaction()))
+        http = FakeHttp({}, status)
+        asyncio.run(PlatformRowStore(http, http, "store:1").commit(RowTransaction()))
 
 
 @pytest.mark.parametrize("status", [500, 502, 504])
@@ -151,7 +154,7 @@
     """
     http = FakeHttp({}, status)
     with pytest.raises(StoreUnansweredError):
-        asyncio.run(PlatformRowStore(http, "store:1").commit(RowTransaction()))
+        asyncio.run(PlatformRowStore(http, http, "store:1").commit(RowTransaction()))
     start = StartTask("w0", TaskKey("0" * 16, 0, 0, 0), 1, "(payload)")
     response = asyncio.run(PlatformWorkerDriver(http, http).start(WORKER, 1, start, 1_000))
     assert response.outcome is CommandOutcome.UNKNOWN
--- a/baobabhoist/tests/test_platform_slow_links.py
+++ b/baobabhoist/tests/test_platform_slow_links.py
@@ -16,7 +16,9 @@
 from baobabhoist.platform.store import PlatformRowStore
 from baobabhoist.store.row_store import (
     BacklogTooLargeError,
+    RowsCommitted,
     RowSet,
+    RowTransaction,
     StoreUnansweredError,
 )
 from baobabhoist.tests.platform_harness import HOST
@@ -74,7 +76,7 @@
         port = server.sockets[0].getsockname()[1]
         try:
             async with asyncio.timeout(TEST_TIMEOUT_S):
-                return await call(PlatformRowStore(http, f"{HOST}:{port}"))
+                return await call(PlatformRowStore(http, HttpClient(1), f"{HOST}:{port}"))
         finally:
             http.close()
             server.close()
@@ -130,8 +132,32 @@
             for read in reads:
                 read.cancel()
         await asyncio.sleep(PART_INTERVAL_S)
-        assert not store._http._client._requests
-        assert len(store._http._client._free_list) == MAX_REQUESTS
+        assert not store._read_http._client._requests
+        assert len(store._read_http._client._free_list) == MAX_REQUESTS
         return await store.read("op")
 
     assert _run(_slow_link(_answer()), read_again).rows[0].value == VALUE
+
+
+def test_write_does_not_wait_until_reads_end() -> None:
+    """Guard against an owner that loses the cell because its heartbeats wait for long reads."""
+    answer = _answer()
+
+    async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        head = await reader.readuntil(b"\r\n\r\n")
+        if head.startswith(b"POST"):
+            writer.write(answer)
+        with contextlib.suppress(ConnectionError, asyncio.CancelledError):
+            await reader.read()
+        writer.close()
+
+    async def write(store: PlatformRowStore) -> None:
+        reads = [asyncio.ensure_future(store.read("op")) for _ in range(MAX_REQUESTS)]
+        await asyncio.sleep(0)
+        outcome = await store.commit(RowTransaction())
+        assert isinstance(outcome, RowsCommitted)
+        assert not any(read.done() for read in reads)
+        for read in reads:
+            read.cancel()
+
+    _run(serve, write)
