--- a/baobabhoist/control/config.py
+++ b/baobabhoist/control/config.py
@@ -66,8 +66,6 @@
 
     current: CellConfig | None = None
     confirmed_ms: float = -1e12
-    # Whether the last read of the operator's table failed.
-    is_read_failing: bool = False
     evacuations: Evacuations = NO_EVACUATIONS
 
     def accept(self, cfg: CellConfig) -> bool:
@@ -80,18 +78,6 @@
     def confirm(self, read_ms: float) -> None:
         """Record that the store had no newer version at `read_ms`."""
         self.confirmed_ms = max(self.confirmed_ms, read_ms)
-        self.is_read_failing = False
-
-    def record_failed_read(self) -> None:
-        """Record that the store can't be asked for a newer version now."""
-        self.is_read_failing = True
-
-    def is_lagging(self, now: float, max_age_ms: float) -> bool:
-        """Return whether a newer version may have been arriving for longer than allowed.
-
-        While reads fail the store is out of reach, and the last known version stays in force.
-        """
-        return not self.is_read_failing and self.age_ms(now) > max_age_ms
 
     def age_ms(self, now: float) -> float:
         """Return the time since the configuration was last confirmed to be the newest."""
--- a/baobabhoist/control/job_api.py
+++ b/baobabhoist/control/job_api.py
@@ -196,7 +196,7 @@
         cfg = self.config.current
         if cfg is None:
             return unavailable_refusal("no configuration has been loaded yet")
-        if self.config.is_lagging(monotonic_ms(), self.config_apply_ms):
+        if self._is_config_lagging():
             message = "a newer configuration may not have arrived yet"
             return unavailable_refusal(message, RETRY_ELSEWHERE_S)
         route = cfg.find_route(call.host, call.path)
@@ -365,6 +365,14 @@
             return reply.jobs
         return unavailable_refusal("the owner of the queue cannot be reached")
 
+    def _is_config_lagging(self) -> bool:
+        """Return whether a newer configuration may have been arriving for longer than allowed.
+
+        While the store can't be reached, the last known one stays in force.
+        """
+        is_old = self.config.age_ms(monotonic_ms()) > self.config_apply_ms
+        return is_old and not self.job_writer.is_store_unreachable
+
     def _stale_keys_refusal(self) -> Refusal:
         """Return the refusal of a call whose key can't be checked.
 
--- a/baobabhoist/control/node.py
+++ b/baobabhoist/control/node.py
@@ -145,7 +145,7 @@
             self._apply_operator_rows,
             self.clock,
             on_current=self.config.confirm,
-            on_failed=self.config.record_failed_read,
+            is_rewritten=True,
         )
         cell_follower = TableFollower(
             store,
@@ -171,7 +171,8 @@
 
     def is_ready(self) -> bool:
         """Return whether this instance should receive new calls."""
-        is_config_recent = self.config.age_ms(monotonic_ms()) < MAX_READY_CONFIG_AGE_MS
+        max_age_ms = min(MAX_READY_CONFIG_AGE_MS, self.cfg.bounds.config_apply_ms)
+        is_config_recent = self.config.age_ms(monotonic_ms()) < max_age_ms
         is_ready = (
             not self._election.is_draining
             and self.config.current is not None
--- a/baobabhoist/control/table_follower.py
+++ b/baobabhoist/control/table_follower.py
@@ -30,6 +30,8 @@
 MAX_BACKLOG_FACTOR = 1.5
 # Changes that are smaller than this are always read.
 MIN_BACKLOG_BYTES = 500_000
+# Rows that were current longer ago, because they took long to arrive, are confirmed at once.
+MAX_CURRENT_AGE_MS = 400.0
 NEVER_MS = float("-inf")
 # A table that can't be read is logged again after this time.
 LOG_INTERVAL_MS = 5_000.0
@@ -42,8 +44,9 @@
 
     `on_rows` gets rows and whether they are a snapshot of the table. `confirmed_ms` is when the
     last answered call was sent, on the local clock; `on_current` gets the time at which the rows
-    were current, which can be later, and `on_failed` is called after each failed call. With a
-    `known_version` no snapshot is read: the caller already has the rows up to that version.
+    were current, which can be later. With a `known_version` no snapshot is read: the caller
+    already has the rows up to that version. A table `is_rewritten` if each change of it repeats
+    most of its bytes: then changes larger than the table are not read.
     """
 
     def __init__(
@@ -57,12 +60,13 @@
         pause_s: Callable[[], float] = lambda: 0.0,
         on_confirmed: Callable[[float], None] | None = None,
         on_current: Callable[[float], None] | None = None,
-        on_failed: Callable[[], None] | None = None,
         known_version: int = 0,
+        is_rewritten: bool = False,
         max_reads: int = MAX_CONCURRENT_READS,
     ) -> None:
         self.confirmed_ms = NEVER_MS
         self.version = known_version
+        self._current_ms = NEVER_MS
         self._store = store
         self._table = table
         self._on_rows = on_rows
@@ -71,7 +75,7 @@
         self._pause_s = pause_s
         self._on_confirmed = on_confirmed
         self._on_current = on_current
-        self._on_failed = on_failed
+        self._is_rewritten = is_rewritten
         self._max_reads = max_reads
         # The snapshot that is being read, and when its first read was sent.
         self._snapshot: RangeReader | None = None
@@ -98,15 +102,14 @@
                 if not is_loaded:
                     await self.load()
                     is_loaded = True
+                    wait_ms = min(wait_ms, self._next_wait_ms())
                 await self._poll(wait_ms)
-                wait_ms = POLL_WAIT_MS
+                wait_ms = self._next_wait_ms()
             except HistoryLostError as exc:
                 self._log_reload(exc)
                 is_loaded = False
             except StoreError as exc:
                 self._log_failure(exc)
-                if self._on_failed is not None:
-                    self._on_failed()
                 wait_ms = IMMEDIATE_POLL_WAIT_MS
                 await asyncio.sleep(RETRY_INTERVAL_S)
 
@@ -141,7 +144,7 @@
 
     def _max_backlog_bytes(self) -> int:
         """Return the size of changes that are not worth reading, or 0 if it isn't known."""
-        if self._table_bytes is None:
+        if self._table_bytes is None or not self._is_rewritten:
             return 0
         return max(MIN_BACKLOG_BYTES, int(self._table_bytes * MAX_BACKLOG_FACTOR))
 
@@ -161,9 +164,16 @@
         """Poll without waiting for the pause to end."""
         self._poll_requested.set()
 
+    def _next_wait_ms(self) -> int:
+        """Return how long the next poll waits: not at all if the known rows may be outdated."""
+        if self._on_current is None or monotonic_ms() - self._current_ms <= MAX_CURRENT_AGE_MS:
+            return POLL_WAIT_MS
+        return IMMEDIATE_POLL_WAIT_MS
+
     def _confirm(self, rows: RowSet, sent_ms: float, current_ms: float) -> None:
         self._clock.observe(rows.now_ms)
         self.confirmed_ms = sent_ms
+        self._current_ms = current_ms
         self._failed_calls = 0
         if not self._is_connected:
             self._is_connected = True
--- a/baobabhoist/tests/test_control_job_api.py
+++ b/baobabhoist/tests/test_control_job_api.py
@@ -158,7 +158,6 @@
     harness.owner_router.is_owner_reachable = owner_reachable
     if store_fails:
         harness.store_health.last_failure_ms = harness.now
-        harness.config.record_failed_read()
     refusal = harness.admit()
     assert (refusal.kind, refusal.retry_after_s) == (
         ErrorKind.PLATFORM_UNAVAILABLE,
@@ -180,10 +179,19 @@
     assert harness.admit(path=path) != refusal
 
 
+def test_calls_are_refused_while_the_first_configuration_after_an_outage_arrives(harness):
+    """Guard against an old configuration that is served because some read failed before."""
+    harness.store_health.last_failure_ms = harness.now
+    harness.now += CONFIG_APPLY_MS + 1.0
+    assert isinstance(harness.admit(), AdmittedCall)
+    harness.store_health.last_answer_ms = harness.now
+    assert harness.admit().kind is ErrorKind.PLATFORM_UNAVAILABLE
+
+
 def test_known_routes_are_served_while_the_store_is_away(harness):
     """Guard against refusals of calls that need nothing newer than what this instance knows."""
     harness.now += CONFIG_APPLY_MS + 1.0
-    harness.config.record_failed_read()
+    harness.store_health.last_failure_ms = harness.now
     assert isinstance(harness.admit(), AdmittedCall)
 
 
@@ -198,7 +206,7 @@
     """Guard against a withdrawn key that still works on an instance cut off from the store."""
     assert isinstance(harness.admit(), AdmittedCall)
     harness.now += REVOKE_MS * 0.9
-    harness.config.record_failed_read()
+    harness.store_health.last_failure_ms = harness.now
     assert harness.admit().kind is ErrorKind.PLATFORM_UNAVAILABLE
     assert isinstance(harness.admit(path=f"/open/{ID}", key=""), AdmittedCall)
 
--- a/baobabhoist/tests/test_control_relay.py
+++ b/baobabhoist/tests/test_control_relay.py
@@ -11,6 +11,7 @@
 from baobabhoist.control.store_health import MonitoredStore
 from baobabhoist.errors import MessageNotSentError
 from baobabhoist.store.row_store import (
+    HistoryLostError,
     RowKey,
     RowsCommitted,
     RowsConflict,
@@ -108,6 +109,19 @@
     asyncio.run(run())
 
 
+def test_relayed_poll_has_the_limit_of_the_caller():
+    """Guard against a slow link that carries a relayed backlog larger than the table."""
+
+    async def run():
+        _, view, store, _ = make_pair()
+        await cut_off(view, store)
+        assert isinstance(await store.commit(TXN), RowsCommitted)
+        with pytest.raises(HistoryLostError):
+            await store.poll_changes("jobs", 0, 10, max_bytes=len(TXN.puts[KEY]) - 1)
+
+    asyncio.run(run())
+
+
 def test_commit_without_an_answer_from_the_peer_is_not_refused():
     """Guard against a refusal of a job that a peer stored without answering."""
 
--- a/baobabhoist/tests/test_control_table_follower.py
+++ b/baobabhoist/tests/test_control_table_follower.py
@@ -27,7 +27,7 @@
         await asyncio.sleep(0)
 
 
-def run_with_follower(test):
+def run_with_follower(test, **options):
     """Run a test next to a follower, with the store, the rows seen and the follower."""
 
     async def run():
@@ -36,7 +36,7 @@
         def record(changed, is_snapshot):
             seen.extend((row.value, is_snapshot) for row in changed)
 
-        follower = TableFollower(store, "t", record, StoreClock())
+        follower = TableFollower(store, "t", record, StoreClock(), **options)
         task = asyncio.create_task(follower.run())
         await run_event_loop()
         await test(store, seen, follower)
@@ -215,7 +215,29 @@
         await run_event_loop()
         assert seen == [(newest, True)]
 
-    run_with_follower(test)
+    run_with_follower(test, is_rewritten=True)
+
+
+def test_rows_that_took_long_to_arrive_are_confirmed_at_once(monkeypatch):
+    """Guard against calls that are refused for a poll's wait after a new configuration came."""
+    now, waits, poll_changes = [0.0], [], MemoryRowStore.poll_changes
+    monkeypatch.setattr(table_follower_module, "monotonic_ms", lambda: now[0])
+
+    async def poll(store, table, after_version, wait_ms, max_bytes=0):
+        waits.append(wait_ms)
+        if len(waits) == 1:
+            put(store, b"1")
+            now[0] += 2_000.0
+        if len(waits) == 3:
+            await asyncio.Event().wait()
+        return await poll_changes(store, table, after_version, wait_ms, max_bytes)
+
+    monkeypatch.setattr(MemoryRowStore, "poll_changes", poll)
+
+    async def test(store, seen, follower):
+        assert waits == [table_follower_module.POLL_WAIT_MS, 0, table_follower_module.POLL_WAIT_MS]
+
+    run_with_follower(test, on_current=lambda current_ms: None)
 
 
 def test_table_that_can_never_be_read_is_logged(caplog, monkeypatch):
--- a/baobabhoist/tests/test_platform_main.py
+++ b/baobabhoist/tests/test_platform_main.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import logging
 import os
 import subprocess
@@ -14,6 +15,7 @@
 
 from baobabhoist.errors import SettingsError
 from baobabhoist.platform import instance
+from baobabhoist.tests.platform_harness import make_settings
 
 SETTINGS: dict[str, Any] = {
     "instance_id": "edge-1",
@@ -115,3 +117,13 @@
         check=False,
     )
     assert result.returncode == instance.EXIT_BAD_SETTINGS
+
+
+def test_bounds_of_the_settings_are_those_of_admission() -> None:
+    """Guard against an instance that serves an old configuration without a bound."""
+
+    async def make() -> tuple[float, float]:
+        job_api = instance.make_node(make_settings(6.0)).job_api
+        return job_api.revoke_ms, job_api.config_apply_ms
+
+    assert asyncio.run(make()) == (5_000, 2_000)
