--- a/baobabhoist/control/links.py
+++ b/baobabhoist/control/links.py
@@ -17,7 +17,7 @@
 from baobabhoist.control.clock import monotonic_ms
 from baobabhoist.control.job_admission import KnownWaits
 from baobabhoist.control.machine_size import MachineSize
-from baobabhoist.control.messages import CODEC, SLOW_CALLS, Greeting, OwnerHeartbeat, Welcome
+from baobabhoist.control.messages import CODEC, Greeting, OwnerHeartbeat, Welcome
 from baobabhoist.control.sessions.assignment import Holder, LinkedInstance
 from baobabhoist.errors import LinkClosedError
 from baobabhoist.inbound.intake import Observer
@@ -102,10 +102,12 @@
                     return None
                 node = message.node
                 self._add(message, link)
-                return self._make_welcome()
+                return Welcome(
+                    self._identity.node, self._identity.boot_id, self._identity.is_owner
+                )
             return await self._handler(message)
 
-        link = Link(conn, CODEC, handle, SLOW_CALLS)
+        link = Link(conn, CODEC, handle)
         conn.count_unfinished_bytes = link.unfinished_bytes
         await link.run()
         if self.links.get(node) is link:
@@ -124,13 +126,8 @@
         self._conns[greeting.node] = conn
         return True
 
-    def _make_welcome(self) -> Welcome:
-        identity = self._identity
-        return Welcome(identity.node, identity.boot_id, identity.is_owner, identity.size.link_mbps)
-
     def _add(self, greeting: Greeting, link: Link) -> None:
         node, size = greeting.node, MachineSize(greeting.cores, greeting.link_mbps)
-        link.expect_bandwidth(min(self._identity.size.link_mbps, size.link_mbps))
         self.links[node] = link
         self.sizes[node] = size
         if greeting.holds_sessions:
@@ -199,7 +196,7 @@
     async def _connect(self, claim: ClaimRow) -> None:
         async with asyncio.timeout(CONNECT_TIMEOUT_S):
             conn: Connection = await connect(f"ws://{claim.address}", proxy=None, **CLIENT_OPTIONS)
-        link = Link(conn, CODEC, self._handle, SLOW_CALLS)
+        link = Link(conn, CODEC, self._handle)
         reader = create_logged_task(link.run())
         try:
             greeting = self._make_greeting()
@@ -207,7 +204,6 @@
             if not isinstance(welcome, Welcome) or welcome.boot != claim.boot:
                 self._set_state(OwnerLinkState.ENDED, claim)
                 return
-            link.expect_bandwidth(min(self._identity.size.link_mbps, welcome.link_mbps))
             self.link = link
             self._set_state(OwnerLinkState.CONNECTED, claim)
             await self._wait_until_silent(reader)
--- a/baobabhoist/control/messages.py
+++ b/baobabhoist/control/messages.py
@@ -30,15 +30,11 @@
 
 @attrs.frozen
 class Welcome:
-    """Identify the accepting process, and say whether it owns the cell.
-
-    `link_mbps` is 0 from a process of a version that does not send it.
-    """
+    """Identify the accepting process, and say whether it owns the cell."""
 
     node: str
     boot: str
     owns: bool
-    link_mbps: float = 0.0
 
 
 @attrs.frozen
@@ -243,9 +239,6 @@
     preview: PlacementPreview | None = None
 
 
-# Calls that take as long as the answering instance needs to read from the store.
-SLOW_CALLS = (RelayRead, RelayFollow)
-
 # The position of a type is its tag on the wire: append new types, never reorder.
 CODEC = Codec(
     (
--- a/baobabhoist/control/relay.py
+++ b/baobabhoist/control/relay.py
@@ -43,7 +43,6 @@
 
 # Number of instances that are tried before a call fails.
 MAX_PEERS_TRIED = 5
-# How long a reply may take to begin, and how long no part of it may arrive after that.
 CALL_TIMEOUT_S = 0.6
 # Interval of the direct probes of an unreachable store.
 PROBE_INTERVAL_S = 0.25
@@ -100,7 +99,7 @@
         """Return the rows of a partition in a range of keys."""
         if self._use_direct():
             return await self.direct.read(table, part, start=start, end=end)
-        return _to_rows(await self._relay(RelayRead(table, part, start, end)))
+        return _to_rows(await self._relay(RelayRead(table, part, start, end), CALL_TIMEOUT_S))
 
     async def poll_changes(
         self, table: str, after_version: int, wait_ms: int, max_bytes: int = 0
@@ -109,7 +108,7 @@
         if self._use_direct():
             return await self.direct.poll_changes(table, after_version, wait_ms, max_bytes)
         message = RelayFollow(table, after_version, wait_ms, max_bytes=max_bytes)
-        return _to_rows(await self._relay(message))
+        return _to_rows(await self._relay(message, wait_ms / 1000 + CALL_TIMEOUT_S))
 
     async def commit(self, txn: RowTransaction) -> RowsCommitted | RowsConflict:
         """Apply a transaction."""
@@ -120,7 +119,7 @@
                 if not self.direct.health.is_unreachable():
                     raise
         self._probe()
-        return _to_commit_outcome(await self._relay(_to_relay_commit(txn)))
+        return _to_commit_outcome(await self._relay(_to_relay_commit(txn), CALL_TIMEOUT_S))
 
     async def serve(self, message: Any) -> Any:
         """Execute a call that another instance relayed."""
@@ -131,7 +130,7 @@
             if message.hops >= MAX_HOPS:
                 raise StoreRefusedError("this instance cannot reach the store")
             forwarded = attrs.evolve(message, hops=message.hops + 1)
-            return await self._relay(forwarded)
+            return await self._relay(forwarded, CALL_TIMEOUT_S)
         except StoreError as exc:
             kind = next((k for k, v in _ERROR_TYPES.items() if isinstance(exc, v)), "refused")
             return RelayFailed(kind, str(exc))
@@ -178,12 +177,12 @@
         except StoreError as exc:
             log.debug("the store is still unreachable: %s", exc)
 
-    async def _relay(self, message: Any) -> Any:
+    async def _relay(self, message: Any, timeout_s: float) -> Any:
         """Return the answer of the first peer that serves a call; raises StoreError."""
         timed_out = False
         for link in self._peers.usable_links():
             try:
-                reply = await link.call(message, _timeout_s(message), CALL_TIMEOUT_S)
+                reply = await link.call(message, timeout_s)
             except MessageNotSentError:
                 continue
             except (LinkClosedError, TimeoutError) as exc:
@@ -205,12 +204,6 @@
         raise StoreRefusedError("neither the store nor any peer that can reach it answered")
 
 
-def _timeout_s(message: Any) -> float:
-    """Return how long the reply to a relayed call may take to begin."""
-    wait_ms = message.wait_ms if isinstance(message, RelayFollow) else 0
-    return wait_ms / 1000 + CALL_TIMEOUT_S
-
-
 def _to_wire_row(row: StoredRow) -> WireRow:
     return WireRow(row.key.table, row.key.part, row.key.key, row.value, row.version)
 
--- a/baobabhoist/peer/streams.py
+++ b/baobabhoist/peer/streams.py
@@ -1,11 +1,17 @@
-"""Define the messages that carry large messages in chunks, and reassemble these."""
+"""Transfer large messages as streams of chunks with flow control, and reassemble them."""
 
 from __future__ import annotations
 
+import asyncio
+
 import attrs
 
-# The largest chunk; it takes about 0.5 ms on a 1 Gbit/s link.
+from baobabhoist.errors import LinkClosedError
+
+# A chunk takes about 0.5 ms on a 1 Gbit/s link, which is the longest that it delays a heartbeat.
 CHUNK_BYTES = 1 << 16
+# Limit on the unacknowledged bytes of a stream: the bandwidth-delay product of 4 ms at 1 Gbit/s.
+WINDOW_BYTES = 1 << 19
 MAX_MESSAGE_BYTES = 1 << 28
 MAX_BUFFERED_BYTES = 1 << 29
 # What an unfinished stream takes beside its bytes.
@@ -45,6 +51,40 @@
 STREAM_MESSAGES = (BodyChunk, WindowUpdate, StreamAborted)
 
 
+class SendWindow:
+    """Block a sender while too many bytes of its stream are unacknowledged."""
+
+    def __init__(self) -> None:
+        self._sent_bytes = 0
+        self._acknowledged_bytes = 0
+        self._state_changed = asyncio.Event()
+        self._is_aborted = False
+
+    async def reserve(self, size: int) -> None:
+        """Wait until `size` more bytes may be sent; raises LinkClosedError after an abort."""
+        while (
+            self._sent_bytes + size - self._acknowledged_bytes > WINDOW_BYTES
+            and not self._is_aborted
+        ):
+            self._state_changed.clear()
+            await self._state_changed.wait()
+        if self._is_aborted:
+            raise LinkClosedError("the transfer of the message was aborted")
+        self._sent_bytes += size
+
+    def acknowledge(self, received_bytes: int) -> None:
+        """Record how many bytes the receiver has received; an outdated count has no effect."""
+        self._acknowledged_bytes = max(
+            self._acknowledged_bytes, min(received_bytes, self._sent_bytes)
+        )
+        self._state_changed.set()
+
+    def abort(self) -> None:
+        """Fail the waiting and all later reservations."""
+        self._is_aborted = True
+        self._state_changed.set()
+
+
 @attrs.define
 class StreamAssembler:
     """Reassemble the messages whose chunks arrive on one connection."""
--- a/baobabhoist/tests/test_control_relay.py
+++ b/baobabhoist/tests/test_control_relay.py
@@ -61,7 +61,7 @@
         self.is_silent = False
         self.calls = 0
 
-    async def call(self, message, timeout_s, idle_timeout_s):
+    async def call(self, message, timeout_s):
         self.calls += 1
         if self.is_silent:
             raise TimeoutError
