--- a/baobabhoist/control/relay.py
+++ b/baobabhoist/control/relay.py
@@ -99,7 +99,8 @@
         """Return the rows of a partition in a range of keys."""
         if self._use_direct():
             return await self.direct.read(table, part, start=start, end=end)
-        return _to_rows(await self._relay(RelayRead(table, part, start, end), CALL_TIMEOUT_S))
+        message = RelayRead(table, part, start, end)
+        return _to_rows(await self._relay(message, _reply_timeout_s(message)))
 
     async def poll_changes(
         self, table: str, after_version: int, wait_ms: int, max_bytes: int = 0
@@ -108,7 +109,7 @@
         if self._use_direct():
             return await self.direct.poll_changes(table, after_version, wait_ms, max_bytes)
         message = RelayFollow(table, after_version, wait_ms, max_bytes=max_bytes)
-        return _to_rows(await self._relay(message, wait_ms / 1000 + CALL_TIMEOUT_S))
+        return _to_rows(await self._relay(message, _reply_timeout_s(message)))
 
     async def commit(self, txn: RowTransaction) -> RowsCommitted | RowsConflict:
         """Apply a transaction."""
@@ -138,15 +139,21 @@
     async def _serve_directly(self, message: Any) -> Any:
         if isinstance(message, RelayCommit):
             return _to_relayed_commit(await self.direct.commit(_to_txn(message)))
+        try:
+            async with asyncio.timeout(_reply_timeout_s(message)):
+                rows = await self._read_directly(message)
+        except TimeoutError as exc:
+            raise StoreUnansweredError("the caller waits no longer for the rows") from exc
+        return RelayedRows(tuple(map(_to_wire_row, rows.rows)), rows.version, rows.now_ms)
+
+    async def _read_directly(self, message: RelayRead | RelayFollow) -> RowSet:
         if isinstance(message, RelayRead):
-            rows = await self.direct.read(
+            return await self.direct.read(
                 message.table, message.part, start=message.first, end=message.last
             )
-        else:
-            rows = await self.direct.poll_changes(
-                message.table, message.after, message.wait_ms, message.max_bytes
-            )
-        return RelayedRows(tuple(map(_to_wire_row, rows.rows)), rows.version, rows.now_ms)
+        return await self.direct.poll_changes(
+            message.table, message.after, message.wait_ms, message.max_bytes
+        )
 
     def _use_direct(self) -> bool:
         """Return whether to call the store directly: while it answers, or if no peer is usable."""
@@ -204,6 +211,12 @@
         raise StoreRefusedError("neither the store nor any peer that can reach it answered")
 
 
+def _reply_timeout_s(message: RelayRead | RelayFollow) -> float:
+    """Return how long the caller waits for the reply."""
+    wait_ms = message.wait_ms if isinstance(message, RelayFollow) else 0
+    return wait_ms / 1000 + CALL_TIMEOUT_S
+
+
 def _to_wire_row(row: StoredRow) -> WireRow:
     return WireRow(row.key.table, row.key.part, row.key.key, row.value, row.version)
 
--- a/baobabhoist/tests/test_control_relay.py
+++ b/baobabhoist/tests/test_control_relay.py
@@ -5,7 +5,7 @@
 import pytest
 
 from baobabhoist.control import relay
-from baobabhoist.control.messages import CODEC, RelayCommit, RelayedCommit, RelayFailed
+from baobabhoist.control.messages import CODEC, RelayCommit, RelayedCommit, RelayFailed, RelayRead
 from baobabhoist.control.metrics import NodeMetrics
 from baobabhoist.control.relay import MAX_HOPS, FailoverStore, RelayPeers
 from baobabhoist.control.store_health import MonitoredStore
@@ -122,6 +122,20 @@
     asyncio.run(run())
 
 
+def test_peer_reads_no_longer_than_its_caller_waits(monkeypatch):
+    """Guard against an owner whose connections are in use for reads that nobody waits for."""
+    monkeypatch.setattr(relay, "CALL_TIMEOUT_S", 0.05)
+
+    async def run():
+        view, peer = make_instance(MemoryRowStore())
+        view.hanging_reads = 1
+        async with asyncio.timeout(TEST_TIMEOUT_S):
+            reply = await peer.serve(RelayRead("op", "", "", ""))
+        assert isinstance(reply, RelayFailed)
+
+    asyncio.run(run())
+
+
 def test_commit_without_an_answer_from_the_peer_is_not_refused():
     """Guard against a refusal of a job that a peer stored without answering."""
 
