--- a/baobabhoist/control/relay.py
+++ b/baobabhoist/control/relay.py
@@ -120,7 +120,8 @@
                 if not self.direct.health.is_unreachable():
                     raise
         self._probe()
-        return _to_commit_outcome(await self._relay(_to_relay_commit(txn), CALL_TIMEOUT_S))
+        message = _to_relay_commit(txn)
+        return _to_commit_outcome(await self._relay(message, _reply_timeout_s(message)))
 
     async def serve(self, message: Any) -> Any:
         """Execute a call that another instance relayed."""
@@ -131,7 +132,7 @@
             if message.hops >= MAX_HOPS:
                 raise StoreRefusedError("this instance cannot reach the store")
             forwarded = attrs.evolve(message, hops=message.hops + 1)
-            return await self._relay(forwarded, CALL_TIMEOUT_S)
+            return await self._relay(forwarded, _reply_timeout_s(forwarded))
         except StoreError as exc:
             kind = next((k for k, v in _ERROR_TYPES.items() if isinstance(exc, v)), "refused")
             return RelayFailed(kind, str(exc))
@@ -211,7 +212,7 @@
         raise StoreRefusedError("neither the store nor any peer that can reach it answered")
 
 
-def _reply_timeout_s(message: RelayRead | RelayFollow) -> float:
+def _reply_timeout_s(message: RelayRead | RelayFollow | RelayCommit) -> float:
     """Return how long the caller waits for the reply."""
     wait_ms = message.wait_ms if isinstance(message, RelayFollow) else 0
     return wait_ms / 1000 + CALL_TIMEOUT_S
--- a/baobabhoist/tests/test_control_relay.py
+++ b/baobabhoist/tests/test_control_relay.py
@@ -5,7 +5,14 @@
 import pytest
 
 from baobabhoist.control import relay
-from baobabhoist.control.messages import CODEC, RelayCommit, RelayedCommit, RelayFailed, RelayRead
+from baobabhoist.control.messages import (
+    CODEC,
+    RelayCommit,
+    RelayedCommit,
+    RelayFailed,
+    RelayFollow,
+    RelayRead,
+)
 from baobabhoist.control.metrics import NodeMetrics
 from baobabhoist.control.relay import MAX_HOPS, FailoverStore, RelayPeers
 from baobabhoist.control.store_health import MonitoredStore
@@ -60,9 +67,11 @@
         self.peer = peer
         self.is_silent = False
         self.calls = 0
+        self.timeouts_s = []
 
     async def call(self, message, timeout_s):
         self.calls += 1
+        self.timeouts_s.append(timeout_s)
         if self.is_silent:
             raise TimeoutError
         if self.peer is None:
@@ -122,6 +131,19 @@
     asyncio.run(run())
 
 
+def test_poll_that_is_forwarded_may_wait_for_a_change():
+    """Guard against a sound peer that counts as unusable because a poll through it waits."""
+
+    async def run():
+        shared, _, _, link = make_pair()
+        view, forwarding = make_instance(shared, link)
+        await cut_off(view, forwarding)
+        await forwarding.serve(RelayFollow("op", 0, 1_000))
+        assert link.timeouts_s[-1] > 1.0
+
+    asyncio.run(run())
+
+
 def test_peer_reads_no_longer_than_its_caller_waits(monkeypatch):
     """Guard against an owner whose connections are in use for reads that nobody waits for."""
     monkeypatch.setattr(relay, "CALL_TIMEOUT_S", 0.05)
