--- a/baobabhoist/platform/page_size.py
+++ b/baobabhoist/platform/page_size.py
@@ -1,4 +1,4 @@
-"""Adapt the number of rows per page to whether recent pages arrived in time."""
+"""Adapt the number of rows per page to whether recent pages arrived."""
 
 from __future__ import annotations
 
@@ -15,8 +15,7 @@
 class AdaptivePageSize:
     """Hold the number of rows to request in the next page.
 
-    Over a slow or busy network link, a large page never arrives within the timeout of one
-    request, however often it is retried; a smaller page can.
+    A page that stops arriving is lost whole; of smaller pages less is lost.
     """
 
     rows: int = MAX_PAGE_ROWS
